--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -42,6 +42,14 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Want{Want: &peerpb.Want{Since: m.Since}}}
 	case message.Idle:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Idle{Idle: &peerpb.Idle{Pool: m.Pool, Free: uint32(m.Free)}}}
+	case message.Status:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Status{Status: encodeStatus(m)}}
+	case message.Copy:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Copy{Copy: encodeCopy(m)}}
+	case message.NeedCopy:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_NeedCopy{NeedCopy: &peerpb.NeedCopy{
+			Config: m.Config, Targets: m.Targets,
+		}}}
 	}
 	return nil
 }
@@ -98,6 +106,12 @@
 		return message.Want{Since: b.Want.GetSince()}
 	case *peerpb.Envelope_Idle:
 		return message.Idle{Pool: b.Idle.GetPool(), Free: int(b.Idle.GetFree())}
+	case *peerpb.Envelope_Status:
+		return decodeStatus(b.Status)
+	case *peerpb.Envelope_Copy:
+		return decodeCopy(b.Copy)
+	case *peerpb.Envelope_NeedCopy:
+		return message.NeedCopy{Config: b.NeedCopy.GetConfig(), Targets: b.NeedCopy.GetTargets()}
 	}
 	return nil
 }
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -20,6 +20,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 const (
@@ -33,6 +34,12 @@
 	// default turns off its probing for bandwidth, which costs a ping and
 	// its answer for most messages.
 	window = 1 << 18
+	// dialTimeout and unackedTimeout bound the time to connect and the time
+	// without an acknowledgement: a router behind a partition is dialled anew
+	// at once when it ends, where TCP alone would wait for its next
+	// retransmission.
+	dialTimeout    = time.Second
+	unackedTimeout = time.Second
 )
 
 // Receiver is called with each message that comes in.
@@ -186,7 +193,7 @@
 }
 
 func (t *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout)}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -244,7 +251,10 @@
 			t.dropped.Add(1)
 			continue
 		}
-		if r, ok := m.(message.Report); ok {
+		switch r := m.(type) {
+		case message.Report:
+			from.Leaving = r.Leaving
+		case message.Status:
 			from.Leaving = r.Leaving
 		}
 		t.receive(from, m)
--- /dev/null
+++ b/internal/adapter/peer/status.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"github.com/stepcroft/stepcroft/internal/adapter/peer/peerpb"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+func encodeStatus(m message.Status) *peerpb.Status {
+	out := &peerpb.Status{Ready: m.Ready, Leaving: m.Leaving, Config: m.Config, Targets: m.Targets}
+	for _, l := range m.Loads {
+		out.Loads = append(out.Loads, &peerpb.TargetLoad{
+			Target: l.Target, Unread: uint32(l.Unread), Running: uint32(l.Running), Memory: uint32(l.Memory),
+		})
+	}
+	for _, u := range m.Usage {
+		out.Usage = append(out.Usage, &peerpb.OrganisationUsage{
+			Organisation: u.Organisation, Asked: float32(u.Asked), Begun: float32(u.Begun),
+		})
+	}
+	return out
+}
+
+func decodeStatus(m *peerpb.Status) message.Status {
+	out := message.Status{Ready: m.GetReady(), Leaving: m.GetLeaving(), Config: m.GetConfig(), Targets: m.GetTargets()}
+	for _, l := range m.GetLoads() {
+		out.Loads = append(out.Loads, message.TargetLoad{
+			Target: l.GetTarget(), Unread: int(l.GetUnread()), Running: int(l.GetRunning()), Memory: int(l.GetMemory()),
+		})
+	}
+	for _, u := range m.GetUsage() {
+		out.Usage = append(out.Usage, message.OrganisationUsage{
+			Organisation: u.GetOrganisation(), Asked: float64(u.GetAsked()), Begun: float64(u.GetBegun()),
+		})
+	}
+	return out
+}
+
+func encodeCopy(m message.Copy) *peerpb.Copy {
+	out := &peerpb.Copy{ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.TargetsRevision}
+	for _, t := range m.Targets {
+		out.Targets = append(out.Targets, &peerpb.StoredTarget{Name: t.Name, Revision: t.Revision, Value: t.Value})
+	}
+	return out
+}
+
+func decodeCopy(m *peerpb.Copy) message.Copy {
+	out := message.Copy{
+		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(), TargetsRevision: m.GetTargetsRevision(),
+	}
+	for _, t := range m.GetTargets() {
+		out.Targets = append(out.Targets, message.StoredTarget{
+			Name: t.GetName(), Revision: t.GetRevision(), Value: t.GetValue(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,358 @@
+// Package balance decides which target a request is sent to and when. It
+// keeps each prompt's shared parts at one engine, bounds the prompt tokens
+// that engines have yet to read, lets requests wait for a moment where no
+// engine has room, and gives room first to organisations that have had less
+// than others. State is a plain state machine: time comes in through
+// arguments and one goroutine drives it.
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+const (
+	// maxUnread is the most prompt tokens that an engine may have yet to read
+	// when a request is added, over all routers. Engines read about 40 tokens
+	// a millisecond, between the tokens of running requests: 9,000 are some
+	// 300 ms, half of the shortest goal.
+	maxUnread = 9000
+	// overShare is the part, in percent, of maxUnread that is open to
+	// organisations that already had their share, so that the others find
+	// room.
+	overShare = 40
+	// memoryShare is the part, in percent, of an engine's memory that running
+	// requests' own tokens may take. Beyond its memory an engine interrupts
+	// requests; the rest holds shared parts.
+	memoryShare = 55
+	// spareSlots is how many of an engine's slots are left free for what
+	// other routers send before they hear of it.
+	spareSlots = 2
+	// queueShare is how many requests more than its slots, in percent, a
+	// plain service's target gets: its answers are short, and an empty queue
+	// there means an idle slot.
+	queueShare = 50
+	// waitShare is the part of its goal for which a request waits for room
+	// before it is refused: a caller told so early can still be served in
+	// time when it comes back.
+	waitShare = 5
+	// maxWaiting bounds the requests waiting at a router; more are refused at
+	// once.
+	maxWaiting = 2000
+)
+
+// Limits are the figures that the deployment sets.
+type Limits struct {
+	// RetryRatio is the number of retries that all routers may make per
+	// request in RetryWindow, beside RetrySlack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// QuotaWindow is the time over which organisations' shares are counted.
+	QuotaWindow time.Duration
+}
+
+// Target is an engine or a service's target.
+type Target struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving targets get nothing new.
+	Leaving bool
+}
+
+// target is what the state knows of a Target.
+type target struct {
+	Target
+	own   load
+	cache cache
+	health
+	// waiting holds the own requests that the target has not begun, oldest
+	// first.
+	waiting []*Ticket
+}
+
+// load is what a set of requests puts on a target.
+type load struct {
+	// unread is the number of prompt tokens sent and not yet read.
+	unread int
+	// running is the number of requests sent and not ended.
+	running int
+	// memory is the number of tokens of running requests that are theirs
+	// alone.
+	memory int
+}
+
+func (l load) plus(m load) load {
+	return load{unread: l.unread + m.unread, running: l.running + m.running, memory: l.memory + m.memory}
+}
+
+// State is the control state of a router. Use New to make one.
+type State struct {
+	zone    string
+	limits  Limits
+	random  *rand.Rand
+	table   *routing.Table
+	targets map[string]*target
+	// services has the targets of each service in the order of their ids.
+	services map[string][]*target
+	queue    []*Ticket
+	shares   shares
+	peers    peers
+	budget   budget
+}
+
+// New returns the state of a router in an availability zone, without targets.
+func New(now time.Time, zone string, limits Limits, random *rand.Rand) *State {
+	return &State{
+		zone:     zone,
+		limits:   limits,
+		random:   random,
+		targets:  map[string]*target{},
+		services: map[string][]*target{},
+		shares:   newShares(limits.QuotaWindow),
+		peers:    peers{},
+		budget:   budget{start: now, services: map[string]*history{}},
+	}
+}
+
+// Configure takes over a new configuration.
+func (s *State) Configure(t *routing.Table) {
+	s.table = t
+	s.shares.capacity = t.Limits().TokensPerSecond
+}
+
+// SetTargets replaces the list of targets. Requests that run at a target that
+// is not in it go on there; no more are sent.
+func (s *State) SetTargets(now time.Time, list []Target) {
+	known := make(map[string]*target, len(list))
+	services := map[string][]*target{}
+	for _, t := range list {
+		old := s.targets[t.ID]
+		if old == nil {
+			old = &target{cache: newCache()}
+		}
+		old.Target = t
+		known[t.ID] = old
+		services[t.Service] = append(services[t.Service], old)
+	}
+	for _, list := range services {
+		slices.SortFunc(list, func(a, b *target) int { return compare(a.ID, b.ID) })
+	}
+	s.targets = known
+	s.services = services
+	s.dispatch(now)
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// Arrive takes in a request. Its decision follows on the ticket's channel, at
+// once or when there is room or the request has waited long enough.
+func (s *State) Arrive(now time.Time, t *Ticket) {
+	s.budget.request(now, t.Service)
+	s.shares.asked(now, t.Organisation, t.tokens())
+	s.arrive(now, t)
+}
+
+// Again takes in a request that is to be sent once more. It returns false if
+// the retry budget is spent; the ticket then gets no decision.
+func (s *State) Again(now time.Time, t *Ticket) bool {
+	if !s.budget.allow(now, t.Service, s.limits, s.peers.count(now)+1) {
+		return false
+	}
+	s.budget.repeat(now, t.Service)
+	s.arrive(now, t)
+	return true
+}
+
+func (s *State) arrive(now time.Time, t *Ticket) {
+	t.begun = false
+	t.expires = now.Add(t.patience())
+	if t.expires.After(t.Deadline) {
+		t.expires = t.Deadline
+	}
+	if s.assign(now, t) {
+		return
+	}
+	if len(s.queue) >= maxWaiting {
+		s.refuse(now, t, Full)
+		return
+	}
+	s.queue = append(s.queue, t)
+}
+
+// assign sends a request to a target with room, if there is one.
+func (s *State) assign(now time.Time, t *Ticket) bool {
+	best, miss := s.choose(now, t)
+	if best == nil {
+		return false
+	}
+	s.place(now, t, best, miss)
+	return true
+}
+
+func (s *State) place(now time.Time, t *Ticket, to *target, miss int) {
+	t.at = to
+	t.sent = now
+	t.load = load{unread: miss, running: 1, memory: t.private()}
+	to.own = to.own.plus(t.load)
+	to.waiting = append(to.waiting, t)
+	to.cache.add(now, t.Parts)
+	if t.Engine {
+		s.shares.begun(now, t.Organisation, t.tokens())
+	}
+	t.Decision <- Decision{Target: to.Target, Waited: now.Sub(t.Arrived), Unread: s.loadOf(now, to).unread}
+}
+
+// Begun notes that a request's target has begun to answer it.
+func (s *State) Begun(now time.Time, t *Ticket) {
+	if t.begun || t.at == nil {
+		return
+	}
+	t.begun = true
+	t.at.progress = now
+	t.at.own.unread -= t.load.unread
+	t.load.unread = 0
+	t.at.forget(t)
+	s.dispatch(now)
+}
+
+// Ended notes that a request's exchange with its target is over.
+func (s *State) Ended(now time.Time, t *Ticket, how Result) {
+	to := t.at
+	if to == nil {
+		return
+	}
+	t.at = nil
+	to.own.unread -= t.load.unread
+	to.own.running--
+	to.own.memory -= t.load.memory
+	to.forget(t)
+	to.note(now, how)
+	if how == Refused || how == Unreachable {
+		s.shares.begun(now, t.Organisation, -t.tokens())
+	}
+	s.dispatch(now)
+}
+
+func (t *target) forget(k *Ticket) {
+	if i := slices.Index(t.waiting, k); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+	}
+}
+
+// Withdraw takes a waiting request back, as when its caller has gone.
+func (s *State) Withdraw(t *Ticket) {
+	if i := slices.Index(s.queue, t); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+}
+
+// Tick refuses what has waited long enough and looks for targets that have
+// fallen silent. Call it every few tens of milliseconds.
+func (s *State) Tick(now time.Time) {
+	for _, t := range s.targets {
+		t.watch(now)
+	}
+	s.dispatch(now)
+	kept := s.queue[:0]
+	for _, t := range s.queue {
+		if now.Before(t.expires) {
+			kept = append(kept, t)
+			continue
+		}
+		s.refuse(now, t, s.reason(t))
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// reason returns why a request has found no target.
+func (s *State) reason(t *Ticket) Reason {
+	for _, to := range s.services[t.Service] {
+		if !to.Leaving {
+			return Full
+		}
+	}
+	return NoTarget
+}
+
+// Waiting returns the number of requests that wait for room.
+func (s *State) Waiting() int { return len(s.queue) }
+
+// dispatch sends waiting requests where there is room: those of the
+// organisation that had least first, and the oldest of its requests first.
+func (s *State) dispatch(now time.Time) {
+	if len(s.queue) == 0 {
+		return
+	}
+	had := map[string]float64{}
+	for _, t := range s.queue {
+		if _, ok := had[t.Organisation]; !ok {
+			had[t.Organisation] = s.hadOf(now, t.Organisation)
+		}
+	}
+	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
+		if d := had[a.Organisation] - had[b.Organisation]; d != 0 {
+			return sign(d)
+		}
+		return a.Arrived.Compare(b.Arrived)
+	})
+	kept := s.queue[:0]
+	for _, t := range s.queue {
+		if !s.assign(now, t) {
+			kept = append(kept, t)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+func sign(d float64) int {
+	if d < 0 {
+		return -1
+	}
+	return 1
+}
+
+func (s *State) refuse(now time.Time, t *Ticket, why Reason) {
+	t.Decision <- Decision{Refused: why, Waited: now.Sub(t.Arrived), RetryAfter: s.comeBack(now, t)}
+}
+
+const (
+	// comeBackFull is when to come back after a refusal for want of room:
+	// about the time in which engines read what they may hold unread.
+	comeBackFull = 300 * time.Millisecond
+	// comeBackOver is when to come back for an organisation that had its
+	// share: half of a quota window.
+	comeBackOver = 1500 * time.Millisecond
+)
+
+// comeBack returns when a refused caller should come back, spread so that
+// refused callers do not return together.
+func (s *State) comeBack(now time.Time, t *Ticket) time.Duration {
+	d := comeBackFull
+	if s.over(now, t.Organisation) {
+		d = comeBackOver
+	}
+	return d + time.Duration(s.random.Int64N(int64(d)))
+}
+
+// SetLimits takes over changed limits.
+func (s *State) SetLimits(l Limits) {
+	s.limits = l
+	s.shares.window = l.QuotaWindow
+}
--- /dev/null
+++ b/internal/balance/ticket.go
@@ -0,0 +1,122 @@
+package balance
+
+import (
+	"time"
+)
+
+// Part is a piece of a prompt that other prompts may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Ticket is a request as far as balancing goes. What the caller said does not
+// change; the unexported fields belong to the State.
+type Ticket struct {
+	ID           string
+	Service      string
+	Organisation string
+	// Engine is set for requests to model engines.
+	Engine bool
+	// Parts is the prompt in order; the last one is the request's or its
+	// session's own.
+	Parts []Part
+	// Input is the number of prompt tokens, Output the expected number of
+	// tokens of the answer.
+	Input, Output int
+	Goal          time.Duration
+	Arrived       time.Time
+	Deadline      time.Time
+	// Tried holds the ids of targets that the request was sent to before.
+	Tried []string
+	// Decision receives one decision for each call of Arrive, and of Again
+	// that returned true. It has room for one.
+	Decision chan Decision
+
+	at      *target
+	load    load
+	begun   bool
+	sent    time.Time
+	expires time.Time
+}
+
+// Decision says where a request is to be sent, or that it is refused.
+type Decision struct {
+	Target Target
+	// Refused is empty where there is a target.
+	Refused Reason
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+	// Waited is the time from arrival to the decision.
+	Waited time.Duration
+	// Unread is the target's unread prompt tokens that decided, this
+	// request's included.
+	Unread int
+}
+
+// Reason is why a request is refused.
+type Reason string
+
+// Reasons for refusing a request.
+const (
+	// Full means that all targets have as much as they may.
+	Full Reason = "queue-full"
+	// NoTarget means that the service has no target.
+	NoTarget Reason = "no-target"
+)
+
+// Result is how an exchange with a target ended.
+type Result int
+
+// The results.
+const (
+	// Answered means that the target answered as it should.
+	Answered Result = iota
+	// Refused means that the target said it did not run the request.
+	Refused
+	// Unreachable means that no connection came about.
+	Unreachable
+	// Failed means that the target failed, broke off or fell silent.
+	Failed
+	// Left means that the caller went away or time ran out; it says nothing
+	// about the target.
+	Left
+)
+
+// tokens returns the cost of a request, a token made counted twice.
+func (t *Ticket) tokens() float64 {
+	if !t.Engine {
+		return 0
+	}
+	return float64(t.Input + 2*t.Output)
+}
+
+// private returns the tokens in an engine's memory that the request shares
+// with no other.
+func (t *Ticket) private() int {
+	if !t.Engine {
+		return 0
+	}
+	own := t.Input
+	for i, p := range t.Parts {
+		if i < len(t.Parts)-1 {
+			own -= p.Tokens
+		}
+	}
+	return max(own, 0) + t.Output
+}
+
+// affinity returns the name of the prompt's longest part that other prompts
+// share.
+func (t *Ticket) affinity() string {
+	switch n := len(t.Parts); n {
+	case 0:
+		return ""
+	case 1:
+		return t.Parts[0].ID
+	default:
+		return t.Parts[n-2].ID
+	}
+}
+
+func (t *Ticket) patience() time.Duration { return t.Goal / waitShare }
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,198 @@
+// Package catalog holds a router's copy of what the store says: the
+// configuration and the list of targets, each as of a revision of the store.
+// It takes them from the store and from other routers, whichever is newer,
+// and never goes back. It is driven by one goroutine.
+package catalog
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/invariant"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// lapseTime is for how long a target whose entry went while the store was in
+// trouble is still used: entries of live targets are back about two seconds
+// after the store is, and one that drains may be sent to for as long.
+const lapseTime = 1800 * time.Millisecond
+
+// Codec decodes what the store holds.
+type Codec interface {
+	Table(value []byte) (*routing.Table, error)
+	Target(name string, value []byte) (balance.Target, error)
+}
+
+// entry is a target's entry.
+type entry struct {
+	stored message.StoredTarget
+	target balance.Target
+	// lapsed is when the entry went while the store was in trouble; zero for
+	// one that is there.
+	lapsed time.Time
+}
+
+// Catalog is one router's copy. Use New to make one.
+type Catalog struct {
+	codec          Codec
+	configRevision int64
+	config         []byte
+	table          *routing.Table
+	revision       int64
+	entries        map[string]*entry
+	// unstableUntil is until when entries that go count as lapsed.
+	unstableUntil time.Time
+}
+
+// New returns an empty catalog.
+func New(c Codec) *Catalog { return &Catalog{codec: c, entries: map[string]*entry{}} }
+
+// Table returns the configuration in force, nil before the first.
+func (c *Catalog) Table() *routing.Table { return c.table }
+
+// ConfigRevision returns the store's revision of the configuration in force.
+func (c *Catalog) ConfigRevision() int64 { return c.configRevision }
+
+// Revision returns the store's revision as of which the targets are known.
+func (c *Catalog) Revision() int64 { return c.revision }
+
+// Unstable notes that the store is in trouble: entries that go until a moment
+// from now may belong to targets that are well.
+func (c *Catalog) Unstable(now time.Time) { c.unstableUntil = now.Add(lapseTime) }
+
+// SetConfig takes over a configuration. It returns false if it is no newer
+// than the one in force. One that cannot be decoded leaves the last good one
+// in force.
+func (c *Catalog) SetConfig(revision int64, value []byte) (bool, error) {
+	if revision <= c.configRevision {
+		return false, nil
+	}
+	t, err := c.codec.Table(value)
+	if err != nil {
+		return false, errors.Wrapf(err, "configuration of revision %d", revision)
+	}
+	invariant.Check(revision > c.configRevision, invariant.NeverReverts)
+	c.configRevision, c.config, c.table = revision, value, t
+	return true, nil
+}
+
+// SetTargets takes over the whole list of targets as of a revision. It
+// returns false if the list is older than what is known. Entries that cannot
+// be decoded are left out and named in the error.
+func (c *Catalog) SetTargets(now time.Time, revision int64, list []message.StoredTarget) (bool, error) {
+	if revision < c.revision {
+		return false, nil
+	}
+	listed := make(map[string]bool, len(list))
+	var failed error
+	for _, t := range list {
+		listed[t.Name] = true
+		if err := c.put(t); err != nil {
+			failed = err
+		}
+	}
+	for name := range c.entries {
+		if !listed[name] {
+			c.remove(now, name)
+		}
+	}
+	c.revision = revision
+	return true, failed
+}
+
+// Change is one change to the list of targets.
+type Change struct {
+	message.StoredTarget
+	Gone bool
+}
+
+// Apply takes over changes to the list, complete up to revision.
+func (c *Catalog) Apply(now time.Time, revision int64, changes []Change) error {
+	var failed error
+	for _, ch := range changes {
+		old := c.entries[ch.Name]
+		switch {
+		case old == nil && ch.Revision <= c.revision:
+			// A change from before the list that lacks it.
+		case old != nil && ch.Revision < old.stored.Revision:
+		case ch.Gone:
+			c.remove(now, ch.Name)
+		default:
+			if err := c.put(ch.StoredTarget); err != nil {
+				failed = err
+			}
+		}
+	}
+	c.revision = max(c.revision, revision)
+	return failed
+}
+
+func (c *Catalog) put(t message.StoredTarget) error {
+	old := c.entries[t.Name]
+	if old != nil && t.Revision <= old.stored.Revision && old.lapsed.IsZero() {
+		return nil
+	}
+	decoded, err := c.codec.Target(t.Name, t.Value)
+	if err != nil {
+		return errors.Wrapf(err, "target %s of revision %d", t.Name, t.Revision)
+	}
+	c.entries[t.Name] = &entry{stored: t, target: decoded}
+	return nil
+}
+
+func (c *Catalog) remove(now time.Time, name string) {
+	e := c.entries[name]
+	if e == nil || !e.lapsed.IsZero() {
+		return
+	}
+	if now.Before(c.unstableUntil) && !e.target.Leaving {
+		e.lapsed = now
+		return
+	}
+	delete(c.entries, name)
+}
+
+// Expire forgets lapsed entries that have not come back. It returns false if
+// there were none.
+func (c *Catalog) Expire(now time.Time) bool {
+	changed := false
+	for name, e := range c.entries {
+		if !e.lapsed.IsZero() && now.After(c.unstableUntil) && now.Sub(e.lapsed) > lapseTime {
+			delete(c.entries, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Targets returns the targets that are listed or lapsed, by id.
+func (c *Catalog) Targets() []balance.Target {
+	list := make([]balance.Target, 0, len(c.entries))
+	for _, e := range c.entries {
+		list = append(list, e.target)
+	}
+	slices.SortFunc(list, func(a, b balance.Target) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Copy returns what is newer than a router that is behind has.
+func (c *Catalog) Copy(need message.NeedCopy) message.Copy {
+	var out message.Copy
+	if c.configRevision > need.Config {
+		out.ConfigRevision, out.Config = c.configRevision, c.config
+	}
+	if c.revision > need.Targets {
+		out.TargetsRevision = c.revision
+		for _, e := range c.entries {
+			if e.lapsed.IsZero() {
+				out.Targets = append(out.Targets, e.stored)
+			}
+		}
+	}
+	return out
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 	Demo     demoCommand      `cmd:"" help:"Run a small fleet with stand-ins on this machine for 20 s and print what it did."`
 	Route    routeCommand     `cmd:"" help:"Run one router."`
+	Serve    serveCommand     `cmd:"" help:"Run one router on the platform that its environment names."`
 	Load     loadCommand      `cmd:"" help:"Run a scenario with real routers and stand-ins on loopback, under one policy or several."`
 	Latency  latencyCommand   `cmd:"" help:"Compare requests through a router with requests to its engine."`
 	Standin  standinCommand   `cmd:"" help:"Run a stand-in of the platform, an engine or a plain service."`
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,382 @@
+// Package forward carries one request from its caller to a target and the
+// answer back. It decides when a request is sent, sent again, resumed at
+// another engine or given up, and what the caller is told.
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// Dialect holds the names of the headers that the deployment uses.
+type Dialect struct {
+	// RequestID names a request, in requests and answers.
+	RequestID string
+	// Deadline is the number of milliseconds for which an answer is waited.
+	Deadline string
+	// Organisation tells a target whose request it is.
+	Organisation string
+	// ExpectTarget names the target that the request is meant for.
+	ExpectTarget string
+	// NotRun stands in answers to requests that the target did not run.
+	NotRun string
+	// Seal is the target's signature of its answer.
+	Seal string
+	// LastEvent asks for a stream from after an event on.
+	LastEvent string
+	// Model, PromptSize, PromptParts and OutputHint describe a prompt.
+	Model, PromptSize, PromptParts, OutputHint string
+}
+
+// Request is what a caller asks for.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the path and query exactly as the caller sent them.
+	Target       string
+	Host         string
+	Route        *routing.Route
+	Service      string
+	Organisation string
+	// Header has what is passed on, without what the router sets itself.
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Engine is set where the service's targets are model engines.
+	Engine bool
+	Parts  []balance.Part
+	// Input and Output are the prompt's tokens and the most tokens out.
+	Input, Output int
+	// LastEvent is the id of the last event that the caller has; empty if
+	// none.
+	LastEvent string
+}
+
+// Caller is where an answer goes.
+type Caller interface {
+	// Head begins the answer; length is -1 if it is not known.
+	Head(status int, header http.Header, length int64)
+	// Write sends a piece of the body at once.
+	Write(b []byte) error
+}
+
+// Sender exchanges requests and answers with targets.
+type Sender interface {
+	Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error)
+}
+
+// Verdict is how a request ended, as its caller must be told.
+type Verdict struct {
+	// Status is the status sent, or to be sent if Begun is false.
+	Status int
+	// Begun is set if the answer's head was handed to the caller.
+	Begun bool
+	// Cut is set if the answer broke off and must not look complete.
+	Cut bool
+	// Reason says why the request was refused or failed; empty if a target's
+	// answer was passed on.
+	Reason Reason
+	// RetryAfter is when the caller should come back; 0 if that is not known.
+	RetryAfter time.Duration
+	// Sends is the number of targets that the request was sent to.
+	Sends int
+	// Waited is the time spent waiting for room, First the time to the first
+	// byte of the answer's body; 0 if none came.
+	Waited, First time.Duration
+	// Target is the id of the last target that was chosen.
+	Target string
+	// Unread is that target's unread prompt tokens when it was chosen.
+	Unread int
+}
+
+// Reason is why a request was refused, failed or was sent again.
+type Reason string
+
+// The reasons.
+const (
+	ReasonFull     Reason = Reason(balance.Full)
+	ReasonNoTarget Reason = Reason(balance.NoTarget)
+	// ReasonDeadline means that time ran out.
+	ReasonDeadline Reason = "deadline"
+	// ReasonGone means that the caller went away.
+	ReasonGone Reason = "caller-gone"
+	// ReasonRefused means that a target said it did not run the request.
+	ReasonRefused Reason = "target-refused"
+	// ReasonUnreachable means that no connection to a target came about.
+	ReasonUnreachable Reason = "target-unreachable"
+	// ReasonBroken means that a target's answer broke off or never came.
+	ReasonBroken Reason = "target-broken"
+	// ReasonFailed means that a target answered with a failure of its own.
+	ReasonFailed Reason = "target-failed"
+	// ReasonSilent means that a target showed no sign for too long.
+	ReasonSilent Reason = "target-silent"
+)
+
+// Forwarder forwards requests. Use New to make one; it is safe for use by
+// many goroutines.
+type Forwarder struct {
+	dialect Dialect
+	sender  Sender
+	loop    *balance.Loop
+	log     logr.Logger
+	counts  Counts
+}
+
+// Counts counts what happens to requests, by reason.
+type Counts interface {
+	Retried(r Reason)
+}
+
+// New returns a forwarder.
+func New(d Dialect, s Sender, l *balance.Loop, log logr.Logger, c Counts) *Forwarder {
+	return &Forwarder{dialect: d, sender: s, loop: l, log: log, counts: c}
+}
+
+const (
+	// defaultOutput is the number of tokens assumed to come out where the
+	// caller tells none.
+	defaultOutput = 100
+	// minLeft is the least time that is worth a send.
+	minLeft = 5 * time.Millisecond
+	// comeBackSoon is when to come back after a target refused or could not be
+	// reached: another one is chosen then.
+	comeBackSoon = 200 * time.Millisecond
+)
+
+// run is one request on its way.
+type run struct {
+	*Forwarder
+	Request
+	caller   Caller
+	ticket   *balance.Ticket
+	deadline time.Time
+	verdict  Verdict
+	// mayHaveRun is set once a target may have run the request.
+	mayHaveRun bool
+	// last is the id of the last event passed on.
+	last string
+	// passed is the number of events passed on.
+	passed int
+}
+
+// Forward carries r to a target and the answer to caller. It returns when
+// the answer is over or given up; ctx ends when the caller goes away.
+func (f *Forwarder) Forward(ctx context.Context, r Request, caller Caller) Verdict {
+	deadline := r.Deadline
+	if d := r.Arrived.Add(r.Route.Timeout); r.Route.Timeout > 0 && d.Before(deadline) {
+		deadline = d
+	}
+	x := &run{Forwarder: f, Request: r, caller: caller, deadline: deadline, last: r.LastEvent}
+	x.ticket = &balance.Ticket{
+		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Engine: r.Engine,
+		Parts: r.Parts, Input: r.Input, Output: r.Output, Goal: r.Route.Goal,
+		Arrived: r.Arrived, Deadline: deadline, Decision: make(chan balance.Decision, 1),
+	}
+	timed, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	x.run(timed)
+	return x.verdict
+}
+
+// run sends the request until an answer has been passed on or it is given up.
+func (x *run) run(ctx context.Context) {
+	x.loop.Post(func(s *balance.State, now time.Time) { s.Arrive(now, x.ticket) })
+	for {
+		to, ok := x.target(ctx)
+		if !ok {
+			return
+		}
+		err := x.try(ctx, to)
+		if err == nil {
+			return
+		}
+		if !x.again(ctx, to, err) {
+			return
+		}
+	}
+}
+
+// target waits for the control thread's decision.
+func (x *run) target(ctx context.Context) (balance.Target, bool) {
+	select {
+	case d := <-x.ticket.Decision:
+		x.verdict.Waited = d.Waited
+		if d.Refused != "" {
+			x.refuse(Reason(d.Refused), d.RetryAfter)
+			return balance.Target{}, false
+		}
+		x.verdict.Target = d.Target.ID
+		x.verdict.Unread = d.Unread
+		return d.Target, true
+	case <-ctx.Done():
+		x.withdraw()
+		x.giveUp(ctx)
+		return balance.Target{}, false
+	}
+}
+
+// withdraw takes the request back from the control thread, which may have
+// decided already.
+func (x *run) withdraw() {
+	t := x.ticket
+	x.loop.Post(func(s *balance.State, now time.Time) {
+		s.Withdraw(t)
+		select {
+		case <-t.Decision:
+			s.Ended(now, t, balance.Left)
+		default:
+		}
+	})
+}
+
+// refuse ends a request that was not run, or that cannot be continued.
+func (x *run) refuse(why Reason, after time.Duration) {
+	x.verdict.Reason = why
+	if x.verdict.Begun {
+		x.verdict.Cut = true
+		return
+	}
+	if x.mayHaveRun {
+		x.verdict.Status = http.StatusBadGateway
+		return
+	}
+	x.verdict.Status = http.StatusServiceUnavailable
+	x.verdict.RetryAfter = after
+}
+
+// giveUp ends a request whose time is over or whose caller has gone.
+func (x *run) giveUp(ctx context.Context) {
+	x.verdict.Reason = ReasonGone
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		x.verdict.Reason = ReasonDeadline
+	}
+	if x.verdict.Begun {
+		x.verdict.Cut = true
+		return
+	}
+	x.verdict.Status = http.StatusGatewayTimeout
+	if !x.mayHaveRun {
+		x.verdict.Status = http.StatusServiceUnavailable
+		x.verdict.RetryAfter = comeBackSoon
+	}
+}
+
+// failure is why one send did not lead to a whole answer.
+type failure struct {
+	reason Reason
+	result balance.Result
+	// ran is set if the target may have run the request.
+	ran bool
+	// answer passes on what the target said of its failure, where it said
+	// something that may be passed on; nil if not.
+	answer *kept
+	cause  error
+}
+
+func (f *failure) Error() string { return string(f.reason) + ": " + f.cause.Error() }
+
+// again decides what follows a failed send. It returns true if the request
+// was handed to the control thread once more.
+func (x *run) again(ctx context.Context, to balance.Target, f *failure) bool {
+	if f.ran {
+		x.mayHaveRun = true
+	}
+	if ctx.Err() != nil {
+		x.giveUp(ctx)
+		return false
+	}
+	if x.mayRetry(f) && x.retry(ctx, to) {
+		x.counts.Retried(f.reason)
+		x.log.Info("sent again", "id", x.ID, "target", to.ID, "reason", f.reason, "cause", f.cause.Error(), "events", x.passed)
+		return true
+	}
+	if f.answer != nil && !x.verdict.Begun {
+		x.pass(f.answer)
+		return false
+	}
+	x.log.Info("given up", "id", x.ID, "target", to.ID, "reason", f.reason, "cause", f.cause.Error(), "events", x.passed)
+	x.refuse(f.reason, comeBackSoon)
+	return false
+}
+
+// mayRetry reports whether the request may be sent to another target.
+func (x *run) mayRetry(f *failure) bool {
+	if x.verdict.Sends >= max(x.Route.MaxAttempts, 1) {
+		return false
+	}
+	if time.Until(x.deadline) < minLeft {
+		return false
+	}
+	if x.verdict.Begun && !x.Route.Resumable {
+		return false
+	}
+	return !f.ran || x.Route.Repeatable()
+}
+
+// retry asks the control thread for another target, which the retry budget
+// may forbid. A send that never reached a target needs no budget.
+func (x *run) retry(ctx context.Context, to balance.Target) bool {
+	t := x.ticket
+	free := x.verdict.Sends == 0
+	allowed := false
+	asked := x.loop.Ask(ctx, func(s *balance.State, now time.Time) {
+		t.Tried = append(t.Tried, to.ID)
+		if free {
+			s.Arrive(now, t)
+			allowed = true
+			return
+		}
+		allowed = s.Again(now, t)
+	})
+	return asked && allowed
+}
+
+// head builds the head of the request for a target.
+func (x *run) head(to balance.Target, deadline time.Time) []byte {
+	b := make([]byte, 0, headSize)
+	b = append(b, x.Method...)
+	b = append(b, ' ')
+	b = append(b, x.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, x.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range x.Header {
+		for _, v := range values {
+			b = line(b, name, v)
+		}
+	}
+	b = line(b, x.dialect.RequestID, x.ID)
+	b = line(b, x.dialect.Deadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	b = line(b, x.dialect.ExpectTarget, to.ID)
+	if x.Organisation != "" {
+		b = line(b, x.dialect.Organisation, x.Organisation)
+	}
+	if x.last != "" {
+		b = line(b, x.dialect.LastEvent, x.last)
+	}
+	if len(x.Body) > 0 || x.Method == http.MethodPost || x.Method == http.MethodPut || x.Method == http.MethodPatch {
+		b = line(b, "Content-Length", strconv.Itoa(len(x.Body)))
+	}
+	return append(b, "\r\n"...)
+}
+
+// headSize is room for a usual request's head, in bytes.
+const headSize = 768
+
+func line(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/config"
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+// Everything in this file but reports and the posting methods runs in the
+// control goroutine.
+
+// reports sends the router's status to the others from time to time.
+func (g *Gateway) reports(ctx context.Context) {
+	next := time.Now()
+	for group.SleepUntil(ctx, next) {
+		period := statusPeriod
+		g.loop.Ask(ctx, func(s *balance.State, now time.Time) {
+			g.report(s, now)
+			g.expire(s, now)
+			period = max(statusPeriod, statusPerPeer*time.Duration(len(g.members.Others(now))))
+		})
+		next = time.Now().Add(period)
+	}
+}
+
+// report sends the router's status to all others.
+func (g *Gateway) report(s *balance.State, now time.Time) {
+	m := message.Status{
+		Ready:   g.server.Ready(),
+		Leaving: g.members.Self().Leaving,
+		Config:  g.catalog.ConfigRevision(),
+		Targets: g.catalog.Revision(),
+	}
+	r := s.Report(now)
+	for id, l := range r.Loads {
+		m.Loads = append(m.Loads, message.TargetLoad{Target: id, Unread: max(l.Unread, 0), Running: l.Running, Memory: max(l.Memory, 0)})
+	}
+	for name, u := range r.Usage {
+		m.Usage = append(m.Usage, message.OrganisationUsage{Organisation: name, Asked: u.Asked, Begun: u.Begun})
+	}
+	known := map[string]bool{g.members.Self().Peer: true}
+	for _, to := range g.members.Others(now) {
+		known[to.Peer] = true
+		g.peers.Send(to, m)
+	}
+	for _, address := range g.Seeds {
+		if !known[address] {
+			g.peers.Send(member.Member{Peer: address}, m)
+		}
+	}
+}
+
+func (g *Gateway) expire(s *balance.State, now time.Time) {
+	if g.catalog.Expire(now) {
+		s.SetTargets(now, g.catalog.Targets())
+	}
+}
+
+// receive takes in a message of another router; it is called by the peer
+// transport.
+func (g *Gateway) receive(from member.Member, m message.Message) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		if !g.members.Heard(from, now) {
+			return
+		}
+		switch m := m.(type) {
+		case message.Status:
+			g.heardStatus(s, now, from, m)
+		case message.NeedCopy:
+			g.peers.Send(from, g.catalog.Copy(m))
+		case message.Copy:
+			g.takeCopy(s, now, from, m)
+		}
+	})
+}
+
+func (g *Gateway) heardStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
+	if _, ok := g.status[from.ID]; !ok {
+		g.Log.Info("router found", "router", from.ID, "peer", from.Peer)
+	}
+	g.status[from.ID] = m
+	r := balance.Report{
+		Loads: make(map[string]balance.Load, len(m.Loads)),
+		Usage: make(map[string]balance.Usage, len(m.Usage)),
+	}
+	for _, l := range m.Loads {
+		r.Loads[l.Target] = balance.Load{Unread: l.Unread, Running: l.Running, Memory: l.Memory}
+	}
+	for _, u := range m.Usage {
+		r.Usage[u.Organisation] = balance.Usage{Asked: u.Asked, Begun: u.Begun}
+	}
+	s.Heard(now, string(from.ID), r)
+	behind := m.Config > g.catalog.ConfigRevision() || m.Targets > g.catalog.Revision()
+	if behind && now.Sub(g.asked) >= copyPause {
+		g.asked = now
+		g.peers.Send(from, message.NeedCopy{Config: g.catalog.ConfigRevision(), Targets: g.catalog.Revision()})
+	}
+}
+
+func (g *Gateway) takeCopy(s *balance.State, now time.Time, from member.Member, m message.Copy) {
+	if len(m.Config) > 0 {
+		g.setConfig(s, m.ConfigRevision, m.Config, string(from.ID))
+	}
+	if m.TargetsRevision == 0 {
+		return
+	}
+	changed, err := g.catalog.SetTargets(now, m.TargetsRevision, m.Targets)
+	if err != nil {
+		g.Log.Error(err, "target ignored", "from", from.ID)
+	}
+	if changed {
+		s.SetTargets(now, g.catalog.Targets())
+	}
+}
+
+func (g *Gateway) setConfig(s *balance.State, revision int64, value []byte, from string) {
+	changed, err := g.catalog.SetConfig(revision, value)
+	if err != nil {
+		g.Log.Error(err, "configuration ignored", "from", from)
+		return
+	}
+	if !changed {
+		return
+	}
+	t := g.catalog.Table()
+	s.Configure(t)
+	g.server.Configure(t)
+	g.Log.Info("configuration in force", "version", t.Version(), "revision", revision, "from", from)
+	g.report(s, time.Now())
+}
+
+// SetConfig takes over a configuration from the store.
+func (g *Gateway) SetConfig(revision int64, value []byte) {
+	g.loop.Post(func(s *balance.State, _ time.Time) { g.setConfig(s, revision, value, "store") })
+}
+
+// SetTargets takes over the store's whole list of targets.
+func (g *Gateway) SetTargets(revision int64, list []message.StoredTarget) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		changed, err := g.catalog.SetTargets(now, revision, list)
+		g.targetsChanged(s, now, revision, changed, err)
+	})
+}
+
+// ChangeTargets takes over changes to the store's list of targets.
+func (g *Gateway) ChangeTargets(revision int64, changes []catalog.Change) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		err := g.catalog.Apply(now, revision, changes)
+		g.targetsChanged(s, now, revision, len(changes) > 0, err)
+	})
+}
+
+func (g *Gateway) targetsChanged(s *balance.State, now time.Time, revision int64, changed bool, err error) {
+	if err != nil {
+		g.Log.Error(err, "target ignored", "from", "store")
+	}
+	if !changed {
+		return
+	}
+	list := g.catalog.Targets()
+	leaving := 0
+	for _, t := range list {
+		if t.Leaving {
+			leaving++
+		}
+	}
+	g.Log.Info("targets known", "revision", revision, "targets", len(list), "leaving", leaving)
+	s.SetTargets(now, list)
+	g.report(s, now)
+}
+
+// StoreTrouble notes that a call to the store failed.
+func (g *Gateway) StoreTrouble() {
+	g.loop.Post(func(_ *balance.State, now time.Time) { g.catalog.Unstable(now) })
+}
+
+// SetRouters takes over the store's list of routers.
+func (g *Gateway) SetRouters(list []config.Box) {
+	g.loop.Post(func(*balance.State, time.Time) { g.members.Listed(list) })
+}
+
+// minNear is the least number of addresses told to a caller where there are
+// as many: one may fail.
+const minNear = 2
+
+// Addresses returns where callers in an availability zone should connect:
+// routers of that zone that can serve, or others if there are too few.
+func (g *Gateway) Addresses(ctx context.Context, zone string) []string {
+	var near, far []string
+	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
+		for _, m := range g.members.Live(now) {
+			if !g.canServe(m) {
+				continue
+			}
+			if m.Zone == zone {
+				near = append(near, m.Address)
+				continue
+			}
+			far = append(far, m.Address)
+		}
+	})
+	if len(near) >= minNear || len(far) == 0 {
+		return near
+	}
+	if len(near) == 0 {
+		return far
+	}
+	return append(near, far[:1]...)
+}
+
+func (g *Gateway) canServe(m member.Member) bool {
+	if m.ID == g.members.Self().ID {
+		return g.server.Ready()
+	}
+	status := g.status[m.ID]
+	return status.Ready && !status.Leaving
+}
+
+// Routers returns the ids of the other routers that are alive.
+func (g *Gateway) Routers(ctx context.Context) []string {
+	var ids []string
+	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
+		for _, m := range g.members.Live(now) {
+			ids = append(ids, string(m.ID))
+		}
+	})
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,180 @@
+// Package gateway puts a router together for deployments whose engines batch
+// requests themselves: callers' side, forwarding, balancing, the copy of the
+// store and the exchange with the other routers.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/adapter/peer"
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+const (
+	// statusPeriod is the time between a router's reports to the others in a
+	// small fleet: a third of the time that engines take to read what they
+	// may hold unread.
+	statusPeriod = 100 * time.Millisecond
+	// statusPerPeer lengthens the period in larger fleets, so that a router
+	// sends and receives at most 100 reports a second each.
+	statusPerPeer = 10 * time.Millisecond
+	// memberTimeout is after how long a silent router counts as down: several
+	// periods, since links lose packets.
+	memberTimeout = 1500 * time.Millisecond
+	// sweepPeriod is the time between looks for old unused connections.
+	sweepPeriod = time.Second
+	// copyPause is the time between requests to other routers for what they
+	// have newer.
+	copyPause = 60 * time.Millisecond
+)
+
+// Options are what a gateway needs.
+type Options struct {
+	ID     string
+	Zone   string
+	Listen string
+	// PeerListen is where other routers connect.
+	PeerListen string
+	// Seeds are other routers' PeerListen addresses; they may be stale.
+	Seeds       []string
+	Incarnation uint64
+	Dialect     forward.Dialect
+	Codec       catalog.Codec
+	Limits      balance.Limits
+	Log         logr.Logger
+	Metrics     *Metrics
+}
+
+// Gateway is a running router. Use New to make one.
+type Gateway struct {
+	Options
+	group     *group.Group
+	loop      *balance.Loop
+	catalog   *catalog.Catalog
+	members   *member.Table
+	status    map[message.RouterID]message.Status
+	asked     time.Time
+	transport *httptarget.Transport
+	server    *ingress.Server
+	peers     *peer.Transport
+	hinted    map[string]bool
+}
+
+// New starts a router. Its catalog is empty: it refuses callers until it gets
+// a configuration.
+func New(ctx context.Context, o Options) (*Gateway, error) {
+	callers, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for callers on %s", o.Listen)
+	}
+	others, err := net.Listen("tcp", o.PeerListen)
+	if err != nil {
+		_ = callers.Close()
+		return nil, errors.Wrapf(err, "listen for routers on %s", o.PeerListen)
+	}
+	g := &Gateway{
+		Options: o,
+		group:   group.New(ctx),
+		catalog: catalog.New(o.Codec),
+		status:  map[message.RouterID]message.Status{},
+		hinted:  map[string]bool{},
+	}
+	now := time.Now()
+	self := member.Member{
+		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
+		Peer: others.Addr().String(), Incarnation: o.Incarnation,
+	}
+	g.members = member.New(self, memberTimeout, now)
+	random := rand.New(rand.NewPCG(o.Incarnation, uint64(now.UnixNano())))
+	g.loop = balance.NewLoop(balance.New(now, o.Zone, o.Limits, random))
+	g.transport = httptarget.New(g.group)
+	forwarder := forward.New(o.Dialect, g.transport, g.loop, o.Log, o.Metrics)
+	g.server = ingress.New(o.Dialect, forwarder, g.observer(), o.Log)
+	g.peers = peer.New(g.group.Context(), self, others, g.receive, o.Log)
+	o.Metrics.watch(g)
+	g.group.GoContext(g.loop.Run)
+	g.group.GoContext(g.reports)
+	g.group.GoContext(g.sweep)
+	g.group.Go(func() { g.serve(callers) })
+	return g, nil
+}
+
+func (g *Gateway) serve(l net.Listener) {
+	if err := g.server.Serve(l); err != nil {
+		g.Log.Error(err, "callers' side ended")
+	}
+}
+
+// Ready reports whether the router can serve callers.
+func (g *Gateway) Ready() bool { return g.server.Ready() }
+
+// Known is what the router knows of itself, for a store in which routers find
+// one another.
+func (g *Gateway) Known() member.Member { return g.members.Self() }
+
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.transport.Sweep(now)
+		}
+	}
+}
+
+const (
+	// moveOn is for how long a leaving router serves as usual: three times
+	// the time for which callers keep the addresses they were told.
+	// lastBegin is when it stops taking new requests: those that came before
+	// end within the grace that the deployment gives.
+	lastBegin = 6 * time.Second
+	// drainPause is the time between looks whether all requests have ended.
+	drainPause = 50 * time.Millisecond
+)
+
+// Drain makes a planned stop: the router leaves the fleet, serves those who
+// have not noticed yet, and returns when that is done or limit is over.
+func (g *Gateway) Drain(ctx context.Context, limit time.Duration) {
+	began := time.Now()
+	g.Log.Info("planned stop begins", "open", g.server.Open(), "limit_ms", limit.Milliseconds())
+	g.server.Leave()
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		g.members.Leave()
+		g.report(s, now)
+	})
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	group.SleepUntil(ctx, began.Add(min(lastBegin, limit)))
+	g.server.Refuse()
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.Log.Info("planned stop cut requests short", "open", g.server.Open(), "cause", err.Error())
+	}
+	g.Log.Info("planned stop is done", "took_ms", time.Since(began).Milliseconds())
+}
+
+// Stop ends the router at once.
+func (g *Gateway) Stop() {
+	g.peers.Stop()
+	g.group.Stop()
+}
+
+// SetLimits takes over changed limits.
+func (g *Gateway) SetLimits(l balance.Limits) {
+	g.loop.Post(func(s *balance.State, _ time.Time) { s.SetLimits(l) })
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/metrics"
+)
+
+const (
+	// maxLatency bounds the histograms, in microseconds; two digits of
+	// precision keep one at some 20 KB.
+	maxLatency    = int64(time.Minute / time.Microsecond)
+	latencyDigits = 2
+)
+
+// Metrics counts what a gateway does. Use NewMetrics to make one.
+type Metrics struct {
+	root     *expvar.Map
+	refusals *expvar.Map
+	failures *expvar.Map
+	retries  *expvar.Map
+	statuses *expvar.Map
+
+	mu                   sync.Mutex
+	waited, first, total *hdrhistogram.Histogram
+}
+
+// NewMetrics returns a set of counters at zero.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
+		retries: new(expvar.Map), statuses: new(expvar.Map),
+		waited: hdrhistogram.New(1, maxLatency, latencyDigits),
+		first:  hdrhistogram.New(1, maxLatency, latencyDigits),
+		total:  hdrhistogram.New(1, maxLatency, latencyDigits),
+	}
+	m.root.Set("refusals", m.refusals)
+	m.root.Set("failures", m.failures)
+	m.root.Set("retries", m.retries)
+	m.root.Set("statuses", m.statuses)
+	m.root.Set("latency_ms", expvar.Func(m.latencies))
+	m.root.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
+	m.root.Set("process", expvar.Func(func() any { return metrics.ReadProcess() }))
+	return m
+}
+
+// Set adds a value that is worked out when it is read.
+func (m *Metrics) Set(name string, read func() any) { m.root.Set(name, expvar.Func(read)) }
+
+func (m *Metrics) watch(g *Gateway) {
+	m.Set("target_connections", func() any { return g.transport.Stats() })
+	m.Set("peer_messages", func() any { return g.peers.Stats() })
+	m.Set("open_requests", func() any { return g.server.Open() })
+}
+
+// Retried counts a retry by its reason.
+func (m *Metrics) Retried(r forward.Reason) { m.retries.Add(string(r), 1) }
+
+func (m *Metrics) ended(v forward.Verdict, took time.Duration) {
+	m.statuses.Add(fmt.Sprint(v.Status), 1)
+	switch {
+	case v.Reason == "":
+	case v.Begun || v.Status == http.StatusBadGateway || v.Status == http.StatusGatewayTimeout:
+		m.failures.Add(string(v.Reason), 1)
+	default:
+		m.refusals.Add(string(v.Reason), 1)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record(m.waited, v.Waited)
+	if v.First > 0 {
+		record(m.first, v.First)
+	}
+	record(m.total, took)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// Values are cut to the histogram's range; it then takes all of them.
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxLatency))
+}
+
+// latency is a histogram's summary, in milliseconds.
+type latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+func (m *Metrics) latencies() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return map[string]latency{"waited": summary(m.waited), "first_byte": summary(m.first), "total": summary(m.total)}
+}
+
+func summary(h *hdrhistogram.Histogram) latency {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return latency{
+		Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+	}
+}
+
+// ServeHTTP writes all figures as one JSON object.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	if _, err := w.Write([]byte(m.root.String())); err != nil {
+		return
+	}
+}
+
+// observer logs and counts each request that ended.
+type observer struct {
+	log     logr.Logger
+	metrics *Metrics
+}
+
+func (g *Gateway) observer() observer { return observer{log: g.Log, metrics: g.Metrics} }
+
+// Ended implements ingress.Observer.
+func (o observer) Ended(r forward.Request, v forward.Verdict, took time.Duration) {
+	o.metrics.ended(v, took)
+	route := ""
+	if r.Route != nil {
+		route = r.Route.Name
+	}
+	outcome := "answered"
+	switch {
+	case v.Cut:
+		outcome = "cut"
+	case v.Reason != "":
+		outcome = "refused"
+	}
+	o.log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome,
+		"status", v.Status, "reason", string(v.Reason), "target", v.Target, "sends", v.Sends, "unread", v.Unread,
+		"waited_ms", milliseconds(v.Waited), "first_ms", milliseconds(v.First), "took_ms", milliseconds(took),
+		"retry_after_ms", v.RetryAfter.Milliseconds())
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/httptarget/httptarget.go
@@ -0,0 +1,365 @@
+// Package httptarget exchanges requests and answers with targets over
+// HTTP/1.1 connections of its own. It differs from the standard library's
+// client where a router must know more than a client: it never sends a
+// request a second time, says whether any byte can have reached the target,
+// skips answers that belong to earlier requests, and uses a connection again
+// only if nothing unexpected has arrived on it.
+package httptarget
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
+)
+
+var (
+	// ErrNotSent means that no byte of the request can have reached the
+	// target.
+	ErrNotSent = errors.New("request not sent")
+	// ErrBroken means that the target may have run the request, and that its
+	// answer is lost or is none.
+	ErrBroken = errors.New("connection to target broke")
+)
+
+const (
+	// readBuffer is the size of a connection's read buffer, in bytes: an
+	// answer's head fits, and bodies are read past it.
+	readBuffer = 4 << 10
+	// dialTimeout bounds the time to connect. Zones are a millisecond apart
+	// and a lost first packet is sent again after a second, by when another
+	// target is the better choice.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout is after how long without an acknowledgement the kernel
+	// gives a connection up: a few retransmissions on a link that loses
+	// packets, and well below the pause after which callers leave a stream.
+	unackedTimeout = 1500 * time.Millisecond
+	// writeTimeout bounds the time to hand a request over.
+	writeTimeout = 2 * time.Second
+	// maxIdle is for how long an unused connection is kept where the target
+	// does not say less.
+	maxIdle = 8 * time.Second
+	// idleShare is the part, in percent, of the time that the target said it
+	// keeps an unused connection after which it is not used again: it may be
+	// closing it just then.
+	idleShare = 70
+	// maxStray is how many answers to earlier requests are skipped before a
+	// connection is given up.
+	maxStray = 2
+	// asideBody is the size, in bytes, from which a body is written beside
+	// reading: the target may answer before it has read all of it.
+	asideBody = 4 << 10
+)
+
+// Request is what is sent. The head is the whole text up to and including
+// the empty line.
+type Request struct {
+	Method string
+	Head   []byte
+	Body   []byte
+	// ID is what the answer's IDHeader must say, if it says anything.
+	ID       string
+	IDHeader string
+}
+
+// Stats are running totals.
+type Stats struct {
+	Dialled    int64 `json:"dialled"`
+	DialFailed int64 `json:"dial_failed"`
+	Reused     int64 `json:"reused"`
+	Stray      int64 `json:"stray_answers"`
+	Dirty      int64 `json:"unexpected_bytes"`
+}
+
+// Transport holds the connections to targets. Use New to make one; it is safe
+// for use by many goroutines.
+type Transport struct {
+	group  *group.Group
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+
+	dialled, dialFailed, reused, stray, dirty atomic.Int64
+}
+
+// New returns a transport without connections whose goroutines run in g.
+func New(g *group.Group) *Transport {
+	return &Transport{
+		group: g,
+		idle:  map[string][]*conn{},
+		dialer: net.Dialer{
+			Timeout:   dialTimeout,
+			KeepAlive: -1,
+			Control:   sockopt.UserTimeout(unackedTimeout),
+		},
+	}
+}
+
+// Stats returns the totals since the start.
+func (t *Transport) Stats() Stats {
+	return Stats{
+		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
+		Stray: t.stray.Load(), Dirty: t.dirty.Load(),
+	}
+}
+
+// Send sends r to the target at address and returns its answer's head. The
+// connection closes as soon as ctx ends. An error wraps ErrNotSent or
+// ErrBroken. The caller must call Close on the answer.
+func (t *Transport) Send(ctx context.Context, address string, r Request) (*Answer, error) {
+	c, err := t.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	a := &Answer{transport: t, conn: c, method: r.Method}
+	a.unwatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if err := a.write(r); err != nil {
+		a.Close()
+		return nil, errors.Wrapf(ErrBroken, "write to %s: %v", address, err)
+	}
+	if err := a.readHead(r); err != nil {
+		a.Close()
+		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", address, err)
+	}
+	return a, nil
+}
+
+func (t *Transport) connect(ctx context.Context, address string) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
+	}
+	if c := t.take(address); c != nil {
+		t.reused.Add(1)
+		return c, nil
+	}
+	raw, err := t.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		t.dialFailed.Add(1)
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
+	}
+	t.dialled.Add(1)
+	c, err := newConn(raw, address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
+	}
+	return c, nil
+}
+
+// take returns an unused connection, the one used last, or nil.
+func (t *Transport) take(address string) *conn {
+	now := time.Now()
+	for {
+		c := t.pop(address)
+		if c == nil {
+			return nil
+		}
+		if c.expired(now, maxIdle) {
+			_ = c.Close()
+			continue
+		}
+		if !c.quiet() {
+			t.dirty.Add(1)
+			_ = c.Close()
+			continue
+		}
+		return c
+	}
+}
+
+func (t *Transport) pop(address string) *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	t.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (t *Transport) put(c *conn) {
+	c.idleSince = time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.idle[c.address] = append(t.idle[c.address], c)
+}
+
+// Sweep closes unused connections that are too old. Call it now and then.
+func (t *Transport) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, list := range t.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if c.expired(now, maxIdle) {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		t.idle[address] = kept
+		if len(kept) == 0 {
+			delete(t.idle, address)
+		}
+	}
+}
+
+// Drop closes the unused connections to an address.
+func (t *Transport) Drop(address string) {
+	t.mu.Lock()
+	list := t.idle[address]
+	delete(t.idle, address)
+	t.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Answer is a target's answer, whose body is read as it comes.
+type Answer struct {
+	Status int
+	Header http.Header
+
+	transport *Transport
+	conn      *conn
+	method    string
+	response  *http.Response
+	unwatch   func() bool
+	// writing is closed when a body that is written aside has been written;
+	// nil where the request was written at once.
+	writing chan struct{}
+	wrote   error
+	whole   bool
+}
+
+func (a *Answer) write(r Request) error {
+	if err := a.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if len(r.Body) < asideBody {
+		_, err := a.conn.Write(append(r.Head, r.Body...))
+		return err
+	}
+	buffers := net.Buffers{r.Head, r.Body}
+	a.writing = make(chan struct{})
+	a.transport.group.Go(func() {
+		defer close(a.writing)
+		_, a.wrote = buffers.WriteTo(a.conn.Conn)
+	})
+	return nil
+}
+
+// readHead reads the head of the answer to r, skipping interim answers and
+// answers to earlier requests on the connection.
+func (a *Answer) readHead(r Request) error {
+	for range maxStray + 1 {
+		res, err := readResponse(a.conn.reader, r.Method)
+		if err != nil {
+			return err
+		}
+		id := res.Header.Get(r.IDHeader)
+		if id == "" || id == r.ID {
+			a.response = res
+			a.Status = res.StatusCode
+			a.Header = res.Header
+			return nil
+		}
+		a.transport.stray.Add(1)
+		if res.ContentLength < 0 && res.Close {
+			return errors.Errorf("answer to another request %s without an end", id)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return errors.Wrapf(err, "skip answer to another request %s", id)
+		}
+	}
+	return errors.New("too many answers to other requests")
+}
+
+func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		interim := res.StatusCode >= 100 && res.StatusCode < 200
+		if !interim {
+			return res, nil
+		}
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("target switches protocols unasked")
+		}
+	}
+}
+
+// SetReadDeadline sets the time by which the next byte of the answer must
+// have come.
+func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
+
+// Length returns the length of the body in bytes, -1 if the head does not
+// tell it.
+func (a *Answer) Length() int64 { return a.response.ContentLength }
+
+// Read reads the body; io.EOF means that all of it has come. A body that was
+// cut off ends with another error.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.response.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, errors.Wrapf(ErrBroken, "read answer of %s: %v", a.conn.address, err)
+	}
+	return n, nil
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to
+// its end, the request was written, and nothing follows the answer.
+func (a *Answer) Close() {
+	if !a.unwatch() || !a.reusable() {
+		_ = a.conn.Close()
+		return
+	}
+	a.transport.put(a.conn)
+}
+
+func (a *Answer) reusable() bool {
+	if !a.whole || a.response.Close || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
+		return false
+	}
+	if !a.written() {
+		return false
+	}
+	a.conn.idleLimit = keepAliveTimeout(a.Header.Get("Keep-Alive"))
+	return a.conn.SetDeadline(time.Time{}) == nil
+}
+
+// written reports whether the whole request has been written.
+func (a *Answer) written() bool {
+	if a.writing == nil {
+		return true
+	}
+	select {
+	case <-a.writing:
+		return a.wrote == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,374 @@
+// Package ingress takes requests from callers over HTTP/1.1, finds their
+// routes and organisations, and hands them to the forwarder. It serves on the
+// standard library's server: nbhttp's tells a handler only after it returns
+// that its caller has gone, and engines must stop work at once then.
+package ingress
+
+import (
+	"context"
+	"io"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+const (
+	// headerTimeout bounds the time in which a request's head must come. The
+	// server is set up before the configured limit is known; this is above
+	// those in use.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is for how long an unused connection is kept; callers use
+	// connections again up to the configured limit, which is below this.
+	idleTimeout = 60 * time.Second
+	// maxHeader bounds a request's head, in bytes, for the same reason.
+	maxHeader = 64 << 10
+	// bodyTimeout bounds the time in which a body must come.
+	bodyTimeout = 10 * time.Second
+	// defaultWait is for how long a caller waits that does not say.
+	defaultWait = 30 * time.Second
+	// defaultBody is the largest body taken where no limit is configured.
+	defaultBody = 4 << 20
+	// maxHeld bounds the bodies held at a time, in bytes: a quarter of the
+	// smallest box's memory.
+	maxHeld = 32 << 20
+	// notReadyAfter is when to come back to a router without configuration.
+	notReadyAfter = 500 * time.Millisecond
+	// leavingAfter is when to come back to the fleet from a router that stops:
+	// the caller chooses another one at once.
+	leavingAfter = 50 * time.Millisecond
+)
+
+// Reasons for refusing a request that are not the forwarder's.
+const (
+	ReasonBadRequest   forward.Reason = "bad-request"
+	ReasonNoRoute      forward.Reason = "no-route"
+	ReasonUnauthorized forward.Reason = "unknown-key"
+	ReasonTooLarge     forward.Reason = "body-too-large"
+	ReasonBodyTimeout  forward.Reason = "body-timeout"
+	ReasonNotReady     forward.Reason = "not-ready"
+	ReasonLeaving      forward.Reason = "router-leaving"
+	ReasonProcessFull  forward.Reason = "process-full"
+)
+
+// Observer is told of each request that ended.
+type Observer interface {
+	Ended(r forward.Request, v forward.Verdict, took time.Duration)
+}
+
+// Server is the callers' side of a router. Use New to make one.
+type Server struct {
+	dialect   forward.Dialect
+	forwarder *forward.Forwarder
+	observer  Observer
+	log       logr.Logger
+	table     atomic.Pointer[routing.Table]
+	server    *http.Server
+	held      atomic.Int64
+	open      atomic.Int64
+	// closing is set when answers are to close their connections, refusing
+	// when nothing new is begun any more.
+	closing, refusing atomic.Bool
+}
+
+// New returns a server that refuses everything until Configure is called.
+func New(d forward.Dialect, f *forward.Forwarder, o Observer, l logr.Logger) *Server {
+	s := &Server{dialect: d, forwarder: f, observer: o, log: l}
+	s.server = &http.Server{
+		Handler:                      s,
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               maxHeader,
+		ErrorLog:                     log.New(io.Discard, "", 0),
+		DisableGeneralOptionsHandler: true,
+	}
+	return s
+}
+
+// Configure takes over a new configuration.
+func (s *Server) Configure(t *routing.Table) { s.table.Store(t) }
+
+// Ready reports whether the server has a configuration and is not leaving.
+func (s *Server) Ready() bool { return s.table.Load() != nil && !s.closing.Load() }
+
+// Open returns the number of requests being served.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Serve serves callers on l until Close.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// Leave begins a planned stop: answers from now on ask callers to close.
+func (s *Server) Leave() { s.closing.Store(true) }
+
+// Refuse makes the server refuse new requests, as not run.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// Shutdown closes the connections that are not used and waits for the others
+// until ctx ends; then it closes them.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		return errors.Wrap(s.server.Close(), err.Error())
+	}
+	return nil
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	arrived := time.Now()
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	request, v := s.accept(w, r, arrived)
+	if v.Status != 0 {
+		s.finish(w, request, v, arrived)
+		return
+	}
+	defer s.held.Add(-int64(len(request.Body)))
+	a := &answer{w: w, flush: http.NewResponseController(w)}
+	s.finish(w, request, s.forwarder.Forward(r.Context(), request, a), arrived)
+}
+
+// finish tells the caller what the verdict says and has not been told yet.
+func (s *Server) finish(w http.ResponseWriter, r forward.Request, v forward.Verdict, arrived time.Time) {
+	s.observer.Ended(r, v, time.Since(arrived))
+	if v.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	if v.Begun {
+		return
+	}
+	h := w.Header()
+	if r.ID != "" {
+		h.Set(s.dialect.RequestID, r.ID)
+	}
+	if v.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(v.RetryAfter.Seconds()*1000)/1000, 'f', -1, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(v.Status)
+	if _, err := io.WriteString(w, string(v.Reason)+"\n"); err != nil {
+		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
+	}
+}
+
+func refused(status int, why forward.Reason, after time.Duration) forward.Verdict {
+	return forward.Verdict{Status: status, Reason: why, RetryAfter: after}
+}
+
+// accept checks a request. A verdict with a status means that it is refused.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, forward.Verdict) {
+	out := forward.Request{
+		ID: r.Header.Get(s.dialect.RequestID), Method: r.Method, Target: r.RequestURI, Host: r.Host, Arrived: arrived,
+	}
+	t := s.table.Load()
+	if t == nil {
+		return out, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyAfter)
+	}
+	if s.refusing.Load() {
+		return out, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingAfter)
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := t.Lookup(r.Host, path)
+	if !ok {
+		return out, refused(http.StatusNotFound, ReasonNoRoute, 0)
+	}
+	out.Route = route
+	if t.NeedsKey(route) {
+		if out.Organisation, ok = t.Holder(bearer(r.Header.Get("Authorization"))); !ok {
+			return out, refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
+		}
+	}
+	out.Service = route.Service(out.ID)
+	service, _ := t.Service(out.Service)
+	out.Engine = service.Engine != nil
+	if err := s.describe(&out, r); err != nil {
+		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
+		return out, refused(http.StatusBadRequest, ReasonBadRequest, 0)
+	}
+	return out, s.body(w, r, t, &out)
+}
+
+func bearer(header string) string {
+	scheme, key, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// describe reads what the headers say of a request.
+func (s *Server) describe(out *forward.Request, r *http.Request) error {
+	if out.ID == "" {
+		return errors.Errorf("header %s is missing", s.dialect.RequestID)
+	}
+	wait := defaultWait
+	if text := r.Header.Get(s.dialect.Deadline); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 || ms > math.MaxInt32 {
+			return errors.Errorf("header %s is no time in milliseconds: %q", s.dialect.Deadline, text)
+		}
+		wait = time.Duration(ms * float64(time.Millisecond))
+	}
+	out.Deadline = out.Arrived.Add(wait)
+	out.LastEvent = r.Header.Get(s.dialect.LastEvent)
+	out.Header = s.passedOn(r.Header)
+	out.Input, out.Output = promptSize(r.Header.Get(s.dialect.PromptSize))
+	if hint, err := strconv.Atoi(r.Header.Get(s.dialect.OutputHint)); err == nil && hint > 0 && hint < out.Output {
+		out.Output = hint
+	}
+	out.Parts = promptParts(r.Header.Get(s.dialect.PromptParts))
+	return nil
+}
+
+// passedOn returns the headers that a target gets as the caller sent them.
+func (s *Server) passedOn(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if forward.HopByHop(name, h["Connection"]) || s.own(name) {
+			continue
+		}
+		out[name] = values
+	}
+	return out
+}
+
+// own reports whether the router sets a header itself.
+func (s *Server) own(name string) bool {
+	switch name {
+	case s.dialect.RequestID, s.dialect.Deadline, s.dialect.Organisation, s.dialect.ExpectTarget,
+		s.dialect.LastEvent, "Authorization", "Expect":
+		return true
+	}
+	return false
+}
+
+// promptSize reads "TOKENS IN,MOST TOKENS OUT"; what cannot be read is 0.
+func promptSize(text string) (in, out int) {
+	first, second, _ := strings.Cut(text, ",")
+	return count(first), count(second)
+}
+
+func count(text string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// promptParts reads "ID:TOKENS,ID:TOKENS"; parts that cannot be read are
+// left out.
+func promptParts(text string) []balance.Part {
+	var parts []balance.Part
+	for piece := range strings.SplitSeq(text, ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
+		if ok && id != "" {
+			parts = append(parts, balance.Part{ID: id, Tokens: count(tokens)})
+		}
+	}
+	return parts
+}
+
+// body reads the request's body within the configured limit.
+func (s *Server) body(w http.ResponseWriter, r *http.Request, t *routing.Table, out *forward.Request) forward.Verdict {
+	limit := int64(t.Limits().BodyBytes)
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if r.ContentLength > limit {
+		return refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
+	}
+	if s.held.Load() > maxHeld {
+		return refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyAfter)
+	}
+	if r.ContentLength == 0 {
+		return forward.Verdict{}
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		s.log.V(1).Info("no deadline for reading", "id", out.ID, "cause", err.Error())
+	}
+	body, err := readBody(r, limit)
+	if err != nil {
+		return s.bodyFailed(w, out, err)
+	}
+	if int64(len(body)) > limit {
+		return refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		s.log.V(1).Info("deadline for reading not lifted", "id", out.ID, "cause", err.Error())
+	}
+	out.Body = body
+	s.held.Add(int64(len(body)))
+	return forward.Verdict{}
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(r.Body, limit+1))
+}
+
+func (s *Server) bodyFailed(w http.ResponseWriter, out *forward.Request, err error) forward.Verdict {
+	s.log.Info("request body not read", "id", out.ID, "cause", err.Error())
+	w.Header().Set("Connection", "close")
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return refused(http.StatusRequestTimeout, ReasonBodyTimeout, 0)
+	}
+	return refused(http.StatusBadRequest, ReasonBadRequest, 0)
+}
+
+// answer writes a forwarded answer to the caller.
+type answer struct {
+	w     http.ResponseWriter
+	flush *http.ResponseController
+}
+
+// Head implements forward.Caller.
+func (a *answer) Head(status int, header http.Header, length int64) {
+	h := a.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	a.w.WriteHeader(status)
+}
+
+// Write implements forward.Caller.
+func (a *answer) Write(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	if _, err := a.w.Write(b); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	return errors.Wrap(a.flush.Flush(), "write to caller")
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -4,13 +4,13 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/config"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
 
 // Member is a router as others see it.
@@ -81,14 +81,16 @@
 }
 
 // Heard notes that a message came from m. It returns false for a message
-// from an incarnation older than one already heard, and for one of this
-// router's own name, as of its last incarnation.
+// from an incarnation older than one that is alive, and for one of this
+// router's own name, as of its last incarnation. Incarnations are times of
+// day, which may be set back: an older one that speaks after the newer has
+// fallen silent is a restart.
 func (t *Table) Heard(m Member, now time.Time) bool {
 	if m.ID == t.self.ID {
 		return false
 	}
 	e := t.entry(m.ID)
-	if m.Incarnation < e.member.Incarnation {
+	if m.Incarnation < e.member.Incarnation && t.alive(e, now) {
 		return false
 	}
 	if m.Incarnation == e.member.Incarnation {
@@ -168,7 +170,7 @@
 		if !keep(m) {
 			continue
 		}
-		if h := rank(key, string(m.ID)); !found || h > top {
+		if h := rendezvous.Weight(key, string(m.ID)); !found || h > top {
 			best, top, found = m, h, true
 		}
 	}
@@ -180,21 +182,7 @@
 func First(n int, key, zone string, live []Member) []Member {
 	local := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.Zone != zone })
 	slices.SortFunc(local, func(a, b Member) int {
-		return cmp.Compare(rank(key, string(b.ID)), rank(key, string(a.ID)))
+		return cmp.Compare(rendezvous.Weight(key, string(b.ID)), rendezvous.Weight(key, string(a.ID)))
 	})
 	return local[:min(n, len(local))]
 }
-
-// rank hashes a pair of names; the last steps spread the weak low bits of FNV.
-func rank(key, id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -120,6 +120,60 @@
 	Foreign int
 }
 
+// Status is a router's periodic account of itself in a fleet whose routers
+// choose engines each for itself.
+type Status struct {
+	// Ready is set while the router can serve callers.
+	Ready   bool
+	Leaving bool
+	// Config is the store's revision of the configuration in force, Targets
+	// that of the newest list of targets.
+	Config, Targets int64
+	Loads           []TargetLoad
+	Usage           []OrganisationUsage
+}
+
+// TargetLoad is what one router's requests put on a target.
+type TargetLoad struct {
+	Target string
+	// Unread is the prompt tokens sent and not yet read, Memory the tokens
+	// that running requests share with no other.
+	Unread, Running, Memory int
+}
+
+// OrganisationUsage is what an organisation lately asked of one router and
+// got, in tokens.
+type OrganisationUsage struct {
+	Organisation string
+	Asked, Begun float64
+}
+
+// Copy is a router's copy of what the store holds. An empty Config means
+// that it has none newer than was asked for.
+type Copy struct {
+	ConfigRevision  int64
+	Config          []byte
+	TargetsRevision int64
+	// Targets is complete if TargetsRevision is not 0.
+	Targets []StoredTarget
+}
+
+// StoredTarget is a target's entry in the store.
+type StoredTarget struct {
+	Name     string
+	Revision int64
+	Value    []byte
+}
+
+// NeedCopy asks for a Copy of what is newer than the given revisions.
+type NeedCopy struct {
+	Config, Targets int64
+}
+
+func (Status) message()   {}
+func (Copy) message()     {}
+func (NeedCopy) message() {}
+
 func (Report) message()  {}
 func (Grant) message()   {}
 func (Decline) message() {}
