Take nothing new late in a planned stop

Cause of LOST: a router took requests until 6 s after SIGTERM and was ended at 7.6 s with streams open. Ruled out: the server's own shutdown, which waits for them. Now it takes nothing after 40% of the grace, and callers keep addresses for 1 s, so that those who keep them three times as long are gone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,15 +138,11 @@
 	}
 }
 
-const (
-	// moveOn is for how long a leaving router serves as usual: three times
-	// the time for which callers keep the addresses they were told.
-	// lastBegin is when it stops taking new requests: those that came before
-	// end within the grace that the deployment gives.
-	lastBegin = 6 * time.Second
-	// drainPause is the time between looks whether all requests have ended.
-	drainPause = 50 * time.Millisecond
-)
+// lastBegin is the part of the time for a planned stop, in percent, after
+// which no new request is taken. Callers have left by then, since they keep
+// addresses for a second and some for three; what was begun before has the
+// rest of the time to end.
+const lastBegin = 40
 
 // Drain makes a planned stop: the router leaves the fleet, serves those who
 // have not noticed yet, and returns when that is done or limit is over.
@@ -160,7 +156,7 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	group.SleepUntil(ctx, began.Add(min(lastBegin, limit)))
+	group.SleepUntil(ctx, began.Add(limit*lastBegin/100))
 	g.server.Refuse()
 	if err := g.server.Shutdown(ctx); err != nil {
 		g.Log.Info("planned stop cut requests short", "open", g.server.Open(), "cause", err.Error())
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,253 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/gateway"
+	"github.com/stepcroft/stepcroft/internal/invariant"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+func TestGateway(t *testing.T) {
+	invariant.Strict()
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// dialect holds header names of the tests' own.
+var dialect = forward.Dialect{
+	RequestID: "X-Id", Deadline: "X-Wait-Ms", Organisation: "X-Organisation", ExpectTarget: "X-Expect",
+	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "Last-Event-Id",
+	Model: "X-Model", PromptSize: "X-Size", PromptParts: "X-Parts", OutputHint: "X-Hint",
+}
+
+// codec reads a routing.Spec and a balance.Target as JSON.
+type codec struct{}
+
+func (codec) Table(value []byte) (*routing.Table, error) {
+	var s routing.Spec
+	if err := json.Unmarshal(value, &s); err != nil {
+		return nil, errors.Wrap(err, "table")
+	}
+	return routing.New(s)
+}
+
+func (codec) Target(_ string, value []byte) (balance.Target, error) {
+	var t balance.Target
+	err := json.Unmarshal(value, &t)
+	return t, errors.Wrap(err, "target")
+}
+
+// spec is a configuration with one route of each kind.
+func spec(version int64) routing.Spec {
+	route := func(name string, kind routing.Kind, attempts int) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts,
+			Shares:  []routing.Share{{Service: "s", Weight: 1}},
+			Timeout: 5 * time.Second, Goal: 400 * time.Millisecond, MaxPause: 150 * time.Millisecond,
+			Resumable: kind == routing.Streaming && attempts > 1,
+		}
+	}
+	return routing.Spec{
+		Version: version,
+		Routes: []routing.Route{
+			route("once", routing.NonIdempotent, 2), route("many", routing.Idempotent, 2),
+			route("stream", routing.Streaming, 2), route("single", routing.Streaming, 1),
+		},
+		Services:      []routing.Service{{Name: "s"}},
+		Organisations: []routing.Organisation{{Name: "o", Keys: []string{"key"}}},
+	}
+}
+
+// rig is a router before targets that the test plays.
+type rig struct {
+	*gateway.Gateway
+	metrics  *gateway.Metrics
+	revision int64
+	targets  []message.StoredTarget
+}
+
+var incarnation atomic.Uint64
+
+// newRig returns a router with a configuration and without targets.
+func newRig(seeds ...string) *rig {
+	r := &rig{metrics: gateway.NewMetrics()}
+	n := incarnation.Add(1)
+	g, err := gateway.New(context.Background(), gateway.Options{
+		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
+		Incarnation: n, Dialect: dialect, Codec: codec{}, Log: logr.Discard(), Metrics: r.metrics,
+		Limits: balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	r.Gateway = g
+	DeferCleanup(g.Stop)
+	return r
+}
+
+func (r *rig) configure(s routing.Spec) {
+	value, err := json.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	r.revision++
+	r.SetConfig(r.revision, value)
+	Eventually(r.Ready).Should(BeTrue())
+}
+
+// stored returns a target's entry.
+func stored(revision int64, t balance.Target) message.StoredTarget {
+	value, err := json.Marshal(t)
+	Expect(err).NotTo(HaveOccurred())
+	return message.StoredTarget{Name: t.ID, Revision: revision, Value: value}
+}
+
+// serve adds a target that answers with handler and returns its address.
+func (r *rig) serve(id string, handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	address := server.Listener.Addr().String()
+	r.add(id, address)
+	return address
+}
+
+// add adds a target at an address.
+func (r *rig) add(id, address string) {
+	r.revision++
+	t := balance.Target{ID: id, Service: "s", Address: address, Zone: "z", Slots: 4}
+	r.targets = append(r.targets, stored(r.revision, t))
+	r.SetTargets(r.revision, r.targets)
+	// Both go through the control thread in order.
+	r.Addresses(context.Background(), "z")
+}
+
+// reply is what a caller got.
+type reply struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Closing is set if the router asked to close the connection.
+	Closing bool
+	// Err is set if the answer broke off.
+	Err error
+}
+
+var lastID atomic.Int64
+
+func newRequest(address, path string) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("question"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	req.Header.Set(dialect.RequestID, fmt.Sprint("r", lastID.Add(1)))
+	req.Header.Set(dialect.Deadline, "4000")
+	req.Header.Set("Authorization", "Bearer key")
+	return req
+}
+
+func do(req *http.Request) reply {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return reply{Err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return reply{Status: res.StatusCode, Header: res.Header, Body: string(body), Closing: res.Close, Err: err}
+}
+
+func (r *rig) post(path string) reply { return do(newRequest(r.Known().Address, path)) }
+
+// answer is a target's handler that answers whole.
+func answer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
+	w.Header().Set(dialect.Seal, "seal")
+	fmt.Fprint(w, "answer")
+}
+
+// streamer is a target's handler that streams events first to last and breaks
+// off after them if last is not the end.
+func streamer(end, last int, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		from := 0
+		if text := r.Header.Get(dialect.LastEvent); text != "" {
+			_, err := fmt.Sscan(text, &from)
+			if err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+		}
+		w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
+		w.Header().Set(dialect.Seal, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from + 1; i <= last; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+		if last < end {
+			fmt.Fprint(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// whole returns the text of a stream of n events.
+func whole(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// raw adds a target that hands each connection to f.
+func (r *rig) raw(id string, f func(c net.Conn)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wait.Go(func() {
+				defer c.Close()
+				f(c)
+			})
+		}
+	})
+	DeferCleanup(func() {
+		Expect(l.Close()).To(Succeed())
+		wait.Wait()
+	})
+	r.add(id, l.Addr().String())
+}
+
+// background runs f beside the test, which waits for it at its end.
+func background(f func()) {
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		defer GinkgoRecover()
+		f()
+	})
+	DeferCleanup(wait.Wait)
+}
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,54 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A planned stop", func() {
+	const limit = 1600 * time.Millisecond
+
+	It("lets a stream end that began before it", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", streamer(10, 10, 50*time.Millisecond))
+		got := make(chan reply, 1)
+		background(func() { got <- r.post("/stream/x") })
+		time.Sleep(100 * time.Millisecond)
+		r.Drain(context.Background(), limit)
+		Expect(<-got).To(And(HaveField("Err", BeNil()), HaveField("Body", whole(10))))
+	})
+
+	It("begins nothing that it may not be able to end", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", streamer(10, 10, 60*time.Millisecond))
+		background(func() { r.Drain(context.Background(), limit) })
+		// Three fifths of the limit, by when callers who keep addresses for
+		// long have others.
+		time.Sleep(limit * 3 / 5)
+		got := r.post("/stream/x")
+		if got.Err != nil {
+			// The router listens no more: nothing was read.
+			return
+		}
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("serves callers with older addresses at first, and asks them to go", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", answer)
+		background(func() { r.Drain(context.Background(), limit) })
+		Eventually(r.Ready).Should(BeFalse())
+		got := r.post("/many/x")
+		Expect(got.Status).To(Equal(http.StatusOK))
+		Expect(got.Closing).To(BeTrue())
+		Expect(r.Addresses(context.Background(), "z")).To(BeEmpty())
+	})
+})
