--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -14,7 +14,7 @@
 	}
 	for _, u := range m.Usage {
 		out.Usage = append(out.Usage, &peerpb.OrganisationUsage{
-			Organisation: u.Organisation, Asked: float32(u.Asked), Begun: float32(u.Begun),
+			Organisation: u.Organisation, Asked: float32(u.Asked), Begun: float32(u.Begun), Waiting: uint32(u.Waiting),
 		})
 	}
 	return out
@@ -29,7 +29,7 @@
 	}
 	for _, u := range m.GetUsage() {
 		out.Usage = append(out.Usage, message.OrganisationUsage{
-			Organisation: u.GetOrganisation(), Asked: float64(u.GetAsked()), Begun: float64(u.GetBegun()),
+			Organisation: u.GetOrganisation(), Asked: float64(u.GetAsked()), Begun: float64(u.GetBegun()), Waiting: int(u.GetWaiting()),
 		})
 	}
 	return out
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -184,7 +185,7 @@
 	if t.expires.After(t.Deadline) {
 		t.expires = t.Deadline
 	}
-	if s.assign(now, t) {
+	if !s.behind(now, t) && s.assign(now, t) {
 		return
 	}
 	if len(s.queue) >= maxWaiting {
@@ -194,6 +195,51 @@
 	s.queue = append(s.queue, t)
 }
 
+// lead is by how much, in percent, an organisation may have had more than one
+// whose requests wait before its own have to wait too: what is known of other
+// routers is a report period old.
+const lead = 15
+
+// behind reports whether a request to an engine must not pass those that
+// wait, here or at other routers: its organisation had more than theirs.
+func (s *State) behind(now time.Time, t *Ticket) bool {
+	if !t.Engine {
+		return false
+	}
+	return s.hadOf(now, t.Organisation)*100 > s.leastWaiting(now)*(100+lead)
+}
+
+// leastWaiting returns the least that an organisation had whose requests to
+// engines wait anywhere, or infinity if none waits.
+func (s *State) leastWaiting(now time.Time) float64 {
+	least := math.Inf(1)
+	for name := range s.waitingOf() {
+		least = min(least, s.hadOf(now, name))
+	}
+	for _, r := range s.peers.reports {
+		if now.Sub(r.at) > waitingAge {
+			continue
+		}
+		for name, u := range r.Usage {
+			if u.Waiting > 0 {
+				least = min(least, s.hadOf(now, name))
+			}
+		}
+	}
+	return least
+}
+
+// waitingOf returns how many requests to engines wait here, by organisation.
+func (s *State) waitingOf() map[string]int {
+	waiting := map[string]int{}
+	for _, t := range s.queue {
+		if t.Engine {
+			waiting[t.Organisation]++
+		}
+	}
+	return waiting
+}
+
 // assign sends a request to a target with room, if there is one.
 func (s *State) assign(now time.Time, t *Ticket) bool {
 	best, miss := s.choose(now, t)
@@ -295,6 +341,8 @@
 
 // dispatch sends waiting requests where there is room: those of the
 // organisation that had least first, and the oldest of its requests first.
+// None of an organisation that had its share passes one that waits for
+// another.
 func (s *State) dispatch(now time.Time) {
 	if len(s.queue) == 0 {
 		return
@@ -311,9 +359,12 @@
 		}
 		return a.Arrived.Compare(b.Arrived)
 	})
+	// The queue is in order, so that what goes first had the least here.
+	least := s.leastWaiting(now)
 	kept := s.queue[:0]
 	for _, t := range s.queue {
-		if !s.assign(now, t) {
+		ahead := t.Engine && had[t.Organisation]*100 > least*(100+lead)
+		if ahead || !s.assign(now, t) {
 			kept = append(kept, t)
 		}
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -14,6 +14,10 @@
 	// zonePrice is the number of unread tokens that a target in another
 	// availability zone counts more: bytes between zones are paid for.
 	zonePrice = 300
+	// awayPrice is the number of unread tokens that an engine counts more than
+	// the one that hashing gives a prompt to: all routers go there, and copies
+	// elsewhere are dropped sooner.
+	awayPrice = 300
 	// slotPrice is the number of unread tokens that a running request counts
 	// as: each makes the tokens of the others come slower.
 	slotPrice = 20
@@ -46,6 +50,9 @@
 		if c.Zone != s.zone {
 			score += zonePrice
 		}
+		if c != home {
+			score += awayPrice
+		}
 		if best == nil || score < bestScore {
 			best, bestMiss, bestScore = c, miss, score
 		}
@@ -61,13 +68,14 @@
 	return t.Input
 }
 
-// fits reports whether an engine has room for t. An engine with nothing to
-// read takes any prompt: a long one must run somewhere.
+// fits reports whether an engine has room for t. A prompt counts for no more
+// than half of the limit: a long one must run somewhere, and would never find
+// room beside short ones that keep the engine reading.
 func (s *State) fits(c *target, l load, t *Ticket, miss, limit int) bool {
 	if l.running+spareSlots >= c.Slots {
 		return false
 	}
-	if l.unread > 0 && l.unread+miss > limit {
+	if l.unread+min(miss, limit/2) > limit {
 		return false
 	}
 	if l.running == 0 {
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -9,6 +9,8 @@
 // shares decays it.
 type Usage struct {
 	Asked, Begun float64
+	// Waiting is the number of its requests to engines that wait for room.
+	Waiting int
 }
 
 // Load is what one router's requests put on a target, in tokens and requests.
@@ -26,6 +28,9 @@
 	// loadAge is for how long a router's report of its load counts: several
 	// report periods, and less than its requests take.
 	loadAge = 1500 * time.Millisecond
+	// waitingAge is for how long other routers' waiting requests count: they
+	// wait for a fraction of a second.
+	waitingAge = 250 * time.Millisecond
 	// memberAge is for how long a router that fell silent is still counted
 	// when the retry budget is divided.
 	memberAge = 10 * time.Second
@@ -61,10 +66,11 @@
 			r.Loads[id] = Load{Unread: t.own.unread, Running: t.own.running, Memory: t.own.memory}
 		}
 	}
+	waiting := s.waitingOf()
 	for name := range s.shares.counts {
 		c := s.shares.of(now, name)
 		if c.asked >= 1 || c.begun >= 1 {
-			r.Usage[name] = Usage{Asked: c.asked, Begun: c.begun}
+			r.Usage[name] = Usage{Asked: c.asked, Begun: c.begun, Waiting: waiting[name]}
 			continue
 		}
 		delete(s.shares.counts, name)
@@ -97,6 +103,9 @@
 		f := math.Exp(-2 * now.Sub(r.at).Seconds() / window.Seconds())
 		sum.Asked += u.Asked * f
 		sum.Begun += u.Begun * f
+		if now.Sub(r.at) < waitingAge {
+			sum.Waiting += u.Waiting
+		}
 	}
 	return sum
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -43,7 +43,7 @@
 		m.Loads = append(m.Loads, message.TargetLoad{Target: id, Unread: max(l.Unread, 0), Running: l.Running, Memory: max(l.Memory, 0)})
 	}
 	for name, u := range r.Usage {
-		m.Usage = append(m.Usage, message.OrganisationUsage{Organisation: name, Asked: u.Asked, Begun: u.Begun})
+		m.Usage = append(m.Usage, message.OrganisationUsage{Organisation: name, Asked: u.Asked, Begun: u.Begun, Waiting: u.Waiting})
 	}
 	known := map[string]bool{g.members.Self().Peer: true}
 	for _, to := range g.members.Others(now) {
@@ -94,7 +94,7 @@
 		r.Loads[l.Target] = balance.Load{Unread: l.Unread, Running: l.Running, Memory: l.Memory}
 	}
 	for _, u := range m.Usage {
-		r.Usage[u.Organisation] = balance.Usage{Asked: u.Asked, Begun: u.Begun}
+		r.Usage[u.Organisation] = balance.Usage{Asked: u.Asked, Begun: u.Begun, Waiting: u.Waiting}
 	}
 	s.Heard(now, string(from.ID), r)
 	behind := m.Config > g.catalog.ConfigRevision() || m.Targets > g.catalog.Revision()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,9 +140,9 @@
 
 // lastBegin is the part of the time for a planned stop, in percent, after
 // which no new request is taken. Callers have left by then, since they keep
-// addresses for a second and some for three; what was begun before has the
+// addresses for a second and few for three; what was begun before has the
 // rest of the time to end.
-const lastBegin = 40
+const lastBegin = 35
 
 // Drain makes a planned stop: the router leaves the fleet, serves those who
 // have not noticed yet, and returns when that is done or limit is over.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -146,6 +146,8 @@
 type OrganisationUsage struct {
 	Organisation string
 	Asked, Begun float64
+	// Waiting is the number of its requests to engines that wait for room.
+	Waiting int
 }
 
 // Copy is a router's copy of what the store holds. An empty Config means
