--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -260,7 +260,7 @@
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 	}
-	t.Decision <- Decision{Target: to.Target, Waited: now.Sub(t.Arrived), Unread: s.loadOf(now, to).unread}
+	t.Decision <- Decision{Target: to.Target, Waited: now.Sub(t.Arrived), Unread: s.loadOf(now, to).unread, Miss: miss}
 }
 
 // Begun notes that a request's target has begun to answer it.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -10,7 +10,7 @@
 const (
 	// rereadPrice is what reading a shared part anew counts against waiting
 	// behind as many tokens, in percent: it also pushes other parts out.
-	rereadPrice = 130
+	rereadPrice = 300
 	// zonePrice is the number of unread tokens that a target in another
 	// availability zone counts more: bytes between zones are paid for.
 	zonePrice = 300
@@ -24,16 +24,20 @@
 )
 
 // choose returns the best target with room for t and the number of prompt
-// tokens that it would have to read, or nil.
+// tokens that it would have to read, or nil. Shared parts are read at another
+// engine than the one that hashing gives them to only for organisations that
+// have not had their share: that costs as much as two requests.
 func (s *State) choose(now time.Time, t *Ticket) (*target, int) {
 	candidates := s.usable(now, t)
 	if !t.Engine {
 		return s.leastBusy(now, t, candidates), 0
 	}
 	limit := maxUnread
-	if s.over(now, t.Organisation) {
+	over := s.over(now, t.Organisation)
+	if over {
 		limit = maxUnread * overShare / 100
 	}
+	own := ownTokens(t)
 	home := highest(candidates, t.affinity())
 	var best *target
 	var bestMiss, bestScore int
@@ -41,9 +45,9 @@
 		l := s.loadOf(now, c)
 		miss := c.cache.missing(t.Parts, t.Input)
 		if c == home {
-			miss = min(miss, ownTokens(t))
+			miss = min(miss, own)
 		}
-		if !s.fits(c, l, t, miss, limit) {
+		if over && miss > own || !s.fits(c, l, t, miss, limit) {
 			continue
 		}
 		score := l.unread + miss*rereadPrice/100 + l.running*slotPrice
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -52,6 +52,9 @@
 	// Unread is the target's unread prompt tokens that decided, this
 	// request's included.
 	Unread int
+	// Miss is the number of the prompt's tokens that the target is expected to
+	// read, the rest being kept there.
+	Miss int
 }
 
 // Reason is why a request is refused.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -96,8 +96,9 @@
 	Waited, First time.Duration
 	// Target is the id of the last target that was chosen.
 	Target string
-	// Unread is that target's unread prompt tokens when it was chosen.
-	Unread int
+	// Unread is that target's unread prompt tokens when it was chosen, Miss
+	// those of this request.
+	Unread, Miss int
 }
 
 // Reason is why a request was refused, failed or was sent again.
@@ -217,7 +218,7 @@
 			return balance.Target{}, false
 		}
 		x.verdict.Target = d.Target.ID
-		x.verdict.Unread = d.Unread
+		x.verdict.Unread, x.verdict.Miss = d.Unread, d.Miss
 		return d.Target, true
 	case <-ctx.Done():
 		x.withdraw()
