--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,87 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+var _ = Describe("Routers", func() {
+	It("learn the configuration and the targets from one another", func() {
+		a := newRig()
+		b := newRig(a.Known().Peer)
+		a.configure(spec(1))
+		a.serve("t", answer)
+		Eventually(b.Ready).Should(BeTrue())
+		Eventually(func() int { return b.post("/many/x").Status }).Should(Equal(http.StatusOK))
+	})
+
+	It("learn that a key is gone although the store turns them away", func() {
+		a := newRig()
+		b := newRig(a.Known().Peer)
+		a.configure(spec(1))
+		a.serve("t", answer)
+		Eventually(func() int { return b.post("/many/x").Status }).Should(Equal(http.StatusOK))
+		c := spec(2)
+		c.Organisations[0].Keys = []string{"other"}
+		a.configure(c)
+		Eventually(func() int { return b.post("/many/x").Status }).Should(Equal(http.StatusUnauthorized))
+		Consistently(func() int { return b.post("/many/x").Status }, "300ms").Should(Equal(http.StatusUnauthorized))
+	})
+
+	It("tell callers the addresses of those that can serve", func() {
+		a := newRig()
+		b := newRig(a.Known().Peer)
+		ctx := context.Background()
+		Expect(a.Addresses(ctx, "z")).To(BeEmpty())
+		a.configure(spec(1))
+		Eventually(func() []string { return b.Addresses(ctx, "z") }).Should(ConsistOf(a.Known().Address, b.Known().Address))
+		background(func() { b.Drain(ctx, limitOfStop) })
+		Eventually(func() []string { return a.Addresses(ctx, "z") }).Should(ConsistOf(a.Known().Address))
+	})
+
+	It("send nothing new to a target that is leaving or gone", func() {
+		r := newRig()
+		r.configure(spec(1))
+		address := r.serve("t", answer)
+		Expect(r.post("/many/x").Status).To(Equal(http.StatusOK))
+		r.revision++
+		leaving := balance.Target{ID: "t", Service: "s", Address: address, Zone: "z", Slots: 4, Leaving: true}
+		r.ChangeTargets(r.revision, []catalog.Change{{StoredTarget: stored(r.revision, leaving)}})
+		Eventually(func() int { return r.post("/many/x").Status }).Should(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("never go back to an older configuration, nor to one that is broken", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", answer)
+		c := spec(2)
+		c.Routes = c.Routes[:2]
+		r.configure(c)
+		Eventually(func() int { return r.post("/stream/x").Status }).Should(Equal(http.StatusNotFound))
+		old, err := json.Marshal(spec(1))
+		Expect(err).NotTo(HaveOccurred())
+		r.SetConfig(1, old)
+		r.SetConfig(r.revision+1, []byte("{"))
+		Consistently(func() int { return r.post("/stream/x").Status }, "200ms").Should(Equal(http.StatusNotFound))
+		Expect(r.post("/many/x").Status).To(Equal(http.StatusOK))
+	})
+
+	It("follow a route that moves to another service", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", answer)
+		c := spec(2)
+		c.Services = append(c.Services, routing.Service{Name: "u"})
+		c.Routes[1].Shares = []routing.Share{{Service: "u", Weight: 1}}
+		r.configure(c)
+		Eventually(func() int { return r.post("/many/x").Status }).Should(Equal(http.StatusServiceUnavailable))
+	})
+})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,6 +166,9 @@
 
 // Stop ends the router at once.
 func (g *Gateway) Stop() {
+	if err := g.server.Close(); err != nil {
+		g.Log.Error(err, "callers' side not closed")
+	}
 	g.peers.Stop()
 	g.group.Stop()
 }
--- /dev/null
+++ b/internal/gateway/request_test.go
@@ -0,0 +1,285 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// notRun is a target's handler that refuses.
+func notRun(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(dialect.NotRun, "1")
+		w.WriteHeader(status)
+	}
+}
+
+// waitGone waits until a request's caller has gone, which the server sees
+// only after the body has been read.
+func waitGone(q *http.Request) {
+	if _, err := io.Copy(io.Discard, q.Body); err == nil {
+		<-q.Context().Done()
+	}
+}
+
+// counted counts the calls of a handler.
+func counted(n *atomic.Int64, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		h(w, r)
+	}
+}
+
+var _ = Describe("A request", func() {
+	var r *rig
+
+	BeforeEach(func() { r = newRig() })
+
+	It("is refused as not run before there is a configuration", func() {
+		got := r.post("/many/x")
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("reaches its target as the caller sent it", func() {
+		r.configure(spec(1))
+		var seen *http.Request
+		var body string
+		r.serve("t", func(w http.ResponseWriter, q *http.Request) {
+			b, err := io.ReadAll(q.Body)
+			if err == nil {
+				seen, body = q, string(b)
+			}
+			answer(w, q)
+		})
+		req := newRequest(r.Known().Address, "/many/a%2Fb//c/../d;e?f=%20&g")
+		req.Header.Set("X-Other", "kept")
+		req.Header.Set("Connection", "X-Hop")
+		req.Header.Set("X-Hop", "dropped")
+		req.Header.Set(dialect.Organisation, "somebody-else")
+		got := do(req)
+		Expect(got.Status).To(Equal(http.StatusOK))
+		Expect(got.Body).To(Equal("answer"))
+		Expect(got.Header.Get(dialect.Seal)).To(Equal("seal"))
+		Expect(seen.RequestURI).To(Equal("/many/a%2Fb//c/../d;e?f=%20&g"))
+		Expect(seen.Host).To(Equal("h"))
+		Expect(body).To(Equal("question"))
+		Expect(seen.Header.Get("X-Other")).To(Equal("kept"))
+		Expect(seen.Header).NotTo(HaveKey("X-Hop"))
+		Expect(seen.Header).NotTo(HaveKey("Authorization"))
+		Expect(seen.Header.Values(dialect.Organisation)).To(Equal([]string{"o"}))
+		Expect(seen.Header.Get(dialect.ExpectTarget)).To(Equal("t"))
+		Expect(seen.Header.Get(dialect.RequestID)).To(Equal(req.Header.Get(dialect.RequestID)))
+		left, err := strconv.Atoi(seen.Header.Get(dialect.Deadline))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(And(BeNumerically(">", 2000), BeNumerically("<=", 4000)))
+	})
+
+	DescribeTable("gets the router's own answer where it is not proper", func(change func(*http.Request), status int) {
+		r.configure(spec(1))
+		r.serve("t", answer)
+		req := newRequest(r.Known().Address, "/many/x")
+		change(req)
+		Expect(do(req).Status).To(Equal(status))
+	},
+		Entry("no route", func(q *http.Request) { q.URL.Path = "/none/x" }, http.StatusNotFound),
+		Entry("another host", func(q *http.Request) { q.Host = "other" }, http.StatusNotFound),
+		Entry("no key", func(q *http.Request) { q.Header.Del("Authorization") }, http.StatusUnauthorized),
+		Entry("unknown key", func(q *http.Request) { q.Header.Set("Authorization", "Bearer x") }, http.StatusUnauthorized),
+		Entry("no id", func(q *http.Request) { q.Header.Del(dialect.RequestID) }, http.StatusBadRequest),
+		Entry("absurd deadline", func(q *http.Request) { q.Header.Set(dialect.Deadline, "soon") }, http.StatusBadRequest),
+	)
+
+	It("is refused where its body is larger than the limit, with a length or in chunks", func() {
+		c := spec(1)
+		c.Limits.BodyBytes = 10
+		r.configure(c)
+		r.serve("t", answer)
+		for _, length := range []int64{11, -1} {
+			req := newRequest(r.Known().Address, "/many/x")
+			req.Body = io.NopCloser(strings.NewReader("eleven byte"))
+			req.ContentLength = length
+			Expect(do(req).Status).To(Equal(http.StatusRequestEntityTooLarge))
+		}
+	})
+
+	It("goes to another target when one refuses it", func() {
+		r.configure(spec(1))
+		for i, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests} {
+			r.serve(fmt.Sprint("no", i), notRun(status))
+		}
+		r.serve("yes", answer)
+		ok := 0
+		for range 20 {
+			if r.post("/once/x").Status == http.StatusOK {
+				ok++
+			}
+		}
+		Expect(ok).To(BeNumerically(">", 0))
+	})
+
+	It("is refused as not run when all targets refuse it", func() {
+		r.configure(spec(1))
+		r.serve("no", notRun(http.StatusServiceUnavailable))
+		got := r.post("/once/x")
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(got.Header).NotTo(HaveKey(dialect.Seal))
+	})
+
+	It("that must not be repeated is sent once, and its lost answer is no promise", func() {
+		r.configure(spec(1))
+		var runs atomic.Int64
+		lose := counted(&runs, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		r.serve("a", lose)
+		r.serve("b", lose)
+		Expect(r.post("/once/x").Status).To(Equal(http.StatusBadGateway))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("that may be repeated is sent again when its answer is lost", func() {
+		r.configure(spec(1))
+		r.serve("bad", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		r.serve("good", answer)
+		for range 5 {
+			Expect(r.post("/many/x").Status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("gets a target's own failure unchanged", func() {
+		r.configure(spec(1))
+		r.serve("t", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(dialect.Seal, "seal")
+			w.WriteHeader(http.StatusInternalServerError)
+			fmt.Fprint(w, "broken")
+		})
+		Expect(r.post("/once/x")).To(And(
+			HaveField("Status", http.StatusInternalServerError), HaveField("Body", "broken"),
+			HaveField("Header", HaveKey(dialect.Seal)),
+		))
+	})
+
+	It("gets an answer when its route's time is over", func() {
+		c := spec(1)
+		for i := range c.Routes {
+			c.Routes[i].Timeout = 200 * time.Millisecond
+		}
+		r.configure(c)
+		r.serve("t", func(_ http.ResponseWriter, q *http.Request) { waitGone(q) })
+		Expect(r.post("/once/x").Status).To(Equal(http.StatusGatewayTimeout))
+	})
+
+	It("stops at its target when its caller goes away", func() {
+		r.configure(spec(1))
+		begun, gone := make(chan bool, 1), make(chan bool, 1)
+		r.serve("t", func(_ http.ResponseWriter, q *http.Request) {
+			_, err := io.ReadAll(q.Body)
+			begun <- err == nil
+			<-q.Context().Done()
+			gone <- true
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		ended := make(chan reply, 1)
+		background(func() { ended <- do(newRequest(r.Known().Address, "/many/x").WithContext(ctx)) })
+		Eventually(begun).Should(Receive())
+		cancel()
+		Eventually(gone).Should(Receive())
+		Expect((<-ended).Err).To(HaveOccurred())
+	})
+
+	It("finds its way past targets that cannot be reached", func() {
+		r.configure(spec(1))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		dead := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		r.add("dead", dead)
+		r.serve("good", answer)
+		for range 5 {
+			Expect(r.post("/once/x").Status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("goes to services by weight, always the same for one id", func() {
+		c := spec(1)
+		c.Routes[0].Shares = []routing.Share{{Service: "s", Weight: 3}, {Service: "other", Weight: 1}}
+		counts := map[string]int{}
+		for i := range 1000 {
+			id := fmt.Sprint("id", i)
+			name := c.Routes[0].Service(id)
+			Expect(c.Routes[0].Service(id)).To(Equal(name))
+			counts[name]++
+		}
+		Expect(counts["other"]).To(BeNumerically("~", 250, 60))
+	})
+})
+
+var _ = Describe("A stream", func() {
+	var r *rig
+
+	BeforeEach(func() {
+		r = newRig()
+		r.configure(spec(1))
+	})
+
+	It("is resumed at another engine without a piece lost or doubled", func() {
+		r.serve("breaks", streamer(10, 4, 0))
+		r.serve("whole", streamer(10, 10, 0))
+		for range 6 {
+			Expect(r.post("/stream/x")).To(And(HaveField("Body", whole(10)), HaveField("Err", BeNil())))
+		}
+	})
+
+	It("that cannot be resumed is cut where it breaks, after whole events", func() {
+		r.serve("breaks", streamer(10, 4, 0))
+		r.serve("too", streamer(10, 4, 0))
+		got := r.post("/single/x")
+		Expect(got.Err).To(HaveOccurred())
+		Expect(got.Body).To(Equal(whole(4)))
+	})
+
+	It("goes on elsewhere when its engine falls silent", func() {
+		r.serve("silent", func(w http.ResponseWriter, q *http.Request) {
+			fmt.Fprint(w, "id: 1\ndata: e1\n\n")
+			_ = http.NewResponseController(w).Flush()
+			waitGone(q)
+		})
+		r.serve("whole", streamer(5, 5, 0))
+		for range 3 {
+			Expect(r.post("/stream/x")).To(And(HaveField("Body", whole(5)), HaveField("Err", BeNil())))
+		}
+	})
+
+	It("passes events on as they come", func() {
+		next := make(chan bool)
+		r.serve("t", func(w http.ResponseWriter, _ *http.Request) {
+			for i := range 3 {
+				fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+				_ = http.NewResponseController(w).Flush()
+				<-next
+			}
+		})
+		res, err := (&http.Transport{}).RoundTrip(newRequest(r.Known().Address, "/stream/x"))
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		buffer := make([]byte, 100)
+		for i := range 3 {
+			n, err := res.Body.Read(buffer)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(buffer[:n])).To(Equal(fmt.Sprintf("id: %d\ndata: x\n\n", i+1)))
+			next <- true
+		}
+	})
+})
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -9,8 +9,11 @@
 	. "github.com/onsi/gomega"
 )
 
+// limitOfStop is the time for a planned stop in these tests.
+const limitOfStop = 1600 * time.Millisecond
+
 var _ = Describe("A planned stop", func() {
-	const limit = 1600 * time.Millisecond
+	const limit = limitOfStop
 
 	It("lets a stream end that began before it", func() {
 		r := newRig()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -129,6 +129,9 @@
 	return nil
 }
 
+// Close closes the server and all its connections at once.
+func (s *Server) Close() error { return errors.Wrap(s.server.Close(), "close callers' side") }
+
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.open.Add(1)
