--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,6 +171,7 @@
 	}
 	g.peers.Stop()
 	g.group.Stop()
+	g.transport.Close()
 }
 
 // SetLimits takes over changed limits.
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -252,9 +252,13 @@
 
 	It("goes on elsewhere when its engine falls silent", func() {
 		r.serve("silent", func(w http.ResponseWriter, q *http.Request) {
+			// The body goes first: the server closes it when an answer begins.
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
 			fmt.Fprint(w, "id: 1\ndata: e1\n\n")
 			_ = http.NewResponseController(w).Flush()
-			waitGone(q)
+			<-q.Context().Done()
 		})
 		r.serve("whole", streamer(5, 5, 0))
 		for range 3 {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -218,15 +218,16 @@
 	}
 }
 
-// Drop closes the unused connections to an address.
-func (t *Transport) Drop(address string) {
+// Close closes the unused connections.
+func (t *Transport) Close() {
 	t.mu.Lock()
-	list := t.idle[address]
-	delete(t.idle, address)
-	t.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
+	defer t.mu.Unlock()
+	for _, list := range t.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
 	}
+	clear(t.idle)
 }
 
 // Answer is a target's answer, whose body is read as it comes.
--- /dev/null
+++ b/internal/httptarget/httptarget_test.go
@@ -0,0 +1,249 @@
+package httptarget_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+)
+
+func TestHTTPTarget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "httptarget")
+}
+
+// play accepts connections and hands each to f, by its number; the address
+// is returned.
+func play(f func(n int, c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	wait.Go(func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			wait.Go(func() {
+				defer c.Close()
+				f(n, c)
+			})
+		}
+	})
+	DeferCleanup(func() {
+		Expect(l.Close()).To(Succeed())
+		mu.Lock()
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		mu.Unlock()
+		wait.Wait()
+	})
+	return l.Addr().String()
+}
+
+// requests calls f for each request that comes in on c.
+func requests(c net.Conn, f func(n int, r *http.Request) bool) {
+	reader := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !f(n, r) {
+			return
+		}
+	}
+}
+
+func request(id string, body string) httptarget.Request {
+	head := fmt.Sprintf("POST /p HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", id, len(body))
+	return httptarget.Request{Method: http.MethodPost, Head: []byte(head), Body: []byte(body), ID: id, IDHeader: "X-Id"}
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// rig is a transport under test.
+type rig struct{ *httptarget.Transport }
+
+func newRig() rig {
+	g := group.New(context.Background())
+	DeferCleanup(g.Stop)
+	return rig{httptarget.New(g)}
+}
+
+// ask sends a request and returns the body of its answer.
+func (r rig) ask(address, id, body string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := r.Send(ctx, address, request(id, body))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	text, err := io.ReadAll(a)
+	return string(text), err
+}
+
+var _ = Describe("Transport", func() {
+	It("uses a connection again", func() {
+		r := newRig()
+		address := play(func(_ int, c net.Conn) {
+			requests(c, func(n int, q *http.Request) bool {
+				fmt.Fprint(c, whole(q.Header.Get("X-Id"), fmt.Sprint("answer ", n)))
+				return true
+			})
+		})
+		for i := range 3 {
+			Expect(r.ask(address, fmt.Sprint("r", i), "b")).To(Equal(fmt.Sprint("answer ", i)))
+		}
+		Expect(r.Stats().Dialled).To(Equal(int64(1)))
+	})
+
+	It("skips answers to earlier requests", func() {
+		r := newRig()
+		address := play(func(_ int, c net.Conn) {
+			requests(c, func(n int, q *http.Request) bool {
+				if n == 1 {
+					fmt.Fprint(c, whole("r0", "late"))
+				}
+				fmt.Fprint(c, whole(q.Header.Get("X-Id"), "own"))
+				return true
+			})
+		})
+		Expect(r.ask(address, "r0", "b")).To(Equal("own"))
+		Expect(r.ask(address, "r1", "b")).To(Equal("own"))
+		Expect(r.Stats().Stray).To(Equal(int64(1)))
+	})
+
+	It("does not use a connection again on which more came than the answer", func() {
+		for name, pause := range map[string]time.Duration{"at once": 0, "later": 30 * time.Millisecond} {
+			r := newRig()
+			address := play(func(n int, c net.Conn) {
+				requests(c, func(_ int, q *http.Request) bool {
+					fmt.Fprint(c, whole(q.Header.Get("X-Id"), "own"))
+					if n == 0 {
+						time.Sleep(pause)
+						fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil")
+					}
+					return true
+				})
+			})
+			Expect(r.ask(address, "r0", "b")).To(Equal("own"), name)
+			time.Sleep(60 * time.Millisecond)
+			Expect(r.ask(address, "r1", "b")).To(Equal("own"), name)
+			Expect(r.Stats().Dialled).To(Equal(int64(2)), name)
+		}
+	})
+
+	It("takes an answer that comes before a long body has been read, and drops the connection", func() {
+		r := newRig()
+		long := strings.Repeat("x", 4<<20)
+		address := play(func(_ int, c net.Conn) {
+			q, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
+			if err != nil {
+				return
+			}
+			fmt.Fprint(c, whole(q.Header.Get("X-Id"), "early"))
+			time.Sleep(50 * time.Millisecond)
+		})
+		Expect(r.ask(address, "r0", long)).To(Equal("early"))
+		Expect(r.ask(address, "r1", "b")).To(Equal("early"))
+		Expect(r.Stats().Reused).To(BeZero())
+	})
+
+	It("closes a connection when its request is given up", func() {
+		r := newRig()
+		closed := make(chan bool, 1)
+		address := play(func(_ int, c net.Conn) {
+			requests(c, func(int, *http.Request) bool {
+				_, err := c.Read(make([]byte, 1))
+				closed <- err != nil
+				return false
+			})
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := r.Send(ctx, address, request("r0", "b"))
+		Expect(err).To(MatchError(httptarget.ErrBroken))
+		Eventually(closed).Should(Receive(BeTrue()))
+	})
+
+	It("says that nothing was sent where there is nobody", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		_, err = newRig().ask(address, "r", "b")
+		Expect(err).To(MatchError(httptarget.ErrNotSent))
+	})
+})
+
+// naive reads an answer as the standard library does, from text that ends
+// with its connection.
+func naive(text []byte) (string, error) {
+	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return string(body), err
+}
+
+var _ = Describe("An answer cut at any byte", func() {
+	texts := map[string]string{
+		"length":  whole("r", "hello"),
+		"chunked": "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+		"interim": "HTTP/1.1 100 Continue\r\n\r\n" + whole("r", "hello"),
+		"empty":   "HTTP/1.1 204 No Content\r\nX-Id: r\r\n\r\n",
+		"no end":  "HTTP/1.1 200 OK\r\nX-Id: r\r\nConnection: close\r\n\r\nhello",
+	}
+	It("is what a naive reader takes it for", func() {
+		for name, text := range texts {
+			for cut := range len(text) + 1 {
+				address := play(func(_ int, c net.Conn) {
+					requests(c, func(int, *http.Request) bool {
+						fmt.Fprint(c, text[:cut])
+						return false
+					})
+				})
+				got, err := newRig().ask(address, "r", "b")
+				plain := strings.TrimPrefix(text[:cut], "HTTP/1.1 100 Continue\r\n\r\n")
+				if name == "interim" && len(plain) == cut {
+					// Nothing but an interim answer, or less.
+					Expect(err).To(HaveOccurred(), "%s cut at %d", name, cut)
+					continue
+				}
+				want, wantErr := naive([]byte(plain))
+				Expect(err != nil).To(Equal(wantErr != nil), "%s cut at %d: %v, %v", name, cut, err, wantErr)
+				if wantErr == nil {
+					Expect(got).To(Equal(want), "%s cut at %d", name, cut)
+				}
+			}
+		}
+	})
+})
