Add other routers' reports up once in 20 ms, look through the queue less often

Cause: on the grown site (58 routers) each arrival added up 57 reports for each organisation and each engine.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -40,6 +40,12 @@
 	// before it is refused: a caller told so early can still be served in
 	// time when it comes back.
 	waitShare = 5
+	// fewWaiting requests are looked through at each event; more of them once
+	// in dispatchPause, and until maxFailed of them found no room: a flooded
+	// router must not spend its processor on that.
+	fewWaiting    = 8
+	dispatchPause = 10 * time.Millisecond
+	maxFailed     = 16
 	// maxWaiting bounds the requests waiting at a router; more are refused at
 	// once.
 	maxWaiting = 2000
@@ -103,9 +109,11 @@
 	// services has the targets of each service in the order of their ids.
 	services map[string][]*target
 	queue    []*Ticket
-	shares   shares
-	peers    peers
-	budget   budget
+	// dispatched is when waiting requests were last looked through.
+	dispatched time.Time
+	shares     shares
+	peers      peers
+	budget     budget
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -216,14 +224,9 @@
 	for name := range s.waitingOf() {
 		least = min(least, s.hadOf(now, name))
 	}
-	for _, r := range s.peers.reports {
-		if now.Sub(r.at) > waitingAge {
-			continue
-		}
-		for name, u := range r.Usage {
-			if u.Waiting > 0 {
-				least = min(least, s.hadOf(now, name))
-			}
+	for name, u := range s.peers.sum(now, s.limits.QuotaWindow).usage {
+		if u.Waiting > 0 {
+			least = min(least, s.hadOf(now, name))
 		}
 	}
 	return least
@@ -344,9 +347,10 @@
 // None of an organisation that had its share passes one that waits for
 // another.
 func (s *State) dispatch(now time.Time) {
-	if len(s.queue) == 0 {
+	if len(s.queue) == 0 || len(s.queue) > fewWaiting && now.Sub(s.dispatched) < dispatchPause {
 		return
 	}
+	s.dispatched = now
 	had := map[string]float64{}
 	for _, t := range s.queue {
 		if _, ok := had[t.Organisation]; !ok {
@@ -362,10 +366,16 @@
 	// The queue is in order, so that what goes first had the least here.
 	least := s.leastWaiting(now)
 	kept := s.queue[:0]
+	failed := 0
 	for _, t := range s.queue {
 		ahead := t.Engine && had[t.Organisation]*100 > least*(100+lead)
-		if ahead || !s.assign(now, t) {
+		if ahead || t.Engine && failed >= maxFailed {
+			kept = append(kept, t)
+			continue
+		}
+		if !s.assign(now, t) {
 			kept = append(kept, t)
+			failed++
 		}
 	}
 	clear(s.queue[len(kept):])
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -45,10 +45,51 @@
 // peers is what other routers reported.
 type peers struct {
 	reports map[string]heard
+	sums    sums
 	level   float64
 	levelAt time.Time
 }
 
+// sumsAge is for how long the sums over other routers' reports are used
+// before they are worked out anew: a fraction of a report period. In a large
+// fleet adding the reports up costs more than all else.
+const sumsAge = 20 * time.Millisecond
+
+// sums adds up the other routers' reports.
+type sums struct {
+	at    time.Time
+	loads map[string]load
+	usage map[string]Usage
+}
+
+// sum returns the sums as of now or a moment before.
+func (p *peers) sum(now time.Time, window time.Duration) sums {
+	if p.sums.loads != nil && now.Sub(p.sums.at) < sumsAge {
+		return p.sums
+	}
+	out := sums{at: now, loads: map[string]load{}, usage: map[string]Usage{}}
+	for _, r := range p.reports {
+		age := now.Sub(r.at)
+		if age < loadAge {
+			for id, l := range r.Loads {
+				out.loads[id] = out.loads[id].plus(load{unread: l.Unread, running: l.Running, memory: l.Memory})
+			}
+		}
+		f := math.Exp(-2 * age.Seconds() / window.Seconds())
+		for name, u := range r.Usage {
+			sum := out.usage[name]
+			sum.Asked += u.Asked * f
+			sum.Begun += u.Begun * f
+			if age < waitingAge {
+				sum.Waiting += u.Waiting
+			}
+			out.usage[name] = sum
+		}
+	}
+	p.sums = out
+	return out
+}
+
 // Heard takes in a report of another router.
 func (s *State) Heard(now time.Time, router string, r Report) {
 	if s.peers.reports == nil {
@@ -91,34 +132,7 @@
 	return n
 }
 
-// usage returns what an organisation had of the other routers, decayed since
-// their reports.
-func (p *peers) usage(now time.Time, organisation string, window time.Duration) Usage {
-	var sum Usage
-	for _, r := range p.reports {
-		u, ok := r.Usage[organisation]
-		if !ok {
-			continue
-		}
-		f := math.Exp(-2 * now.Sub(r.at).Seconds() / window.Seconds())
-		sum.Asked += u.Asked * f
-		sum.Begun += u.Begun * f
-		if now.Sub(r.at) < waitingAge {
-			sum.Waiting += u.Waiting
-		}
-	}
-	return sum
-}
-
 // loadOf returns the load on a target from all routers, as far as known.
 func (s *State) loadOf(now time.Time, t *target) load {
-	sum := t.own
-	for _, r := range s.peers.reports {
-		if now.Sub(r.at) > loadAge {
-			continue
-		}
-		l := r.Loads[t.ID]
-		sum = sum.plus(load{unread: l.Unread, running: l.Running, memory: l.Memory})
-	}
-	return sum
+	return t.own.plus(s.peers.sum(now, s.limits.QuotaWindow).loads[t.ID])
 }
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -59,7 +59,7 @@
 
 // hadOf returns what an organisation got of all routers.
 func (s *State) hadOf(now time.Time, organisation string) float64 {
-	return s.shares.of(now, organisation).begun + s.peers.usage(now, organisation, s.limits.QuotaWindow).Begun
+	return s.shares.of(now, organisation).begun + s.peers.sum(now, s.limits.QuotaWindow).usage[organisation].Begun
 }
 
 // over reports whether an organisation already had its share of what the
@@ -81,9 +81,14 @@
 		return s.peers.level
 	}
 	var asked []float64
-	for name := range s.organisations() {
-		own := s.shares.of(now, name).asked
-		asked = append(asked, own+s.peers.usage(now, name, s.limits.QuotaWindow).Asked)
+	others := s.peers.sum(now, s.limits.QuotaWindow).usage
+	for name := range s.shares.counts {
+		asked = append(asked, s.shares.of(now, name).asked+others[name].Asked)
+	}
+	for name, u := range others {
+		if s.shares.counts[name] == nil {
+			asked = append(asked, u.Asked)
+		}
 	}
 	// A constant rate decays to rate times the time constant.
 	capacity := s.shares.capacity * s.limits.QuotaWindow.Seconds() / 2
@@ -106,17 +111,3 @@
 	}
 	return math.Inf(1)
 }
-
-// organisations returns the names of all organisations heard of.
-func (s *State) organisations() map[string]bool {
-	names := map[string]bool{}
-	for name := range s.shares.counts {
-		names[name] = true
-	}
-	for _, p := range s.peers.reports {
-		for name := range p.Usage {
-			names[name] = true
-		}
-	}
-	return names
-}
