Tell callers the large routers first; let three routers a zone watch the store

Cause: on the grown site one small router (0.19 cores) was flooded by one organisation's clients and refused, connected and logged too late; 58 routers each watched the store.

--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -6,7 +6,10 @@
 )
 
 func encodeStatus(m message.Status) *peerpb.Status {
-	out := &peerpb.Status{Ready: m.Ready, Leaving: m.Leaving, Config: m.Config, Targets: m.Targets}
+	out := &peerpb.Status{
+		Ready: m.Ready, Leaving: m.Leaving, Config: m.Config, Targets: m.Targets,
+		Capacity: float32(m.Capacity), StoreTrouble: m.StoreTrouble,
+	}
 	for _, l := range m.Loads {
 		out.Loads = append(out.Loads, &peerpb.TargetLoad{
 			Target: l.Target, Unread: uint32(l.Unread), Running: uint32(l.Running), Memory: uint32(l.Memory),
@@ -21,7 +24,10 @@
 }
 
 func decodeStatus(m *peerpb.Status) message.Status {
-	out := message.Status{Ready: m.GetReady(), Leaving: m.GetLeaving(), Config: m.GetConfig(), Targets: m.GetTargets()}
+	out := message.Status{
+		Ready: m.GetReady(), Leaving: m.GetLeaving(), Config: m.GetConfig(), Targets: m.GetTargets(),
+		Capacity: float64(m.GetCapacity()), StoreTrouble: m.GetStoreTrouble(),
+	}
 	for _, l := range m.GetLoads() {
 		out.Loads = append(out.Loads, message.TargetLoad{
 			Target: l.GetTarget(), Unread: int(l.GetUnread()), Running: int(l.GetRunning()), Memory: int(l.GetMemory()),
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -49,6 +49,9 @@
 	// maxWaiting bounds the requests waiting at a router; more are refused at
 	// once.
 	maxWaiting = 2000
+	// maxWaitingOne bounds those of one organisation to engines: about what a
+	// router finds room for while they wait. More only fill its memory.
+	maxWaitingOne = 24
 )
 
 // Limits are the figures that the deployment sets.
@@ -196,13 +199,41 @@
 	if !s.behind(now, t) && s.assign(now, t) {
 		return
 	}
-	if len(s.queue) >= maxWaiting {
+	if len(s.queue) >= maxWaiting || s.crowdedBy(t.Organisation) {
 		s.refuse(now, t, Full)
 		return
 	}
 	s.queue = append(s.queue, t)
 }
 
+// crowdedBy reports whether an organisation has as many requests waiting as
+// it may.
+func (s *State) crowdedBy(organisation string) bool {
+	n := 0
+	for _, t := range s.queue {
+		if t.Engine && t.Organisation == organisation {
+			n++
+		}
+	}
+	return n >= maxWaitingOne
+}
+
+// Crowded returns the organisations that have as many requests to engines
+// waiting as they may, so that more need not even be read; nil if none has.
+func (s *State) Crowded() map[string]bool {
+	var out map[string]bool
+	for name, n := range s.waitingOf() {
+		if n < maxWaitingOne {
+			continue
+		}
+		if out == nil {
+			out = map[string]bool{}
+		}
+		out[name] = true
+	}
+	return out
+}
+
 // lead is by how much, in percent, an organisation may have had more than one
 // whose requests wait before its own have to wait too: what is known of other
 // routers is a report period old.
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,8 +19,9 @@
 
 // Loop drives a State from one goroutine. Use NewLoop to make one.
 type Loop struct {
-	state  *State
-	events chan Event
+	state   *State
+	events  chan Event
+	crowded atomic.Pointer[map[string]bool]
 }
 
 // NewLoop returns a loop that Run must drive.
@@ -39,10 +41,28 @@
 			e(l.state, time.Now())
 		case <-ticker.C:
 			l.state.Tick(time.Now())
+			l.publish()
 		}
 	}
 }
 
+// publish tells other goroutines which organisations crowd the queue.
+func (l *Loop) publish() {
+	crowded := l.state.Crowded()
+	if crowded == nil {
+		l.crowded.Store(nil)
+		return
+	}
+	l.crowded.Store(&crowded)
+}
+
+// Crowded reports whether an organisation had as many requests to engines
+// waiting as it may a moment ago. Any goroutine may call it.
+func (l *Loop) Crowded(organisation string) bool {
+	crowded := l.crowded.Load()
+	return crowded != nil && (*crowded)[organisation]
+}
+
 // Post hands an event over, to be applied soon and in order.
 func (l *Loop) Post(e Event) { l.events <- e }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,10 +144,11 @@
 	return &Forwarder{dialect: d, sender: s, loop: l, log: log, counts: c}
 }
 
+// Crowded reports whether requests of an organisation to engines are to be
+// refused unread: it has as many waiting as it may.
+func (f *Forwarder) Crowded(organisation string) bool { return f.loop.Crowded(organisation) }
+
 const (
-	// defaultOutput is the number of tokens assumed to come out where the
-	// caller tells none.
-	defaultOutput = 100
 	// minLeft is the least time that is worth a send.
 	minLeft = 5 * time.Millisecond
 	// comeBackSoon is when to come back after a target refused or could not be
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -37,6 +38,9 @@
 		Leaving: g.members.Self().Leaving,
 		Config:  g.catalog.ConfigRevision(),
 		Targets: g.catalog.Revision(),
+
+		Capacity:     g.Capacity,
+		StoreTrouble: !g.trouble.IsZero(),
 	}
 	r := s.Report(now)
 	for id, l := range r.Loads {
@@ -178,7 +182,42 @@
 
 // StoreTrouble notes that a call to the store failed.
 func (g *Gateway) StoreTrouble() {
-	g.loop.Post(func(_ *balance.State, now time.Time) { g.catalog.Unstable(now) })
+	g.loop.Post(func(_ *balance.State, now time.Time) {
+		g.catalog.Unstable(now)
+		if g.trouble.IsZero() {
+			g.trouble = now
+		}
+	})
+}
+
+// StoreWorks notes that calls to the store work.
+func (g *Gateway) StoreWorks() {
+	g.loop.Post(func(*balance.State, time.Time) { g.trouble = time.Time{} })
+}
+
+// watchersPerZone is the number of routers of an availability zone that watch
+// the store, among those that reach it: the calls are paid for, and the others
+// hear from these within a report period.
+const watchersPerZone = 3
+
+// Watches reports whether this router should watch the store: it is among the
+// first of its zone, or cannot reach the store and tries to, or has nothing
+// yet.
+func (g *Gateway) Watches(ctx context.Context) bool {
+	watches := true
+	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
+		if !g.trouble.IsZero() || g.catalog.Table() == nil {
+			return
+		}
+		self := g.members.Self()
+		live := slices.DeleteFunc(g.members.Live(now), func(m member.Member) bool {
+			return m.ID != self.ID && g.status[m.ID].StoreTrouble
+		})
+		watches = slices.ContainsFunc(member.First(watchersPerZone, "store", self.Zone, live), func(m member.Member) bool {
+			return m.ID == self.ID
+		})
+	})
+	return watches
 }
 
 // SetRouters takes over the store's list of routers.
@@ -186,33 +225,65 @@
 	g.loop.Post(func(*balance.State, time.Time) { g.members.Listed(list) })
 }
 
-// minNear is the least number of addresses told to a caller where there are
-// as many: one may fail.
-const minNear = 2
+const (
+	// minNear is the least number of addresses told to a caller where there
+	// are as many: one may fail.
+	minNear = 2
+	// smallShare is the part, in percent, of the largest capacity in a zone
+	// below which a router is told to callers only if there are too few
+	// others: a flood that a large router refuses drowns a small one.
+	smallShare = 50
+)
 
 // Addresses returns where callers in an availability zone should connect:
-// routers of that zone that can serve, or others if there are too few.
+// the large routers of that zone that can serve, small ones if there are too
+// few of these, or one elsewhere if there is only one.
 func (g *Gateway) Addresses(ctx context.Context, zone string) []string {
-	var near, far []string
+	var near, far []member.Member
 	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
 		for _, m := range g.members.Live(now) {
 			if !g.canServe(m) {
 				continue
 			}
 			if m.Zone == zone {
-				near = append(near, m.Address)
+				near = append(near, m)
 				continue
 			}
-			far = append(far, m.Address)
+			far = append(far, m)
 		}
+		near = g.large(near)
+		far = g.large(far)
 	})
-	if len(near) >= minNear || len(far) == 0 {
-		return near
-	}
 	if len(near) == 0 {
-		return far
+		near, far = far, nil
+	}
+	if len(near) < minNear && len(far) > 0 {
+		near = append(near, far[0])
+	}
+	var list []string
+	for _, m := range near {
+		list = append(list, m.Address)
+	}
+	return list
+}
+
+// large returns the routers with a large part of the greatest capacity among
+// them, and others as long as there are fewer than minNear.
+func (g *Gateway) large(list []member.Member) []member.Member {
+	slices.SortStableFunc(list, func(a, b member.Member) int { return cmp.Compare(g.capacity(b), g.capacity(a)) })
+	for i, m := range list {
+		if i >= minNear && g.capacity(m)*100 < g.capacity(list[0])*smallShare {
+			return list[:i]
+		}
+	}
+	return list
+}
+
+func (g *Gateway) capacity(m member.Member) float64 {
+	if m.ID == g.members.Self().ID {
+		return g.Capacity
 	}
-	return append(near, far[:1]...)
+	return g.status[m.ID].Capacity
 }
 
 func (g *Gateway) canServe(m member.Member) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -36,6 +37,8 @@
 	memberTimeout = 1500 * time.Millisecond
 	// sweepPeriod is the time between looks for old unused connections.
 	sweepPeriod = time.Second
+	// defaultOpen is the most requests served at a time where none is set.
+	defaultOpen = 1000
 	// copyPause is the time between requests to other routers for what they
 	// have newer.
 	copyPause = 60 * time.Millisecond
@@ -51,11 +54,15 @@
 	// Seeds are other routers' PeerListen addresses; they may be stale.
 	Seeds       []string
 	Incarnation uint64
-	Dialect     forward.Dialect
-	Codec       catalog.Codec
-	Limits      balance.Limits
-	Log         logr.Logger
-	Metrics     *Metrics
+	// Capacity is the number of processor cores that the router may use.
+	Capacity float64
+	// MaxOpen is the most requests served at a time; 0 means 1,000.
+	MaxOpen int
+	Dialect forward.Dialect
+	Codec   catalog.Codec
+	Limits  balance.Limits
+	Log     logr.Logger
+	Metrics *Metrics
 }
 
 // Gateway is a running router. Use New to make one.
@@ -70,7 +77,8 @@
 	transport *httptarget.Transport
 	server    *ingress.Server
 	peers     *peer.Transport
-	hinted    map[string]bool
+	// trouble is since when calls to the store fail, zero while they work.
+	trouble time.Time
 }
 
 // New starts a router. Its catalog is empty: it refuses callers until it gets
@@ -90,7 +98,6 @@
 		group:   group.New(ctx),
 		catalog: catalog.New(o.Codec),
 		status:  map[message.RouterID]message.Status{},
-		hinted:  map[string]bool{},
 	}
 	now := time.Now()
 	self := member.Member{
@@ -102,7 +109,7 @@
 	g.loop = balance.NewLoop(balance.New(now, o.Zone, o.Limits, random))
 	g.transport = httptarget.New(g.group)
 	forwarder := forward.New(o.Dialect, g.transport, g.loop, o.Log, o.Metrics)
-	g.server = ingress.New(o.Dialect, forwarder, g.observer(), o.Log)
+	g.server = ingress.New(o.Dialect, forwarder, g.observer(), cmp.Or(o.MaxOpen, defaultOpen), o.Log)
 	g.peers = peer.New(g.group.Context(), self, others, g.receive, o.Log)
 	o.Metrics.watch(g)
 	g.group.GoContext(g.loop.Run)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"log"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -60,8 +61,19 @@
 	ReasonNotReady     forward.Reason = "not-ready"
 	ReasonLeaving      forward.Reason = "router-leaving"
 	ReasonProcessFull  forward.Reason = "process-full"
+	ReasonCrowded      forward.Reason = "organisation-queue-full"
 )
 
+const (
+	// crowdedLeast and crowdedSpread are when to come back after a refusal for
+	// too many waiting requests: the organisation asks for several times its
+	// share, and the next seconds will be no better.
+	crowdedLeast  = time.Second
+	crowdedSpread = time.Second
+)
+
+func crowdedAfter() time.Duration { return crowdedLeast + rand.N(crowdedSpread) }
+
 // Observer is told of each request that ended.
 type Observer interface {
 	Ended(r forward.Request, v forward.Verdict, took time.Duration)
@@ -76,15 +88,18 @@
 	table     atomic.Pointer[routing.Table]
 	server    *http.Server
 	held      atomic.Int64
-	open      atomic.Int64
+	// maxOpen is the most requests served at a time.
+	maxOpen int64
+	open    atomic.Int64
 	// closing is set when answers are to close their connections, refusing
 	// when nothing new is begun any more.
 	closing, refusing atomic.Bool
 }
 
 // New returns a server that refuses everything until Configure is called.
-func New(d forward.Dialect, f *forward.Forwarder, o Observer, l logr.Logger) *Server {
-	s := &Server{dialect: d, forwarder: f, observer: o, log: l}
+// It serves at most maxOpen requests at a time and refuses others unread.
+func New(d forward.Dialect, f *forward.Forwarder, o Observer, maxOpen int, l logr.Logger) *Server {
+	s := &Server{dialect: d, forwarder: f, observer: o, maxOpen: int64(maxOpen), log: l}
 	s.server = &http.Server{
 		Handler:                      s,
 		ReadHeaderTimeout:            headerTimeout,
@@ -203,6 +218,12 @@
 	out.Service = route.Service(out.ID)
 	service, _ := t.Service(out.Service)
 	out.Engine = service.Engine != nil
+	if out.Engine && s.forwarder.Crowded(out.Organisation) {
+		return out, refused(http.StatusServiceUnavailable, ReasonCrowded, crowdedAfter())
+	}
+	if s.open.Load() > s.maxOpen {
+		return out, refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyAfter)
+	}
 	if err := s.describe(&out, r); err != nil {
 		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
 		return out, refused(http.StatusBadRequest, ReasonBadRequest, 0)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -129,8 +129,12 @@
 	// Config is the store's revision of the configuration in force, Targets
 	// that of the newest list of targets.
 	Config, Targets int64
-	Loads           []TargetLoad
-	Usage           []OrganisationUsage
+	// Capacity is the number of processor cores that the router may use.
+	Capacity float64
+	// StoreTrouble is set while the router's calls to the store fail.
+	StoreTrouble bool
+	Loads        []TargetLoad
+	Usage        []OrganisationUsage
 }
 
 // TargetLoad is what one router's requests put on a target.
