Leave a silent engine only when the request can go elsewhere

Cause of LOST on the grown site: a timer ended a stream whose first event was just arriving, and the retry budget then refused another send. Now the control thread is asked first (something heard lately, budget, another engine), and the rest of a begun answer passes all that waits.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -46,6 +46,9 @@
 	fewWaiting    = 8
 	dispatchPause = 10 * time.Millisecond
 	maxFailed     = 16
+	// resumeWait is for how long a caller with a part of its answer waits for
+	// the rest of it: callers leave a stream after a pause of two seconds.
+	resumeWait = time.Second
 	// maxWaiting bounds the requests waiting at a router; more are refused at
 	// once.
 	maxWaiting = 2000
@@ -190,6 +193,21 @@
 	return true
 }
 
+// MayLeave reports whether a request may leave the target that it was sent to
+// for another: nothing has come from the target for a while, the retry budget
+// allows it, and there is another target.
+func (s *State) MayLeave(now time.Time, t *Ticket, silent time.Duration) bool {
+	if t.at == nil || now.Sub(t.Arrived)-time.Duration(t.Heard.Load()) < silent {
+		return false
+	}
+	if !s.budget.allow(now, t.Service, s.limits, s.peers.count(now)+1) {
+		return false
+	}
+	return slices.ContainsFunc(s.services[t.Service], func(c *target) bool {
+		return c != t.at && !c.Leaving && !c.suspected(now) && !slices.Contains(t.Tried, c.ID)
+	})
+}
+
 func (s *State) arrive(now time.Time, t *Ticket) {
 	t.begun = false
 	t.expires = now.Add(t.patience())
@@ -199,7 +217,7 @@
 	if !s.behind(now, t) && s.assign(now, t) {
 		return
 	}
-	if len(s.queue) >= maxWaiting || s.crowdedBy(t.Organisation) {
+	if !t.Resumes && (len(s.queue) >= maxWaiting || s.crowdedBy(t.Organisation)) {
 		s.refuse(now, t, Full)
 		return
 	}
@@ -242,7 +260,7 @@
 // behind reports whether a request to an engine must not pass those that
 // wait, here or at other routers: its organisation had more than theirs.
 func (s *State) behind(now time.Time, t *Ticket) bool {
-	if !t.Engine {
+	if !t.Engine || t.Resumes {
 		return false
 	}
 	return s.hadOf(now, t.Organisation)*100 > s.leastWaiting(now)*(100+lead)
@@ -399,7 +417,7 @@
 	kept := s.queue[:0]
 	failed := 0
 	for _, t := range s.queue {
-		ahead := t.Engine && had[t.Organisation]*100 > least*(100+lead)
+		ahead := t.Engine && !t.Resumes && had[t.Organisation]*100 > least*(100+lead)
 		if ahead || t.Engine && failed >= maxFailed {
 			kept = append(kept, t)
 			continue
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -33,7 +33,10 @@
 		return s.leastBusy(now, t, candidates), 0
 	}
 	limit := maxUnread
-	over := s.over(now, t.Organisation)
+	over := s.over(now, t.Organisation) && !t.Resumes
+	if t.Resumes {
+		limit = 2 * maxUnread
+	}
 	if over {
 		limit = maxUnread * overShare / 100
 	}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,12 @@
 	Deadline      time.Time
 	// Tried holds the ids of targets that the request was sent to before.
 	Tried []string
+	// Resumes is set when the rest of an answer is sought of which the caller
+	// has a part: it then waits as long as it can and passes all others.
+	Resumes bool
+	// Heard is when the target last sent a part of the answer, in nanoseconds
+	// after Arrived; the request's own goroutine sets it.
+	Heard atomic.Int64
 	// Decision receives one decision for each call of Arrive, and of Again
 	// that returned true. It has room for one.
 	Decision chan Decision
@@ -122,4 +129,9 @@
 	}
 }
 
-func (t *Ticket) patience() time.Duration { return t.Goal / waitShare }
+func (t *Ticket) patience() time.Duration {
+	if t.Resumes {
+		return resumeWait
+	}
+	return t.Goal / waitShare
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -334,6 +334,7 @@
 	allowed := false
 	asked := x.loop.Ask(ctx, func(s *balance.State, now time.Time) {
 		t.Tried = append(t.Tried, to.ID)
+		t.Resumes = x.verdict.Begun
 		if free {
 			s.Arrive(now, t)
 			allowed = true
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -102,18 +102,25 @@
 	if x.verdict.First == 0 {
 		x.verdict.First = time.Since(x.Arrived)
 	}
+	x.ticket.Heard.Store(time.Since(x.ticket.Arrived).Nanoseconds())
 	t := x.ticket
 	x.loop.Post(func(s *balance.State, now time.Time) { s.Begun(now, t) })
 }
 
 // watch returns a timer that ends the exchange when the target is silent for
-// too long, or one that never fires where no other target may take over.
+// too long and another may take over, or one that does nothing where none may.
 func (x *run) watch(cancel context.CancelCauseFunc) *time.Timer {
-	d := time.Until(x.deadline) + time.Hour
-	if x.Route.Repeatable() && x.verdict.Sends+1 < x.Route.MaxAttempts {
-		d = max(x.Route.Goal*firstShare/100, minSilence)
+	if !x.Route.Repeatable() || x.verdict.Sends+1 >= x.Route.MaxAttempts {
+		return time.AfterFunc(time.Until(x.deadline), func() {})
 	}
-	return time.AfterFunc(d, func() { cancel(errSilent) })
+	t := x.ticket
+	return time.AfterFunc(max(x.Route.Goal*firstShare/100, minSilence), func() {
+		x.loop.Post(func(s *balance.State, now time.Time) {
+			if s.MayLeave(now, t, minSilence) {
+				cancel(errSilent)
+			}
+		})
+	})
 }
 
 // receive passes an answer on, or returns why it cannot be.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -90,12 +90,17 @@
 
 // newRig returns a router with a configuration and without targets.
 func newRig(seeds ...string) *rig {
+	return newRigWith(balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second}, seeds...)
+}
+
+// newRigWith returns a router with limits of its own.
+func newRigWith(limits balance.Limits, seeds ...string) *rig {
 	r := &rig{metrics: gateway.NewMetrics()}
 	n := incarnation.Add(1)
 	g, err := gateway.New(context.Background(), gateway.Options{
 		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
 		Incarnation: n, Dialect: dialect, Codec: codec{}, Log: logr.Discard(), Metrics: r.metrics,
-		Limits: balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
+		Limits: limits,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	r.Gateway = g
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -266,6 +267,21 @@
 		}
 	})
 
+	It("is not given up for silence where it could not go elsewhere", func() {
+		r := newRigWith(balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second})
+		r.configure(spec(1))
+		slow := func(w http.ResponseWriter, q *http.Request) {
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
+			time.Sleep(900 * time.Millisecond)
+			streamer(3, 3, 0)(w, q)
+		}
+		r.serve("a", slow)
+		r.serve("b", slow)
+		Expect(r.post("/stream/x")).To(And(HaveField("Body", whole(3)), HaveField("Err", BeNil())))
+	})
+
 	It("passes events on as they come", func() {
 		next := make(chan bool)
 		r.serve("t", func(w http.ResponseWriter, _ *http.Request) {
