--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,161 @@
+package catalog_test
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/invariant"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// codec reads a table's version, and a target whose value is its address.
+type codec struct{}
+
+func (codec) Table(value []byte) (*routing.Table, error) {
+	v, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, "table")
+	}
+	return routing.New(routing.Spec{Version: v})
+}
+
+func (codec) Target(name string, value []byte) (balance.Target, error) {
+	return balance.Target{ID: name, Address: string(value)}, nil
+}
+
+// history is a store: the naive account of what each revision held.
+type history struct {
+	events []catalog.Change
+}
+
+// at returns the targets as of a revision, by name.
+func (h *history) at(revision int64) map[string]message.StoredTarget {
+	out := map[string]message.StoredTarget{}
+	for _, e := range h.events {
+		if e.Revision > revision {
+			break
+		}
+		if e.Gone {
+			delete(out, e.Name)
+			continue
+		}
+		out[e.Name] = e.StoredTarget
+	}
+	return out
+}
+
+func (h *history) list(revision int64) []message.StoredTarget {
+	return slices.Collect(maps.Values(h.at(revision)))
+}
+
+// TestCopies feeds two routers' catalogs from a store, late, in parts, twice,
+// and from one another, and compares what they hold with what the store held
+// at the revision that they name.
+func TestCopies(t *testing.T) {
+	invariant.Strict()
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		h := &history{}
+		pair := []*catalog.Catalog{catalog.New(codec{}), catalog.New(codec{})}
+		which := func() *catalog.Catalog { return pair[rapid.IntRange(0, 1).Draw(t, "router")] }
+		revision := func() int64 { return int64(rapid.IntRange(0, len(h.events)).Draw(t, "revision")) }
+		configs := map[*catalog.Catalog]int64{}
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				n := int64(len(h.events) + 1)
+				name := strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "name"))
+				_, there := h.at(n)[name]
+				e := catalog.Change{StoredTarget: message.StoredTarget{Name: name, Revision: n, Value: []byte(strconv.FormatInt(n, 10))}}
+				e.Gone = there && rapid.Bool().Draw(t, "gone")
+				h.events = append(h.events, e)
+			},
+			"list": func(t *rapid.T) {
+				r := revision()
+				if _, err := which().SetTargets(now, r, h.list(r)); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"watch": func(t *rapid.T) {
+				c := which()
+				from := int64(rapid.IntRange(0, int(c.Revision())).Draw(t, "from"))
+				to := max(revision(), from)
+				if err := c.Apply(now, to, slices.Clone(h.events[from:to])); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"copy": func(t *rapid.T) {
+				i := rapid.IntRange(0, 1).Draw(t, "to")
+				to, from := pair[i], pair[1-i]
+				m := from.Copy(message.NeedCopy{Config: to.ConfigRevision(), Targets: to.Revision()})
+				if m.TargetsRevision > 0 {
+					if _, err := to.SetTargets(now, m.TargetsRevision, m.Targets); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if len(m.Config) > 0 {
+					if _, err := to.SetConfig(m.ConfigRevision, m.Config); err != nil {
+						t.Fatal(err)
+					}
+				}
+			},
+			"configure": func(t *rapid.T) {
+				r := int64(rapid.IntRange(1, 20).Draw(t, "config"))
+				if _, err := which().SetConfig(r, []byte(strconv.FormatInt(r, 10))); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, c := range pair {
+					if c.ConfigRevision() < configs[c] {
+						t.Fatalf("configuration went back to %d", c.ConfigRevision())
+					}
+					configs[c] = c.ConfigRevision()
+					want := h.at(c.Revision())
+					got := c.Targets()
+					if len(got) != len(want) {
+						t.Fatalf("at %d: have %v, want %v", c.Revision(), got, want)
+					}
+					for _, target := range got {
+						if string(want[target.ID].Value) != target.Address {
+							t.Fatalf("at %d: have %v, want %v", c.Revision(), target, want[target.ID])
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestLapse(t *testing.T) {
+	now := time.Now()
+	c := catalog.New(codec{})
+	entry := []message.StoredTarget{{Name: "a", Revision: 1, Value: []byte("x")}}
+	if _, err := c.SetTargets(now, 1, entry); err != nil {
+		t.Fatal(err)
+	}
+	c.Unstable(now)
+	if _, err := c.SetTargets(now, 2, nil); err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Targets()) != 1 {
+		t.Fatal("a target whose entry lapsed while the store was away is not used")
+	}
+	if !c.Expire(now.Add(3*time.Second)) || len(c.Targets()) != 0 {
+		t.Fatal("a target that did not come back is still used")
+	}
+	if _, err := c.SetTargets(now, 3, entry); err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Targets()) != 1 {
+		t.Fatal("a target that came back is not used")
+	}
+}
