--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -86,7 +86,7 @@
 	}
 	peerpb.RegisterPeerServer(t.server, t)
 	t.group.Go(func() {
-		if err := t.server.Serve(&countingListener{listener, &t.bytes}); err != nil {
+		if err := t.server.Serve(&countingListener{listener, &t.bytes}); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 			log.Error(err, "peer server ended")
 		}
 	})
