--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -198,7 +198,7 @@
 // watchersPerZone is the number of routers of an availability zone that watch
 // the store, among those that reach it: the calls are paid for, and the others
 // hear from these within a report period.
-const watchersPerZone = 3
+const watchersPerZone = 2
 
 // Watches reports whether this router should watch the store: it is among the
 // first of its zone, or cannot reach the store and tries to, or has nothing
