--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -252,10 +252,16 @@
 	return out
 }
 
-// lead is by how much, in percent, an organisation may have had more than one
-// whose requests wait before its own have to wait too: what is known of other
-// routers is a report period old.
-const lead = 15
+const (
+	// lead is by how much, in percent, an organisation may have had more than
+	// one whose requests wait here before its own have to wait too.
+	lead = 15
+	// farLead is how many times as much it may have had as one whose requests
+	// wait at another router. What is known of those is old: in a large fleet
+	// some request always waits somewhere, and at a small lead all routers hold
+	// theirs back for one another while engines are idle.
+	farLead = 2.0
+)
 
 // behind reports whether a request to an engine must not pass those that
 // wait, here or at other routers: its organisation had more than theirs.
@@ -275,7 +281,7 @@
 	}
 	for name, u := range s.peers.sum(now, s.limits.QuotaWindow).usage {
 		if u.Waiting > 0 {
-			least = min(least, s.hadOf(now, name))
+			least = min(least, s.hadOf(now, name)*farLead)
 		}
 	}
 	return least
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -228,6 +228,40 @@
 	})
 })
 
+var _ = Describe("Requests that wait at other routers", func() {
+	It("go first until the next report is due", func() {
+		for name, c := range map[string]struct {
+			period, age time.Duration
+			counts      bool
+		}{
+			"small fleet, new":  {100 * time.Millisecond, 100 * time.Millisecond, true},
+			"small fleet, old":  {100 * time.Millisecond, 500 * time.Millisecond, false},
+			"large fleet, same": {600 * time.Millisecond, 500 * time.Millisecond, true},
+			"large fleet, old":  {600 * time.Millisecond, 1200 * time.Millisecond, false},
+		} {
+			w := newWorld(1)
+			w.SetReportPeriod(c.period)
+			t := w.prompt("large", "s", 1000)
+			Expect(w.arrive(t)).NotTo(BeNil())
+			w.serve(t)
+			w.Heard(w.now, "r", balance.Report{Usage: map[string]balance.Usage{"small": {Asked: 1, Begun: 1, Waiting: 1}}})
+			w.pass(c.age)
+			Expect(w.arrive(w.prompt("large", "s", 1000)) == nil).To(Equal(c.counts), name)
+		}
+	})
+
+	It("hold back only those of organisations that had twice as much", func() {
+		for had, waits := range map[float64]bool{6000: false, 3000: true} {
+			w := newWorld(1)
+			t := w.prompt("large", "s", 1000)
+			Expect(w.arrive(t)).NotTo(BeNil())
+			w.serve(t)
+			w.Heard(w.now, "r", balance.Report{Usage: map[string]balance.Usage{"other": {Asked: had, Begun: had, Waiting: 1}}})
+			Expect(w.arrive(w.prompt("large", "s", 1000)) == nil).To(Equal(waits), "other organisation had %g of 7,100", had)
+		}
+	})
+})
+
 var _ = Describe("The retry budget", func() {
 	It("allows a part of the requests and the router's part of the slack", func() {
 		w := newWorld(3)
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -28,9 +28,12 @@
 	// loadAge is for how long a router's report of its load counts: several
 	// report periods, and less than its requests take.
 	loadAge = 1500 * time.Millisecond
-	// waitingAge is for how long other routers' waiting requests count: they
-	// wait for a fraction of a second.
-	waitingAge = 250 * time.Millisecond
+	// waitingLeast is the least time for which other routers' waiting requests
+	// count: they wait for a fraction of a second.
+	waitingLeast = 250 * time.Millisecond
+	// waitingPeriods is for how many report periods they count, in percent: a
+	// report may come late.
+	waitingPeriods = 150
 	// memberAge is for how long a router that fell silent is still counted
 	// when the retry budget is divided.
 	memberAge = 10 * time.Second
@@ -45,6 +48,8 @@
 // peers is what other routers reported.
 type peers struct {
 	reports map[string]heard
+	// period is the time between a router's reports.
+	period  time.Duration
 	sums    sums
 	level   float64
 	levelAt time.Time
@@ -64,6 +69,7 @@
 
 // sum returns the sums as of now or a moment before.
 func (p *peers) sum(now time.Time, window time.Duration) sums {
+	waitingAge := max(waitingLeast, p.period*waitingPeriods/100)
 	if p.sums.loads != nil && now.Sub(p.sums.at) < sumsAge {
 		return p.sums
 	}
@@ -90,6 +96,9 @@
 	return out
 }
 
+// SetReportPeriod says how much time is between a router's reports.
+func (s *State) SetReportPeriod(d time.Duration) { s.peers.period = d }
+
 // Heard takes in a report of another router.
 func (s *State) Heard(now time.Time, router string, r Report) {
 	if s.peers.reports == nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -26,6 +26,7 @@
 			g.report(s, now)
 			g.expire(s, now)
 			period = max(statusPeriod, statusPerPeer*time.Duration(len(g.members.Others(now))))
+			s.SetReportPeriod(period)
 		})
 		next = time.Now().Add(period)
 	}
