--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -257,6 +257,8 @@
 			Expect(w.arrive(t)).NotTo(BeNil())
 			w.serve(t)
 			w.Heard(w.now, "r", balance.Report{Usage: map[string]balance.Usage{"other": {Asked: had, Begun: had, Waiting: 1}}})
+			// Reports are added up once in 20 ms.
+			w.pass(25 * time.Millisecond)
 			Expect(w.arrive(w.prompt("large", "s", 1000)) == nil).To(Equal(waits), "other organisation had %g of 7,100", had)
 		}
 	})
