--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,12 +29,11 @@
 	ExpectTarget string
 	// NotRun stands in answers to requests that the target did not run.
 	NotRun string
-	// Seal is the target's signature of its answer.
-	Seal string
 	// LastEvent asks for a stream from after an event on.
 	LastEvent string
-	// Model, PromptSize, PromptParts and OutputHint describe a prompt.
-	Model, PromptSize, PromptParts, OutputHint string
+	// PromptSize is "TOKENS IN,MOST TOKENS OUT" and PromptParts "ID:TOKENS" by
+	// commas, in the prompt's order; OutputHint guesses the tokens out.
+	PromptSize, PromptParts, OutputHint string
 }
 
 // Request is what a caller asks for.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -62,7 +62,14 @@
 	}
 }
 
+// expire forgets what is too old to be of use.
 func (g *Gateway) expire(s *balance.State, now time.Time) {
+	for id := range g.status {
+		if !g.members.Alive(id, now) {
+			g.Log.Info("router lost", "router", id)
+			delete(g.status, id)
+		}
+	}
 	if g.catalog.Expire(now) {
 		s.SetTargets(now, g.catalog.Targets())
 	}
@@ -294,15 +301,3 @@
 	status := g.status[m.ID]
 	return status.Ready && !status.Leaving
 }
-
-// Routers returns the ids of the other routers that are alive.
-func (g *Gateway) Routers(ctx context.Context) []string {
-	var ids []string
-	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
-		for _, m := range g.members.Live(now) {
-			ids = append(ids, string(m.ID))
-		}
-	})
-	slices.Sort(ids)
-	return ids
-}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -36,10 +36,13 @@
 // dialect holds header names of the tests' own.
 var dialect = forward.Dialect{
 	RequestID: "X-Id", Deadline: "X-Wait-Ms", Organisation: "X-Organisation", ExpectTarget: "X-Expect",
-	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "Last-Event-Id",
-	Model: "X-Model", PromptSize: "X-Size", PromptParts: "X-Parts", OutputHint: "X-Hint",
+	NotRun: "X-Not-Run", LastEvent: "Last-Event-Id",
+	PromptSize: "X-Size", PromptParts: "X-Parts", OutputHint: "X-Hint",
 }
 
+// headerSeal stands for a header that only targets and callers know.
+const headerSeal = "X-Seal"
+
 // codec reads a routing.Spec and a balance.Target as JSON.
 type codec struct{}
 
@@ -182,7 +185,7 @@
 // answer is a target's handler that answers whole.
 func answer(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
-	w.Header().Set(dialect.Seal, "seal")
+	w.Header().Set(headerSeal, "seal")
 	fmt.Fprint(w, "answer")
 }
 
@@ -199,7 +202,7 @@
 			}
 		}
 		w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
-		w.Header().Set(dialect.Seal, "seal")
+		w.Header().Set(headerSeal, "seal")
 		w.Header().Set("Content-Type", "text/event-stream")
 		for i := from + 1; i <= last; i++ {
 			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -72,7 +72,7 @@
 		got := do(req)
 		Expect(got.Status).To(Equal(http.StatusOK))
 		Expect(got.Body).To(Equal("answer"))
-		Expect(got.Header.Get(dialect.Seal)).To(Equal("seal"))
+		Expect(got.Header.Get(headerSeal)).To(Equal("seal"))
 		Expect(seen.RequestURI).To(Equal("/many/a%2Fb//c/../d;e?f=%20&g"))
 		Expect(seen.Host).To(Equal("h"))
 		Expect(body).To(Equal("question"))
@@ -137,7 +137,7 @@
 		got := r.post("/once/x")
 		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
 		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
-		Expect(got.Header).NotTo(HaveKey(dialect.Seal))
+		Expect(got.Header).NotTo(HaveKey(headerSeal))
 	})
 
 	It("that must not be repeated is sent once, and its lost answer is no promise", func() {
@@ -162,13 +162,13 @@
 	It("gets a target's own failure unchanged", func() {
 		r.configure(spec(1))
 		r.serve("t", func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(dialect.Seal, "seal")
+			w.Header().Set(headerSeal, "seal")
 			w.WriteHeader(http.StatusInternalServerError)
 			fmt.Fprint(w, "broken")
 		})
 		Expect(r.post("/once/x")).To(And(
 			HaveField("Status", http.StatusInternalServerError), HaveField("Body", "broken"),
-			HaveField("Header", HaveKey(dialect.Seal)),
+			HaveField("Header", HaveKey(headerSeal)),
 		))
 	})
 
