--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -105,12 +105,21 @@
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeader,
-		ErrorLog:                     log.New(io.Discard, "", 0),
+		ErrorLog:                     log.New(serverLog{l}, "", 0),
 		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
 
+// serverLog passes on what the standard library's server logs, such as panics
+// of handlers.
+type serverLog struct{ log logr.Logger }
+
+func (s serverLog) Write(text []byte) (int, error) {
+	s.log.Info("callers' server", "cause", strings.TrimSpace(string(text)))
+	return len(text), nil
+}
+
 // Configure takes over a new configuration.
 func (s *Server) Configure(t *routing.Table) { s.table.Store(t) }
 
