--- /dev/null
+++ b/internal/ingress/headers.go
@@ -0,0 +1,95 @@
+package ingress
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
+)
+
+func bearer(header string) string {
+	scheme, key, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// describe reads what the headers say of a request.
+func (s *Server) describe(out *forward.Request, r *http.Request) error {
+	if out.ID == "" {
+		return errors.Errorf("header %s is missing", s.dialect.RequestID)
+	}
+	wait := defaultWait
+	if text := r.Header.Get(s.dialect.Deadline); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 || ms > math.MaxInt32 {
+			return errors.Errorf("header %s is no time in milliseconds: %q", s.dialect.Deadline, text)
+		}
+		wait = time.Duration(ms * float64(time.Millisecond))
+	}
+	out.Deadline = out.Arrived.Add(wait)
+	out.LastEvent = r.Header.Get(s.dialect.LastEvent)
+	out.Header = s.passedOn(r.Header)
+	out.Input, out.Output = promptSize(r.Header.Get(s.dialect.PromptSize))
+	if hint, err := strconv.Atoi(r.Header.Get(s.dialect.OutputHint)); err == nil && hint > 0 && hint < out.Output {
+		out.Output = hint
+	}
+	out.Parts = promptParts(r.Header.Get(s.dialect.PromptParts))
+	return nil
+}
+
+// passedOn returns the headers that a target gets as the caller sent them.
+func (s *Server) passedOn(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if forward.HopByHop(name, h["Connection"]) || s.own(name) {
+			continue
+		}
+		out[name] = values
+	}
+	return out
+}
+
+// own reports whether the router sets a header itself.
+func (s *Server) own(name string) bool {
+	switch name {
+	case s.dialect.RequestID, s.dialect.Deadline, s.dialect.Organisation, s.dialect.ExpectTarget,
+		s.dialect.LastEvent, "Authorization", "Expect":
+		return true
+	}
+	return false
+}
+
+// promptSize reads "TOKENS IN,MOST TOKENS OUT"; what cannot be read is 0.
+func promptSize(text string) (in, out int) {
+	first, second, _ := strings.Cut(text, ",")
+	return count(first), count(second)
+}
+
+func count(text string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// promptParts reads "ID:TOKENS,ID:TOKENS"; parts that cannot be read are
+// left out.
+func promptParts(text string) []balance.Part {
+	var parts []balance.Part
+	for piece := range strings.SplitSeq(text, ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
+		if ok && id != "" {
+			parts = append(parts, balance.Part{ID: id, Tokens: count(tokens)})
+		}
+	}
+	return parts
+}
