Report load every 100 ms among the routers that serve callers

Cause: at 58 routers each reported to each other every 570 ms, though callers are told six of them. Loads and shares were that old, and rules about waiting requests had to allow for it. Ruled out: a shorter period for all (57 receivers each 100 ms: 3 MB/s between zones). Change: full reports go among serving routers every 100 ms, 10 ms per such router; everybody else gets heartbeats without loads every 500 ms or more, and at once when a router begins or ceases to serve.

--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -8,7 +8,7 @@
 func encodeStatus(m message.Status) *peerpb.Status {
 	out := &peerpb.Status{
 		Ready: m.Ready, Leaving: m.Leaving, Config: m.Config, Targets: m.Targets,
-		Capacity: float32(m.Capacity), StoreTrouble: m.StoreTrouble,
+		Capacity: float32(m.Capacity), StoreTrouble: m.StoreTrouble, Serving: m.Serving,
 	}
 	for _, l := range m.Loads {
 		out.Loads = append(out.Loads, &peerpb.TargetLoad{
@@ -26,7 +26,7 @@
 func decodeStatus(m *peerpb.Status) message.Status {
 	out := message.Status{
 		Ready: m.GetReady(), Leaving: m.GetLeaving(), Config: m.GetConfig(), Targets: m.GetTargets(),
-		Capacity: float64(m.GetCapacity()), StoreTrouble: m.GetStoreTrouble(),
+		Capacity: float64(m.GetCapacity()), StoreTrouble: m.GetStoreTrouble(), Serving: m.GetServing(),
 	}
 	for _, l := range m.GetLoads() {
 		out.Loads = append(out.Loads, message.TargetLoad{
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -24,6 +24,9 @@
 	Usage map[string]Usage
 }
 
+// Serving reports whether the router has requests or had some lately.
+func (r Report) Serving() bool { return len(r.Loads)+len(r.Usage) > 0 }
+
 const (
 	// loadAge is for how long a router's report of its load counts: several
 	// report periods, and less than its requests take.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,58 +9,12 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/config"
-	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 )
 
-// Everything in this file but reports and the posting methods runs in the
-// control goroutine.
-
-// reports sends the router's status to the others from time to time.
-func (g *Gateway) reports(ctx context.Context) {
-	next := time.Now()
-	for group.SleepUntil(ctx, next) {
-		period := statusPeriod
-		g.loop.Ask(ctx, func(s *balance.State, now time.Time) {
-			g.report(s, now)
-			g.expire(s, now)
-			period = max(statusPeriod, statusPerPeer*time.Duration(len(g.members.Others(now))))
-			s.SetReportPeriod(period)
-		})
-		next = time.Now().Add(period)
-	}
-}
-
-// report sends the router's status to all others.
-func (g *Gateway) report(s *balance.State, now time.Time) {
-	m := message.Status{
-		Ready:   g.server.Ready(),
-		Leaving: g.members.Self().Leaving,
-		Config:  g.catalog.ConfigRevision(),
-		Targets: g.catalog.Revision(),
-
-		Capacity:     g.Capacity,
-		StoreTrouble: !g.trouble.IsZero(),
-	}
-	r := s.Report(now)
-	for id, l := range r.Loads {
-		m.Loads = append(m.Loads, message.TargetLoad{Target: id, Unread: max(l.Unread, 0), Running: l.Running, Memory: max(l.Memory, 0)})
-	}
-	for name, u := range r.Usage {
-		m.Usage = append(m.Usage, message.OrganisationUsage{Organisation: name, Asked: u.Asked, Begun: u.Begun, Waiting: u.Waiting})
-	}
-	known := map[string]bool{g.members.Self().Peer: true}
-	for _, to := range g.members.Others(now) {
-		known[to.Peer] = true
-		g.peers.Send(to, m)
-	}
-	for _, address := range g.Seeds {
-		if !known[address] {
-			g.peers.Send(member.Member{Peer: address}, m)
-		}
-	}
-}
+// Everything in this file but the posting methods runs in the control
+// goroutine.
 
 // expire forgets what is too old to be of use.
 func (g *Gateway) expire(s *balance.State, now time.Time) {
@@ -145,7 +99,7 @@
 	s.Configure(t)
 	g.server.Configure(t)
 	g.Log.Info("configuration in force", "version", t.Version(), "revision", revision, "from", from)
-	g.report(s, time.Now())
+	g.tellAll(s, time.Now())
 }
 
 // SetConfig takes over a configuration from the store.
@@ -185,7 +139,7 @@
 	}
 	g.Log.Info("targets known", "revision", revision, "targets", len(list), "leaving", leaving)
 	s.SetTargets(now, list)
-	g.report(s, now)
+	g.tellAll(s, now)
 }
 
 // StoreTrouble notes that a call to the store failed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,15 +25,8 @@
 )
 
 const (
-	// statusPeriod is the time between a router's reports to the others in a
-	// small fleet: a third of the time that engines take to read what they
-	// may hold unread.
-	statusPeriod = 100 * time.Millisecond
-	// statusPerPeer lengthens the period in larger fleets, so that a router
-	// sends and receives at most 100 reports a second each.
-	statusPerPeer = 10 * time.Millisecond
 	// memberTimeout is after how long a silent router counts as down: several
-	// periods, since links lose packets.
+	// heartbeats, since links lose packets.
 	memberTimeout = 1500 * time.Millisecond
 	// sweepPeriod is the time between looks for old unused connections.
 	sweepPeriod = time.Second
@@ -77,6 +70,7 @@
 	catalog   *catalog.Catalog
 	members   *member.Table
 	status    map[message.RouterID]message.Status
+	reporter  reporter
 	asked     time.Time
 	transport *httptarget.Transport
 	server    *ingress.Server
@@ -169,7 +163,7 @@
 	g.server.Leave()
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		g.members.Leave()
-		g.report(s, now)
+		g.tellAll(s, now)
 	})
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -133,8 +133,11 @@
 	Capacity float64
 	// StoreTrouble is set while the router's calls to the store fail.
 	StoreTrouble bool
-	Loads        []TargetLoad
-	Usage        []OrganisationUsage
+	// Serving is set while the router has requests or had some lately. Loads
+	// and Usage go only from serving routers to serving routers.
+	Serving bool
+	Loads   []TargetLoad
+	Usage   []OrganisationUsage
 }
 
 // TargetLoad is what one router's requests put on a target.
