Do not close a connection on which a request lies unread

Cause: at a flooded router a connection counted as unused from the moment that it was accepted, and while a request that had arrived waited for the processor. Ruled out: the HTTP server's own closing (no request was being read). Change: a connection is unused only between an answer and the next request, and one with unread bytes is passed over. The look at the socket, which target connections had, is now sockopt.Quiet for both.

--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -5,16 +5,14 @@
 	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 // conn is a connection to a target. It carries one exchange at a time.
 type conn struct {
 	net.Conn
-	raw     syscall.RawConn
 	reader  *bufio.Reader
 	address string
 	// idleLimit is how long the target keeps the connection open unused, as
@@ -23,38 +21,13 @@
 	idleSince time.Time
 }
 
-func newConn(c net.Conn, address string) (*conn, error) {
-	out := &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer)}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return out, nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return nil, errors.Wrap(err, "get at the socket")
-	}
-	out.raw = raw
-	return out, nil
+func newConn(c net.Conn, address string) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), address: address}
 }
 
 // quiet reports whether an unused connection is still open and nothing has
 // arrived on it: bytes there belong to no request.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	if c.raw == nil {
-		return true
-	}
-	silent := false
-	var one [1]byte
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && silent
-}
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && sockopt.Quiet(c.Conn) }
 
 // expired reports whether the target may be about to close the connection.
 func (c *conn) expired(now time.Time, limit time.Duration) bool {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -148,12 +148,7 @@
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
 	t.dialled.Add(1)
-	c, err := newConn(raw, address)
-	if err != nil {
-		_ = raw.Close()
-		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
-	}
-	return c, nil
+	return newConn(raw, address), nil
 }
 
 // take returns an unused connection, the one used last, or nil.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 // conns bounds the connections of callers, since each takes memory. At the
@@ -33,17 +35,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.open >= s.max && !s.closed {
-		oldest := s.unused.Front()
-		if oldest == nil {
+		if !s.dropOldest() {
 			s.changed.Wait()
-			continue
 		}
-		s.drop(oldest.Value.(*conn))
 	}
 	s.open++
 	return !s.closed
 }
 
+// dropOldest closes the connection that has been unused for the longest. One
+// on which a request has arrived that was not read yet is in use; it returns
+// false if there is no other. mu must be held.
+func (s *conns) dropOldest() bool {
+	for s.unused.Len() > 0 {
+		c := s.unused.Front().Value.(*conn)
+		if !sockopt.Quiet(c.Conn) {
+			s.unused.Remove(c.place)
+			c.place = nil
+			continue
+		}
+		s.drop(c)
+		return true
+	}
+	return false
+}
+
 // drop closes an unused connection. mu must be held.
 func (s *conns) drop(c *conn) {
 	s.unused.Remove(c.place)
@@ -79,9 +95,7 @@
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
-	c := &conn{Conn: raw, server: l.server, conns: l.conns, between: true}
-	c.rest()
-	return c, nil
+	return &conn{Conn: raw, server: l.server, conns: l.conns, between: true}, nil
 }
 
 // Close implements net.Listener.
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -88,4 +88,19 @@
 		Expect(status(list[0])).To(Equal(http.StatusServiceUnavailable))
 		Expect(status(c)).To(Equal(http.StatusServiceUnavailable))
 	})
+
+	It("are not closed for others before their first request is answered", func() {
+		var list []caller
+		for range maxConnections {
+			list = append(list, dial())
+		}
+		c := dial()
+		write(c, whole)
+		Expect(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		_, err := c.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		write(list[0], whole)
+		Expect(status(list[0])).To(Equal(http.StatusServiceUnavailable))
+		Expect(status(c)).To(Equal(http.StatusServiceUnavailable))
+	})
 })
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -150,7 +150,8 @@
 		Expect(res.Status).To(Equal(string(ingress.ReasonCrowded)))
 	})
 
-	DescribeTable("does not keep others from being served",
+	DescribeTable(
+		"does not keep others from being served",
 		func(request, status string) {
 			Expect(ask(request).Status).To(Equal(status))
 			Expect(ask(head("/engine/a", "k1", "q", 3, "") + "abc").Status).To(Equal(string(ingress.ReasonCrowded)))
--- /dev/null
+++ b/internal/sockopt/sockopt_test.go
@@ -0,0 +1,81 @@
+package sockopt_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/sockopt"
+)
+
+// pair returns the two ends of a TCP connection.
+func pair(t *testing.T) (a, b net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		a.Close()
+		b.Close()
+	})
+	return a, b
+}
+
+// eventually waits until ok returns true.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+func TestQuiet(t *testing.T) {
+	cases := map[string]func(other net.Conn) error{
+		"bytes that were not read": func(other net.Conn) error {
+			_, err := other.Write([]byte("x"))
+			return err
+		},
+		"the other end closed": func(other net.Conn) error { return other.Close() },
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := pair(t)
+			if !sockopt.Quiet(a) {
+				t.Fatal("a new connection is not quiet")
+			}
+			if err := disturb(b); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "still quiet", func() bool { return !sockopt.Quiet(a) })
+		})
+	}
+}
+
+func TestQuietBesideReader(t *testing.T) {
+	a, b := pair(t)
+	var wait sync.WaitGroup
+	wait.Go(func() { _, _ = a.Read(make([]byte, 1)) })
+	time.Sleep(20 * time.Millisecond)
+	if !sockopt.Quiet(a) {
+		t.Error("a connection that waits for bytes is not quiet")
+	}
+	if err := b.Close(); err != nil {
+		t.Error(err)
+	}
+	wait.Wait()
+}
