Three watchers of the store in the fleet; copies of the target list as differences

Two routers of each zone watched, each change was a call to each of them, and in an outage every router tried on. Each new revision made every router ask for the whole list of targets, 28 KB. Ruled out: longer watches (most calls were changes). Copies between routers hold what changed since the asker's revision, and say whether entries may only have lapsed.

--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -42,21 +42,31 @@
 }
 
 func encodeCopy(m message.Copy) *peerpb.Copy {
-	out := &peerpb.Copy{ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.TargetsRevision}
-	for _, t := range m.Targets {
-		out.Targets = append(out.Targets, &peerpb.StoredTarget{Name: t.Name, Revision: t.Revision, Value: t.Value})
+	return &peerpb.Copy{
+		ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.TargetsRevision,
+		Since: m.Since, Targets: encodeTargets(m.Targets), Gone: encodeTargets(m.Gone), Unstable: m.Unstable,
+	}
+}
+
+func encodeTargets(list []message.StoredTarget) []*peerpb.StoredTarget {
+	var out []*peerpb.StoredTarget
+	for _, t := range list {
+		out = append(out, &peerpb.StoredTarget{Name: t.Name, Revision: t.Revision, Value: t.Value})
 	}
 	return out
 }
 
 func decodeCopy(m *peerpb.Copy) message.Copy {
-	out := message.Copy{
+	return message.Copy{
 		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(), TargetsRevision: m.GetTargetsRevision(),
+		Since: m.GetSince(), Targets: decodeTargets(m.GetTargets()), Gone: decodeTargets(m.GetGone()), Unstable: m.GetUnstable(),
 	}
-	for _, t := range m.GetTargets() {
-		out.Targets = append(out.Targets, message.StoredTarget{
-			Name: t.GetName(), Revision: t.GetRevision(), Value: t.GetValue(),
-		})
+}
+
+func decodeTargets(list []*peerpb.StoredTarget) []message.StoredTarget {
+	var out []message.StoredTarget
+	for _, t := range list {
+		out = append(out, message.StoredTarget{Name: t.GetName(), Revision: t.GetRevision(), Value: t.GetValue()})
 	}
 	return out
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,6 +22,10 @@
 // after the store is, and one that drains may be sent to for as long.
 const lapseTime = 1800 * time.Millisecond
 
+// maxGone bounds the entries that are remembered as gone. A router that is
+// further behind gets the whole list.
+const maxGone = 512
+
 // Codec decodes what the store holds.
 type Codec interface {
 	Table(value []byte) (*routing.Table, error)
@@ -44,13 +48,21 @@
 	config         []byte
 	table          *routing.Table
 	revision       int64
-	entries        map[string]*entry
+	// changed is the revision of the newest change to the list.
+	changed int64
+	entries map[string]*entry
+	// gone has the revisions by which entries had gone, complete from revision
+	// goneSince on.
+	gone      map[string]int64
+	goneSince int64
 	// unstableUntil is until when entries that go count as lapsed.
 	unstableUntil time.Time
 }
 
 // New returns an empty catalog.
-func New(c Codec) *Catalog { return &Catalog{codec: c, entries: map[string]*entry{}} }
+func New(c Codec) *Catalog {
+	return &Catalog{codec: c, entries: map[string]*entry{}, gone: map[string]int64{}}
+}
 
 // Table returns the configuration in force, nil before the first.
 func (c *Catalog) Table() *routing.Table { return c.table }
@@ -61,6 +73,10 @@
 // Revision returns the store's revision as of which the targets are known.
 func (c *Catalog) Revision() int64 { return c.revision }
 
+// Changed returns the store's revision of the newest known change to the
+// targets. Who knows the targets as of it, or later, lacks nothing known here.
+func (c *Catalog) Changed() int64 { return c.changed }
+
 // Unstable notes that the store is in trouble: entries that go until a moment
 // from now may belong to targets that are well.
 func (c *Catalog) Unstable(now time.Time) { c.unstableUntil = now.Add(lapseTime) }
@@ -88,6 +104,11 @@
 	if revision < c.revision {
 		return false, nil
 	}
+	if revision > c.revision {
+		// Entries may have come and gone meanwhile that were never known here.
+		clear(c.gone)
+		c.goneSince = revision
+	}
 	listed := make(map[string]bool, len(list))
 	var failed error
 	for _, t := range list {
@@ -98,7 +119,7 @@
 	}
 	for name := range c.entries {
 		if !listed[name] {
-			c.remove(now, name)
+			c.remove(now, name, revision)
 		}
 	}
 	c.revision = revision
@@ -121,7 +142,7 @@
 			// A change from before the list that lacks it.
 		case old != nil && ch.Revision < old.stored.Revision:
 		case ch.Gone:
-			c.remove(now, ch.Name)
+			c.remove(now, ch.Name, max(ch.Revision, revision))
 		default:
 			if err := c.put(ch.StoredTarget); err != nil {
 				failed = err
@@ -142,12 +163,24 @@
 		return errors.Wrapf(err, "target %s of revision %d", t.Name, t.Revision)
 	}
 	c.entries[t.Name] = &entry{stored: t, target: decoded}
+	delete(c.gone, t.Name)
+	c.changed = max(c.changed, t.Revision)
 	return nil
 }
 
-func (c *Catalog) remove(now time.Time, name string) {
+// remove takes out an entry that had gone by a revision.
+func (c *Catalog) remove(now time.Time, name string, revision int64) {
 	e := c.entries[name]
-	if e == nil || !e.lapsed.IsZero() {
+	if e != nil && !e.lapsed.IsZero() {
+		return
+	}
+	if len(c.gone) >= maxGone {
+		clear(c.gone)
+		c.goneSince = max(c.revision, revision)
+	}
+	c.gone[name] = revision
+	c.changed = max(c.changed, revision)
+	if e == nil {
 		return
 	}
 	if now.Before(c.unstableUntil) && !e.target.Leaving {
@@ -181,18 +214,50 @@
 }
 
 // Copy returns what is newer than a router that is behind has.
-func (c *Catalog) Copy(need message.NeedCopy) message.Copy {
+func (c *Catalog) Copy(now time.Time, need message.NeedCopy) message.Copy {
 	var out message.Copy
 	if c.configRevision > need.Config {
 		out.ConfigRevision, out.Config = c.configRevision, c.config
 	}
-	if c.revision > need.Targets {
-		out.TargetsRevision = c.revision
-		for _, e := range c.entries {
-			if e.lapsed.IsZero() {
-				out.Targets = append(out.Targets, e.stored)
-			}
+	if c.changed <= need.Targets {
+		return out
+	}
+	out.TargetsRevision = c.revision
+	out.Unstable = now.Before(c.unstableUntil)
+	if need.Targets > 0 && need.Targets >= c.goneSince {
+		out.Since = need.Targets
+	}
+	for _, e := range c.entries {
+		if e.lapsed.IsZero() && e.stored.Revision > out.Since {
+			out.Targets = append(out.Targets, e.stored)
+		}
+	}
+	for name, revision := range c.gone {
+		if out.Since > 0 && revision > out.Since {
+			out.Gone = append(out.Gone, message.StoredTarget{Name: name, Revision: revision})
 		}
 	}
 	return out
 }
+
+// Take takes over another router's copy of the targets. It returns false if
+// that changed nothing.
+func (c *Catalog) Take(now time.Time, m message.Copy) (bool, error) {
+	if m.TargetsRevision <= c.revision || m.Since > c.revision {
+		return false, nil
+	}
+	if m.Unstable {
+		c.Unstable(now)
+	}
+	if m.Since == 0 {
+		return c.SetTargets(now, m.TargetsRevision, m.Targets)
+	}
+	changes := make([]Change, 0, len(m.Targets)+len(m.Gone))
+	for _, t := range m.Targets {
+		changes = append(changes, Change{StoredTarget: t})
+	}
+	for _, t := range m.Gone {
+		changes = append(changes, Change{StoredTarget: t, Gone: true})
+	}
+	return len(changes) > 0, c.Apply(now, m.TargetsRevision, changes)
+}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -95,11 +95,12 @@
 			"copy": func(t *rapid.T) {
 				i := rapid.IntRange(0, 1).Draw(t, "to")
 				to, from := pair[i], pair[1-i]
-				m := from.Copy(message.NeedCopy{Config: to.ConfigRevision(), Targets: to.Revision()})
-				if m.TargetsRevision > 0 {
-					if _, err := to.SetTargets(now, m.TargetsRevision, m.Targets); err != nil {
-						t.Fatal(err)
-					}
+				m := from.Copy(now, message.NeedCopy{Config: to.ConfigRevision(), Targets: to.Revision()})
+				if _, err := to.Take(now, m); err != nil {
+					t.Fatal(err)
+				}
+				if to.Revision() < from.Changed() {
+					t.Fatalf("at %d after a copy of changes up to %d", to.Revision(), from.Changed())
 				}
 				if len(m.Config) > 0 {
 					if _, err := to.SetConfig(m.ConfigRevision, m.Config); err != nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -40,7 +40,7 @@
 		case message.Status:
 			g.heardStatus(s, now, from, m)
 		case message.NeedCopy:
-			g.peers.Send(from, g.catalog.Copy(m))
+			g.peers.Send(from, g.catalog.Copy(now, m))
 		case message.Copy:
 			g.takeCopy(s, now, from, m)
 		}
@@ -74,10 +74,7 @@
 	if len(m.Config) > 0 {
 		g.setConfig(s, m.ConfigRevision, m.Config, string(from.ID))
 	}
-	if m.TargetsRevision == 0 {
-		return
-	}
-	changed, err := g.catalog.SetTargets(now, m.TargetsRevision, m.Targets)
+	changed, err := g.catalog.Take(now, m)
 	if err != nil {
 		g.Log.Error(err, "target ignored", "from", from.ID)
 	}
@@ -142,46 +139,6 @@
 	g.tellAll(s, now)
 }
 
-// StoreTrouble notes that a call to the store failed.
-func (g *Gateway) StoreTrouble() {
-	g.loop.Post(func(_ *balance.State, now time.Time) {
-		g.catalog.Unstable(now)
-		if g.trouble.IsZero() {
-			g.trouble = now
-		}
-	})
-}
-
-// StoreWorks notes that calls to the store work.
-func (g *Gateway) StoreWorks() {
-	g.loop.Post(func(*balance.State, time.Time) { g.trouble = time.Time{} })
-}
-
-// watchersPerZone is the number of routers of an availability zone that watch
-// the store, among those that reach it: the calls are paid for, and the others
-// hear from these within a report period.
-const watchersPerZone = 2
-
-// Watches reports whether this router should watch the store: it is among the
-// first of its zone, or cannot reach the store and tries to, or has nothing
-// yet.
-func (g *Gateway) Watches(ctx context.Context) bool {
-	watches := true
-	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
-		if !g.trouble.IsZero() || g.catalog.Table() == nil {
-			return
-		}
-		self := g.members.Self()
-		live := slices.DeleteFunc(g.members.Live(now), func(m member.Member) bool {
-			return m.ID != self.ID && g.status[m.ID].StoreTrouble
-		})
-		watches = slices.ContainsFunc(member.First(watchersPerZone, "store", self.Zone, live), func(m member.Member) bool {
-			return m.ID == self.ID
-		})
-	})
-	return watches
-}
-
 // SetRouters takes over the store's list of routers.
 func (g *Gateway) SetRouters(list []config.Box) {
 	g.loop.Post(func(*balance.State, time.Time) { g.members.Listed(list) })
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/config"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -84,4 +85,43 @@
 		r.configure(c)
 		Eventually(func() int { return r.post("/many/x").Status }).Should(Equal(http.StatusServiceUnavailable))
 	})
+
+	It("watch the store as three of them, and another for one that it turns away", func() {
+		var fleet []*rig
+		var boxes []config.Box
+		for range 6 {
+			r := newRig()
+			fleet = append(fleet, r)
+			k := r.Known()
+			boxes = append(boxes, config.Box{Name: string(k.ID), Zone: k.Zone, Address: k.Address, Peer: k.Peer})
+		}
+		fleet[0].configure(spec(1))
+		for _, r := range fleet {
+			r.SetRouters(boxes)
+		}
+		for _, r := range fleet {
+			Eventually(r.Ready).Should(BeTrue())
+		}
+		watching := func() []int {
+			var list []int
+			for i, r := range fleet {
+				if r.Watches(context.Background()) {
+					list = append(list, i)
+				}
+			}
+			return list
+		}
+		Eventually(watching, "3s").Should(HaveLen(3))
+		failed := watching()[0]
+		fleet[failed].StoreTrouble()
+		Eventually(watching).Should(And(HaveLen(4), ContainElement(failed)))
+		fleet[failed].StoreWorks()
+		Eventually(watching).Should(HaveLen(3))
+	})
+
+	It("ask the store for nothing that others may have told them by then", func() {
+		r := newRig()
+		Expect(r.Watches(context.Background())).To(BeFalse())
+		Eventually(func() bool { return r.Watches(context.Background()) }).Should(BeTrue())
+	})
 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	members   *member.Table
 	status    map[message.RouterID]message.Status
 	reporter  reporter
+	started   time.Time
 	asked     time.Time
 	transport *httptarget.Transport
 	server    *ingress.Server
@@ -106,6 +107,7 @@
 		status:  map[message.RouterID]message.Status{},
 	}
 	now := time.Now()
+	g.started = now
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
 		Peer: others.Addr().String(), Incarnation: o.Incarnation,
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -112,7 +112,7 @@
 		Ready:   g.server.Ready(),
 		Leaving: g.members.Self().Leaving,
 		Config:  g.catalog.ConfigRevision(),
-		Targets: g.catalog.Revision(),
+		Targets: g.catalog.Changed(),
 		Serving: r.Serving(),
 
 		Capacity:     g.Capacity,
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/member"
+)
+
+const (
+	// watchersLeast is the number of routers that watch the store, among those
+	// that reach it: calls are paid for, and the others hear from these within
+	// milliseconds. With three, news is late only if all of them fail at once.
+	watchersLeast = 3
+	// routersPerWatcher adds watchers in larger fleets, so that each passes
+	// news on to about as many.
+	routersPerWatcher = 100
+	// settleTime is for how long a router that has just started waits to hear
+	// from others what the store holds before it asks the store.
+	settleTime = 300 * time.Millisecond
+)
+
+// StoreTrouble notes that a call to the store failed.
+func (g *Gateway) StoreTrouble() {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		g.catalog.Unstable(now)
+		if g.trouble.IsZero() {
+			g.trouble = now
+			g.tellAll(s, now)
+		}
+	})
+}
+
+// StoreWorks notes that calls to the store work.
+func (g *Gateway) StoreWorks() {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		if !g.trouble.IsZero() {
+			g.trouble = time.Time{}
+			g.tellAll(s, now)
+		}
+	})
+}
+
+// Watches reports whether this router should watch the store: it ranks among
+// the first, of all routers or of those that reach the store, or has nothing
+// from others yet.
+func (g *Gateway) Watches(ctx context.Context) bool {
+	watches := true
+	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
+		if now.Sub(g.started) < settleTime {
+			watches = false
+			return
+		}
+		if g.catalog.Table() == nil {
+			return
+		}
+		live := g.members.Live(now)
+		reaching := slices.DeleteFunc(slices.Clone(live), func(m member.Member) bool {
+			if m.ID == g.members.Self().ID {
+				return !g.trouble.IsZero()
+			}
+			return g.status[m.ID].StoreTrouble
+		})
+		n := watchersLeast + len(live)/routersPerWatcher
+		watches = g.ranks(n, reaching) || g.ranks(n, live)
+	})
+	return watches
+}
+
+// ranks reports whether this router is among the first n that are to watch.
+func (g *Gateway) ranks(n int, list []member.Member) bool {
+	return slices.ContainsFunc(member.Spread(n, "store", list), func(m member.Member) bool {
+		return m.ID == g.members.Self().ID
+	})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -186,3 +186,20 @@
 	})
 	return local[:min(n, len(local))]
 }
+
+// Spread returns the n members that rank first for a key by rendezvous
+// hashing, the first of each availability zone before the second of any.
+func Spread(n int, key string, list []Member) []Member {
+	ranked := slices.Clone(list)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Compare(rendezvous.Weight(key, string(b.ID)), rendezvous.Weight(key, string(a.ID)))
+	})
+	place := make(map[message.RouterID]int, len(ranked))
+	taken := map[string]int{}
+	for _, m := range ranked {
+		place[m.ID] = taken[m.Zone]
+		taken[m.Zone]++
+	}
+	slices.SortStableFunc(ranked, func(a, b Member) int { return cmp.Compare(place[a.ID], place[b.ID]) })
+	return ranked[:min(n, len(ranked))]
+}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,3 +108,37 @@
 		}
 	})
 })
+
+var _ = Describe("Spread", func() {
+	list := func(zones ...string) []member.Member {
+		var out []member.Member
+		for i, z := range zones {
+			out = append(out, member.Member{ID: message.RouterID(fmt.Sprintf("r%d", i)), Zone: z})
+		}
+		return out
+	}
+
+	It("takes one of each availability zone before a second of any", func() {
+		all := list("a", "a", "a", "a", "a", "b", "c")
+		zones := map[string]int{}
+		for _, m := range member.Spread(4, "key", all) {
+			zones[m.Zone]++
+		}
+		Expect(zones).To(Equal(map[string]int{"a": 2, "b": 1, "c": 1}))
+	})
+
+	It("moves only the places of a router that goes", func() {
+		all := list("a", "b", "c", "a", "b", "c", "a", "b", "c")
+		before := member.Spread(3, "key", all)
+		gone := before[1]
+		rest := slices.DeleteFunc(slices.Clone(all), func(m member.Member) bool { return m.ID == gone.ID })
+		after := member.Spread(3, "key", rest)
+		Expect(after).To(ContainElements(before[0], before[2]))
+		Expect(after).NotTo(ContainElement(gone))
+	})
+
+	It("gives all there are where more are asked for", func() {
+		Expect(member.Spread(5, "key", list("a", "b"))).To(HaveLen(2))
+		Expect(member.Spread(5, "key", nil)).To(BeEmpty())
+	})
+})
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -127,7 +127,7 @@
 	Ready   bool
 	Leaving bool
 	// Config is the store's revision of the configuration in force, Targets
-	// that of the newest list of targets.
+	// that of the newest change to the list of targets.
 	Config, Targets int64
 	// Capacity is the number of processor cores that the router may use.
 	Capacity float64
@@ -160,11 +160,18 @@
 // Copy is a router's copy of what the store holds. An empty Config means
 // that it has none newer than was asked for.
 type Copy struct {
-	ConfigRevision  int64
-	Config          []byte
+	ConfigRevision int64
+	Config         []byte
+	// TargetsRevision is 0 if there is nothing newer to say of targets.
 	TargetsRevision int64
-	// Targets is complete if TargetsRevision is not 0.
-	Targets []StoredTarget
+	// Since is 0 if Targets is the whole list as of TargetsRevision; else
+	// Targets has those that came or changed after revision Since, and Gone
+	// those that went, without values.
+	Since         int64
+	Targets, Gone []StoredTarget
+	// Unstable is set while entries may have gone only because the store was
+	// away.
+	Unstable bool
 }
 
 // StoredTarget is a target's entry in the store.
