Let engines fetch shared parts that another engine keeps

A part fetched from another engine costs a tenth of the price and a fortieth of the time. Change: a request that goes to an engine which lacks parts names the engine that keeps most of them, by this router's own sends, or the one that hashing gives them to. In the choice it counts as reading did. Weights are made from hashes that are kept.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/rendezvous"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -81,8 +82,12 @@
 // target is what the state knows of a Target.
 type target struct {
 	Target
-	own   load
-	cache cache
+	// hash is that of the id.
+	hash uint64
+	own  load
+	// others is the load of other routers' requests, as of the last sums.
+	others load
+	cache  cache
 	health
 	// waiting holds the own requests that the target has not begun, oldest
 	// first.
@@ -119,6 +124,9 @@
 	shares     shares
 	peers      peers
 	budget     budget
+	// good, suspect and missing are room for choosing a target.
+	good, suspect []*target
+	missing       []int
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -149,7 +157,7 @@
 	for _, t := range list {
 		old := s.targets[t.ID]
 		if old == nil {
-			old = &target{cache: newCache()}
+			old = &target{hash: rendezvous.Hash(t.ID), cache: newCache()}
 		}
 		old.Target = t
 		known[t.ID] = old
@@ -160,6 +168,7 @@
 	}
 	s.targets = known
 	s.services = services
+	s.peers.sums.at = time.Time{}
 	s.dispatch(now)
 }
 
@@ -229,25 +238,30 @@
 
 // assign sends a request to a target with room, if there is one.
 func (s *State) assign(now time.Time, t *Ticket) bool {
-	best, miss := s.choose(now, t)
-	if best == nil {
+	best, ok := s.choose(now, t)
+	if !ok {
 		return false
 	}
-	s.place(now, t, best, miss)
+	s.send(now, t, best)
 	return true
 }
 
-func (s *State) place(now time.Time, t *Ticket, to *target, miss int) {
+func (s *State) send(now time.Time, t *Ticket, p place) {
+	to := p.target
 	t.at = to
 	t.sent = now
-	t.load = load{unread: miss, running: 1, memory: t.private()}
+	t.load = load{unread: p.read, running: 1, memory: t.private()}
 	to.own = to.own.plus(t.load)
 	to.waiting = append(to.waiting, t)
 	to.cache.add(now, t.Parts)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 	}
-	t.Decision <- Decision{Target: to.Target, Waited: now.Sub(t.Arrived), Unread: s.loadOf(now, to).unread, Miss: miss}
+	d := Decision{Target: to.Target, Waited: now.Sub(t.Arrived), Unread: s.loadOf(now, to).unread, Miss: p.read}
+	if p.source != nil {
+		d.Source, d.Fetched = p.source.Target, p.fetched
+	}
+	t.Decision <- d
 }
 
 // Begun notes that a request's target has begun to answer it.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -163,6 +163,58 @@
 	})
 })
 
+var _ = Describe("Shared parts", func() {
+	// fill sends prompts of an organisation with one shared part until an
+	// engine other than the first is chosen; it returns both decisions, the
+	// second nil if there is no room.
+	fill := func(w *world, organisation string) (home, away *balance.Decision) {
+		home = w.arrive(w.prompt(organisation, "shared", 1000))
+		for range 30 {
+			away = w.arrive(w.prompt(organisation, "shared", 1000))
+			if away == nil || away.Target.ID != home.Target.ID {
+				return home, away
+			}
+		}
+		return home, nil
+	}
+
+	It("are fetched from where they are kept rather than read again", func() {
+		w := newWorld(2)
+		home, away := fill(w, "o")
+		Expect(home.Source.ID).To(BeEmpty())
+		Expect(away).NotTo(BeNil())
+		Expect(away.Source.ID).To(Equal(home.Target.ID))
+		Expect(away.Miss).To(Equal(1000))
+		Expect(away.Fetched).To(Equal(6000))
+	})
+
+	It("are not fetched for organisations that had their share", func() {
+		w := newWorld(2)
+		for range 100 {
+			t := w.prompt("o", "other", 1000)
+			w.Arrive(w.now, t)
+			w.serve(t)
+		}
+		w.pass(100 * time.Millisecond)
+		_, away := fill(w, "o")
+		Expect(away).To(BeNil())
+	})
+
+	It("are not taken to be kept where they were last used long ago", func() {
+		w := newWorld(2)
+		first := w.prompt("o", "shared", 1000)
+		home := w.arrive(first).Target
+		w.serve(first)
+		w.pass(time.Minute)
+		list := targets(2)
+		for i := range list {
+			list[i].Leaving = list[i].ID == home.ID
+		}
+		w.SetTargets(w.now, list)
+		Expect(w.arrive(w.prompt("o", "shared", 1000)).Source.ID).To(BeEmpty())
+	})
+})
+
 var _ = Describe("A target that fails", func() {
 	It("is avoided, and tried again later", func() {
 		w := newWorld(2)
--- a/internal/balance/cache.go
+++ b/internal/balance/cache.go
@@ -52,10 +52,11 @@
 
 // missing returns how many of a prompt's tokens the engine has to read: those
 // from the first part on that it does not keep.
-func (c *cache) missing(parts []Part, input int) int {
+func (c *cache) missing(now time.Time, parts []Part, input int) int {
 	left := input
 	for _, p := range parts {
-		if _, ok := c.used[p.ID]; !ok {
+		used, ok := c.used[p.ID]
+		if !ok || now.Sub(used) > cacheAge {
 			break
 		}
 		left -= p.Tokens
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -11,6 +11,10 @@
 	// rereadPrice is what reading a shared part anew counts against waiting
 	// behind as many tokens, in percent: it also pushes other parts out.
 	rereadPrice = 300
+	// fetchPrice is what fetching a part from another engine counts, in percent
+	// of its tokens: it takes a fortieth of the time of reading and a tenth of
+	// its price, and also pushes other parts out.
+	fetchPrice = 300
 	// zonePrice is the number of unread tokens that a target in another
 	// availability zone counts more: bytes between zones are paid for.
 	zonePrice = 300
@@ -23,14 +27,25 @@
 	slotPrice = 20
 )
 
-// choose returns the best target with room for t and the number of prompt
-// tokens that it would have to read, or nil. Shared parts are read at another
-// engine than the one that hashing gives them to only for organisations that
-// have not had their share: that costs as much as two requests.
-func (s *State) choose(now time.Time, t *Ticket) (*target, int) {
+// place is a target with room for a request.
+type place struct {
+	*target
+	// read is the number of prompt tokens that the target would have to read,
+	// fetched the number that it would fetch from source instead.
+	read, fetched int
+	// source is nil if no other engine keeps more of the prompt.
+	source *target
+}
+
+// choose returns the best target with room for t, or false. Shared parts are
+// read at another engine than the one that hashing gives them to only for
+// organisations that have not had their share: that costs as much as two
+// requests.
+func (s *State) choose(now time.Time, t *Ticket) (place, bool) {
 	candidates := s.usable(now, t)
 	if !t.Engine {
-		return s.leastBusy(now, t, candidates), 0
+		best := s.leastBusy(now, t, candidates)
+		return place{target: best}, best != nil
 	}
 	limit := maxUnread
 	over := s.over(now, t.Organisation) && !t.Resumes
@@ -41,30 +56,71 @@
 		limit = maxUnread * overShare / 100
 	}
 	own := ownTokens(t)
-	home := highest(candidates, t.affinity())
-	var best *target
-	var bestMiss, bestScore int
-	for _, c := range candidates {
+	k := s.findKeepers(now, t, candidates)
+	var best place
+	bestScore := 0
+	for i, c := range candidates {
 		l := s.loadOf(now, c)
-		miss := c.cache.missing(t.Parts, t.Input)
-		if c == home {
-			miss = min(miss, own)
-		}
-		if over && miss > own || !s.fits(c, l, t, miss, limit) {
+		p := k.placeAt(c, s.missing[i], own)
+		away := c != k.home && p.read+p.fetched > own
+		if over && away || !s.fits(c, l, t, p.read, limit) {
 			continue
 		}
-		score := l.unread + miss*rereadPrice/100 + l.running*slotPrice
+		score := l.unread + p.read*rereadPrice/100 + p.fetched*fetchPrice/100 + l.running*slotPrice
 		if c.Zone != s.zone {
 			score += zonePrice
 		}
-		if c != home {
+		if c != k.home {
 			score += awayPrice
 		}
-		if best == nil || score < bestScore {
-			best, bestMiss, bestScore = c, miss, score
+		if best.target == nil || score < bestScore {
+			best, bestScore = p, score
 		}
 	}
-	return best, bestMiss
+	return best, best.target != nil
+}
+
+// keepers says which engines keep how much of a prompt.
+type keepers struct {
+	// home is the engine that hashing gives the prompt to, which all routers
+	// send it to if they can.
+	home *target
+	// best is the one that keeps most of it, as far as this router knows, and
+	// missing the tokens that it does not keep.
+	best    *target
+	missing int
+}
+
+// findKeepers returns the keepers of a prompt and sets s.missing to the tokens
+// that each candidate does not keep, as far as this router knows.
+func (s *State) findKeepers(now time.Time, t *Ticket, candidates []*target) keepers {
+	k := keepers{home: highest(candidates, t.affinity())}
+	s.missing = s.missing[:0]
+	for _, c := range candidates {
+		missing := c.cache.missing(now, t.Parts, t.Input)
+		s.missing = append(s.missing, missing)
+		if k.best == nil || missing < k.missing {
+			k.best, k.missing = c, missing
+		}
+	}
+	return k
+}
+
+// placeAt returns what a prompt with so many tokens of its own needs at an
+// engine that does not keep missing of its tokens, as far as this router
+// knows.
+func (k keepers) placeAt(c *target, missing, own int) place {
+	read := missing
+	if c == k.home {
+		read = min(read, own)
+	}
+	switch {
+	case k.missing < missing && (k.missing <= own || c == k.home):
+		return place{target: c, read: min(read, k.missing), fetched: read - min(read, k.missing), source: k.best}
+	case c != k.home && own < read:
+		return place{target: c, read: own, fetched: read - own, source: k.home}
+	}
+	return place{target: c, read: read}
 }
 
 // ownTokens returns the tokens of the prompt's last part.
@@ -97,9 +153,9 @@
 
 // usable returns the targets of t's service that may be sent to: none that
 // leaves or was tried before, and none that is suspected of failing unless
-// all are.
+// all are. The list is valid until the next call.
 func (s *State) usable(now time.Time, t *Ticket) []*target {
-	var good, suspect []*target
+	good, suspect := s.good[:0], s.suspect[:0]
 	for _, c := range s.services[t.Service] {
 		if c.Leaving || slices.Contains(t.Tried, c.ID) {
 			continue
@@ -110,6 +166,7 @@
 		}
 		good = append(good, c)
 	}
+	s.good, s.suspect = good, suspect
 	if len(good) == 0 {
 		return suspect
 	}
@@ -145,8 +202,9 @@
 func highest(targets []*target, key string) *target {
 	var best *target
 	var bestWeight uint64
+	hash := rendezvous.Hash(key)
 	for _, c := range targets {
-		if w := rendezvous.Weight(key, c.ID); best == nil || w > bestWeight {
+		if w := rendezvous.WeightOf(hash, c.hash); best == nil || w > bestWeight {
 			best, bestWeight = c, w
 		}
 	}
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -71,11 +71,21 @@
 }
 
 // sum returns the sums as of now or a moment before.
-func (p *peers) sum(now time.Time, window time.Duration) sums {
-	waitingAge := max(waitingLeast, p.period*waitingPeriods/100)
+func (s *State) sum(now time.Time) *sums {
+	p := &s.peers
 	if p.sums.loads != nil && now.Sub(p.sums.at) < sumsAge {
-		return p.sums
+		return &p.sums
+	}
+	p.sums = p.add(now, s.limits.QuotaWindow)
+	for id, t := range s.targets {
+		t.others = p.sums.loads[id]
 	}
+	return &p.sums
+}
+
+// add adds the reports up.
+func (p *peers) add(now time.Time, window time.Duration) sums {
+	waitingAge := max(waitingLeast, p.period*waitingPeriods/100)
 	out := sums{at: now, loads: map[string]load{}, usage: map[string]Usage{}}
 	for _, r := range p.reports {
 		age := now.Sub(r.at)
@@ -95,7 +105,6 @@
 			out.usage[name] = sum
 		}
 	}
-	p.sums = out
 	return out
 }
 
@@ -146,5 +155,6 @@
 
 // loadOf returns the load on a target from all routers, as far as known.
 func (s *State) loadOf(now time.Time, t *target) load {
-	return t.own.plus(s.peers.sum(now, s.limits.QuotaWindow).loads[t.ID])
+	s.sum(now)
+	return t.own.plus(t.others)
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -65,7 +65,7 @@
 	for name := range s.waitingOf() {
 		least = min(least, s.hadOf(now, name))
 	}
-	for name, u := range s.peers.sum(now, s.limits.QuotaWindow).usage {
+	for name, u := range s.sum(now).usage {
 		if u.Waiting > 0 {
 			least = min(least, s.hadOf(now, name)*farLead)
 		}
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -59,7 +59,7 @@
 
 // hadOf returns what an organisation got of all routers.
 func (s *State) hadOf(now time.Time, organisation string) float64 {
-	return s.shares.of(now, organisation).begun + s.peers.sum(now, s.limits.QuotaWindow).usage[organisation].Begun
+	return s.shares.of(now, organisation).begun + s.sum(now).usage[organisation].Begun
 }
 
 // over reports whether an organisation already had its share of what the
@@ -81,7 +81,7 @@
 		return s.peers.level
 	}
 	var asked []float64
-	others := s.peers.sum(now, s.limits.QuotaWindow).usage
+	others := s.sum(now).usage
 	for name := range s.shares.counts {
 		asked = append(asked, s.shares.of(now, name).asked+others[name].Asked)
 	}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -60,8 +60,12 @@
 	// request's included.
 	Unread int
 	// Miss is the number of the prompt's tokens that the target is expected to
-	// read, the rest being kept there.
+	// read, the rest being kept there or fetched.
 	Miss int
+	// Source is an engine that keeps more of the prompt than the target, from
+	// which it can fetch some Fetched tokens; without an id if there is none.
+	Source  Target
+	Fetched int
 }
 
 // Reason is why a request is refused.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,6 +29,9 @@
 	ExpectTarget string
 	// NotRun stands in answers to requests that the target did not run.
 	NotRun string
+	// FetchFrom names the address of an engine from which the target fetches
+	// what it lacks of the prompt's parts.
+	FetchFrom string
 	// LastEvent asks for a stream from after an event on.
 	LastEvent string
 	// PromptSize is "TOKENS IN,MOST TOKENS OUT" and PromptParts "ID:TOKENS" by
@@ -98,6 +101,9 @@
 	// Unread is that target's unread prompt tokens when it was chosen, Miss
 	// those of this request.
 	Unread, Miss int
+	// Fetched is the number of tokens that the target could fetch from another
+	// engine.
+	Fetched int
 }
 
 // Reason is why a request was refused, failed or was sent again.
@@ -162,7 +168,9 @@
 	caller   Caller
 	ticket   *balance.Ticket
 	deadline time.Time
-	verdict  Verdict
+	// source is the engine from which the target can fetch parts.
+	source  balance.Target
+	verdict Verdict
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// last is the id of the last event passed on.
@@ -218,7 +226,8 @@
 			return balance.Target{}, false
 		}
 		x.verdict.Target = d.Target.ID
-		x.verdict.Unread, x.verdict.Miss = d.Unread, d.Miss
+		x.verdict.Unread, x.verdict.Miss, x.verdict.Fetched = d.Unread, d.Miss, d.Fetched
+		x.source = d.Source
 		return d.Target, true
 	case <-ctx.Done():
 		x.withdraw()
@@ -372,6 +381,9 @@
 	if x.last != "" {
 		b = line(b, x.dialect.LastEvent, x.last)
 	}
+	if x.source.ID != "" && x.dialect.FetchFrom != "" {
+		b = line(b, x.dialect.FetchFrom, x.source.Address)
+	}
 	if len(x.Body) > 0 || x.Method == http.MethodPost || x.Method == http.MethodPut || x.Method == http.MethodPatch {
 		b = line(b, "Content-Length", strconv.Itoa(len(x.Body)))
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,7 +37,7 @@
 var dialect = forward.Dialect{
 	RequestID: "X-Id", Deadline: "X-Wait-Ms", Organisation: "X-Organisation", ExpectTarget: "X-Expect",
 	NotRun: "X-Not-Run", LastEvent: "Last-Event-Id",
-	PromptSize: "X-Size", PromptParts: "X-Parts", OutputHint: "X-Hint",
+	PromptSize: "X-Size", PromptParts: "X-Parts", OutputHint: "X-Hint", FetchFrom: "X-Fetch",
 }
 
 // headerSeal stands for a header that only targets and callers know.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -148,7 +148,7 @@
 		outcome = "refused"
 	}
 	o.log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome,
-		"status", v.Status, "reason", string(v.Reason), "target", v.Target, "sends", v.Sends, "unread", v.Unread, "miss", v.Miss, "input", r.Input,
+		"status", v.Status, "reason", string(v.Reason), "target", v.Target, "sends", v.Sends, "unread", v.Unread, "miss", v.Miss, "fetched", v.Fetched, "input", r.Input,
 		"waited_ms", milliseconds(v.Waited), "first_ms", milliseconds(v.First), "took_ms", milliseconds(took),
 		"retry_after_ms", v.RetryAfter.Milliseconds())
 }
