--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -3,15 +3,23 @@
 // the ids moves few keys.
 package rendezvous
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+	"math/bits"
+)
 
 // Weight returns the weight of id for key; the id with the highest weight
 // gets the key.
-func Weight(key, id string) uint64 {
+func Weight(key, id string) uint64 { return WeightOf(Hash(key), Hash(id)) }
+
+// WeightOf is Weight for a key and an id of which the hashes are known, as
+// where one key is weighed for the same ids again and again.
+func WeightOf(key, id uint64) uint64 { return mix(key ^ bits.RotateLeft64(id, 32)) }
+
+// Hash returns the hash of a key or an id for WeightOf.
+func Hash(text string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte(text))
 	return mix(h.Sum64())
 }
 
