Pass on for how long entries may lapse, not that they may; log beliefs under a flood

Cause: a copy of the target list said that the store was in trouble, and who took it told others so for another 1.8 s: routers kept one another in doubt for as long as they copied, and kept using engines whose entries had gone. Traced: the router concerned had every change within 20 ms, but its log said nothing, since lines about requests had used up the second's lines. Ruled out: late news, a starved control thread (1 ms), reused addresses. Change: copies say how much longer, which copying does not extend; a fifth of the log's lines is kept for what is not about single requests; copies from routers are logged as those from the store are. Test: two routers that copy from one another (fails with the old copies).

--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/stepcroft/stepcroft/internal/adapter/peer/peerpb"
 	"github.com/stepcroft/stepcroft/internal/message"
 )
@@ -44,7 +46,8 @@
 func encodeCopy(m message.Copy) *peerpb.Copy {
 	return &peerpb.Copy{
 		ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.TargetsRevision,
-		Since: m.Since, Targets: encodeTargets(m.Targets), Gone: encodeTargets(m.Gone), Unstable: m.Unstable,
+		Since: m.Since, Targets: encodeTargets(m.Targets), Gone: encodeTargets(m.Gone),
+		UnstableMs: uint32(m.Unstable.Milliseconds()),
 	}
 }
 
@@ -59,7 +62,8 @@
 func decodeCopy(m *peerpb.Copy) message.Copy {
 	return message.Copy{
 		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(), TargetsRevision: m.GetTargetsRevision(),
-		Since: m.GetSince(), Targets: decodeTargets(m.GetTargets()), Gone: decodeTargets(m.GetGone()), Unstable: m.GetUnstable(),
+		Since: m.GetSince(), Targets: decodeTargets(m.GetTargets()), Gone: decodeTargets(m.GetGone()),
+		Unstable: time.Duration(m.GetUnstableMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -81,6 +81,9 @@
 // from now may belong to targets that are well.
 func (c *Catalog) Unstable(now time.Time) { c.unstableUntil = now.Add(lapseTime) }
 
+// unstable returns for how much longer that holds.
+func (c *Catalog) unstable(now time.Time) time.Duration { return max(c.unstableUntil.Sub(now), 0) }
+
 // SetConfig takes over a configuration. It returns false if it is no newer
 // than the one in force. One that cannot be decoded leaves the last good one
 // in force.
@@ -223,7 +226,7 @@
 		return out
 	}
 	out.TargetsRevision = c.revision
-	out.Unstable = now.Before(c.unstableUntil)
+	out.Unstable = c.unstable(now)
 	if need.Targets > 0 && need.Targets >= c.goneSince {
 		out.Since = need.Targets
 	}
@@ -246,8 +249,8 @@
 	if m.TargetsRevision <= c.revision || m.Since > c.revision {
 		return false, nil
 	}
-	if m.Unstable {
-		c.Unstable(now)
+	if m.Unstable > c.unstable(now) {
+		c.unstableUntil = now.Add(m.Unstable)
 	}
 	if m.Since == 0 {
 		return c.SetTargets(now, m.TargetsRevision, m.Targets)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -160,3 +160,49 @@
 		t.Fatal("a target that came back is not used")
 	}
 }
+
+// TestLapseIsPassedOn has two routers copy from one another while one of them
+// has seen the store in trouble: both keep a lapsed entry as long as that one
+// alone would, however often they copy.
+func TestLapseIsPassedOn(t *testing.T) {
+	now := time.Now()
+	a, b := catalog.New(codec{}), catalog.New(codec{})
+	target := func(name string, revision int64) message.StoredTarget {
+		return message.StoredTarget{Name: name, Revision: revision, Value: []byte("x")}
+	}
+	take := func(to, from *catalog.Catalog) {
+		t.Helper()
+		if _, err := to.Take(now, from.Copy(now, message.NeedCopy{Targets: to.Revision()})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := a.SetTargets(now, 1, []message.StoredTarget{target("a", 1), target("b", 1)}); err != nil {
+		t.Fatal(err)
+	}
+	take(b, a)
+	a.Unstable(now)
+	if err := a.Apply(now, 2, []catalog.Change{{StoredTarget: target("a", 2), Gone: true}}); err != nil {
+		t.Fatal(err)
+	}
+	take(b, a)
+	if len(b.Targets()) != 2 {
+		t.Fatal("a router does not keep an entry that has lapsed at the one that told it")
+	}
+	pair := []*catalog.Catalog{a, b}
+	for revision := int64(3); revision < 30; revision++ {
+		now = now.Add(100 * time.Millisecond)
+		to, from := pair[revision%2], pair[1-revision%2]
+		change := catalog.Change{StoredTarget: target("b", revision)}
+		if err := from.Apply(now, revision, []catalog.Change{change}); err != nil {
+			t.Fatal(err)
+		}
+		take(to, from)
+		to.Expire(now)
+		from.Expire(now)
+	}
+	for _, c := range pair {
+		if len(c.Targets()) != 1 {
+			t.Fatalf("after %v: still %v", 2700*time.Millisecond, c.Targets())
+		}
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -75,14 +75,13 @@
 		g.setConfig(s, m.ConfigRevision, m.Config, string(from.ID))
 	}
 	changed, err := g.catalog.Take(now, m)
-	if err != nil {
-		g.Log.Error(err, "target ignored", "from", from.ID)
-	}
-	if changed {
-		s.SetTargets(now, g.catalog.Targets())
-	}
+	g.targetsChanged(s, now, changed, err, string(from.ID))
 }
 
+// fromStore is told in the log as the source of what came from the store
+// itself.
+const fromStore = "store"
+
 func (g *Gateway) setConfig(s *balance.State, revision int64, value []byte, from string) {
 	changed, err := g.catalog.SetConfig(revision, value)
 	if err != nil {
@@ -101,14 +100,14 @@
 
 // SetConfig takes over a configuration from the store.
 func (g *Gateway) SetConfig(revision int64, value []byte) {
-	g.loop.Post(func(s *balance.State, _ time.Time) { g.setConfig(s, revision, value, "store") })
+	g.loop.Post(func(s *balance.State, _ time.Time) { g.setConfig(s, revision, value, fromStore) })
 }
 
 // SetTargets takes over the store's whole list of targets.
 func (g *Gateway) SetTargets(revision int64, list []message.StoredTarget) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		changed, err := g.catalog.SetTargets(now, revision, list)
-		g.targetsChanged(s, now, revision, changed, err)
+		g.targetsChanged(s, now, changed, err, fromStore)
 	})
 }
 
@@ -116,13 +115,14 @@
 func (g *Gateway) ChangeTargets(revision int64, changes []catalog.Change) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		err := g.catalog.Apply(now, revision, changes)
-		g.targetsChanged(s, now, revision, len(changes) > 0, err)
+		g.targetsChanged(s, now, len(changes) > 0, err, fromStore)
 	})
 }
 
-func (g *Gateway) targetsChanged(s *balance.State, now time.Time, revision int64, changed bool, err error) {
+// targetsChanged puts a changed list of targets in force.
+func (g *Gateway) targetsChanged(s *balance.State, now time.Time, changed bool, err error, from string) {
 	if err != nil {
-		g.Log.Error(err, "target ignored", "from", "store")
+		g.Log.Error(err, "target ignored", "from", from)
 	}
 	if !changed {
 		return
@@ -134,7 +134,7 @@
 			leaving++
 		}
 	}
-	g.Log.Info("targets known", "revision", revision, "targets", len(list), "leaving", leaving)
+	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving, "from", from)
 	s.SetTargets(now, list)
 	g.tellAll(s, now)
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -30,9 +30,15 @@
 	return &Sink{out: out, lines: make(chan []byte, queued), perSecond: int64(perSecond)}
 }
 
-// Full reports whether the sink takes no more lines this second. One that
-// would log a line then should not even make it, but call Drop.
-func (s *Sink) Full() bool { return s.second.Load() >= s.perSecond }
+// detailShare is the part of a second's lines, in percent, that is open to
+// lines of which there may be very many. The rest is kept for the others: what
+// the process believes must be told under a flood of requests, too.
+const detailShare = 80
+
+// Full reports whether the sink should get no more lines this second of which
+// there may be very many. One that would log such a line should then not even
+// make it, but call Drop.
+func (s *Sink) Full() bool { return s.second.Load()*100 >= s.perSecond*detailShare }
 
 // Drop counts a line that was not made.
 func (s *Sink) Drop() {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -51,4 +51,17 @@
 			Expect(out.String()).To(ContainSubstring(`"lines":3`), name)
 		}
 	})
+
+	It("keeps room for other lines when there are very many of one kind", func() {
+		var out bytes.Buffer
+		s := logsink.New(&out, 100, 10)
+		many := 0
+		for !s.Full() {
+			log(s, 1)
+			many++
+		}
+		Expect(many).To(Equal(8))
+		log(s, 2)
+		Expect(s.Dropped()).To(BeZero())
+	})
 })
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -2,6 +2,8 @@
 // control state only: never request bodies and never tokens.
 package message
 
+import "time"
+
 // RouterID names a router within the fleet; it comes from its settings.
 type RouterID string
 
@@ -169,9 +171,9 @@
 	// those that went, without values.
 	Since         int64
 	Targets, Gone []StoredTarget
-	// Unstable is set while entries may have gone only because the store was
-	// away.
-	Unstable bool
+	// Unstable is for how much longer entries that go may have gone only
+	// because the store was away.
+	Unstable time.Duration
 }
 
 // StoredTarget is a target's entry in the store.
