--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -124,9 +124,9 @@
 	shares     shares
 	peers      peers
 	budget     budget
-	// good, suspect and missing are room for choosing a target.
-	good, suspect []*target
-	missing       []int
+	// good, suspect, near and missing are room for choosing a target.
+	good, suspect, near []*target
+	missing             []int
 }
 
 // New returns the state of a router in an availability zone, without targets.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -200,6 +200,30 @@
 		Expect(away).To(BeNil())
 	})
 
+	It("are kept in the router's availability zone if they are short, else anywhere", func() {
+		w := newWorld(8)
+		list := targets(8)
+		for i := range list {
+			if i >= 4 {
+				list[i].Zone = "far"
+			}
+		}
+		w.SetTargets(w.now, list)
+		far := map[int]int{}
+		for i := range 50 {
+			for _, shared := range []int{200, 6000} {
+				t := w.prompt("o", fmt.Sprint("shared", shared, "-", i), 100)
+				t.Parts[0].Tokens, t.Input = shared, shared+100
+				if w.arrive(t).Target.Zone == "far" {
+					far[shared]++
+				}
+				w.serve(t)
+			}
+		}
+		Expect(far[200]).To(BeZero())
+		Expect(far[6000]).To(BeNumerically(">", 20))
+	})
+
 	It("are not taken to be kept where they were last used long ago", func() {
 		w := newWorld(2)
 		first := w.prompt("o", "shared", 1000)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -18,6 +18,10 @@
 	// zonePrice is the number of unread tokens that a target in another
 	// availability zone counts more: bytes between zones are paid for.
 	zonePrice = 300
+	// nearShared is the number of shared tokens up to which a prompt is kept in
+	// each availability zone apart. Reading so few again costs less than
+	// passing the prompt and its answer from zone to zone each time.
+	nearShared = 300
 	// awayPrice is the number of unread tokens that an engine counts more than
 	// the one that hashing gives a prompt to: all routers go there, and copies
 	// elsewhere are dropped sooner.
@@ -82,8 +86,8 @@
 
 // keepers says which engines keep how much of a prompt.
 type keepers struct {
-	// home is the engine that hashing gives the prompt to, which all routers
-	// send it to if they can.
+	// home is the engine that hashing gives the prompt to, which all routers,
+	// or all of an availability zone, send it to if they can.
 	home *target
 	// best is the one that keeps most of it, as far as this router knows, and
 	// missing the tokens that it does not keep.
@@ -94,7 +98,7 @@
 // findKeepers returns the keepers of a prompt and sets s.missing to the tokens
 // that each candidate does not keep, as far as this router knows.
 func (s *State) findKeepers(now time.Time, t *Ticket, candidates []*target) keepers {
-	k := keepers{home: highest(candidates, t.affinity())}
+	k := keepers{home: s.home(t, candidates)}
 	s.missing = s.missing[:0]
 	for _, c := range candidates {
 		missing := c.cache.missing(now, t.Parts, t.Input)
@@ -106,6 +110,23 @@
 	return k
 }
 
+// home returns the engine that hashing gives a prompt to.
+func (s *State) home(t *Ticket, candidates []*target) *target {
+	if t.Input-ownTokens(t) > nearShared {
+		return highest(candidates, t.affinity())
+	}
+	s.near = s.near[:0]
+	for _, c := range candidates {
+		if c.Zone == s.zone {
+			s.near = append(s.near, c)
+		}
+	}
+	if len(s.near) == 0 {
+		return highest(candidates, t.affinity())
+	}
+	return highest(s.near, t.affinity())
+}
+
 // placeAt returns what a prompt with so many tokens of its own needs at an
 // engine that does not keep missing of its tokens, as far as this router
 // knows.
