Smaller buffers between routers; only watchers ask the store before the first configuration

Cause: each of 57 streams in each direction held 64 KB of buffers; and as long as there was no configuration all routers watched the store for it. Change: buffers of 4 KB; who ranks is who watches, whatever the router holds.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -34,6 +34,10 @@
 	// default turns off its probing for bandwidth, which costs a ping and
 	// its answer for most messages.
 	window = 1 << 18
+	// buffer is the size of a stream's buffers for reading and writing, in
+	// bytes, of which a router in a large fleet has hundreds: reports are
+	// smaller, and what is larger takes some more calls.
+	buffer = 4 << 10
 	// dialTimeout and unackedTimeout bound the time to connect and the time
 	// without an acknowledgement: a router behind a partition is dialled anew
 	// at once when it ends, where TCP alone would wait for its next
@@ -82,6 +86,7 @@
 		links:    map[string]*link{},
 		server: grpc.NewServer(
 			grpc.MaxRecvMsgSize(maxMessage), grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
+			grpc.ReadBufferSize(buffer), grpc.WriteBufferSize(buffer), grpc.SharedWriteBuffer(true),
 		),
 	}
 	peerpb.RegisterPeerServer(t.server, t)
@@ -154,6 +159,9 @@
 		grpc.WithContextDialer(t.dial),
 		grpc.WithInitialWindowSize(window),
 		grpc.WithInitialConnWindowSize(window),
+		grpc.WithReadBufferSize(buffer),
+		grpc.WithWriteBufferSize(buffer),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: time.Second}),
 	)
 	if err != nil {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -44,8 +44,8 @@
 }
 
 // Watches reports whether this router should watch the store: it ranks among
-// the first, of all routers or of those that reach the store, or has nothing
-// from others yet.
+// the first of those that it hears, or of those that reach the store. One that
+// hears no other ranks first.
 func (g *Gateway) Watches(ctx context.Context) bool {
 	watches := true
 	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
@@ -53,9 +53,6 @@
 			watches = false
 			return
 		}
-		if g.catalog.Table() == nil {
-			return
-		}
 		live := g.members.Live(now)
 		reaching := slices.DeleteFunc(slices.Clone(live), func(m member.Member) bool {
 			if m.ID == g.members.Self().ID {
