--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -65,6 +65,15 @@
 	LastEvent string
 }
 
+// Expires returns when the request is given up: when its caller stops waiting,
+// or at its route's timeout.
+func (r Request) Expires() time.Time {
+	if d := r.Arrived.Add(r.Route.Timeout); r.Route.Timeout > 0 && d.Before(r.Deadline) {
+		return d
+	}
+	return r.Deadline
+}
+
 // Caller is where an answer goes.
 type Caller interface {
 	// Head begins the answer; length is -1 if it is not known.
@@ -182,10 +191,7 @@
 // Forward carries r to a target and the answer to caller. It returns when
 // the answer is over or given up; ctx ends when the caller goes away.
 func (f *Forwarder) Forward(ctx context.Context, r Request, caller Caller) Verdict {
-	deadline := r.Deadline
-	if d := r.Arrived.Add(r.Route.Timeout); r.Route.Timeout > 0 && d.Before(deadline) {
-		deadline = d
-	}
+	deadline := r.Expires()
 	x := &run{Forwarder: f, Request: r, caller: caller, deadline: deadline, last: r.LastEvent}
 	x.ticket = &balance.Ticket{
 		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Engine: r.Engine,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,9 @@
 	Listen string
 	// PeerListen is where other routers connect.
 	PeerListen string
+	// PeerAdvertise is the address told to other routers, where it is not the
+	// one listened on; empty if it is.
+	PeerAdvertise string
 	// Seeds are other routers' PeerListen addresses; they may be stale.
 	Seeds       []string
 	Incarnation uint64
@@ -110,7 +113,7 @@
 	g.started = now
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
-		Peer: others.Addr().String(), Incarnation: o.Incarnation,
+		Peer: cmp.Or(o.PeerAdvertise, others.Addr().String()), Incarnation: o.Incarnation,
 	}
 	g.known = self
 	g.members = member.New(self, memberTimeout, now)
@@ -157,11 +160,20 @@
 	}
 }
 
-// lastBegin is the part of the time for a planned stop, in percent, after
-// which no new request is taken. Callers have left by then, since they keep
-// addresses for a second and few for three; what was begun before has the
-// rest of the time to end.
-const lastBegin = 35
+const (
+	// anyBegin is the part of the time for a planned stop, in percent, in which
+	// every request is taken. Callers have left by then, since they keep
+	// addresses for a second and few for three; some ask for none and stay.
+	// Later, only requests are taken that end in time whatever happens.
+	anyBegin = 35
+	// stopMargin is the time before its end, in percent, at which a planned
+	// stop takes nothing more.
+	stopMargin = 7
+	// quietTime is after how long without requests a stopping router ends.
+	quietTime = 500 * time.Millisecond
+	// quietCheck is the time between looks for that.
+	quietCheck = 50 * time.Millisecond
+)
 
 // Drain makes a planned stop: the router leaves the fleet, serves those who
 // have not noticed yet, and returns when that is done or limit is over.
@@ -175,14 +187,29 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	group.SleepUntil(ctx, began.Add(limit*lastBegin/100))
-	g.server.Refuse()
+	group.SleepUntil(ctx, began.Add(limit*anyBegin/100))
+	end := began.Add(limit * (100 - stopMargin) / 100)
+	g.server.EndBy(end)
+	g.waitQuiet(ctx, end)
 	if err := g.server.Shutdown(ctx); err != nil {
 		g.Log.Info("planned stop cut requests short", "open", g.server.Open(), "cause", err.Error())
 	}
 	g.Log.Info("planned stop is done", "took_ms", time.Since(began).Milliseconds())
 }
 
+// waitQuiet waits until there have been no requests for a while, or until end.
+func (g *Gateway) waitQuiet(ctx context.Context, end time.Time) {
+	busy, last := time.Now(), g.server.Begun()
+	for time.Since(busy) < quietTime && time.Now().Before(end) {
+		if begun := g.server.Begun(); g.server.Open() > 0 || begun > last {
+			busy, last = time.Now(), begun
+		}
+		if !group.SleepUntil(ctx, time.Now().Add(quietCheck)) {
+			return
+		}
+	}
+}
+
 // Stop ends the router at once.
 func (g *Gateway) Stop() {
 	if err := g.server.Close(); err != nil {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -43,6 +43,23 @@
 		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	It("serves requests to the end that cannot outlast it", func() {
+		r := newRig()
+		// Times are long enough for a busy machine.
+		const limit = 5 * time.Second
+		c := spec(1)
+		c.Routes[1].Timeout = limit / 5
+		r.configure(c)
+		r.serve("t", answer)
+		background(func() { r.Drain(context.Background(), limit) })
+		Eventually(r.Ready).Should(BeFalse())
+		// One stays and asks again and again; it asked for no addresses.
+		for began := time.Now(); time.Since(began) < limit/2; time.Sleep(20 * time.Millisecond) {
+			Expect(r.post("/many/x").Status).To(Equal(http.StatusOK))
+		}
+		Expect(r.post("/stream/x").Status).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	It("serves callers with older addresses at first, and asks them to go", func() {
 		r := newRig()
 		r.configure(spec(1))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -91,9 +91,13 @@
 	// maxOpen is the most requests served at a time.
 	maxOpen int64
 	open    atomic.Int64
-	// closing is set when answers are to close their connections, refusing
-	// when nothing new is begun any more.
-	closing, refusing atomic.Bool
+	// begun counts all requests.
+	begun atomic.Int64
+	// closing is set when answers are to close their connections.
+	closing atomic.Bool
+	// end is by when requests must have ended that are still begun; nil while
+	// there is no end.
+	end atomic.Pointer[time.Time]
 }
 
 // Limits bound what a server takes on at a time.
@@ -140,6 +144,9 @@
 // Open returns the number of requests being served.
 func (s *Server) Open() int64 { return s.open.Load() }
 
+// Begun returns the number of requests that came since the start.
+func (s *Server) Begun() int64 { return s.begun.Load() }
+
 // Serve serves callers on l until Close.
 func (s *Server) Serve(l net.Listener) error {
 	err := s.server.Serve(listener{l, s, s.conns})
@@ -152,8 +159,15 @@
 // Leave begins a planned stop: answers from now on ask callers to close.
 func (s *Server) Leave() { s.closing.Store(true) }
 
-// Refuse makes the server refuse new requests, as not run.
-func (s *Server) Refuse() { s.refusing.Store(true) }
+// EndBy makes the server refuse, as not run, new requests whose callers may
+// wait beyond end.
+func (s *Server) EndBy(end time.Time) { s.end.Store(&end) }
+
+// mayOutlast reports whether a request may take longer than the server has.
+func (s *Server) mayOutlast(r forward.Request) bool {
+	end := s.end.Load()
+	return end != nil && r.Expires().After(*end)
+}
 
 // Shutdown closes the connections that are not used and waits for the others
 // until ctx ends; then it closes them.
@@ -169,6 +183,7 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.begun.Add(1)
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	arrived := time.Now()
@@ -227,9 +242,6 @@
 	if t == nil {
 		return out, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyAfter)
 	}
-	if s.refusing.Load() {
-		return out, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingAfter)
-	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := t.Lookup(r.Host, path)
 	if !ok {
@@ -256,6 +268,9 @@
 		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
 		return out, refused(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
+	if s.mayOutlast(out) {
+		return out, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingAfter)
+	}
 	return out, s.body(w, r, t, &out)
 }
 
