--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -168,6 +168,7 @@
 	}
 	s.targets = known
 	s.services = services
+	// New targets have no load of other routers yet.
 	s.peers.sums.at = time.Time{}
 	s.dispatch(now)
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -12,8 +12,9 @@
 	// behind as many tokens, in percent: it also pushes other parts out.
 	rereadPrice = 300
 	// fetchPrice is what fetching a part from another engine counts, in percent
-	// of its tokens: it takes a fortieth of the time of reading and a tenth of
-	// its price, and also pushes other parts out.
+	// of its tokens. It takes a fortieth of the time of reading and a tenth of
+	// its price, but each copy pushes other parts out: counted at 20, half as
+	// much again was read anew (kgd-quote-grown scale-1).
 	fetchPrice = 300
 	// zonePrice is the number of unread tokens that a target in another
 	// availability zone counts more: bytes between zones are paid for.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -119,7 +119,9 @@
 	})
 }
 
-// targetsChanged puts a changed list of targets in force.
+// targetsChanged puts a changed list of targets in force. Only who has it from
+// the store tells all others at once; whom it does not reach hears of it with
+// somebody's next heartbeat.
 func (g *Gateway) targetsChanged(s *balance.State, now time.Time, changed bool, err error, from string) {
 	if err != nil {
 		g.Log.Error(err, "target ignored", "from", from)
@@ -136,7 +138,9 @@
 	}
 	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving, "from", from)
 	s.SetTargets(now, list)
-	g.tellAll(s, now)
+	if from == fromStore {
+		g.tellAll(s, now)
+	}
 }
 
 // SetRouters takes over the store's list of routers.
