--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -194,11 +194,16 @@
 }
 
 // Expire forgets lapsed entries that have not come back. It returns false if
-// there were none.
+// there were none. Where most entries have lapsed, the store was away, and all
+// are used until it has been back for a while; where few have, new trouble of
+// this router's own with the store does not keep targets in use that left.
 func (c *Catalog) Expire(now time.Time) bool {
+	if c.mostLapsed() && now.Before(c.unstableUntil) {
+		return false
+	}
 	changed := false
 	for name, e := range c.entries {
-		if !e.lapsed.IsZero() && now.After(c.unstableUntil) && now.Sub(e.lapsed) > lapseTime {
+		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > lapseTime {
 			delete(c.entries, name)
 			changed = true
 		}
@@ -206,6 +211,16 @@
 	return changed
 }
 
+func (c *Catalog) mostLapsed() bool {
+	lapsed := 0
+	for _, e := range c.entries {
+		if !e.lapsed.IsZero() {
+			lapsed++
+		}
+	}
+	return 2*lapsed > len(c.entries)
+}
+
 // Targets returns the targets that are listed or lapsed, by id.
 func (c *Catalog) Targets() []balance.Target {
 	list := make([]balance.Target, 0, len(c.entries))
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -206,3 +206,40 @@
 		}
 	}
 }
+
+// TestLapseUnderNewTrouble has a router meet trouble with the store again and
+// again after entries have gone.
+func TestLapseUnderNewTrouble(t *testing.T) {
+	cases := map[string]struct {
+		left int // of four entries
+		kept bool
+	}{
+		"one target left":             {left: 3, kept: false},
+		"the store lost most entries": {left: 1, kept: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			k := catalog.New(codec{})
+			var list []message.StoredTarget
+			for i := range 4 {
+				list = append(list, message.StoredTarget{Name: strconv.Itoa(i), Revision: 1, Value: []byte("x")})
+			}
+			if _, err := k.SetTargets(now, 1, list); err != nil {
+				t.Fatal(err)
+			}
+			k.Unstable(now)
+			if _, err := k.SetTargets(now, 2, list[:c.left]); err != nil {
+				t.Fatal(err)
+			}
+			for range 20 {
+				now = now.Add(100 * time.Millisecond)
+				k.Unstable(now)
+				k.Expire(now)
+			}
+			if got := len(k.Targets()) == 4; got != c.kept {
+				t.Errorf("entries still used after two seconds: %t, want %t", got, c.kept)
+			}
+		})
+	}
+}
