--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,12 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector.
+# Runs all tests with the race detector, but for those that KNOWN-RED.txt lists:
+# names of Go tests, since specs cannot be passed over one by one.
 set -euo pipefail
 cd "$(dirname "$0")"
-CGO_ENABLED=1 go test -race -timeout 8m ./...
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+	echo "known red, passed over (test, cause, issue):"
+	cat KNOWN-RED.txt
+	skip=(-skip "^($(cut -d, -f1 KNOWN-RED.txt | paste -sd'|'))\$")
+fi
+CGO_ENABLED=1 go test -race -timeout 8m "${skip[@]}" ./...
