--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -17,7 +17,7 @@
 
 // An organisation that sends many times its share can keep a small box busy
 // with refusals alone. These are therefore given before the HTTP server sees
-// the request, at a tenth of the cost, and with the body taken so that the
+// the request, at a fraction of the cost, and with the body taken so that the
 // connection can be used again. Everything unusual goes to the HTTP server.
 
 // refuseQuickly answers a request whose first bytes are given if it is to be
