Find a request's route and organisation in one place

Cause: the quick refusal of a crowding organisation had its own copy of the look at route, key and service (review of the change). Change: both go through identify.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -242,20 +242,9 @@
 	if t == nil {
 		return out, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyAfter)
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, ok := t.Lookup(r.Host, path)
-	if !ok {
-		return out, refused(http.StatusNotFound, ReasonNoRoute, 0)
-	}
-	out.Route = route
-	if t.NeedsKey(route) {
-		if out.Organisation, ok = t.Holder(bearer(r.Header.Get("Authorization"))); !ok {
-			return out, refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
-		}
+	if v := s.identify(t, &out, r.Header.Get("Authorization")); v.Status != 0 {
+		return out, v
 	}
-	out.Service = route.Service(out.ID)
-	service, _ := t.Service(out.Service)
-	out.Engine = service.Engine != nil
 	if out.Engine && s.forwarder.Crowded(out.Organisation) {
 		// The body stays unread, and so the connection cannot go on.
 		w.Header().Set("Connection", "close")
@@ -274,6 +263,26 @@
 	return out, s.body(w, r, t, &out)
 }
 
+// identify finds a request's route, organisation and service. A verdict with a
+// status means that it is refused.
+func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Verdict {
+	path, _, _ := strings.Cut(out.Target, "?")
+	route, ok := t.Lookup(out.Host, path)
+	if !ok {
+		return refused(http.StatusNotFound, ReasonNoRoute, 0)
+	}
+	out.Route = route
+	if t.NeedsKey(route) {
+		if out.Organisation, ok = t.Holder(bearer(authorization)); !ok {
+			return refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
+		}
+	}
+	out.Service = route.Service(out.ID)
+	service, _ := t.Service(out.Service)
+	out.Engine = service.Engine != nil
+	return forward.Verdict{}
+}
+
 // body reads the request's body within the configured limit.
 func (s *Server) body(w http.ResponseWriter, r *http.Request, t *routing.Table, out *forward.Request) forward.Verdict {
 	limit := int64(t.Limits().BodyBytes)
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -60,18 +59,9 @@
 	if limit > 0 && h.length > limit {
 		return out, false
 	}
-	path, _, _ := strings.Cut(out.Target, "?")
-	route, ok := t.Lookup(out.Host, path)
-	if !ok || !t.NeedsKey(route) {
+	if v := s.identify(t, &out, string(h.authorization)); v.Status != 0 {
 		return out, false
 	}
-	out.Route = route
-	if out.Organisation, ok = t.Holder(bearer(string(h.authorization))); !ok {
-		return out, false
-	}
-	out.Service = route.Service(out.ID)
-	service, _ := t.Service(out.Service)
-	out.Engine = service.Engine != nil
 	return out, out.Engine && s.forwarder.Crowded(out.Organisation)
 }
 
