Do not pass on from where a caller wants an engine to fetch

Cause: the header that names the engine to fetch prompt parts from is set by the router, but one that a caller sent was passed on: it could have an engine fetch from any address. No test looked at the header at all (review of the change). Change: it is dropped like the others that the router sets. Test: the engine is told where its prompt's parts are kept, and nothing by the caller (failed before with the caller's address).

--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -53,6 +53,41 @@
 		Expect(got.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	It("names to an engine the one that keeps its prompt's parts, not what a caller names", func() {
+		c := spec(1)
+		c.Services[0].Engine = &routing.Engine{Slots: 4, CacheTokens: 230_000}
+		r.configure(c)
+		type told struct{ target, source string }
+		seen := make(chan told, 3)
+		release := make(chan struct{})
+		addresses := map[string]string{}
+		for _, id := range []string{"a", "b"} {
+			addresses[id] = r.serve(id, func(w http.ResponseWriter, q *http.Request) {
+				seen <- told{id, q.Header.Get(dialect.FetchFrom)}
+				<-release
+				answer(w, q)
+			})
+		}
+		defer close(release)
+		ask := func() told {
+			q := newRequest(r.Known().Address, "/many/x")
+			q.Header.Set(dialect.PromptSize, "6100,10")
+			q.Header.Set(dialect.PromptParts, "shared:6000,own:100")
+			q.Header.Set(dialect.FetchFrom, "192.0.2.1:1")
+			background(func() { do(q) })
+			var t told
+			Eventually(seen).Should(Receive(&t))
+			return t
+		}
+		// Two of four slots are left free, so that the third goes elsewhere.
+		home := ask()
+		Expect(home.source).To(BeEmpty())
+		Expect(ask()).To(Equal(home))
+		away := ask()
+		Expect(away.target).NotTo(Equal(home.target))
+		Expect(away.source).To(Equal(addresses[home.target]))
+	})
+
 	It("reaches its target as the caller sent it", func() {
 		r.configure(spec(1))
 		var seen *http.Request
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -61,7 +61,7 @@
 func (s *Server) own(name string) bool {
 	switch name {
 	case s.dialect.RequestID, s.dialect.Deadline, s.dialect.Organisation, s.dialect.ExpectTarget,
-		s.dialect.LastEvent, "Authorization", "Expect":
+		s.dialect.LastEvent, s.dialect.FetchFrom, "Authorization", "Expect":
 		return true
 	}
 	return false
