Ignore callers' headers that only routers may set

Cause: all headers but a handful that the router sets itself were passed on, so a caller could make an engine hold, keep, copy or take up memory (UNASKED), and engines refused one request in five for holds and copies that did not exist. Ruled out: dropping what is unknown; other headers must pass through. Change: the adapter lists the reserved names once, the callers' side asks it. The test sends every one of them and failed before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,9 @@
 	// PromptSize is "TOKENS IN,MOST TOKENS OUT" and PromptParts "ID:TOKENS" by
 	// commas, in the prompt's order; OutputHint guesses the tokens out.
 	PromptSize, PromptParts, OutputHint string
+	// Reserved lists, in canonical form, the request headers that only routers
+	// may set. What a caller says in them is ignored.
+	Reserved []string
 }
 
 // Request is what a caller asks for.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 	RequestID: "X-Id", Deadline: "X-Wait-Ms", Organisation: "X-Organisation", ExpectTarget: "X-Expect",
 	NotRun: "X-Not-Run", LastEvent: "Last-Event-Id",
 	PromptSize: "X-Size", PromptParts: "X-Parts", OutputHint: "X-Hint", FetchFrom: "X-Fetch",
+	Reserved: []string{"X-Organisation", "X-Expect", "X-Fetch", "X-Set-Aside"},
 }
 
 // headerSeal stands for a header that only targets and callers know.
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -122,6 +122,24 @@
 		Expect(left).To(And(BeNumerically(">", 2000), BeNumerically("<=", 4000)))
 	})
 
+	It("never passes on what a caller says in headers that only routers may set", func() {
+		r.configure(spec(1))
+		var seen http.Header
+		r.serve("t", func(w http.ResponseWriter, q *http.Request) {
+			seen = q.Header
+			answer(w, q)
+		})
+		req := newRequest(r.Known().Address, "/many/x")
+		for _, name := range dialect.Reserved {
+			req.Header.Set(name, "callers-own")
+		}
+		Expect(do(req).Status).To(Equal(http.StatusOK))
+		for _, name := range dialect.Reserved {
+			Expect(seen.Values(name)).NotTo(ContainElement("callers-own"), name)
+			Expect(len(seen.Values(name))).To(BeNumerically("<=", 1), name)
+		}
+	})
+
 	DescribeTable(
 		"gets the router's own answer where it is not proper", func(change func(*http.Request), status int) {
 			r.configure(spec(1))
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -57,14 +58,15 @@
 	return out
 }
 
-// own reports whether the router sets a header itself.
+// own reports whether a caller's header is not passed on as it is: it is meant
+// for the router, the router sets it anew, or only routers may set it. Passed
+// on, some would make an engine set memory aside or move it at a caller's word.
 func (s *Server) own(name string) bool {
 	switch name {
-	case s.dialect.RequestID, s.dialect.Deadline, s.dialect.Organisation, s.dialect.ExpectTarget,
-		s.dialect.LastEvent, s.dialect.FetchFrom, "Authorization", "Expect":
+	case s.dialect.RequestID, s.dialect.Deadline, s.dialect.LastEvent, "Authorization", "Expect":
 		return true
 	}
-	return false
+	return slices.Contains(s.dialect.Reserved, name)
 }
 
 // promptSize reads "TOKENS IN,MOST TOKENS OUT"; what cannot be read is 0.
