Log a request's goal and expected output

Cause: whether an answer was in time could not be told from its line alone. Change: two fields more; the outcome's name in a function of its own.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -136,21 +136,33 @@
 	if o.full != nil && o.full() {
 		return
 	}
-	route := ""
+	route, goal := "", time.Duration(0)
 	if r.Route != nil {
-		route = r.Route.Name
+		route, goal = r.Route.Name, r.Route.Goal
 	}
-	outcome := "answered"
+	o.log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v),
+		"status", v.Status, "reason", string(v.Reason), "target", v.Target, "sends", v.Sends,
+		"unread", v.Unread, "miss", v.Miss, "fetched", v.Fetched, "input", r.Input, "output", r.Output,
+		"goal_ms", milliseconds(goal), "waited_ms", milliseconds(v.Waited), "first_ms", milliseconds(v.First),
+		"took_ms", milliseconds(took), "retry_after_ms", v.RetryAfter.Milliseconds())
+}
+
+// outcome says in a word how a request ended.
+func outcome(v forward.Verdict) string {
 	switch {
 	case v.Cut:
-		outcome = "cut"
+		return "cut"
 	case v.Reason != "":
-		outcome = "refused"
+		return "refused"
 	}
-	o.log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome,
-		"status", v.Status, "reason", string(v.Reason), "target", v.Target, "sends", v.Sends, "unread", v.Unread, "miss", v.Miss, "fetched", v.Fetched, "input", r.Input,
-		"waited_ms", milliseconds(v.Waited), "first_ms", milliseconds(v.First), "took_ms", milliseconds(took),
-		"retry_after_ms", v.RetryAfter.Milliseconds())
+	return "answered"
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func goalOf(r forward.Request) time.Duration {
+	if r.Route == nil {
+		return 0
+	}
+	return r.Route.Goal
+}
