Ask the store soon after a start if nobody has told what it holds

Ruled out: all routers asking at once (in a large fleet the calls are paid for). Change: a router that knows neither configuration nor targets asks after a part of that time which is its own, then watches only if it ranks; a router that is new in the list, or heard for the first time, is told at once.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -55,6 +55,9 @@
 func (g *Gateway) heardStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
 	if _, ok := g.status[from.ID]; !ok {
 		g.Log.Info("router found", "router", from.ID, "peer", from.Peer)
+		brief := g.describe(view.Report{})
+		brief.Serving = g.reporter.serving
+		g.peers.Send(from, brief)
 	}
 	g.status[from.ID] = m
 	r := view.Report{
@@ -154,7 +157,14 @@
 
 // SetRouters takes over the store's list of routers.
 func (g *Gateway) SetRouters(list []config.Box) {
-	g.loop.Post(func(*balance.State, time.Time) { g.members.Listed(list) })
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		known := len(g.members.Others(now))
+		g.members.Listed(list)
+		if len(g.members.Others(now)) > known {
+			// They hear of this router at once, and answer with what they know.
+			g.tellAll(s, now)
+		}
+	})
 }
 
 const (
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -96,6 +96,7 @@
 			boxes = append(boxes, config.Box{Name: string(k.ID), Zone: k.Zone, Address: k.Address, Peer: k.Peer})
 		}
 		fleet[0].configure(spec(1))
+		fleet[0].serve("t", answer)
 		for _, r := range fleet {
 			r.SetRouters(boxes)
 		}
@@ -119,6 +120,17 @@
 		Eventually(watching).Should(HaveLen(3))
 	})
 
+	It("ask the store as long as nobody has told them of a target", func() {
+		a := newRig()
+		b := newRig(a.Known().Peer)
+		watches := func() bool { return b.Watches(context.Background()) }
+		a.configure(spec(1))
+		Eventually(b.Ready).Should(BeTrue())
+		Eventually(watches).Should(BeTrue())
+		a.serve("t", answer)
+		Eventually(func() int { return b.post("/many/x").Status }).Should(Equal(http.StatusOK))
+	})
+
 	It("ask the store for nothing that others may have told them by then", func() {
 		r := newRig()
 		Expect(r.Watches(context.Background())).To(BeFalse())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	status    map[message.RouterID]message.Status
 	reporter  reporter
 	started   time.Time
+	settle    time.Duration
 	asked     time.Time
 	transport *httptarget.Transport
 	server    *ingress.Server
@@ -110,7 +111,7 @@
 		status:  map[message.RouterID]message.Status{},
 	}
 	now := time.Now()
-	g.started = now
+	g.started, g.settle = now, settles()
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
 		Peer: cmp.Or(o.PeerAdvertise, others.Addr().String()), Incarnation: o.Incarnation,
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,10 +19,18 @@
 	// news on to about as many.
 	routersPerWatcher = 100
 	// settleTime is for how long a router that has just started waits to hear
-	// from others what the store holds before it asks the store.
-	settleTime = 300 * time.Millisecond
+	// from others what the store holds before it asks the store. Where all have
+	// just started nobody can tell: one that knows neither the configuration nor
+	// the targets waits for a part of it that is its own, from settleLeast on, so
+	// that one of them asks soon and tells the others.
+	settleTime  = 300 * time.Millisecond
+	settleLeast = 20 * time.Millisecond
 )
 
+// settles returns for how long a router waits that nobody has told what the
+// store holds.
+func settles() time.Duration { return settleLeast + rand.N(settleTime-settleLeast) }
+
 // StoreTrouble notes that a call to the store failed.
 func (g *Gateway) StoreTrouble() {
 	g.loop.Post(func(s *balance.State, now time.Time) {
@@ -49,6 +58,10 @@
 func (g *Gateway) Watches(ctx context.Context) bool {
 	watches := true
 	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
+		if g.catalog.Table() == nil || g.catalog.Revision() == 0 {
+			watches = now.Sub(g.started) >= g.settle
+			return
+		}
 		if now.Sub(g.started) < settleTime {
 			watches = false
 			return
