Go on watching the store when its history is gone

Cause: a router whose watch the store answered with «history is gone» counted itself among those that the store turns away and left the list to others. Ruled out: the boxes that were cut off from the store; the others reached it. Change: missed history makes the list of targets uncertain and nothing else.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -42,6 +42,11 @@
 	})
 }
 
+// StoreUnstable notes that the store answers, but may list too few targets.
+func (g *Gateway) StoreUnstable() {
+	g.loop.Post(func(_ *balance.State, now time.Time) { g.catalog.Unstable(now) })
+}
+
 // StoreWorks notes that calls to the store work.
 func (g *Gateway) StoreWorks() {
 	g.loop.Post(func(s *balance.State, now time.Time) {
