Read only as many requests of a flooding organisation as it gets served

Cause: an organisation whose callers stay with one router sent a box of 0.192 cores 1,800 requests a second. It was refused from its first bytes only while 24 of its requests waited at the moment of a tick; just after, all others were read, queued and refused. Ruled out: the cost of a refusal from the first bytes (54 us a new connection). Change: a gate per organisation, from the moment at which a request was refused for the others waiting until nothing was for 0.5 s. It lets in twice what was sent lately, less while the control thread is late; what it refuses counts as waiting in the reports.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -110,6 +110,10 @@
 	others *view.View
 	level  level
 	budget budget
+	// flows has the organisations whose requests are sent to engines.
+	flows map[string]*flow
+	// lag is by how much the control thread is late on average.
+	lag time.Duration
 	// good, suspect, near and missing are room for choosing a target.
 	good, suspect, near []*target
 	missing             []int
@@ -126,6 +130,7 @@
 		random:   random,
 		targets:  map[string]*target{},
 		services: map[string][]*target{},
+		flows:    map[string]*flow{},
 		shares:   newShares(limits.QuotaWindow),
 		others:   view.New(now, limits.QuotaWindow),
 		budget:   budget{start: now, services: map[string]*history{}},
@@ -217,7 +222,7 @@
 	if !s.behind(now, t) && s.assign(now, t) {
 		return
 	}
-	if !t.Resumes && (len(s.queue) >= maxWaiting || t.Engine && s.crowdedBy(t.Organisation)) {
+	if !t.Resumes && (len(s.queue) >= maxWaiting || s.crowds(t)) {
 		s.refuse(now, t, Full)
 		return
 	}
@@ -244,6 +249,7 @@
 	to.cache.add(now, t.Parts)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
+		s.flow(t.Organisation).sent++
 	}
 	if s.notify != nil && s.large(p.read) {
 		s.notify(to.ID, to.own)
--- /dev/null
+++ b/internal/balance/gate_test.go
@@ -0,0 +1,92 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// flood plays an organisation that sends perTick requests a tick to a router
+// for a while, and returns how many of them were read a tick at the end. An
+// engine ends every one that it gets within a tick, but takes few at a time.
+func flood(t *testing.T, perTick, slots, ticks int, lag time.Duration) float64 {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	s := New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: slots}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	s.SetTargets(now, []Target{{ID: "e", Service: "llm", Zone: "z", Slots: slots + spareSlots}})
+	read, counted := 0, 0
+	var running []*Ticket
+	var gates map[string]*gate
+	for tick := range ticks {
+		for i := range perTick {
+			if g := gates["o"]; g != nil && (g.crowds() || !g.admit()) {
+				continue
+			}
+			read++
+			k := &Ticket{
+				ID: fmt.Sprint(tick, "-", i), Service: "llm", Organisation: "o", Engine: true, Input: 10, Goal: time.Second / 2,
+				Arrived: now, Deadline: now.Add(time.Second), Decision: make(chan Decision, 1),
+			}
+			s.Arrive(now, k)
+			running = append(running, k)
+		}
+		now = now.Add(tickTime)
+		var begun []*Ticket
+		for _, k := range running {
+			if k.at != nil {
+				begun = append(begun, k)
+			}
+		}
+		for _, k := range begun {
+			s.Ended(now, k, Answered)
+		}
+		s.Tick(now)
+		gates = s.gatesAt(now, lag)
+		if tick == ticks/2 {
+			read, counted = 0, tick
+		}
+	}
+	return float64(read) / float64(ticks-counted-1)
+}
+
+func TestGate(t *testing.T) {
+	for name, c := range map[string]struct {
+		perTick, slots int
+		lag            time.Duration
+		least, most    float64
+	}{
+		"few are all read":                        {perTick: 2, slots: 4, least: 2, most: 2},
+		"more than engines take":                  {perTick: 40, slots: 2, least: 2, most: 8},
+		"many more than engines take":             {perTick: 400, slots: 2, least: 2, most: 8},
+		"more than a late control thread can do":  {perTick: 40, slots: 2, lag: 100 * time.Millisecond, least: 0.2, most: 3},
+		"a late control thread, few all the same": {perTick: 2, slots: 4, lag: 100 * time.Millisecond, least: 2, most: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := flood(t, c.perTick, c.slots, 200, c.lag); got < c.least || got > c.most {
+				t.Errorf("%g requests read a tick, want %g to %g", got, c.least, c.most)
+			}
+		})
+	}
+}
+
+func TestGateOpensAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := &flow{gate: &gate{}, refused: now}
+	f.gate.crowds()
+	f.turn(now, 0, 0)
+	if f.lately != 1 || f.gate == nil {
+		t.Fatalf("%d refused lately, gate %v", f.lately, f.gate)
+	}
+	f.turn(now.Add(gateTime+1), 0, 0)
+	if f.gate != nil {
+		t.Error("the gate stays although it refuses nothing")
+	}
+}
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -19,9 +19,9 @@
 
 // Loop drives a State from one goroutine. Use NewLoop to make one.
 type Loop struct {
-	state   *State
-	events  chan Event
-	crowded atomic.Pointer[map[string]bool]
+	state  *State
+	events chan Event
+	gates  atomic.Pointer[map[string]*gate]
 }
 
 // NewLoop returns a loop that Run must drive.
@@ -33,6 +33,7 @@
 func (l *Loop) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickTime)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -40,27 +41,43 @@
 		case e := <-l.events:
 			e(l.state, time.Now())
 		case <-ticker.C:
-			l.state.Tick(time.Now())
-			l.publish()
+			now := time.Now()
+			l.state.Tick(now)
+			l.publish(l.state.gatesAt(now, now.Sub(last)-tickTime))
+			last = now
 		}
 	}
 }
 
-// publish tells other goroutines which organisations crowd the queue.
-func (l *Loop) publish() {
-	crowded := l.state.Crowded()
-	if crowded == nil {
-		l.crowded.Store(nil)
+// publish tells other goroutines the gates.
+func (l *Loop) publish(gates map[string]*gate) {
+	if gates == nil {
+		l.gates.Store(nil)
 		return
 	}
-	l.crowded.Store(&crowded)
+	l.gates.Store(&gates)
 }
 
-// Crowded reports whether an organisation had as many requests to engines
-// waiting as it may a moment ago. Any goroutine may call it.
+func (l *Loop) gate(organisation string) *gate {
+	gates := l.gates.Load()
+	if gates == nil {
+		return nil
+	}
+	return (*gates)[organisation]
+}
+
+// Crowded reports whether an organisation sends so many requests to engines
+// that another one is to be refused unread. Any goroutine may call it.
 func (l *Loop) Crowded(organisation string) bool {
-	crowded := l.crowded.Load()
-	return crowded != nil && (*crowded)[organisation]
+	g := l.gate(organisation)
+	return g != nil && g.crowds()
+}
+
+// Admit lets a request of an organisation to engines in; it returns false if
+// the organisation sends too many. Any goroutine may call it, once a request.
+func (l *Loop) Admit(organisation string) bool {
+	g := l.gate(organisation)
+	return g == nil || g.admit()
 }
 
 // Post hands an event over, to be applied soon and in order.
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -59,7 +59,11 @@
 	for name := range s.shares.counts {
 		c := s.shares.of(now, name)
 		if c.asked >= 1 || c.begun >= 1 {
-			r.Usage[name] = view.Usage{Asked: c.asked, Begun: c.begun, Waiting: waiting[name]}
+			u := view.Usage{Asked: c.asked, Begun: c.begun, Waiting: waiting[name]}
+			if f := s.flows[name]; f != nil {
+				u.Waiting += f.lately
+			}
+			r.Usage[name] = u
 			continue
 		}
 		delete(s.shares.counts, name)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -8,32 +8,23 @@
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
-// crowdedBy reports whether an organisation has as many requests waiting as
-// it may.
-func (s *State) crowdedBy(organisation string) bool {
+// crowds reports whether a request to engines is one too many of its
+// organisation.
+func (s *State) crowds(t *Ticket) bool {
+	if !t.Engine {
+		return false
+	}
 	n := 0
-	for _, t := range s.queue {
-		if t.Engine && t.Organisation == organisation {
+	for _, other := range s.queue {
+		if other.Engine && other.Organisation == t.Organisation {
 			n++
 		}
 	}
-	return n >= maxWaitingOne
-}
-
-// Crowded returns the organisations that have as many requests to engines
-// waiting as they may, so that more need not even be read; nil if none has.
-func (s *State) Crowded() map[string]bool {
-	var out map[string]bool
-	for name, n := range s.waitingOf() {
-		if n < maxWaitingOne {
-			continue
-		}
-		if out == nil {
-			out = map[string]bool{}
-		}
-		out[name] = true
+	if n < maxWaitingOne {
+		return false
 	}
-	return out
+	s.flow(t.Organisation).crowded++
+	return true
 }
 
 const (
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -245,7 +245,7 @@
 	if v := s.identify(t, &out, r.Header.Get("Authorization")); v.Status != 0 {
 		return out, v
 	}
-	if out.Engine && s.forwarder.Crowded(out.Organisation) {
+	if out.Engine && !s.forwarder.Admit(out.Organisation) {
 		// The body stays unread, and so the connection cannot go on.
 		w.Header().Set("Connection", "close")
 		return out, refused(http.StatusServiceUnavailable, ReasonCrowded, crowdedAfter())
