Bound what engines have yet to read in time, from a pace that is learnt

Cause: engines were given 9,000 unread tokens at most, 3,600 by organisations over their share. Change: package pace learns per service how long the first event takes, from the tokens unread before a request, its own, and its own squared, by least squares with forgetting; tested against a fit over the whole history. The choice, the room at an engine (35% of the service's shortest goal) and the prices are times; what engines have read since it was told is taken off; an organisation within its share is also sent where more is unread, as long as it comes in time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,21 +11,13 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 const (
-	// maxUnread is the most prompt tokens that an engine may have yet to read
-	// when a request is added, over all routers. Engines read about 40 tokens
-	// a millisecond, between the tokens of running requests: 9,000 are some
-	// 300 ms, half of the shortest goal.
-	maxUnread = 9000
-	// overShare is the part, in percent, of maxUnread that is open to
-	// organisations that already had their share, so that the others find
-	// room.
-	overShare = 40
 	// memoryShare is the part, in percent, of an engine's memory that running
 	// requests' own tokens may take. Beyond its memory an engine interrupts
 	// requests; the rest holds shared parts.
@@ -102,7 +94,9 @@
 	targets map[string]*target
 	// services has the targets of each service in the order of their ids.
 	services map[string][]*target
-	queue    []*Ticket
+	// paces has what is known of the engines of each service.
+	paces map[string]*pace.Model
+	queue []*Ticket
 	// dispatched is when waiting requests were last looked through.
 	dispatched time.Time
 	shares     shares
@@ -130,6 +124,7 @@
 		random:   random,
 		targets:  map[string]*target{},
 		services: map[string][]*target{},
+		paces:    map[string]*pace.Model{},
 		flows:    map[string]*flow{},
 		shares:   newShares(limits.QuotaWindow),
 		others:   view.New(now, limits.QuotaWindow),
@@ -244,6 +239,7 @@
 	t.at = to
 	t.sent = now
 	t.load = view.Load{Unread: p.read, Running: 1, Memory: t.private()}
+	t.work = p.work
 	to.own = to.own.Plus(t.load)
 	to.waiting = append(to.waiting, t)
 	to.cache.add(now, t.Parts)
@@ -268,6 +264,9 @@
 	}
 	t.begun = true
 	t.at.progress = now
+	if t.Engine && t.Stream {
+		s.pace(t.Service).Observe(t.work, now.Sub(t.sent))
+	}
 	t.at.own.Unread -= t.load.Unread
 	t.load.Unread = 0
 	t.at.forget(t)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -350,17 +350,12 @@
 			there.HeardLoad(there.now, "here", target, l)
 		})
 		there.Heard(there.now, "here", here.Report(here.now))
-		unshared := func(w *world, own int) *balance.Ticket {
-			t := w.prompt("o", "s", own)
-			t.Parts, t.Input = t.Parts[1:], own
-			return t
-		}
-		Expect(here.arrive(unshared(here, 10))).NotTo(BeNil())
+		Expect(here.arrive(here.unshared("o", 10))).NotTo(BeNil())
 		Expect(told).To(BeEmpty())
-		long := here.arrive(unshared(here, 4000))
+		long := here.arrive(here.unshared("o", 4000))
 		Expect(told).To(Equal([]string{long.Target.ID}))
 		for range 5 {
-			Expect(there.arrive(unshared(there, 10)).Target.ID).NotTo(Equal(long.Target.ID))
+			Expect(there.arrive(there.unshared("o", 10)).Target.ID).NotTo(Equal(long.Target.ID))
 		}
 	})
 })
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -4,33 +4,36 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
-	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 const (
-	// rereadPrice is what reading a shared part anew counts against waiting
-	// behind as many tokens, in percent: it also pushes other parts out.
-	rereadPrice = 300
+	// rereadPrice is what reading a shared part anew counts beside the time
+	// that it takes, in percent of that time: it also pushes other parts out.
+	rereadPrice = 200
 	// fetchPrice is what fetching a part from another engine counts, in percent
-	// of its tokens. It takes a fortieth of the time of reading and a tenth of
+	// of the time to read it. It takes a fortieth of the time of reading and a tenth of
 	// its price, but each copy pushes other parts out: counted at 20, half as
 	// much again was read anew (kgd-quote-grown scale-1).
 	fetchPrice = 300
-	// zonePrice is the number of unread tokens that a target in another
-	// availability zone counts more: bytes between zones are paid for.
-	zonePrice = 300
+	// zonePrice is the time that a target in another availability zone counts
+	// more: bytes between zones are paid for.
+	zonePrice = 4 * time.Millisecond
 	// nearShared is the number of shared tokens up to which a prompt is kept in
 	// each availability zone apart. Reading so few again costs less than
 	// passing the prompt and its answer from zone to zone each time.
 	nearShared = 300
-	// awayPrice is the number of unread tokens that an engine counts more than
-	// the one that hashing gives a prompt to: all routers go there, and copies
-	// elsewhere are dropped sooner.
-	awayPrice = 300
-	// slotPrice is the number of unread tokens that a running request counts
-	// as: each makes the tokens of the others come slower.
-	slotPrice = 20
+	// awayPrice is the time that an engine counts more than the one that hashing
+	// gives a prompt to: all routers go there, and copies elsewhere are dropped
+	// sooner.
+	awayPrice = 4 * time.Millisecond
+	// slotPrice is the time that a running request counts as: each makes the
+	// tokens of the others come slower.
+	slotPrice = 250 * time.Microsecond
+	// latePrice is what a target counts more at which a request is expected to
+	// miss its goal: it is chosen only if there is no other.
+	latePrice = time.Minute
 )
 
 // place is a target with room for a request.
@@ -39,6 +42,9 @@
 	// read is the number of prompt tokens that the target would have to read,
 	// fetched the number that it would fetch from source instead.
 	read, fetched int
+	work          pace.Work
+	// first is when the first event is expected, after the request is sent.
+	first time.Duration
 	// source is nil if no other engine keeps more of the prompt.
 	source *target
 }
@@ -53,39 +59,44 @@
 		best := s.leastBusy(now, t, candidates)
 		return place{target: best}, best != nil
 	}
-	limit := maxUnread
 	over := s.over(now, t.Organisation) && !t.Resumes
-	if t.Resumes {
-		limit = 2 * maxUnread
-	}
-	if over {
-		limit = maxUnread * overShare / 100
-	}
+	r := s.room(now, t, over)
+	model := s.pace(t.Service)
 	own := ownTokens(t)
 	k := s.findKeepers(now, t, candidates)
 	var best place
-	bestScore := 0
+	var lowest time.Duration
 	for i, c := range candidates {
-		l := s.loadOf(now, c)
 		p := k.placeAt(c, s.missing[i], own)
+		p.work = pace.Work{Ahead: s.ahead(now, c, model), Own: p.read}
+		p.first = model.Predict(p.work)
 		away := c != k.home && p.read+p.fetched > own
-		if over && away || !s.fits(c, l, t, p.read, limit) {
+		if over && away || !s.fits(now, c, t) || !r.holds(p, model) {
 			continue
 		}
-		score := l.Unread + p.read*rereadPrice/100 + p.fetched*fetchPrice/100 + l.Running*slotPrice
-		if c.Zone != s.zone {
-			score += zonePrice
-		}
-		if c != k.home {
-			score += awayPrice
-		}
-		if best.target == nil || score < bestScore {
-			best, bestScore = p, score
+		if price := s.price(now, p, c == k.home, r, model); best.target == nil || price < lowest {
+			best, lowest = p, price
 		}
 	}
 	return best, best.target != nil
 }
 
+// price returns what sending a request to a place counts, as a time.
+func (s *State) price(now time.Time, p place, home bool, r room, m *pace.Model) time.Duration {
+	price := p.first + m.Reading(p.read*rereadPrice/100+p.fetched*fetchPrice/100)
+	price += time.Duration(s.loadOf(now, p.target).Running) * slotPrice
+	if p.Zone != s.zone {
+		price += zonePrice
+	}
+	if !home {
+		price += awayPrice
+	}
+	if p.first > r.left {
+		price += latePrice
+	}
+	return price
+}
+
 // keepers says which engines keep how much of a prompt.
 type keepers struct {
 	// home is the engine that hashing gives the prompt to, which all routers,
@@ -154,16 +165,12 @@
 	return t.Input
 }
 
-// fits reports whether an engine has room for t. A prompt counts for no more
-// than half of the limit: a long one must run somewhere, and would never find
-// room beside short ones that keep the engine reading.
-func (s *State) fits(c *target, l view.Load, t *Ticket, miss, limit int) bool {
+// fits reports whether an engine has a slot and memory for t.
+func (s *State) fits(now time.Time, c *target, t *Ticket) bool {
+	l := s.loadOf(now, c)
 	if l.Running+spareSlots >= c.Slots {
 		return false
 	}
-	if l.Unread+min(miss, limit/2) > limit {
-		return false
-	}
 	if l.Running == 0 {
 		return true
 	}
--- /dev/null
+++ b/internal/balance/room.go
@@ -0,0 +1,94 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/pace"
+)
+
+const (
+	// roomShare is the part, in percent, of the shortest goal of a service's
+	// routes for which an engine may have to read when a request is added, over
+	// all routers: what comes next must still find it in time.
+	roomShare = 35
+	// overShare is the part, in percent, of that room that is open to
+	// organisations that already had their share, so that the others find room.
+	overShare = 40
+	// defaultGoal stands for the shortest goal where none is configured.
+	defaultGoal = 600 * time.Millisecond
+)
+
+// room is what a request may use of an engine.
+type room struct {
+	// backlog is for how long the engine may have to read, the request
+	// included.
+	backlog time.Duration
+	// left is the time in which the first event is due.
+	left time.Duration
+	// timely is set if the request may also be sent to an engine that has more
+	// to read, as long as its first event is expected in time.
+	timely bool
+}
+
+// room returns what a request may use of an engine.
+func (s *State) room(now time.Time, t *Ticket, over bool) room {
+	goal := s.table.ShortestGoal(t.Service)
+	if goal <= 0 {
+		goal = defaultGoal
+	}
+	r := room{backlog: goal * roomShare / 100, left: t.Goal - now.Sub(t.Arrived) - s.pace(t.Service).Error()}
+	switch {
+	case t.Resumes:
+		r.backlog *= 2
+	case over:
+		r.backlog = r.backlog * overShare / 100
+	default:
+		r.timely = true
+	}
+	return r
+}
+
+// holds reports whether there is room at a place. A prompt counts for no more
+// than half of it: a long one must run somewhere, and would never find room
+// beside short ones that keep the engine reading.
+func (r room) holds(p place, m *pace.Model) bool {
+	if r.timely && p.first <= r.left {
+		return true
+	}
+	return m.Reading(p.work.Ahead)+min(m.Reading(p.read), r.backlog/2) <= r.backlog
+}
+
+// pace returns what is known of the engines of a service.
+func (s *State) pace(service string) *pace.Model {
+	m := s.paces[service]
+	if m == nil {
+		m = pace.New()
+		s.paces[service] = m
+	}
+	return m
+}
+
+// ahead returns the prompt tokens that an engine has yet to read: those it was
+// sent as far as known, less what it has read since that was known. It reads
+// own and others' requests in the order in which they came, each for about its
+// part of the time.
+func (s *State) ahead(now time.Time, c *target, m *pace.Model) int {
+	load, told := s.others.Load(now, c.ID)
+	own, others := float64(c.own.Unread), float64(load.Unread)
+	if own+others <= 0 {
+		return 0
+	}
+	perSecond := float64(time.Second) / float64(m.Reading(1))
+	ownShare := own / (own + others)
+	if len(c.waiting) > 0 {
+		first := c.waiting[0]
+		since := first.sent
+		if c.progress.After(since) {
+			since = c.progress
+		}
+		read := now.Sub(since).Seconds() * perSecond * ownShare
+		own -= min(read, float64(first.load.Unread))
+	}
+	others -= min(now.Sub(told).Seconds()*perSecond*(1-ownShare), others)
+	return int(own + others)
+}
--- /dev/null
+++ b/internal/balance/room_test.go
@@ -0,0 +1,93 @@
+package balance_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/view"
+)
+
+// unshared returns a ticket for a prompt without shared parts.
+func (w *world) unshared(organisation string, tokens int) *balance.Ticket {
+	t := w.prompt(organisation, "", tokens)
+	t.Parts, t.Input = t.Parts[1:], tokens
+	return t
+}
+
+// learn runs requests whose first events take a fixed time and a time per 1,000
+// tokens to read.
+func (w *world) learn(fixed, perThousand time.Duration) {
+	for i := range 200 {
+		t := w.unshared("learning", 100+i%20*300)
+		t.Stream = true
+		Expect(w.arrive(t)).NotTo(BeNil())
+		w.pass(fixed + perThousand*time.Duration(t.Input)/1000)
+		w.serve(t)
+		// The organisation's usage is forgotten before the next one.
+		w.now = w.now.Add(time.Minute)
+	}
+}
+
+// sent returns how many prompts of an organisation are sent at once.
+func (w *world) sent(organisation string, tokens int) int {
+	for n := range 100 {
+		if w.arrive(w.unshared(organisation, tokens)) == nil {
+			return n
+		}
+	}
+	return 100
+}
+
+var _ = Describe("Room at an engine", func() {
+	It("is the number of prompts whose first events come in time", func() {
+		for name, c := range map[string]struct {
+			perThousand time.Duration
+			least, most int
+		}{
+			"fast engine": {5 * time.Millisecond, 40, 62},
+			"slow engine": {60 * time.Millisecond, 4, 9},
+		} {
+			w := newWorld(1)
+			w.learn(50*time.Millisecond, c.perThousand)
+			Expect(w.sent("o", 1000)).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)), name)
+		}
+	})
+
+	It("is smaller for organisations that had their share", func() {
+		within, over := newWorld(1), newWorld(1)
+		over.Heard(over.now, "r", view.Report{Usage: map[string]view.Usage{
+			"o": {Asked: 20 * tokensPerSecond, Begun: 20 * tokensPerSecond}, "p": {Asked: 20 * tokensPerSecond},
+		}})
+		Expect(over.sent("o", 1000)).To(BeNumerically("<", within.sent("o", 1000)/2))
+	})
+
+	It("comes back as the engine reads", func() {
+		w := newWorld(2)
+		w.learn(50*time.Millisecond, 25*time.Millisecond)
+		w.Heard(w.now, "r", view.Report{Loads: map[string]view.Load{
+			"e0": {Unread: 30_000, Running: 5}, "e1": {Unread: 30_000, Running: 5},
+		}})
+		t := w.unshared("o", 100)
+		Expect(w.arrive(t)).To(BeNil(), "both engines read for 750 ms")
+		w.pass(100 * time.Millisecond)
+		Expect(decision(t)).To(BeNil())
+		w.Heard(w.now, "r", view.Report{Loads: map[string]view.Load{"e0": {Unread: 20_000, Running: 5}, "e1": {Unread: 20_000, Running: 5}}})
+		t = w.unshared("o", 100)
+		w.pass(250 * time.Millisecond)
+		Expect(w.arrive(t)).NotTo(BeNil(), "read for 250 of 500 ms")
+	})
+
+	It("is found at the engine whose first event comes soonest", func() {
+		w := newWorld(4)
+		loads := map[string]view.Load{}
+		for i, unread := range []int{4000, 2000, 300, 3000} {
+			loads[fmt.Sprint("e", i)] = view.Load{Unread: unread, Running: 1}
+		}
+		w.Heard(w.now, "r", view.Report{Loads: loads})
+		Expect(w.arrive(w.unshared("o", 100)).Target.ID).To(Equal("e2"))
+	})
+})
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
@@ -19,8 +20,9 @@
 	ID           string
 	Service      string
 	Organisation string
-	// Engine is set for requests to model engines.
-	Engine bool
+	// Engine is set for requests to model engines, Stream if the answer comes
+	// in events.
+	Engine, Stream bool
 	// Parts is the prompt in order; the last one is the request's or its
 	// session's own.
 	Parts []Part
@@ -44,6 +46,7 @@
 
 	at      *target
 	load    view.Load
+	work    pace.Work
 	begun   bool
 	sent    time.Time
 	expires time.Time
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -201,7 +201,7 @@
 	deadline := r.Expires()
 	x := &run{Forwarder: f, Request: r, caller: caller, deadline: deadline, last: r.LastEvent}
 	x.ticket = &balance.Ticket{
-		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Engine: r.Engine,
+		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Engine: r.Engine, Stream: r.Route.Kind == routing.Streaming,
 		Parts: r.Parts, Input: r.Input, Output: r.Output, Goal: r.Route.Goal,
 		Arrived: r.Arrived, Deadline: deadline, Decision: make(chan balance.Decision, 1),
 	}
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,146 @@
+package pace_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stepcroft/stepcroft/internal/pace"
+)
+
+// engine takes a fixed time, a time per 1,000 tokens to read and a time per
+// million pairs of the prompt's own tokens, in milliseconds.
+type engine struct{ fixed, tokens, pairs float64 }
+
+func (e engine) first(w pace.Work) time.Duration {
+	own := float64(w.Own) / 1000
+	ms := e.fixed + e.tokens*(float64(w.Ahead)/1000+own) + e.pairs*own*own
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func draw(r *rand.Rand) pace.Work {
+	return pace.Work{Ahead: r.IntN(8000), Own: 1 + int(2000*math.Exp(r.NormFloat64()))}
+}
+
+func ExampleModel() {
+	m := pace.New()
+	r := rand.New(rand.NewPCG(1, 1))
+	e := engine{fixed: 47, tokens: 11, pairs: 0.08}
+	for range 500 {
+		w := draw(r)
+		m.Observe(w, e.first(w))
+	}
+	fmt.Println(m.Predict(pace.Work{Ahead: 5000, Own: 10_000}).Round(10 * time.Millisecond))
+	fmt.Println(m.Reading(1000).Round(time.Millisecond))
+	// Output:
+	// 220ms
+	// 11ms
+}
+
+func TestLearns(t *testing.T) {
+	for name, e := range map[string]engine{
+		"fast":           {47, 9, 0.08},
+		"slow":           {60, 26, 0.02},
+		"very slow":      {120, 80, 0.3},
+		"long first":     {400, 10, 0},
+		"almost instant": {5, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := pace.New()
+			r := rand.New(rand.NewPCG(2, 3))
+			for range 2000 {
+				w := draw(r)
+				noise := 1 + 0.2*r.NormFloat64()
+				m.Observe(w, time.Duration(float64(e.first(w))*max(noise, 0.1)))
+			}
+			for _, w := range []pace.Work{{Own: 500}, {Ahead: 4000, Own: 500}, {Own: 20_000}} {
+				got, want := m.Predict(w), e.first(w)
+				if math.Abs(float64(got-want)) > 0.12*float64(want)+float64(5*time.Millisecond) {
+					t.Errorf("%+v takes %v, predicted %v", w, want, got)
+				}
+			}
+		})
+	}
+}
+
+func TestFewSlowOnesChangeLittle(t *testing.T) {
+	m := pace.New()
+	r := rand.New(rand.NewPCG(4, 5))
+	e := engine{50, 11, 0.08}
+	for i := range 2000 {
+		w := draw(r)
+		took := e.first(w)
+		if i%20 == 0 {
+			took += 3 * time.Second
+		}
+		m.Observe(w, took)
+	}
+	w := pace.Work{Own: 1000}
+	if got := m.Predict(w); got > 2*e.first(w) {
+		t.Errorf("predicted %v where most take %v", got, e.first(w))
+	}
+}
+
+// TestAgainstWholeHistory compares what is predicted with a least squares fit
+// over all that was observed, weighted by age, by another way of solving it.
+func TestAgainstWholeHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := engine{
+			rapid.Float64Range(30, 80).Draw(t, "fixed"), rapid.Float64Range(5, 40).Draw(t, "tokens"),
+			rapid.Float64Range(0.01, 0.2).Draw(t, "pairs"),
+		}
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		m := pace.New()
+		var works []pace.Work
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			w := pace.Work{Ahead: r.IntN(3000), Own: 1 + r.IntN(4000)}
+			works = append(works, w)
+			m.Observe(w, e.first(w))
+		}
+		w := pace.Work{Ahead: 1000, Own: 2000}
+		got, want := m.Predict(w), descend(works, e, w)
+		if math.Abs(float64(got-want)) > 0.01*float64(want) {
+			t.Fatalf("predicted %v, over the whole history %v", got, want)
+		}
+	})
+}
+
+// descend minimises the weighted squares of what the works took by going along
+// one coefficient after the other.
+func descend(works []pace.Work, e engine, at pace.Work) time.Duration {
+	feature := func(w pace.Work) [3]float64 {
+		own := float64(w.Own) / 1000
+		return [3]float64{1, float64(w.Ahead)/1000 + own, own * own}
+	}
+	guess := [3]float64{50, 25, 0}
+	c := guess
+	for range 5000 {
+		for k := range c {
+			// Each guess counts as five observations of its coefficient alone.
+			up, down := 5*guess[k], 5.0
+			weight := 1.0
+			for i := len(works) - 1; i >= 0; i-- {
+				x := feature(works[i])
+				rest := float64(e.first(works[i])) / float64(time.Millisecond)
+				for j := range c {
+					if j != k {
+						rest -= c[j] * x[j]
+					}
+				}
+				up += weight * x[k] * rest
+				down += weight * x[k] * x[k]
+				weight *= 1 - 1.0/400
+			}
+			c[k] = up / down
+		}
+	}
+	for k, least := range [3]float64{1, 0.5, 0} {
+		c[k] = max(c[k], least)
+	}
+	x := feature(at)
+	return time.Duration((c[0]*x[0] + c[1]*x[1] + c[2]*x[2]) * float64(time.Millisecond))
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -146,6 +146,8 @@
 	keys          map[string]string
 	organisations int
 	limits        Limits
+	// goals has the shortest goal of the routes to each service.
+	goals map[string]time.Duration
 }
 
 // New checks s and returns its table.
@@ -157,6 +159,7 @@
 		keys:          map[string]string{},
 		organisations: len(s.Organisations),
 		limits:        s.Limits,
+		goals:         map[string]time.Duration{},
 	}
 	for _, service := range s.Services {
 		t.services[service.Name] = service
@@ -186,6 +189,11 @@
 		t.routes[host] = map[string]*Route{}
 	}
 	t.routes[host][r.Prefix] = r
+	for _, share := range r.Shares {
+		if old, ok := t.goals[share.Service]; r.Goal > 0 && (!ok || r.Goal < old) {
+			t.goals[share.Service] = r.Goal
+		}
+	}
 	return nil
 }
 
@@ -220,6 +228,10 @@
 	return s, ok
 }
 
+// ShortestGoal returns the shortest goal of the routes to a service; 0 if none
+// has one.
+func (t *Table) ShortestGoal(service string) time.Duration { return t.goals[service] }
+
 // Holder returns the organisation that holds a key.
 func (t *Table) Holder(key string) (string, bool) {
 	name, ok := t.keys[key]
