Let the room at engines fall with how far an organisation is beyond its share

Cause: nearly all that was refused was of organisations just beyond their share, which got 40% of the room like those far beyond it, or waited for any organisation that had less: some small one nearly always waits somewhere. Change: up to 1.5 times its share an organisation counts as within it, beyond, its room falls in proportion, to a quarter at least; one within its share waits for nobody; one beyond waits for those at other routers that had less than 1/1.4 of what it had, for half before.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -59,8 +59,9 @@
 		best := s.leastBusy(now, t, candidates)
 		return place{target: best}, best != nil
 	}
-	over := s.over(now, t.Organisation) && !t.Resumes
-	r := s.room(now, t, over)
+	excess := s.excess(now, t.Organisation)
+	over := excess > shareTolerance && !t.Resumes
+	r := s.room(now, t, excess)
 	model := s.pace(t.Service)
 	own := ownTokens(t)
 	k := s.findKeepers(now, t, candidates)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -32,24 +32,25 @@
 	// one whose requests wait here before its own have to wait too.
 	lead = 15
 	// farLead is how many times as much it may have had as one whose requests
-	// wait at another router. What is known of those is old: in a large fleet
-	// some request always waits somewhere, and at a small lead all routers hold
-	// theirs back for one another while engines are idle.
-	farLead = 2.0
+	// wait at another router. What is known of those is old: at a small lead all
+	// routers hold theirs back for one another while engines are idle. Twice as
+	// much is unfair.
+	farLead = 1.4
 )
 
 // behind reports whether a request to an engine must not pass those that
 // wait, here or at other routers: its organisation had more than theirs.
 func (s *State) behind(now time.Time, t *Ticket) bool {
-	if !t.Engine || t.Resumes {
-		return false
-	}
-	return leads(s.hadOf(now, t.Organisation), s.leastWaiting(now))
+	return t.Engine && !t.Resumes && s.leads(now, t.Organisation, s.leastWaiting(now))
 }
 
-// leads reports whether an organisation that had so much must let one go first
-// whose requests wait and that had the least.
-func leads(had, least float64) bool { return had*100 > least*(100+lead) }
+// leads reports whether an organisation must let one go first whose requests
+// wait and that had the least. One that is within its share takes nothing that
+// is another's and lets nobody go first: in a large fleet some small
+// organisation always waits somewhere, and all would wait for it.
+func (s *State) leads(now time.Time, organisation string, least float64) bool {
+	return s.over(now, organisation) && s.hadOf(now, organisation)*100 > least*(100+lead)
+}
 
 // leastWaiting returns the least that an organisation had whose requests to
 // engines wait anywhere, or infinity if none waits.
@@ -123,7 +124,7 @@
 	kept := s.queue[:0]
 	failed := 0
 	for _, t := range s.queue {
-		ahead := t.Engine && !t.Resumes && leads(had[t.Organisation], least)
+		ahead := t.Engine && !t.Resumes && s.leads(now, t.Organisation, least)
 		if ahead || t.Engine && failed >= maxFailed {
 			kept = append(kept, t)
 			continue
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -11,9 +11,13 @@
 	// routes for which an engine may have to read when a request is added, over
 	// all routers: what comes next must still find it in time.
 	roomShare = 35
-	// overShare is the part, in percent, of that room that is open to
-	// organisations that already had their share, so that the others find room.
-	overShare = 40
+	// shareTolerance is up to how many times its share an organisation counts as
+	// within it: shares are counted over seconds of which the last half is known
+	// late, and requests come in bursts. Beyond, the part of the room that is open
+	// to an organisation falls in proportion, so that the others find room.
+	shareTolerance = 1.5
+	// leastRoom is the least part of the room that is open, in percent.
+	leastRoom = 25
 	// defaultGoal stands for the shortest goal where none is configured.
 	defaultGoal = 600 * time.Millisecond
 )
@@ -30,8 +34,9 @@
 	timely bool
 }
 
-// room returns what a request may use of an engine.
-func (s *State) room(now time.Time, t *Ticket, over bool) room {
+// room returns what a request may use of an engine whose organisation had
+// excess times its share.
+func (s *State) room(now time.Time, t *Ticket, excess float64) room {
 	goal := s.table.ShortestGoal(t.Service)
 	if goal <= 0 {
 		goal = defaultGoal
@@ -40,8 +45,8 @@
 	switch {
 	case t.Resumes:
 		r.backlog *= 2
-	case over:
-		r.backlog = r.backlog * overShare / 100
+	case excess > shareTolerance:
+		r.backlog = time.Duration(float64(r.backlog) * max(shareTolerance/excess, leastRoom/100.0))
 	default:
 		r.timely = true
 	}
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -64,15 +64,18 @@
 	return s.shares.of(now, organisation).begun + s.others.Usage(now, organisation).Begun
 }
 
-// over reports whether an organisation already had its share of what the
-// engines produce, as max-min fairness divides it.
-func (s *State) over(now time.Time, organisation string) bool {
+// excess returns how many times its share of what the engines produce, as
+// max-min fairness divides it, an organisation had.
+func (s *State) excess(now time.Time, organisation string) float64 {
 	if organisation == "" || s.shares.capacity <= 0 {
-		return false
+		return 0
 	}
-	return s.hadOf(now, organisation) > s.levelAt(now)
+	return s.hadOf(now, organisation) / max(s.levelAt(now), 1)
 }
 
+// over reports whether an organisation already had its share.
+func (s *State) over(now time.Time, organisation string) bool { return s.excess(now, organisation) > 1 }
+
 // levelAge is for how long a level is used before it is worked out anew.
 const levelAge = 50 * time.Millisecond
 
