Tell other routers where shared parts of prompts were sent

Ruled out: engines' cache events (paid for as probes where engines are busy). Change: package prefix (before: a file of balance); reports name the shared parts sent to each target that no router told of for 5 s, so that the volume follows the number of parts and not of requests.

--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -13,6 +13,9 @@
 		Capacity: float32(m.Capacity), StoreTrouble: m.StoreTrouble, Serving: m.Serving,
 	}
 	out.Loads = encodeLoads(m.Loads)
+	for _, k := range m.Kept {
+		out.Kept = append(out.Kept, &peerpb.TargetParts{Target: k.Target, Parts: k.Parts})
+	}
 	for _, u := range m.Usage {
 		out.Usage = append(out.Usage, &peerpb.OrganisationUsage{
 			Organisation: u.Organisation, Asked: float32(u.Asked), Begun: float32(u.Begun), Waiting: uint32(u.Waiting),
@@ -27,6 +30,9 @@
 		Capacity: float64(m.GetCapacity()), StoreTrouble: m.GetStoreTrouble(), Serving: m.GetServing(),
 	}
 	out.Loads = decodeLoads(m.GetLoads())
+	for _, k := range m.GetKept() {
+		out.Kept = append(out.Kept, message.TargetParts{Target: k.GetTarget(), Parts: k.GetParts()})
+	}
 	for _, u := range m.GetUsage() {
 		out.Usage = append(out.Usage, message.OrganisationUsage{
 			Organisation: u.GetOrganisation(), Asked: float64(u.GetAsked()), Begun: float64(u.GetBegun()), Waiting: int(u.GetWaiting()),
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/pace"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -78,7 +79,7 @@
 	// hash is that of the id.
 	hash  uint64
 	own   view.Load
-	cache cache
+	cache *prefix.Cache
 	health
 	// waiting holds the own requests that the target has not begun, oldest
 	// first.
@@ -146,7 +147,7 @@
 	for _, t := range list {
 		old := s.targets[t.ID]
 		if old == nil {
-			old = &target{hash: rendezvous.Hash(t.ID), cache: newCache()}
+			old = &target{hash: rendezvous.Hash(t.ID), cache: prefix.NewCache()}
 		}
 		old.Target = t
 		known[t.ID] = old
@@ -242,7 +243,7 @@
 	t.work = p.work
 	to.own = to.own.Plus(t.load)
 	to.waiting = append(to.waiting, t)
-	to.cache.add(now, t.Parts)
+	to.cache.Add(now, t.Parts)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 		s.flow(t.Organisation).sent++
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -63,7 +64,7 @@
 	w.tickets++
 	return &balance.Ticket{
 		ID: fmt.Sprint("t", w.tickets), Service: "llm", Organisation: organisation, Engine: true,
-		Parts: []balance.Part{{ID: shared, Tokens: 6000}, {ID: fmt.Sprint("own", w.tickets), Tokens: own}},
+		Parts: []prefix.Part{{ID: shared, Tokens: 6000}, {ID: fmt.Sprint("own", w.tickets), Tokens: own}},
 		Input: 6000 + own, Output: 50, Goal: 600 * time.Millisecond,
 		Arrived: w.now, Deadline: w.now.Add(6 * time.Second), Decision: make(chan balance.Decision, 1),
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -115,7 +115,7 @@
 	k := keepers{home: s.home(t, candidates)}
 	s.missing = s.missing[:0]
 	for _, c := range candidates {
-		missing := c.cache.missing(now, t.Parts, t.Input)
+		missing := c.cache.Missing(now, t.Parts, t.Input)
 		s.missing = append(s.missing, missing)
 		if k.best == nil || missing < k.missing {
 			k.best, k.missing = c, missing
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -38,6 +38,11 @@
 // Heard takes in a report of another router.
 func (s *State) Heard(now time.Time, router string, r view.Report) {
 	s.others.Heard(now, router, r)
+	for id, parts := range r.Kept {
+		if t := s.targets[id]; t != nil {
+			t.cache.Heard(now, parts)
+		}
+	}
 	s.dispatch(now)
 }
 
@@ -47,13 +52,17 @@
 	s.others.HeardLoad(now, router, target, l)
 }
 
-// Report returns what to tell the other routers.
+// Report returns what to tell the other routers; of what targets keep, it tells
+// what no report told before.
 func (s *State) Report(now time.Time) view.Report {
-	r := view.Report{Loads: map[string]view.Load{}, Usage: map[string]view.Usage{}}
+	r := view.Report{Loads: map[string]view.Load{}, Usage: map[string]view.Usage{}, Kept: map[string][]string{}}
 	for id, t := range s.targets {
 		if t.own.Running > 0 {
 			r.Loads[id] = t.own
 		}
+		if parts := t.cache.Untold(); len(parts) > 0 {
+			r.Kept[id] = parts
+		}
 	}
 	waiting := s.waitingOf()
 	for name := range s.shares.counts {
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -5,15 +5,10 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/pace"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
-// Part is a piece of a prompt that other prompts may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Ticket is a request as far as balancing goes. What the caller said does not
 // change; the unexported fields belong to the State.
 type Ticket struct {
@@ -25,7 +20,7 @@
 	Engine, Stream bool
 	// Parts is the prompt in order; the last one is the request's or its
 	// session's own.
-	Parts []Part
+	Parts []prefix.Part
 	// Input is the number of prompt tokens, Output the expected number of
 	// tokens of the answer.
 	Input, Output int
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -60,7 +61,7 @@
 	Deadline time.Time
 	// Engine is set where the service's targets are model engines.
 	Engine bool
-	Parts  []balance.Part
+	Parts  []prefix.Part
 	// Input and Output are the prompt's tokens and the most tokens out.
 	Input, Output int
 	// LastEvent is the id of the last event that the caller has; empty if
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -63,10 +63,14 @@
 	r := view.Report{
 		Loads: make(map[string]view.Load, len(m.Loads)),
 		Usage: make(map[string]view.Usage, len(m.Usage)),
+		Kept:  make(map[string][]string, len(m.Kept)),
 	}
 	for _, l := range m.Loads {
 		r.Loads[l.Target] = loadOf(l)
 	}
+	for _, k := range m.Kept {
+		r.Kept[k.Target] = k.Parts
+	}
 	for _, u := range m.Usage {
 		r.Usage[u.Organisation] = view.Usage{Asked: u.Asked, Begun: u.Begun, Waiting: u.Waiting}
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -73,7 +73,7 @@
 	g.reporter = reporter{serving: r.Serving(), beat: now}
 	full := g.describe(r)
 	brief := full
-	brief.Loads, brief.Usage = nil, nil
+	brief.Loads, brief.Usage, brief.Kept = nil, nil, nil
 	known := map[string]bool{g.members.Self().Peer: true}
 	for _, to := range others {
 		known[to.Peer] = true
@@ -122,6 +122,9 @@
 	for id, l := range r.Loads {
 		m.Loads = append(m.Loads, targetLoad(id, l))
 	}
+	for id, parts := range r.Kept {
+		m.Kept = append(m.Kept, message.TargetParts{Target: id, Parts: parts})
+	}
 	for name, u := range r.Usage {
 		m.Usage = append(m.Usage, message.OrganisationUsage{Organisation: name, Asked: u.Asked, Begun: u.Begun, Waiting: u.Waiting})
 	}
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 )
 
 func bearer(header string) string {
@@ -85,12 +85,12 @@
 
 // promptParts reads "ID:TOKENS,ID:TOKENS"; parts that cannot be read are
 // left out.
-func promptParts(text string) []balance.Part {
-	var parts []balance.Part
+func promptParts(text string) []prefix.Part {
+	var parts []prefix.Part
 	for piece := range strings.SplitSeq(text, ",") {
 		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
 		if ok && id != "" {
-			parts = append(parts, balance.Part{ID: id, Tokens: count(tokens)})
+			parts = append(parts, prefix.Part{ID: id, Tokens: count(tokens)})
 		}
 	}
 	return parts
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -135,11 +135,19 @@
 	Capacity float64
 	// StoreTrouble is set while the router's calls to the store fail.
 	StoreTrouble bool
-	// Serving is set while the router has requests or had some lately. Loads
-	// and Usage go only from serving routers to serving routers.
+	// Serving is set while the router has requests or had some lately. Loads,
+	// Usage and Kept go only from serving routers to serving routers.
 	Serving bool
 	Loads   []TargetLoad
 	Usage   []OrganisationUsage
+	// Kept tells of shared parts of prompts that were sent to targets lately.
+	Kept []TargetParts
+}
+
+// TargetParts names parts of prompts that a target keeps.
+type TargetParts struct {
+	Target string
+	Parts  []string
 }
 
 // TargetLoad is what one router's requests put on a target.
--- /dev/null
+++ b/internal/prefix/prefix_test.go
@@ -0,0 +1,72 @@
+package prefix_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/prefix"
+)
+
+func TestPrefix(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "prefix")
+}
+
+// prompt has two shared parts of 100 and 1,000 tokens and one of its own.
+func prompt(own string) []prefix.Part {
+	return []prefix.Part{{ID: "all", Tokens: 100}, {ID: "thing", Tokens: 1000}, {ID: own, Tokens: 50}}
+}
+
+var _ = Describe("A cache", func() {
+	var c *prefix.Cache
+	var now time.Time
+
+	BeforeEach(func() {
+		c, now = prefix.NewCache(), time.Unix(1000, 0)
+	})
+
+	It("lacks what the engine was not sent, from the first part on", func() {
+		Expect(c.Missing(now, prompt("a"), 1150)).To(Equal(1150))
+		c.Add(now, prompt("a"))
+		Expect(c.Missing(now, prompt("a"), 1150)).To(Equal(1))
+		Expect(c.Missing(now, prompt("b"), 1150)).To(Equal(50))
+		other := prompt("c")
+		other[0].ID = "other"
+		Expect(c.Missing(now, other, 1150)).To(Equal(1150))
+	})
+
+	It("does not count on what was last used long ago", func() {
+		c.Add(now, prompt("a"))
+		Expect(c.Missing(now.Add(14*time.Second), prompt("b"), 1150)).To(Equal(50))
+		Expect(c.Missing(now.Add(16*time.Second), prompt("b"), 1150)).To(Equal(1150))
+	})
+
+	It("tells of shared parts once in a while, and of those heard of not at all", func() {
+		c.Heard(now, []string{"all"})
+		c.Add(now, prompt("a"))
+		Expect(c.Untold()).To(Equal([]string{"thing"}))
+		Expect(c.Untold()).To(BeEmpty())
+		c.Add(now.Add(time.Second), prompt("b"))
+		Expect(c.Untold()).To(BeEmpty())
+		c.Add(now.Add(6*time.Second), prompt("b"))
+		Expect(c.Untold()).To(Equal([]string{"all", "thing"}))
+	})
+
+	It("knows what other routers sent", func() {
+		c.Heard(now, []string{"all", "thing"})
+		Expect(c.Missing(now, prompt("a"), 1150)).To(Equal(50))
+	})
+
+	It("forgets the oldest of very many", func() {
+		for i := range 2000 {
+			c.Add(now.Add(time.Duration(i)*time.Millisecond), []prefix.Part{{ID: fmt.Sprint(i), Tokens: 1}})
+		}
+		now = now.Add(2 * time.Second)
+		Expect(c.Missing(now, []prefix.Part{{ID: "1999", Tokens: 9}}, 10)).To(Equal(1))
+		Expect(c.Missing(now, []prefix.Part{{ID: "0", Tokens: 9}}, 10)).To(Equal(10))
+	})
+})
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -64,6 +64,8 @@
 type Report struct {
 	Loads map[string]Load
 	Usage map[string]Usage
+	// Kept has, by target, shared parts of prompts that were sent there.
+	Kept map[string][]string
 }
 
 // Serving reports whether the router has requests or had some lately.
