Keep an organisation back that keeps the router's processor busy

Cause: callers of a large organisation stay with one box of 0.192 cores; engines have room, so all its 500 requests a second were read and sent. At 0.8 ms of the processor each the box was busy beyond its share: requests reached engines 0.6 s late, other routers' messages too, and 4,700 callers got no answer in time. Ruled out: the control thread's lateness alone (the runtime runs it first; 0 ms at a box that used all of its cores). Change: the loop looks every 100 ms at the processor time used and at whether its ticks came late; beyond 80% the organisation that sends most gets a gate that lets in 0.8 times as many, and 5% more once there is room. Streams wake the control thread once and not for each event; a report is encoded once for all routers.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -99,13 +99,25 @@
 }
 
 // Send queues a message for another router. It does not block.
-func (t *Transport) Send(to member.Member, m message.Message) {
+func (t *Transport) Send(to member.Member, m message.Message) { t.send(to, encode(m)) }
+
+// SendAll queues a message for other routers, which costs less than one Send for
+// each.
+func (t *Transport) SendAll(to []member.Member, m message.Message) {
+	e := encode(m)
+	for _, other := range to {
+		t.send(other, e)
+	}
+}
+
+// send queues an envelope, which nobody may change afterwards.
+func (t *Transport) send(to member.Member, e *peerpb.Envelope) {
 	if to.Peer == "" {
 		t.dropped.Add(1)
 		return
 	}
 	select {
-	case t.link(to.Peer).queue <- encode(m):
+	case t.link(to.Peer).queue <- e:
 	default:
 		t.dropped.Add(1)
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -107,8 +107,6 @@
 	budget budget
 	// flows has the organisations whose requests are sent to engines.
 	flows map[string]*flow
-	// lag is by how much the control thread is late on average.
-	lag time.Duration
 	// good, suspect, near and missing are room for choosing a target.
 	good, suspect, near []*target
 	missing             []int
--- a/internal/balance/gate.go
+++ b/internal/balance/gate.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -17,19 +18,36 @@
 	gateLeast = 0.2
 	// gateTime is for how long a gate stays that has refused nothing.
 	gateTime = 500 * time.Millisecond
-	// smoothLag is the lag of the control thread up to which it keeps up: about
-	// a tick. Beyond, gates let in less in proportion.
-	smoothLag = tickTime
-	// lagWeight is the weight of the newest tick in the average lag.
-	lagWeight = 0.2
 	// negligibleFlow is an average of sends a tick that is none.
 	negligibleFlow = 0.01
+
+	// busyLimit is the part of the processor that a router uses at most before
+	// it keeps the organisation back that makes it send most: beyond, all that
+	// it does comes late, also what other routers tell it.
+	busyLimit = 0.8
+	// busyShare is the part of all sends from which that organisation is kept
+	// back: it is no use where many send a little.
+	busyShare = 0.5
+	// busyCut is what the number of requests let in is multiplied with each time
+	// that the processor is found busy, and busyRise the same where it is not:
+	// fast down, since queues grow meanwhile, and slowly up.
+	busyCut  = 0.8
+	busyRise = 1.05
+	// busyLeast is how many requests a tick and core it is let send all the same,
+	// at about a millisecond of the processor each an eighth of it: where refusals
+	// alone keep the processor busy, nothing would be left for its share.
+	busyLeast = 2.5
+	// busyTicks is the number of ticks between looks at the processor, lateTicks
+	// the number of ticks that they take where the processor is busy.
+	busyTicks = 5
+	lateTicks = 8
 )
 
 // gate bounds how many requests to engines a router reads of an organisation
-// that sends many times what engines take. The rest is refused from its first
-// bytes: a box of 0.2 cores that read and queued 900 requests a second to send
-// 30 of them was lost to the other routers for seconds, and sent none.
+// that sends many times what engines take, or what the router's processor can
+// do. The rest is refused from its first bytes: a box of 0.2 cores that read
+// and queued 900 requests a second to send 30 of them was lost to the other
+// routers for seconds, and sent none.
 type gate struct {
 	// left is how many may still come in until the next tick.
 	left atomic.Int64
@@ -44,6 +62,8 @@
 	pace float64
 	// crowded is the number refused since the last tick because too many waited.
 	crowded int
+	// most is how many requests a tick the processor allows.
+	most float64
 	// gate is nil as long as all may come in.
 	gate *gate
 	// credit is the part of a request that the gate may yet let in.
@@ -57,29 +77,43 @@
 func (s *State) flow(organisation string) *flow {
 	f := s.flows[organisation]
 	if f == nil {
-		f = &flow{}
+		f = &flow{most: math.Inf(1)}
 		s.flows[organisation] = f
 	}
 	return f
 }
 
+// SetBusy notes which part of its cores the router used lately, and keeps the
+// organisation back that makes it send most if that is too much.
+func (s *State) SetBusy(now time.Time, part, cores float64) {
+	total := 0.0
+	for _, f := range s.flows {
+		total += f.pace
+	}
+	for _, f := range s.flows {
+		switch {
+		case part <= busyLimit:
+			f.most = f.most*busyRise + gateLeast
+		case f.pace > total*busyShare:
+			f.most = max(min(f.most, f.pace)*busyCut, busyLeast*cores)
+			f.shut(now)
+		}
+	}
+}
+
 // gatesAt returns the gates that are to hold until the next tick, by
-// organisation; nil if there are none. The control thread is lag late.
-func (s *State) gatesAt(now time.Time, lag time.Duration) map[string]*gate {
-	s.lag += time.Duration(lagWeight * float64(lag-s.lag))
+// organisation; nil if there are none.
+func (s *State) gatesAt(now time.Time) map[string]*gate {
 	waiting := s.waitingOf()
 	var out map[string]*gate
 	for name, f := range s.flows {
 		f.pace += flowWeight * (float64(f.sent) - f.pace)
 		f.sent = 0
 		if f.crowded > 0 {
-			f.refused, f.crowded = now, 0
-			if f.gate == nil {
-				f.gate = &gate{}
-			}
+			f.shut(now)
 		}
 		if f.gate != nil {
-			f.turn(now, waiting[name], s.lag)
+			f.turn(now, waiting[name])
 		}
 		if f.gate == nil {
 			if f.pace < negligibleFlow {
@@ -95,22 +129,27 @@
 	return out
 }
 
+// shut sets up a gate, or keeps the one that is there.
+func (f *flow) shut(now time.Time) {
+	f.refused = now
+	f.crowded = 0
+	if f.gate == nil {
+		f.gate = &gate{}
+	}
+}
+
 // turn sets how many requests the gate lets in until the next tick, or takes it
 // away.
-func (f *flow) turn(now time.Time, waiting int, lag time.Duration) {
+func (f *flow) turn(now time.Time, waiting int) {
 	f.lately = int(f.gate.refused.Swap(0))
 	if f.lately > 0 {
 		f.refused = now
 	}
 	if now.Sub(f.refused) > gateTime {
-		f.gate, f.credit, f.lately = nil, 0, 0
+		f.gate, f.credit, f.lately, f.most = nil, 0, 0, math.Inf(1)
 		return
 	}
-	more := gateShare * f.pace
-	if lag > smoothLag {
-		more *= float64(smoothLag) / float64(lag)
-	}
-	f.credit += more + gateLeast
+	f.credit += min(gateShare*f.pace+gateLeast, f.most)
 	whole := int64(f.credit)
 	f.credit -= float64(whole)
 	left := max(f.gate.left.Load(), 0) + whole
--- a/internal/balance/gate_test.go
+++ b/internal/balance/gate_test.go
@@ -11,18 +11,19 @@
 
 // flood plays an organisation that sends perTick requests a tick to a router
 // for a while, and returns how many of them were read a tick at the end. An
-// engine ends every one that it gets within a tick, but takes few at a time.
-func flood(t *testing.T, perTick, slots, ticks int, lag time.Duration) float64 {
+// engine ends every one that it gets within a tick, but takes few at a time; each
+// request that is read costs a part of the processor's time for a tick.
+func flood(t *testing.T, perTick, slots, ticks int, cost float64) float64 {
 	t.Helper()
 	now := time.Unix(1000, 0)
 	s := New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
-	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: slots}}}})
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: slots, CacheTokens: 1_000_000}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Configure(table)
 	s.SetTargets(now, []Target{{ID: "e", Service: "llm", Zone: "z", Slots: slots + spareSlots}})
-	read, counted := 0, 0
+	read, counted, lately := 0, 0, 0
 	var running []*Ticket
 	var gates map[string]*gate
 	for tick := range ticks {
@@ -31,6 +32,7 @@
 				continue
 			}
 			read++
+			lately++
 			k := &Ticket{
 				ID: fmt.Sprint(tick, "-", i), Service: "llm", Organisation: "o", Engine: true, Input: 10, Goal: time.Second / 2,
 				Arrived: now, Deadline: now.Add(time.Second), Decision: make(chan Decision, 1),
@@ -49,7 +51,11 @@
 			s.Ended(now, k, Answered)
 		}
 		s.Tick(now)
-		gates = s.gatesAt(now, lag)
+		if tick%busyTicks == 0 {
+			s.SetBusy(now, float64(lately)/busyTicks*cost, 0.2)
+			lately = 0
+		}
+		gates = s.gatesAt(now)
 		if tick == ticks/2 {
 			read, counted = 0, tick
 		}
@@ -60,17 +66,18 @@
 func TestGate(t *testing.T) {
 	for name, c := range map[string]struct {
 		perTick, slots int
-		lag            time.Duration
+		cost           float64
 		least, most    float64
 	}{
-		"few are all read":                        {perTick: 2, slots: 4, least: 2, most: 2},
-		"more than engines take":                  {perTick: 40, slots: 2, least: 2, most: 8},
-		"many more than engines take":             {perTick: 400, slots: 2, least: 2, most: 8},
-		"more than a late control thread can do":  {perTick: 40, slots: 2, lag: 100 * time.Millisecond, least: 0.2, most: 3},
-		"a late control thread, few all the same": {perTick: 2, slots: 4, lag: 100 * time.Millisecond, least: 2, most: 2},
+		"few are all read":                    {perTick: 2, slots: 4, least: 2, most: 2},
+		"more than engines take":              {perTick: 40, slots: 2, least: 2, most: 8},
+		"many more than engines take":         {perTick: 400, slots: 2, least: 2, most: 8},
+		"more than the processor does":        {perTick: 40, slots: 500, cost: 0.1, least: 6, most: 9},
+		"as many as the processor does":       {perTick: 7, slots: 500, cost: 0.1, least: 7, most: 7},
+		"more than the processor and engines": {perTick: 400, slots: 2, cost: 0.1, least: 2, most: 8},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := flood(t, c.perTick, c.slots, 200, c.lag); got < c.least || got > c.most {
+			if got := flood(t, c.perTick, c.slots, 400, c.cost); got < c.least || got > c.most {
 				t.Errorf("%g requests read a tick, want %g to %g", got, c.least, c.most)
 			}
 		})
@@ -81,11 +88,11 @@
 	now := time.Unix(1000, 0)
 	f := &flow{gate: &gate{}, refused: now}
 	f.gate.crowds()
-	f.turn(now, 0, 0)
+	f.turn(now, 0)
 	if f.lately != 1 || f.gate == nil {
 		t.Fatalf("%d refused lately, gate %v", f.lately, f.gate)
 	}
-	f.turn(now.Add(gateTime+1), 0, 0)
+	f.turn(now.Add(gateTime+1), 0)
 	if f.gate != nil {
 		t.Error("the gate stays although it refuses nothing")
 	}
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -22,6 +22,43 @@
 	state  *State
 	events chan Event
 	gates  atomic.Pointer[map[string]*gate]
+	meter  meter
+}
+
+// meter looks at which part of the processor the router uses.
+type meter struct {
+	// used returns the processor time used since the start; nil if nobody can
+	// tell. cores is the number of cores that the router may use.
+	used  func() time.Duration
+	cores float64
+	ticks int
+	at    time.Time
+	last  time.Duration
+}
+
+// look tells the state once in busyTicks. Where ticks come late the process waits
+// for the processor, whatever it was charged for.
+func (m *meter) look(now time.Time, s *State) {
+	m.ticks++
+	if m.used == nil || m.cores <= 0 || m.ticks%busyTicks != 0 {
+		return
+	}
+	used := m.used()
+	passed := now.Sub(m.at)
+	switch {
+	case m.at.IsZero() || passed <= 0:
+	case passed > lateTicks*tickTime:
+		s.SetBusy(now, 1, m.cores)
+	default:
+		s.SetBusy(now, (used-m.last).Seconds()/(passed.Seconds()*m.cores), m.cores)
+	}
+	m.at, m.last = now, used
+}
+
+// Meter makes the loop watch how much of a number of cores the router uses; used
+// returns the processor time used since the start. Call it before Run.
+func (l *Loop) Meter(used func() time.Duration, cores float64) {
+	l.meter.used, l.meter.cores = used, cores
 }
 
 // NewLoop returns a loop that Run must drive.
@@ -33,7 +70,6 @@
 func (l *Loop) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickTime)
 	defer ticker.Stop()
-	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -43,8 +79,8 @@
 		case <-ticker.C:
 			now := time.Now()
 			l.state.Tick(now)
-			l.publish(l.state.gatesAt(now, now.Sub(last)-tickTime))
-			last = now
+			l.meter.look(now, l.state)
+			l.publish(l.state.gatesAt(now))
 		}
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -188,6 +188,8 @@
 	// source is the engine from which the target can fetch parts.
 	source  balance.Target
 	verdict Verdict
+	// answers is set once the target of the last send has begun to answer.
+	answers bool
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// last is the id of the last event passed on.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -53,6 +53,7 @@
 		return x.sendFailed(ctx, err)
 	}
 	x.verdict.Sends++
+	x.answers = false
 	f := x.receive(answer, watch)
 	answer.Close()
 	if f == nil {
@@ -98,11 +99,18 @@
 	x.loop.Post(func(s *balance.State, now time.Time) { s.Ended(now, t, how) })
 }
 
+// begun notes that a piece of the answer has come. The control thread hears of
+// the first one of each send: a message for each event of a stream would wake it
+// thousands of times a second.
 func (x *run) begun() {
 	if x.verdict.First == 0 {
 		x.verdict.First = time.Since(x.Arrived)
 	}
 	x.ticket.Heard.Store(time.Since(x.ticket.Arrived).Nanoseconds())
+	if x.answers {
+		return
+	}
+	x.answers = true
 	t := x.ticket
 	x.loop.Post(func(s *balance.State, now time.Time) { s.Begun(now, t) })
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -99,6 +99,7 @@
 const fromStore = "store"
 
 func (g *Gateway) setConfig(s *balance.State, revision int64, value []byte, from string) {
+	began := time.Now()
 	changed, err := g.catalog.SetConfig(revision, value)
 	if err != nil {
 		g.Log.Error(err, "configuration ignored", "from", from)
@@ -110,7 +111,8 @@
 	t := g.catalog.Table()
 	s.Configure(t)
 	g.server.Configure(t)
-	g.Log.Info("configuration in force", "version", t.Version(), "revision", revision, "from", from)
+	g.Log.Info("configuration in force", "version", t.Version(), "revision", revision, "from", from,
+		"bytes", len(value), "took_ms", time.Since(began).Milliseconds())
 	g.tellAll(s, time.Now())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/metrics"
 )
 
 const (
@@ -122,6 +123,7 @@
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.Notify(g.tellLoad)
 	g.loop = balance.NewLoop(state)
+	g.loop.Meter(metrics.ProcessorTime, o.Capacity)
 	g.transport = httptarget.New(g.group)
 	forwarder := forward.New(o.Dialect, g.transport, g.loop, o.Log, o.Metrics)
 	g.server = ingress.New(o.Dialect, forwarder, g.observer(), ingress.Limits{
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -57,7 +57,7 @@
 		g.tell(r, now, others)
 	} else if r.Serving() {
 		others = g.serving(others)
-		g.send(g.describe(r), others)
+		g.peers.SendAll(others, g.describe(r))
 	}
 	return max(reportPeriod, periodPerPeer*time.Duration(len(g.serving(others))))
 }
@@ -75,25 +75,22 @@
 	brief := full
 	brief.Loads, brief.Usage, brief.Kept = nil, nil, nil
 	known := map[string]bool{g.members.Self().Peer: true}
+	var serving, rest []member.Member
 	for _, to := range others {
 		known[to.Peer] = true
-		m := brief
 		if g.status[to.ID].Serving {
-			m = full
+			serving = append(serving, to)
+			continue
 		}
-		g.peers.Send(to, m)
+		rest = append(rest, to)
 	}
 	for _, address := range g.Seeds {
 		if !known[address] {
-			g.peers.Send(member.Member{Peer: address}, brief)
+			rest = append(rest, member.Member{Peer: address})
 		}
 	}
-}
-
-func (g *Gateway) send(m message.Message, to []member.Member) {
-	for _, other := range to {
-		g.peers.Send(other, m)
-	}
+	g.peers.SendAll(serving, full)
+	g.peers.SendAll(rest, brief)
 }
 
 // serving returns those of a list of routers that serve callers.
@@ -138,5 +135,5 @@
 // tellLoad tells the serving routers at once what own requests put on a target.
 func (g *Gateway) tellLoad(target string, l view.Load) {
 	m := message.Loads{Loads: []message.TargetLoad{targetLoad(target, l)}}
-	g.send(m, g.serving(g.members.Others(time.Now())))
+	g.peers.SendAll(g.serving(g.members.Others(time.Now())), m)
 }
--- a/internal/metrics/process.go
+++ b/internal/metrics/process.go
@@ -20,12 +20,19 @@
 
 // ReadProcess asks the system.
 func ReadProcess() Process {
-	p := Process{ResidentBytes: resident(), Goroutines: runtime.NumGoroutine()}
+	return Process{
+		CPUSeconds: ProcessorTime().Seconds(), ResidentBytes: resident(), Goroutines: runtime.NumGoroutine(),
+	}
+}
+
+// ProcessorTime returns the processor time that the process used so far, user
+// and system; 0 where the system does not tell.
+func ProcessorTime() time.Duration {
 	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
-		p.CPUSeconds = (time.Duration(usage.Utime.Nano()) + time.Duration(usage.Stime.Nano())).Seconds()
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
 	}
-	return p
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // resident returns the resident set size, 0 where the system does not tell.
