Learn the pace from requests' own tokens, and its error as a part of it

What is unread before a request is known late and in part; fitted on it together with the request's own tokens, the time per token came out at half of what it is, and where the queue is long the usual error, a constant time, was far too small: requests were sent to come just too late. Change: the time per token is learnt from requests' own tokens, after the time that those before are taken to need; the usual error is a part of the time predicted, and a place is in time only if it is with that error; long prompts weigh less in the fit.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -43,8 +43,9 @@
 	// fetched the number that it would fetch from source instead.
 	read, fetched int
 	work          pace.Work
-	// first is when the first event is expected, after the request is sent.
-	first time.Duration
+	// first is when the first event is expected, after the request is sent, and
+	// safe when it has probably come.
+	first, safe time.Duration
 	// source is nil if no other engine keeps more of the prompt.
 	source *target
 }
@@ -71,6 +72,7 @@
 		p := k.placeAt(c, s.missing[i], own)
 		p.work = pace.Work{Ahead: s.ahead(now, c, model), Own: p.read}
 		p.first = model.Predict(p.work)
+		p.safe = p.first + time.Duration(model.Error()*float64(p.first))
 		away := c != k.home && p.read+p.fetched > own
 		if over && away || !s.fits(now, c, t) || !r.holds(p, model) {
 			continue
@@ -92,7 +94,7 @@
 	if !home {
 		price += awayPrice
 	}
-	if p.first > r.left {
+	if p.safe > r.left {
 		price += latePrice
 	}
 	return price
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -41,7 +41,7 @@
 	if goal <= 0 {
 		goal = defaultGoal
 	}
-	r := room{backlog: goal * roomShare / 100, left: t.Goal - now.Sub(t.Arrived) - s.pace(t.Service).Error()}
+	r := room{backlog: goal * roomShare / 100, left: t.Goal - now.Sub(t.Arrived)}
 	switch {
 	case t.Resumes:
 		r.backlog *= 2
@@ -57,7 +57,7 @@
 // than half of it: a long one must run somewhere, and would never find room
 // beside short ones that keep the engine reading.
 func (r room) holds(p place, m *pace.Model) bool {
-	if r.timely && p.first <= r.left {
+	if r.timely && p.safe <= r.left {
 		return true
 	}
 	return m.Reading(p.work.Ahead)+min(m.Reading(p.read), r.backlog/2) <= r.backlog
--- a/internal/balance/room_test.go
+++ b/internal/balance/room_test.go
@@ -21,7 +21,7 @@
 // learn runs requests whose first events take a fixed time and a time per 1,000
 // tokens to read.
 func (w *world) learn(fixed, perThousand time.Duration) {
-	for i := range 200 {
+	for i := range 600 {
 		t := w.unshared("learning", 100+i%20*300)
 		t.Stream = true
 		Expect(w.arrive(t)).NotTo(BeNil())
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -25,12 +25,15 @@
 	// most of its weight.
 	memory = 400
 	// trust is how many observations the first guess is worth.
-	trust = 5
+	trust = 2
 	// unusual is from how many times the usual error on an observation counts
 	// only in part: one slow engine must not make all look slow.
 	unusual = 3
 	// errorWeight is the weight of the newest error in the usual one.
 	errorWeight = 0.02
+	// firstError is the usual error assumed at the start, as a part of the time
+	// predicted.
+	firstError = 1
 )
 
 // first is what is assumed before anything is known, in milliseconds, per 1,000
@@ -38,9 +41,6 @@
 // millisecond, of which this is the slower end.
 var first = coefficients{50, 25, 0}
 
-// firstError is the usual error assumed at the start.
-const firstError = 100 * time.Millisecond
-
 type coefficients [terms]float64
 
 // Model is what is known of a service's engines. Use New to make one.
@@ -50,43 +50,44 @@
 	// fit.
 	products [terms]coefficients
 	sums     coefficients
-	usual    float64
+	// usual is the usual error, as a part of the time predicted.
+	usual float64
 }
 
 // New returns a model that knows only a cautious first guess.
-func New() *Model {
-	return &Model{now: first, usual: milliseconds(firstError)}
-}
+func New() *Model { return &Model{now: first, usual: firstError} }
 
 // Predict returns the time to the first event of a request.
-func (m *Model) Predict(w Work) time.Duration {
-	return time.Duration(m.predict(features(w)) * float64(time.Millisecond))
-}
+func (m *Model) Predict(w Work) time.Duration { return duration(m.predict(features(w))) }
 
 // Error returns the usual difference between the time predicted and the time
-// taken.
-func (m *Model) Error() time.Duration {
-	return time.Duration(m.usual * float64(time.Millisecond))
-}
+// taken, as a part of the former.
+func (m *Model) Error() float64 { return m.usual }
 
 // Reading returns the time in which an engine reads a number of tokens, beside
 // what else it does.
-func (m *Model) Reading(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / 1000 * m.now[1] * float64(time.Millisecond))
-}
+func (m *Model) Reading(tokens int) time.Duration { return duration(float64(tokens) / 1000 * m.now[1]) }
 
-// Observe takes in how long the first event of a request took.
+// Observe takes in how long the first event of a request took. What is unread
+// before a request is known late and in part, what is its own is known well, and
+// an engine reads both alike: so the time per token is learnt from requests' own
+// tokens, after the time that those before it are taken to need. Learnt from
+// both, it came out at half of what it is.
 func (m *Model) Observe(w Work, took time.Duration) {
-	x := features(w)
-	expected := m.predict(x)
+	expected := m.predict(features(w))
 	miss := milliseconds(took) - expected
-	m.usual += errorWeight * (min(math.Abs(miss), unusual*m.usual) - m.usual)
-	y := expected + min(max(miss, -unusual*m.usual), unusual*m.usual)
+	limit := unusual * m.usual * expected
+	m.usual += errorWeight * (min(math.Abs(miss), limit)/expected - m.usual)
+	x := features(Work{Own: w.Own})
+	y := m.predict(x) + min(max(miss, -limit), limit)
+	// Errors grow with the time, and so long prompts count less.
+	weight := min(m.now[0]/expected, 1)
+	weight *= weight
 	for i := range terms {
 		for j := range terms {
-			m.products[i][j] = m.products[i][j]*(1-1.0/memory) + x[i]*x[j]
+			m.products[i][j] = m.products[i][j]*(1-1.0/memory) + weight*x[i]*x[j]
 		}
-		m.sums[i] = m.sums[i]*(1-1.0/memory) + x[i]*y
+		m.sums[i] = m.sums[i]*(1-1.0/memory) + weight*x[i]*y
 	}
 	m.fit()
 }
@@ -144,4 +145,6 @@
 	return coefficients{1, float64(w.Ahead)/1000 + own, own * own}
 }
 
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -95,23 +95,47 @@
 		}
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		m := pace.New()
-		var works []pace.Work
+		var seen []observation
 		for range rapid.IntRange(1, 60).Draw(t, "requests") {
-			w := pace.Work{Ahead: r.IntN(3000), Own: 1 + r.IntN(4000)}
-			works = append(works, w)
+			w := pace.Work{Own: 1 + r.IntN(4000)}
+			weight := float64(m.Predict(pace.Work{})) / float64(m.Predict(w))
+			seen = append(seen, observation{w, weight * weight})
 			m.Observe(w, e.first(w))
 		}
-		w := pace.Work{Ahead: 1000, Own: 2000}
-		got, want := m.Predict(w), descend(works, e, w)
+		w := pace.Work{Own: 2000}
+		got, want := m.Predict(w), descend(seen, e, w)
 		if math.Abs(float64(got-want)) > 0.01*float64(want) {
 			t.Fatalf("predicted %v, over the whole history %v", got, want)
 		}
 	})
 }
 
+// observation is a request that was observed and how much it counts.
+type observation struct {
+	pace.Work
+	weight float64
+}
+
+// TestUnreadBeforeIsKnownInPart plays engines of whose unread tokens a router
+// knows a random part.
+func TestUnreadBeforeIsKnownInPart(t *testing.T) {
+	m := pace.New()
+	r := rand.New(rand.NewPCG(6, 7))
+	e := engine{50, 11, 0.08}
+	for range 3000 {
+		w := draw(r)
+		took := e.first(w)
+		w.Ahead = int(float64(w.Ahead) * r.Float64())
+		m.Observe(w, took)
+	}
+	if got := m.Reading(1000); got < 9*time.Millisecond || got > 13*time.Millisecond {
+		t.Errorf("1,000 tokens are read in 11ms, predicted %v", got)
+	}
+}
+
 // descend minimises the weighted squares of what the works took by going along
 // one coefficient after the other.
-func descend(works []pace.Work, e engine, at pace.Work) time.Duration {
+func descend(seen []observation, e engine, at pace.Work) time.Duration {
 	feature := func(w pace.Work) [3]float64 {
 		own := float64(w.Own) / 1000
 		return [3]float64{1, float64(w.Ahead)/1000 + own, own * own}
@@ -120,12 +144,13 @@
 	c := guess
 	for range 5000 {
 		for k := range c {
-			// Each guess counts as five observations of its coefficient alone.
-			up, down := 5*guess[k], 5.0
-			weight := 1.0
-			for i := len(works) - 1; i >= 0; i-- {
-				x := feature(works[i])
-				rest := float64(e.first(works[i])) / float64(time.Millisecond)
+			// Each guess counts as two observations of its coefficient alone.
+			up, down := 2*guess[k], 2.0
+			age := 1.0
+			for i := len(seen) - 1; i >= 0; i-- {
+				x := feature(seen[i].Work)
+				rest := float64(e.first(seen[i].Work)) / float64(time.Millisecond)
+				weight := age * seen[i].weight
 				for j := range c {
 					if j != k {
 						rest -= c[j] * x[j]
@@ -133,7 +158,7 @@
 				}
 				up += weight * x[k] * rest
 				down += weight * x[k] * x[k]
-				weight *= 1 - 1.0/400
+				age *= 1 - 1.0/400
 			}
 			c[k] = up / down
 		}
