Know the fleet by a few pings a second instead of a stream to every router

Cause: 295 routers each kept a gRPC stream to and from every other and told all 294 others in turn. Before traffic was over they took 15.2 GB (54 MB of private memory each, 85 KB for each other router); a heartbeat came every 2.94 s where a router counts as down after 1.5 s, so that all were lost and found again all the time, each time with a greeting; each change of configuration made every router tell all others, 86,000 messages. Change: package roster, a state machine. Each router pings four others a second, three of its own zone; who does not answer twice is suspected, and gone after 1.5 s unless it denies that. What is new goes to six others, once, who do the same; a digest in each ping shows who missed something. Datagrams carry all that fits; streams are left to reports among serving routers and to large copies, and are closed after 10 s without use. Configuration and targets are told the same way, with the revisions in each message. The gateway's test of reports spoke Status between routers that do not serve; it now speaks pings and checks the same.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -52,6 +52,8 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_NeedCopy{NeedCopy: &peerpb.NeedCopy{
 			Config: m.Config, Targets: m.Targets,
 		}}}
+	case message.Ping:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Ping{Ping: encodePing(m)}}
 	}
 	return nil
 }
@@ -114,6 +116,8 @@
 		return message.Loads{Loads: decodeLoads(b.Loads.GetLoads())}
 	case *peerpb.Envelope_Copy:
 		return decodeCopy(b.Copy)
+	case *peerpb.Envelope_Ping:
+		return decodePing(b.Ping)
 	case *peerpb.Envelope_NeedCopy:
 		return message.NeedCopy{Config: b.NeedCopy.GetConfig(), Targets: b.NeedCopy.GetTargets()}
 	}
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -1,6 +1,8 @@
-// Package peer carries messages between routers over gRPC: one stream from
-// each router to each other, in order, dialled when the first message is
-// sent. A message that cannot be sent is dropped and counted, never kept.
+// Package peer carries messages between routers: over gRPC, a stream from each
+// router to each other that it has something to tell, in order, dialled when the
+// first message is sent and closed when there have been none for a while; and, for
+// small ones that may be lost, as datagrams. A message that cannot be sent is
+// dropped and counted, never kept.
 package peer
 
 import (
@@ -44,8 +46,14 @@
 	// retransmission.
 	dialTimeout    = time.Second
 	unackedTimeout = time.Second
+	// idleTime is after how long without messages a stream is closed: one takes
+	// some 85 KB at both ends together.
+	idleTime = 10 * time.Second
 )
 
+// errIdle means that a stream has carried nothing for a while.
+var errIdle = errors.New("stream is idle")
+
 // Receiver is called with each message that comes in.
 type Receiver func(from member.Member, m message.Message)
 
@@ -116,6 +124,8 @@
 		t.dropped.Add(1)
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	select {
 	case t.link(to.Peer).queue <- e:
 	default:
@@ -123,9 +133,8 @@
 	}
 }
 
+// link returns the link to an address; t.mu is locked.
 func (t *Transport) link(address string) *link {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	l := t.links[address]
 	if l == nil {
 		l = &link{address: address, queue: make(chan *peerpb.Envelope, backlog)}
@@ -139,7 +148,7 @@
 func (t *Transport) run(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
 		err := t.stream(ctx, l)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errIdle) {
 			return
 		}
 		t.log.V(1).Info("stream to router ended", "peer", l.address, "cause", err.Error())
@@ -195,11 +204,20 @@
 }
 
 func (t *Transport) pump(stream peerpb.Peer_ExchangeClient, l *link) error {
+	idle := time.NewTicker(idleTime)
+	defer idle.Stop()
+	used := true
 	for {
 		select {
+		case <-idle.C:
+			if !used && t.forget(l) {
+				return errIdle
+			}
+			used = false
 		case <-stream.Context().Done():
 			return errors.Wrapf(stream.Context().Err(), "stream to %s", l.address)
 		case e := <-l.queue:
+			used = true
 			if t.isCut(l.address) {
 				t.dropped.Add(1)
 				continue
@@ -212,6 +230,17 @@
 	}
 }
 
+// forget takes a link out unless there is something to send.
+func (t *Transport) forget(l *link) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(l.queue) > 0 {
+		return false
+	}
+	delete(t.links, l.address)
+	return true
+}
+
 func (t *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout)}
 	conn, err := d.DialContext(ctx, "tcp", address)
@@ -271,10 +300,7 @@
 			t.dropped.Add(1)
 			continue
 		}
-		switch r := m.(type) {
-		case message.Report:
-			from.Leaving = r.Leaving
-		case message.Status:
+		if r, ok := m.(message.Report); ok {
 			from.Leaving = r.Leaving
 		}
 		t.receive(from, m)
--- /dev/null
+++ b/internal/adapter/peer/ping.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"github.com/stepcroft/stepcroft/internal/adapter/peer/peerpb"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+func encodePing(m message.Ping) *peerpb.Ping {
+	out := &peerpb.Ping{
+		From: encodeRecord(m.From), Kind: uint32(m.Kind), Config: m.Config, Targets: m.Targets,
+		Digest: m.Digest, WantAll: m.WantAll,
+	}
+	for _, r := range m.Records {
+		out.Records = append(out.Records, encodeRecord(r))
+	}
+	return out
+}
+
+func decodePing(m *peerpb.Ping) message.Ping {
+	out := message.Ping{
+		From: decodeRecord(m.GetFrom()), Kind: message.PingKind(m.GetKind()), Config: m.GetConfig(), Targets: m.GetTargets(),
+		Digest: m.GetDigest(), WantAll: m.GetWantAll(),
+	}
+	for _, r := range m.GetRecords() {
+		out.Records = append(out.Records, decodeRecord(r))
+	}
+	return out
+}
+
+func encodeRecord(r message.RouterRecord) *peerpb.RouterRecord {
+	return &peerpb.RouterRecord{
+		Id: string(r.ID), Zone: r.Zone, Address: r.Address, Peer: r.Peer,
+		Incarnation: r.Incarnation, Version: r.Version, Belief: uint32(r.Belief),
+		Ready: r.Ready, Leaving: r.Leaving, Serving: r.Serving, StoreTrouble: r.StoreTrouble, Capacity: float32(r.Capacity),
+	}
+}
+
+func decodeRecord(r *peerpb.RouterRecord) message.RouterRecord {
+	return message.RouterRecord{
+		ID: message.RouterID(r.GetId()), Zone: r.GetZone(), Address: r.GetAddress(), Peer: r.GetPeer(),
+		Incarnation: r.GetIncarnation(), Version: r.GetVersion(), Belief: message.Belief(r.GetBelief()),
+		Ready: r.GetReady(), Leaving: r.GetLeaving(), Serving: r.GetServing(), StoreTrouble: r.GetStoreTrouble(),
+		Capacity: float64(r.GetCapacity()),
+	}
+}
--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -8,11 +8,7 @@
 )
 
 func encodeStatus(m message.Status) *peerpb.Status {
-	out := &peerpb.Status{
-		Ready: m.Ready, Leaving: m.Leaving, Config: m.Config, Targets: m.Targets,
-		Capacity: float32(m.Capacity), StoreTrouble: m.StoreTrouble, Serving: m.Serving,
-	}
-	out.Loads = encodeLoads(m.Loads)
+	out := &peerpb.Status{Config: m.Config, Targets: m.Targets, Loads: encodeLoads(m.Loads)}
 	for _, k := range m.Kept {
 		out.Kept = append(out.Kept, &peerpb.TargetParts{Target: k.Target, Parts: k.Parts})
 	}
@@ -25,11 +21,7 @@
 }
 
 func decodeStatus(m *peerpb.Status) message.Status {
-	out := message.Status{
-		Ready: m.GetReady(), Leaving: m.GetLeaving(), Config: m.GetConfig(), Targets: m.GetTargets(),
-		Capacity: float64(m.GetCapacity()), StoreTrouble: m.GetStoreTrouble(), Serving: m.GetServing(),
-	}
-	out.Loads = decodeLoads(m.GetLoads())
+	out := message.Status{Config: m.GetConfig(), Targets: m.GetTargets(), Loads: decodeLoads(m.GetLoads())}
 	for _, k := range m.GetKept() {
 		out.Kept = append(out.Kept, message.TargetParts{Target: k.GetTarget(), Parts: k.GetParts()})
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -103,8 +103,10 @@
 	shares     shares
 	// others is what other routers reported.
 	others *view.View
-	level  level
-	budget budget
+	// running is the number of other routers that are believed to be running.
+	running int
+	level   level
+	budget  budget
 	// flows has the organisations whose requests are sent to engines.
 	flows map[string]*flow
 	// good, suspect, near and missing are room for choosing a target.
@@ -180,7 +182,7 @@
 // Again takes in a request that is to be sent once more. It returns false if
 // the retry budget is spent; the ticket then gets no decision.
 func (s *State) Again(now time.Time, t *Ticket) bool {
-	if !s.budget.allow(now, t.Service, s.limits, s.others.Routers()+1) {
+	if !s.budget.allow(now, t.Service, s.limits, s.routers()) {
 		return false
 	}
 	s.budget.repeat(now, t.Service)
@@ -199,7 +201,7 @@
 	if t.at == nil || now.Sub(t.Arrived)-time.Duration(t.Heard.Load()) < silent {
 		return false
 	}
-	if !s.budget.allow(now, t.Service, s.limits, s.others.Routers()+1) {
+	if !s.budget.allow(now, t.Service, s.limits, s.routers()) {
 		return false
 	}
 	return slices.ContainsFunc(s.services[t.Service], func(c *target) bool {
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -28,10 +28,15 @@
 // large reports whether others should know at once of a request that makes a
 // target read so many tokens.
 func (s *State) large(tokens int) bool {
-	routers := s.others.Routers() + 1
-	return tokens >= notifyTokens*max(routers, notifyRouters)/notifyRouters
+	return tokens >= notifyTokens*max(s.routers(), notifyRouters)/notifyRouters
 }
 
+// SetOthers says how many other routers are believed to be running.
+func (s *State) SetOthers(n int) { s.running = n }
+
+// routers returns the number of routers in the fleet.
+func (s *State) routers() int { return max(s.running, s.others.Routers()) + 1 }
+
 // SetReportPeriod says how much time is between a router's reports.
 func (s *State) SetReportPeriod(d time.Duration) { s.others.SetPeriod(d) }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -17,27 +17,15 @@
 // Everything in this file but the posting methods runs in the control
 // goroutine.
 
-// expire forgets what is too old to be of use.
-func (g *Gateway) expire(s *balance.State, now time.Time) {
-	for id := range g.status {
-		if !g.members.Alive(id, now) {
-			g.Log.Info("router lost", "router", id)
-			delete(g.status, id)
-		}
-	}
-	if g.catalog.Expire(now) {
-		s.SetTargets(now, g.catalog.Targets())
-	}
-}
-
 // receive takes in a message of another router; it is called by the peer
-// transport.
+// transports.
 func (g *Gateway) receive(from member.Member, m message.Message) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		if !g.members.Heard(from, now) {
-			return
-		}
 		switch m := m.(type) {
+		case message.Ping:
+			g.send(g.roster.Take(now, m))
+			g.catchUp(now, from, m.Config, m.Targets)
+			return
 		case message.Status:
 			g.heardStatus(s, now, from, m)
 		case message.Loads:
@@ -45,21 +33,15 @@
 				s.HeardLoad(now, string(from.ID), l.Target, loadOf(l))
 			}
 		case message.NeedCopy:
-			g.peers.Send(from, g.catalog.Copy(now, m))
+			g.tell(from, g.catalog.Copy(now, m))
 		case message.Copy:
 			g.takeCopy(s, now, from, m)
 		}
+		g.roster.Heard(now, from.ID)
 	})
 }
 
 func (g *Gateway) heardStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
-	if _, ok := g.status[from.ID]; !ok {
-		g.Log.Info("router found", "router", from.ID, "peer", from.Peer)
-		brief := g.describe(view.Report{})
-		brief.Serving = g.reporter.serving
-		g.peers.Send(from, brief)
-	}
-	g.status[from.ID] = m
 	r := view.Report{
 		Loads: make(map[string]view.Load, len(m.Loads)),
 		Usage: make(map[string]view.Usage, len(m.Usage)),
@@ -75,10 +57,15 @@
 		r.Usage[u.Organisation] = view.Usage{Asked: u.Asked, Begun: u.Begun, Waiting: u.Waiting}
 	}
 	s.Heard(now, string(from.ID), r)
-	behind := m.Config > g.catalog.ConfigRevision() || m.Targets > g.catalog.Revision()
+	g.catchUp(now, from, m.Config, m.Targets)
+}
+
+// catchUp asks a router for what it has newer of the store.
+func (g *Gateway) catchUp(now time.Time, from member.Member, revision, targets int64) {
+	behind := revision > g.catalog.ConfigRevision() || targets > g.catalog.Revision()
 	if behind && now.Sub(g.asked) >= copyPause {
 		g.asked = now
-		g.peers.Send(from, message.NeedCopy{Config: g.catalog.ConfigRevision(), Targets: g.catalog.Revision()})
+		g.tell(from, message.NeedCopy{Config: g.catalog.ConfigRevision(), Targets: g.catalog.Revision()})
 	}
 }
 
@@ -113,7 +100,7 @@
 	g.server.Configure(t)
 	g.Log.Info("configuration in force", "version", t.Version(), "revision", revision, "from", from,
 		"bytes", len(value), "took_ms", time.Since(began).Milliseconds())
-	g.tellAll(s, time.Now())
+	g.spread(time.Now())
 }
 
 // SetConfig takes over a configuration from the store.
@@ -137,9 +124,8 @@
 	})
 }
 
-// targetsChanged puts a changed list of targets in force. Only who has it from
-// the store tells all others at once; whom it does not reach hears of it with
-// somebody's next heartbeat.
+// targetsChanged puts a changed list of targets in force and passes on that there
+// is one.
 func (g *Gateway) targetsChanged(s *balance.State, now time.Time, changed bool, err error, from string) {
 	if err != nil {
 		g.Log.Error(err, "target ignored", "from", from)
@@ -156,21 +142,12 @@
 	}
 	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving, "from", from)
 	s.SetTargets(now, list)
-	if from == fromStore {
-		g.tellAll(s, now)
-	}
+	g.spread(now)
 }
 
 // SetRouters takes over the store's list of routers.
 func (g *Gateway) SetRouters(list []config.Box) {
-	g.loop.Post(func(s *balance.State, now time.Time) {
-		known := len(g.members.Others(now))
-		g.members.Listed(list)
-		if len(g.members.Others(now)) > known {
-			// They hear of this router at once, and answer with what they know.
-			g.tellAll(s, now)
-		}
-	})
+	g.loop.Post(func(_ *balance.State, now time.Time) { g.roster.Listed(now, list) })
 }
 
 const (
@@ -187,20 +164,21 @@
 // the large routers of that zone that can serve, small ones if there are too
 // few of these, or one elsewhere if there is only one.
 func (g *Gateway) Addresses(ctx context.Context, zone string) []string {
-	var near, far []member.Member
+	var near, far []message.RouterRecord
 	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
-		for _, m := range g.members.Live(now) {
-			if !g.canServe(m) {
+		g.say()
+		for _, r := range g.roster.Live(now) {
+			if !r.Ready || r.Belief != message.Alive {
 				continue
 			}
-			if m.Zone == zone {
-				near = append(near, m)
+			if r.Zone == zone {
+				near = append(near, r)
 				continue
 			}
-			far = append(far, m)
+			far = append(far, r)
 		}
-		near = g.large(near)
-		far = g.large(far)
+		near = large(near)
+		far = large(far)
 	})
 	if len(near) == 0 {
 		near, far = far, nil
@@ -217,27 +195,12 @@
 
 // large returns the routers with a large part of the greatest capacity among
 // them, and others as long as there are fewer than minNear.
-func (g *Gateway) large(list []member.Member) []member.Member {
-	slices.SortStableFunc(list, func(a, b member.Member) int { return cmp.Compare(g.capacity(b), g.capacity(a)) })
-	for i, m := range list {
-		if i >= minNear && g.capacity(m)*100 < g.capacity(list[0])*smallShare {
+func large(list []message.RouterRecord) []message.RouterRecord {
+	slices.SortStableFunc(list, func(a, b message.RouterRecord) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	for i, r := range list {
+		if i >= minNear && r.Capacity*100 < list[0].Capacity*smallShare {
 			return list[:i]
 		}
 	}
 	return list
 }
-
-func (g *Gateway) capacity(m member.Member) float64 {
-	if m.ID == g.members.Self().ID {
-		return g.Capacity
-	}
-	return g.status[m.ID].Capacity
-}
-
-func (g *Gateway) canServe(m member.Member) bool {
-	if m.ID == g.members.Self().ID {
-		return g.server.Ready()
-	}
-	status := g.status[m.ID]
-	return status.Ready && !status.Leaving
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,12 +23,10 @@
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
+	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
 const (
-	// memberTimeout is after how long a silent router counts as down: several
-	// heartbeats, since links lose packets.
-	memberTimeout = 1500 * time.Millisecond
 	// sweepPeriod is the time between looks for old unused connections.
 	sweepPeriod = time.Second
 	// defaultRequests and defaultConnections bound what is taken on at a time
@@ -75,8 +73,7 @@
 	known     member.Member
 	loop      *balance.Loop
 	catalog   *catalog.Catalog
-	members   *member.Table
-	status    map[message.RouterID]message.Status
+	roster    *roster.Roster
 	reporter  reporter
 	started   time.Time
 	settle    time.Duration
@@ -84,6 +81,8 @@
 	transport *httptarget.Transport
 	server    *ingress.Server
 	peers     *peer.Transport
+	datagrams *peer.Datagrams
+	leaving   bool
 	// trouble is since when calls to the store fail, zero while they work.
 	trouble time.Time
 }
@@ -100,17 +99,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for callers on %s", o.Listen)
 	}
-	others, err := net.Listen("tcp", o.PeerListen)
+	others, datagrams, err := peer.Listen(o.PeerListen)
 	if err != nil {
 		_ = callers.Close()
 		return nil, errors.Wrapf(err, "listen for routers on %s", o.PeerListen)
 	}
-	g := &Gateway{
-		Options: o,
-		group:   group.New(ctx),
-		catalog: catalog.New(o.Codec),
-		status:  map[message.RouterID]message.Status{},
-	}
+	g := &Gateway{Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec)}
 	now := time.Now()
 	g.started, g.settle = now, settles()
 	self := member.Member{
@@ -118,8 +112,10 @@
 		Peer: cmp.Or(o.PeerAdvertise, others.Addr().String()), Incarnation: o.Incarnation,
 	}
 	g.known = self
-	g.members = member.New(self, memberTimeout, now)
 	random := rand.New(rand.NewPCG(o.Incarnation, uint64(now.UnixNano())))
+	g.roster = roster.New(now, message.RouterRecord{
+		ID: self.ID, Zone: self.Zone, Address: self.Address, Peer: self.Peer, Incarnation: self.Incarnation,
+	}, o.Seeds, random)
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.Notify(g.tellLoad)
 	g.loop = balance.NewLoop(state)
@@ -131,9 +127,10 @@
 		Connections: cmp.Or(o.Callers.Connections, defaultConnections),
 	}, o.Log)
 	g.peers = peer.New(g.group.Context(), self, others, g.receive, o.Log)
+	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
 	o.Metrics.watch(g)
 	g.group.GoContext(g.loop.Run)
-	g.group.GoContext(g.reports)
+	g.group.GoContext(g.beats)
 	g.group.GoContext(g.sweep)
 	g.group.Go(func() { g.serve(callers) })
 	return g, nil
@@ -186,9 +183,9 @@
 	began := time.Now()
 	g.Log.Info("planned stop begins", "open", g.server.Open(), "limit_ms", limit.Milliseconds())
 	g.server.Leave()
-	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.members.Leave()
-		g.tellAll(s, now)
+	g.loop.Post(func(_ *balance.State, now time.Time) {
+		g.leaving = true
+		g.spread(now)
 	})
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -220,6 +217,7 @@
 	if err := g.server.Close(); err != nil {
 		g.Log.Error(err, "callers' side not closed")
 	}
+	g.datagrams.Stop()
 	g.peers.Stop()
 	g.group.Stop()
 	g.transport.Close()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,7 @@
 func (m *Metrics) watch(g *Gateway) {
 	m.Set("target_connections", func() any { return g.transport.Stats() })
 	m.Set("peer_messages", func() any { return g.peers.Stats() })
+	m.Set("peer_datagrams", func() any { return g.datagrams.Stats() })
 	m.Set("open_requests", func() any { return g.server.Open() })
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -8,6 +8,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
@@ -16,106 +17,86 @@
 	// serve callers, while they are few: a third of the time that engines take
 	// to read what they may hold unread.
 	reportPeriod = 100 * time.Millisecond
-	// heartbeatPeriod is the time between what other pairs of routers say to
-	// one another: a third of memberTimeout.
-	heartbeatPeriod = 500 * time.Millisecond
-	// periodPerPeer lengthens both periods for more receivers, so that a router
-	// sends and receives some 100 messages a second of each kind.
+	// periodPerPeer lengthens it for more receivers, so that a router sends and
+	// receives some 100 reports a second.
 	periodPerPeer = 10 * time.Millisecond
+	// beatPeriod is the time between looks at which messages to other routers
+	// are due: news that come together in it are passed on together.
+	beatPeriod = 50 * time.Millisecond
 )
 
-// reporter is what a router has told the others.
+// reporter is when and what a router has told the others that serve callers.
 type reporter struct {
-	// serving is what the others were last told.
+	due time.Time
+	// serving is whether it had something to tell.
 	serving bool
-	// beat is when all were told.
-	beat time.Time
 }
 
-// reports tells the other routers of this one from time to time.
-func (g *Gateway) reports(ctx context.Context) {
-	next := time.Now()
-	for group.SleepUntil(ctx, next) {
-		period := reportPeriod
-		g.loop.Ask(ctx, func(s *balance.State, now time.Time) {
-			period = g.report(s, now)
-			s.SetReportPeriod(period)
-			g.expire(s, now)
-		})
-		next = time.Now().Add(period)
+// beats does what is due towards the other routers.
+func (g *Gateway) beats(ctx context.Context) {
+	for next := time.Now(); group.SleepUntil(ctx, next); next = time.Now().Add(beatPeriod) {
+		g.loop.Ask(ctx, g.beat)
 	}
 }
 
-// report tells the serving routers of this one's load, and all routers when a
-// heartbeat is due or when this one begins or ceases to serve. It returns the
-// time until the next report.
-func (g *Gateway) report(s *balance.State, now time.Time) time.Duration {
+func (g *Gateway) beat(s *balance.State, now time.Time) {
+	if !now.Before(g.reporter.due) {
+		g.report(s, now)
+	}
+	g.say()
+	g.send(g.roster.Tick(now))
+	if g.catalog.Expire(now) {
+		s.SetTargets(now, g.catalog.Targets())
+	}
+}
+
+// report tells the other routers that serve callers what this one's requests put
+// on targets, as long as there are any, and once that there are none any more.
+func (g *Gateway) report(s *balance.State, now time.Time) {
 	r := s.Report(now)
-	others := g.members.Others(now)
-	heartbeat := max(heartbeatPeriod, periodPerPeer*time.Duration(len(others)))
-	if r.Serving() != g.reporter.serving || now.Sub(g.reporter.beat) >= heartbeat {
-		g.tell(r, now, others)
-	} else if r.Serving() {
-		others = g.serving(others)
-		g.peers.SendAll(others, g.describe(r))
+	to := g.roster.Serving(now)
+	if r.Serving() || g.reporter.serving {
+		g.peers.SendAll(to, g.describe(r))
 	}
-	return max(reportPeriod, periodPerPeer*time.Duration(len(g.serving(others))))
+	period := max(reportPeriod, periodPerPeer*time.Duration(len(to)))
+	g.reporter = reporter{due: now.Add(period), serving: r.Serving()}
+	s.SetReportPeriod(period)
+	s.SetOthers(g.roster.Others(now))
 }
 
-// tellAll tells all routers of this one at once.
-func (g *Gateway) tellAll(s *balance.State, now time.Time) {
-	g.tell(s.Report(now), now, g.members.Others(now))
+// say tells the roster how this router is.
+func (g *Gateway) say() {
+	g.roster.Say(message.RouterRecord{
+		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.serving,
+		StoreTrouble: !g.trouble.IsZero(), Capacity: g.Capacity,
+	})
+	g.roster.Have(g.catalog.ConfigRevision(), g.catalog.Changed())
 }
 
-// tell sends a report to all other routers: to those that serve with loads, to
-// the rest and to the seeds that are not known without.
-func (g *Gateway) tell(r view.Report, now time.Time, others []member.Member) {
-	g.reporter = reporter{serving: r.Serving(), beat: now}
-	full := g.describe(r)
-	brief := full
-	brief.Loads, brief.Usage, brief.Kept = nil, nil, nil
-	known := map[string]bool{g.members.Self().Peer: true}
-	var serving, rest []member.Member
-	for _, to := range others {
-		known[to.Peer] = true
-		if g.status[to.ID].Serving {
-			serving = append(serving, to)
-			continue
-		}
-		rest = append(rest, to)
-	}
-	for _, address := range g.Seeds {
-		if !known[address] {
-			rest = append(rest, member.Member{Peer: address})
-		}
+// spread tells some other routers at once what is new, who do the same.
+func (g *Gateway) spread(now time.Time) {
+	g.say()
+	g.send(g.roster.Spread(now))
+}
+
+// send sends what the roster says.
+func (g *Gateway) send(list []roster.Send) {
+	for _, s := range list {
+		g.tell(member.Member{Peer: s.Peer}, s.Ping)
 	}
-	g.peers.SendAll(serving, full)
-	g.peers.SendAll(rest, brief)
 }
 
-// serving returns those of a list of routers that serve callers.
-func (g *Gateway) serving(list []member.Member) []member.Member {
-	var out []member.Member
-	for _, m := range list {
-		if g.status[m.ID].Serving {
-			out = append(out, m)
-		}
+// tell sends a message to another router: as a datagram, or on a stream if it is
+// too large.
+func (g *Gateway) tell(to member.Member, m message.Message) {
+	if !g.datagrams.Send(to, m) {
+		g.peers.Send(to, m)
 	}
-	return out
 }
 
-// describe returns the router's whole status.
+// describe returns what a report says.
 func (g *Gateway) describe(r view.Report) message.Status {
-	m := message.Status{
-		Ready:   g.server.Ready(),
-		Leaving: g.members.Self().Leaving,
-		Config:  g.catalog.ConfigRevision(),
-		Targets: g.catalog.Changed(),
-		Serving: r.Serving(),
-
-		Capacity:     g.Capacity,
-		StoreTrouble: !g.trouble.IsZero(),
-	}
+	m := message.Status{Config: g.catalog.ConfigRevision(), Targets: g.catalog.Changed()}
 	for id, l := range r.Loads {
 		m.Loads = append(m.Loads, targetLoad(id, l))
 	}
@@ -135,5 +116,5 @@
 // tellLoad tells the serving routers at once what own requests put on a target.
 func (g *Gateway) tellLoad(target string, l view.Load) {
 	m := message.Loads{Loads: []message.TargetLoad{targetLoad(target, l)}}
-	g.peers.SendAll(g.serving(g.members.Others(time.Now())), m)
+	g.peers.SendAll(g.roster.Serving(time.Now()), m)
 }
--- a/internal/gateway/report_test.go
+++ b/internal/gateway/report_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 
@@ -16,32 +15,50 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
-// fakeRouter is a router that only keeps what others last reported, and what
-// they told between reports.
+// fakeRouter is a router that only keeps what others last said and reported, and
+// what they told between reports.
 type fakeRouter struct {
-	*peer.Transport
-	mu    sync.Mutex
-	last  message.Status
-	loads []message.TargetLoad
+	streams   *peer.Transport
+	datagrams *peer.Datagrams
+	self      message.RouterRecord
+	mu        sync.Mutex
+	last      message.RouterRecord
+	report    message.Status
+	loads     []message.TargetLoad
 }
 
 // newFakeRouter returns a router that says nothing by itself.
 func newFakeRouter() *fakeRouter {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, conn, err := peer.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	f := &fakeRouter{}
-	self := member.Member{ID: "fake", Zone: "z", Peer: l.Addr().String(), Incarnation: 1}
-	f.Transport = peer.New(context.Background(), self, l, f.take, logr.Discard())
-	DeferCleanup(f.Stop)
+	f := &fakeRouter{self: message.RouterRecord{
+		ID: "fake", Zone: "z", Peer: l.Addr().String(), Incarnation: 1, Ready: true,
+	}}
+	self := member.Member{ID: f.self.ID, Zone: f.self.Zone, Peer: f.self.Peer, Incarnation: f.self.Incarnation}
+	f.streams = peer.New(context.Background(), self, l, f.take, logr.Discard())
+	DeferCleanup(f.streams.Stop)
+	f.datagrams = peer.NewDatagrams(context.Background(), self, conn, f.take, logr.Discard())
+	DeferCleanup(f.datagrams.Stop)
 	return f
 }
 
+// say tells a router that this one is there and whether it serves callers, and
+// asks how that one is.
+func (f *fakeRouter) say(to *rig, serving bool) {
+	f.self.Version++
+	f.self.Serving = serving
+	sent := f.datagrams.Send(to.Known(), message.Ping{From: f.self, Kind: message.PingAsk})
+	Expect(sent).To(BeTrue())
+}
+
 func (f *fakeRouter) take(_ member.Member, m message.Message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch m := m.(type) {
+	case message.Ping:
+		f.last = m.From
 	case message.Status:
-		f.last = m
+		f.report = m
 	case message.Loads:
 		f.loads = append(f.loads, m.Loads...)
 	}
@@ -53,12 +70,18 @@
 	return f.loads
 }
 
-func (f *fakeRouter) status() message.Status {
+func (f *fakeRouter) heard() message.RouterRecord {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.last
 }
 
+func (f *fakeRouter) reported() []message.TargetLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.report.Loads
+}
+
 var _ = Describe("A router's reports", func() {
 	It("carry its load to routers that serve callers, and to no others", func() {
 		r := newRig()
@@ -69,18 +92,15 @@
 			answer(w, req)
 		})
 		other := newFakeRouter()
-		say := func(serving bool) {
-			other.Send(member.Member{Peer: r.Known().Peer}, message.Status{Ready: true, Serving: serving})
-		}
-		say(false)
-		Eventually(func() bool { return other.status().Ready }).Should(BeTrue())
-		Expect(other.status().Serving).To(BeFalse())
+		other.say(r, false)
+		Eventually(func() bool { return other.heard().Ready }).Should(BeTrue())
+		Expect(other.heard().Serving).To(BeFalse())
 		background(func() { r.post("/many/x") })
 		DeferCleanup(func() { close(release) })
-		Eventually(func() bool { return other.status().Serving }).Should(BeTrue())
-		Expect(other.status().Loads).To(BeEmpty())
-		say(true)
-		Eventually(func() []message.TargetLoad { return other.status().Loads }).Should(ConsistOf(
+		Eventually(func() bool { return other.heard().Serving }).Should(BeTrue())
+		Expect(other.reported()).To(BeEmpty())
+		other.say(r, true)
+		Eventually(other.reported).Should(ConsistOf(
 			message.TargetLoad{Target: "t", Running: 1},
 		))
 	})
@@ -98,8 +118,8 @@
 		})
 		DeferCleanup(func() { close(release) })
 		other := newFakeRouter()
-		other.Send(member.Member{Peer: r.Known().Peer}, message.Status{Ready: true, Serving: true})
-		Eventually(func() bool { return other.status().Ready }).Should(BeTrue())
+		other.say(r, true)
+		Eventually(func() bool { return other.heard().Ready }).Should(BeTrue())
 		for _, size := range []string{"50,10", "5000,10"} {
 			q := newRequest(r.Known().Address, "/many/x")
 			q.Header.Set(dialect.PromptSize, size)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
 const (
@@ -33,11 +34,11 @@
 
 // StoreTrouble notes that a call to the store failed.
 func (g *Gateway) StoreTrouble() {
-	g.loop.Post(func(s *balance.State, now time.Time) {
+	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.catalog.Unstable(now)
 		if g.trouble.IsZero() {
 			g.trouble = now
-			g.tellAll(s, now)
+			g.spread(now)
 		}
 	})
 }
@@ -49,10 +50,10 @@
 
 // StoreWorks notes that calls to the store work.
 func (g *Gateway) StoreWorks() {
-	g.loop.Post(func(s *balance.State, now time.Time) {
+	g.loop.Post(func(_ *balance.State, now time.Time) {
 		if !g.trouble.IsZero() {
 			g.trouble = time.Time{}
-			g.tellAll(s, now)
+			g.spread(now)
 		}
 	})
 }
@@ -71,13 +72,13 @@
 			watches = false
 			return
 		}
-		live := g.members.Live(now)
-		reaching := slices.DeleteFunc(slices.Clone(live), func(m member.Member) bool {
-			if m.ID == g.members.Self().ID {
-				return !g.trouble.IsZero()
+		var live, reaching []member.Member
+		for _, r := range g.roster.Live(now) {
+			live = append(live, roster.Member(r))
+			if !r.StoreTrouble {
+				reaching = append(reaching, roster.Member(r))
 			}
-			return g.status[m.ID].StoreTrouble
-		})
+		}
 		n := watchersLeast + len(live)/routersPerWatcher
 		watches = g.ranks(n, reaching) || g.ranks(n, live)
 	})
@@ -87,6 +88,6 @@
 // ranks reports whether this router is among the first n that are to watch.
 func (g *Gateway) ranks(n int, list []member.Member) bool {
 	return slices.ContainsFunc(member.Spread(n, "store", list), func(m member.Member) bool {
-		return m.ID == g.members.Self().ID
+		return m.ID == g.known.ID
 	})
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -122,24 +122,14 @@
 	Foreign int
 }
 
-// Status is a router's periodic account of itself in a fleet whose routers
-// choose engines each for itself.
+// Status is what a router that serves callers tells the others that do: what its
+// requests put on targets and what organisations asked of it.
 type Status struct {
-	// Ready is set while the router can serve callers.
-	Ready   bool
-	Leaving bool
 	// Config is the store's revision of the configuration in force, Targets
 	// that of the newest change to the list of targets.
 	Config, Targets int64
-	// Capacity is the number of processor cores that the router may use.
-	Capacity float64
-	// StoreTrouble is set while the router's calls to the store fail.
-	StoreTrouble bool
-	// Serving is set while the router has requests or had some lately. Loads,
-	// Usage and Kept go only from serving routers to serving routers.
-	Serving bool
-	Loads   []TargetLoad
-	Usage   []OrganisationUsage
+	Loads           []TargetLoad
+	Usage           []OrganisationUsage
 	// Kept tells of shared parts of prompts that were sent to targets lately.
 	Kept []TargetParts
 }
@@ -202,6 +192,69 @@
 	Config, Targets int64
 }
 
+// Belief is what is believed of a router.
+type Belief uint8
+
+// The beliefs, each of which outweighs the ones before it.
+const (
+	// Alive is what a router says of itself.
+	Alive Belief = iota
+	// Suspected routers have not answered.
+	Suspected
+	// Gone routers have not answered and have not denied being suspected.
+	Gone
+)
+
+// RouterRecord is what a router last said of itself, or what others believe of
+// it since.
+type RouterRecord struct {
+	ID   RouterID
+	Zone string
+	// Address is where callers connect, Peer where other routers do.
+	Address, Peer string
+	// Incarnation tells a router's lives apart; Version orders what is said
+	// during one of them.
+	Incarnation, Version uint64
+	Belief               Belief
+	// Ready is set while the router can serve callers, Leaving once it makes a
+	// planned stop, Serving while it has requests or had some lately.
+	Ready, Leaving, Serving bool
+	// StoreTrouble is set while the router's calls to the store fail.
+	StoreTrouble bool
+	// Capacity is the number of processor cores that the router may use.
+	Capacity float64
+}
+
+// PingKind is what a Ping is for.
+type PingKind uint8
+
+// The kinds of a Ping.
+const (
+	// PingAsk wants a PingAnswer.
+	PingAsk PingKind = iota
+	// PingAnswer is the sign of life that was asked for.
+	PingAnswer
+	// PingNotice only passes on what is new.
+	PingNotice
+)
+
+// Ping asks for a sign of life, answers, or passes on what is new.
+type Ping struct {
+	From RouterRecord
+	Kind PingKind
+	// Config and Targets are the sender's revisions of the configuration and of
+	// the newest change to the list of targets.
+	Config, Targets int64
+	// Digest is a hash over all that the sender knows of routers that are not
+	// gone, in any order.
+	Digest uint64
+	// WantAll is set if the sender asks for all that the receiver knows of
+	// routers.
+	WantAll bool
+	Records []RouterRecord
+}
+
+func (Ping) message()     {}
 func (Status) message()   {}
 func (Loads) message()    {}
 func (Copy) message()     {}
--- /dev/null
+++ b/internal/roster/known.go
@@ -0,0 +1,83 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/rendezvous"
+)
+
+// Live returns what is known of the routers that are believed to be running and
+// not leaving, this one included, by id. A router that is cut off knows of none
+// but itself.
+func (r *Roster) Live(now time.Time) []message.RouterRecord {
+	live := r.collect(now, func(e *entry) bool { return !e.Leaving })
+	if !r.self.Leaving {
+		live = append(live, r.self)
+		slices.SortFunc(live, func(a, b message.RouterRecord) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return live
+}
+
+// Serving returns the other routers that have callers' requests.
+func (r *Roster) Serving(now time.Time) []member.Member {
+	var out []member.Member
+	for _, record := range r.collect(now, func(e *entry) bool { return e.Serving }) {
+		out = append(out, Member(record))
+	}
+	return out
+}
+
+// Others returns the number of other routers that are believed to be running.
+func (r *Roster) Others(now time.Time) int {
+	return len(r.collect(now, func(*entry) bool { return true }))
+}
+
+// Member returns who a record is about.
+func Member(r message.RouterRecord) member.Member {
+	return member.Member{
+		ID: r.ID, Zone: r.Zone, Address: r.Address, Peer: r.Peer, Incarnation: r.Incarnation, Leaving: r.Leaving,
+	}
+}
+
+func (r *Roster) collect(now time.Time, keep func(*entry) bool) []message.RouterRecord {
+	var list []message.RouterRecord
+	if r.cutOff(now) {
+		return nil
+	}
+	for _, e := range r.list {
+		if r.believed(now, e) && keep(e) {
+			list = append(list, e.RouterRecord)
+		}
+	}
+	slices.SortFunc(list, func(a, b message.RouterRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// believed reports whether a router is taken to be running.
+func (r *Roster) believed(now time.Time, e *entry) bool {
+	if !e.heard.IsZero() && now.Sub(e.heard) < silentTime {
+		return true
+	}
+	if !e.known() {
+		return e.listed && now.Sub(e.since) < startTime
+	}
+	return e.Belief != message.Gone
+}
+
+// hash returns a hash of what orders records.
+func hash(r message.RouterRecord) uint64 {
+	return mix(mix(rendezvous.Hash(string(r.ID))^r.Incarnation) ^ r.Version)
+}
+
+// mix spreads the bits of x: multiplied with odd numbers whose bits are as good as
+// random, and the high half folded onto the low one in between.
+func mix(x uint64) uint64 {
+	const a, b = 0xd6e8feb86659fd93, 0xa0761d6478bd642f
+	x = (x ^ x>>32) * a
+	x = (x ^ x>>29) * b
+	return x ^ x>>32
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,346 @@
+package roster_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/config"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/roster"
+)
+
+func TestRoster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roster")
+}
+
+const (
+	// beat is the time between ticks, trip how long a message takes.
+	beat = 50 * time.Millisecond
+	trip = 2 * time.Millisecond
+)
+
+// event is something that happens at a time; equal times keep their order.
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].n < e[j].n
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// router is a router of a fleet, running or not.
+type router struct {
+	*roster.Roster
+	name, zone string
+	runs       bool
+	// life is counted, so that ticks of an earlier one end.
+	life int
+	// sent counts messages, records what they carried.
+	sent, records int
+}
+
+// fleet plays routers in virtual time.
+type fleet struct {
+	start   time.Time
+	now     time.Duration
+	queue   events
+	n       int
+	random  *rand.Rand
+	routers []*router
+	byPeer  map[string]*router
+	// loss is the part of messages that are lost; cut says which never arrive.
+	loss float64
+	cut  func(from, to *router) bool
+}
+
+// newFleet returns routers in three availability zones, none of which runs.
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{
+		start: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), byPeer: map[string]*router{},
+		cut: func(*router, *router) bool { return false },
+	}
+	for i := range n {
+		r := &router{name: fmt.Sprint("r", i), zone: fmt.Sprint("z", i%3)}
+		f.routers = append(f.routers, r)
+		f.byPeer[r.name] = r
+	}
+	return f
+}
+
+func (f *fleet) time() time.Time { return f.start.Add(f.now) }
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.n++
+	heap.Push(&f.queue, event{f.now + d, f.n, do})
+}
+
+// run plays on for a time.
+func (f *fleet) run(d time.Duration) {
+	end := f.now + d
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// launch starts routers whose clocks show a time as their incarnation. Each knows
+// the first as a seed, and nothing else.
+func (f *fleet) launch(incarnation uint64, routers ...*router) {
+	for _, r := range routers {
+		r.runs = true
+		r.life++
+		self := message.RouterRecord{ID: message.RouterID(r.name), Zone: r.zone, Peer: r.name, Incarnation: incarnation}
+		r.Roster = roster.New(f.time(), self, []string{f.routers[0].name}, rand.New(rand.NewPCG(f.random.Uint64(), 2)))
+		life := r.life
+		f.after(time.Duration(f.random.Int64N(int64(beat))), func() { f.tick(r, life) })
+	}
+}
+
+func (f *fleet) tick(r *router, life int) {
+	if !r.runs || r.life != life {
+		return
+	}
+	f.send(r, r.Tick(f.time()))
+	f.after(beat, func() { f.tick(r, life) })
+}
+
+func (f *fleet) send(from *router, list []roster.Send) {
+	for _, s := range list {
+		from.sent++
+		from.records += len(s.Ping.Records)
+		to := f.byPeer[s.Peer]
+		if f.random.Float64() < f.loss || f.cut(from, to) {
+			continue
+		}
+		delay := trip + time.Duration(f.random.Int64N(int64(trip)))
+		f.after(delay, func() {
+			if to.runs {
+				f.send(to, to.Take(f.time(), s.Ping))
+			}
+		})
+	}
+}
+
+// stop ends routers without a word.
+func (f *fleet) stop(routers ...*router) {
+	for _, r := range routers {
+		r.runs = false
+	}
+}
+
+// disagreements counts the pairs of running routers of which the first holds a
+// belief about the second, or about one that does not run, that is wrong.
+func (f *fleet) disagreements() int {
+	n := 0
+	for _, r := range f.routers {
+		if !r.runs {
+			continue
+		}
+		known := map[string]bool{}
+		for _, record := range r.Live(f.time()) {
+			known[string(record.ID)] = true
+		}
+		for _, other := range f.routers {
+			if known[other.name] != other.runs {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// settles returns how long it takes until all are right, at most limit.
+func (f *fleet) settles(limit time.Duration) time.Duration {
+	began := f.now
+	for f.now-began < limit && f.disagreements() > 0 {
+		f.run(beat)
+	}
+	return f.now - began
+}
+
+var _ = Describe("A fleet's rosters", func() {
+	DescribeTable("learn of all routers that start at once", func(n int) {
+		f := newFleet(n, 1)
+		f.launch(1, f.routers...)
+		Expect(f.settles(5 * time.Second)).To(BeNumerically("<", 2*time.Second))
+	},
+		Entry("two", 2), Entry("eight", 8), Entry("sixty", 60), Entry("three hundred", 300),
+	)
+
+	DescribeTable("take one that dies for gone", func(n int) {
+		f := newFleet(n, 2)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		f.stop(f.routers[n/2])
+		Expect(f.settles(10 * time.Second)).To(BeNumerically("<", 4*time.Second))
+	},
+		Entry("of three", 3), Entry("of eight", 8), Entry("of sixty", 60), Entry("of three hundred", 300),
+	)
+
+	It("take a whole availability zone that dies for gone, and have it back", func() {
+		f := newFleet(90, 3)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		var zone []*router
+		for _, r := range f.routers {
+			if r.zone == "z1" {
+				zone = append(zone, r)
+			}
+		}
+		f.stop(zone...)
+		Expect(f.settles(10 * time.Second)).To(BeNumerically("<", 6*time.Second))
+		f.launch(2, zone...)
+		Expect(f.settles(10 * time.Second)).To(BeNumerically("<", 3*time.Second))
+	})
+
+	It("take nobody for gone where some messages are lost", func() {
+		f := newFleet(60, 4)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		f.loss = 0.05
+		for range 100 {
+			f.run(200 * time.Millisecond)
+			Expect(f.disagreements()).To(BeZero())
+		}
+	})
+
+	It("come together again after a cut between availability zones", func() {
+		f := newFleet(60, 5)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		f.cut = func(from, to *router) bool { return (from.zone == "z0") != (to.zone == "z0") }
+		f.run(10 * time.Second)
+		Expect(f.routers[1].Live(f.time())).To(HaveLen(40))
+		f.cut = func(*router, *router) bool { return false }
+		Expect(f.settles(10 * time.Second)).To(BeNumerically("<", 6*time.Second))
+	})
+
+	It("keep one whose messages are lost in one direction only to another zone", func() {
+		f := newFleet(60, 6)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		f.cut = func(from, to *router) bool { return from == f.routers[7] && to.zone == "z2" }
+		for range 50 {
+			f.run(200 * time.Millisecond)
+			Expect(f.disagreements()).To(BeZero())
+		}
+	})
+
+	It("know nobody but themselves where they are cut off, and all again at once", func() {
+		f := newFleet(60, 7)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		f.cut = func(from, to *router) bool { return (from == f.routers[9]) != (to == f.routers[9]) }
+		f.run(2 * time.Second)
+		Expect(f.routers[9].Live(f.time())).To(HaveLen(1))
+		f.run(8 * time.Second)
+		f.cut = func(*router, *router) bool { return false }
+		Expect(f.settles(10 * time.Second)).To(BeNumerically("<", 4*time.Second))
+	})
+
+	It("find the seed again where all others that one knows are gone", func() {
+		f := newFleet(4, 11)
+		f.launch(1, f.routers...)
+		f.run(2 * time.Second)
+		f.stop(f.routers[0], f.routers[1], f.routers[2])
+		f.run(5 * time.Second)
+		f.launch(2, f.routers[0])
+		Expect(f.settles(5 * time.Second)).To(BeNumerically("<", time.Second))
+	})
+
+	It("take a restart with a clock that was set back for the newer life", func() {
+		f := newFleet(8, 8)
+		f.launch(100, f.routers...)
+		f.run(5 * time.Second)
+		f.stop(f.routers[3])
+		f.launch(50, f.routers[3])
+		f.routers[3].Say(message.RouterRecord{Capacity: 7})
+		f.run(3 * time.Second)
+		for _, r := range f.routers {
+			Expect(r.Live(f.time())).To(ContainElement(And(
+				HaveField("ID", message.RouterID("r3")), HaveField("Capacity", 7.0),
+			)))
+		}
+	})
+
+	It("pass on what one says of itself: to nearly all at once, to all within two seconds", func() {
+		f := newFleet(300, 9)
+		f.launch(1, f.routers...)
+		f.run(5 * time.Second)
+		told := func() int {
+			n := 0
+			for _, r := range f.routers {
+				n += len(r.Serving(f.time()))
+			}
+			return n
+		}
+		f.routers[17].Say(message.RouterRecord{Serving: true})
+		f.run(300 * time.Millisecond)
+		Expect(told()).To(BeNumerically(">", 290))
+		f.run(2 * time.Second)
+		Expect(told()).To(Equal(299))
+	})
+
+	It("cost each router the same in a fleet of sixty as in one of three hundred", func() {
+		messages := map[int]float64{}
+		for _, n := range []int{60, 300} {
+			f := newFleet(n, 10)
+			f.launch(1, f.routers...)
+			f.run(6 * time.Second)
+			for _, r := range f.routers {
+				r.sent, r.records = 0, 0
+			}
+			f.run(10 * time.Second)
+			for _, r := range f.routers {
+				messages[n] += float64(r.sent) / float64(n) / 10
+				Expect(r.records).To(BeZero())
+			}
+		}
+		Expect(messages[60]).To(BeNumerically("~", 8, 0.2))
+		Expect(messages[300]).To(BeNumerically("~", messages[60], 0.2))
+	})
+})
+
+var _ = Describe("A roster", func() {
+	It("goes to the seeds until it knows somebody, and to who is listed", func() {
+		now := time.Unix(1, 0)
+		r := roster.New(now, message.RouterRecord{ID: "a", Peer: "a:1", Incarnation: 1}, []string{"a:1", "b:1"}, rand.New(rand.NewPCG(1, 1)))
+		for _, s := range r.Tick(now) {
+			Expect(s.Peer).To(Equal("b:1"))
+		}
+		now = now.Add(time.Second)
+		r.Listed(now, []config.Box{{Name: "a", Peer: "a:1"}, {Name: "c", Peer: "c:1"}})
+		Expect(r.Tick(now)).To(ContainElement(HaveField("Peer", "c:1")))
+		Expect(r.Live(now)).To(HaveLen(2))
+		now = now.Add(2 * time.Second)
+		Expect(r.Live(now)).To(HaveLen(1))
+	})
+})
