Tell of long prompts at a rate that routers can hear, also between zones

Cause: at 23 routers a request that was alone at its engine, as far as its router knew, got its first event after 168 ms at the median and 717 ms for one in ten: others had sent long prompts there that nobody was told of. Told at once were only those of 1,000 tokens times the number of routers by eight, 2,875 at 23 routers and 37,000 at 295, whatever came. Ruled out: engines' memory and running requests (first events do not depend on either up to 48 running), slow engines (medians of 156 to 359 ms at all of them). Change: a router may tell of its part of 250 requests a second, over all that serve callers; the more of that is used up, the longer a prompt must be. Such messages are datagrams, carry what was added besides what stands there, and go to all zones; who knows a zone by its sum adds to that. Tests: the rate at 8 and 42 routers, sums with such messages against adding up, the view's sums with them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -103,10 +103,11 @@
 	shares     shares
 	// others is what other routers reported.
 	others *view.View
-	// running is the number of other routers that are believed to be running.
-	running int
-	level   level
-	budget  budget
+	// running is the number of other routers that are believed to be running,
+	// serving that of those which serve callers.
+	running, serving int
+	level            level
+	budget           budget
 	// flows has the organisations whose requests are sent to engines.
 	flows map[string]*flow
 	// good, suspect, near and missing are room for choosing a target.
@@ -114,7 +115,8 @@
 	missing             []int
 	// notify is told of loads that others should know at once; nil if nobody
 	// is to be told.
-	notify func(target string, l view.Load)
+	notify  func(target string, now, added view.Load)
+	notices notices
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -129,6 +131,7 @@
 		flows:    map[string]*flow{},
 		shares:   newShares(limits.QuotaWindow),
 		others:   view.New(now, limits.QuotaWindow),
+		notices:  notices{left: 1, at: now},
 		budget:   budget{start: now, services: map[string]*history{}},
 	}
 }
@@ -248,8 +251,8 @@
 		s.shares.begun(now, t.Organisation, t.tokens())
 		s.flow(t.Organisation).sent++
 	}
-	if s.notify != nil && s.large(p.read) {
-		s.notify(to.ID, to.own)
+	if s.notify != nil && s.notices.take(now, p.read, s.serving+1) {
+		s.notify(to.ID, to.own, t.load)
 	}
 	d := Decision{Target: to.Target, Waited: now.Sub(t.Arrived), Unread: s.loadOf(now, to).Unread, Miss: p.read}
 	if p.source != nil {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -357,7 +357,7 @@
 	It("is told of at once, and others then go elsewhere", func() {
 		here, there := newWorld(2), newWorld(2)
 		var told []string
-		here.Notify(func(target string, l view.Load) {
+		here.Notify(func(target string, l, _ view.Load) {
 			told = append(told, target)
 			there.HeardLoad(there.now, "here", target, l)
 		})
@@ -372,6 +372,33 @@
 	})
 })
 
+var _ = Describe("Telling of long prompts", func() {
+	// second returns how many of 100 prompts of a size that arrive within a second
+	// others are told of.
+	second := func(serving, tokens int) int {
+		w := newWorld(8)
+		w.SetOthers(serving, serving)
+		told := 0
+		w.Notify(func(string, view.Load, view.Load) { told++ })
+		for range 100 {
+			w.pass(10 * time.Millisecond)
+			t := w.unshared("", tokens)
+			if w.arrive(t) != nil {
+				w.serve(t)
+			}
+		}
+		return told
+	}
+
+	It("grows rarer with the number of routers that hear it, and ends last for the longest", func() {
+		few, many := second(7, 4000), second(41, 4000)
+		Expect(few).To(BeNumerically(">", 2*many))
+		Expect(many).To(BeNumerically("<=", 2*250/42))
+		Expect(second(41, 30_000)).To(BeNumerically(">", many))
+		Expect(second(41, 900)).To(BeZero())
+	})
+})
+
 var _ = Describe("The retry budget", func() {
 	It("allows a part of the requests and the router's part of the slack", func() {
 		w := newWorld(3)
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -15,24 +16,42 @@
 	// to 52 ms on a calm day of 8 routers, and from 225 to 86 ms on a day of high
 	// load.
 	notifyTokens = 1000
-	// notifyRouters is the number of routers above which that number grows in
-	// proportion, so that each router hears of about as many requests a second in
-	// a larger fleet.
-	notifyRouters = 8
+	// notifyRate is the number of such messages a second that a router should hear
+	// at most, over all that serve callers: at some 20 microseconds each half a
+	// percent of a core. Where there are more, only the longest prompts are told of.
+	notifyRate = 250
+	// notifyMost is the number of tokens from which a request is told of where the
+	// router's part of that rate is used up.
+	notifyMost = 40_000
 )
 
-// Notify makes f be called with what own requests put on a target, at once
-// when that has grown much.
-func (s *State) Notify(f func(target string, l view.Load)) { s.notify = f }
+// notices says of how many requests the others may be told.
+type notices struct {
+	// left is the router's part of what was not used in the last second, from 0
+	// to 1.
+	left float64
+	at   time.Time
+}
 
-// large reports whether others should know at once of a request that makes a
-// target read so many tokens.
-func (s *State) large(tokens int) bool {
-	return tokens >= notifyTokens*max(s.routers(), notifyRouters)/notifyRouters
+// take reports whether others should be told of a request that makes a target
+// read so many tokens, and counts it; routers is how many tell one another.
+func (n *notices) take(now time.Time, tokens, routers int) bool {
+	n.left = min(n.left+now.Sub(n.at).Seconds(), 1)
+	n.at = now
+	if float64(tokens) < notifyTokens*math.Pow(notifyMost/notifyTokens, 1-n.left) {
+		return false
+	}
+	n.left = max(n.left-float64(routers)/notifyRate, 0)
+	return true
 }
 
-// SetOthers says how many other routers are believed to be running.
-func (s *State) SetOthers(n int) { s.running = n }
+// Notify makes f be called with what own requests put on a target and what the last
+// one added, at once when that is much.
+func (s *State) Notify(f func(target string, now, added view.Load)) { s.notify = f }
+
+// SetOthers says how many other routers are believed to be running, and how many of
+// these serve callers.
+func (s *State) SetOthers(running, serving int) { s.running, s.serving = running, serving }
 
 // routers returns the number of routers in the fleet.
 func (s *State) routers() int { return max(s.running, s.others.Routers()) + 1 }
@@ -60,6 +79,12 @@
 	s.others.HeardLoad(now, router, target, l)
 }
 
+// AddLoad takes in what a request of another router, or of one among those whose
+// sum stands under a name, adds to the load on a target.
+func (s *State) AddLoad(now time.Time, name, target string, l view.Load) {
+	s.others.AddLoad(now, name, target, l)
+}
+
 // Report returns what to tell the other routers; of what targets keep, it tells
 // what no report told before.
 func (s *State) Report(now time.Time) view.Report {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -31,9 +31,7 @@
 		case message.ZoneStatus:
 			g.heardZone(s, now, from, m)
 		case message.Loads:
-			for _, l := range m.Loads {
-				s.HeardLoad(now, string(from.ID), l.Target, loadOf(l))
-			}
+			g.heardLoads(s, now, from.ID, m)
 		case message.NeedCopy:
 			g.tell(from, g.catalog.Copy(now, m))
 		case message.Copy:
@@ -59,6 +57,23 @@
 	s.Heard(now, string(from.ID), reportOf(m))
 }
 
+// heardLoads takes in what another router tells between reports.
+func (g *Gateway) heardLoads(s *balance.State, now time.Time, from message.RouterID, m message.Loads) {
+	zone := g.roster.Zone(from)
+	if zone != g.known.Zone && now.Sub(g.sums[zone]) < sumAge {
+		for _, l := range m.Added {
+			s.AddLoad(now, sumName(zone), l.Target, loadOf(l))
+		}
+		return
+	}
+	for _, l := range m.Loads {
+		s.HeardLoad(now, string(from), l.Target, loadOf(l))
+	}
+	if zone == g.known.Zone {
+		g.zone.HeardLoads(from, m.Loads)
+	}
+}
+
 func reportOf(m message.Status) view.Report {
 	r := view.Report{
 		Loads: make(map[string]view.Load, len(m.Loads)),
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -88,7 +88,7 @@
 	period := max(reportPeriod, periodPerPeer*time.Duration(len(to)))
 	g.reporter.due, g.reporter.serving = now.Add(period), r.Serving()
 	s.SetReportPeriod(period)
-	s.SetOthers(g.roster.Others(now))
+	s.SetOthers(g.roster.Others(now), len(serving))
 }
 
 // relays reports whether this router tells the sum of its zone.
@@ -211,12 +211,11 @@
 	return message.TargetLoad{Target: id, Unread: l.Unread, Running: l.Running, Memory: l.Memory}
 }
 
-// tellLoad tells the serving routers at once what own requests put on a target.
-func (g *Gateway) tellLoad(target string, l view.Load) {
-	m := message.Loads{Loads: []message.TargetLoad{targetLoad(target, l)}}
-	to := g.roster.Serving(time.Now())
-	if len(to) > meshMost {
-		to = inZone(to, g.known.Zone)
+// tellLoad tells the serving routers at once what own requests put on a target, and
+// what the last one added.
+func (g *Gateway) tellLoad(target string, now, added view.Load) {
+	m := message.Loads{Loads: []message.TargetLoad{targetLoad(target, now)}, Added: []message.TargetLoad{targetLoad(target, added)}}
+	for _, to := range g.roster.Serving(time.Now()) {
+		g.tell(roster.Member(to), m)
 	}
-	g.peers.SendAll(members(to), m)
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -155,9 +155,10 @@
 }
 
 // Loads replaces what the sender's last Status said of a few targets. It is
-// sent at once where much has changed.
+// sent at once where much has changed; Added is the change, for those who know the
+// sender's loads only as a part of a sum.
 type Loads struct {
-	Loads []TargetLoad
+	Loads, Added []TargetLoad
 }
 
 // OrganisationUsage is what an organisation lately asked of one router and
--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -27,6 +27,14 @@
 	return r.collect(now, func(e *entry) bool { return e.Serving })
 }
 
+// Zone returns the availability zone of another router, empty if it is not known.
+func (r *Roster) Zone(id message.RouterID) string {
+	if e := r.others[id]; e != nil {
+		return e.Zone
+	}
+	return ""
+}
+
 // Others returns the number of other routers that are believed to be running.
 func (r *Roster) Others(now time.Time) int {
 	return len(r.collect(now, func(*entry) bool { return true }))
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -166,6 +166,13 @@
 	v.add(target, r.loads[target], 1)
 }
 
+// AddLoad adds to what a router's requests put on a target, as it was last told.
+func (v *View) AddLoad(now time.Time, name, target string, l Load) {
+	if r := v.routers[name]; r != nil {
+		v.HeardLoad(now, name, target, r.loads[target].Plus(l))
+	}
+}
+
 // Load returns what all other routers put on a target, and the mean time at
 // which its unread tokens were told.
 func (v *View) Load(now time.Time, target string) (Load, time.Time) {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -108,6 +108,15 @@
 				v.HeardLoad(now, router, target, l)
 				n.loads[router][target] = said[view.Load]{l, now}
 			},
+			"added": func(t *rapid.T) {
+				router, target, l := name(t, "router", 3), name(t, "target", 4), drawLoad(t)
+				r, known := n.reports[router]
+				if !known || now.Sub(r.at) >= 1500*time.Millisecond {
+					t.Skip("a router that was not heard lately")
+				}
+				v.AddLoad(now, router, target, l)
+				n.loads[router][target] = said[view.Load]{n.loads[router][target].what.Plus(l), now}
+			},
 			"": func(t *rapid.T) {
 				// What is too old is looked for once in 20 ms.
 				now = now.Add(20 * time.Millisecond)
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// HeardLoads takes in what a router's requests now put on some targets.
+func (s *Sum) HeardLoads(id message.RouterID, list []message.TargetLoad) {
+	r, ok := s.reports[id]
+	if !ok {
+		return
+	}
+	// The report may still be on its way to other goroutines.
+	r.Loads = slices.Clone(r.Loads)
+	for _, l := range list {
+		i := slices.IndexFunc(r.Loads, func(old message.TargetLoad) bool { return old.Target == l.Target })
+		if i < 0 {
+			r.Loads = append(r.Loads, l)
+			continue
+		}
+		r.Loads[i] = l
+	}
+	s.reports[id] = r
+}
+
 // Take returns the sum of all reports that are new enough. The shared parts in it
 // are those told since the last call.
 func (s *Sum) Take(now time.Time) message.Status {
--- a/internal/zonesum/zonesum_test.go
+++ b/internal/zonesum/zonesum_test.go
@@ -33,6 +33,12 @@
 			all[id] = said{m, now}
 			s.Heard(start.Add(now), id, m)
 			told = append(told, parts(m)...)
+			if rapid.Bool().Draw(t, "load") {
+				l := message.TargetLoad{Target: "t1", Unread: rapid.IntRange(0, 9).Draw(t, "unread"), Running: 1}
+				s.HeardLoads(id, []message.TargetLoad{l})
+				m.Loads = append(slices.DeleteFunc(slices.Clone(m.Loads), func(old message.TargetLoad) bool { return old.Target == "t1" }), l)
+				all[id] = said{m, now}
+			}
 			if rapid.Bool().Draw(t, "sum") {
 				want := message.Status{}
 				for _, r := range all {
