--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -59,11 +59,31 @@
 	}
 	g.say()
 	g.send(g.roster.Tick(now))
+	g.logBeliefs(g.roster.Changes())
 	if g.catalog.Expire(now) {
 		s.SetTargets(now, g.catalog.Targets())
 	}
 }
 
+// linesMost is the number of routers up to which each change of belief gets a line:
+// where all start at once, hundreds would push other lines out.
+const linesMost = 8
+
+// logBeliefs logs which routers were found, are suspected or gone.
+func (g *Gateway) logBeliefs(list []message.RouterRecord) {
+	if len(list) > linesMost {
+		count := map[string]int{}
+		for _, r := range list {
+			count[r.Belief.String()]++
+		}
+		g.Log.Info("many routers changed", "count", count)
+		return
+	}
+	for _, r := range list {
+		g.Log.Info("router believed "+r.Belief.String(), "router", r.ID, "peer", r.Peer, "incarnation", r.Incarnation, "version", r.Version)
+	}
+}
+
 // report tells the other routers that serve callers what this one's requests put
 // on targets, as long as there are any, and once that there are none any more. In a
 // large fleet it tells those of its zone, and the relay of the zone tells the sum.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -212,6 +212,19 @@
 	Gone
 )
 
+// String returns the belief in a word.
+func (b Belief) String() string {
+	switch b {
+	case Alive:
+		return "alive"
+	case Suspected:
+		return "suspected"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
 // RouterRecord is what a router last said of itself, or what others believe of
 // it since.
 type RouterRecord struct {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -123,6 +123,8 @@
 	learned time.Time
 	// synced is when all was last asked for.
 	synced time.Time
+	// changes are the beliefs that changed since they were asked for.
+	changes []message.RouterRecord
 	// config and targets are this router's revisions.
 	config, targets int64
 	// digest is a hash over all that is known of routers that are not gone.
@@ -310,6 +312,7 @@
 
 // hold takes over a record and passes it on.
 func (r *Roster) hold(now time.Time, e *entry, n message.RouterRecord) {
+	r.note(e, n)
 	r.digest ^= e.weight()
 	e.RouterRecord = n
 	e.since = now
@@ -321,6 +324,21 @@
 	r.tell(n.ID)
 }
 
+// note keeps a record for Changes if it changes what is believed of a router.
+func (r *Roster) note(e *entry, n message.RouterRecord) {
+	if !e.known() || e.Incarnation != n.Incarnation || e.Belief != n.Belief {
+		r.changes = append(r.changes, n)
+	}
+}
+
+// Changes returns the records by which the belief in a router changed since the
+// last call: it was found, restarted, is suspected, denied that, or is gone.
+func (r *Roster) Changes() []message.RouterRecord {
+	list := r.changes
+	r.changes = nil
+	return list
+}
+
 // deny answers a record about this router itself that it did not write: that it is
 // suspected, or from a life whose clock was ahead.
 func (r *Roster) deny(n message.RouterRecord) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -349,6 +349,28 @@
 })
 
 var _ = Describe("A roster", func() {
+	It("says which beliefs changed, once", func() {
+		now := time.Unix(1, 0)
+		r := roster.New(now, message.RouterRecord{ID: "a", Peer: "a:1", Incarnation: 1}, nil, rand.New(rand.NewPCG(1, 1)))
+		b := message.RouterRecord{ID: "b", Peer: "b:1", Incarnation: 1, Version: 1}
+		beliefs := func() []message.Belief {
+			var list []message.Belief
+			for _, c := range r.Changes() {
+				list = append(list, c.Belief)
+			}
+			return list
+		}
+		r.Take(now, message.Ping{From: b})
+		Expect(beliefs()).To(Equal([]message.Belief{message.Alive}))
+		b.Version = 2
+		r.Take(now, message.Ping{From: b})
+		Expect(beliefs()).To(BeEmpty())
+		other := message.RouterRecord{ID: "c", Peer: "c:1", Incarnation: 1, Version: 1}
+		b.Belief = message.Gone
+		r.Take(now, message.Ping{From: other, Records: []message.RouterRecord{b}})
+		Expect(beliefs()).To(Equal([]message.Belief{message.Alive, message.Gone}))
+	})
+
 	It("goes to the seeds until it knows somebody, and to who is listed", func() {
 		now := time.Unix(1, 0)
 		r := roster.New(now, message.RouterRecord{ID: "a", Peer: "a:1", Incarnation: 1}, []string{"a:1", "b:1"}, rand.New(rand.NewPCG(1, 1)))
