Let only routers that serve callers tell the sum of their zone

Cause: found by reading: a router without requests counted itself among those that rank for the task, so that for itself it could rank first, and a zone would have told two sums in turn, one of them empty. Change: who does not serve tells none. The spec fails before.

--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -111,9 +111,13 @@
 	s.SetOthers(g.roster.Others(now), len(serving))
 }
 
-// relays reports whether this router tells the sum of its zone.
+// relays reports whether this router tells the sum of its zone. One that does not
+// serve would rank first for itself alone.
 func (g *Gateway) relays(serving []message.RouterRecord) bool {
 	self := g.roster.Self()
+	if !self.Serving {
+		return false
+	}
 	first, ok := zonesum.Relay(self.Zone, append(slices.Clone(serving), self))
 	return ok && first.ID == self.ID
 }
--- a/internal/gateway/report_test.go
+++ b/internal/gateway/report_test.go
@@ -132,6 +132,21 @@
 		Consistently(sums, "300ms").Should(Equal(1))
 	})
 
+	It("are not told as a sum by one that does not serve, and is the only one of its zone", func() {
+		r := newRig()
+		r.configure(spec(1))
+		far := fakes("y", 20, r)
+		Eventually(func() bool { return far[19].heard().Ready }).Should(BeTrue())
+		Consistently(func() string {
+			for _, f := range far {
+				if zone, _ := f.summed(); zone != "" {
+					return zone
+				}
+			}
+			return ""
+		}, "600ms").Should(BeEmpty())
+	})
+
 	It("come from another zone as a sum, and go on to the own zone", func() {
 		r := newRig()
 		c := spec(1)
