Count requests that wait in another zone until its next sum comes

What waits elsewhere holds back those that had more; it counted for 250 ms, while a sum comes every 200 ms plus the way through two relays: between two sums nobody seemed to wait. Ruled out: the level of shares (the other organisation was far beyond it). Change: where zones tell sums, what waits counts for half as long again as a report and a sum take together.

--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -107,6 +107,10 @@
 	}
 	period := max(reportPeriod, periodPerPeer*time.Duration(len(to)))
 	g.reporter.due, g.reporter.serving = now.Add(period), r.Serving()
+	if summed {
+		// What waits in another zone is told by two, each when its turn comes.
+		period += sumPeriod
+	}
 	s.SetReportPeriod(period)
 	s.SetOthers(g.roster.Others(now), len(serving))
 }
