Tell others that a first list of targets may lack what they have

Ruled out: late news (all had the next change 2 ms after a watcher). Change: a first list from the store counts as a change of its revision; copies of it do not, so that a start makes nobody else ask. The test fails before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -100,10 +100,20 @@
 	return true, nil
 }
 
-// SetTargets takes over the whole list of targets as of a revision. It
+// SetTargets takes over the store's whole list of targets as of a revision. It
 // returns false if the list is older than what is known. Entries that cannot
 // be decoded are left out and named in the error.
 func (c *Catalog) SetTargets(now time.Time, revision int64, list []message.StoredTarget) (bool, error) {
+	if c.revision == 0 {
+		// A list does not say what went before it: routers with an older one must
+		// ask for this one. Where all that watched were killed as an entry went,
+		// the others would go on sending to its target.
+		c.changed = max(c.changed, revision)
+	}
+	return c.setTargets(now, revision, list)
+}
+
+func (c *Catalog) setTargets(now time.Time, revision int64, list []message.StoredTarget) (bool, error) {
 	if revision < c.revision {
 		return false, nil
 	}
@@ -268,7 +278,7 @@
 		c.unstableUntil = now.Add(m.Unstable)
 	}
 	if m.Since == 0 {
-		return c.SetTargets(now, m.TargetsRevision, m.Targets)
+		return c.setTargets(now, m.TargetsRevision, m.Targets)
 	}
 	changes := make([]Change, 0, len(m.Targets)+len(m.Gone))
 	for _, t := range m.Targets {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -243,3 +243,43 @@
 		})
 	}
 }
+
+// TestGoneBeforeTheFirstList plays routers of which one starts after a target's
+// entry went: its list cannot say so, and the others must still hear of it.
+func TestGoneBeforeTheFirstList(t *testing.T) {
+	now := time.Now()
+	kept, gone := stored("kept", 1), stored("gone", 2)
+	old, fresh := catalog.New(codec{}), catalog.New(codec{})
+	if _, err := old.SetTargets(now, 2, []message.StoredTarget{kept, gone}); err != nil {
+		t.Fatal(err)
+	}
+	// The entry went with revision 3.
+	if _, err := fresh.SetTargets(now, 3, []message.StoredTarget{kept}); err != nil {
+		t.Fatal(err)
+	}
+	if fresh.Changed() <= old.Revision() {
+		t.Fatalf("the newest change is told as %d, known is %d", fresh.Changed(), old.Revision())
+	}
+	if _, err := old.Take(now, fresh.Copy(now, message.NeedCopy{Targets: old.Revision()})); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(old.Targets()); n != 1 {
+		t.Errorf("%d targets, want the one that is left", n)
+	}
+	// Who has it from another router makes nobody ask for it again.
+	third := catalog.New(codec{})
+	if _, err := third.SetTargets(now, 4, []message.StoredTarget{kept}); err != nil {
+		t.Fatal(err)
+	}
+	last := catalog.New(codec{})
+	if _, err := last.Take(now, old.Copy(now, message.NeedCopy{})); err != nil {
+		t.Fatal(err)
+	}
+	if last.Changed() > third.Revision() {
+		t.Errorf("a copy is told as the newest change, %d", last.Changed())
+	}
+}
+
+func stored(name string, revision int64) message.StoredTarget {
+	return message.StoredTarget{Name: name, Revision: revision, Value: []byte("address")}
+}
