--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +12,8 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/config"
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -120,6 +123,29 @@
 		Eventually(watching).Should(HaveLen(3))
 	})
 
+	It("watch the store in the place of one that is only suspected", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", answer)
+		// Three that rank before this router.
+		var fakes []*fakeRouter
+		for i := 0; len(fakes) < 3; i++ {
+			other := member.Member{ID: message.RouterID(fmt.Sprint("w", i)), Zone: "z"}
+			if member.Spread(1, "store", []member.Member{r.Known(), other})[0].ID == other.ID {
+				f := newFakeIn(other.ID, other.Zone)
+				f.say(r, false)
+				fakes = append(fakes, f)
+			}
+		}
+		watches := func() bool { return r.Watches(context.Background()) }
+		Eventually(watches).Should(BeFalse())
+		record := fakes[1].self
+		record.Belief = message.Suspected
+		says := message.Ping{From: fakes[0].self, Kind: message.PingNotice, Records: []message.RouterRecord{record}}
+		Expect(fakes[0].datagrams.Send(r.Known(), says)).To(BeTrue())
+		Eventually(watches).Should(BeTrue())
+	})
+
 	It("ask the store as long as nobody has told them of a target", func() {
 		a := newRig()
 		b := newRig(a.Known().Peer)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
@@ -83,9 +84,14 @@
 }
 
 // reaching returns the routers that are running, and those of them whose calls to
-// the store do not fail.
+// the store do not fail. One that is suspected may be gone: the next in rank takes
+// its place at once, and not when that is certain, which takes 1.5 s more of the
+// two in which a configuration is to be in force.
 func (g *Gateway) reaching(now time.Time) (live, reaching []member.Member) {
 	for _, r := range g.roster.Live(now) {
+		if r.Belief != message.Alive {
+			continue
+		}
 		live = append(live, roster.Member(r))
 		if !r.StoreTrouble {
 			reaching = append(reaching, roster.Member(r))
