Tell in the log which targets are used although their entries went

A request that reached a target after its entry had gone could not be told from one whose change was lost or came late: a lapsed entry counted among the targets, and wrote no line when it was given up. targets known now has the number of lapsed entries, lapsed targets given up names them, and a request's line has lapsed_ms. No change of behaviour; the tests of catalog, balance, gateway and platform pass.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -71,6 +71,9 @@
 	Slots   int
 	// Leaving targets get nothing new.
 	Leaving bool
+	// Lapsed is when the target's entry went while the store was in trouble;
+	// zero for a target that is listed.
+	Lapsed time.Time
 }
 
 // target is what the state knows of a Target.
@@ -258,6 +261,9 @@
 	if p.source != nil {
 		d.Source, d.Fetched = p.source.Target, p.fetched
 	}
+	if !to.Lapsed.IsZero() {
+		d.Lapsed = now.Sub(to.Lapsed)
+	}
 	t.Decision <- d
 }
 
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -66,6 +66,8 @@
 	// which it can fetch some Fetched tokens; without an id if there is none.
 	Source  Target
 	Fetched int
+	// Lapsed is for how long the target's entry had been gone; 0 if it is listed.
+	Lapsed time.Duration
 }
 
 // Reason is why a request is refused.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -203,39 +203,44 @@
 	delete(c.entries, name)
 }
 
-// Expire forgets lapsed entries that have not come back. It returns false if
-// there were none. Where most entries have lapsed, the store was away, and all
+// Expire forgets lapsed entries that have not come back and returns their names. Where most entries have lapsed, the store was away, and all
 // are used until it has been back for a while; where few have, new trouble of
 // this router's own with the store does not keep targets in use that left.
-func (c *Catalog) Expire(now time.Time) bool {
+func (c *Catalog) Expire(now time.Time) []string {
 	if c.mostLapsed() && now.Before(c.unstableUntil) {
-		return false
+		return nil
 	}
-	changed := false
+	var expired []string
 	for name, e := range c.entries {
 		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > lapseTime {
 			delete(c.entries, name)
-			changed = true
+			expired = append(expired, name)
 		}
 	}
-	return changed
+	slices.Sort(expired)
+	return expired
 }
 
-func (c *Catalog) mostLapsed() bool {
+func (c *Catalog) mostLapsed() bool { return 2*c.Lapsed() > len(c.entries) }
+
+// Lapsed returns the number of entries that have lapsed.
+func (c *Catalog) Lapsed() int {
 	lapsed := 0
 	for _, e := range c.entries {
 		if !e.lapsed.IsZero() {
 			lapsed++
 		}
 	}
-	return 2*lapsed > len(c.entries)
+	return lapsed
 }
 
 // Targets returns the targets that are listed or lapsed, by id.
 func (c *Catalog) Targets() []balance.Target {
 	list := make([]balance.Target, 0, len(c.entries))
 	for _, e := range c.entries {
-		list = append(list, e.target)
+		t := e.target
+		t.Lapsed = e.lapsed
+		list = append(list, t)
 	}
 	slices.SortFunc(list, func(a, b balance.Target) int { return strings.Compare(a.ID, b.ID) })
 	return list
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -150,7 +150,7 @@
 	if len(c.Targets()) != 1 {
 		t.Fatal("a target whose entry lapsed while the store was away is not used")
 	}
-	if !c.Expire(now.Add(3*time.Second)) || len(c.Targets()) != 0 {
+	if len(c.Expire(now.Add(3*time.Second))) != 1 || len(c.Targets()) != 0 {
 		t.Fatal("a target that did not come back is still used")
 	}
 	if _, err := c.SetTargets(now, 3, entry); err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -117,6 +117,9 @@
 	// Fetched is the number of tokens that the target could fetch from another
 	// engine.
 	Fetched int
+	// Lapsed is for how long that target's entry had been gone; 0 if it was
+	// listed.
+	Lapsed time.Duration
 }
 
 // Reason is why a request was refused, failed or was sent again.
@@ -243,6 +246,7 @@
 		}
 		x.verdict.Target = d.Target.ID
 		x.verdict.Unread, x.verdict.Miss, x.verdict.Fetched = d.Unread, d.Miss, d.Fetched
+		x.verdict.Lapsed = d.Lapsed
 		x.source = d.Source
 		return d.Target, true
 	case <-ctx.Done():
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -172,7 +172,8 @@
 			leaving++
 		}
 	}
-	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving, "from", from)
+	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving,
+		"lapsed", g.catalog.Lapsed(), "from", from)
 	s.SetTargets(now, list)
 	g.spread(now)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -142,7 +142,8 @@
 		route, goal = r.Route.Name, r.Route.Goal
 	}
 	o.log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v),
-		"status", v.Status, "reason", string(v.Reason), "target", v.Target, "sends", v.Sends,
+		"status", v.Status, "reason", string(v.Reason), "target", v.Target,
+		"lapsed_ms", v.Lapsed.Milliseconds(), "sends", v.Sends,
 		"unread", v.Unread, "miss", v.Miss, "fetched", v.Fetched, "input", r.Input, "output", r.Output,
 		"goal_ms", milliseconds(goal), "waited_ms", milliseconds(v.Waited), "first_ms", milliseconds(v.First),
 		"took_ms", milliseconds(took), "retry_after_ms", v.RetryAfter.Milliseconds())
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -60,11 +60,17 @@
 	g.say()
 	g.send(g.roster.Tick(now))
 	g.logBeliefs(g.roster.Changes())
-	if g.catalog.Expire(now) {
+	if expired := g.catalog.Expire(now); len(expired) > 0 {
+		g.Log.Info("lapsed targets given up", "revision", g.catalog.Revision(), "count", len(expired),
+			"targets", expired[:min(len(expired), namesMost)])
 		s.SetTargets(now, g.catalog.Targets())
 	}
 }
 
+// namesMost bounds the targets named in a line, so that a line stays short where
+// hundreds go at once.
+const namesMost = 8
+
 // linesMost is the number of routers up to which each change of belief gets a line:
 // where all start at once, hundreds would push other lines out.
 const linesMost = 8
