Let an entry lapse only until others would be back

Cause: an entry that went while entries may lapse was used for 1.8 s from then on, also if it went at the end of that time, where it has most probably left: used up to 1.85 s after leaving, of the 2 s in which it must be left. Ruled out: counting from the store's return as one router sees it, since others may see it later; the time is passed on with the list. Change: it is given up when that time ends. Figures: an entry that goes 1.7 s into it is given up 0.1 s later, before 1.8.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,8 +37,8 @@
 	stored message.StoredTarget
 	target balance.Target
 	// lapsed is when the entry went while the store was in trouble; zero for
-	// one that is there.
-	lapsed time.Time
+	// one that is there. until is until when it may come back.
+	lapsed, until time.Time
 }
 
 // Catalog is one router's copy. Use New to make one.
@@ -197,7 +197,9 @@
 		return
 	}
 	if now.Before(c.unstableUntil) && !e.target.Leaving {
-		e.lapsed = now
+		// Not for a time from now on: what goes late in that time has probably
+		// left, and was served up to 1.85 s more.
+		e.lapsed, e.until = now, c.unstableUntil
 		return
 	}
 	delete(c.entries, name)
@@ -212,7 +214,7 @@
 	}
 	var expired []string
 	for name, e := range c.entries {
-		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > lapseTime {
+		if !e.lapsed.IsZero() && !now.Before(e.until) {
 			delete(c.entries, name)
 			expired = append(expired, name)
 		}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -283,3 +283,23 @@
 func stored(name string, revision int64) message.StoredTarget {
 	return message.StoredTarget{Name: name, Revision: revision, Value: []byte("address")}
 }
+
+// TestLapseEndsWhenEntriesAreBack has an entry go late in the time in which entries
+// may lapse: it is not used for as long again.
+func TestLapseEndsWhenEntriesAreBack(t *testing.T) {
+	now := time.Now()
+	c := catalog.New(codec{})
+	if _, err := c.SetTargets(now, 2, []message.StoredTarget{stored("stays", 1), stored("goes", 2)}); err != nil {
+		t.Fatal(err)
+	}
+	c.Unstable(now)
+	if err := c.Apply(now.Add(1700*time.Millisecond), 3, []catalog.Change{{StoredTarget: stored("goes", 3), Gone: true}}); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(c.Targets()); n != 2 {
+		t.Fatalf("%d targets in use as an entry lapses, want 2", n)
+	}
+	if expired := c.Expire(now.Add(1900 * time.Millisecond)); len(expired) != 1 {
+		t.Errorf("given up when others would be back: %v, want the one that went", expired)
+	}
+}
