Stop choosing a target at the moment its lapse ends, whenever the router looks

A lapsed entry was given up at the next look of the control loop, every 50 ms and later on a router under a flood. The moment now comes with the target, the choice and the queue ask it, and the invariant left-in-time holds at each send. The spec fails without it (a target whose time was over is chosen).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
@@ -71,9 +72,15 @@
 	Slots   int
 	// Leaving targets get nothing new.
 	Leaving bool
-	// Lapsed is when the target's entry went while the store was in trouble;
-	// zero for a target that is listed.
-	Lapsed time.Time
+	// Lapsed is when the target's entry went while the store was in trouble, and
+	// Until is until when the target may be used without it; zero for a target
+	// that is listed, and Until for one that is used until the store is back.
+	Lapsed, Until time.Time
+}
+
+// Closed reports whether a target gets nothing new.
+func (t Target) Closed(now time.Time) bool {
+	return t.Leaving || !t.Until.IsZero() && !now.Before(t.Until)
 }
 
 // target is what the state knows of a Target.
@@ -211,7 +218,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.services[t.Service], func(c *target) bool {
-		return c != t.at && !c.Leaving && !c.suspected(now) && !slices.Contains(t.Tried, c.ID)
+		return c != t.at && !c.Closed(now) && !c.suspected(now) && !slices.Contains(t.Tried, c.ID)
 	})
 }
 
@@ -243,6 +250,7 @@
 
 func (s *State) send(now time.Time, t *Ticket, p place) {
 	to := p.target
+	invariant.Check(!to.Closed(now), invariant.LeftInTime)
 	t.at = to
 	t.sent = now
 	t.load = view.Load{Unread: p.read, Running: 1, Memory: t.private()}
@@ -318,7 +326,7 @@
 			kept = append(kept, t)
 			continue
 		}
-		s.refuse(now, t, s.reason(t))
+		s.refuse(now, t, s.reason(now, t))
 	}
 	clear(s.queue[len(kept):])
 	s.queue = kept
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -143,6 +143,33 @@
 		Expect(w.arrive(t)).To(BeNil())
 	})
 
+	It("leaves out targets whose entry has been gone too long, whether or not that was told", func() {
+		w := newWorld(2)
+		list := targets(2)
+		for i := range list {
+			if list[i].ID == "e0" || list[i].ID == "p0" {
+				list[i].Lapsed, list[i].Until = w.now, w.now.Add(time.Second)
+			}
+		}
+		w.SetTargets(w.now, list)
+		w.pass(300 * time.Millisecond)
+		used := map[string]time.Duration{}
+		for range 6 {
+			d := w.arrive(w.plain())
+			used[d.Target.ID] = d.Lapsed
+		}
+		Expect(used).To(Equal(map[string]time.Duration{"p0": 300 * time.Millisecond, "p1": 0}))
+		w.pass(time.Second)
+		for range 5 {
+			Expect(w.arrive(w.prompt("o", "s", 10)).Target.ID).To(Equal("e1"))
+		}
+		t := w.plain()
+		t.Tried = []string{"p1"}
+		Expect(w.arrive(t)).To(BeNil())
+		w.pass(time.Second)
+		Expect(decision(t).Refused).To(Equal(balance.Full))
+	})
+
 	It("gives plain targets no more than they can queue", func() {
 		w := newWorld(1)
 		for range 9 {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -86,9 +86,9 @@
 }
 
 // reason returns why a request has found no target.
-func (s *State) reason(t *Ticket) Reason {
+func (s *State) reason(now time.Time, t *Ticket) Reason {
 	for _, to := range s.services[t.Service] {
-		if !to.Leaving {
+		if !to.Closed(now) {
 			return Full
 		}
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -239,9 +239,14 @@
 // Targets returns the targets that are listed or lapsed, by id.
 func (c *Catalog) Targets() []balance.Target {
 	list := make([]balance.Target, 0, len(c.entries))
+	// Where most have lapsed, new trouble may make the time longer.
+	fixed := !c.mostLapsed()
 	for _, e := range c.entries {
 		t := e.target
 		t.Lapsed = e.lapsed
+		if fixed {
+			t.Until = e.until
+		}
 		list = append(list, t)
 	}
 	slices.SortFunc(list, func(a, b balance.Target) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -32,13 +32,16 @@
 	NeverReverts Name = "never-reverts"
 	// ServiceMonotonic: service in reports never falls in one incarnation.
 	ServiceMonotonic Name = "service-monotonic"
+	// LeftInTime: nothing is sent to a target that leaves, nor to one whose entry
+	// has been gone for longer than entries may lapse.
+	LeftInTime Name = "left-in-time"
 )
 
 // Names returns all invariants.
 func Names() []Name {
 	return []Name{
 		DecidedOnce, SlotsBounded, WorkConserving, CreditsBalance,
-		RunsOnce, NotRunIsTrue, NeverReverts, ServiceMonotonic,
+		RunsOnce, NotRunIsTrue, NeverReverts, ServiceMonotonic, LeftInTime,
 	}
 }
 
