Tell whether a router watches the store in one pass over the fleet

Cause: each of three loops asks that five times a second, and each time all routers were copied, put in order by name, and twice in order by rank; the number of the others was counted in the same way, ten times a second. Ruled out: messages (a tenth of the time of a router without callers). Change: a Standing counts, in one pass, who ranks before this router; it is compared with Spread on random fleets. The roster counts and goes through routers without making a list. Figures: a router of 300 without callers 0.73 -> 0.20% of a core (BenchmarkIdleFleet, one run each, other processes beside both).

--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -15,7 +15,8 @@
 )
 
 // BenchmarkIdleFleet measures what a router of 300 without callers spends on knowing
-// the others and on looking whether it should watch the store.
+// the others and on looking whether it should watch the store: 0.20% of a core, and
+// 0.73% while each look put all of them in order.
 func BenchmarkIdleFleet(b *testing.B) {
 	const routers, zones, looks = 300, 5, 3
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"iter"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
-	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
 const (
@@ -72,44 +71,54 @@
 		if ignorant {
 			wait = g.settle
 		}
-		live, reaching := g.reaching(now)
-		first := ignorant && g.lot*float64(len(live)) < firstAskers
-		watches = now.Sub(g.started) >= wait && (first || g.ranks(reaching) || g.ranks(live))
+		if now.Sub(g.started) < wait {
+			watches = false
+			return
+		}
+		live, reaching := g.standing(), g.standing()
+		running := 0
+		for r := range g.running(now) {
+			running++
+			live.Add(r.ID, r.Zone)
+			if !r.StoreTrouble {
+				reaching.Add(r.ID, r.Zone)
+			}
+		}
+		first := ignorant && g.lot*float64(running) < firstAskers
+		reaches := g.trouble.IsZero() && !g.leaving
+		watches = first || reaches && reaching.Among(watchers) || !g.leaving && live.Among(watchers)
 	})
 	return watches
 }
 
+// standing returns this router's standing among none yet of those that are to watch
+// the store.
+func (g *Gateway) standing() *member.Standing {
+	return member.NewStanding("store", g.known.ID, g.known.Zone)
+}
+
 // OthersWatch reports whether other routers reach the store, as far as known, so
 // that nothing depends on this one.
 func (g *Gateway) OthersWatch(ctx context.Context) bool {
 	watch := false
 	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
-		_, reaching := g.reaching(now)
-		watch = slices.ContainsFunc(reaching, func(m member.Member) bool { return m.ID != g.known.ID })
+		for r := range g.running(now) {
+			watch = watch || r.ID != g.known.ID && !r.StoreTrouble
+		}
 	})
 	return watch
 }
 
-// reaching returns the routers that are running, and those of them whose calls to
-// the store do not fail. One that is suspected may be gone: the next in rank takes
-// its place at once, and not when that is certain, which takes 1.5 s more of the
-// two in which a configuration is to be in force.
-func (g *Gateway) reaching(now time.Time) (live, reaching []member.Member) {
-	for _, r := range g.roster.Live(now) {
-		if r.Belief != message.Alive {
-			continue
-		}
-		live = append(live, roster.Member(r))
-		if !r.StoreTrouble {
-			reaching = append(reaching, roster.Member(r))
+// running returns the routers that are running and not leaving, this one included.
+// One that is suspected may be gone: the next in rank takes its place at once, and
+// not when that is certain, which takes 1.5 s more of the two in which a
+// configuration is to be in force.
+func (g *Gateway) running(now time.Time) iter.Seq[message.RouterRecord] {
+	return func(yield func(message.RouterRecord) bool) {
+		for r := range g.roster.Each(now) {
+			if r.Belief == message.Alive && !yield(r) {
+				return
+			}
 		}
 	}
-	return live, reaching
-}
-
-// ranks reports whether this router is among the first that are to watch.
-func (g *Gateway) ranks(list []member.Member) bool {
-	return slices.ContainsFunc(member.Spread(watchers, "store", list), func(m member.Member) bool {
-		return m.ID == g.known.ID
-	})
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/stepcroft/stepcroft/internal/config"
 	"github.com/stepcroft/stepcroft/internal/member"
@@ -143,6 +144,30 @@
 	})
 })
 
+// TestStanding compares a member's standing with the list that Spread puts in order.
+func TestStanding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []member.Member
+		for i := range rapid.IntRange(1, 40).Draw(t, "members") {
+			list = append(list, member.Member{
+				ID: message.RouterID(fmt.Sprint(i)), Zone: fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "zone")),
+			})
+		}
+		key := rapid.StringN(0, 8, 8).Draw(t, "key")
+		n := rapid.IntRange(0, 10).Draw(t, "n")
+		first := member.Spread(n, key, list)
+		for _, m := range list {
+			s := member.NewStanding(key, m.ID, m.Zone)
+			for _, other := range list {
+				s.Add(other.ID, other.Zone)
+			}
+			if got, want := s.Among(n), slices.Contains(first, m); got != want {
+				t.Fatalf("%v among the first %d of %v: %t, want %t", m, n, list, got, want)
+			}
+		}
+	})
+}
+
 // BenchmarkSpread measures who of a fleet of the size aimed at watches the
 // store, which each router asks itself ten times a second.
 func BenchmarkSpread(b *testing.B) {
--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -14,17 +15,33 @@
 // not leaving, this one included, by id. A router that is cut off knows of none
 // but itself.
 func (r *Roster) Live(now time.Time) []message.RouterRecord {
-	live := r.collect(now, func(e *entry) bool { return !e.Leaving })
-	if !r.self.Leaving {
-		live = append(live, r.self)
-		slices.SortFunc(live, func(a, b message.RouterRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(r.Each(now), byID)
+}
+
+// Each returns the same as Live, in no order and without a list of them.
+func (r *Roster) Each(now time.Time) iter.Seq[message.RouterRecord] {
+	return func(yield func(message.RouterRecord) bool) {
+		if !r.self.Leaving && !yield(r.self) {
+			return
+		}
+		for e := range r.believedOthers(now) {
+			if !e.Leaving && !yield(e.RouterRecord) {
+				return
+			}
+		}
 	}
-	return live
 }
 
 // Serving returns what is known of the other routers that have callers' requests.
 func (r *Roster) Serving(now time.Time) []message.RouterRecord {
-	return r.collect(now, func(e *entry) bool { return e.Serving })
+	var list []message.RouterRecord
+	for e := range r.believedOthers(now) {
+		if e.Serving {
+			list = append(list, e.RouterRecord)
+		}
+	}
+	slices.SortFunc(list, byID)
+	return list
 }
 
 // Zone returns the availability zone of another router, empty if it is not known.
@@ -37,7 +54,11 @@
 
 // Others returns the number of other routers that are believed to be running.
 func (r *Roster) Others(now time.Time) int {
-	return len(r.collect(now, func(*entry) bool { return true }))
+	n := 0
+	for range r.believedOthers(now) {
+		n++
+	}
+	return n
 }
 
 // Member returns who a record is about.
@@ -47,18 +68,22 @@
 	}
 }
 
-func (r *Roster) collect(now time.Time, keep func(*entry) bool) []message.RouterRecord {
-	var list []message.RouterRecord
-	if r.cutOff(now) {
-		return nil
-	}
-	for _, e := range r.list {
-		if r.believed(now, e) && keep(e) {
-			list = append(list, e.RouterRecord)
+// byID orders records.
+func byID(a, b message.RouterRecord) int { return cmp.Compare(a.ID, b.ID) }
+
+// believedOthers returns the other routers that are taken to be running; none if
+// this one is cut off.
+func (r *Roster) believedOthers(now time.Time) iter.Seq[*entry] {
+	return func(yield func(*entry) bool) {
+		if r.cutOff(now) {
+			return
+		}
+		for _, e := range r.list {
+			if r.believed(now, e) && !yield(e) {
+				return
+			}
 		}
 	}
-	slices.SortFunc(list, func(a, b message.RouterRecord) int { return cmp.Compare(a.ID, b.ID) })
-	return list
 }
 
 // believed reports whether a router is taken to be running.
