Use lapsed entries for a time that follows from what a leaving target serves

Cause: 1.8 s stood in the program, whatever the settings say a leaving target serves: with one second, targets would be used too long; with four, entries that the platform brings back in about two seconds were given up before. Change: the lesser of two seconds and that time less 0.2 s. Figures: 1.8 s for 2 s as before; 0.8 s for 1 s; 2.0 s for 3 and 4 s (table in the test).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -17,10 +17,14 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
-// lapseTime is for how long a target whose entry went while the store was in
-// trouble is still used: entries of live targets are back about two seconds
-// after the store is, and one that drains may be sent to for as long.
-const lapseTime = 1800 * time.Millisecond
+const (
+	// backTime is about how long after the store is back the entries of live
+	// targets are: the platform says two seconds.
+	backTime = 2 * time.Second
+	// drainReserve is what is left, of the time that a leaving target serves, for
+	// a list of targets and a request on their way.
+	drainReserve = 200 * time.Millisecond
+)
 
 // maxGone bounds the entries that are remembered as gone. A router that is
 // further behind gets the whole list.
@@ -43,7 +47,10 @@
 
 // Catalog is one router's copy. Use New to make one.
 type Catalog struct {
-	codec          Codec
+	codec Codec
+	// lapse is for how long after the store's trouble a target is still used
+	// whose entry went meanwhile.
+	lapse          time.Duration
 	configRevision int64
 	config         []byte
 	table          *routing.Table
@@ -59,9 +66,10 @@
 	unstableUntil time.Time
 }
 
-// New returns an empty catalog.
-func New(c Codec) *Catalog {
-	return &Catalog{codec: c, entries: map[string]*entry{}, gone: map[string]int64{}}
+// New returns an empty catalog. A target that leaves serves on for drain: those
+// whose entries went while the store was in trouble are used for less.
+func New(c Codec, drain time.Duration) *Catalog {
+	return &Catalog{codec: c, lapse: max(min(backTime, drain-drainReserve), 0), entries: map[string]*entry{}, gone: map[string]int64{}}
 }
 
 // Table returns the configuration in force, nil before the first.
@@ -79,7 +87,7 @@
 
 // Unstable notes that the store is in trouble: entries that go until a moment
 // from now may belong to targets that are well.
-func (c *Catalog) Unstable(now time.Time) { c.unstableUntil = now.Add(lapseTime) }
+func (c *Catalog) Unstable(now time.Time) { c.unstableUntil = now.Add(c.lapse) }
 
 // unstable returns for how much longer that holds.
 func (c *Catalog) unstable(now time.Time) time.Duration { return max(c.unstableUntil.Sub(now), 0) }
@@ -205,9 +213,10 @@
 	delete(c.entries, name)
 }
 
-// Expire forgets lapsed entries that have not come back and returns their names. Where most entries have lapsed, the store was away, and all
-// are used until it has been back for a while; where few have, new trouble of
-// this router's own with the store does not keep targets in use that left.
+// Expire forgets lapsed entries that have not come back and returns their names.
+// Where most entries have lapsed, the store was away, and all are used until it has
+// been back for a while; where few have, new trouble of this router's own with the
+// store does not keep targets in use that left.
 func (c *Catalog) Expire(now time.Time) []string {
 	if c.mostLapsed() && now.Before(c.unstableUntil) {
 		return nil
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -17,6 +17,9 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
+// drainTime is for how long a target serves on that leaves.
+const drainTime = 2 * time.Second
+
 // codec reads a table's version, and a target whose value is its address.
 type codec struct{}
 
@@ -65,7 +68,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		h := &history{}
-		pair := []*catalog.Catalog{catalog.New(codec{}), catalog.New(codec{})}
+		pair := []*catalog.Catalog{catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)}
 		which := func() *catalog.Catalog { return pair[rapid.IntRange(0, 1).Draw(t, "router")] }
 		revision := func() int64 { return int64(rapid.IntRange(0, len(h.events)).Draw(t, "revision")) }
 		configs := map[*catalog.Catalog]int64{}
@@ -138,7 +141,7 @@
 
 func TestLapse(t *testing.T) {
 	now := time.Now()
-	c := catalog.New(codec{})
+	c := catalog.New(codec{}, drainTime)
 	entry := []message.StoredTarget{{Name: "a", Revision: 1, Value: []byte("x")}}
 	if _, err := c.SetTargets(now, 1, entry); err != nil {
 		t.Fatal(err)
@@ -166,7 +169,7 @@
 // alone would, however often they copy.
 func TestLapseIsPassedOn(t *testing.T) {
 	now := time.Now()
-	a, b := catalog.New(codec{}), catalog.New(codec{})
+	a, b := catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)
 	target := func(name string, revision int64) message.StoredTarget {
 		return message.StoredTarget{Name: name, Revision: revision, Value: []byte("x")}
 	}
@@ -220,7 +223,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			k := catalog.New(codec{})
+			k := catalog.New(codec{}, drainTime)
 			var list []message.StoredTarget
 			for i := range 4 {
 				list = append(list, message.StoredTarget{Name: strconv.Itoa(i), Revision: 1, Value: []byte("x")})
@@ -249,7 +252,7 @@
 func TestGoneBeforeTheFirstList(t *testing.T) {
 	now := time.Now()
 	kept, gone := stored("kept", 1), stored("gone", 2)
-	old, fresh := catalog.New(codec{}), catalog.New(codec{})
+	old, fresh := catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)
 	if _, err := old.SetTargets(now, 2, []message.StoredTarget{kept, gone}); err != nil {
 		t.Fatal(err)
 	}
@@ -267,11 +270,11 @@
 		t.Errorf("%d targets, want the one that is left", n)
 	}
 	// Who has it from another router makes nobody ask for it again.
-	third := catalog.New(codec{})
+	third := catalog.New(codec{}, drainTime)
 	if _, err := third.SetTargets(now, 4, []message.StoredTarget{kept}); err != nil {
 		t.Fatal(err)
 	}
-	last := catalog.New(codec{})
+	last := catalog.New(codec{}, drainTime)
 	if _, err := last.Take(now, old.Copy(now, message.NeedCopy{})); err != nil {
 		t.Fatal(err)
 	}
@@ -284,11 +287,45 @@
 	return message.StoredTarget{Name: name, Revision: revision, Value: []byte("address")}
 }
 
+// TestLapseFollowsDrain has entries go in the store's trouble where targets that
+// leave serve on for different times.
+func TestLapseFollowsDrain(t *testing.T) {
+	cases := map[string]struct{ drain, lapse time.Duration }{
+		"short":       {drain: time.Second, lapse: 800 * time.Millisecond},
+		"usual":       {drain: 2 * time.Second, lapse: 1800 * time.Millisecond},
+		"long":        {drain: 4 * time.Second, lapse: 2 * time.Second},
+		"hardly any":  {drain: 100 * time.Millisecond, lapse: 0},
+		"none at all": {drain: 0, lapse: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			k := catalog.New(codec{}, c.drain)
+			if _, err := k.SetTargets(now, 1, []message.StoredTarget{stored("a", 1)}); err != nil {
+				t.Fatal(err)
+			}
+			k.Unstable(now)
+			if _, err := k.SetTargets(now, 2, nil); err != nil {
+				t.Fatal(err)
+			}
+			if c.lapse > 0 {
+				if expired := k.Expire(now.Add(c.lapse - time.Millisecond)); len(expired) > 0 {
+					t.Errorf("given up before %v", c.lapse)
+				}
+				k.Expire(now.Add(c.lapse))
+			}
+			if n := len(k.Targets()); n > 0 {
+				t.Errorf("still used after %v", c.lapse)
+			}
+		})
+	}
+}
+
 // TestLapseEndsWhenEntriesAreBack has an entry go late in the time in which entries
 // may lapse: it is not used for as long again.
 func TestLapseEndsWhenEntriesAreBack(t *testing.T) {
 	now := time.Now()
-	c := catalog.New(codec{})
+	c := catalog.New(codec{}, drainTime)
 	if _, err := c.SetTargets(now, 2, []message.StoredTarget{stored("stays", 1), stored("goes", 2)}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	// where nothing is set.
 	defaultRequests    = 1000
 	defaultConnections = 4000
+	// defaultDrain is for how long a target serves on that leaves where nothing is
+	// set: the shortest of the installations known.
+	defaultDrain = 2 * time.Second
 	// copyPause is the time between requests to other routers for what they
 	// have newer.
 	copyPause = 60 * time.Millisecond
@@ -60,7 +63,9 @@
 	Dialect forward.Dialect
 	Codec   catalog.Codec
 	Limits  balance.Limits
-	Log     logr.Logger
+	// Drain is for how long a target serves on that leaves; 0 means two seconds.
+	Drain time.Duration
+	Log   logr.Logger
 	// LogFull reports, and counts, that a line about a request would only be
 	// dropped; nil means never.
 	LogFull func() bool
@@ -113,7 +118,7 @@
 		return nil, errors.Wrapf(err, "listen for routers on %s", o.PeerListen)
 	}
 	g := &Gateway{
-		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec),
+		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.Drain, defaultDrain)),
 		sums: map[string]time.Time{}, direct: map[message.RouterID]string{},
 	}
 	now := time.Now()
