--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 )
 
@@ -47,6 +48,7 @@
 	m.root.Set("failures", m.failures)
 	m.root.Set("retries", m.retries)
 	m.root.Set("statuses", m.statuses)
+	m.root.Set("violations", invariant.Violations())
 	m.root.Set("latency_ms", expvar.Func(m.latencies))
 	m.root.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	m.root.Set("process", expvar.Func(func() any { return metrics.ReadProcess() }))
--- /dev/null
+++ b/internal/gateway/metrics_test.go
@@ -0,0 +1,26 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/gateway"
+	"github.com/stepcroft/stepcroft/internal/invariant"
+)
+
+var _ = Describe("The figures", func() {
+	It("have a count for each invariant", func() {
+		w := httptest.NewRecorder()
+		gateway.NewMetrics().ServeHTTP(w, nil)
+		var figures struct {
+			Violations map[string]int `json:"violations"`
+		}
+		Expect(json.Unmarshal(w.Body.Bytes(), &figures)).To(Succeed())
+		for _, n := range invariant.Names() {
+			Expect(figures.Violations).To(HaveKey(string(n)))
+		}
+	})
+})
