--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -121,6 +121,10 @@
 		Eventually(watching).Should(And(HaveLen(4), ContainElement(failed)))
 		fleet[failed].StoreWorks()
 		Eventually(watching).Should(HaveLen(3))
+		for _, i := range watching() {
+			fleet[i].StoreTrouble()
+		}
+		Eventually(watching).Should(HaveLen(6))
 	})
 
 	// ranking returns three routers that rank before r to watch the store, and that r
