Tell whom a router keeps back, why, and at what use of its processor

Cause: in the incident nothing tells a refusal for a busy processor from one for a full queue, nor when it began. Ruled out by nothing yet; no change of logic: a gate carries why it is there (reason router-busy or organisation-queue-full), lines say when an organisation is kept back and let in again, and the part of the cores in use stands among the figures.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -120,6 +120,9 @@
 	budget           budget
 	// flows has the organisations whose requests are sent to engines.
 	flows map[string]*flow
+	// busy is the part of its cores that the router used last.
+	busy float64
+	kept []Kept
 	// good, suspect, near and missing are room for choosing a target.
 	good, suspect, near []*target
 	missing             []int
--- a/internal/balance/gate.go
+++ b/internal/balance/gate.go
@@ -53,6 +53,8 @@
 	left atomic.Int64
 	// refused counts those that were refused since the last tick.
 	refused atomic.Int64
+	// busy is set if it is there because the processor does no more.
+	busy atomic.Bool
 }
 
 // flow is what becomes of an organisation's requests to engines.
@@ -72,6 +74,9 @@
 	// many the gate refused in the last tick.
 	refused time.Time
 	lately  int
+	// since is when the gate was set up, unread how many it refused since.
+	since  time.Time
+	unread int
 }
 
 func (s *State) flow(organisation string) *flow {
@@ -86,6 +91,7 @@
 // SetBusy notes which part of its cores the router used lately, and keeps the
 // organisation back that makes it send most if that is too much.
 func (s *State) SetBusy(now time.Time, part, cores float64) {
+	s.busy = part
 	total := 0.0
 	for _, f := range s.flows {
 		total += f.pace
@@ -97,6 +103,7 @@
 		case f.pace > total*busyShare:
 			f.most = max(min(f.most, f.pace)*busyCut, busyLeast*cores)
 			f.shut(now)
+			f.gate.busy.Store(true)
 		}
 	}
 }
@@ -113,7 +120,7 @@
 			f.shut(now)
 		}
 		if f.gate != nil {
-			f.turn(now, waiting[name])
+			s.turn(now, name, f, waiting[name])
 		}
 		if f.gate == nil {
 			if f.pace < negligibleFlow {
@@ -129,6 +136,23 @@
 	return out
 }
 
+// turn sets what a gate lets in until the next tick, or takes it away.
+func (s *State) turn(now time.Time, organisation string, f *flow, waiting int) {
+	began := f.since.IsZero()
+	if began {
+		f.since = now
+	}
+	why := f.gate.why()
+	f.turn(now, waiting)
+	switch {
+	case f.gate == nil:
+		s.keptBack(Kept{Organisation: organisation, Why: why, Busy: s.busy, Unread: f.unread, Lasted: now.Sub(f.since)})
+		f.since, f.unread = time.Time{}, 0
+	case began:
+		s.keptBack(Kept{Organisation: organisation, Why: why, Began: true, Busy: s.busy, PerSecond: f.perTick() / tickTime.Seconds()})
+	}
+}
+
 // shut sets up a gate, or keeps the one that is there.
 func (f *flow) shut(now time.Time) {
 	f.refused = now
@@ -138,10 +162,14 @@
 	}
 }
 
+// perTick returns how many requests the gate lets in a tick.
+func (f *flow) perTick() float64 { return min(gateShare*f.pace+gateLeast, f.most) }
+
 // turn sets how many requests the gate lets in until the next tick, or takes it
 // away.
 func (f *flow) turn(now time.Time, waiting int) {
 	f.lately = int(f.gate.refused.Swap(0))
+	f.unread += f.lately
 	if f.lately > 0 {
 		f.refused = now
 	}
@@ -149,13 +177,21 @@
 		f.gate, f.credit, f.lately, f.most = nil, 0, 0, math.Inf(1)
 		return
 	}
-	f.credit += min(gateShare*f.pace+gateLeast, f.most)
+	f.credit += f.perTick()
 	whole := int64(f.credit)
 	f.credit -= float64(whole)
 	left := max(f.gate.left.Load(), 0) + whole
 	f.gate.left.Store(min(left, int64(max(maxWaitingOne-waiting, 0))))
 }
 
+// why returns the reason for which requests are refused unread.
+func (g *gate) why() Reason {
+	if g.busy.Load() {
+		return Busy
+	}
+	return Crowded
+}
+
 // crowds reports whether a request is to be refused unread.
 func (g *gate) crowds() bool {
 	if g.left.Load() > 0 {
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -22,6 +23,7 @@
 	state  *State
 	events chan Event
 	gates  atomic.Pointer[map[string]*gate]
+	busy   atomic.Uint64
 	meter  meter
 }
 
@@ -80,6 +82,7 @@
 			now := time.Now()
 			l.state.Tick(now)
 			l.meter.look(now, l.state)
+			l.busy.Store(math.Float64bits(l.state.busy))
 			l.publish(l.state.gatesAt(now))
 		}
 	}
@@ -94,6 +97,9 @@
 	l.gates.Store(&gates)
 }
 
+// Busy returns the part of its cores that the router used last.
+func (l *Loop) Busy() float64 { return math.Float64frombits(l.busy.Load()) }
+
 func (l *Loop) gate(organisation string) *gate {
 	gates := l.gates.Load()
 	if gates == nil {
@@ -102,18 +108,22 @@
 	return (*gates)[organisation]
 }
 
-// Crowded reports whether an organisation sends so many requests to engines
-// that another one is to be refused unread. Any goroutine may call it.
-func (l *Loop) Crowded(organisation string) bool {
-	g := l.gate(organisation)
-	return g != nil && g.crowds()
+// Crowded returns why another request of an organisation to engines is to be
+// refused unread, or "" if it is to be read. Any goroutine may call it.
+func (l *Loop) Crowded(organisation string) Reason {
+	if g := l.gate(organisation); g != nil && g.crowds() {
+		return g.why()
+	}
+	return ""
 }
 
-// Admit lets a request of an organisation to engines in; it returns false if
-// the organisation sends too many. Any goroutine may call it, once a request.
-func (l *Loop) Admit(organisation string) bool {
-	g := l.gate(organisation)
-	return g == nil || g.admit()
+// Admit lets a request of an organisation to engines in, or returns why it is to be
+// refused. Any goroutine may call it, once a request.
+func (l *Loop) Admit(organisation string) Reason {
+	if g := l.gate(organisation); g != nil && !g.admit() {
+		return g.why()
+	}
+	return ""
 }
 
 // Post hands an event over, to be applied soon and in order.
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -79,6 +79,10 @@
 	Full Reason = "queue-full"
 	// NoTarget means that the service has no target.
 	NoTarget Reason = "no-target"
+	// Crowded means that too many requests of the organisation wait, and Busy that
+	// the router's processor serves no more of them.
+	Crowded Reason = "organisation-queue-full"
+	Busy    Reason = "router-busy"
 )
 
 // Result is how an exchange with a target ended.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,13 +36,13 @@
 	return &Forwarder{dialect: d, sender: s, loop: l, log: log, counts: c}
 }
 
-// Crowded reports whether a request of an organisation to engines is to be
-// refused unread: it sends more than the router can take in.
-func (f *Forwarder) Crowded(organisation string) bool { return f.loop.Crowded(organisation) }
+// Crowded returns why a request of an organisation to engines is to be refused
+// unread, or "": it sends more than the router can take in.
+func (f *Forwarder) Crowded(organisation string) Reason { return Reason(f.loop.Crowded(organisation)) }
 
-// Admit lets a request of an organisation to engines in; it returns false if it
-// is to be refused for the same reason.
-func (f *Forwarder) Admit(organisation string) bool { return f.loop.Admit(organisation) }
+// Admit lets a request of an organisation to engines in, or returns why it is to be
+// refused.
+func (f *Forwarder) Admit(organisation string) Reason { return Reason(f.loop.Admit(organisation)) }
 
 const (
 	// minLeft is the least time that is worth a send.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -122,6 +122,9 @@
 const (
 	ReasonFull     Reason = Reason(balance.Full)
 	ReasonNoTarget Reason = Reason(balance.NoTarget)
+	// ReasonCrowded and ReasonBusy are those for which a request is refused unread.
+	ReasonCrowded Reason = Reason(balance.Crowded)
+	ReasonBusy    Reason = Reason(balance.Busy)
 	// ReasonDeadline means that time ran out.
 	ReasonDeadline Reason = "deadline"
 	// ReasonGone means that the caller went away.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -60,6 +60,7 @@
 	g.say()
 	g.send(g.roster.Tick(now))
 	g.logBeliefs(g.roster.Changes())
+	g.logKept(s.KeptBack())
 	if expired := g.catalog.Expire(now); len(expired) > 0 {
 		g.Log.Info("lapsed targets given up", "revision", g.catalog.Revision(), "count", len(expired),
 			"targets", expired[:min(len(expired), namesMost)])
@@ -90,6 +91,19 @@
 	}
 }
 
+// logKept logs which organisations the router began or ended to keep back: what it
+// refuses unread may be hundreds of requests a second, of which few get a line.
+func (g *Gateway) logKept(list []balance.Kept) {
+	for _, k := range list {
+		if k.Began {
+			g.Log.Info("organisation kept back", "organisation", k.Organisation, "reason", k.Why, "busy", k.Busy, "per_second", k.PerSecond)
+			continue
+		}
+		g.Log.Info("organisation let in again", "organisation", k.Organisation, "reason", k.Why, "busy", k.Busy,
+			"unread", k.Unread, "after_ms", k.Lasted.Milliseconds())
+	}
+}
+
 // report tells the other routers that serve callers what this one's requests put
 // on targets, as long as there are any, and once that there are none any more. In a
 // large fleet it tells those of its zone, and the relay of the zone tells the sum.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,7 +60,7 @@
 	ReasonNotReady     forward.Reason = "not-ready"
 	ReasonLeaving      forward.Reason = "router-leaving"
 	ReasonProcessFull  forward.Reason = "process-full"
-	ReasonCrowded      forward.Reason = "organisation-queue-full"
+	ReasonCrowded      forward.Reason = forward.ReasonCrowded
 )
 
 const (
@@ -245,10 +245,10 @@
 	if v := s.identify(t, &out, r.Header.Get("Authorization")); v.Status != 0 {
 		return out, v
 	}
-	if out.Engine && !s.forwarder.Admit(out.Organisation) {
+	if why := s.admit(out); why != "" {
 		// The body stays unread, and so the connection cannot go on.
 		w.Header().Set("Connection", "close")
-		return out, refused(http.StatusServiceUnavailable, ReasonCrowded, crowdedAfter())
+		return out, refused(http.StatusServiceUnavailable, why, crowdedAfter())
 	}
 	if s.open.Load() > s.maxOpen {
 		return out, refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyAfter)
@@ -263,6 +263,14 @@
 	return out, s.body(w, r, t, &out)
 }
 
+// admit returns why a request is to be refused unread, or "".
+func (s *Server) admit(r forward.Request) forward.Reason {
+	if !r.Engine {
+		return ""
+	}
+	return s.forwarder.Admit(r.Organisation)
+}
+
 // identify finds a request's route, organisation and service. A verdict with a
 // status means that it is refused.
 func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Verdict {
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -32,15 +32,15 @@
 		return false, nil
 	}
 	left := h.length - (len(first) - size)
-	r, crowded := s.crowded(h)
-	if !crowded || left < 0 {
+	r, why := s.crowded(h)
+	if why == "" || left < 0 {
 		return false, nil
 	}
 	r.Arrived = arrived
 	if err := discard(c, left); err != nil {
 		return false, err
 	}
-	v := refused(http.StatusServiceUnavailable, ReasonCrowded, crowdedAfter())
+	v := refused(http.StatusServiceUnavailable, why, crowdedAfter())
 	if _, err := c.Write(s.quickAnswer(r.ID, v)); err != nil {
 		return false, errors.Wrap(err, "write refusal")
 	}
@@ -48,21 +48,24 @@
 	return true, errors.Wrap(c.SetReadDeadline(time.Now().Add(idleTimeout)), "wait for the next request")
 }
 
-// crowded returns the request of a head and whether it is to be refused.
-func (s *Server) crowded(h quickHead) (forward.Request, bool) {
+// crowded returns the request of a head and why it is to be refused, or "".
+func (s *Server) crowded(h quickHead) (forward.Request, forward.Reason) {
 	out := forward.Request{ID: string(h.id), Method: string(h.method), Target: string(h.target), Host: string(h.host)}
 	t := s.table.Load()
 	if t == nil || out.ID == "" {
-		return out, false
+		return out, ""
 	}
 	limit := t.Limits().BodyBytes
 	if limit > 0 && h.length > limit {
-		return out, false
+		return out, ""
 	}
 	if v := s.identify(t, &out, string(h.authorization)); v.Status != 0 {
-		return out, false
+		return out, ""
 	}
-	return out, out.Engine && s.forwarder.Crowded(out.Organisation)
+	if !out.Engine {
+		return out, ""
+	}
+	return out, s.forwarder.Crowded(out.Organisation)
 }
 
 func (s *Server) quickAnswer(id string, v forward.Verdict) []byte {
