A test, failing: an organisation at one small box gets less than half

Ruled out by the new lines: a box that is only too small (what it answers falls from 149 to 27 of the lines it could write, while 1,728 requests are refused unread), and engines without room.

--- /dev/null
+++ b/internal/balance/smallbox_test.go
@@ -0,0 +1,312 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+const (
+	// boxCores is what a small box may use of a core.
+	boxCores = 0.192
+	// requestCost, eventCost and refusalCost are the processor time that a request
+	// without its events takes, an event passed on by itself, and a refusal of a
+	// request that is not read, from a processor profile of a router under such
+	// requests.
+	requestCost = 190 * time.Microsecond
+	eventCost   = 36 * time.Microsecond
+	refusalCost = 80 * time.Microsecond
+	// readShare is the part of requestCost, in percent, spent before the request is
+	// decided on.
+	readShare = 60
+	// eventGap is the time between an engine's events.
+	eventGap = 50 * time.Millisecond
+	// readTime is what an engine takes to read a prompt.
+	readTime = 100 * time.Millisecond
+	// bestServed is what another organisation gets meanwhile, in tokens a second.
+	bestServed = 1_097_000
+)
+
+// kind is a kind of request: how often it comes among all, what its prompt and
+// answer hold, in tokens, and how many events its answer has.
+type kind struct {
+	weight, input, output, events int
+	goal                          time.Duration
+}
+
+var kinds = []kind{
+	{weight: 660, input: 9190, output: 50, events: 7, goal: 600 * time.Millisecond},
+	{weight: 840, input: 2368, output: 22, events: 3, goal: time.Second},
+	{weight: 682, input: 715, output: 280, events: 40, goal: 1200 * time.Millisecond},
+}
+
+func (k kind) tokens() float64 { return float64(k.input + 2*k.output) }
+
+// second is what happened to the requests that came in a second.
+type second struct {
+	asked, got         float64
+	requests, unserved int
+}
+
+// event is something that happens at a time; job is work that waits for the
+// processor.
+type event struct {
+	at time.Time
+	do func()
+}
+
+type job struct {
+	cost time.Duration
+	do   func()
+}
+
+// events is a heap by time.
+type events []event
+
+func (h events) Len() int           { return len(h) }
+func (h events) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h events) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+// box plays a router on a small box in virtual time: one organisation's callers
+// come to it and to no other, and engines have room for all that they ask. A caller
+// that is refused comes back once.
+type box struct {
+	*State
+	now, start time.Time
+	events     events
+	jobs       []job
+	working    bool
+	used       time.Duration
+	random     *rand.Rand
+	gates      map[string]*gate
+	seconds    []second
+	requests   int
+}
+
+// newBox returns a box before anybody comes.
+func newBox(t *testing.T, seed uint64) *box {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	b := &box{now: now, start: now, random: rand.New(rand.NewPCG(seed, 1))}
+	b.State = New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: 4 * time.Second}, b.random)
+	const engines, slots, memory = 40, 1000, 1_000_000_000
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: slots, CacheTokens: memory}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Configure(table)
+	var list []Target
+	for i := range engines {
+		list = append(list, Target{ID: fmt.Sprint("e", i), Service: "llm", Zone: "z", Slots: slots})
+	}
+	b.SetTargets(now, list)
+	return b
+}
+
+func (b *box) after(d time.Duration, do func()) {
+	heap.Push(&b.events, event{b.now.Add(max(d, 0)), do})
+}
+
+// work lets the processor do something, after what it has to do already.
+func (b *box) work(cost time.Duration, do func()) {
+	b.jobs = append(b.jobs, job{cost, do})
+	b.next()
+}
+
+func (b *box) next() {
+	if b.working || len(b.jobs) == 0 {
+		return
+	}
+	j := b.jobs[0]
+	b.jobs = b.jobs[1:]
+	b.working = true
+	b.after(time.Duration(float64(j.cost)/boxCores), func() {
+		b.working = false
+		b.used += j.cost
+		j.do()
+		b.next()
+	})
+}
+
+// play lets callers come at rates, in requests a second, each for a time, and
+// returns what became of the requests of each second.
+func (b *box) play(rates []float64, each time.Duration) []second {
+	total := time.Duration(len(rates)) * each
+	b.seconds = make([]second, int(total/time.Second)+1)
+	rate := func() float64 { return rates[min(int(b.now.Sub(b.start)/each), len(rates)-1)] }
+	var callers func()
+	callers = func() {
+		b.come(b.draw(), 1)
+		b.after(time.Duration(b.random.ExpFloat64()/rate()*float64(time.Second)), callers)
+	}
+	callers()
+	b.tick(0, 0, b.now)
+	for end := b.start.Add(total); b.events[0].at.Before(end); {
+		e := heap.Pop(&b.events).(event)
+		b.now = e.at
+		e.do()
+	}
+	return b.seconds[:len(b.seconds)-1]
+}
+
+// tick does what the control loop does between events.
+func (b *box) tick(n int, used time.Duration, looked time.Time) {
+	b.Tick(b.now)
+	if n%busyTicks == 0 && n > 0 {
+		b.SetBusy(b.now, (b.used-used).Seconds()/(b.now.Sub(looked).Seconds()*boxCores), boxCores)
+		used, looked = b.used, b.now
+	}
+	b.gates = b.gatesAt(b.now)
+	b.after(tickTime, func() { b.tick(n+1, used, looked) })
+}
+
+// draw returns a kind of request.
+func (b *box) draw() kind {
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	n := b.random.IntN(total)
+	for _, k := range kinds {
+		if n -= k.weight; n < 0 {
+			return k
+		}
+	}
+	return kinds[0]
+}
+
+// come lets a request come whose caller comes back so often.
+func (b *box) come(k kind, again int) {
+	b.requests++
+	s := &b.seconds[b.now.Sub(b.start)/time.Second]
+	s.asked += k.tokens()
+	s.requests++
+	refuse := func() {
+		s.unserved++
+		if again > 0 {
+			b.after(time.Second+time.Duration(b.random.Int64N(int64(time.Second))), func() { b.come(k, again-1) })
+		}
+	}
+	if !b.reads(k) {
+		b.work(refusalCost, refuse)
+		return
+	}
+	came := b.now
+	t := &Ticket{
+		ID: fmt.Sprint(b.requests), Service: "llm", Organisation: "o", Engine: true, Stream: true,
+		Input: k.input, Output: k.output, Goal: k.goal, Arrived: came, Deadline: came.Add(6 * time.Second),
+		Decision: make(chan Decision, 1),
+	}
+	b.work(requestCost*readShare/100, func() {
+		b.Arrive(b.now, t)
+		b.decided(t, func(d Decision) {
+			if d.Refused != "" {
+				b.work(refusalCost, refuse)
+				return
+			}
+			s.got += k.tokens()
+			begin := b.now.Add(readTime)
+			b.after(readTime, func() { b.pass(k, t, begin, 0) })
+		})
+	})
+}
+
+// decided waits for a decision.
+func (b *box) decided(t *Ticket, do func(Decision)) {
+	select {
+	case d := <-t.Decision:
+		do(d)
+	default:
+		b.after(time.Millisecond, func() { b.decided(t, do) })
+	}
+}
+
+// pass passes on the events that an engine has made by now, of which so many were
+// passed on before.
+func (b *box) pass(k kind, t *Ticket, begin time.Time, passed int) {
+	b.work(eventCost, func() {
+		if passed == 0 {
+			b.Begun(b.now, t)
+		}
+		made := min(int(b.now.Sub(begin)/eventGap)+1, k.events)
+		if made == k.events {
+			b.work(requestCost*(100-readShare)/100, func() { b.Ended(b.now, t, Answered) })
+			return
+		}
+		next := begin.Add(time.Duration(made) * eventGap).Sub(b.now)
+		b.after(max(next, b.pause()), func() { b.pass(k, t, begin, made) })
+	})
+}
+
+// reads reports whether the router reads a request.
+func (b *box) reads(kind) bool {
+	g := b.gates["o"]
+	return g == nil || !g.crowds() && g.admit()
+}
+
+// pause is for how long the router lets events of a stream come together.
+func (b *box) pause() time.Duration { return 0 }
+
+// An organisation's callers all came to one small box of 0.192 cores, while another
+// organisation came to the fifteen large ones. Engines had room: they turned away 0
+// to 12 of a thousand requests a second. The small box used all of its processor, and
+// what it answered fell while it refused more and more requests that it did not even
+// read. Of the lines that it could write, out of hundreds a second:
+//
+//	second 1: answered 149, refused 2, lines left out 0
+//	second 6: answered 27, refused 76, lines left out 538
+//	"organisation kept back", "reason":"router-busy","busy":0.893,"per_second":68.6
+//	"organisation let in again","reason":"router-busy","unread":1728,"after_ms":5480
+//
+// Two causes. Three quarters of a request's time went into passing on its events one
+// by one, 40 of them for the requests that bring least. And what was refused, by the
+// number of requests and whatever they bring, came back, until refusing took the time
+// of serving: a router that could serve 200 requests a second served 80. An
+// organisation is to get at least half of what it asks for, or of what the best
+// served one gets, in six seconds.
+func TestOrganisationAtOneSmallBox(t *testing.T) {
+	const window = 6
+	for name, c := range map[string]struct {
+		rates []float64
+		each  time.Duration
+		// all is set if nothing may be refused in the last two seconds.
+		all bool
+	}{
+		"asks for what the box carries":       {rates: []float64{141}, each: 12 * time.Second, all: true},
+		"asks for more than it carried":       {rates: []float64{230}, each: 12 * time.Second, all: true},
+		"asks for three times of that":        {rates: []float64{200, 600, 600}, each: 6 * time.Second},
+		"asks for less again after a burst":   {rates: []float64{141, 700, 141}, each: 6 * time.Second, all: true},
+		"asks for three times from the start": {rates: []float64{600}, each: 12 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				seconds := newBox(t, seed).play(c.rates, c.each)
+				for from := 1; from+window <= len(seconds); from++ {
+					owed, got := 0.0, 0.0
+					for _, s := range seconds[from : from+window] {
+						owed += min(s.asked, bestServed) / 2
+						got += s.got
+					}
+					if got < owed {
+						t.Errorf("seed %d: from second %d, %d seconds: %.0f tokens, want %.0f", seed, from, window, got, owed)
+					}
+				}
+				last := seconds[len(seconds)-2]
+				if c.all && last.unserved > 0 {
+					t.Errorf("seed %d: %d of %d requests refused at the end", seed, last.unserved, last.requests)
+				}
+			}
+		})
+	}
+}
