Spend a busy box's time on what brings most, and pass events on together

Cause: three quarters of a request's processor time go into passing on its events one by one, and a box that is short of time refused by the number of requests; what it refused came back and took the time of serving. Change: from half of its processor on a router lets the events of a stream come together for up to a quarter of the pause that callers aim for, the first one never; a gate for the processor counts processor time, lets those requests in that bring most tokens for it, and a twentieth of the time is for the others. Refusals for the processor and for the queue are counted apart, and a line a second says how an organisation stands that is kept back. A stream of 40 events 2.2 -> 1.8 ms.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -120,9 +120,11 @@
 	budget           budget
 	// flows has the organisations whose requests are sent to engines.
 	flows map[string]*flow
-	// busy is the part of its cores that the router used last.
-	busy float64
-	kept []Kept
+	// busy is the part of its cores that the router used last, gather how much
+	// streams let events come together, and pieces how many pieces a token of an
+	// answer comes in.
+	busy, gather, pieces float64
+	kept                 []Kept
 	// good, suspect, near and missing are room for choosing a target.
 	good, suspect, near []*target
 	missing             []int
@@ -145,6 +147,7 @@
 		shares:   newShares(limits.QuotaWindow),
 		others:   view.New(now, limits.QuotaWindow),
 		notices:  notices{left: 1, at: now},
+		pieces:   firstPieces,
 		budget:   budget{start: now, services: map[string]*history{}},
 	}
 }
@@ -263,7 +266,7 @@
 	to.cache.Add(now, t.Parts)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
-		s.flow(t.Organisation).sent++
+		s.flow(t.Organisation).note(t.offer().effort(s.pieces))
 	}
 	if s.notify != nil && s.notices.take(now, p.read, s.serving+1) {
 		s.notify(to.ID, to.own, t.load)
@@ -304,6 +307,7 @@
 	to.own = to.own.Minus(t.load)
 	to.forget(t)
 	to.note(now, how)
+	s.learnPieces(t, how)
 	if how == Refused || how == Unreachable {
 		s.shares.begun(now, t.Organisation, -t.tokens())
 	}
--- /dev/null
+++ b/internal/balance/flow.go
@@ -0,0 +1,207 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// flowWeight is the weight of the newest tick in the running averages of an
+	// organisation's requests.
+	flowWeight = 0.05
+	// gateShare is how many requests a gate lets in for each that was sent
+	// lately: room may have grown.
+	gateShare = 2
+	// gateLeast is how many requests a gate lets in a tick in any case: ten a
+	// second, to find out whether there is room again.
+	gateLeast = 0.2
+	// gateTime is for how long a gate stays that has refused nothing.
+	gateTime = 500 * time.Millisecond
+	// negligibleFlow is an average of sends a tick that is none.
+	negligibleFlow = 0.01
+
+	// busyLimit is the part of the processor that a router uses at most before
+	// it keeps the organisation back that makes it send most: beyond, all that
+	// it does comes late, also what other routers tell it.
+	busyLimit = 0.8
+	// busyShare is the part of the processor time of all sends from which that
+	// organisation is kept back: it is no use where many send a little.
+	busyShare = 0.5
+	// busyCut is what the processor time allowed is multiplied with each time that
+	// the processor is found busy, and busyRise the same where it is not: fast
+	// down, since queues grow meanwhile, and slowly up.
+	busyCut  = 0.8
+	busyRise = 1.05
+	// busyLeast is the part of the cores that it is let use all the same: where
+	// refusals alone keep the processor busy, nothing would be left for its share.
+	busyLeast = 0.125
+	// busyTicks is the number of ticks between looks at the processor, lateTicks
+	// the number of ticks that they take where the processor is busy.
+	busyTicks = 5
+	lateTicks = 8
+)
+
+// flow is what becomes of an organisation's requests to engines.
+type flow struct {
+	// sent is the number sent since the last tick, pace its running average.
+	sent int
+	pace float64
+	// spent is the processor time that those take, in nanoseconds, and effort its
+	// running average.
+	spent, effort float64
+	// crowded is the number refused since the last tick because too many waited.
+	crowded int
+	// most is how much processor time a tick is allowed, in nanoseconds.
+	most float64
+	// gate is nil as long as all may come in.
+	gate *gate
+	// arrived is the running average of what comes to the gate in a tick, by grade.
+	arrived [grades]float64
+	// credit is the part of a request that the gate may yet let in.
+	credit float64
+	// refused is when a request was last refused for the others, and lately how
+	// many the gate refused in the last tick.
+	refused time.Time
+	lately  int
+	// since is when the gate was set up, told when that was last told, crowdedOut
+	// and busiedOut how many it refused since because too many wait and for the
+	// processor.
+	since, told           time.Time
+	crowdedOut, busiedOut int
+}
+
+func (s *State) flow(organisation string) *flow {
+	f := s.flows[organisation]
+	if f == nil {
+		f = &flow{most: math.Inf(1)}
+		s.flows[organisation] = f
+	}
+	return f
+}
+
+// note counts a request that is sent.
+func (f *flow) note(effort time.Duration) {
+	f.sent++
+	f.spent += float64(effort)
+}
+
+// average takes the last tick into the running averages.
+func (f *flow) average() {
+	f.pace += flowWeight * (float64(f.sent) - f.pace)
+	f.effort += flowWeight * (f.spent - f.effort)
+	f.sent, f.spent = 0, 0
+}
+
+// SetBusy notes which part of its cores the router used lately, lets streams gather
+// accordingly, and keeps the organisation back that takes most if that is too much.
+func (s *State) SetBusy(now time.Time, part, cores float64) {
+	s.busy = part
+	s.gather = gatherAt(s.gather, part)
+	total := 0.0
+	for _, f := range s.flows {
+		total += f.effort
+	}
+	tick := cores * float64(tickTime)
+	for _, f := range s.flows {
+		switch {
+		case part <= busyLimit:
+			f.most = f.most*busyRise + tick*busyLeast/10
+		case f.effort > total*busyShare:
+			f.most = max(min(f.most, f.effort)*busyCut, tick*busyLeast)
+			f.shut(now)
+			f.gate.busy.Store(true)
+		}
+	}
+}
+
+// gatesAt returns the gates that are to hold until the next tick, by
+// organisation; nil if there are none.
+func (s *State) gatesAt(now time.Time) map[string]*gate {
+	waiting := s.waitingOf()
+	var out map[string]*gate
+	for name, f := range s.flows {
+		f.average()
+		if f.crowded > 0 {
+			f.shut(now)
+		}
+		if f.gate != nil {
+			s.turn(now, name, f, waiting[name])
+		}
+		if f.gate == nil {
+			if f.pace < negligibleFlow {
+				delete(s.flows, name)
+			}
+			continue
+		}
+		if out == nil {
+			out = map[string]*gate{}
+		}
+		out[name] = f.gate
+	}
+	return out
+}
+
+// turn sets what a gate lets in until the next tick, or takes it away.
+func (s *State) turn(now time.Time, organisation string, f *flow, waiting int) {
+	began := f.since.IsZero()
+	if began {
+		f.since = now
+	}
+	f.gate.pieces.Store(math.Float64bits(s.pieces))
+	f.turn(now, waiting)
+	ended := f.gate == nil
+	if !began && !ended && now.Sub(f.told) < keptPeriod {
+		return
+	}
+	f.told = now
+	s.keptBack(Kept{
+		Organisation: organisation, Began: began, Ended: ended, Busy: s.busy, Gather: s.gather, Cores: f.cores(),
+		Had: s.hadOf(now, organisation), Level: s.levelAt(now), Least: s.leastWaiting(now),
+		Waiting: waiting, Crowded: f.crowdedOut, Busied: f.busiedOut, Lasted: now.Sub(f.since),
+	})
+	if ended {
+		f.since, f.crowdedOut, f.busiedOut = time.Time{}, 0, 0
+	}
+}
+
+// cores returns how much of a core the organisation may use, 0 if that is not bounded.
+func (f *flow) cores() float64 {
+	if math.IsInf(f.most, 1) {
+		return 0
+	}
+	return f.most / float64(tickTime)
+}
+
+// shut sets up a gate, or keeps the one that is there.
+func (f *flow) shut(now time.Time) {
+	f.refused = now
+	f.crowded = 0
+	if f.gate == nil {
+		f.gate = &gate{}
+		f.arrived = [grades]float64{}
+	}
+}
+
+// turn sets how much the gate lets in until the next tick, or takes it away.
+func (f *flow) turn(now time.Time, waiting int) {
+	crowded, busied := int(f.gate.refused.Swap(0)), int(f.gate.busily.Swap(0))
+	f.crowdedOut += crowded
+	f.busiedOut += busied
+	f.lately = crowded + busied
+	if f.lately > 0 {
+		f.refused = now
+	}
+	if now.Sub(f.refused) > gateTime {
+		f.gate, f.credit, f.lately, f.most = nil, 0, 0, math.Inf(1)
+		return
+	}
+	for i := range f.arrived {
+		f.arrived[i] += flowWeight * (float64(f.gate.arrived[i].Swap(0)) - f.arrived[i])
+	}
+	f.gate.allow(&f.arrived, f.most)
+	f.credit += gateShare*f.pace + gateLeast
+	whole := int64(f.credit)
+	f.credit -= float64(whole)
+	left := max(f.gate.left.Load(), 0) + whole
+	f.gate.left.Store(min(left, int64(max(maxWaitingOne-waiting, 0))))
+}
--- a/internal/balance/gate_test.go
+++ b/internal/balance/gate_test.go
@@ -28,7 +28,7 @@
 	var gates map[string]*gate
 	for tick := range ticks {
 		for i := range perTick {
-			if g := gates["o"]; g != nil && (g.crowds() || !g.admit()) {
+			if g := gates["o"]; g != nil && (g.crowds(Offer{Input: 10}) != "" || g.admit(Offer{Input: 10}) != "") {
 				continue
 			}
 			read++
@@ -87,7 +87,7 @@
 func TestGateOpensAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := &flow{gate: &gate{}, refused: now}
-	f.gate.crowds()
+	f.gate.crowds(Offer{})
 	f.turn(now, 0)
 	if f.lately != 1 || f.gate == nil {
 		t.Fatalf("%d refused lately, gate %v", f.lately, f.gate)
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -23,8 +23,9 @@
 	state  *State
 	events chan Event
 	gates  atomic.Pointer[map[string]*gate]
-	busy   atomic.Uint64
-	meter  meter
+	// busy and gather have the bits of the state's figures.
+	busy, gather atomic.Uint64
+	meter        meter
 }
 
 // meter looks at which part of the processor the router uses.
@@ -83,6 +84,7 @@
 			l.state.Tick(now)
 			l.meter.look(now, l.state)
 			l.busy.Store(math.Float64bits(l.state.busy))
+			l.gather.Store(math.Float64bits(l.state.gather))
 			l.publish(l.state.gatesAt(now))
 		}
 	}
@@ -100,6 +102,10 @@
 // Busy returns the part of its cores that the router used last.
 func (l *Loop) Busy() float64 { return math.Float64frombits(l.busy.Load()) }
 
+// Gather returns how much streams should let events come together to save the
+// processor's time, from 0 (none) to 1 (as long as callers accept).
+func (l *Loop) Gather() float64 { return math.Float64frombits(l.gather.Load()) }
+
 func (l *Loop) gate(organisation string) *gate {
 	gates := l.gates.Load()
 	if gates == nil {
@@ -110,18 +116,18 @@
 
 // Crowded returns why another request of an organisation to engines is to be
 // refused unread, or "" if it is to be read. Any goroutine may call it.
-func (l *Loop) Crowded(organisation string) Reason {
-	if g := l.gate(organisation); g != nil && g.crowds() {
-		return g.why()
+func (l *Loop) Crowded(organisation string, o Offer) Reason {
+	if g := l.gate(organisation); g != nil {
+		return g.crowds(o)
 	}
 	return ""
 }
 
 // Admit lets a request of an organisation to engines in, or returns why it is to be
 // refused. Any goroutine may call it, once a request.
-func (l *Loop) Admit(organisation string) Reason {
-	if g := l.gate(organisation); g != nil && !g.admit() {
-		return g.why()
+func (l *Loop) Admit(organisation string, o Offer) Reason {
+	if g := l.gate(organisation); g != nil {
+		return g.admit(o)
 	}
 	return ""
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -87,12 +87,14 @@
 
 // reason returns why a request has found no target.
 func (s *State) reason(now time.Time, t *Ticket) Reason {
-	for _, to := range s.services[t.Service] {
-		if !to.Closed(now) {
-			return Full
-		}
+	open := slices.ContainsFunc(s.services[t.Service], func(to *target) bool { return !to.Closed(now) })
+	switch {
+	case !open:
+		return NoTarget
+	case s.behind(now, t):
+		return OverShare
 	}
-	return NoTarget
+	return Full
 }
 
 // Waiting returns the number of requests that wait for room.
--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -27,6 +27,8 @@
 	eventGap = 50 * time.Millisecond
 	// readTime is what an engine takes to read a prompt.
 	readTime = 100 * time.Millisecond
+	// gatherMost is for how long events may come together, in milliseconds.
+	gatherMost = 100
 	// bestServed is what another organisation gets meanwhile, in tokens a second.
 	bestServed = 1_097_000
 )
@@ -240,6 +242,7 @@
 			b.Begun(b.now, t)
 		}
 		made := min(int(b.now.Sub(begin)/eventGap)+1, k.events)
+		t.Pieces.Add(1)
 		if made == k.events {
 			b.work(requestCost*(100-readShare)/100, func() { b.Ended(b.now, t, Answered) })
 			return
@@ -250,13 +253,15 @@
 }
 
 // reads reports whether the router reads a request.
-func (b *box) reads(kind) bool {
-	g := b.gates["o"]
-	return g == nil || !g.crowds() && g.admit()
+func (b *box) reads(k kind) bool {
+	g, o := b.gates["o"], Offer{Input: k.input, Output: k.output}
+	return g == nil || g.crowds(o) == "" && g.admit(o) == ""
 }
 
 // pause is for how long the router lets events of a stream come together.
-func (b *box) pause() time.Duration { return 0 }
+func (b *box) pause() time.Duration {
+	return time.Duration(b.gather * gatherMost * float64(time.Millisecond))
+}
 
 // An organisation's callers all came to one small box of 0.192 cores, while another
 // organisation came to the fifteen large ones. Engines had room: they turned away 0
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -35,6 +35,9 @@
 	// Heard is when the target last sent a part of the answer, in nanoseconds
 	// after Arrived; the request's own goroutine sets it.
 	Heard atomic.Int64
+	// Pieces is the number of pieces in which the answer was passed on; the request's
+	// own goroutine sets it.
+	Pieces atomic.Int64
 	// Decision receives one decision for each call of Arrive, and of Again
 	// that returned true. It has room for one.
 	Decision chan Decision
@@ -77,6 +80,9 @@
 const (
 	// Full means that all targets have as much as they may.
 	Full Reason = "queue-full"
+	// OverShare means that the organisation had more than its share while another's
+	// requests wait.
+	OverShare Reason = "over-share"
 	// NoTarget means that the service has no target.
 	NoTarget Reason = "no-target"
 	// Crowded means that too many requests of the organisation wait, and Busy that
@@ -108,9 +114,11 @@
 	if !t.Engine {
 		return 0
 	}
-	return float64(t.Input + 2*t.Output)
+	return t.offer().tokens()
 }
 
+func (t *Ticket) offer() Offer { return Offer{Input: t.Input, Output: t.Output} }
+
 // private returns the tokens in an engine's memory that the request shares
 // with no other.
 func (t *Ticket) private() int {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,11 +38,15 @@
 
 // Crowded returns why a request of an organisation to engines is to be refused
 // unread, or "": it sends more than the router can take in.
-func (f *Forwarder) Crowded(organisation string) Reason { return Reason(f.loop.Crowded(organisation)) }
+func (f *Forwarder) Crowded(organisation string, o balance.Offer) Reason {
+	return Reason(f.loop.Crowded(organisation, o))
+}
 
 // Admit lets a request of an organisation to engines in, or returns why it is to be
 // refused.
-func (f *Forwarder) Admit(organisation string) Reason { return Reason(f.loop.Admit(organisation)) }
+func (f *Forwarder) Admit(organisation string, o balance.Offer) Reason {
+	return Reason(f.loop.Admit(organisation, o))
+}
 
 const (
 	// minLeft is the least time that is worth a send.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -54,7 +55,7 @@
 	}
 	x.verdict.Sends++
 	x.answers = false
-	f := x.receive(answer, watch)
+	f := x.receive(ctx, answer, watch)
 	answer.Close()
 	if f == nil {
 		x.end(balance.Answered)
@@ -132,7 +133,7 @@
 }
 
 // receive passes an answer on, or returns why it cannot be.
-func (x *run) receive(a *httptarget.Answer, watch *time.Timer) *failure {
+func (x *run) receive(ctx context.Context, a *httptarget.Answer, watch *time.Timer) *failure {
 	if a.Header.Get(x.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
 		cause := errors.Errorf("status %d", a.Status)
 		if _, err := io.Copy(io.Discard, io.LimitReader(a, maxKept)); err != nil {
@@ -141,7 +142,7 @@
 		return &failure{reason: ReasonRefused, result: balance.Refused, cause: cause}
 	}
 	if x.Route.Kind == routing.Streaming && a.Status == http.StatusOK {
-		return x.stream(a, watch)
+		return x.stream(ctx, a, watch)
 	}
 	return x.whole(a)
 }
@@ -205,7 +206,7 @@
 }
 
 // stream passes on events as they come.
-func (x *run) stream(a *httptarget.Answer, watch *time.Timer) *failure {
+func (x *run) stream(ctx context.Context, a *httptarget.Answer, watch *time.Timer) *failure {
 	events := newEvents(a)
 	for {
 		batch, err := events.next(x.last)
@@ -223,6 +224,23 @@
 		if err != nil {
 			return &failure{reason: ReasonBroken, result: balance.Failed, ran: true, cause: err}
 		}
+		x.gather(ctx)
+	}
+}
+
+// gatherShare is the part, in percent, of the pause between events that callers aim
+// for during which a router that is short of processor time lets events come
+// together: the rest is for the engine and for the router's own queue. A stream of 40
+// events 50 ms apart takes 1.8 instead of 2.2 ms of processor time, the engine's and
+// the caller's part included (BenchmarkStreams).
+const gatherShare = 25
+
+// gather lets the next events of a stream come together where the router is short of
+// processor time.
+func (x *run) gather(ctx context.Context) {
+	d := time.Duration(x.loop.Gather() * float64(x.Route.MaxPause*gatherShare/100))
+	if d > 0 {
+		group.SleepUntil(ctx, time.Now().Add(d))
 	}
 }
 
@@ -235,6 +253,7 @@
 	if err := x.caller.Write(batch); err != nil {
 		return &failure{reason: ReasonGone, result: balance.Left, ran: true, cause: err}
 	}
+	x.ticket.Pieces.Add(1)
 	x.passed += events.count
 	x.last = events.last
 	if x.Route.Repeatable() && x.verdict.Sends < x.Route.MaxAttempts {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -95,12 +96,13 @@
 // refuses unread may be hundreds of requests a second, of which few get a line.
 func (g *Gateway) logKept(list []balance.Kept) {
 	for _, k := range list {
-		if k.Began {
-			g.Log.Info("organisation kept back", "organisation", k.Organisation, "reason", k.Why, "busy", k.Busy, "per_second", k.PerSecond)
-			continue
+		what := "organisation kept back"
+		if k.Ended {
+			what = "organisation let in again"
 		}
-		g.Log.Info("organisation let in again", "organisation", k.Organisation, "reason", k.Why, "busy", k.Busy,
-			"unread", k.Unread, "after_ms", k.Lasted.Milliseconds())
+		g.Log.Info(what, "organisation", k.Organisation, "busy", k.Busy, "gather", k.Gather, "cores", k.Cores,
+			"had", int(k.Had), "share", int(min(k.Level, math.MaxInt32)), "least_waiting", int(min(k.Least, math.MaxInt32)),
+			"waiting", k.Waiting, "crowded", k.Crowded, "busied", k.Busied, "after_ms", k.Lasted.Milliseconds())
 	}
 }
 
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -38,10 +38,6 @@
 	out.Deadline = out.Arrived.Add(wait)
 	out.LastEvent = r.Header.Get(s.dialect.LastEvent)
 	out.Header = s.passedOn(r.Header)
-	out.Input, out.Output = promptSize(r.Header.Get(s.dialect.PromptSize))
-	if hint, err := strconv.Atoi(r.Header.Get(s.dialect.OutputHint)); err == nil && hint > 0 && hint < out.Output {
-		out.Output = hint
-	}
 	out.Parts = promptParts(r.Header.Get(s.dialect.PromptParts))
 	return nil
 }
@@ -69,10 +65,15 @@
 	return slices.Contains(s.dialect.Reserved, name)
 }
 
-// promptSize reads "TOKENS IN,MOST TOKENS OUT"; what cannot be read is 0.
-func promptSize(text string) (in, out int) {
-	first, second, _ := strings.Cut(text, ",")
-	return count(first), count(second)
+// sizes reads "TOKENS IN,MOST TOKENS OUT" and a guess of the tokens out; what cannot
+// be read is 0, and a guess that cannot be right is left out.
+func sizes(size, hint string) (in, out int) {
+	first, second, _ := strings.Cut(size, ",")
+	in, out = count(first), count(second)
+	if guess := count(hint); guess > 0 && guess < out {
+		out = guess
+	}
+	return in, out
 }
 
 func count(text string) int {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -245,6 +246,7 @@
 	if v := s.identify(t, &out, r.Header.Get("Authorization")); v.Status != 0 {
 		return out, v
 	}
+	out.Input, out.Output = sizes(r.Header.Get(s.dialect.PromptSize), r.Header.Get(s.dialect.OutputHint))
 	if why := s.admit(out); why != "" {
 		// The body stays unread, and so the connection cannot go on.
 		w.Header().Set("Connection", "close")
@@ -268,7 +270,12 @@
 	if !r.Engine {
 		return ""
 	}
-	return s.forwarder.Admit(r.Organisation)
+	return s.forwarder.Admit(r.Organisation, offer(r))
+}
+
+// offer returns what a request brings.
+func offer(r forward.Request) balance.Offer {
+	return balance.Offer{Input: r.Input, Output: r.Output}
 }
 
 // identify finds a request's route, organisation and service. A verdict with a
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -27,7 +27,7 @@
 		return false, nil
 	}
 	arrived := time.Now()
-	h, size, ok := parseHead(first, s.dialect.RequestID)
+	h, size, ok := parseHead(first, &s.dialect)
 	if !ok {
 		return false, nil
 	}
@@ -65,7 +65,8 @@
 	if !out.Engine {
 		return out, ""
 	}
-	return out, s.forwarder.Crowded(out.Organisation)
+	out.Input, out.Output = sizes(string(h.size), string(h.hint))
+	return out, s.forwarder.Crowded(out.Organisation, offer(out))
 }
 
 func (s *Server) quickAnswer(id string, v forward.Verdict) []byte {
@@ -107,6 +108,8 @@
 // quickHead is what a quick refusal needs of a request's head.
 type quickHead struct {
 	method, target, host, id, authorization []byte
+	// size and hint are the prompt's size and the guess of the tokens out.
+	size, hint []byte
 	// length is that of the body, in bytes.
 	length int
 }
@@ -121,7 +124,7 @@
 // for one that is not whole, and for all that is unusual: a body whose length
 // is not given exactly once, folded lines, the end of the connection asked
 // for.
-func parseHead(b []byte, idHeader string) (h quickHead, size int, ok bool) {
+func parseHead(b []byte, names *forward.Dialect) (h quickHead, size int, ok bool) {
 	end := bytes.Index(b, headEnd)
 	if end < 0 {
 		return h, 0, false
@@ -133,7 +136,7 @@
 	for len(rest) > 0 {
 		var l []byte
 		l, rest, _ = bytes.Cut(rest, lineEnd)
-		if !h.header(l, idHeader) {
+		if !h.header(l, names) {
 			return h, 0, false
 		}
 	}
@@ -150,7 +153,7 @@
 }
 
 // header takes a header line into account.
-func (h *quickHead) header(l []byte, idHeader string) bool {
+func (h *quickHead) header(l []byte, names *forward.Dialect) bool {
 	name, value, ok := bytes.Cut(l, []byte(":"))
 	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
 		return false
@@ -161,8 +164,12 @@
 		return once(&h.host, value)
 	case equal(name, "Authorization"):
 		return once(&h.authorization, value)
-	case equal(name, idHeader):
+	case equal(name, names.RequestID):
 		return once(&h.id, value)
+	case equal(name, names.PromptSize):
+		return once(&h.size, value)
+	case equal(name, names.OutputHint):
+		return once(&h.hint, value)
 	case equal(name, "Content-Length"):
 		n, err := strconv.ParseUint(string(value), 10, 31)
 		seen := h.length != 0
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -76,7 +76,7 @@
 			})
 		}
 	})
-	for loop.Crowded("loud") == "" {
+	for loop.Crowded("loud", balance.Offer{}) == "" {
 		time.Sleep(time.Millisecond)
 	}
 	f := forward.New(dialect, unreachable{}, loop, logr.Discard(), ended{})
