Gather events fully or not at all

Cause: a wait shorter than the pause between two events takes a timer and saves no write. Change: from 0.6 of the processor on streams gather as long as callers accept, and stop when less than half of that is left of it.

--- a/internal/balance/gather.go
+++ b/internal/balance/gather.go
@@ -2,12 +2,14 @@
 
 const (
 	// gatherFrom is the part of the cores in use from which streams let events come
-	// together, and gatherFull that from which they do so as long as they may.
-	gatherFrom = 0.5
-	gatherFull = busyLimit
-	// gatherFall is what is left at least, from one look to the next, of how much
-	// they do so: it saves the time that made the processor free.
-	gatherFall = 0.95
+	// together as long as they may: bursts are to find time left.
+	gatherFrom = 0.6
+	// gatherFall is what is left, from one look to the next, of how much they do so
+	// where less is in use, since it saves the very time that is free then; below
+	// gatherLeast they stop. A shorter wait than the pause between two events takes
+	// time and saves none.
+	gatherFall  = 0.95
+	gatherLeast = 0.5
 )
 
 // gatherAt returns how much streams are to let events come together, from 0 (none)
@@ -15,6 +17,11 @@
 // uses a part of its cores. Three quarters of the processor time of a request goes
 // into passing on events one by one.
 func gatherAt(last, part float64) float64 {
-	want := min(max((part-gatherFrom)/(gatherFull-gatherFrom), 0), 1)
-	return max(want, last*gatherFall)
+	if part >= gatherFrom {
+		return 1
+	}
+	if last*gatherFall < gatherLeast {
+		return 0
+	}
+	return last * gatherFall
 }
