--- a/internal/balance/flow.go
+++ b/internal/balance/flow.go
@@ -27,11 +27,12 @@
 	// busyShare is the part of the processor time of all sends from which that
 	// organisation is kept back: it is no use where many send a little.
 	busyShare = 0.5
-	// busyCut is what the processor time allowed is multiplied with each time that
-	// the processor is found busy, and busyRise the same where it is not: fast
-	// down, since queues grow meanwhile, and slowly up.
+	// busyCut and busyRise bound what the processor time allowed is multiplied with at
+	// each look: by how much the part used differs from the limit. With steps of 0.8
+	// down and 1.05 up, bursts kept it low: 222 instead of 322 requests a second were
+	// served where 600 came and 0.19 cores were there (the play of one small box).
 	busyCut  = 0.8
-	busyRise = 1.05
+	busyRise = 1.2
 	// busyLeast is the part of the cores that it is let use all the same: where
 	// refusals alone keep the processor busy, nothing would be left for its share.
 	busyLeast = 0.125
@@ -103,11 +104,11 @@
 	}
 	tick := cores * float64(tickTime)
 	for _, f := range s.flows {
-		switch {
+		switch change := min(max(busyLimit/max(part, busyLeast), busyCut), busyRise); {
 		case part <= busyLimit:
-			f.most = f.most*busyRise + tick*busyLeast/10
+			f.most = f.most*change + tick*busyLeast/10
 		case f.effort > total*busyShare:
-			f.most = max(min(f.most, f.effort)*busyCut, tick*busyLeast)
+			f.most = max(min(f.most, f.effort)*change, tick*busyLeast)
 			f.shut(now)
 			f.gate.busy.Store(true)
 		}
