Names of the field: incarnation, throttle, coalesce; bounds for callers' token counts

A step that stood as a tenth of another constant has a name. Cause of the one change: token counts in a caller's headers were added up unbounded, so that absurd ones turned negative in shares and in the processor time of a request.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -88,7 +88,7 @@
 // target is what the state knows of a Target.
 type target struct {
 	Target
-	// hash is that of the id, name that of its life.
+	// hash is that of the id, name that of its incarnation.
 	hash  uint64
 	name  string
 	own   view.Load
@@ -125,11 +125,11 @@
 	budget           budget
 	// flows has the organisations whose requests are sent to engines.
 	flows map[string]*flow
-	// busy is the part of its cores that the router used last, gather how much
+	// busy is the part of its cores that the router used last, coalesce how much
 	// streams let events come together, and pieces how many pieces a token of an
 	// answer comes in.
-	busy, gather, pieces float64
-	kept                 []Kept
+	busy, coalesce, pieces float64
+	throttles              []Throttle
 	// good, suspect, near and missing are room for choosing a target.
 	good, suspect, near []*target
 	missing             []int
--- a/internal/balance/effort_test.go
+++ b/internal/balance/effort_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-func TestGatherAt(t *testing.T) {
+func TestCoalesceAt(t *testing.T) {
 	for name, c := range map[string]struct{ last, part, want float64 }{
 		"enough processor time":   {last: 0, part: 0.3, want: 0},
 		"short of it":             {last: 0, part: 0.6, want: 1},
@@ -15,7 +15,7 @@
 		"free for long":           {last: 0.52, part: 0.4, want: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := gatherAt(c.last, c.part); got != c.want {
+			if got := coalesceAt(c.last, c.part); got != c.want {
 				t.Errorf("%g, want %g", got, c.want)
 			}
 		})
--- a/internal/balance/flow.go
+++ b/internal/balance/flow.go
@@ -36,6 +36,9 @@
 	// busyLeast is the part of the cores that it is let use all the same: where
 	// refusals alone keep the processor busy, nothing would be left for its share.
 	busyLeast = 0.125
+	// busyStep is the part of the cores by which it rises in any case where the
+	// processor is not busy.
+	busyStep = 0.0125
 	// busyTicks is the number of ticks between looks at the processor, lateTicks
 	// the number of ticks that they take where the processor is busy.
 	busyTicks = 5
@@ -93,11 +96,11 @@
 	f.sent, f.spent = 0, 0
 }
 
-// SetBusy notes which part of its cores the router used lately, lets streams gather
+// SetBusy notes which part of its cores the router used lately, lets streams coalesce
 // accordingly, and keeps the organisation back that takes most if that is too much.
 func (s *State) SetBusy(now time.Time, part, cores float64) {
 	s.busy = part
-	s.gather = gatherAt(s.gather, part)
+	s.coalesce = coalesceAt(s.coalesce, part)
 	total := 0.0
 	for _, f := range s.flows {
 		total += f.effort
@@ -106,7 +109,7 @@
 	for _, f := range s.flows {
 		switch change := min(max(busyLimit/max(part, busyLeast), busyCut), busyRise); {
 		case part <= busyLimit:
-			f.most = f.most*change + tick*busyLeast/10
+			f.most = f.most*change + tick*busyStep
 		case f.effort > total*busyShare:
 			f.most = max(min(f.most, f.effort)*change, tick*busyLeast)
 			f.shut(now)
@@ -151,12 +154,12 @@
 	f.gate.pieces.Store(math.Float64bits(s.pieces))
 	f.turn(now, waiting)
 	ended := f.gate == nil
-	if !began && !ended && now.Sub(f.told) < keptPeriod {
+	if !began && !ended && now.Sub(f.told) < throttlePeriod {
 		return
 	}
 	f.told = now
-	s.keptBack(Kept{
-		Organisation: organisation, Began: began, Ended: ended, Busy: s.busy, Gather: s.gather, Cores: f.cores(),
+	s.throttle(Throttle{
+		Organisation: organisation, Began: began, Ended: ended, Busy: s.busy, Coalesce: s.coalesce, Cores: f.cores(),
 		Had: s.hadOf(now, organisation), Level: s.levelAt(now), Least: s.leastWaiting(now),
 		Waiting: waiting, Crowded: f.crowdedOut, Busied: f.busiedOut, Lasted: now.Sub(f.since),
 	})
--- a/internal/balance/life.go
+++ b/internal/balance/incarnation.go
@@ -10,28 +10,28 @@
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
 
-// Life names the target's life, by which routers tell one another of it: a process
+// Incarnation names the target's process, by which routers tell one another of it: one
 // that starts again under its id holds and knows nothing of before, and what is
-// believed of two lives is never added up. A target that does not say when it
+// believed of two incarnations is never added up. A target that does not say when it
 // started has its id.
-func (t Target) Life() string {
+func (t Target) Incarnation() string {
 	if t.Born == 0 {
 		return t.ID
 	}
-	return t.ID + string(lifeMark) + strconv.FormatInt(t.Born, 10)
+	return t.ID + string(incarnationMark) + strconv.FormatInt(t.Born, 10)
 }
 
-// lifeMark stands between a target's id and when it started.
-const lifeMark = '@'
+// incarnationMark stands between a target's id and when it started.
+const incarnationMark = '@'
 
 // newTarget returns a target of which nothing is known yet.
 func newTarget(t Target) *target {
 	return &target{
-		hash: rendezvous.Hash(t.ID), name: t.Life(), cache: prefix.NewCache(), running: map[*Ticket]struct{}{},
+		hash: rendezvous.Hash(t.ID), name: t.Incarnation(), cache: prefix.NewCache(), running: map[*Ticket]struct{}{},
 	}
 }
 
-// restarted ends what runs at a life of a target that is over.
+// restarted ends what runs at an incarnation of a target that is over.
 func (t *target) restarted() {
 	for k := range t.running {
 		if lost := k.lost.Load(); lost != nil {
@@ -78,11 +78,11 @@
 	s.dispatch(now)
 }
 
-// alive returns the target whose life has a name, nil if that life is over or not
+// alive returns the target whose incarnation has a name, nil if it is over or not
 // known.
 func (s *State) alive(name string) *target {
 	t := s.targets[name]
-	if at := strings.LastIndexByte(name, lifeMark); t == nil && at >= 0 {
+	if at := strings.LastIndexByte(name, incarnationMark); t == nil && at >= 0 {
 		t = s.targets[name[:at]]
 	}
 	if t == nil || t.name != name {
--- a/internal/balance/lives_test.go
+++ b/internal/balance/incarnation_test.go
@@ -13,8 +13,8 @@
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
-// newLives returns the state of a router before engines of service "llm".
-func newLives(t interface{ Fatal(...any) }, now time.Time) *State {
+// newRouter returns the state of a router before engines of service "llm".
+func newRouter(t interface{ Fatal(...any) }, now time.Time) *State {
 	s := New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
 	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 1_000_000}}}})
 	if err != nil {
@@ -24,7 +24,7 @@
 	return s
 }
 
-// engine returns a life of an engine.
+// engine returns an incarnation of an engine.
 func engine(id string, born int64) Target {
 	return Target{ID: id, Service: "llm", Zone: "z", Slots: 64, Born: born}
 }
@@ -38,9 +38,9 @@
 	}
 }
 
-func TestNewLifeKnowsNothing(t *testing.T) {
+func TestNewIncarnationKnowsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := newLives(t, now)
+	s := newRouter(t, now)
 	s.SetTargets(now, []Target{engine("e", 1)})
 	k := question("q", now)
 	lost := 0
@@ -71,9 +71,9 @@
 	}
 }
 
-func TestListedAgainIsTheSameLife(t *testing.T) {
+func TestListedAgainIsTheSameIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := newLives(t, now)
+	s := newRouter(t, now)
 	s.SetTargets(now, []Target{engine("e", 1)})
 	k := question("q", now)
 	k.OnLost(func() { t.Error("the request was told that its target is gone") })
@@ -91,16 +91,17 @@
 	}
 }
 
-// TestSumsOfLives plays two routers that hear of engines' new lives at different
-// times and tell one another of their loads, late and out of order. What a router
-// takes for the load on a life is its own and what it was last told of that life.
-func TestSumsOfLives(t *testing.T) {
+// TestSumsOfIncarnations plays two routers that hear of engines' new incarnations at
+// different times and tell one another of their loads, late and out of order. What a
+// router takes for the load on an incarnation is its own and what it was last told of
+// that one.
+func TestSumsOfIncarnations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		type mail struct {
 			report view.Report
 		}
-		states := []*State{newLives(t, now), newLives(t, now)}
+		states := []*State{newRouter(t, now), newRouter(t, now)}
 		born := []map[string]int64{{"a": 1, "b": 1}, {"a": 1, "b": 1}}
 		heard := make([]map[string]view.Load, 2)
 		var sent [2][]mail
@@ -122,7 +123,7 @@
 				select {
 				case d := <-k.Decision:
 					if d.Refused == "" {
-						running[i][k] = d.Target.Life()
+						running[i][k] = d.Target.Incarnation()
 					}
 				default:
 					states[i].Withdraw(k)
@@ -175,10 +176,11 @@
 }
 
 // BenchmarkSetTargets measures taking over a list of 6,600 targets in which one
-// changes: 0.72 ms before lives were told apart, 0.75 ms since, means of three runs.
+// changes: 0.72 ms before incarnations were told apart, 0.75 ms since, means of three
+// runs.
 func BenchmarkSetTargets(b *testing.B) {
 	now := time.Unix(1000, 0)
-	s := newLives(b, now)
+	s := newRouter(b, now)
 	var list []Target
 	for i := range 6600 {
 		list = append(list, engine(fmt.Sprintf("i-%08x", i), 0))
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -23,9 +23,9 @@
 	state  *State
 	events chan Event
 	gates  atomic.Pointer[map[string]*gate]
-	// busy and gather have the bits of the state's figures.
-	busy, gather atomic.Uint64
-	meter        meter
+	// busy and coalesce have the bits of the state's figures.
+	busy, coalesce atomic.Uint64
+	meter          meter
 }
 
 // meter looks at which part of the processor the router uses.
@@ -84,7 +84,7 @@
 			l.state.Tick(now)
 			l.meter.look(now, l.state)
 			l.busy.Store(math.Float64bits(l.state.busy))
-			l.gather.Store(math.Float64bits(l.state.gather))
+			l.coalesce.Store(math.Float64bits(l.state.coalesce))
 			l.publish(l.state.gatesAt(now))
 		}
 	}
@@ -102,9 +102,9 @@
 // Busy returns the part of its cores that the router used last.
 func (l *Loop) Busy() float64 { return math.Float64frombits(l.busy.Load()) }
 
-// Gather returns how much streams should let events come together to save the
+// Coalesce returns how much streams should let events come together to save the
 // processor's time, from 0 (none) to 1 (as long as callers accept).
-func (l *Loop) Gather() float64 { return math.Float64frombits(l.gather.Load()) }
+func (l *Loop) Coalesce() float64 { return math.Float64frombits(l.coalesce.Load()) }
 
 func (l *Loop) gate(organisation string) *gate {
 	gates := l.gates.Load()
--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -27,8 +27,8 @@
 	eventGap = 50 * time.Millisecond
 	// readTime is what an engine takes to read a prompt.
 	readTime = 100 * time.Millisecond
-	// gatherMost is for how long events may come together, in milliseconds.
-	gatherMost = 100
+	// coalesceMost is for how long events may come together, in milliseconds.
+	coalesceMost = 100
 	// bestServed is what another organisation gets meanwhile, in tokens a second.
 	bestServed = 1_097_000
 )
@@ -260,7 +260,7 @@
 
 // pause is for how long the router lets events of a stream come together.
 func (b *box) pause() time.Duration {
-	return time.Duration(b.gather * gatherMost * float64(time.Millisecond))
+	return time.Duration(b.coalesce * coalesceMost * float64(time.Millisecond))
 }
 
 // An organisation's callers all came to one small box of 0.192 cores, while another
--- a/internal/balance/kept.go
+++ b/internal/balance/throttle.go
@@ -3,22 +3,22 @@
 import "time"
 
 const (
-	// keptMost bounds what is remembered of organisations kept back between two
+	// throttlesMost bounds what is remembered of throttled organisations between two
 	// looks, in entries.
-	keptMost = 16
-	// keptPeriod is the time between two entries of an organisation that is kept
-	// back all the while.
-	keptPeriod = time.Second
+	throttlesMost = 16
+	// throttlePeriod is the time between two entries of an organisation that is
+	// throttled all the while.
+	throttlePeriod = time.Second
 )
 
-// Kept says that the router refuses some of an organisation's requests unread.
-type Kept struct {
+// Throttle says that the router refuses some of an organisation's requests unread.
+type Throttle struct {
 	Organisation string
 	// Began and Ended are set where it began and ended to do so.
 	Began, Ended bool
-	// Busy is the part of its cores that the router used last, and Gather how much
+	// Busy is the part of its cores that the router used last, and Coalesce how much
 	// streams let events come together, from 0 to 1.
-	Busy, Gather float64
+	Busy, Coalesce float64
 	// Cores is how much of a core the organisation may use, 0 if that is not
 	// bounded.
 	Cores float64
@@ -34,16 +34,16 @@
 	Lasted time.Duration
 }
 
-func (s *State) keptBack(k Kept) {
-	if len(s.kept) < keptMost {
-		s.kept = append(s.kept, k)
+func (s *State) throttle(t Throttle) {
+	if len(s.throttles) < throttlesMost {
+		s.throttles = append(s.throttles, t)
 	}
 }
 
-// KeptBack returns which organisations the router keeps back since the last call,
+// Throttles returns which organisations the router throttled since the last call,
 // the first few of them.
-func (s *State) KeptBack() []Kept {
-	out := s.kept
-	s.kept = nil
+func (s *State) Throttles() []Throttle {
+	out := s.throttles
+	s.throttles = nil
 	return out
 }
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -27,7 +27,7 @@
 	Goal          time.Duration
 	Arrived       time.Time
 	Deadline      time.Time
-	// Tried names the lives of targets that the request was sent to before.
+	// Tried names the incarnations of targets that the request was sent to before.
 	Tried []string
 	// Resumes is set when the rest of an answer is sought of which the caller
 	// has a part: it then waits as long as it can and passes all others.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -44,7 +44,7 @@
 	target balance.Target
 	// bad is set where the entry names no target to use.
 	bad bool
-	// born is that of the newest life that the entry told of.
+	// born is that of the newest incarnation that the entry told of.
 	born int64
 	// lapsed is when the entry went while the store was in trouble; zero for
 	// one that is there. until is until when it may come back.
--- a/internal/catalog/ignored.go
+++ b/internal/catalog/ignored.go
@@ -20,7 +20,7 @@
 	// name.
 	FieldBytes = "bytes"
 	FieldName  = "name"
-	// FieldBorn is when the target started: an entry of an older life came late.
+	// FieldBorn is when the target started: an entry of an older incarnation came late.
 	FieldBorn = "born"
 	// FieldService is the service that the target belongs to.
 	FieldService = "service"
--- a/internal/catalog/lives_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -37,21 +37,21 @@
 	return balance.Target{ID: name, Service: "s", Born: born}, nil
 }
 
-// life is an entry as of a revision whose target started at a time.
-func life(name string, revision int64, born string) message.StoredTarget {
+// entryOf returns an entry as of a revision whose target started at a time.
+func entryOf(name string, revision int64, born string) message.StoredTarget {
 	return message.StoredTarget{Name: name, Revision: revision, Value: []byte(born)}
 }
 
-// lives returns the targets that a catalog would have used, as "name@born".
-func lives(c *catalog.Catalog) string {
+// inUse returns the targets that a catalog would have used, as "name@born".
+func inUse(c *catalog.Catalog) string {
 	var out []string
 	for _, t := range c.Targets() {
-		out = append(out, t.Life())
+		out = append(out, t.Incarnation())
 	}
 	return strings.Join(out, " ")
 }
 
-func TestLives(t *testing.T) {
+func TestIncarnations(t *testing.T) {
 	for name, c := range map[string]struct {
 		entries []string
 		want    string
@@ -73,7 +73,7 @@
 				k.Apply(time.Time{}, revision, []catalog.Change{{StoredTarget: e}})
 			},
 			"as lists": func(k *catalog.Catalog, revision int64, e message.StoredTarget) {
-				k.SetTargets(time.Time{}, revision, []message.StoredTarget{e, life("b", 1, "7")})
+				k.SetTargets(time.Time{}, revision, []message.StoredTarget{e, entryOf("b", 1, "7")})
 			},
 			"from another router": func(k *catalog.Catalog, revision int64, e message.StoredTarget) {
 				k.Take(time.Time{}, message.Copy{TargetsRevision: revision, Since: revision - 1, Targets: []message.StoredTarget{e}})
@@ -81,11 +81,11 @@
 		} {
 			t.Run(name+" "+way, func(t *testing.T) {
 				k := catalog.New(bornCodec{}, drainTime)
-				k.SetTargets(time.Time{}, 1, []message.StoredTarget{life("b", 1, "7")})
+				k.SetTargets(time.Time{}, 1, []message.StoredTarget{entryOf("b", 1, "7")})
 				for i, born := range c.entries {
-					put(k, int64(i+2), life("a", int64(i+2), born))
+					put(k, int64(i+2), entryOf("a", int64(i+2), born))
 				}
-				if got, want := lives(k), strings.TrimSpace(c.want+" b@7"); got != want {
+				if got, want := inUse(k), strings.TrimSpace(c.want+" b@7"); got != want {
 					t.Errorf("%q, want %q", got, want)
 				}
 				var fields []string
@@ -103,7 +103,7 @@
 
 func TestBadEntryIsToldOnce(t *testing.T) {
 	k := catalog.New(bornCodec{}, drainTime)
-	bad := life("a", 1, "?")
+	bad := entryOf("a", 1, "?")
 	for revision := range int64(5) {
 		k.SetTargets(time.Time{}, revision+1, []message.StoredTarget{bad})
 	}
@@ -115,16 +115,16 @@
 func TestBadEntryDoesNotLapse(t *testing.T) {
 	k := catalog.New(bornCodec{}, drainTime)
 	now := time.Unix(1000, 0)
-	k.SetTargets(now, 1, []message.StoredTarget{life("a", 1, "1"), life("b", 1, "1")})
-	k.Apply(now, 2, []catalog.Change{{StoredTarget: life("a", 2, "?")}})
+	k.SetTargets(now, 1, []message.StoredTarget{entryOf("a", 1, "1"), entryOf("b", 1, "1")})
+	k.Apply(now, 2, []catalog.Change{{StoredTarget: entryOf("a", 2, "?")}})
 	k.Unstable(now)
 	k.SetTargets(now, 3, nil)
-	if got := lives(k); got != "b@1" {
+	if got := inUse(k); got != "b@1" {
 		t.Errorf("%q, want only what was good to lapse", got)
 	}
 }
 
-// newestOf returns the newest life of a target that events tell of.
+// newestOf returns the newest incarnation of a target that events tell of.
 func newestOf(events []catalog.Change, name string) int64 {
 	newest := int64(0)
 	for _, e := range events {
@@ -136,10 +136,10 @@
 	return newest
 }
 
-// TestLivesAgree plays a store whose entries start again, are spoilt and written late
-// by processes that are gone, and routers that hear of it from the store and from one
-// another in any order.
-func TestLivesAgree(t *testing.T) {
+// TestIncarnationsAgree plays a store whose entries start again, are spoilt and written
+// late by processes that are gone, and routers that hear of it from the store and from
+// one another in any order.
+func TestIncarnationsAgree(t *testing.T) {
 	const routers = 3
 	names := []string{"a", "b"}
 	rapid.Check(t, func(t *rapid.T) {
@@ -185,7 +185,7 @@
 					continue
 				}
 				says, _ := strconv.ParseInt(string(e.Value), 10, 64)
-				// A late write of an older life may be all that the store holds, and a
+				// A late write of an older incarnation may be all that the store holds, and a
 				// router need not hear that an entry went in between.
 				if !used && says >= newestOf(events[:known[i].Revision()], name) {
 					t.Fatalf("router %d does not use %s@%d", i, name, says)
@@ -200,7 +200,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"write": func(t *rapid.T) {
-				e := life(rapid.SampledFrom(names).Draw(t, "name"), int64(len(events)+1),
+				e := entryOf(rapid.SampledFrom(names).Draw(t, "name"), int64(len(events)+1),
 					rapid.SampledFrom([]string{"1", "2", "3", "4", "?"}).Draw(t, "entry"))
 				events = append(events, catalog.Change{StoredTarget: e, Gone: rapid.IntRange(0, 5).Draw(t, "gone") == 0})
 			},
@@ -247,17 +247,17 @@
 	})
 }
 
-// A router that knew a later life ignored a late write of an older one, and left it
-// out when it told another router what was new, which then went on with a life older
+// A router that knew a later incarnation ignored a late write of an older one, and left
+// it out when it told another router what was new, which then went on with an older one
 // still: "router 1 uses b@1 though 2 is known".
 func TestLateWriteIsPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	knows, behind := catalog.New(bornCodec{}, drainTime), catalog.New(bornCodec{}, drainTime)
-	knows.Apply(now, 1, []catalog.Change{{StoredTarget: life("b", 1, "3")}})
-	behind.Apply(now, 3, []catalog.Change{{StoredTarget: life("b", 3, "1")}})
-	knows.Apply(now, 4, []catalog.Change{{StoredTarget: life("b", 4, "2")}})
+	knows.Apply(now, 1, []catalog.Change{{StoredTarget: entryOf("b", 1, "3")}})
+	behind.Apply(now, 3, []catalog.Change{{StoredTarget: entryOf("b", 3, "1")}})
+	knows.Apply(now, 4, []catalog.Change{{StoredTarget: entryOf("b", 4, "2")}})
 	behind.Take(now, knows.Copy(now, message.NeedCopy{Targets: behind.Revision()}))
-	if got := lives(knows) + " " + lives(behind); got != "b@3 b@2" {
+	if got := inUse(knows) + " " + inUse(behind); got != "b@3 b@2" {
 		t.Errorf("%q, want each to keep the newest life that it knows", got)
 	}
 }
--- a/internal/catalog/version.go
+++ b/internal/catalog/version.go
@@ -1,13 +1,13 @@
 package catalog
 
 // Version orders what is said of one target, in whatever order it arrives: an engine
-// that starts again under its id begins a new life, and what is said of an older one
-// is old however late it comes. In one life the store's revision decides.
+// that starts again under its id begins a new incarnation, and what is said of an older one
+// is old however late it comes. In one incarnation the store's revision decides.
 //
 // The zero value is older than all others.
 type Version struct {
 	// Born is when the target's process started, in Unix milliseconds; 0 where the
-	// target does not say, which is one life without a number.
+	// target does not say, which is one incarnation without a number.
 	Born int64
 	// Revision is the store's number of the entry's last change.
 	Revision int64
--- a/internal/forward/gather_test.go
+++ b/internal/forward/coalesce_test.go
@@ -56,7 +56,7 @@
 			s.SetBusy(now, busy, 1)
 		})
 		if busy > 0 {
-			Eventually(loop.Gather).Should(BeNumerically(">", 0))
+			Eventually(loop.Coalesce).Should(BeNumerically(">", 0))
 		}
 		f := forward.New(forward.Dialect{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect"}, httptarget.New(g), loop, logr.Discard(), ignored{})
 		caller := &pieces{}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -236,7 +236,7 @@
 	free, resumes := x.verdict.Sends == 0, x.verdict.Begun
 	allowed := false
 	asked := x.loop.Ask(ctx, func(s *balance.State, now time.Time) {
-		t.Tried = append(t.Tried, to.Life())
+		t.Tried = append(t.Tried, to.Incarnation())
 		t.Resumes = resumes
 		if free {
 			s.Unsent(now, t)
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -53,7 +53,7 @@
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	defer x.ticket.OnLost(nil)
 	answer, err := x.sender.Send(ctx, to.Address, httptarget.Request{
-		Method: x.Method, Head: x.head(to, x.deadline), Body: x.Body, Instance: to.Life(),
+		Method: x.Method, Head: x.head(to, x.deadline), Body: x.Body, Instance: to.Incarnation(),
 		ID: x.ID, IDHeader: x.dialect.RequestID,
 	})
 	if err != nil {
@@ -233,21 +233,21 @@
 		if err != nil {
 			return &failure{reason: ReasonBroken, result: balance.Failed, ran: true, cause: err}
 		}
-		x.gather(ctx)
+		x.coalesce(ctx)
 	}
 }
 
-// gatherShare is the part, in percent, of the pause between events that callers aim
+// coalesceShare is the part, in percent, of the pause between events that callers aim
 // for during which a router that is short of processor time lets events come
 // together: the rest is for the engine and for the router's own queue. A stream of 40
 // events 50 ms apart takes 1.8 instead of 2.2 ms of processor time, the engine's and
 // the caller's part included (BenchmarkStreams).
-const gatherShare = 25
+const coalesceShare = 25
 
-// gather lets the next events of a stream come together where the router is short of
+// coalesce lets the next events of a stream come together where the router is short of
 // processor time.
-func (x *run) gather(ctx context.Context) {
-	d := time.Duration(x.loop.Gather() * float64(x.Route.MaxPause*gatherShare/100))
+func (x *run) coalesce(ctx context.Context) {
+	d := time.Duration(x.loop.Coalesce() * float64(x.Route.MaxPause*coalesceShare/100))
 	if d > 0 {
 		group.SleepUntil(ctx, time.Now().Add(d))
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -61,7 +61,7 @@
 	g.say()
 	g.send(g.roster.Tick(now))
 	g.logBeliefs(g.roster.Changes())
-	g.logKept(s.KeptBack())
+	g.logThrottles(s.Throttles())
 	if expired := g.catalog.Expire(now); len(expired) > 0 {
 		g.Log.Info("lapsed targets given up", "revision", g.catalog.Revision(), "count", len(expired),
 			"targets", expired[:min(len(expired), namesMost)])
@@ -92,15 +92,15 @@
 	}
 }
 
-// logKept logs which organisations the router began or ended to keep back: what it
+// logThrottles logs which organisations the router began or ended to keep back: what it
 // refuses unread may be hundreds of requests a second, of which few get a line.
-func (g *Gateway) logKept(list []balance.Kept) {
+func (g *Gateway) logThrottles(list []balance.Throttle) {
 	for _, k := range list {
-		what := "organisation kept back"
+		what := "organisation throttled"
 		if k.Ended {
-			what = "organisation let in again"
+			what = "organisation no longer throttled"
 		}
-		g.Log.Info(what, "organisation", k.Organisation, "busy", k.Busy, "gather", k.Gather, "cores", k.Cores,
+		g.Log.Info(what, "organisation", k.Organisation, "busy", k.Busy, "coalesce", k.Coalesce, "cores", k.Cores,
 			"had", int(k.Had), "share", int(min(k.Level, math.MaxInt32)), "least_waiting", int(min(k.Least, math.MaxInt32)),
 			"waiting", k.Waiting, "crowded", k.Crowded, "busied", k.Busied, "after_ms", k.Lasted.Milliseconds())
 	}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -14,7 +14,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 )
 
-// startAgain puts another life of the first target in force.
+// startAgain puts another incarnation of the first target in force.
 func (r *rig) startAgain(born int64, address string) {
 	r.revision++
 	t := balance.Target{ID: r.targets[0].Name, Service: "s", Address: address, Zone: "z", Slots: 4, Born: born}
--- a/internal/ingress/headers.go
+++ b/internal/ingress/headers.go
@@ -76,12 +76,16 @@
 	return in, out
 }
 
+// tokensMost bounds the tokens that a caller's header may name: more than any engine's
+// memory holds, and little enough to be added up.
+const tokensMost = 1 << 30
+
 func count(text string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(text))
 	if err != nil || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, tokensMost)
 }
 
 // promptParts reads "ID:TOKENS,ID:TOKENS"; parts that cannot be read are
