--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -20,6 +20,10 @@
 	requestCost = 190 * time.Microsecond
 	eventCost   = 36 * time.Microsecond
 	refusalCost = 80 * time.Microsecond
+	// acceptCost is what a new connection takes before its request is looked at.
+	acceptCost = 60 * time.Microsecond
+	// tickCost is what a turn of the control loop takes.
+	tickCost = 20 * time.Microsecond
 	// readShare is the part of requestCost, in percent, spent before the request is
 	// decided on.
 	readShare = 60
@@ -94,6 +98,10 @@
 	gates      map[string]*gate
 	seconds    []second
 	requests   int
+	// late is set where the control loop waits for the processor like all else, and
+	// longest is the longest that a request waited there before it was decided on.
+	late    bool
+	longest time.Duration
 }
 
 // newBox returns a box before anybody comes.
@@ -162,6 +170,16 @@
 	return b.seconds[:len(b.seconds)-1]
 }
 
+// waitFor does something after what the processor has to do already, as the control
+// loop does, or at once where that is not played.
+func (b *box) waitFor(cost time.Duration, do func()) {
+	if !b.late {
+		do()
+		return
+	}
+	b.work(cost, do)
+}
+
 // tick does what the control loop does between events.
 func (b *box) tick(n int, used time.Duration, looked time.Time) {
 	b.Tick(b.now)
@@ -170,7 +188,7 @@
 		used, looked = b.used, b.now
 	}
 	b.gates = b.gatesAt(b.now)
-	b.after(tickTime, func() { b.tick(n+1, used, looked) })
+	b.after(tickTime, func() { b.waitFor(tickCost, func() { b.tick(n+1, used, looked) }) })
 }
 
 // draw returns a kind of request.
@@ -200,17 +218,25 @@
 			b.after(time.Second+time.Duration(b.random.Int64N(int64(time.Second))), func() { b.come(k, again-1) })
 		}
 	}
-	if !b.reads(k) {
-		b.work(refusalCost, refuse)
-		return
-	}
 	came := b.now
+	b.waitFor(acceptCost, func() {
+		if !b.reads(k) {
+			b.work(refusalCost, refuse)
+			return
+		}
+		b.read(k, came, s, refuse)
+	})
+}
+
+// read lets a request in that came at a time.
+func (b *box) read(k kind, came time.Time, s *second, refuse func()) {
 	t := &Ticket{
 		ID: fmt.Sprint(b.requests), Service: "llm", Organisation: "o", Engine: true, Stream: true,
 		Input: k.input, Output: k.output, Goal: k.goal, Arrived: came, Deadline: came.Add(6 * time.Second),
 		Decision: make(chan Decision, 1),
 	}
 	b.work(requestCost*readShare/100, func() {
+		b.longest = max(b.longest, b.now.Sub(came))
 		b.Arrive(b.now, t)
 		b.decided(t, func(d Decision) {
 			if d.Refused != "" {
@@ -315,3 +341,34 @@
 		})
 	}
 }
+
+// A box that was short of processor time was drowned for seconds: a request that came
+// at 2.132 s was sent on at 3.634 s, after its caller had left. The control loop counts
+// in its own turns, and these wait for the processor like all else: looks at the
+// processor that should come ten times a second came every few seconds, and what a
+// turn of half a second had let in was let in again in each turn of 20 ms.
+func TestDrownedBox(t *testing.T) {
+	for name, c := range map[string]struct {
+		rates []float64
+		each  time.Duration
+	}{
+		"a flood from the start":  {rates: []float64{700}, each: 10 * time.Second},
+		"a flood upon much":       {rates: []float64{220, 900, 900}, each: 4 * time.Second},
+		"floods one upon another": {rates: []float64{200, 1500, 200, 1500}, each: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				b := newBox(t, seed)
+				b.late = true
+				b.play(c.rates, c.each)
+				if b.longest > longestRead {
+					t.Errorf("seed %d: a request waited %v to be read", seed, b.longest)
+				}
+			}
+		})
+	}
+}
+
+// longestRead is for how long a request may wait to be read: less than the half second
+// after which a caller who left must not find its request at work.
+const longestRead = 400 * time.Millisecond
