--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -342,11 +342,12 @@
 	}
 }
 
-// A box that was short of processor time was drowned for seconds: a request that came
-// at 2.132 s was sent on at 3.634 s, after its caller had left. The control loop counts
-// in its own turns, and these wait for the processor like all else: looks at the
-// processor that should come ten times a second came every few seconds, and what a
-// turn of half a second had let in was let in again in each turn of 20 ms.
+// A small box to which all callers of an organisation hold was drowned for seconds: a
+// request that came at 2.132 s was sent on at 3.634 s, when its caller had left, and with
+// it 40 others. Some 1,900 requests a second came, first ones and those that had been
+// refused; accepting and refusing one takes 0.14 ms, so that refusing all of them takes
+// more than the 0.19 cores that are there, and what waits for the processor before it
+// is looked at has no bound.
 func TestDrownedBox(t *testing.T) {
 	for name, c := range map[string]struct {
 		rates []float64
