--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -100,6 +100,11 @@
 		if !ok {
 			return
 		}
+		if x.Gone != nil && x.Gone() {
+			x.end(balance.Left)
+			x.giveUp(ctx)
+			return
+		}
 		err := x.try(ctx, to)
 		if err == nil {
 			return
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -60,6 +60,9 @@
 	// LastEvent is the id of the last event that the caller has; empty if
 	// none.
 	LastEvent string
+	// Gone reports whether the caller has left, which the request's context tells
+	// late on a busy box; nil where nobody can tell.
+	Gone func() bool
 }
 
 // Expires returns when the request is given up: when its caller stops waiting,
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -120,6 +121,21 @@
 	dropped, closed bool
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, raw net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, raw)
+}
+
+// callerEnded reports whether the caller of a request has closed its connection. The
+// server notices that by a goroutine of its own, which on a busy box comes too late:
+// 83 to 123 of 200 requests whose callers had left before they were read were sent on.
+func callerEnded(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && sockopt.Ended(c.Conn)
+}
+
 // connState notes for which connections a request has ended.
 func connState(raw net.Conn, state http.ConnState) {
 	if c, ok := raw.(*conn); ok && state == http.StateIdle {
--- /dev/null
+++ b/internal/ingress/gone_test.go
@@ -0,0 +1,75 @@
+package ingress_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// counting is a sender that counts what it is to send.
+type counting struct{ sends atomic.Int64 }
+
+func (s *counting) Send(context.Context, string, httptarget.Request) (*httptarget.Answer, error) {
+	s.sends.Add(1)
+	return nil, errors.Wrap(httptarget.ErrBroken, "test")
+}
+
+// counted counts requests that ended.
+type counted struct {
+	ended
+	n atomic.Int64
+}
+
+func (c *counted) Ended(forward.Request, forward.Verdict, time.Duration) { c.n.Add(1) }
+
+var _ = Describe("A caller that left before its request was read", func() {
+	It("has nothing sent for it", func() {
+		const callers = 200
+		g := group.New(context.Background())
+		DeferCleanup(g.Stop)
+		limits := balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second}
+		loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
+		g.GoContext(loop.Run)
+		table, err := routing.New(routing.Spec{
+			Routes:        []routing.Route{{Name: "plain", Host: "h", Prefix: "/plain/", Shares: []routing.Share{{Service: "desk", Weight: 1}}}},
+			Services:      []routing.Service{{Name: "desk"}},
+			Organisations: []routing.Organisation{{Name: "calm", Keys: []string{"k2"}}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		loop.Post(func(s *balance.State, now time.Time) {
+			s.Configure(table)
+			s.SetTargets(now, []balance.Target{{ID: "t", Service: "desk", Zone: "z", Slots: callers}})
+		})
+		sender, observer := &counting{}, &counted{}
+		f := forward.New(dialect, sender, loop, logr.Discard(), ended{})
+		s := ingress.New(dialect, f, observer, ingress.Limits{Requests: callers, Connections: callers}, logr.Discard())
+		s.Configure(table)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		for range callers {
+			c, err := net.Dial("tcp", l.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			_, err = c.Write([]byte(head("/plain/a", "k2", "r", 3, "") + "abc"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Close()).To(Succeed())
+		}
+		g.Go(func() { _ = s.Serve(l) })
+		DeferCleanup(s.Close)
+		Eventually(observer.n.Load).Should(Equal(int64(callers)))
+		Expect(sender.sends.Load()).To(BeZero())
+	})
+})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -121,6 +121,7 @@
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeader,
 		ConnState:                    connState,
+		ConnContext:                  withConn,
 		ErrorLog:                     log.New(serverLog{l}, "", 0),
 		DisableGeneralOptionsHandler: true,
 	}
@@ -197,6 +198,7 @@
 		return
 	}
 	defer s.held.Add(-int64(len(request.Body)))
+	request.Gone = func() bool { return callerEnded(r.Context()) }
 	a := &answer{w: w, flush: http.NewResponseController(w)}
 	s.finish(w, request, s.forwarder.Forward(r.Context(), request, a), arrived)
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -30,20 +30,39 @@
 // that was not read. Another goroutine may wait in Read meanwhile. For other
 // connections, of which that cannot be told, it returns true.
 func Quiet(c net.Conn) bool {
+	_, err := peek(c)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// Ended reports whether a TCP connection was ended by the far side and all that had
+// arrived before was read. Another goroutine may wait in Read meanwhile. For other
+// connections, of which that cannot be told, it returns false.
+func Ended(c net.Conn) bool {
+	n, err := peek(c)
+	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks for a byte that has arrived on a TCP connection. It returns EAGAIN where
+// there is none, or for a connection of which that cannot be told, and neither a byte
+// nor an error where the far side ended it.
+func peek(c net.Conn) (int, error) {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
+	n := 0
+	var failed error
 	// Control, unlike Read, does not wait for a reader.
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, failed = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if err != nil {
+		return 0, err
+	}
+	return n, failed
 }
--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -79,3 +79,25 @@
 	}
 	wait.Wait()
 }
+
+func TestEnded(t *testing.T) {
+	a, b := pair(t)
+	if sockopt.Ended(b) {
+		t.Error("an open connection has ended")
+	}
+	if _, err := a.Write([]byte("xy")); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	one := make([]byte, 1)
+	if _, err := b.Read(one); err != nil {
+		t.Fatal(err)
+	}
+	if sockopt.Ended(b) {
+		t.Error("a connection has ended though a byte is left to read")
+	}
+	if _, err := b.Read(one); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the end", func() bool { return sockopt.Ended(b) })
+}
