Weigh a request at the gate once; one word for throttling

A refused request, of which a flooded box has hundreds a second, had its grade and effort worked out twice. Counters at the gate are named as in the lines that tell of them.

--- a/internal/balance/flow.go
+++ b/internal/balance/flow.go
@@ -21,11 +21,11 @@
 	negligibleFlow = 0.01
 
 	// busyLimit is the part of the processor that a router uses at most before
-	// it keeps the organisation back that makes it send most: beyond, all that
+	// it throttles the organisation that makes it send most: beyond, all that
 	// it does comes late, also what other routers tell it.
 	busyLimit = 0.8
 	// busyShare is the part of the processor time of all sends from which that
-	// organisation is kept back: it is no use where many send a little.
+	// organisation is throttled: it is no use where many send a little.
 	busyShare = 0.5
 	// busyCut and busyRise bound what the processor time allowed is multiplied with at
 	// each look: by how much the part used differs from the limit. With steps of 0.8
@@ -97,7 +97,7 @@
 }
 
 // SetBusy notes which part of its cores the router used lately, lets streams coalesce
-// accordingly, and keeps the organisation back that takes most if that is too much.
+// accordingly, and throttles the organisation that takes most if that is too much.
 func (s *State) SetBusy(now time.Time, part, cores float64) {
 	s.busy = part
 	s.coalesce = coalesceAt(s.coalesce, part)
@@ -188,7 +188,7 @@
 
 // turn sets how much the gate lets in until the next tick, or takes it away.
 func (f *flow) turn(now time.Time, waiting int) {
-	crowded, busied := int(f.gate.refused.Swap(0)), int(f.gate.busily.Swap(0))
+	crowded, busied := int(f.gate.crowded.Swap(0)), int(f.gate.busied.Swap(0))
 	f.crowdedOut += crowded
 	f.busiedOut += busied
 	f.lately = crowded + busied
--- a/internal/balance/gate.go
+++ b/internal/balance/gate.go
@@ -17,9 +17,9 @@
 type gate struct {
 	// left is how many may still come in until the next tick.
 	left atomic.Int64
-	// refused counts those that were refused since the last tick because too many
-	// wait, busily those for the processor.
-	refused, busily atomic.Int64
+	// crowded counts those that were refused since the last tick because too many
+	// wait, busied those for the processor.
+	crowded, busied atomic.Int64
 
 	// busy is set if the processor does no more. Then all requests above the grade
 	// cut come in, and of that grade and of those below it some, for which atCut and
@@ -35,43 +35,47 @@
 
 // crowds returns why a request is to be refused unread, or "".
 func (g *gate) crowds(o Offer) Reason {
-	pieces := g.piecesNow()
-	grade := o.grade(pieces)
+	grade, effort := g.weigh(o)
 	switch {
 	case !g.mayPass(grade):
-		return g.refuse(o, Busy)
+		return g.refuse(grade, effort, Busy)
 	case g.left.Load() <= 0:
-		return g.refuse(o, Crowded)
+		return g.refuse(grade, effort, Crowded)
 	}
 	return ""
 }
 
 // admit lets a request in, or returns why it does not.
 func (g *gate) admit(o Offer) Reason {
-	pieces := g.piecesNow()
-	grade, effort := o.grade(pieces), o.effort(pieces)
+	grade, effort := g.weigh(o)
 	switch {
 	case !g.mayPass(grade):
-		return g.refuse(o, Busy)
+		return g.refuse(grade, effort, Busy)
 	case g.left.Add(-1) < 0:
-		return g.refuse(o, Crowded)
+		return g.refuse(grade, effort, Crowded)
 	}
-	g.arrived[grade].Add(int64(effort))
+	g.arrived[grade].Add(effort)
 	if left := g.timeFor(grade); left != nil {
-		left.Add(-int64(effort))
+		left.Add(-effort)
 	}
 	return ""
 }
 
+// weigh returns a request's grade and the processor time that it takes, in
+// nanoseconds.
+func (g *gate) weigh(o Offer) (grade int, effort int64) {
+	pieces := math.Float64frombits(g.pieces.Load())
+	return o.grade(pieces), int64(o.effort(pieces))
+}
+
 // refuse counts a request that is refused for a reason, which it returns.
-func (g *gate) refuse(o Offer, why Reason) Reason {
-	pieces := g.piecesNow()
-	g.arrived[o.grade(pieces)].Add(int64(o.effort(pieces)))
+func (g *gate) refuse(grade int, effort int64, why Reason) Reason {
+	g.arrived[grade].Add(effort)
 	if why == Busy {
-		g.busily.Add(1)
-		return Busy
+		g.busied.Add(1)
+		return why
 	}
-	g.refused.Add(1)
+	g.crowded.Add(1)
 	return why
 }
 
@@ -93,8 +97,6 @@
 	return &g.below
 }
 
-func (g *gate) piecesNow() float64 { return math.Float64frombits(g.pieces.Load()) }
-
 // allow lets as much in until the next tick as takes most of the processor's time,
 // in nanoseconds, given what arrives in a tick.
 func (g *gate) allow(arrived *[grades]float64, most float64) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// logThrottles logs which organisations the router began or ended to keep back: what it
+// logThrottles logs which organisations the router throttles, or no longer: what it
 // refuses unread may be hundreds of requests a second, of which few get a line.
 func (g *Gateway) logThrottles(list []balance.Throttle) {
 	for _, k := range list {
