Storm of suspicions: first ends of targets told to three collectors, ends of many accuse nobody

Cause: all that ran at a zone of engines that go dark was suspected at once, each suspicion told to six routers who told six more, each change compared by digests with everybody. Ruled out: batching alone (each of 600 records still reaches each router). Change: the first end under a request is told to three collectors only, the same for all requests, so that they know what else ended; from the second on all hear of it, at once unless both ended in one event, which the collectors decide 0.3 s later: five ends or more within a second accuse only what ran at three of them and at an eighth. TestCrashingRequest passes unchanged.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -86,6 +86,21 @@
 	crashed, seen time.Time
 	// trying is until when a trial is under way at this router at most.
 	trying time.Time
+	// common is set once all routers are to know of the request.
+	common bool
+}
+
+// weight is what the entry adds to the digest: what only some routers are to know adds
+// nothing.
+func (e *entry) weight(k Key) uint64 {
+	if !e.common {
+		return 0
+	}
+	var sum uint64
+	for _, c := range e.crashes {
+		sum ^= weight(k, c)
+	}
+	return sum
 }
 
 func (e *entry) standing() int {
@@ -118,8 +133,8 @@
 }
 
 // until returns until when the request is sent away; zero if it is not.
-func (e *entry) until() time.Time {
-	if e.standing() < pausedFrom {
+func (s *State) until(e *entry) time.Time {
+	if !s.accused(e) {
 		return time.Time{}
 	}
 	if n := e.trials(); n < len(trialPauses) {
@@ -156,9 +171,16 @@
 	entries map[Key]*entry
 	parts   map[string]int
 	broken  []broken
-	// ended has when targets ended whose requests may still break off.
-	ended  map[string]time.Time
-	digest uint64
+	ended   ends
+	digest  uint64
+	// now is the latest time that came in.
+	now time.Time
+	// settling has the requests under which two targets ended together, of which all
+	// routers may have to know.
+	settling map[Key]bool
+	// defers is set where other routers decide whether two targets that ended together
+	// accuse a request.
+	defers bool
 	// news are the requests of which something new is known since News was called.
 	news map[Key]bool
 	view *View
@@ -166,7 +188,7 @@
 
 // New returns a state that suspects nothing.
 func New() *State {
-	return &State{entries: map[Key]*entry{}, parts: map[string]int{}, ended: map[string]time.Time{}, news: map[Key]bool{}}
+	return &State{entries: map[Key]*entry{}, parts: map[string]int{}, ended: ends{}, settling: map[Key]bool{}, news: map[Key]bool{}}
 }
 
 // Broke notes that a target broke off its answer to a request, and returns the number of
@@ -176,7 +198,7 @@
 func (s *State) Broke(now time.Time, k Key, organisation, target string, trial bool) int {
 	s.forgetBroken(now)
 	b := broken{key: k, organisation: organisation, crash: Crash{Target: target, Trial: trial}, at: now}
-	if _, ended := s.ended[target]; ended {
+	if s.ended.fresh(now, target) {
 		s.crash(now, b)
 	} else if len(s.broken) < brokenMost {
 		s.broken = append(s.broken, b)
@@ -188,7 +210,8 @@
 // requests whose answers broke off there.
 func (s *State) Ended(now time.Time, target string) {
 	s.forgetBroken(now)
-	s.ended[target] = now
+	s.ended.note(now, target)
+	s.view = nil
 	s.broken = slices.DeleteFunc(s.broken, func(b broken) bool {
 		if b.crash.Target == target {
 			s.crash(now, b)
@@ -197,10 +220,27 @@
 	})
 }
 
-// forgetBroken forgets what is too old.
+// forgetBroken forgets what is too old. Before that the ends that accuse nobody are told
+// apart: their requests are cleared of them.
 func (s *State) forgetBroken(now time.Time) {
+	s.now = latest(s.now, now)
 	s.broken = slices.DeleteFunc(s.broken, func(b broken) bool { return now.Sub(b.at) > brokenTime })
-	maps.DeleteFunc(s.ended, func(_ string, at time.Time) bool { return now.Sub(at) > brokenTime })
+	if judged := s.ended.judge(now); len(judged) > 0 {
+		s.acquit(judged)
+	}
+	s.ended.forget(now)
+}
+
+// acquit clears requests of ends that they do not account for.
+func (s *State) acquit(judged []string) {
+	for k, e := range s.entries {
+		for _, target := range judged {
+			if c, ran := e.crashes[target]; ran && !c.Cleared && !s.ended.accountsFor(e, target) {
+				c.Cleared = true
+				s.put(k, e, c)
+			}
+		}
+	}
 }
 
 // Known reports whether anything is known of a request.
@@ -208,7 +248,7 @@
 
 func (s *State) standing(k Key) int {
 	if e := s.entries[k]; e != nil {
-		return e.standing()
+		return s.counted(e)
 	}
 	return 0
 }
@@ -258,9 +298,7 @@
 
 func (s *State) drop(k Key) {
 	e := s.entries[k]
-	for _, c := range e.crashes {
-		s.digest ^= weight(k, c)
-	}
+	s.digest ^= e.weight(k)
 	if s.parts[e.organisation]--; s.parts[e.organisation] == 0 {
 		delete(s.parts, e.organisation)
 	}
@@ -269,17 +307,66 @@
 	s.view = nil
 }
 
-// set notes a crash, or that it is cleared.
+// set notes a crash, or that it is cleared, as news.
 func (s *State) set(k Key, e *entry, c Crash) {
-	if old, known := e.crashes[c.Target]; known {
-		s.digest ^= weight(k, old)
+	s.put(k, e, c)
+	s.news[k] = true
+	if len(e.crashes) == pausedFrom && !e.common {
+		s.settling[k] = true
 	}
+}
+
+// put notes the same without anybody being told.
+func (s *State) put(k Key, e *entry, c Crash) {
+	s.digest ^= e.weight(k)
 	e.crashes[c.Target] = c
-	s.digest ^= weight(k, c)
-	s.news[k] = true
+	s.digest ^= e.weight(k)
+	s.view = nil
+}
+
+// Common reports whether all routers are to know of a request: more targets ended under it
+// than by chance, or another router says so. It then stays so.
+func (s *State) Common(k Key) bool {
+	e := s.entries[k]
+	if e == nil {
+		return false
+	}
+	if !e.common && s.accused(e) {
+		s.share(k, e)
+	}
+	return e.common
+}
+
+// accused reports whether a request is to be sent away. Two targets that ended together
+// accuse it only once it is known how many others did.
+func (s *State) accused(e *entry) bool {
+	switch n := s.counted(e); {
+	case n < pausedFrom:
+		return false
+	case n > pausedFrom || e.common:
+		return true
+	}
+	last, together := s.ended.together(e)
+	return !together || !s.defers && s.now.Sub(last) >= settleTime
+}
+
+func (s *State) share(k Key, e *entry) {
+	e.common = true
+	s.digest ^= e.weight(k)
 	s.view = nil
 }
 
+// counted returns the number of crashes that are not cleared and that accuse the request.
+func (s *State) counted(e *entry) int {
+	n := 0
+	for target, c := range e.crashes {
+		if !c.Cleared && s.ended.accountsFor(e, target) {
+			n++
+		}
+	}
+	return n
+}
+
 // Clear notes that a request has ended well: the targets that ended before did so for
 // another reason.
 func (s *State) Clear(k Key) {
@@ -300,7 +387,7 @@
 // request, so that one trial is under way at a time.
 func (s *State) Try(now time.Time, k Key, until time.Time) bool {
 	e := s.entries[k]
-	if e == nil || now.Before(e.until()) || now.Before(e.trying) {
+	if e == nil || now.Before(s.until(e)) || now.Before(e.trying) {
 		return false
 	}
 	e.trying = until
@@ -341,6 +428,7 @@
 // Merge takes over what another router knows. A target that ended there has ended here,
 // too.
 func (s *State) Merge(now time.Time, list []Record) {
+	s.now = latest(s.now, now)
 	for _, r := range list {
 		if r.SinceSeen < 0 || r.SinceCrash < 0 || r.SinceSeen >= suspectTime && r.Standing() < heldFrom || r.SinceSeen >= heldTime {
 			continue
@@ -363,11 +451,14 @@
 			continue
 		}
 		s.set(r.Key, e, c)
-		if !c.Cleared {
-			s.Ended(now, c.Target)
+		if !c.Cleared && r.SinceCrash < brokenTime {
+			s.Ended(now.Add(-r.SinceCrash), c.Target)
 		}
 	}
 	if e := s.entries[r.Key]; e != nil {
+		if !e.common && len(r.Crashes) >= pausedFrom {
+			s.share(r.Key, e)
+		}
 		e.crashed = latest(e.crashed, now.Add(-r.SinceCrash))
 		e.seen = latest(e.seen, now.Add(-r.SinceSeen))
 	}
@@ -394,6 +485,7 @@
 
 // News returns the requests of which something new is known since the last call.
 func (s *State) News(now time.Time) []Record {
+	s.settle(now)
 	list := make([]Record, 0, len(s.news))
 	for k := range s.news {
 		list = append(list, s.entries[k].record(now, k))
@@ -402,11 +494,49 @@
 	return sorted(list)
 }
 
+// settle finds out which requests turned out to be accused after all, which is news.
+func (s *State) settle(now time.Time) {
+	s.now = latest(s.now, now)
+	for k := range s.settling {
+		e := s.entries[k]
+		switch {
+		case e == nil || e.common || now.Sub(e.crashed) > brokenTime:
+			delete(s.settling, k)
+		case s.accused(e):
+			delete(s.settling, k)
+			s.news[k] = true
+		}
+	}
+}
+
+// Quiet reports whether there is no news and none to come with time alone.
+func (s *State) Quiet() bool { return len(s.news) == 0 && len(s.settling) == 0 }
+
+// Defer says whether other routers decide if two targets that ended together accuse a
+// request.
+func (s *State) Defer(others bool) {
+	if s.defers != others {
+		s.defers = others
+		s.view = nil
+	}
+}
+
 // All returns all that is known.
 func (s *State) All(now time.Time) []Record {
+	return s.records(now, func(*entry) bool { return true })
+}
+
+// AllCommon returns what all routers are to know.
+func (s *State) AllCommon(now time.Time) []Record {
+	return s.records(now, func(e *entry) bool { return e.common })
+}
+
+func (s *State) records(now time.Time, meant func(*entry) bool) []Record {
 	list := make([]Record, 0, len(s.entries))
 	for k, e := range s.entries {
-		list = append(list, e.record(now, k))
+		if meant(e) {
+			list = append(list, e.record(now, k))
+		}
 	}
 	return sorted(list)
 }
@@ -416,6 +546,6 @@
 	return list
 }
 
-// Digest returns a hash over all crashes that are known, in any order: who has another
-// one knows something else.
+// Digest returns a hash over all crashes that all routers are to know, in any order: who has
+// another one knows something else.
 func (s *State) Digest() uint64 { return s.digest }
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -24,8 +24,8 @@
 	if s.view == nil {
 		s.view = &View{marks: make(map[Key]mark, len(s.entries))}
 		for k, e := range s.entries {
-			if n := e.standing(); n > 0 {
-				s.view.marks[k] = mark{until: e.until(), seen: e.seen, crashes: n}
+			if n := s.counted(e); n > 0 {
+				s.view.marks[k] = mark{until: s.until(e), seen: e.seen, crashes: n}
 			}
 		}
 	}
--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -44,6 +44,36 @@
 	return list
 }
 
+// Ranked returns the Peer addresses of the n running routers that rendezvous hashing gives to
+// a key, the first first. This one is left out if it is among them.
+func (r *Roster) Ranked(now time.Time, key string, n int) []string {
+	first := make([]ranked, 0, n+1)
+	hash := rendezvous.Hash(key)
+	for other := range r.Each(now) {
+		w := rendezvous.WeightOf(hash, rendezvous.Hash(string(other.ID)))
+		at, _ := slices.BinarySearchFunc(first, w, func(e ranked, w uint64) int { return cmp.Compare(w, e.weight) })
+		if at >= n {
+			continue
+		}
+		first = slices.Insert(first, at, ranked{weight: w, id: other.ID, peer: other.Peer})
+		first = first[:min(len(first), n)]
+	}
+	var list []string
+	for _, e := range first {
+		if e.id != r.self.ID {
+			list = append(list, e.peer)
+		}
+	}
+	return list
+}
+
+// ranked is a router and its weight for a key.
+type ranked struct {
+	weight uint64
+	id     message.RouterID
+	peer   string
+}
+
 // Zone returns the availability zone of another router, empty if it is not known.
 func (r *Roster) Zone(id message.RouterID) string {
 	if e := r.others[id]; e != nil {
--- a/internal/roster/news_test.go
+++ b/internal/roster/news_test.go
@@ -34,6 +34,7 @@
 		s.exchanges = append(s.exchanges, quarantine.NewExchange(state, r))
 		s.at[r] = i
 		s.ping(r)
+		s.beat(r)
 	}
 	return s
 }
@@ -86,6 +87,12 @@
 	s.after(250*time.Millisecond, func() { s.ping(r) })
 }
 
+// beat looks at each router for what is due, as the program does.
+func (s *suspecting) beat(r *router) {
+	s.found(r)
+	s.after(50*time.Millisecond, func() { s.beat(r) })
+}
+
 // knowing returns how many routers know of so many ends.
 func (s *suspecting) knowing(k quarantine.Key, ends int) int {
 	n := 0
