Drained availability zones: a third thing copied from the store, by the one mechanism of all lists

Now a zone's object is followed in the store like targets, told with the same revisions in pings, reports and requests for copies, and closes the zone's targets at every choice: queue, retry, resumption, source of parts. A service with drained targets only is refused at once, with when to come back. What became common: catalog.replica holds the objects of a kind as of revisions (whole lists, changes in any order, what a router that is behind lacks); targets keep only their judgement and lapses; message.Revisions stands for all three in Ping, Status and NeedCopy; the adapter follows both lists by one function. The configuration stays one value with one revision.

--- a/internal/adapter/peer/ping.go
+++ b/internal/adapter/peer/ping.go
@@ -7,7 +7,7 @@
 
 func encodePing(m message.Ping) *peerpb.Ping {
 	out := &peerpb.Ping{
-		From: encodeRecord(m.From), Kind: uint32(m.Kind), Config: m.Config, Targets: m.Targets,
+		From: encodeRecord(m.From), Kind: uint32(m.Kind), Config: m.Config, Targets: m.Targets, Zones: m.Zones,
 		Digest: m.Digest, WantAll: m.WantAll, Quarantine: m.Quarantine,
 	}
 	for _, r := range m.Records {
@@ -18,8 +18,9 @@
 
 func decodePing(m *peerpb.Ping) message.Ping {
 	out := message.Ping{
-		From: decodeRecord(m.GetFrom()), Kind: message.PingKind(m.GetKind()), Config: m.GetConfig(), Targets: m.GetTargets(),
-		Digest: m.GetDigest(), WantAll: m.GetWantAll(), Quarantine: m.GetQuarantine(),
+		From: decodeRecord(m.GetFrom()), Kind: message.PingKind(m.GetKind()),
+		Revisions: message.Revisions{Config: m.GetConfig(), Targets: m.GetTargets(), Zones: m.GetZones()},
+		Digest:    m.GetDigest(), WantAll: m.GetWantAll(), Quarantine: m.GetQuarantine(),
 	}
 	for _, r := range m.GetRecords() {
 		out.Records = append(out.Records, decodeRecord(r))
--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -8,7 +8,7 @@
 )
 
 func encodeStatus(m message.Status) *peerpb.Status {
-	out := &peerpb.Status{Config: m.Config, Targets: m.Targets, Loads: encodeLoads(m.Loads)}
+	out := &peerpb.Status{Config: m.Config, Targets: m.Targets, Zones: m.Zones, Loads: encodeLoads(m.Loads)}
 	for _, k := range m.Kept {
 		out.Kept = append(out.Kept, &peerpb.TargetParts{Target: k.Target, Parts: k.Parts})
 	}
@@ -21,7 +21,10 @@
 }
 
 func decodeStatus(m *peerpb.Status) message.Status {
-	out := message.Status{Config: m.GetConfig(), Targets: m.GetTargets(), Loads: decodeLoads(m.GetLoads())}
+	out := message.Status{
+		Revisions: message.Revisions{Config: m.GetConfig(), Targets: m.GetTargets(), Zones: m.GetZones()},
+		Loads:     decodeLoads(m.GetLoads()),
+	}
 	for _, k := range m.GetKept() {
 		out.Kept = append(out.Kept, message.TargetParts{Target: k.GetTarget(), Parts: k.GetParts()})
 	}
@@ -54,33 +57,43 @@
 }
 
 func encodeCopy(m message.Copy) *peerpb.Copy {
-	return &peerpb.Copy{
-		ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.TargetsRevision,
-		Since: m.Since, Targets: encodeTargets(m.Targets), Gone: encodeTargets(m.Gone),
+	out := &peerpb.Copy{
+		ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.Targets.Revision,
+		Since: m.Targets.Since, Targets: encodeObjects(m.Targets.List), Gone: encodeObjects(m.Targets.Gone),
 		UnstableMs: uint32(m.Unstable.Milliseconds()),
 	}
+	if z := m.Zones; z.Revision > 0 {
+		out.Zones = &peerpb.StoredObjects{Revision: z.Revision, Since: z.Since, List: encodeObjects(z.List), Gone: encodeObjects(z.Gone)}
+	}
+	return out
 }
 
-func encodeTargets(list []message.StoredTarget) []*peerpb.StoredTarget {
-	var out []*peerpb.StoredTarget
+func encodeObjects(list []message.StoredObject) []*peerpb.StoredObject {
+	var out []*peerpb.StoredObject
 	for _, t := range list {
-		out = append(out, &peerpb.StoredTarget{Name: t.Name, Revision: t.Revision, Value: t.Value})
+		out = append(out, &peerpb.StoredObject{Name: t.Name, Revision: t.Revision, Value: t.Value})
 	}
 	return out
 }
 
 func decodeCopy(m *peerpb.Copy) message.Copy {
+	z := m.GetZones()
 	return message.Copy{
-		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(), TargetsRevision: m.GetTargetsRevision(),
-		Since: m.GetSince(), Targets: decodeTargets(m.GetTargets()), Gone: decodeTargets(m.GetGone()),
+		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(),
+		Targets: message.StoredObjects{
+			Revision: m.GetTargetsRevision(), Since: m.GetSince(), List: decodeObjects(m.GetTargets()), Gone: decodeObjects(m.GetGone()),
+		},
+		Zones: message.StoredObjects{
+			Revision: z.GetRevision(), Since: z.GetSince(), List: decodeObjects(z.GetList()), Gone: decodeObjects(z.GetGone()),
+		},
 		Unstable: time.Duration(m.GetUnstableMs()) * time.Millisecond,
 	}
 }
 
-func decodeTargets(list []*peerpb.StoredTarget) []message.StoredTarget {
-	var out []message.StoredTarget
+func decodeObjects(list []*peerpb.StoredObject) []message.StoredObject {
+	var out []message.StoredObject
 	for _, t := range list {
-		out = append(out, message.StoredTarget{Name: t.GetName(), Revision: t.GetRevision(), Value: t.GetValue()})
+		out = append(out, message.StoredObject{Name: t.GetName(), Revision: t.GetRevision(), Value: t.GetValue()})
 	}
 	return out
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,8 +73,8 @@
 	// Born is when the target's process started, in Unix milliseconds; 0 where the
 	// target does not say.
 	Born int64
-	// Leaving targets get nothing new.
-	Leaving bool
+	// Leaving targets get nothing new, and those of a drained availability zone neither.
+	Leaving, Drained bool
 	// Lapsed is when the target's entry went while the store was in trouble, and
 	// Until is until when the target may be used without it; zero for a target
 	// that is listed, and Until for one that is used until the store is back.
@@ -83,7 +83,7 @@
 
 // Closed reports whether a target gets nothing new.
 func (t Target) Closed(now time.Time) bool {
-	return t.Leaving || !t.Until.IsZero() && !now.Before(t.Until)
+	return t.Leaving || t.Drained || !t.Until.IsZero() && !now.Before(t.Until)
 }
 
 // target is what the state knows of a Target.
@@ -214,6 +214,11 @@
 	if !s.behind(now, t) && s.assign(now, t) {
 		return
 	}
+	if s.allDrained(now, t.Service) {
+		// It cannot be served for as long as that holds.
+		s.refuse(now, t, Drained)
+		return
+	}
 	if !t.Resumes && (len(s.queue) >= maxWaiting || s.crowds(t)) {
 		s.refuse(now, t, Full)
 		return
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -111,6 +111,19 @@
 	return Full
 }
 
+// allDrained reports whether nothing can be sent to any target of a service, of which some
+// stand in drained availability zones.
+func (s *State) allDrained(now time.Time, service string) bool {
+	drained := false
+	for _, to := range s.services[service] {
+		if !to.Closed(now) {
+			return false
+		}
+		drained = drained || to.Drained
+	}
+	return drained
+}
+
 // Waiting returns the number of requests that wait for room.
 func (s *State) Waiting() int { return len(s.queue) }
 
@@ -172,13 +185,18 @@
 	// comeBackOver is when to come back for an organisation that had its
 	// share: half of a quota window.
 	comeBackOver = 1500 * time.Millisecond
+	// comeBackDrained is when to come back where all availability zones with targets of
+	// a service are drained: that lasts seconds at least.
+	comeBackDrained = 2 * time.Second
 )
 
 // comeBack returns when a refused caller should come back, spread so that
 // refused callers do not return together.
 func (s *State) comeBack(now time.Time, t *Ticket) time.Duration {
 	d := comeBackFull
-	if s.over(now, t.Organisation) {
+	if s.allDrained(now, t.Service) {
+		d = comeBackDrained
+	} else if s.over(now, t.Organisation) {
 		d = comeBackOver
 	}
 	return d + time.Duration(s.random.Int64N(int64(d)))
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -88,6 +88,8 @@
 	OverShare Reason = "over-share"
 	// NoTarget means that the service has no target.
 	NoTarget Reason = "no-target"
+	// Drained means that the service has targets in drained availability zones only.
+	Drained Reason = "zones-drained"
 	// Crowded and Busy are for requests that are refused unread.
 	Crowded = Reason(throttle.Crowded)
 	Busy    = Reason(throttle.Busy)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,5 +1,6 @@
 // Package catalog holds a router's copy of what the store says: the
-// configuration and the list of targets, each as of a revision of the store.
+// configuration, the list of targets and that of drained availability zones, each as of a
+// revision of the store.
 // It takes them from the store and from other routers, whichever is newer,
 // and never goes back. It is driven by one goroutine.
 package catalog
@@ -27,10 +28,6 @@
 	drainReserve = 200 * time.Millisecond
 )
 
-// maxGone bounds the entries that are remembered as gone. A router that is
-// further behind gets the whole list.
-const maxGone = 512
-
 // Codec decodes what the store holds. Target returns an *EntryError for an entry that
 // names no target to use.
 type Codec interface {
@@ -40,7 +37,6 @@
 
 // entry is a target's entry.
 type entry struct {
-	stored message.StoredTarget
 	target balance.Target
 	// bad is set where the entry names no target to use.
 	bad bool
@@ -60,14 +56,10 @@
 	configRevision int64
 	config         []byte
 	table          *routing.Table
-	revision       int64
-	// changed is the revision of the newest change to the list.
-	changed int64
+	targets        replica
+	zones          replica
+	// entries are the targets listed or lapsed.
 	entries map[string]*entry
-	// gone has the revisions by which entries had gone, complete from revision
-	// goneSince on.
-	gone      map[string]int64
-	goneSince int64
 	// unstableUntil is until when entries that go count as lapsed.
 	unstableUntil time.Time
 	// ignored has entries that name no target to use, for Ignored, and ignoredBy
@@ -81,7 +73,7 @@
 func New(c Codec, drain time.Duration) *Catalog {
 	return &Catalog{
 		codec: c, lapse: max(min(backTime, drain-drainReserve), 0),
-		entries: map[string]*entry{}, gone: map[string]int64{}, ignoredBy: map[string]int{},
+		targets: newReplica(), zones: newReplica(), entries: map[string]*entry{}, ignoredBy: map[string]int{},
 	}
 }
 
@@ -92,11 +84,22 @@
 func (c *Catalog) ConfigRevision() int64 { return c.configRevision }
 
 // Revision returns the store's revision as of which the targets are known.
-func (c *Catalog) Revision() int64 { return c.revision }
+func (c *Catalog) Revision() int64 { return c.targets.revision }
 
 // Changed returns the store's revision of the newest known change to the
 // targets. Who knows the targets as of it, or later, lacks nothing known here.
-func (c *Catalog) Changed() int64 { return c.changed }
+func (c *Catalog) Changed() int64 { return c.targets.changed }
+
+// Newest returns the revisions of what was last changed. Who knows all as of them, or later,
+// lacks nothing known here.
+func (c *Catalog) Newest() message.Revisions {
+	return message.Revisions{Config: c.configRevision, Targets: c.targets.changed, Zones: c.zones.changed}
+}
+
+// Complete returns the revisions as of which all is known.
+func (c *Catalog) Complete() message.Revisions {
+	return message.Revisions{Config: c.configRevision, Targets: c.targets.revision, Zones: c.zones.revision}
+}
 
 // Unstable notes that the store is in trouble: entries that go until a moment
 // from now may belong to targets that are well.
@@ -124,78 +127,33 @@
 // SetTargets takes over the store's whole list of targets as of a revision. It
 // returns false if the list is older than what is known. Entries that name no target
 // to use are told by Ignored.
-func (c *Catalog) SetTargets(now time.Time, revision int64, list []message.StoredTarget) bool {
-	if c.revision == 0 {
-		// A list does not say what went before it: routers with an older one must
-		// ask for this one. Where all that watched were killed as an entry went,
-		// the others would go on sending to its target.
-		c.changed = max(c.changed, revision)
-	}
-	return c.setTargets(now, revision, list)
-}
-
-func (c *Catalog) setTargets(now time.Time, revision int64, list []message.StoredTarget) bool {
-	if revision < c.revision {
-		return false
-	}
-	if revision > c.revision {
-		// Entries may have come and gone meanwhile that were never known here.
-		clear(c.gone)
-		c.goneSince = revision
-	}
-	listed := make(map[string]bool, len(list))
-	for _, t := range list {
-		listed[t.Name] = true
-		c.put(t)
-	}
-	for name := range c.entries {
-		if !listed[name] {
-			c.remove(now, name, revision)
-		}
-	}
-	c.revision = revision
-	return true
-}
-
-// Change is one change to the list of targets.
-type Change struct {
-	message.StoredTarget
-	Gone bool
+func (c *Catalog) SetTargets(now time.Time, revision int64, list []message.StoredObject) bool {
+	c.targets.first(revision)
+	changes, newer := c.targets.replace(revision, list)
+	c.change(now, changes)
+	return newer
 }
 
 // Apply takes over changes to the list, complete up to revision.
 func (c *Catalog) Apply(now time.Time, revision int64, changes []Change) {
-	for _, ch := range changes {
-		old := c.entries[ch.Name]
-		switch {
-		case old == nil && ch.Revision <= c.revision:
-			// A change from before the list that lacks it.
-		case old != nil && ch.Revision < old.stored.Revision:
-		case ch.Gone:
-			c.remove(now, ch.Name, max(ch.Revision, revision))
-		default:
-			c.put(ch.StoredTarget)
-		}
-	}
-	c.revision = max(c.revision, revision)
+	c.change(now, c.targets.apply(revision, changes))
 }
 
-// put takes over an entry that is newer than the one known. One that names no target
-// to use replaces a good one: the target that this one named may be gone, and its
-// address somebody else's.
-func (c *Catalog) put(t message.StoredTarget) {
-	old := c.entries[t.Name]
-	if old != nil && t.Revision <= old.stored.Revision && old.lapsed.IsZero() {
-		return
+// change keeps the entries up with changes. An entry that names no target to use replaces a
+// good one: the target that this one named may be gone, and its address somebody else's.
+func (c *Catalog) change(now time.Time, changes []Change) {
+	for _, ch := range changes {
+		if ch.Gone {
+			c.remove(now, ch.Name)
+			continue
+		}
+		c.entries[ch.Name] = c.judge(now, c.entries[ch.Name], ch.StoredObject)
 	}
-	c.entries[t.Name] = c.judge(old, t)
-	delete(c.gone, t.Name)
-	c.changed = max(c.changed, t.Revision)
 }
 
 // judge returns the entry that t makes of the one known before, nil if there is none.
-func (c *Catalog) judge(old *entry, t message.StoredTarget) *entry {
-	e := &entry{stored: t}
+func (c *Catalog) judge(now time.Time, old *entry, t message.StoredObject) *entry {
+	e := &entry{}
 	if old != nil {
 		e.born = old.born
 	}
@@ -209,9 +167,7 @@
 		// A write of the process before was done late. Other routers are told of it
 		// as it stands, and judge it by what they know.
 		c.ignore(t.Name, t.Revision, NewEntryError(FieldBorn, strconv.FormatInt(e.target.Born, 10)))
-		kept := *old
-		kept.stored = t
-		return &kept
+		return old
 	default:
 		e.born = e.target.Born
 		c.checkService(t, e.target.Service)
@@ -221,7 +177,7 @@
 
 // checkService tells of a target whose service the configuration does not name. No
 // request gets there; a later configuration may name it.
-func (c *Catalog) checkService(t message.StoredTarget, service string) {
+func (c *Catalog) checkService(t message.StoredObject, service string) {
 	if c.table == nil {
 		return
 	}
@@ -230,19 +186,10 @@
 	}
 }
 
-// remove takes out an entry that had gone by a revision.
-func (c *Catalog) remove(now time.Time, name string, revision int64) {
+// remove takes out an entry that went.
+func (c *Catalog) remove(now time.Time, name string) {
 	e := c.entries[name]
-	if e != nil && !e.lapsed.IsZero() {
-		return
-	}
-	if len(c.gone) >= maxGone {
-		clear(c.gone)
-		c.goneSince = max(c.revision, revision)
-	}
-	c.gone[name] = revision
-	c.changed = max(c.changed, revision)
-	if e == nil {
+	if e == nil || !e.lapsed.IsZero() {
 		return
 	}
 	if now.Before(c.unstableUntil) && !e.target.Leaving && !e.bad {
@@ -295,8 +242,7 @@
 		if e.bad {
 			continue
 		}
-		t := e.target
-		t.Lapsed = e.lapsed
+		t := c.target(e)
 		if fixed {
 			t.Until = e.until
 		}
@@ -312,57 +258,37 @@
 	if e == nil || e.bad {
 		return balance.Target{}, false
 	}
+	return c.target(e), true
+}
+
+// target returns the target that an entry names, as it is now.
+func (c *Catalog) target(e *entry) balance.Target {
 	t := e.target
 	t.Lapsed = e.lapsed
-	return t, true
+	t.Drained = c.drained(t.Zone)
+	return t
 }
 
 // Copy returns what is newer than a router that is behind has.
 func (c *Catalog) Copy(now time.Time, need message.NeedCopy) message.Copy {
-	var out message.Copy
+	out := message.Copy{Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones)}
 	if c.configRevision > need.Config {
 		out.ConfigRevision, out.Config = c.configRevision, c.config
 	}
-	if c.changed <= need.Targets {
-		return out
-	}
-	out.TargetsRevision = c.revision
-	out.Unstable = c.unstable(now)
-	if need.Targets > 0 && need.Targets >= c.goneSince {
-		out.Since = need.Targets
-	}
-	for _, e := range c.entries {
-		if e.lapsed.IsZero() && e.stored.Revision > out.Since {
-			out.Targets = append(out.Targets, e.stored)
-		}
-	}
-	for name, revision := range c.gone {
-		if out.Since > 0 && revision > out.Since {
-			out.Gone = append(out.Gone, message.StoredTarget{Name: name, Revision: revision})
-		}
+	if out.Targets.Revision > 0 {
+		out.Unstable = c.unstable(now)
 	}
 	return out
 }
 
-// Take takes over another router's copy of the targets. It returns false if
-// that changed nothing.
+// Take takes over another router's copy of the targets and drained zones. It returns false
+// if that changed nothing.
 func (c *Catalog) Take(now time.Time, m message.Copy) bool {
-	if m.TargetsRevision <= c.revision || m.Since > c.revision {
-		return false
-	}
-	if m.Unstable > c.unstable(now) {
+	drained, _ := c.zones.take(m.Zones)
+	if m.Targets.Revision > c.targets.revision && m.Targets.Since <= c.targets.revision && m.Unstable > c.unstable(now) {
 		c.unstableUntil = now.Add(m.Unstable)
 	}
-	if m.Since == 0 {
-		return c.setTargets(now, m.TargetsRevision, m.Targets)
-	}
-	changes := make([]Change, 0, len(m.Targets)+len(m.Gone))
-	for _, t := range m.Targets {
-		changes = append(changes, Change{StoredTarget: t})
-	}
-	for _, t := range m.Gone {
-		changes = append(changes, Change{StoredTarget: t, Gone: true})
-	}
-	c.Apply(now, m.TargetsRevision, changes)
-	return len(changes) > 0
+	changes, newer := c.targets.take(m.Targets)
+	c.change(now, changes)
+	return newer || len(drained) > 0
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -48,8 +48,8 @@
 }
 
 // at returns the targets as of a revision, by name.
-func (h *history) at(revision int64) map[string]message.StoredTarget {
-	out := map[string]message.StoredTarget{}
+func (h *history) at(revision int64) map[string]message.StoredObject {
+	out := map[string]message.StoredObject{}
 	for _, e := range h.events {
 		if e.Revision > revision {
 			break
@@ -58,12 +58,12 @@
 			delete(out, e.Name)
 			continue
 		}
-		out[e.Name] = e.StoredTarget
+		out[e.Name] = e.StoredObject
 	}
 	return out
 }
 
-func (h *history) list(revision int64) []message.StoredTarget {
+func (h *history) list(revision int64) []message.StoredObject {
 	return slices.Collect(maps.Values(h.at(revision)))
 }
 
@@ -84,7 +84,7 @@
 				n := int64(len(h.events) + 1)
 				name := strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "name"))
 				_, there := h.at(n)[name]
-				e := catalog.Change{StoredTarget: message.StoredTarget{Name: name, Revision: n, Value: []byte(strconv.FormatInt(n, 10))}}
+				e := catalog.Change{StoredObject: message.StoredObject{Name: name, Revision: n, Value: []byte(strconv.FormatInt(n, 10))}}
 				e.Gone = there && rapid.Bool().Draw(t, "gone")
 				h.events = append(h.events, e)
 			},
@@ -147,7 +147,7 @@
 func TestLapse(t *testing.T) {
 	now := time.Now()
 	c := catalog.New(codec{}, drainTime)
-	entry := []message.StoredTarget{{Name: "a", Revision: 1, Value: []byte("x")}}
+	entry := []message.StoredObject{{Name: "a", Revision: 1, Value: []byte("x")}}
 	c.SetTargets(now, 1, entry)
 	noneIgnored(t, c)
 	c.Unstable(now)
@@ -172,19 +172,19 @@
 func TestLapseIsPassedOn(t *testing.T) {
 	now := time.Now()
 	a, b := catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)
-	target := func(name string, revision int64) message.StoredTarget {
-		return message.StoredTarget{Name: name, Revision: revision, Value: []byte("x")}
+	target := func(name string, revision int64) message.StoredObject {
+		return message.StoredObject{Name: name, Revision: revision, Value: []byte("x")}
 	}
 	take := func(to, from *catalog.Catalog) {
 		t.Helper()
 		to.Take(now, from.Copy(now, message.NeedCopy{Targets: to.Revision()}))
 		noneIgnored(t, to)
 	}
-	a.SetTargets(now, 1, []message.StoredTarget{target("a", 1), target("b", 1)})
+	a.SetTargets(now, 1, []message.StoredObject{target("a", 1), target("b", 1)})
 	noneIgnored(t, a)
 	take(b, a)
 	a.Unstable(now)
-	a.Apply(now, 2, []catalog.Change{{StoredTarget: target("a", 2), Gone: true}})
+	a.Apply(now, 2, []catalog.Change{{StoredObject: target("a", 2), Gone: true}})
 	noneIgnored(t, a)
 	take(b, a)
 	if len(b.Targets()) != 2 {
@@ -194,7 +194,7 @@
 	for revision := int64(3); revision < 30; revision++ {
 		now = now.Add(100 * time.Millisecond)
 		to, from := pair[revision%2], pair[1-revision%2]
-		change := catalog.Change{StoredTarget: target("b", revision)}
+		change := catalog.Change{StoredObject: target("b", revision)}
 		from.Apply(now, revision, []catalog.Change{change})
 		noneIgnored(t, from)
 		take(to, from)
@@ -222,9 +222,9 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
 			k := catalog.New(codec{}, drainTime)
-			var list []message.StoredTarget
+			var list []message.StoredObject
 			for i := range 4 {
-				list = append(list, message.StoredTarget{Name: strconv.Itoa(i), Revision: 1, Value: []byte("x")})
+				list = append(list, message.StoredObject{Name: strconv.Itoa(i), Revision: 1, Value: []byte("x")})
 			}
 			k.SetTargets(now, 1, list)
 			noneIgnored(t, k)
@@ -249,10 +249,10 @@
 	now := time.Now()
 	kept, gone := stored("kept", 1), stored("gone", 2)
 	old, fresh := catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)
-	old.SetTargets(now, 2, []message.StoredTarget{kept, gone})
+	old.SetTargets(now, 2, []message.StoredObject{kept, gone})
 	noneIgnored(t, old)
 	// The entry went with revision 3.
-	fresh.SetTargets(now, 3, []message.StoredTarget{kept})
+	fresh.SetTargets(now, 3, []message.StoredObject{kept})
 	noneIgnored(t, fresh)
 	if fresh.Changed() <= old.Revision() {
 		t.Fatalf("the newest change is told as %d, known is %d", fresh.Changed(), old.Revision())
@@ -264,7 +264,7 @@
 	}
 	// Who has it from another router makes nobody ask for it again.
 	third := catalog.New(codec{}, drainTime)
-	third.SetTargets(now, 4, []message.StoredTarget{kept})
+	third.SetTargets(now, 4, []message.StoredObject{kept})
 	noneIgnored(t, third)
 	last := catalog.New(codec{}, drainTime)
 	last.Take(now, old.Copy(now, message.NeedCopy{}))
@@ -274,8 +274,8 @@
 	}
 }
 
-func stored(name string, revision int64) message.StoredTarget {
-	return message.StoredTarget{Name: name, Revision: revision, Value: []byte("address")}
+func stored(name string, revision int64) message.StoredObject {
+	return message.StoredObject{Name: name, Revision: revision, Value: []byte("address")}
 }
 
 // TestLapseFollowsDrain has entries go in the store's trouble where targets that
@@ -292,7 +292,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
 			k := catalog.New(codec{}, c.drain)
-			k.SetTargets(now, 1, []message.StoredTarget{stored("a", 1)})
+			k.SetTargets(now, 1, []message.StoredObject{stored("a", 1)})
 			noneIgnored(t, k)
 			k.Unstable(now)
 			k.SetTargets(now, 2, nil)
@@ -315,10 +315,10 @@
 func TestLapseEndsWhenEntriesAreBack(t *testing.T) {
 	now := time.Now()
 	c := catalog.New(codec{}, drainTime)
-	c.SetTargets(now, 2, []message.StoredTarget{stored("stays", 1), stored("goes", 2)})
+	c.SetTargets(now, 2, []message.StoredObject{stored("stays", 1), stored("goes", 2)})
 	noneIgnored(t, c)
 	c.Unstable(now)
-	c.Apply(now.Add(1700*time.Millisecond), 3, []catalog.Change{{StoredTarget: stored("goes", 3), Gone: true}})
+	c.Apply(now.Add(1700*time.Millisecond), 3, []catalog.Change{{StoredObject: stored("goes", 3), Gone: true}})
 	noneIgnored(t, c)
 	if n := len(c.Targets()); n != 2 {
 		t.Fatalf("%d targets in use as an entry lapses, want 2", n)
--- a/internal/catalog/incarnation_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -38,8 +38,8 @@
 }
 
 // entryOf returns an entry as of a revision whose target started at a time.
-func entryOf(name string, revision int64, born string) message.StoredTarget {
-	return message.StoredTarget{Name: name, Revision: revision, Value: []byte(born)}
+func entryOf(name string, revision int64, born string) message.StoredObject {
+	return message.StoredObject{Name: name, Revision: revision, Value: []byte(born)}
 }
 
 // inUse returns the targets that a catalog would have used, as "name@born".
@@ -68,20 +68,20 @@
 		"a new life behind what is bad":    {entries: []string{"2", "?", "3"}, want: "a@3", ignored: []string{"bytes"}},
 		"bad from the start":               {entries: []string{"?", "!"}, want: "", ignored: []string{"bytes", "bytes"}},
 	} {
-		for way, put := range map[string]func(k *catalog.Catalog, revision int64, e message.StoredTarget){
-			"as changes": func(k *catalog.Catalog, revision int64, e message.StoredTarget) {
-				k.Apply(time.Time{}, revision, []catalog.Change{{StoredTarget: e}})
+		for way, put := range map[string]func(k *catalog.Catalog, revision int64, e message.StoredObject){
+			"as changes": func(k *catalog.Catalog, revision int64, e message.StoredObject) {
+				k.Apply(time.Time{}, revision, []catalog.Change{{StoredObject: e}})
 			},
-			"as lists": func(k *catalog.Catalog, revision int64, e message.StoredTarget) {
-				k.SetTargets(time.Time{}, revision, []message.StoredTarget{e, entryOf("b", 1, "7")})
+			"as lists": func(k *catalog.Catalog, revision int64, e message.StoredObject) {
+				k.SetTargets(time.Time{}, revision, []message.StoredObject{e, entryOf("b", 1, "7")})
 			},
-			"from another router": func(k *catalog.Catalog, revision int64, e message.StoredTarget) {
-				k.Take(time.Time{}, message.Copy{TargetsRevision: revision, Since: revision - 1, Targets: []message.StoredTarget{e}})
+			"from another router": func(k *catalog.Catalog, revision int64, e message.StoredObject) {
+				k.Take(time.Time{}, message.Copy{Targets: message.StoredObjects{Revision: revision, Since: revision - 1, List: []message.StoredObject{e}}})
 			},
 		} {
 			t.Run(name+" "+way, func(t *testing.T) {
 				k := catalog.New(bornCodec{}, drainTime)
-				k.SetTargets(time.Time{}, 1, []message.StoredTarget{entryOf("b", 1, "7")})
+				k.SetTargets(time.Time{}, 1, []message.StoredObject{entryOf("b", 1, "7")})
 				for i, born := range c.entries {
 					put(k, int64(i+2), entryOf("a", int64(i+2), born))
 				}
@@ -105,7 +105,7 @@
 	k := catalog.New(bornCodec{}, drainTime)
 	bad := entryOf("a", 1, "?")
 	for revision := range int64(5) {
-		k.SetTargets(time.Time{}, revision+1, []message.StoredTarget{bad})
+		k.SetTargets(time.Time{}, revision+1, []message.StoredObject{bad})
 	}
 	if list, by := k.Ignored(); len(list) != 1 || by["bytes"] != 1 {
 		t.Errorf("ignored %v, %v by field", list, by)
@@ -115,8 +115,8 @@
 func TestBadEntryDoesNotLapse(t *testing.T) {
 	k := catalog.New(bornCodec{}, drainTime)
 	now := time.Unix(1000, 0)
-	k.SetTargets(now, 1, []message.StoredTarget{entryOf("a", 1, "1"), entryOf("b", 1, "1")})
-	k.Apply(now, 2, []catalog.Change{{StoredTarget: entryOf("a", 2, "?")}})
+	k.SetTargets(now, 1, []message.StoredObject{entryOf("a", 1, "1"), entryOf("b", 1, "1")})
+	k.Apply(now, 2, []catalog.Change{{StoredObject: entryOf("a", 2, "?")}})
 	k.Unstable(now)
 	k.SetTargets(now, 3, nil)
 	if got := inUse(k); got != "b@1" {
@@ -202,7 +202,7 @@
 			"write": func(t *rapid.T) {
 				e := entryOf(rapid.SampledFrom(names).Draw(t, "name"), int64(len(events)+1),
 					rapid.SampledFrom([]string{"1", "2", "3", "4", "?"}).Draw(t, "entry"))
-				events = append(events, catalog.Change{StoredTarget: e, Gone: rapid.IntRange(0, 5).Draw(t, "gone") == 0})
+				events = append(events, catalog.Change{StoredObject: e, Gone: rapid.IntRange(0, 5).Draw(t, "gone") == 0})
 			},
 			"watch": func(t *rapid.T) {
 				i := router.Draw(t, "router")
@@ -226,10 +226,10 @@
 			"list": func(t *rapid.T) {
 				i := router.Draw(t, "router")
 				revision := rapid.Int64Range(0, int64(len(events))).Draw(t, "revision")
-				var list []message.StoredTarget
+				var list []message.StoredObject
 				for _, e := range held(revision) {
 					if !e.Gone {
-						list = append(list, e.StoredTarget)
+						list = append(list, e.StoredObject)
 					}
 				}
 				known[i].SetTargets(now, revision, list)
@@ -253,9 +253,9 @@
 func TestLateWriteIsPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	knows, behind := catalog.New(bornCodec{}, drainTime), catalog.New(bornCodec{}, drainTime)
-	knows.Apply(now, 1, []catalog.Change{{StoredTarget: entryOf("b", 1, "3")}})
-	behind.Apply(now, 3, []catalog.Change{{StoredTarget: entryOf("b", 3, "1")}})
-	knows.Apply(now, 4, []catalog.Change{{StoredTarget: entryOf("b", 4, "2")}})
+	knows.Apply(now, 1, []catalog.Change{{StoredObject: entryOf("b", 1, "3")}})
+	behind.Apply(now, 3, []catalog.Change{{StoredObject: entryOf("b", 3, "1")}})
+	knows.Apply(now, 4, []catalog.Change{{StoredObject: entryOf("b", 4, "2")}})
 	behind.Take(now, knows.Copy(now, message.NeedCopy{Targets: behind.Revision()}))
 	if got := inUse(knows) + " " + inUse(behind); got != "b@3 b@2" {
 		t.Errorf("%q, want each to keep the newest life that it knows", got)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -25,7 +25,7 @@
 		switch m := m.(type) {
 		case message.Ping:
 			g.send(g.roster.Take(now, m))
-			g.catchUp(now, from, m.Config, m.Targets)
+			g.catchUp(now, from, m.Revisions)
 			g.compareSuspects(now, from, m.Quarantine)
 			g.confirmedBy(now, m)
 			return
@@ -53,7 +53,7 @@
 // heardStatus takes in another router's report, unless it is in the sum of its
 // zone.
 func (g *Gateway) heardStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
-	g.catchUp(now, from, m.Config, m.Targets)
+	g.catchUp(now, from, m.Revisions)
 	if from.Zone == g.known.Zone {
 		g.zone.Heard(now, from.ID, m)
 	} else {
@@ -102,11 +102,11 @@
 }
 
 // catchUp asks a router for what it has newer of the store.
-func (g *Gateway) catchUp(now time.Time, from member.Member, revision, targets int64) {
-	behind := revision > g.catalog.ConfigRevision() || targets > g.catalog.Revision()
-	if behind && now.Sub(g.asked) >= copyPause {
+func (g *Gateway) catchUp(now time.Time, from member.Member, has message.Revisions) {
+	known := g.catalog.Complete()
+	if has.NewerThan(known) && now.Sub(g.asked) >= copyPause {
 		g.asked = now
-		g.tell(from, message.NeedCopy{Config: g.catalog.ConfigRevision(), Targets: g.catalog.Revision()})
+		g.tell(from, message.NeedCopy(known))
 	}
 }
 
@@ -151,7 +151,7 @@
 }
 
 // SetTargets takes over the store's whole list of targets.
-func (g *Gateway) SetTargets(revision int64, list []message.StoredTarget) {
+func (g *Gateway) SetTargets(revision int64, list []message.StoredObject) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		changed := g.catalog.SetTargets(now, revision, list)
 		g.targetsChanged(s, now, changed, fromStore)
@@ -182,11 +182,44 @@
 	}
 	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving,
 		"lapsed", g.catalog.Lapsed(), "from", from)
+	g.logZones(now, from)
 	s.SetTargets(now, list)
 	g.restarted(now, list)
 	g.spread(now)
 }
 
+// SetZones takes over the store's whole list of drained availability zones.
+func (g *Gateway) SetZones(revision int64, list []message.StoredObject) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		changed := g.catalog.SetZones(revision, list)
+		g.targetsChanged(s, now, changed, fromStore)
+		if !changed {
+			// That there is nothing to know is to be told, too.
+			g.spread(now)
+		}
+	})
+}
+
+// ChangeZones takes over changes to the store's list of drained availability zones.
+func (g *Gateway) ChangeZones(revision int64, changes []catalog.Change) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		g.targetsChanged(s, now, g.catalog.ApplyZones(revision, changes), fromStore)
+	})
+}
+
+// logZones logs which availability zones are drained if that has changed, since a complaint
+// that a zone still gets requests begins with when this router knew.
+func (g *Gateway) logZones(now time.Time, from string) {
+	drained := g.catalog.Drained()
+	if slices.Equal(drained, g.drained.zones) {
+		return
+	}
+	g.Log.Info("zones drained", "zones", drained, "before", g.drained.zones, "revision", g.catalog.Newest().Zones,
+		"before_ms", now.Sub(g.drained.since).Milliseconds(), "from", from)
+	g.Metrics.zones.Add("changes", 1)
+	g.drained = drainedZones{zones: drained, since: now}
+}
+
 // logIgnored logs and counts the entries that turned out to name no target to use.
 func (g *Gateway) logIgnored(from string) {
 	list, by := g.catalog.Ignored()
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -58,7 +58,7 @@
 		Expect(r.post("/many/x").Status).To(Equal(http.StatusOK))
 		r.revision++
 		leaving := balance.Target{ID: "t", Service: "s", Address: address, Zone: "z", Slots: 4, Leaving: true}
-		r.ChangeTargets(r.revision, []catalog.Change{{StoredTarget: stored(r.revision, leaving)}})
+		r.ChangeTargets(r.revision, []catalog.Change{{StoredObject: stored(r.revision, leaving)}})
 		Eventually(func() int { return r.post("/many/x").Status }).Should(Equal(http.StatusServiceUnavailable))
 	})
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,13 @@
 	// was suspended; zero while it does not.
 	unconfirmed time.Time
 	view        atomic.Pointer[quarantine.View]
+	drained     drainedZones
+}
+
+// drainedZones are availability zones to whose targets nothing is sent, and since when.
+type drainedZones struct {
+	zones []string
+	since time.Time
 }
 
 // listener listens for callers. Without the kernel's probes of idle
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -87,7 +87,7 @@
 	*gateway.Gateway
 	metrics  *gateway.Metrics
 	revision int64
-	targets  []message.StoredTarget
+	targets  []message.StoredObject
 }
 
 var incarnation atomic.Uint64
@@ -121,10 +121,10 @@
 }
 
 // stored returns a target's entry.
-func stored(revision int64, t balance.Target) message.StoredTarget {
+func stored(revision int64, t balance.Target) message.StoredObject {
 	value, err := json.Marshal(t)
 	Expect(err).NotTo(HaveOccurred())
-	return message.StoredTarget{Name: t.ID, Revision: revision, Value: value}
+	return message.StoredObject{Name: t.ID, Revision: revision, Value: value}
 }
 
 // serve adds a target that answers with handler and returns its address.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,8 @@
 	statuses *expvar.Map
 	// ignored counts entries that name no target to use, by field.
 	ignored *expvar.Map
+	// zones counts changes of which availability zones are drained.
+	zones *expvar.Map
 	// suspects counts changes of what is known of requests that end targets.
 	suspects *expvar.Map
 	// suspensions counts how often the box was suspended, suspendedFor for how long in
@@ -48,7 +50,7 @@
 	m := &Metrics{
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
-		ignored: new(expvar.Map), suspects: new(expvar.Map),
+		ignored: new(expvar.Map), zones: new(expvar.Map), suspects: new(expvar.Map),
 		suspensions: new(expvar.Int), suspendedFor: new(expvar.Int),
 		waited: hdrhistogram.New(1, maxLatency, latencyDigits),
 		first:  hdrhistogram.New(1, maxLatency, latencyDigits),
@@ -59,6 +61,7 @@
 	m.root.Set("retries", m.retries)
 	m.root.Set("statuses", m.statuses)
 	m.root.Set("targets_ignored", m.ignored)
+	m.root.Set("drained_zones", m.zones)
 	m.root.Set("suspected_requests", m.suspects)
 	m.root.Set("suspensions", m.suspensions)
 	m.root.Set("suspended_ms", m.suspendedFor)
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -14,13 +14,13 @@
 )
 
 // listedAs returns a target's entry.
-func listedAs(t *testing.T, revision int64, target balance.Target) message.StoredTarget {
+func listedAs(t *testing.T, revision int64, target balance.Target) message.StoredObject {
 	t.Helper()
 	value, err := json.Marshal(target)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return message.StoredTarget{Name: target.ID, Revision: revision, Value: value}
+	return message.StoredObject{Name: target.ID, Revision: revision, Value: value}
 }
 
 // TestRestartTellsOfTheEnd has a target break off an answer, which is no end of its process
@@ -28,14 +28,14 @@
 func TestRestartTellsOfTheEnd(t *testing.T) {
 	g := newOwn(t)
 	target := balance.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
-	g.SetTargets(8, []message.StoredTarget{listedAs(t, 8, target)})
+	g.SetTargets(8, []message.StoredObject{listedAs(t, 8, target)})
 	k := quarantine.KeyOf("o", "POST", "/x", nil)
 	if n := (suspects{g}).Broke(context.Background(), forward.Break{Key: k, Organisation: "o", Target: target}); n != 0 {
 		t.Fatalf("%d ends counted before", n)
 	}
 	target.Born = 6
-	g.SetTargets(9, []message.StoredTarget{listedAs(t, 9, target)})
-	g.SetTargets(10, []message.StoredTarget{listedAs(t, 10, target)})
+	g.SetTargets(9, []message.StoredObject{listedAs(t, 9, target)})
+	g.SetTargets(10, []message.StoredObject{listedAs(t, 10, target)})
 	if n := len(g.Suspects(context.Background())); n != 1 || (suspects{g}).View().Crashes(k) != 1 {
 		t.Errorf("%d suspected, %d ends counted after it", n, (suspects{g}).View().Crashes(k))
 	}
@@ -46,7 +46,7 @@
 	target := balance.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
 	leaving, again := target, target
 	leaving.Leaving, again.Born = true, 6
-	gone := []catalog.Change{{StoredTarget: message.StoredTarget{Name: "t", Revision: 9}, Gone: true}}
+	gone := []catalog.Change{{StoredObject: message.StoredObject{Name: "t", Revision: 9}, Gone: true}}
 	cases := map[string]struct {
 		// before is what the router hears of it before it ends.
 		before func(g *Gateway)
@@ -55,15 +55,15 @@
 	}{
 		"a listed target":                {ended: true, want: 1},
 		"a broken answer alone":          {},
-		"one that said that it leaves":   {ended: true, before: func(g *Gateway) { g.SetTargets(9, []message.StoredTarget{listedAs(t, 9, leaving)}) }},
+		"one that said that it leaves":   {ended: true, before: func(g *Gateway) { g.SetTargets(9, []message.StoredObject{listedAs(t, 9, leaving)}) }},
 		"one whose entry went":           {ended: true, before: func(g *Gateway) { g.ChangeTargets(9, gone) }},
-		"one that started again":         {ended: true, before: func(g *Gateway) { g.SetTargets(9, []message.StoredTarget{listedAs(t, 9, again)}) }, want: 1},
+		"one that started again":         {ended: true, before: func(g *Gateway) { g.SetTargets(9, []message.StoredObject{listedAs(t, 9, again)}) }, want: 1},
 		"one that lapsed with the store": {ended: true, before: func(g *Gateway) { g.StoreUnstable(); g.ChangeTargets(9, gone) }, want: 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := newOwn(t)
-			g.SetTargets(8, []message.StoredTarget{listedAs(t, 8, target)})
+			g.SetTargets(8, []message.StoredObject{listedAs(t, 8, target)})
 			if c.before != nil {
 				c.before(g)
 			}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -160,7 +160,7 @@
 	}
 	g.reporter.sumDue = now.Add(sumPeriod)
 	sum := g.zone.Take(now)
-	sum.Config, sum.Targets = g.catalog.ConfigRevision(), g.catalog.Changed()
+	sum.Revisions = g.catalog.Newest()
 	told := map[string]bool{g.known.Zone: true}
 	for _, r := range serving {
 		if told[r.Zone] {
@@ -188,9 +188,9 @@
 		}
 	}
 	s.Heard(now, sumName(m.Zone), reportOf(m.Status))
-	g.catchUp(now, from, m.Status.Config, m.Status.Targets)
+	g.catchUp(now, from, m.Status.Revisions)
 	if from.Zone != g.known.Zone {
-		m.Status.Config, m.Status.Targets = g.catalog.ConfigRevision(), g.catalog.Changed()
+		m.Status.Revisions = g.catalog.Newest()
 		g.peers.SendAll(members(inZone(g.roster.Serving(now), g.known.Zone)), m)
 	}
 }
@@ -223,7 +223,7 @@
 		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.serving,
 		StoreTrouble: !g.trouble.IsZero(), Capacity: g.Capacity,
 	})
-	g.roster.Have(g.catalog.ConfigRevision(), g.catalog.Changed(), g.isolation.state.Digest())
+	g.roster.Have(g.catalog.Newest(), g.isolation.state.Digest())
 }
 
 // spread tells some other routers at once what is new, who do the same.
@@ -249,7 +249,7 @@
 
 // describe returns what a report says.
 func (g *Gateway) describe(r view.Report) message.Status {
-	m := message.Status{Config: g.catalog.ConfigRevision(), Targets: g.catalog.Changed()}
+	m := message.Status{Revisions: g.catalog.Newest()}
 	for id, l := range r.Loads {
 		m.Loads = append(m.Loads, targetLoad(id, l))
 	}
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -80,7 +80,7 @@
 			}
 			g.SetConfig(1, asJSON(b, configuration))
 			target := balance.Target{ID: "e", Service: "s", Address: engine.Addr().String(), Zone: "z", Slots: streams}
-			g.SetTargets(2, []message.StoredTarget{{Name: "e", Revision: 2, Value: asJSON(b, target)}})
+			g.SetTargets(2, []message.StoredObject{{Name: "e", Revision: 2, Value: asJSON(b, target)}})
 			for !g.Ready() {
 				time.Sleep(time.Millisecond)
 			}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -129,11 +129,9 @@
 // Status is what a router that serves callers tells the others that do: what its
 // requests put on targets and what organisations asked of it.
 type Status struct {
-	// Config is the store's revision of the configuration in force, Targets
-	// that of the newest change to the list of targets.
-	Config, Targets int64
-	Loads           []TargetLoad
-	Usage           []OrganisationUsage
+	Revisions
+	Loads []TargetLoad
+	Usage []OrganisationUsage
 	// Kept tells of shared parts of prompts that were sent to targets lately.
 	Kept []TargetParts
 }
@@ -174,34 +172,49 @@
 	Waiting int
 }
 
+// Revisions says how new a router's copy of the store is: the store's revisions of the
+// configuration in force and of the newest changes to the lists of targets and of drained
+// availability zones.
+type Revisions struct {
+	Config, Targets, Zones int64
+}
+
+// NewerThan reports whether anything is newer than in other revisions.
+func (r Revisions) NewerThan(other Revisions) bool {
+	return r.Config > other.Config || r.Targets > other.Targets || r.Zones > other.Zones
+}
+
 // Copy is a router's copy of what the store holds. An empty Config means
 // that it has none newer than was asked for.
 type Copy struct {
 	ConfigRevision int64
 	Config         []byte
-	// TargetsRevision is 0 if there is nothing newer to say of targets.
-	TargetsRevision int64
-	// Since is 0 if Targets is the whole list as of TargetsRevision; else
-	// Targets has those that came or changed after revision Since, and Gone
-	// those that went, without values.
-	Since         int64
-	Targets, Gone []StoredTarget
+	Targets, Zones StoredObjects
 	// Unstable is for how much longer entries that go may have gone only
 	// because the store was away.
 	Unstable time.Duration
 }
 
-// StoredTarget is a target's entry in the store.
-type StoredTarget struct {
+// StoredObjects is what is to be said of the store's objects of one kind.
+type StoredObjects struct {
+	// Revision is 0 if there is nothing newer to say.
+	Revision int64
+	// Since is 0 if List is the whole list as of Revision; else List has the objects
+	// that came or changed after revision Since, and Gone those that went, without
+	// values.
+	Since      int64
+	List, Gone []StoredObject
+}
+
+// StoredObject is an object in the store.
+type StoredObject struct {
 	Name     string
 	Revision int64
 	Value    []byte
 }
 
 // NeedCopy asks for a Copy of what is newer than the given revisions.
-type NeedCopy struct {
-	Config, Targets int64
-}
+type NeedCopy Revisions
 
 // Belief is what is believed of a router.
 type Belief uint8
@@ -266,9 +279,8 @@
 type Ping struct {
 	From RouterRecord
 	Kind PingKind
-	// Config and Targets are the sender's revisions of the configuration and of
-	// the newest change to the list of targets.
-	Config, Targets int64
+	// Revisions are the sender's.
+	Revisions
 	// Digest is a hash over all that the sender knows of routers that are not
 	// gone, in any order.
 	Digest uint64
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -125,10 +125,10 @@
 	synced time.Time
 	// changes are the beliefs that changed since they were asked for.
 	changes []message.RouterRecord
-	// config and targets are this router's revisions, quarantine its digest of requests
-	// that ended targets.
-	config, targets int64
-	quarantine      uint64
+	// has are this router's revisions, quarantine its digest of requests that ended
+	// targets.
+	has        message.Revisions
+	quarantine uint64
 	// digest is a hash over all that is known of routers that are not gone.
 	digest uint64
 }
@@ -167,10 +167,10 @@
 	return true
 }
 
-// Have notes which revisions of the configuration and of the list of targets this
-// router has, and the digest of what it knows of requests that ended targets.
-func (r *Roster) Have(config, targets int64, quarantine uint64) {
-	r.config, r.targets, r.quarantine = config, targets, quarantine
+// Have notes which revisions of what the store holds this router has, and the digest of
+// what it knows of requests that ended targets.
+func (r *Roster) Have(has message.Revisions, quarantine uint64) {
+	r.has, r.quarantine = has, quarantine
 }
 
 // Listed takes over the platform's list of routers.
@@ -403,7 +403,7 @@
 // ping returns a message without records.
 func (r *Roster) ping(kind message.PingKind, all bool) message.Ping {
 	return message.Ping{
-		From: r.self, Kind: kind, Config: r.config, Targets: r.targets, Digest: r.digest, WantAll: all,
+		From: r.self, Kind: kind, Revisions: r.has, Digest: r.digest, WantAll: all,
 		Quarantine: r.quarantine,
 	}
 }
