Cold engines: a few routers, by rendezvous, send a fixed part of what may arrive

Now an engine is cold for as long as its entry says, counted from when that comes here, and for the service's time after its drained zone is given back; it is left out of a choice beyond this router's part of a second. Three routers, those that rank first for the engine among the large boxes that run, send two each in a window of 1.02 s. Ways weighed: a part for each of 91 routers is one request in nine seconds, useless where parts of prompts have homes; leases from one owner are a hop and a state to lose. TestColdSenders (real rosters; deaths, restarts, losses, cuts into up to three sides): 600 plays, none over 19. TestColdEngines: 457 requests in a second -> at most 4 of 12.5. TestDrainedZone passes whole.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/prefix"
@@ -61,6 +62,9 @@
 	RetryWindow time.Duration
 	// QuotaWindow is the time over which organisations' shares are counted.
 	QuotaWindow time.Duration
+	// ColdOver is how many times its rate, and ColdSlack how many requests more, a
+	// cold target may get in a second of all routers together.
+	ColdOver, ColdSlack float64
 }
 
 // Target is an engine or a service's target.
@@ -75,6 +79,10 @@
 	Born int64
 	// Leaving targets get nothing new, and those of a drained availability zone neither.
 	Leaving, Drained bool
+	// ColdLeft is for how much longer the target said that it is cold, ColdUntil until
+	// when that is at most.
+	ColdLeft  time.Duration
+	ColdUntil time.Time
 	// Lapsed is when the target's entry went while the store was in trouble, and
 	// Until is until when the target may be used without it; zero for a target
 	// that is listed, and Until for one that is used until the store is back.
@@ -100,6 +108,10 @@
 	// waiting holds the own requests that the target has not begun, oldest
 	// first.
 	waiting []*Ticket
+	// coldUntil is until when the target may be cold, recent counts what was sent to it
+	// lately.
+	coldUntil time.Time
+	recent    coldstart.Window
 }
 
 // State is the control state of a router. Use New to make one.
@@ -132,6 +144,10 @@
 	// is to be told.
 	notify  func(target string, now, added view.Load)
 	notices notices
+	// coldPart says how many requests may be sent to a cold target in a second; nil for
+	// none. heldCold is how often one was passed over.
+	coldPart func(now time.Time, target string, r coldstart.Rate) int
+	heldCold int64
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -247,6 +263,7 @@
 	to.waiting = append(to.waiting, t)
 	to.running[t] = struct{}{}
 	to.cache.Add(now, t.Parts)
+	to.recent.Add(now)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 		s.throttle.Sent(t.Organisation, t.offer())
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -59,6 +59,10 @@
 	services := map[string][]*target{}
 	for _, t := range list {
 		old := s.targets[t.ID]
+		before := Target{}
+		if old != nil {
+			before = old.Target
+		}
 		if old != nil && old.Born != t.Born {
 			old.restarted()
 			old = nil
@@ -67,6 +71,7 @@
 			old = newTarget(t)
 		}
 		old.Target = t
+		s.cooled(now, old, before)
 		known[t.ID] = old
 		services[t.Service] = append(services[t.Service], old)
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,6 +45,8 @@
 	// lapsed is when the entry went while the store was in trouble; zero for
 	// one that is there. until is until when it may come back.
 	lapsed, until time.Time
+	// coldUntil is until when the entry says that the target is cold.
+	coldUntil time.Time
 }
 
 // Catalog is one router's copy. Use New to make one.
@@ -170,6 +172,10 @@
 		return old
 	default:
 		e.born = e.target.Born
+		if e.target.ColdLeft > 0 {
+			// It was written some time ago: the target is warm sooner than that.
+			e.coldUntil = now.Add(e.target.ColdLeft)
+		}
 		c.checkService(t, e.target.Service)
 	}
 	return e
@@ -265,6 +271,7 @@
 func (c *Catalog) target(e *entry) balance.Target {
 	t := e.target
 	t.Lapsed = e.lapsed
+	t.ColdUntil = e.coldUntil
 	t.Drained = c.drained(t.Zone)
 	return t
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
@@ -112,6 +113,8 @@
 	unconfirmed time.Time
 	view        atomic.Pointer[quarantine.View]
 	drained     drainedZones
+	// cold says what may be sent to cold targets.
+	cold *coldstart.Senders
 }
 
 // drainedZones are availability zones to whose targets nothing is sent, and since when.
@@ -157,6 +160,8 @@
 	g.isolation.exchange = quarantine.NewExchange(g.isolation.state, g.roster)
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.Notify(g.tellLoad)
+	g.cold = coldstart.NewSenders(now, g.roster, self.ID)
+	state.OnCold(g.cold.Part)
 	g.loop = balance.NewLoop(state)
 	g.loop.Meter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnAwake(g.awake)
--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -91,6 +91,25 @@
 	return n
 }
 
+// Majority reports whether the router hears most of those that it knows, or knows from the
+// platform's list that there is no other: it is then not on the smaller side of a cut.
+func (r *Roster) Majority(now time.Time) bool {
+	if r.cutOff(now) && (len(r.list) > 0 || !r.informed) {
+		return false
+	}
+	alive, all := 1, 1
+	for _, e := range r.list {
+		if !e.known() && !e.listed {
+			continue
+		}
+		all++
+		if e.known() && e.Belief == message.Alive {
+			alive++
+		}
+	}
+	return 2*alive > all
+}
+
 // Member returns who a record is about.
 func Member(r message.RouterRecord) member.Member {
 	return member.Member{
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -125,6 +125,8 @@
 	synced time.Time
 	// changes are the beliefs that changed since they were asked for.
 	changes []message.RouterRecord
+	// informed is set once the platform's list of routers came.
+	informed bool
 	// has are this router's revisions, quarantine its digest of requests that ended
 	// targets.
 	has        message.Revisions
@@ -175,6 +177,7 @@
 
 // Listed takes over the platform's list of routers.
 func (r *Roster) Listed(now time.Time, boxes []config.Box) {
+	r.informed = true
 	for _, e := range r.others {
 		e.listed = false
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -99,6 +99,10 @@
 	Name string
 	// MaxConnections bounds the connections to one target, from all callers.
 	MaxConnections int
+	// ColdRate is the number of requests a second that a target bears while it is cold, 0
+	// for one that never is; ColdTime is for how long it is cold after a start.
+	ColdRate float64
+	ColdTime time.Duration
 	// Engine is nil for plain services.
 	Engine *Engine
 }
