--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -182,44 +182,12 @@
 	}
 	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving,
 		"lapsed", g.catalog.Lapsed(), "from", from)
-	g.logZones(now, from)
+	g.logZones(now, list, from)
 	s.SetTargets(now, list)
 	g.restarted(now, list)
 	g.spread(now)
 }
 
-// SetZones takes over the store's whole list of drained availability zones.
-func (g *Gateway) SetZones(revision int64, list []message.StoredObject) {
-	g.loop.Post(func(s *balance.State, now time.Time) {
-		changed := g.catalog.SetZones(revision, list)
-		g.targetsChanged(s, now, changed, fromStore)
-		if !changed {
-			// That there is nothing to know is to be told, too.
-			g.spread(now)
-		}
-	})
-}
-
-// ChangeZones takes over changes to the store's list of drained availability zones.
-func (g *Gateway) ChangeZones(revision int64, changes []catalog.Change) {
-	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.targetsChanged(s, now, g.catalog.ApplyZones(revision, changes), fromStore)
-	})
-}
-
-// logZones logs which availability zones are drained if that has changed, since a complaint
-// that a zone still gets requests begins with when this router knew.
-func (g *Gateway) logZones(now time.Time, from string) {
-	drained := g.catalog.Drained()
-	if slices.Equal(drained, g.drained.zones) {
-		return
-	}
-	g.Log.Info("zones drained", "zones", drained, "before", g.drained.zones, "revision", g.catalog.Newest().Zones,
-		"before_ms", now.Sub(g.drained.since).Milliseconds(), "from", from)
-	g.Metrics.zones.Add("changes", 1)
-	g.drained = drainedZones{zones: drained, since: now}
-}
-
 // logIgnored logs and counts the entries that turned out to name no target to use.
 func (g *Gateway) logIgnored(from string) {
 	list, by := g.catalog.Ignored()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,14 +113,9 @@
 	unconfirmed time.Time
 	view        atomic.Pointer[quarantine.View]
 	drained     drainedZones
-	// cold says what may be sent to cold targets.
-	cold *coldstart.Senders
-}
-
-// drainedZones are availability zones to whose targets nothing is sent, and since when.
-type drainedZones struct {
-	zones []string
-	since time.Time
+	// cold says what may be sent to cold targets, coldNow which there are.
+	cold    *coldstart.Senders
+	coldNow coldTargets
 }
 
 // listener listens for callers. Without the kernel's probes of idle
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,8 +33,10 @@
 	statuses *expvar.Map
 	// ignored counts entries that name no target to use, by field.
 	ignored *expvar.Map
-	// zones counts changes of which availability zones are drained.
-	zones *expvar.Map
+	// zones names the drained availability zones, cold counts the cold targets by
+	// service, and coldHeld how often one was passed over for that.
+	zones, cold *expvar.Map
+	coldHeld    *expvar.Int
 	// suspects counts changes of what is known of requests that end targets.
 	suspects *expvar.Map
 	// suspensions counts how often the box was suspended, suspendedFor for how long in
@@ -50,7 +52,7 @@
 	m := &Metrics{
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
-		ignored: new(expvar.Map), zones: new(expvar.Map), suspects: new(expvar.Map),
+		ignored: new(expvar.Map), zones: new(expvar.Map), cold: new(expvar.Map), coldHeld: new(expvar.Int), suspects: new(expvar.Map),
 		suspensions: new(expvar.Int), suspendedFor: new(expvar.Int),
 		waited: hdrhistogram.New(1, maxLatency, latencyDigits),
 		first:  hdrhistogram.New(1, maxLatency, latencyDigits),
@@ -62,6 +64,8 @@
 	m.root.Set("statuses", m.statuses)
 	m.root.Set("targets_ignored", m.ignored)
 	m.root.Set("drained_zones", m.zones)
+	m.root.Set("cold_targets", m.cold)
+	m.root.Set("cold_passed_over", m.coldHeld)
 	m.root.Set("suspected_requests", m.suspects)
 	m.root.Set("suspensions", m.suspensions)
 	m.root.Set("suspended_ms", m.suspendedFor)
@@ -138,6 +142,22 @@
 	m.suspendedFor.Add(missed.Milliseconds())
 }
 
+// setZones takes over which availability zones are drained.
+func (m *Metrics) setZones(drained []string) {
+	m.zones.Init()
+	for _, zone := range drained {
+		m.zones.Add(zone, 1)
+	}
+}
+
+// setCold takes over how many targets are cold, by service.
+func (m *Metrics) setCold(count map[string]int) {
+	m.cold.Init()
+	for service, n := range count {
+		m.cold.Add(service, int64(n))
+	}
+}
+
 // suspect counts a change of what is known of a request that ended targets.
 func (m *Metrics) suspect(r quarantine.Record) {
 	switch n := r.Standing(); {
