A box short of processor: the part kept for an organisation follows how far it is behind its share

Change: an organisation without anything of its share is let use 0.4 of the cores, one that had its share an eighth as before, in between in proportion; connections wait 65 instead of 80 ms for a look. TestDrownedShareHasNoCliff: 0.9, 1.0, 1.1 of the cores give tokens in proportion.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -10,10 +10,9 @@
 // lookMost is for how long a new connection may wait for the processor before its request
 // is looked at. Behind it wait the requests that are let in, and the control loop, which
 // are to be done within the half second after which a caller that left must not find its
-// request at work: without a bound they waited up to 2.1 s where 1,500 to 1,900 requests a
-// second come to 0.19 cores (the play of a drowned box). The legs of the way add up: waiting
-// to be accepted, to be looked at and to be read. With 150 ms they came to 0.64 s.
-const lookMost = 80 * time.Millisecond
+// request at work. The legs of the way add up: waiting to be accepted, to be looked at and to
+// be read.
+const lookMost = 65 * time.Millisecond
 
 // Queue is the new connections that wait for the processor to look at their requests. The
 // zero value is empty. One goroutine at a time may use it.
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -29,16 +29,23 @@
 }
 
 // SetBusy notes which part of its cores the router used lately.
-func (s *State) SetBusy(now time.Time, part, cores float64) { s.throttle.SetBusy(now, part, cores) }
+func (s *State) SetBusy(now time.Time, part, cores float64) {
+	s.throttle.SetBusy(now, part, cores, s.account(now))
+}
 
 // Throttles returns which organisations the router throttled since the last call.
 func (s *State) Throttles() []throttle.Notice { return s.throttle.Notices() }
 
 // gatesAt returns the gates that are to hold until the next tick, by organisation.
 func (s *State) gatesAt(now time.Time) map[string]*throttle.Gate {
-	return s.throttle.Gates(now, s.waitingOf(), func(organisation string) throttle.Account {
+	return s.throttle.Gates(now, s.waitingOf(), s.account(now))
+}
+
+// account returns what tells an organisation's account.
+func (s *State) account(now time.Time) func(organisation string) throttle.Account {
+	return func(organisation string) throttle.Account {
 		return throttle.Account{Had: s.hadOf(now, organisation), Level: s.levelAt(now), Least: s.leastWaiting(now)}
-	})
+	}
 }
 
 const (
--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -92,6 +92,8 @@
 // that is refused comes back once.
 type box struct {
 	*State
+	// cores is what the box may use of a core.
+	cores      float64
 	now, start time.Time
 	events     events
 	jobs       []job
@@ -112,7 +114,7 @@
 func newBox(t *testing.T, seed uint64) *box {
 	t.Helper()
 	now := time.Unix(1000, 0)
-	b := &box{now: now, start: now, random: rand.New(rand.NewPCG(seed, 1))}
+	b := &box{cores: boxCores, now: now, start: now, random: rand.New(rand.NewPCG(seed, 1))}
 	b.State = New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: 4 * time.Second}, b.random)
 	const engines, slots, memory = 40, 1000, 1_000_000_000
 	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: slots, CacheTokens: memory}}}})
@@ -145,7 +147,7 @@
 	j := b.jobs[0]
 	b.jobs = b.jobs[1:]
 	b.working = true
-	b.after(time.Duration(float64(j.cost)/boxCores), func() {
+	b.after(time.Duration(float64(j.cost)/b.cores), func() {
 		b.working = false
 		b.used += j.cost
 		j.do()
@@ -188,7 +190,7 @@
 func (b *box) tick(n int, used time.Duration, looked time.Time) {
 	b.Tick(b.now)
 	if n%busyTicks == 0 && n > 0 {
-		b.SetBusy(b.now, (b.used-used).Seconds()/(b.now.Sub(looked).Seconds()*boxCores), boxCores)
+		b.SetBusy(b.now, (b.used-used).Seconds()/(b.now.Sub(looked).Seconds()*b.cores), b.cores)
 		used, looked = b.used, b.now
 	}
 	b.gates = b.gatesAt(b.now)
@@ -379,6 +381,34 @@
 	playFloods(t, func(t *testing.T, seed uint64, _ *box, seconds []second) { checkShares(t, seed, seconds) })
 }
 
+// cliffMost is by how much more what a tenth of the processor less takes away may change what
+// the organisation gets.
+const cliffMost = 1.5
+
+// The same floods where a tenth of the processor is missing, as beside other work, and where
+// there is a tenth more: what the organisation gets changes with it, and does not fall off.
+func TestDrownedShareHasNoCliff(t *testing.T) {
+	var got []float64
+	parts := []float64{0.9, 1, 1.1}
+	for _, part := range parts {
+		sum := 0.0
+		for seed := range uint64(5) {
+			b := newBox(t, seed)
+			b.late, b.cores = true, part*boxCores
+			for _, s := range b.play([]float64{220, 900, 900}, 4*time.Second) {
+				sum += s.got
+			}
+		}
+		got = append(got, sum)
+	}
+	for i := range len(parts) - 1 {
+		if ratio := got[i+1] / got[i]; ratio > parts[i+1]/parts[i]*cliffMost || ratio < 1/cliffMost {
+			t.Errorf("%.0f tokens at %v of the cores, %.0f at %v", got[i], parts[i], got[i+1], parts[i+1])
+		}
+	}
+	t.Logf("tokens at %v of the cores: %.0f", parts, got)
+}
+
 // playFloods plays floods to a small box where all wait for its processor.
 func playFloods(t *testing.T, check func(t *testing.T, seed uint64, b *box, seconds []second)) {
 	t.Helper()
--- a/internal/throttle/control.go
+++ b/internal/throttle/control.go
@@ -38,11 +38,11 @@
 	// served where 600 came and 0.19 cores were there (the play of one small box).
 	busyCut  = 0.8
 	busyRise = 1.2
-	// busyLeast is the part of the cores that it is let use all the same: where
-	// refusals alone keep the processor busy, nothing would be left for its share. At 0.4
-	// more is let in than is served in time: the worth of a day at the highest load fell
-	// from 0.692 to 0.666 (songlam-heat-grown scale-2, one seed).
-	busyLeast = 0.125
+	// busyLeast is the part of the cores that it is let use all the same, and shareLeast
+	// that where it had nothing of its share yet: where refusals alone keep the processor
+	// busy, nothing would be left for it.
+	busyLeast  = 0.125
+	shareLeast = 0.4
 	// busyStep is the part of the cores by which it rises in any case where the
 	// processor is not busy.
 	busyStep = 0.0125
@@ -147,7 +147,7 @@
 
 // SetBusy notes which part of its cores the router used lately, lets streams coalesce
 // accordingly, and throttles the organisation that takes most if that is too much.
-func (c *Control) SetBusy(now time.Time, part, cores float64) {
+func (c *Control) SetBusy(now time.Time, part, cores float64, account func(organisation string) Account) {
 	c.busy = part
 	c.coalesce = coalesceAt(c.coalesce, part)
 	total := 0.0
@@ -155,12 +155,12 @@
 		total += f.effort
 	}
 	tick := cores * float64(c.tick)
-	for _, f := range c.flows {
+	for name, f := range c.flows {
 		switch change := min(max(busyLimit/max(part, busyLeast), busyCut), busyRise); {
 		case part <= busyLimit:
 			f.most = f.most*change + tick*busyStep
 		case f.effort > total*busyShare:
-			f.most = max(min(f.most, f.effort)*change, tick*busyLeast)
+			f.most = max(min(f.most, f.effort)*change, tick*account(name).least())
 			f.shut(now)
 			f.gate.busy.Store(true)
 		}
@@ -174,6 +174,17 @@
 	Had, Level, Least float64
 }
 
+// least returns the part of the cores that an organisation is let use however busy they are:
+// the more, the further it is behind its share. Beyond its share it takes from the others what
+// it is let in for.
+func (a Account) least() float64 {
+	behind := 1.0
+	if a.Level > 0 {
+		behind = max(1-a.Had/a.Level, 0)
+	}
+	return busyLeast + (shareLeast-busyLeast)*behind
+}
+
 // Gates returns the gates that are to hold until the next tick, by organisation; nil if
 // there are none. Waiting has how many requests of each wait for an engine; account is asked
 // for those of which there is a notice.
