Plain services: what may be under way at a target follows from the goal and the learnt time of a request

Change: as many as end within 0.6 of the goal behind one another, by the time that requests take which find a slot, four times the slots at most.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,6 +32,13 @@
 	// plain service's target gets: its answers are short, and an empty queue
 	// there means an idle slot.
 	queueShare = 50
+	// timelyShare is the part of its goal, in percent, in which a request to a plain
+	// service is to end behind those that are under way, and queueMost bounds those to so
+	// many times the slots.
+	timelyShare = 60
+	queueMost   = 4
+	// takesWeight is the weight of the newest request in how long they take.
+	takesWeight = 0.05
 	// waitShare is the part of its goal for which a request waits for room
 	// before it is refused: a caller told so early can still be served in
 	// time when it comes back.
@@ -112,6 +119,8 @@
 	// lately.
 	coldUntil time.Time
 	recent    coldstart.Window
+	// takes is how long a request takes that finds a slot, learnt; 0 if unknown.
+	takes time.Duration
 }
 
 // State is the control state of a router. Use New to make one.
@@ -257,6 +266,7 @@
 	invariant.Check(!to.Closed(now), invariant.LeftInTime)
 	t.at = to
 	t.sent = now
+	t.free = !t.Engine && s.loadOf(now, to).Running < to.Slots
 	t.load = view.Load{Unread: p.read, Running: 1, Memory: t.private()}
 	t.work = p.work
 	to.own = to.own.Plus(t.load)
@@ -308,6 +318,9 @@
 	to.forget(t)
 	delete(to.running, t)
 	to.note(now, how)
+	if how == Answered && !t.Engine && t.free {
+		to.learn(now.Sub(t.sent))
+	}
 	if how == Answered && t.Stream && t.Output > 0 {
 		s.throttle.Learn(int(t.Pieces.Load()), t.Output)
 	}
@@ -317,6 +330,15 @@
 	s.dispatch(now)
 }
 
+// learn learns how long requests take that find a slot.
+func (t *target) learn(took time.Duration) {
+	if t.takes == 0 {
+		t.takes = took
+		return
+	}
+	t.takes += time.Duration(takesWeight * float64(took-t.takes))
+}
+
 func (t *target) forget(k *Ticket) {
 	if i := slices.Index(t.waiting, k); i >= 0 {
 		t.waiting = slices.Delete(t.waiting, i, i+1)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -214,7 +214,7 @@
 	home := highest(candidates, t.ID)
 	for _, c := range candidates {
 		running := s.loadOf(now, c).Running
-		if running >= c.Slots+c.Slots*queueShare/100 {
+		if running >= c.most(t.Goal) {
 			continue
 		}
 		score := float64(running)
@@ -231,6 +231,17 @@
 	return best
 }
 
+// most returns how many requests to a plain service's target may be under way: those that
+// end within a part of their goal, its slots and half as many at least.
+func (t *target) most(goal time.Duration) int {
+	least := t.Slots + t.Slots*queueShare/100
+	if t.takes <= 0 {
+		return least
+	}
+	timely := int(float64(t.Slots) * float64(goal) * timelyShare / 100 / float64(t.takes))
+	return max(min(timely, t.Slots*queueMost), least)
+}
+
 // highest returns the target that rendezvous hashing gives to key.
 func highest(targets []*target, key string) *target {
 	var best *target
--- /dev/null
+++ b/internal/balance/plain_test.go
@@ -0,0 +1,120 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// A plain service whose requests take a fifth of their goal: bursts of three times its slots
+// come together, and are still served in time if they may wait at its targets.
+const (
+	burstTargets, burstSlots = 3, 6
+	burstWork                = 60 * time.Millisecond
+	burstGoal                = 300 * time.Millisecond
+	burstSize                = 3 * burstTargets * burstSlots
+	burstPause               = 500 * time.Millisecond
+	bursts                   = 20
+	// burstLeast is the part of the requests of the later bursts that are to be served in
+	// time.
+	burstLeast = 0.95
+)
+
+// plainTarget works on so many requests at once as it has slots, and keeps the others
+// waiting in order.
+type plainTarget struct {
+	free []time.Time
+}
+
+// take returns when a request that comes now ends.
+func (p *plainTarget) take(now time.Time) time.Time {
+	first := 0
+	for i := range p.free {
+		if p.free[i].Before(p.free[first]) {
+			first = i
+		}
+	}
+	begins := now
+	if p.free[first].After(now) {
+		begins = p.free[first]
+	}
+	p.free[first] = begins.Add(burstWork)
+	return p.free[first]
+}
+
+func TestBurstsOfPlainRequests(t *testing.T) {
+	start := time.Unix(1000, 0)
+	s := balance.New(start, "z", limits, rand.New(rand.NewPCG(1, 2)))
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "plain"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	var list []balance.Target
+	targets := map[string]*plainTarget{}
+	for i := range burstTargets {
+		id := fmt.Sprint("p", i)
+		list = append(list, balance.Target{ID: id, Service: "plain", Zone: "z", Slots: burstSlots})
+		targets[id] = &plainTarget{free: make([]time.Time, burstSlots)}
+	}
+	s.SetTargets(start, list)
+	served, asked := 0, 0
+	for burst := range bursts {
+		from := start.Add(time.Duration(burst) * burstPause)
+		inTime := playBurst(s, from, targets, burst)
+		if burst < bursts/2 {
+			// How long requests take has to be learnt.
+			continue
+		}
+		served += inTime
+		asked += burstSize
+	}
+	if part := float64(served) / float64(asked); part < burstLeast {
+		t.Errorf("%.2f of the requests were served in time, want %.2f", part, burstLeast)
+	}
+}
+
+// playBurst has a burst come and returns how many of it are served in time.
+func playBurst(s *balance.State, from time.Time, targets map[string]*plainTarget, burst int) int {
+	waiting := map[*balance.Ticket]bool{}
+	ends := map[*balance.Ticket]time.Time{}
+	inTime := 0
+	for now := from; now.Before(from.Add(burstPause)); now = now.Add(time.Millisecond) {
+		if n := int(now.Sub(from) / time.Millisecond); n < burstSize {
+			ticket := &balance.Ticket{
+				ID: fmt.Sprint(burst, "-", n), Service: "plain", Goal: burstGoal, Arrived: now,
+				Deadline: now.Add(time.Second), Decision: make(chan balance.Decision, 1),
+			}
+			s.Arrive(now, ticket)
+			waiting[ticket] = true
+		}
+		s.Tick(now)
+		for ticket := range waiting {
+			select {
+			case d := <-ticket.Decision:
+				delete(waiting, ticket)
+				if d.Refused == "" {
+					ends[ticket] = targets[d.Target.ID].take(now)
+				}
+			default:
+				// It waits on.
+			}
+		}
+		for ticket, at := range ends {
+			if at.After(now) {
+				continue
+			}
+			delete(ends, ticket)
+			s.Begun(now, ticket)
+			s.Ended(now, ticket, balance.Answered)
+			if at.Sub(ticket.Arrived) <= burstGoal {
+				inTime++
+			}
+		}
+	}
+	return inTime
+}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -44,11 +44,13 @@
 	Decision chan Decision
 
 	// lost is called where the process that has the request started again.
-	lost    atomic.Pointer[func()]
-	at      *target
-	load    view.Load
-	work    pace.Work
-	begun   bool
+	lost  atomic.Pointer[func()]
+	at    *target
+	load  view.Load
+	work  pace.Work
+	begun bool
+	// free is set if the target of a plain service had a free slot when it was sent.
+	free    bool
 	sent    time.Time
 	expires time.Time
 }
