Prompts of which most has to be read anyway stay in the router's zone

Cause: bytes between zones are the largest price; a prompt with 568 shared tokens of 2,368 crossed zones for the sake of the 568.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -253,6 +253,30 @@
 		Expect(far[6000]).To(BeNumerically(">", 20))
 	})
 
+	It("are kept in the router's availability zone where most of the prompt has to be read anyway", func() {
+		w := newWorld(8)
+		list := targets(8)
+		for i := range list {
+			if i >= 4 {
+				list[i].Zone = "far"
+			}
+		}
+		w.SetTargets(w.now, list)
+		far := map[int]int{}
+		for i := range 50 {
+			for _, own := range []int{400, 1800} {
+				t := w.prompt("o", fmt.Sprint("shared", own, "-", i), own)
+				t.Parts[0].Tokens, t.Input = 600, 600+own
+				if w.arrive(t).Target.Zone == "far" {
+					far[own]++
+				}
+				w.serve(t)
+			}
+		}
+		Expect(far[1800]).To(BeZero())
+		Expect(far[400]).To(BeNumerically(">", 10))
+	})
+
 	It("are not taken to be kept where they were last used long ago", func() {
 		w := newWorld(2)
 		first := w.prompt("o", "shared", 1000)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -22,8 +22,11 @@
 	zonePrice = 4 * time.Millisecond
 	// nearShared is the number of shared tokens up to which a prompt is kept in
 	// each availability zone apart. Reading so few again costs less than
-	// passing the prompt and its answer from zone to zone each time.
+	// passing the prompt and its answer from zone to zone each time. So is one of
+	// which no more than nearPart, in percent, is shared: most of it has to be read
+	// wherever it goes.
 	nearShared = 300
+	nearPart   = 50
 	// awayPrice is the time that an engine counts more than the one that hashing
 	// gives a prompt to: all routers go there, and copies elsewhere are dropped
 	// sooner.
@@ -128,7 +131,7 @@
 
 // home returns the engine that hashing gives a prompt to.
 func (s *State) home(t *Ticket, candidates []*target) *target {
-	if t.Input-ownTokens(t) > nearShared {
+	if shared := t.Input - ownTokens(t); shared > nearShared && shared*100 > t.Input*nearPart {
 		return highest(candidates, t.affinity())
 	}
 	s.near = s.near[:0]
