--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -409,8 +409,10 @@
 	if len(e.crashes)+heldFrom > CrashesMost {
 		return false
 	}
-	for i := range heldFrom {
-		s.set(k, e, Crash{Target: fmt.Sprintf("%s, %d, %d", byWhom, now.UnixMilli(), i), Trial: true})
+	for range heldFrom {
+		// The number tells holds of the same millisecond apart: what was released once
+		// stays so.
+		s.set(k, e, Crash{Target: fmt.Sprintf("%s, %d, %d", byWhom, now.UnixMilli(), len(e.crashes)), Trial: true})
 	}
 	e.crashed, e.seen = now, now
 	return true
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -114,6 +114,20 @@
 	}
 }
 
+func TestHeldAgainInTheSameMillisecond(t *testing.T) {
+	s := quarantine.New()
+	for range 2 {
+		s.Hold(start, key("q"), "o", "operator")
+		if n := s.View().Crashes(key("q")); !quarantine.Holds(n) {
+			t.Errorf("%d crashes stand after it was held back", n)
+		}
+		s.Clear(key("q"))
+	}
+	if list := s.All(start); len(list) != 1 || len(list[0].Crashes) != 6 {
+		t.Errorf("%+v known, want six crashes", list)
+	}
+}
+
 func TestBounds(t *testing.T) {
 	s := quarantine.New()
 	end(s, start, "a", false, "q")
