--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -92,7 +92,9 @@
 }
 
 // Majority reports whether the router hears most of those that it knows, or knows from the
-// platform's list that there is no other: it is then not on the smaller side of a cut.
+// platform's list that there is no other, and most of its seeds: it is then not on the smaller
+// side of a cut. Where all have just started nobody knows of the other sides, but all have the
+// same seeds.
 func (r *Roster) Majority(now time.Time) bool {
 	if r.cutOff(now) && (len(r.list) > 0 || !r.informed) {
 		return false
@@ -107,7 +109,24 @@
 			alive++
 		}
 	}
-	return 2*alive > all
+	return 2*alive > all && r.hearsSeeds()
+}
+
+// hearsSeeds reports whether most of the seeds run, this router included if it is one.
+func (r *Roster) hearsSeeds() bool {
+	if len(r.seeds) == 0 {
+		return true
+	}
+	running, all := 0, len(r.seeds)
+	if r.isSeed {
+		running, all = running+1, all+1
+	}
+	for _, e := range r.list {
+		if e.known() && e.Belief == message.Alive && slices.Contains(r.seeds, e.Peer) {
+			running++
+		}
+	}
+	return 2*running > all
 }
 
 // Member returns who a record is about.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -103,6 +103,7 @@
 type Roster struct {
 	self   message.RouterRecord
 	seeds  []string
+	isSeed bool
 	random *rand.Rand
 	others map[message.RouterID]*entry
 	// list has the same entries in the order in which they came.
@@ -144,9 +145,11 @@
 		heard: now, pinged: now.Add(-pingPeriod), synced: now.Add(-syncPause), digest: hash(self),
 	}
 	for _, s := range seeds {
-		if s != self.Peer {
-			r.seeds = append(r.seeds, s)
+		if s == self.Peer {
+			r.isSeed = true
+			continue
 		}
+		r.seeds = append(r.seeds, s)
 	}
 	r.news = append(r.news, self.ID)
 	return r
