--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+// BenchmarkPart says what it takes to find out how much may be sent to a cold target.
+func BenchmarkPart(b *testing.B) {
+	for name, n := range map[string]int{"91 routers": 91, "630": 630} {
+		b.Run(name, func(b *testing.B) {
+			s := coldstart.NewSenders(start, fleet{routers: routers(n), majority: true}, "r0")
+			now := start.Add(time.Minute)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Part(now, "target", coldstart.Rate{PerSecond: 9.8, Most: 19.7})
+			}
+		})
+	}
+}
+
 func TestJoinAgain(t *testing.T) {
 	f := fleet{routers: routers(1), majority: true}
 	s := coldstart.NewSenders(start, f, "r0")
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -34,65 +34,61 @@
 	fleet  Fleet
 	self   message.RouterID
 	joined time.Time
-	// parts has what was worked out last, by target, as of at.
-	parts map[string]int
-	at    time.Time
+	// own is this router's hash, others those of the other routers that may be senders, as
+	// of at; among is set if this one may be.
+	own    uint64
+	others []uint64
+	among  bool
+	at     time.Time
 }
 
 // NewSenders returns the rights of a router that joins the fleet now.
 func NewSenders(now time.Time, f Fleet, self message.RouterID) *Senders {
-	return &Senders{fleet: f, self: self, joined: now, parts: map[string]int{}}
+	return &Senders{fleet: f, self: self, joined: now, own: rendezvous.Hash(string(self))}
 }
 
 // Join notes that the router has just come, or come back from a suspension.
-func (s *Senders) Join(now time.Time) {
-	s.joined = now
-	clear(s.parts)
-}
+func (s *Senders) Join(now time.Time) { s.joined = now }
 
-// Part returns how many requests the router may send to a cold target in a second.
+// Part returns how many requests the router may send to a cold target in a second: the senders
+// are those that rank first for the target.
 func (s *Senders) Part(now time.Time, target string, r Rate) int {
 	if now.Sub(s.joined) < joinTime {
 		return 0
 	}
 	if now.Sub(s.at) >= rightTime {
-		s.at = now
-		clear(s.parts)
+		s.look(now)
+	}
+	if !s.among {
+		return 0
 	}
-	part, known := s.parts[target]
-	if !known {
-		part = s.part(now, target, r)
-		s.parts[target] = part
+	hash := rendezvous.Hash(target)
+	own, before := rendezvous.WeightOf(hash, s.own), 0
+	for _, other := range s.others {
+		if rendezvous.WeightOf(hash, other) > own {
+			before++
+		}
 	}
-	return part
+	return r.Part(before, len(s.others)+1)
 }
 
-// part works out the right: the senders are those that rank first for the target.
-func (s *Senders) part(now time.Time, target string, r Rate) int {
+// look looks who may be a sender.
+func (s *Senders) look(now time.Time) {
+	s.at, s.among, s.others = now, false, s.others[:0]
 	if !s.fleet.Majority(now) {
-		return 0
+		return
 	}
 	largest := 0.0
 	for router := range s.fleet.Each(now) {
 		largest = max(largest, router.Capacity)
 	}
-	hash := rendezvous.Hash(target)
-	own := rendezvous.WeightOf(hash, rendezvous.Hash(string(s.self)))
-	routers, before, among := 0, 0, false
 	for router := range s.fleet.Each(now) {
-		if router.Capacity*100 < largest*largePart {
-			continue
-		}
-		routers++
 		switch {
+		case router.Capacity*100 < largest*largePart:
 		case router.ID == s.self:
-			among = true
-		case rendezvous.WeightOf(hash, rendezvous.Hash(string(router.ID))) > own:
-			before++
+			s.among = true
+		default:
+			s.others = append(s.others, rendezvous.Hash(string(router.ID)))
 		}
 	}
-	if !among {
-		return 0
-	}
-	return r.Part(before, routers)
 }
