--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -46,114 +45,6 @@
 // that repeat for minutes have given up. After three there is none.
 var trialPauses = [...]time.Duration{3 * time.Second, 30 * time.Second, 5 * time.Minute}
 
-// Crash is the end of a target's process while it ran a request.
-type Crash struct {
-	// Target names the incarnation of the target that ended.
-	Target string
-	// Cleared is set once the request has ended well after it, Trial where it was sent
-	// although others had ended under it.
-	Cleared, Trial bool
-}
-
-// Record is what routers tell one another of a suspected request. Of two records of a
-// request each has part of the truth: what is known is the union of their crashes, and a
-// crash that either has cleared is. Told twice, late or in another order they do no harm.
-type Record struct {
-	Key          Key
-	Organisation string
-	Crashes      []Crash
-	// SinceCrash is the time since the last crash that was not cleared, SinceSeen that
-	// since the request last came or had one.
-	SinceCrash, SinceSeen time.Duration
-}
-
-// Standing returns the number of crashes that are not cleared.
-func (r Record) Standing() int {
-	n := 0
-	for _, c := range r.Crashes {
-		if !c.Cleared {
-			n++
-		}
-	}
-	return n
-}
-
-// entry is what is known of a suspected request.
-type entry struct {
-	organisation string
-	// crashes are those known, by target.
-	crashes       map[string]Crash
-	crashed, seen time.Time
-	// trying is until when a trial is under way at this router at most.
-	trying time.Time
-	// common is set once all routers are to know of the request.
-	common bool
-}
-
-// weight is what the entry adds to the digest: what only some routers are to know adds
-// nothing.
-func (e *entry) weight(k Key) uint64 {
-	if !e.common {
-		return 0
-	}
-	var sum uint64
-	for _, c := range e.crashes {
-		sum ^= weight(k, c)
-	}
-	return sum
-}
-
-func (e *entry) standing() int {
-	n := 0
-	for _, c := range e.crashes {
-		if !c.Cleared {
-			n++
-		}
-	}
-	return n
-}
-
-// trials returns the number of trials that ended engines.
-func (e *entry) trials() int {
-	n := 0
-	for _, c := range e.crashes {
-		if c.Trial && !c.Cleared {
-			n++
-		}
-	}
-	return n
-}
-
-// expires returns when the entry is forgotten.
-func (e *entry) expires() time.Time {
-	if e.standing() >= heldFrom {
-		return e.seen.Add(heldTime)
-	}
-	return e.seen.Add(suspectTime)
-}
-
-// until returns until when the request is sent away; zero if it is not.
-func (s *State) until(e *entry) time.Time {
-	if !s.accused(e) {
-		return time.Time{}
-	}
-	if n := e.trials(); n < len(trialPauses) {
-		return e.crashed.Add(trialPauses[n])
-	}
-	return e.expires()
-}
-
-func (e *entry) record(now time.Time, k Key) Record {
-	r := Record{
-		Key: k, Organisation: e.organisation,
-		SinceCrash: max(now.Sub(e.crashed), 0), SinceSeen: max(now.Sub(e.seen), 0),
-	}
-	for _, target := range slices.Sorted(maps.Keys(e.crashes)) {
-		r.Crashes = append(r.Crashes, e.crashes[target])
-	}
-	return r
-}
-
 // broken is a request whose answer broke off.
 type broken struct {
 	key          Key
@@ -324,49 +215,6 @@
 	s.view = nil
 }
 
-// Common reports whether all routers are to know of a request: more targets ended under it
-// than by chance, or another router says so. It then stays so.
-func (s *State) Common(k Key) bool {
-	e := s.entries[k]
-	if e == nil {
-		return false
-	}
-	if !e.common && s.accused(e) {
-		s.share(k, e)
-	}
-	return e.common
-}
-
-// accused reports whether a request is to be sent away. Two targets that ended together
-// accuse it only once it is known how many others did.
-func (s *State) accused(e *entry) bool {
-	switch n := s.counted(e); {
-	case n < pausedFrom:
-		return false
-	case n > pausedFrom || e.common:
-		return true
-	}
-	last, together := s.ended.together(e)
-	return !together || !s.defers && s.now.Sub(last) >= settleTime
-}
-
-func (s *State) share(k Key, e *entry) {
-	e.common = true
-	s.digest ^= e.weight(k)
-	s.view = nil
-}
-
-// counted returns the number of crashes that are not cleared and that accuse the request.
-func (s *State) counted(e *entry) int {
-	n := 0
-	for target, c := range e.crashes {
-		if !c.Cleared && s.ended.accountsFor(e, target) {
-			n++
-		}
-	}
-	return n
-}
-
 // Clear notes that a request has ended well: the targets that ended before did so for
 // another reason.
 func (s *State) Clear(k Key) {
@@ -496,33 +344,6 @@
 	return sorted(list)
 }
 
-// settle finds out which requests turned out to be accused after all, which is news.
-func (s *State) settle(now time.Time) {
-	s.now = latest(s.now, now)
-	for k := range s.settling {
-		e := s.entries[k]
-		switch {
-		case e == nil || e.common || now.Sub(e.crashed) > brokenTime:
-			delete(s.settling, k)
-		case s.accused(e):
-			delete(s.settling, k)
-			s.news[k] = true
-		}
-	}
-}
-
-// Quiet reports whether there is no news and none to come with time alone.
-func (s *State) Quiet() bool { return len(s.news) == 0 && len(s.settling) == 0 }
-
-// Defer says whether other routers decide if two targets that ended together accuse a
-// request.
-func (s *State) Defer(others bool) {
-	if s.defers != others {
-		s.defers = others
-		s.view = nil
-	}
-}
-
 // All returns all that is known.
 func (s *State) All(now time.Time) []Record {
 	return s.records(now, func(*entry) bool { return true })
