Lines and counts of what targets say of themselves in answers: that they leave

Logs could not tell whether an answer had said so and whether the router knew. Each router now notes, by incarnation, which targets said in the head of an answer that they leave (`target says that it leaves`, count target_advice), and logs how many requests it sent to such targets (`requests sent to leaving targets`, count sent_against_advice). Nothing is decided by it yet.

--- /dev/null
+++ b/internal/advice/advice_test.go
@@ -0,0 +1,45 @@
+package advice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/advice"
+)
+
+var start = time.Unix(1000, 0)
+
+// ExampleBook shows that what one incarnation said does not hold for the next.
+func ExampleBook() {
+	var b advice.Book
+	_, news := b.Leave(start, "t@1")
+	fmt.Println(news, b.Find("t@1").Leaving(), b.Find("t@2").Leaving())
+	_, news = b.Leave(start.Add(time.Second), "t@1")
+	fmt.Println(news)
+	// Output:
+	// true true false
+	// false
+}
+
+func TestPrune(t *testing.T) {
+	cases := map[string]struct {
+		after  time.Duration
+		listed bool
+		kept   bool
+	}{
+		"not listed, heard lately": {after: 10 * time.Minute, kept: true},
+		"not listed for long":      {after: time.Hour},
+		"listed":                   {after: 100 * time.Hour, listed: true, kept: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var b advice.Book
+			b.Leave(start, "t")
+			b.Prune(start.Add(c.after), func(string) bool { return c.listed })
+			if got := b.Find("t").Leaving(); got != c.kept {
+				t.Errorf("kept %t, want %t", got, c.kept)
+			}
+		})
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/advice"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
@@ -121,6 +122,8 @@
 	recent    coldstart.Window
 	// takes is how long a request takes that finds a slot, learnt; 0 if unknown.
 	takes time.Duration
+	// said is what the target said of itself in its answers; nil if nothing.
+	said *advice.Record
 }
 
 // State is the control state of a router. Use New to make one.
@@ -157,6 +160,9 @@
 	// none. heldCold is how often one was passed over.
 	coldPart func(now time.Time, target string, r coldstart.Rate) int
 	heldCold int64
+	advice   advice.Book
+	// afterLeaving counts the requests sent to targets that had said that they leave.
+	afterLeaving int64
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -274,6 +280,9 @@
 	to.running[t] = struct{}{}
 	to.cache.Add(now, t.Parts)
 	to.recent.Add(now)
+	if to.said.Leaving() {
+		s.afterLeaving++
+	}
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 		s.throttle.Sent(t.Organisation, t.offer())
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -69,6 +69,7 @@
 		}
 		if old == nil {
 			old = newTarget(t)
+			old.said = s.advice.Find(old.name)
 		}
 		old.Target = t
 		s.cooled(now, old, before)
@@ -80,6 +81,7 @@
 	}
 	s.targets = known
 	s.services = services
+	s.advice.Prune(now, func(name string) bool { return s.alive(name) != nil })
 	s.dispatch(now)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,9 +30,11 @@
 	counts   Counts
 }
 
-// Counts counts what happens to requests, by reason.
+// Counts counts what happens to requests, by reason, and what targets say of themselves.
 type Counts interface {
 	Retried(r Reason)
+	// Advised counts what a target says for the first time.
+	Advised(a Advice)
 }
 
 // New returns a forwarder.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -49,6 +49,7 @@
 func (ignored) Head(int, http.Header, int64) {}
 func (ignored) Write([]byte) error           { return nil }
 func (ignored) Retried(forward.Reason)       {}
+func (ignored) Advised(forward.Advice)       {}
 
 var _ = Describe("Forward", func() {
 	It("leaves no load behind when its caller goes away while another target is chosen", func() {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -23,6 +23,8 @@
 	ExpectTarget string
 	// NotRun stands in answers to requests that the target did not run.
 	NotRun string
+	// Leaving stands in the answers of a target that leaves, as a boolean.
+	Leaving string
 	// FetchFrom names the address of an engine from which the target fetches
 	// what it lacks of the prompt's parts.
 	FetchFrom string
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -62,6 +62,7 @@
 	}
 	x.verdict.Sends++
 	x.answers = false
+	x.advised(to, answer)
 	f := x.receive(ctx, answer, watch)
 	answer.Close()
 	if f == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,9 @@
 	// cold says what may be sent to cold targets, coldNow which there are.
 	cold    *coldstart.Senders
 	coldNow coldTargets
-	tally   tally
+	// afterLeaving is how many requests sent to leaving targets are in the log.
+	afterLeaving int64
+	tally        tally
 }
 
 // listener listens for callers. Without the kernel's probes of idle
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 	// service, and coldHeld how often one was passed over for that.
 	zones, cold *expvar.Map
 	coldHeld    *expvar.Int
+	// advice counts what targets said of themselves in answers, againstAdvice the requests
+	// that were sent in spite of it.
+	advice, againstAdvice *expvar.Map
 	// suspects counts changes of what is known of requests that end targets.
 	suspects *expvar.Map
 	// suspensions counts how often the box was suspended, suspendedFor for how long in
@@ -53,6 +56,7 @@
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), cold: new(expvar.Map), coldHeld: new(expvar.Int), suspects: new(expvar.Map),
+		advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		suspensions: new(expvar.Int), suspendedFor: new(expvar.Int),
 		waited: hdrhistogram.New(1, maxLatency, latencyDigits),
 		first:  hdrhistogram.New(1, maxLatency, latencyDigits),
@@ -67,6 +71,8 @@
 	m.root.Set("cold_targets", m.cold)
 	m.root.Set("cold_passed_over", m.coldHeld)
 	m.root.Set("suspected_requests", m.suspects)
+	m.root.Set("target_advice", m.advice)
+	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("suspensions", m.suspensions)
 	m.root.Set("suspended_ms", m.suspendedFor)
 	m.root.Set("violations", invariant.Violations())
@@ -91,6 +97,9 @@
 // Retried counts a retry by its reason.
 func (m *Metrics) Retried(r forward.Reason) { m.retries.Add(string(r), 1) }
 
+// Advised counts what a target said of itself.
+func (m *Metrics) Advised(a forward.Advice) { m.advice.Add(string(a), 1) }
+
 func (m *Metrics) ended(v forward.Verdict, took time.Duration) {
 	m.statuses.Add(fmt.Sprint(v.Status), 1)
 	switch {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -66,6 +66,7 @@
 	g.logThrottles(s.Throttles())
 	g.logTallies(now)
 	g.logCold(s, now)
+	g.logAdvice(s)
 	g.found(now)
 	g.expireSuspects(now)
 	g.stopWaiting(now)
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -54,6 +54,7 @@
 
 func (ended) Ended(forward.Request, forward.Verdict, time.Duration) {}
 func (ended) Retried(forward.Reason)                                {}
+func (ended) Advised(forward.Advice)                                {}
 
 // maxConnections is the most connections that newServer's server has.
 const maxConnections = 3
