Lines and counts of what targets say of themselves in answers: that they want a rest

Logs could not tell whether a 503 had asked for a rest, nor whether the router held one for resting. Each router now notes it by incarnation (`target asks for a rest`, target_advice) and counts the requests that it sent there meanwhile (sent_against_advice). Nothing is decided by it yet.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -1,5 +1,5 @@
-// Package advice remembers what targets said of themselves in their answers to this router.
-// It is kept by incarnation, apart from the list of targets: an entry that goes and comes back,
+// Package advice remembers what targets said of themselves in their answers to this router:
+// that they leave, or that they want nothing from it for a time. It is kept by incarnation, apart from the list of targets: an entry that goes and comes back,
 // or one that still says something else, takes back nothing that the target said itself.
 // Time comes in through arguments.
 package advice
@@ -10,12 +10,25 @@
 // than an entry may be missing before it is listed again.
 const keptTime = time.Hour
 
+// RestMost bounds the rest that a target may ask for: a mistaken one must not be without
+// work for ever.
+const RestMost = 10 * time.Minute
+
 // Record is what one incarnation of a target said. A nil record has said nothing.
 type Record struct {
 	leaving bool
+	rest    time.Time
 	heard   time.Time
 }
 
+// Rest returns until when the target wants nothing; zero if it never asked for a rest.
+func (r *Record) Rest() time.Time {
+	if r == nil {
+		return time.Time{}
+	}
+	return r.rest
+}
+
 // Leaving reports whether the target said that it leaves, which it cannot take back.
 func (r *Record) Leaving() bool { return r != nil && r.leaving }
 
@@ -36,6 +49,17 @@
 	return r, news
 }
 
+// Rest notes that an incarnation wants nothing for a time, of which the latest end holds. It
+// returns its record, and whether it was not resting.
+func (b *Book) Rest(now time.Time, name string, d time.Duration) (*Record, bool) {
+	r := b.record(now, name)
+	news := !now.Before(r.rest)
+	if until := now.Add(min(d, RestMost)); until.After(r.rest) {
+		r.rest = until
+	}
+	return r, news
+}
+
 func (b *Book) record(now time.Time, name string) *Record {
 	r := b.records[name]
 	if r == nil {
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -22,6 +22,21 @@
 	// false
 }
 
+// ExampleBook_Rest shows that the latest end holds.
+func ExampleBook_Rest() {
+	var b advice.Book
+	r, news := b.Rest(start, "t", 3*time.Second)
+	fmt.Println(r.Rest().Sub(start), news)
+	r, news = b.Rest(start.Add(time.Second), "t", time.Second)
+	fmt.Println(r.Rest().Sub(start), news)
+	r, _ = b.Rest(start, "t", 1000*time.Hour)
+	fmt.Println(r.Rest().Sub(start))
+	// Output:
+	// 3s true
+	// 3s false
+	// 10m0s
+}
+
 func TestPrune(t *testing.T) {
 	cases := map[string]struct {
 		after  time.Duration
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -161,8 +161,7 @@
 	coldPart func(now time.Time, target string, r coldstart.Rate) int
 	heldCold int64
 	advice   advice.Book
-	// afterLeaving counts the requests sent to targets that had said that they leave.
-	afterLeaving int64
+	against  Against
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -280,9 +279,7 @@
 	to.running[t] = struct{}{}
 	to.cache.Add(now, t.Parts)
 	to.recent.Add(now)
-	if to.said.Leaving() {
-		s.afterLeaving++
-	}
+	s.heed(now, to)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 		s.throttle.Sent(t.Organisation, t.offer())
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -7,11 +7,13 @@
 
 // logAdvice logs and counts what was sent in spite of what targets said of themselves.
 func (g *Gateway) logAdvice(s *balance.State) {
-	after := s.AfterLeaving()
-	if after == g.afterLeaving {
+	now, before := s.AgainstAdvice(), g.against
+	if now == before {
 		return
 	}
-	g.Log.Info("requests sent to leaving targets", "count", after-g.afterLeaving)
-	g.Metrics.againstAdvice.Add(string(forward.AdviceLeaving), after-g.afterLeaving)
-	g.afterLeaving = after
+	leaving, resting := now.Leaving-before.Leaving, now.Resting-before.Resting
+	g.Log.Info("requests sent against advice", "leaving", leaving, "resting", resting)
+	g.Metrics.againstAdvice.Add(string(forward.AdviceLeaving), leaving)
+	g.Metrics.againstAdvice.Add(string(forward.AdviceRest), resting)
+	g.against = now
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,9 +117,9 @@
 	// cold says what may be sent to cold targets, coldNow which there are.
 	cold    *coldstart.Senders
 	coldNow coldTargets
-	// afterLeaving is how many requests sent to leaving targets are in the log.
-	afterLeaving int64
-	tally        tally
+	// against is which requests sent in spite of what targets said are in the log.
+	against balance.Against
+	tally   tally
 }
 
 // listener listens for callers. Without the kernel's probes of idle
