What a target says in an answer, that it leaves, holds at once and until its process ends

What callers saw: requests went on reaching a target 2.4 s and more after it had said in an answer that it leaves; the router had passed that answer on.

Cause: a router knew of a target only what the store's list says. Answers were passed on and looked at for nothing but "not run". While the store is away no entry changes, and an entry written before says "ready" for ever.

Change: the head of each answer is looked at, whatever becomes of its body; what it says is kept by incarnation, apart from the list, so that no entry takes it back, nor one that goes and comes again. Such a target gets nothing new: no first send, repeat, resumption or fetch. An answer that the request was meant for another process says nothing of this one. Where all targets of a service leave or are closed otherwise, requests are refused at once instead of waiting for room that cannot come. An end that was said beforehand in an answer is no crash, as with one said in an entry.

--- a/internal/balance/advice.go
+++ b/internal/balance/advice.go
@@ -14,6 +14,9 @@
 	}
 	record, news := s.advice.Leave(now, t.at.name)
 	s.said(t.at, record)
+	if news {
+		s.refuseUnservable(now)
+	}
 	return news
 }
 
@@ -37,6 +40,13 @@
 	}
 }
 
+// Closed reports whether a target gets nothing new. What it said itself holds, whatever its
+// entry says.
+func (t *target) Closed(now time.Time) bool { return t.said.Leaving() || t.Target.Closed(now) }
+
+// SaidLeaving reports whether an incarnation of a target has said that it leaves.
+func (s *State) SaidLeaving(t Target) bool { return s.advice.Find(t.Incarnation()).Leaving() }
+
 // resting reports whether the target wants nothing now.
 func (t *target) resting(now time.Time) bool { return now.Before(t.said.Rest()) }
 
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -244,9 +244,8 @@
 	if !s.behind(now, t) && s.assign(now, t) {
 		return
 	}
-	if s.allDrained(now, t.Service) {
-		// It cannot be served for as long as that holds.
-		s.refuse(now, t, Drained)
+	if why, ok := s.unservable(now, t); ok {
+		s.refuse(now, t, why)
 		return
 	}
 	if !t.Resumes && (len(s.queue) >= maxWaiting || s.crowds(t)) {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -131,6 +131,31 @@
 	return drained
 }
 
+// unservable returns why a request cannot be sent to any of its service's targets, for as
+// long as these are the ones there are. A service without targets may get some any moment.
+func (s *State) unservable(now time.Time, t *Ticket) (Reason, bool) {
+	list := s.services[t.Service]
+	open := slices.ContainsFunc(list, func(to *target) bool { return !to.Closed(now) })
+	switch {
+	case open || len(list) == 0:
+		return "", false
+	case s.allDrained(now, t.Service):
+		return Drained, true
+	}
+	return NoTarget, true
+}
+
+// refuseUnservable refuses what waits and cannot be sent to any target.
+func (s *State) refuseUnservable(now time.Time) {
+	s.queue = slices.DeleteFunc(s.queue, func(t *Ticket) bool {
+		why, ok := s.unservable(now, t)
+		if ok {
+			s.refuse(now, t, why)
+		}
+		return ok
+	})
+}
+
 // Waiting returns the number of requests that wait for room.
 func (s *State) Waiting() int { return len(s.queue) }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -55,8 +55,8 @@
 // Broke implements forward.Suspects.
 func (g suspects) Broke(ctx context.Context, b forward.Break) int {
 	crashes := 0
-	g.loop.Ask(ctx, func(_ *balance.State, now time.Time) {
-		if g.announced(b.Target) {
+	g.loop.Ask(ctx, func(s *balance.State, now time.Time) {
+		if g.announced(s, b.Target) {
 			return
 		}
 		name := b.Target.Incarnation()
@@ -89,8 +89,8 @@
 
 // Ended implements forward.Suspects.
 func (g suspects) Ended(t balance.Target) {
-	g.loop.Post(func(_ *balance.State, now time.Time) {
-		if !g.announced(t) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		if !g.announced(s, t) {
 			g.isolation.state.Ended(now, t.Incarnation())
 			g.found(now)
 		}
@@ -113,12 +113,12 @@
 	})
 }
 
-// announced reports whether a target's end was to be expected: it said that it leaves, or
-// its entry had gone before. An entry that lapsed with the store says neither, and a target
+// announced reports whether a target's end was to be expected: it said that it leaves, in
+// an answer or its entry, or its entry had gone before. An entry that lapsed with the store says neither, and a target
 // of which another process is known has started again.
-func (g *Gateway) announced(t balance.Target) bool {
+func (g *Gateway) announced(s *balance.State, t balance.Target) bool {
 	known, listed := g.catalog.Target(t.ID)
-	return !listed || known.Born == t.Born && known.Leaving
+	return s.SaidLeaving(t) || !listed || known.Born == t.Born && known.Leaving
 }
 
 // restarted notes that other processes have started under the ids of targets: what broke off
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -41,6 +41,18 @@
 	}
 }
 
+// saysThatItLeaves makes the only target of a service say in an answer that it leaves.
+func saysThatItLeaves(g *Gateway) {
+	g.loop.Ask(context.Background(), func(s *balance.State, now time.Time) {
+		t := &balance.Ticket{
+			ID: "r", Service: "s", Goal: time.Second, Arrived: now, Deadline: now.Add(time.Second), Decision: make(chan balance.Decision, 1),
+		}
+		s.Arrive(now, t)
+		s.Leaves(now, t)
+		s.Ended(now, t, balance.Answered)
+	})
+}
+
 // TestUnannouncedEnds says which ends of targets are counted against what ran there.
 func TestUnannouncedEnds(t *testing.T) {
 	target := balance.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
@@ -55,6 +67,7 @@
 	}{
 		"a listed target":                {ended: true, want: 1},
 		"a broken answer alone":          {},
+		"one that said so in an answer":  {ended: true, before: saysThatItLeaves},
 		"one that said that it leaves":   {ended: true, before: func(g *Gateway) { g.SetTargets(9, []message.StoredObject{listedAs(t, 9, leaving)}) }},
 		"one whose entry went":           {ended: true, before: func(g *Gateway) { g.ChangeTargets(9, gone) }},
 		"one that started again":         {ended: true, before: func(g *Gateway) { g.SetTargets(9, []message.StoredObject{listedAs(t, 9, again)}) }, want: 1},
