Tests of targets that ask for a rest, failing, known red

What callers saw: requests were sent to engines that had just turned others away and had asked to be left alone for three seconds, and came back with 503 after two such sends.

--- /dev/null
+++ b/internal/balance/rest_test.go
@@ -0,0 +1,180 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+)
+
+const (
+	// restAsked is the rest that a target asks for, restSlack the time after that answer in
+	// which more may arrive, and restArrivals how many may arrive later while it rests.
+	restAsked    = 3 * time.Second
+	restSlack    = 500 * time.Millisecond
+	restArrivals = 2
+	// wayMost is the longest that a request takes to its target, connecting included.
+	wayMost = 400 * time.Millisecond
+	// playStep and playTime are the step and the length of a play.
+	playStep, playTime = 5 * time.Millisecond, 20 * time.Second
+)
+
+// restPlay is a router before targets of which some turn everything away for a while.
+type restPlay struct {
+	*world
+	*rand.Rand
+	from, until time.Time
+	refuses     func(id string) bool
+	plain       bool
+	asked       map[string][]time.Time
+	arrived     map[string][]time.Time
+	due         []due
+	// refused has what callers were told that had no target.
+	refused []balance.Decision
+	served  int
+}
+
+// due is something that happens later.
+type due struct {
+	at time.Time
+	do func()
+}
+
+func (p *restPlay) after(d time.Duration, do func()) { p.due = append(p.due, due{p.now.Add(d), do}) }
+
+// ask sends a request, and once more if it is turned away.
+func (p *restPlay) ask() {
+	k := p.prompt("o", fmt.Sprint("shared", p.IntN(24)), 100)
+	if p.plain {
+		k = p.world.plain()
+	}
+	p.Arrive(p.now, k)
+	p.follow(k, 1)
+}
+
+// follow sends what has a target and looks again for the rest.
+func (p *restPlay) follow(k *balance.Ticket, repeats int) {
+	d := decision(k)
+	switch {
+	case d == nil:
+		p.after(playStep, func() { p.follow(k, repeats) })
+	case d.Refused != "":
+		p.refused = append(p.refused, *d)
+	default:
+		way := time.Millisecond
+		if p.IntN(50) == 0 {
+			way = time.Duration(p.Int64N(int64(wayMost)))
+		}
+		p.after(way, func() { p.reach(k, d.Target.ID, repeats) })
+	}
+}
+
+// reach has a request reach its target.
+func (p *restPlay) reach(k *balance.Ticket, id string, repeats int) {
+	p.arrived[id] = append(p.arrived[id], p.now)
+	if p.now.Before(p.from) || !p.now.Before(p.until) || !p.refuses(id) {
+		p.after(20*time.Millisecond, func() { p.Begun(p.now, k) })
+		p.after(100*time.Millisecond, func() {
+			p.Ended(p.now, k, balance.Answered)
+			p.served++
+		})
+		return
+	}
+	p.asked[id] = append(p.asked[id], p.now)
+	p.after(time.Millisecond, func() {
+		p.Rests(p.now, k, restAsked)
+		p.Ended(p.now, k, balance.Refused)
+		k.Tried = append(k.Tried, id)
+		if repeats > 0 && p.Again(p.now, k) {
+			p.follow(k, repeats-1)
+		}
+	})
+}
+
+func (p *restPlay) run(perStep float64) {
+	for end := p.now.Add(playTime); p.now.Before(end); {
+		p.pass(playStep)
+		now := p.now
+		list := p.due
+		p.due = nil
+		for _, e := range list {
+			if e.at.After(now) {
+				p.due = append(p.due, e)
+				continue
+			}
+			e.do()
+		}
+		for n := perStep; n > 0 && p.Float64() < n; n-- {
+			p.ask()
+		}
+		if p.IntN(40) == 0 {
+			// The list comes again, now and then without one of them for a moment.
+			i := p.IntN(len(targets(6)))
+			p.SetTargets(p.now, slices.Delete(targets(6), i, i+1))
+			p.SetTargets(p.now, targets(6))
+		}
+	}
+}
+
+// late returns the most requests that arrived at a target while it rested.
+func (p *restPlay) late() int {
+	most := 0
+	for id, list := range p.asked {
+		for _, at := range list {
+			n := 0
+			for _, a := range p.arrived[id] {
+				if a.After(at.Add(restSlack)) && a.Before(at.Add(restAsked)) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// Targets that turned requests away and asked for a rest got all the more of them, since
+// nothing ran there.
+func TestRequestsReachRestingTargets(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	cases := map[string]struct {
+		refuses func(id string) bool
+		plain   bool
+		all     bool
+	}{
+		"some engines":       {refuses: func(id string) bool { return id == "e1" || id == "e4" }},
+		"some plain targets": {refuses: func(id string) bool { return id == "p1" || id == "p4" }, plain: true},
+		"all engines":        {refuses: func(string) bool { return true }, all: true},
+		"all plain targets":  {refuses: func(string) bool { return true }, plain: true, all: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(6)
+			p := &restPlay{
+				world: w, Rand: rand.New(rand.NewPCG(1, 2)), refuses: c.refuses, plain: c.plain,
+				from: w.now.Add(4 * time.Second), until: w.now.Add(13 * time.Second),
+				asked: map[string][]time.Time{}, arrived: map[string][]time.Time{},
+			}
+			p.run(0.5)
+			if n := p.late(); n > restArrivals {
+				t.Errorf("%d requests reached a target while it rested, %d may", n, restArrivals)
+			}
+			if !c.all && len(p.refused) > 0 {
+				t.Errorf("%d of %d refused though other targets have room, first %+v", len(p.refused), p.served, p.refused[0])
+			}
+			if c.all && !slices.ContainsFunc(p.refused, func(d balance.Decision) bool { return d.RetryAfter > time.Second }) {
+				t.Errorf("nobody was told to come back after the rest; %d refused", len(p.refused))
+			}
+			for id := range p.asked {
+				if last := p.arrived[id][len(p.arrived[id])-1]; !last.After(p.until.Add(restAsked)) {
+					t.Errorf("%s got nothing after its rest", id)
+				}
+			}
+		})
+	}
+}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -92,6 +92,8 @@
 	NoTarget Reason = "no-target"
 	// Drained means that the service has targets in drained availability zones only.
 	Drained Reason = "zones-drained"
+	// Resting means that all targets that could take the request asked for a rest.
+	Resting Reason = "targets-resting"
 	// Crowded and Busy are for requests that are refused unread.
 	Crowded = Reason(throttle.Crowded)
 	Busy    = Reason(throttle.Busy)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -131,6 +131,7 @@
 // The reasons.
 const (
 	ReasonFull     Reason = Reason(balance.Full)
+	ReasonResting  Reason = Reason(balance.Resting)
 	ReasonNoTarget Reason = Reason(balance.NoTarget)
 	// ReasonCrowded and ReasonBusy are those for which a request is refused unread.
 	ReasonCrowded Reason = Reason(balance.Crowded)
