A target that asks for a rest gets nothing from this router until it is over

What callers saw: engines that turned everything away got three to six times as many requests as before, 48 from one router within a rest of three seconds; callers were refused after two sends in 3 ms and told to come back after 0.2 s.

Nothing runs at a target that turns all away, so that it looked the best of all.

Afterwards one request goes first; the others follow when it has been taken. Routers end the rest up to a tenth later, each by its own draw, so as not to come back together. Where all targets rest for longer than a request may wait, it is refused at once (`targets-resting`) with the earliest end as the time to come back, also where it was just turned away by the last of them.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -21,7 +21,8 @@
 	heard   time.Time
 }
 
-// Rest returns until when the target wants nothing; zero if it never asked for a rest.
+// Rest returns until when the target wants nothing, or wanted; zero if it asked for no rest,
+// or has taken a request since.
 func (r *Record) Rest() time.Time {
 	if r == nil {
 		return time.Time{}
@@ -60,6 +61,9 @@
 	return r, news
 }
 
+// EndRest notes that the target has taken a request after its rest.
+func (r *Record) EndRest() { r.rest = time.Time{} }
+
 func (b *Book) record(now time.Time, name string) *Record {
 	r := b.records[name]
 	if r == nil {
--- a/internal/balance/advice.go
+++ b/internal/balance/advice.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/advice"
@@ -26,8 +27,11 @@
 	if t.at == nil {
 		return false
 	}
-	record, news := s.advice.Rest(now, t.at.name, d)
+	spread := time.Duration(s.random.Int64N(int64(min(d, advice.RestMost))*restSpread/100 + 1))
+	record, news := s.advice.Rest(now, t.at.name, d+spread)
 	s.said(t.at, record)
+	t.at.trial = nil
+	s.refuseUnservable(now)
 	return news
 }
 
@@ -47,9 +51,61 @@
 // SaidLeaving reports whether an incarnation of a target has said that it leaves.
 func (s *State) SaidLeaving(t Target) bool { return s.advice.Find(t.Incarnation()).Leaving() }
 
+const (
+	// restSpread is by how much longer a target is left alone than it asked for, in percent
+	// at most: routers that were turned away together must not come back together.
+	restSpread = 10
+	// trialTime is for how long a request that is sent after a rest keeps others back: a
+	// target that is silent for longer may still take them.
+	trialTime = 500 * time.Millisecond
+)
+
 // resting reports whether the target wants nothing now.
 func (t *target) resting(now time.Time) bool { return now.Before(t.said.Rest()) }
 
+// unrested reports whether a target rests, or has taken no request since and has one on
+// trial: a target that is still full would turn away all that waited for it.
+func (t *target) unrested(now time.Time) bool {
+	return t.resting(now) || t.trial != nil && now.Sub(t.trial.sent) < trialTime
+}
+
+// tried notes that a target has taken the request that was sent to it on trial.
+func (t *target) tried(k *Ticket) {
+	if t.trial == k {
+		t.trial = nil
+		t.said.EndRest()
+	}
+}
+
+// restEnd returns when the first target rests no longer, of those to which a request can be
+// sent, if all of them rest.
+func (s *State) restEnd(now time.Time, service string, except []string) (time.Time, bool) {
+	var first time.Time
+	for _, to := range s.services[service] {
+		if to.Closed(now) || slices.Contains(except, to.name) {
+			continue
+		}
+		if !to.resting(now) {
+			return time.Time{}, false
+		}
+		if end := to.said.Rest(); first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// RestLeft returns when to come back to a service all of whose targets rest, spread so that
+// callers do not return together; false if one of them does not.
+func (s *State) RestLeft(now time.Time, service string) (time.Duration, bool) {
+	end, ok := s.restEnd(now, service, nil)
+	if !ok {
+		return 0, false
+	}
+	left := end.Sub(now)
+	return left + time.Duration(s.random.Int64N(int64(left)*restSpread/100+1)), true
+}
+
 // Against counts the requests that were sent in spite of what targets said: to those that
 // leave, and to those that rest.
 type Against struct {
@@ -59,12 +115,15 @@
 // AgainstAdvice returns the counts since the start.
 func (s *State) AgainstAdvice() Against { return s.against }
 
-// heed counts a request that is sent to a target.
-func (s *State) heed(now time.Time, to *target) {
+// heed notes what a request means that is sent to a target which has said something.
+func (s *State) heed(now time.Time, t *Ticket, to *target) {
 	if to.said.Leaving() {
 		s.against.Leaving++
 	}
 	if to.resting(now) {
 		s.against.Resting++
 	}
+	if !to.said.Rest().IsZero() {
+		to.trial = t
+	}
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -124,6 +124,8 @@
 	takes time.Duration
 	// said is what the target said of itself in its answers; nil if nothing.
 	said *advice.Record
+	// trial is the request that was sent first after a rest and has no answer yet.
+	trial *Ticket
 }
 
 // State is the control state of a router. Use New to make one.
@@ -231,7 +233,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.services[t.Service], func(c *target) bool {
-		return c != t.at && !c.Closed(now) && !c.suspected(now) && !slices.Contains(t.Tried, c.name)
+		return c != t.at && !c.Closed(now) && !c.suspected(now) && !c.unrested(now) && !slices.Contains(t.Tried, c.name)
 	})
 }
 
@@ -278,7 +280,7 @@
 	to.running[t] = struct{}{}
 	to.cache.Add(now, t.Parts)
 	to.recent.Add(now)
-	s.heed(now, to)
+	s.heed(now, t, to)
 	if t.Engine {
 		s.shares.begun(now, t.Organisation, t.tokens())
 		s.throttle.Sent(t.Organisation, t.offer())
@@ -302,6 +304,7 @@
 		return
 	}
 	t.begun = true
+	t.at.tried(t)
 	t.at.progress = now
 	if t.Engine && t.Stream {
 		s.pace(t.Service).Observe(t.work, now.Sub(t.sent))
@@ -322,6 +325,11 @@
 	to.own = to.own.Minus(t.load)
 	to.forget(t)
 	delete(to.running, t)
+	if how == Answered {
+		to.tried(t)
+	} else if to.trial == t {
+		to.trial = nil
+	}
 	to.note(now, how)
 	if how == Answered && !t.Engine && t.free {
 		to.learn(now.Sub(t.sent))
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -188,12 +188,12 @@
 }
 
 // usable returns the targets of t's service that may be sent to: none that
-// leaves or was tried before, no cold one that had its part, and none that is
+// leaves, rests or was tried before, no cold one that had its part, and none that is
 // suspected of failing unless all are. The list is valid until the next call.
 func (s *State) usable(now time.Time, t *Ticket) []*target {
 	good, suspect := s.good[:0], s.suspect[:0]
 	for _, c := range s.services[t.Service] {
-		if c.Closed(now) || slices.Contains(t.Tried, c.name) || s.held(now, c) {
+		if c.Closed(now) || c.unrested(now) || slices.Contains(t.Tried, c.name) || s.held(now, c) {
 			continue
 		}
 		if c.suspected(now) {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -109,9 +109,12 @@
 // reason returns why a request has found no target.
 func (s *State) reason(now time.Time, t *Ticket) Reason {
 	open := slices.ContainsFunc(s.services[t.Service], func(to *target) bool { return !to.Closed(now) })
+	_, rest := s.restEnd(now, t.Service, t.Tried)
 	switch {
 	case !open:
 		return NoTarget
+	case rest:
+		return Resting
 	case s.behind(now, t):
 		return OverShare
 	}
@@ -131,14 +134,19 @@
 	return drained
 }
 
-// unservable returns why a request cannot be sent to any of its service's targets, for as
-// long as these are the ones there are. A service without targets may get some any moment.
+// unservable returns why a request cannot be sent to any of its service's targets while it
+// may wait, for as long as these are the ones there are. A service without targets may get
+// some any moment.
 func (s *State) unservable(now time.Time, t *Ticket) (Reason, bool) {
 	list := s.services[t.Service]
-	open := slices.ContainsFunc(list, func(to *target) bool { return !to.Closed(now) })
-	switch {
-	case open || len(list) == 0:
+	if len(list) == 0 {
 		return "", false
+	}
+	if slices.ContainsFunc(list, func(to *target) bool { return !to.Closed(now) }) {
+		end, rest := s.restEnd(now, t.Service, t.Tried)
+		return Resting, rest && end.After(t.expires)
+	}
+	switch {
 	case s.allDrained(now, t.Service):
 		return Drained, true
 	}
@@ -225,6 +233,9 @@
 // comeBack returns when a refused caller should come back, spread so that
 // refused callers do not return together.
 func (s *State) comeBack(now time.Time, t *Ticket) time.Duration {
+	if d, ok := s.RestLeft(now, t.Service); ok {
+		return d
+	}
 	d := comeBackFull
 	if s.allDrained(now, t.Service) {
 		d = comeBackDrained
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -35,6 +35,8 @@
 		return "the router was stopping, and the request might have outlasted it", some(s.last("planned stop begins", end.Router, end.Time, nil))
 	case "no-target":
 		return "the service had no target", some(s.last("targets known", end.Router, end.Time, nil), s.last("store lost", end.Router, end.Time, nil))
+	case "targets-resting":
+		return "all targets of the service had turned requests away and asked for a rest", some(s.last("target asks for a rest", end.Router, end.Time, nil))
 	case "target-broken", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
 		return s.targetFault(reason), s.after("targets known", end)
 	case "caller-gone":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -65,6 +65,11 @@
 			},
 			says: "1 were answered and 0 refused",
 		},
+		"resting targets": {
+			logs:  []string{line(9, "target asks for a rest", `,"target":"e1","rest_ms":3000`), request(10, `,"outcome":"refused","status":503,"reason":"targets-resting"`)},
+			says:  "asked for a rest",
+			shows: "rest_ms=3000",
+		},
 		"a busy router": {
 			logs:  []string{line(9, "organisation throttled", `,"organisation":"o","busy":0.9`), request(10, `,"outcome":"refused","status":503,"reason":"router-busy"`)},
 			says:  "processor",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -254,10 +254,27 @@
 		return false
 	}
 	x.logFailed("given up", to, f)
-	x.refuse(f.reason, comeBackSoon)
+	x.refuse(f.reason, x.comeBack(ctx, f))
 	return false
 }
 
+// comeBack returns when to come back after the last send has failed.
+func (x *run) comeBack(ctx context.Context, f *failure) time.Duration {
+	if f.reason != ReasonRefused {
+		return comeBackSoon
+	}
+	after := comeBackSoon
+	asked := x.loop.Ask(ctx, func(s *balance.State, now time.Time) {
+		if d, ok := s.RestLeft(now, x.Service); ok {
+			after = max(after, d)
+		}
+	})
+	if !asked {
+		return comeBackSoon
+	}
+	return after
+}
+
 // logFailed logs what follows a failed send. Where the target broke off, the content
 // tells whether the same is asked at the next one that does.
 func (x *run) logFailed(what string, to balance.Target, f *failure) {
