--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,6 +6,7 @@
 package catalog
 
 import (
+	"bytes"
 	"slices"
 	"strconv"
 	"strings"
@@ -126,6 +127,11 @@
 	return true, nil
 }
 
+// Differs reports whether a configuration is another than the one in force.
+func (c *Catalog) Differs(config []byte) bool {
+	return c.table != nil && !bytes.Equal(config, c.config)
+}
+
 // SetTargets takes over the store's whole list of targets as of a revision. It
 // returns false if the list is older than what is known. Entries that name no target
 // to use are told by Ignored.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -135,6 +135,7 @@
 		return
 	}
 	if !changed {
+		g.logNotTaken(revision, value, from)
 		return
 	}
 	t := g.catalog.Table()
@@ -145,6 +146,14 @@
 	g.spread(clock.Now())
 }
 
+// logNotTaken logs a configuration that is another than the one in force and not newer.
+func (g *Gateway) logNotTaken(revision int64, value []byte, from string) {
+	if g.catalog.Differs(value) {
+		g.Log.Info("configuration not taken", "revision", revision, "in_force", g.catalog.ConfigRevision(),
+			"version", g.catalog.Table().Version(), "bytes", len(value), "from", from)
+	}
+}
+
 // SetConfig takes over a configuration from the store.
 func (g *Gateway) SetConfig(revision int64, value []byte) {
 	g.loop.Post(func(s *balance.State, _ time.Time) { g.setConfig(s, revision, value, fromStore) })
