What a store says after it came back older is later than all before, and its copy is no news

What callers saw: a route that had been confirmed was refused with 404, and a key that had been taken away was served, until the store's revisions passed those known before it went.

Cause: everything that routers know of the store is ordered by its revision, which they took to rise for ever. A store that comes back from a copy gives revisions out again: what the operator writes next has one that was known before, and is dropped as old. A watch from such a revision may even get an answer that lacks what lies below it.

What the copy holds is no news: configurations are ordered by the version that they name, entries of one process by its count of writes; a target that left and is listed again counts as leaving until its entry has outlived that of a target that does not write; what is missing lapses as in an outage, drained zones too.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -52,7 +52,7 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Copy{Copy: encodeCopy(m)}}
 	case message.NeedCopy:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_NeedCopy{NeedCopy: &peerpb.NeedCopy{
-			Config: m.Config, Targets: m.Targets, Zones: m.Zones,
+			Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones,
 		}}}
 	case message.ZoneStatus:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_ZoneStatus{ZoneStatus: &peerpb.ZoneStatus{
@@ -131,7 +131,10 @@
 	case *peerpb.Envelope_Ping:
 		return decodePing(b.Ping)
 	case *peerpb.Envelope_NeedCopy:
-		return message.NeedCopy{Config: b.NeedCopy.GetConfig(), Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones()}
+		return message.NeedCopy{
+			Config: b.NeedCopy.GetConfig(), Version: b.NeedCopy.GetConfigVersion(),
+			Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones(),
+		}
 	}
 	return nil
 }
--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -8,7 +8,7 @@
 )
 
 func encodeStatus(m message.Status) *peerpb.Status {
-	out := &peerpb.Status{Config: m.Config, Targets: m.Targets, Zones: m.Zones, Loads: encodeLoads(m.Loads)}
+	out := &peerpb.Status{Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Loads: encodeLoads(m.Loads)}
 	for _, k := range m.Kept {
 		out.Kept = append(out.Kept, &peerpb.TargetParts{Target: k.Target, Parts: k.Parts})
 	}
@@ -22,7 +22,7 @@
 
 func decodeStatus(m *peerpb.Status) message.Status {
 	out := message.Status{
-		Revisions: message.Revisions{Config: m.GetConfig(), Targets: m.GetTargets(), Zones: m.GetZones()},
+		Revisions: message.Revisions{Config: m.GetConfig(), Version: m.GetConfigVersion(), Targets: m.GetTargets(), Zones: m.GetZones()},
 		Loads:     decodeLoads(m.GetLoads()),
 	}
 	for _, k := range m.GetKept() {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -85,6 +85,8 @@
 	// Born is when the target's process started, in Unix milliseconds; 0 where the
 	// target does not say.
 	Born int64
+	// Writes is how often that process had written its entry; 0 where it does not say.
+	Writes int64
 	// Leaving targets get nothing new, and those of a drained availability zone neither.
 	Leaving, Drained bool
 	// ColdLeft is for how much longer the target said that it is cold, ColdUntil until
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,7 +2,8 @@
 // configuration, the list of targets and that of drained availability zones, each as of a
 // revision of the store.
 // It takes them from the store and from other routers, whichever is newer,
-// and never goes back. It is driven by one goroutine.
+// and never goes back, nor does it where the store comes back from an older copy: what that
+// holds counts only where its writers have written it since. It is driven by one goroutine.
 package catalog
 
 import (
@@ -48,6 +49,9 @@
 	lapsed, until time.Time
 	// coldUntil is until when the entry says that the target is cold.
 	coldUntil time.Time
+	// doubtUntil is until when the entry may be one that its target has left since; zero
+	// for one that is not in doubt.
+	doubtUntil time.Time
 }
 
 // Catalog is one router's copy. Use New to make one.
@@ -55,7 +59,10 @@
 	codec Codec
 	// lapse is for how long after the store's trouble a target is still used
 	// whose entry went meanwhile.
-	lapse          time.Duration
+	lapse time.Duration
+	// silence is after how long the store takes out the entry of a target that writes no
+	// more.
+	silence        time.Duration
 	configRevision int64
 	config         []byte
 	table          *routing.Table
@@ -65,6 +72,11 @@
 	entries map[string]*entry
 	// unstableUntil is until when entries that go count as lapsed.
 	unstableUntil time.Time
+	// left has the last entries of targets that have left.
+	left map[string]Version
+	// zonesHeld has until when zones count as drained whose objects went while the store
+	// was in trouble.
+	zonesHeld map[string]time.Time
 	// ignored has entries that name no target to use, for Ignored, and ignoredBy
 	// their number by field.
 	ignored   []Ignored
@@ -72,12 +84,16 @@
 }
 
 // New returns an empty catalog. A target that leaves serves on for drain: those
-// whose entries went while the store was in trouble are used for less.
-func New(c Codec, drain time.Duration) *Catalog {
-	return &Catalog{
-		codec: c, lapse: max(min(backTime, drain-drainReserve), 0),
+// whose entries went while the store was in trouble are used for less. The store takes out
+// the entry of a target that writes no more after silence.
+func New(codec Codec, drain, silence time.Duration) *Catalog {
+	c := &Catalog{
+		codec: codec, lapse: max(min(backTime, drain-drainReserve), 0), silence: silence,
 		targets: newReplica(), zones: newReplica(), entries: map[string]*entry{}, ignoredBy: map[string]int{},
+		left: map[string]Version{}, zonesHeld: map[string]time.Time{},
 	}
+	c.targets.outdated = c.outdated
+	return c
 }
 
 // Table returns the configuration in force, nil before the first.
@@ -96,12 +112,12 @@
 // Newest returns the revisions of what was last changed. Who knows all as of them, or later,
 // lacks nothing known here.
 func (c *Catalog) Newest() message.Revisions {
-	return message.Revisions{Config: c.configRevision, Targets: c.targets.changed, Zones: c.zones.changed}
+	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.changed, Zones: c.zones.changed}
 }
 
 // Complete returns the revisions as of which all is known.
 func (c *Catalog) Complete() message.Revisions {
-	return message.Revisions{Config: c.configRevision, Targets: c.targets.revision, Zones: c.zones.revision}
+	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.revision, Zones: c.zones.revision}
 }
 
 // Unstable notes that the store is in trouble: entries that go until a moment
@@ -111,18 +127,31 @@
 // unstable returns for how much longer that holds.
 func (c *Catalog) unstable(now time.Time) time.Duration { return max(c.unstableUntil.Sub(now), 0) }
 
+// version returns the version that the configuration in force names, 0 if it names none.
+func (c *Catalog) version() int64 {
+	if c.table == nil {
+		return 0
+	}
+	return c.table.Version()
+}
+
 // SetConfig takes over a configuration. It returns false if it is no newer
 // than the one in force. One that cannot be decoded leaves the last good one
 // in force.
 func (c *Catalog) SetConfig(revision int64, value []byte) (bool, error) {
-	if revision <= c.configRevision {
+	if c.table != nil && bytes.Equal(value, c.config) {
+		c.configRevision = max(c.configRevision, revision)
 		return false, nil
 	}
 	t, err := c.codec.Table(value)
 	if err != nil {
 		return false, errors.Wrapf(err, "configuration of revision %d", revision)
 	}
-	invariant.Check(revision > c.configRevision, invariant.NeverReverts)
+	said := message.Revisions{Config: revision, Version: t.Version()}
+	if !said.ConfigNewer(c.Newest()) {
+		return false, nil
+	}
+	invariant.Check(t.Version() == 0 || t.Version() >= c.version(), invariant.NeverReverts)
 	c.configRevision, c.config, c.table = revision, value, t
 	return true, nil
 }
@@ -155,38 +184,60 @@
 			c.remove(now, ch.Name)
 			continue
 		}
-		c.entries[ch.Name] = c.judge(now, c.entries[ch.Name], ch.StoredObject)
+		if e := c.judge(now, c.entries[ch.Name], ch.StoredObject); e != nil {
+			c.entries[ch.Name] = e
+		}
 	}
 }
 
 // judge returns the entry that t makes of the one known before, nil if there is none.
 func (c *Catalog) judge(now time.Time, old *entry, t message.StoredObject) *entry {
 	e := &entry{}
+	known := c.left[t.Name]
 	if old != nil {
 		e.born = old.born
+		known = Version{Born: old.born}
 	}
 	var err error
 	e.target, err = c.codec.Target(t.Name, t.Value)
-	switch known := (Version{Born: e.born}); {
+	said := Version{Born: e.target.Born, Writes: e.target.Writes, Revision: t.Revision}
+	switch {
 	case err != nil:
 		e.bad = true
 		c.ignore(t.Name, t.Revision, err)
-	case known.Newer(Version{Born: e.target.Born, Revision: t.Revision}):
+		return e
+	case known.Newer(Version{Born: said.Born, Revision: said.Revision}):
 		// A write of the process before was done late. Other routers are told of it
 		// as it stands, and judge it by what they know.
-		c.ignore(t.Name, t.Revision, NewEntryError(FieldBorn, strconv.FormatInt(e.target.Born, 10)))
+		c.ignore(t.Name, t.Revision, NewEntryError(FieldBorn, strconv.FormatInt(said.Born, 10)))
 		return old
 	default:
-		e.born = e.target.Born
+		e.born = said.Born
 		if e.target.ColdLeft > 0 {
 			// It was written some time ago: the target is warm sooner than that.
 			e.coldUntil = now.Add(e.target.ColdLeft)
 		}
+		if old == nil && !said.WrittenAfter(known) {
+			// It left, and nothing says that it is back. If it does not write, its entry goes.
+			e.doubtUntil = now.Add(c.silence)
+		}
+		delete(c.left, t.Name)
 		c.checkService(t, e.target.Service)
 	}
 	return e
 }
 
+// outdated reports whether an object is one that its target has written over since, as a
+// store that came back from a copy holds them.
+func (c *Catalog) outdated(known, said message.StoredObject) bool {
+	a, err := c.codec.Target(known.Name, known.Value)
+	if err != nil {
+		return false
+	}
+	b, err := c.codec.Target(said.Name, said.Value)
+	return err == nil && a.Born == b.Born && a.Writes > 0 && b.Writes > 0 && b.Writes < a.Writes
+}
+
 // checkService tells of a target whose service the configuration does not name. No
 // request gets there; a later configuration may name it.
 func (c *Catalog) checkService(t message.StoredObject, service string) {
@@ -204,13 +255,49 @@
 	if e == nil || !e.lapsed.IsZero() {
 		return
 	}
-	if now.Before(c.unstableUntil) && !e.target.Leaving && !e.bad {
+	if now.Before(c.unstableUntil) && !e.target.Leaving && !e.bad && e.doubtUntil.IsZero() {
 		// Not for a time from now on: what goes late in that time has probably
 		// left, and was served up to 1.85 s more.
 		e.lapsed, e.until = now, c.unstableUntil
 		return
 	}
+	c.forget(name, e)
+}
+
+// forget takes out an entry whose target has left, as far as this router knows.
+func (c *Catalog) forget(name string, e *entry) {
 	delete(c.entries, name)
+	if e.bad {
+		return
+	}
+	if len(c.left) >= leftMost {
+		clear(c.left)
+	}
+	c.left[name] = Version{Born: e.target.Born, Writes: e.target.Writes}
+}
+
+// leftMost bounds the targets that are remembered as having left: those of some hours where
+// all of a large fleet's are replaced each day, in about a megabyte.
+const leftMost = 8192
+
+// Settle ends what was held because of trouble with the store, and returns whether that
+// changed anything: entries in doubt that are still there are written by their targets, and
+// zones that count as drained are not if they were not drained again.
+func (c *Catalog) Settle(now time.Time) bool {
+	settled := false
+	for _, e := range c.entries {
+		if !e.doubtUntil.IsZero() && !now.Before(e.doubtUntil) {
+			e.doubtUntil = time.Time{}
+			settled = true
+		}
+	}
+	for zone, until := range c.zonesHeld {
+		if !now.Before(until) {
+			delete(c.zonesHeld, zone)
+			settled = true
+		}
+	}
+	return settled
 }
 
 // Expire forgets lapsed entries that have not come back and returns their names.
@@ -224,7 +311,7 @@
 	var expired []string
 	for name, e := range c.entries {
 		if !e.lapsed.IsZero() && !now.Before(e.until) {
-			delete(c.entries, name)
+			c.forget(name, e)
 			expired = append(expired, name)
 		}
 	}
@@ -279,16 +366,17 @@
 	t.Lapsed = e.lapsed
 	t.ColdUntil = e.coldUntil
 	t.Drained = c.drained(t.Zone)
+	t.Leaving = t.Leaving || !e.doubtUntil.IsZero()
 	return t
 }
 
 // Copy returns what is newer than a router that is behind has.
 func (c *Catalog) Copy(now time.Time, need message.NeedCopy) message.Copy {
 	out := message.Copy{Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones)}
-	if c.configRevision > need.Config {
+	if c.table != nil && c.Newest().ConfigNewer(message.Revisions(need)) {
 		out.ConfigRevision, out.Config = c.configRevision, c.config
 	}
-	if out.Targets.Revision > 0 {
+	if out.Targets.Revision > 0 || out.Zones.Revision > 0 {
 		out.Unstable = c.unstable(now)
 	}
 	return out
@@ -297,10 +385,11 @@
 // Take takes over another router's copy of the targets and drained zones. It returns false
 // if that changed nothing.
 func (c *Catalog) Take(now time.Time, m message.Copy) bool {
-	drained, _ := c.zones.take(m.Zones)
-	if m.Targets.Revision > c.targets.revision && m.Targets.Since <= c.targets.revision && m.Unstable > c.unstable(now) {
+	if (c.targets.lacks(m.Targets) || c.zones.lacks(m.Zones)) && m.Unstable > c.unstable(now) {
 		c.unstableUntil = now.Add(m.Unstable)
 	}
+	drained, _ := c.zones.take(m.Zones)
+	c.hold(now, drained)
 	changes, newer := c.targets.take(m.Targets)
 	c.change(now, changes)
 	return newer || len(drained) > 0
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -20,6 +20,9 @@
 // drainTime is for how long a target serves on that leaves.
 const drainTime = 2 * time.Second
 
+// silenceTime is after how long the store takes out the entry of a target that writes no more.
+const silenceTime = 4 * time.Second
+
 // codec reads a table's version, and a target whose value is its address.
 type codec struct{}
 
@@ -75,7 +78,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		h := &history{}
-		pair := []*catalog.Catalog{catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)}
+		pair := []*catalog.Catalog{catalog.New(codec{}, drainTime, silenceTime), catalog.New(codec{}, drainTime, silenceTime)}
 		which := func() *catalog.Catalog { return pair[rapid.IntRange(0, 1).Draw(t, "router")] }
 		revision := func() int64 { return int64(rapid.IntRange(0, len(h.events)).Draw(t, "revision")) }
 		configs := map[*catalog.Catalog]int64{}
@@ -146,7 +149,7 @@
 
 func TestLapse(t *testing.T) {
 	now := time.Now()
-	c := catalog.New(codec{}, drainTime)
+	c := catalog.New(codec{}, drainTime, silenceTime)
 	entry := []message.StoredObject{{Name: "a", Revision: 1, Value: []byte("x")}}
 	c.SetTargets(now, 1, entry)
 	noneIgnored(t, c)
@@ -171,7 +174,7 @@
 // alone would, however often they copy.
 func TestLapseIsPassedOn(t *testing.T) {
 	now := time.Now()
-	a, b := catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)
+	a, b := catalog.New(codec{}, drainTime, silenceTime), catalog.New(codec{}, drainTime, silenceTime)
 	target := func(name string, revision int64) message.StoredObject {
 		return message.StoredObject{Name: name, Revision: revision, Value: []byte("x")}
 	}
@@ -221,7 +224,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			k := catalog.New(codec{}, drainTime)
+			k := catalog.New(codec{}, drainTime, silenceTime)
 			var list []message.StoredObject
 			for i := range 4 {
 				list = append(list, message.StoredObject{Name: strconv.Itoa(i), Revision: 1, Value: []byte("x")})
@@ -248,7 +251,7 @@
 func TestGoneBeforeTheFirstList(t *testing.T) {
 	now := time.Now()
 	kept, gone := stored("kept", 1), stored("gone", 2)
-	old, fresh := catalog.New(codec{}, drainTime), catalog.New(codec{}, drainTime)
+	old, fresh := catalog.New(codec{}, drainTime, silenceTime), catalog.New(codec{}, drainTime, silenceTime)
 	old.SetTargets(now, 2, []message.StoredObject{kept, gone})
 	noneIgnored(t, old)
 	// The entry went with revision 3.
@@ -263,10 +266,10 @@
 		t.Errorf("%d targets, want the one that is left", n)
 	}
 	// Who has it from another router makes nobody ask for it again.
-	third := catalog.New(codec{}, drainTime)
+	third := catalog.New(codec{}, drainTime, silenceTime)
 	third.SetTargets(now, 4, []message.StoredObject{kept})
 	noneIgnored(t, third)
-	last := catalog.New(codec{}, drainTime)
+	last := catalog.New(codec{}, drainTime, silenceTime)
 	last.Take(now, old.Copy(now, message.NeedCopy{}))
 	noneIgnored(t, last)
 	if last.Changed() > third.Revision() {
@@ -291,7 +294,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
-			k := catalog.New(codec{}, c.drain)
+			k := catalog.New(codec{}, c.drain, silenceTime)
 			k.SetTargets(now, 1, []message.StoredObject{stored("a", 1)})
 			noneIgnored(t, k)
 			k.Unstable(now)
@@ -314,7 +317,7 @@
 // may lapse: it is not used for as long again.
 func TestLapseEndsWhenEntriesAreBack(t *testing.T) {
 	now := time.Now()
-	c := catalog.New(codec{}, drainTime)
+	c := catalog.New(codec{}, drainTime, silenceTime)
 	c.SetTargets(now, 2, []message.StoredObject{stored("stays", 1), stored("goes", 2)})
 	noneIgnored(t, c)
 	c.Unstable(now)
--- a/internal/catalog/incarnation_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -80,7 +80,7 @@
 			},
 		} {
 			t.Run(name+" "+way, func(t *testing.T) {
-				k := catalog.New(bornCodec{}, drainTime)
+				k := catalog.New(bornCodec{}, drainTime, silenceTime)
 				k.SetTargets(time.Time{}, 1, []message.StoredObject{entryOf("b", 1, "7")})
 				for i, born := range c.entries {
 					put(k, int64(i+2), entryOf("a", int64(i+2), born))
@@ -102,7 +102,7 @@
 }
 
 func TestBadEntryIsToldOnce(t *testing.T) {
-	k := catalog.New(bornCodec{}, drainTime)
+	k := catalog.New(bornCodec{}, drainTime, silenceTime)
 	bad := entryOf("a", 1, "?")
 	for revision := range int64(5) {
 		k.SetTargets(time.Time{}, revision+1, []message.StoredObject{bad})
@@ -113,7 +113,7 @@
 }
 
 func TestBadEntryDoesNotLapse(t *testing.T) {
-	k := catalog.New(bornCodec{}, drainTime)
+	k := catalog.New(bornCodec{}, drainTime, silenceTime)
 	now := time.Unix(1000, 0)
 	k.SetTargets(now, 1, []message.StoredObject{entryOf("a", 1, "1"), entryOf("b", 1, "1")})
 	k.Apply(now, 2, []catalog.Change{{StoredObject: entryOf("a", 2, "?")}})
@@ -148,7 +148,7 @@
 		known := make([]*catalog.Catalog, routers)
 		newest := make([]map[string]int64, routers)
 		for i := range known {
-			known[i] = catalog.New(bornCodec{}, drainTime)
+			known[i] = catalog.New(bornCodec{}, drainTime, silenceTime)
 			newest[i] = map[string]int64{}
 		}
 		held := func(revision int64) map[string]catalog.Change {
@@ -252,7 +252,7 @@
 // still: "router 1 uses b@1 though 2 is known".
 func TestLateWriteIsPassedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
-	knows, behind := catalog.New(bornCodec{}, drainTime), catalog.New(bornCodec{}, drainTime)
+	knows, behind := catalog.New(bornCodec{}, drainTime, silenceTime), catalog.New(bornCodec{}, drainTime, silenceTime)
 	knows.Apply(now, 1, []catalog.Change{{StoredObject: entryOf("b", 1, "3")}})
 	behind.Apply(now, 3, []catalog.Change{{StoredObject: entryOf("b", 3, "1")}})
 	knows.Apply(now, 4, []catalog.Change{{StoredObject: entryOf("b", 4, "2")}})
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "github.com/stepcroft/stepcroft/internal/message"
+import (
+	"bytes"
+
+	"github.com/stepcroft/stepcroft/internal/message"
+)
 
 // maxGone bounds the objects of a kind that are remembered as gone. A router that is
 // further behind gets the whole list.
@@ -24,6 +28,9 @@
 	// goneSince on.
 	gone      map[string]int64
 	goneSince int64
+	// outdated reports whether an object said later is an older writing than the one known;
+	// nil where none is.
+	outdated func(known, said message.StoredObject) bool
 }
 
 func newReplica() replica {
@@ -91,15 +98,21 @@
 	return applied
 }
 
-// put takes over an object and reports whether it is newer than the one known.
+// put takes over an object and reports whether it says something new. One that a store which
+// came back from a copy says again, or holds an older writing of, is as new as that.
 func (r *replica) put(o message.StoredObject) bool {
-	if old, known := r.objects[o.Name]; known && o.Revision <= old.Revision {
+	old, known := r.objects[o.Name]
+	if known && o.Revision <= old.Revision {
 		return false
 	}
+	news := !known || !bytes.Equal(old.Value, o.Value)
+	if known && news && r.outdated != nil && r.outdated(old, o) {
+		o.Value, news = old.Value, false
+	}
 	r.objects[o.Name] = o
 	delete(r.gone, o.Name)
 	r.changed = max(r.changed, o.Revision)
-	return true
+	return news
 }
 
 // remove takes out an object that had gone by a revision.
@@ -135,10 +148,16 @@
 	return out
 }
 
+// lacks reports whether what another router said is newer than what is known and follows on
+// it.
+func (r *replica) lacks(m message.StoredObjects) bool {
+	return m.Revision > r.revision && m.Since <= r.revision
+}
+
 // take takes over what another router said is missing here, and returns what changed. It
 // returns false if that is not newer, or does not follow on what is known.
 func (r *replica) take(m message.StoredObjects) ([]Change, bool) {
-	if m.Revision <= r.revision || m.Since > r.revision {
+	if !r.lacks(m) {
 		return nil, false
 	}
 	if m.Since == 0 {
--- a/internal/catalog/version.go
+++ b/internal/catalog/version.go
@@ -9,6 +9,8 @@
 	// Born is when the target's process started, in Unix milliseconds; 0 where the
 	// target does not say, which is one incarnation without a number.
 	Born int64
+	// Writes is how often the process had written its entry; 0 where it does not say.
+	Writes int64
 	// Revision is the store's number of the entry's last change.
 	Revision int64
 }
@@ -20,3 +22,13 @@
 	}
 	return v.Revision > than.Revision
 }
+
+// WrittenAfter reports whether v was written after another version of the same target was:
+// by another process, or by the same one, which counts its writes. Where it does not say how
+// many there were, v counts as written later.
+func (v Version) WrittenAfter(other Version) bool {
+	if v.Born != other.Born {
+		return v.Born > other.Born
+	}
+	return v.Writes == 0 || other.Writes == 0 || v.Writes > other.Writes
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -127,6 +127,9 @@
 // itself.
 const fromStore = "store"
 
+// fromTime is told where the time is over for which something was held.
+const fromTime = "time"
+
 func (g *Gateway) setConfig(s *balance.State, revision int64, value []byte, from string) {
 	began := clock.Now()
 	changed, err := g.catalog.SetConfig(revision, value)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// defaultDrain is for how long a target serves on that leaves where nothing is
 	// set: the shortest of the installations known.
 	defaultDrain = 2 * time.Second
+	// defaultSilence is after how long the store takes out the entry of a target that writes
+	// no more where nothing is set.
+	defaultSilence = 4 * time.Second
 	// copyPause is the time between requests to other routers for what they
 	// have newer.
 	copyPause = 60 * time.Millisecond
@@ -70,6 +73,9 @@
 	Limits  balance.Limits
 	// Drain is for how long a target serves on that leaves; 0 means two seconds.
 	Drain time.Duration
+	// Silence is after how long the store takes out the entry of a target that writes no
+	// more; 0 means four seconds.
+	Silence time.Duration
 	// Keeper keeps requests that are held back beyond the life of all routers; nil if
 	// nobody does.
 	Keeper Keeper
@@ -166,7 +172,7 @@
 		return nil, errors.Wrapf(err, "listen for routers on %s", o.PeerListen)
 	}
 	g := &Gateway{
-		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.Drain, defaultDrain)),
+		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.Drain, defaultDrain), cmp.Or(o.Silence, defaultSilence)),
 		sums: map[string]time.Time{}, direct: map[message.RouterID]string{},
 	}
 	now := clock.Now()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -75,6 +75,9 @@
 			"targets", expired[:min(len(expired), namesMost)])
 		s.SetTargets(now, g.catalog.Targets())
 	}
+	if g.catalog.Settle(now) {
+		g.targetsChanged(s, now, true, fromTime)
+	}
 }
 
 // namesMost bounds the targets named in a line, so that a line stays short where
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -50,6 +50,10 @@
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.catalog.Unstable(now) })
 }
 
+// StoreCameBackOlder notes that the store came back from an older copy. What is missing there
+// may be written again soon.
+func (g *Gateway) StoreCameBackOlder(int64) { g.StoreUnstable() }
+
 // StoreWorks notes that calls to the store work.
 func (g *Gateway) StoreWorks() {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -26,7 +26,7 @@
 // SetZones takes over the store's whole list of drained availability zones.
 func (g *Gateway) SetZones(revision int64, list []message.StoredObject) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		changed := g.catalog.SetZones(revision, list)
+		changed := g.catalog.SetZones(now, revision, list)
 		g.targetsChanged(s, now, changed, fromStore)
 		if !changed {
 			// That there is nothing to know is to be told, too.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -174,14 +174,27 @@
 
 // Revisions says how new a router's copy of the store is: the store's revisions of the
 // configuration in force and of the newest changes to the lists of targets and of drained
-// availability zones.
+// availability zones. Revisions rise over the store's whole life, also where it comes back
+// from an older copy.
 type Revisions struct {
 	Config, Targets, Zones int64
+	// Version is the one that the configuration itself names, 0 where it is not known. It
+	// orders configurations: a store that came back older may hold one that is out of date
+	// at a later revision.
+	Version int64
 }
 
 // NewerThan reports whether anything is newer than in other revisions.
 func (r Revisions) NewerThan(other Revisions) bool {
-	return r.Config > other.Config || r.Targets > other.Targets || r.Zones > other.Zones
+	return r.ConfigNewer(other) || r.Targets > other.Targets || r.Zones > other.Zones
+}
+
+// ConfigNewer reports whether the configuration is newer than in other revisions.
+func (r Revisions) ConfigNewer(other Revisions) bool {
+	if r.Version != other.Version && r.Version > 0 && other.Version > 0 {
+		return r.Version > other.Version
+	}
+	return r.Config > other.Config
 }
 
 // Copy is a router's copy of what the store holds. An empty Config means
