What this project wrote is written again where the store came back older

What operators would see: after the store lost some seconds, entries of routers that started in them stay missing, and requests that are held back are sent to engines again once all routers have been killed.

Cause: operators and targets write again what the store lost, this project did not.

Those that watch the store write the requests that are held back, once in an era.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,8 @@
 	leaving   bool
 	// trouble is since when calls to the store fail, zero while they work.
 	trouble time.Time
+	// era is that of the store in which the requests that are held back were written last.
+	era int64
 	// isolation is what is known of requests that end targets, view what requests are
 	// checked against.
 	isolation isolation
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -89,3 +91,49 @@
 		})
 	}
 }
+
+// kept counts what is to be kept, by key.
+type kept struct {
+	mu    sync.Mutex
+	count map[quarantine.Key]int
+}
+
+func (k *kept) Keep(r quarantine.Record) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.count[r.Key]++
+	return true
+}
+
+func (k *kept) Drop(quarantine.Key) bool { return true }
+
+// Requests that are held back are forgotten for good where a store that came back from an older
+// copy lacks them and then all routers are killed.
+func TestHeldBackRequestsAfterStoreCameBackOlder(t *testing.T) {
+	g := newOwn(t)
+	keeper := &kept{count: map[quarantine.Key]int{}}
+	key := quarantine.KeyOf("o", "POST", "/x", nil)
+	g.loop.Ask(context.Background(), func(*balance.State, time.Time) { g.Keeper = keeper })
+	for i := range 3 {
+		target := balance.Target{ID: fmt.Sprint("t", i), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
+		g.SetTargets(int64(8+i), []message.StoredObject{listedAs(t, int64(8+i), target)})
+		(suspects{g}).Broke(context.Background(), forward.Break{Key: key, Organisation: "o", Target: target, Ended: true})
+	}
+	count := func() int {
+		keeper.mu.Lock()
+		defer keeper.mu.Unlock()
+		return keeper.count[key]
+	}
+	before := count()
+	if before == 0 {
+		t.Fatal("the request is not held back")
+	}
+	// Each kind that is followed tells of it.
+	for range 3 {
+		g.StoreCameBackOlder(1)
+	}
+	g.loop.Ask(context.Background(), func(*balance.State, time.Time) {})
+	if n := count() - before; n != 1 {
+		t.Errorf("kept %d times after the store came back, want once", n)
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -50,9 +50,27 @@
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.catalog.Unstable(now) })
 }
 
-// StoreCameBackOlder notes that the store came back from an older copy. What is missing there
-// may be written again soon.
-func (g *Gateway) StoreCameBackOlder(int64) { g.StoreUnstable() }
+// StoreCameBackOlder notes that the store came back from an older copy, in a new era. What is
+// missing there may be written again soon. Requests that are held back are this project's own,
+// and nobody else writes them again.
+func (g *Gateway) StoreCameBackOlder(era int64) {
+	g.loop.Post(func(_ *balance.State, now time.Time) {
+		g.catalog.Unstable(now)
+		if era > g.era {
+			g.era = era
+			g.keep(g.isolation.exchange.All(now))
+		}
+	})
+}
+
+// StoreRevision returns the store's revision as of which the targets are known here.
+func (g *Gateway) StoreRevision(ctx context.Context) int64 {
+	known := int64(0)
+	if !g.loop.Ask(ctx, func(*balance.State, time.Time) { known = g.catalog.Revision() }) {
+		return 0
+	}
+	return known
+}
 
 // StoreWorks notes that calls to the store work.
 func (g *Gateway) StoreWorks() {
