Callers that are turned away are counted before they are told

The count rose after the caller had its answer, so that the caller could read a count that lacked it.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -167,8 +167,8 @@
 	for n == len(buffer) {
 		n = c.ReadNow(buffer)
 	}
-	s.refuseLast(c, r, ReasonOverdue, crowdedAfter())
 	s.countTurnedAway()
+	s.refuseLast(c, r, ReasonOverdue, crowdedAfter())
 }
 
 // refuseLast tells a caller that its request has not run and when to come back, and closes
