--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -27,14 +27,15 @@
 		}[reason]
 		return why + s.besides(), some(s.last("organisation throttled", end.Router, end.Time, ofOrganisation))
 	case "unknown-key", "no-route":
-		return "the configuration in force at this router did not know it", some(s.last("configuration in force", end.Router, end.Time, nil))
+		return "the configuration in force at this router did not know it",
+			some(s.last("configuration in force", end.Router, end.Time, nil), s.last("store came back older", end.Router, end.Time, nil))
 	case "not-ready":
 		return "the router had no configuration that it could rely on",
 			some(s.last("box was suspended", end.Router, end.Time, nil), s.last("router runs", end.Router, end.Time, nil))
 	case "router-leaving":
 		return "the router was stopping, and the request might have outlasted it", some(s.last("planned stop begins", end.Router, end.Time, nil))
 	case "no-target":
-		return "the service had no target", some(s.last("targets known", end.Router, end.Time, nil), s.last("store lost", end.Router, end.Time, nil))
+		return "the service had no target", some(s.last("targets known", end.Router, end.Time, nil), s.last("target says that it leaves", end.Router, end.Time, nil), s.last("store lost", end.Router, end.Time, nil))
 	case "targets-resting":
 		return "all targets of the service had turned requests away and asked for a rest", some(s.last("target asks for a rest", end.Router, end.Time, nil))
 	case "target-broken", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
--- a/internal/gateway/awake.go
+++ b/internal/gateway/awake.go
@@ -5,6 +5,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 const (
@@ -38,7 +39,7 @@
 	if g.unconfirmed.IsZero() {
 		return
 	}
-	g.Log.Info("configuration confirmed", "by", by, "revision", g.catalog.ConfigRevision(), "after_ms", now.Sub(g.unconfirmed).Milliseconds())
+	g.Log.Info("configuration confirmed", "by", by, "era", revision.Era(g.catalog.ConfigRevision()), "revision", revision.Store(g.catalog.ConfigRevision()), "after_ms", now.Sub(g.unconfirmed).Milliseconds())
 	g.unconfirmed = time.Time{}
 	g.server.Pause(false)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/stepcroft/stepcroft/internal/config"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
@@ -130,50 +131,50 @@
 // fromTime is told where the time is over for which something was held.
 const fromTime = "time"
 
-func (g *Gateway) setConfig(s *balance.State, revision int64, value []byte, from string) {
+func (g *Gateway) setConfig(s *balance.State, at int64, value []byte, from string) {
 	began := clock.Now()
-	changed, err := g.catalog.SetConfig(revision, value)
+	changed, err := g.catalog.SetConfig(at, value)
 	if err != nil {
 		g.Log.Error(err, "configuration ignored", "from", from)
 		return
 	}
 	if !changed {
-		g.logNotTaken(revision, value, from)
+		g.logNotTaken(at, value, from)
 		return
 	}
 	t := g.catalog.Table()
 	s.Configure(t)
 	g.server.Configure(t)
-	g.Log.Info("configuration in force", "version", t.Version(), "revision", revision, "from", from,
+	g.Log.Info("configuration in force", "version", t.Version(), "era", revision.Era(at), "revision", revision.Store(at), "from", from,
 		"bytes", len(value), "took_ms", clock.Since(began).Milliseconds())
 	g.spread(clock.Now())
 }
 
 // logNotTaken logs a configuration that is another than the one in force and not newer.
-func (g *Gateway) logNotTaken(revision int64, value []byte, from string) {
+func (g *Gateway) logNotTaken(at int64, value []byte, from string) {
 	if g.catalog.Differs(value) {
-		g.Log.Info("configuration not taken", "revision", revision, "in_force", g.catalog.ConfigRevision(),
-			"version", g.catalog.Table().Version(), "bytes", len(value), "from", from)
+		g.Log.Info("configuration not taken", "era", revision.Era(at), "revision", revision.Store(at),
+			"version_in_force", g.catalog.Table().Version(), "bytes", len(value), "from", from)
 	}
 }
 
 // SetConfig takes over a configuration from the store.
-func (g *Gateway) SetConfig(revision int64, value []byte) {
-	g.loop.Post(func(s *balance.State, _ time.Time) { g.setConfig(s, revision, value, fromStore) })
+func (g *Gateway) SetConfig(at int64, value []byte) {
+	g.loop.Post(func(s *balance.State, _ time.Time) { g.setConfig(s, at, value, fromStore) })
 }
 
 // SetTargets takes over the store's whole list of targets.
-func (g *Gateway) SetTargets(revision int64, list []message.StoredObject) {
+func (g *Gateway) SetTargets(at int64, list []message.StoredObject) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		changed := g.catalog.SetTargets(now, revision, list)
+		changed := g.catalog.SetTargets(now, at, list)
 		g.targetsChanged(s, now, changed, fromStore)
 	})
 }
 
 // ChangeTargets takes over changes to the store's list of targets.
-func (g *Gateway) ChangeTargets(revision int64, changes []catalog.Change) {
+func (g *Gateway) ChangeTargets(at int64, changes []catalog.Change) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.catalog.Apply(now, revision, changes)
+		g.catalog.Apply(now, at, changes)
 		g.targetsChanged(s, now, len(changes) > 0, fromStore)
 	})
 }
@@ -192,7 +193,7 @@
 			leaving++
 		}
 	}
-	g.Log.Info("targets known", "revision", g.catalog.Revision(), "targets", len(list), "leaving", leaving,
+	g.Log.Info("targets known", "era", revision.Era(g.catalog.Revision()), "revision", revision.Store(g.catalog.Revision()), "targets", len(list), "leaving", leaving,
 		"lapsed", g.catalog.Lapsed(), "from", from)
 	g.logZones(now, list, from)
 	s.SetTargets(now, list)
@@ -204,7 +205,7 @@
 func (g *Gateway) logIgnored(from string) {
 	list, by := g.catalog.Ignored()
 	for _, e := range list {
-		g.Log.Info("target ignored", "target", e.Name, "revision", e.Revision, "field", e.Field, "found", e.Found, "from", from)
+		g.Log.Info("target ignored", "target", e.Name, "era", revision.Era(e.Revision), "revision", revision.Store(e.Revision), "field", e.Field, "found", e.Found, "from", from)
 	}
 	for field, n := range by {
 		g.Metrics.ignored.Add(field, int64(n))
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -11,6 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -71,7 +72,7 @@
 	g.expireSuspects(now)
 	g.stopWaiting(now)
 	if expired := g.catalog.Expire(now); len(expired) > 0 {
-		g.Log.Info("lapsed targets given up", "revision", g.catalog.Revision(), "count", len(expired),
+		g.Log.Info("lapsed targets given up", "era", revision.Era(g.catalog.Revision()), "revision", revision.Store(g.catalog.Revision()), "count", len(expired),
 			"targets", expired[:min(len(expired), namesMost)])
 		s.SetTargets(now, g.catalog.Targets())
 	}
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -8,6 +8,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 // drainedZones are availability zones to whose targets nothing is sent, and since when.
@@ -24,9 +25,9 @@
 }
 
 // SetZones takes over the store's whole list of drained availability zones.
-func (g *Gateway) SetZones(revision int64, list []message.StoredObject) {
+func (g *Gateway) SetZones(at int64, list []message.StoredObject) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		changed := g.catalog.SetZones(now, revision, list)
+		changed := g.catalog.SetZones(now, at, list)
 		g.targetsChanged(s, now, changed, fromStore)
 		if !changed {
 			// That there is nothing to know is to be told, too.
@@ -36,9 +37,9 @@
 }
 
 // ChangeZones takes over changes to the store's list of drained availability zones.
-func (g *Gateway) ChangeZones(revision int64, changes []catalog.Change) {
+func (g *Gateway) ChangeZones(at int64, changes []catalog.Change) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.targetsChanged(s, now, g.catalog.ApplyZones(revision, changes), fromStore)
+		g.targetsChanged(s, now, g.catalog.ApplyZones(at, changes), fromStore)
 	})
 }
 
@@ -59,7 +60,7 @@
 		}
 	}
 	// A zone without targets is one that nobody knows, or that has none.
-	g.Log.Info("zones drained", "targets", targets, "before", g.drained.zones, "revision", g.catalog.Newest().Zones,
+	g.Log.Info("zones drained", "targets", targets, "before", g.drained.zones, "era", revision.Era(g.catalog.Newest().Zones), "revision", revision.Store(g.catalog.Newest().Zones),
 		"before_ms", now.Sub(g.drained.since).Milliseconds(), "from", from)
 	g.Metrics.setZones(drained)
 	g.drained = drainedZones{zones: drained, since: now}
