--- a/internal/balance/advice.go
+++ b/internal/balance/advice.go
@@ -31,7 +31,9 @@
 	record, news := s.advice.Rest(now, t.at.name, d+spread)
 	s.said(t.at, record)
 	t.at.trial = nil
-	s.refuseUnservable(now)
+	if news {
+		s.refuseUnservable(now)
+	}
 	return news
 }
 
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -146,8 +146,7 @@
 		end, rest := s.restEnd(now, t.Service, t.Tried)
 		return Resting, rest && end.After(t.expires)
 	}
-	switch {
-	case s.allDrained(now, t.Service):
+	if s.allDrained(now, t.Service) {
 		return Drained, true
 	}
 	return NoTarget, true
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -159,7 +159,7 @@
 		"started again under its id": {fine, func(t balance.Target) balance.Target { t.Born++; return t }},
 		"another id at its address":  {fine, func(t balance.Target) balance.Target { t.ID = "b"; return t }},
 		"answered for another process": {
-			func(w http.ResponseWriter, r *http.Request) {
+			func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set(headerNotRun, "1")
 				w.WriteHeader(http.StatusMisdirectedRequest)
 			}, func(t balance.Target) balance.Target { return t },
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -193,8 +193,9 @@
 			leaving++
 		}
 	}
-	g.Log.Info("targets known", "era", revision.Era(g.catalog.Revision()), "revision", revision.Store(g.catalog.Revision()), "targets", len(list), "leaving", leaving,
-		"lapsed", g.catalog.Lapsed(), "from", from)
+	at := g.catalog.Revision()
+	g.Log.Info("targets known", "era", revision.Era(at), "revision", revision.Store(at), "targets", len(list),
+		"leaving", leaving, "lapsed", g.catalog.Lapsed(), "from", from)
 	g.logZones(now, list, from)
 	s.SetTargets(now, list)
 	g.restarted(now, list)
