Targets that turn one request after another away are left alone for a moment

Cause: 17 of 18 engines turned everything away without saying for how long. Nothing runs at such an engine, so that it looks the best; nobody waits, and who is served is a matter of luck.

Change: after more than two refusals in a row a target rests for 50 ms, doubling up to 800 ms, as if it had asked for it: one request goes first then. Requests wait for the engines that have room, where shares decide.

--- a/internal/balance/advice.go
+++ b/internal/balance/advice.go
@@ -129,3 +129,32 @@
 		to.trial = t
 	}
 }
+
+const (
+	// refusalsMost is the number of refusals in a row that are taken for chance, firstRest the
+	// rest after the next one, which doubles with each up to lastRest.
+	refusalsMost = 2
+	firstRest    = 50 * time.Millisecond
+	lastRest     = 800 * time.Millisecond
+)
+
+// turnedAway leaves a target alone for a moment that turns one request after another away
+// without saying for how long. Nothing runs there, so that it would draw all that comes.
+func (s *State) turnedAway(now time.Time, to *target) {
+	if to.resting(now) {
+		return
+	}
+	to.refusals++
+	doubled := to.refusals - refusalsMost - 1
+	if doubled < 0 {
+		return
+	}
+	record, _ := s.advice.Rest(now, to.name, min(firstRest<<min(doubled, 8), lastRest))
+	s.said(to, record)
+	s.paused++
+	s.refuseUnservable(now)
+}
+
+// Paused returns how often a target was left alone for a moment because it turned one request
+// after another away.
+func (s *State) Paused() int64 { return s.paused }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -128,6 +128,9 @@
 	said *advice.Record
 	// trial is the request that was sent first after a rest and has no answer yet.
 	trial *Ticket
+	// refusals is how many requests in a row the target turned away without asking for a
+	// rest.
+	refusals int
 }
 
 // State is the control state of a router. Use New to make one.
@@ -166,6 +169,8 @@
 	heldCold int64
 	advice   advice.Book
 	against  Against
+	// paused counts the rests that no target asked for.
+	paused int64
 }
 
 // New returns the state of a router in an availability zone, without targets.
@@ -307,6 +312,7 @@
 	}
 	t.begun = true
 	t.at.tried(t)
+	t.at.refusals = 0
 	t.at.progress = now
 	if t.Engine && t.Stream {
 		s.pace(t.Service).Observe(t.work, now.Sub(t.sent))
@@ -332,6 +338,9 @@
 	} else if to.trial == t {
 		to.trial = nil
 	}
+	if how == Refused {
+		s.turnedAway(now, to)
+	}
 	to.note(now, how)
 	if how == Answered && !t.Engine && t.free {
 		to.learn(now.Sub(t.sent))
--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -30,15 +30,27 @@
 	*rand.Rand
 	from, until time.Time
 	refuses     func(id string) bool
-	plain       bool
-	asked       map[string][]time.Time
-	arrived     map[string][]time.Time
-	due         []due
+	// silent is set where they do not ask for a rest.
+	plain, silent bool
+	asked         map[string][]time.Time
+	arrived       map[string][]time.Time
+	due           []due
 	// refused has what callers were told that had no target.
 	refused []balance.Decision
 	served  int
 }
 
+// newRestPlay returns a play of six engines and six plain targets, some of which turn all away
+// from the fourth second to the thirteenth.
+func newRestPlay(refuses func(id string) bool, plain bool) *restPlay {
+	w := newWorld(6)
+	return &restPlay{
+		world: w, Rand: rand.New(rand.NewPCG(1, 2)), refuses: refuses, plain: plain,
+		from: w.now.Add(4 * time.Second), until: w.now.Add(13 * time.Second),
+		asked: map[string][]time.Time{}, arrived: map[string][]time.Time{},
+	}
+}
+
 // due is something that happens later.
 type due struct {
 	at time.Time
@@ -87,7 +99,9 @@
 	}
 	p.asked[id] = append(p.asked[id], p.now)
 	p.after(time.Millisecond, func() {
-		p.Rests(p.now, k, restAsked)
+		if !p.silent {
+			p.Rests(p.now, k, restAsked)
+		}
 		p.Ended(p.now, k, balance.Refused)
 		k.Tried = append(k.Tried, id)
 		if repeats > 0 && p.Again(p.now, k) {
@@ -154,12 +168,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(6)
-			p := &restPlay{
-				world: w, Rand: rand.New(rand.NewPCG(1, 2)), refuses: c.refuses, plain: c.plain,
-				from: w.now.Add(4 * time.Second), until: w.now.Add(13 * time.Second),
-				asked: map[string][]time.Time{}, arrived: map[string][]time.Time{},
-			}
+			p := newRestPlay(c.refuses, c.plain)
 			p.run(0.5)
 			if n := p.late(); n > restArrivals {
 				t.Errorf("%d requests reached a target while it rested, %d may", n, restArrivals)
@@ -178,3 +187,46 @@
 		})
 	}
 }
+
+// rate returns how many requests a second arrived at a target between two times.
+func (p *restPlay) rate(id string, from, until time.Time) float64 {
+	n := 0
+	for _, at := range p.arrived[id] {
+		if at.After(from) && at.Before(until) {
+			n++
+		}
+	}
+	return float64(n) / until.Sub(from).Seconds()
+}
+
+// Targets that turned one request after another away, and did not say for how long, got all the
+// more of them: nothing ran there. Organisations were served by the luck of whose requests came
+// elsewhere.
+func TestRequestsDrawnByTargetsThatTurnAllAway(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	cases := map[string]struct {
+		refuses func(id string) bool
+		plain   bool
+	}{
+		"some engines":        {refuses: func(id string) bool { return id == "e1" || id == "e4" }},
+		"some plain targets":  {refuses: func(id string) bool { return id == "p1" || id == "p4" }, plain: true},
+		"all engines but one": {refuses: func(id string) bool { return id != "e2" }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newRestPlay(c.refuses, c.plain)
+			p.silent = true
+			began := p.now
+			p.run(0.5)
+			for id := range p.asked {
+				before, while := p.rate(id, began, p.from), p.rate(id, p.from, p.until)
+				if while > before {
+					t.Errorf("%s got %.1f requests a second while it turned all away, %.1f before", id, while, before)
+				}
+				if last := p.arrived[id][len(p.arrived[id])-1]; !last.After(p.until.Add(time.Second)) {
+					t.Errorf("%s got nothing once it took requests again", id)
+				}
+			}
+		})
+	}
+}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -37,7 +37,8 @@
 	case "no-target":
 		return "the service had no target", some(s.last("targets known", end.Router, end.Time, nil), s.last("target says that it leaves", end.Router, end.Time, nil), s.last("store lost", end.Router, end.Time, nil))
 	case "targets-resting":
-		return "all targets of the service had turned requests away and asked for a rest", some(s.last("target asks for a rest", end.Router, end.Time, nil))
+		return "all targets of the service had turned requests away and asked for a rest, or were left alone for a moment",
+			some(s.last("target asks for a rest", end.Router, end.Time, nil), s.last("targets left alone that turn requests away", end.Router, end.Time, nil))
 	case "target-broken", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
 		return s.targetFault(reason), s.after("targets known", end)
 	case "caller-gone":
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -5,8 +5,18 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 )
 
-// logAdvice logs and counts what was sent in spite of what targets said of themselves.
+// refusing counts, among what targets said of themselves, how often one was left alone for a
+// moment because it turned one request after another away.
+const refusing = "refusing"
+
+// logAdvice logs and counts what targets said of themselves without asking for a rest, and what
+// was sent in spite of what they said.
 func (g *Gateway) logAdvice(s *balance.State) {
+	if paused := s.Paused(); paused != g.paused {
+		g.Log.Info("targets left alone that turn requests away", "count", paused-g.paused)
+		g.Metrics.advice.Add(refusing, paused-g.paused)
+		g.paused = paused
+	}
 	now, before := s.AgainstAdvice(), g.against
 	if now == before {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,9 @@
 	coldNow coldTargets
 	// against is which requests sent in spite of what targets said are in the log.
 	against balance.Against
-	tally   tally
+	// paused is how many rests that no target asked for are in the log.
+	paused int64
+	tally  tally
 }
 
 // listener listens for callers. Without the kernel's probes of idle
