--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -113,31 +113,38 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			d := newDesk(t)
-			var left, others atomic.Int64
-			a := played(t, "a", &left, leaving(c.answer))
-			b := played(t, "b", &others, fine)
-			d.list(t, a)
-			d.ask(c.kind)
-			if left.Load() == 0 {
-				t.Fatal("the target got no request")
-			}
-			left.Store(0)
-			const requests = 20
-			lists := [][]balance.Target{{a, b}, {b}, {b, a}}
-			for i := range requests {
-				d.list(t, lists[i%len(lists)]...)
-				if v := d.ask(c.kind); v.Status != http.StatusOK || v.Cut {
-					t.Fatalf("status %d, reason %q", v.Status, v.Reason)
-				}
-			}
-			if left.Load() != 0 || others.Load() != requests {
-				t.Errorf("%d requests reached the target that leaves, %d the other one", left.Load(), others.Load())
-			}
+			leavesAlone(t, c.kind, leaving(c.answer))
 		})
 	}
 }
 
+// leavesAlone checks that a target gets nothing more once it has answered with a handler, while
+// its entry goes and comes back, and that another one serves all.
+func leavesAlone(t *testing.T, kind routing.Kind, answer http.HandlerFunc) {
+	t.Helper()
+	d := newDesk(t)
+	var alone, others atomic.Int64
+	a := played(t, "a", &alone, answer)
+	b := played(t, "b", &others, fine)
+	d.list(t, a)
+	d.ask(kind)
+	if alone.Load() == 0 {
+		t.Fatal("the target got no request")
+	}
+	alone.Store(0)
+	const requests = 20
+	lists := [][]balance.Target{{a, b}, {b}, {b, a}}
+	for i := range requests {
+		d.list(t, lists[i%len(lists)]...)
+		if v := d.ask(kind); v.Status != http.StatusOK || v.Cut {
+			t.Fatalf("status %d, reason %q", v.Status, v.Reason)
+		}
+	}
+	if alone.Load() != 0 || others.Load() != requests {
+		t.Errorf("%d requests reached the target that is to be left alone, %d the other one", alone.Load(), others.Load())
+	}
+}
+
 // Where nobody else is left, a request is refused as not run.
 func TestAllTargetsSaidThatTheyLeave(t *testing.T) {
 	d := newDesk(t)
--- a/internal/forward/rest_test.go
+++ b/internal/forward/rest_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -35,27 +34,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			d := newDesk(t)
-			var rested, others atomic.Int64
-			a := played(t, "a", &rested, resting(c.answer))
-			b := played(t, "b", &others, fine)
-			d.list(t, a)
-			d.ask(c.kind)
-			if rested.Load() == 0 {
-				t.Fatal("the target got no request")
-			}
-			rested.Store(0)
-			const requests = 20
-			lists := [][]balance.Target{{a, b}, {b}, {b, a}}
-			for i := range requests {
-				d.list(t, lists[i%len(lists)]...)
-				if v := d.ask(c.kind); v.Status != http.StatusOK {
-					t.Fatalf("status %d, reason %q", v.Status, v.Reason)
-				}
-			}
-			if rested.Load() != 0 || others.Load() != requests {
-				t.Errorf("%d requests reached the resting target, %d the other one", rested.Load(), others.Load())
-			}
+			leavesAlone(t, c.kind, resting(c.answer))
 		})
 	}
 }
