An older process's late write is none of a new one where its target's entry had gone

The bad entry was remembered as one of no life at all, so that life 1 was used. It is remembered with the life that went before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -192,12 +192,11 @@
 
 // judge returns the entry that t makes of the one known before, nil if there is none.
 func (c *Catalog) judge(now time.Time, old *entry, t message.StoredObject) *entry {
-	e := &entry{}
 	known := c.left[t.Name]
 	if old != nil {
-		e.born = old.born
 		known = Version{Born: old.born}
 	}
+	e := &entry{born: known.Born}
 	var err error
 	e.target, err = c.codec.Target(t.Name, t.Value)
 	said := Version{Born: e.target.Born, Writes: e.target.Writes, Revision: t.Revision}
@@ -227,17 +226,6 @@
 	return e
 }
 
-// outdated reports whether an object is one that its target has written over since, as a
-// store that came back from a copy holds them.
-func (c *Catalog) outdated(known, said message.StoredObject) bool {
-	a, err := c.codec.Target(known.Name, known.Value)
-	if err != nil {
-		return false
-	}
-	b, err := c.codec.Target(said.Name, said.Value)
-	return err == nil && a.Born == b.Born && a.Writes > 0 && b.Writes > 0 && b.Writes < a.Writes
-}
-
 // checkService tells of a target whose service the configuration does not name. No
 // request gets there; a later configuration may name it.
 func (c *Catalog) checkService(t message.StoredObject, service string) {
@@ -264,42 +252,6 @@
 	c.forget(name, e)
 }
 
-// forget takes out an entry whose target has left, as far as this router knows.
-func (c *Catalog) forget(name string, e *entry) {
-	delete(c.entries, name)
-	if e.bad {
-		return
-	}
-	if len(c.left) >= leftMost {
-		clear(c.left)
-	}
-	c.left[name] = Version{Born: e.target.Born, Writes: e.target.Writes}
-}
-
-// leftMost bounds the targets that are remembered as having left: those of some hours where
-// all of a large fleet's are replaced each day, in about a megabyte.
-const leftMost = 8192
-
-// Settle ends what was held because of trouble with the store, and returns whether that
-// changed anything: entries in doubt that are still there are written by their targets, and
-// zones that count as drained are not if they were not drained again.
-func (c *Catalog) Settle(now time.Time) bool {
-	settled := false
-	for _, e := range c.entries {
-		if !e.doubtUntil.IsZero() && !now.Before(e.doubtUntil) {
-			e.doubtUntil = time.Time{}
-			settled = true
-		}
-	}
-	for zone, until := range c.zonesHeld {
-		if !now.Before(until) {
-			delete(c.zonesHeld, zone)
-			settled = true
-		}
-	}
-	return settled
-}
-
 // Expire forgets lapsed entries that have not come back and returns their names.
 // Where most entries have lapsed, the store was away, and all are used until it has
 // been back for a while; where few have, new trouble of this router's own with the
--- a/internal/catalog/incarnation_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -261,3 +261,18 @@
 		t.Errorf("%q, want each to keep the newest life that it knows", got)
 	}
 }
+
+// Late writes of processes before were taken for a new one where the entry had gone and a bad one
+// came between: the bad one was remembered as that of no process at all.
+func TestOlderLivesAfterAnEntryWent(t *testing.T) {
+	k := catalog.New(bornCodec{}, drainTime, silenceTime)
+	k.SetTargets(time.Time{}, 1, []message.StoredObject{entryOf("a", 1, "3")})
+	k.SetTargets(time.Time{}, 2, nil)
+	for i, born := range []string{"2", "?", "1"} {
+		revision := int64(3 + i)
+		k.Apply(time.Time{}, revision, []catalog.Change{{StoredObject: entryOf("a", revision, born)}})
+	}
+	if got := inUse(k); got != "" {
+		t.Errorf("%q is used", got)
+	}
+}
