The doubt about a target that left begins anew where the store comes back from a copy again

Found by a long run of TestOlderStores (one of some 1,000 plays: "router 1 uses t1 again, which left"): the store came back from the same copy four times within six seconds; the doubt began with the first return, and the store takes out the entry so long after the last one.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -166,7 +166,9 @@
 // to use are told by Ignored.
 func (c *Catalog) SetTargets(now time.Time, revision int64, list []message.StoredObject) bool {
 	c.targets.first(revision)
+	before := c.targets.revision
 	changes, newer := c.targets.replace(revision, list)
+	c.doubtAgain(now, before)
 	c.change(now, changes)
 	return newer
 }
@@ -342,7 +344,9 @@
 	}
 	drained, _ := c.zones.take(m.Zones)
 	c.hold(now, drained)
+	before := c.targets.revision
 	changes, newer := c.targets.take(m.Targets)
+	c.doubtAgain(now, before)
 	c.change(now, changes)
 	return newer || len(drained) > 0
 }
--- a/internal/catalog/left.go
+++ b/internal/catalog/left.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 // forget takes out an entry whose target has left, as far as this router knows.
@@ -42,6 +43,19 @@
 	return settled
 }
 
+// doubtAgain makes entries in doubt stay so for the whole time again where the store came back
+// from a copy since a revision: it takes them out that much later.
+func (c *Catalog) doubtAgain(now time.Time, since int64) {
+	if revision.Era(c.targets.revision) <= revision.Era(since) {
+		return
+	}
+	for _, e := range c.entries {
+		if !e.doubtUntil.IsZero() {
+			e.doubtUntil = now.Add(c.silence)
+		}
+	}
+}
+
 // outdated reports whether an object is one that its target has written over since, as a
 // store that came back from a copy holds them.
 func (c *Catalog) outdated(known, said message.StoredObject) bool {
--- /dev/null
+++ b/internal/catalog/left_test.go
@@ -0,0 +1,68 @@
+package catalog_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// countedCodec reads how often a target's process wrote its entry.
+type countedCodec struct{}
+
+func (countedCodec) Table([]byte) (*routing.Table, error) {
+	return routing.New(routing.Spec{Version: 1})
+}
+
+func (countedCodec) Target(name string, value []byte) (balance.Target, error) {
+	n, err := strconv.ParseInt(string(value), 10, 64)
+	return balance.Target{ID: name, Service: "s", Born: 1, Writes: n}, errors.Wrap(err, "target")
+}
+
+// A target that left was used again where the store came back from a copy that lists it, and did
+// so again before it took out the entry: the doubt had begun with the first return.
+func TestLeftTargetWhereTheStoreComesBackTwice(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := catalog.New(countedCodec{}, drainTime, silenceTime)
+	list := func(era, at int64, writes ...string) {
+		n, err := revision.New(era, at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var objects []message.StoredObject
+		for _, w := range writes {
+			objects = append(objects, message.StoredObject{Name: "t", Revision: n, Value: []byte(w)})
+		}
+		k.SetTargets(now, n, objects)
+	}
+	used := func() bool {
+		k.Settle(now)
+		target, found := k.Target("t")
+		return found && !target.Leaving
+	}
+	list(0, 1, "5")
+	list(0, 2)
+	list(1, 1, "5")
+	now = now.Add(silenceTime - time.Second)
+	list(2, 1, "5")
+	now = now.Add(silenceTime - time.Millisecond)
+	if used() {
+		t.Error("used before its entry has outlived that of a target that does not write")
+	}
+	now = now.Add(time.Millisecond)
+	if !used() {
+		t.Error("not used though its entry is still there")
+	}
+	list(2, 2)
+	list(2, 3, "6")
+	if !used() {
+		t.Error("not used though it has written again")
+	}
+}
