--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -14,8 +14,7 @@
 	rereadPrice = 200
 	// fetchPrice is what fetching a part from another engine counts, in percent
 	// of the time to read it. It takes a fortieth of the time of reading and a tenth of
-	// its price, but each copy pushes other parts out: counted at 20, half as
-	// much again was read anew (kgd-quote-grown scale-1).
+	// its price, but each copy pushes other parts out, which are then read anew.
 	fetchPrice = 300
 	// zonePrice is the time that a target in another availability zone counts
 	// more: bytes between zones are paid for.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -155,8 +155,8 @@
 }
 
 // callerEnded reports whether the caller of a request has closed its connection. The
-// server notices that by a goroutine of its own, which on a busy box comes too late:
-// 83 to 123 of 200 requests whose callers had left before they were read were sent on.
+// server notices that by a goroutine of its own, which on a busy box comes too late: requests
+// whose callers had left before they were read would be sent on.
 func callerEnded(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*conn)
 	return ok && sockopt.Ended(c.Conn)
