Keep state for the targets in use, and apply only what changed

What grew: a router kept 1.5 KB for each of 10,000 targets, half of it the window of sends of cold ones, whether it ever sent there or not, and after a change of one target it built the catalogue's list, the decisions' tables and the lists of restarts and zones anew and sorted them. Periodic work (ticks each 20 and 50 ms, reports) went through all targets.

Now what is learnt of a target from requests is an activity, allocated at the first use and released 15 s after the last; ticks and reports go through those. The catalogue returns what changed, and the decisions apply that. Entries that lapsed or are unconfirmed and cold targets have sets of their own. Removed entries and changes are remembered by the size of the list (512 before): whoever was behind by a tenth of a fleet got the whole list, and each difference was looked for in all entries.

Tests count bytes per target and bytes allocated per change at 1,000, 4,000 and 16,000 targets, and compare changes with whole lists.

--- a/internal/balance/advice.go
+++ b/internal/balance/advice.go
@@ -87,7 +87,7 @@
 // are ignored.
 func (s *State) backoffEnd(now time.Time, service string, except []string) (time.Time, bool) {
 	var first time.Time
-	for _, to := range s.services[service] {
+	for _, to := range s.targetsOf(service) {
 		if to.Closed(now) || slices.Contains(except, to.incarnation) {
 			continue
 		}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -14,7 +14,6 @@
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
-	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -110,27 +109,12 @@
 	// returns.
 	hash        uint64
 	incarnation string
-	localLoad   view.Load
-	cache       *prefix.Cache
-	health
-	// running holds this router's requests that were sent to the target and have not ended.
-	running map[*Ticket]struct{}
-	// unstarted holds this router's requests that the target has not started to answer, oldest
-	// first.
-	unstarted []*Ticket
-	// coldUntil is the latest time at which the target is still cold, recentSends counts the
-	// requests sent to it lately.
-	coldUntil   time.Time
-	recentSends coldstart.Window
-	// serviceTime is the average time of requests that found a free slot; 0 if unknown.
-	serviceTime time.Duration
+	// coldUntil is the latest time at which the target is still cold.
+	coldUntil time.Time
 	// reported is what the target reported about itself in its answers; nil if nothing.
 	reported *advice.Record
-	// probe is the first request sent after a backoff, until the target takes it.
-	probe *Ticket
-	// consecutiveRefusals is the number of requests in a row that the target rejected without
-	// asking for a backoff.
-	consecutiveRefusals int
+	// activity is noActivity for targets that were not used lately. State.use allocates it.
+	*activity
 }
 
 // State is the control state of a router. Use New to make one.
@@ -140,8 +124,13 @@
 	random  *rand.Rand
 	table   *routing.Table
 	targets map[string]*target
-	// services has the targets of each service, sorted by id.
-	services map[string][]*target
+	// leaving is the number of listed targets whose entries say that they are leaving.
+	leaving int
+	services map[string]*service
+	// active holds the listed targets with an activity, cold those that may be cold.
+	active, cold map[*target]struct{}
+	// releasedAt is when activities were last released.
+	releasedAt time.Time
 	// paces has the models of prefill times that were learnt for each service's engines.
 	paces map[string]*pace.Model
 	queue []*Ticket
@@ -182,7 +171,10 @@
 		limits:            limits,
 		random:            random,
 		targets:           map[string]*target{},
-		services:          map[string][]*target{},
+		services:          map[string]*service{},
+		active:            map[*target]struct{}{},
+		cold:              map[*target]struct{}{},
+		releasedAt:        now,
 		paces:             map[string]*pace.Model{},
 		throttle:          throttle.New(tickInterval, maxWaitingPerOrganisation),
 		shares:            newShares(limits.QuotaWindow),
@@ -241,7 +233,7 @@
 	if !s.budget.allowRetry(now, t.Service, s.limits, s.routers()) {
 		return false
 	}
-	return slices.ContainsFunc(s.services[t.Service], func(c *target) bool {
+	return slices.ContainsFunc(s.targetsOf(t.Service), func(c *target) bool {
 		return c != t.target && !c.Closed(now) && !c.suspected(now) && !c.backingOffOrProbed(now) && !slices.Contains(t.Tried, c.incarnation)
 	})
 }
@@ -284,11 +276,12 @@
 	t.foundFreeSlot = !t.Engine && s.loadOf(now, to).Running < to.Slots
 	t.load = view.Load{PendingTokens: p.uncachedTokens, Running: 1, MemoryTokens: t.unsharedTokens()}
 	t.work = p.work
+	s.use(now, to)
 	to.localLoad = to.localLoad.Plus(t.load)
 	to.unstarted = append(to.unstarted, t)
 	to.running[t] = struct{}{}
 	to.cache.Add(now, t.Parts)
-	to.recentSends.Add(now)
+	s.countSend(now, to)
 	s.noteSent(now, t, to)
 	if t.Engine {
 		s.shares.addServed(now, t.Organisation, t.tokens())
@@ -332,6 +325,7 @@
 		return
 	}
 	t.target = nil
+	to.usedAt = now
 	to.localLoad = to.localLoad.Minus(t.load)
 	to.removeUnstarted(t)
 	delete(to.running, t)
@@ -374,9 +368,10 @@
 // Tick refuses requests that have waited long enough and suspects targets that have fallen
 // silent. It must be called every few tens of milliseconds.
 func (s *State) Tick(now time.Time) {
-	for _, t := range s.targets {
+	for t := range s.active {
 		t.checkSilence(now)
 	}
+	s.releaseUnused(now)
 	s.dispatch(now)
 	kept := s.queue[:0]
 	for _, t := range s.queue {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -195,7 +195,7 @@
 // no others. The list is valid until the next call.
 func (s *State) usable(now time.Time, t *Ticket) []*target {
 	good, suspect := s.good[:0], s.suspect[:0]
-	for _, c := range s.services[t.Service] {
+	for _, c := range s.targetsOf(t.Service) {
 		if c.Closed(now) || c.backingOffOrProbed(now) || slices.Contains(t.Tried, c.incarnation) || s.coldLimited(now, c) {
 			continue
 		}
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -27,13 +27,25 @@
 	if s.coldAllowance != nil {
 		allowed = s.coldAllowance(now, t.ID, rate)
 	}
-	if t.recentSends.Count(now) < allowed {
+	if t.recentSends != nil && t.recentSends.Count(now) < allowed || t.recentSends == nil && allowed > 0 {
 		return false
 	}
 	s.coldSkips++
 	return true
 }
 
+// countSend counts a request sent to a target, for the limit that applies when the target turns
+// out to be cold.
+func (s *State) countSend(now time.Time, t *target) {
+	if t.recentSends == nil {
+		if rate, _ := s.coldRate(t.Service); rate.PerSecond <= 0 {
+			return
+		}
+		t.recentSends = &coldstart.Window{}
+	}
+	t.recentSends.Add(now)
+}
+
 // coldRate returns the rate of requests that a cold target of a service can handle, and how
 // long a target stays cold after its start.
 func (s *State) coldRate(service string) (coldstart.Rate, time.Duration) {
@@ -60,16 +72,21 @@
 			t.coldUntil = until
 		}
 	}
+	if now.Before(t.coldUntil) {
+		s.cold[t] = struct{}{}
+	}
 }
 
 // ColdTargets returns the number of cold targets by service, and how often a target was
 // skipped since the start because it was cold.
 func (s *State) ColdTargets(now time.Time) (map[string]int, int64) {
 	cold := map[string]int{}
-	for _, t := range s.targets {
-		if now.Before(t.coldUntil) {
-			cold[t.Service]++
+	for t := range s.cold {
+		if !now.Before(t.coldUntil) {
+			delete(s.cold, t)
+			continue
 		}
+		cold[t.Service]++
 	}
 	return cold, s.coldSkips
 }
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -1,12 +1,10 @@
 package balance
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
 
@@ -26,9 +24,7 @@
 
 // newTarget returns a target without any state.
 func newTarget(t Target) *target {
-	return &target{
-		hash: rendezvous.Hash(t.ID), incarnation: t.Incarnation(), cache: prefix.NewCache(), running: map[*Ticket]struct{}{},
-	}
+	return &target{hash: rendezvous.Hash(t.ID), incarnation: t.Incarnation(), activity: noActivity}
 }
 
 // abortRunning reports to all requests running at an incarnation that it has ended.
@@ -54,36 +50,80 @@
 // requests, but those running there go on. Requests running at a target that has restarted are
 // aborted.
 func (s *State) SetTargets(now time.Time, list []Target) {
-	known := make(map[string]*target, len(list))
-	services := map[string][]*target{}
+	listed := make(map[string]bool, len(list))
 	for _, t := range list {
+		listed[t.ID] = true
+	}
+	var removed []string
+	for id := range s.targets {
+		if !listed[id] {
+			removed = append(removed, id)
+		}
+	}
+	s.ChangeTargets(now, list, removed)
+}
+
+// ChangeTargets is SetTargets for a list that differs from the last one only in some targets:
+// those that were added or changed, and the ids of those that were removed.
+func (s *State) ChangeTargets(now time.Time, changed []Target, removed []string) {
+	for _, id := range removed {
+		if t := s.targets[id]; t != nil {
+			s.unlist(t)
+		}
+	}
+	added := map[string][]*target{}
+	for _, t := range changed {
 		old := s.targets[t.ID]
 		before := Target{}
 		if old != nil {
 			before = old.Target
 		}
-		if old != nil && old.Born != t.Born {
+		switch {
+		case old == nil:
+		case old.Born != t.Born:
 			old.abortRunning()
+			s.unlist(old)
 			old = nil
+		case old.Service != t.Service || old.Zone != t.Zone:
+			s.removeFromService(old)
+			added[t.Service] = append(added[t.Service], old)
 		}
 		if old == nil {
 			old = newTarget(t)
 			old.reported = s.advice.Find(old.incarnation)
+			s.targets[t.ID] = old
+			added[t.Service] = append(added[t.Service], old)
 		}
+		s.leaving += count(t.Leaving) - count(old.Target.Leaving)
 		old.Target = t
 		s.extendCold(now, old, before)
-		known[t.ID] = old
-		services[t.Service] = append(services[t.Service], old)
 	}
-	for _, list := range services {
-		slices.SortFunc(list, func(a, b *target) int { return compare(a.ID, b.ID) })
+	for service, list := range added {
+		s.addToService(service, list)
 	}
-	s.targets = known
-	s.services = services
 	s.advice.Prune(now, func(name string) bool { return s.findIncarnation(name) != nil })
 	s.dispatch(now)
 }
 
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// unlist removes a target from the list.
+func (s *State) unlist(t *target) {
+	s.leaving -= count(t.Target.Leaving)
+	delete(s.targets, t.ID)
+	delete(s.active, t)
+	delete(s.cold, t)
+	s.removeFromService(t)
+}
+
+// CountTargets returns the number of listed targets, and how many of them are leaving.
+func (s *State) CountTargets() (all, leaving int) { return len(s.targets), s.leaving }
+
 // findIncarnation returns the listed target with this incarnation name, or nil.
 func (s *State) findIncarnation(name string) *target {
 	t := s.targets[name]
--- /dev/null
+++ b/internal/balance/index.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"slices"
+)
+
+// service holds the listed targets of one service.
+type service struct {
+	all index
+	// zones has the targets of each availability zone.
+	zones map[string]*index
+}
+
+// index is a list of targets sorted by id. Their rendezvous hashes lie side by side, since a
+// search through thousands of them would otherwise load each target from memory.
+type index struct {
+	targets []*target
+	hashes  []uint64
+}
+
+// targetsOf returns the listed targets of a service, sorted by id.
+func (s *State) targetsOf(name string) []*target {
+	if v := s.services[name]; v != nil {
+		return v.all.targets
+	}
+	return nil
+}
+
+// addToService adds targets to their service.
+func (s *State) addToService(name string, added []*target) {
+	v := s.services[name]
+	if v == nil {
+		v = &service{zones: map[string]*index{}}
+		s.services[name] = v
+	}
+	v.all.add(added)
+	zones := map[string][]*target{}
+	for _, t := range added {
+		zones[t.Zone] = append(zones[t.Zone], t)
+	}
+	for zone, list := range zones {
+		if v.zones[zone] == nil {
+			v.zones[zone] = &index{}
+		}
+		v.zones[zone].add(list)
+	}
+}
+
+func (s *State) removeFromService(t *target) {
+	v := s.services[t.Service]
+	v.all.remove(t)
+	v.zones[t.Zone].remove(t)
+	if len(v.zones[t.Zone].targets) == 0 {
+		delete(v.zones, t.Zone)
+	}
+	if len(v.all.targets) == 0 {
+		delete(s.services, t.Service)
+	}
+}
+
+// maxSingleInserts is the number of targets up to which each is inserted by itself, without
+// sorting the list again.
+const maxSingleInserts = 16
+
+func (x *index) add(added []*target) {
+	if len(added) > maxSingleInserts {
+		x.targets = append(x.targets, added...)
+		slices.SortFunc(x.targets, func(a, b *target) int { return compare(a.ID, b.ID) })
+		x.hashes = x.hashes[:0]
+		for _, t := range x.targets {
+			x.hashes = append(x.hashes, t.hash)
+		}
+		return
+	}
+	for _, t := range added {
+		i, _ := x.find(t)
+		x.targets = slices.Insert(x.targets, i, t)
+		x.hashes = slices.Insert(x.hashes, i, t.hash)
+	}
+}
+
+func (x *index) remove(t *target) {
+	if i, ok := x.find(t); ok {
+		x.targets = slices.Delete(x.targets, i, i+1)
+		x.hashes = slices.Delete(x.hashes, i, i+1)
+	}
+}
+
+func (x *index) find(t *target) (int, bool) {
+	return slices.BinarySearchFunc(x.targets, t.ID, func(t *target, id string) int { return compare(t.ID, id) })
+}
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -64,7 +64,7 @@
 	s.peers.UpdateReport(now, router, r)
 	for id, parts := range r.SharedParts {
 		if t := s.findIncarnation(id); t != nil {
-			t.cache.AddRemote(now, parts)
+			s.use(now, t).cache.AddRemote(now, parts)
 		}
 	}
 	s.dispatch(now)
@@ -89,7 +89,7 @@
 // contains only those that are due to be announced, not those in recent reports.
 func (s *State) Report(now time.Time) view.Report {
 	r := view.Report{Loads: map[string]view.Load{}, Usage: map[string]view.Usage{}, SharedParts: map[string][]string{}}
-	for _, t := range s.targets {
+	for t := range s.active {
 		if t.localLoad.Running > 0 {
 			r.Loads[t.incarnation] = t.localLoad
 		}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -108,7 +108,7 @@
 
 // refusalReason returns why no target was found for a request.
 func (s *State) refusalReason(now time.Time, t *Ticket) Reason {
-	open := slices.ContainsFunc(s.services[t.Service], func(to *target) bool { return !to.Closed(now) })
+	open := slices.ContainsFunc(s.targetsOf(t.Service), func(to *target) bool { return !to.Closed(now) })
 	_, backingOff := s.backoffEnd(now, t.Service, t.Tried)
 	switch {
 	case !open:
@@ -125,7 +125,7 @@
 // is in a drained availability zone.
 func (s *State) allDrained(now time.Time, service string) bool {
 	drained := false
-	for _, to := range s.services[service] {
+	for _, to := range s.targetsOf(service) {
 		if !to.Closed(now) {
 			return false
 		}
@@ -138,7 +138,7 @@
 // before its wait ends. A service without any targets may get some at any moment, so its
 // requests wait.
 func (s *State) unservable(now time.Time, t *Ticket) (Reason, bool) {
-	list := s.services[t.Service]
+	list := s.targetsOf(t.Service)
 	if len(list) == 0 {
 		return "", false
 	}
--- /dev/null
+++ b/internal/balance/scale_internal_test.go
@@ -0,0 +1,226 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/prefix"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// fleetSizes are the numbers of targets at which the growth of work and memory is checked.
+var fleetSizes = []int{1_000, 4_000, 16_000}
+
+// fleetTargets returns n engines in five zones.
+func fleetTargets(n int) []Target {
+	list := make([]Target, 0, n)
+	for i := range n {
+		list = append(list, Target{ID: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Service: "llm", Zone: fmt.Sprint("z", i%5), Slots: 64})
+	}
+	return list
+}
+
+// fleetState returns the state of a router before n engines.
+func fleetState(t testing.TB, n int, seed uint64) (*State, time.Time) {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	s := New(now, "z0", Limits{RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second}, rand.New(rand.NewPCG(seed, 2)))
+	table, err := routing.New(routing.Spec{
+		Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 230_000}}},
+		Limits:   routing.Limits{TokensPerSecond: 1e8},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	s.SetTargets(now, fleetTargets(n))
+	return s, now
+}
+
+// fleetPrompt returns a prompt of which most is shared.
+func fleetPrompt(now time.Time, shared string, id int) *Ticket {
+	return &Ticket{
+		ID: fmt.Sprint("t", id), Service: "llm", Organisation: "o", Engine: true, Stream: true,
+		Parts: []prefix.Part{{ID: "group", Tokens: 2000}, {ID: shared, Tokens: 4000}, {ID: fmt.Sprint("own", id), Tokens: 2000}},
+		Input: 8000, Output: 50, Goal: 600 * time.Millisecond,
+		Arrived: now, Deadline: now.Add(6 * time.Second), Decision: make(chan Decision, 1),
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// TestMemoryFollowsUse checks that a router keeps little of targets that it doesn't use. With
+// 10,000 targets a router has room for 600 bytes each in its decisions, and as much in its copy of
+// the store.
+func TestMemoryFollowsUse(t *testing.T) {
+	const maxBytesPerTarget = 600
+	for _, n := range fleetSizes {
+		list := fleetTargets(n)
+		before := heapBytes()
+		s, now := fleetState(t, 1, 1)
+		s.SetTargets(now, list)
+		perTarget := int64(heapBytes()-before) / int64(n)
+		if perTarget > maxBytesPerTarget {
+			t.Errorf("%d targets: %d bytes each, want at most %d", n, perTarget, maxBytesPerTarget)
+		}
+		for i := range 50 {
+			k := fleetPrompt(now, fmt.Sprint("s", i), i)
+			s.Arrive(now, k)
+			s.Started(now, k)
+			s.Ended(now, k, Answered)
+		}
+		if used := s.Active(); used == 0 || used > 50 {
+			t.Errorf("%d targets: state of %d kept after 50 requests", n, used)
+		}
+		now = now.Add(activityTTL + releaseInterval)
+		s.Tick(now)
+		if used := s.Active(); used != 0 {
+			t.Errorf("%d targets: state of %d kept long after the last request", n, used)
+		}
+		runtime.KeepAlive(list)
+	}
+}
+
+// TestChangeCostsWhatChanged checks that the memory allocated for the change of a few targets does
+// not grow with their number.
+func TestChangeCostsWhatChanged(t *testing.T) {
+	const maxBytesPerChange = 2 << 10
+	for _, n := range fleetSizes {
+		s, now := fleetState(t, n, 1)
+		list := fleetTargets(n)
+		const changes = 64
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range changes {
+			changed := list[i*n/changes]
+			changed.Leaving = true
+			gone := list[i*n/changes+1].ID
+			s.ChangeTargets(now, []Target{changed}, []string{gone})
+		}
+		runtime.ReadMemStats(&after)
+		if per := (after.TotalAlloc - before.TotalAlloc) / changes; per > maxBytesPerChange {
+			t.Errorf("%d targets: %d bytes allocated for a change of two, want at most %d", n, per, maxBytesPerChange)
+		}
+		if all, leaving := s.CountTargets(); all != n-changes || leaving != changes {
+			t.Errorf("%d targets: %d listed and %d leaving, want %d and %d", n, all, leaving, n-changes, changes)
+		}
+	}
+}
+
+// TestChangesAgreeWithLists applies random changes and checks that the state is the same as after
+// the whole list.
+func TestChangesAgreeWithLists(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	changedState, now := fleetState(t, 100, 1)
+	listed := map[string]Target{}
+	for _, target := range fleetTargets(100) {
+		listed[target.ID] = target
+	}
+	for range 300 {
+		var changed []Target
+		var removed []string
+		for range random.IntN(30) {
+			target := Target{ID: fmt.Sprint("e", random.IntN(150)), Service: fmt.Sprint("s", random.IntN(2)), Zone: fmt.Sprint("z", random.IntN(3)), Born: int64(random.IntN(2)), Leaving: random.IntN(3) == 0}
+			if _, ok := listed[target.ID]; ok && random.IntN(2) == 0 {
+				delete(listed, target.ID)
+				removed = append(removed, target.ID)
+				continue
+			}
+			listed[target.ID] = target
+			changed = append(changed, target)
+		}
+		// A target is either changed or removed.
+		var kept []Target
+		last := map[string]bool{}
+		for _, target := range changed {
+			if listed[target.ID] == target && !last[target.ID] {
+				last[target.ID] = true
+				kept = append(kept, target)
+			}
+		}
+		var gone []string
+		for _, id := range removed {
+			if _, ok := listed[id]; !ok {
+				gone = append(gone, id)
+			}
+		}
+		changedState.ChangeTargets(now, kept, gone)
+		var list []Target
+		for _, target := range listed {
+			list = append(list, target)
+		}
+		whole, _ := fleetState(t, 1, 1)
+		whole.SetTargets(now, list)
+		compareStates(t, changedState, whole)
+	}
+}
+
+func compareStates(t *testing.T, got, want *State) {
+	t.Helper()
+	if len(got.services) != len(want.services) || got.leaving != want.leaving || len(got.targets) != len(want.targets) {
+		t.Fatalf("%d services, %d leaving and %d targets, want %d, %d and %d",
+			len(got.services), got.leaving, len(got.targets), len(want.services), want.leaving, len(want.targets))
+	}
+	for name, service := range want.services {
+		compareIndexes(t, got.services[name].all, service.all)
+		for zone, x := range service.zones {
+			compareIndexes(t, *got.services[name].zones[zone], *x)
+		}
+	}
+}
+
+func compareIndexes(t *testing.T, got, want index) {
+	t.Helper()
+	if len(got.targets) != len(want.targets) || len(got.hashes) != len(want.hashes) {
+		t.Fatalf("%d targets and %d hashes, want %d", len(got.targets), len(got.hashes), len(want.targets))
+	}
+	for i := range want.targets {
+		if got.targets[i].Target != want.targets[i].Target || got.hashes[i] != want.hashes[i] {
+			t.Fatalf("target %d is %+v, want %+v", i, got.targets[i].Target, want.targets[i].Target)
+		}
+	}
+}
+
+// BenchmarkChoose measures one choice of an engine.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{60, 500, 1_000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, now := fleetState(b, n, 1)
+			for i := range 500 {
+				s.Arrive(now, fleetPrompt(now, fmt.Sprint("s", i), i))
+			}
+			list := make([]*Ticket, 1000)
+			for i := range list {
+				list[i] = fleetPrompt(now, fmt.Sprint("s", i), i)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				s.choose(now, list[i%len(list)])
+			}
+		})
+	}
+}
+
+// BenchmarkChange measures the change of one target.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{60, 1_000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, now := fleetState(b, n, 1)
+			list := fleetTargets(n)
+			b.ResetTimer()
+			for i := range b.N {
+				t := list[i%n]
+				t.Leaving = i/n%2 == 0
+				s.ChangeTargets(now, []Target{t}, nil)
+			}
+		})
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unique"
 
 	"github.com/pkg/errors"
 
@@ -73,8 +74,15 @@
 	table          *routing.Table
 	targets        replica
 	zones          replica
-	// entries holds the targets that are listed or lapsed, by name.
+	// entries holds the targets that are listed or lapsed, by name. They are replaced by
+	// setEntry.
 	entries map[string]*entry
+	// lapsed and unconfirmed hold the names of those that have lapsed or are unconfirmed, changed
+	// the names of those that changed since the last call of TakeChanges. lapseEndsFixed and
+	// takenZones are what that call returned the targets by.
+	lapsed, unconfirmed, changed map[string]struct{}
+	lapseEndsFixed               bool
+	takenZones                   []string
 	// unstableUntil is the end of the unstable period, in which entries that disappear count as
 	// lapsed.
 	unstableUntil time.Time
@@ -97,6 +105,7 @@
 		codec: codec, maxLapse: max(min(storeRecoveryTime, drain-drainReserve), 0), entryTTL: entryTTL,
 		targets: newReplica(), zones: newReplica(), entries: map[string]*entry{}, ignoredByField: map[string]int{},
 		departed: map[string]Version{}, retainedZones: map[string]time.Time{},
+		lapsed: map[string]struct{}{}, unconfirmed: map[string]struct{}{}, changed: map[string]struct{}{}, lapseEndsFixed: true,
 	}
 	c.targets.outdated = c.outdated
 	return c
@@ -193,7 +202,7 @@
 			continue
 		}
 		if e := c.newEntry(now, c.entries[ch.Name], ch.StoredObject); e != nil {
-			c.entries[ch.Name] = e
+			c.setEntry(ch.Name, e)
 		}
 	}
 }
@@ -208,6 +217,8 @@
 	e := &entry{born: known.Born}
 	var err error
 	e.target, err = c.codec.Target(t.Name, t.Value)
+	// A few services and zones are named by thousands of targets.
+	e.target.Service, e.target.Zone = unique.Make(e.target.Service).Value(), unique.Make(e.target.Zone).Value()
 	version := Version{Born: e.target.Born, Writes: e.target.Writes, Revision: t.Revision}
 	switch {
 	case err != nil:
@@ -259,6 +270,7 @@
 		// a target whose entry disappears late in the period has probably left, and would be
 		// sent requests for up to 1.85 s more.
 		e.lapsedAt, e.lapsedUntil = now, c.unstableUntil
+		c.setEntry(name, e)
 		return
 	}
 	c.drop(name, e)
@@ -273,8 +285,8 @@
 		return nil
 	}
 	var expired []string
-	for name, e := range c.entries {
-		if !e.lapsedAt.IsZero() && !now.Before(e.lapsedUntil) {
+	for name := range c.lapsed {
+		if e := c.entries[name]; !now.Before(e.lapsedUntil) {
 			c.drop(name, e)
 			expired = append(expired, name)
 		}
@@ -286,52 +298,42 @@
 func (c *Catalog) mostLapsed() bool { return 2*c.Lapsed() > len(c.entries) }
 
 // Lapsed returns the number of entries that have lapsed.
-func (c *Catalog) Lapsed() int {
-	lapsed := 0
-	for _, e := range c.entries {
-		if !e.lapsedAt.IsZero() {
-			lapsed++
-		}
-	}
-	return lapsed
-}
+func (c *Catalog) Lapsed() int { return len(c.lapsed) }
+
+// CountTargets returns the number of entries, unusable ones included.
+func (c *Catalog) CountTargets() int { return len(c.entries) }
 
 // Targets returns the targets that are listed or lapsed, sorted by id.
 func (c *Catalog) Targets() []balance.Target {
 	list := make([]balance.Target, 0, len(c.entries))
-	// If most have lapsed, further trouble may extend their time.
-	fixed := !c.mostLapsed()
-	for _, e := range c.entries {
-		if e.invalid {
-			continue
+	for name := range c.entries {
+		if t, ok := c.Target(name); ok {
+			list = append(list, t)
 		}
-		t := c.target(e)
-		if fixed {
-			t.UsableUntil = e.lapsedUntil
-		}
-		list = append(list, t)
 	}
-	slices.SortFunc(list, func(a, b balance.Target) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, byID)
 	return list
 }
 
-// Target returns the target with an id, or false if no such target is listed or lapsed.
+func byID(a, b balance.Target) int { return strings.Compare(a.ID, b.ID) }
+
+// Target returns the target with an id, in its current state, or false if no such target is
+// listed or lapsed.
 func (c *Catalog) Target(id string) (balance.Target, bool) {
 	e := c.entries[id]
 	if e == nil || e.invalid {
 		return balance.Target{}, false
 	}
-	return c.target(e), true
-}
-
-// target returns the target that an entry describes in its current state.
-func (c *Catalog) target(e *entry) balance.Target {
 	t := e.target
 	t.LapsedAt = e.lapsedAt
+	if !c.mostLapsed() {
+		// If most have lapsed, further trouble may extend their time.
+		t.UsableUntil = e.lapsedUntil
+	}
 	t.ColdUntil = e.coldUntil
 	t.Drained = c.zoneDrained(t.Zone)
 	t.Leaving = t.Leaving || !e.unconfirmedUntil.IsZero()
-	return t
+	return t, true
 }
 
 // Copy returns what a router lacks that has the revisions in need.
--- a/internal/catalog/left.go
+++ b/internal/catalog/left.go
@@ -9,7 +9,7 @@
 
 // drop removes an entry and remembers its target as departed.
 func (c *Catalog) drop(name string, e *entry) {
-	delete(c.entries, name)
+	c.setEntry(name, nil)
 	if e.invalid {
 		return
 	}
@@ -28,9 +28,10 @@
 // written by its target, and a retained zone that was not drained again is no longer drained.
 func (c *Catalog) Settle(now time.Time) bool {
 	settled := false
-	for _, e := range c.entries {
-		if !e.unconfirmedUntil.IsZero() && !now.Before(e.unconfirmedUntil) {
+	for name := range c.unconfirmed {
+		if e := c.entries[name]; !now.Before(e.unconfirmedUntil) {
 			e.unconfirmedUntil = time.Time{}
+			c.setEntry(name, e)
 			settled = true
 		}
 	}
@@ -49,10 +50,8 @@
 	if revision.Era(c.targets.revision) <= revision.Era(since) {
 		return
 	}
-	for _, e := range c.entries {
-		if !e.unconfirmedUntil.IsZero() {
-			e.unconfirmedUntil = now.Add(c.entryTTL)
-		}
+	for name := range c.unconfirmed {
+		c.entries[name].unconfirmedUntil = now.Add(c.entryTTL)
 	}
 }
 
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -2,13 +2,20 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 
 	"github.com/stepcroft/stepcroft/internal/message"
 )
 
-// maxGone bounds the removed objects of a kind that are remembered. A router that is further
-// behind gets the complete list.
-const maxGone = 512
+const (
+	// minHistory is the number of removed objects of a kind, and of changes, that are remembered
+	// at least. A router that is further behind gets the complete list.
+	minHistory = 512
+	// historyPercent is the same in percent of the objects. A fleet replaces a part of its targets
+	// in a short time, and its routers must not all ask for the complete list then.
+	historyPercent = 100
+)
 
 // Change is a write or, if Gone is set, the removal of one of the store's objects.
 type Change struct {
@@ -28,11 +35,21 @@
 	// after the revision goneSince.
 	gone      map[string]int64
 	goneSince int64
+	// recent has the latest changes and removals, ordered by revision: all that were made after
+	// the revision recentSince.
+	recent      []recentChange
+	recentSince int64
 	// outdated reports whether an object received later is an earlier write than the known
 	// one. If nil, none is.
 	outdated func(known, received message.StoredObject) bool
 }
 
+// recentChange is the name of an object that was changed or removed, and the revision of that.
+type recentChange struct {
+	revision int64
+	name     string
+}
+
 func newReplica() replica {
 	return replica{objects: map[string]message.StoredObject{}, gone: map[string]int64{}}
 }
@@ -58,6 +75,10 @@
 		clear(r.gone)
 		r.goneSince = revision
 	}
+	if r.revision == 0 {
+		// The first list is no change to any other: whoever lacks it gets it as a whole.
+		r.recentSince = revision
+	}
 	var changes []Change
 	listed := make(map[string]bool, len(list))
 	for _, o := range list {
@@ -113,18 +134,91 @@
 	r.objects[o.Name] = o
 	delete(r.gone, o.Name)
 	r.changed = max(r.changed, o.Revision)
+	r.noteRecent(o.Revision, o.Name)
 	return isNew
 }
 
+// historySize returns the number of removed objects and of changes to remember.
+func (r *replica) historySize() int { return max(minHistory, len(r.objects)*historyPercent/100) }
+
+// noteRecent adds a change to the recent ones. If there are too many, the older half is dropped.
+func (r *replica) noteRecent(revision int64, name string) {
+	if revision <= r.recentSince {
+		return
+	}
+	i := r.firstAfter(revision)
+	r.recent = slices.Insert(r.recent, i, recentChange{revision, name})
+	if len(r.recent) <= r.historySize() {
+		return
+	}
+	dropped := len(r.recent) / 2
+	r.recentSince = r.recent[dropped-1].revision
+	r.recent = slices.Clone(r.recent[r.firstAfter(r.recentSince):])
+}
+
+// firstAfter returns the index of the first recent change after a revision.
+func (r *replica) firstAfter(revision int64) int {
+	i, _ := slices.BinarySearchFunc(r.recent, revision, func(c recentChange, revision int64) int {
+		if c.revision <= revision {
+			return -1
+		}
+		return 1
+	})
+	return i
+}
+
+// changesAfter returns the objects that were changed after a revision and those that were
+// removed. Its cost follows their number, unless the revision is too old.
+func (r *replica) changesAfter(since int64) (changed, removed []message.StoredObject) {
+	if since < r.recentSince {
+		for _, o := range r.objects {
+			if o.Revision > since {
+				changed = append(changed, o)
+			}
+		}
+		for name, revision := range r.gone {
+			if revision > since {
+				removed = append(removed, message.StoredObject{Name: name, Revision: revision})
+			}
+		}
+		return changed, removed
+	}
+	for _, c := range r.recent[r.firstAfter(since):] {
+		o, ok := r.objects[c.name]
+		switch {
+		case ok && o.Revision == c.revision:
+			changed = append(changed, o)
+		case !ok && r.gone[c.name] == c.revision:
+			removed = append(removed, message.StoredObject{Name: c.name, Revision: c.revision})
+		}
+	}
+	return changed, removed
+}
+
 // remove removes an object that was gone as of a revision.
 func (r *replica) remove(name string, revision int64) {
 	delete(r.objects, name)
-	if len(r.gone) >= maxGone {
-		clear(r.gone)
-		r.goneSince = max(r.revision, revision)
-	}
 	r.gone[name] = max(r.gone[name], revision)
 	r.changed = max(r.changed, revision)
+	r.noteRecent(r.gone[name], name)
+	if len(r.gone) > r.historySize() {
+		r.dropOldestGone()
+	}
+}
+
+// dropOldestGone forgets the older half of the removed objects.
+func (r *replica) dropOldestGone() {
+	revisions := make([]int64, 0, len(r.gone))
+	for _, revision := range r.gone {
+		revisions = append(revisions, revision)
+	}
+	slices.SortFunc(revisions, cmp.Compare)
+	r.goneSince = max(r.goneSince, revisions[len(revisions)/2])
+	for name, revision := range r.gone {
+		if revision <= r.goneSince {
+			delete(r.gone, name)
+		}
+	}
 }
 
 // since returns what a router lacks whose list is complete as of the revision known.
@@ -136,15 +230,9 @@
 	if known > 0 && known >= r.goneSince {
 		out.Since = known
 	}
-	for _, o := range r.objects {
-		if o.Revision > out.Since {
-			out.List = append(out.List, o)
-		}
-	}
-	for name, revision := range r.gone {
-		if out.Since > 0 && revision > out.Since {
-			out.Removed = append(out.Removed, message.StoredObject{Name: name, Revision: revision})
-		}
+	out.List, out.Removed = r.changesAfter(out.Since)
+	if out.Since == 0 {
+		out.Removed = nil
 	}
 	return out
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -180,29 +180,30 @@
 	})
 }
 
-// targetsChanged applies the catalog's list of targets if it has changed, and gossips the new
+// targetsChanged applies the catalog's changes to the list of targets, and gossips the new
 // revision.
 func (g *Gateway) targetsChanged(s *balance.State, now time.Time, changed bool, from string) {
 	g.logIgnored(from)
 	if !changed {
 		return
 	}
-	list := g.catalog.Targets()
-	leaving := 0
-	for _, t := range list {
-		if t.Leaving {
-			leaving++
-		}
-	}
+	g.applyTargets(s, now)
+	targets, leaving := s.CountTargets()
 	at := g.catalog.TargetsRevision()
-	g.Log.Info("targets known", "era", revision.Era(at), "revision", revision.Store(at), "targets", len(list),
+	g.Log.Info("targets known", "era", revision.Era(at), "revision", revision.Store(at), "targets", targets,
 		"leaving", leaving, "lapsed", g.catalog.Lapsed(), "from", from)
-	g.logZones(now, list, from)
-	s.SetTargets(now, list)
-	g.recordRestarts(now, list)
+	g.logZones(now, from)
 	g.gossip(now)
 }
 
+// applyTargets applies the catalog's changes to the list of targets. The cost follows the number
+// of changes.
+func (g *Gateway) applyTargets(s *balance.State, now time.Time) {
+	c := g.catalog.TakeChanges()
+	s.ChangeTargets(now, c.Changed, c.Removed)
+	g.recordRestarts(now, c.Changed)
+}
+
 // logIgnored logs and counts the store entries that could not be used as targets.
 func (g *Gateway) logIgnored(from string) {
 	list, by := g.catalog.Ignored()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	// maxSuspectsPerMessage is the most requests in one message. At some 80 bytes each, most
 	// messages fit into a datagram.
 	maxSuspectsPerMessage = 12
+	// maxUnlistedBorn is the number of start times that may be kept for unlisted targets besides
+	// as many as there are listed ones.
+	maxUnlistedBorn = 64
 	// expireInterval is the interval at which records that are too old are removed.
 	expireInterval = time.Second
 )
@@ -123,15 +127,18 @@
 	return s.ReportedLeaving(t) || !listed || known.Born == t.Born && known.Leaving
 }
 
-// recordRestarts records the targets whose entries name a new process. The earlier process has
-// exited, and requests that broke off there were running at its exit.
-func (g *Gateway) recordRestarts(now time.Time, list []balance.Target) {
+// recordRestarts records which of the changed targets' entries name a new process. The earlier
+// process has exited, and requests that broke off there were running at its exit.
+func (g *Gateway) recordRestarts(now time.Time, changed []balance.Target) {
 	born := g.quarantine.bornByTarget
-	if len(born) > 2*len(list) {
-		// Most of these targets are gone; the map is filled again below.
-		clear(born)
+	if targets := g.catalog.CountTargets(); len(born) > 2*targets+maxUnlistedBorn {
+		// Most of these targets are gone.
+		maps.DeleteFunc(born, func(id string, _ int64) bool {
+			_, listed := g.catalog.Target(id)
+			return !listed
+		})
 	}
-	for _, t := range list {
+	for _, t := range changed {
 		known, ok := born[t.ID]
 		if known == t.Born {
 			continue
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -75,7 +75,7 @@
 	if expired := g.catalog.ExpireLapsed(now); len(expired) > 0 {
 		g.Log.Info("lapsed targets given up", "era", revision.Era(g.catalog.TargetsRevision()), "revision", revision.Store(g.catalog.TargetsRevision()), "count", len(expired),
 			"targets", expired[:min(len(expired), maxLoggedTargets)])
-		s.SetTargets(now, g.catalog.Targets())
+		g.applyTargets(s, now)
 	}
 	if g.catalog.Settle(now) {
 		g.targetsChanged(s, now, true, sourceTimer)
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -47,7 +47,7 @@
 
 // logZones logs the drained availability zones if they have changed. If a drained zone still gets
 // requests, operators first look up when each router learned that it was drained.
-func (g *Gateway) logZones(now time.Time, list []balance.Target, from string) {
+func (g *Gateway) logZones(now time.Time, from string) {
 	drained := g.catalog.DrainedZones()
 	if slices.Equal(drained, g.loggedDrained.zones) {
 		return
@@ -56,7 +56,7 @@
 	for _, zone := range drained {
 		targets[zone] = 0
 	}
-	for _, t := range list {
+	for _, t := range g.catalog.Targets() {
 		if t.Drained {
 			targets[t.Zone]++
 		}
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -12,12 +12,12 @@
 	// maxParts bounds the parts remembered per engine; an engine's cache holds some hundreds
 	// of shared parts.
 	maxParts = 1200
-	// cachedTTL is how long a part counts as cached after its last use. It is an estimate:
+	// CachedTTL is how long a part counts as cached after its last use. It is an estimate:
 	// engines evict the least recently used parts when they need space, and a part is used
 	// again within seconds or rarely.
-	cachedTTL = 15 * time.Second
+	CachedTTL = 15 * time.Second
 	// announceInterval is the time after which a part that is still being used is announced to
-	// other routers again: a third of cachedTTL.
+	// other routers again: a third of CachedTTL.
 	announceInterval = 5 * time.Second
 )
 
@@ -27,7 +27,7 @@
 	Tokens int
 }
 
-// Cache is what is known of one engine's prefix cache. Use NewCache to create one.
+// Cache is what is known of one engine's prefix cache. The zero value is empty.
 type Cache struct {
 	parts map[string]use
 	// unannounced holds the parts to announce to other routers.
@@ -37,12 +37,10 @@
 // use is when a part was last used, and when it was last announced to or by other routers.
 type use struct{ lastUsed, lastAnnounced time.Time }
 
-// NewCache returns the state of an engine with an empty cache.
-func NewCache() *Cache { return &Cache{parts: map[string]use{}} }
-
 // Add records that a prompt was sent to the engine. All its parts but the last, which belongs
 // to the prompt or its session alone, are announced to other routers.
 func (c *Cache) Add(now time.Time, prompt []Part) {
+	c.init()
 	for i, p := range prompt {
 		u := c.parts[p.ID]
 		u.lastUsed = now
@@ -57,12 +55,19 @@
 
 // AddRemote records that another router sent the engine prompts with these parts.
 func (c *Cache) AddRemote(now time.Time, parts []string) {
+	c.init()
 	for _, id := range parts {
 		c.parts[id] = use{lastUsed: now, lastAnnounced: now}
 	}
 	c.evict(now)
 }
 
+func (c *Cache) init() {
+	if c.parts == nil {
+		c.parts = map[string]use{}
+	}
+}
+
 // TakeAnnouncements returns the parts to announce to other routers and regards them as
 // announced.
 func (c *Cache) TakeAnnouncements() []string {
@@ -76,7 +81,7 @@
 func (c *Cache) UncachedTokens(now time.Time, prompt []Part, tokens int) int {
 	for _, p := range prompt {
 		u, ok := c.parts[p.ID]
-		if !ok || now.Sub(u.lastUsed) > cachedTTL {
+		if !ok || now.Sub(u.lastUsed) > CachedTTL {
 			break
 		}
 		tokens -= p.Tokens
@@ -96,7 +101,7 @@
 	}
 	slices.SortFunc(ages, time.Time.Compare)
 	limit := ages[len(ages)/2]
-	if old := now.Add(-cachedTTL); limit.Before(old) {
+	if old := now.Add(-CachedTTL); limit.Before(old) {
 		limit = old
 	}
 	for id, u := range c.parts {
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -27,7 +27,7 @@
 	var now time.Time
 
 	BeforeEach(func() {
-		c, now = prefix.NewCache(), time.Unix(1000, 0)
+		c, now = &prefix.Cache{}, time.Unix(1000, 0)
 	})
 
 	It("counts the tokens from the first part on that the engine was not sent", func() {
