Read the shares of hundreds of organisations without writing them, and rank for the store less often

Each read of an organisation's usage stored the decayed usage of all of them, 333 map writes for each event; reads now multiply by the decay since the last report. The least that any waiting organisation was served is looked up only for one that is over its share. A router's rank for watching the store, one pass over the fleet four times in 200 ms, is reused for 0.15 ms for each router (0.15 s at 1,000), so that its cost per second doesn't follow the fleet.

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -62,7 +62,7 @@
 // mustQueue reports whether a request to an engine must not overtake those waiting, here or at
 // other routers, because its organisation was served more than theirs.
 func (s *State) mustQueue(now time.Time, t *Ticket) bool {
-	return t.Engine && !t.Resumes && s.exceedsLead(now, t.Organisation, s.minServedWaiting(now))
+	return t.Engine && !t.Resumes && s.overShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.minServedWaiting(now))
 }
 
 // exceedsLead reports whether an organisation must let others go first; least is the least that
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,9 @@
 	settleDelay time.Duration
 	// startupDraw is a random number from 0 to 1 that decides which routers call the store first
 	// if all have just started.
-	startupDraw     float64
+	startupDraw float64
+	// storeRank is this router's rank for watching the store, as last computed.
+	storeRank       storeRank
 	lastCopyRequest time.Time
 	transport       *httptarget.Transport
 	server          *ingress.Server
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -29,6 +29,10 @@
 	// all of 101 were; without them, after 1.0 s and 2.5 s (one day at each size, sampled every
 	// 0.5 s).
 	startupWatchers = 6
+	// rankTTLPerRouter times the number of routers is how long a router's rank for watching the
+	// store is used before it is computed again, so that the work per second does not grow with
+	// the fleet. It is 0.15 s with 1,000 routers.
+	rankTTLPerRouter = 150 * time.Microsecond
 )
 
 // randomSettleDelay returns a random delay after which a router without a copy of the store's
@@ -98,22 +102,48 @@
 			watches = false
 			return
 		}
-		live, reaching := g.newStoreRank(), g.newStoreRank()
-		running := 0
-		for r := range g.runningRouters(now) {
-			running++
-			live.Add(r.ID, r.Zone)
-			if !r.StoreFailing {
-				reaching.Add(r.ID, r.Zone)
-			}
+		if now.Sub(g.storeRank.at) >= rankTTLPerRouter*time.Duration(g.storeRank.running) {
+			g.storeRank = g.rankForStore(now)
 		}
-		startup := uninformed && g.startupDraw*float64(running) < startupWatchers
+		rank := g.storeRank
+		startup := uninformed && g.startupDraw*float64(rank.running) < startupWatchers
 		reaches := g.storeFailingSince.IsZero() && !g.leaving
-		watches = startup || reaches && reaching.InTop(watcherCount) || !g.leaving && live.InTop(watcherCount)
+		watches = startup || reaches && rank.topReaching || !g.leaving && rank.topLive
 	})
 	return watches
 }
 
+// storeRank tells whether this router ranks among the first watcherCount candidates for watching
+// the store.
+type storeRank struct {
+	at time.Time
+	// running is the number of running routers, this one included.
+	running int
+	// topLive is set if this router is among the first of them, topReaching if it is among the
+	// first of those that reach the store.
+	topLive, topReaching bool
+	// near is the number of other running routers in this router's availability zone.
+	near int
+}
+
+// rankForStore ranks this router among the running ones. Its cost follows their number.
+func (g *Gateway) rankForStore(now time.Time) storeRank {
+	live, reaching := g.newStoreRank(), g.newStoreRank()
+	rank := storeRank{at: now}
+	for r := range g.runningRouters(now) {
+		rank.running++
+		if r.Zone == g.self.Zone && r.ID != g.self.ID {
+			rank.near++
+		}
+		live.Add(r.ID, r.Zone)
+		if !r.StoreFailing {
+			reaching.Add(r.ID, r.Zone)
+		}
+	}
+	rank.topLive, rank.topReaching = live.InTop(watcherCount), reaching.InTop(watcherCount)
+	return rank
+}
+
 // newStoreRank returns a counter for this router's rank among the candidates for watching the
 // store, to which the other candidates are still to be added.
 func (g *Gateway) newStoreRank() *member.RankCounter {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -185,16 +185,15 @@
 // Usage returns an organisation's usage at all other routers.
 func (v *View) Usage(now time.Time, organisation string) Usage {
 	v.expire(now)
-	v.decay(now)
-	return v.usage[organisation]
+	return v.usage[organisation].scaled(v.decayFactor(now))
 }
 
 // EachOrganisation calls f for each organisation for which any other router reported usage.
 func (v *View) EachOrganisation(now time.Time, f func(organisation string, u Usage)) {
 	v.expire(now)
-	v.decay(now)
+	factor := v.decayFactor(now)
 	for name, u := range v.usage {
-		f(name, u)
+		f(name, u.scaled(factor))
 	}
 }
 
@@ -283,16 +282,27 @@
 // remain when reports are removed.
 const negligibleTokens = 1e-3
 
-// decay applies the decay of the usage sums up to now.
+// decayFactor returns the factor by which the usage sums have decayed since they were stored.
+func (v *View) decayFactor(now time.Time) float64 {
+	return DecayFactor(max(now.Sub(v.decayedAt), 0), v.window)
+}
+
+// scaled returns the usage with its tokens multiplied by a factor.
+func (u Usage) scaled(factor float64) Usage {
+	u.Demand *= factor
+	u.Started *= factor
+	return u
+}
+
+// decay stores the usage sums as they have decayed up to now. It is called for each report, and
+// not for each read: reads are as frequent as requests.
 func (v *View) decay(now time.Time) {
 	if !now.After(v.decayedAt) {
 		return
 	}
-	factor := DecayFactor(now.Sub(v.decayedAt), v.window)
+	factor := v.decayFactor(now)
 	v.decayedAt = now
 	for name, u := range v.usage {
-		u.Demand *= factor
-		u.Started *= factor
-		v.usage[name] = u
+		v.usage[name] = u.scaled(factor)
 	}
 }
