Report to many routers as datagrams, in fragments if need be

A report to each serving router of a zone, on a stream of its own, takes 85 KB for each pair: with 200 in a zone 17 MB a router, more than all else. Messages of up to 17 KB now pass as up to twelve fragments; reports to more than 16 routers go that way. Fewer get streams as before. An older router drops fragments, and lacks these reports until it is replaced.

Long prompts are announced only where a router's part of the 250 a second that each can hear is two a second or more: 986 routers would have sent each other one in four seconds each, to 985 receivers, for nothing.

--- a/internal/adapter/peer/datagram.go
+++ b/internal/adapter/peer/datagram.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -20,8 +21,8 @@
 // headers of IPv4 and UDP, so that IP doesn't fragment it.
 const maxDatagram = 1472
 
-// errTooLarge means that an encoded message is larger than maxDatagram.
-var errTooLarge = errors.New("message is too large for a datagram")
+// errTooLarge means that an encoded message is larger than maxFragments fragments.
+var errTooLarge = errors.New("message is too large for datagrams")
 
 // maxListenTries is how many ports Listen tries to find one that is free for both TCP and UDP.
 const maxListenTries = 16
@@ -46,7 +47,7 @@
 	return nil, nil, lastErr
 }
 
-// Datagrams sends and receives small messages over UDP, without delivery guarantee and without
+// Datagrams sends and receives messages of up to some kilobytes over UDP, without delivery guarantee and without
 // a connection to each peer. Create one with NewDatagrams.
 type Datagrams struct {
 	self    member.Member
@@ -55,6 +56,10 @@
 	log     logr.Logger
 	group   *group.Group
 
+	// numbers has the number of the last message sent in fragments.
+	numbers   atomic.Uint64
+	assembler assembler
+
 	sent, bytes, received, dropped atomic.Int64
 }
 
@@ -62,46 +67,71 @@
 // each message, from a single goroutine.
 func NewDatagrams(ctx context.Context, self member.Member, conn *net.UDPConn, receive Receiver, log logr.Logger) *Datagrams {
 	d := &Datagrams{self: self, conn: conn, receive: receive, log: log, group: group.New(ctx)}
+	d.numbers.Store(rand.Uint64())
 	d.group.Go(d.readLoop)
 	return d
 }
 
-// Send sends a message to the Peer address of another router. It returns false if the message is
-// too large for a datagram. All other failures only count as dropped, like a datagram lost on
-// the way.
+// Send sends a message to the Peer address of another router, in fragments if necessary. It
+// returns false if the message is too large for them. All other failures only count as dropped,
+// like a datagram lost on the way.
 func (d *Datagrams) Send(to member.Member, m message.Message) bool {
-	err := d.send(to.Peer, m)
-	if errors.Is(err, errTooLarge) {
+	return d.SendAll([]member.Member{to}, m)
+}
+
+// SendAll is Send for several routers. It encodes the message only once.
+func (d *Datagrams) SendAll(to []member.Member, m message.Message) bool {
+	list, err := d.encode(m)
+	switch {
+	case errors.Is(err, errTooLarge):
 		return false
+	case err != nil:
+		d.dropped.Add(int64(len(to)))
+		d.log.Error(err, "message not encoded")
+		return true
 	}
-	if err != nil {
-		d.dropped.Add(1)
-		d.log.V(1).Info("datagram not sent", "peer", to.Peer, "cause", err.Error())
+	for _, router := range to {
+		if err := d.write(router.Peer, list); err != nil {
+			d.dropped.Add(1)
+			d.log.V(1).Info("datagram not sent", "peer", router.Peer, "cause", err.Error())
+		}
 	}
 	return true
 }
 
-func (d *Datagrams) send(address string, m message.Message) error {
-	to, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return errors.Wrap(err, "parse address of router")
-	}
+// encode returns the datagrams for a message.
+func (d *Datagrams) encode(m message.Message) ([][]byte, error) {
 	e := encode(m)
 	if _, ok := m.(message.Ping); !ok {
 		e.Sender, e.SenderPeer = string(d.self.ID), d.self.Peer
 	}
 	data, err := proto.Marshal(e)
 	if err != nil {
-		return errors.Wrap(err, "encode datagram")
+		return nil, errors.Wrap(err, "encode datagram")
+	}
+	if len(data) <= maxDatagram {
+		return [][]byte{data}, nil
+	}
+	list := split(d.numbers.Add(1), data)
+	if list == nil {
+		return nil, errTooLarge
 	}
-	if len(data) > maxDatagram {
-		return errTooLarge
+	return list, nil
+}
+
+// write sends the datagrams of one message.
+func (d *Datagrams) write(address string, list [][]byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Wrap(err, "parse address of router")
 	}
-	if _, err := d.conn.WriteToUDPAddrPort(data, to); err != nil {
-		return errors.Wrapf(err, "send datagram to %s", address)
+	for _, data := range list {
+		if _, err := d.conn.WriteToUDPAddrPort(data, to); err != nil {
+			return errors.Wrapf(err, "send datagram to %s", address)
+		}
+		d.bytes.Add(int64(len(data)))
 	}
 	d.sent.Add(1)
-	d.bytes.Add(int64(len(data)))
 	return nil
 }
 
@@ -110,7 +140,7 @@
 func (d *Datagrams) readLoop() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := d.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := d.conn.ReadFromUDPAddrPort(buffer)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -119,7 +149,16 @@
 			d.log.V(1).Info("datagram not received", "cause", err.Error())
 			continue
 		}
-		d.handle(buffer[:n])
+		data := buffer[:n]
+		if n > 0 && data[0] == fragmentMark {
+			before := d.assembler.dropped
+			data = d.assembler.add(from, data)
+			d.dropped.Add(d.assembler.dropped - before)
+			if data == nil {
+				continue
+			}
+		}
+		d.handle(data)
 	}
 }
 
@@ -145,7 +184,7 @@
 	d.receive(from, m)
 }
 
-// DatagramStats are counters of datagrams since the start. Bytes counts those sent, without
+// DatagramStats are counters of messages since the start. Bytes counts those of all datagrams sent, without
 // the headers of IP and UDP.
 type DatagramStats struct {
 	Sent     int64 `json:"sent"`
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -19,6 +19,9 @@
 	// all routers that serve callers. At about 20 microseconds each they take half a percent
 	// of a core. Beyond, only the longest prompts are announced.
 	maxNotifyRate = 250
+	// minNotifyRate is the number of such messages a second below which a router's part of
+	// maxNotifyRate is too small to be of use: in a large fleet none are sent.
+	minNotifyRate = 2
 	// maxNotifyThreshold is the number of tokens from which a request is still announced once
 	// the router's part of maxNotifyRate is used up.
 	maxNotifyThreshold = 40_000
@@ -38,6 +41,9 @@
 func (n *notifyLimiter) allow(now time.Time, tokens, routers int) bool {
 	n.remaining = min(n.remaining+now.Sub(n.updatedAt).Seconds(), 1)
 	n.updatedAt = now
+	if routers > maxNotifyRate/minNotifyRate {
+		return false
+	}
 	if float64(tokens) < notifyThreshold*math.Pow(maxNotifyThreshold/notifyThreshold, 1-n.remaining) {
 		return false
 	}
@@ -65,13 +71,13 @@
 	for id, parts := range r.SharedParts {
 		if t := s.findIncarnation(id); t != nil {
 			s.use(now, t).cache.AddRemote(now, parts)
+			s.noteParts(now, t, parts...)
 		}
 	}
 	s.dispatch(now)
 }
 
 // ForgetPeer removes everything that another router reported.
-			s.noteParts(now, t, parts...)
 func (s *State) ForgetPeer(now time.Time, router string) { s.peers.Remove(now, router) }
 
 // SetPeerLoad sets the load that another router's requests put on a target. It replaces the
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -132,7 +132,7 @@
 	}
 	if r.Active() || g.reporter.active {
 		status := g.statusOf(r)
-		g.peers.SendAll(members(to), status)
+		g.sendAll(members(to), status)
 		g.zone.UpdateReport(now, g.self.ID, status)
 	}
 	if useSums && g.isRelay(serving) {
@@ -201,7 +201,15 @@
 	g.requestNewer(now, from, m.Status.Revisions)
 	if from.Zone != g.self.Zone {
 		m.Status.Revisions = g.catalog.Newest()
-		g.peers.SendAll(members(inZone(g.roster.Serving(now), g.self.Zone)), m)
+		g.sendAll(members(inZone(g.roster.Serving(now), g.self.Zone)), m)
+	}
+}
+
+// sendAll sends a message to several routers: to a few on streams, which lose none and keep their
+// order, to many as datagrams, since streams to all would take most of a router's memory.
+func (g *Gateway) sendAll(to []member.Member, m message.Message) {
+	if len(to) <= maxMeshPeers || !g.datagrams.SendAll(to, m) {
+		g.peers.SendAll(to, m)
 	}
 }
 
