Pass on the store's lists compressed, and from the own zone

The list of 10,000 targets is 2.3 MB, and a message of more than 1 MB was refused: no router but the watchers would have had targets. A copy of more than 1 KB is now compressed if the receiver says that it understands that (20,000 targets: under half of the 4 MB that pass), and differences of a hundred targets fit into datagrams, so that news need no streams either.

Who learns from another zone that there is something newer, and has eight routers of its own zone, waits 100 ms for one of these. While many targets change, the news of 50 ms are passed on together.

Tests: copies packed and unpacked, the size of the list of 20,000 targets, a small message that unpacks to a huge one.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -49,10 +49,10 @@
 			Loads: encodeLoads(m.Loads), Added: encodeLoads(m.Deltas),
 		}}}
 	case message.Copy:
-		return &peerpb.Envelope{Body: &peerpb.Envelope_Copy{Copy: encodeCopy(m)}}
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Copy{Copy: pack(m.Packed, encodeCopy(m))}}
 	case message.NeedCopy:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_NeedCopy{NeedCopy: &peerpb.NeedCopy{
-			Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones,
+			Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Packed: m.Packed,
 		}}}
 	case message.ZoneStatus:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_ZoneStatus{ZoneStatus: &peerpb.ZoneStatus{
@@ -124,6 +124,9 @@
 	case *peerpb.Envelope_Loads:
 		return message.Loads{Loads: decodeLoads(b.Loads.GetLoads()), Deltas: decodeLoads(b.Loads.GetAdded())}
 	case *peerpb.Envelope_Copy:
+		if len(b.Copy.GetPacked()) > 0 {
+			return decodePacked(b.Copy.GetPacked())
+		}
 		return decodeCopy(b.Copy)
 	case *peerpb.Envelope_ZoneStatus:
 		return message.ZoneStatus{Zone: b.ZoneStatus.GetZone(), Status: decodeStatus(b.ZoneStatus.GetStatus())}
@@ -133,8 +136,11 @@
 		return decodePing(b.Ping)
 	case *peerpb.Envelope_NeedCopy:
 		return message.NeedCopy{
-			Config: b.NeedCopy.GetConfig(), Version: b.NeedCopy.GetConfigVersion(),
-			Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones(),
+			Revisions: message.Revisions{
+				Config: b.NeedCopy.GetConfig(), Version: b.NeedCopy.GetConfigVersion(),
+				Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones(),
+			},
+			Packed: b.NeedCopy.GetPacked(),
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/adapter/peer/pack_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/stepcroft/stepcroft/internal/adapter/peer/peerpb"
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+// targetCopy returns a copy with n targets as a platform lists them.
+func targetCopy(n int) message.Copy {
+	c := message.Copy{ConfigRevision: 3, Config: []byte("{}"), Targets: message.StoredObjects{Revision: int64(n)}}
+	for i := range n {
+		c.Targets.List = append(c.Targets.List, message.StoredObject{
+			Name: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Revision: int64(i + 1),
+			Value: []byte(fmt.Sprintf(`{"service":"llm-%d","address":"10.128.%d.%d:8080","zone":"z-%d","version":"v1","slots":64,`+
+				`"state":"ready","coldLeftMs":0,"stage":"dual","models":[{"name":"m","version":1,"adapters":[]}],"seq":%d}`, i%2, i/250, i%250, i%5, i%40)),
+		})
+	}
+	return c
+}
+
+func TestPackedCopies(t *testing.T) {
+	for name, n := range map[string]int{"none": 0, "one": 1, "some": 30, "many": 3000} {
+		t.Run(name, func(t *testing.T) {
+			sent := targetCopy(n)
+			sent.Packed = true
+			b, err := proto.Marshal(encode(sent))
+			if err != nil {
+				t.Fatal(err)
+			}
+			e := new(peerpb.Envelope)
+			if err := proto.Unmarshal(b, e); err != nil {
+				t.Fatal(err)
+			}
+			if got := decode(e, member.Member{}); !reflect.DeepEqual(got, targetCopy(n)) {
+				t.Error("what was unpacked differs from what was packed")
+			}
+		})
+	}
+}
+
+// TestListOfWholeFleetFitsIntoMessage checks that the list of 20,000 targets, twice the largest
+// known fleet, fits into one message with room for twice as many.
+func TestListOfWholeFleetFitsIntoMessage(t *testing.T) {
+	sent := targetCopy(20_000)
+	sent.Packed = true
+	if n := proto.Size(encode(sent)); n > maxMessageSize/2 {
+		t.Errorf("message has %d bytes, at most %d pass", n, maxMessageSize)
+	}
+}
+
+// TestOversizedPackedCopy checks that a small message that unpacks to a huge one is refused.
+func TestOversizedPackedCopy(t *testing.T) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	zeros := make([]byte, 1<<20)
+	for range maxUnpackedBytes>>20 + 1 {
+		if _, err := w.Write(zeros); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if m := decodePacked(out.Bytes()); m != nil {
+		t.Errorf("%d bytes accepted that unpack to more than %d", out.Len(), maxUnpackedBytes)
+	}
+}
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -29,8 +29,8 @@
 	linkQueueSize = 1024
 	// redialDelay is the delay before a failed stream is opened again.
 	redialDelay = 200 * time.Millisecond
-	// maxMessageSize bounds one received message, in bytes.
-	maxMessageSize = 1 << 20
+	// maxMessageSize bounds one received message, in bytes. The largest is the list of all targets.
+	maxMessageSize = 4 << 20
 	// flowControlWindow is the fixed window of streams and connections, in bytes. A window above
 	// gRPC's default disables its estimation of the bandwidth-delay product, which costs a ping
 	// and its acknowledgement for most messages.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -338,8 +338,8 @@
 
 // Copy returns what a router lacks that has the revisions in need.
 func (c *Catalog) Copy(now time.Time, need message.NeedCopy) message.Copy {
-	out := message.Copy{Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones)}
-	if c.table != nil && c.Newest().ConfigNewerThan(message.Revisions(need)) {
+	out := message.Copy{Packed: need.Packed, Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones)}
+	if c.table != nil && c.Newest().ConfigNewerThan(need.Revisions) {
 		out.ConfigRevision, out.Config = c.configRevision, c.config
 	}
 	if out.Targets.Revision > 0 || out.Zones.Revision > 0 {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -109,7 +109,7 @@
 			"copy": func(t *rapid.T) {
 				i := rapid.IntRange(0, 1).Draw(t, "to")
 				to, from := pair[i], pair[1-i]
-				m := from.Copy(now, message.NeedCopy{Config: to.ConfigRevision(), Targets: to.TargetsRevision()})
+				m := from.Copy(now, message.NeedCopy{Revisions: message.Revisions{Config: to.ConfigRevision(), Targets: to.TargetsRevision()}})
 				to.Merge(now, m)
 				noneIgnored(t, to)
 				if to.TargetsRevision() < from.TargetsChanged() {
@@ -182,7 +182,7 @@
 	}
 	take := func(to, from *catalog.Catalog) {
 		t.Helper()
-		to.Merge(now, from.Copy(now, message.NeedCopy{Targets: to.TargetsRevision()}))
+		to.Merge(now, from.Copy(now, message.NeedCopy{Revisions: message.Revisions{Targets: to.TargetsRevision()}}))
 		noneIgnored(t, to)
 	}
 	a.SetTargets(now, 1, []message.StoredObject{target("a", 1), target("b", 1)})
@@ -263,7 +263,7 @@
 	if fresh.TargetsChanged() <= old.TargetsRevision() {
 		t.Fatalf("the newest change is %d, want a later one than the known %d", fresh.TargetsChanged(), old.TargetsRevision())
 	}
-	old.Merge(now, fresh.Copy(now, message.NeedCopy{Targets: old.TargetsRevision()}))
+	old.Merge(now, fresh.Copy(now, message.NeedCopy{Revisions: message.Revisions{Targets: old.TargetsRevision()}}))
 	noneIgnored(t, old)
 	if n := len(old.Targets()); n != 1 {
 		t.Errorf("%d targets, want only the kept one", n)
--- a/internal/catalog/incarnation_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -236,7 +236,7 @@
 			},
 			"copy": func(t *rapid.T) {
 				from, to := known[router.Draw(t, "from")], known[router.Draw(t, "to")]
-				to.Merge(now, from.Copy(now, message.NeedCopy{Targets: to.TargetsRevision()}))
+				to.Merge(now, from.Copy(now, message.NeedCopy{Revisions: message.Revisions{Targets: to.TargetsRevision()}}))
 			},
 			"": func(*rapid.T) {
 				for i := range known {
@@ -256,7 +256,7 @@
 	knows.ApplyTargets(now, 1, []catalog.Change{{StoredObject: entryOf("b", 1, "3")}})
 	behind.ApplyTargets(now, 3, []catalog.Change{{StoredObject: entryOf("b", 3, "1")}})
 	knows.ApplyTargets(now, 4, []catalog.Change{{StoredObject: entryOf("b", 4, "2")}})
-	behind.Merge(now, knows.Copy(now, message.NeedCopy{Targets: behind.TargetsRevision()}))
+	behind.Merge(now, knows.Copy(now, message.NeedCopy{Revisions: message.Revisions{Targets: behind.TargetsRevision()}}))
 	if got := inUse(knows) + " " + inUse(behind); got != "b@3 b@2" {
 		t.Errorf("%q, want each to keep the newest incarnation that it knows", got)
 	}
--- a/internal/catalog/scale_test.go
+++ b/internal/catalog/scale_test.go
@@ -90,7 +90,7 @@
 				if got := c.TakeChanges(); len(got.Changed) != 1 || len(got.Removed) != 1 {
 					t.Fatalf("%d targets: %d changed and %d removed, want one each", n, len(got.Changed), len(got.Removed))
 				}
-				if got := c.Copy(now, message.NeedCopy(known)).Targets; len(got.List) != 1 || len(got.Removed) != 1 {
+				if got := c.Copy(now, message.NeedCopy{Revisions: known}).Targets; len(got.List) != 1 || len(got.Removed) != 1 {
 					t.Fatalf("%d targets: copy with %d changed and %d removed, want one each", n, len(got.List), len(got.Removed))
 				}
 				c.ExpireLapsed(now)
@@ -117,7 +117,7 @@
 			ch := catalog.Change{StoredObject: fleetEntry(random.IntN(1_500), revision), Gone: random.IntN(3) == 0}
 			ahead.ApplyTargets(now, revision, []catalog.Change{ch})
 		}
-		m := ahead.Copy(now, message.NeedCopy(behind.Complete()))
+		m := ahead.Copy(now, message.NeedCopy{Revisions: behind.Complete()})
 		if m.Targets.Since > 0 {
 			differences++
 		} else {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,7 +45,7 @@
 				// the suspected requests before it serves its first one.
 				g.sendSuspects(from, g.quarantine.exchange.All(now))
 			}
-			g.sendTo(from, g.catalog.Copy(now, m))
+			g.sendCopy(now, from, m)
 		case message.Copy:
 			g.mergeCopy(s, now, from, m)
 		case message.Quarantine:
@@ -106,13 +106,59 @@
 	return r
 }
 
-// requestNewer requests a copy of the store's contents from a router that has newer revisions.
+// requestNewer requests a copy of the store's contents from a router that has newer revisions. A
+// router of another availability zone is asked only if nobody in this zone has sent a copy soon,
+// since traffic between zones is paid for.
 func (g *Gateway) requestNewer(now time.Time, from member.Member, theirs message.Revisions) {
 	known := g.catalog.Complete()
-	if theirs.NewerThan(known) && now.Sub(g.lastCopyRequest) >= copyRequestInterval {
+	if !theirs.NewerThan(known) {
+		return
+	}
+	if zone := g.roster.Zone(from.ID); zone != "" && zone != g.self.Zone && g.storeRank.near >= minNearSources {
+		if g.farSource.due.IsZero() {
+			g.farSource = farSource{router: from, revisions: theirs, due: now.Add(farCopyDelay)}
+		}
+		return
+	}
+	g.requestCopy(now, from, known)
+}
+
+// requestCopy requests what is newer than the known revisions from another router.
+func (g *Gateway) requestCopy(now time.Time, from member.Member, known message.Revisions) {
+	if now.Sub(g.lastCopyRequest) >= copyRequestInterval {
 		g.lastCopyRequest = now
-		g.sendTo(from, message.NeedCopy(known))
+		g.sendTo(from, message.NeedCopy{Revisions: known, Packed: true})
+	}
+}
+
+// farSource is a router of another availability zone that has newer revisions than this one.
+type farSource struct {
+	router    member.Member
+	revisions message.Revisions
+	// due is when to ask it for a copy; zero if there is no such router.
+	due time.Time
+}
+
+// requestFromFar requests a copy from another zone if this zone still lacks what was seen there.
+func (g *Gateway) requestFromFar(now time.Time) {
+	far := g.farSource
+	if far.due.IsZero() || now.Before(far.due) {
+		return
+	}
+	g.farSource = farSource{}
+	if known := g.catalog.Complete(); far.revisions.NewerThan(known) {
+		g.requestCopy(now, far.router, known)
+	}
+}
+
+// sendCopy sends another router what it lacks.
+func (g *Gateway) sendCopy(now time.Time, to member.Member, need message.NeedCopy) {
+	c := g.catalog.Copy(now, need)
+	if !need.Packed || len(c.Targets.List) > maxDatagramTargets {
+		g.peers.Send(to, c)
+		return
 	}
+	g.sendTo(to, c)
 }
 
 func loadOf(l message.TargetLoad) view.Load {
@@ -197,7 +243,7 @@
 	g.Log.Info("targets known", "era", revision.Era(at), "revision", revision.Store(at), "targets", targets,
 		"leaving", leaving, "lapsed", g.catalog.Lapsed(), "from", from)
 	g.logZones(now, from)
-	g.gossip(now)
+	g.gossipSoon(now)
 }
 
 // applyTargets applies the catalog's changes to the list of targets. The cost follows the number
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,16 @@
 	// copyRequestInterval is the minimum interval between requests to other routers for newer
 	// contents of the store.
 	copyRequestInterval = 60 * time.Millisecond
+	// farCopyDelay is how long a router that learns from another availability zone that there is
+	// something newer waits for a copy from its own zone, if at least minNearSources other
+	// routers run there. News reach most of a zone's routers within some milliseconds.
+	farCopyDelay   = 100 * time.Millisecond
+	minNearSources = 8
+	// maxDatagramTargets is the number of targets above which a copy certainly needs a stream.
+	maxDatagramTargets = 512
+	// gossipInterval is the least interval between messages about changed targets. While many
+	// targets change, the changes of one interval are passed on together.
+	gossipInterval = tickInterval
 )
 
 // Options configures a gateway.
@@ -114,11 +124,16 @@
 	// storeRank is this router's rank for watching the store, as last computed.
 	storeRank       storeRank
 	lastCopyRequest time.Time
-	transport       *httptarget.Transport
-	server          *ingress.Server
-	peers           *peer.Transport
-	datagrams       *peer.Datagrams
-	leaving         bool
+	farSource       farSource
+	// lastGossip is when this router last sent its revisions to some other routers at once,
+	// gossipPending is set if it is to do so again at the next tick.
+	lastGossip    time.Time
+	gossipPending bool
+	transport     *httptarget.Transport
+	server        *ingress.Server
+	peers         *peer.Transport
+	datagrams     *peer.Datagrams
+	leaving       bool
 	// storeFailingSince is the time since when calls to the store have failed, zero while they
 	// work.
 	storeFailingSince time.Time
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -62,6 +62,10 @@
 	if !now.Before(g.reporter.due) {
 		g.report(s, now)
 	}
+	if g.gossipPending {
+		g.gossip(now)
+	}
+	g.requestFromFar(now)
 	g.updateSelf()
 	g.sendPings(g.roster.Tick(now))
 	g.logStateChanges(g.roster.Changes())
@@ -247,10 +251,20 @@
 // gossip sends this router's current record and revisions to some other routers at once,
 // without waiting for the next tick.
 func (g *Gateway) gossip(now time.Time) {
+	g.lastGossip, g.gossipPending = now, false
 	g.updateSelf()
 	g.sendPings(g.roster.Gossip(now))
 }
 
+// gossipSoon is gossip at most once in gossipInterval.
+func (g *Gateway) gossipSoon(now time.Time) {
+	if now.Sub(g.lastGossip) >= gossipInterval {
+		g.gossip(now)
+		return
+	}
+	g.gossipPending = true
+}
+
 // sendPings sends the roster's outgoing pings.
 func (g *Gateway) sendPings(list []roster.Outgoing) {
 	for _, s := range list {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -207,6 +207,8 @@
 	// UnstableFor is the remaining time in which an entry's removal may only mean that its
 	// TTL ran out while the store was unavailable.
 	UnstableFor time.Duration
+	// Packed is set if the receiver accepts a compressed form. It is not transmitted.
+	Packed bool
 }
 
 // StoredObjects holds the store's objects of one kind, or the changes to them.
@@ -228,7 +230,11 @@
 }
 
 // NeedCopy asks for a Copy of what is newer than the sender's revisions.
-type NeedCopy Revisions
+type NeedCopy struct {
+	Revisions
+	// Packed is set if the sender accepts a compressed Copy, and one in fragments.
+	Packed bool
+}
 
 // RouterState tells whether a router is believed to be running.
 type RouterState uint8
