Roll-outs of a service to another version of its targets

Routers report the answers and bad answers (server errors, broken ones, several times later than expected) of both versions with their loads; a version that is worse by four standard deviations is rolled back, at the router that sees it at once and by the store's status at all others. Shortly before its time limit a version that did well gets all requests, then its roll-out is recorded as complete. Orders and states are copied from the store like drained zones are; states are written under a condition, and a final one is never taken back.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -52,7 +52,7 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Copy{Copy: pack(m.Packed, encodeCopy(m))}}
 	case message.NeedCopy:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_NeedCopy{NeedCopy: &peerpb.NeedCopy{
-			Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Packed: m.Packed,
+			Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Rollouts: m.Rollouts, Packed: m.Packed,
 		}}}
 	case message.ZoneStatus:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_ZoneStatus{ZoneStatus: &peerpb.ZoneStatus{
@@ -138,7 +138,7 @@
 		return message.NeedCopy{
 			Revisions: message.Revisions{
 				Config: b.NeedCopy.GetConfig(), Version: b.NeedCopy.GetConfigVersion(),
-				Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones(),
+				Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones(), Rollouts: b.NeedCopy.GetRollouts(),
 			},
 			Packed: b.NeedCopy.GetPacked(),
 		}
--- a/internal/adapter/peer/ping.go
+++ b/internal/adapter/peer/ping.go
@@ -7,7 +7,7 @@
 
 func encodePing(m message.Ping) *peerpb.Ping {
 	out := &peerpb.Ping{
-		From: encodeRecord(m.From), Kind: uint32(m.Kind), Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones,
+		From: encodeRecord(m.From), Kind: uint32(m.Kind), Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Rollouts: m.Rollouts,
 		Digest: m.RosterDigest, WantAll: m.WantAll, Quarantine: m.QuarantineDigest,
 	}
 	for _, r := range m.Records {
@@ -19,7 +19,7 @@
 func decodePing(m *peerpb.Ping) message.Ping {
 	out := message.Ping{
 		From: decodeRecord(m.GetFrom()), Kind: message.PingKind(m.GetKind()),
-		Revisions:    message.Revisions{Config: m.GetConfig(), Version: m.GetConfigVersion(), Targets: m.GetTargets(), Zones: m.GetZones()},
+		Revisions:    message.Revisions{Config: m.GetConfig(), Version: m.GetConfigVersion(), Targets: m.GetTargets(), Zones: m.GetZones(), Rollouts: m.GetRollouts()},
 		RosterDigest: m.GetDigest(), WantAll: m.GetWantAll(), QuarantineDigest: m.GetQuarantine(),
 	}
 	for _, r := range m.GetRecords() {
--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -5,12 +5,19 @@
 
 	"github.com/stepcroft/stepcroft/internal/adapter/peer/peerpb"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
 // encodeStatus encodes a status. Some protobuf fields have other names than those of the
 // message: Kept is SharedParts, Asked is Demand, Begun is Started, Unread is PendingTokens.
 func encodeStatus(m message.Status) *peerpb.Status {
-	out := &peerpb.Status{Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Loads: encodeLoads(m.Loads)}
+	out := &peerpb.Status{Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Rollouts: m.Rollouts, Loads: encodeLoads(m.Loads)}
+	for _, r := range m.RolloutResults {
+		out.RolloutResults = append(out.RolloutResults, &peerpb.RolloutResults{
+			Service: r.Service, Version: r.Version, NewAnswers: uint32(r.New.Answers), NewBad: uint32(r.New.Bad),
+			OtherAnswers: uint32(r.Other.Answers), OtherBad: uint32(r.Other.Bad),
+		})
+	}
 	for _, parts := range m.SharedParts {
 		out.Kept = append(out.Kept, &peerpb.TargetParts{Target: parts.Target, Parts: parts.Parts})
 	}
@@ -24,9 +31,16 @@
 
 func decodeStatus(m *peerpb.Status) message.Status {
 	out := message.Status{
-		Revisions: message.Revisions{Config: m.GetConfig(), Version: m.GetConfigVersion(), Targets: m.GetTargets(), Zones: m.GetZones()},
+		Revisions: message.Revisions{Config: m.GetConfig(), Version: m.GetConfigVersion(), Targets: m.GetTargets(), Zones: m.GetZones(), Rollouts: m.GetRollouts()},
 		Loads:     decodeLoads(m.GetLoads()),
 	}
+	for _, r := range m.GetRolloutResults() {
+		out.RolloutResults = append(out.RolloutResults, rollout.Results{
+			Service: r.GetService(), Version: r.GetVersion(),
+			New:   rollout.Counts{Answers: int(r.GetNewAnswers()), Bad: int(r.GetNewBad())},
+			Other: rollout.Counts{Answers: int(r.GetOtherAnswers()), Bad: int(r.GetOtherBad())},
+		})
+	}
 	for _, parts := range m.GetKept() {
 		out.SharedParts = append(out.SharedParts, message.TargetParts{Target: parts.GetTarget(), Parts: parts.GetParts()})
 	}
@@ -65,12 +79,23 @@
 		Since: m.Targets.Since, Targets: encodeObjects(m.Targets.List), Gone: encodeObjects(m.Targets.Removed),
 		UnstableMs: uint32(m.UnstableFor.Milliseconds()),
 	}
-	if z := m.Zones; z.Revision > 0 {
-		out.Zones = &peerpb.StoredObjects{Revision: z.Revision, Since: z.Since, List: encodeObjects(z.List), Gone: encodeObjects(z.Removed)}
-	}
+	out.Zones, out.Rollouts = encodeStored(m.Zones), encodeStored(m.Rollouts)
 	return out
 }
 
+func encodeStored(m message.StoredObjects) *peerpb.StoredObjects {
+	if m.Revision == 0 {
+		return nil
+	}
+	return &peerpb.StoredObjects{Revision: m.Revision, Since: m.Since, List: encodeObjects(m.List), Gone: encodeObjects(m.Removed)}
+}
+
+func decodeStored(m *peerpb.StoredObjects) message.StoredObjects {
+	return message.StoredObjects{
+		Revision: m.GetRevision(), Since: m.GetSince(), List: decodeObjects(m.GetList()), Removed: decodeObjects(m.GetGone()),
+	}
+}
+
 func encodeObjects(list []message.StoredObject) []*peerpb.StoredObject {
 	var out []*peerpb.StoredObject
 	for _, t := range list {
@@ -80,15 +105,12 @@
 }
 
 func decodeCopy(m *peerpb.Copy) message.Copy {
-	z := m.GetZones()
 	return message.Copy{
 		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(),
 		Targets: message.StoredObjects{
 			Revision: m.GetTargetsRevision(), Since: m.GetSince(), List: decodeObjects(m.GetTargets()), Removed: decodeObjects(m.GetGone()),
 		},
-		Zones: message.StoredObjects{
-			Revision: z.GetRevision(), Since: z.GetSince(), List: decodeObjects(z.GetList()), Removed: decodeObjects(z.GetGone()),
-		},
+		Zones: decodeStored(m.GetZones()), Rollouts: decodeStored(m.GetRollouts()),
 		UnstableFor: time.Duration(m.GetUnstableMs()) * time.Millisecond,
 	}
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -14,6 +14,7 @@
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -78,6 +79,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is the version of the target's software.
+	Version string
 	Slots   int
 	// Born is when the target's process started, in Unix milliseconds; 0 if unknown.
 	Born int64
@@ -156,8 +159,10 @@
 	// coldAllowance returns how many requests this router may send to a cold target in a
 	// second; a nil function allows none. coldSkips counts how often a target was skipped for
 	// that.
-	coldAllowance     func(now time.Time, target string, r coldstart.Rate) int
-	coldSkips         int64
+	coldAllowance func(now time.Time, target string, r coldstart.Rate) int
+	coldSkips     int64
+	// rollouts decides which requests may go to which version of a service; nil allows all.
+	rollouts          *rollout.Tracker
 	advice            advice.Records
 	sentAgainstAdvice SentAgainstAdvice
 	// backoffs counts the backoffs that this router started without a target having asked for
@@ -236,7 +241,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.targetsOf(t.Service), func(c *target) bool {
-		return c != t.target && !c.Closed(now) && !c.suspected(now) && !c.backingOffOrProbed(now) && !slices.Contains(t.Tried, c.incarnation)
+		return c != t.target && s.isOpen(now, t, c) && !c.suspected(now) && !c.backingOffOrProbed(now) && !slices.Contains(t.Tried, c.incarnation)
 	})
 }
 
@@ -311,6 +316,7 @@
 		return
 	}
 	t.started = true
+	t.slow = s.startedSlowly(now, t)
 	t.target.endProbe(t)
 	t.target.consecutiveRefusals = 0
 	t.target.lastProgress = now
@@ -343,6 +349,7 @@
 		s.countRefusal(now, to)
 	}
 	to.recordResult(now, how)
+	s.recordVersion(now, t, to, how)
 	if how == Answered && !t.Engine && t.foundFreeSlot {
 		to.learnServiceTime(now.Sub(t.sentAt))
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -219,16 +219,16 @@
 	}
 	s.good, s.suspect = good, suspect
 	if len(good) == 0 {
-		return suspect
+		good = suspect
 	}
-	return good
+	return s.preferVersion(now, t, good)
 }
 
-// isUsable reports whether t may be sent to a target: not if the target is closed, backing off
+// isUsable reports whether t may be sent to a target: not if the target is closed to it, backing off
 // or was tried before, or if it is cold and has been sent this router's part of the requests
 // that it can handle.
 func (s *State) isUsable(now time.Time, t *Ticket, c *target) bool {
-	return !c.Closed(now) && !c.backingOffOrProbed(now) && !slices.Contains(t.Tried, c.incarnation) && !s.coldLimited(now, c)
+	return s.isOpen(now, t, c) && !c.backingOffOrProbed(now) && !slices.Contains(t.Tried, c.incarnation) && !s.coldLimited(now, c)
 }
 
 // leastLoaded returns the target of a plain service with the fewest running requests. Among
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -108,7 +108,7 @@
 
 // refusalReason returns why no target was found for a request.
 func (s *State) refusalReason(now time.Time, t *Ticket) Reason {
-	open := slices.ContainsFunc(s.targetsOf(t.Service), func(to *target) bool { return !to.Closed(now) })
+	open := slices.ContainsFunc(s.targetsOf(t.Service), func(to *target) bool { return s.isOpen(now, t, to) })
 	_, backingOff := s.backoffEnd(now, t.Service, t.Tried)
 	switch {
 	case !open:
@@ -142,7 +142,7 @@
 	if len(list) == 0 {
 		return "", false
 	}
-	if slices.ContainsFunc(list, func(to *target) bool { return !to.Closed(now) }) {
+	if slices.ContainsFunc(list, func(to *target) bool { return s.isOpen(now, t, to) }) {
 		end, backingOff := s.backoffEnd(now, t.Service, t.Tried)
 		return BackingOff, backingOff && end.After(t.expires)
 	}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -38,6 +38,9 @@
 	// Pieces is the number of pieces in which the answer was forwarded. The request's own
 	// goroutine sets it.
 	Pieces atomic.Int64
+	// ServerError is set if the target answered with a server error. The request's own goroutine
+	// sets it.
+	ServerError atomic.Bool
 	// Decision receives one decision for each call of Arrive or Requeue, and for each call of
 	// Retry that returned true. Its capacity must be one.
 	Decision chan Decision
@@ -48,6 +51,8 @@
 	load    view.Load
 	work    pace.Work
 	started bool
+	// slow is set if the answer started much later than expected.
+	slow bool
 	// foundFreeSlot is set if the target of a plain service had a free slot when the request
 	// was sent.
 	foundFreeSlot bool
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,5 +1,5 @@
 // Package catalog holds a router's copy of the store's entries: the configuration, the list of
-// targets and the list of drained availability zones, each as of a revision of the store. It
+// targets, that of drained availability zones and the roll-outs, each as of a revision of the store. It
 // takes them from the store and from other routers, whichever is newer, and never goes back to
 // an older state. This holds also when the store comes back from an older copy, a new era (see
 // package revision): entries of that copy count only once their writers have written them again.
@@ -49,6 +49,12 @@
 	invalid bool
 	// born is the start time of the newest known incarnation, in Unix milliseconds.
 	born int64
+	// entryTimes is noTimes for most entries. own allocates it.
+	*entryTimes
+}
+
+// entryTimes are the times of an entry that few have.
+type entryTimes struct {
 	// lapsedAt is when the entry disappeared while the store was in trouble, zero while the
 	// store holds it. A lapsed entry is dropped at lapsedUntil.
 	lapsedAt, lapsedUntil time.Time
@@ -60,6 +66,17 @@
 	unconfirmedUntil time.Time
 }
 
+// noTimes are the times of all entries that have none. They are never written.
+var noTimes = &entryTimes{}
+
+// own returns an entry's times, to be written.
+func (e *entry) own() *entryTimes {
+	if e.entryTimes == noTimes {
+		e.entryTimes = &entryTimes{}
+	}
+	return e.entryTimes
+}
+
 // Catalog is one router's copy of the store's entries. Use New to make one.
 type Catalog struct {
 	codec Codec
@@ -74,6 +91,7 @@
 	table          *routing.Table
 	targets        replica
 	zones          replica
+	rollouts       replica
 	// entries holds the targets that are listed or lapsed, by name. They are replaced by
 	// setEntry.
 	entries map[string]*entry
@@ -103,7 +121,7 @@
 func New(codec Codec, drain, entryTTL time.Duration) *Catalog {
 	c := &Catalog{
 		codec: codec, maxLapse: max(min(storeRecoveryTime, drain-drainReserve), 0), entryTTL: entryTTL,
-		targets: newReplica(), zones: newReplica(), entries: map[string]*entry{}, ignoredByField: map[string]int{},
+		targets: newReplica(), zones: newReplica(), rollouts: newReplica(), entries: map[string]*entry{}, ignoredByField: map[string]int{},
 		departed: map[string]Version{}, retainedZones: map[string]time.Time{},
 		lapsed: map[string]struct{}{}, unconfirmed: map[string]struct{}{}, changed: map[string]struct{}{}, lapseEndsFixed: true,
 	}
@@ -128,12 +146,12 @@
 // Newest returns the revisions of the newest known changes. A router whose data is complete as
 // of these revisions or later ones lacks none of the changes known here.
 func (c *Catalog) Newest() message.Revisions {
-	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.changed, Zones: c.zones.changed}
+	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.changed, Zones: c.zones.changed, Rollouts: c.rollouts.changed}
 }
 
 // Complete returns the revisions as of which the data is complete.
 func (c *Catalog) Complete() message.Revisions {
-	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.revision, Zones: c.zones.revision}
+	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.revision, Zones: c.zones.revision, Rollouts: c.rollouts.revision}
 }
 
 // MarkUnstable notes that the store is in trouble: entries that disappear within maxLapse from
@@ -214,11 +232,12 @@
 	if old != nil {
 		known = Version{Born: old.born}
 	}
-	e := &entry{born: known.Born}
+	e := &entry{born: known.Born, entryTimes: noTimes}
 	var err error
 	e.target, err = c.codec.Target(t.Name, t.Value)
 	// A few services and zones are named by thousands of targets.
 	e.target.Service, e.target.Zone = unique.Make(e.target.Service).Value(), unique.Make(e.target.Zone).Value()
+	e.target.Version = unique.Make(e.target.Version).Value()
 	version := Version{Born: e.target.Born, Writes: e.target.Writes, Revision: t.Revision}
 	switch {
 	case err != nil:
@@ -234,12 +253,12 @@
 		e.born = version.Born
 		if e.target.ColdLeft > 0 {
 			// Errs on the late side, since the entry was written some time ago.
-			e.coldUntil = now.Add(e.target.ColdLeft)
+			e.own().coldUntil = now.Add(e.target.ColdLeft)
 		}
 		if old == nil && !version.WrittenAfter(known) {
 			// The target had left, and this is not a later write, so it may not be back. If it
 			// doesn't write the entry, the store removes it within entryTTL.
-			e.unconfirmedUntil = now.Add(c.entryTTL)
+			e.own().unconfirmedUntil = now.Add(c.entryTTL)
 		}
 		delete(c.departed, t.Name)
 		c.checkService(t, e.target.Service)
@@ -269,7 +288,8 @@
 		// The entry lapses until the end of the unstable period, and not for maxLapse from now:
 		// a target whose entry disappears late in the period has probably left, and would be
 		// sent requests for up to 1.85 s more.
-		e.lapsedAt, e.lapsedUntil = now, c.unstableUntil
+		times := e.own()
+		times.lapsedAt, times.lapsedUntil = now, c.unstableUntil
 		c.setEntry(name, e)
 		return
 	}
@@ -338,7 +358,7 @@
 
 // Copy returns what a router lacks that has the revisions in need.
 func (c *Catalog) Copy(now time.Time, need message.NeedCopy) message.Copy {
-	out := message.Copy{Packed: need.Packed, Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones)}
+	out := message.Copy{Packed: need.Packed, Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones), Rollouts: c.rollouts.since(need.Rollouts)}
 	if c.table != nil && c.Newest().ConfigNewerThan(need.Revisions) {
 		out.ConfigRevision, out.Config = c.configRevision, c.config
 	}
@@ -354,6 +374,7 @@
 	if (c.targets.accepts(m.Targets) || c.zones.accepts(m.Zones)) && m.UnstableFor > c.unstableFor(now) {
 		c.unstableUntil = now.Add(m.UnstableFor)
 	}
+	c.rollouts.merge(m.Rollouts)
 	drained, _ := c.zones.merge(m.Zones)
 	c.retain(now, drained)
 	before := c.targets.revision
--- a/internal/catalog/left.go
+++ b/internal/catalog/left.go
@@ -30,7 +30,7 @@
 	settled := false
 	for name := range c.unconfirmed {
 		if e := c.entries[name]; !now.Before(e.unconfirmedUntil) {
-			e.unconfirmedUntil = time.Time{}
+			e.own().unconfirmedUntil = time.Time{}
 			c.setEntry(name, e)
 			settled = true
 		}
@@ -51,7 +51,7 @@
 		return
 	}
 	for name := range c.unconfirmed {
-		c.entries[name].unconfirmedUntil = now.Add(c.entryTTL)
+		c.entries[name].own().unconfirmedUntil = now.Add(c.entryTTL)
 	}
 }
 
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -183,6 +183,7 @@
 	}
 	x.recordPiece()
 	whole := &bufferedAnswer{status: a.Status, header: x.answerHeader(a.Header), body: body}
+	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
 	if a.Status >= http.StatusInternalServerError {
 		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, errorAnswer: whole, cause: errors.Errorf("status %d", a.Status)}
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -66,9 +66,11 @@
 			return
 		}
 		s.ForgetPeer(now, sumPeerName(from.Zone))
+		g.rollouts.RemovePeer(sumPeerName(from.Zone))
 		g.directZones[from.ID] = from.Zone
 	}
 	s.ApplyReport(now, string(from.ID), reportOf(m))
+	g.rollouts.SetPeer(string(from.ID), m.RolloutResults)
 }
 
 // handleLoads applies the changes of load that another router sends between reports.
@@ -170,6 +172,7 @@
 		g.setConfig(s, m.ConfigRevision, m.Config, string(from.ID))
 	}
 	changed := g.catalog.Merge(now, m)
+	g.rolloutsChanged(now, m.Rollouts.Revision > 0, string(from.ID))
 	g.targetsChanged(s, now, changed, string(from.ID))
 	g.confirm(now, string(from.ID))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
@@ -94,6 +95,10 @@
 	// QuarantineStore persists the requests that are held back, so that they survive a restart of
 	// all routers; nil if they are not persisted.
 	QuarantineStore QuarantineStore
+	// RolloutStore holds the roll-outs of services; nil if there are none. A bad version may get
+	// up to the part RolloutExposure, from 0 to 1, of a service's requests.
+	RolloutStore    RolloutStore
+	RolloutExposure float64
 	Log             logr.Logger
 	// LogFull reports whether a log line about a request would be dropped, and counts it as
 	// dropped if so; nil means never.
@@ -152,6 +157,9 @@
 	// logged last.
 	coldSenders *coldstart.Senders
 	loggedCold  coldTargets
+	// rollouts follows the roll-outs, loggedRollouts are their states as logged last.
+	rollouts       *rollout.Tracker
+	loggedRollouts map[string]rollout.State
 	// loggedAgainstAdvice counts the requests to targets that were leaving or backing off, as
 	// logged last.
 	loggedAgainstAdvice balance.SentAgainstAdvice
@@ -223,6 +231,8 @@
 	state.OnLongPrompt(g.sendLoad)
 	g.coldSenders = coldstart.NewSenders(now, g.roster, self.ID)
 	state.SetColdAllowance(g.coldSenders.SendLimit)
+	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
+	state.SetRollouts(g.rollouts)
 	g.loop = balance.NewLoop(state)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
 const (
@@ -36,6 +37,8 @@
 	// zones has a 1 for each drained availability zone, cold is the number of cold targets by
 	// service, and coldSkipped counts how often a target was skipped for being cold.
 	zones, cold *expvar.Map
+	// rollouts has a 1 for each roll-out, by service and state.
+	rollouts    *expvar.Map
 	coldSkipped *expvar.Int
 	// advice counts what targets reported about themselves in responses (leaving, backing
 	// off), againstAdvice the requests that were sent to such a target nevertheless.
@@ -56,7 +59,7 @@
 	m := &Metrics{
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
-		ignored: new(expvar.Map), zones: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
+		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
 		advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -69,6 +72,7 @@
 	m.root.Set("statuses", m.statuses)
 	m.root.Set("targets_ignored", m.ignored)
 	m.root.Set("drained_zones", m.zones)
+	m.root.Set("rollouts", m.rollouts)
 	m.root.Set("cold_targets", m.cold)
 	m.root.Set("cold_passed_over", m.coldSkipped)
 	m.root.Set("suspected_requests", m.suspects)
@@ -160,6 +164,14 @@
 	}
 }
 
+// setRollouts replaces the states of roll-outs by service.
+func (m *Metrics) setRollouts(states map[string]rollout.State) {
+	m.rollouts.Init()
+	for service, state := range states {
+		m.rollouts.Add(service+" "+string(state), 1)
+	}
+}
+
 // setCold replaces the numbers of cold targets by service.
 func (m *Metrics) setCold(count map[string]int) {
 	m.cold.Init()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -76,6 +76,7 @@
 	g.publishLocalChanges(now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
+	g.decideRollouts(now)
 	if expired := g.catalog.ExpireLapsed(now); len(expired) > 0 {
 		g.Log.Info("lapsed targets given up", "era", revision.Era(g.catalog.TargetsRevision()), "revision", revision.Store(g.catalog.TargetsRevision()), "count", len(expired),
 			"targets", expired[:min(len(expired), maxLoggedTargets)])
@@ -198,10 +199,12 @@
 	for id, zone := range g.directZones {
 		if zone == m.Zone {
 			s.ForgetPeer(now, string(id))
+			g.rollouts.RemovePeer(string(id))
 			delete(g.directZones, id)
 		}
 	}
 	s.ApplyReport(now, sumPeerName(m.Zone), reportOf(m.Status))
+	g.rollouts.SetPeer(sumPeerName(m.Zone), m.Status.RolloutResults)
 	g.requestNewer(now, from, m.Status.Revisions)
 	if from.Zone != g.self.Zone {
 		m.Status.Revisions = g.catalog.Newest()
@@ -282,7 +285,7 @@
 
 // statusOf converts a report into a message.
 func (g *Gateway) statusOf(r view.Report) message.Status {
-	m := message.Status{Revisions: g.catalog.Newest()}
+	m := message.Status{Revisions: g.catalog.Newest(), RolloutResults: g.rollouts.Results()}
 	for id, l := range r.Loads {
 		m.Loads = append(m.Loads, targetLoad(id, l))
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
 // RouterID is the name of a router from its settings, unique within the fleet.
@@ -134,6 +135,8 @@
 	Usage []OrganisationUsage
 	// SharedParts lists the shared prompt prefixes that were recently sent to each target.
 	SharedParts []TargetParts
+	// RolloutResults are those of the services that are being rolled out.
+	RolloutResults []rollout.Results
 }
 
 // ZoneStatus is the sum of the Status messages of an availability zone's serving routers.
@@ -174,11 +177,11 @@
 }
 
 // Revisions tells how recent a router's copy of the store is: the store's revisions of the
-// configuration in force and of the latest changes to the lists of targets and of drained
-// availability zones. Revisions keep rising over the store's whole life, even when it is
+// configuration in force and of the latest changes to the lists of targets, of drained
+// availability zones and of roll-outs. Revisions keep rising over the store's whole life, even when it is
 // restored from an older copy.
 type Revisions struct {
-	Config, Targets, Zones int64
+	Config, Targets, Zones, Rollouts int64
 	// Version is the version written in the configuration itself, 0 if unknown. It decides
 	// which of two configurations is newer: a store restored from an older copy may hold an
 	// outdated configuration at a later revision.
@@ -187,7 +190,7 @@
 
 // NewerThan reports whether any part of r is newer than in other.
 func (r Revisions) NewerThan(other Revisions) bool {
-	return r.ConfigNewerThan(other) || r.Targets > other.Targets || r.Zones > other.Zones
+	return r.ConfigNewerThan(other) || r.Targets > other.Targets || r.Zones > other.Zones || r.Rollouts > other.Rollouts
 }
 
 // ConfigNewerThan reports whether the configuration of r is newer than that of other.
@@ -201,9 +204,9 @@
 // Copy is a router's copy of the store's contents, sent in reply to a NeedCopy. Config is
 // empty if the sender has none newer than the receiver's.
 type Copy struct {
-	ConfigRevision int64
-	Config         []byte
-	Targets, Zones StoredObjects
+	ConfigRevision           int64
+	Config                   []byte
+	Targets, Zones, Rollouts StoredObjects
 	// UnstableFor is the remaining time in which an entry's removal may only mean that its
 	// TTL ran out while the store was unavailable.
 	UnstableFor time.Duration
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -13,6 +13,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
 const (
@@ -74,6 +75,7 @@
 	var out message.Status
 	loads := map[string]message.TargetLoad{}
 	usage := map[string]message.OrganisationUsage{}
+	rollouts := map[string]rollout.Results{}
 	for id, r := range s.reports {
 		if now.Sub(r.at) >= reportTTL {
 			delete(s.reports, id)
@@ -85,6 +87,17 @@
 				Target: l.Target, PendingTokens: sum.PendingTokens + l.PendingTokens, Running: sum.Running + l.Running, MemoryTokens: sum.MemoryTokens + l.MemoryTokens,
 			}
 		}
+		for _, o := range r.RolloutResults {
+			sum := rollouts[o.Service]
+			if sum.Version != o.Version {
+				// Of two orders the one with more answers counts; the other is outdated.
+				if sum.New.Answers+sum.Other.Answers > o.New.Answers+o.Other.Answers {
+					continue
+				}
+				sum = rollout.Results{}
+			}
+			rollouts[o.Service] = rollout.Results{Service: o.Service, Version: o.Version, New: sum.New.Plus(o.New), Other: sum.Other.Plus(o.Other)}
+		}
 		for _, u := range r.Usage {
 			sum := usage[u.Organisation]
 			usage[u.Organisation] = message.OrganisationUsage{
@@ -94,6 +107,7 @@
 	}
 	out.Loads = slices.Collect(maps.Values(loads))
 	out.Usage = slices.Collect(maps.Values(usage))
+	out.RolloutResults = slices.Collect(maps.Values(rollouts))
 	for target, parts := range s.sharedParts {
 		out.SharedParts = append(out.SharedParts, message.TargetParts{Target: target, Parts: parts})
 	}
