Serve requests only in the regions that their route and organisation allow

allowedRegions was read nowhere. A table now gives the regions of a route and an organisation (those both allow), and a target in another region is closed to the request at every choice: first sends, what waits, retries, resumptions, sources of fetched prompts. A new configuration takes effect on what waits. A request that no open target may serve is refused at once, with the reason no-allowed-target, which also names versions that were rolled back. Callers of a zone with too few routers are told of others in its region first.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -122,7 +122,9 @@
 
 // State is the control state of a router. Use New to make one.
 type State struct {
-	zone    string
+	zone string
+	// regions has the region of each availability zone.
+	regions map[string]string
 	limits  Limits
 	random  *rand.Rand
 	table   *routing.Table
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -111,6 +111,8 @@
 	open := slices.ContainsFunc(s.targetsOf(t.Service), func(to *target) bool { return s.isOpen(now, t, to) })
 	_, backingOff := s.backoffEnd(now, t.Service, t.Tried)
 	switch {
+	case !open && s.anyOpen(now, t.Service):
+		return NoAllowedTarget
 	case !open:
 		return NoTarget
 	case backingOff:
@@ -146,12 +148,20 @@
 		end, backingOff := s.backoffEnd(now, t.Service, t.Tried)
 		return BackingOff, backingOff && end.After(t.expires)
 	}
-	if s.allDrained(now, t.Service) {
+	switch {
+	case s.allDrained(now, t.Service):
 		return Drained, true
+	case s.anyOpen(now, t.Service):
+		return NoAllowedTarget, true
 	}
 	return NoTarget, true
 }
 
+// anyOpen reports whether any target of a service takes requests.
+func (s *State) anyOpen(now time.Time, service string) bool {
+	return slices.ContainsFunc(s.targetsOf(service), func(to *target) bool { return !to.Closed(now) })
+}
+
 // refuseUnservable refuses all waiting requests that none of the current targets can take.
 func (s *State) refuseUnservable(now time.Time) {
 	s.queue = slices.DeleteFunc(s.queue, func(t *Ticket) bool {
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -6,6 +6,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/prefix"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -16,6 +17,8 @@
 	ID           string
 	Service      string
 	Organisation string
+	// Route is the name of the request's route.
+	Route string
 	// Engine is set for requests to model engines, Stream if the answer is streamed as events.
 	Engine, Stream bool
 	// Parts are the parts of the prompt in order. The last one belongs to this request or its
@@ -51,6 +54,9 @@
 	load    view.Load
 	work    pace.Work
 	started bool
+	// regions are those that regionsBy allows for the request.
+	regions   routing.Regions
+	regionsBy *routing.Table
 	// slow is set if the answer started much later than expected.
 	slow bool
 	// foundFreeSlot is set if the target of a plain service had a free slot when the request
@@ -95,6 +101,9 @@
 	OverShare Reason = "over-share"
 	// NoTarget means that no target of the service takes requests.
 	NoTarget Reason = "no-target"
+	// NoAllowedTarget means that some targets of the service take requests, but the request may not
+	// be sent to any of them: they are in other regions, or of a version that was rolled back.
+	NoAllowedTarget Reason = "no-allowed-target"
 	// Drained means that no target of the service takes requests and some of them are in
 	// drained availability zones.
 	Drained Reason = "zones-drained"
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -24,9 +24,23 @@
 	return !s.rollouts.Active() || s.rollouts.Allows(now, t.Service, c.Version, t.ID)
 }
 
-// isOpen reports whether a target takes new requests, and a roll-out lets t be sent to its version.
+// isOpen reports whether a target takes new requests, and t may be sent to its version and region.
 func (s *State) isOpen(now time.Time, t *Ticket, c *target) bool {
-	return !c.Closed(now) && s.allowsVersion(now, t, c)
+	return !c.Closed(now) && s.allowsVersion(now, t, c) && s.allowsRegion(t, c)
+}
+
+// SetRegions sets the region of each availability zone.
+func (s *State) SetRegions(byZone map[string]string) { s.regions = byZone }
+
+// allowsRegion reports whether the configuration in force lets t be served in a target's region.
+func (s *State) allowsRegion(t *Ticket, c *target) bool {
+	if s.table == nil {
+		return true
+	}
+	if t.regionsBy != s.table {
+		t.regions, t.regionsBy = s.table.RegionsOf(t.Route, t.Organisation), s.table
+	}
+	return t.regions.Allow(s.regions[c.Zone])
 }
 
 // preferVersion returns the candidates of the version that a roll-out prefers for t, or all if
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -302,7 +302,7 @@
 			otherZones = append(otherZones, r)
 		}
 		sameZone = largeRouters(sameZone)
-		otherZones = largeRouters(otherZones)
+		otherZones = largeRouters(g.nearestZones(zone, otherZones))
 	})
 	if len(sameZone) == 0 {
 		sameZone, otherZones = otherZones, nil
@@ -317,6 +317,22 @@
 	return list
 }
 
+// nearestZones returns the routers of a list that are in the region of an availability zone, or all
+// if none is: callers' requests should not leave the region.
+func (g *Gateway) nearestZones(zone string, list []message.RouterRecord) []message.RouterRecord {
+	region := g.Regions[zone]
+	var near []message.RouterRecord
+	for _, r := range list {
+		if g.Regions[r.Zone] == region {
+			near = append(near, r)
+		}
+	}
+	if len(near) == 0 {
+		return list
+	}
+	return near
+}
+
 // largeRouters returns the routers whose capacity is at least minCapacityPercent percent of the
 // greatest, and smaller ones as long as there are fewer than minAddresses. It sorts the list by
 // capacity.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,9 +68,11 @@
 
 // Options configures a gateway.
 type Options struct {
-	ID     string
-	Zone   string
-	Listen string
+	ID   string
+	Zone string
+	// Regions has the region of each availability zone; nil if there is only one region.
+	Regions map[string]string
+	Listen  string
 	// PeerListen is the address on which other routers connect.
 	PeerListen string
 	// PeerAdvertise is the address given to other routers. If empty, it is the one that the
@@ -233,6 +235,7 @@
 	state.SetColdAllowance(g.coldSenders.SendLimit)
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
 	state.SetRollouts(g.rollouts)
+	state.SetRegions(o.Regions)
 	g.loop = balance.NewLoop(state)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -60,6 +60,8 @@
 	Sticky bool
 	// Resumable streams may be continued by another engine after a failure.
 	Resumable bool
+	// Regions are the regions in which requests may be served; if empty, all.
+	Regions []string
 }
 
 // Repeatable reports whether a request of the route that may have run already may be retried,
@@ -130,6 +132,8 @@
 	Name     string
 	Keys     []string
 	Priority int
+	// Regions are the regions in which its requests may be served; if empty, all.
+	Regions []string
 }
 
 // Spec holds the contents of a table.
@@ -151,6 +155,9 @@
 	limits        Limits
 	// goals maps each service to the shortest goal of its routes.
 	goals map[string]time.Duration
+	// routeRegions and organisationRegions have the regions of the routes and organisations that
+	// are restricted to some, by name.
+	routeRegions, organisationRegions map[string][]string
 }
 
 // New checks s and returns its table.
@@ -163,11 +170,15 @@
 		organisations: len(s.Organisations),
 		limits:        s.Limits,
 		goals:         map[string]time.Duration{},
+		routeRegions:  map[string][]string{}, organisationRegions: map[string][]string{},
 	}
 	for _, service := range s.Services {
 		t.services[service.Name] = service
 	}
 	for _, o := range s.Organisations {
+		if len(o.Regions) > 0 {
+			t.organisationRegions[o.Name] = o.Regions
+		}
 		for _, k := range o.Keys {
 			t.keys[k] = o.Name
 		}
@@ -192,6 +203,9 @@
 		t.routes[host] = map[string]*Route{}
 	}
 	t.routes[host][r.Prefix] = r
+	if len(r.Regions) > 0 {
+		t.routeRegions[r.Name] = r.Regions
+	}
 	for _, share := range r.Shares {
 		if old, ok := t.goals[share.Service]; r.Goal > 0 && (!ok || r.Goal < old) {
 			t.goals[share.Service] = r.Goal
