--- a/internal/balance/regions_test.go
+++ b/internal/balance/regions_test.go
@@ -21,7 +21,7 @@
 	regions := map[string]string{"z": "a", "y": "b", "x": "c"}
 	zones := []string{"z", "y", "x"}
 	for name, targets := range map[string]int{"few targets": 6, "many targets": 1200} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(name, func(*testing.T) {
 			random := rand.New(rand.NewPCG(1, 2))
 			w := newWorld(0)
 			w.SetRegions(regions)
