Wake routers without callers a few times a second

Each of 986 routers woke 50 times a second to look at an empty queue, 20 times for the exchange and 20 to 25 times to ask whether to watch the store: five loops, each 200 ms.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -139,6 +139,8 @@
 	// paces has the models of prefill times that were learnt for each service's engines.
 	paces map[string]*pace.Model
 	queue []*Ticket
+	// unstarted is the number of requests whose targets have not started to answer.
+	unstarted int
 	// lastDispatch is when the queue was last searched.
 	lastDispatch time.Time
 	shares       shares
@@ -288,6 +290,7 @@
 	s.use(now, to)
 	to.localLoad = to.localLoad.Plus(t.load)
 	to.unstarted = append(to.unstarted, t)
+	s.unstarted++
 	to.running[t] = struct{}{}
 	to.cache.Add(now, t.Parts)
 	for _, p := range t.Parts {
@@ -327,7 +330,7 @@
 	}
 	t.target.localLoad.PendingTokens -= t.load.PendingTokens
 	t.load.PendingTokens = 0
-	t.target.removeUnstarted(t)
+	s.removeUnstarted(t.target, t)
 	s.dispatch(now)
 }
 
@@ -340,7 +343,7 @@
 	t.target = nil
 	to.usedAt = now
 	to.localLoad = to.localLoad.Minus(t.load)
-	to.removeUnstarted(t)
+	s.removeUnstarted(to, t)
 	delete(to.running, t)
 	if how == Answered {
 		to.endProbe(t)
@@ -373,9 +376,10 @@
 	t.serviceTime += time.Duration(serviceTimeWeight * float64(took-t.serviceTime))
 }
 
-func (t *target) removeUnstarted(k *Ticket) {
+func (s *State) removeUnstarted(t *target, k *Ticket) {
 	if i := slices.Index(t.unstarted, k); i >= 0 {
 		t.unstarted = slices.Delete(t.unstarted, i, i+1)
+		s.unstarted--
 	}
 }
 
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -16,11 +16,13 @@
 	// tickInterval is the interval between calls of Tick, and so the longest time by which a
 	// waiting request is refused too late.
 	tickInterval = 20 * time.Millisecond
-	// meterTicks is the number of ticks between two measurements of processor use. If these
-	// ticks take longer than lateTicks tick intervals, the process itself waits for the
-	// processor.
+	// idleTickInterval replaces tickInterval while no request waits for anything: most routers of
+	// a large fleet serve no callers, and each tick wakes the process.
+	idleTickInterval = 200 * time.Millisecond
+	// meterTicks is the number of tick intervals between two measurements of processor use. If a
+	// measurement comes later by lateTicks of them, the process itself waits for the processor.
 	meterTicks = 5
-	lateTicks  = 8
+	lateTicks  = 3
 )
 
 // Event changes the state.
@@ -34,8 +36,10 @@
 	// cpuUtilisation and coalesceLevel hold the bits of the state's float64 values, for other
 	// goroutines.
 	cpuUtilisation, coalesceLevel atomic.Uint64
-	meter                         meter
-	onResume                      func(s *State, now time.Time, missed time.Duration)
+	// ticks counts the calls of Tick.
+	ticks    atomic.Int64
+	meter    meter
+	onResume func(s *State, now time.Time, missed time.Duration)
 }
 
 // meter measures the fraction of its cores that the router uses.
@@ -44,23 +48,25 @@
 	// is the number of cores that the router may use.
 	cpuTime  func() time.Duration
 	cores    float64
-	ticks    int
 	lastAt   time.Time
 	lastUsed time.Duration
+	// due is when the next measurement is due.
+	due time.Time
 }
 
-// measure updates the state's processor use once in meterTicks. Late ticks count as full use:
-// the process had to wait for the processor, however little time it was charged for.
-func (m *meter) measure(now time.Time, s *State) {
-	m.ticks++
-	if m.cpuTime == nil || m.cores <= 0 || m.ticks%meterTicks != 0 {
+// measure updates the state's processor use if it is due; the next tick comes after interval. A
+// late measurement counts as full use: the process had to wait for the processor, however little
+// time it was charged for.
+func (m *meter) measure(now time.Time, interval time.Duration, s *State) {
+	if m.cpuTime == nil || m.cores <= 0 || now.Add(tickInterval/2).Before(m.due) {
 		return
 	}
 	used := m.cpuTime()
-	passed := now.Sub(m.lastAt)
+	passed, late := now.Sub(m.lastAt), now.Sub(m.due)
+	m.due = now.Add(max(meterTicks*tickInterval, interval))
 	switch {
 	case m.lastAt.IsZero() || passed <= 0:
-	case passed > lateTicks*tickInterval:
+	case late > lateTicks*tickInterval:
 		s.SetCPUUtilisation(now, 1, m.cores)
 	default:
 		s.SetCPUUtilisation(now, (used-m.lastUsed).Seconds()/(passed.Seconds()*m.cores), m.cores)
@@ -98,19 +104,35 @@
 
 // Run applies events until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	interval := tickInterval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	setInterval := func(d time.Duration) {
+		if d != interval {
+			interval = d
+			ticker.Reset(d)
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-l.events:
 			e(l.state, clock.Now())
+			if l.state.busy() {
+				setInterval(tickInterval)
+			}
 		case <-ticker.C:
 			l.checkSuspended()
 			now := clock.Now()
 			l.state.Tick(now)
-			l.meter.measure(now, l.state)
+			l.ticks.Add(1)
+			if l.state.busy() {
+				setInterval(tickInterval)
+			} else {
+				setInterval(idleTickInterval)
+			}
+			l.meter.measure(now, interval, l.state)
 			l.cpuUtilisation.Store(math.Float64bits(l.state.throttle.CPUUtilisation()))
 			l.coalesceLevel.Store(math.Float64bits(l.state.throttle.CoalesceLevel()))
 			l.publish(l.state.gatesAt(now))
@@ -118,6 +140,13 @@
 	}
 }
 
+// busy reports whether ticks are needed every tickInterval: requests wait for a target or for an
+// answer to start, or organisations' requests are counted for throttling.
+func (s *State) busy() bool { return len(s.queue) > 0 || s.unstarted > 0 || s.throttle.Active() }
+
+// Ticks returns the number of ticks so far. A router without requests needs few.
+func (l *Loop) Ticks() int64 { return l.ticks.Load() }
+
 // publish makes the gates available to other goroutines.
 func (l *Loop) publish(gates map[string]*throttle.Gate) {
 	if gates == nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -22,6 +22,7 @@
 // receive handles a message from another router. The peer transports call it.
 func (g *Gateway) receive(from member.Member, m message.Message) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
+		defer g.tickEarlier(now)
 		if from.Zone == "" {
 			// Datagrams name only the id and the address of their sender.
 			from.Zone = g.roster.Zone(from.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,11 +136,15 @@
 	// gossipPending is set if it is to do so again at the next tick.
 	lastGossip    time.Time
 	gossipPending bool
-	transport     *httptarget.Transport
-	server        *ingress.Server
-	peers         *peer.Transport
-	datagrams     *peer.Datagrams
-	leaving       bool
+	// nextTick is when the next tick is due. tickSoon brings it forward.
+	nextTick  time.Time
+	ticks     atomic.Int64
+	tickSoon  chan struct{}
+	transport *httptarget.Transport
+	server    *ingress.Server
+	peers     *peer.Transport
+	datagrams *peer.Datagrams
+	leaving   bool
 	// storeFailingSince is the time since when calls to the store have failed, zero while they
 	// work.
 	storeFailingSince time.Time
@@ -213,7 +217,7 @@
 	}
 	g := &Gateway{
 		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.TargetDrain, defaultTargetDrain), cmp.Or(o.EntryTTL, defaultEntryTTL)),
-		lastSums: map[string]time.Time{}, directZones: map[message.RouterID]string{},
+		tickSoon: make(chan struct{}, 1), lastSums: map[string]time.Time{}, directZones: map[message.RouterID]string{},
 	}
 	now := clock.Now()
 	g.quarantine.state, g.quarantine.bornByTarget = quarantine.New(), map[string]int64{}
--- a/internal/roster/detect.go
+++ b/internal/roster/detect.go
@@ -22,6 +22,22 @@
 	return out
 }
 
+// NextDue returns when Tick is due next. Receiving a message may make it due earlier.
+func (r *Roster) NextDue(now time.Time) time.Time {
+	if len(r.updates)+len(r.suspects) > 0 {
+		return now
+	}
+	due := r.lastPing.Add(r.period())
+	for _, id := range r.unanswered {
+		if e := r.peers[id]; e != nil && !e.pingedAt.IsZero() {
+			if timeout := e.pingedAt.Add(pingTimeout); timeout.Before(due) {
+				due = timeout
+			}
+		}
+	}
+	return due
+}
+
 // period returns the current time between pings.
 func (r *Roster) period() time.Duration {
 	if len(r.suspects) > 0 {
--- a/internal/throttle/control.go
+++ b/internal/throttle/control.go
@@ -114,6 +114,9 @@
 // save CPU time, from 0 (not at all) to 1 (as long as callers accept).
 func (c *Controller) CoalesceLevel() float64 { return c.coalesceLevel }
 
+// Active reports whether the requests of any organisation are being counted.
+func (c *Controller) Active() bool { return len(c.flows) > 0 }
+
 // RecordSent records that a request of an organisation is sent to an engine.
 func (c *Controller) RecordSent(organisation string, o RequestSize) {
 	c.flow(organisation).recordSent(o.cpuTime(c.piecesPerToken))
