Forward updates of routers to other zones from a few routers only

When 1,000 routers start at once, each was told 3.8 times of each other one, 1.42 times from another zone: 130 MB between zones for a start, which is paid for, and again after each change of all (ready, serving). An update has to enter each zone a few times and not once for each router of the others. A router where it arose sends it to two of other zones as before, one that passes it on does so with a probability of 48 over the number of routers.

Ruled out as the rest of it: gossip; it is what a seed of another zone tells a new router.

--- a/internal/roster/detect.go
+++ b/internal/roster/detect.go
@@ -17,7 +17,7 @@
 		out = append(out, r.pingNext(now)...)
 	}
 	if len(r.updates) > 0 {
-		out = append(out, r.Gossip(now)...)
+		out = append(out, r.Forward(now)...)
 	}
 	return out
 }
@@ -47,8 +47,15 @@
 }
 
 // Gossip returns messages that forward the queued updates, and this router's revisions, to
-// a few random routers.
+// a few random routers. It is for news that arose at this router; Forward is for those of others.
 func (r *Roster) Gossip(now time.Time) []Outgoing {
+	r.origin = true
+	return r.Forward(now)
+}
+
+// Forward is Gossip for news that came from another router. In a large fleet few of the messages go
+// to other availability zones.
+func (r *Roster) Forward(now time.Time) []Outgoing {
 	var records []message.RouterRecord
 	for _, id := range r.updates {
 		if e := r.peers[id]; e != nil {
@@ -62,7 +69,9 @@
 		parts = append(parts, nil)
 	}
 	var out []Outgoing
-	for _, to := range r.gossipPeers(now, len(parts) > 1) {
+	peers := r.gossipPeers(now, len(parts) > 1, r.origin)
+	r.origin = false
+	for _, to := range peers {
 		for _, part := range parts {
 			m := r.ping(message.PingNotice, false)
 			m.Records = part
@@ -74,12 +83,12 @@
 
 // RandomPeers returns the Peer addresses of a few other routers, drawn at random, to forward an
 // update to.
-func (r *Roster) RandomPeers(now time.Time) []string { return r.gossipPeers(now, false) }
+func (r *Roster) RandomPeers(now time.Time) []string { return r.gossipPeers(now, false, true) }
 
 // gossipPeers returns the Peer addresses of a few running routers, drawn at random, and fewer
-// of them if there is more than one message for each. If no other router is known to run, it
-// returns the seeds.
-func (r *Roster) gossipPeers(now time.Time, severalMessages bool) []string {
+// of them if there is more than one message for each, or for other zones if the news did not arise
+// here. If no other router is known to run, it returns the seeds.
+func (r *Roster) gossipPeers(now time.Time, severalMessages, origin bool) []string {
 	var near, far []string
 	for _, e := range r.peerList {
 		switch {
@@ -97,12 +106,24 @@
 	if severalMessages {
 		wantNear, wantFar = wantNear/fanoutDivisor, wantFar/fanoutDivisor
 	}
+	if running := len(near) + len(far); !origin && running > farForwards {
+		wantFar = r.round(float64(wantFar*farForwards) / float64(running))
+	}
 	// If one group is too small, more are taken from the other.
 	fromNear := min(len(near), wantNear+max(wantFar-len(far), 0))
 	fromFar := min(len(far), wantFar+max(wantNear-len(near), 0))
 	return append(r.draw(near, fromNear), r.draw(far, fromFar)...)
 }
 
+// round rounds up or down at random, so that the mean is kept.
+func (r *Roster) round(x float64) int {
+	n := int(x)
+	if r.random.Float64() < x-float64(n) {
+		n++
+	}
+	return n
+}
+
 // draw returns n random elements of a list, which it reorders.
 func (r *Roster) draw(list []string, n int) []string {
 	for i := range n {
@@ -143,6 +164,7 @@
 	}
 	n := e.RouterRecord
 	n.State = message.Suspected
+	r.origin = true
 	r.store(now, e, n)
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -59,6 +59,11 @@
 	nearFanout    = 4
 	farFanout     = 2
 	fanoutDivisor = 2
+	// farForwards is the number of routers of the whole fleet that forward an update to other
+	// zones, besides the one where it arose: with more routers each does so with a lower
+	// probability. An update has to enter each zone a few times, not once for each router, since
+	// traffic between zones costs money.
+	farForwards = 48
 	// Every farPingEvery-th ping goes to another availability zone: traffic between zones
 	// costs money. While any router is suspected, it is every suspectFarPingEvery-th. Every
 	// downPingEvery-th ping goes to a router that does not count as running, which may
@@ -123,6 +128,8 @@
 	unanswered, suspects []message.RouterID
 	// updates holds the routers whose records are to be forwarded.
 	updates []message.RouterID
+	// origin is set if one of them arose at this router.
+	origin bool
 	// lastUpdate is when the record of another router last changed.
 	lastUpdate time.Time
 	// lastSync is when a full sync was last requested.
@@ -393,6 +400,7 @@
 func (r *Roster) setSelf(next message.RouterRecord) {
 	r.digest ^= hash(r.self) ^ hash(next)
 	r.self = next
+	r.origin = true
 	r.queueUpdate(next.ID)
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -63,8 +63,9 @@
 	running    bool
 	// life is the number of starts. The ticks of an earlier life stop when it changes.
 	life int
-	// sent counts the messages sent, records the records in them.
-	sent, records int
+	// sent counts the messages sent, records the records in them, farRecords those sent to other
+	// zones.
+	sent, records, farRecords int
 }
 
 // fleet simulates routers and their network in virtual time.
@@ -139,6 +140,9 @@
 	for _, s := range list {
 		from.sent++
 		from.records += len(s.Ping.Records)
+		if to := f.byPeer[s.Peer]; to != nil && to.zone != from.zone {
+			from.farRecords += len(s.Ping.Records)
+		}
 		to := f.byPeer[s.Peer]
 		if f.random.Float64() < f.loss || f.cut(from, to) {
 			continue
