Insert changed targets by search, and compare writes across eras only

A profile of 40 routers while 10,000 targets registered within 8 s (130 in a tenth of a second): 66% of each router's 9.3% of a core went into sorting the service's targets again after each batch. Of two versions of an entry the earlier one by its count of writes is looked for only where the store came back from a copy, for which both were decoded on each change.

--- a/internal/balance/index.go
+++ b/internal/balance/index.go
@@ -60,36 +60,32 @@
 	}
 }
 
-// maxSingleInserts is the number of targets up to which each is inserted by itself, without
-// sorting the list again.
-const maxSingleInserts = 16
-
+// add adds targets, which need not be sorted. It compares each with some of those there, and moves
+// the others in blocks: sorting all again took most of a router's time while targets registered.
 func (x *index) add(added []*target) {
-	if len(added) > maxSingleInserts {
-		x.targets = append(x.targets, added...)
-		slices.SortFunc(x.targets, func(a, b *target) int { return compare(a.ID, b.ID) })
-		x.hashes = x.hashes[:0]
-		for _, t := range x.targets {
-			x.hashes = append(x.hashes, t.hash)
-		}
-		return
-	}
-	for _, t := range added {
-		i, _ := x.find(t)
-		x.targets = slices.Insert(x.targets, i, t)
-		x.hashes = slices.Insert(x.hashes, i, t.hash)
+	slices.SortFunc(added, func(a, b *target) int { return compare(a.ID, b.ID) })
+	n, k := len(x.targets), len(added)
+	x.targets = slices.Grow(x.targets, k)[:n+k]
+	x.hashes = slices.Grow(x.hashes, k)[:n+k]
+	for j := k - 1; j >= 0; j-- {
+		at, _ := findID(x.targets[:n], added[j].ID)
+		copy(x.targets[at+j+1:], x.targets[at:n])
+		copy(x.hashes[at+j+1:], x.hashes[at:n])
+		x.targets[at+j], x.hashes[at+j] = added[j], added[j].hash
+		n = at
 	}
 }
 
 func (x *index) remove(t *target) {
-	if i, ok := x.find(t); ok {
+	if i, ok := findID(x.targets, t.ID); ok {
 		x.targets = slices.Delete(x.targets, i, i+1)
 		x.hashes = slices.Delete(x.hashes, i, i+1)
 	}
 }
 
-func (x *index) find(t *target) (int, bool) {
-	return slices.BinarySearchFunc(x.targets, t.ID, func(t *target, id string) int { return compare(t.ID, id) })
+// findID returns the position of a target in a list that is sorted by id, or where it would be.
+func findID(list []*target, id string) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(t *target, id string) int { return compare(t.ID, id) })
 }
 
 // maxRanks is the largest number of targets that first returns.
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 const (
@@ -128,7 +129,7 @@
 		return false
 	}
 	isNew := !known || !bytes.Equal(old.Value, o.Value)
-	if known && isNew && r.outdated != nil && r.outdated(old, o) {
+	if known && isNew && r.outdated != nil && revision.Era(o.Revision) > revision.Era(old.Revision) && r.outdated(old, o) {
 		o.Value, isNew = old.Value, false
 	}
 	r.objects[o.Name] = o
