Tell fewer routers of a change while more follow

Where many targets change, each router told six others of each step; as the next comes within a fraction of a second, three are enough, as for records that need several messages. What the last step misses comes with the pings.

--- a/internal/gateway/register_test.go
+++ b/internal/gateway/register_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -23,11 +25,13 @@
 	defer cancel()
 	var fleet []*gateway.Gateway
 	var seeds []string
+	var counts []*gateway.Metrics
 	for i := range routers {
+		counts = append(counts, gateway.NewMetrics())
 		g, err := gateway.New(ctx, gateway.Options{
 			ID: fmt.Sprint("reg-", i), Zone: fmt.Sprint("z", i%5), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 			Seeds: seeds, Incarnation: incarnation.Add(1), Headers: headerNames, Codec: codec{}, Log: logr.Discard(),
-			Metrics: gateway.NewMetrics(), Limits: balance.Limits{QuotaWindow: time.Second},
+			Metrics: counts[i], Limits: balance.Limits{QuotaWindow: time.Second},
 		})
 		if err != nil {
 			b.Fatal(err)
@@ -54,5 +58,18 @@
 		}
 	}
 	spent := metrics.ProcessorTime() - used
+	var sent struct {
+		Datagrams struct{ Sent, Bytes int64 } `json:"peer_datagrams"`
+		Streams   struct{ Messages, Bytes int64 } `json:"peer_messages"`
+	}
+	w := httptest.NewRecorder()
+	counts[1].ServeHTTP(w, nil)
+	if err := json.Unmarshal(w.Body.Bytes(), &sent); err != nil {
+		b.Fatal(err)
+	}
+	seconds := time.Since(began).Seconds()
+	b.ReportMetric(float64(sent.Datagrams.Sent)/seconds, "datagrams/s")
+	b.ReportMetric(float64(sent.Datagrams.Bytes)/seconds, "datagram_bytes/s")
+	b.ReportMetric(float64(sent.Streams.Bytes)/seconds, "stream_bytes/s")
 	b.ReportMetric(100*spent.Seconds()/time.Since(began).Seconds()/routers, "percent_of_a_core/router")
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -336,9 +336,11 @@
 		g.gossip(now)
 		return
 	}
+	// What had to wait is one of many changes, and the next one comes soon.
+	moreFollows := g.gossipPending
 	g.lastGossip, g.gossipPending = now, false
 	g.updateSelf()
-	g.sendPings(g.roster.Forward(now))
+	g.sendPings(g.roster.Forward(now, moreFollows))
 }
 
 // sendPings sends the roster's outgoing pings.
--- a/internal/roster/detect.go
+++ b/internal/roster/detect.go
@@ -17,7 +17,7 @@
 		out = append(out, r.pingNext(now)...)
 	}
 	if len(r.updates) > 0 {
-		out = append(out, r.Forward(now)...)
+		out = append(out, r.Forward(now, false)...)
 	}
 	return out
 }
@@ -50,12 +50,12 @@
 // a few random routers. It is for news that arose at this router; Forward is for those of others.
 func (r *Roster) Gossip(now time.Time) []Outgoing {
 	r.origin = true
-	return r.Forward(now)
+	return r.Forward(now, false)
 }
 
 // Forward is Gossip for news that came from another router. In a large fleet few of the messages go
-// to other availability zones.
-func (r *Roster) Forward(now time.Time) []Outgoing {
+// to other availability zones. If further news will follow soon, it is enough to tell a few.
+func (r *Roster) Forward(now time.Time, moreFollows bool) []Outgoing {
 	var records []message.RouterRecord
 	for _, id := range r.updates {
 		if e := r.peers[id]; e != nil {
@@ -69,7 +69,7 @@
 		parts = append(parts, nil)
 	}
 	var out []Outgoing
-	peers := r.gossipPeers(now, len(parts) > 1, r.origin)
+	peers := r.gossipPeers(now, moreFollows || len(parts) > 1, r.origin)
 	r.origin = false
 	for _, to := range peers {
 		for _, part := range parts {
@@ -85,9 +85,9 @@
 // update to.
 func (r *Roster) RandomPeers(now time.Time) []string { return r.gossipPeers(now, false, true) }
 
-// gossipPeers returns the Peer addresses of a few running routers, drawn at random, and fewer
-// of them if there is more than one message for each, or for other zones if the news did not arise
-// here. If no other router is known to run, it returns the seeds.
+// gossipPeers returns the Peer addresses of a few running routers, drawn at random: fewer of them if
+// there are several messages for each, and fewer in other zones if the news did not arise here. If
+// no other router is known to run, it returns the seeds.
 func (r *Roster) gossipPeers(now time.Time, severalMessages, origin bool) []string {
 	var near, far []string
 	for _, e := range r.peerList {
