Let routers without callers sleep longer, and news of many targets wait longer

The exchange now tells the loops that follow the store whether to watch it (five questions a second before), idle decisions tick once a second, news of targets pass each 0.5 ms a router, 0.4 s at most (a configuration at once), and in fleets of more than 500 a router pings half as often. None of it grows with the fleet beyond that.

--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -18,7 +18,7 @@
 	tickInterval = 20 * time.Millisecond
 	// idleTickInterval replaces tickInterval while no request waits for anything: most routers of
 	// a large fleet serve no callers, and each tick wakes the process.
-	idleTickInterval = 200 * time.Millisecond
+	idleTickInterval = time.Second
 	// meterTicks is the number of tick intervals between two measurements of processor use. If a
 	// measurement comes later by lateTicks of them, the process itself waits for the processor.
 	meterTicks = 5
@@ -119,8 +119,9 @@
 			return
 		case e := <-l.events:
 			e(l.state, clock.Now())
-			if l.state.busy() {
+			if interval != tickInterval && l.state.busy() {
 				setInterval(tickInterval)
+				l.meter.due = clock.Now().Add(meterTicks * tickInterval)
 			}
 		case <-ticker.C:
 			l.checkSuspended()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -201,7 +201,9 @@
 	g.server.Configure(t)
 	g.Log.Info("configuration in force", "version", t.Version(), "era", revision.Era(at), "revision", revision.Store(at), "from", from,
 		"bytes", len(value), "took_ms", clock.Since(began).Milliseconds())
-	g.newsFrom(clock.Now(), from)
+	// Unlike changes of targets, a configuration is not held up by others before it.
+	g.newsFromStore = g.newsFromStore || from == sourceStore
+	g.forwardNews(clock.Now())
 }
 
 // logConfigNotTaken logs a configuration that was not applied because it differs from the one in
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,11 +61,12 @@
 	minNearSources = 8
 	// maxDatagramTargets is the number of targets above which a copy certainly needs a stream.
 	maxDatagramTargets = 512
-	// newsIntervalPerRouter times the number of routers is the least interval between two messages
-	// of a router about changed targets, and between two requests for copies, if that is more than
-	// tickInterval and copyRequestInterval. While many targets change, their changes are passed on
-	// together; a single one is passed on at once. It is 0.2 s with 1,000 routers.
-	newsIntervalPerRouter = 200 * time.Microsecond
+	// newsIntervalPerRouter times the number of routers, up to maxNewsInterval, is the least interval
+	// between two messages of a router about changed targets, if that is more than tickInterval.
+	// While many targets change, their changes are passed on together; a single one is passed on
+	// at once.
+	newsIntervalPerRouter = 500 * time.Microsecond
+	maxNewsInterval       = 400 * time.Millisecond
 )
 
 // Options configures a gateway.
@@ -96,6 +97,9 @@
 	// EntryTTL is the TTL after which the store removes the entry of a target that has stopped
 	// renewing it; 0 means four seconds.
 	EntryTTL time.Duration
+	// OnWatch is called often with whether this router should watch the store, as ShouldWatchStore
+	// returns it; nil if nobody wants to know. It must not block.
+	OnWatch func(watches bool)
 	// QuarantineStore persists the requests that are held back, so that they survive a restart of
 	// all routers; nil if they are not persisted.
 	QuarantineStore QuarantineStore
--- a/internal/gateway/register_test.go
+++ b/internal/gateway/register_test.go
@@ -59,7 +59,7 @@
 	}
 	spent := metrics.ProcessorTime() - used
 	var sent struct {
-		Datagrams struct{ Sent, Bytes int64 } `json:"peer_datagrams"`
+		Datagrams struct{ Sent, Bytes int64 }     `json:"peer_datagrams"`
 		Streams   struct{ Messages, Bytes int64 } `json:"peer_messages"`
 	}
 	w := httptest.NewRecorder()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -41,7 +41,7 @@
 	tickInterval = 50 * time.Millisecond
 	// maxTickInterval replaces tickInterval while nothing is due: most routers of a large fleet
 	// serve no callers, and each tick wakes the process.
-	maxTickInterval = 250 * time.Millisecond
+	maxTickInterval = 500 * time.Millisecond
 )
 
 // reporter is the state of this router's load reports to the other serving routers.
@@ -132,6 +132,9 @@
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
+	if g.OnWatch != nil {
+		g.OnWatch(g.shouldWatchStore(now))
+	}
 	if expired := g.catalog.ExpireLapsed(now); len(expired) > 0 {
 		g.Log.Info("lapsed targets given up", "era", revision.Era(g.catalog.TargetsRevision()), "revision", revision.Store(g.catalog.TargetsRevision()), "count", len(expired),
 			"targets", expired[:min(len(expired), maxLoggedTargets)])
@@ -316,7 +319,7 @@
 
 // newsInterval returns the least interval between two messages about changed targets.
 func (g *Gateway) newsInterval() time.Duration {
-	return max(tickInterval, newsIntervalPerRouter*time.Duration(g.storeRank.running))
+	return max(tickInterval, min(newsIntervalPerRouter*time.Duration(g.storeRank.running), maxNewsInterval))
 }
 
 // newsFrom passes on news of the store, at most once in newsInterval. What the store itself told
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -92,27 +92,29 @@
 // one ranks first.
 func (g *Gateway) ShouldWatchStore(ctx context.Context) bool {
 	watches := true
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
-		wait := maxSettleDelay
-		uninformed := g.catalog.Table() == nil || g.catalog.TargetsRevision() == 0
-		if uninformed {
-			wait = g.settleDelay
-		}
-		if now.Sub(g.started) < wait {
-			watches = false
-			return
-		}
-		if now.Sub(g.storeRank.at) >= rankTTLPerRouter*time.Duration(g.storeRank.running) {
-			g.storeRank = g.rankForStore(now)
-		}
-		rank := g.storeRank
-		startup := uninformed && g.startupDraw*float64(rank.running) < startupWatchers
-		reaches := g.storeFailingSince.IsZero() && !g.leaving
-		watches = startup || reaches && rank.topReaching || !g.leaving && rank.topLive
-	})
+	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) { watches = g.shouldWatchStore(now) })
 	return watches
 }
 
+// shouldWatchStore is ShouldWatchStore for the control goroutine.
+func (g *Gateway) shouldWatchStore(now time.Time) bool {
+	wait := maxSettleDelay
+	uninformed := g.catalog.Table() == nil || g.catalog.TargetsRevision() == 0
+	if uninformed {
+		wait = g.settleDelay
+	}
+	if now.Sub(g.started) < wait {
+		return false
+	}
+	if now.Sub(g.storeRank.at) >= rankTTLPerRouter*time.Duration(g.storeRank.running) {
+		g.storeRank = g.rankForStore(now)
+	}
+	rank := g.storeRank
+	startup := uninformed && g.startupDraw*float64(rank.running) < startupWatchers
+	reaches := g.storeFailingSince.IsZero() && !g.leaving
+	return startup || reaches && rank.topReaching || !g.leaving && rank.topLive
+}
+
 // storeRank tells whether this router ranks among the first watcherCount candidates for watching
 // the store.
 type storeRank struct {
--- a/internal/roster/detect.go
+++ b/internal/roster/detect.go
@@ -40,10 +40,11 @@
 
 // period returns the current time between pings.
 func (r *Roster) period() time.Duration {
+	n := time.Duration(len(r.peerList))
 	if len(r.suspects) > 0 {
-		return suspectPingPeriod
+		return min(max(n*suspectPingPeriodPerRouter, suspectPingPeriod), maxPeriodGrowth*suspectPingPeriod)
 	}
-	return pingPeriod
+	return min(max(n*pingPeriodPerRouter, pingPeriod), maxPeriodGrowth*pingPeriod)
 }
 
 // Gossip returns messages that forward the queued updates, and this router's revisions, to
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -24,6 +24,11 @@
 	// are often correlated. It shortens the time until all routers know of the loss of an
 	// availability zone with 30 of 90 routers from 8 s to 6 s.
 	suspectPingPeriod = 100 * time.Millisecond
+	// In a large fleet some router is often suspected, and each ping wakes two processes. So both
+	// periods grow with the number of routers, by the times below for each, up to maxPeriodGrowth times.
+	pingPeriodPerRouter        = 500 * time.Microsecond
+	suspectPingPeriodPerRouter = 200 * time.Microsecond
+	maxPeriodGrowth            = 2
 	// pingTimeout allows for a round trip of some milliseconds and the scheduling delays
 	// of a box with a fifth of a core.
 	pingTimeout = 300 * time.Millisecond
