--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -203,7 +203,7 @@
 		"bytes", len(value), "took_ms", clock.Since(began).Milliseconds())
 	// Unlike changes of targets, a configuration is not held up by others before it.
 	g.newsFromStore = g.newsFromStore || from == sourceStore
-	g.forwardNews(clock.Now())
+	g.forwardNews(clock.Now(), false)
 }
 
 // logConfigNotTaken logs a configuration that was not applied because it differs from the one in
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -118,7 +118,7 @@
 		g.report(s, now)
 	}
 	if g.gossipPending && now.Sub(g.lastGossip) >= g.newsInterval() {
-		g.forwardNews(now)
+		g.forwardNews(now, true)
 	}
 	g.requestFromFar(now)
 	g.updateSelf()
@@ -327,20 +327,19 @@
 func (g *Gateway) newsFrom(now time.Time, from string) {
 	g.newsFromStore = g.newsFromStore || from == sourceStore
 	if now.Sub(g.lastGossip) >= g.newsInterval() {
-		g.forwardNews(now)
+		g.forwardNews(now, false)
 		return
 	}
 	g.gossipPending = true
 }
 
-// forwardNews sends this router's revisions to some other routers.
-func (g *Gateway) forwardNews(now time.Time) {
+// forwardNews sends this router's revisions to some other routers, to fewer if more news will follow
+// soon.
+func (g *Gateway) forwardNews(now time.Time, moreFollows bool) {
 	if g.newsFromStore {
 		g.gossip(now)
 		return
 	}
-	// What had to wait is one of many changes, and the next one comes soon.
-	moreFollows := g.gossipPending
 	g.lastGossip, g.gossipPending = now, false
 	g.updateSelf()
 	g.sendPings(g.roster.Forward(now, moreFollows))
