--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -109,61 +109,6 @@
 	return r
 }
 
-// requestNewer requests a copy of the store's contents from a router that has newer revisions. A
-// router of another availability zone is asked only if nobody in this zone has sent a copy soon,
-// since traffic between zones is paid for.
-func (g *Gateway) requestNewer(now time.Time, from member.Member, theirs message.Revisions) {
-	known := g.catalog.Complete()
-	if !theirs.NewerThan(known) {
-		return
-	}
-	if zone := g.roster.Zone(from.ID); zone != "" && zone != g.self.Zone && g.storeRank.near >= minNearSources {
-		if g.farSource.due.IsZero() {
-			g.farSource = farSource{router: from, revisions: theirs, due: now.Add(farCopyDelay)}
-		}
-		return
-	}
-	g.requestCopy(now, from, known)
-}
-
-// requestCopy requests what is newer than the known revisions from another router.
-func (g *Gateway) requestCopy(now time.Time, from member.Member, known message.Revisions) {
-	if now.Sub(g.lastCopyRequest) >= max(copyRequestInterval, g.newsInterval()/2) {
-		g.lastCopyRequest = now
-		g.sendTo(from, message.NeedCopy{Revisions: known, Packed: true})
-	}
-}
-
-// farSource is a router of another availability zone that has newer revisions than this one.
-type farSource struct {
-	router    member.Member
-	revisions message.Revisions
-	// due is when to ask it for a copy; zero if there is no such router.
-	due time.Time
-}
-
-// requestFromFar requests a copy from another zone if this zone still lacks what was seen there.
-func (g *Gateway) requestFromFar(now time.Time) {
-	far := g.farSource
-	if far.due.IsZero() || now.Before(far.due) {
-		return
-	}
-	g.farSource = farSource{}
-	if known := g.catalog.Complete(); far.revisions.NewerThan(known) {
-		g.requestCopy(now, far.router, known)
-	}
-}
-
-// sendCopy sends another router what it lacks.
-func (g *Gateway) sendCopy(now time.Time, to member.Member, need message.NeedCopy) {
-	c := g.catalog.Copy(now, need)
-	if !need.Packed || len(c.Targets.List) > maxDatagramTargets {
-		g.peers.Send(to, c)
-		return
-	}
-	g.sendTo(to, c)
-}
-
 func loadOf(l message.TargetLoad) view.Load {
 	return view.Load{PendingTokens: l.PendingTokens, Running: l.Running, MemoryTokens: l.MemoryTokens}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,22 +51,6 @@
 	// defaultEntryTTL is the TTL of targets' entries in the store if Options.EntryTTL is not
 	// set.
 	defaultEntryTTL = 4 * time.Second
-	// copyRequestInterval is the minimum interval between requests to other routers for newer
-	// contents of the store.
-	copyRequestInterval = 60 * time.Millisecond
-	// farCopyDelay is how long a router that learns from another availability zone that there is
-	// something newer waits for a copy from its own zone, if at least minNearSources other
-	// routers run there. News reach most of a zone's routers within some milliseconds.
-	farCopyDelay   = 100 * time.Millisecond
-	minNearSources = 8
-	// maxDatagramTargets is the number of targets above which a copy certainly needs a stream.
-	maxDatagramTargets = 512
-	// newsIntervalPerRouter times the number of routers, up to maxNewsInterval, is the least interval
-	// between two messages of a router about changed targets, if that is more than tickInterval.
-	// While many targets change, their changes are passed on together; a single one is passed on
-	// at once.
-	newsIntervalPerRouter = 500 * time.Microsecond
-	maxNewsInterval       = 400 * time.Millisecond
 )
 
 // Options configures a gateway.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 	// zones has a 1 for each drained availability zone, cold is the number of cold targets by
 	// service, and coldSkipped counts how often a target was skipped for being cold.
 	zones, cold *expvar.Map
+	// copies counts the copies of the store's entries sent to routers of the own zone ("near") and
+	// of others ("far").
+	copies *expvar.Map
 	// rollouts has a 1 for each roll-out, by service and state.
 	rollouts    *expvar.Map
 	coldSkipped *expvar.Int
@@ -59,7 +62,7 @@
 	m := &Metrics{
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
-		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
+		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
 		advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -72,6 +75,7 @@
 	m.root.Set("statuses", m.statuses)
 	m.root.Set("targets_ignored", m.ignored)
 	m.root.Set("drained_zones", m.zones)
+	m.root.Set("copies_sent", m.copies)
 	m.root.Set("rollouts", m.rollouts)
 	m.root.Set("cold_targets", m.cold)
 	m.root.Set("cold_passed_over", m.coldSkipped)
@@ -165,6 +169,15 @@
 	}
 }
 
+// countCopy counts a copy sent to a router of the own zone or of another one.
+func (m *Metrics) countCopy(near bool) {
+	if near {
+		m.copies.Add("near", 1)
+		return
+	}
+	m.copies.Add("far", 1)
+}
+
 // setRollouts replaces the states of roll-outs by service.
 func (m *Metrics) setRollouts(states map[string]rollout.State) {
 	m.rollouts.Init()
--- /dev/null
+++ b/internal/gateway/news.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+const (
+	// copyRequestInterval is the minimum interval between requests to other routers for newer
+	// contents of the store.
+	copyRequestInterval = 60 * time.Millisecond
+	// farCopyDelay is how long a router that learns from another availability zone that there is
+	// something newer waits for a copy from its own zone, if at least minNearSources other
+	// routers run there. News reach most of a zone's routers within some milliseconds.
+	farCopyDelay   = 100 * time.Millisecond
+	minNearSources = 8
+	// maxDatagramTargets is the number of targets above which a copy certainly needs a stream.
+	maxDatagramTargets = 512
+	// newsIntervalPerRouter times the number of routers, up to maxNewsInterval, is the least interval
+	// between two messages of a router about changed targets, if that is more than tickInterval.
+	// While many targets change, their changes are passed on together; a single one is passed on
+	// at once.
+	newsIntervalPerRouter = 500 * time.Microsecond
+	maxNewsInterval       = 400 * time.Millisecond
+)
+
+// requestNewer requests a copy of the store's contents from a router that has newer revisions. A
+// router of another availability zone is asked only if nobody in this zone has sent a copy soon,
+// since traffic between zones is paid for.
+func (g *Gateway) requestNewer(now time.Time, from member.Member, theirs message.Revisions) {
+	known := g.catalog.Complete()
+	if !theirs.NewerThan(known) {
+		return
+	}
+	if zone := g.roster.Zone(from.ID); zone != "" && zone != g.self.Zone && g.storeRank.near >= minNearSources {
+		if g.farSource.due.IsZero() {
+			g.farSource = farSource{router: from, revisions: theirs, due: now.Add(farCopyDelay)}
+		}
+		return
+	}
+	g.requestCopy(now, from, known)
+}
+
+// requestCopy requests what is newer than the known revisions from another router.
+func (g *Gateway) requestCopy(now time.Time, from member.Member, known message.Revisions) {
+	if now.Sub(g.lastCopyRequest) >= max(copyRequestInterval, g.newsInterval()/2) {
+		g.lastCopyRequest = now
+		g.sendTo(from, message.NeedCopy{Revisions: known, Packed: true})
+	}
+}
+
+// farSource is a router of another availability zone that has newer revisions than this one.
+type farSource struct {
+	router    member.Member
+	revisions message.Revisions
+	// due is when to ask it for a copy; zero if there is no such router.
+	due time.Time
+}
+
+// requestFromFar requests a copy from another zone if this zone still lacks what was seen there.
+func (g *Gateway) requestFromFar(now time.Time) {
+	far := g.farSource
+	if far.due.IsZero() || now.Before(far.due) {
+		return
+	}
+	g.farSource = farSource{}
+	if known := g.catalog.Complete(); far.revisions.NewerThan(known) {
+		g.requestCopy(now, far.router, known)
+	}
+}
+
+// sendCopy sends another router what it lacks.
+func (g *Gateway) sendCopy(now time.Time, to member.Member, need message.NeedCopy) {
+	c := g.catalog.Copy(now, need)
+	g.Metrics.countCopy(to.Zone == g.self.Zone)
+	if !need.Packed || len(c.Targets.List) > maxDatagramTargets {
+		g.peers.Send(to, c)
+		return
+	}
+	g.sendTo(to, c)
+}
+
+// newsInterval returns the least interval between two messages about changed targets.
+func (g *Gateway) newsInterval() time.Duration {
+	return max(tickInterval, min(newsIntervalPerRouter*time.Duration(g.storeRank.running), maxNewsInterval))
+}
+
+// newsFrom passes on news of the store, at most once in newsInterval. What the store itself told
+// goes to other availability zones as well.
+func (g *Gateway) newsFrom(now time.Time, from string) {
+	g.newsFromStore = g.newsFromStore || from == sourceStore
+	if now.Sub(g.lastGossip) >= g.newsInterval() {
+		g.forwardNews(now, false)
+		return
+	}
+	g.gossipPending = true
+}
+
+// forwardNews sends this router's revisions to some other routers, to fewer if more news will follow
+// soon.
+func (g *Gateway) forwardNews(now time.Time, moreFollows bool) {
+	if g.newsFromStore {
+		g.gossip(now)
+		return
+	}
+	g.lastGossip, g.gossipPending = now, false
+	g.updateSelf()
+	g.sendPings(g.roster.Forward(now, moreFollows))
+}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
-	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
@@ -36,12 +34,6 @@
 	// sumTTL is how long after a zone's sum direct reports of its routers are ignored, since
 	// the sum includes them.
 	sumTTL = time.Second
-	// tickInterval is the interval at which the gateway checks which messages to other routers
-	// are due. Updates that arrive within one interval are forwarded together.
-	tickInterval = 50 * time.Millisecond
-	// maxTickInterval replaces tickInterval while nothing is due: most routers of a large fleet
-	// serve no callers, and each tick wakes the process.
-	maxTickInterval = 500 * time.Millisecond
 )
 
 // reporter is the state of this router's load reports to the other serving routers.
@@ -53,65 +45,6 @@
 	active bool
 }
 
-// runTicks runs tick in the control goroutine when it is due, at most every tickInterval, until ctx
-// is done.
-func (g *Gateway) runTicks(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-g.tickSoon:
-			if !group.SleepUntil(ctx, clock.Now().Add(tickInterval)) {
-				return
-			}
-		}
-		next := clock.Now()
-		g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
-			g.tick(s, now)
-			g.ticks.Add(1)
-			next = g.scheduleTick(now)
-		})
-		timer.Reset(clock.Until(next))
-	}
-}
-
-// scheduleTick returns when the next tick is due.
-func (g *Gateway) scheduleTick(now time.Time) time.Time {
-	g.nextTick = now.Add(tickInterval)
-	if g.tickIdle() {
-		due := g.roster.NextDue(now)
-		if latest := now.Add(maxTickInterval); due.After(latest) {
-			due = latest
-		}
-		if due.After(g.nextTick) {
-			g.nextTick = due
-		}
-	}
-	return g.nextTick
-}
-
-// tickIdle reports whether nothing but the roster needs ticks.
-func (g *Gateway) tickIdle() bool {
-	return !g.reporter.active && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
-		g.catalog.Lapsed() == 0 && !g.rollouts.Active()
-}
-
-// tickEarlier brings the next tick forward if a message has made one due.
-func (g *Gateway) tickEarlier(now time.Time) {
-	if g.nextTick.Sub(now) <= tickInterval || g.tickIdle() && g.roster.NextDue(now).After(now) {
-		return
-	}
-	g.nextTick = now.Add(tickInterval)
-	select {
-	case g.tickSoon <- struct{}{}:
-	default:
-		// One is on its way.
-	}
-}
-
 // tick does the periodic work of the control goroutine: reports, gossip, logging and expiry.
 func (g *Gateway) tick(s *balance.State, now time.Time) {
 	if !now.Before(g.reporter.due) {
@@ -317,34 +250,6 @@
 	g.sendPings(g.roster.Gossip(now))
 }
 
-// newsInterval returns the least interval between two messages about changed targets.
-func (g *Gateway) newsInterval() time.Duration {
-	return max(tickInterval, min(newsIntervalPerRouter*time.Duration(g.storeRank.running), maxNewsInterval))
-}
-
-// newsFrom passes on news of the store, at most once in newsInterval. What the store itself told
-// goes to other availability zones as well.
-func (g *Gateway) newsFrom(now time.Time, from string) {
-	g.newsFromStore = g.newsFromStore || from == sourceStore
-	if now.Sub(g.lastGossip) >= g.newsInterval() {
-		g.forwardNews(now, false)
-		return
-	}
-	g.gossipPending = true
-}
-
-// forwardNews sends this router's revisions to some other routers, to fewer if more news will follow
-// soon.
-func (g *Gateway) forwardNews(now time.Time, moreFollows bool) {
-	if g.newsFromStore {
-		g.gossip(now)
-		return
-	}
-	g.lastGossip, g.gossipPending = now, false
-	g.updateSelf()
-	g.sendPings(g.roster.Forward(now, moreFollows))
-}
-
 // sendPings sends the roster's outgoing pings.
 func (g *Gateway) sendPings(list []roster.Outgoing) {
 	for _, s := range list {
