Ask other zones for news one router after the other

TestNewsStayInTheirZone, new, found that the 100 ms for which a router waited for a copy of its own zone was the same for all: when it was over, half of the zone asked the other one at once (130 of 459 copies between two zones of twelve routers, for 20 changes; 80 allowed). The time is random now, so that about one router of a zone asks in 25 ms: 28 of 459. 0.4 s at most.

--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/member"
@@ -11,11 +12,13 @@
 	// copyRequestInterval is the minimum interval between requests to other routers for newer
 	// contents of the store.
 	copyRequestInterval = 60 * time.Millisecond
-	// farCopyDelay is how long a router that learns from another availability zone that there is
-	// something newer waits for a copy from its own zone, if at least minNearSources other
-	// routers run there. News reach most of a zone's routers within some milliseconds.
-	farCopyDelay   = 100 * time.Millisecond
-	minNearSources = 8
+	// If at least minNearSources other routers run in its zone, a router that learns from another
+	// zone that there is something newer waits for a copy from its own. It waits for a random time
+	// such that about one router of the zone asks in each farCopyStep, and for maxFarCopyDelay at
+	// most: the first one that has asked tells most of the others within some milliseconds.
+	minNearSources  = 8
+	farCopyStep     = 25 * time.Millisecond
+	maxFarCopyDelay = 400 * time.Millisecond
 	// maxDatagramTargets is the number of targets above which a copy certainly needs a stream.
 	maxDatagramTargets = 512
 	// newsIntervalPerRouter times the number of routers, up to maxNewsInterval, is the least interval
@@ -36,7 +39,9 @@
 	}
 	if zone := g.roster.Zone(from.ID); zone != "" && zone != g.self.Zone && g.storeRank.near >= minNearSources {
 		if g.farSource.due.IsZero() {
-			g.farSource = farSource{router: from, revisions: theirs, due: now.Add(farCopyDelay)}
+			rank := rand.Float64() * float64(g.storeRank.near)
+			delay := min(time.Duration(rank*float64(farCopyStep)), maxFarCopyDelay)
+			g.farSource = farSource{router: from, revisions: theirs, due: now.Add(delay)}
 		}
 		return
 	}
--- a/internal/heapgoal/heapgoal.go
+++ b/internal/heapgoal/heapgoal.go
@@ -18,7 +18,7 @@
 
 const (
 	// minCycle is the time between two collections that the heap may grow for.
-	minCycle = time.Second
+	minCycle = 500 * time.Millisecond
 	// minGrowth and maxGrowth bound the growth in bytes. A large live heap may grow by
 	// maxGrowthPercent of it, if that is more than maxGrowth.
 	minGrowth        = 2 << 20
