Give differences after the store has dropped its history

A router that reads the whole list from the store, since the store's history is gone, forgot all removals, and gave everybody the whole list: objects may have come and gone that it never knew. That is so only for a router whose list is as of a revision after the reader's last one and before the new one. These gaps are remembered (eight of them); all others get what they lack.

--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -36,6 +36,8 @@
 	// after the revision goneSince.
 	gone      map[string]int64
 	goneSince int64
+	// gaps are the spans between two revisions of which nothing is known here but their ends.
+	gaps []gap
 	// recent has the latest changes and removals, ordered by revision: all that were made after
 	// the revision recentSince.
 	recent      []recentChange
@@ -45,6 +47,14 @@
 	outdated func(known, received message.StoredObject) bool
 }
 
+// gap is the span after one revision and before another. Objects may have been added and removed
+// within it that were never known here, but may be known to a router whose list is as of a revision
+// within it.
+type gap struct{ after, before int64 }
+
+// maxGaps bounds the gaps that are remembered.
+const maxGaps = 8
+
 // recentChange is the name of an object that was changed or removed, and the revision of that.
 type recentChange struct {
 	revision int64
@@ -71,14 +81,13 @@
 	if revision < r.revision {
 		return nil, false
 	}
-	if revision > r.revision {
-		// Objects may have been added and removed meanwhile that were never known here.
-		clear(r.gone)
-		r.goneSince = revision
-	}
-	if r.revision == 0 {
+	switch {
+	case r.revision == 0:
 		// The first list is no change to any other: whoever lacks it gets it as a whole.
-		r.recentSince = revision
+		clear(r.gone)
+		r.goneSince, r.recentSince = revision, revision
+	case revision > r.revision:
+		r.addGap(r.revision, revision)
 	}
 	var changes []Change
 	listed := make(map[string]bool, len(list))
@@ -98,6 +107,21 @@
 	return changes, true
 }
 
+// addGap notes that a list as of one revision was replaced by one as of a later one.
+func (r *replica) addGap(after, before int64) {
+	r.gaps = append(r.gaps, gap{after, before})
+	if len(r.gaps) > maxGaps {
+		// Whoever is as far behind as the oldest gap gets the whole list.
+		r.goneSince = max(r.goneSince, r.gaps[0].before)
+		r.gaps = slices.Delete(r.gaps, 0, 1)
+	}
+}
+
+// inGap reports whether a revision lies in a gap.
+func (r *replica) inGap(revision int64) bool {
+	return slices.ContainsFunc(r.gaps, func(g gap) bool { return g.after < revision && revision < g.before })
+}
+
 // apply applies changes, which are complete up to revision, and returns those that were new.
 func (r *replica) apply(revision int64, changes []Change) []Change {
 	var applied []Change
@@ -228,7 +252,7 @@
 		return message.StoredObjects{}
 	}
 	out := message.StoredObjects{Revision: r.revision}
-	if known > 0 && known >= r.goneSince {
+	if known > 0 && known >= r.goneSince && !r.inGap(known) {
 		out.Since = known
 	}
 	out.List, out.Removed = r.changesAfter(out.Since)
--- a/internal/catalog/scale_test.go
+++ b/internal/catalog/scale_test.go
@@ -103,6 +103,36 @@
 	}
 }
 
+// TestListAfterLostHistory checks that routers that lack a few changes get just these from one that
+// had to read the whole list again, because the store had dropped its history.
+func TestListAfterLostHistory(t *testing.T) {
+	for _, n := range fleetSizes {
+		now := time.Unix(1000, 0)
+		reader, behind := fleetCatalog(now, n), fleetCatalog(now, n)
+		revision := int64(n + 10)
+		var list []message.StoredObject
+		for i := range n {
+			switch {
+			case i < 3:
+				// Gone.
+			case i < 8:
+				list = append(list, fleetEntry(i, revision-int64(i)))
+			default:
+				list = append(list, fleetEntry(i, int64(i+1)))
+			}
+		}
+		reader.SetTargets(now, revision, list)
+		m := reader.Copy(now, message.NeedCopy{Revisions: behind.Complete()})
+		if len(m.Targets.List) != 5 || len(m.Targets.Removed) != 3 {
+			t.Errorf("%d targets: copy with %d changed and %d removed, want 5 and 3", n, len(m.Targets.List), len(m.Targets.Removed))
+		}
+		behind.Merge(now, m)
+		if !slices.Equal(reader.Targets(), behind.Targets()) {
+			t.Errorf("%d targets: lists differ after the copy", n)
+		}
+	}
+}
+
 // TestCopiesAfterManyChanges replaces most targets of a fleet and lets another router fall behind by
 // a random number of changes, more than are remembered at times. After each copy it has the same
 // targets.
