--- a/internal/heapgoal/heapgoal.go
+++ b/internal/heapgoal/heapgoal.go
@@ -14,6 +14,8 @@
 	"runtime/debug"
 	"runtime/metrics"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/clock"
 )
 
 const (
@@ -54,7 +56,7 @@
 	}
 	debug.SetGCPercent(t.percent)
 	t.notifyOfCollection(ctx)
-	t.adjust(time.Now())
+	t.adjust(clock.Now())
 	ticker := time.NewTicker(adjustInterval)
 	defer ticker.Stop()
 	for {
@@ -64,7 +66,7 @@
 		case <-ticker.C:
 		case <-t.collected:
 		}
-		t.adjust(time.Now())
+		t.adjust(clock.Now())
 	}
 }
 
