--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -19,8 +19,9 @@
 	// idleTickInterval replaces tickInterval while no request waits for anything: most routers of
 	// a large fleet serve no callers, and each tick wakes the process.
 	idleTickInterval = time.Second
-	// meterTicks is the number of tick intervals between two measurements of processor use. If a
-	// measurement comes later by lateTicks of them, the process itself waits for the processor.
+	// meterTicks is the number of ticks between two measurements of processor use, one if they are
+	// idle ticks. If these ticks come late by more than lateTicks tick intervals together, the
+	// process itself waits for the processor.
 	meterTicks = 5
 	lateTicks  = 3
 )
@@ -48,25 +49,36 @@
 	// is the number of cores that the router may use.
 	cpuTime  func() time.Duration
 	cores    float64
+	ticks    int
 	lastAt   time.Time
 	lastUsed time.Duration
-	// due is when the next measurement is due.
-	due time.Time
 }
 
-// measure updates the state's processor use if it is due; the next tick comes after interval. A
-// late measurement counts as full use: the process had to wait for the processor, however little
-// time it was charged for.
+// restart begins a new measurement, as the interval of the ticks has changed.
+func (m *meter) restart(now time.Time) {
+	if m.cpuTime != nil {
+		m.ticks, m.lastAt, m.lastUsed = 0, now, m.cpuTime()
+	}
+}
+
+// measure updates the state's processor use once in some ticks that came at an interval. Late ticks
+// count as full use: the process had to wait for the processor, however little time it was charged
+// for.
 func (m *meter) measure(now time.Time, interval time.Duration, s *State) {
-	if m.cpuTime == nil || m.cores <= 0 || now.Add(tickInterval/2).Before(m.due) {
+	m.ticks++
+	perMeasurement := 1
+	if interval == tickInterval {
+		perMeasurement = meterTicks
+	}
+	if m.cpuTime == nil || m.cores <= 0 || m.ticks < perMeasurement {
 		return
 	}
+	m.ticks = 0
 	used := m.cpuTime()
-	passed, late := now.Sub(m.lastAt), now.Sub(m.due)
-	m.due = now.Add(max(meterTicks*tickInterval, interval))
+	passed := now.Sub(m.lastAt)
 	switch {
 	case m.lastAt.IsZero() || passed <= 0:
-	case late > lateTicks*tickInterval:
+	case passed > time.Duration(perMeasurement)*interval+lateTicks*tickInterval:
 		s.SetCPUUtilisation(now, 1, m.cores)
 	default:
 		s.SetCPUUtilisation(now, (used-m.lastUsed).Seconds()/(passed.Seconds()*m.cores), m.cores)
@@ -111,6 +123,7 @@
 		if d != interval {
 			interval = d
 			ticker.Reset(d)
+			l.meter.restart(clock.Now())
 		}
 	}
 	for {
@@ -121,19 +134,18 @@
 			e(l.state, clock.Now())
 			if interval != tickInterval && l.state.busy() {
 				setInterval(tickInterval)
-				l.meter.due = clock.Now().Add(meterTicks * tickInterval)
 			}
 		case <-ticker.C:
 			l.checkSuspended()
 			now := clock.Now()
 			l.state.Tick(now)
 			l.ticks.Add(1)
+			l.meter.measure(now, interval, l.state)
 			if l.state.busy() {
 				setInterval(tickInterval)
 			} else {
 				setInterval(idleTickInterval)
 			}
-			l.meter.measure(now, interval, l.state)
 			l.cpuUtilisation.Store(math.Float64bits(l.state.throttle.CPUUtilisation()))
 			l.coalesceLevel.Store(math.Float64bits(l.state.throttle.CoalesceLevel()))
 			l.publish(l.state.gatesAt(now))
--- a/internal/httpserver/idle.go
+++ b/internal/httpserver/idle.go
@@ -9,6 +9,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/stepcroft/stepcroft/internal/clock"
 )
 
 const (
@@ -46,7 +48,7 @@
 	if raw := rawConn(c); raw != nil {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		i.since[raw] = time.Now()
+		i.since[raw] = clock.Now()
 	}
 }
 
@@ -73,8 +75,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			for _, c := range i.expired(now) {
+		case <-ticker.C:
+			for _, c := range i.expired(clock.Now()) {
 				_ = c.Close()
 			}
 		}
@@ -103,7 +105,7 @@
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil {
 		if c := rawConn(res.Parser.Conn); c != nil {
 			h.idle.set(c, time.Time{})
-			defer func() { h.idle.set(c, time.Now()) }()
+			defer func() { h.idle.set(c, clock.Now()) }()
 		}
 	}
 	h.next.ServeHTTP(w, r)
