Let other goroutines run after 32 accepted connections

Cause: the goroutine that accepts connections and refuses their requests never blocks while more are waiting, and the runtime preempts it after 10 ms of processor time at the soonest, which is 50 ms on 0.192 cores. Requests that were admitted waited behind it until they were overdue and were turned away.

Ruled out: many goroutines that each take a turn (the accepting one ran in long stretches), and the gate (its counts of refusals stood still meanwhile).

Now it yields after 32 connections while the router is short of processor time or throttles somebody. The kernel's queue is half as long, since accepting has only the time that others leave.

The play of the small box has the queue and the yields of the product.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -13,6 +13,28 @@
 // read add up.
 const maxWait = 65 * time.Millisecond
 
+// MaxBatch is the number of connections that are accepted in a row in a process that is short of
+// CPU time. While callers keep connecting, accepting never blocks, and the requests admitted before
+// would wait until the scheduler preempts it: 10 ms of CPU time, 50 ms on a fifth of a core.
+const MaxBatch = 32
+
+// Batch counts the connections that are accepted in a row. The zero value has counted none.
+type Batch struct{ accepted int }
+
+// Next counts the connection that is accepted next, and reports whether other goroutines are to get
+// the CPU before.
+func (b *Batch) Next(overloaded bool) (yield bool) {
+	if !overloaded {
+		b.accepted = 0
+		return false
+	}
+	if yield = b.accepted == MaxBatch; yield {
+		b.accepted = 0
+	}
+	b.accepted++
+	return yield
+}
+
 // Queue holds the new connections whose requests wait for the CPU. The zero value is empty. It
 // must not be used by several goroutines at once.
 type Queue struct {
--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -20,3 +20,18 @@
 	// while it is short: false
 	// the first is overdue: true
 }
+
+func ExampleBatch() {
+	var b backlog.Batch
+	yields := 0
+	for range 2*backlog.MaxBatch + 1 {
+		if b.Next(true) {
+			yields++
+		}
+	}
+	fmt.Println("yields while CPU time is short:", yields)
+	fmt.Println("while it is not:", b.Next(false))
+	// Output:
+	// yields while CPU time is short: 2
+	// while it is not: false
+}
--- a/internal/balance/box_test.go
+++ b/internal/balance/box_test.go
@@ -29,11 +29,8 @@
 	// maxListenBacklog is the number of connections that the kernel of a small box queues
 	// before they are accepted, and connectTimeout how long a caller waits to get into that
 	// queue.
-	maxListenBacklog = 320
+	maxListenBacklog = 160
 	connectTimeout   = time.Second
-	// maxAcceptsInRow is the number of connections accepted in a row before other goroutines
-	// get the processor: a goroutine that never blocks runs for some 10 ms.
-	maxAcceptsInRow = 222
 	// reconnectTime is the time that a rejected caller takes to connect again.
 	reconnectTime = 4 * time.Millisecond
 	// tickCost is the processor time of an iteration of the control loop.
@@ -278,7 +275,7 @@
 	b.listenBacklog = append(b.listenBacklog, a)
 	if !b.accepting {
 		b.accepting = true
-		b.work(acceptCost, func() { b.accept(maxAcceptsInRow) })
+		b.work(acceptCost, func() { b.accept(backlog.MaxBatch) })
 	}
 }
 
@@ -306,7 +303,7 @@
 		b.workFirst(cost+acceptCost, func() { refuse(); b.accept(turns - 1) })
 	default:
 		b.workFirst(cost, refuse)
-		b.work(acceptCost, func() { b.accept(maxAcceptsInRow) })
+		b.work(acceptCost, func() { b.accept(backlog.MaxBatch) })
 	}
 }
 
--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -91,6 +91,28 @@
 	})
 }
 
+// Guards against losing the share where refusals alone could use up the processor: some 6,000
+// connections a second came to a box that can refuse 4,300. The goroutine that accepts ran for up to
+// 190 ms in a row, admitted requests waited behind it until they were overdue, and the organisation
+// got 60,000 tokens a second.
+func TestShareWhereRefusalsFillProcessor(t *testing.T) {
+	for name, rates := range map[string][]float64{
+		"flood upon high load":      {220, 6000, 6000},
+		"flood upon overload":       {220, 900, 6000},
+		"flood of 3,000 a second":   {220, 3000, 3000},
+		"flood from the start":      {9000, 9000, 9000},
+		"flood that comes and goes": {6000, 200, 6000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				b := newBox(t, seed)
+				b.contended, b.impatient = true, impatientRatio
+				checkShares(t, seed, b.run(rates, 4*time.Second))
+			}
+		})
+	}
+}
+
 // maxServedChange is the highest factor by which what the organisation is served may change
 // beyond the change in processor time.
 const maxServedChange = 1.5
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,9 +171,10 @@
 
 const (
 	// maxAcceptDelay is how long a new connection may wait in the kernel's accept queue of a
-	// router that does nothing but accept. TCP delays connections beyond that at no cost to the
-	// router. A longer queue would make it read requests whose callers have already given up.
-	maxAcceptDelay = 100 * time.Millisecond
+	// router that does nothing but accept; one that is short of CPU time takes several times as
+	// long. TCP delays connections beyond that at no cost to the router. A longer queue would
+	// make it read requests whose callers have already given up.
+	maxAcceptDelay = 50 * time.Millisecond
 	// acceptCPUTime is the CPU time for accepting a connection and rejecting its request.
 	acceptCPUTime = 60 * time.Microsecond
 )
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
@@ -32,12 +34,13 @@
 	acceptor *sockopt.Acceptor
 	server   *Server
 	conns    *conns
-	// buffer is used only by the goroutine that calls Accept.
+	// buffer and batch are used only by the goroutine that calls Accept.
 	buffer *[maxEarlyBytes]byte
+	batch  *backlog.Batch
 }
 
 func newListener(l net.Listener, s *Server) listener {
-	out := listener{l, nil, s, s.conns, new([maxEarlyBytes]byte)}
+	out := listener{l, nil, s, s.conns, new([maxEarlyBytes]byte), new(backlog.Batch)}
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return out
@@ -52,8 +55,12 @@
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	for {
+		early := l.server.refusesEarly()
+		if l.batch.Next(early) {
+			runtime.Gosched()
+		}
 		accept := l.accept
-		if l.acceptor != nil && l.server.refusesEarly() {
+		if l.acceptor != nil && early {
 			accept = l.acceptSocket
 		}
 		if c, err := accept(); c != nil || err != nil {
