Let those go first who got less than their share of what engines serve

Cause: shares are those of the configured capacity. When engines serve far less, nobody is over that share, so that nobody lets others go first.

Ruled out: its box's processor, and others that don't hear of it.

The order among those who wait follows the max-min share of what all requests actually got. Room at engines and Retry-After keep the configured share.

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -64,7 +64,7 @@
 // mustQueue reports whether a request to an engine must not overtake those waiting, here or at
 // other routers, because its organisation was served more than theirs.
 func (s *State) mustQueue(now time.Time, t *Ticket) bool {
-	return t.Engine && !t.Resumes && s.overShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.maxLead(now))
+	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.maxLead(now))
 }
 
 // exceedsLead reports whether an organisation must let others go first, because it was served more
@@ -72,7 +72,7 @@
 // them: in a large fleet some small organisation always has requests waiting somewhere, and all
 // others would wait for it.
 func (s *State) exceedsLead(now time.Time, organisation string, maxLead float64) bool {
-	return s.overShare(now, organisation) && s.served(now, organisation) > maxLead
+	return s.overAttainedShare(now, organisation) && s.served(now, organisation) > maxLead
 }
 
 // maxLead returns the most that an organisation over its share may have been served without
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -82,31 +82,51 @@
 // levelTTL is how long a computed fair share is used before it is computed again.
 const levelTTL = 50 * time.Millisecond
 
-// level is the max-min fair share of an organisation, and when it was computed.
+// level holds the max-min fair shares of an organisation, and when they were computed.
 type level struct {
-	tokens     float64
-	computedAt time.Time
+	// tokens is the share of the configured capacity, attained that of what all engines
+	// actually served.
+	tokens, attained float64
+	computedAt       time.Time
 }
 
 // fairShare returns the most that an organisation may be served: the level at which the
 // demands of all, each cut to it, add up to the capacity.
-func (s *State) fairShare(now time.Time) float64 {
+func (s *State) fairShare(now time.Time) float64 { return s.currentLevel(now).tokens }
+
+// overAttainedShare reports whether an organisation was served more than its share of what the
+// engines actually served. That is less than their configured capacity while engines are down or
+// slow; all organisations may be within their share of the latter then, however unequally they
+// were served.
+func (s *State) overAttainedShare(now time.Time, organisation string) bool {
+	if organisation == "" || s.shares.capacity <= 0 {
+		return false
+	}
+	return s.served(now, organisation) > max(s.currentLevel(now).attained, 1)
+}
+
+// currentLevel returns the level, computed again every levelTTL.
+func (s *State) currentLevel(now time.Time) level {
 	if now.Sub(s.level.computedAt) < levelTTL {
-		return s.level.tokens
+		return s.level
 	}
 	var demands []float64
+	total := 0.0
 	for name := range s.shares.usages {
-		demands = append(demands, s.shares.usageOf(now, name).demand+s.peers.Usage(now, name).Demand)
+		own, others := s.shares.usageOf(now, name), s.peers.Usage(now, name)
+		demands = append(demands, own.demand+others.Demand)
+		total += own.served + others.Started
 	}
 	s.peers.EachOrganisation(now, func(name string, u view.Usage) {
 		if s.shares.usages[name] == nil {
 			demands = append(demands, u.Demand)
+			total += u.Started
 		}
 	})
 	// The decayed sum of a constant rate converges to the rate times the time constant.
 	capacity := s.shares.capacity * s.limits.QuotaWindow.Seconds() / 2
-	s.level = level{tokens: maxMinLevel(demands, capacity), computedAt: now}
-	return s.level.tokens
+	s.level = level{tokens: maxMinLevel(demands, capacity), attained: maxMinLevel(demands, min(total, capacity)), computedAt: now}
+	return s.level
 }
 
 // maxMinLevel returns the level l at which the sum of min(d, l) over all demands d is
