Refuse requests early only at the start of a request

Cause: on a kept connection the router took the first bytes after an answer for the start of a request, and refused it before net/http saw it. But net/http reads one byte ahead while it serves a request. If that was the next request's first byte, it was left over when the rest was refused, and the request after it was read as "PPOST". Bytes of a body could be taken for a head in the same way.

Ruled out by reading: shared memory of heads.

Now a connection counts what net/http has still to read of the current request, and refuses early only where that is nothing and no more was read.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -142,6 +143,9 @@
 	// readAhead holds the bytes that the listener read in advance and the HTTP server has not
 	// read yet.
 	readAhead []byte
+	// unread is the number of bytes of the current request that the HTTP server has not read yet,
+	// or lengthUnknown. It is negative if the server has read the start of the next request.
+	unread int
 
 	// The fields below are guarded by conns.mu. idleElement is the connection's element in
 	// conns.idle, nil if it is not idle; evicted is set if the connection was closed to make
@@ -150,6 +154,10 @@
 	evicted, closed bool
 }
 
+// lengthUnknown is the value of conn.unread if the ends of requests are not known, so that no later
+// request on the connection can be refused before the HTTP server reads it.
+const lengthUnknown = math.MinInt / 2
+
 // connKey is the context key of the connection on which a request arrived.
 type connKey struct{}
 
@@ -256,6 +264,19 @@
 	return n, nil
 }
 
+// resumeRequest finds the end of a request whose first byte the HTTP server has read already: while
+// it serves a request it reads one byte ahead, to notice when the caller disconnects. rest is what
+// has arrived since.
+func (c *conn) resumeRequest(rest []byte) {
+	if c.unread != -1 {
+		c.unread = lengthUnknown
+		return
+	}
+	// The byte is the first one of the method, which does not affect the length.
+	h, size, ok := parseHead(append([]byte{'P'}, rest...), &c.server.headerNames)
+	c.unread = h.length(size, ok) - 1 - len(rest)
+}
+
 // Read implements net.Conn for the HTTP server, which does not see the requests refused here. If
 // Read ends the connection it returns io.EOF, since the HTTP server answers other errors with
 // 400 Bad Request.
@@ -269,17 +290,23 @@
 	for {
 		n, err := c.readInput(b)
 		if !c.betweenRequests || n == 0 || err != nil {
+			c.unread -= n
 			return n, err
 		}
 		c.betweenRequests = false
 		if !c.markInUse() {
 			return 0, io.EOF
 		}
-		refused, err := c.server.refuseQuickly(c, b[:n])
+		if c.unread != 0 {
+			c.resumeRequest(b[:n])
+			return n, nil
+		}
+		refused, length, err := c.server.refuseQuickly(c, b[:n])
 		if err != nil {
 			return 0, err
 		}
 		if !refused {
+			c.unread = length - n
 			return n, nil
 		}
 		c.betweenRequests = true
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -20,31 +20,28 @@
 
 // refuseQuickly answers a request that starts with the given bytes if it is to be refused
 // because of its organisation's load. It returns false, and has done nothing, if the HTTP
-// server is to serve the request.
-func (s *Server) refuseQuickly(c *conn, first []byte) (bool, error) {
-	if s.closing.Load() {
-		return false, nil
-	}
+// server is to serve the request. length is the request's length in bytes, or lengthUnknown.
+func (s *Server) refuseQuickly(c *conn, first []byte) (refuse bool, length int, err error) {
 	arrived := clock.Now()
 	h, size, ok := parseHead(first, &s.headerNames)
-	if !ok {
-		return false, nil
+	length = h.length(size, ok)
+	if length < len(first) || s.closing.Load() {
+		return false, length, nil
 	}
-	remaining := h.bodyLength - (len(first) - size)
 	r, reason := s.overloadReason(h)
-	if reason == "" || remaining < 0 {
-		return false, nil
+	if reason == "" {
+		return false, length, nil
 	}
 	r.Arrived = arrived
-	if err := discard(c, remaining); err != nil {
-		return false, err
+	if err := discard(c, length-len(first)); err != nil {
+		return false, length, err
 	}
 	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
 	if _, err := c.Write(s.formatRefusal(r.ID, result, false)); err != nil {
-		return false, errors.Wrap(err, "write refusal")
+		return false, length, errors.Wrap(err, "write refusal")
 	}
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
-	return true, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
+	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
 }
 
 // request converts a request's head to a request without route and organisation.
@@ -144,6 +141,15 @@
 	bodyLength int
 }
 
+// length returns the length of the request whose head parseHead has parsed, given parseHead's other
+// results.
+func (h quickHead) length(size int, ok bool) int {
+	if !ok {
+		return lengthUnknown
+	}
+	return size + h.bodyLength
+}
+
 var (
 	lineEnd = []byte("\r\n")
 	headEnd = []byte("\r\n\r\n")
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -74,7 +74,10 @@
 }
 
 // serve starts the server of newServer on l.
-func serve(g *group.Group, l net.Listener) {
+func serve(g *group.Group, l net.Listener) { serveObserved(g, l, ignoringObserver{}) }
+
+// serveObserved is serve with an observer.
+func serveObserved(g *group.Group, l net.Listener, o ingress.Observer) {
 	limits := balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second, QuotaWindow: time.Second}
 	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
 	g.GoContext(loop.Run)
@@ -82,6 +85,7 @@
 		Routes: []routing.Route{
 			{Name: "engine", Host: "h", Prefix: "/engine/", Shares: []routing.Share{{Service: "llm", Weight: 1}}},
 			{Name: "plain", Host: "h", Prefix: "/plain/", Shares: []routing.Share{{Service: "desk", Weight: 1}}},
+			{Name: "slow", Host: "h", Prefix: "/slow/", Goal: 50 * time.Millisecond, Shares: []routing.Share{{Service: "desk", Weight: 1}}},
 		},
 		Services:      []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4}}, {Name: "desk"}},
 		Organisations: []routing.Organisation{{Name: "loud", Keys: []string{"k1"}}, {Name: "calm", Keys: []string{"k2"}}},
@@ -102,7 +106,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	f := forward.New(headerNames, unreachableSender{}, loop, noSuspects{}, logr.Discard(), ignoringObserver{})
-	s := ingress.New(headerNames, f, ignoringObserver{}, ingress.Limits{Requests: 1000, Connections: maxConnections}, logr.Discard())
+	s := ingress.New(headerNames, f, o, ingress.Limits{Requests: 1000, Connections: maxConnections}, logr.Discard())
 	s.Configure(table)
 	g.Go(func() { _ = s.Serve(l) })
 	g.GoContext(func(ctx context.Context) {
