--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -52,8 +52,8 @@
 }
 
 const (
-	// leadPercent is how much more, in percent, an organisation may have been served than one
-	// with requests waiting here. Beyond that its own requests must wait too.
+	// leadPercent is how much more, in percent, an organisation over its share may have been
+	// served than one with requests waiting here. Beyond that its own requests must wait too.
 	leadPercent = 15
 	// remoteLeadFactor is the same limit, as a factor, relative to organisations with requests
 	// waiting at other routers. Reports on those are old: with a small limit all routers hold
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -95,9 +95,8 @@
 func (s *State) fairShare(now time.Time) float64 { return s.currentLevel(now).tokens }
 
 // overAttainedShare reports whether an organisation was served more than its share of what the
-// engines actually served. That is less than their configured capacity while engines are down or
-// slow; all organisations may be within their share of the latter then, however unequally they
-// were served.
+// engines actually served. While engines are down or slow they serve less than their configured
+// capacity, and all organisations may be within their shares of that, however unequally served.
 func (s *State) overAttainedShare(now time.Time, organisation string) bool {
 	if organisation == "" || s.shares.capacity <= 0 {
 		return false
