Prepare optional decisions for hard load: switches, report fields, times of streams

This adds what they share: switches in the settings (package feature) that by default follow the configuration (routing.ToleratesPauses), fields in reports and router records for speeds, planned returns and the handover address, and the longest pause of a stream in the request log line.

--- a/internal/adapter/peer/ping.go
+++ b/internal/adapter/peer/ping.go
@@ -33,7 +33,7 @@
 	return &peerpb.RouterRecord{
 		Id: string(r.ID), Zone: r.Zone, Address: r.Address, Peer: r.Peer,
 		Incarnation: r.Incarnation, Version: r.Version, Belief: uint32(r.State),
-		Ready: r.Ready, Leaving: r.Leaving, Serving: r.Serving, StoreTrouble: r.StoreFailing, Capacity: float32(r.Capacity),
+		Ready: r.Ready, Leaving: r.Leaving, Serving: r.Serving, StoreTrouble: r.StoreFailing, Capacity: float32(r.Capacity), Handover: r.Handover,
 	}
 }
 
@@ -42,6 +42,6 @@
 		ID: message.RouterID(r.GetId()), Zone: r.GetZone(), Address: r.GetAddress(), Peer: r.GetPeer(),
 		Incarnation: r.GetIncarnation(), Version: r.GetVersion(), State: message.RouterState(r.GetBelief()),
 		Ready: r.GetReady(), Leaving: r.GetLeaving(), Serving: r.GetServing(), StoreFailing: r.GetStoreTrouble(),
-		Capacity: float64(r.GetCapacity()),
+		Capacity: float64(r.GetCapacity()), Handover: r.GetHandover(),
 	}
 }
--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/adapter/peer/peerpb"
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
@@ -18,6 +20,16 @@
 			OtherAnswers: uint32(r.Other.Answers), OtherBad: uint32(r.Other.Bad),
 		})
 	}
+	for _, e := range m.Speeds {
+		out.Speeds = append(out.Speeds, &peerpb.EngineSpeed{Target: e.Target, Service: e.Service, ExpectedMs: float32(e.Expected), ActualMs: float32(e.Actual)})
+	}
+	for _, r := range m.Returns {
+		slots := &peerpb.ReturnSlots{Service: r.Service, First: r.First}
+		for _, tokens := range r.Tokens {
+			slots.Tokens = append(slots.Tokens, float32(tokens))
+		}
+		out.Returns = append(out.Returns, slots)
+	}
 	for _, parts := range m.SharedParts {
 		out.Kept = append(out.Kept, &peerpb.TargetParts{Target: parts.Target, Parts: parts.Parts})
 	}
@@ -41,6 +53,19 @@
 			Other: rollout.Counts{Answers: int(r.GetOtherAnswers()), Bad: int(r.GetOtherBad())},
 		})
 	}
+	for _, e := range m.GetSpeeds() {
+		out.Speeds = append(out.Speeds, enginespeed.Report{
+			Target: e.GetTarget(), Service: e.GetService(),
+			Sums: enginespeed.Sums{Expected: float64(e.GetExpectedMs()), Actual: float64(e.GetActualMs())},
+		})
+	}
+	for _, r := range m.GetReturns() {
+		slots := returns.Slots{Service: r.GetService(), First: r.GetFirst()}
+		for _, tokens := range r.GetTokens() {
+			slots.Tokens = append(slots.Tokens, float64(tokens))
+		}
+		out.Returns = append(out.Returns, slots)
+	}
 	for _, parts := range m.GetKept() {
 		out.SharedParts = append(out.SharedParts, message.TargetParts{Target: parts.GetTarget(), Parts: parts.GetParts()})
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -12,6 +12,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/advice"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
+	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/rollout"
@@ -126,9 +127,11 @@
 	// regions has the region of each availability zone.
 	regions map[string]string
 	limits  Limits
-	random  *rand.Rand
-	table   *routing.Table
-	targets map[string]*target
+	// features are the switches of optional decisions.
+	features feature.Set
+	random   *rand.Rand
+	table    *routing.Table
+	targets  map[string]*target
 	// leaving is the number of listed targets whose entries say that they are leaving.
 	leaving  int
 	services map[string]*service
@@ -404,6 +407,14 @@
 	s.queue = kept
 }
 
+// SetFeatures sets the switches of optional decisions.
+func (s *State) SetFeatures(f feature.Set) { s.features = f }
+
+// enabled reports whether an optional decision applies to a service.
+func (s *State) enabled(f feature.Switch, service string) bool {
+	return f.Enabled(s.table != nil && s.table.ToleratesPauses(service))
+}
+
 // SetLimits applies changed limits.
 func (s *State) SetLimits(l Limits) {
 	s.limits = l
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -41,6 +41,10 @@
 	// Pieces is the number of pieces in which the answer was forwarded. The request's own
 	// goroutine sets it.
 	Pieces atomic.Int64
+	// Events is the number of events forwarded, and FirstEvent when the first one of the current
+	// send arrived, in nanoseconds after Arrived; 0 if none did. The request's own goroutine sets
+	// them.
+	Events, FirstEvent atomic.Int64
 	// ServerError is set if the target answered with a server error. The request's own goroutine
 	// sets it.
 	ServerError atomic.Bool
@@ -85,6 +89,9 @@
 	// target can fetch FetchedTokens; its ID is empty if there is none.
 	Source        Target
 	FetchedTokens int
+	// Speed is the engine's time factor: above 1 it is slower than its service's engines are on
+	// average.
+	Speed float64
 	// LapsedFor is how long ago the target's entry lapsed; 0 if the target is listed.
 	LapsedFor time.Duration
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -161,6 +161,7 @@
 		x.result.TargetID = d.Target.ID
 		x.result.PendingTokens, x.result.UncachedTokens, x.result.FetchableTokens = d.PendingTokens, d.UncachedTokens, d.FetchedTokens
 		x.result.LapsedFor = d.LapsedFor
+		x.result.Speed = d.Speed
 		x.fetchSource = d.Source
 		return d.Target, true
 	case <-ctx.Done():
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -110,6 +110,10 @@
 	// QueueTime is the time from arrival to the choice of a target. TimeToFirstByte is the
 	// time from arrival to the first part of the answer's body; 0 if none came.
 	QueueTime, TimeToFirstByte time.Duration
+	// LongestPause is the longest time between two pieces of the answer's body from the target.
+	LongestPause time.Duration
+	// Speed is the time factor of the last target when it was chosen, 1 if unknown.
+	Speed float64
 	// TargetID is the id of the last target that was chosen.
 	TargetID string
 	// PendingTokens is the number of prompt tokens that the target still had to process when
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -127,7 +127,13 @@
 	if x.result.TimeToFirstByte == 0 {
 		x.result.TimeToFirstByte = clock.Since(x.Arrived)
 	}
-	x.ticket.LastReceived.Store(clock.Since(x.ticket.Arrived).Nanoseconds())
+	received := clock.Since(x.ticket.Arrived)
+	if x.answerStarted {
+		x.result.LongestPause = max(x.result.LongestPause, received-time.Duration(x.ticket.LastReceived.Load()))
+	} else {
+		x.ticket.FirstEvent.Store(received.Nanoseconds())
+	}
+	x.ticket.LastReceived.Store(received.Nanoseconds())
 	if x.answerStarted {
 		return
 	}
@@ -277,6 +283,7 @@
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
 	}
 	x.ticket.Pieces.Add(1)
+	x.ticket.Events.Add(int64(reader.batchCount))
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
 	if x.Route.Repeatable() && x.result.Sends < x.Route.MaxAttempts {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -96,6 +96,7 @@
 		Loads:       make(map[string]view.Load, len(m.Loads)),
 		Usage:       make(map[string]view.Usage, len(m.Usage)),
 		SharedParts: make(map[string][]string, len(m.SharedParts)),
+		Speeds:      m.Speeds, Returns: m.Returns,
 	}
 	for _, l := range m.Loads {
 		r.Loads[l.Target] = loadOf(l)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
+	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
@@ -76,6 +77,8 @@
 	Headers      forward.HeaderNames
 	Codec        catalog.Codec
 	Limits       balance.Limits
+	// Features are the switches of optional decisions.
+	Features feature.Set
 	// TargetDrain is how long a leaving target continues to serve; 0 means two seconds.
 	TargetDrain time.Duration
 	// EntryTTL is the TTL after which the store removes the entry of a target that has stopped
@@ -232,6 +235,7 @@
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
 	state.SetRollouts(g.rollouts)
 	state.SetRegions(o.Regions)
+	state.SetFeatures(o.Features)
 	g.loop = balance.NewLoop(state)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -250,6 +250,7 @@
 		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
 		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
 		"goal_ms", milliseconds(goal), "waited_ms", milliseconds(v.QueueTime), "first_ms", milliseconds(v.TimeToFirstByte),
+		"pause_ms", milliseconds(v.LongestPause), "speed", v.Speed,
 		"took_ms", milliseconds(took), "retry_after_ms", v.RetryAfter.Milliseconds())
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -267,7 +267,7 @@
 
 // statusOf converts a report into a message.
 func (g *Gateway) statusOf(r view.Report) message.Status {
-	m := message.Status{Revisions: g.catalog.Newest(), RolloutResults: g.rollouts.Results()}
+	m := message.Status{Revisions: g.catalog.Newest(), RolloutResults: g.rollouts.Results(), Speeds: r.Speeds, Returns: r.Returns}
 	for id, l := range r.Loads {
 		m.Loads = append(m.Loads, targetLoad(id, l))
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -6,7 +6,9 @@
 import (
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
@@ -137,6 +139,9 @@
 	SharedParts []TargetParts
 	// RolloutResults are those of the services that are being rolled out.
 	RolloutResults []rollout.Results
+	// Speeds has the times of engines, and Returns when refused callers were told to return.
+	Speeds  []enginespeed.Report
+	Returns []returns.Slots
 }
 
 // ZoneStatus is the sum of the Status messages of an availability zone's serving routers.
@@ -284,6 +289,9 @@
 	StoreFailing bool
 	// Capacity is the number of processor cores that the router may use.
 	Capacity float64
+	// Handover is the address at which other routers hand connections over; empty if it takes
+	// none.
+	Handover string
 }
 
 // PingKind tells what a Ping is for.
--- /dev/null
+++ b/internal/returns/returns.go
@@ -0,0 +1,46 @@
+// Package returns spreads the times at which refused callers are told to return over what engines
+// can take.
+package returns
+
+import "time"
+
+// SlotWidth is the time that one slot covers.
+const SlotWidth = 100 * time.Millisecond
+
+// Slots holds the tokens of the callers of one service that were told to return, by slot.
+type Slots struct {
+	Service string
+	// First is how many slots after the moment of the report the first element of Tokens lies.
+	First  int64
+	Tokens []float64
+}
+
+// After returns the slots as they are d later, without those that have passed.
+func (s Slots) After(d time.Duration) Slots {
+	first := s.First - int64(d/SlotWidth)
+	tokens := s.Tokens
+	if first < 0 {
+		tokens = tokens[min(-first, int64(len(tokens))):]
+		first = 0
+	}
+	return Slots{Service: s.Service, First: first, Tokens: tokens}
+}
+
+// Plus returns the sum of the slots of the same service.
+func (s Slots) Plus(o Slots) Slots {
+	if len(s.Tokens) == 0 {
+		return o
+	}
+	if len(o.Tokens) == 0 {
+		return s
+	}
+	first := min(s.First, o.First)
+	end := max(s.First+int64(len(s.Tokens)), o.First+int64(len(o.Tokens)))
+	sum := Slots{Service: s.Service, First: first, Tokens: make([]float64, end-first)}
+	for _, part := range []Slots{s, o} {
+		for i, tokens := range part.Tokens {
+			sum.Tokens[part.First-first+int64(i)] += tokens
+		}
+	}
+	return sum
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -114,6 +114,8 @@
 	Slots int
 	// CacheTokens is the size of an engine's KV cache for prompts and answers, in tokens.
 	CacheTokens int
+	// EventTokens is the number of tokens in one event of a stream, 0 if unknown.
+	EventTokens int
 }
 
 // Limits bounds what callers may send and use.
@@ -155,6 +157,9 @@
 	limits        Limits
 	// goals maps each service to the shortest goal of its routes.
 	goals map[string]time.Duration
+	// pauses maps each service to the shortest MaxPause of its streaming routes; 0 if one of them
+	// states none.
+	pauses map[string]time.Duration
 	// routeRegions and organisationRegions have the regions of the routes and organisations that
 	// are restricted to some, by name.
 	routeRegions, organisationRegions map[string][]string
@@ -170,6 +175,7 @@
 		organisations: len(s.Organisations),
 		limits:        s.Limits,
 		goals:         map[string]time.Duration{},
+		pauses:        map[string]time.Duration{},
 		routeRegions:  map[string][]string{}, organisationRegions: map[string][]string{},
 	}
 	for _, service := range s.Services {
@@ -210,6 +216,9 @@
 		if old, ok := t.goals[share.Service]; r.Goal > 0 && (!ok || r.Goal < old) {
 			t.goals[share.Service] = r.Goal
 		}
+		if old, ok := t.pauses[share.Service]; r.Kind == Streaming && (!ok || r.MaxPause < old) {
+			t.pauses[share.Service] = r.MaxPause
+		}
 	}
 	return nil
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -7,6 +7,9 @@
 import (
 	"math"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
+	"github.com/stepcroft/stepcroft/internal/returns"
 )
 
 const (
@@ -65,6 +68,9 @@
 	Usage map[string]Usage
 	// SharedParts holds, by target, shared parts of prompts that were sent there.
 	SharedParts map[string][]string
+	// Speeds has the times of engines, and Returns when refused callers were told to return.
+	Speeds  []enginespeed.Report
+	Returns []returns.Slots
 }
 
 // Active reports whether the router has requests or had some recently.
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -11,8 +11,10 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
+	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
@@ -76,6 +78,8 @@
 	loads := map[string]message.TargetLoad{}
 	usage := map[string]message.OrganisationUsage{}
 	rollouts := map[string]rollout.Results{}
+	speeds := map[string]enginespeed.Report{}
+	slots := map[string]returns.Slots{}
 	for id, r := range s.reports {
 		if now.Sub(r.at) >= reportTTL {
 			delete(s.reports, id)
@@ -87,6 +91,12 @@
 				Target: l.Target, PendingTokens: sum.PendingTokens + l.PendingTokens, Running: sum.Running + l.Running, MemoryTokens: sum.MemoryTokens + l.MemoryTokens,
 			}
 		}
+		for _, e := range r.Speeds {
+			speeds[e.Target] = enginespeed.Report{Target: e.Target, Service: e.Service, Sums: speeds[e.Target].Plus(e.Sums)}
+		}
+		for _, k := range r.Returns {
+			slots[k.Service] = slots[k.Service].Plus(k.After(now.Sub(r.at)))
+		}
 		for _, o := range r.RolloutResults {
 			sum := rollouts[o.Service]
 			if sum.Version != o.Version {
@@ -108,6 +118,8 @@
 	out.Loads = slices.Collect(maps.Values(loads))
 	out.Usage = slices.Collect(maps.Values(usage))
 	out.RolloutResults = slices.Collect(maps.Values(rollouts))
+	out.Speeds = slices.Collect(maps.Values(speeds))
+	out.Returns = slices.Collect(maps.Values(slots))
 	for target, parts := range s.sharedParts {
 		out.SharedParts = append(out.SharedParts, message.TargetParts{Target: target, Parts: parts})
 	}
