Predict times at a target through an estimator

Engines of one service may differ in speed. Each prediction for a target now goes through an estimator that scales the model of its service by the target's factor. The factor is 1 until speeds are compared, so nothing changes yet.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -329,7 +329,7 @@
 	t.target.consecutiveRefusals = 0
 	t.target.lastProgress = now
 	if t.Engine && t.Stream {
-		s.pace(t.Service).Observe(t.work, now.Sub(t.sentAt))
+		s.observeFirstEvent(now, t)
 	}
 	t.target.localLoad.PendingTokens -= t.load.PendingTokens
 	t.load.PendingTokens = 0
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -73,13 +73,13 @@
 	ratio := s.shareRatio(now, t.Organisation)
 	over := ratio > shareTolerance && !t.Resumes
 	r := s.room(now, t, ratio)
-	model := s.pace(t.Service)
 	own := ownTokens(t)
 	k := s.locatePrefix(now, t, candidates)
 	var best placement
 	var lowest time.Duration
 	for i, c := range candidates {
 		p := k.placementAt(c, s.missing[i], own)
+		model := s.estimate(now, c)
 		p.work = pace.Work{Ahead: s.pendingTokens(now, c, model), Uncached: p.uncachedTokens}
 		p.expected = model.Predict(p.work)
 		p.conservative = p.expected + time.Duration(model.RelativeError()*float64(p.expected))
@@ -95,7 +95,7 @@
 }
 
 // cost returns the cost of sending a request to a placement, as a time.
-func (s *State) cost(now time.Time, p placement, home bool, r room, m *pace.Model) time.Duration {
+func (s *State) cost(now time.Time, p placement, home bool, r room, m estimator) time.Duration {
 	cost := p.expected + m.PrefillTime(p.uncachedTokens*rereadPercent/100+p.fetchTokens*fetchPercent/100)
 	cost += time.Duration(s.loadOf(now, p.target).Running) * slotCost
 	if p.Zone != s.zone {
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -56,7 +56,7 @@
 // admits reports whether a placement is within the bounds. A prompt counts for at most half of
 // the backlog: otherwise a long one would never find room beside short ones that keep the
 // engine reading.
-func (r room) admits(p placement, m *pace.Model) bool {
+func (r room) admits(p placement, m estimator) bool {
 	if r.timely && p.conservative <= r.remaining {
 		return true
 	}
@@ -77,7 +77,7 @@
 // those known to have been sent to it, less what it has read since that was known. It assumes
 // that the engine reads the requests of this and of other routers in order of arrival, and
 // divides its time between them in proportion to their tokens.
-func (s *State) pendingTokens(now time.Time, c *target, m *pace.Model) int {
+func (s *State) pendingTokens(now time.Time, c *target, m estimator) int {
 	load, reportedAt := s.peers.Load(now, c.incarnation)
 	own, others := float64(c.localLoad.PendingTokens), float64(load.PendingTokens)
 	if own+others <= 0 {
