Let organisations behind their share wait up to half of the goal

Cause: a request waits a fifth of its goal, 120 ms. A long prompt needs an engine whose backlog is half of what short prompts may join, which rarely comes about in that time, and a router hears of another's waiting requests every 100 ms, so that the large organisation hardly ever yielded.

An organisation that was served less than 60% of its share of what engines serve now waits up to half of its goal, which still lets it start in time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -39,19 +39,12 @@
 	maxQueueFactor = 4
 	// serviceTimeWeight is the weight of the newest sample in the average service time.
 	serviceTimeWeight = 0.05
-	// goalWaitDivisor divides a request's goal; the result is how long the request waits for a
-	// target with room before it is refused. A caller refused so early can still be served in
-	// time when it retries.
-	goalWaitDivisor = 5
 	// A queue of at most eagerDispatchLength requests is searched at each event, a longer one
 	// once in dispatchInterval and until maxFailedPlacements requests found no room. This
 	// bounds the processor time that a flooded router spends on its queue.
 	eagerDispatchLength = 8
 	dispatchInterval    = 10 * time.Millisecond
 	maxFailedPlacements = 16
-	// maxResumeWait bounds the wait of a request whose caller already has a part of the
-	// answer: callers give up a stream that pauses for two seconds.
-	maxResumeWait = time.Second
 	// maxQueueLength bounds the requests waiting at a router; further ones are refused at
 	// once.
 	maxQueueLength = 2000
@@ -254,7 +247,7 @@
 
 func (s *State) arrive(now time.Time, t *Ticket) {
 	t.started = false
-	t.expires = now.Add(t.maxWait())
+	t.expires = now.Add(s.maxWait(now, t))
 	if t.expires.After(t.Deadline) {
 		t.expires = t.Deadline
 	}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -179,10 +179,3 @@
 		return t.Parts[n-2].ID
 	}
 }
-
-func (t *Ticket) maxWait() time.Duration {
-	if t.Resumes {
-		return maxResumeWait
-	}
-	return t.Goal / goalWaitDivisor
-}
