--- /dev/null
+++ b/internal/balance/order.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/view"
+)
+
+const (
+	// leadPercent is how much more, in percent, an organisation over its share may have been
+	// served than one with requests waiting here. Beyond that its own requests must wait too.
+	leadPercent = 15
+	// remoteLeadFactor is the same limit, as a factor, relative to organisations with requests
+	// waiting at other routers. Reports on those are old: with a small limit all routers hold
+	// back requests in favour of one another while engines are idle. A factor of 2 is unfair.
+	remoteLeadFactor = 1.4
+)
+
+// mustQueue reports whether a request to an engine must not overtake those waiting, here or at
+// other routers, because its organisation was served more than theirs.
+func (s *State) mustQueue(now time.Time, t *Ticket) bool {
+	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.maxLead(now))
+}
+
+// exceedsLead reports whether an organisation must let others go first, because it was served more
+// than maxLead. An organisation within its share takes nothing from others and need not wait for
+// them: in a large fleet some small organisation always has requests waiting somewhere, and all
+// others would wait for it.
+func (s *State) exceedsLead(now time.Time, organisation string, maxLead float64) bool {
+	return s.overAttainedShare(now, organisation) && s.served(now, organisation) > maxLead
+}
+
+// maxLead returns the most that an organisation over its share may have been served without
+// having to let those go first that wait, or infinity if no request waits.
+func (s *State) maxLead(now time.Time) float64 {
+	limit := math.Inf(1)
+	s.eachWaiting(now, func(served float64, here bool) {
+		if here {
+			limit = min(limit, served*(100+leadPercent)/100)
+			return
+		}
+		limit = min(limit, served*remoteLeadFactor)
+	})
+	return limit
+}
+
+// eachWaiting calls f for each organisation with waiting requests to engines, with what it was
+// served, and whether requests wait at this router. It is called twice if they also wait at others.
+func (s *State) eachWaiting(now time.Time, f func(served float64, here bool)) {
+	for name := range s.waitingByOrganisation() {
+		f(s.served(now, name), true)
+	}
+	s.peers.EachOrganisation(now, func(name string, u view.Usage) {
+		if u.Waiting > 0 {
+			f(s.shares.usageOf(now, name).served+u.Started, false)
+		}
+	})
+}
+
+// waitingByOrganisation returns the number of requests to engines that wait here.
+func (s *State) waitingByOrganisation() map[string]int {
+	waiting := map[string]int{}
+	for _, t := range s.queue {
+		if t.Engine {
+			waiting[t.Organisation]++
+		}
+	}
+	return waiting
+}
