Refuse requests at once that would wait in vain

With many more requests than capacity, requests wait a fifth of their goal and are refused then. With the switch waitForecasts, a router remembers per service and class (over share or not, place in the queue) which waits ended at a target, and refuses a new request of a hopeless class at once, with the reason it would get after the wait. Refused ones count as waiting for the time they would have waited, here and in reports, so that other routers go on letting the organisation go first.

An organisation holds others back only if it was served less than 80% of what it asked for; requests refused before they are read count as asked for. The router that reports decides that, since only it knows what it refused unread, and so reports need no new field. Within an organisation the request whose goal ends first goes first.

Without the switch nothing changes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -174,7 +174,8 @@
 	sentAgainstAdvice SentAgainstAdvice
 	// backoffs counts the backoffs that this router started without a target having asked for
 	// one.
-	backoffs int64
+	backoffs  int64
+	forecasts forecasts
 }
 
 // New returns the state of a router in an availability zone, without any targets.
@@ -194,6 +195,7 @@
 		shares:            newShares(limits.QuotaWindow),
 		peers:             view.New(now, limits.QuotaWindow),
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
+		forecasts:         newForecasts(),
 		budget:            budget{start: now, histories: map[string]*history{}},
 	}
 }
@@ -265,10 +267,13 @@
 		s.refuse(now, t, why)
 		return
 	}
-	if !t.Resumes && (len(s.queue) >= maxQueueLength || s.exceedsWaitingLimit(t)) {
+	if !t.Resumes && (len(s.queue) >= maxQueueLength || s.exceedsWaitingLimit(now, t)) {
 		s.refuse(now, t, Full)
 		return
 	}
+	if s.refuseEarly(now, t) {
+		return
+	}
 	s.queue = append(s.queue, t)
 }
 
@@ -401,6 +406,7 @@
 			kept = append(kept, t)
 			continue
 		}
+		s.recordWait(now, t, false)
 		s.refuse(now, t, s.refusalReason(now, t))
 	}
 	clear(s.queue[len(kept):])
--- /dev/null
+++ b/internal/balance/forecast.go
@@ -0,0 +1,153 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/pace"
+	"github.com/stepcroft/stepcroft/internal/waiting"
+)
+
+// metPercent is the part of its recent demand, in percent, from which on an organisation's demand
+// counts as met. A fifth is refused now and then under bursts and served when the callers return;
+// engines should not be idle for that.
+const metPercent = 80
+
+// forecasts predicts which requests would wait in vain.
+type forecasts struct {
+	forecast *waiting.Forecast
+	// refused has the requests that were refused early and count as waiting, counts their number
+	// since the start by reason.
+	refused waiting.Refused
+	counts  map[Reason]int64
+}
+
+func newForecasts() forecasts {
+	return forecasts{forecast: waiting.New(), counts: map[Reason]int64{}}
+}
+
+// forecasted reports whether forecasts apply to a request. They don't to plain services, nor to
+// requests that overtake all others.
+func (s *State) forecasted(t *Ticket) bool {
+	return t.Engine && !t.Resumes && s.enabled(s.features.WaitForecasts, t.Service)
+}
+
+// refuseEarly refuses a request that would have to wait, and almost certainly in vain. It returns
+// whether it did.
+func (s *State) refuseEarly(now time.Time, t *Ticket) bool {
+	t.class = waiting.Class{}
+	if !s.forecasted(t) {
+		return false
+	}
+	t.class = waiting.Class{Service: t.Service, OverShare: s.overAttainedShare(now, t.Organisation), Place: s.placeInQueue(now, t)}
+	if !s.forecasts.forecast.Refuse(now, t.class) {
+		return false
+	}
+	why := s.refusalReason(now, t)
+	s.forecasts.counts[why]++
+	s.forecasts.refused.Add(t.Organisation, t.expires, maxWaitingPerOrganisation)
+	s.refuse(now, t, why)
+	return true
+}
+
+// recordWait records the end of a request's wait for forecasts.
+func (s *State) recordWait(now time.Time, t *Ticket, placed bool) {
+	if t.class.Service != "" {
+		s.forecasts.forecast.Record(now, t.class, placed)
+	}
+}
+
+// RefusedByForecast calls f for each reason for which requests were refused without a wait, with
+// their number since the start.
+func (s *State) RefusedByForecast(f func(why Reason, count int64)) {
+	for why, n := range s.forecasts.counts {
+		f(why, n)
+	}
+}
+
+// placeInQueue returns how many of the service's waiting requests go before a new one.
+func (s *State) placeInQueue(now time.Time, t *Ticket) int {
+	served := map[string]float64{t.Organisation: s.served(now, t.Organisation)}
+	s.setOrder(now, t)
+	n := 0
+	for _, other := range s.queue {
+		if other.Service != t.Service {
+			continue
+		}
+		if _, ok := served[other.Organisation]; !ok {
+			served[other.Organisation] = s.served(now, other.Organisation)
+		}
+		if compareOrder(served, other, t) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// setOrder sets the place of a request within its organisation. With forecasts, the request whose
+// goal ends first goes first, behind those that can meet their goals if it can't itself: what it
+// gets is of little worth, whereas the others still lose by waiting. Otherwise the oldest goes
+// first.
+func (s *State) setOrder(now time.Time, t *Ticket) {
+	t.due, t.late = t.Arrived, false
+	if !s.forecasted(t) {
+		return
+	}
+	t.due = t.Arrived.Add(t.Goal)
+	t.late = now.Add(s.pace(t.Service).Predict(pace.Work{Uncached: ownTokens(t)})).After(t.due)
+}
+
+// hasUnmetDemand reports whether an organisation was recently served much less than it asked for,
+// by all routers. What this router refused before it was read counts as asked for, at the mean size
+// of the requests that were read: an organisation at one small box would otherwise seem to be
+// content with the little that the box reads.
+func (s *State) hasUnmetDemand(now time.Time, organisation string) bool {
+	own, others := s.shares.usageOf(now, organisation), s.peers.Usage(now, organisation)
+	if own.requests <= 0 && own.unread > 0 {
+		return true
+	}
+	asked := own.demand + others.Demand
+	if own.requests > 0 {
+		asked += own.demand / own.requests * own.unread
+	}
+	return own.served+others.Started < asked*metPercent/100
+}
+
+// reportedWaiting returns how many requests of each organisation wait, as other routers are to know
+// it: they let those organisations go first. With forecasts only unmet demand counts.
+func (s *State) reportedWaiting(now time.Time) map[string]int {
+	counted := map[string]bool{}
+	counts := func(organisation string) bool {
+		unmet, ok := counted[organisation]
+		if !ok {
+			unmet = s.hasUnmetDemand(now, organisation)
+			counted[organisation] = unmet
+		}
+		return unmet
+	}
+	n := map[string]int{}
+	for _, t := range s.queue {
+		if t.Engine && (!s.forecasted(t) || counts(t.Organisation)) {
+			n[t.Organisation]++
+		}
+	}
+	s.forecasts.refused.Each(now, func(name string, refused int) {
+		if counts(name) {
+			n[name] += refused
+		}
+	})
+	filtered := s.anyForecasts()
+	for name := range s.shares.usages {
+		if rejected := s.throttle.RejectedLastTick(name); rejected > 0 && (!filtered || counts(name)) {
+			n[name] += rejected
+		}
+	}
+	return n
+}
+
+// anyForecasts reports whether forecasts apply to any service.
+func (s *State) anyForecasts() bool {
+	if s.table == nil {
+		return s.features.WaitForecasts.Enabled(false)
+	}
+	return s.features.WaitForecasts.Enabled(s.table.AnyTolerates())
+}
--- a/internal/balance/order.go
+++ b/internal/balance/order.go
@@ -20,7 +20,7 @@
 // mustQueue reports whether a request to an engine must not overtake those waiting, here or at
 // other routers, because its organisation was served more than theirs.
 func (s *State) mustQueue(now time.Time, t *Ticket) bool {
-	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.maxLead(now))
+	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.maxLead(now, s.forecasted(t)))
 }
 
 // exceedsLead reports whether an organisation must let others go first, because it was served more
@@ -32,10 +32,11 @@
 }
 
 // maxLead returns the most that an organisation over its share may have been served without
-// having to let those go first that wait, or infinity if no request waits.
-func (s *State) maxLead(now time.Time) float64 {
+// having to let those go first that wait, or infinity if no request waits. If unmetOnly is set, only
+// organisations with unmet demand are let go first.
+func (s *State) maxLead(now time.Time, unmetOnly bool) float64 {
 	limit := math.Inf(1)
-	s.eachWaiting(now, func(served float64, here bool) {
+	s.eachWaiting(now, unmetOnly, func(served float64, here bool) {
 		if here {
 			limit = min(limit, served*(100+leadPercent)/100)
 			return
@@ -47,9 +48,13 @@
 
 // eachWaiting calls f for each organisation with waiting requests to engines, with what it was
 // served, and whether requests wait at this router. It is called twice if they also wait at others.
-func (s *State) eachWaiting(now time.Time, f func(served float64, here bool)) {
-	for name := range s.waitingByOrganisation() {
-		f(s.served(now, name), true)
+// If unmetOnly is set, those without unmet demand are left out. Other routers with forecasts leave
+// them out of their reports.
+func (s *State) eachWaiting(now time.Time, unmetOnly bool, f func(served float64, here bool)) {
+	for name := range s.waitingByOrganisation(now) {
+		if !unmetOnly || s.hasUnmetDemand(now, name) {
+			f(s.served(now, name), true)
+		}
 	}
 	s.peers.EachOrganisation(now, func(name string, u view.Usage) {
 		if u.Waiting > 0 {
@@ -58,13 +63,15 @@
 	})
 }
 
-// waitingByOrganisation returns the number of requests to engines that wait here.
-func (s *State) waitingByOrganisation() map[string]int {
+// waitingByOrganisation returns the number of requests to engines that wait here, or would if they
+// had not been refused early.
+func (s *State) waitingByOrganisation(now time.Time) map[string]int {
 	waiting := map[string]int{}
 	for _, t := range s.queue {
 		if t.Engine {
 			waiting[t.Organisation]++
 		}
 	}
+	s.forecasts.refused.Each(now, func(name string, n int) { waiting[name] += n })
 	return waiting
 }
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -104,13 +104,11 @@
 			r.SharedParts[t.incarnation] = parts
 		}
 	}
-	waiting := s.waitingByOrganisation()
+	waiting := s.reportedWaiting(now)
 	for name := range s.shares.usages {
 		c := s.shares.usageOf(now, name)
 		if c.demand >= 1 || c.served >= 1 {
-			u := view.Usage{Demand: c.demand, Started: c.served, Waiting: waiting[name]}
-			u.Waiting += s.throttle.RejectedLastTick(name)
-			r.Usage[name] = u
+			r.Usage[name] = view.Usage{Demand: c.demand, Started: c.served, Waiting: waiting[name]}
 			continue
 		}
 		delete(s.shares.usages, name)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -8,11 +8,11 @@
 // exceedsWaitingLimit reports whether an organisation already has as many requests to engines
 // waiting as it may, so that another one must be refused. It also counts the refusal for
 // throttling.
-func (s *State) exceedsWaitingLimit(t *Ticket) bool {
+func (s *State) exceedsWaitingLimit(now time.Time, t *Ticket) bool {
 	if !t.Engine {
 		return false
 	}
-	n := 0
+	n := s.forecasts.refused.Count(now, t.Organisation)
 	for _, other := range s.queue {
 		if other.Engine && other.Organisation == t.Organisation {
 			n++
@@ -36,7 +36,7 @@
 func (s *State) Waiting() int { return len(s.queue) }
 
 // dispatch sends waiting requests to targets with room. The organisation that was served least
-// goes first, and its oldest request first. A request of an organisation over its share does
+// goes first, and within it the request that setOrder puts first. A request of an organisation over its share does
 // not overtake another organisation's waiting request.
 func (s *State) dispatch(now time.Time) {
 	if len(s.queue) == 0 || len(s.queue) > eagerDispatchLength && now.Sub(s.lastDispatch) < dispatchInterval {
@@ -48,20 +48,21 @@
 		if _, ok := served[t.Organisation]; !ok {
 			served[t.Organisation] = s.served(now, t.Organisation)
 		}
+		s.setOrder(now, t)
 	}
-	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
-		if d := served[a.Organisation] - served[b.Organisation]; d != 0 {
-			return sign(d)
-		}
-		return a.Arrived.Compare(b.Arrived)
-	})
+	slices.SortStableFunc(s.queue, func(a, b *Ticket) int { return compareOrder(served, a, b) })
 	// The queue is sorted now, the least served organisation first. maxLead also takes requests
 	// into account that wait at other routers.
-	maxLead := s.maxLead(now)
+	maxLead := map[bool]float64{}
+	for _, unmetOnly := range []bool{false, true} {
+		if slices.ContainsFunc(s.queue, func(t *Ticket) bool { return s.forecasted(t) == unmetOnly }) {
+			maxLead[unmetOnly] = s.maxLead(now, unmetOnly)
+		}
+	}
 	waiting := s.queue[:0]
 	failed := 0
 	for _, t := range s.queue {
-		yields := t.Engine && !t.Resumes && s.exceedsLead(now, t.Organisation, maxLead)
+		yields := t.Engine && !t.Resumes && s.exceedsLead(now, t.Organisation, maxLead[s.forecasted(t)])
 		if yields || t.Engine && failed >= maxFailedPlacements {
 			waiting = append(waiting, t)
 			continue
@@ -69,12 +70,29 @@
 		if !s.assign(now, t) {
 			waiting = append(waiting, t)
 			failed++
+			continue
 		}
+		s.recordWait(now, t, true)
 	}
 	clear(s.queue[len(waiting):])
 	s.queue = waiting
 }
 
+// compareOrder compares two waiting requests by which one goes first: that of the organisation that
+// was served less, and within an organisation by setOrder.
+func compareOrder(served map[string]float64, a, b *Ticket) int {
+	if d := served[a.Organisation] - served[b.Organisation]; d != 0 {
+		return sign(d)
+	}
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
+	}
+	return a.due.Compare(b.due)
+}
+
 func sign(d float64) int {
 	if d < 0 {
 		return -1
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -21,7 +21,10 @@
 // decay over the window.
 type usage struct {
 	demand, served float64
-	updatedAt      time.Time
+	// requests is the number of requests in demand, and unread that of requests which were refused
+	// before they were read. Both decay alike.
+	requests, unread float64
+	updatedAt        time.Time
 }
 
 func newShares(window time.Duration) shares {
@@ -38,6 +41,8 @@
 	f := view.DecayFactor(d, window)
 	c.demand *= f
 	c.served *= f
+	c.requests *= f
+	c.unread *= f
 	c.updatedAt = now
 }
 
@@ -52,7 +57,11 @@
 }
 
 func (s *shares) addDemand(now time.Time, organisation string, tokens float64) {
-	s.usageOf(now, organisation).demand += tokens
+	c := s.usageOf(now, organisation)
+	c.demand += tokens
+	if tokens > 0 {
+		c.requests++
+	}
 }
 
 func (s *shares) addServed(now time.Time, organisation string, tokens float64) {
--- a/internal/balance/throttling.go
+++ b/internal/balance/throttling.go
@@ -17,14 +17,20 @@
 
 // gatesAt returns the admission gates that apply until the next tick, by organisation.
 func (s *State) gatesAt(now time.Time) map[string]*throttle.Gate {
-	return s.throttle.Gates(now, s.waitingByOrganisation(), s.shareStatusAt(now))
+	gates := s.throttle.Gates(now, s.waitingByOrganisation(now), s.shareStatusAt(now))
+	for name := range gates {
+		if n := s.throttle.RejectedLastTick(name); n > 0 {
+			s.shares.usageOf(now, name).unread += float64(n)
+		}
+	}
+	return gates
 }
 
 // shareStatusAt returns a function that looks up an organisation's share status.
 func (s *State) shareStatusAt(now time.Time) func(organisation string) throttle.ShareStatus {
 	return func(organisation string) throttle.ShareStatus {
 		least := math.Inf(1)
-		s.eachWaiting(now, func(served float64, _ bool) { least = min(least, served) })
+		s.eachWaiting(now, false, func(served float64, _ bool) { least = min(least, served) })
 		return throttle.ShareStatus{Served: s.served(now, organisation), FairShare: s.fairShare(now), LeastServedWaiting: least}
 	}
 }
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -9,6 +9,7 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
+	"github.com/stepcroft/stepcroft/internal/waiting"
 )
 
 // Ticket is a request as far as balancing is concerned. The exported fields describe the
@@ -68,6 +69,12 @@
 	foundFreeSlot bool
 	sentAt        time.Time
 	expires       time.Time
+	// class is that of a request whose wait is recorded for forecasts; its Service is empty for
+	// others.
+	class waiting.Class
+	// due and late order the waiting requests of an organisation, see State.setOrder.
+	due  time.Time
+	late bool
 }
 
 // Decision says which target a request is to be sent to, or that it is refused.
--- a/internal/routing/pauses.go
+++ b/internal/routing/pauses.go
@@ -14,6 +14,16 @@
 // pauses of at least 400 ms.
 func (t *Table) ToleratesPauses(service string) bool { return t.pauses[service] >= tolerantPause }
 
+// AnyTolerates reports whether ToleratesPauses is true of any service.
+func (t *Table) AnyTolerates() bool {
+	for service := range t.pauses {
+		if t.ToleratesPauses(service) {
+			return true
+		}
+	}
+	return false
+}
+
 // AllTolerate reports whether ToleratesPauses is true of each service with a streaming route.
 func (t *Table) AllTolerate() bool {
 	for service := range t.pauses {
