--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -38,7 +38,7 @@
 	if !s.forecasted(t) {
 		return false
 	}
-	t.class = waiting.Class{Service: t.Service, OverShare: s.overAttainedShare(now, t.Organisation), Place: s.placeInQueue(now, t)}
+	t.class = s.classIfQueued(now, t)
 	if !s.forecasts.forecast.Refuse(now, t.class) {
 		return false
 	}
@@ -49,6 +49,11 @@
 	return true
 }
 
+// classIfQueued returns the class of a request that would be queued now.
+func (s *State) classIfQueued(now time.Time, t *Ticket) waiting.Class {
+	return waiting.Class{Service: t.Service, OverShare: s.overAttainedShare(now, t.Organisation), Place: s.placeInQueue(now, t)}
+}
+
 // recordWait records the end of a request's wait for forecasts.
 func (s *State) recordWait(now time.Time, t *Ticket, placed bool) {
 	if t.class.Service != "" {
