Plan the times at which refused callers return

Thousands of refused callers a second are told one of three times and come back together. A Plan books each refused request's tokens in the first slot of 100 ms whose bookings, of all routers, are below what engines recently started per slot. Bookings of a router that has ended stay until they have passed, also in the sum of its zone; invalid ones are ignored. Nothing uses the plan yet.

--- /dev/null
+++ b/internal/returns/plan.go
@@ -0,0 +1,190 @@
+package returns
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// Count is the number of slots of a plan. Together they are as long as the window over which
+	// organisations' shares are counted; few callers have the time to return later.
+	Count = 40
+	// averagedSlots is the number of slots, 2 s, over which started tokens are averaged: longer
+	// than the interval between reports, which tell of other routers' starts all at once.
+	averagedSlots = 20
+	// sparePart is the part of what engines recently started that is not booked, one in sparePart:
+	// callers that come for the first time need room, too.
+	sparePart = 10
+	// lateSlots is the number of slots at the end of the plan among which the least full is chosen
+	// if all are full, and at its start if it is unknown what engines start.
+	lateSlots = 10
+)
+
+// Counts counts bookings since the start.
+type Counts struct {
+	// Booked is the number of bookings, Full how many of them found all slots full.
+	Booked, Full int64
+	// Ignored is the number of other routers' slots that were invalid.
+	Ignored int64
+}
+
+// Plan holds the bookings of this and other routers. Use New to make one. It is a plain state
+// machine: time is passed in as an argument and one goroutine drives it.
+type Plan struct {
+	start    time.Time
+	services map[string]*service
+	peers    map[string][]booking
+	counts   Counts
+}
+
+// service has the bookings of one service: this router's, and the sum over all routers.
+type service struct {
+	own, all ring
+	began    average
+}
+
+// booking has a part of another router's bookings, from a slot counted from the plan's start.
+type booking struct {
+	service string
+	first   int64
+	tokens  []float64
+}
+
+// New returns a plan without bookings.
+func New() *Plan {
+	return &Plan{services: map[string]*service{}, peers: map[string][]booking{}}
+}
+
+// Counts returns the numbers of bookings since the start.
+func (p *Plan) Counts() Counts { return p.counts }
+
+// Began records tokens of requests to a service that engines started, at this router or another.
+// Negative tokens take back a request that was not started after all.
+func (p *Plan) Began(now time.Time, service string, tokens float64) {
+	p.service(service).began.add(p.slot(now), tokens)
+}
+
+// Book books a refused request's tokens in the first slot, at least earliest from now, whose
+// bookings of all routers are below what engines recently started per slot, less a tenth. It
+// returns when the caller should come back: a time within the slot given by random, from 0 to 1, and
+// at most 4 s ahead.
+// If all slots are full, it takes the least full one of the last ten. If it is unknown what engines
+// start, it spreads callers evenly over a second.
+func (p *Plan) Book(now time.Time, service string, tokens float64, earliest time.Duration, random float64) time.Duration {
+	s, current := p.service(service), p.slot(now)
+	s.own.advance(current)
+	s.all.advance(current)
+	last := current + Count - 1
+	wanted := now.Sub(p.start) + max(earliest, 0)
+	first := min(int64((wanted+SlotWidth-1)/SlotWidth), last)
+	slot, ok := s.choose(first, last, s.began.perSlot(current)*(sparePart-1)/sparePart)
+	p.counts.Booked++
+	if !ok {
+		p.counts.Full++
+	}
+	s.own.add(slot, tokens)
+	s.all.add(slot, tokens)
+	begin := p.start.Add(time.Duration(slot) * SlotWidth).Sub(now)
+	return max(begin+time.Duration(random*float64(SlotWidth)), min(earliest, Count*SlotWidth))
+}
+
+// choose returns the slot to book between two slots, and false if all are full.
+func (s *service) choose(first, last int64, capacity float64) (int64, bool) {
+	if capacity <= 0 {
+		return s.all.leastFull(first, min(first+lateSlots-1, last)), true
+	}
+	for slot := first; slot <= last; slot++ {
+		if s.all.at(slot) < capacity {
+			return slot, true
+		}
+	}
+	return s.all.leastFull(max(first, last-lateSlots+1), last), false
+}
+
+// Own returns the bookings of this router, to be reported to others, sorted by service. It also
+// forgets what has passed.
+func (p *Plan) Own(now time.Time) []Slots {
+	current := p.slot(now)
+	p.prune(current)
+	var out []Slots
+	for name, s := range p.services {
+		s.own.advance(current)
+		if first, tokens := s.own.booked(); len(tokens) > 0 {
+			out = append(out, Slots{Service: name, First: first - current, Tokens: tokens})
+		}
+	}
+	slices.SortFunc(out, func(a, b Slots) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// SetPeer replaces another router's bookings, or those of a zone. Invalid ones are ignored.
+func (p *Plan) SetPeer(now time.Time, router string, list []Slots) {
+	current := p.slot(now)
+	p.remove(current, router)
+	var kept []booking
+	for _, slots := range list {
+		if !slots.Valid() {
+			p.counts.Ignored++
+			continue
+		}
+		b := booking{service: slots.Service, first: current + slots.First, tokens: slots.Tokens}
+		p.add(current, b, 1)
+		kept = append(kept, b)
+	}
+	if len(kept) > 0 {
+		p.peers[router] = kept
+	}
+}
+
+// RemovePeer removes another router's bookings because another report contains them. Those of a
+// router that has ended are left until they have passed: its callers return elsewhere.
+func (p *Plan) RemovePeer(now time.Time, router string) { p.remove(p.slot(now), router) }
+
+func (p *Plan) remove(current int64, router string) {
+	for _, b := range p.peers[router] {
+		p.add(current, b, -1)
+	}
+	delete(p.peers, router)
+}
+
+// add adds another router's bookings to the sum (sign 1) or takes them out (sign -1).
+func (p *Plan) add(current int64, b booking, sign float64) {
+	s := p.service(b.service)
+	s.all.advance(current)
+	for i, tokens := range b.tokens {
+		s.all.add(b.first+int64(i), sign*tokens)
+	}
+}
+
+// prune forgets routers whose bookings have passed, and unused services.
+func (p *Plan) prune(current int64) {
+	for router, list := range p.peers {
+		if !slices.ContainsFunc(list, func(b booking) bool { return b.first+int64(len(b.tokens)) > current }) {
+			delete(p.peers, router)
+		}
+	}
+	for name, s := range p.services {
+		s.all.advance(current)
+		if _, booked := s.all.booked(); len(booked) == 0 && s.began.last+averagedSlots < current {
+			delete(p.services, name)
+		}
+	}
+}
+
+func (p *Plan) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{}
+		p.services[name] = s
+	}
+	return s
+}
+
+// slot returns the number of the slot of a time, counted from the first use of the plan.
+func (p *Plan) slot(now time.Time) int64 {
+	if p.start.IsZero() {
+		p.start = now
+	}
+	return max(int64(now.Sub(p.start)/SlotWidth), 0)
+}
--- a/internal/returns/returns.go
+++ b/internal/returns/returns.go
@@ -2,7 +2,11 @@
 // can take.
 package returns
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // SlotWidth is the time that one slot covers.
 const SlotWidth = 100 * time.Millisecond
@@ -15,6 +19,18 @@
 	Tokens []float64
 }
 
+// maxTokens bounds the tokens of a slot. It is some hundred times what 6,600 engines start in a slot.
+const maxTokens = 1e9
+
+// Valid reports whether the slots are such as a Plan reports. Others come from a router with a fault
+// or of another version.
+func (s Slots) Valid() bool {
+	if s.Service == "" || s.First < 0 || s.First > Count || s.First+int64(len(s.Tokens)) > Count {
+		return false
+	}
+	return !slices.ContainsFunc(s.Tokens, func(tokens float64) bool { return math.IsNaN(tokens) || tokens < 0 || tokens > maxTokens })
+}
+
 // After returns the slots as they are d later, without those that have passed.
 func (s Slots) After(d time.Duration) Slots {
 	first := s.First - int64(d/SlotWidth)
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -34,6 +34,14 @@
 	reports map[message.RouterID]report
 	// sharedParts holds the shared parts of prompts reported since the last sum, by target.
 	sharedParts map[string][]string
+	// returns has the last reports of when refused callers return. They outlive other reports:
+	// the callers of a router that has ended return elsewhere.
+	returns map[message.RouterID]returnsReport
+}
+
+type returnsReport struct {
+	list []returns.Slots
+	at   time.Time
 }
 
 type report struct {
@@ -44,7 +52,11 @@
 // UpdateReport replaces a router's last report.
 func (s *Sum) UpdateReport(now time.Time, id message.RouterID, m message.Status) {
 	if s.reports == nil {
-		s.reports, s.sharedParts = map[message.RouterID]report{}, map[string][]string{}
+		s.reports, s.sharedParts, s.returns = map[message.RouterID]report{}, map[string][]string{}, map[message.RouterID]returnsReport{}
+	}
+	delete(s.returns, id)
+	if len(m.Returns) > 0 {
+		s.returns[id] = returnsReport{m.Returns, now}
 	}
 	s.reports[id] = report{m, now}
 	for _, k := range m.SharedParts {
@@ -79,7 +91,7 @@
 	usage := map[string]message.OrganisationUsage{}
 	rollouts := map[string]rollout.Results{}
 	speeds := map[string]enginespeed.Report{}
-	slots := map[string]returns.Slots{}
+	slots := s.sumReturns(now)
 	for id, r := range s.reports {
 		if now.Sub(r.at) >= reportTTL {
 			delete(s.reports, id)
@@ -94,9 +106,6 @@
 		for _, e := range r.Speeds {
 			speeds[e.Target] = enginespeed.Report{Target: e.Target, Service: e.Service, Sums: speeds[e.Target].Plus(e.Sums)}
 		}
-		for _, k := range r.Returns {
-			slots[k.Service] = slots[k.Service].Plus(k.After(now.Sub(r.at)))
-		}
 		for _, o := range r.RolloutResults {
 			sum := rollouts[o.Service]
 			if sum.Version != o.Version {
@@ -127,6 +136,24 @@
 	return out
 }
 
+// sumReturns returns the sum of all reported returns that have not passed, by service. Invalid ones
+// are ignored.
+func (s *Sum) sumReturns(now time.Time) map[string]returns.Slots {
+	sum := map[string]returns.Slots{}
+	for id, r := range s.returns {
+		if now.Sub(r.at) >= returns.Count*returns.SlotWidth {
+			delete(s.returns, id)
+			continue
+		}
+		for _, k := range r.list {
+			if k.Valid() {
+				sum[k.Service] = sum[k.Service].Plus(k.After(now.Sub(r.at)))
+			}
+		}
+	}
+	return sum
+}
+
 // DiscardParts drops the shared parts reported so far: another router forwards them, or all
 // routers report directly to one another.
 func (s *Sum) DiscardParts() { clear(s.sharedParts) }
--- a/internal/zonesum/zonesum_test.go
+++ b/internal/zonesum/zonesum_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
@@ -134,3 +135,18 @@
 		})
 	}
 }
+
+// TestReturnsOfEndedRouter guards against callers of a router that has ended whose return is
+// forgotten with its load, and against invalid slots, which would take any amount of memory.
+func TestReturnsOfEndedRouter(t *testing.T) {
+	var s zonesum.Sum
+	s.UpdateReport(start, "ended", message.Status{Returns: []returns.Slots{{Service: "llm", First: 30, Tokens: []float64{7}}}})
+	later := start.Add(2 * time.Second)
+	s.UpdateReport(later, "faulty", message.Status{Returns: []returns.Slots{{Service: "llm", First: 1 << 50, Tokens: []float64{1}}}})
+	if got := fmt.Sprint(s.Take(later).Returns); got != "[{llm 10 [7]}]" {
+		t.Errorf("returns are %s", got)
+	}
+	if got := s.Take(later.Add(2 * time.Second)).Returns; len(got) > 0 {
+		t.Errorf("returns are %v after all have passed", got)
+	}
+}
