Tell refused callers to return when engines have room

With the switch returnSlots, Retry-After follows from the cause of a refusal: the time after which an organisation's usage is back at its share, the end of the back-off of all targets, or else the first slot with room, from 100 ms on. Each refusal is booked in its slot, and reports carry the bookings. Starts of other routers are the growth of the decayed sums that they report, attributed to services by the requests running there. What others book at the same moment is not known yet; it is assumed to be in proportion to what they booked before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -176,6 +176,7 @@
 	// one.
 	backoffs  int64
 	forecasts forecasts
+	returning returning
 }
 
 // New returns the state of a router in an availability zone, without any targets.
@@ -196,6 +197,7 @@
 		peers:             view.New(now, limits.QuotaWindow),
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
 		forecasts:         newForecasts(),
+		returning:         newReturning(),
 		budget:            budget{start: now, histories: map[string]*history{}},
 	}
 }
@@ -308,6 +310,7 @@
 	s.noteSent(now, t, to)
 	if t.Engine {
 		s.shares.addServed(now, t.Organisation, t.tokens())
+		s.recordBegan(now, t, t.tokens())
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
 	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
@@ -371,6 +374,7 @@
 	}
 	if how == Refused || how == Unreachable {
 		s.shares.addServed(now, t.Organisation, -t.tokens())
+		s.recordBegan(now, t, -t.tokens())
 	}
 	s.dispatch(now)
 }
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -57,7 +57,10 @@
 
 // SetPeers sets how many other routers are believed to be running, and how many of those
 // serve callers.
-func (s *State) SetPeers(running, serving int) { s.runningPeers, s.servingPeers = running, serving }
+func (s *State) SetPeers(running, serving int) {
+	s.runningPeers, s.servingPeers = running, serving
+	s.returning.plan.SetRouters(serving)
+}
 
 // routers returns the number of routers in the fleet.
 func (s *State) routers() int { return max(s.runningPeers, s.peers.RouterCount()) + 1 }
@@ -68,6 +71,7 @@
 // ApplyReport applies a report received from another router.
 func (s *State) ApplyReport(now time.Time, router string, r view.Report) {
 	s.peers.UpdateReport(now, router, r)
+	s.applyReturns(now, router, r)
 	for id, parts := range r.SharedParts {
 		if t := s.findIncarnation(id); t != nil {
 			s.use(now, t).cache.AddRemote(now, parts)
@@ -78,7 +82,10 @@
 }
 
 // ForgetPeer removes everything that another router reported.
-func (s *State) ForgetPeer(now time.Time, router string) { s.peers.Remove(now, router) }
+func (s *State) ForgetPeer(now time.Time, router string) {
+	s.peers.Remove(now, router)
+	s.forgetReturns(now, router)
+}
 
 // SetPeerLoad sets the load that another router's requests put on a target. It replaces the
 // one in that router's last report.
@@ -104,6 +111,7 @@
 			r.SharedParts[t.incarnation] = parts
 		}
 	}
+	r.Returns = s.reportReturns(now)
 	waiting := s.reportedWaiting(now)
 	for name := range s.shares.usages {
 		c := s.shares.usageOf(now, name)
--- a/internal/balance/refusal.go
+++ b/internal/balance/refusal.go
@@ -73,7 +73,7 @@
 }
 
 func (s *State) refuse(now time.Time, t *Ticket, why Reason) {
-	t.Decision <- Decision{Refused: why, Waited: now.Sub(t.Arrived), RetryAfter: s.retryAfter(now, t)}
+	t.Decision <- Decision{Refused: why, Waited: now.Sub(t.Arrived), RetryAfter: s.retryAfter(now, t, why)}
 }
 
 const (
@@ -90,7 +90,10 @@
 
 // retryAfter returns how long a refused caller should wait before it retries, with jitter so
 // that refused callers do not retry together.
-func (s *State) retryAfter(now time.Time, t *Ticket) time.Duration {
+func (s *State) retryAfter(now time.Time, t *Ticket, why Reason) time.Duration {
+	if t.Engine && s.returnSlots(t.Service) {
+		return s.bookReturn(now, t, why)
+	}
 	if d, ok := s.BackoffLeft(now, t.Service); ok {
 		return d
 	}
--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -31,7 +31,6 @@
 	started  time.Time
 	// unreported are routers whose reports are lost, and down those that have ended.
 	unreported, down map[int]bool
-	onStep           func()
 }
 
 func newReplay(t *testing.T, seed uint64, features feature.Set) *replay {
@@ -70,9 +69,6 @@
 		r.takeRefusals(organisations)
 		r.collect()
 		r.countIdle()
-		if r.onStep != nil {
-			r.onStep()
-		}
 	}
 }
 
@@ -151,7 +147,11 @@
 		}
 		r.events = append(r.events, event{r.now.Add(d.RetryAfter), func() {
 			r.returned[int64(r.now.Sub(r.started)/returns.SlotWidth)] += u.ticket.tokens()
-			r.arriveAt(o, r.random.IntN(len(r.routers)))
+			router := r.random.IntN(len(r.routers))
+			for r.down[router] {
+				router = r.random.IntN(len(r.routers))
+			}
+			r.arriveAt(o, router)
 		}})
 	}
 }
--- /dev/null
+++ b/internal/balance/returning.go
@@ -0,0 +1,171 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/returns"
+	"github.com/stepcroft/stepcroft/internal/view"
+)
+
+const (
+	// minReturn is the least Retry-After: by then an engine has read a prompt of usual size.
+	minReturn = returns.SlotWidth
+	// minReturnOverShare is the same for organisations over their share: usage decays by a seventh
+	// in that time, and whatever is nearer is better left to others.
+	minReturnOverShare = 300 * time.Millisecond
+	// maxReturn bounds Retry-After. A caller honours it up to a third of the time that it has
+	// left, so few would return later. Only the end of a back-off may be later.
+	maxReturn = returns.Count * returns.SlotWidth
+	// startsTTL is how long a router's last report of started tokens is kept.
+	startsTTL = 10 * time.Second
+)
+
+// returning plans when refused callers return.
+type returning struct {
+	plan *returns.Plan
+	// starts has what other routers last reported as started, by router.
+	starts map[string]starts
+	// unknown counts the bookings that other routers reported for services unknown here.
+	unknown int64
+}
+
+// starts is the sum of all organisations' started tokens in a report.
+type starts struct {
+	tokens float64
+	at     time.Time
+}
+
+func newReturning() returning { return returning{plan: returns.New(), starts: map[string]starts{}} }
+
+// returnSlots reports whether the returns of a service's refused callers are planned. They aren't for
+// plain services, whose requests have no size.
+func (s *State) returnSlots(service string) bool {
+	if s.table == nil || !s.enabled(s.features.ReturnSlots, service) {
+		return false
+	}
+	v, ok := s.table.Service(service)
+	return ok && v.Engine != nil
+}
+
+// anyReturnSlots reports whether the returns of any service's refused callers are planned.
+func (s *State) anyReturnSlots() bool {
+	return s.table != nil && s.features.ReturnSlots.Enabled(s.table.AnyTolerates())
+}
+
+// ReturnCounts returns how many returns were booked since the start.
+func (s *State) ReturnCounts() returns.Counts {
+	c := s.returning.plan.Counts()
+	c.Ignored += s.returning.unknown
+	return c
+}
+
+// bookReturn returns how long a refused caller should wait before it retries, and books its request
+// for then.
+func (s *State) bookReturn(now time.Time, t *Ticket, why Reason) time.Duration {
+	earliest := minReturn
+	if end, ok := s.backoffEnd(now, t.Service, nil); ok {
+		earliest = max(earliest, end.Sub(now))
+		if earliest > maxReturn {
+			d, _ := s.BackoffLeft(now, t.Service)
+			return d
+		}
+	} else if s.allDrained(now, t.Service) {
+		earliest = retryAfterDrained
+	} else {
+		earliest = max(earliest, s.timeToShare(now, t.Organisation, why))
+	}
+	return s.returning.plan.Book(now, t.Service, t.tokens(), earliest, s.random.Float64())
+}
+
+// timeToShare returns the time after which what an organisation was served has decayed to its share,
+// or 0 if it is within it. A request refused in favour of others counts by the share of what engines
+// actually served, which is less than the configured one while engines are down.
+func (s *State) timeToShare(now time.Time, organisation string, why Reason) time.Duration {
+	ratio := s.shareRatio(now, organisation)
+	if why == OverShare {
+		ratio = s.served(now, organisation) / max(s.currentLevel(now).attained, 1)
+	}
+	if ratio <= 1 {
+		return 0
+	}
+	d := time.Duration(math.Log(ratio) * float64(s.limits.QuotaWindow) / 2)
+	return min(max(d, minReturnOverShare), maxReturn)
+}
+
+// recordBegan records tokens that this router sent, or took back as the engine did not run them.
+func (s *State) recordBegan(now time.Time, t *Ticket, tokens float64) {
+	if t.Engine && s.returnSlots(t.Service) {
+		s.returning.plan.Began(now, t.Service, tokens)
+	}
+}
+
+// applyReturns applies the bookings of another router's report, and what it has started since the
+// last one. Reports tell the latter by organisation only; it is attributed to services by the
+// requests that the router has running there.
+func (s *State) applyReturns(now time.Time, router string, r view.Report) {
+	if !s.anyReturnSlots() {
+		return
+	}
+	var list []returns.Slots
+	for _, slots := range r.Returns {
+		if s.returnSlots(slots.Service) {
+			list = append(list, slots)
+			continue
+		}
+		s.returning.unknown++
+	}
+	s.returning.plan.SetPeer(now, router, list)
+	running, total := map[string]int{}, 0
+	for id, l := range r.Loads {
+		if t := s.findIncarnation(id); t != nil && l.Running > 0 && s.returnSlots(t.Service) {
+			running[t.Service] += l.Running
+			total += l.Running
+		}
+	}
+	if total == 0 {
+		delete(s.returning.starts, router)
+		return
+	}
+	began := s.startedSince(now, router, r)
+	if began <= 0 {
+		return
+	}
+	for service, n := range running {
+		s.returning.plan.Began(now, service, began*float64(n)/float64(total))
+	}
+}
+
+// startedSince returns the tokens that a router started since its last report: the difference of the
+// decayed sums. It is 0 for the first report, which may cover any time, and negative if routers left
+// the sum of a zone.
+func (s *State) startedSince(now time.Time, router string, r view.Report) float64 {
+	started := 0.0
+	for _, u := range r.Usage {
+		if u.Started > 0 && !math.IsInf(u.Started, 1) {
+			started += u.Started
+		}
+	}
+	last, ok := s.returning.starts[router]
+	s.returning.starts[router] = starts{started, now}
+	if !ok {
+		return 0
+	}
+	return started - last.tokens*view.DecayFactor(now.Sub(last.at), s.limits.QuotaWindow)
+}
+
+// forgetReturns removes the bookings of a router whose reports another one now contains.
+func (s *State) forgetReturns(now time.Time, router string) {
+	s.returning.plan.RemovePeer(now, router)
+	delete(s.returning.starts, router)
+}
+
+// reportReturns returns the bookings of this router to be reported.
+func (s *State) reportReturns(now time.Time) []returns.Slots {
+	for router, last := range s.returning.starts {
+		if now.Sub(last.at) > startsTTL {
+			delete(s.returning.starts, router)
+		}
+	}
+	return s.returning.plan.Own(now)
+}
--- a/internal/returns/plan.go
+++ b/internal/returns/plan.go
@@ -35,13 +35,16 @@
 	start    time.Time
 	services map[string]*service
 	peers    map[string][]booking
-	counts   Counts
+	// others is the number of other routers that book.
+	others int
+	counts Counts
 }
 
-// service has the bookings of one service: this router's, and the sum over all routers.
+// service has the bookings of one service: this router's, the sum over all routers, and those of
+// this router that were not reported yet, or in the last report only.
 type service struct {
-	own, all ring
-	began    average
+	own, all, unreported, previous ring
+	began                          average
 }
 
 // booking has a part of another router's bookings, from a slot counted from the plan's start.
@@ -56,6 +59,9 @@
 	return &Plan{services: map[string]*service{}, peers: map[string][]booking{}}
 }
 
+// SetRouters sets the number of other routers that book.
+func (p *Plan) SetRouters(others int) { p.others = others }
+
 // Counts returns the numbers of bookings since the start.
 func (p *Plan) Counts() Counts { return p.counts }
 
@@ -75,31 +81,53 @@
 	s, current := p.service(service), p.slot(now)
 	s.own.advance(current)
 	s.all.advance(current)
+	s.unreported.advance(current)
+	s.previous.advance(current)
 	last := current + Count - 1
 	wanted := now.Sub(p.start) + max(earliest, 0)
 	first := min(int64((wanted+SlotWidth-1)/SlotWidth), last)
-	slot, ok := s.choose(first, last, s.began.perSlot(current)*(sparePart-1)/sparePart)
+	slot, ok := s.choose(first, last, s.began.perSlot(current)*(sparePart-1)/sparePart, p.others)
 	p.counts.Booked++
 	if !ok {
 		p.counts.Full++
 	}
 	s.own.add(slot, tokens)
 	s.all.add(slot, tokens)
+	s.unreported.add(slot, tokens)
 	begin := p.start.Add(time.Duration(slot) * SlotWidth).Sub(now)
 	return max(begin+time.Duration(random*float64(SlotWidth)), min(earliest, Count*SlotWidth))
 }
 
 // choose returns the slot to book between two slots, and false if all are full.
-func (s *service) choose(first, last int64, capacity float64) (int64, bool) {
+func (s *service) choose(first, last int64, capacity float64, others int) (int64, bool) {
+	factor := s.unreportedFactor(capacity, others)
+	booked := func(slot int64) float64 { return s.all.at(slot) + factor*(s.unreported.at(slot)+s.previous.at(slot)) }
 	if capacity <= 0 {
-		return s.all.leastFull(first, min(first+lateSlots-1, last)), true
+		return leastFull(booked, first, min(first+lateSlots-1, last)), true
 	}
 	for slot := first; slot <= last; slot++ {
-		if s.all.at(slot) < capacity {
+		if booked(slot) < capacity {
 			return slot, true
 		}
 	}
-	return s.all.leastFull(max(first, last-lateSlots+1), last), false
+	return leastFull(booked, max(first, last-lateSlots+1), last), false
+}
+
+// unreportedFactor returns how much other routers are assumed to have booked that is not known here
+// yet, relative to what this one booked since its last report but one: as much as they did before,
+// and at first as much as it did, each. Otherwise all routers fill the same slots in a sudden burst,
+// each alone: callers of 8 routers came back to 2 to 7 times what engines take. capacity is the
+// weight of the assumption.
+func (s *service) unreportedFactor(capacity float64, others int) float64 {
+	if others <= 0 {
+		return 0
+	}
+	n, own := float64(others), s.own.total()
+	reported := max(own-s.unreported.total()-s.previous.total(), 0)
+	if reported <= 0 && capacity <= 0 {
+		return n
+	}
+	return min((s.all.total()-own+capacity)/(reported+capacity/n), n)
 }
 
 // Own returns the bookings of this router, to be reported to others, sorted by service. It also
@@ -110,6 +138,7 @@
 	var out []Slots
 	for name, s := range p.services {
 		s.own.advance(current)
+		s.previous, s.unreported = s.unreported, ring{}
 		if first, tokens := s.own.booked(); len(tokens) > 0 {
 			out = append(out, Slots{Service: name, First: first - current, Tokens: tokens})
 		}
--- a/internal/returns/returns_test.go
+++ b/internal/returns/returns_test.go
@@ -118,16 +118,35 @@
 type naive struct {
 	began, own map[int64]float64
 	peers      map[string]map[int64]float64
+	others     int
+	// recent has the own bookings since the last report, and between it and the one before.
+	recent [2]map[int64]float64
+	// factor stands for what others have booked and not reported.
+	factor float64
 }
 
 func (n *naive) booked(at int64) float64 {
-	total := n.own[at]
+	total := n.own[at] + n.factor*(n.recent[0][at]+n.recent[1][at])
 	for _, p := range n.peers {
 		total += p[at]
 	}
 	return total
 }
 
+func (n *naive) setFactor(now int64, capacity float64) {
+	reported, known := 0.0, 0.0
+	for at := now; at < now+40; at++ {
+		reported += n.own[at] - n.recent[0][at] - n.recent[1][at]
+		for _, p := range n.peers {
+			known += p[at]
+		}
+	}
+	n.factor = float64(n.others)
+	if n.others > 0 && reported+capacity > 0 {
+		n.factor = min((known+capacity)/(reported+capacity/n.factor), n.factor)
+	}
+}
+
 // capacity returns the mean of the complete slots of the last 2 s, since the first after a pause of
 // more than that.
 func (n *naive) capacity(now int64) float64 {
@@ -155,6 +174,7 @@
 func (n *naive) book(now, first int64, tokens float64) int64 {
 	first = min(first, now+39)
 	capacity := n.capacity(now) * 9 / 10
+	n.setFactor(now, capacity)
 	from, to := max(first, now+30), now+39
 	if capacity == 0 {
 		from, to = first, min(first+9, now+39)
@@ -172,6 +192,7 @@
 		}
 	}
 	n.own[best] += tokens
+	n.recent[0][best] += tokens
 	return best
 }
 
@@ -181,7 +202,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := returns.New()
 		p.Own(start)
-		n := naive{began: map[int64]float64{}, own: map[int64]float64{}, peers: map[string]map[int64]float64{}}
+		n := naive{
+			began: map[int64]float64{}, own: map[int64]float64{}, peers: map[string]map[int64]float64{},
+			others: rapid.SampledFrom([]int{0, 3}).Draw(t, "others"), recent: [2]map[int64]float64{{}, {}},
+		}
+		p.SetRouters(n.others)
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.SampledFrom([]int{0, 0, 7, 100, 350, 2600, 9000}).Draw(t, "passed")) * time.Millisecond
@@ -205,6 +230,7 @@
 				p.RemovePeer(at, router)
 				delete(n.peers, router)
 			case 3:
+				n.recent = [2]map[int64]float64{{}, n.recent[0]}
 				for _, s := range p.Own(at) {
 					for i, tokens := range s.Tokens {
 						if want := n.own[current+s.First+int64(i)]; tokens != want {
--- a/internal/returns/ring.go
+++ b/internal/returns/ring.go
@@ -24,12 +24,21 @@
 
 func (r *ring) at(slot int64) float64 { return r.tokens[slot%Count] }
 
-// leastFull returns the first slot with the fewest tokens from first to last.
-func (r *ring) leastFull(first, last int64) int64 {
-	least := first
+// total returns the tokens of all slots.
+func (r *ring) total() float64 {
+	sum := 0.0
+	for _, tokens := range r.tokens {
+		sum += tokens
+	}
+	return sum
+}
+
+// leastFull returns the first slot with the fewest booked tokens from first to last.
+func leastFull(booked func(slot int64) float64, first, last int64) int64 {
+	least, fewest := first, booked(first)
 	for slot := first + 1; slot <= last; slot++ {
-		if r.at(slot) < r.at(least) {
-			least = slot
+		if tokens := booked(slot); tokens < fewest {
+			least, fewest = slot, tokens
 		}
 	}
 	return least
