--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -2,21 +2,29 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 // BenchmarkFlood measures the work of the control goroutine for a request of an organisation
 // that floods a router of a large fleet, and for its refusal.
 func BenchmarkFlood(b *testing.B) {
-	for name, routers := range map[string]int{"6 routers": 6, "58 routers": 58} {
+	planned := feature.Set{WaitForecasts: feature.On, ReturnSlots: feature.On}
+	for name, features := range map[string]feature.Set{"6 routers": {}, "58 routers": {}, "58 routers, forecasts and return slots": planned} {
 		b.Run(name, func(b *testing.B) {
 			RegisterTestingT(b)
 			w := newWorld(60)
+			w.SetFeatures(features)
+			routers := 58
+			if strings.HasPrefix(name, "6 ") {
+				routers = 6
+			}
 			report := func() {
 				for router := range routers {
 					r := view.Report{Loads: map[string]view.Load{}, Usage: map[string]view.Usage{}}
