--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,8 @@
 	// logged last.
 	coldSenders *coldstart.Senders
 	loggedCold  coldTargets
+	// loggedWaits are the counts of refusals without a wait and of returns as logged last.
+	loggedWaits loggedWaits
 	// rollouts follows the roll-outs, loggedRollouts are their states as logged last.
 	rollouts       *rollout.Tracker
 	loggedRollouts map[string]rollout.State
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -49,6 +49,9 @@
 	// suspects counts changes to the records of requests that are suspected of crashing
 	// targets, by their new state.
 	suspects *expvar.Map
+	// refusedByForecast counts the requests refused without a wait, by reason, and returns the
+	// returns that were booked for refused callers.
+	refusedByForecast, returns *expvar.Map
 	// suspensions counts how often the box was suspended, suspendedMillis is the total length of
 	// the suspensions in milliseconds.
 	suspensions, suspendedMillis *expvar.Int
@@ -64,6 +67,7 @@
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
 		advice: new(expvar.Map), againstAdvice: new(expvar.Map),
+		refusedByForecast: new(expvar.Map), returns: new(expvar.Map),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
 		firstByte: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -82,6 +86,8 @@
 	m.root.Set("suspected_requests", m.suspects)
 	m.root.Set("target_advice", m.advice)
 	m.root.Set("sent_against_advice", m.againstAdvice)
+	m.root.Set("refused_by_forecast", m.refusedByForecast)
+	m.root.Set("returns", m.returns)
 	m.root.Set("suspensions", m.suspensions)
 	m.root.Set("suspended_ms", m.suspendedMillis)
 	m.root.Set("violations", invariant.Violations())
@@ -194,6 +200,26 @@
 	}
 }
 
+// setWaits replaces the counts of refusals without a wait and of booked returns.
+func (m *Metrics) setWaits(c waitCounts) {
+	for why, n := range c.refused {
+		setCount(m.refusedByForecast, why, n)
+	}
+	setCount(m.returns, "booked", c.returns.Booked)
+	setCount(m.returns, "full", c.returns.Full)
+	setCount(m.returns, "ignored", c.returns.Ignored)
+}
+
+// setCount sets a count of a map that only one goroutine changes.
+func setCount(m *expvar.Map, key string, n int64) {
+	old, _ := m.Get(key).(*expvar.Int)
+	if old == nil {
+		m.Add(key, n)
+		return
+	}
+	old.Set(n)
+}
+
 // countSuspect counts a change to the record of a suspected request. A request with a single
 // crash may only have run on the target by chance when another one crashed it: it is a bystander.
 func (m *Metrics) countSuspect(r quarantine.Record) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -60,6 +60,7 @@
 	g.logThrottles(s.ThrottleNotices())
 	g.logTallies(now)
 	g.logCold(s, now)
+	g.logWaits(s, now)
 	g.logAdvice(s)
 	g.publishLocalChanges(now)
 	g.expireSuspects(now)
