--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -14,7 +14,7 @@
 
 var forecastsOn = feature.Set{WaitForecasts: feature.On}
 
-// manyAbove is six times what engines take, from organisations above and within their share.
+// manyAbove is seven times what engines take, from organisations above and within their share.
 var manyAbove = []shareOrganisation{
 	{"large", allRouters, 900_000, 1500},
 	{"other", allRouters[:4], 200_000, 2000},
@@ -75,7 +75,8 @@
 }
 
 // Guards against engines that are idle because an organisation whose demand is mostly met has a
-// request waiting, here for another service: 3.2 s in 6 s and 58 refusals without the rule.
+// request waiting, here for another service: without the rule 3.2 s in 6 s, summed over four engines,
+// and 58 refusals.
 func TestMetDemandHoldsNobodyBack(t *testing.T) {
 	for seed := range uint64(3) {
 		r := newReplay(t, seed, forecastsOn)
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -14,8 +14,8 @@
 // perSlot is what the engines of a replay read in a slot.
 var perSlot = shareEngines * sharePerMilli * float64(returns.SlotWidth/time.Millisecond)
 
-// returnLoads are loads of two organisations, in tokens a second; burst is six times what engines
-// take, for 0.6 s.
+// returnLoads are loads of two organisations, in tokens a second; a burst is nearly six
+// times what engines take, for 0.6 s.
 func returnLoads(perSecond float64) []shareOrganisation {
 	return []shareOrganisation{{"large", allRouters, perSecond * 0.75, 1000}, {"other", allRouters, perSecond * 0.25, 1000}}
 }
