--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -36,8 +36,8 @@
 func (s *State) Waiting() int { return len(s.queue) }
 
 // dispatch sends waiting requests to targets with room. The organisation that was served least
-// goes first, and within it the request that setOrder puts first. A request of an organisation over its share does
-// not overtake another organisation's waiting request.
+// goes first, and within it the request that setOrder puts first. A request of an organisation over
+// its share does not overtake another organisation's waiting request.
 func (s *State) dispatch(now time.Time) {
 	if len(s.queue) == 0 || len(s.queue) > eagerDispatchLength && now.Sub(s.lastDispatch) < dispatchInterval {
 		return
