--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -167,7 +167,9 @@
 	sentAgainstAdvice SentAgainstAdvice
 	// backoffs counts the backoffs that this router started without a target having asked for
 	// one.
-	backoffs int64
+	backoffs  int64
+	forecasts forecasts
+	returning returning
 }
 
 // New returns the state of a router in an availability zone, without any targets.
@@ -187,6 +189,8 @@
 		shares:            newShares(limits.QuotaWindow),
 		peers:             view.New(now, limits.QuotaWindow),
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
+		forecasts:         newForecasts(),
+		returning:         newReturning(),
 		budget:            budget{start: now, histories: map[string]*history{}},
 	}
 }
@@ -258,10 +262,13 @@
 		s.refuse(now, t, why)
 		return
 	}
-	if !t.Resumes && (len(s.queue) >= maxQueueLength || s.exceedsWaitingLimit(t)) {
+	if !t.Resumes && (len(s.queue) >= maxQueueLength || s.exceedsWaitingLimit(now, t)) {
 		s.refuse(now, t, Full)
 		return
 	}
+	if s.refuseEarly(now, t) {
+		return
+	}
 	s.queue = append(s.queue, t)
 }
 
@@ -296,6 +303,7 @@
 	s.noteSent(now, t, to)
 	if t.Engine {
 		s.shares.addServed(now, t.Organisation, t.tokens())
+		s.recordBegan(now, t, t.tokens())
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
 	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
@@ -359,6 +367,7 @@
 	}
 	if how == Refused || how == Unreachable {
 		s.shares.addServed(now, t.Organisation, -t.tokens())
+		s.recordBegan(now, t, -t.tokens())
 	}
 	s.dispatch(now)
 }
@@ -394,6 +403,7 @@
 			kept = append(kept, t)
 			continue
 		}
+		s.recordWait(now, t, false)
 		s.refuse(now, t, s.refusalReason(now, t))
 	}
 	clear(s.queue[len(kept):])
