Add up times to the first event by engine

Nothing on the wire says how fast an engine is, and one router sees too few of its answers to tell. Package enginespeed now holds the sums of expected and actual times that this router and its peers saw at each engine, and derives a factor from them. Nothing uses the package yet.

--- /dev/null
+++ b/internal/enginespeed/expire.go
@@ -0,0 +1,76 @@
+package enginespeed
+
+import (
+	"math"
+	"time"
+)
+
+// expireInterval is the interval between searches for expired sums.
+const expireInterval = time.Second
+
+// expire removes what has expired, and renews the landmark from time to time.
+func (b *Book) expire(now time.Time) {
+	if now.Sub(b.expiredAt) < expireInterval {
+		return
+	}
+	b.expiredAt = now
+	for peer, list := range b.peers {
+		for target, n := range list {
+			if now.Sub(n.at) >= ttl {
+				b.removeEntry(target, n)
+				delete(list, target)
+			}
+		}
+		if len(list) == 0 {
+			delete(b.peers, peer)
+		}
+	}
+	for target, e := range b.engines {
+		if !e.ownAt.IsZero() && now.Sub(e.ownAt) >= ttl {
+			own := e.own
+			e.own, e.ownAt = Sums{}, time.Time{}
+			b.remove(target, e, own)
+		}
+	}
+	if now.Sub(b.landmark) >= rebaseAfter {
+		b.rebase(now)
+	}
+}
+
+func (b *Book) removeEntry(target string, n entry) {
+	b.entries--
+	b.remove(target, b.engines[target], n.Sums)
+}
+
+// remove removes one contribution to an engine, and the engine with the last one.
+func (b *Book) remove(target string, e *engine, s Sums) {
+	e.contributors--
+	if e.contributors > 0 {
+		e.add(s.times(-1))
+		return
+	}
+	e.service.total = e.service.total.minus(e.total)
+	delete(b.engines, target)
+	delete(b.changed, target)
+	e.service.engines--
+	if e.service.engines == 0 {
+		delete(b.services, e.name)
+	}
+}
+
+// rebase makes now the landmark.
+func (b *Book) rebase(now time.Time) {
+	f := math.Exp(-now.Sub(b.landmark).Seconds() / decay.Seconds())
+	b.landmark, b.unitAt, b.unit = now, now, 1
+	for _, s := range b.services {
+		s.total = s.total.times(f)
+	}
+	for _, e := range b.engines {
+		e.total, e.own, e.taken = e.total.times(f), e.own.times(f), e.taken.times(f)
+	}
+	for _, list := range b.peers {
+		for target, n := range list {
+			list[target] = entry{n.times(f), n.at}
+		}
+	}
+}
