Sum the times of engines over a zone

A router reports an engine at most once a second, and a zone's relay takes sums five times a second from the latest reports. A sum would name an engine with the times of the few routers that happened to report it just before, and would replace the times of the others at the receivers. The relay now merges the reports in a book, and a sum has the totals of the engines that changed. Package pace has the fixed reference curve.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -40,6 +40,13 @@
 // 1,000,000 pairs. Known engines read 40 to 112 tokens a millisecond; this is the slower end.
 var prior = coefficients{50, 25, 0}
 
+// Reference returns the time to the first event by the prior, which is the same at all routers and
+// at all times. Engines are compared by it: what routers have learnt differs between them.
+func Reference(w Work) time.Duration {
+	m := Model{current: prior}
+	return m.Predict(w)
+}
+
 // coefficients holds the coefficients of the model, or the features that they are multiplied
 // with.
 type coefficients [terms]float64
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -34,6 +34,9 @@
 	reports map[message.RouterID]report
 	// sharedParts holds the shared parts of prompts reported since the last sum, by target.
 	sharedParts map[string][]string
+	// speeds has the times of engines. A router reports an engine at most once a second, so the
+	// latest reports alone would hold some engines of some routers only.
+	speeds *enginespeed.Book
 }
 
 type report struct {
@@ -44,8 +47,9 @@
 // UpdateReport replaces a router's last report.
 func (s *Sum) UpdateReport(now time.Time, id message.RouterID, m message.Status) {
 	if s.reports == nil {
-		s.reports, s.sharedParts = map[message.RouterID]report{}, map[string][]string{}
+		s.reports, s.sharedParts, s.speeds = map[message.RouterID]report{}, map[string][]string{}, enginespeed.New(now)
 	}
+	s.speeds.SetPeer(now, string(id), m.Speeds)
 	s.reports[id] = report{m, now}
 	for _, k := range m.SharedParts {
 		s.sharedParts[k.Target] = append(s.sharedParts[k.Target], k.Parts...)
@@ -72,13 +76,12 @@
 }
 
 // Take returns the sum of all reports that haven't expired. The shared parts in it are those
-// reported since the last call.
+// reported since the last call, and the times those of engines that are due to be reported.
 func (s *Sum) Take(now time.Time) message.Status {
 	var out message.Status
 	loads := map[string]message.TargetLoad{}
 	usage := map[string]message.OrganisationUsage{}
 	rollouts := map[string]rollout.Results{}
-	speeds := map[string]enginespeed.Report{}
 	slots := map[string]returns.Slots{}
 	for id, r := range s.reports {
 		if now.Sub(r.at) >= reportTTL {
@@ -91,9 +94,6 @@
 				Target: l.Target, PendingTokens: sum.PendingTokens + l.PendingTokens, Running: sum.Running + l.Running, MemoryTokens: sum.MemoryTokens + l.MemoryTokens,
 			}
 		}
-		for _, e := range r.Speeds {
-			speeds[e.Target] = enginespeed.Report{Target: e.Target, Service: e.Service, Sums: speeds[e.Target].Plus(e.Sums)}
-		}
 		for _, k := range r.Returns {
 			slots[k.Service] = slots[k.Service].Plus(k.After(now.Sub(r.at)))
 		}
@@ -118,7 +118,9 @@
 	out.Loads = slices.Collect(maps.Values(loads))
 	out.Usage = slices.Collect(maps.Values(usage))
 	out.RolloutResults = slices.Collect(maps.Values(rollouts))
-	out.Speeds = slices.Collect(maps.Values(speeds))
+	if s.speeds != nil {
+		out.Speeds = s.speeds.TakeTotals(now)
+	}
 	out.Returns = slices.Collect(maps.Values(slots))
 	for target, parts := range s.sharedParts {
 		out.SharedParts = append(out.SharedParts, message.TargetParts{Target: target, Parts: parts})
