--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -21,7 +21,7 @@
 	// outlierFactor bounds an observation to this multiple of what the engine's sums so far predict.
 	// A request that waited behind others that its router did not know of says little about speed.
 	// An engine that has become slower still shows within a few observations.
-	outlierFactor = 3
+	outlierFactor = 2
 	// rebaseAfter is the age of the landmark after which it is renewed. Weights grow up to e^20
 	// meanwhile.
 	rebaseAfter = 20 * decay
