Predict times at an engine by its speed

Engines of one service may differ in speed by a factor of 2.4. Routers predicted the same time at all of them, so a slow one got requests until its backlog was reported, and their first events were late. Predictions, the rate at which a backlog shrinks and the bound on a backlog now go by the engine's factor, and the model of the service learns from times divided by it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -12,6 +12,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/advice"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
@@ -141,7 +142,9 @@
 	releasedAt time.Time
 	// paces has the models of prefill times that were learnt for each service's engines.
 	paces map[string]*pace.Model
-	queue []*Ticket
+	// speeds compares the engines of a service.
+	speeds *enginespeed.Book
+	queue  []*Ticket
 	// unstarted is the number of requests whose targets have not started to answer.
 	unstarted int
 	// lastDispatch is when the queue was last searched.
@@ -190,6 +193,7 @@
 		releasedAt:        now,
 		holders:           holders{byPart: map[string][]holder{}, prunedAt: now},
 		paces:             map[string]*pace.Model{},
+		speeds:            enginespeed.New(now),
 		throttle:          throttle.New(tickInterval, maxWaitingPerOrganisation),
 		shares:            newShares(limits.QuotaWindow),
 		peers:             view.New(now, limits.QuotaWindow),
@@ -312,6 +316,9 @@
 	if p.source != nil {
 		d.Source, d.FetchedTokens = p.source.Target, p.fetchTokens
 	}
+	if t.Engine {
+		d.Speed = s.factor(now, to)
+	}
 	if !to.LapsedAt.IsZero() {
 		d.LapsedFor = now.Sub(to.LapsedAt)
 	}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/pace"
 )
 
@@ -20,7 +21,17 @@
 
 // factor returns the target's time for the same work relative to the average of its service, 1 if
 // it is unknown.
-func (s *State) factor(time.Time, *target) float64 { return 1 }
+func (s *State) factor(now time.Time, c *target) float64 {
+	if !s.comparesSpeeds(c.Service) {
+		return 1
+	}
+	return s.speeds.Factor(now, c.Service, c.incarnation)
+}
+
+// comparesSpeeds reports whether the engines of a service are told apart by their speed.
+func (s *State) comparesSpeeds(service string) bool {
+	return s.enabled(s.features.EngineSpeeds, service)
+}
 
 // Predict returns the expected time to the first event of a request.
 func (e estimator) Predict(w pace.Work) time.Duration { return e.scale(e.Model.Predict(w)) }
@@ -35,7 +46,32 @@
 	return time.Duration(float64(d) * e.factor)
 }
 
-// observeFirstEvent updates the model of a service with the time to the first event of t.
+// observeFirstEvent updates the model of a service, and the speed of the target, with the time to
+// the first event of t. The speed counts only the part of the time that the request's own prompt is
+// expected to take. The requests ahead of it are known late and incompletely, so an engine with a
+// long queue would otherwise look slow.
 func (s *State) observeFirstEvent(now time.Time, t *Ticket) {
-	s.pace(t.Service).Observe(t.work, now.Sub(t.sentAt))
+	took, factor := now.Sub(t.sentAt), 1.0
+	if s.comparesSpeeds(t.Service) {
+		factor = s.factor(now, t.target)
+		own := pace.Reference(pace.Work{Uncached: t.work.Uncached})
+		part := float64(own) / float64(pace.Reference(t.work))
+		s.speeds.Observe(now, t.Service, t.target.incarnation, own, time.Duration(part*float64(took)))
+	}
+	s.pace(t.Service).Observe(t.work, time.Duration(float64(took)/factor))
 }
+
+// EngineSpeeds describes the speeds of the engines of each service whose engines are compared.
+func (s *State) EngineSpeeds(now time.Time) map[string]enginespeed.Summary {
+	all := s.speeds.Summaries(now)
+	for name := range all {
+		if !s.comparesSpeeds(name) {
+			delete(all, name)
+		}
+	}
+	return all
+}
+
+// IgnoredSpeeds returns the number of times of engines that were ignored because they were invalid
+// or too many.
+func (s *State) IgnoredSpeeds() int64 { return s.speeds.Ignored() }
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -68,6 +68,7 @@
 // ApplyReport applies a report received from another router.
 func (s *State) ApplyReport(now time.Time, router string, r view.Report) {
 	s.peers.UpdateReport(now, router, r)
+	s.speeds.SetPeer(now, router, r.Speeds)
 	for id, parts := range r.SharedParts {
 		if t := s.findIncarnation(id); t != nil {
 			s.use(now, t).cache.AddRemote(now, parts)
@@ -78,7 +79,10 @@
 }
 
 // ForgetPeer removes everything that another router reported.
-func (s *State) ForgetPeer(now time.Time, router string) { s.peers.Remove(now, router) }
+func (s *State) ForgetPeer(now time.Time, router string) {
+	s.peers.Remove(now, router)
+	s.speeds.RemovePeer(router)
+}
 
 // SetPeerLoad sets the load that another router's requests put on a target. It replaces the
 // one in that router's last report.
@@ -115,6 +119,7 @@
 		}
 		delete(s.shares.usages, name)
 	}
+	r.Speeds = s.speeds.Take(now)
 	return r
 }
 
