Publish the speeds of engines

The metric engine_speeds has the number of engines and the fastest and slowest factor by service, engine_speeds_ignored the values that were ignored.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,7 @@
 	// logged last.
 	coldSenders *coldstart.Senders
 	loggedCold  coldTargets
+	speeds      speedsPublisher
 	// rollouts follows the roll-outs, loggedRollouts are their states as logged last.
 	rollouts       *rollout.Tracker
 	loggedRollouts map[string]rollout.State
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-logr/logr"
 
+	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/metrics"
@@ -53,6 +55,11 @@
 	// the suspensions in milliseconds.
 	suspensions, suspendedMillis *expvar.Int
 
+	// speeds describes the speeds of engines by service, speedsIgnored counts the values about them
+	// that were ignored.
+	speeds        atomic.Pointer[map[string]enginespeed.Summary]
+	speedsIgnored expvar.Int
+
 	mu                       sync.Mutex
 	waited, firstByte, total *hdrhistogram.Histogram
 }
@@ -84,6 +91,8 @@
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("suspensions", m.suspensions)
 	m.root.Set("suspended_ms", m.suspendedMillis)
+	m.Set("engine_speeds", func() any { return m.speeds.Load() })
+	m.root.Set("engine_speeds_ignored", &m.speedsIgnored)
 	m.root.Set("violations", invariant.Violations())
 	m.root.Set("latency_ms", expvar.Func(m.latencies))
 	m.root.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
