--- a/internal/enginespeed/enginespeed_test.go
+++ b/internal/enginespeed/enginespeed_test.go
@@ -169,3 +169,32 @@
 		t.Errorf("factor after one outlier is %g, want about 1", f)
 	}
 }
+
+// TestRate guards against reports that take up the routers' share of the network: all routers
+// together must report no more than 250 engines a second, and a zone 60, however much has changed.
+func TestRate(t *testing.T) {
+	const routers, seconds = 24, 10
+	own, zone, now := enginespeed.New(start), enginespeed.New(start), start
+	reported, summed := 0, 0
+	for i := range 10 * seconds {
+		now = now.Add(100 * ms)
+		list := make([]enginespeed.Report, 60)
+		for j := range list {
+			id := fmt.Sprint("e", j)
+			own.Observe(now, "llm", id, 100*ms, 100*ms)
+			list[j] = enginespeed.Report{Target: id, Service: "llm", Sums: enginespeed.Sums{Expected: float64(i + 1), Actual: 1}}
+		}
+		for r := range routers - 1 {
+			own.SetPeer(now, fmt.Sprint("r", r), list[:1])
+		}
+		zone.SetPeer(now, "r", list)
+		reported += len(own.Take(now))
+		summed += len(zone.TakeTotals(now))
+	}
+	if got := reported * routers / seconds; got > 260 || got < 200 {
+		t.Errorf("%d routers report %d engines a second, want about 250", routers, got)
+	}
+	if got := summed / seconds; got > 60 || got < 50 {
+		t.Errorf("a zone reports %d engines a second, want about 60", got)
+	}
+}
