--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -72,6 +72,7 @@
 func (s *State) ApplyReport(now time.Time, router string, r view.Report) {
 	s.peers.UpdateReport(now, router, r)
 	s.applyReturns(now, router, r)
+	s.speeds.SetPeer(now, router, r.Speeds)
 	for id, parts := range r.SharedParts {
 		if t := s.findIncarnation(id); t != nil {
 			s.use(now, t).cache.AddRemote(now, parts)
@@ -85,6 +86,7 @@
 func (s *State) ForgetPeer(now time.Time, router string) {
 	s.peers.Remove(now, router)
 	s.forgetReturns(now, router)
+	s.speeds.RemovePeer(router)
 }
 
 // SetPeerLoad sets the load that another router's requests put on a target. It replaces the
@@ -121,6 +123,7 @@
 		}
 		delete(s.shares.usages, name)
 	}
+	r.Speeds = s.speeds.Take(now)
 	return r
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,6 +159,7 @@
 	loggedCold  coldTargets
 	// loggedWaits are the counts of refusals without a wait and of returns as logged last.
 	loggedWaits loggedWaits
+	speeds      speedsPublisher
 	// rollouts follows the roll-outs, loggedRollouts are their states as logged last.
 	rollouts       *rollout.Tracker
 	loggedRollouts map[string]rollout.State
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -62,6 +62,7 @@
 	g.logCold(s, now)
 	g.logWaits(s, now)
 	g.logAdvice(s)
+	g.publishSpeeds(s, now)
 	g.publishLocalChanges(now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -37,6 +37,9 @@
 	// returns has the last reports of when refused callers return. They outlive other reports:
 	// the callers of a router that has ended return elsewhere.
 	returns map[message.RouterID]returnsReport
+	// speeds has the times of engines. A router reports an engine at most once a second, so the
+	// latest reports alone would hold some engines of some routers only.
+	speeds *enginespeed.Book
 }
 
 type returnsReport struct {
@@ -53,11 +56,13 @@
 func (s *Sum) UpdateReport(now time.Time, id message.RouterID, m message.Status) {
 	if s.reports == nil {
 		s.reports, s.sharedParts, s.returns = map[message.RouterID]report{}, map[string][]string{}, map[message.RouterID]returnsReport{}
+		s.speeds = enginespeed.New(now)
 	}
 	delete(s.returns, id)
 	if len(m.Returns) > 0 {
 		s.returns[id] = returnsReport{m.Returns, now}
 	}
+	s.speeds.SetPeer(now, string(id), m.Speeds)
 	s.reports[id] = report{m, now}
 	for _, k := range m.SharedParts {
 		s.sharedParts[k.Target] = append(s.sharedParts[k.Target], k.Parts...)
@@ -84,13 +89,12 @@
 }
 
 // Take returns the sum of all reports that haven't expired. The shared parts in it are those
-// reported since the last call.
+// reported since the last call, and the times those of engines that are due to be reported.
 func (s *Sum) Take(now time.Time) message.Status {
 	var out message.Status
 	loads := map[string]message.TargetLoad{}
 	usage := map[string]message.OrganisationUsage{}
 	rollouts := map[string]rollout.Results{}
-	speeds := map[string]enginespeed.Report{}
 	slots := s.sumReturns(now)
 	for id, r := range s.reports {
 		if now.Sub(r.at) >= reportTTL {
@@ -103,9 +107,6 @@
 				Target: l.Target, PendingTokens: sum.PendingTokens + l.PendingTokens, Running: sum.Running + l.Running, MemoryTokens: sum.MemoryTokens + l.MemoryTokens,
 			}
 		}
-		for _, e := range r.Speeds {
-			speeds[e.Target] = enginespeed.Report{Target: e.Target, Service: e.Service, Sums: speeds[e.Target].Plus(e.Sums)}
-		}
 		for _, o := range r.RolloutResults {
 			sum := rollouts[o.Service]
 			if sum.Version != o.Version {
@@ -127,7 +128,9 @@
 	out.Loads = slices.Collect(maps.Values(loads))
 	out.Usage = slices.Collect(maps.Values(usage))
 	out.RolloutResults = slices.Collect(maps.Values(rollouts))
-	out.Speeds = slices.Collect(maps.Values(speeds))
+	if s.speeds != nil {
+		out.Speeds = s.speeds.TakeTotals(now)
+	}
 	out.Returns = slices.Collect(maps.Values(slots))
 	for target, parts := range s.sharedParts {
 		out.SharedParts = append(out.SharedParts, message.TargetParts{Target: target, Parts: parts})
