Bound pauses of streams and refuse requests that cannot finish

A request expected to start in time could join any backlog, so that prompts were read one after the other while the streams beside them paused. And engines stayed full of requests that were cut at their deadline.

With the switch pauseBounds, such a request joins a backlog beside running streams only if the engine reads it within the longest acceptable pause. A placement that ends after the deadline costs as much as one that starts too late.

--- a/internal/balance/activity.go
+++ b/internal/balance/activity.go
@@ -40,6 +40,8 @@
 	consecutiveRefusals int
 	// usedAt is when the target was last used.
 	usedAt time.Time
+	// runningArea is kept for the mean number of requests that ran beside an answer.
+	runningArea runningArea
 }
 
 // noActivity is the activity of all targets without one. It is never written.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -141,7 +141,9 @@
 	releasedAt time.Time
 	// paces has the models of prefill times that were learnt for each service's engines.
 	paces map[string]*pace.Model
-	queue []*Ticket
+	// pauses has the models of streams that were learnt for each service.
+	pauses pauses
+	queue  []*Ticket
 	// unstarted is the number of requests whose targets have not started to answer.
 	unstarted int
 	// lastDispatch is when the queue was last searched.
@@ -272,9 +274,13 @@
 	s.queue = append(s.queue, t)
 }
 
-// assign sends a request to the best target with room, if there is one.
+// assign sends a request to the best target with room, if there is one, or refuses it if it cannot
+// finish at any. It returns false if the request has to wait.
 func (s *State) assign(now time.Time, t *Ticket) bool {
 	best, ok := s.choose(now, t)
+	if s.checkPauses(now, t) {
+		return true
+	}
 	if !ok {
 		return false
 	}
@@ -291,6 +297,7 @@
 	t.load = view.Load{PendingTokens: p.uncachedTokens, Running: 1, MemoryTokens: t.unsharedTokens()}
 	t.work = p.work
 	s.use(now, to)
+	s.beginPauses(now, t)
 	to.localLoad = to.localLoad.Plus(t.load)
 	to.unstarted = append(to.unstarted, t)
 	s.unstarted++
@@ -345,6 +352,7 @@
 	}
 	t.target = nil
 	to.usedAt = now
+	s.observePauses(now, t, to, how)
 	to.localLoad = to.localLoad.Minus(t.load)
 	s.removeUnstarted(to, t)
 	delete(to.running, t)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -33,8 +33,9 @@
 	// slotCost is added for each request running at a target: each one slows down the tokens
 	// of the others.
 	slotCost = 250 * time.Microsecond
-	// lateCost is added for a target at which a request is expected to miss its goal, so that
-	// such a target is chosen only if there is no other.
+	// lateCost is added for a target at which a request is expected to miss its goal, and for one
+	// at which its answer is expected to end after the deadline, so that such a target is chosen
+	// only if there is no other.
 	lateCost = time.Minute
 )
 
@@ -51,6 +52,10 @@
 	// source is the engine to fetch cached tokens from; nil if no other engine caches more of
 	// the prompt.
 	source *target
+	// running is the number of requests running at the target, and endsLate set if the answer is
+	// expected to end after the deadline, both if pauses are bounded.
+	running  int
+	endsLate bool
 }
 
 // choose returns the placement with the lowest cost for t; false if no target can take it. An
@@ -58,7 +63,7 @@
 // home: that costs as much as two requests.
 func (s *State) choose(now time.Time, t *Ticket) (placement, bool) {
 	best, ok := s.chooseFrom(now, t, s.candidates(now, t))
-	if !ok && s.sampled(t.Service) {
+	if (!ok || t.Engine && s.pauses.bound.unfinishable()) && s.sampled(t.Service) {
 		best, ok = s.chooseFrom(now, t, s.widen(now, t))
 	}
 	return best, ok
@@ -83,6 +88,9 @@
 		p.work = pace.Work{Ahead: s.pendingTokens(now, c, model), Uncached: p.uncachedTokens}
 		p.expected = model.Predict(p.work)
 		p.conservative = p.expected + time.Duration(model.RelativeError()*float64(p.expected))
+		if r.pauses != nil {
+			r.pauses.predict(&p, s.loadOf(now, c).Running, model.factor)
+		}
 		away := c != k.home && p.uncachedTokens+p.fetchTokens > own
 		if over && away || !s.fits(now, c, t) || !r.admits(p, model) {
 			continue
@@ -107,6 +115,9 @@
 	if p.conservative > r.remaining {
 		cost += lateCost
 	}
+	if p.endsLate {
+		cost += lateCost
+	}
 	return cost
 }
 
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -30,8 +30,10 @@
 	// remaining is the time left until the first event is due.
 	remaining time.Duration
 	// timely is set if the request may also be sent to an engine with a larger backlog,
-	// provided its first event is expected in time.
+	// provided its first event is expected in time and streams there do not pause for too long.
 	timely bool
+	// pauses bounds the pauses of streams; nil if they are not bounded.
+	pauses *pauseBound
 }
 
 // room returns the bounds for a request of an organisation that was served ratio times its
@@ -41,7 +43,7 @@
 	if goal <= 0 {
 		goal = defaultGoal
 	}
-	r := room{maxBacklog: goal * backlogPercent / 100, remaining: t.Goal - now.Sub(t.Arrived)}
+	r := room{maxBacklog: goal * backlogPercent / 100, remaining: t.Goal - now.Sub(t.Arrived), pauses: s.pauseBound(now, t)}
 	switch {
 	case t.Resumes:
 		r.maxBacklog *= 2
@@ -57,7 +59,7 @@
 // the backlog: otherwise a long one would never find room beside short ones that keep the
 // engine reading.
 func (r room) admits(p placement, m estimator) bool {
-	if r.timely && p.conservative <= r.remaining {
+	if r.timely && p.conservative <= r.remaining && r.pauses.allows(p, m) {
 		return true
 	}
 	return m.PrefillTime(p.work.Ahead)+min(m.PrefillTime(p.uncachedTokens), r.maxBacklog/2) <= r.maxBacklog
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -68,6 +68,7 @@
 	foundFreeSlot bool
 	sentAt        time.Time
 	expires       time.Time
+	pauses        ticketPauses
 }
 
 // Decision says which target a request is to be sent to, or that it is refused.
