Show operators what pause bounds do

Counters pause_bounded and cannot_finish, a log line "streams bounded" at most once a second with the last refusal's expected and remaining time, and the cause of a refusal with cannot-finish in explain, with that line.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -65,6 +65,11 @@
 			},
 			wantCause: "1 were answered and 0 refused",
 		},
+		"no end in time": {
+			logs:      []string{request(10, `,"outcome":"refused","status":503,"reason":"cannot-finish"`), line(10.5, "streams bounded", `,"cannot_finish":3,"expected_ms":9000,"left_ms":5000`)},
+			wantCause: "before its deadline",
+			wantLine:  "expected_ms=9000",
+		},
 		"resting targets": {
 			logs:      []string{line(9, "target asks for a rest", `,"target":"e1","rest_ms":3000`), request(10, `,"outcome":"refused","status":503,"reason":"targets-resting"`)},
 			wantCause: "asked for a rest",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,7 @@
 	loggedAgainstAdvice balance.SentAgainstAdvice
 	// loggedBackoffs counts the backoffs that no target asked for, as logged last.
 	loggedBackoffs int64
+	loggedPauses   loggedPauses
 	tally          tally
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -101,6 +101,8 @@
 	m.Set("processor_part", func() any { return g.loop.CPUUtilisation() })
 	m.Set("turned_away", func() any { return g.server.RejectedConnections() })
 	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
+	m.Set("pause_bounded", func() any { bounded, _ := g.loop.PauseCounts(); return bounded })
+	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
 }
 
--- /dev/null
+++ b/internal/gateway/pauses.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+)
+
+// pausesPeriod is the least interval between two log lines about bounded pauses.
+const pausesPeriod = time.Second
+
+// loggedPauses holds the counts of bounded pauses as logged last.
+type loggedPauses struct {
+	at                    time.Time
+	bounded, cannotFinish int64
+}
+
+// logPauses logs how many requests were kept from engines for the streams running there, and how many
+// were refused since they could not end in time, with the last of these.
+func (g *Gateway) logPauses(s *balance.State, now time.Time) {
+	bounded, cannotFinish := g.loop.PauseCounts()
+	before := g.loggedPauses
+	if bounded == before.bounded && cannotFinish == before.cannotFinish || now.Sub(before.at) < pausesPeriod {
+		return
+	}
+	g.loggedPauses = loggedPauses{at: now, bounded: bounded, cannotFinish: cannotFinish}
+	last := s.LastUnfinishable()
+	g.Log.Info("streams bounded", "bounded", bounded-before.bounded, "cannot_finish", cannotFinish-before.cannotFinish,
+		"service", last.Service, "expected_ms", last.Expected.Milliseconds(), "left_ms", last.Left.Milliseconds())
+}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -58,6 +58,7 @@
 	g.sendPings(g.roster.Tick(now))
 	g.logStateChanges(g.roster.Changes())
 	g.logThrottles(s.ThrottleNotices())
+	g.logPauses(s, now)
 	g.logTallies(now)
 	g.logCold(s, now)
 	g.logAdvice(s)
