Spread the handover address in routers' records

UpdateSelf ignored RouterRecord.Handover, so that other routers never learnt where to hand connections over. It now keeps the address and spreads a changed one like the other conditions.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -175,12 +175,12 @@
 func (r *Roster) Self() message.RouterRecord { return r.self }
 
 // UpdateSelf sets the conditions in the local router's record (Ready, Leaving, Serving,
-// StoreFailing and Capacity) to those of a record, whose other fields are ignored. It reports
+// StoreFailing, Capacity and Handover) to those of a record, whose other fields are ignored. It reports
 // whether any of them changed, and queues the new record for the other routers.
 func (r *Roster) UpdateSelf(record message.RouterRecord) bool {
 	next := r.self
 	next.Ready, next.Leaving, next.Serving = record.Ready, record.Leaving, record.Serving
-	next.StoreFailing, next.Capacity = record.StoreFailing, record.Capacity
+	next.StoreFailing, next.Capacity, next.Handover = record.StoreFailing, record.Capacity, record.Handover
 	if next == r.self {
 		return false
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -356,6 +356,28 @@
 		Expect(informed()).To(Equal(299))
 	})
 
+	It("keep and spread the address at which a router takes connections over", func() {
+		f := newFleet(8, 8)
+		f.launch(100, f.routers...)
+		f.run(5 * time.Second)
+		addresses := func() (list []string) {
+			for _, r := range f.routers {
+				for _, other := range r.Live(f.time()) {
+					if other.ID == "r3" {
+						list = append(list, other.Handover)
+					}
+				}
+			}
+			return list
+		}
+		for _, address := range []string{"10.0.0.3:7401", ""} {
+			f.routers[3].UpdateSelf(message.RouterRecord{Handover: address})
+			f.run(2 * time.Second)
+			Expect(addresses()).To(HaveLen(8))
+			Expect(addresses()).To(HaveEach(address))
+		}
+	})
+
 	It("start at once with a bounded number of messages", func() {
 		f := newFleet(300, 12)
 		f.launch(1, f.routers...)
