Relay connections to another router

A Sender offers a caller's connection to another router and copies the bytes both ways unread; a Receiver accepts or declines with one byte. A connection that no router takes is given back with nothing read from it. A side that breaks resets the other one, so that a cut answer does not look complete, and half-closes pass.

--- /dev/null
+++ b/internal/handover/relay_test.go
@@ -0,0 +1,385 @@
+package handover_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/message"
+)
+
+// front is a router that hands over all its callers' connections, and serves those that come back.
+type front struct {
+	sender *handover.Sender
+	caller net.Listener
+	local  atomic.Int64
+}
+
+// newFront returns a front whose only candidates are the given addresses.
+func newFront(t testing.TB, utilisation float64, addresses ...string) *front {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := group.New(context.Background())
+	none := func() time.Duration { return 0 }
+	f := &front{caller: l, sender: handover.NewSender(
+		g, handover.Limits{Relays: 100, Connecting: 100}, 0, none, func() float64 { return utilisation }, logr.Discard(),
+	)}
+	var list []handover.Candidate
+	for i, a := range addresses {
+		list = append(list, handover.Candidate{ID: message.RouterID(fmt.Sprint("r", i)), Address: a, Cores: 1})
+	}
+	f.sender.SetCandidates(list)
+	g.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if !f.sender.Take(c, f.serveLocally) {
+				f.serveLocally(c)
+			}
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		g.Stop()
+	})
+	return f
+}
+
+// serveLocally answers "local " and the first line of the request.
+func (f *front) serveLocally(c net.Conn) {
+	defer c.Close()
+	f.local.Add(1)
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	_, _ = io.WriteString(c, "local "+line)
+}
+
+// dial connects to the front as a caller.
+func (f *front) dial(t testing.TB) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", f.caller.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c.(*net.TCPConn)
+}
+
+// receiver starts a router that accepts what serves says and calls serve with each connection.
+func receiver(t testing.TB, accepts func() bool, serve func(c *net.TCPConn)) *handover.Receiver {
+	t.Helper()
+	r, err := handover.Listen(context.Background(), "127.0.0.1:0", accepts, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for {
+			c, err := r.Accept()
+			if err != nil {
+				return
+			}
+			wait.Go(func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = r.Close()
+		wait.Wait()
+	})
+	return r
+}
+
+func always() bool { return true }
+
+// ask sends a line and returns all of the answer.
+func ask(t *testing.T, f *front) (string, error) {
+	t.Helper()
+	c := f.dial(t)
+	if _, err := io.WriteString(c, "question\n"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	return string(got), err
+}
+
+// echoLine answers "there " and the first line of a request.
+func echoLine(c *net.TCPConn) {
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	_, _ = io.WriteString(c, "there "+line)
+}
+
+// TestNotAccepted guards against losing a caller whose connection no other router takes.
+func TestNotAccepted(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = gone.Close()
+	decliner := receiver(t, func() bool { return false }, echoLine).Addr().String()
+	cases := map[string]struct {
+		addresses []string
+		want      string
+		stats     handover.Stats
+	}{
+		"accepts":             {[]string{receiver(t, always, echoLine).Addr().String()}, "there question\n", handover.Stats{Sent: 1, Accepted: 1, Bytes: 24}},
+		"declines":            {[]string{decliner}, "local question\n", handover.Stats{Sent: 1, Declined: 1}},
+		"both decline":        {[]string{decliner, decliner}, "local question\n", handover.Stats{Sent: 2, Declined: 2}},
+		"does not answer":     {[]string{silent.Addr().String()}, "local question\n", handover.Stats{Sent: 1, Failed: 1}},
+		"cannot be reached":   {[]string{gone.Addr().String()}, "local question\n", handover.Stats{Sent: 1, Failed: 1}},
+		"there are no others": {nil, "local question\n", handover.Stats{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, 1, c.addresses...)
+			began := time.Now()
+			if got, err := ask(t, f); got != c.want || err != nil {
+				t.Errorf("got %q, %v", got, err)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("took %v", took)
+			}
+			eventually(t, "counts", func() bool { return f.sender.Stats() == c.stats })
+		})
+	}
+}
+
+func TestIdleRouterServesItself(t *testing.T) {
+	f := newFront(t, 0.55, receiver(t, always, echoLine).Addr().String())
+	if got, err := ask(t, f); got != "local question\n" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for range 300 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+// streamHead is the head of an answer whose end is recognised by its length.
+const streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"
+
+// TestReceiverDiesInMidAnswer guards against a cut answer that looks complete, and against repeating
+// the request.
+func TestReceiverDiesInMidAnswer(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) {
+			var served atomic.Int64
+			die := make(chan struct{})
+			r := receiver(t, always, func(c *net.TCPConn) {
+				served.Add(1)
+				_, _ = bufio.NewReader(c).ReadString('\n')
+				_, _ = io.WriteString(c, streamHead)
+				<-die
+				if reset {
+					_ = c.SetLinger(0)
+				}
+			})
+			f := newFront(t, 1, r.Addr().String())
+			c := f.dial(t)
+			if _, err := io.WriteString(c, "GET / HTTP/1.1\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			first := make([]byte, 5)
+			if _, err := io.ReadFull(res.Body, first); err != nil || string(first) != "first" {
+				t.Fatalf("%q, %v", first, err)
+			}
+			close(die)
+			if rest, err := io.ReadAll(res.Body); err == nil || len(rest) > 0 {
+				t.Errorf("got %q, %v; want an error", rest, err)
+			}
+			_ = c.Close()
+			if served.Load() != 1 || f.local.Load() != 0 {
+				t.Errorf("served %d times there and %d times here, want once there", served.Load(), f.local.Load())
+			}
+			eventually(t, "relay still open", func() bool { return f.sender.Open() == 0 })
+		})
+	}
+}
+
+// TestCallerCloses guards against engines that work on for callers that are gone.
+func TestCallerCloses(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) {
+			began, seen := make(chan struct{}), make(chan time.Time, 1)
+			r := receiver(t, always, func(c *net.TCPConn) {
+				in := bufio.NewReader(c)
+				_, _ = in.ReadString('\n')
+				close(began)
+				_, _ = in.ReadByte()
+				seen <- time.Now()
+			})
+			f := newFront(t, 1, r.Addr().String())
+			c := f.dial(t)
+			_, _ = io.WriteString(c, "question\n")
+			<-began
+			if reset {
+				_ = c.SetLinger(0)
+			}
+			closed := time.Now()
+			_ = c.Close()
+			if took := (<-seen).Sub(closed); took > 100*time.Millisecond {
+				t.Errorf("the receiver saw it after %v", took)
+			}
+			eventually(t, "relay still open", func() bool { return f.sender.Open() == 0 })
+		})
+	}
+}
+
+// TestHalfClose guards against cutting the answer to a caller that has sent all it wants to send.
+func TestHalfClose(t *testing.T) {
+	r := receiver(t, always, func(c *net.TCPConn) {
+		all, _ := io.ReadAll(c)
+		fmt.Fprintf(c, "%d bytes", len(all))
+	})
+	f := newFront(t, 1, r.Addr().String())
+	c := f.dial(t)
+	_, _ = io.WriteString(c, strings.Repeat("x", 1<<20))
+	_ = c.CloseWrite()
+	if got, err := io.ReadAll(c); string(got) != "1048576 bytes" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// TestQuietRelays guards against a planned stop that waits for callers without a request, and
+// against one that cuts off answers.
+func TestQuietRelays(t *testing.T) {
+	answer := make(chan struct{})
+	r := receiver(t, always, func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if line == "wait\n" {
+				<-answer
+			}
+			_, _ = io.WriteString(c, line)
+		}
+	})
+	f := newFront(t, 1, r.Addr().String())
+	quiet, busy := f.dial(t), f.dial(t)
+	_, _ = io.WriteString(quiet, "a\n")
+	_, _ = io.ReadFull(quiet, make([]byte, 2))
+	_, _ = io.WriteString(busy, "wait\n")
+	time.Sleep(100 * time.Millisecond)
+	if n := f.sender.CloseQuiet(50 * time.Millisecond); n != 1 {
+		t.Fatalf("%d closed, want 1", n)
+	}
+	if _, err := quiet.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("quiet connection: %v, want EOF", err)
+	}
+	close(answer)
+	if _, err := io.ReadFull(busy, make([]byte, 5)); err != nil {
+		t.Errorf("busy connection: %v", err)
+	}
+}
+
+// TestRefusalPassesUnread guards against a router that handles the refusals of another one: only the
+// caller may act on them.
+func TestRefusalPassesUnread(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\nContent-Length: 11\r\n\r\nqueue-full\n"
+	var served atomic.Int64
+	r := receiver(t, always, func(c *net.TCPConn) {
+		served.Add(1)
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = io.WriteString(c, refusal)
+	})
+	f := newFront(t, 1, r.Addr().String(), r.Addr().String())
+	if got, err := ask(t, f); got != refusal || err != nil || served.Load() != 1 || f.local.Load() != 0 {
+		t.Errorf("got %q, %v; served %d times there, %d times here", got, err, served.Load(), f.local.Load())
+	}
+}
+
+// TestStop guards against relays that outlive their router.
+func TestStop(t *testing.T) {
+	r := receiver(t, always, func(c *net.TCPConn) { _, _ = io.ReadAll(c) })
+	caller, accepted := pair(t)
+	_, peer := dialPair(t, r)
+	g := group.New(context.Background())
+	ended := make(chan error, 1)
+	g.GoContext(func(ctx context.Context) {
+		_, err := handover.Relay(ctx, accepted, peer, g.Go, nil)
+		ended <- err
+	})
+	g.Stop()
+	if err := <-ended; !errors.Is(err, handover.ErrReset) {
+		t.Errorf("%v, want %v", err, handover.ErrReset)
+	}
+	_ = caller.SetDeadline(time.Now().Add(time.Second))
+	if _, err := caller.Read(make([]byte, 1)); err == nil {
+		t.Error("the caller's connection is still open")
+	}
+}
+
+// pair returns both ends of a connection.
+func pair(t testing.TB) (a, b net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if a, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if b, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = a.Close()
+		_ = b.Close()
+	})
+	return a, b
+}
+
+// dialPair connects to a receiver and waits until it accepts.
+func dialPair(t testing.TB, r *handover.Receiver) (byte, net.Conn) {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := make([]byte, 1)
+	if _, err := io.ReadFull(c, one); err != nil {
+		t.Fatal(err)
+	}
+	return one[0], c
+}
