Hand new connections over before refusing requests

The listener offers each new connection to a Handover before the checks that refuse requests for lack of CPU time: those say nothing about other routers. A connection that no router takes goes through the same checks as before. Connections that other routers hand over are served on a listener of their own, which never offers them again, and take at most half of the connections.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -21,10 +21,12 @@
 type conns struct {
 	max int
 
-	mu     sync.Mutex
-	open   int
-	idle   list.List
-	closed bool
+	mu   sync.Mutex
+	open int
+	// received is the number of open connections that other routers handed over.
+	received int
+	idle     list.List
+	closed   bool
 	// unread holds the accepted connections from which nothing has been read yet.
 	unread backlog.Queue
 	// overloaded reports whether the router is short of CPU time.
@@ -79,11 +81,19 @@
 	s.idle.Remove(c.idleElement)
 	c.idleElement = nil
 	c.evicted = true
-	s.open--
+	s.countClosed(c)
 	// The connection is discarded, so an error from closing it does not matter.
 	_ = c.Conn.Close()
 }
 
+// countClosed counts a connection as closed. mu must be held.
+func (s *conns) countClosed(c *conn) {
+	s.open--
+	if c.received {
+		s.received--
+	}
+}
+
 // close makes reserve return false, also in calls that are waiting.
 func (s *conns) close() {
 	s.mu.Lock()
@@ -133,6 +143,8 @@
 	net.Conn
 	server *Server
 	conns  *conns
+	// received is set if another router handed the connection over.
+	received bool
 	// betweenRequests is set while no request is being read or served, when the next bytes
 	// start a new one. It needs no lock: only one goroutine of the HTTP server reads then.
 	betweenRequests bool
@@ -230,7 +242,7 @@
 		s.idle.Remove(c.idleElement)
 		c.idleElement = nil
 	}
-	s.open--
+	s.countClosed(c)
 	s.changed.Signal()
 	return true
 }
--- /dev/null
+++ b/internal/ingress/handover_test.go
@@ -0,0 +1,132 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/ingress"
+)
+
+// taker is an ingress.Handover that takes all connections; those that it is not to keep are given
+// back from another goroutine.
+type taker struct {
+	group *group.Group
+	keep  bool
+	taken atomic.Int64
+}
+
+func (t *taker) Wanted() bool { return true }
+
+func (t *taker) Take(c net.Conn, local func(net.Conn)) bool {
+	t.taken.Add(1)
+	t.group.Go(func() {
+		if t.keep {
+			// A connection that is closed with unread bytes is reset.
+			_, _ = c.Read(make([]byte, 1000))
+			_, _ = io.WriteString(c, "taken")
+			_ = c.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+		local(c)
+	})
+	return true
+}
+
+var _ = Describe("Connections that are handed over", func() {
+	var l net.Listener
+	var g *group.Group
+	var t *taker
+
+	BeforeEach(func() {
+		g = group.New(context.Background())
+		DeferCleanup(func() { g.Stop() })
+		t = &taker{group: g}
+		var err error
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	dial := func(l net.Listener, text string) net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Close() })
+		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = io.WriteString(c, text)
+		Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	// reason reads an answer and returns the reason in its body.
+	reason := func(in *bufio.Reader) string {
+		res, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		body, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return strings.TrimSpace(string(body))
+	}
+	request := func(key string) string { return head("/engine/a", key, "r", 4, "") + "body" }
+
+	It("are so before their requests are refused", func() {
+		// The server refuses all requests of this organisation.
+		t.keep = true
+		serveObserved(g, l, ignoringObserver{}, func(s *ingress.Server) { s.HandOver(t) })
+		got, err := io.ReadAll(dial(l, request("k1")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got)).To(Equal("taken"))
+	})
+
+	DescribeTable(
+		"are served like others if no router takes them", func(key, want string) {
+			serveObserved(g, l, ignoringObserver{}, func(s *ingress.Server) { s.HandOver(t) })
+			for range 20 {
+				Expect(reason(bufio.NewReader(dial(l, request(key))))).To(Equal(want))
+			}
+			Expect(t.taken.Load()).To(Equal(int64(20)))
+		},
+		Entry("those of an organisation with too many requests", "k1", string(ingress.ReasonOrganisationQueueFull)),
+		Entry("those of another one", "k2", "no-target"),
+	)
+
+	It("keep their connection for the next request if no router takes them", func() {
+		serveObserved(g, l, ignoringObserver{}, func(s *ingress.Server) { s.HandOver(t) })
+		c := dial(l, request("k2"))
+		in := bufio.NewReader(c)
+		Expect(reason(in)).To(Equal("no-target"))
+		_, err := io.WriteString(c, request("k2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reason(in)).To(Equal("no-target"))
+	})
+
+	It("are not handed over again by the router that receives them, which takes half of its connections", func() {
+		received, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		var s *ingress.Server
+		serveObserved(g, l, ignoringObserver{}, func(server *ingress.Server) {
+			s = server
+			s.HandOver(t)
+			g.Go(func() { _ = s.ServeReceived(received) })
+		})
+		var open []net.Conn
+		for s.ReserveReceived() {
+			c := dial(received, request("k2"))
+			Expect(reason(bufio.NewReader(c))).To(Equal("no-target"))
+			open = append(open, c)
+		}
+		Expect(open).To(HaveLen(maxConnections / 2))
+		Expect(t.taken.Load()).To(BeZero())
+		Expect(open[0].Close()).To(Succeed())
+		Eventually(s.ReserveReceived).Should(BeTrue())
+		s.ReleaseReceived()
+	})
+})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -100,6 +100,8 @@
 	bodyBytes  atomic.Int64
 	conns      *conns
 	rejections rejectionCounter
+	// handover takes new connections to other routers; nil if there is none.
+	handover Handover
 	// maxOpen is the maximum number of requests being served.
 	maxOpen int64
 	open    atomic.Int64
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -55,12 +55,15 @@
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	for {
-		early := l.server.refusesEarly()
+		early, handsOver := l.server.refusesEarly(), l.server.handsOver()
 		if l.batch.Next(early) {
 			runtime.Gosched()
 		}
 		accept := l.accept
-		if l.acceptor != nil && early {
+		switch {
+		case handsOver:
+			accept = l.acceptToHandOver
+		case l.acceptor != nil && early:
 			accept = l.acceptSocket
 		}
 		if c, err := accept(); c != nil || err != nil {
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -76,8 +76,9 @@
 // serve starts the server of newServer on l.
 func serve(g *group.Group, l net.Listener) { serveObserved(g, l, ignoringObserver{}) }
 
-// serveObserved is serve with an observer.
-func serveObserved(g *group.Group, l net.Listener, o ingress.Observer) {
+// serveObserved is serve with an observer, and with functions that are called before the server is
+// in use.
+func serveObserved(g *group.Group, l net.Listener, o ingress.Observer, prepare ...func(*ingress.Server)) {
 	limits := balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second, QuotaWindow: time.Second}
 	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
 	g.GoContext(loop.Run)
@@ -108,6 +109,9 @@
 	f := forward.New(headerNames, unreachableSender{}, loop, noSuspects{}, logr.Discard(), ignoringObserver{})
 	s := ingress.New(headerNames, f, o, ingress.Limits{Requests: 1000, Connections: maxConnections}, logr.Discard())
 	s.Configure(table)
+	for _, f := range prepare {
+		f(s)
+	}
 	g.Go(func() { _ = s.Serve(l) })
 	g.GoContext(func(ctx context.Context) {
 		<-ctx.Done()
