Hand connections over in the gateway

The gateway listens for connections of other routers, announces the address while the configuration or the switch enables it, and passes the routers of its zone as candidates. A planned stop counts relays as open requests. If listening fails, the router runs without.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,11 @@
 	// PeerAdvertise is the address given to other routers. If empty, it is the one that the
 	// router listens on.
 	PeerAdvertise string
+	// HandoverListen is the address on which other routers hand connections over. If empty, it is
+	// a free port of PeerListen's host. MaxRelays is the maximum number of connections that this
+	// router hands over at the same time; 0 means 256.
+	HandoverListen string
+	MaxRelays      int
 	// Seeds are other routers' PeerListen addresses; they may be stale.
 	Seeds       []string
 	Incarnation uint64
@@ -136,6 +141,7 @@
 	tickSoon  chan struct{}
 	transport *httptarget.Transport
 	server    *ingress.Server
+	handover  handoverState
 	peers     *peer.Transport
 	datagrams *peer.Datagrams
 	leaving   bool
@@ -245,6 +251,7 @@
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, o.Log)
+	g.startHandover()
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
 	o.Metrics.addGauges(g)
@@ -252,6 +259,9 @@
 	g.group.GoContext(g.runTicks)
 	g.group.GoContext(g.sweep)
 	g.group.Go(func() { g.serve(callers) })
+	if g.handover.receiver != nil {
+		g.group.Go(g.serveReceived)
+	}
 	return g, nil
 }
 
@@ -300,7 +310,7 @@
 // still connect to it. Drain returns when all requests have ended or limit is over.
 func (g *Gateway) Drain(ctx context.Context, limit time.Duration) {
 	began := clock.Now()
-	g.Log.Info("planned stop begins", "open", g.server.OpenRequests(), "limit_ms", limit.Milliseconds())
+	g.Log.Info("planned stop begins", "open", g.openRequests(), "limit_ms", limit.Milliseconds())
 	g.server.Leave()
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.leaving = true
@@ -315,6 +325,7 @@
 	if err := g.server.Shutdown(ctx); err != nil {
 		g.Log.Info("planned stop cut requests short", "open", g.server.OpenRequests(), "cause", err.Error())
 	}
+	g.waitRelays(ctx)
 	g.Log.Info("planned stop is done", "took_ms", clock.Since(began).Milliseconds())
 }
 
@@ -322,9 +333,10 @@
 func (g *Gateway) waitIdle(ctx context.Context, end time.Time) {
 	lastBusy, lastTotal := clock.Now(), g.server.TotalRequests()
 	for clock.Since(lastBusy) < idleWindow && clock.Now().Before(end) {
-		if total := g.server.TotalRequests(); g.server.OpenRequests() > 0 || total > lastTotal {
+		if total := g.server.TotalRequests(); g.openRequests() > 0 || total > lastTotal {
 			lastBusy, lastTotal = clock.Now(), total
 		}
+		g.closeQuietRelays()
 		if !group.SleepUntil(ctx, clock.Now().Add(idleCheckInterval)) {
 			return
 		}
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/feature"
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/metrics"
+)
+
+const (
+	// defaultMaxRelays bounds the connections handed over if Options.MaxRelays does not.
+	defaultMaxRelays = 256
+	// maxOffers bounds the connections that no other router has accepted yet. At 600 connections a
+	// second, one or two wait for the network; more means that this router is too slow even for
+	// handing over.
+	maxOffers = 32
+	// quietRelay is the time after a piece of an answer after which a stopping router takes a
+	// relayed connection for one without a request. It is several times the longest pause between
+	// events that a caller accepts.
+	quietRelay = 3 * time.Second
+)
+
+// handoverState holds what the router needs to hand connections over and to receive them. sender is
+// nil if the feature is switched off, receiver also if listening failed.
+type handoverState struct {
+	sender   *handover.Sender
+	receiver *handover.Receiver
+	// address is where other routers reach the receiver.
+	address string
+	// enabled is set while the configuration, or the settings, enable the feature.
+	enabled atomic.Bool
+}
+
+// announced returns the address to announce to other routers, or "".
+func (h *handoverState) announced() string {
+	if !h.enabled.Load() {
+		return ""
+	}
+	return h.address
+}
+
+// stats returns the counts since the start.
+func (h *handoverState) stats() handover.Stats {
+	var s handover.Stats
+	if h.sender != nil {
+		s = h.sender.Stats()
+	}
+	if h.receiver != nil {
+		s = h.receiver.AddStats(s)
+	}
+	return s
+}
+
+// startHandover prepares handing over, unless it is switched off, and opens the listener for other
+// routers. If that fails, the router runs without.
+func (g *Gateway) startHandover() {
+	if g.Features.Handover == feature.Off {
+		return
+	}
+	limits := handover.Limits{Relays: cmp.Or(g.MaxRelays, defaultMaxRelays), Connecting: maxOffers}
+	g.handover.sender = handover.NewSender(g.group, limits, g.Capacity, metrics.ProcessorTime, g.loop.CPUUtilisation, g.Log)
+	g.server.HandOver(g.handover.sender)
+	r, err := handover.Listen(g.group.Context(), g.handoverListen(), g.reserveReceived, g.server.ReleaseReceived)
+	if err != nil {
+		g.Log.Info("handed-over connections not accepted", "cause", err.Error())
+		return
+	}
+	g.handover.receiver, g.handover.address = r, advertisedAddress(g.self.Peer, r.Addr())
+}
+
+// handoverListen returns the address to listen on for handed-over connections.
+func (g *Gateway) handoverListen() string {
+	if g.HandoverListen != "" {
+		return g.HandoverListen
+	}
+	host, _, err := net.SplitHostPort(g.PeerListen)
+	if err != nil {
+		return g.PeerListen
+	}
+	return net.JoinHostPort(host, "0")
+}
+
+// advertisedAddress returns the address at which other routers reach a listener, at the host at
+// which they reach this router otherwise.
+func advertisedAddress(peer string, listener net.Addr) string {
+	host, _, err := net.SplitHostPort(peer)
+	_, port, listenErr := net.SplitHostPort(listener.String())
+	if err != nil || listenErr != nil {
+		return listener.String()
+	}
+	return net.JoinHostPort(host, port)
+}
+
+func (g *Gateway) serveReceived() {
+	if err := g.server.ServeReceived(g.handover.receiver); err != nil {
+		g.Log.Error(err, "HTTP server for handed-over connections failed")
+	}
+}
+
+// reserveReceived decides whether to accept a connection from another router.
+func (g *Gateway) reserveReceived() bool {
+	return g.handover.enabled.Load() && handover.MayReceive(g.loop.CPUUtilisation()) && g.server.ReserveReceived()
+}
+
+// updateHandover applies the configuration and the present routers of the zone.
+func (g *Gateway) updateHandover(now time.Time) {
+	if g.handover.sender == nil {
+		return
+	}
+	t := g.catalog.Table()
+	g.handover.enabled.Store(t != nil && g.Features.Handover.Enabled(t.AllTolerate()))
+	if !g.handover.enabled.Load() || g.leaving {
+		g.handover.sender.SetCandidates(nil)
+		return
+	}
+	g.handover.sender.SetCandidates(handover.Candidates(g.roster.Self(), g.roster.Each(now)))
+}
+
+// openRequests returns the number of requests being served and of connections being relayed, each
+// of which counts as a request.
+func (g *Gateway) openRequests() int64 { return g.server.OpenRequests() + g.openRelays() }
+
+// openRelays returns the number of connections being relayed.
+func (g *Gateway) openRelays() int64 {
+	if g.handover.sender == nil {
+		return 0
+	}
+	return g.handover.sender.Open()
+}
+
+// closeQuietRelays closes the relayed connections that callers keep open without a request, as the
+// HTTP server does for other connections when it stops.
+func (g *Gateway) closeQuietRelays() {
+	if g.handover.sender != nil {
+		g.handover.sender.CloseQuiet(quietRelay)
+	}
+}
+
+// waitRelays waits until no connection is relayed any longer, or until ctx ends.
+func (g *Gateway) waitRelays(ctx context.Context) {
+	for g.openRelays() > 0 {
+		g.closeQuietRelays()
+		if !group.SleepUntil(ctx, clock.Now().Add(idleCheckInterval)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/handover_bench_test.go
@@ -0,0 +1,148 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/gateway"
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/metrics"
+)
+
+// benchEvents is the number of events of a stream, eventPause the time between two.
+const (
+	benchEvents = 30
+	eventPause  = 10 * time.Millisecond
+)
+
+// BenchmarkStream measures the CPU time of a stream of 30 events: of the caller and the engine
+// alone, with a router that serves it, and with one that relays the connection. What a router needs
+// is the difference from the first one.
+func BenchmarkStream(b *testing.B) {
+	engine := httptest.NewServer(streamer(benchEvents, benchEvents, eventPause))
+	defer engine.Close()
+	address := engine.Listener.Addr().String()
+	b.Run("direct", func(b *testing.B) { benchmarkStreams(b, address) })
+	b.Run("served", func(b *testing.B) { benchmarkStreams(b, benchRouter(b, address)) })
+	b.Run("relayed", func(b *testing.B) { benchmarkStreams(b, benchRelay(b, address, 0)) })
+	b.Run("relayed while short of CPU time", func(b *testing.B) { benchmarkStreams(b, benchRelay(b, address, 1)) })
+}
+
+// benchmarkStreams requests streams from an address, each on a new connection, 32 at a time.
+func benchmarkStreams(b *testing.B, address string) {
+	const concurrent = 32
+	b.ReportAllocs()
+	before := metrics.ProcessorTime()
+	var wait sync.WaitGroup
+	jobs := make(chan int)
+	for range concurrent {
+		wait.Go(func() {
+			for n := range jobs {
+				if err := readWholeStream(address, n); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	for n := range b.N {
+		jobs <- n
+	}
+	close(jobs)
+	wait.Wait()
+	b.ReportMetric(float64((metrics.ProcessorTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+func readWholeStream(address string, n int) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /stream/x HTTP/1.1\r\nHost: h\r\n%s: b%d\r\n%s: 9000\r\nAuthorization: Bearer key\r\nContent-Length: 8\r\n\r\nquestion",
+		headerNames.RequestID, n, headerNames.Deadline)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err == nil && string(body) != fullStream(benchEvents) {
+		return fmt.Errorf("status %d: %s", res.StatusCode, body)
+	}
+	return err
+}
+
+// benchRouter starts a router with one engine and returns its address.
+func benchRouter(b *testing.B, engine string) string {
+	b.Helper()
+	g, err := gateway.New(context.Background(), gateway.Options{
+		ID: "bench", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Incarnation: 1,
+		Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: gateway.NewMetrics(),
+		Limits: balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(g.Stop)
+	config, err := json.Marshal(spec(1))
+	if err != nil {
+		b.Fatal(err)
+	}
+	target, err := json.Marshal(balance.Target{ID: "t", Service: "s", Address: engine, Zone: "z", Slots: 64})
+	if err != nil {
+		b.Fatal(err)
+	}
+	g.SetConfig(1, config)
+	g.SetTargets(1, []message.StoredObject{{Name: "t", Revision: 1, Value: target}})
+	for !g.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return g.Self().Address
+}
+
+// benchRelay starts a sender that hands all connections to an address and returns its own. The
+// router there is replaced by the engine, which sends no byte to accept a connection.
+func benchRelay(b *testing.B, engine string, level float64) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	g := group.New(context.Background())
+	spacing := func() time.Duration { return time.Duration(level * float64(100*time.Millisecond)) }
+	g.Go(func() {
+		for {
+			caller, err := l.Accept()
+			if err != nil {
+				return
+			}
+			g.GoContext(func(ctx context.Context) {
+				peer, err := net.Dial("tcp", engine)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				_, _ = handover.Relay(ctx, caller, peer, g.Go, spacing)
+			})
+		}
+	})
+	b.Cleanup(func() {
+		_ = l.Close()
+		g.Stop()
+	})
+	return l.Addr().String()
+}
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,141 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/feature"
+	"github.com/stepcroft/stepcroft/internal/gateway"
+	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+const (
+	// tinyCores is so little that this process always uses more, manyCores so much that it never
+	// uses a noticeable part.
+	tinyCores = 0.0001
+	manyCores = 1000
+)
+
+// newBox returns a router with a number of cores and the switch for handing over.
+func newBox(cores float64, s feature.Switch, seeds ...string) *rig {
+	r := &rig{metrics: gateway.NewMetrics()}
+	n := incarnation.Add(1)
+	g, err := gateway.New(context.Background(), gateway.Options{
+		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
+		Incarnation: n, Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: r.metrics,
+		Limits:   balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
+		Capacity: cores, Features: feature.Set{Handover: s},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	r.Gateway = g
+	DeferCleanup(g.Stop)
+	return r
+}
+
+// tolerant returns a configuration whose streaming routes accept pauses of 400 ms.
+func tolerant() routing.Spec {
+	s := spec(1)
+	for i := range s.Routes {
+		s.Routes[i].MaxPause = 400 * time.Millisecond
+	}
+	return s
+}
+
+// handoverStats returns a router's counts as operators read them.
+func handoverStats(r *rig) handover.Stats {
+	w := httptest.NewRecorder()
+	r.metrics.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	var all struct{ Handover handover.Stats }
+	Expect(json.Unmarshal(w.Body.Bytes(), &all)).To(Succeed())
+	return all.Handover
+}
+
+var _ = Describe("A router that is short of CPU time", func() {
+	// pair returns a busy router and one with room, which know each other and the same target.
+	pair := func(s feature.Switch, config routing.Spec, handler http.HandlerFunc) (busy, other *rig) {
+		other = newBox(manyCores, s)
+		busy = newBox(tinyCores, s, other.Self().Peer)
+		for _, r := range []*rig{busy, other} {
+			r.configure(config)
+			r.serve("t", handler)
+		}
+		return busy, other
+	}
+	// postUntilHandedOver sends requests until one was handed over, and returns its answer.
+	postUntilHandedOver := func(busy *rig, path string) reply {
+		var got reply
+		Eventually(func() int64 {
+			before := handoverStats(busy).Accepted
+			got = busy.post(path)
+			return handoverStats(busy).Accepted - before
+		}).WithTimeout(10 * time.Second).Should(Equal(int64(1)))
+		return got
+	}
+
+	It("hands connections over to another one, which serves them", func() {
+		busy, other := pair(feature.Auto, tolerant(), streamer(5, 5, time.Millisecond))
+		got := postUntilHandedOver(busy, "/stream/x")
+		Expect(got).To(And(HaveField("Err", BeNil()), HaveField("Body", fullStream(5))))
+		Expect(handoverStats(other).Received).To(BeNumerically(">", 0))
+		Expect(handoverStats(other).Sent).To(BeZero())
+		Eventually(func() int64 { return handoverStats(busy).Open }).WithTimeout(3 * time.Second).Should(BeZero())
+	})
+
+	DescribeTable(
+		"serves connections itself", func(s feature.Switch, config routing.Spec) {
+			busy, other := pair(s, config, answer)
+			for range 10 {
+				busy.post("/many/x")
+				time.Sleep(30 * time.Millisecond)
+			}
+			Expect(handoverStats(busy).Sent).To(BeZero())
+			Expect(handoverStats(other).Received).To(BeZero())
+		},
+		Entry("if routes accept short pauses only", feature.Auto, spec(1)),
+		Entry("if the settings say so", feature.Off, tolerant()),
+	)
+
+	It("waits in a planned stop until answers that it relays are complete", func() {
+		busy, _ := pair(feature.On, spec(1), streamer(10, 10, 50*time.Millisecond))
+		Expect(postUntilHandedOver(busy, "/stream/x").Body).To(Equal(fullStream(10)))
+		got := make(chan reply, 1)
+		background(func() { got <- busy.post("/stream/x") })
+		Eventually(func() int64 { return handoverStats(busy).Open }).WithPolling(time.Millisecond).Should(BeNumerically(">", 0))
+		busy.Drain(context.Background(), 4*time.Second)
+		busy.Stop()
+		Expect(<-got).To(And(HaveField("Err", BeNil()), HaveField("Body", fullStream(10))))
+	})
+
+	It("cuts answers off when the other one ends, and does not repeat requests", func() {
+		started := make(chan struct{}, 100)
+		busy, other := pair(feature.On, spec(1), func(w http.ResponseWriter, r *http.Request) {
+			started <- struct{}{}
+			streamer(200, 200, 10*time.Millisecond)(w, r)
+		})
+		got := make(chan reply, 1)
+		Eventually(func() int64 {
+			before := handoverStats(busy).Accepted
+			background(func() { got <- busy.post("/single/x") })
+			time.Sleep(300 * time.Millisecond)
+			if n := handoverStats(busy).Accepted - before; n > 0 {
+				return n
+			}
+			<-got
+			return 0
+		}).WithTimeout(20 * time.Second).Should(Equal(int64(1)))
+		began := len(started)
+		other.Stop()
+		Expect(<-got).To(HaveField("Err", Not(BeNil())))
+		Expect(started).To(HaveLen(began))
+	})
+})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -101,6 +101,7 @@
 	m.Set("processor_part", func() any { return g.loop.CPUUtilisation() })
 	m.Set("turned_away", func() any { return g.server.RejectedConnections() })
 	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
+	m.Set("handover", func() any { return g.handover.stats() })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -54,6 +54,7 @@
 		g.forwardNews(now, true)
 	}
 	g.requestFromFar(now)
+	g.updateHandover(now)
 	g.updateSelf()
 	g.sendPings(g.roster.Tick(now))
 	g.logStateChanges(g.roster.Changes())
@@ -237,7 +238,7 @@
 func (g *Gateway) updateSelf() {
 	g.roster.UpdateSelf(message.RouterRecord{
 		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active,
-		StoreFailing: !g.storeFailingSince.IsZero(), Capacity: g.Capacity,
+		StoreFailing: !g.storeFailingSince.IsZero(), Capacity: g.Capacity, Handover: g.handover.announced(),
 	})
 	g.roster.SetRevisions(g.catalog.Newest(), g.quarantine.state.Digest())
 }
