Name the routers that take connections over, and reasons for declining

Operators could see that connections were handed over, but not to whom, nor why a router declined. The log line now has the open connections by router, and received_declined counts by reason.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -104,9 +104,19 @@
 	}
 }
 
-// reserveReceived decides whether to accept a connection from another router.
-func (g *Gateway) reserveReceived() bool {
-	return g.handover.enabled.Load() && handover.MayReceive(g.loop.CPUUtilisation()) && g.server.ReserveReceived()
+// reserveReceived decides whether to accept a connection from another router, and counts it if so.
+func (g *Gateway) reserveReceived() handover.Decline {
+	switch {
+	case !g.handover.enabled.Load():
+		return handover.DeclinedOff
+	case !g.server.Ready():
+		return handover.DeclinedNotReady
+	case !handover.MayReceive(g.loop.CPUUtilisation()):
+		return handover.DeclinedBusy
+	case !g.server.ReserveReceived():
+		return handover.DeclinedFull
+	}
+	return ""
 }
 
 // updateHandover applies the configuration and the present routers of the zone.
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -83,8 +84,8 @@
 	return c.(*net.TCPConn)
 }
 
-// receiver starts a router that accepts what serves says and calls serve with each connection.
-func receiver(t testing.TB, accepts func() bool, serve func(c *net.TCPConn)) *handover.Receiver {
+// receiver starts a router that accepts what accepts says and calls serve with each connection.
+func receiver(t testing.TB, accepts func() handover.Decline, serve func(c *net.TCPConn)) *handover.Receiver {
 	t.Helper()
 	r, err := handover.Listen(context.Background(), "127.0.0.1:0", accepts, func() {})
 	if err != nil {
@@ -110,7 +111,7 @@
 	return r
 }
 
-func always() bool { return true }
+func always() handover.Decline { return "" }
 
 // ask sends a line and returns all of the answer.
 func ask(t *testing.T, f *front) (string, error) {
@@ -141,7 +142,7 @@
 		t.Fatal(err)
 	}
 	_ = gone.Close()
-	decliner := receiver(t, func() bool { return false }, echoLine).Addr().String()
+	decliner := receiver(t, func() handover.Decline { return handover.DeclinedBusy }, echoLine).Addr().String()
 	cases := map[string]struct {
 		addresses []string
 		want      string
@@ -164,7 +165,7 @@
 			if took := time.Since(began); took > time.Second {
 				t.Errorf("took %v", took)
 			}
-			eventually(t, "counts", func() bool { return f.sender.Stats() == c.stats })
+			eventually(t, "counts", func() bool { return reflect.DeepEqual(f.sender.Stats(), c.stats) })
 		})
 	}
 }
--- a/internal/handover/selector.go
+++ b/internal/handover/selector.go
@@ -128,6 +128,18 @@
 // Open returns the number of connections that are handed over now.
 func (s *Selector) Open() int { return s.open }
 
+// OpenAt returns the number of connections that are handed over to each router, for at most n of
+// them.
+func (s *Selector) OpenAt(n int) map[message.RouterID]int {
+	at := map[message.RouterID]int{}
+	for id, t := range s.targets {
+		if t.open > 0 && len(at) < n {
+			at[id] = t.open
+		}
+	}
+	return at
+}
+
 // room reports whether the limits allow another connection to be handed over.
 func (s *Selector) room() bool {
 	return s.connecting < s.limits.Connecting && s.connecting+s.open < s.limits.Relays
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -37,8 +37,10 @@
 	// the longest one that still says something about the present load.
 	measureInterval    = 100 * time.Millisecond
 	maxMeasureInterval = time.Second
-	// logInterval is the least time between two log lines.
-	logInterval = time.Second
+	// logInterval is the least time between two log lines, maxLoggedRouters the most routers that
+	// one names.
+	logInterval      = time.Second
+	maxLoggedRouters = 8
 	// spacingFrom and spacingTo are the CPU utilisations at which pieces of answers begin to be
 	// delayed, and at which they are delayed by maxSpacing.
 	spacingFrom, spacingTo = handOverAbove, 0.9
@@ -61,9 +63,9 @@
 	// Open is the number of connections being relayed.
 	Open int64 `json:"open"`
 	// Received and ReceivedDeclined count the connections that other routers offered and this one
-	// accepted or declined.
-	Received         int64 `json:"received"`
-	ReceivedDeclined int64 `json:"received_declined"`
+	// accepted, or declined for a reason.
+	Received         int64             `json:"received"`
+	ReceivedDeclined map[Decline]int64 `json:"received_declined"`
 	// Bytes counts the bytes of relays that have ended, in both directions.
 	Bytes int64 `json:"bytes"`
 }
@@ -305,10 +307,13 @@
 	count := s.sent.Value()
 	var backedOff int
 	var part float64
-	s.note(func() { backedOff, part = s.selector.BackedOff(now), s.selector.Part() })
+	var to map[message.RouterID]int
+	s.note(func() {
+		backedOff, part, to = s.selector.BackedOff(now), s.selector.Part(), s.selector.OpenAt(maxLoggedRouters)
+	})
 	s.log.Info("connections handed over", "offered", count-s.loggedSent.Swap(count), "accepted_total", s.accepted.Value(),
 		"declined_total", s.declined.Value(), "failed_total", s.failed.Value(), "open", s.open.Value(),
-		"part", part, "candidates", len(s.current()), "backed_off", backedOff, "busy", s.meter.utilisation(now))
+		"to", to, "part", part, "candidates", len(s.current()), "backed_off", backedOff, "busy", s.meter.utilisation(now))
 }
 
 // meter measures the CPU utilisation when it is asked. The control loop measures only once a second
