Close quiet relays when most of those allowed are open

Callers keep connections open for up to a minute after their last request, and relays of such connections could use up the limit, so that requests were refused again. Sender and receiver now close some without a request, as the HTTP server does at its limit.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,10 +21,6 @@
 	// second, one or two wait for the network; more means that this router is too slow even for
 	// handing over.
 	maxOffers = 32
-	// quietRelay is the time after a piece of an answer after which a stopping router takes a
-	// relayed connection for one without a request. It is several times the longest pause between
-	// events that a caller accepts.
-	quietRelay = 3 * time.Second
 )
 
 // handoverState holds what the router needs to hand connections over and to receive them. sender is
@@ -149,7 +145,7 @@
 // HTTP server does for other connections when it stops.
 func (g *Gateway) closeQuietRelays() {
 	if g.handover.sender != nil {
-		g.handover.sender.CloseQuiet(quietRelay)
+		g.handover.sender.CloseQuiet(handover.QuietTime)
 	}
 }
 
--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -188,7 +188,7 @@
 // betweenRequests reports whether the last byte came from the other router, at least d ago: the
 // caller keeps the connection open without a request.
 func (r *relay) betweenRequests(d time.Duration) bool {
-	return r.answered.Load() && r.quietFor() >= d
+	return r.answered.Load() && !r.finished.Load() && r.quietFor() >= d
 }
 
 // abort resets both connections and ends all reads and writes. The goroutines close the connections
@@ -203,7 +203,7 @@
 	}
 }
 
-// finish closes both connections as if the other router had closed its own.
+// finish closes both connections, once what has arrived is written, as if the other router had closed its own.
 func (r *relay) finish() {
 	r.finished.Store(true)
 	_ = r.peer.SetReadDeadline(past)
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -31,6 +31,12 @@
 
 // newFront returns a front whose only candidates are the given addresses.
 func newFront(t testing.TB, utilisation float64, addresses ...string) *front {
+	t.Helper()
+	return newLimitedFront(t, 100, utilisation, addresses...)
+}
+
+// newLimitedFront is newFront with a limit of open relays.
+func newLimitedFront(t testing.TB, relays int, utilisation float64, addresses ...string) *front {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,7 +45,7 @@
 	g := group.New(context.Background())
 	none := func() time.Duration { return 0 }
 	f := &front{caller: l, sender: handover.NewSender(
-		g, handover.Limits{Relays: 100, Connecting: 100}, 0, none, func() float64 { return utilisation }, logr.Discard(),
+		g, handover.Limits{Relays: relays, Connecting: 100}, 0, none, func() float64 { return utilisation }, logr.Discard(),
 	)}
 	var list []handover.Candidate
 	for i, a := range addresses {
@@ -313,6 +319,44 @@
 	}
 }
 
+// TestQuietRelaysMakeRoom guards against callers that only keep connections open and so use up the
+// allowed relays.
+func TestQuietRelaysMakeRoom(t *testing.T) {
+	const relays = 4
+	r := receiver(t, always, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	f := newLimitedFront(t, relays, 1, r.Addr().String())
+	var open []*net.TCPConn
+	for range relays {
+		c := f.dial(t)
+		_, _ = io.WriteString(c, "question\n")
+		if _, err := io.ReadFull(c, make([]byte, 9)); err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, c)
+	}
+	if got, err := ask(t, f); got != "local question\n" || err != nil {
+		t.Errorf("beyond the limit: got %q, %v", got, err)
+	}
+	time.Sleep(handover.QuietTime + 100*time.Millisecond)
+	for _, c := range open[1:] {
+		// These have requests again.
+		_, _ = io.WriteString(c, "x")
+		_, _ = io.ReadFull(c, make([]byte, 1))
+	}
+	_, _ = ask(t, f)
+	if _, err := open[0].Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("quiet connection: %v, want EOF", err)
+	}
+	_ = open[0].Close()
+	eventually(t, "no room", func() bool { return f.sender.Open() == relays-1 })
+	c := f.dial(t)
+	_, _ = io.WriteString(c, "question\n")
+	got := make([]byte, 9)
+	if _, err := io.ReadFull(c, got); string(got) != "question\n" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
 // TestRefusalPassesUnread guards against a router that handles the refusals of another one: only the
 // caller may act on them.
 func TestRefusalPassesUnread(t *testing.T) {
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -46,6 +46,17 @@
 	spacingFrom, spacingTo = handOverAbove, 0.9
 )
 
+// QuietTime is the time after a piece of an answer after which a relayed connection counts as one
+// without a request. It is several times the longest pause between events that a caller accepts.
+const QuietTime = 3 * time.Second
+
+const (
+	// makeRoomFrom is the percentage of the allowed relays from which quiet ones are closed, and
+	// makeRoomInterval the least time between two looks at all relays.
+	makeRoomFrom     = 90
+	makeRoomInterval = 100 * time.Millisecond
+)
+
 // accepted is the byte that a router sends for a connection that it accepts.
 const accepted = 1
 
@@ -82,6 +93,9 @@
 	mu       sync.Mutex
 	selector *Selector
 	relays   map[*relay]struct{}
+	// maxRelays is Limits.Relays, madeRoomAt the last time at which makeRoom looked at all relays.
+	maxRelays  int
+	madeRoomAt time.Time
 
 	sent, accepted, declined, failed, open, bytes expvar.Int
 	// loggedAt is the time of the last log line, in nanoseconds since began, and loggedSent what
@@ -97,7 +111,7 @@
 func NewSender(g *group.Group, limits Limits, cores float64, cpuTime func() time.Duration, utilisation func() float64, log logr.Logger) *Sender {
 	s := &Sender{
 		group: g, log: log, meter: &meter{cores: cores, cpuTime: cpuTime, control: utilisation},
-		selector: New(limits), relays: map[*relay]struct{}{}, began: clock.Now(),
+		selector: New(limits), relays: map[*relay]struct{}{}, maxRelays: limits.Relays, began: clock.Now(),
 		dialer: net.Dialer{
 			Timeout: acceptTimeout, Control: sockopt.UserTimeout(unackedTimeout),
 			KeepAliveConfig: keepAlive,
@@ -137,9 +151,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.selector.SetLoad(now, utilisation)
+	if s.selector.Part() > 0 {
+		s.makeRoom(now)
+	}
 	return s.selector.Wanted()
 }
 
+// makeRoom closes some relays on which nothing happens, when most of those that are allowed are
+// open: callers keep connections open for up to a minute after their last request. mu must be held.
+func (s *Sender) makeRoom(now time.Time) {
+	if s.selector.Open() < s.maxRelays*makeRoomFrom/100 || now.Sub(s.madeRoomAt) < makeRoomInterval {
+		return
+	}
+	s.madeRoomAt = now
+	s.closeQuiet(QuietTime, max(s.maxRelays*(100-makeRoomFrom)/100, 1))
+}
+
 // Take decides whether to hand over a new connection, from which nothing has been read. It returns
 // false if the connection is to be served here. Otherwise it returns at once; if no other router
 // accepts the connection, local is called in another goroutine.
@@ -280,9 +307,14 @@
 func (s *Sender) CloseQuiet(d time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.closeQuiet(d, len(s.relays))
+}
+
+// closeQuiet is CloseQuiet for at most some relays. mu must be held.
+func (s *Sender) closeQuiet(d time.Duration, most int) int {
 	n := 0
 	for r := range s.relays {
-		if r.betweenRequests(d) {
+		if n < most && r.betweenRequests(d) {
 			r.finish()
 			n++
 		}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 // Handover takes new connections to other routers while this one is short of CPU time. It is
@@ -127,7 +129,7 @@
 func (s *conns) reserveReceived() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.received >= s.max/2 {
+	if s.closed || s.received >= s.max/2 && !s.evictOldestReceived() {
 		return false
 	}
 	if s.open >= s.max && !s.evictOldest() {
@@ -138,6 +140,19 @@
 	return true
 }
 
+// evictOldestReceived closes the handed-over connection that has been idle for the longest, and
+// returns false if there is none. Otherwise the callers of another router could fill the limit with
+// connections that they only keep open. mu must be held.
+func (s *conns) evictOldestReceived() bool {
+	for e := s.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.received && sockopt.Idle(c.Conn) {
+			s.evict(c)
+			return true
+		}
+	}
+	return false
+}
+
 // receivedListener accepts the connections that other routers hand over.
 type receivedListener struct {
 	net.Listener
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -108,25 +108,52 @@
 		Expect(reason(in)).To(Equal("no-target"))
 	})
 
-	It("are not handed over again by the router that receives them, which takes half of its connections", func() {
-		received, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
+	Context("at the router that receives them", func() {
+		var received net.Listener
 		var s *ingress.Server
-		serveObserved(g, l, ignoringObserver{}, func(server *ingress.Server) {
-			s = server
-			s.HandOver(t)
-			g.Go(func() { _ = s.ServeReceived(received) })
+
+		BeforeEach(func() {
+			var err error
+			received, err = net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			serveObserved(g, l, ignoringObserver{}, func(server *ingress.Server) {
+				s = server
+				s.HandOver(t)
+				g.Go(func() { _ = s.ServeReceived(received) })
+			})
+		})
+
+		It("are not handed over again", func() {
+			Expect(s.ReserveReceived()).To(BeTrue())
+			Expect(reason(bufio.NewReader(dial(received, request("k2"))))).To(Equal("no-target"))
+			Expect(t.taken.Load()).To(BeZero())
+		})
+
+		It("take at most half of its connections", func() {
+			var open []net.Conn
+			for s.ReserveReceived() {
+				open = append(open, dial(received, "POST"))
+			}
+			Expect(open).To(HaveLen(maxConnections / 2))
+			Expect(open[0].Close()).To(Succeed())
+			Eventually(s.ReserveReceived).Should(BeTrue())
+			s.ReleaseReceived()
+		})
+
+		It("make room for others if they are idle", func() {
+			var open []net.Conn
+			for range maxConnections / 2 {
+				Expect(s.ReserveReceived()).To(BeTrue())
+				c := dial(received, request("k2"))
+				Expect(reason(bufio.NewReader(c))).To(Equal("no-target"))
+				open = append(open, c)
+			}
+			Eventually(s.ReserveReceived).Should(BeTrue())
+			s.ReleaseReceived()
+			Eventually(func() error {
+				_, err := open[0].Read(make([]byte, 1))
+				return err
+			}).Should(MatchError(io.EOF))
 		})
-		var open []net.Conn
-		for s.ReserveReceived() {
-			c := dial(received, request("k2"))
-			Expect(reason(bufio.NewReader(c))).To(Equal("no-target"))
-			open = append(open, c)
-		}
-		Expect(open).To(HaveLen(maxConnections / 2))
-		Expect(t.taken.Load()).To(BeZero())
-		Expect(open[0].Close()).To(Succeed())
-		Eventually(s.ReserveReceived).Should(BeTrue())
-		s.ReleaseReceived()
 	})
 })
