--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -122,6 +122,8 @@
 	}
 	t := g.catalog.Table()
 	g.handover.enabled.Store(t != nil && g.Features.Handover.Enabled(t.AllTolerate()))
+	// With the switch on, routes may accept only shorter pauses.
+	g.handover.sender.SetSpacing(t != nil && t.AllTolerate())
 	if !g.handover.enabled.Load() || g.leaving {
 		g.handover.sender.SetCandidates(nil)
 		return
--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -27,9 +27,10 @@
 	// closed, so that the caller can read its answer to the end.
 	lingerTimeout = time.Second
 	// maxSpacing is the longest time that a piece of an answer may wait for the next one, so that
-	// both are written together, while the router is short of CPU time. It is a quarter of the
-	// shortest pause between events that callers accept when handover is in use.
-	maxSpacing = 100 * time.Millisecond
+	// both are written together, while the router is short of CPU time. It is half of the shortest
+	// pause between events that callers accept when handover is in use. A pause that is longer
+	// already does not grow by it.
+	maxSpacing = 200 * time.Millisecond
 )
 
 // ErrReset means that one side of a relayed connection has reset it, or cannot be reached.
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -51,6 +51,7 @@
 	for i, a := range addresses {
 		list = append(list, handover.Candidate{ID: message.RouterID(fmt.Sprint("r", i)), Address: a, Cores: 1})
 	}
+	f.sender.SetSpacing(true)
 	f.sender.SetCandidates(list)
 	g.Go(func() {
 		for {
@@ -373,6 +374,36 @@
 	}
 }
 
+// TestSpacing guards against spending a read and a write on each event while the router is short of
+// CPU time, and against longer pauses than callers accept: 400 ms at least.
+func TestSpacing(t *testing.T) {
+	const events, pause = 30, 20 * time.Millisecond
+	r := receiver(t, always, func(c *net.TCPConn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		for range events {
+			_, _ = io.WriteString(c, "event\n")
+			time.Sleep(pause)
+		}
+	})
+	f := newFront(t, 1, r.Addr().String())
+	c := f.dial(t)
+	_, _ = io.WriteString(c, "question\n")
+	reads, bytes, buffer := 0, 0, make([]byte, 1<<10)
+	for last := time.Now(); ; last = time.Now() {
+		n, err := c.Read(buffer)
+		if n == 0 || err != nil {
+			break
+		}
+		reads, bytes = reads+1, bytes+n
+		if d := time.Since(last); d > 400*time.Millisecond {
+			t.Errorf("pause of %v", d)
+		}
+	}
+	if bytes != events*len("event\n") || reads > events/3 {
+		t.Errorf("%d bytes in %d pieces", bytes, reads)
+	}
+}
+
 // TestStop guards against relays that outlive their router.
 func TestStop(t *testing.T) {
 	r := receiver(t, always, func(c *net.TCPConn) { _, _ = io.ReadAll(c) })
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -89,6 +89,8 @@
 	meter      *meter
 	dialer     net.Dialer
 	candidates atomic.Pointer[[]Candidate]
+	// spaces is set if callers accept that events come together.
+	spaces atomic.Bool
 
 	mu       sync.Mutex
 	selector *Selector
@@ -133,6 +135,10 @@
 	s.selector.Retain(list)
 }
 
+// SetSpacing sets whether callers accept that events come together while the router is short of CPU
+// time.
+func (s *Sender) SetSpacing(accepted bool) { s.spaces.Store(accepted) }
+
 // current returns the routers to which connections may be handed over.
 func (s *Sender) current() []Candidate {
 	if list := s.candidates.Load(); list != nil {
@@ -295,6 +301,9 @@
 
 // spacing returns how long a piece of an answer may wait for the next one.
 func (s *Sender) spacing() time.Duration {
+	if !s.spaces.Load() {
+		return 0
+	}
 	level := (s.meter.utilisation(clock.Now()) - spacingFrom) / (spacingTo - spacingFrom)
 	return time.Duration(min(max(level, 0), 1) * float64(maxSpacing))
 }
