--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -118,6 +118,7 @@
 	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
 	m.Set("pause_bounded", func() any { bounded, _ := g.loop.PauseCounts(); return bounded })
 	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
+	m.Set("handover", func() any { return g.handover.stats() })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
 }
 
