Forward streams through answer buffers

With the switch answerBuffers, a stream's events go into a buffer, and a goroutine of the stream writes them to the caller. A caller that leaves ends the exchange at once. Where the switch is off, streams are forwarded as before. The figure answer_buffers and a log line each second at most show what waits.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
@@ -28,6 +29,10 @@
 	suspects Suspects
 	log      logr.Logger
 	counters Counters
+	// budget is the memory for buffered streams, nil if there are none; buffered reports whether
+	// streams are buffered.
+	budget   *answerbuffer.Budget
+	buffered func() bool
 }
 
 // Counters counts retries by reason, and what targets report about themselves.
@@ -42,6 +47,13 @@
 	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c}
 }
 
+// WithBuffers returns a forwarder that buffers streams within a budget while enabled returns true.
+func (f *Forwarder) WithBuffers(b *answerbuffer.Budget, enabled func() bool) *Forwarder {
+	out := *f
+	out.budget, out.buffered = b, enabled
+	return &out
+}
+
 // ShedReason returns the reason to reject a request of an organisation to engines before it is
 // parsed, because the organisation sends more than the router can take in, or "" to read it.
 func (f *Forwarder) ShedReason(organisation string, o throttle.RequestSize) Reason {
@@ -83,9 +95,14 @@
 	answerStarted bool
 	// mayHaveRun is set once a target may have run the request, wholly or in part.
 	mayHaveRun bool
-	// lastEventID is the id of the last event that the caller has, after which a retry resumes.
+	// delivery writes the stream to the caller if it is buffered, else it is nil. cancel cancels
+	// the exchange with the target.
+	delivery *delivery
+	cancel   context.CancelFunc
+	// lastEventID is the id of the last event that the caller has, or that is in its buffer and
+	// will be delivered. A retry resumes after it.
 	lastEventID string
-	// forwardedEvents is the number of events forwarded to the caller.
+	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
 	// contentKey identifies the request by its content; computed when first needed, see key.
 	contentKey *quarantine.Key
@@ -105,6 +122,7 @@
 	}
 	timed, cancel := context.WithTimeout(ctx, clock.Until(deadline))
 	defer cancel()
+	x.cancel = cancel
 	if x.refuseQuarantined(timed) {
 		return x.result
 	}
@@ -112,6 +130,7 @@
 	if x.onTrial {
 		x.suspects.EndTrial(x.key())
 	}
+	x.deliverRest(ctx)
 	return x.result
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -48,6 +48,8 @@
 
 func (discard) Head(int, http.Header, int64) {}
 func (discard) Write([]byte) error           { return nil }
+func (discard) Unacknowledged() int          { return 0 }
+func (discard) StopWriting()                 {}
 func (discard) CountRetry(forward.Reason)    {}
 func (discard) CountAdvice(forward.Advice)   {}
 
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -45,7 +45,7 @@
 }
 
 // setTargets replaces the list of targets.
-func (f *testForwarder) setTargets(t *testing.T, list ...balance.Target) {
+func (f *testForwarder) setTargets(t testing.TB, list ...balance.Target) {
 	t.Helper()
 	if !f.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) { s.SetTargets(now, list) }) {
 		t.Fatal("the control loop did not apply the list of targets")
@@ -64,7 +64,7 @@
 }
 
 // startTarget starts a target that answers with h and counts its requests in count.
-func startTarget(t *testing.T, id string, count *atomic.Int64, h http.HandlerFunc) balance.Target {
+func startTarget(t testing.TB, id string, count *atomic.Int64, h http.HandlerFunc) balance.Target {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		count.Add(1)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -83,6 +83,11 @@
 	Head(status int, header http.Header, length int64)
 	// Write sends a piece of the body without buffering it.
 	Write(b []byte) error
+	// Unacknowledged returns the number of bytes written that the caller's host has not confirmed
+	// to have received, 0 if unknown. It may be called during a Write.
+	Unacknowledged() int
+	// StopWriting makes a Write that blocks fail, and all later ones.
+	StopWriting()
 }
 
 // Sender sends requests to targets and receives their answers.
@@ -152,6 +157,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonCallerGone means that the caller disconnected.
 	ReasonCallerGone Reason = "caller-gone"
+	// ReasonCallerStalled means that the caller did not take the rest of a buffered answer.
+	ReasonCallerStalled Reason = "caller-stalled"
 	// ReasonRefused means that a target answered that it did not run the request.
 	ReasonRefused Reason = "target-refused"
 	// ReasonUnreachable means that no connection to a target could be made.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -240,7 +240,7 @@
 	for {
 		batch, err := reader.next(x.lastEventID)
 		if len(batch) > 0 {
-			if f := x.forwardBatch(a, reader, batch, silence); f != nil {
+			if f := x.forwardBatch(ctx, a, reader, batch, silence); f != nil {
 				return f
 			}
 		}
@@ -274,12 +274,12 @@
 }
 
 // forwardBatch forwards a batch of whole events and restarts the silence timer.
-func (x *inflight) forwardBatch(a *httptarget.Answer, reader *eventReader, batch []byte, silence *time.Timer) *failure {
+func (x *inflight) forwardBatch(ctx context.Context, a *httptarget.Answer, reader *eventReader, batch []byte, silence *time.Timer) *failure {
 	if x.forwardedEvents == 0 || !x.result.HeadSent {
 		x.startStream(a)
 	}
 	x.recordPiece()
-	if err := x.caller.Write(batch); err != nil {
+	if err := x.writeBatch(ctx, batch, silence); err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
 	}
 	x.ticket.Pieces.Add(1)
@@ -294,6 +294,16 @@
 	return nil
 }
 
+// writeBatch writes a batch of events to the caller, or puts it into the caller's buffer.
+func (x *inflight) writeBatch(ctx context.Context, batch []byte, silence *time.Timer) error {
+	if !x.startDelivery() {
+		return x.caller.Write(batch)
+	}
+	// The engine is not silent while its answer is not read for want of room.
+	silence.Stop()
+	return x.delivery.buffer.Append(ctx, batch)
+}
+
 // startStream sends the head of a stream to the caller, unless an earlier target's was sent.
 func (x *inflight) startStream(a *httptarget.Answer) {
 	if x.result.HeadSent {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -145,6 +145,7 @@
 	t := g.catalog.Table()
 	s.Configure(t)
 	g.server.Configure(t)
+	g.answers.enabled.Store(g.Features.AnswerBuffers.Enabled(t.AllTolerate()))
 	g.Log.Info("configuration in force", "version", t.Version(), "era", revision.Era(at), "revision", revision.Store(at), "from", from,
 		"bytes", len(value), "took_ms", clock.Since(began).Milliseconds())
 	// Unlike changes of targets, a configuration is not held up by others before it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/adapter/peer"
+	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
@@ -52,6 +53,8 @@
 	// defaultEntryTTL is the TTL of targets' entries in the store if Options.EntryTTL is not
 	// set.
 	defaultEntryTTL = 4 * time.Second
+	// defaultMemoryBytes is the router's memory if Options.MemoryBytes is not set.
+	defaultMemoryBytes = 128 << 20
 )
 
 // Options configures a gateway.
@@ -79,6 +82,9 @@
 	Limits       balance.Limits
 	// Features are the switches of optional decisions.
 	Features feature.Set
+	// MemoryBytes is the memory that the router may use; 0 means 128 MB, which the smallest of
+	// the known boxes have.
+	MemoryBytes int64
 	// TargetDrain is how long a leaving target continues to serve; 0 means two seconds.
 	TargetDrain time.Duration
 	// EntryTTL is the TTL after which the store removes the entry of a target that has stopped
@@ -166,6 +172,8 @@
 	// loggedBackoffs counts the backoffs that no target asked for, as logged last.
 	loggedBackoffs int64
 	tally          tally
+	// answers is the memory for buffered answers.
+	answers answerBuffers
 }
 
 // listenConfig is for the callers' listener. TCP keep-alive is off, which saves four system calls
@@ -240,7 +248,9 @@
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
 	g.transport = httptarget.New(g.group)
-	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics)
+	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
+	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
+		WithBuffers(g.answers.budget, g.answers.enabled.Load)
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -102,6 +102,7 @@
 	m.Set("turned_away", func() any { return g.server.RejectedConnections() })
 	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
+	m.Set("answer_buffers", func() any { return g.answers.budget.Stats() })
 }
 
 // CountRetry counts a retry by its reason.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -61,6 +61,7 @@
 	g.logTallies(now)
 	g.logCold(s, now)
 	g.logAdvice(s)
+	g.logAnswersWaiting(now)
 	g.publishLocalChanges(now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/message"
@@ -47,12 +48,22 @@
 // if the router is short of CPU time and coalesces events.
 func BenchmarkStreams(b *testing.B) {
 	const streams, length = 100, 40
-	for name, cores := range map[string]float64{"enough CPU time": 0, "short of CPU time": 0.001} {
+	cases := map[string]struct {
+		cores   float64
+		buffers feature.Switch
+	}{
+		"enough CPU time":             {buffers: feature.Off},
+		"enough CPU time, buffered":   {buffers: feature.On},
+		"short of CPU time":           {cores: 0.001, buffers: feature.Off},
+		"short of CPU time, buffered": {cores: 0.001, buffers: feature.On},
+	}
+	for name, c := range cases {
 		b.Run(name, func(b *testing.B) {
 			g, err := gateway.New(context.Background(), gateway.Options{
-				ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Incarnation: 1, Capacity: cores,
+				ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Incarnation: 1, Capacity: c.cores,
 				Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: gateway.NewMetrics(),
-				Limits: balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
+				Features: feature.Set{AnswerBuffers: c.buffers},
+				Limits:   balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
 			})
 			if err != nil {
 				b.Fatal(err)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -174,6 +174,16 @@
 	return ok && sockopt.RemoteClosed(c.Conn)
 }
 
+// unacknowledged returns the number of bytes sent to the caller of a request that its host has not
+// confirmed to have received.
+func unacknowledged(ctx context.Context) int {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return 0
+	}
+	return sockopt.Unacknowledged(c.Conn)
+}
+
 // connState implements http.Server.ConnState: it marks connections idle when their request has
 // ended.
 func connState(raw net.Conn, state http.ConnState) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -222,7 +222,7 @@
 	}
 	defer s.bodyBytes.Add(-int64(len(request.Body)))
 	request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
-	a := &answer{w: w, flush: http.NewResponseController(w)}
+	a := &answer{w: w, flush: http.NewResponseController(w), request: r}
 	s.finish(w, request, s.forwarder.Forward(r.Context(), request, a), arrived)
 }
 
@@ -385,8 +385,9 @@
 
 // answer writes a target's answer to the caller.
 type answer struct {
-	w     http.ResponseWriter
-	flush *http.ResponseController
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	request *http.Request
 }
 
 // Head implements forward.Caller.
@@ -414,3 +415,12 @@
 	}
 	return errors.Wrap(a.flush.Flush(), "write to caller")
 }
+
+// Unacknowledged implements forward.Caller.
+func (a *answer) Unacknowledged() int { return unacknowledged(a.request.Context()) }
+
+// StopWriting implements forward.Caller.
+func (a *answer) StopWriting() {
+	// Any time in the past does. An error means that the connection is closed already.
+	_ = a.flush.SetWriteDeadline(time.Unix(1, 0))
+}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux's tcp.h.
@@ -67,6 +69,17 @@
 	return max(n, 0)
 }
 
+// Unacknowledged returns the number of bytes written to a TCP connection that the remote host has
+// not acknowledged, sent or not; 0 for connections that are closed or not TCP. Another goroutine
+// may be blocked in Write meanwhile.
+func Unacknowledged(c net.Conn) int {
+	n := 0
+	if err := withDescriptor(c, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.TIOCOUTQ) }); err != nil {
+		return 0
+	}
+	return n
+}
+
 // withDescriptor calls f with the file descriptor of a TCP connection, unless it is closed. For
 // connections that are not TCP it returns EAGAIN.
 func withDescriptor(c net.Conn, f func(fd int)) error {
