--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -1,6 +1,7 @@
 package sockopt_test
 
 import (
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -101,3 +102,37 @@
 	}
 	eventually(t, "RemoteClosed is still false after the remote side closed the connection", func() bool { return sockopt.RemoteClosed(b) })
 }
+
+// TestUnacknowledged guards against a caller that reads slowly being taken for one that has stopped
+// reading: what its host has not received must go down as it reads.
+func TestUnacknowledged(t *testing.T) {
+	l, _ := listening(t)
+	remote := arrive(t, l)
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	written, err := c.Write(make([]byte, 64<<20))
+	if err == nil {
+		t.Fatal("the kernel has taken up 64 MB, so all may be acknowledged")
+	}
+	before := sockopt.Unacknowledged(c)
+	if before <= 0 || before > written {
+		t.Errorf("%d of %d bytes are not acknowledged", before, written)
+	}
+	if _, err := io.CopyN(io.Discard, remote, int64(written)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); sockopt.Unacknowledged(c) != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are not acknowledged, all were read", sockopt.Unacknowledged(c))
+		}
+	}
+	if n := sockopt.Unacknowledged(nil); n != 0 {
+		t.Errorf("%d for a connection that is not TCP", n)
+	}
+}
