Test that a failed write ends the exchange of an idle engine

The engine of the test went on sending, so the next event ended the exchange even without the cancellation that a failed write causes. The engine now sends nothing when its caller leaves.

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -239,9 +239,9 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			ended := make(chan time.Time, 1)
+			sent, ended := make(chan bool), make(chan time.Time, 1)
 			f := newBufferedForwarder(t, test.budget, func(w http.ResponseWriter, r *http.Request) {
-				streamTo(deliveredEvents, func(*http.Request) {})(w, r)
+				streamTo(deliveredEvents, func(*http.Request) { close(sent) })(w, r)
 				<-r.Context().Done()
 				ended <- time.Now()
 			})
@@ -258,6 +258,9 @@
 				s := f.budget.Stats()
 				return s.Bytes > 0 || s.Waiting > 0
 			})
+			// The engine sends no further event, at which the router would notice that its caller left.
+			<-sent
+			time.Sleep(20 * time.Millisecond)
 			left := time.Now()
 			test.leave(c, cancel)
 			v := <-result
