--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/adapter/peer"
+	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
@@ -52,6 +53,8 @@
 	// defaultEntryTTL is the TTL of targets' entries in the store if Options.EntryTTL is not
 	// set.
 	defaultEntryTTL = 4 * time.Second
+	// defaultMemoryBytes is the router's memory if Options.MemoryBytes is not set.
+	defaultMemoryBytes = 128 << 20
 )
 
 // Options configures a gateway.
@@ -84,6 +87,9 @@
 	Limits       balance.Limits
 	// Features are the switches of optional decisions.
 	Features feature.Set
+	// MemoryBytes is the memory that the router may use; 0 means 128 MB, which the smallest of
+	// the known boxes have.
+	MemoryBytes int64
 	// TargetDrain is how long a leaving target continues to serve; 0 means two seconds.
 	TargetDrain time.Duration
 	// EntryTTL is the TTL after which the store removes the entry of a target that has stopped
@@ -176,6 +182,8 @@
 	loggedBackoffs int64
 	loggedPauses   loggedPauses
 	tally          tally
+	// answers is the memory for buffered answers.
+	answers answerBuffers
 }
 
 // listenConfig is for the callers' listener. TCP keep-alive is off, which saves four system calls
@@ -250,7 +258,9 @@
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
 	g.transport = httptarget.New(g.group)
-	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics)
+	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
+	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
+		WithBuffers(g.answers.budget, g.answers.enabled.Load)
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -120,6 +120,7 @@
 	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
 	m.Set("handover", func() any { return g.handover.stats() })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
+	m.Set("answer_buffers", func() any { return g.answers.budget.Stats() })
 }
 
 // CountRetry counts a retry by its reason.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -65,6 +65,7 @@
 	g.logWaits(s, now)
 	g.logAdvice(s)
 	g.publishSpeeds(s, now)
+	g.logAnswersWaiting(now)
 	g.publishLocalChanges(now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
