Do not read a tick's result after the router stopped waiting for it

The race detector found one race in three runs of the gateway's tests: when the context ends while a tick waits in the queue of the control goroutine, runTicks read the time of the next tick while that goroutine could still write it. PostAndWait returns false in this case; runTicks now ends then. The other callers of PostAndWait check its result before they read.

--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -33,12 +33,16 @@
 				return
 			}
 		}
-		next := clock.Now()
-		g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
+		var next time.Time
+		posted := g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
 			g.tick(s, now)
 			g.ticks.Add(1)
 			next = g.scheduleTick(now)
 		})
+		if !posted {
+			// The event may still be running, so next must not be read.
+			return
+		}
 		timer.Reset(clock.Until(next))
 	}
 }
