Do not take an engine that fails quickly for a fast one

Some engines answered a part of their requests with errors then, within milliseconds, which counted as times to the first event; the engines looked fast and got ever more requests.

Answers with a server error no longer count for the speed of an engine. The flag is set before the answer is reported as started, and reset before each send, so that a retry does not inherit it.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -54,6 +54,9 @@
 	took, factor := now.Sub(t.sentAt), 1.0
 	if s.comparesSpeeds(t.Service) {
 		factor = s.factor(now, t.target)
+	}
+	// An engine that fails answers at once. Taken for speed, that would attract all requests.
+	if s.comparesSpeeds(t.Service) && !t.ServerError.Load() {
 		own := pace.Reference(pace.Work{Uncached: t.work.Uncached})
 		part := float64(own) / float64(pace.Reference(t.work))
 		s.speeds.Observe(now, t.Service, t.target.incarnation, own, time.Duration(part*float64(took)))
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -52,6 +52,7 @@
 	defer cancel(nil)
 	silence := x.startSilenceTimer(cancel)
 	defer silence.Stop()
+	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	defer x.ticket.OnLost(nil)
 	answer, err := x.sender.Send(ctx, to.Address, httptarget.Request{
@@ -187,9 +188,10 @@
 	if len(body) > maxBufferedAnswer {
 		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: errors.New("answer without Content-Length is too long to buffer")}
 	}
+	// This comes first, since the control goroutine reads it when it learns that the answer started.
+	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
 	x.recordPiece()
 	whole := &bufferedAnswer{status: a.Status, header: x.answerHeader(a.Header), body: body}
-	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
 	if a.Status >= http.StatusInternalServerError {
 		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, errorAnswer: whole, cause: errors.Errorf("status %d", a.Status)}
 	}
