--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -104,8 +104,7 @@
 
 // cost returns the cost of sending a request to a placement, as a time.
 func (s *State) cost(now time.Time, p placement, home bool, r room, m estimator) time.Duration {
-	// What reading again evicts must be read again at an engine of average speed.
-	cost := p.expected + m.Model.PrefillTime(p.uncachedTokens*rereadPercent/100+p.fetchTokens*fetchPercent/100)
+	cost := p.expected + m.PrefillTime(p.uncachedTokens*rereadPercent/100+p.fetchTokens*fetchPercent/100)
 	cost += time.Duration(s.loadOf(now, p.target).Running) * slotCost
 	if p.Zone != s.zone {
 		cost += otherZoneCost
