Tell refused callers a time that they can use

One plan spread the callers of all organisations. Under sustained overload all slots filled, and an organisation within its share, whose request would go first in the queue, was told 3 to 4 s. Its callers now return within 600 ms, as many as take half of what is left of its share. Without a bound on their number, sudden bursts came back to 2.6 times what engines take.

A caller waits at most a third of the time that it has left, whatever it is told. The last slot for it is now that third, and it is booked there if its organisation is over its share for longer.

Callers of organisations far over their share were all told 4 s. The wait for the share is now at most 3 s, which leaves ten slots to spread them; where a third of the time left is shorter than that wait, they are spread within the last slot.

--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -17,6 +17,18 @@
 	// maxReturn bounds Retry-After. A caller honours it up to a third of the time that it has
 	// left, so few would return later. Only the end of a back-off may be later.
 	maxReturn = returns.Count * returns.SlotWidth
+	// maxReturnWithinShare bounds it for organisations within their share. They would go first in
+	// the queue, so they are not kept behind the bookings of others. By then as much has started as
+	// engines may have pending twice, and a goal of 1 s can still be met.
+	maxReturnWithinShare = 600 * time.Millisecond
+	// usedEarly divides the part of its share that an organisation's early returns may take: the rest
+	// is for its new requests.
+	usedEarly = 2
+	// maxTimeToShare bounds the wait for an organisation's share such that ten slots remain over
+	// which its callers are spread.
+	maxTimeToShare = maxReturn - 10*returns.SlotWidth
+	// honouredPart is the part of the time left that a caller waits at most, one in honouredPart.
+	honouredPart = 3
 	// startsTTL is how long a router's last report of started tokens is kept.
 	startsTTL = 10 * time.Second
 )
@@ -64,18 +76,51 @@
 // for then.
 func (s *State) bookReturn(now time.Time, t *Ticket, why Reason) time.Duration {
 	earliest := minReturn
+	latest := max(t.Deadline.Sub(now)/honouredPart, minReturn)
 	if end, ok := s.backoffEnd(now, t.Service, nil); ok {
 		earliest = max(earliest, end.Sub(now))
 		if earliest > maxReturn {
 			d, _ := s.BackoffLeft(now, t.Service)
 			return d
 		}
-	} else if s.allDrained(now, t.Service) {
-		earliest = retryAfterDrained
-	} else {
-		earliest = max(earliest, s.timeToShare(now, t.Organisation, why))
+		return s.book(now, t, earliest, max(latest, earliest))
 	}
-	return s.returning.plan.Book(now, t.Service, t.tokens(), earliest, s.random.Float64())
+	if s.allDrained(now, t.Service) {
+		return s.book(now, t, retryAfterDrained, max(latest, retryAfterDrained))
+	}
+	toShare := s.timeToShare(now, t.Organisation, why)
+	if toShare > latest {
+		// The caller returns before its organisation is within its share, whatever it is told. It
+		// is booked for when it does.
+		s.book(now, t, latest-returns.SlotWidth, latest)
+		return min(toShare, maxReturn-returns.SlotWidth) + time.Duration(s.random.Float64()*float64(returns.SlotWidth))
+	}
+	if toShare == 0 && s.returnsEarly(now, t) {
+		latest = min(latest, maxReturnWithinShare)
+	}
+	return s.book(now, t, max(earliest, min(toShare, maxTimeToShare)), latest)
+}
+
+// returnsEarly reports whether a refused caller is to return within maxReturnWithinShare, whatever is
+// booked, and counts its tokens if so: they take at most half of what its organisation has
+// left of its share of what engines actually serve, and of that this router's part by demand. Without
+// that bound the callers of a sudden burst, of which most is not owed, came back to up to 2.6 times
+// what engines take.
+func (s *State) returnsEarly(now time.Time, t *Ticket) bool {
+	if t.Organisation == "" || s.shares.capacity <= 0 {
+		return false
+	}
+	own, others := s.shares.usageOf(now, t.Organisation), s.peers.Usage(now, t.Organisation)
+	left := s.currentLevel(now).attained - own.served - others.Started
+	if left <= 0 || usedEarly*own.early*(own.demand+others.Demand) > left*own.demand {
+		return false
+	}
+	own.early += t.tokens()
+	return true
+}
+
+func (s *State) book(now time.Time, t *Ticket, earliest, latest time.Duration) time.Duration {
+	return s.returning.plan.BookUntil(now, t.Service, t.tokens(), earliest, latest, s.random.Float64())
 }
 
 // timeToShare returns the time after which what an organisation was served has decayed to its share,
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -24,7 +24,10 @@
 	// requests is the number of requests in demand, and unread that of requests which were refused
 	// before they were read. Both decay alike.
 	requests, unread float64
-	updatedAt        time.Time
+	// early is the tokens of refused requests whose callers return as part of the organisation's
+	// share. It decays alike.
+	early     float64
+	updatedAt time.Time
 }
 
 func newShares(window time.Duration) shares {
@@ -43,6 +46,7 @@
 	c.served *= f
 	c.requests *= f
 	c.unread *= f
+	c.early *= f
 	c.updatedAt = now
 }
 
--- a/internal/returns/plan.go
+++ b/internal/returns/plan.go
@@ -78,6 +78,12 @@
 // If all slots are full, it takes the least full one of the last ten. If it is unknown what engines
 // start, it spreads callers evenly over a second.
 func (p *Plan) Book(now time.Time, service string, tokens float64, earliest time.Duration, random float64) time.Duration {
+	return p.BookUntil(now, service, tokens, earliest, Count*SlotWidth, random)
+}
+
+// BookUntil is like Book, for a caller that returns at most latest from now, whatever it is told. If
+// all slots until then are full, it takes the least full one of the last ten of them.
+func (p *Plan) BookUntil(now time.Time, service string, tokens float64, earliest, latest time.Duration, random float64) time.Duration {
 	s, current := p.service(service), p.slot(now)
 	s.own.advance(current)
 	s.all.advance(current)
@@ -86,6 +92,7 @@
 	last := current + Count - 1
 	wanted := now.Sub(p.start) + max(earliest, 0)
 	first := min(int64((wanted+SlotWidth-1)/SlotWidth), last)
+	last = min(max(int64((now.Sub(p.start)+max(latest, 0))/SlotWidth)-1, first), last)
 	slot, ok := s.choose(first, last, s.began.perSlot(current)*(sparePart-1)/sparePart, p.others)
 	p.counts.Booked++
 	if !ok {
