Don't treat a router that refuses alone as one of all

A router assumed that all others had booked as much as it did itself since its last report but one, until its reported bookings exceeded a slot's capacity. Beside 629 others that book nothing it left its slots almost empty. That holds only until its first reported bookings have been compared with what others reported by its next report; from then on the decayed ratio of both counts.

--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -59,7 +59,7 @@
 // serve callers.
 func (s *State) SetPeers(running, serving int) {
 	s.runningPeers, s.servingPeers = running, serving
-	s.returning.plan.SetRouters(serving)
+	s.assumeBookers()
 }
 
 // routers returns the number of routers in the fleet.
--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -31,6 +31,9 @@
 	honouredPart = 3
 	// startsTTL is how long a router's last report of started tokens is kept.
 	startsTTL = 10 * time.Second
+	// bookersTTL is how long a comparison of bookings is used after this router's last one. A burst
+	// after a longer pause may come to all routers.
+	bookersTTL = 10 * time.Second
 )
 
 // returning plans when refused callers return.
@@ -38,10 +41,18 @@
 	plan *returns.Plan
 	// starts has what other routers last reported as started, by router.
 	starts map[string]starts
+	bookers bookers
 	// unknown counts the bookings that other routers reported for services unknown here.
 	unknown int64
 }
 
+// bookers compares the tokens that other routers booked with those that this router did, both as
+// reported and decayed over the quota window.
+type bookers struct {
+	own, others float64
+	at          time.Time
+}
+
 // starts is the sum of all organisations' started tokens in a report.
 type starts struct {
 	tokens float64
@@ -212,5 +223,33 @@
 			delete(s.returning.starts, router)
 		}
 	}
+	s.compareBookings(now)
 	return s.returning.plan.Own(now)
 }
+
+// compareBookings compares what other routers have booked with this router's bookings in its last
+// report. By the next one the others have reported, too. Nothing is known where all those have
+// passed, nor some time after the last booking.
+func (s *State) compareBookings(now time.Time) {
+	b := &s.returning.bookers
+	own, others := s.returning.plan.Reported(now)
+	switch {
+	case own > 0:
+		f := view.DecayFactor(now.Sub(b.at), s.limits.QuotaWindow)
+		*b = bookers{b.own*f + own, b.others*f + others, now}
+	case b.own > 0 && now.Sub(b.at) > bookersTTL:
+		*b = bookers{}
+	}
+	s.assumeBookers()
+}
+
+// assumeBookers sets how many other routers are assumed to book as much as this one: all that serve
+// callers until a comparison is known, and then as many as make up what they have booked. A router
+// that refuses alone in a large fleet would otherwise leave its slots almost empty.
+func (s *State) assumeBookers() {
+	n := s.servingPeers
+	if b := s.returning.bookers; b.own > 0 {
+		n = int(math.Ceil(min(b.others/b.own, float64(n))))
+	}
+	s.returning.plan.SetRouters(n)
+}
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// Guards against a router that refuses alone and is treated as one of all: each of its bookings, of a
+// twentieth of a slot, took a slot of its own until it had reported several slots' worth.
+func TestReturnsOfOneRefusingRouter(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	s.SetPeers(629, 629)
+	var last time.Duration
+	for step := range 60 {
+		s.returning.plan.Began(now, "llm", 10_000)
+		now = now.Add(returns.SlotWidth / 2)
+		if step < 20 {
+			continue
+		}
+		for range 4 {
+			k := ticket("p", time.Second)
+			k.Deadline = now.Add(12 * time.Second)
+			last = s.retryAfter(now, k, Full)
+			if step > 40 && last > 3*returns.SlotWidth {
+				t.Fatalf("step %d: told %v, want a slot that is almost empty", step, last)
+			}
+		}
+		if step%6 == 0 {
+			s.Report(now)
+		}
+	}
+}
+
 // Guards against a Retry-After that is out of bounds, ends before the back-off of all targets, or
 // sends a caller back before its organisation is within its share.
 func TestRetryAfter(t *testing.T) {
--- a/internal/returns/plan.go
+++ b/internal/returns/plan.go
@@ -35,7 +35,7 @@
 	start    time.Time
 	services map[string]*service
 	peers    map[string][]booking
-	// others is the number of other routers that book.
+	// others is the number of other routers that are assumed to book as much as this one.
 	others int
 	counts Counts
 }
@@ -59,9 +59,24 @@
 	return &Plan{services: map[string]*service{}, peers: map[string][]booking{}}
 }
 
-// SetRouters sets the number of other routers that book.
+// SetRouters sets the number of other routers that are assumed to book as much as this one.
 func (p *Plan) SetRouters(others int) { p.others = others }
 
+// Reported returns the tokens that this router and the others have reported as booked and that have
+// not passed.
+func (p *Plan) Reported(now time.Time) (own, others float64) {
+	current := p.slot(now)
+	for _, s := range p.services {
+		s.own.advance(current)
+		s.all.advance(current)
+		s.unreported.advance(current)
+		total := s.own.total()
+		own += max(total-s.unreported.total(), 0)
+		others += max(s.all.total()-total, 0)
+	}
+	return own, others
+}
+
 // Counts returns the numbers of bookings since the start.
 func (p *Plan) Counts() Counts { return p.counts }
 
