End a forecast when an exempt request is placed

After a burst, older ends outweighed the few that followed: after 400 waits in vain within a second, 140 of the next 200 requests, at 100 a second, were refused although each wait would have ended at a target. When a request that waits as an exception is placed, the class's record is dropped: 15 are refused then.

--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -34,12 +34,13 @@
 // refuseEarly refuses a request that would have to wait, and almost certainly in vain. It returns
 // whether it did.
 func (s *State) refuseEarly(now time.Time, t *Ticket) bool {
-	t.class = waiting.Class{}
+	t.class, t.exempt = waiting.Class{}, false
 	if !s.forecasted(t) {
 		return false
 	}
 	t.class = s.classIfQueued(now, t)
 	if !s.forecasts.forecast.Refuse(now, t.class) {
+		t.exempt = s.forecasts.forecast.Exempt(t.class)
 		return false
 	}
 	why := s.refusalReason(now, t)
@@ -56,6 +57,9 @@
 
 // recordWait records the end of a request's wait for forecasts.
 func (s *State) recordWait(now time.Time, t *Ticket, placed bool) {
+	if t.exempt && placed {
+		s.forecasts.forecast.Reset(t.class)
+	}
 	if t.class.Service != "" {
 		s.forecasts.forecast.Record(now, t.class, placed)
 	}
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -119,6 +119,24 @@
 	}
 }
 
+// Guards against a forecast that goes on after a burst, since what exempt requests find is outweighed.
+func TestForecastEndsAfterBurstAtState(t *testing.T) {
+	s, now, ticket := newFullState(t, forecastsOn)
+	c := s.classIfQueued(now, ticket("o", time.Second))
+	for range 400 {
+		s.forecasts.forecast.Record(now, c, false)
+	}
+	for i := range 32 {
+		k := ticket("o", time.Second)
+		if s.refuseEarly(now, k) != (i < 15) {
+			t.Fatalf("request %d refused early: %v", i, i >= 15)
+		}
+		if i >= 15 {
+			s.recordWait(now, k, true)
+		}
+	}
+}
+
 // newFullState returns a state with one engine that other routers have filled, in the eyes of which
 // an organisation "served" was served.
 func newFullState(t *testing.T, f feature.Set) (*State, time.Time, func(organisation string, goal time.Duration) *Ticket) {
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -107,13 +107,30 @@
 		return false
 	}
 	r.advance(f.bucket(now))
-	if r.sum.all < minEnds || r.sum.placed*hopelessPart >= r.sum.all {
+	if !r.isHopeless() {
 		return false
 	}
 	r.hopeless++
 	return r.hopeless%exemptPart != 0
 }
 
+// Exempt reports whether a request for which Refuse has just returned false waits only as an
+// exception.
+func (f *Forecast) Exempt(c Class) bool {
+	r := f.records[c.key()]
+	return r != nil && r.isHopeless()
+}
+
+// Reset forgets what became of a class's requests. It is to be called before an exempt request is
+// recorded as placed: the cause of the forecast may have passed, and after a burst older ends would
+// outweigh the few that follow for the rest of the window.
+func (f *Forecast) Reset(c Class) { delete(f.records, c.key()) }
+
+// isHopeless reports whether almost no request of the class was placed lately.
+func (r *record) isHopeless() bool {
+	return r.sum.all >= minEnds && r.sum.placed*hopelessPart < r.sum.all
+}
+
 // bucket returns the number of the bucket of a time.
 func (f *Forecast) bucket(now time.Time) int64 {
 	if f.start.IsZero() {
