--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -146,9 +146,11 @@
 	// many of those serve callers.
 	runningPeers, servingPeers int
 	level                      level
-	budget                     budget
-	throttle                   *throttle.Controller
-	holders                    holders
+	// unmetLead is the last result of maxLead for organisations with unmet demand.
+	unmetLead lead
+	budget    budget
+	throttle  *throttle.Controller
+	holders   holders
 	// sample, good, suspect, near and missing are scratch space for choosing a target.
 	sample, good, suspect, near []*target
 	missing                     []int
@@ -270,6 +272,7 @@
 		return
 	}
 	s.queue = append(s.queue, t)
+	s.unmetLead = lead{}
 }
 
 // assign sends a request to the best target with room, if there is one.
--- a/internal/balance/fleetshare_test.go
+++ b/internal/balance/fleetshare_test.go
@@ -51,7 +51,7 @@
 	tickets   int
 }
 
-func newShareFleet(t *testing.T, seed uint64, routers int, configuredTokensPerSecond float64) *shareFleet {
+func newShareFleet(t testing.TB, seed uint64, routers int, configuredTokensPerSecond float64) *shareFleet {
 	t.Helper()
 	f := &shareFleet{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 2)), readUntil: map[string]time.Time{},
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -139,7 +139,7 @@
 
 // newFullState returns a state with one engine that other routers have filled, in the eyes of which
 // an organisation "served" was served.
-func newFullState(t *testing.T, f feature.Set) (*State, time.Time, func(organisation string, goal time.Duration) *Ticket) {
+func newFullState(t testing.TB, f feature.Set) (*State, time.Time, func(organisation string, goal time.Duration) *Ticket) {
 	t.Helper()
 	fleet := newShareFleet(t, 1, 1, 100_000)
 	s, now := fleet.routers[0], fleet.now
--- a/internal/balance/order.go
+++ b/internal/balance/order.go
@@ -20,7 +20,7 @@
 // mustQueue reports whether a request to an engine must not overtake those waiting, here or at
 // other routers, because its organisation was served more than theirs.
 func (s *State) mustQueue(now time.Time, t *Ticket) bool {
-	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.maxLead(now, s.forecasted(t)))
+	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.recentMaxLead(now, s.forecasted(t)))
 }
 
 // exceedsLead reports whether an organisation must let others go first, because it was served more
@@ -46,9 +46,29 @@
 	return limit
 }
 
+// lead is a result of maxLead, and when it was computed.
+type lead struct {
+	max        float64
+	computedAt time.Time
+}
+
+// recentMaxLead returns what maxLead returned within dispatchInterval, with no further request queued
+// since. It is asked for by each request of an organisation over its share, and computing it takes
+// 0.8 ms with 1,000 organisations. Without forecasts it is computed each time.
+func (s *State) recentMaxLead(now time.Time, unmetOnly bool) float64 {
+	if !unmetOnly {
+		return s.maxLead(now, false)
+	}
+	if l := s.unmetLead; !l.computedAt.IsZero() && now.Sub(l.computedAt) < dispatchInterval {
+		return l.max
+	}
+	s.unmetLead = lead{s.maxLead(now, true), now}
+	return s.unmetLead.max
+}
+
 // eachWaiting calls f for each organisation with waiting requests to engines, with what it was
-// served, and whether requests wait at this router. It is called twice if they also wait at others.
-// If unmetOnly is set, those without unmet demand are left out. Other routers with forecasts leave
+// served, and whether requests wait at this router. f is called twice for an organisation that also
+// waits at others. If unmetOnly is set, those without unmet demand are left out. Other routers with forecasts leave
 // them out of their reports.
 func (s *State) eachWaiting(now time.Time, unmetOnly bool, f func(served float64, here bool)) {
 	for name := range s.waitingByOrganisation(now) {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -56,7 +56,7 @@
 	maxLead := map[bool]float64{}
 	for _, unmetOnly := range []bool{false, true} {
 		if slices.ContainsFunc(s.queue, func(t *Ticket) bool { return s.forecasted(t) == unmetOnly }) {
-			maxLead[unmetOnly] = s.maxLead(now, unmetOnly)
+			maxLead[unmetOnly] = s.recentMaxLead(now, unmetOnly)
 		}
 	}
 	waiting := s.queue[:0]
--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -40,7 +40,7 @@
 type returning struct {
 	plan *returns.Plan
 	// starts has what other routers last reported as started, by router.
-	starts map[string]starts
+	starts  map[string]starts
 	bookers bookers
 	// unknown counts the bookings that other routers reported for services unknown here.
 	unknown int64
--- a/internal/waiting/refused.go
+++ b/internal/waiting/refused.go
@@ -35,7 +35,9 @@
 		delete(r.until, organisation)
 		return 0
 	}
-	r.until[organisation] = list[past:]
+	if past > 0 {
+		r.until[organisation] = list[past:]
+	}
 	return len(list) - past
 }
 
