Don't refuse retries by forecast

A request that a target had refused or failed, or that was requeued for lack of a connection, was refused at once in a hopeless class, although its caller had lost time and the retry budget allowed another attempt. It waits as before now.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -228,13 +228,17 @@
 		return false
 	}
 	s.budget.countRetry(now, t.Service)
+	t.again = true
 	s.arrive(now, t)
 	return true
 }
 
 // Requeue accepts again a request that was not sent for lack of a connection. It counts
 // neither as a new request nor as a retry.
-func (s *State) Requeue(now time.Time, t *Ticket) { s.arrive(now, t) }
+func (s *State) Requeue(now time.Time, t *Ticket) {
+	t.again = true
+	s.arrive(now, t)
+}
 
 // MaySwitch reports whether a request may be moved from its target to another one: the target
 // has sent nothing for at least silent, the retry budget allows it, and there is another usable
--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -32,13 +32,17 @@
 }
 
 // refuseEarly refuses a request that would have to wait, and almost certainly in vain. It returns
-// whether it did.
+// whether it did. A request that was accepted before goes on waiting: its caller has lost time to a
+// target's failure already, and the retry budget allowed another attempt.
 func (s *State) refuseEarly(now time.Time, t *Ticket) bool {
 	t.class, t.exempt = waiting.Class{}, false
 	if !s.forecasted(t) {
 		return false
 	}
 	t.class = s.classIfQueued(now, t)
+	if t.again || len(t.Tried) > 0 {
+		return false
+	}
 	if !s.forecasts.forecast.Refuse(now, t.class) {
 		t.exempt = s.forecasts.forecast.Exempt(t.class)
 		return false
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -137,6 +137,31 @@
 	}
 }
 
+// Guards against early refusals of requests that were sent before, and whose callers have waited for
+// a target that failed.
+func TestRetriesAreNotRefusedEarly(t *testing.T) {
+	for name, arrive := range map[string]func(s *State, now time.Time, k *Ticket){
+		"retry":   func(s *State, now time.Time, k *Ticket) { s.Retry(now, k) },
+		"requeue": (*State).Requeue,
+		"tried": func(s *State, now time.Time, k *Ticket) {
+			k.Tried = []string{"gone"}
+			s.Arrive(now, k)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now, ticket := newFullState(t, forecastsOn)
+			s.limits.RetrySlack = 10
+			for range 40 {
+				s.forecasts.forecast.Record(now, s.classIfQueued(now, ticket("o", time.Second)), false)
+			}
+			arrive(s, now, ticket("o", time.Second))
+			if s.Waiting() != 1 {
+				t.Error("refused at once")
+			}
+		})
+	}
+}
+
 // newFullState returns a state with one engine that other routers have filled, in the eyes of which
 // an organisation "served" was served.
 func newFullState(t testing.TB, f feature.Set) (*State, time.Time, func(organisation string, goal time.Duration) *Ticket) {
