Count unmet demand by service, and demand that is never read

An organisation that one service serves nearly all that it asks for seemed content while another served it nothing. It has unmet demand if one of its waiting requests is for a service for which this router started none of its requests within the quota window, though it started others. Reports tell usage by organisation only, so one without starts here is judged by the sum of all routers as before.

A report dropped an organisation with demand and usage below a token although hundreds of its requests had been refused unread, and with it their count. With forecasts it is kept while such requests count or any wait.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -311,6 +311,9 @@
 	if t.Engine {
 		s.shares.addServed(now, t.Organisation, t.tokens())
 		s.recordBegan(now, t, t.tokens())
+		if s.forecasted(t) {
+			s.shares.recordStart(now, t.Organisation, t.Service)
+		}
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
 	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -125,10 +125,33 @@
 	return own.served+others.Started < asked*metPercent/100
 }
 
+// neglected returns the organisations that have a request waiting for a service for which this router
+// started none of theirs within the quota window, while it started others of theirs. Their demand
+// there is unmet, however much of the whole is met.
+func (s *State) neglected(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, t := range s.queue {
+		if !s.forecasted(t) || out[t.Organisation] {
+			continue
+		}
+		here, elsewhere := false, false
+		for service, at := range s.shares.usageOf(now, t.Organisation).startedAt {
+			recent := now.Sub(at) < s.limits.QuotaWindow
+			here = here || recent && service == t.Service
+			elsewhere = elsewhere || recent && service != t.Service
+		}
+		if elsewhere && !here {
+			out[t.Organisation] = true
+		}
+	}
+	return out
+}
+
 // reportedWaiting returns how many requests of each organisation wait, as other routers are to know
 // it: they let those organisations go first. With forecasts only unmet demand counts.
 func (s *State) reportedWaiting(now time.Time) map[string]int {
-	counted := map[string]bool{}
+	// counted starts with the neglected ones, which count in any case.
+	counted := s.neglected(now)
 	counts := func(organisation string) bool {
 		unmet, ok := counted[organisation]
 		if !ok {
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -225,6 +225,39 @@
 	}
 }
 
+// Guards against an organisation that gets nothing at one service and seems content, as another serves
+// nearly all that it asks for.
+func TestUnmetDemandAtOneService(t *testing.T) {
+	s, now, ticket := newFullState(t, forecastsOn)
+	k := ticket("o", time.Second)
+	s.Arrive(now, k)
+	s.shares.addServed(now, "o", 10_000)
+	for name, started := range map[string]string{"elsewhere": "second", "here too": "llm"} {
+		s.shares.recordStart(now, "o", started)
+		if n, want := s.Report(now).Usage["o"].Waiting, map[string]int{"second": 1}[started]; n != want {
+			t.Errorf("%s: %d requests reported, want %d", name, n, want)
+		}
+		delete(s.shares.usages["o"].startedAt, started)
+	}
+}
+
+// Guards against an organisation of which a box refuses all requests unread, and that is forgotten
+// with each report as nothing of it was read.
+func TestUnreadDemandIsReported(t *testing.T) {
+	s, now, _ := newFullState(t, forecastsOn)
+	s.throttle.RecordQueueFull("o")
+	gate := s.gatesAt(now)["o"]
+	for range 100 {
+		gate.Admit(throttle.RequestSize{Input: 100, Output: 10})
+	}
+	s.gatesAt(now)
+	for range 2 {
+		if n := s.Report(now).Usage["o"].Waiting; n < 90 {
+			t.Errorf("%d requests reported with 100 refused unread", n)
+		}
+	}
+}
+
 // Guards against requests that wait behind ones with more time left, or with none, and against a
 // changed order where forecasts are off.
 func TestOrderWithinOrganisation(t *testing.T) {
--- a/internal/balance/order.go
+++ b/internal/balance/order.go
@@ -71,8 +71,12 @@
 // waits at others. If unmetOnly is set, those without unmet demand are left out. Other routers with forecasts leave
 // them out of their reports.
 func (s *State) eachWaiting(now time.Time, unmetOnly bool, f func(served float64, here bool)) {
+	var neglected map[string]bool
+	if unmetOnly {
+		neglected = s.neglected(now)
+	}
 	for name := range s.waitingByOrganisation(now) {
-		if !unmetOnly || s.hasUnmetDemand(now, name) {
+		if !unmetOnly || neglected[name] || s.hasUnmetDemand(now, name) {
 			f(s.served(now, name), true)
 		}
 	}
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -115,7 +115,7 @@
 	waiting := s.reportedWaiting(now)
 	for name := range s.shares.usages {
 		c := s.shares.usageOf(now, name)
-		if c.demand >= 1 || c.served >= 1 {
+		if c.demand >= 1 || c.served >= 1 || s.anyForecasts() && (c.unread >= 1 || waiting[name] > 0) {
 			r.Usage[name] = view.Usage{Demand: c.demand, Started: c.served, Waiting: waiting[name]}
 			continue
 		}
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -28,6 +28,8 @@
 	// share. It decays alike.
 	early     float64
 	updatedAt time.Time
+	// startedAt is when a request to a service was last started, by service.
+	startedAt map[string]time.Time
 }
 
 func newShares(window time.Duration) shares {
@@ -68,6 +70,15 @@
 	}
 }
 
+// recordStart records that a request to a service was started.
+func (s *shares) recordStart(now time.Time, organisation, service string) {
+	c := s.usageOf(now, organisation)
+	if c.startedAt == nil {
+		c.startedAt = map[string]time.Time{}
+	}
+	c.startedAt[service] = now
+}
+
 func (s *shares) addServed(now time.Time, organisation string, tokens float64) {
 	c := s.usageOf(now, organisation)
 	c.served = max(c.served+tokens, 0)
