Attribute the starts of other routers to all engine services

Starts at services without return slots counted for those with them, starts since a report were lost where nothing ran at the moment of the next one, and there was no upper bound, so that one faulty report would let all refused callers return at once. All engine services share the starts now, they are kept until something runs again, and more than four times the configured capacity over a quota window is ignored and counted.

--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -31,6 +31,9 @@
 	honouredPart = 3
 	// startsTTL is how long a router's last report of started tokens is kept.
 	startsTTL = 10 * time.Second
+	// maxBeganFactor bounds the starts between two reports, relative to the configured capacity over
+	// a quota window. Engines may take more than is configured, and reports may be lost for some time.
+	maxBeganFactor = 4
 	// bookersTTL is how long a comparison of bookings is used after this router's last one. A burst
 	// after a longer pause may come to all routers.
 	bookersTTL = 10 * time.Second
@@ -42,8 +45,9 @@
 	// starts has what other routers last reported as started, by router.
 	starts  map[string]starts
 	bookers bookers
-	// unknown counts the bookings that other routers reported for services unknown here.
-	unknown int64
+	// invalid counts the bookings that other routers reported for services unknown here, and the
+	// reports with more starts than engines can take.
+	invalid int64
 }
 
 // bookers compares the tokens that other routers booked with those that this router did, both as
@@ -67,10 +71,23 @@
 	if s.table == nil || !s.enabled(s.features.ReturnSlots, service) {
 		return false
 	}
+	return s.isEngineService(service)
+}
+
+func (s *State) isEngineService(service string) bool {
 	v, ok := s.table.Service(service)
 	return ok && v.Engine != nil
 }
 
+// maxBegan returns the most tokens that other routers may have started since a report, by the
+// configured capacity; more comes from a fault and would let all refused callers return at once.
+func (s *State) maxBegan() float64 {
+	if s.shares.capacity <= 0 {
+		return math.Inf(1)
+	}
+	return maxBeganFactor * s.shares.capacity * s.limits.QuotaWindow.Seconds()
+}
+
 // anyReturnSlots reports whether the returns of any service's refused callers are planned.
 func (s *State) anyReturnSlots() bool {
 	return s.table != nil && s.features.ReturnSlots.Enabled(s.table.AnyTolerates())
@@ -79,7 +96,7 @@
 // ReturnCounts returns how many returns were booked since the start.
 func (s *State) ReturnCounts() returns.Counts {
 	c := s.returning.plan.Counts()
-	c.Ignored += s.returning.unknown
+	c.Ignored += s.returning.invalid
 	return c
 }
 
@@ -169,25 +186,32 @@
 			list = append(list, slots)
 			continue
 		}
-		s.returning.unknown++
+		s.returning.invalid++
 	}
 	s.returning.plan.SetPeer(now, router, list)
 	running, total := map[string]int{}, 0
 	for id, l := range r.Loads {
-		if t := s.findIncarnation(id); t != nil && l.Running > 0 && s.returnSlots(t.Service) {
+		if t := s.findIncarnation(id); t != nil && l.Running > 0 && s.isEngineService(t.Service) {
 			running[t.Service] += l.Running
 			total += l.Running
 		}
 	}
-	if total == 0 {
-		delete(s.returning.starts, router)
+	if _, known := s.returning.starts[router]; known && total == 0 {
+		// What it started meanwhile is attributed when something runs there again.
 		return
 	}
 	began := s.startedSince(now, router, r)
-	if began <= 0 {
+	if began <= 0 || total == 0 {
+		return
+	}
+	if began > s.maxBegan() {
+		s.returning.invalid++
 		return
 	}
 	for service, n := range running {
+		if !s.returnSlots(service) {
+			continue
+		}
 		s.returning.plan.Began(now, service, began*float64(n)/float64(total))
 	}
 }
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -127,6 +127,38 @@
 	}
 }
 
+// Guards against starts of a router that are attributed to the wrong service, lost because nothing ran
+// at the moment of a report, or so many that all callers would return at once.
+func TestStartsOfOthers(t *testing.T) {
+	r := newReplay(t, 1, feature.Set{ReturnSlots: feature.On})
+	r.addService(t, "second", "other")
+	s, now, total := r.routers[0], r.now, 0.0
+	s.SetPeers(0, 0)
+	report := func(started float64, loads map[string]view.Load) {
+		now = now.Add(returns.SlotWidth)
+		total = total*view.DecayFactor(returns.SlotWidth, 4*time.Second) + started
+		s.ApplyReport(now, "r", view.Report{Loads: loads, Usage: map[string]view.Usage{"o": {Started: total}}})
+	}
+	both := map[string]view.Load{Target{ID: "e0"}.Incarnation(): {Running: 1}, Target{ID: "second0"}.Incarnation(): {Running: 1}}
+	report(0, both)
+	report(2000, both)
+	report(2000, nil)
+	report(2000, both)
+	report(1e12, both)
+	if n := s.ReturnCounts().Ignored; n != 1 {
+		t.Errorf("%d ignored, want the last report's starts", n)
+	}
+	// 3,000 tokens for llm in four slots, less a tenth: room for six of 120 tokens in a slot.
+	now = now.Add(returns.SlotWidth)
+	var told []time.Duration
+	for range 7 {
+		told = append(told, s.returning.plan.Book(now, "llm", 120, minReturn, 0))
+	}
+	if told[5] != minReturn || told[6] == minReturn {
+		t.Errorf("callers are told %v, want six of them the first slot", told)
+	}
+}
+
 // Guards against a Retry-After that is out of bounds, ends before the back-off of all targets, or
 // sends a caller back before its organisation is within its share.
 func TestRetryAfter(t *testing.T) {
