Ignore invalid usage in other routers' reports

A demand or usage that was not a number stayed in the sums of a router, and in the sum of its zone; no organisation then had unmet demand. Values that are negative or not finite are left out where reports come in and in zone sums, and counted as usage_ignored.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -145,7 +145,9 @@
 	// runningPeers is the number of other routers believed to be running, servingPeers how
 	// many of those serve callers.
 	runningPeers, servingPeers int
-	level                      level
+	// invalidUsage counts invalid usages in other routers' reports.
+	invalidUsage int64
+	level        level
 	// unmetLead is the last result of maxLead for organisations with unmet demand.
 	unmetLead lead
 	budget    budget
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -258,6 +259,20 @@
 	}
 }
 
+// Guards against values of a faulty router that stay in the sums: with one that is not a number no
+// organisation ever seemed to have unmet demand.
+func TestInvalidUsageIsIgnored(t *testing.T) {
+	s, now, ticket := newFullState(t, forecastsOn)
+	bad := map[string]view.Usage{
+		"o": {Demand: math.NaN()}, "p": {Started: math.Inf(1)}, "q": {Demand: -1}, "r": {Waiting: -1}, "good": {Demand: 7},
+	}
+	s.ApplyReport(now, "faulty", view.Report{Usage: bad})
+	s.Arrive(now, ticket("o", time.Second))
+	if n := s.Report(now).Usage["o"].Waiting; n != 1 || s.InvalidUsage() != 4 || s.peers.Usage(now, "good").Demand != 7 {
+		t.Errorf("%d requests reported, %d values ignored, want 1 and 4", n, s.InvalidUsage())
+	}
+}
+
 // Guards against requests that wait behind ones with more time left, or with none, and against a
 // changed order where forecasts are off.
 func TestOrderWithinOrganisation(t *testing.T) {
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -70,6 +71,7 @@
 
 // ApplyReport applies a report received from another router.
 func (s *State) ApplyReport(now time.Time, router string, r view.Report) {
+	r.Usage = s.validUsage(r.Usage)
 	s.peers.UpdateReport(now, router, r)
 	s.applyReturns(now, router, r)
 	for id, parts := range r.SharedParts {
@@ -81,6 +83,24 @@
 	s.dispatch(now)
 }
 
+// validUsage returns the valid entries of a report's usage, and counts the others.
+func (s *State) validUsage(reported map[string]view.Usage) map[string]view.Usage {
+	valid := reported
+	for name, u := range reported {
+		if u.Valid() {
+			continue
+		}
+		if s.invalidUsage++; len(valid) == len(reported) {
+			valid = maps.Clone(reported)
+		}
+		delete(valid, name)
+	}
+	return valid
+}
+
+// InvalidUsage returns how many invalid usages of organisations other routers have reported.
+func (s *State) InvalidUsage() int64 { return s.invalidUsage }
+
 // ForgetPeer removes everything that another router reported.
 func (s *State) ForgetPeer(now time.Time, router string) {
 	s.peers.Remove(now, router)
--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -222,9 +222,7 @@
 func (s *State) startedSince(now time.Time, router string, r view.Report) float64 {
 	started := 0.0
 	for _, u := range r.Usage {
-		if u.Started > 0 && !math.IsInf(u.Started, 1) {
-			started += u.Started
-		}
+		started += u.Started
 	}
 	last, ok := s.returning.starts[router]
 	s.returning.starts[router] = starts{started, now}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,6 +52,8 @@
 	// refusedByForecast counts the requests refused without a wait, by reason, and returns the
 	// returns that were booked for refused callers.
 	refusedByForecast, returns *expvar.Map
+	// usageIgnored counts invalid usages of organisations in other routers' reports.
+	usageIgnored *expvar.Int
 	// suspensions counts how often the box was suspended, suspendedMillis is the total length of
 	// the suspensions in milliseconds.
 	suspensions, suspendedMillis *expvar.Int
@@ -67,7 +69,7 @@
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
 		advice: new(expvar.Map), againstAdvice: new(expvar.Map),
-		refusedByForecast: new(expvar.Map), returns: new(expvar.Map),
+		refusedByForecast: new(expvar.Map), returns: new(expvar.Map), usageIgnored: new(expvar.Int),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
 		firstByte: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -88,6 +90,7 @@
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("refused_by_forecast", m.refusedByForecast)
 	m.root.Set("returns", m.returns)
+	m.root.Set("usage_ignored", m.usageIgnored)
 	m.root.Set("suspensions", m.suspensions)
 	m.root.Set("suspended_ms", m.suspendedMillis)
 	m.root.Set("violations", invariant.Violations())
@@ -208,6 +211,7 @@
 	setCount(m.returns, "booked", c.returns.Booked)
 	setCount(m.returns, "full", c.returns.Full)
 	setCount(m.returns, "ignored", c.returns.Ignored)
+	m.usageIgnored.Set(c.usageIgnored)
 }
 
 // setCount sets a count of a map that only one goroutine changes.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -56,6 +56,12 @@
 	Waiting int
 }
 
+// Valid reports whether the usage is such as a router reports. Others come from a router with a fault
+// or of another version, and would stay in the sums.
+func (u Usage) Valid() bool {
+	return u.Demand >= 0 && u.Started >= 0 && u.Waiting >= 0 && !math.IsInf(u.Demand, 1) && !math.IsInf(u.Started, 1)
+}
+
 // DecayFactor returns the fraction of a usage that is left at this age, for a quota window:
 // most of the weight lies within the window.
 func DecayFactor(age, window time.Duration) float64 {
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -16,6 +16,7 @@
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 const (
@@ -118,6 +119,9 @@
 			rollouts[o.Service] = rollout.Results{Service: o.Service, Version: o.Version, New: sum.New.Plus(o.New), Other: sum.Other.Plus(o.Other)}
 		}
 		for _, u := range r.Usage {
+			if !(view.Usage{Demand: u.Demand, Started: u.Started, Waiting: u.Waiting}).Valid() {
+				continue
+			}
 			sum := usage[u.Organisation]
 			usage[u.Organisation] = message.OrganisationUsage{
 				Organisation: u.Organisation, Demand: sum.Demand + u.Demand, Started: sum.Started + u.Started, Waiting: sum.Waiting + u.Waiting,
--- a/internal/zonesum/zonesum_test.go
+++ b/internal/zonesum/zonesum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -136,6 +137,16 @@
 	}
 }
 
+// TestInvalidUsage guards against the sum of a zone that is lost because of one faulty router in it.
+func TestInvalidUsage(t *testing.T) {
+	var s zonesum.Sum
+	s.UpdateReport(start, "a", message.Status{Usage: []message.OrganisationUsage{{Organisation: "o", Demand: 7}}})
+	s.UpdateReport(start, "b", message.Status{Usage: []message.OrganisationUsage{{Organisation: "o", Demand: math.NaN()}}})
+	if got := fmt.Sprint(s.Take(start).Usage); got != "[{o 7 0 0}]" {
+		t.Errorf("usage is %s", got)
+	}
+}
+
 // TestReturnsOfEndedRouter guards against callers of a router that has ended whose return is
 // forgotten with its load, and against invalid slots, which would take any amount of memory.
 func TestReturnsOfEndedRouter(t *testing.T) {
