Bound what one report books, and drop passed returns of a zone

A faulty router could book 1e9 tokens in a slot, and a service any number of times; sums above the bound were ignored by all that received them. A slot of one report counts with eight times the configured capacity at most, a service once, and sums are clamped. A router that is not its zone's relay kept the last returns of routers that had ended; they are dropped once they have passed.

Invalid slots are not counted again in the sum of a zone: a router applies the same reports to its own plan, which counts them. The test of invalid slots also books, to show that they fill nothing.

--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -31,6 +31,9 @@
 	honouredPart = 3
 	// startsTTL is how long a router's last report of started tokens is kept.
 	startsTTL = 10 * time.Second
+	// maxBookedFactor bounds what one report books in a slot, relative to the configured capacity. At
+	// some times the capacity asked for, as in the heaviest plays, slots are filled several times.
+	maxBookedFactor = 8
 	// maxBeganFactor bounds the starts between two reports, relative to the configured capacity over
 	// a quota window. Engines may take more than is configured, and reports may be lost for some time.
 	maxBeganFactor = 4
@@ -79,6 +82,16 @@
 	return ok && v.Engine != nil
 }
 
+// maxBooked returns the most tokens that count as booked in a slot by a router, or a zone: above the
+// capacity a slot is full, and more than some multiple comes from a fault and would hide for seconds
+// which slots are the least full.
+func (s *State) maxBooked() float64 {
+	if s.shares.capacity <= 0 {
+		return math.Inf(1)
+	}
+	return maxBookedFactor * s.shares.capacity * returns.SlotWidth.Seconds()
+}
+
 // maxBegan returns the most tokens that other routers may have started since a report, by the
 // configured capacity; more comes from a fault and would let all refused callers return at once.
 func (s *State) maxBegan() float64 {
@@ -183,7 +196,7 @@
 	var list []returns.Slots
 	for _, slots := range r.Returns {
 		if s.returnSlots(slots.Service) {
-			list = append(list, slots)
+			list = append(list, slots.Capped(s.maxBooked()))
 			continue
 		}
 		s.returning.invalid++
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// Guards against one faulty router whose bookings outweigh those of all others where the least full
+// slot is chosen.
+func TestBookingsOfFaultyRouter(t *testing.T) {
+	s, now, _ := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	s.ApplyReport(now, "faulty", view.Report{Returns: []returns.Slots{{Service: "llm", Tokens: []float64{1e9, 5}}}})
+	if _, others := s.returning.plan.Reported(now); others != maxBookedFactor*10_000+5 {
+		t.Errorf("%.0f tokens booked, want some times the capacity of a slot, 10,000", others)
+	}
+}
+
 // Guards against a Retry-After that is out of bounds, ends before the back-off of all targets, or
 // sends a caller back before its organisation is within its share.
 func TestRetryAfter(t *testing.T) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -135,7 +135,7 @@
 	if useSums && g.isRelay(serving) {
 		g.sendSum(now, serving)
 	} else {
-		g.zone.DiscardParts()
+		g.zone.DiscardParts(now)
 	}
 	period := max(reportPeriod, periodPerPeer*time.Duration(len(to)))
 	g.reporter.due, g.reporter.active = now.Add(period), r.Active()
--- a/internal/returns/plan.go
+++ b/internal/returns/plan.go
@@ -169,13 +169,14 @@
 	return out
 }
 
-// SetPeer replaces another router's bookings, or those of a zone. Invalid ones are ignored.
+// SetPeer replaces another router's bookings, or those of a zone. Invalid ones are ignored, and those
+// for a service that has some already.
 func (p *Plan) SetPeer(now time.Time, router string, list []Slots) {
 	current := p.slot(now)
 	p.remove(current, router)
 	var kept []booking
 	for _, slots := range list {
-		if !slots.Valid() {
+		if !slots.Valid() || slices.ContainsFunc(kept, func(b booking) bool { return b.service == slots.Service }) {
 			p.counts.Ignored++
 			continue
 		}
--- a/internal/returns/returns.go
+++ b/internal/returns/returns.go
@@ -42,7 +42,19 @@
 	return Slots{Service: s.Service, First: first, Tokens: tokens}
 }
 
-// Plus returns the sum of the slots of the same service.
+// Capped returns the slots with at most limit tokens each.
+func (s Slots) Capped(limit float64) Slots {
+	if !slices.ContainsFunc(s.Tokens, func(tokens float64) bool { return tokens > limit }) {
+		return s
+	}
+	s.Tokens = slices.Clone(s.Tokens)
+	for i := range s.Tokens {
+		s.Tokens[i] = min(s.Tokens[i], limit)
+	}
+	return s
+}
+
+// Plus returns the sum of the slots of the same service. It is valid if both are.
 func (s Slots) Plus(o Slots) Slots {
 	if len(s.Tokens) == 0 {
 		return o
@@ -55,7 +67,8 @@
 	sum := Slots{Service: s.Service, First: first, Tokens: make([]float64, end-first)}
 	for _, part := range []Slots{s, o} {
 		for i, tokens := range part.Tokens {
-			sum.Tokens[part.First-first+int64(i)] += tokens
+			at := part.First - first + int64(i)
+			sum.Tokens[at] = min(sum.Tokens[at]+tokens, maxTokens)
 		}
 	}
 	return sum
--- a/internal/returns/returns_test.go
+++ b/internal/returns/returns_test.go
@@ -87,10 +87,29 @@
 			if n := p.Counts().Ignored; n != 1 {
 				t.Errorf("%d ignored, want 1", n)
 			}
+			if d := p.Book(start, "llm", 1, earliest, 0); d != slot {
+				t.Errorf("booked after %v, want the first slot, as without invalid ones", d)
+			}
 		})
 	}
 }
 
+// Guards against a service that a faulty router reports many times, and sums that other routers ignore
+// because they are out of bounds.
+func TestRepeatedAndLargeSlots(t *testing.T) {
+	p, large := returns.New(), returns.Slots{Service: "llm", Tokens: []float64{8e8}}
+	p.SetPeer(start, "r", []returns.Slots{large, large, large})
+	if _, others := p.Reported(start); others != 8e8 || p.Counts().Ignored != 2 {
+		t.Errorf("%.0f tokens booked by a router, want those of the first entry", others)
+	}
+	if sum := large.Plus(large); !sum.Valid() {
+		t.Errorf("sum is invalid: %v", sum)
+	}
+	if got := large.Capped(5).Tokens[0]; got != 5 || large.Tokens[0] != 8e8 {
+		t.Errorf("capped to %v, the original is %v", got, large.Tokens)
+	}
+}
+
 // Guards against callers who are told a time that is too early, too late, or that no longer helps
 // once engines go on: without knowledge they are spread over a second, and what was started counts
 // from its first slot on.
--- a/internal/zonesum/zonesum.go
+++ b/internal/zonesum/zonesum.go
@@ -141,16 +141,14 @@
 }
 
 // sumReturns returns the sum of all reported returns that have not passed, by service. Invalid ones
-// are ignored.
+// are ignored; they are counted where a router applies the same report to its own plan.
 func (s *Sum) sumReturns(now time.Time) map[string]returns.Slots {
+	s.pruneReturns(now)
 	sum := map[string]returns.Slots{}
-	for id, r := range s.returns {
-		if now.Sub(r.at) >= returns.Count*returns.SlotWidth {
-			delete(s.returns, id)
-			continue
-		}
-		for _, k := range r.list {
-			if k.Valid() {
+	for _, r := range s.returns {
+		for i, k := range r.list {
+			repeated := slices.ContainsFunc(r.list[:i], func(o returns.Slots) bool { return o.Service == k.Service })
+			if k.Valid() && !repeated {
 				sum[k.Service] = sum[k.Service].Plus(k.After(now.Sub(r.at)))
 			}
 		}
@@ -158,9 +156,21 @@
 	return sum
 }
 
+// pruneReturns drops the reports whose returns have all passed.
+func (s *Sum) pruneReturns(now time.Time) {
+	maps.DeleteFunc(s.returns, func(_ message.RouterID, r returnsReport) bool {
+		return now.Sub(r.at) >= returns.Count*returns.SlotWidth
+	})
+}
+
 // DiscardParts drops the shared parts reported so far: another router forwards them, or all
 // routers report directly to one another.
-func (s *Sum) DiscardParts() { clear(s.sharedParts) }
+//
+// It also drops the returns that have passed, which only Take does otherwise.
+func (s *Sum) DiscardParts(now time.Time) {
+	clear(s.sharedParts)
+	s.pruneReturns(now)
+}
 
 // SelectRelay returns the relay of a zone, or false if no serving router is alive there: the
 // first by rendezvous hashing among the large routers. All routers that know the same fleet
