Don't book returns where no target may take the request

Refusals for want of any target, or of one that the request may use, were booked as lack of capacity and filled slots that others could have used. They get the Retry-After of routers without return slots again.

--- a/internal/balance/refusal.go
+++ b/internal/balance/refusal.go
@@ -91,7 +91,8 @@
 // retryAfter returns how long a refused caller should wait before it retries, with jitter so
 // that refused callers do not retry together.
 func (s *State) retryAfter(now time.Time, t *Ticket, why Reason) time.Duration {
-	if t.Engine && s.returnSlots(t.Service) {
+	// Without a target that the request may use, no capacity is short, and none is to be kept free.
+	if why != NoTarget && why != NoAllowedTarget && t.Engine && s.returnSlots(t.Service) {
 		return s.bookReturn(now, t, why)
 	}
 	if d, ok := s.BackoffLeft(now, t.Service); ok {
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -169,6 +169,19 @@
 	}
 }
 
+// Guards against slots that are filled by callers who can be served by no target anyway.
+func TestNothingBookedWithoutTarget(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	for _, why := range []Reason{NoTarget, NoAllowedTarget} {
+		if d := s.retryAfter(now, ticket("o", time.Second), why); d < retryAfterFull || d > 2*retryAfterFull {
+			t.Errorf("%s: Retry-After is %v", why, d)
+		}
+	}
+	if n := s.ReturnCounts().Booked; n != 0 {
+		t.Errorf("%d returns booked", n)
+	}
+}
+
 // Guards against a Retry-After that is out of bounds, ends before the back-off of all targets, or
 // sends a caller back before its organisation is within its share.
 func TestRetryAfter(t *testing.T) {
