Treat services without forecasts as before beside others

Where only some services have forecasts, requests for the others always went first within their organisation, since those go by arrival and the rest by the ends of their goals. An organisation with both kinds waiting is ordered by arrival. Requests refused unread may be for any service, so that reports filter them only if all services with streams have forecasts.

--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -80,7 +80,7 @@
 // placeInQueue returns how many of the service's waiting requests go before a new one.
 func (s *State) placeInQueue(now time.Time, t *Ticket) int {
 	served := map[string]float64{t.Organisation: s.served(now, t.Organisation)}
-	s.setOrder(now, t)
+	s.setOrder(now, t, s.mixed(t)[t.Organisation])
 	n := 0
 	for _, other := range s.queue {
 		if other.Service != t.Service {
@@ -98,11 +98,11 @@
 
 // setOrder sets the place of a request within its organisation. With forecasts, the request whose
 // goal ends first goes first, behind those that can meet their goals if it can't itself: what it
-// gets is of little worth, whereas the others still lose by waiting. Otherwise the oldest goes
-// first.
-func (s *State) setOrder(now time.Time, t *Ticket) {
+// gets is of little worth, whereas the others still lose by waiting. Otherwise, or if byArrival is
+// set, the oldest goes first.
+func (s *State) setOrder(now time.Time, t *Ticket, byArrival bool) {
 	t.due, t.late = t.Arrived, false
-	if !s.forecasted(t) {
+	if byArrival || !s.forecasted(t) {
 		return
 	}
 	t.due = t.Arrived.Add(t.Goal)
@@ -171,7 +171,8 @@
 			n[name] += refused
 		}
 	})
-	filtered := s.anyForecasts()
+	// What is refused unread may be for any service.
+	filtered := s.allForecasts()
 	for name := range s.shares.usages {
 		if rejected := s.throttle.RejectedLastTick(name); rejected > 0 && (!filtered || counts(name)) {
 			n[name] += rejected
@@ -180,6 +181,37 @@
 	return n
 }
 
+// allForecasts reports whether forecasts apply to all services with streams.
+func (s *State) allForecasts() bool {
+	return s.features.WaitForecasts.Enabled(s.table != nil && s.table.AllTolerate())
+}
+
+// mixed returns the organisations with requests waiting, beside a new one if there is any, both for
+// services with forecasts and for others. Their requests go by arrival: the ends of goals would always
+// put those for other services first.
+func (s *State) mixed(added *Ticket) map[string]bool {
+	if s.allForecasts() || !s.anyForecasts() {
+		return nil
+	}
+	// Whether forecasts apply to the first request found of an organisation.
+	first, out := map[string]bool{}, map[string]bool{}
+	add := func(t *Ticket) {
+		on := s.enabled(s.features.WaitForecasts, t.Service)
+		if seen, ok := first[t.Organisation]; ok {
+			out[t.Organisation] = out[t.Organisation] || seen != on
+			return
+		}
+		first[t.Organisation] = on
+	}
+	for _, t := range s.queue {
+		add(t)
+	}
+	if added != nil {
+		add(added)
+	}
+	return out
+}
+
 // anyForecasts reports whether forecasts apply to any service.
 func (s *State) anyForecasts() bool {
 	if s.table == nil {
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/feature"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -273,6 +274,49 @@
 	}
 }
 
+// Guards against requests for services without forecasts that always go before others of their
+// organisation, as they are ordered by arrival and the others by the ends of their goals, and against
+// requests refused unread that are not reported though they may be for such a service.
+func TestOrderOfMixedServices(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{})
+	var routes []routing.Route
+	for service, pause := range map[string]time.Duration{"llm": time.Second, "second": 0} {
+		routes = append(routes, routing.Route{
+			Name: service, Host: "h", Prefix: "/" + service + "/", Kind: routing.Streaming, MaxPause: pause, Shares: []routing.Share{{Service: service, Weight: 1}},
+		})
+	}
+	engine := &routing.Engine{Slots: 64, CacheTokens: 230_000}
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: engine}, {Name: "second", Engine: engine}}, Routes: routes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	for i := range 3 {
+		k := ticket("o", time.Second)
+		k.expires = now.Add(time.Second)
+		k.Arrived = now.Add(time.Duration(i) * time.Millisecond)
+		if i == 1 {
+			k.Service = "second"
+		}
+		s.queue = append(s.queue, k)
+	}
+	s.dispatch(now.Add(2 * time.Millisecond))
+	if got := fmt.Sprintf("%s %s %s", s.queue[0].ID, s.queue[1].ID, s.queue[2].ID); got != "t1 t2 t3" {
+		t.Errorf("order %s, want that of arrival", got)
+	}
+	s.shares.addServed(now, "o", 10_000)
+	s.throttle.RecordQueueFull("o")
+	gate := s.gatesAt(now)["o"]
+	for range 100 {
+		gate.Admit(throttle.RequestSize{})
+	}
+	s.gatesAt(now)
+	s.shares.usageOf(now, "o").unread = 0
+	if n := s.Report(now).Usage["o"].Waiting; n < 90 {
+		t.Errorf("%d requests reported, want those refused unread as well", n)
+	}
+}
+
 // Guards against requests that wait behind ones with more time left, or with none, and against a
 // changed order where forecasts are off.
 func TestOrderWithinOrganisation(t *testing.T) {
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -43,12 +43,12 @@
 		return
 	}
 	s.lastDispatch = now
-	served := map[string]float64{}
+	served, mixed := map[string]float64{}, s.mixed(nil)
 	for _, t := range s.queue {
 		if _, ok := served[t.Organisation]; !ok {
 			served[t.Organisation] = s.served(now, t.Organisation)
 		}
-		s.setOrder(now, t)
+		s.setOrder(now, t, mixed[t.Organisation])
 	}
 	slices.SortStableFunc(s.queue, func(a, b *Ticket) int { return compareOrder(served, a, b) })
 	// The queue is sorted now, the least served organisation first. maxLead also takes requests
