--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -61,7 +61,7 @@
 
 // Guards against callers with little time left who are told to return later than they can wait, and
 // so come back together after a third of it: 2.8 to 5.0 times what engines take came back within
-// 100 ms, where 1.7 is the least possible.
+// 100 ms.
 func TestReturnsWithinTimeLeft(t *testing.T) {
 	for seed := range uint64(4) {
 		most := playBurst(t, seed, feature.On, func(r *replay) { r.timeLimit = 6 * time.Second })
--- a/internal/returns/plan.go
+++ b/internal/returns/plan.go
@@ -32,11 +32,15 @@
 // Plan holds the bookings of this and other routers. Use New to make one. It is a plain state
 // machine: time is passed in as an argument and one goroutine drives it.
 type Plan struct {
-	start    time.Time
+	// start is when slots are counted from: the first use of the plan.
+	start time.Time
+	// services has the bookings and starts of each service, by name.
 	services map[string]*service
-	peers    map[string][]booking
+	// peers has what each other router, or zone, last reported and is part of the sums of services.
+	peers map[string][]booking
 	// others is the number of other routers that are assumed to book as much as this one.
 	others int
+	// counts counts bookings since the start.
 	counts Counts
 }
 
