--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -150,10 +150,14 @@
 	// runningPeers is the number of other routers believed to be running, servingPeers how
 	// many of those serve callers.
 	runningPeers, servingPeers int
-	level                      level
-	budget                     budget
-	throttle                   *throttle.Controller
-	holders                    holders
+	// invalidUsage counts invalid usages in other routers' reports.
+	invalidUsage int64
+	level        level
+	// unmetLead is the last result of maxLead for organisations with unmet demand.
+	unmetLead lead
+	budget    budget
+	throttle  *throttle.Controller
+	holders   holders
 	// sample, good, suspect, near and missing are scratch space for choosing a target.
 	sample, good, suspect, near []*target
 	missing                     []int
@@ -232,13 +236,17 @@
 		return false
 	}
 	s.budget.countRetry(now, t.Service)
+	t.again = true
 	s.arrive(now, t)
 	return true
 }
 
 // Requeue accepts again a request that was not sent for lack of a connection. It counts
 // neither as a new request nor as a retry.
-func (s *State) Requeue(now time.Time, t *Ticket) { s.arrive(now, t) }
+func (s *State) Requeue(now time.Time, t *Ticket) {
+	t.again = true
+	s.arrive(now, t)
+}
 
 // MaySwitch reports whether a request may be moved from its target to another one: the target
 // has sent nothing for at least silent, the retry budget allows it, and there is another usable
@@ -276,6 +284,7 @@
 		return
 	}
 	s.queue = append(s.queue, t)
+	s.unmetLead = lead{}
 }
 
 // assign sends a request to the best target with room, if there is one, or refuses it if it cannot
@@ -315,6 +324,9 @@
 	if t.Engine {
 		s.shares.addServed(now, t.Organisation, t.tokens())
 		s.recordBegan(now, t, t.tokens())
+		if s.forecasted(t) {
+			s.shares.recordStart(now, t.Organisation, t.Service)
+		}
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
 	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -32,14 +32,19 @@
 }
 
 // refuseEarly refuses a request that would have to wait, and almost certainly in vain. It returns
-// whether it did.
+// whether it did. A request that was accepted before goes on waiting: its caller has lost time to a
+// target's failure already, and the retry budget allowed another attempt.
 func (s *State) refuseEarly(now time.Time, t *Ticket) bool {
-	t.class = waiting.Class{}
+	t.class, t.exempt = waiting.Class{}, false
 	if !s.forecasted(t) {
 		return false
 	}
 	t.class = s.classIfQueued(now, t)
+	if t.again || len(t.Tried) > 0 {
+		return false
+	}
 	if !s.forecasts.forecast.Refuse(now, t.class) {
+		t.exempt = s.forecasts.forecast.Exempt(t.class)
 		return false
 	}
 	why := s.refusalReason(now, t)
@@ -56,6 +61,9 @@
 
 // recordWait records the end of a request's wait for forecasts.
 func (s *State) recordWait(now time.Time, t *Ticket, placed bool) {
+	if t.exempt && placed {
+		s.forecasts.forecast.Reset(t.class)
+	}
 	if t.class.Service != "" {
 		s.forecasts.forecast.Record(now, t.class, placed)
 	}
@@ -72,7 +80,7 @@
 // placeInQueue returns how many of the service's waiting requests go before a new one.
 func (s *State) placeInQueue(now time.Time, t *Ticket) int {
 	served := map[string]float64{t.Organisation: s.served(now, t.Organisation)}
-	s.setOrder(now, t)
+	s.setOrder(now, t, s.mixed(t)[t.Organisation])
 	n := 0
 	for _, other := range s.queue {
 		if other.Service != t.Service {
@@ -90,11 +98,11 @@
 
 // setOrder sets the place of a request within its organisation. With forecasts, the request whose
 // goal ends first goes first, behind those that can meet their goals if it can't itself: what it
-// gets is of little worth, whereas the others still lose by waiting. Otherwise the oldest goes
-// first.
-func (s *State) setOrder(now time.Time, t *Ticket) {
+// gets is of little worth, whereas the others still lose by waiting. Otherwise, or if byArrival is
+// set, the oldest goes first.
+func (s *State) setOrder(now time.Time, t *Ticket, byArrival bool) {
 	t.due, t.late = t.Arrived, false
-	if !s.forecasted(t) {
+	if byArrival || !s.forecasted(t) {
 		return
 	}
 	t.due = t.Arrived.Add(t.Goal)
@@ -117,10 +125,33 @@
 	return own.served+others.Started < asked*metPercent/100
 }
 
+// neglected returns the organisations that have a request waiting for a service for which this router
+// started none of theirs within the quota window, while it started others of theirs. Their demand
+// there is unmet, however much of the whole is met.
+func (s *State) neglected(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, t := range s.queue {
+		if !s.forecasted(t) || out[t.Organisation] {
+			continue
+		}
+		here, elsewhere := false, false
+		for service, at := range s.shares.usageOf(now, t.Organisation).startedAt {
+			recent := now.Sub(at) < s.limits.QuotaWindow
+			here = here || recent && service == t.Service
+			elsewhere = elsewhere || recent && service != t.Service
+		}
+		if elsewhere && !here {
+			out[t.Organisation] = true
+		}
+	}
+	return out
+}
+
 // reportedWaiting returns how many requests of each organisation wait, as other routers are to know
 // it: they let those organisations go first. With forecasts only unmet demand counts.
 func (s *State) reportedWaiting(now time.Time) map[string]int {
-	counted := map[string]bool{}
+	// counted starts with the neglected ones, which count in any case.
+	counted := s.neglected(now)
 	counts := func(organisation string) bool {
 		unmet, ok := counted[organisation]
 		if !ok {
@@ -140,7 +171,8 @@
 			n[name] += refused
 		}
 	})
-	filtered := s.anyForecasts()
+	// What is refused unread may be for any service.
+	filtered := s.allForecasts()
 	for name := range s.shares.usages {
 		if rejected := s.throttle.RejectedLastTick(name); rejected > 0 && (!filtered || counts(name)) {
 			n[name] += rejected
@@ -149,6 +181,37 @@
 	return n
 }
 
+// allForecasts reports whether forecasts apply to all services with streams.
+func (s *State) allForecasts() bool {
+	return s.features.WaitForecasts.Enabled(s.table != nil && s.table.AllTolerate())
+}
+
+// mixed returns the organisations with requests waiting, beside a new one if there is any, both for
+// services with forecasts and for others. Their requests go by arrival: the ends of goals would always
+// put those for other services first.
+func (s *State) mixed(added *Ticket) map[string]bool {
+	if s.allForecasts() || !s.anyForecasts() {
+		return nil
+	}
+	// Whether forecasts apply to the first request found of an organisation.
+	first, out := map[string]bool{}, map[string]bool{}
+	add := func(t *Ticket) {
+		on := s.enabled(s.features.WaitForecasts, t.Service)
+		if seen, ok := first[t.Organisation]; ok {
+			out[t.Organisation] = out[t.Organisation] || seen != on
+			return
+		}
+		first[t.Organisation] = on
+	}
+	for _, t := range s.queue {
+		add(t)
+	}
+	if added != nil {
+		add(added)
+	}
+	return out
+}
+
 // anyForecasts reports whether forecasts apply to any service.
 func (s *State) anyForecasts() bool {
 	if s.table == nil {
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/feature"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -119,9 +121,54 @@
 	}
 }
 
+// Guards against a forecast that goes on at a low rate after a burst, since what exempt requests find
+// is outweighed: after 400 waits in vain within a second, 140 of 200 requests at 100 a second were
+// refused although each wait would have ended at a target.
+func TestForecastEndsAfterBurst(t *testing.T) {
+	s, now, ticket := newFullState(t, forecastsOn)
+	c := s.classIfQueued(now, ticket("o", time.Second))
+	for range 400 {
+		s.forecasts.forecast.Record(now, c, false)
+	}
+	for i := range 32 {
+		k := ticket("o", time.Second)
+		if s.refuseEarly(now, k) != (i < 15) {
+			t.Fatalf("request %d refused early: %v", i, i >= 15)
+		}
+		if i >= 15 {
+			s.recordWait(now, k, true)
+		}
+	}
+}
+
+// Guards against early refusals of requests that were sent before, and whose callers have waited for
+// a target that failed.
+func TestRetriesAreNotRefusedEarly(t *testing.T) {
+	for name, arrive := range map[string]func(s *State, now time.Time, k *Ticket){
+		"retry":   func(s *State, now time.Time, k *Ticket) { s.Retry(now, k) },
+		"requeue": (*State).Requeue,
+		"tried": func(s *State, now time.Time, k *Ticket) {
+			k.Tried = []string{"gone"}
+			s.Arrive(now, k)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now, ticket := newFullState(t, forecastsOn)
+			s.limits.RetrySlack = 10
+			for range 40 {
+				s.forecasts.forecast.Record(now, s.classIfQueued(now, ticket("o", time.Second)), false)
+			}
+			arrive(s, now, ticket("o", time.Second))
+			if s.Waiting() != 1 {
+				t.Error("refused at once")
+			}
+		})
+	}
+}
+
 // newFullState returns a state with one engine that other routers have filled, in the eyes of which
 // an organisation "served" was served.
-func newFullState(t *testing.T, f feature.Set) (*State, time.Time, func(organisation string, goal time.Duration) *Ticket) {
+func newFullState(t testing.TB, f feature.Set) (*State, time.Time, func(organisation string, goal time.Duration) *Ticket) {
 	t.Helper()
 	fleet := newShareFleet(t, 1, 1, 100_000)
 	s, now := fleet.routers[0], fleet.now
@@ -182,6 +229,96 @@
 	}
 }
 
+// Guards against an organisation that gets nothing at one service and seems content, as another serves
+// nearly all that it asks for.
+func TestUnmetDemandAtOneService(t *testing.T) {
+	s, now, ticket := newFullState(t, forecastsOn)
+	k := ticket("o", time.Second)
+	s.Arrive(now, k)
+	s.shares.addServed(now, "o", 10_000)
+	for name, started := range map[string]string{"elsewhere": "second", "here too": "llm"} {
+		s.shares.recordStart(now, "o", started)
+		if n, want := s.Report(now).Usage["o"].Waiting, map[string]int{"second": 1}[started]; n != want {
+			t.Errorf("%s: %d requests reported, want %d", name, n, want)
+		}
+		delete(s.shares.usages["o"].startedAt, started)
+	}
+}
+
+// Guards against an organisation of which a box refuses all requests unread, and that is forgotten
+// with each report as nothing of it was read.
+func TestUnreadDemandIsReported(t *testing.T) {
+	s, now, _ := newFullState(t, forecastsOn)
+	s.throttle.RecordQueueFull("o")
+	gate := s.gatesAt(now)["o"]
+	for range 100 {
+		gate.Admit(throttle.RequestSize{Input: 100, Output: 10})
+	}
+	s.gatesAt(now)
+	for range 2 {
+		if n := s.Report(now).Usage["o"].Waiting; n < 90 {
+			t.Errorf("%d requests reported with 100 refused unread", n)
+		}
+	}
+}
+
+// Guards against values of a faulty router that stay in the sums: with one that is not a number no
+// organisation ever seemed to have unmet demand.
+func TestInvalidUsageIsIgnored(t *testing.T) {
+	s, now, ticket := newFullState(t, forecastsOn)
+	bad := map[string]view.Usage{
+		"o": {Demand: math.NaN()}, "p": {Started: math.Inf(1)}, "q": {Demand: -1}, "r": {Waiting: -1}, "good": {Demand: 7},
+	}
+	s.ApplyReport(now, "faulty", view.Report{Usage: bad})
+	s.Arrive(now, ticket("o", time.Second))
+	if n := s.Report(now).Usage["o"].Waiting; n != 1 || s.InvalidUsage() != 4 || s.peers.Usage(now, "good").Demand != 7 {
+		t.Errorf("%d requests reported, %d values ignored, want 1 and 4", n, s.InvalidUsage())
+	}
+}
+
+// Guards against requests for services without forecasts that always go before others of their
+// organisation, as they are ordered by arrival and the others by the ends of their goals, and against
+// requests refused unread that are not reported though they may be for such a service.
+func TestOrderOfMixedServices(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{})
+	var routes []routing.Route
+	for service, pause := range map[string]time.Duration{"llm": time.Second, "second": 0} {
+		routes = append(routes, routing.Route{
+			Name: service, Host: "h", Prefix: "/" + service + "/", Kind: routing.Streaming, MaxPause: pause, Shares: []routing.Share{{Service: service, Weight: 1}},
+		})
+	}
+	engine := &routing.Engine{Slots: 64, CacheTokens: 230_000}
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: engine}, {Name: "second", Engine: engine}}, Routes: routes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	for i := range 3 {
+		k := ticket("o", time.Second)
+		k.expires = now.Add(time.Second)
+		k.Arrived = now.Add(time.Duration(i) * time.Millisecond)
+		if i == 1 {
+			k.Service = "second"
+		}
+		s.queue = append(s.queue, k)
+	}
+	s.dispatch(now.Add(2 * time.Millisecond))
+	if got := fmt.Sprintf("%s %s %s", s.queue[0].ID, s.queue[1].ID, s.queue[2].ID); got != "t1 t2 t3" {
+		t.Errorf("order %s, want that of arrival", got)
+	}
+	s.shares.addServed(now, "o", 10_000)
+	s.throttle.RecordQueueFull("o")
+	gate := s.gatesAt(now)["o"]
+	for range 100 {
+		gate.Admit(throttle.RequestSize{})
+	}
+	s.gatesAt(now)
+	s.shares.usageOf(now, "o").unread = 0
+	if n := s.Report(now).Usage["o"].Waiting; n < 90 {
+		t.Errorf("%d requests reported, want those refused unread as well", n)
+	}
+}
+
 // Guards against requests that wait behind ones with more time left, or with none, and against a
 // changed order where forecasts are off.
 func TestOrderWithinOrganisation(t *testing.T) {
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -59,7 +60,7 @@
 // serve callers.
 func (s *State) SetPeers(running, serving int) {
 	s.runningPeers, s.servingPeers = running, serving
-	s.returning.plan.SetRouters(serving)
+	s.assumeBookers()
 }
 
 // routers returns the number of routers in the fleet.
@@ -70,6 +71,7 @@
 
 // ApplyReport applies a report received from another router.
 func (s *State) ApplyReport(now time.Time, router string, r view.Report) {
+	r.Usage = s.validUsage(r.Usage)
 	s.peers.UpdateReport(now, router, r)
 	s.applyReturns(now, router, r)
 	s.speeds.SetPeer(now, router, r.Speeds)
@@ -82,6 +84,24 @@
 	s.dispatch(now)
 }
 
+// validUsage returns the valid entries of a report's usage, and counts the others.
+func (s *State) validUsage(reported map[string]view.Usage) map[string]view.Usage {
+	valid := reported
+	for name, u := range reported {
+		if u.Valid() {
+			continue
+		}
+		if s.invalidUsage++; len(valid) == len(reported) {
+			valid = maps.Clone(reported)
+		}
+		delete(valid, name)
+	}
+	return valid
+}
+
+// InvalidUsage returns how many invalid usages of organisations other routers have reported.
+func (s *State) InvalidUsage() int64 { return s.invalidUsage }
+
 // ForgetPeer removes everything that another router reported.
 func (s *State) ForgetPeer(now time.Time, router string) {
 	s.peers.Remove(now, router)
@@ -117,7 +137,7 @@
 	waiting := s.reportedWaiting(now)
 	for name := range s.shares.usages {
 		c := s.shares.usageOf(now, name)
-		if c.demand >= 1 || c.served >= 1 {
+		if c.demand >= 1 || c.served >= 1 || s.anyForecasts() && (c.unread >= 1 || waiting[name] > 0) {
 			r.Usage[name] = view.Usage{Demand: c.demand, Started: c.served, Waiting: waiting[name]}
 			continue
 		}
--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -17,17 +17,47 @@
 	// maxReturn bounds Retry-After. A caller honours it up to a third of the time that it has
 	// left, so few would return later. Only the end of a back-off may be later.
 	maxReturn = returns.Count * returns.SlotWidth
+	// maxReturnWithinShare bounds it for organisations within their share. They would go first in
+	// the queue, so they are not kept behind the bookings of others. By then as much has started as
+	// engines may have pending twice, and a goal of 1 s can still be met.
+	maxReturnWithinShare = 600 * time.Millisecond
+	// usedEarly divides the part of its share that an organisation's early returns may take: the rest
+	// is for its new requests.
+	usedEarly = 2
+	// maxTimeToShare bounds the wait for an organisation's share such that ten slots remain over
+	// which its callers are spread.
+	maxTimeToShare = maxReturn - 10*returns.SlotWidth
+	// honouredPart is the part of the time left that a caller waits at most, one in honouredPart.
+	honouredPart = 3
 	// startsTTL is how long a router's last report of started tokens is kept.
 	startsTTL = 10 * time.Second
+	// maxBookedFactor bounds what one report books in a slot, relative to the configured capacity. At
+	// some times the capacity asked for, as in the heaviest plays, slots are filled several times.
+	maxBookedFactor = 8
+	// maxBeganFactor bounds the starts between two reports, relative to the configured capacity over
+	// a quota window. Engines may take more than is configured, and reports may be lost for some time.
+	maxBeganFactor = 4
+	// bookersTTL is how long a comparison of bookings is used after this router's last one. A burst
+	// after a longer pause may come to all routers.
+	bookersTTL = 10 * time.Second
 )
 
 // returning plans when refused callers return.
 type returning struct {
 	plan *returns.Plan
 	// starts has what other routers last reported as started, by router.
-	starts map[string]starts
-	// unknown counts the bookings that other routers reported for services unknown here.
-	unknown int64
+	starts  map[string]starts
+	bookers bookers
+	// invalid counts the bookings that other routers reported for services unknown here, and the
+	// reports with more starts than engines can take.
+	invalid int64
+}
+
+// bookers compares the tokens that other routers booked with those that this router did, both as
+// reported and decayed over the quota window.
+type bookers struct {
+	own, others float64
+	at          time.Time
 }
 
 // starts is the sum of all organisations' started tokens in a report.
@@ -44,10 +74,33 @@
 	if s.table == nil || !s.enabled(s.features.ReturnSlots, service) {
 		return false
 	}
+	return s.isEngineService(service)
+}
+
+func (s *State) isEngineService(service string) bool {
 	v, ok := s.table.Service(service)
 	return ok && v.Engine != nil
 }
 
+// maxBooked returns the most tokens that count as booked in a slot by a router, or a zone: above the
+// capacity a slot is full, and more than some multiple comes from a fault and would hide for seconds
+// which slots are the least full.
+func (s *State) maxBooked() float64 {
+	if s.shares.capacity <= 0 {
+		return math.Inf(1)
+	}
+	return maxBookedFactor * s.shares.capacity * returns.SlotWidth.Seconds()
+}
+
+// maxBegan returns the most tokens that other routers may have started since a report, by the
+// configured capacity; more comes from a fault and would let all refused callers return at once.
+func (s *State) maxBegan() float64 {
+	if s.shares.capacity <= 0 {
+		return math.Inf(1)
+	}
+	return maxBeganFactor * s.shares.capacity * s.limits.QuotaWindow.Seconds()
+}
+
 // anyReturnSlots reports whether the returns of any service's refused callers are planned.
 func (s *State) anyReturnSlots() bool {
 	return s.table != nil && s.features.ReturnSlots.Enabled(s.table.AnyTolerates())
@@ -56,7 +109,7 @@
 // ReturnCounts returns how many returns were booked since the start.
 func (s *State) ReturnCounts() returns.Counts {
 	c := s.returning.plan.Counts()
-	c.Ignored += s.returning.unknown
+	c.Ignored += s.returning.invalid
 	return c
 }
 
@@ -64,18 +117,51 @@
 // for then.
 func (s *State) bookReturn(now time.Time, t *Ticket, why Reason) time.Duration {
 	earliest := minReturn
+	latest := max(t.Deadline.Sub(now)/honouredPart, minReturn)
 	if end, ok := s.backoffEnd(now, t.Service, nil); ok {
 		earliest = max(earliest, end.Sub(now))
 		if earliest > maxReturn {
 			d, _ := s.BackoffLeft(now, t.Service)
 			return d
 		}
-	} else if s.allDrained(now, t.Service) {
-		earliest = retryAfterDrained
-	} else {
-		earliest = max(earliest, s.timeToShare(now, t.Organisation, why))
+		return s.book(now, t, earliest, max(latest, earliest))
+	}
+	if s.allDrained(now, t.Service) {
+		return s.book(now, t, retryAfterDrained, max(latest, retryAfterDrained))
+	}
+	toShare := s.timeToShare(now, t.Organisation, why)
+	if toShare > latest {
+		// The caller returns before its organisation is within its share, whatever it is told. It
+		// is booked for when it does.
+		s.book(now, t, latest-returns.SlotWidth, latest)
+		return min(toShare, maxReturn-returns.SlotWidth) + time.Duration(s.random.Float64()*float64(returns.SlotWidth))
+	}
+	if toShare == 0 && s.returnsEarly(now, t) {
+		latest = min(latest, maxReturnWithinShare)
+	}
+	return s.book(now, t, max(earliest, min(toShare, maxTimeToShare)), latest)
+}
+
+// returnsEarly reports whether a refused caller is to return within maxReturnWithinShare, whatever is
+// booked, and counts its tokens if so: they take at most half of what its organisation has
+// left of its share of what engines actually serve, and of that this router's part by demand. Without
+// that bound the callers of a sudden burst, of which most is not owed, came back to up to 2.6 times
+// what engines take.
+func (s *State) returnsEarly(now time.Time, t *Ticket) bool {
+	if t.Organisation == "" || s.shares.capacity <= 0 {
+		return false
+	}
+	own, others := s.shares.usageOf(now, t.Organisation), s.peers.Usage(now, t.Organisation)
+	left := s.currentLevel(now).attained - own.served - others.Started
+	if left <= 0 || usedEarly*own.early*(own.demand+others.Demand) > left*own.demand {
+		return false
 	}
-	return s.returning.plan.Book(now, t.Service, t.tokens(), earliest, s.random.Float64())
+	own.early += t.tokens()
+	return true
+}
+
+func (s *State) book(now time.Time, t *Ticket, earliest, latest time.Duration) time.Duration {
+	return s.returning.plan.BookUntil(now, t.Service, t.tokens(), earliest, latest, s.random.Float64())
 }
 
 // timeToShare returns the time after which what an organisation was served has decayed to its share,
@@ -110,28 +196,35 @@
 	var list []returns.Slots
 	for _, slots := range r.Returns {
 		if s.returnSlots(slots.Service) {
-			list = append(list, slots)
+			list = append(list, slots.Capped(s.maxBooked()))
 			continue
 		}
-		s.returning.unknown++
+		s.returning.invalid++
 	}
 	s.returning.plan.SetPeer(now, router, list)
 	running, total := map[string]int{}, 0
 	for id, l := range r.Loads {
-		if t := s.findIncarnation(id); t != nil && l.Running > 0 && s.returnSlots(t.Service) {
+		if t := s.findIncarnation(id); t != nil && l.Running > 0 && s.isEngineService(t.Service) {
 			running[t.Service] += l.Running
 			total += l.Running
 		}
 	}
-	if total == 0 {
-		delete(s.returning.starts, router)
+	if _, known := s.returning.starts[router]; known && total == 0 {
+		// What it started meanwhile is attributed when something runs there again.
 		return
 	}
 	began := s.startedSince(now, router, r)
-	if began <= 0 {
+	if began <= 0 || total == 0 {
+		return
+	}
+	if began > s.maxBegan() {
+		s.returning.invalid++
 		return
 	}
 	for service, n := range running {
+		if !s.returnSlots(service) {
+			continue
+		}
 		s.returning.plan.Began(now, service, began*float64(n)/float64(total))
 	}
 }
@@ -142,9 +235,7 @@
 func (s *State) startedSince(now time.Time, router string, r view.Report) float64 {
 	started := 0.0
 	for _, u := range r.Usage {
-		if u.Started > 0 && !math.IsInf(u.Started, 1) {
-			started += u.Started
-		}
+		started += u.Started
 	}
 	last, ok := s.returning.starts[router]
 	s.returning.starts[router] = starts{started, now}
@@ -167,5 +258,33 @@
 			delete(s.returning.starts, router)
 		}
 	}
+	s.compareBookings(now)
 	return s.returning.plan.Own(now)
 }
+
+// compareBookings compares what other routers have booked with this router's bookings in its last
+// report. By the next one the others have reported, too. Nothing is known where all those have
+// passed, nor some time after the last booking.
+func (s *State) compareBookings(now time.Time) {
+	b := &s.returning.bookers
+	own, others := s.returning.plan.Reported(now)
+	switch {
+	case own > 0:
+		f := view.DecayFactor(now.Sub(b.at), s.limits.QuotaWindow)
+		*b = bookers{b.own*f + own, b.others*f + others, now}
+	case b.own > 0 && now.Sub(b.at) > bookersTTL:
+		*b = bookers{}
+	}
+	s.assumeBookers()
+}
+
+// assumeBookers sets how many other routers are assumed to book as much as this one: all that serve
+// callers until a comparison is known, and then as many as make up what they have booked. A router
+// that refuses alone in a large fleet would otherwise leave its slots almost empty.
+func (s *State) assumeBookers() {
+	n := s.servingPeers
+	if b := s.returning.bookers; b.own > 0 {
+		n = int(math.Ceil(min(b.others/b.own, float64(n))))
+	}
+	s.returning.plan.SetRouters(n)
+}
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -59,6 +59,129 @@
 	}
 }
 
+// Guards against callers with little time left who are told to return later than they can wait, and
+// so come back together after a third of it: 2.8 to 5.0 times what engines take came back within
+// 100 ms.
+func TestReturnsWithinTimeLeft(t *testing.T) {
+	for seed := range uint64(4) {
+		most := playBurst(t, seed, feature.On, func(r *replay) { r.timeLimit = 6 * time.Second })
+		if most > 2*perSlot {
+			t.Errorf("seed %d: %.1f times what engines take came back within 100 ms", seed, most/perSlot)
+		}
+	}
+}
+
+// Guards against an organisation within its share that returns after its goal since others have
+// booked all slots, and against callers over their share that are all told the same time.
+func TestReturnsUnderSustainedOverload(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	for range 20 {
+		s.returning.plan.Began(now, "llm", 1000)
+		now = now.Add(returns.SlotWidth)
+	}
+	s.shares.addDemand(now, "large", 20_000_000)
+	s.shares.addServed(now, "large", 20_000_000)
+	s.shares.addDemand(now, "small", 1000)
+	told := map[time.Duration]bool{}
+	for range 1000 {
+		k := ticket("large", time.Second)
+		k.Deadline = now.Add(15 * time.Second)
+		told[s.retryAfter(now, k, OverShare).Truncate(returns.SlotWidth)] = true
+		s.returning.plan.Book(now, "llm", 100, minReturn, 0)
+	}
+	if len(told) < 8 {
+		t.Errorf("callers over their share are told %d different slots, want ten", len(told))
+	}
+	for _, left := range []time.Duration{12 * time.Second, time.Second, 0} {
+		k := ticket("small", time.Second)
+		k.Deadline = now.Add(left)
+		if d, most := s.retryAfter(now, k, Full), max(min(maxReturnWithinShare, left/3), 2*minReturn); d > most {
+			t.Errorf("an organisation within its share is told %v with %v left, want at most %v", d, left, most)
+		}
+	}
+}
+
+// Guards against a router that refuses alone and is treated as one of all: each of its bookings, of a
+// twentieth of a slot, took a slot of its own until it had reported several slots' worth.
+func TestReturnsOfOneRefusingRouter(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	s.SetPeers(629, 629)
+	var last time.Duration
+	for step := range 60 {
+		s.returning.plan.Began(now, "llm", 10_000)
+		now = now.Add(returns.SlotWidth / 2)
+		if step < 20 {
+			continue
+		}
+		for range 4 {
+			k := ticket("p", time.Second)
+			k.Deadline = now.Add(12 * time.Second)
+			last = s.retryAfter(now, k, Full)
+			if step > 40 && last > 3*returns.SlotWidth {
+				t.Fatalf("step %d: told %v, want a slot that is almost empty", step, last)
+			}
+		}
+		if step%6 == 0 {
+			s.Report(now)
+		}
+	}
+}
+
+// Guards against starts of a router that are attributed to the wrong service, lost because nothing ran
+// at the moment of a report, or so many that all callers would return at once.
+func TestStartsOfOthers(t *testing.T) {
+	r := newReplay(t, 1, feature.Set{ReturnSlots: feature.On})
+	r.addService(t, "second", "other")
+	s, now, total := r.routers[0], r.now, 0.0
+	s.SetPeers(0, 0)
+	report := func(started float64, loads map[string]view.Load) {
+		now = now.Add(returns.SlotWidth)
+		total = total*view.DecayFactor(returns.SlotWidth, 4*time.Second) + started
+		s.ApplyReport(now, "r", view.Report{Loads: loads, Usage: map[string]view.Usage{"o": {Started: total}}})
+	}
+	both := map[string]view.Load{Target{ID: "e0"}.Incarnation(): {Running: 1}, Target{ID: "second0"}.Incarnation(): {Running: 1}}
+	report(0, both)
+	report(2000, both)
+	report(2000, nil)
+	report(2000, both)
+	report(1e12, both)
+	if n := s.ReturnCounts().Ignored; n != 1 {
+		t.Errorf("%d ignored, want the last report's starts", n)
+	}
+	// 3,000 tokens for llm in four slots, less a tenth: room for six of 120 tokens in a slot.
+	now = now.Add(returns.SlotWidth)
+	var told []time.Duration
+	for range 7 {
+		told = append(told, s.returning.plan.Book(now, "llm", 120, minReturn, 0))
+	}
+	if told[5] != minReturn || told[6] == minReturn {
+		t.Errorf("callers are told %v, want six of them the first slot", told)
+	}
+}
+
+// Guards against one faulty router whose bookings outweigh those of all others where the least full
+// slot is chosen.
+func TestBookingsOfFaultyRouter(t *testing.T) {
+	s, now, _ := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	s.ApplyReport(now, "faulty", view.Report{Returns: []returns.Slots{{Service: "llm", Tokens: []float64{1e9, 5}}}})
+	if _, others := s.returning.plan.Reported(now); others != maxBookedFactor*10_000+5 {
+		t.Errorf("%.0f tokens booked, want some times the capacity of a slot, 10,000", others)
+	}
+}
+
+// Guards against slots that are filled by callers who can be served by no target anyway.
+func TestNothingBookedWithoutTarget(t *testing.T) {
+	s, now, ticket := newFullState(t, feature.Set{ReturnSlots: feature.On})
+	for _, why := range []Reason{NoTarget, NoAllowedTarget} {
+		if d := s.retryAfter(now, ticket("o", time.Second), why); d < retryAfterFull || d > 2*retryAfterFull {
+			t.Errorf("%s: Retry-After is %v", why, d)
+		}
+	}
+	if n := s.ReturnCounts().Booked; n != 0 {
+		t.Errorf("%d returns booked", n)
+	}
+}
+
 // Guards against a Retry-After that is out of bounds, ends before the back-off of all targets, or
 // sends a caller back before its organisation is within its share.
 func TestRetryAfter(t *testing.T) {
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -24,7 +24,12 @@
 	// requests is the number of requests in demand, and unread that of requests which were refused
 	// before they were read. Both decay alike.
 	requests, unread float64
-	updatedAt        time.Time
+	// early is the tokens of refused requests whose callers return as part of the organisation's
+	// share. It decays alike.
+	early     float64
+	updatedAt time.Time
+	// startedAt is when a request to a service was last started, by service.
+	startedAt map[string]time.Time
 }
 
 func newShares(window time.Duration) shares {
@@ -43,6 +48,7 @@
 	c.served *= f
 	c.requests *= f
 	c.unread *= f
+	c.early *= f
 	c.updatedAt = now
 }
 
@@ -64,6 +70,15 @@
 	}
 }
 
+// recordStart records that a request to a service was started.
+func (s *shares) recordStart(now time.Time, organisation, service string) {
+	c := s.usageOf(now, organisation)
+	if c.startedAt == nil {
+		c.startedAt = map[string]time.Time{}
+	}
+	c.startedAt[service] = now
+}
+
 func (s *shares) addServed(now time.Time, organisation string, tokens float64) {
 	c := s.usageOf(now, organisation)
 	c.served = max(c.served+tokens, 0)
--- a/internal/returns/plan.go
+++ b/internal/returns/plan.go
@@ -32,11 +32,15 @@
 // Plan holds the bookings of this and other routers. Use New to make one. It is a plain state
 // machine: time is passed in as an argument and one goroutine drives it.
 type Plan struct {
-	start    time.Time
+	// start is when slots are counted from: the first use of the plan.
+	start time.Time
+	// services has the bookings and starts of each service, by name.
 	services map[string]*service
-	peers    map[string][]booking
-	// others is the number of other routers that book.
+	// peers has what each other router, or zone, last reported and is part of the sums of services.
+	peers map[string][]booking
+	// others is the number of other routers that are assumed to book as much as this one.
 	others int
+	// counts counts bookings since the start.
 	counts Counts
 }
 
@@ -59,9 +63,24 @@
 	return &Plan{services: map[string]*service{}, peers: map[string][]booking{}}
 }
 
-// SetRouters sets the number of other routers that book.
+// SetRouters sets the number of other routers that are assumed to book as much as this one.
 func (p *Plan) SetRouters(others int) { p.others = others }
 
+// Reported returns the tokens that this router and the others have reported as booked and that have
+// not passed.
+func (p *Plan) Reported(now time.Time) (own, others float64) {
+	current := p.slot(now)
+	for _, s := range p.services {
+		s.own.advance(current)
+		s.all.advance(current)
+		s.unreported.advance(current)
+		total := s.own.total()
+		own += max(total-s.unreported.total(), 0)
+		others += max(s.all.total()-total, 0)
+	}
+	return own, others
+}
+
 // Counts returns the numbers of bookings since the start.
 func (p *Plan) Counts() Counts { return p.counts }
 
@@ -78,6 +97,12 @@
 // If all slots are full, it takes the least full one of the last ten. If it is unknown what engines
 // start, it spreads callers evenly over a second.
 func (p *Plan) Book(now time.Time, service string, tokens float64, earliest time.Duration, random float64) time.Duration {
+	return p.BookUntil(now, service, tokens, earliest, Count*SlotWidth, random)
+}
+
+// BookUntil is like Book, for a caller that returns at most latest from now, whatever it is told. If
+// all slots until then are full, it takes the least full one of the last ten of them.
+func (p *Plan) BookUntil(now time.Time, service string, tokens float64, earliest, latest time.Duration, random float64) time.Duration {
 	s, current := p.service(service), p.slot(now)
 	s.own.advance(current)
 	s.all.advance(current)
@@ -86,6 +111,7 @@
 	last := current + Count - 1
 	wanted := now.Sub(p.start) + max(earliest, 0)
 	first := min(int64((wanted+SlotWidth-1)/SlotWidth), last)
+	last = min(max(int64((now.Sub(p.start)+max(latest, 0))/SlotWidth)-1, first), last)
 	slot, ok := s.choose(first, last, s.began.perSlot(current)*(sparePart-1)/sparePart, p.others)
 	p.counts.Booked++
 	if !ok {
@@ -147,13 +173,14 @@
 	return out
 }
 
-// SetPeer replaces another router's bookings, or those of a zone. Invalid ones are ignored.
+// SetPeer replaces another router's bookings, or those of a zone. Invalid ones are ignored, and those
+// for a service that has some already.
 func (p *Plan) SetPeer(now time.Time, router string, list []Slots) {
 	current := p.slot(now)
 	p.remove(current, router)
 	var kept []booking
 	for _, slots := range list {
-		if !slots.Valid() {
+		if !slots.Valid() || slices.ContainsFunc(kept, func(b booking) bool { return b.service == slots.Service }) {
 			p.counts.Ignored++
 			continue
 		}
