Bound the first observations of engine speeds

One request that waited behind unknown others made an engine look up to 4 times slow until its sums expired.

--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -20,7 +20,9 @@
 	minFactor, maxFactor = 0.25, 4
 	// outlierFactor bounds an observation to this multiple of what the engine's sums so far predict.
 	// A request that waited behind others that its router did not know of says little about speed.
-	// An engine that has become slower still shows within a few observations.
+	// An engine that has become slower still shows within a few observations. While the service has
+	// less than priorExpected, the reference takes the place of the sums: one bad first observation
+	// otherwise made an engine look 4 times slow until it expired.
 	outlierFactor = 2
 	// rebaseAfter is the age of the landmark after which it is renewed. Weights grow up to e^20
 	// meanwhile.
@@ -139,9 +141,12 @@
 	if e == nil {
 		return
 	}
+	// The ratio of a service of which little is known is that of a few requests.
+	ratio := 1.0
 	if e.service.total.Expected >= priorExpected*b.unitOf(now) {
-		seen.Actual = min(seen.Actual, outlierFactor*seen.Expected*e.ratio(b.unitOf(now)))
+		ratio = e.ratio(b.unitOf(now))
 	}
+	seen.Actual = min(seen.Actual, outlierFactor*seen.Expected*ratio)
 	if e.ownAt.IsZero() {
 		e.contributors++
 	}
