Bound observations and reports of engine speeds by their service

The mean of a service had no bound: one valid report about one of 60 engines, with 1,000 times the usual time, put all healthy engines at the lowest factor. Observations and reported times now count at most 4 times what the service's sums predict, reported ones also at least a quarter, and sums are limited to 300,000 ms. Totals beyond that are scaled down by the sender, as receivers ignore them.

--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -25,3 +25,41 @@
 		t.Errorf("factor of e0 rises to %.2f, want less than 1.3", highest)
 	}
 }
+
+// TestFaultyReport guards against a valid report about one engine that changes how all engines of
+// its service look.
+func TestFaultyReport(t *testing.T) {
+	for name, bad := range map[string]enginespeed.Sums{
+		"slow":        {Expected: 1e4, Actual: 1e5},
+		"much slower": {Expected: 300, Actual: 3e5},
+		"fast":        {Expected: 1e4, Actual: 10},
+		"large":       {Expected: 1e4, Actual: 1e7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := enginespeed.New(start)
+			report := func(router, target string, s enginespeed.Sums) {
+				b.SetPeer(start, router, []enginespeed.Report{{Target: target, Service: "llm", Sums: s}})
+			}
+			for i := range 60 {
+				report("r1", fmt.Sprint("e", i), enginespeed.Sums{Expected: 4000, Actual: 4000})
+			}
+			report("r2", "e0", bad)
+			if f := b.Factor(start, "llm", "e1"); f < 0.85 || f > 1.15 {
+				t.Errorf("factor of a healthy engine is %.2f, want about 1", f)
+			}
+		})
+	}
+}
+
+// TestLargeTotals guards against totals of a zone that its receivers would ignore as too large.
+func TestLargeTotals(t *testing.T) {
+	zone, other := enginespeed.New(start), enginespeed.New(start)
+	for i := range 3 {
+		zone.SetPeer(start, fmt.Sprint("r", i), []enginespeed.Report{{Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 1e5, Actual: 2e5}}})
+	}
+	now := start.Add(time.Second)
+	other.SetPeer(now, "zone z", zone.TakeTotals(now))
+	if s := other.Summaries(now)["llm"]; s.Engines != 1 || other.Ignored() != 0 {
+		t.Errorf("the total of three routers was ignored: %+v", s)
+	}
+}
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -31,9 +31,11 @@
 	maxEngines, maxEntries = 20_000, 50_000
 	// maxNameLength bounds the names of engines and services in reports.
 	maxNameLength = 256
-	// maxSum bounds sums in reports, in milliseconds: ten seconds of work of a thousand requests at
-	// a time. maxRatio bounds the ratio of actual to expected time in both directions.
-	maxSum, maxRatio = 1e7, 1000
+	// maxSum bounds sums in reports, in milliseconds: some four times the expected time of an engine
+	// that reads 100 tokens a millisecond for 85 requests a second. An engine of higher sums would
+	// outweigh its service; larger totals are scaled down before they are sent.
+	// maxRatio bounds the ratio of actual to expected time in both directions.
+	maxSum, maxRatio = 3e5, 1000
 )
 
 // Sums adds up times to the first event at one engine, in milliseconds.
@@ -49,6 +51,18 @@
 
 func (s Sums) times(f float64) Sums { return Sums{s.Expected * f, s.Actual * f} }
 
+// ratio returns the ratio of actual to expected time; not a number if there is none.
+func (s Sums) ratio() float64 { return s.Actual / s.Expected }
+
+// within returns the sums with the actual time bounded to what factors relative to a mean ratio may
+// be. The mean would otherwise follow one faulty report, and all other engines would look alike.
+func (s Sums) within(mean float64) Sums {
+	return Sums{s.Expected, min(max(s.Actual, minFactor*mean*s.Expected), maxFactor*mean*s.Expected)}
+}
+
+// capped returns the sums, scaled down to what reports may hold if they are larger.
+func (s Sums) capped() Sums { return s.times(min(1, maxSum/max(s.Expected, s.Actual))) }
+
 // valid reports whether sums can be those of observations. Comparisons with NaN are false.
 func (s Sums) valid() bool {
 	return s.Expected > 0 && s.Expected <= maxSum && s.Actual > 0 && s.Actual <= maxSum &&
@@ -145,6 +159,7 @@
 	ratio := 1.0
 	if e.service.total.Expected >= priorExpected*b.unitOf(now) {
 		ratio = e.ratio(b.unitOf(now))
+		seen.Actual = min(seen.Actual, maxFactor*seen.Expected*e.service.total.ratio())
 	}
 	seen.Actual = min(seen.Actual, outlierFactor*seen.Expected*ratio)
 	if e.ownAt.IsZero() {
@@ -195,6 +210,9 @@
 			b.entries++
 		}
 		sums := r.times(b.unitOf(now))
+		if others := e.service.total.minus(old.Sums); others.Expected >= priorExpected*b.unitOf(now) {
+			sums = sums.within(others.ratio())
+		}
 		e.add(sums.minus(old.Sums))
 		b.peers[router][r.Target] = entry{sums, now}
 		b.changed[r.Target] = struct{}{}
@@ -260,13 +278,13 @@
 // ratio returns the engine's ratio of actual to expected time, pulled towards that of its service
 // as long as there are few observations.
 func (e *engine) ratio(unit float64) float64 {
-	mean := e.service.total.Actual / e.service.total.Expected
+	mean := e.service.total.ratio()
 	prior := priorExpected * unit
 	return (e.total.Actual + prior*mean) / (e.total.Expected + prior)
 }
 
 func (e *engine) factor(unit float64) float64 {
-	mean := e.service.total.Actual / e.service.total.Expected
+	mean := e.service.total.ratio()
 	f := e.ratio(unit) / mean
 	if math.IsNaN(f) {
 		return 1
--- a/internal/enginespeed/take.go
+++ b/internal/enginespeed/take.go
@@ -75,7 +75,7 @@
 		e := b.engines[c.target]
 		e.taken, e.takenAt = sums(e), now
 		delete(b.changed, c.target)
-		out = append(out, Report{Target: c.target, Service: e.name, Sums: e.taken.times(1 / b.unitOf(now))})
+		out = append(out, Report{Target: c.target, Service: e.name, Sums: e.taken.times(1 / b.unitOf(now)).capped()})
 	}
 	return out
 }
