Limit reports of engine speeds by the routers that they go to

The limit of 250 engines a second was divided by the peers heard from. After a common start nobody has heard from anybody, so each router took the whole for itself: 157 routers sent some 9,400 engines in the first second. It is now divided by the receivers of the report if those are more, and at most two seconds' worth is saved up.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -75,3 +75,6 @@
 // IgnoredSpeeds returns the number of times of engines that were ignored because they were invalid
 // or too many.
 func (s *State) IgnoredSpeeds() int64 { return s.speeds.Ignored() }
+
+// SetReportReceivers sets the number of routers that this router's reports go to.
+func (s *State) SetReportReceivers(n int) { s.speeds.SetReceivers(n) }
--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -63,3 +63,22 @@
 		t.Errorf("the total of three routers was ignored: %+v", s)
 	}
 }
+
+// TestRateAfterStart guards against routers that have not heard from one another yet, each of which
+// reports as much as all together may: 157 routers sent 250 KB in the first second.
+func TestRateAfterStart(t *testing.T) {
+	const routers = 157
+	b, now, sent := enginespeed.New(start), start.Add(time.Minute), 0
+	b.SetReceivers(routers - 1)
+	for range 10 {
+		for j := range 60 {
+			b.Observe(now, "llm", fmt.Sprint("e", j), 100*ms, 100*ms)
+		}
+		sent += len(b.Take(now))
+		now = now.Add(100 * ms)
+	}
+	// A report of two seconds' worth, and the rest of the second.
+	if all := sent * routers; all < 250 || all > 3*250 {
+		t.Errorf("%d routers report %d engines in the first second, want 250 to 750", routers, all)
+	}
+}
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -105,7 +105,9 @@
 	// changed has the engines whose sums may have changed since they were last taken.
 	changed map[string]struct{}
 	budget  budget
-	ignored int64
+	// receivers is the number of routers that reports go to.
+	receivers int
+	ignored   int64
 }
 
 // engine is what is known of one incarnation of an engine.
--- a/internal/enginespeed/take.go
+++ b/internal/enginespeed/take.go
@@ -13,7 +13,9 @@
 	// reportInterval is the least time between two reports of one engine.
 	reportInterval = time.Second
 	// maxReceived is the number of engines a second that a router should hear of from all peers, at
-	// some 50 bytes each: 12 KB. A router's part of it falls with the number of its peers.
+	// some 50 bytes each: 12 KB a second. A router's part of it falls with the number of its peers:
+	// those heard from or, if there are more, those that it sends to. After a common start no router
+	// has heard from others.
 	maxReceived = 250
 	// maxZoneRate is the number of engines a second in the sums of one zone.
 	maxZoneRate = 60
@@ -25,17 +27,22 @@
 	at   time.Time
 }
 
-// refill adds what a rate allows since the last call, up to the size of a report.
+// refill adds what a rate allows since the last call, up to that of two seconds, the interval of
+// reports in a large zone, and to the size of a report. Without the first limit, all routers that
+// were idle would send a full report at once.
 func (u *budget) refill(now time.Time, perSecond float64) {
-	u.left = min(u.left+now.Sub(u.at).Seconds()*perSecond, maxPerReport)
+	u.left = min(u.left+now.Sub(u.at).Seconds()*perSecond, max(2*perSecond, 1), maxPerReport)
 	u.at = now
 }
 
+// SetReceivers sets the number of routers that this router's reports go to.
+func (b *Book) SetReceivers(n int) { b.receivers = n }
+
 // Take returns what this router's next report is to say of its own observations, and regards it as
 // sent: the engines whose sums changed most, at most 64, and each at most once a second.
 func (b *Book) Take(now time.Time) []Report {
 	b.expire(now)
-	b.budget.refill(now, maxReceived/float64(len(b.peers)+1))
+	b.budget.refill(now, maxReceived/float64(max(len(b.peers), b.receivers)+1))
 	return b.take(now, func(e *engine) Sums { return e.own })
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -121,13 +121,14 @@
 // long as there is any, and one more report when there is none any longer. In a large fleet it
 // reports to its zone only, and the relay of the zone sends the zone's sum to the other zones.
 func (g *Gateway) report(s *balance.State, now time.Time) {
-	r := s.Report(now)
 	serving := g.roster.Serving(now)
 	to := serving
 	useSums := len(serving) > maxMeshPeers
 	if useSums {
 		to = inZone(serving, g.self.Zone)
 	}
+	s.SetReportReceivers(len(to))
+	r := s.Report(now)
 	if r.Active() || g.reporter.active {
 		status := g.statusOf(r)
 		g.sendAll(members(to), status)
