Don't report expired engine speeds

Expiry cleared a router's own sums but not those last reported. If a peer still observed the engine, the router reported sums of zero, which receivers ignore and count as invalid.

--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -82,3 +82,18 @@
 		t.Errorf("%d routers report %d engines in the first second, want 250 to 750", routers, all)
 	}
 }
+
+// TestNothingAfterExpiry guards against reports of expired sums, which receivers count as invalid,
+// when peers still observe the engine.
+func TestNothingAfterExpiry(t *testing.T) {
+	b, now := enginespeed.New(start), start
+	b.Observe(now, "llm", "e", 100*ms, 100*ms)
+	b.Take(now.Add(time.Second))
+	for range 40 {
+		now = now.Add(time.Second)
+		b.SetPeer(now, "r", []enginespeed.Report{{Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 100, Actual: 100}}})
+		if list := b.Take(now.Add(time.Millisecond)); now.Sub(start) > time.Second && len(list) > 0 {
+			t.Fatalf("reported after %v: %v", now.Sub(start), list)
+		}
+	}
+}
--- a/internal/enginespeed/expire.go
+++ b/internal/enginespeed/expire.go
@@ -28,7 +28,7 @@
 	for target, e := range b.engines {
 		if !e.ownAt.IsZero() && now.Sub(e.ownAt) >= ttl {
 			own := e.own
-			e.own, e.ownAt = Sums{}, time.Time{}
+			e.own, e.ownAt, e.taken = Sums{}, time.Time{}, Sums{}
 			b.remove(target, e, own)
 		}
 	}
