Order reports of engine speeds by expected time alone

Engines were selected for a report by the change of both times, so those observed slow came first. Where only a part can be reported, all others then took them for the rule. The change of the expected time does not depend on what was observed.

--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -97,3 +97,20 @@
 		}
 	}
 }
+
+// TestSlowNotPreferred guards against reports that favour slow observations. Receivers that are told
+// of some engines only would then take all for slower than they are.
+func TestSlowNotPreferred(t *testing.T) {
+	b, now := enginespeed.New(start), start.Add(time.Minute)
+	for i := range 200 {
+		expected := 100*ms + time.Duration(i%2)*ms
+		b.Observe(now, "llm", fmt.Sprint("e", i), expected, time.Duration(2-i%2)*expected)
+	}
+	var sum enginespeed.Sums
+	for _, r := range b.Take(now) {
+		sum = sum.Plus(r.Sums)
+	}
+	if sum.Actual > 1.1*sum.Expected {
+		t.Errorf("engines of the longest expected time were reported after slow ones: %v", sum)
+	}
+}
--- a/internal/enginespeed/take.go
+++ b/internal/enginespeed/take.go
@@ -39,7 +39,7 @@
 func (b *Book) SetReceivers(n int) { b.receivers = n }
 
 // Take returns what this router's next report is to say of its own observations, and regards it as
-// sent: the engines whose sums changed most, at most 64, and each at most once a second.
+// sent: the engines whose expected time changed most, at most 64, and each at most once a second.
 func (b *Book) Take(now time.Time) []Report {
 	b.expire(now)
 	b.budget.refill(now, maxReceived/float64(max(len(b.peers), b.receivers)+1))
@@ -62,8 +62,8 @@
 	var due []candidate
 	for target := range b.changed {
 		e := b.engines[target]
-		d := sums(e).minus(e.taken)
-		change := math.Abs(d.Expected) + math.Abs(d.Actual)
+		// The actual time plays no part: reports of some engines only would favour slow observations.
+		change := math.Abs(sums(e).Expected - e.taken.Expected)
 		if change <= 0 {
 			delete(b.changed, target)
 			continue
