Don't count own observations as ignored engine speeds

The count tells operators of faulty or incompatible routers. A request without uncached tokens or one at an engine that changed its service also counted, though nobody is at fault.

--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -128,3 +128,16 @@
 		t.Errorf("factor after 30 s is %g, want 1", f)
 	}
 }
+
+// TestOwnNotIgnored guards against own observations in the count that tells operators of faulty
+// reports.
+func TestOwnNotIgnored(t *testing.T) {
+	b := enginespeed.New(start)
+	b.Observe(start, "llm", "e", 100*ms, 100*ms)
+	b.Observe(start, "llm", "e", 0, 100*ms)
+	b.Observe(start, "llm", "e", ms, time.Hour)
+	b.Observe(start, "other", "e", 100*ms, 100*ms)
+	if b.Ignored() != 0 {
+		t.Errorf("%d own observations count as ignored", b.Ignored())
+	}
+}
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -152,7 +152,6 @@
 	b.Expire(now)
 	seen := Sums{milliseconds(expected), milliseconds(actual)}
 	if !seen.valid() {
-		b.ignored++
 		return
 	}
 	e := b.engine(service, target)
@@ -210,6 +209,7 @@
 		}
 		e := b.engine(r.Service, r.Target)
 		if e == nil {
+			b.ignored++
 			continue
 		}
 		if b.peers[router] == nil {
@@ -238,7 +238,7 @@
 	delete(b.peers, router)
 }
 
-// Ignored returns how many values were ignored because they were invalid or too many.
+// Ignored returns how many values of peers were ignored because they were invalid or too many.
 func (b *Book) Ignored() int64 { return b.ignored }
 
 // Summaries describes the engines of each service.
@@ -256,18 +256,16 @@
 	return out
 }
 
-// engine returns an engine, which is added if it is new. It returns nil, and counts that, if there
-// are too many engines or the engine is known to belong to another service.
+// engine returns an engine, which is added if it is new. It returns nil if there are too many engines
+// or the engine is known to belong to another service.
 func (b *Book) engine(name, target string) *engine {
 	if e := b.engines[target]; e != nil {
 		if e.name != name {
-			b.ignored++
 			return nil
 		}
 		return e
 	}
 	if len(b.engines) >= maxEngines {
-		b.ignored++
 		return nil
 	}
 	s := b.services[name]
