--- a/internal/enginespeed/enginespeed_test.go
+++ b/internal/enginespeed/enginespeed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,10 @@
 		"not a number": {Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: math.NaN(), Actual: 1}},
 		"infinite":     {Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 1, Actual: math.Inf(1)}},
 		"too large":    {Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 1e9, Actual: 1e9}},
+		"too slow":     {Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 10, Actual: 10_001}},
+		"too fast":     {Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 10_001, Actual: 10}},
+		"long target":  {Target: strings.Repeat("e", 257), Service: "llm", Sums: good},
+		"long service": {Target: "f", Service: strings.Repeat("s", 257), Sums: good},
 		"no target":    {Service: "llm", Sums: good},
 		"no service":   {Target: "e", Sums: good},
 		"other":        {Target: "e", Service: "other", Sums: good},
