Keep engine speeds for the next report while idle

Taking speeds marks them as reported, but reports without load or usage may not be sent. Speeds are now taken only for the others. The last report of a router that becomes idle has none.

--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -123,7 +123,9 @@
 		}
 		delete(s.shares.usages, name)
 	}
-	r.Speeds = s.speeds.Take(now)
+	if r.Active() { // Other reports may not be sent.
+		r.Speeds = s.speeds.Take(now)
+	}
 	return r
 }
 
