Discard engine speeds with the incarnation

The sums of a process that had ended stayed for 30 s and counted in the mean of its service. They are removed when the target is no longer listed. An engine that loses one of several contributions also counts as changed, so that a zone's sum follows.

--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -118,6 +118,7 @@
 	delete(s.targets, t.ID)
 	delete(s.active, t)
 	delete(s.cold, t)
+	s.speeds.Discard(t.incarnation)
 	s.removeFromService(t)
 }
 
--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -141,3 +141,16 @@
 		t.Errorf("%d own observations count as ignored", b.Ignored())
 	}
 }
+
+// TestTotalAfterRemoval guards against a zone's sum that goes on to include a router that is gone.
+func TestTotalAfterRemoval(t *testing.T) {
+	b, now := enginespeed.New(start), start.Add(time.Second)
+	for _, router := range []string{"r1", "r2"} {
+		b.SetPeer(now, router, []enginespeed.Report{{Target: "e", Service: "llm", Sums: enginespeed.Sums{Expected: 1000, Actual: 1000}}})
+	}
+	b.TakeTotals(now)
+	b.RemovePeer("r2")
+	if list := b.TakeTotals(now.Add(time.Second)); len(list) != 1 || list[0].Expected > 1000 {
+		t.Errorf("totals after a removal are %v, want those of the other router", list)
+	}
+}
--- a/internal/enginespeed/expire.go
+++ b/internal/enginespeed/expire.go
@@ -27,9 +27,7 @@
 	}
 	for target, e := range b.engines {
 		if !e.ownAt.IsZero() && now.Sub(e.ownAt) >= ttl {
-			own := e.own
-			e.own, e.ownAt, e.taken = Sums{}, time.Time{}, Sums{}
-			b.remove(target, e, own)
+			b.removeOwn(target, e)
 		}
 	}
 	if now.Sub(b.landmark) >= rebaseAfter {
@@ -37,6 +35,32 @@
 	}
 }
 
+// Discard removes everything that is known of an engine.
+func (b *Book) Discard(target string) {
+	e := b.engines[target]
+	if e == nil {
+		return
+	}
+	if !e.ownAt.IsZero() {
+		b.removeOwn(target, e)
+	}
+	for peer, list := range b.peers {
+		if n, ok := list[target]; ok {
+			b.removeEntry(target, n)
+			delete(list, target)
+		}
+		if len(list) == 0 {
+			delete(b.peers, peer)
+		}
+	}
+}
+
+func (b *Book) removeOwn(target string, e *engine) {
+	own := e.own
+	e.own, e.ownAt, e.taken = Sums{}, time.Time{}, Sums{}
+	b.remove(target, e, own)
+}
+
 func (b *Book) removeEntry(target string, n entry) {
 	b.entries--
 	b.remove(target, b.engines[target], n.Sums)
@@ -47,6 +71,7 @@
 	e.contributors--
 	if e.contributors > 0 {
 		e.add(s.times(-1))
+		b.changed[target] = struct{}{}
 		return
 	}
 	e.service.total = e.service.total.minus(e.total)
