--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -90,8 +90,8 @@
 // Book holds the sums of this router and of its peers, which are other routers or zones. It is
 // driven by one goroutine. Use New to create one.
 //
-// All sums lose weight at the same rate. They are therefore kept in units that grow at that rate
-// since the landmark, so that sums can be added and subtracted whatever their age.
+// All sums lose weight at the same rate. An observation made at time t is stored multiplied by
+// e^((t-landmark)/decay), so that sums can be added and subtracted whatever their age.
 type Book struct {
 	landmark, expiredAt time.Time
 	// unit is the weight of a new observation at unitAt.
