--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -25,7 +25,7 @@
 	if !s.comparesSpeeds(c.Service) {
 		return 1
 	}
-	return s.speeds.Factor(now, c.Service, c.incarnation)
+	return s.speeds.Lookup(now, c.Service, c.incarnation)
 }
 
 // comparesSpeeds reports whether the engines of a service are told apart by their speed.
@@ -78,3 +78,6 @@
 // IgnoredSpeeds returns the number of times of engines that were ignored because they were invalid
 // or too many.
 func (s *State) IgnoredSpeeds() int64 { return s.speeds.Ignored() }
+
+// SetReportReceivers sets the number of routers that this router's reports go to.
+func (s *State) SetReportReceivers(n int) { s.speeds.SetReceivers(n) }
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -20,7 +20,9 @@
 	minFactor, maxFactor = 0.25, 4
 	// outlierFactor bounds an observation to this multiple of what the engine's sums so far predict.
 	// A request that waited behind others that its router did not know of says little about speed.
-	// An engine that has become slower still shows within a few observations.
+	// An engine that has become slower still shows within a few observations. While the service has
+	// less than priorExpected, the reference takes the place of the sums: one bad first observation
+	// otherwise made an engine look 4 times slow until it expired.
 	outlierFactor = 2
 	// rebaseAfter is the age of the landmark after which it is renewed. Weights grow up to e^20
 	// meanwhile.
@@ -29,9 +31,11 @@
 	maxEngines, maxEntries = 20_000, 50_000
 	// maxNameLength bounds the names of engines and services in reports.
 	maxNameLength = 256
-	// maxSum bounds sums in reports, in milliseconds: ten seconds of work of a thousand requests at
-	// a time. maxRatio bounds the ratio of actual to expected time in both directions.
-	maxSum, maxRatio = 1e7, 1000
+	// maxSum bounds sums in reports, in milliseconds: some four times the expected time of an engine
+	// that reads 100 tokens a millisecond for 85 requests a second. An engine of higher sums would
+	// outweigh its service; larger totals are scaled down before they are sent.
+	// maxRatio bounds the ratio of actual to expected time in both directions.
+	maxSum, maxRatio = 3e5, 1000
 )
 
 // Sums adds up times to the first event at one engine, in milliseconds.
@@ -47,6 +51,18 @@
 
 func (s Sums) times(f float64) Sums { return Sums{s.Expected * f, s.Actual * f} }
 
+// ratio returns the ratio of actual to expected time; not a number if there is none.
+func (s Sums) ratio() float64 { return s.Actual / s.Expected }
+
+// within returns the sums with the actual time bounded to what factors relative to a mean ratio may
+// be. The mean would otherwise follow one faulty report, and all other engines would look alike.
+func (s Sums) within(mean float64) Sums {
+	return Sums{s.Expected, min(max(s.Actual, minFactor*mean*s.Expected), maxFactor*mean*s.Expected)}
+}
+
+// capped returns the sums, scaled down to what reports may hold if they are larger.
+func (s Sums) capped() Sums { return s.times(min(1, maxSum/max(s.Expected, s.Actual))) }
+
 // valid reports whether sums can be those of observations. Comparisons with NaN are false.
 func (s Sums) valid() bool {
 	return s.Expected > 0 && s.Expected <= maxSum && s.Actual > 0 && s.Actual <= maxSum &&
@@ -74,8 +90,8 @@
 // Book holds the sums of this router and of its peers, which are other routers or zones. It is
 // driven by one goroutine. Use New to create one.
 //
-// All sums lose weight at the same rate. They are therefore kept in units that grow at that rate
-// since the landmark, so that sums can be added and subtracted whatever their age.
+// All sums lose weight at the same rate. An observation made at time t is stored multiplied by
+// e^((t-landmark)/decay), so that sums can be added and subtracted whatever their age.
 type Book struct {
 	landmark, expiredAt time.Time
 	// unit is the weight of a new observation at unitAt.
@@ -89,7 +105,9 @@
 	// changed has the engines whose sums may have changed since they were last taken.
 	changed map[string]struct{}
 	budget  budget
-	ignored int64
+	// receivers is the number of routers that reports go to.
+	receivers int
+	ignored   int64
 }
 
 // engine is what is known of one incarnation of an engine.
@@ -98,6 +116,8 @@
 	// total is the sum of own and of all peers' entries, of which there are contributors.
 	total, own   Sums
 	contributors int
+	// updatedAt is when any of them was last updated.
+	updatedAt time.Time
 	// ownAt is when this router last observed the engine; zero if it did not.
 	ownAt time.Time
 	// taken are the sums last taken for a report, at takenAt.
@@ -129,23 +149,26 @@
 // Observe adds the time that the first event of a request took at an engine, and the time that the
 // reference predicts for it.
 func (b *Book) Observe(now time.Time, service, target string, expected, actual time.Duration) {
-	b.expire(now)
+	b.Expire(now)
 	seen := Sums{milliseconds(expected), milliseconds(actual)}
 	if !seen.valid() {
-		b.ignored++
 		return
 	}
 	e := b.engine(service, target)
 	if e == nil {
 		return
 	}
+	// The ratio of a service of which little is known is that of a few requests.
+	ratio := 1.0
 	if e.service.total.Expected >= priorExpected*b.unitOf(now) {
-		seen.Actual = min(seen.Actual, outlierFactor*seen.Expected*e.ratio(b.unitOf(now)))
+		ratio = e.ratio(b.unitOf(now))
+		seen.Actual = min(seen.Actual, maxFactor*seen.Expected*e.service.total.ratio())
 	}
+	seen.Actual = min(seen.Actual, outlierFactor*seen.Expected*ratio)
 	if e.ownAt.IsZero() {
 		e.contributors++
 	}
-	e.ownAt = now
+	e.ownAt, e.updatedAt = now, now
 	seen = seen.times(b.unitOf(now))
 	e.own = e.own.Plus(seen)
 	e.add(seen)
@@ -155,9 +178,15 @@
 // Factor returns an engine's time for the same work relative to that of all engines of its service,
 // 1 if it is unknown.
 func (b *Book) Factor(now time.Time, service, target string) float64 {
-	b.expire(now)
+	b.Expire(now)
+	return b.Lookup(now, service, target)
+}
+
+// Lookup is Factor without the search for expired sums, which takes milliseconds if there are
+// thousands of engines. Callers of Lookup must call Expire about once a second.
+func (b *Book) Lookup(now time.Time, service, target string) float64 {
 	e := b.engines[target]
-	if e == nil || e.name != service {
+	if e == nil || e.name != service || now.Sub(e.updatedAt) >= ttl {
 		return 1
 	}
 	return e.factor(b.unitOf(now))
@@ -166,7 +195,7 @@
 // SetPeer replaces what a peer reported about the engines in the list. What it reported about
 // others before stays until it expires, since a report has only some of the engines.
 func (b *Book) SetPeer(now time.Time, router string, list []Report) {
-	b.expire(now)
+	b.Expire(now)
 	b.ignored += int64(max(len(list)-maxPerReport, 0))
 	for _, r := range list[:min(len(list), maxPerReport)] {
 		if !r.valid() {
@@ -180,6 +209,7 @@
 		}
 		e := b.engine(r.Service, r.Target)
 		if e == nil {
+			b.ignored++
 			continue
 		}
 		if b.peers[router] == nil {
@@ -190,8 +220,12 @@
 			b.entries++
 		}
 		sums := r.times(b.unitOf(now))
+		if others := e.service.total.minus(old.Sums); others.Expected >= priorExpected*b.unitOf(now) {
+			sums = sums.within(others.ratio())
+		}
 		e.add(sums.minus(old.Sums))
 		b.peers[router][r.Target] = entry{sums, now}
+		e.updatedAt = now
 		b.changed[r.Target] = struct{}{}
 	}
 }
@@ -204,12 +238,12 @@
 	delete(b.peers, router)
 }
 
-// Ignored returns how many values were ignored because they were invalid or too many.
+// Ignored returns how many values of peers were ignored because they were invalid or too many.
 func (b *Book) Ignored() int64 { return b.ignored }
 
 // Summaries describes the engines of each service.
 func (b *Book) Summaries(now time.Time) map[string]Summary {
-	b.expire(now)
+	b.Expire(now)
 	out := make(map[string]Summary, len(b.services))
 	for _, e := range b.engines {
 		f := e.factor(b.unitOf(now))
@@ -222,18 +256,16 @@
 	return out
 }
 
-// engine returns an engine, which is added if it is new. It returns nil, and counts that, if there
-// are too many engines or the engine is known to belong to another service.
+// engine returns an engine, which is added if it is new. It returns nil if there are too many engines
+// or the engine is known to belong to another service.
 func (b *Book) engine(name, target string) *engine {
 	if e := b.engines[target]; e != nil {
 		if e.name != name {
-			b.ignored++
 			return nil
 		}
 		return e
 	}
 	if len(b.engines) >= maxEngines {
-		b.ignored++
 		return nil
 	}
 	s := b.services[name]
@@ -255,13 +287,13 @@
 // ratio returns the engine's ratio of actual to expected time, pulled towards that of its service
 // as long as there are few observations.
 func (e *engine) ratio(unit float64) float64 {
-	mean := e.service.total.Actual / e.service.total.Expected
+	mean := e.service.total.ratio()
 	prior := priorExpected * unit
 	return (e.total.Actual + prior*mean) / (e.total.Expected + prior)
 }
 
 func (e *engine) factor(unit float64) float64 {
-	mean := e.service.total.Actual / e.service.total.Expected
+	mean := e.service.total.ratio()
 	f := e.ratio(unit) / mean
 	if math.IsNaN(f) {
 		return 1
