Do not predict or learn lengths from the rest of an answer

A caller that asks for the rest of its own stream states the length of the whole answer. It was predicted with that length and refused, and its short rest was learnt as a whole answer. Tickets now say that a request continues an earlier one; its length is unknown and is not learnt.

--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -114,7 +114,7 @@
 	s.pauses.bound = pauseBound{
 		gaps: v.gaps, maxPause: s.table.ShortestPause(t.Service), events: -1, left: t.Deadline.Sub(now), soonest: math.MaxInt64,
 	}
-	if per := s.eventTokens(t.Service); t.Stream && t.Output > 0 && per > 0 && !t.Deadline.IsZero() {
+	if per := s.eventTokens(t.Service); t.Stream && !t.Continues && t.Output > 0 && per > 0 && !t.Deadline.IsZero() {
 		expected := math.Ceil(float64(t.Output) * v.length.Ratio() / float64(per))
 		s.pauses.bound.events = max(int(min(expected, math.MaxInt32))-1-int(t.Events.Load()), 0)
 	}
@@ -238,7 +238,7 @@
 	gap := time.Duration(t.LastReceived.Load()-t.FirstEvent.Load()) / time.Duration(events-1)
 	running := (area - t.pauses.area) / now.Sub(t.sentAt).Seconds()
 	v.gaps.Observe(int(running+0.5), s.factor(now, to), gap)
-	if per := s.eventTokens(t.Service); per > 0 && !t.Resumes && len(t.Tried) == 0 {
+	if per := s.eventTokens(t.Service); per > 0 && !t.Resumes && !t.Continues && len(t.Tried) == 0 {
 		tokens := int(events) * per
 		if late {
 			tokens *= cutLengthFactor
--- a/internal/balance/pauses_test.go
+++ b/internal/balance/pauses_test.go
@@ -320,6 +320,7 @@
 	}{
 		"too long for its deadline": {func(*pauseFleet, *Ticket) {}, true},
 		"resumed":                   {func(_ *pauseFleet, t *Ticket) { t.Resumes = true }, false},
+		"rest of an earlier one":    {func(_ *pauseFleet, t *Ticket) { t.Continues = true }, false},
 		"sent before":               {func(_ *pauseFleet, t *Ticket) { t.Tried = []string{"e0"} }, false},
 		"length unknown":            {func(_ *pauseFleet, t *Ticket) { t.Output = 0 }, false},
 		"not a stream":              {func(_ *pauseFleet, t *Ticket) { t.Stream = false }, false},
@@ -345,6 +346,31 @@
 	}
 }
 
+// TestLearntLengths guards against ratios of real to hinted lengths that are learnt from a part of an
+// answer: from the rest that a caller asked for.
+func TestLearntLengths(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*pauseStream)
+		learnt bool
+	}{
+		"whole answer":           {func(*pauseStream) {}, true},
+		"rest of an earlier one": {func(p *pauseStream) { p.Continues = true }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newPauseFleet(t, 1, feature.Auto, streamer)
+			p := f.newStream(steady, prefix.Part{ID: "x", Tokens: 200})
+			p.Output *= 4
+			test.change(p)
+			f.Arrive(f.now, p.Ticket)
+			f.waiting = append(f.waiting, p)
+			f.run(5 * time.Second)
+			if got := f.pausesOf("llm").length.Ratio(); f.ended["answered"] != 1 || (got != 1) != test.learnt {
+				t.Fatalf("%v, ratio %v, want one learnt: %t", f.ended, got, test.learnt)
+			}
+		})
+	}
+}
+
 // TestPlacement guards against a prompt that no engine with running streams may ever read, and against
 // the cache of a prompt's home outweighing that its answer ends too late there.
 func TestPlacement(t *testing.T) {
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -36,6 +36,9 @@
 	// Resumes is set if the caller already has a part of the answer and the rest is requested.
 	// Such a request waits up to maxResumeWait and overtakes all others.
 	Resumes bool
+	// Continues is set if the caller asks for the rest of a stream that it got a part of with an earlier
+	// request. Output is then the expected length of the whole answer, and that of the rest is unknown.
+	Continues bool
 	// LastReceived is when the target last sent a part of the answer, in nanoseconds after
 	// Arrived. The request's own goroutine sets it.
 	LastReceived atomic.Int64
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -117,7 +117,7 @@
 	x := &inflight{Forwarder: f, Request: r, caller: caller, deadline: deadline, lastEventID: r.LastEventID}
 	x.ticket = &balance.Ticket{
 		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Route: r.Route.Name, Engine: r.ToEngine, Stream: r.Route.Kind == routing.Streaming,
-		Parts: r.Parts, Input: r.Input, Output: r.Output, Goal: r.Route.Goal,
+		Continues: r.LastEventID != "", Parts: r.Parts, Input: r.Input, Output: r.Output, Goal: r.Route.Goal,
 		Arrived: r.Arrived, Deadline: deadline, Decision: make(chan balance.Decision, 1),
 	}
 	timed, cancel := context.WithTimeout(ctx, clock.Until(deadline))
