Do not forward a long error in place of a resumed stream

An engine that is asked to resume a stream may answer with an error of more than 256 KB. The router sent its head and body to the caller, beside the goroutine that delivers the stream. Such an answer is now a failed attempt, as a short one is.

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -93,6 +93,17 @@
 
 func breaks(*http.Request) { panic(http.ErrAbortHandler) }
 
+// breaksOrFails breaks off a stream, and answers a request to resume it with an error that is too long
+// to be buffered.
+func breaksOrFails(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Last") == "" {
+		streamTo(deliveredEvents, breaks)(w, r)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(300<<10))
+	w.WriteHeader(http.StatusBadRequest)
+	_, _ = w.Write(make([]byte, 300<<10))
+}
+
 // bufferedForwarder is a forwarder that buffers streams.
 type bufferedForwarder struct {
 	*testForwarder
@@ -188,6 +199,10 @@
 			handlers: []http.HandlerFunc{streamTo(deliveredEvents, breaks)}, timeout: 10 * time.Second,
 			want: eventsFrom(0, deliveredEvents), truncated: true,
 		},
+		"an answer that another engine does not resume, with a long error": {
+			handlers: []http.HandlerFunc{breaksOrFails, breaksOrFails}, timeout: 10 * time.Second,
+			want: eventsFrom(0, deliveredEvents), truncated: true,
+		},
 		"an answer that another engine resumes": {
 			handlers: []http.HandlerFunc{streamTo(deliveredEvents/2, breaks), streamTo(deliveredEvents, complete)}, timeout: 10 * time.Second,
 			want: eventsFrom(0, deliveredEvents),
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -178,6 +178,9 @@
 // that the request can be retried if the answer breaks off, unless it is too long for that.
 func (x *inflight) forwardBuffered(a *httptarget.Answer) *failure {
 	if a.Length() > maxBufferedAnswer {
+		if x.result.HeadSent {
+			return notResumed(a)
+		}
 		return x.forwardUnbuffered(a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
@@ -194,12 +197,18 @@
 		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, errorAnswer: whole, cause: errors.Errorf("status %d", a.Status)}
 	}
 	if x.result.HeadSent {
-		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, cause: errors.Errorf("status %d instead of the resumed stream", a.Status)}
+		return notResumed(a)
 	}
 	x.writeAnswer(whole)
 	return nil
 }
 
+// notResumed returns the failure of a target that answers a request to resume a stream with something
+// else. Nothing of that may reach the caller, who may be written to by its delivery at the same time.
+func notResumed(a *httptarget.Answer) *failure {
+	return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, cause: errors.Errorf("status %d instead of the resumed stream", a.Status)}
+}
+
 // writeAnswer sends a buffered answer to the caller.
 func (x *inflight) writeAnswer(a *bufferedAnswer) {
 	x.result.HeadSent = true
