--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -21,8 +21,8 @@
 	// is cut multiplies it: two that finish end all refusals, as the model follows later.
 	maxTrialInterval = 16
 	trialStep        = 4
-	// cutLengthFactor is how many times as long an answer that was cut at its deadline is taken to be.
-	// Its real length is unknown. Taken as it is, no answer would ever be expected to end after the
+	// cutLengthFactor is how many times as long an answer is taken to be that was cut at its deadline
+	// beyond its hint. Its real length is unknown. Taken as it is, no answer would ever be expected to end after the
 	// deadline by more than finishMargin, where hints are too short and all answers are cut.
 	cutLengthFactor = 2
 	// gapTTL is how old the last observation may be for a refusal. A request that comes later is sent
@@ -240,7 +240,7 @@
 	v.gaps.Observe(int(running+0.5), s.factor(now, to), gap)
 	if per := s.eventTokens(t.Service); per > 0 && !t.Resumes && !t.Continues && len(t.Tried) == 0 {
 		tokens := int(events) * per
-		if late {
+		if late && tokens > t.Output {
 			tokens *= cutLengthFactor
 		}
 		v.length.Observe(t.Output, tokens, how == Abandoned)
