--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -144,13 +144,14 @@
 }
 
 // allows reports whether an engine can read its backlog, this request included, without a pause in
-// the streams beside it that is longer than callers accept.
+// the streams beside it that is longer than callers accept. As in room.admits, a prompt counts for at
+// most half of that time: otherwise short ones fit beside a backlog that keeps long ones out.
 func (b *pauseBound) allows(p placement, m estimator) bool {
 	if b == nil || p.running == 0 {
 		return true
 	}
 	limit, known := b.gaps.MaxPrefill(p.running, m.factor, b.maxPause)
-	if !known || m.PrefillTime(p.work.Ahead+p.uncachedTokens) <= limit {
+	if !known || m.PrefillTime(p.work.Ahead)+min(m.PrefillTime(p.uncachedTokens), limit/2) <= limit {
 		return true
 	}
 	b.kept = true
--- a/internal/balance/pauses_test.go
+++ b/internal/balance/pauses_test.go
@@ -19,6 +19,8 @@
 	pauseChunk, pauseEventTokens = 2048, 7
 	pauseLimit                   = 600 * time.Millisecond
 	pauseTick                    = time.Millisecond
+	// longPrompt is the number of tokens beyond which outcomes are counted again, as "long".
+	longPrompt = 20_000
 )
 
 // pauseKind is a kind of requests that arrive together.
@@ -58,6 +60,7 @@
 	ids     []string
 	waiting []*pauseStream
 	tickets int
+	goal    time.Duration
 	// ended counts requests by how they ended; "paused" counts answered streams with a pause longer
 	// than pauseLimit, and "timely" those without, whose first event came in time.
 	ended map[string]int
@@ -66,18 +69,10 @@
 func newPauseFleet(t *testing.T, seed uint64, on feature.Switch, engine pauseEngine) *pauseFleet {
 	t.Helper()
 	f := &pauseFleet{now: time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*pauseEngine{}, ended: map[string]int{}}
-	table, err := routing.New(routing.Spec{
-		Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 1_000_000, EventTokens: pauseEventTokens}}},
-		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Kind: routing.Streaming, Goal: time.Second, MaxPause: pauseLimit, Shares: []routing.Share{{Service: "llm", Weight: 1}}}},
-		Limits:   routing.Limits{TokensPerSecond: 1e9},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	f.State = New(f.now, "z", Limits{RetryWindow: time.Second, QuotaWindow: 4 * time.Second}, rand.New(rand.NewPCG(seed, 2)))
 	// The other decisions are off, so that differences come from the bounds alone.
 	f.SetFeatures(feature.Set{PauseBounds: on, EngineSpeeds: feature.Off, WaitForecasts: feature.Off, ReturnSlots: feature.Off})
-	f.Configure(table)
+	f.setGoal(t, time.Second)
 	var list []Target
 	for i := range 4 {
 		id := fmt.Sprint("e", i)
@@ -90,6 +85,21 @@
 	return f
 }
 
+// setGoal sets the time in which the first event of each request is due.
+func (f *pauseFleet) setGoal(t *testing.T, goal time.Duration) {
+	t.Helper()
+	table, err := routing.New(routing.Spec{
+		Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 1_000_000, EventTokens: pauseEventTokens}}},
+		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Kind: routing.Streaming, Goal: goal, MaxPause: pauseLimit, Shares: []routing.Share{{Service: "llm", Weight: 1}}}},
+		Limits:   routing.Limits{TokensPerSecond: 1e9},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.goal = goal
+	f.Configure(table)
+}
+
 // slowDown multiplies the time of all engines' steps from now on.
 func (f *pauseFleet) slowDown(by float64) {
 	for _, e := range f.engines {
@@ -129,7 +139,7 @@
 	f.tickets++
 	p := &pauseStream{kind: k, Ticket: &Ticket{
 		ID: fmt.Sprint("t", f.tickets), Service: "llm", Organisation: "o", Engine: true, Stream: true, Parts: parts, Output: k.hint,
-		Goal: time.Second, Arrived: f.now, Deadline: f.now.Add(k.limit), Decision: make(chan Decision, 1),
+		Goal: f.goal, Arrived: f.now, Deadline: f.now.Add(k.limit), Decision: make(chan Decision, 1),
 	}}
 	for _, part := range parts {
 		p.Input += part.Tokens
@@ -146,6 +156,9 @@
 		case d := <-p.Decision:
 			if d.Refused != "" {
 				f.ended[string(d.Refused)]++
+				if p.Input > longPrompt {
+					f.ended["long refused"]++
+				}
 				return true
 			}
 			e := f.engines[d.Target.ID]
@@ -209,6 +222,9 @@
 func (f *pauseFleet) end(p *pauseStream, outcome string, how Result) {
 	f.Ended(f.now, p.Ticket, how)
 	f.ended[outcome]++
+	if p.Input > longPrompt {
+		f.ended["long "+outcome]++
+	}
 	switch {
 	case p.longest > pauseLimit:
 		f.ended["paused"]++
@@ -217,9 +233,10 @@
 	}
 }
 
-// reader is an engine that reads 25 tokens a millisecond and spends little time on each stream; streamer
-// one whose streams slow one another down.
+// reader is an engine that reads 25 tokens a millisecond and spends little time on each stream; quick one
+// that reads 100 tokens; streamer one whose streams slow one another down.
 var (
+	quick    = pauseEngine{fixed: 3, perStream: 0.05, perToken: 0.01}
 	reader   = pauseEngine{fixed: 10, perStream: 0.1, perToken: 0.04}
 	streamer = pauseEngine{fixed: 8, perStream: 0.5, perToken: 0.01}
 )
@@ -227,34 +244,41 @@
 // TestPauseBounds replays loads with and without the bounds. It guards against long prompts that are read
 // one after the other beside streams that pause meanwhile; against engines that stay full of requests
 // which are then cut at their deadline; and against hints that are far from the real length, by which
-// answers that would end are refused, and those that cannot are not.
+// answers that would end are refused, and those that cannot are not; and against short prompts that keep
+// long ones out.
 func TestPauseBounds(t *testing.T) {
 	short := pauseKind{every: 30 * time.Millisecond, burst: 1, input: 200, output: 280, hint: 280, limit: 15 * time.Second}
 	long := pauseKind{every: 1500 * time.Millisecond, burst: 12, input: 6000, output: 70, hint: 70, limit: 15 * time.Second}
 	brief := pauseKind{every: 20 * time.Millisecond, burst: 1, input: 200, output: 56, hint: 56, limit: 5 * time.Second}
 	lasting := pauseKind{every: 20 * time.Millisecond, burst: 1, input: 200, output: 280, hint: 280, limit: 5 * time.Second}
+	crowd := pauseKind{every: 20 * time.Millisecond, burst: 3, input: 2000, output: 35, hint: 35, limit: 15 * time.Second}
+	lone := pauseKind{every: 500 * time.Millisecond, burst: 1, input: 25_000, output: 70, hint: 70, limit: 15 * time.Second}
 	first, few, many := lasting, lasting, lasting
 	first.every, first.burst = time.Hour, 240
 	few.every, few.hint = 100*time.Millisecond, 1400
 	many.every, many.hint = 40*time.Millisecond, 56
 	tests := map[string]struct {
 		engine pauseEngine
+		goal   time.Duration
 		// warmUp is not counted.
 		warmUp, run time.Duration
 		kinds       []pauseKind
 		// better reports whether the outcomes with the bounds are as much better as they must be.
 		better func(with, without map[string]int) bool
 	}{
-		"long prompts": {reader, 6 * time.Second, 20 * time.Second, []pauseKind{short, long}, func(with, without map[string]int) bool {
+		"long prompts": {reader, time.Second, 6 * time.Second, 20 * time.Second, []pauseKind{short, long}, func(with, without map[string]int) bool {
 			return with["paused"] <= without["paused"]/2 && with["timely"] >= without["timely"]*5/4 && with["answered"] >= without["answered"]
 		}},
-		"first seconds": {streamer, 0, 15 * time.Second, []pauseKind{first, brief, lasting}, func(with, without map[string]int) bool {
+		"long beside many short": {quick, 600 * time.Millisecond, 4 * time.Second, 30 * time.Second, []pauseKind{crowd, lone}, func(with, without map[string]int) bool {
+			return with["long answered"] >= without["long answered"]*9/10
+		}},
+		"first seconds": {streamer, time.Second, 0, 15 * time.Second, []pauseKind{first, brief, lasting}, func(with, without map[string]int) bool {
 			return with["answered"] >= without["answered"]*6/5 && with["cut"]-first.burst <= (without["cut"]-first.burst)*2/3
 		}},
-		"hints too long": {streamer, 0, 20 * time.Second, []pauseKind{few}, func(with, without map[string]int) bool {
+		"hints too long": {streamer, time.Second, 0, 20 * time.Second, []pauseKind{few}, func(with, without map[string]int) bool {
 			return with["cannot-finish"] == 0 && with["answered"] >= max(without["answered"], 150)
 		}},
-		"hints too short": {streamer, 0, 40 * time.Second, []pauseKind{many}, func(with, without map[string]int) bool {
+		"hints too short": {streamer, time.Second, 0, 40 * time.Second, []pauseKind{many}, func(with, without map[string]int) bool {
 			return with["answered"] >= 3*without["answered"] && with["cut"] <= without["cut"]*2/3
 		}},
 	}
@@ -263,6 +287,7 @@
 			for seed := range uint64(5) {
 				without, with := newPauseFleet(t, seed, feature.Off, test.engine), newPauseFleet(t, seed, feature.Auto, test.engine)
 				for _, f := range []*pauseFleet{without, with} {
+					f.setGoal(t, test.goal)
 					f.run(test.warmUp, test.kinds...)
 					clear(f.ended)
 					f.run(test.run, test.kinds...)
