Do not count an answer without events as a finished trial

An engine that fails each request at once, with a server error, counted as having answered in time. Two such trials ended all refusals. A trial now counts as finished only if events were forwarded.

--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -228,10 +228,11 @@
 	}
 	v := s.pausesOf(t.Service)
 	late := how == Abandoned && !now.Before(t.Deadline)
-	if t.pauses.trial && (late || how == Answered) {
+	events := t.Events.Load() - t.pauses.events
+	// An answer without events, for example an error, is no sign that answers end in time.
+	if t.pauses.trial && (late || how == Answered && events > 0) {
 		v.endTrial(!late)
 	}
-	events := t.Events.Load() - t.pauses.events
 	if events < minGapEvents || !now.After(t.sentAt) {
 		return
 	}
--- a/internal/balance/pauses_test.go
+++ b/internal/balance/pauses_test.go
@@ -371,6 +371,26 @@
 	}
 }
 
+// TestFailedTrials guards against engines that answer trials with errors and so end the refusals.
+func TestFailedTrials(t *testing.T) {
+	f := newPauseFleet(t, 1, feature.Auto, streamer)
+	f.run(10*time.Second, steady)
+	f.slowDown(10)
+	f.run(15*time.Second, steady)
+	v := f.pausesOf("llm")
+	v.refused, v.trialInterval = maxTrialInterval-1, maxTrialInterval
+	p := f.newStream(steady, prefix.Part{ID: "x", Tokens: 200})
+	f.Arrive(f.now, p.Ticket)
+	if d := decide(p.Ticket); d.Target.ID == "" || !p.pauses.trial {
+		t.Fatalf("no trial: %+v", d)
+	}
+	p.ServerError.Store(true)
+	f.Ended(f.now.Add(time.Millisecond), p.Ticket, Answered)
+	if v.trialInterval != maxTrialInterval {
+		t.Fatalf("one in %d is a trial after an error", v.trialInterval)
+	}
+}
+
 // TestLearntLengths guards against ratios of real to hinted lengths that are learnt from a part of an
 // answer: from the rest that a caller asked for, or from one that was cut before its hint.
 func TestLearntLengths(t *testing.T) {
