Do not learn gaps from streams that slow callers hold up

A write to the caller that blocks delays the next read from the engine, so a slow caller made its engine look slow. The time spent writing, or waiting for room in the answer buffer, is now counted; an answer for which it exceeds a tenth of the stream is not observed.

--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -12,6 +12,9 @@
 	// minGapEvents is the number of events from which an answer shows the gap between events: a shorter
 	// one consists mostly of its first event, which waited for its prompt.
 	minGapEvents = 4
+	// maxWritingPercent is the time that writing a stream's events to its caller may take, in percent
+	// of the stream, for its gap to count: the next event is not read meanwhile.
+	maxWritingPercent = 10
 	// finishMargin is how many times as fast as expected an answer may come that is still refused. The
 	// load of an engine changes while the answer runs, and lengths of answers vary about their mean.
 	finishMargin = 1.5
@@ -58,10 +61,10 @@
 
 // ticketPauses is the state of a Ticket for pause bounds.
 type ticketPauses struct {
-	// area is the target's runningArea when the request was sent, and events the number of events
-	// forwarded before.
-	area   float64
-	events int64
+	// area is the target's runningArea when the request was sent, events the number of events forwarded
+	// before, and writing the time spent on that.
+	area            float64
+	events, writing int64
 	// bounded is set if the request was counted as kept from an engine, trial if it is sent although
 	// it cannot be expected to finish.
 	bounded, trial bool
@@ -211,7 +214,8 @@
 // beginPauses records where the load of the target that a request is sent to begins to count for it.
 // It must be called before the request is added to the load.
 func (s *State) beginPauses(now time.Time, t *Ticket) {
-	t.pauses.area, t.pauses.events = t.target.runningArea.advance(now, s.loadOf(now, t.target).Running), t.Events.Load()
+	t.pauses.area = t.target.runningArea.advance(now, s.loadOf(now, t.target).Running)
+	t.pauses.events, t.pauses.writing = t.Events.Load(), t.Writing.Load()
 }
 
 // observePauses updates the models of a service with an answer that ends. Streams that are cut at
@@ -229,15 +233,18 @@
 	v := s.pausesOf(t.Service)
 	late := how == Abandoned && !now.Before(t.Deadline)
 	events := t.Events.Load() - t.pauses.events
+	stream := t.LastReceived.Load() - t.FirstEvent.Load()
+	// A caller that reads slowly says nothing about the engine.
+	slowCaller := (t.Writing.Load()-t.pauses.writing)*100 > stream*maxWritingPercent
 	// An answer without events, for example an error, is no sign that answers end in time.
-	if t.pauses.trial && (late || how == Answered && events > 0) {
+	if t.pauses.trial && (late && !slowCaller || how == Answered && events > 0) {
 		v.endTrial(!late)
 	}
-	if events < minGapEvents || !now.After(t.sentAt) {
+	if events < minGapEvents || slowCaller || !now.After(t.sentAt) {
 		return
 	}
 	v.observedAt = now
-	gap := time.Duration(t.LastReceived.Load()-t.FirstEvent.Load()) / time.Duration(events-1)
+	gap := time.Duration(stream) / time.Duration(events-1)
 	running := (area - t.pauses.area) / now.Sub(t.sentAt).Seconds()
 	v.gaps.Observe(int(running+0.5), s.factor(now, to), gap)
 	if per := s.eventTokens(t.Service); per > 0 && !t.Resumes && !t.Continues && len(t.Tried) == 0 {
--- a/internal/balance/pauses_test.go
+++ b/internal/balance/pauses_test.go
@@ -391,6 +391,26 @@
 	}
 }
 
+// TestSlowCaller guards against callers that read slowly and are learnt as slow engines.
+func TestSlowCaller(t *testing.T) {
+	for name, test := range map[string]struct {
+		writing  time.Duration
+		observed bool
+	}{"reads at once": {time.Millisecond, true}, "reads slowly": {time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			f := newPauseFleet(t, 1, feature.Auto, streamer)
+			p := f.newStream(steady, prefix.Part{ID: "x", Tokens: 200})
+			f.Arrive(f.now, p.Ticket)
+			f.waiting = append(f.waiting, p)
+			p.Writing.Store(int64(test.writing))
+			f.run(5 * time.Second)
+			if got := !f.pausesOf("llm").observedAt.IsZero(); f.ended["answered"] != 1 || got != test.observed {
+				t.Fatalf("%v, observed: %t", f.ended, got)
+			}
+		})
+	}
+}
+
 // TestLearntLengths guards against ratios of real to hinted lengths that are learnt from a part of an
 // answer: from the rest that a caller asked for, or from one that was cut before its hint.
 func TestLearntLengths(t *testing.T) {
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -49,6 +49,9 @@
 	// send arrived, in nanoseconds after Arrived; 0 if none did. The request's own goroutine sets
 	// them.
 	Events, FirstEvent atomic.Int64
+	// Writing is the time spent writing events to the caller, in nanoseconds, or waiting for room to
+	// buffer them. The request's own goroutine sets it.
+	Writing atomic.Int64
 	// ServerError is set if the target answered with a server error. The request's own goroutine
 	// sets it.
 	ServerError atomic.Bool
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -288,7 +288,10 @@
 		x.startStream(a)
 	}
 	x.recordPiece()
-	if err := x.writeBatch(ctx, batch, silence); err != nil {
+	began := clock.Now()
+	err := x.writeBatch(ctx, batch, silence)
+	x.ticket.Writing.Add(clock.Since(began).Nanoseconds())
+	if err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
 	}
 	x.ticket.Pieces.Add(1)
