Test that a caller that never reads is cut off

No test ran the real StopWriting. Two tests use a connection that never reads: one of them reaches the stall limit, which can now be set, the other the limit of a planned stop.

--- a/internal/forward/delivery.go
+++ b/internal/forward/delivery.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxStall is how long a caller may accept no bytes of the rest of an answer whose exchange
+	// DefaultMaxStall is how long a caller may accept no bytes of the rest of an answer whose exchange
 	// with the engine has ended. Callers are known to stop reading for seconds.
-	maxStall = 10 * time.Second
+	DefaultMaxStall = 10 * time.Second
 	// stallCheckInterval is the interval at which that is checked.
 	stallCheckInterval = 250 * time.Millisecond
 )
@@ -113,7 +113,7 @@
 			accepted, writes, unacknowledged = clock.Now(), w, u
 			continue
 		}
-		if clock.Since(accepted) >= maxStall {
+		if clock.Since(accepted) >= x.maxStall {
 			return ReasonCallerStalled
 		}
 	}
--- a/internal/forward/delivery_internal_test.go
+++ b/internal/forward/delivery_internal_test.go
@@ -43,7 +43,7 @@
 				budget := answerbuffer.New(1 << 20)
 				c := &blockedCaller{stopped: make(chan struct{})}
 				c.left.Store(1000)
-				x := &inflight{Forwarder: (&Forwarder{}).WithBuffers(budget, func() bool { return true }), caller: c, cancel: func() {}}
+				x := &inflight{Forwarder: (&Forwarder{}).WithBuffers(budget, func() bool { return true }).WithMaxStall(DefaultMaxStall), caller: c, cancel: func() {}}
 				x.startDelivery()
 				for range 2 {
 					if err := x.delivery.buffer.Append(t.Context(), []byte("event")); err != nil {
@@ -62,7 +62,7 @@
 				x.deliverRest(t.Context())
 				reader.Stop()
 				took := clock.Since(last)
-				if took < maxStall || took > maxStall+2*stallCheckInterval {
+				if took < DefaultMaxStall || took > DefaultMaxStall+2*stallCheckInterval {
 					t.Errorf("given up %v after the caller last read", took)
 				}
 				if !x.result.Truncated || x.result.Reason != ReasonCallerStalled {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,8 @@
 	// streams are buffered.
 	budget   *answerbuffer.Budget
 	buffered func() bool
+	// maxStall is how long a caller may accept nothing of the rest of a buffered answer.
+	maxStall time.Duration
 }
 
 // Counters counts retries by reason, and what targets report about themselves.
@@ -44,7 +46,7 @@
 
 // New returns a forwarder that sends requests with s to the targets that l chooses.
 func New(h HeaderNames, s Sender, l *balance.Loop, q Suspects, log logr.Logger, c Counters) *Forwarder {
-	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c}
+	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, maxStall: DefaultMaxStall}
 }
 
 // WithBuffers returns a forwarder that buffers streams within a budget while enabled returns true.
@@ -54,6 +56,14 @@
 	return &out
 }
 
+// WithMaxStall returns a forwarder that closes a caller's connection if the caller accepts nothing of the
+// rest of a buffered answer for a time.
+func (f *Forwarder) WithMaxStall(d time.Duration) *Forwarder {
+	out := *f
+	out.maxStall = d
+	return &out
+}
+
 // ShedReason returns the reason to reject a request of an organisation to engines before it is
 // parsed, because the organisation sends more than the router can take in, or "" to read it.
 func (f *Forwarder) ShedReason(organisation string, o throttle.RequestSize) Reason {
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -15,7 +15,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -92,6 +94,51 @@
 		Eventually(stopped).WithTimeout(5 * time.Second).Should(BeClosed())
 	})
 
+	// bounded returns a router whose callers may read nothing for half a second after their deadline.
+	bounded := func() *rig {
+		r := newRigWithStall(balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second}, 500*time.Millisecond)
+		c := configuration(400 * time.Millisecond)
+		for i := range c.Routes {
+			c.Routes[i].Timeout = time.Second
+		}
+		r.configure(c)
+		r.serve("t", streamWide)
+		return r
+	}
+	// expectCut reads what the kernel holds of the answer, which must not look complete.
+	expectCut := func(c net.Conn) {
+		Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		text, err := io.ReadAll(c)
+		var timeout net.Error
+		Expect(errors.As(err, &timeout) && timeout.Timeout()).To(BeFalse(), "the connection is open")
+		Expect(strings.Count(string(text), "\r\n0\r\n\r\n")).To(BeZero())
+	}
+
+	// Guards against a write to a caller's connection that goes on after the router has given up on it, so
+	// that its request never ends.
+	It("is cut off if it does not read again", func() {
+		r := bounded()
+		c := open(r)
+		Eventually(r.peakBuffered).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+		began := time.Now()
+		r.Drain(context.Background(), 20*time.Second)
+		Expect(time.Since(began)).To(And(BeNumerically(">", time.Second), BeNumerically("<", 10*time.Second)))
+		expectCut(c)
+	})
+
+	It("is cut off at the limit of a planned stop", func() {
+		r := newRig()
+		r.configure(configuration(400 * time.Millisecond))
+		r.serve("t", streamWide)
+		c := open(r)
+		Eventually(r.peakBuffered).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+		began := time.Now()
+		r.Drain(context.Background(), time.Second)
+		r.Stop()
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+		expectCut(c)
+	})
+
 	It("has nothing buffered if the routes do not accept long pauses", func() {
 		r := newRig()
 		r.configure(configuration(150 * time.Millisecond))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,9 @@
 	// MemoryBytes is the memory that the router may use; 0 means 128 MB, which the smallest of
 	// the known boxes have.
 	MemoryBytes int64
+	// MaxStall is how long a caller may accept nothing of the rest of an answer that has ended; 0
+	// means ten seconds.
+	MaxStall time.Duration
 	// TargetDrain is how long a leaving target continues to serve; 0 means two seconds.
 	TargetDrain time.Duration
 	// EntryTTL is the TTL after which the store removes the entry of a target that has stopped
@@ -260,7 +263,7 @@
 	g.transport = httptarget.New(g.group)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
-		WithBuffers(g.answers.budget, g.answers.enabled.Load)
+		WithBuffers(g.answers.budget, g.answers.enabled.Load).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -100,12 +100,17 @@
 
 // newRigWith returns such a router with the given limits.
 func newRigWith(limits balance.Limits, seeds ...string) *rig {
+	return newRigWithStall(limits, 0, seeds...)
+}
+
+// newRigWithStall returns such a router that closes connections of callers that read nothing for a time.
+func newRigWithStall(limits balance.Limits, maxStall time.Duration, seeds ...string) *rig {
 	r := &rig{metrics: gateway.NewMetrics()}
 	n := incarnation.Add(1)
 	g, err := gateway.New(context.Background(), gateway.Options{
 		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
 		Incarnation: n, Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: r.metrics,
-		Limits: limits,
+		Limits: limits, MaxStall: maxStall,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	r.Gateway = g
