Correct the end of deliveries to slow callers

The first check of a stalled caller always counted as progress, since it was compared with nothing. The reason of a stream that had been cut before, at its deadline or by its engine, was replaced by that of its caller. A failed write discarded the buffer before it cancelled the exchange, so the request could be sent again. The check now starts from a reading, the first reason stays, and the exchange is cancelled first. The explain command describes caller-stalled.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -45,6 +45,8 @@
 		return t.targetFault(reason), t.firstAfter("targets known", end)
 	case "caller-gone":
 		return fmt.Sprintf("the caller left after %.0f ms", end.number("took_ms")), nil
+	case "caller-stalled":
+		return "the engine's answer had ended, and the caller took no more of it for too long", nil
 	case "deadline":
 		return fmt.Sprintf("its time was over after %.0f ms", end.number("took_ms")), nil
 	}
--- a/internal/forward/delivery.go
+++ b/internal/forward/delivery.go
@@ -58,8 +58,10 @@
 			return
 		}
 		if d.err = d.caller.Write(data); d.err != nil {
-			d.buffer.Discard()
+			// A discarded buffer ends Append. By then the exchange must be cancelled, or else its
+			// failure looks like one of the engine and the request is sent again.
 			cancel()
+			d.buffer.Discard()
 			return
 		}
 		d.writes.Add(1)
@@ -83,8 +85,13 @@
 	if reason == "" && d.err != nil {
 		reason = ReasonCallerGone
 	}
-	if reason != "" {
-		x.result.Truncated, x.result.Reason = true, reason
+	if reason == "" {
+		return
+	}
+	x.result.Truncated = true
+	if x.result.Reason == "" {
+		// Otherwise the answer had been cut before, and why matters more.
+		x.result.Reason = reason
 	}
 }
 
@@ -94,7 +101,7 @@
 	d := x.delivery
 	ticker := time.NewTicker(stallCheckInterval)
 	defer ticker.Stop()
-	accepted, writes, unacknowledged := clock.Now(), int64(0), -1
+	accepted, writes, unacknowledged := clock.Now(), d.writes.Load(), d.caller.Unacknowledged()
 	for {
 		select {
 		case <-d.done:
