Count as bounded only requests that the bound turned down

The bound was evaluated before the general rule, so a request that the general rule then admitted was counted in pause_bounded. The general rule now comes first; decisions are the same. The log line names the last unfinishable request only if there was one since the line before.

--- a/internal/balance/pauses_test.go
+++ b/internal/balance/pauses_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/feature"
+	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -482,3 +483,28 @@
 		return Decision{}
 	}
 }
+
+// TestCountedAsBounded guards against requests that are counted as kept from an engine that takes them.
+func TestCountedAsBounded(t *testing.T) {
+	for name, test := range map[string]struct {
+		ahead, uncached   int
+		admitted, counted bool
+	}{
+		"general rule admits": {9000, 60_000, true, false},
+		"bound turns it down": {60_000, 60_000, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newPauseFleet(t, 1, feature.Auto, streamer)
+			f.run(10*time.Second, steady)
+			p := f.newStream(steady)
+			r := f.room(f.now, p.Ticket, 1)
+			m := f.estimate(f.now, f.targets["e0"])
+			// The bound is 1 ms, far below what the general rule allows.
+			r.remaining, r.maxBacklog, r.pauses.maxPause = time.Hour, m.PrefillTime(20_000), r.pauses.gaps.Gap(10, m.factor)+time.Millisecond
+			got := r.admits(placement{running: 10, uncachedTokens: test.uncached, work: pace.Work{Ahead: test.ahead}}, m)
+			if got != test.admitted || r.pauses.kept != test.counted {
+				t.Fatalf("admitted %t, counted %t", got, r.pauses.kept)
+			}
+		})
+	}
+}
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -59,10 +59,11 @@
 // the backlog: otherwise a long one would never find room beside short ones that keep the
 // engine reading.
 func (r room) admits(p placement, m estimator) bool {
-	if r.timely && p.conservative <= r.remaining && r.pauses.allows(p, m) {
+	if m.PrefillTime(p.work.Ahead)+min(m.PrefillTime(p.uncachedTokens), r.maxBacklog/2) <= r.maxBacklog {
 		return true
 	}
-	return m.PrefillTime(p.work.Ahead)+min(m.PrefillTime(p.uncachedTokens), r.maxBacklog/2) <= r.maxBacklog
+	// allows counts the requests that it turns down, so it is last.
+	return r.timely && p.conservative <= r.remaining && r.pauses.allows(p, m)
 }
 
 // pace returns the model of prefill times of the engines of a service.
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -24,7 +24,10 @@
 		return
 	}
 	g.loggedPauses = loggedPauses{at: now, bounded: bounded, cannotFinish: cannotFinish}
-	last := s.LastUnfinishable()
-	g.Log.Info("streams bounded", "bounded", bounded-before.bounded, "cannot_finish", cannotFinish-before.cannotFinish,
-		"service", last.Service, "expected_ms", last.Expected.Milliseconds(), "left_ms", last.Left.Milliseconds())
+	log := g.Log
+	if cannotFinish > before.cannotFinish {
+		last := s.LastUnfinishable()
+		log = log.WithValues("service", last.Service, "expected_ms", last.Expected.Milliseconds(), "left_ms", last.Left.Milliseconds())
+	}
+	log.Info("streams bounded", "bounded", bounded-before.bounded, "cannot_finish", cannotFinish-before.cannotFinish)
 }
