Do not let one waiting piece hold up those of other organisations

When room became free, only the first piece of the organisation with the fewest bytes was considered. One larger than its organisation may hold kept all others waiting until its own caller read. Organisations whose first piece does not fit are now passed over, and only pieces that wait for room of others count for the search. The rapid test asserts that no first piece waits beside enough room. The comments on the counters say what they count.

--- a/internal/answerbuffer/accounts.go
+++ b/internal/answerbuffer/accounts.go
@@ -67,12 +67,12 @@
 	a.bytes -= n
 }
 
-// nextWaiting returns the organisation with the fewest bytes of those with waiting buffers, nil if
-// there is none.
+// nextWaiting returns the organisation with the fewest bytes of those with waiting buffers whose first
+// piece has room, nil if there is none. A large piece that has none does not hold up others.
 func (a *accounts) nextWaiting() *organisation {
 	var least *organisation
 	for _, o := range a.organisations {
-		if len(o.waiting) == 0 {
+		if len(o.waiting) == 0 || !a.fits(o, int64(len(o.waiting[0].held))) {
 			continue
 		}
 		if least == nil || o.bytes < least.bytes || o.bytes == least.bytes && o.name < least.name {
--- a/internal/answerbuffer/accounts_internal_test.go
+++ b/internal/answerbuffer/accounts_internal_test.go
@@ -53,7 +53,7 @@
 }
 
 // TestAccountsAgainstNaive guards against sums that drift from what the buffers hold, pieces
-// admitted beyond a bound or left waiting in an empty buffer, and bytes lost or out of order. It
+// admitted beyond a bound or left waiting in an empty buffer or beside enough room, and bytes lost or out of order. It
 // plays random operations on the budget and on a naive version of it.
 func TestAccountsAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -176,6 +176,11 @@
 	if s.accounts.bytes != all || all > m.limit {
 		t.Fatalf("%d bytes counted, %d held, at most %d allowed", s.accounts.bytes, all, m.limit)
 	}
+	for _, o := range s.accounts.organisations {
+		if len(o.waiting) > 0 && s.accounts.fits(o, int64(len(o.waiting[0].held))) {
+			t.Fatalf("the first piece of %s waits although there is room", o.name)
+		}
+	}
 	for i, b := range buffers {
 		n := m.buffers[i]
 		own, _ := m.used(n.organisation)
@@ -184,3 +189,29 @@
 		}
 	}
 }
+
+// TestLargePieceWaits guards against a piece that is too large for its organisation and holds up those of
+// other organisations until its own caller reads.
+func TestLargePieceWaits(t *testing.T) {
+	s := New(400_000)
+	large, other := s.Open("large"), s.Open("other")
+	large.offer([]byte("x"))
+	if large.offer(make([]byte, 150_000)) {
+		t.Fatal("a piece beyond the organisation's part was admitted")
+	}
+	for _, size := range []int{1, 50_000, 40_000, 20_000} {
+		other.offer(make([]byte, size))
+	}
+	if other.held == nil {
+		t.Fatal("the other organisation's last piece does not wait")
+	}
+	// The third call gives back the 50,000 bytes that the second one took.
+	for range 3 {
+		if _, err := other.take(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if other.held != nil {
+		t.Error("the other organisation's piece waits although there is room")
+	}
+}
--- a/internal/answerbuffer/answerbuffer.go
+++ b/internal/answerbuffer/answerbuffer.go
@@ -36,9 +36,10 @@
 type Budget struct {
 	mu       sync.Mutex
 	accounts accounts
-	// full counts the pieces that had to wait for room, waiting is the number of those that do
-	// now, and late counts the bytes taken out after the engine's answer had ended.
-	full, waiting, late int64
+	// full counts the pieces that had to wait, waiting is the number of those that do now, queued
+	// that of those among them that wait for room that others use, and late counts the bytes taken out
+	// after the engine's answer had ended.
+	full, waiting, queued, late int64
 }
 
 // Stats are the counters of a Budget.
@@ -46,11 +47,12 @@
 	// Bytes is what waits now, and PeakBytes the highest value since the start.
 	Bytes     int64 `json:"bytes"`
 	PeakBytes int64 `json:"peak_bytes"`
-	// Full is how often an engine's answer was not read for want of room, and Waiting how many
-	// are not read for that now.
+	// Full is how often an engine's answer was not read for want of room, also if there was none only
+	// until the goroutine that writes had its turn, and Waiting how many are not read for that now.
 	Full    int64 `json:"full"`
 	Waiting int64 `json:"waiting"`
-	// LateBytes is what callers were sent after the engine's answer had ended.
+	// LateBytes counts the bytes taken out to be written after the engine's answer had ended. A write
+	// may fail or be cut off.
 	LateBytes int64 `json:"late_bytes"`
 }
 
@@ -274,9 +276,7 @@
 			b.queue()
 		}
 	}
-	if counted > 0 {
-		b.budget.admit()
-	}
+	b.budget.admit()
 }
 
 // queue makes the piece that waits wait for room that others use, unless its own answer uses too
@@ -284,6 +284,7 @@
 func (b *Buffer) queue() {
 	if !b.queued && b.fitsAnswer(b.held) {
 		b.queued = true
+		b.budget.queued++
 		b.organisation.waiting = append(b.organisation.waiting, b)
 	}
 }
@@ -304,18 +305,19 @@
 		return
 	}
 	b.queued = false
+	b.budget.queued--
 	o := b.organisation
 	if i := slices.Index(o.waiting, b); i >= 0 {
 		o.waiting = slices.Delete(o.waiting, i, i+1)
 	}
 }
 
-// admit adds waiting pieces as long as there is room, those of the organisation with the fewest
-// bytes first. Only the goroutine that holds the mutex may call it.
+// admit adds waiting pieces as long as there is room for one, those of the organisation with the
+// fewest bytes first. Only the goroutine that holds the mutex may call it.
 func (s *Budget) admit() {
-	for s.waiting > 0 {
+	for s.queued > 0 {
 		o := s.accounts.nextWaiting()
-		if o == nil || !s.accounts.fits(o, int64(len(o.waiting[0].held))) {
+		if o == nil {
 			return
 		}
 		o.waiting[0].admitHeld()
