Correct the comments on pause bounds and answer buffers

Beyond 256 engines, a sample is considered before a request is refused with cannot-finish; comments and the explain command said any target. The comments on finishMargin, trialInterval and cut lengths contradicted the code.

--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -15,7 +15,7 @@
 	// maxWritingPercent is the time that writing a stream's events to its caller may take, in percent
 	// of the stream, for its gap to count: the next event is not read meanwhile.
 	maxWritingPercent = 10
-	// finishMargin is how many times as fast as expected an answer may come that is still refused. The
+	// A request is refused if its expected time exceeds the time left by more than finishMargin. The
 	// load of an engine changes while the answer runs, and lengths of answers vary about their mean.
 	finishMargin = 1.5
 	// One in maxTrialInterval requests that cannot be expected to finish is sent nevertheless, on
@@ -33,7 +33,8 @@
 	gapTTL = 5 * time.Second
 )
 
-// CannotFinish means that the answer could not end before the request's deadline at any target.
+// CannotFinish means that the answer could not end before the request's deadline at any target that
+// was considered: of more than 256 engines, that is a sample.
 const CannotFinish Reason = "cannot-finish"
 
 // pauses is what a router learnt about the streams of each service, with its counters.
@@ -54,8 +55,8 @@
 	length eventgap.Length
 	// observedAt is when an answer was last observed, and trialAt when the last trial began.
 	observedAt, trialAt time.Time
-	// refused counts the requests refused with CannotFinish since the last trial began, and
-	// trialInterval is one more than the number after which the next one begins.
+	// refused counts the requests refused with CannotFinish since the last trial began. Of
+	// trialInterval unfinishable requests, one is sent on trial.
 	refused, trialInterval int
 }
 
@@ -73,8 +74,8 @@
 // Unfinishable describes a request refused with CannotFinish.
 type Unfinishable struct {
 	Service string
-	// Expected is the shortest expected time to the end of its answer at any target, Left the time to
-	// its deadline.
+	// Expected is the shortest expected time to the end of its answer at any target that was considered,
+	// Left the time to its deadline.
 	Expected, Left time.Duration
 }
 
--- a/internal/eventgap/length.go
+++ b/internal/eventgap/length.go
@@ -18,8 +18,8 @@
 	count  int
 }
 
-// Observe adds an answer. If it was cut off, length is at most what its length would have been, and it
-// counts only if it is more than expected.
+// Observe adds an answer. If it was cut off, length is an estimate of what its length would have been, by
+// the caller, and counts only if it is more than expected.
 func (l *Length) Observe(hinted, length int, cut bool) {
 	if hinted <= 0 || length <= 0 {
 		return
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -19,7 +19,7 @@
 	case "queue-full":
 		return "no engine had room for it in time" + t.organisationOutcomes(), nil
 	case "cannot-finish":
-		return "no engine was expected to end its answer before its deadline", t.firstAfter("streams bounded", end)
+		return "no engine that was considered was expected to end its answer before its deadline", t.firstAfter("streams bounded", end)
 	case "over-share", "router-busy", "router-overdue", "organisation-queue-full":
 		text := map[string]string{
 			"over-share":              "its organisation had had more than its share while another's requests waited",
