--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -12,7 +12,10 @@
 	// minGapEvents is the number of events from which an answer shows the gap between events: a shorter
 	// one consists mostly of its first event, which waited for its prompt.
 	minGapEvents = 4
-	// finishMargin is how many times as fast as expected an answer may come that is still refused. The
+	// maxWritingPercent is the time that writing a stream's events to its caller may take, in percent
+	// of the stream, for its gap to count: the next event is not read meanwhile.
+	maxWritingPercent = 10
+	// A request is refused if its expected time exceeds the time left by more than finishMargin. The
 	// load of an engine changes while the answer runs, and lengths of answers vary about their mean.
 	finishMargin = 1.5
 	// One in maxTrialInterval requests that cannot be expected to finish is sent nevertheless, on
@@ -21,8 +24,8 @@
 	// is cut multiplies it: two that finish end all refusals, as the model follows later.
 	maxTrialInterval = 16
 	trialStep        = 4
-	// cutLengthFactor is how many times as long an answer that was cut at its deadline is taken to be.
-	// Its real length is unknown. Taken as it is, no answer would ever be expected to end after the
+	// cutLengthFactor is how many times as long an answer is taken to be that was cut at its deadline
+	// beyond its hint. Its real length is unknown. Taken as it is, no answer would ever be expected to end after the
 	// deadline by more than finishMargin, where hints are too short and all answers are cut.
 	cutLengthFactor = 2
 	// gapTTL is how old the last observation may be for a refusal. A request that comes later is sent
@@ -30,7 +33,8 @@
 	gapTTL = 5 * time.Second
 )
 
-// CannotFinish means that the answer could not end before the request's deadline at any target.
+// CannotFinish means that the answer could not end before the request's deadline at any target that
+// was considered: of more than 256 engines, that is a sample.
 const CannotFinish Reason = "cannot-finish"
 
 // pauses is what a router learnt about the streams of each service, with its counters.
@@ -51,17 +55,17 @@
 	length eventgap.Length
 	// observedAt is when an answer was last observed, and trialAt when the last trial began.
 	observedAt, trialAt time.Time
-	// refused counts the requests refused with CannotFinish since the last trial began, and
-	// trialInterval is one more than the number after which the next one begins.
+	// refused counts the requests refused with CannotFinish since the last trial began. Of
+	// trialInterval unfinishable requests, one is sent on trial.
 	refused, trialInterval int
 }
 
 // ticketPauses is the state of a Ticket for pause bounds.
 type ticketPauses struct {
-	// area is the target's runningArea when the request was sent, and events the number of events
-	// forwarded before.
-	area   float64
-	events int64
+	// area is the target's runningArea when the request was sent, events the number of events forwarded
+	// before, and writing the time spent on that.
+	area            float64
+	events, writing int64
 	// bounded is set if the request was counted as kept from an engine, trial if it is sent although
 	// it cannot be expected to finish.
 	bounded, trial bool
@@ -70,8 +74,8 @@
 // Unfinishable describes a request refused with CannotFinish.
 type Unfinishable struct {
 	Service string
-	// Expected is the shortest expected time to the end of its answer at any target, Left the time to
-	// its deadline.
+	// Expected is the shortest expected time to the end of its answer at any target that was considered,
+	// Left the time to its deadline.
 	Expected, Left time.Duration
 }
 
@@ -114,7 +118,7 @@
 	s.pauses.bound = pauseBound{
 		gaps: v.gaps, maxPause: s.table.ShortestPause(t.Service), events: -1, left: t.Deadline.Sub(now), soonest: math.MaxInt64,
 	}
-	if per := s.eventTokens(t.Service); t.Stream && t.Output > 0 && per > 0 && !t.Deadline.IsZero() {
+	if per := s.eventTokens(t.Service); t.Stream && !t.Continues && t.Output > 0 && per > 0 && !t.Deadline.IsZero() {
 		expected := math.Ceil(float64(t.Output) * v.length.Ratio() / float64(per))
 		s.pauses.bound.events = max(int(min(expected, math.MaxInt32))-1-int(t.Events.Load()), 0)
 	}
@@ -144,13 +148,14 @@
 }
 
 // allows reports whether an engine can read its backlog, this request included, without a pause in
-// the streams beside it that is longer than callers accept.
+// the streams beside it that is longer than callers accept. As in room.admits, a prompt counts for at
+// most half of that time: otherwise short ones fit beside a backlog that keeps long ones out.
 func (b *pauseBound) allows(p placement, m estimator) bool {
 	if b == nil || p.running == 0 {
 		return true
 	}
 	limit, known := b.gaps.MaxPrefill(p.running, m.factor, b.maxPause)
-	if !known || m.PrefillTime(p.work.Ahead+p.uncachedTokens) <= limit {
+	if !known || m.PrefillTime(p.work.Ahead)+min(m.PrefillTime(p.uncachedTokens), limit/2) <= limit {
 		return true
 	}
 	b.kept = true
@@ -210,7 +215,8 @@
 // beginPauses records where the load of the target that a request is sent to begins to count for it.
 // It must be called before the request is added to the load.
 func (s *State) beginPauses(now time.Time, t *Ticket) {
-	t.pauses.area, t.pauses.events = t.target.runningArea.advance(now, s.loadOf(now, t.target).Running), t.Events.Load()
+	t.pauses.area = t.target.runningArea.advance(now, s.loadOf(now, t.target).Running)
+	t.pauses.events, t.pauses.writing = t.Events.Load(), t.Writing.Load()
 }
 
 // observePauses updates the models of a service with an answer that ends. Streams that are cut at
@@ -227,20 +233,24 @@
 	}
 	v := s.pausesOf(t.Service)
 	late := how == Abandoned && !now.Before(t.Deadline)
-	if t.pauses.trial && (late || how == Answered) {
+	events := t.Events.Load() - t.pauses.events
+	stream := t.LastReceived.Load() - t.FirstEvent.Load()
+	// A caller that reads slowly says nothing about the engine.
+	slowCaller := (t.Writing.Load()-t.pauses.writing)*100 > stream*maxWritingPercent
+	// An answer without events, for example an error, is no sign that answers end in time.
+	if t.pauses.trial && (late && !slowCaller || how == Answered && events > 0) {
 		v.endTrial(!late)
 	}
-	events := t.Events.Load() - t.pauses.events
-	if events < minGapEvents || !now.After(t.sentAt) {
+	if events < minGapEvents || slowCaller || !now.After(t.sentAt) {
 		return
 	}
 	v.observedAt = now
-	gap := time.Duration(t.LastReceived.Load()-t.FirstEvent.Load()) / time.Duration(events-1)
+	gap := time.Duration(stream) / time.Duration(events-1)
 	running := (area - t.pauses.area) / now.Sub(t.sentAt).Seconds()
 	v.gaps.Observe(int(running+0.5), s.factor(now, to), gap)
-	if per := s.eventTokens(t.Service); per > 0 && !t.Resumes && len(t.Tried) == 0 {
+	if per := s.eventTokens(t.Service); per > 0 && !t.Resumes && !t.Continues && len(t.Tried) == 0 {
 		tokens := int(events) * per
-		if late {
+		if late && tokens > t.Output {
 			tokens *= cutLengthFactor
 		}
 		v.length.Observe(t.Output, tokens, how == Abandoned)
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -36,6 +36,9 @@
 	// Resumes is set if the caller already has a part of the answer and the rest is requested.
 	// Such a request waits up to maxResumeWait and overtakes all others.
 	Resumes bool
+	// Continues is set if the caller asks for the rest of a stream that it got a part of with an earlier
+	// request. Output is then the expected length of the whole answer, and that of the rest is unknown.
+	Continues bool
 	// LastReceived is when the target last sent a part of the answer, in nanoseconds after
 	// Arrived. The request's own goroutine sets it.
 	LastReceived atomic.Int64
@@ -46,6 +49,9 @@
 	// send arrived, in nanoseconds after Arrived; 0 if none did. The request's own goroutine sets
 	// them.
 	Events, FirstEvent atomic.Int64
+	// Writing is the time spent writing events to the caller, in nanoseconds, or waiting for room to
+	// buffer them. The request's own goroutine sets it.
+	Writing atomic.Int64
 	// ServerError is set if the target answered with a server error. The request's own goroutine
 	// sets it.
 	ServerError atomic.Bool
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -179,6 +179,9 @@
 // that the request can be retried if the answer breaks off, unless it is too long for that.
 func (x *inflight) forwardBuffered(a *httptarget.Answer) *failure {
 	if a.Length() > maxBufferedAnswer {
+		if x.result.HeadSent {
+			return notResumed(a)
+		}
 		return x.forwardUnbuffered(a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
@@ -196,12 +199,18 @@
 		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, errorAnswer: whole, cause: errors.Errorf("status %d", a.Status)}
 	}
 	if x.result.HeadSent {
-		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, cause: errors.Errorf("status %d instead of the resumed stream", a.Status)}
+		return notResumed(a)
 	}
 	x.writeAnswer(whole)
 	return nil
 }
 
+// notResumed returns the failure of a target that answers a request to resume a stream with something
+// else. Nothing of that may reach the caller, who may be written to by its delivery at the same time.
+func notResumed(a *httptarget.Answer) *failure {
+	return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, cause: errors.Errorf("status %d instead of the resumed stream", a.Status)}
+}
+
 // writeAnswer sends a buffered answer to the caller.
 func (x *inflight) writeAnswer(a *bufferedAnswer) {
 	x.result.HeadSent = true
@@ -281,7 +290,10 @@
 		x.startStream(a)
 	}
 	x.recordPiece()
-	if err := x.writeBatch(ctx, batch, silence); err != nil {
+	began := clock.Now()
+	err := x.writeBatch(ctx, batch, silence)
+	x.ticket.Writing.Add(clock.Since(began).Nanoseconds())
+	if err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
 	}
 	x.ticket.Pieces.Add(1)
