Run no request whose answer is thrown away when a relay closes

A relay that was closed for want of requests went on forwarding what its caller sent for up to a second, and dropped what the other router answered. A stream that paused for 3 s, and an answer whose write had waited for a slow caller, counted as a connection without a request.

The relay now stops reading from the caller first. It closes both connections if nothing moves for 50 ms and the caller has sent nothing since the last answer, and goes on otherwise. Writing counts as movement, and the quiet time is 15 s, so that the test of the limit of relays gives its callers' connections that much longer deadlines.

TestRequestDuringClose fails before: each request after the close was served and its answer lost.

--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// lingerTimeout is how long a relay waits for the caller to close after the other router has
 	// closed, so that the caller can read its answer to the end.
 	lingerTimeout = time.Second
+	// settleTime is how long a relay that is about to be closed reads nothing from its caller and
+	// waits for bytes of the other router. Routers of a zone are about a millisecond apart.
+	settleTime = 50 * time.Millisecond
 	// maxSpacing is the longest time that a piece of an answer may wait for the next one, so that
 	// both are written together, while the router is short of CPU time. It is half of the shortest
 	// pause between events that callers accept when handover is in use. A pause that is longer
@@ -63,17 +67,26 @@
 type relay struct {
 	caller, peer net.Conn
 	spacing      func() time.Duration
-	// lastMoved is the time of the last byte, in nanoseconds since began. answered is set if that
-	// byte came from the other router and has been written to the caller.
+	// lastMoved is the time at which bytes were last read or written, in nanoseconds since began.
 	began     time.Time
 	lastMoved atomic.Int64
-	answered  atomic.Bool
-	// aborted, finished and peerClosed are set before the deadlines that make reads notice them.
-	aborted, finished, peerClosed atomic.Bool
+	// asked is the number of pieces that came from the caller, plus one. answered is what it was when
+	// the last piece of an answer arrived that has been written to the caller; writing is set while
+	// one is written.
+	asked, answered atomic.Int64
+	writing         atomic.Bool
+	// aborted, finishing, finished and peerClosed are set before the deadlines that make reads notice
+	// them. finishing is reset if the relay stays open.
+	aborted, finishing, finished, peerClosed atomic.Bool
+	// ended is closed when the relay is aborted.
+	ended     chan struct{}
+	endedOnce sync.Once
 }
 
 func newRelay(caller, peer net.Conn, spacing func() time.Duration) *relay {
-	return &relay{caller: caller, peer: peer, spacing: spacing, began: clock.Now()}
+	r := &relay{caller: caller, peer: peer, spacing: spacing, began: clock.Now(), ended: make(chan struct{})}
+	r.asked.Store(1)
+	return r
 }
 
 // run copies in both directions until the relay ends.
@@ -105,7 +118,7 @@
 
 // copy copies from one side to the other until the first one stops sending.
 func (r *relay) copy(to, from net.Conn, answer bool) (int64, error) {
-	in := newReader(from)
+	in := newReader(from, &r.asked)
 	var total int64
 	for {
 		if !r.setReadDeadline(from) {
@@ -121,8 +134,7 @@
 			if r.peerClosed.Load() {
 				return total, nil
 			}
-			if answer && r.finished.Load() {
-				closeWrite(to)
+			if r.finished.Load() || !answer && r.finishIfQuiet() {
 				return total, nil
 			}
 			if r.quietFor() >= idleTimeout {
@@ -143,7 +155,7 @@
 	// abort, finish and run set their flags before their own deadlines, so one that was overwritten
 	// here is noticed.
 	switch {
-	case r.finished.Load() && from == r.peer:
+	case r.finished.Load(), r.finishing.Load() && from == r.caller:
 		err = from.SetReadDeadline(past)
 	case r.peerClosed.Load():
 		err = from.SetReadDeadline(clock.Deadline(lingerTimeout))
@@ -159,10 +171,19 @@
 		if err != nil {
 			return total, err
 		}
-		r.lastMoved.Store(int64(clock.Since(r.began)))
-		r.answered.Store(false)
+		if answer {
+			r.writing.Store(true)
+		} else {
+			r.asked.Add(1)
+		}
+		r.noteMoved()
 		_, err = to.Write(buffer[:n])
-		r.answered.Store(answer)
+		// The write may have waited for a slow reader.
+		r.noteMoved()
+		if answer {
+			r.answered.Store(in.asked)
+			r.writing.Store(false)
+		}
 		buffers.Put(buffer)
 		switch {
 		case err == nil:
@@ -181,21 +202,54 @@
 	}
 }
 
-// quietFor returns the time since the last byte.
+func (r *relay) noteMoved() { r.lastMoved.Store(int64(clock.Since(r.began))) }
+
+// quietFor returns the time since bytes were last read or written.
 func (r *relay) quietFor() time.Duration {
 	return clock.Since(r.began) - time.Duration(r.lastMoved.Load())
 }
 
-// betweenRequests reports whether the last byte came from the other router, at least d ago: the
-// caller keeps the connection open without a request.
+// betweenRequests reports whether the last byte came from the other router and was written at least
+// d ago: the caller keeps the connection open without a request, or its answer pauses.
 func (r *relay) betweenRequests(d time.Duration) bool {
-	return r.answered.Load() && !r.finished.Load() && r.quietFor() >= d
+	return r.answered.Load() == r.asked.Load() && !r.writing.Load() && r.quietFor() >= d
+}
+
+// finishIfQuiet ends a relay that is to finish, and returns true, unless the caller has sent
+// something since its last answer or more of an answer arrives. Otherwise the relay stays open. It is
+// called by the goroutine that reads from the caller, so that nothing is read meanwhile.
+func (r *relay) finishIfQuiet() bool {
+	if !r.finishing.Load() {
+		return false
+	}
+	moved := r.lastMoved.Load()
+	if r.betweenRequests(0) && r.wait(settleTime) && moved == r.lastMoved.Load() && r.betweenRequests(0) &&
+		!r.peerClosed.Load() && sockopt.Idle(r.peer) && sockopt.Idle(r.caller) {
+		r.finished.Store(true)
+		_ = r.peer.SetReadDeadline(past)
+		return true
+	}
+	r.finishing.Store(false)
+	return false
+}
+
+// wait waits for some time. It returns false at once when the relay is aborted.
+func (r *relay) wait(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.ended:
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 // abort resets both connections and ends all reads and writes. The goroutines close the connections
 // when both of them have noticed.
 func (r *relay) abort() {
 	r.aborted.Store(true)
+	r.endedOnce.Do(func() { close(r.ended) })
 	for _, c := range []net.Conn{r.caller, r.peer} {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -204,10 +258,11 @@
 	}
 }
 
-// finish closes both connections, once what has arrived is written, as if the other router had closed its own.
+// finish stops reading from the caller and closes both connections settleTime later if nothing moves.
+// A request that the caller sends meanwhile has not run anywhere if the connection is closed.
 func (r *relay) finish() {
-	r.finished.Store(true)
-	_ = r.peer.SetReadDeadline(past)
+	r.finishing.Store(true)
+	_ = r.caller.SetReadDeadline(past)
 }
 
 // closeWrite shuts down the sending side of a connection. An error means that the connection is
@@ -223,6 +278,9 @@
 type reader struct {
 	conn net.Conn
 	raw  syscall.RawConn
+	// askedNow is relay.asked, and asked what it was before the last read.
+	askedNow *atomic.Int64
+	asked    int64
 	// try is passed to raw.Read; it sets the fields below.
 	try    func(fd uintptr) bool
 	buffer *[bufferSize]byte
@@ -230,8 +288,8 @@
 	err    error
 }
 
-func newReader(c net.Conn) *reader {
-	r := &reader{conn: c}
+func newReader(c net.Conn, asked *atomic.Int64) *reader {
+	r := &reader{conn: c, askedNow: asked}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		r.raw, _ = tcp.SyscallConn()
 	}
@@ -243,6 +301,7 @@
 func (r *reader) tryRead(fd uintptr) bool {
 	r.buffer = buffers.Get().(*[bufferSize]byte)
 	for {
+		r.asked = r.askedNow.Load()
 		r.n, r.err = syscall.Read(int(fd), r.buffer[:])
 		if r.err != syscall.EINTR {
 			break
@@ -278,6 +337,7 @@
 func (r *reader) nextPlain() (buffer *[bufferSize]byte, n int, err error) {
 	buffer = buffers.Get().(*[bufferSize]byte)
 	n, err = r.conn.Read(buffer[:])
+	r.asked = r.askedNow.Load()
 	if n > 0 {
 		return buffer, n, nil
 	}
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -320,6 +320,67 @@
 	}
 }
 
+// TestRequestDuringClose guards against running a request whose answer is then thrown away, when the
+// relay is closed while the request arrives.
+func TestRequestDuringClose(t *testing.T) {
+	var served atomic.Int64
+	r := receiver(t, always, func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			served.Add(1)
+			time.Sleep(20 * time.Millisecond)
+			if _, err := io.WriteString(c, line); err != nil {
+				return
+			}
+		}
+	})
+	f := newFront(t, 1, r.Addr().String())
+	for i := range 20 {
+		served.Store(0)
+		c, answer := f.dial(t), make([]byte, 2)
+		_, _ = io.WriteString(c, "a\n")
+		if _, err := io.ReadFull(c, answer); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "not closed", func() bool { return f.sender.CloseQuiet(0) == 1 })
+		time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+		_, _ = io.WriteString(c, "b\n")
+		answered := int64(1)
+		if _, err := io.ReadFull(c, answer); err == nil {
+			answered++
+		}
+		_ = c.Close()
+		eventually(t, "relay still open", func() bool { return f.sender.Open() == 0 })
+		if n := served.Load(); n != answered {
+			t.Errorf("after %d ms: %d requests served, %d answered", 3*i, n, answered)
+		}
+	}
+}
+
+// TestSlowCallerIsNotQuiet guards against cutting an answer whose caller reads slowly.
+func TestSlowCallerIsNotQuiet(t *testing.T) {
+	const size = 16 << 20
+	r := receiver(t, always, func(c *net.TCPConn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = c.Write(make([]byte, size))
+	})
+	f := newFront(t, 1, r.Addr().String())
+	f.sender.SetSpacing(false)
+	c := f.dial(t)
+	_, _ = io.WriteString(c, "question\n")
+	time.Sleep(300 * time.Millisecond)
+	if n := f.sender.CloseQuiet(200 * time.Millisecond); n != 0 {
+		t.Errorf("%d closed, want 0", n)
+	}
+	if n, err := io.Copy(io.Discard, c); n != size || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
 // TestQuietRelaysMakeRoom guards against callers that only keep connections open and so use up the
 // allowed relays.
 func TestQuietRelaysMakeRoom(t *testing.T) {
@@ -333,6 +394,7 @@
 		if _, err := io.ReadFull(c, make([]byte, 9)); err != nil {
 			t.Fatal(err)
 		}
+		_ = c.SetDeadline(time.Now().Add(handover.QuietTime + 5*time.Second))
 		open = append(open, c)
 	}
 	if got, err := ask(t, f); got != "local question\n" || err != nil {
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -47,8 +47,8 @@
 )
 
 // QuietTime is the time after a piece of an answer after which a relayed connection counts as one
-// without a request. It is several times the longest pause between events that a caller accepts.
-const QuietTime = 3 * time.Second
+// without a request. A relay knows no ends of answers; with 3 s, streams that pause were cut.
+const QuietTime = 15 * time.Second
 
 const (
 	// makeRoomFrom is the percentage of the allowed relays from which quiet ones are closed, and
@@ -311,8 +311,9 @@
 // Open returns the number of connections being relayed.
 func (s *Sender) Open() int64 { return s.open.Value() }
 
-// CloseQuiet closes the relays on which nothing has arrived for d since the last piece of an answer:
-// their callers keep connections open without a request. It returns the number of relays closed.
+// CloseQuiet begins to close the relays on which nothing has arrived for d since the last piece of an
+// answer: their callers keep connections open without a request. Those on which bytes arrive meanwhile
+// stay open. It returns the number of relays that it began to close.
 func (s *Sender) CloseQuiet(d time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -323,7 +324,7 @@
 func (s *Sender) closeQuiet(d time.Duration, most int) int {
 	n := 0
 	for r := range s.relays {
-		if n < most && r.betweenRequests(d) {
+		if n < most && !r.finishing.Load() && r.betweenRequests(d) {
 			r.finish()
 			n++
 		}
