Cut no answers on busy relays in a planned stop of the sender

Relays whose callers keep sending requests were never quiet for long enough to be closed, and were reset in mid-answer when the stop ended.

The time without a byte after which a stopping router closes a relay is now a quarter of the time left, between 0.1 and 15 s. A stream whose events are further apart than that is cut before the end of the stop.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -350,7 +350,7 @@
 		if total := g.server.TotalRequests(); g.openRequests() > 0 || total > lastTotal {
 			lastBusy, lastTotal = clock.Now(), total
 		}
-		g.closeQuietRelays()
+		g.closeQuietRelays(ctx)
 		if !group.SleepUntil(ctx, clock.Now().Add(idleCheckInterval)) {
 			return
 		}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,6 +21,10 @@
 	// second, one or two wait for the network; more means that this router is too slow even for
 	// handing over.
 	maxOffers = 32
+	// In a planned stop, relays are closed that are quiet for one stopQuietPart-th of the time left,
+	// at least minStopQuiet: less would cut streams between two events.
+	stopQuietPart = 4
+	minStopQuiet  = 100 * time.Millisecond
 )
 
 // handoverState holds what the router needs to hand connections over and to receive them. sender is
@@ -144,17 +148,23 @@
 }
 
 // closeQuietRelays closes the relayed connections that callers keep open without a request, as the
-// HTTP server does for other connections when it stops.
-func (g *Gateway) closeQuietRelays() {
-	if g.handover.sender != nil {
-		g.handover.sender.CloseQuiet(handover.QuietTime)
+// HTTP server does for other connections when it stops. What is still open at the end of the stop is
+// reset, so the time without a byte falls with the time that is left.
+func (g *Gateway) closeQuietRelays(ctx context.Context) {
+	if g.handover.sender == nil {
+		return
+	}
+	quiet := handover.QuietTime
+	if end, ok := ctx.Deadline(); ok {
+		quiet = min(quiet, max(minStopQuiet, end.Sub(clock.Now())/stopQuietPart))
 	}
+	g.handover.sender.CloseQuiet(quiet)
 }
 
 // waitRelays waits until no connection is relayed any longer, or until ctx ends.
 func (g *Gateway) waitRelays(ctx context.Context) {
 	for g.openRelays() > 0 {
-		g.closeQuietRelays()
+		g.closeQuietRelays(ctx)
 		if !group.SleepUntil(ctx, clock.Now().Add(idleCheckInterval)) {
 			return
 		}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -1,9 +1,12 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -94,6 +97,9 @@
 	DescribeTable(
 		"serves connections itself", func(s feature.Switch, config routing.Spec) {
 			busy, other := pair(s, config, answer)
+			for _, r := range []*rig{busy, other} {
+				Eventually(func() int { return len(r.Addresses(context.Background(), "z")) }).Should(Equal(2))
+			}
 			for range 10 {
 				busy.post("/many/x")
 				time.Sleep(30 * time.Millisecond)
@@ -106,14 +112,56 @@
 	)
 
 	It("waits in a planned stop until answers that it relays are complete", func() {
-		busy, _ := pair(feature.On, spec(1), streamer(10, 10, 50*time.Millisecond))
-		Expect(postUntilHandedOver(busy, "/stream/x").Body).To(Equal(fullStream(10)))
+		// The stream ends after the part of the stop in which every request is accepted.
+		const events = 40
+		busy, _ := pair(feature.On, spec(1), streamer(events, events, 50*time.Millisecond))
+		Expect(postUntilHandedOver(busy, "/stream/x").Body).To(Equal(fullStream(events)))
 		got := make(chan reply, 1)
 		background(func() { got <- busy.post("/stream/x") })
 		Eventually(func() int64 { return handoverStats(busy).Open }).WithPolling(time.Millisecond).Should(BeNumerically(">", 0))
 		busy.Drain(context.Background(), 4*time.Second)
 		busy.Stop()
-		Expect(<-got).To(And(HaveField("Err", BeNil()), HaveField("Body", fullStream(10))))
+		Expect(<-got).To(And(HaveField("Err", BeNil()), HaveField("Body", fullStream(events))))
+	})
+
+	It("cuts no answers in a planned stop on relayed connections that callers keep in use", func() {
+		const callers, events = 6, 5
+		busy, _ := pair(feature.On, spec(1), streamer(events, events, 30*time.Millisecond))
+		postUntilHandedOver(busy, "/stream/x")
+		cut, before := make(chan string, callers), handoverStats(busy).Accepted
+		for range callers {
+			background(func() {
+				c, err := net.Dial("tcp", busy.Self().Address)
+				if err != nil {
+					cut <- err.Error()
+					return
+				}
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					if newRequest(busy.Self().Address, "/stream/x").Write(c) != nil {
+						break
+					}
+					res, err := http.ReadResponse(in, nil)
+					if err != nil {
+						break
+					}
+					if body, err := io.ReadAll(res.Body); err != nil || string(body) != fullStream(events) {
+						cut <- fmt.Sprint(string(body), err)
+						return
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+				cut <- ""
+			})
+		}
+		Eventually(func() int64 { return handoverStats(busy).Accepted - before }).Should(Equal(int64(callers)))
+		busy.Drain(context.Background(), 4*time.Second)
+		Expect(handoverStats(busy).Open).To(BeZero())
+		busy.Stop()
+		for range callers {
+			Expect(<-cut).To(BeEmpty())
+		}
 	})
 
 	It("cuts answers off when the other one ends, and does not repeat requests", func() {
