Do not cut answers whose callers stop reading for some seconds

TCP_USER_TIMEOUT also counts the time of a full receive window. A caller that read nothing for 1.5 s lost its answer, as the connection between the routers was reset.

The timeout is 15 s. A silent link is noticed after 15 s instead of 1.5 s to 3 s, in which time the callers of such relays wait.

--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -381,6 +381,23 @@
 	}
 }
 
+// TestCallerPauses guards against cutting an answer because its caller does not read for some seconds.
+func TestCallerPauses(t *testing.T) {
+	const size = 16 << 20
+	r := receiver(t, always, func(c *net.TCPConn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = c.Write(make([]byte, size))
+	})
+	f := newFront(t, 1, r.Addr().String())
+	f.sender.SetSpacing(false)
+	c := f.dial(t)
+	_, _ = io.WriteString(c, "question\n")
+	time.Sleep(3 * time.Second)
+	if n, err := io.Copy(io.Discard, c); n != size || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
 // TestQuietRelaysMakeRoom guards against callers that only keep connections open and so use up the
 // allowed relays.
 func TestQuietRelaysMakeRoom(t *testing.T) {
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -28,9 +28,11 @@
 	// does so within a round trip, so that the caller can afford a second one.
 	maxOffers = 2
 	// unackedTimeout is the time after which the kernel closes a connection to another router whose
-	// data is not acknowledged, as for targets (package httptarget). keepAliveIdle and
-	// keepAliveInterval make it notice a silent link while an answer is awaited.
-	unackedTimeout    = 1500 * time.Millisecond
+	// data is not acknowledged. The kernel counts the time of a full receive window too (tcp(7)), so
+	// it is that for which a caller may stop reading an answer: with 1.5 s, answers to slow callers
+	// were cut. keepAliveIdle and keepAliveInterval make the kernel notice a silent link while an
+	// answer is awaited; with a user timeout set, that decides when the connection is closed.
+	unackedTimeout    = 15 * time.Second
 	keepAliveIdle     = 3 * time.Second
 	keepAliveInterval = time.Second
 	// measureInterval is the time over which the CPU utilisation is measured, and maxMeasureInterval
