Space only the later pieces of an answer

A router that is short of CPU time waited up to 200 ms after each read of an answer: large answers passed at 80 KB/s, and a short answer delayed the next one on its connection.

It now waits only after a piece that does not fill the buffer and that follows an earlier one since the caller's last bytes, and at most 100 ms, a quarter of the shortest pause that callers accept, since the other router delays events too. A wait ends when the relay is aborted.

--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -31,10 +31,10 @@
 	// waits for bytes of the other router. Routers of a zone are about a millisecond apart.
 	settleTime = 50 * time.Millisecond
 	// maxSpacing is the longest time that a piece of an answer may wait for the next one, so that
-	// both are written together, while the router is short of CPU time. It is half of the shortest
-	// pause between events that callers accept when handover is in use. A pause that is longer
-	// already does not grow by it.
-	maxSpacing = 200 * time.Millisecond
+	// both are written together, while the router is short of CPU time. It is a quarter of the
+	// shortest pause between events that callers accept when pieces are spaced: the other router
+	// delays events too. A pause that is longer already does not grow by it.
+	maxSpacing = 100 * time.Millisecond
 )
 
 // ErrReset means that one side of a relayed connection has reset it, or cannot be reached.
@@ -180,6 +180,7 @@
 		_, err = to.Write(buffer[:n])
 		// The write may have waited for a slow reader.
 		r.noteMoved()
+		later := answer && r.answered.Load() == in.asked
 		if answer {
 			r.answered.Store(in.asked)
 			r.writing.Store(false)
@@ -194,9 +195,11 @@
 		// If the other router does not take the caller's bytes, they are dropped: it may have
 		// closed after its last answer, which is still to be delivered. If the connection broke,
 		// the goroutine that reads from it aborts the relay.
-		if answer && r.spacing != nil {
+		// The first piece of an answer may be all of it, or a head that is followed by a long body. If
+		// the buffer was full, more has arrived already.
+		if later && n < bufferSize && r.spacing != nil {
 			if d := r.spacing(); d > 0 {
-				time.Sleep(min(d, maxSpacing))
+				r.wait(min(d, maxSpacing))
 			}
 		}
 	}
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -483,6 +483,36 @@
 	}
 }
 
+// TestSpacingDelaysNoOthers guards against spacing that slows down large answers, and short ones on a
+// connection that stays open.
+func TestSpacingDelaysNoOthers(t *testing.T) {
+	const size = 4 << 20
+	r := receiver(t, always, func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		for range 20 {
+			_, _ = in.ReadString('\n')
+			_, _ = io.WriteString(c, "a\n")
+		}
+		_, _ = in.ReadString('\n')
+		_, _ = c.Write(make([]byte, size))
+	})
+	f := newFront(t, 1, r.Addr().String())
+	c, began := f.dial(t), time.Now()
+	for range 20 {
+		_, _ = io.WriteString(c, "question\n")
+		if _, err := io.ReadFull(c, make([]byte, 2)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("20 short answers took %v", took)
+	}
+	_, _ = io.WriteString(c, "question\n")
+	if n, err := io.Copy(io.Discard, c); n != size || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
 // TestStop guards against relays that outlive their router.
 func TestStop(t *testing.T) {
 	r := receiver(t, always, func(c *net.TCPConn) { _, _ = io.ReadAll(c) })
