Leave alone the right routers after failed offers

A time-out that ended late, because this process had no CPU time, put healthy routers aside.

An acceptance now clears the time before which a router is not tried. A time-out that ends more than half its length late says nothing about the other router, and connecting may take 100 ms. TestDeclineAfterAcceptance fails before.

--- a/internal/handover/selector.go
+++ b/internal/handover/selector.go
@@ -237,6 +237,8 @@
 	t.open++
 	s.open++
 	t.failures = 0
+	// Otherwise, Declined would take the next failure for one of before.
+	t.notBefore = time.Time{}
 }
 
 // Declined notes that a router did not take the connection offered to it: it declined, did not
--- a/internal/handover/selector_test.go
+++ b/internal/handover/selector_test.go
@@ -253,6 +253,27 @@
 	}
 }
 
+// TestDeclineAfterAcceptance guards against ignoring that a router declines, because it had declined
+// before it last accepted.
+func TestDeclineAfterAcceptance(t *testing.T) {
+	s := handover.New(handover.Limits{Relays: 10, Connecting: 10})
+	now := time.Unix(1000, 0)
+	s.SetLoad(now, 1)
+	list := []handover.Candidate{{ID: "a", Cores: 1}}
+	first := func(int) int { return 0 }
+	for range 3 {
+		if _, ok := s.Choose(now, list, first); !ok {
+			t.Fatal("nothing chosen")
+		}
+	}
+	s.Declined(now, "a")
+	s.Accepted("a")
+	s.Declined(now.Add(time.Millisecond), "a")
+	if n := s.BackedOff(now.Add(2 * time.Millisecond)); n != 1 {
+		t.Errorf("%d routers left alone, want 1", n)
+	}
+}
+
 func TestLimits(t *testing.T) {
 	now := time.Time{}.Add(time.Hour)
 	cases := map[string]struct {
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -21,9 +21,14 @@
 )
 
 const (
-	// acceptTimeout bounds the time to connect to another router, and the time to wait for its byte
-	// after that. Routers of a zone are about a millisecond apart; the caller waits meanwhile.
+	// acceptTimeout bounds the time to wait for another router's byte, dialTimeout that to connect to
+	// it before. Routers of a zone are about a millisecond apart; the caller waits meanwhile. The second
+	// one is longer, since a router without CPU time notices late that it is connected.
 	acceptTimeout = 50 * time.Millisecond
+	dialTimeout   = 2 * acceptTimeout
+	// delayedPercent is the percentage of a time-out from which its end shows that this process had
+	// no CPU time.
+	delayedPercent = 150
 	// maxOffers is the number of routers to which a connection is offered. A router that declines
 	// does so within a round trip, so that the caller can afford a second one.
 	maxOffers = 2
@@ -65,6 +70,9 @@
 // ErrDeclined means that another router did not accept a connection.
 var ErrDeclined = errors.New("connection declined")
 
+// ErrDelayed means that a time-out ended so late that it says nothing about the other router.
+var ErrDelayed = errors.New("own CPU time missing")
+
 // Stats counts connections that were handed over or received since the start.
 type Stats struct {
 	// Sent counts the offers to other routers. Each one is Accepted, Declined, or Failed if the
@@ -117,7 +125,7 @@
 		group: g, log: log, meter: &meter{cores: cores, cpuTime: cpuTime, control: utilisation},
 		selector: New(limits), relays: map[*relay]struct{}{}, maxRelays: limits.Relays, began: clock.Now(),
 		dialer: net.Dialer{
-			Timeout: acceptTimeout, Control: sockopt.UserTimeout(unackedTimeout),
+			Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout),
 			KeepAliveConfig: keepAlive,
 		},
 	}
@@ -222,6 +230,10 @@
 		}
 		now, again := clock.Now(), false
 		s.note(func() {
+			if errors.Is(err, ErrDelayed) {
+				s.selector.Cancelled(to.ID)
+				return
+			}
 			s.selector.Declined(now, to.ID)
 			if wasDeclined && attempt < maxOffers {
 				to, again = s.selector.ChooseAgain(now, s.current(), rand.IntN)
@@ -244,17 +256,27 @@
 // connect connects to another router and waits until it accepts. It returns ErrDeclined if that
 // closes the connection instead.
 func (s *Sender) connect(ctx context.Context, address string) (net.Conn, error) {
+	began := clock.Now()
 	peer, err := s.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect")
+		return nil, timeoutError(errors.Wrap(err, "connect"), began, dialTimeout)
 	}
+	began = clock.Now()
 	if err := awaitAccepted(peer); err != nil {
 		_ = peer.Close()
-		return nil, err
+		return nil, timeoutError(err, began, acceptTimeout)
 	}
 	return peer, nil
 }
 
+// timeoutError returns ErrDelayed for a time-out that ended well after its limit, and err otherwise.
+func timeoutError(err error, began time.Time, limit time.Duration) error {
+	if took := clock.Since(began); isTimeout(err) && took > limit*delayedPercent/100 {
+		return errors.Wrapf(ErrDelayed, "%v after %v", err, took)
+	}
+	return err
+}
+
 // awaitAccepted waits for the byte with which another router accepts a connection.
 func awaitAccepted(peer net.Conn) error {
 	if err := peer.SetReadDeadline(clock.Deadline(acceptTimeout)); err != nil {
