Bound what a router receives by connections that wait

A router declined by a utilisation that is up to a second old, so many senders together could hand over more than it had CPU time for; the time that a caller waited for offers was not counted.

A reservation now enters the queue of unread connections at once, and a router declines as busy while 8 handed-over connections are unread or one has waited too long. A router that is short of CPU time rejects a caller as overdue if its offers took more than 65 ms, and no second offer is made after 50 ms.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -45,12 +45,21 @@
 // rejected at once: the router is short of CPU time and the oldest connection has waited for
 // more than maxWait, so this one would wait even longer.
 func (q *Queue) Enqueue(now time.Time, overloaded bool) *list.Element {
-	if oldest := q.waiting.Front(); overloaded && oldest != nil && now.Sub(oldest.Value.(time.Time)) > maxWait {
+	if q.Late(now, overloaded) {
 		return nil
 	}
 	return q.waiting.PushBack(now)
 }
 
+// Late reports whether Enqueue would reject a new connection.
+func (q *Queue) Late(now time.Time, overloaded bool) bool {
+	oldest := q.waiting.Front()
+	return oldest != nil && Overdue(now.Sub(oldest.Value.(time.Time)), overloaded)
+}
+
+// Overdue reports whether a caller is to be rejected after a wait.
+func Overdue(waited time.Duration, overloaded bool) bool { return overloaded && waited > maxWait }
+
 // Remove removes a connection that was closed, whether its request was handled or not.
 func (q *Queue) Remove(connection *list.Element) { q.waiting.Remove(connection) }
 
@@ -59,5 +68,5 @@
 // maxWait.
 func (q *Queue) Dequeue(now time.Time, connection *list.Element, overloaded bool) (overdue bool) {
 	entered := q.waiting.Remove(connection).(time.Time)
-	return overloaded && now.Sub(entered) > maxWait
+	return Overdue(now.Sub(entered), overloaded)
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -111,7 +111,7 @@
 		return handover.DeclinedOff
 	case !g.server.Ready():
 		return handover.DeclinedNotReady
-	case !handover.MayReceive(g.loop.CPUUtilisation()):
+	case !handover.MayReceive(g.loop.CPUUtilisation()), g.server.ReceivesLate():
 		return handover.DeclinedBusy
 	case !g.server.ReserveReceived():
 		return handover.DeclinedFull
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -209,6 +209,7 @@
 // offer offers a connection to a router and, if that declines, to another one. It returns the
 // connection to the router that accepted.
 func (s *Sender) offer(ctx context.Context, to Candidate) (net.Conn, message.RouterID, bool) {
+	began := clock.Now()
 	for attempt := 1; ; attempt++ {
 		s.sent.Add(1)
 		peer, err := s.connect(ctx, to.Address)
@@ -235,7 +236,7 @@
 				return
 			}
 			s.selector.Declined(now, to.ID)
-			if wasDeclined && attempt < maxOffers {
+			if wasDeclined && attempt < maxOffers && now.Sub(began) < acceptTimeout {
 				to, again = s.selector.ChooseAgain(now, s.current(), rand.IntN)
 			}
 		})
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -25,8 +25,12 @@
 	open int
 	// received is the number of open connections that other routers handed over.
 	received int
-	idle     list.List
-	closed   bool
+	// receivedUnread is the number of those that have not been read yet, and reserved holds the
+	// elements in unread of those that reserveReceived counted and receivedListener has not accepted.
+	receivedUnread int
+	reserved       []*list.Element
+	idle           list.List
+	closed         bool
 	// unread holds the accepted connections from which nothing has been read yet.
 	unread backlog.Queue
 	// overloaded reports whether the router is short of CPU time.
@@ -91,6 +95,15 @@
 	s.open--
 	if c.received {
 		s.received--
+		s.countRead(c)
+	}
+}
+
+// countRead counts a handed-over connection as read, or as closed before that. mu must be held.
+func (s *conns) countRead(c *conn) {
+	if c.waits {
+		c.waits = false
+		s.receivedUnread--
 	}
 }
 
@@ -120,10 +133,11 @@
 
 // dequeue removes a connection that is read for the first time, and reports whether it is to be
 // rejected because it has waited too long for that.
-func (s *conns) dequeue(element *list.Element) bool {
+func (s *conns) dequeue(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock.Now()
+	now, element := clock.Now(), c.unreadElement
+	s.countRead(c)
 	s.longestWait = max(s.longestWait, now.Sub(element.Value.(time.Time)))
 	return s.unread.Dequeue(now, element, s.overloaded())
 }
@@ -164,6 +178,8 @@
 	// room for another one.
 	idleElement     *list.Element
 	evicted, closed bool
+	// waits is set while the connection counts in conns.receivedUnread.
+	waits bool
 }
 
 // lengthUnknown is the value of conn.unread if the ends of requests are not known, so that no later
@@ -273,7 +289,7 @@
 		return false
 	}
 	c.firstReadDone = true
-	return c.conns.dequeue(c.unreadElement)
+	return c.conns.dequeue(c)
 }
 
 // readInput returns the bytes that the listener read in advance, then reads from the connection.
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -1,12 +1,16 @@
 package ingress
 
 import (
+	"container/list"
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/backlog"
+	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -39,15 +43,22 @@
 	}
 	// The connection is handed over before any other check: those refuse requests for lack of CPU
 	// time here, which says nothing about other routers.
-	if l.server.handover.Take(raw, l.serveLocally) {
+	accepted := clock.Now()
+	if l.server.handover.Take(raw, func(c net.Conn) { l.serveLocally(c, accepted) }) {
 		return nil, nil
 	}
 	return l.inspect(raw, l.buffer[:])
 }
 
-// serveLocally serves a connection that no other router accepted.
-func (l listener) serveLocally(raw net.Conn) {
+// serveLocally serves a connection that no other router accepted, unless it has waited too long for
+// that.
+func (l listener) serveLocally(raw net.Conn, accepted time.Time) {
 	buffer := scratchBuffers.Get().(*[scratchSize]byte)
+	if backlog.Overdue(clock.Since(accepted), l.conns.overloaded()) {
+		l.server.reject(earlyTCPConn{raw}, buffer[:], 0)
+		scratchBuffers.Put(buffer)
+		return
+	}
 	c, err := l.inspect(raw, buffer[:])
 	scratchBuffers.Put(buffer)
 	if c == nil || err != nil {
@@ -110,9 +121,25 @@
 	return errors.Wrap(err, "serve handed-over connections")
 }
 
+// maxUnreadReceived is the number of handed-over connections that may wait for their first read. The
+// CPU utilisation is up to a second old, in which many senders can offer more than a router can serve.
+const maxUnreadReceived = 8
+
+// ReceivesLate reports whether connections that are handed over now would wait too long for CPU time.
+func (s *Server) ReceivesLate() bool {
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	return s.conns.receivesLate()
+}
+
+// receivesLate is ReceivesLate; mu must be held.
+func (s *conns) receivesLate() bool {
+	return s.receivedUnread >= maxUnreadReceived || s.unread.Late(clock.Now(), s.overloaded())
+}
+
 // ReserveReceived counts a connection of another router as open, without blocking. It returns false
-// if the server is not ready or half of its callers' connections are handed-over ones, or if there is
-// no room for another connection.
+// if the server is not ready, if ReceivesLate, if half of its callers' connections are handed-over ones,
+// or if there is no room for another connection.
 func (s *Server) ReserveReceived() bool { return s.Ready() && s.conns.reserveReceived() }
 
 // ReleaseReceived undoes a call of ReserveReceived if the connection was lost.
@@ -121,6 +148,10 @@
 	defer s.conns.mu.Unlock()
 	s.conns.open--
 	s.conns.received--
+	s.conns.receivedUnread--
+	last := len(s.conns.reserved) - 1
+	s.conns.unread.Remove(s.conns.reserved[last])
+	s.conns.reserved = s.conns.reserved[:last]
 	s.conns.changed.Signal()
 }
 
@@ -129,17 +160,32 @@
 func (s *conns) reserveReceived() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.received >= s.max/2 && !s.evictOldestReceived() {
+	if s.closed || s.receivesLate() || s.received >= s.max/2 && !s.evictOldestReceived() {
 		return false
 	}
 	if s.open >= s.max && !s.evictOldest() {
 		return false
 	}
+	element := s.unread.Enqueue(clock.Now(), s.overloaded())
+	if element == nil {
+		return false
+	}
+	s.reserved = append(s.reserved, element)
 	s.open++
 	s.received++
+	s.receivedUnread++
 	return true
 }
 
+// takeReserved returns the element of the reservation that is the oldest.
+func (s *conns) takeReserved() *list.Element {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	element := s.reserved[0]
+	s.reserved = s.reserved[1:]
+	return element
+}
+
 // evictOldestReceived closes the handed-over connection that has been idle for the longest, and
 // returns false if there is none. Otherwise the callers of another router could fill the limit with
 // connections that they only keep open. mu must be held.
@@ -161,23 +207,13 @@
 
 // Accept implements net.Listener.
 func (l receivedListener) Accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{Conn: raw, server: l.server, conns: l.server.conns, received: true, betweenRequests: true, unreadElement: l.server.conns.enqueue()}
-		if c.unreadElement != nil {
-			return c, nil
-		}
-		l.server.ReleaseReceived()
-		l.server.rejectReceived(raw)
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-}
-
-// rejectReceived rejects a connection that would wait too long for CPU time.
-func (s *Server) rejectReceived(raw net.Conn) {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	s.reject(earlyTCPConn{raw}, buffer[:], 0)
+	s := l.server.conns
+	return &conn{
+		Conn: raw, server: l.server, conns: s, received: true, waits: true, betweenRequests: true,
+		unreadElement: s.takeReserved(),
+	}, nil
 }
