--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -17,10 +17,10 @@
 const (
 	// defaultMaxRelays bounds the connections handed over if Options.MaxRelays does not.
 	defaultMaxRelays = 256
-	// maxOffers bounds the connections that no other router has accepted yet. At 600 connections a
+	// maxConnecting bounds the connections that no other router has accepted yet. At 600 connections a
 	// second, one or two wait for the network; more means that this router is too slow even for
 	// handing over.
-	maxOffers = 32
+	maxConnecting = 32
 	// In a planned stop, relays are closed that are quiet for one stopQuietPart-th of the time left,
 	// at least minStopQuiet: less would cut streams between two events.
 	stopQuietPart = 4
@@ -64,7 +64,7 @@
 	if g.Features.Handover == feature.Off {
 		return
 	}
-	limits := handover.Limits{Relays: cmp.Or(g.MaxRelays, defaultMaxRelays), Connecting: maxOffers}
+	limits := handover.Limits{Relays: cmp.Or(g.MaxRelays, defaultMaxRelays), Connecting: maxConnecting}
 	g.handover.sender = handover.NewSender(g.group, limits, g.Capacity, metrics.ProcessorTime, g.loop.CPUUtilisation, g.Log)
 	g.server.HandOver(g.handover.sender)
 	r, err := handover.Listen(g.group.Context(), g.handoverListen(), g.reserveReceived, g.server.ReleaseReceived)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -137,6 +137,8 @@
 					return
 				}
 				defer c.Close()
+				// Without it, a failed check leaves this caller running.
+				_ = c.SetDeadline(time.Now().Add(15 * time.Second))
 				in := bufio.NewReader(c)
 				for {
 					if newRequest(busy.Self().Address, "/stream/x").Write(c) != nil {
