Ignore impossible records of routers when choosing where to hand over

A record with infinitely many cores was chosen first, and one whose address has no port was offered connections. Both are now ignored, and not counted. TestCandidates fails for both before.

--- a/internal/handover/selector.go
+++ b/internal/handover/selector.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"iter"
+	"math"
+	"net"
 	"slices"
 	"time"
 
@@ -58,11 +60,14 @@
 
 // Candidates returns those of a fleet's routers to which the router self may hand connections over:
 // routers of its zone that are ready, announce a handover address and have at least twice as many
-// cores.
+// cores. Records with an impossible address or number of cores are ignored.
 func Candidates(self message.RouterRecord, fleet iter.Seq[message.RouterRecord]) []Candidate {
 	var list []Candidate
 	for r := range fleet {
 		suits := r.ID != self.ID && r.Zone == self.Zone && r.Handover != "" && r.Ready && !r.Leaving && r.State == message.Alive
+		if _, _, err := net.SplitHostPort(r.Handover); err != nil || math.IsInf(r.Capacity, 0) {
+			continue
+		}
 		if suits && self.Capacity > 0 && r.Capacity >= minCoresRatio*self.Capacity {
 			list = append(list, Candidate{ID: r.ID, Address: r.Handover, Cores: r.Capacity})
 		}
--- a/internal/handover/selector_test.go
+++ b/internal/handover/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -305,8 +306,8 @@
 }
 
 func TestCandidates(t *testing.T) {
-	self := message.RouterRecord{ID: "self", Zone: "a", Capacity: 0.2, Ready: true, Handover: "x"}
-	good := message.RouterRecord{ID: "r", Zone: "a", Capacity: 0.4, Ready: true, Handover: "x"}
+	self := message.RouterRecord{ID: "self", Zone: "a", Capacity: 0.2, Ready: true, Handover: "x:1"}
+	good := message.RouterRecord{ID: "r", Zone: "a", Capacity: 0.4, Ready: true, Handover: "x:1"}
 	cases := map[string]struct {
 		change func(*message.RouterRecord)
 		want   int
@@ -319,6 +320,8 @@
 		"leaving":           {func(r *message.RouterRecord) { r.Leaving = true }, 0},
 		"suspected":         {func(r *message.RouterRecord) { r.State = message.Suspected }, 0},
 		"older program":     {func(r *message.RouterRecord) { r.Handover = "" }, 0},
+		"infinite cores":    {func(r *message.RouterRecord) { r.Capacity = math.Inf(1) }, 0},
+		"no address":        {func(r *message.RouterRecord) { r.Handover = "x" }, 0},
 		"unknown own cores": {func(*message.RouterRecord) { self.Capacity = 0 }, 0},
 	}
 	for name, c := range cases {
