--- a/internal/handover/selector_test.go
+++ b/internal/handover/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -253,6 +254,27 @@
 	}
 }
 
+// TestDeclineAfterAcceptance guards against ignoring that a router declines, because it had declined
+// before it last accepted.
+func TestDeclineAfterAcceptance(t *testing.T) {
+	s := handover.New(handover.Limits{Relays: 10, Connecting: 10})
+	now := time.Unix(1000, 0)
+	s.SetLoad(now, 1)
+	list := []handover.Candidate{{ID: "a", Cores: 1}}
+	first := func(int) int { return 0 }
+	for range 3 {
+		if _, ok := s.Choose(now, list, first); !ok {
+			t.Fatal("nothing chosen")
+		}
+	}
+	s.Declined(now, "a")
+	s.Accepted("a")
+	s.Declined(now.Add(time.Millisecond), "a")
+	if n := s.BackedOff(now.Add(2 * time.Millisecond)); n != 1 {
+		t.Errorf("%d routers left alone, want 1", n)
+	}
+}
+
 func TestLimits(t *testing.T) {
 	now := time.Time{}.Add(time.Hour)
 	cases := map[string]struct {
@@ -284,8 +306,8 @@
 }
 
 func TestCandidates(t *testing.T) {
-	self := message.RouterRecord{ID: "self", Zone: "a", Capacity: 0.2, Ready: true, Handover: "x"}
-	good := message.RouterRecord{ID: "r", Zone: "a", Capacity: 0.4, Ready: true, Handover: "x"}
+	self := message.RouterRecord{ID: "self", Zone: "a", Capacity: 0.2, Ready: true, Handover: "x:1"}
+	good := message.RouterRecord{ID: "r", Zone: "a", Capacity: 0.4, Ready: true, Handover: "x:1"}
 	cases := map[string]struct {
 		change func(*message.RouterRecord)
 		want   int
@@ -298,6 +320,8 @@
 		"leaving":           {func(r *message.RouterRecord) { r.Leaving = true }, 0},
 		"suspected":         {func(r *message.RouterRecord) { r.State = message.Suspected }, 0},
 		"older program":     {func(r *message.RouterRecord) { r.Handover = "" }, 0},
+		"infinite cores":    {func(r *message.RouterRecord) { r.Capacity = math.Inf(1) }, 0},
+		"no address":        {func(r *message.RouterRecord) { r.Handover = "x" }, 0},
 		"unknown own cores": {func(*message.RouterRecord) { self.Capacity = 0 }, 0},
 	}
 	for name, c := range cases {
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -21,16 +21,23 @@
 )
 
 const (
-	// acceptTimeout bounds the time to connect to another router, and the time to wait for its byte
-	// after that. Routers of a zone are about a millisecond apart; the caller waits meanwhile.
+	// acceptTimeout bounds the time to wait for another router's byte, dialTimeout that to connect to
+	// it before. Routers of a zone are about a millisecond apart; the caller waits meanwhile. The second
+	// one is longer, since a router without CPU time notices late that it is connected.
 	acceptTimeout = 50 * time.Millisecond
+	dialTimeout   = 2 * acceptTimeout
+	// delayedPercent is the percentage of a time-out from which its end shows that this process had
+	// no CPU time.
+	delayedPercent = 150
 	// maxOffers is the number of routers to which a connection is offered. A router that declines
 	// does so within a round trip, so that the caller can afford a second one.
 	maxOffers = 2
 	// unackedTimeout is the time after which the kernel closes a connection to another router whose
-	// data is not acknowledged, as for targets (package httptarget). keepAliveIdle and
-	// keepAliveInterval make it notice a silent link while an answer is awaited.
-	unackedTimeout    = 1500 * time.Millisecond
+	// data is not acknowledged. The kernel counts the time of a full receive window too (tcp(7)), so
+	// it is that for which a caller may stop reading an answer: with 1.5 s, answers to slow callers
+	// were cut. keepAliveIdle and keepAliveInterval make the kernel notice a silent link while an
+	// answer is awaited; with a user timeout set, that decides when the connection is closed.
+	unackedTimeout    = 15 * time.Second
 	keepAliveIdle     = 3 * time.Second
 	keepAliveInterval = time.Second
 	// measureInterval is the time over which the CPU utilisation is measured, and maxMeasureInterval
@@ -47,8 +54,8 @@
 )
 
 // QuietTime is the time after a piece of an answer after which a relayed connection counts as one
-// without a request. It is several times the longest pause between events that a caller accepts.
-const QuietTime = 3 * time.Second
+// without a request. A relay knows no ends of answers; with 3 s, streams that pause were cut.
+const QuietTime = 15 * time.Second
 
 const (
 	// makeRoomFrom is the percentage of the allowed relays from which quiet ones are closed, and
@@ -63,6 +70,9 @@
 // ErrDeclined means that another router did not accept a connection.
 var ErrDeclined = errors.New("connection declined")
 
+// ErrDelayed means that a time-out ended so late that it says nothing about the other router.
+var ErrDelayed = errors.New("own CPU time missing")
+
 // Stats counts connections that were handed over or received since the start.
 type Stats struct {
 	// Sent counts the offers to other routers. Each one is Accepted, Declined, or Failed if the
@@ -115,7 +125,7 @@
 		group: g, log: log, meter: &meter{cores: cores, cpuTime: cpuTime, control: utilisation},
 		selector: New(limits), relays: map[*relay]struct{}{}, maxRelays: limits.Relays, began: clock.Now(),
 		dialer: net.Dialer{
-			Timeout: acceptTimeout, Control: sockopt.UserTimeout(unackedTimeout),
+			Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout),
 			KeepAliveConfig: keepAlive,
 		},
 	}
@@ -199,6 +209,7 @@
 // offer offers a connection to a router and, if that declines, to another one. It returns the
 // connection to the router that accepted.
 func (s *Sender) offer(ctx context.Context, to Candidate) (net.Conn, message.RouterID, bool) {
+	began := clock.Now()
 	for attempt := 1; ; attempt++ {
 		s.sent.Add(1)
 		peer, err := s.connect(ctx, to.Address)
@@ -220,8 +231,12 @@
 		}
 		now, again := clock.Now(), false
 		s.note(func() {
+			if errors.Is(err, ErrDelayed) {
+				s.selector.Cancelled(to.ID)
+				return
+			}
 			s.selector.Declined(now, to.ID)
-			if wasDeclined && attempt < maxOffers {
+			if wasDeclined && attempt < maxOffers && now.Sub(began) < acceptTimeout {
 				to, again = s.selector.ChooseAgain(now, s.current(), rand.IntN)
 			}
 		})
@@ -242,17 +257,27 @@
 // connect connects to another router and waits until it accepts. It returns ErrDeclined if that
 // closes the connection instead.
 func (s *Sender) connect(ctx context.Context, address string) (net.Conn, error) {
+	began := clock.Now()
 	peer, err := s.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect")
+		return nil, timeoutError(errors.Wrap(err, "connect"), began, dialTimeout)
 	}
+	began = clock.Now()
 	if err := awaitAccepted(peer); err != nil {
 		_ = peer.Close()
-		return nil, err
+		return nil, timeoutError(err, began, acceptTimeout)
 	}
 	return peer, nil
 }
 
+// timeoutError returns ErrDelayed for a time-out that ended well after its limit, and err otherwise.
+func timeoutError(err error, began time.Time, limit time.Duration) error {
+	if took := clock.Since(began); isTimeout(err) && took > limit*delayedPercent/100 {
+		return errors.Wrapf(ErrDelayed, "%v after %v", err, took)
+	}
+	return err
+}
+
 // awaitAccepted waits for the byte with which another router accepts a connection.
 func awaitAccepted(peer net.Conn) error {
 	if err := peer.SetReadDeadline(clock.Deadline(acceptTimeout)); err != nil {
@@ -311,8 +336,9 @@
 // Open returns the number of connections being relayed.
 func (s *Sender) Open() int64 { return s.open.Value() }
 
-// CloseQuiet closes the relays on which nothing has arrived for d since the last piece of an answer:
-// their callers keep connections open without a request. It returns the number of relays closed.
+// CloseQuiet begins to close the relays on which nothing has arrived for d since the last piece of an
+// answer: their callers keep connections open without a request. Those on which bytes arrive meanwhile
+// stay open. It returns the number of relays that it began to close.
 func (s *Sender) CloseQuiet(d time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -323,7 +349,7 @@
 func (s *Sender) closeQuiet(d time.Duration, most int) int {
 	n := 0
 	for r := range s.relays {
-		if n < most && r.betweenRequests(d) {
+		if n < most && !r.finishing.Load() && r.betweenRequests(d) {
 			r.finish()
 			n++
 		}
