Start stalled callers in groups

TestManyStalledCallers failed once beside other tests, with queue-full for some of 2,000 callers. Reproduced in 10 of 72 runs, six processes side by side at a load of 40: connecting to the only stand-in target took more than the 400 ms that the router allows, so the request was not sent, waited for another target for 200 ms and was refused, truly. Callers now start in groups of 50 that reach the target first.

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -333,7 +333,9 @@
 // read, and against answers that they then do not get whole. The callers are not connections: the
 // kernel would take up megabytes for each.
 func TestManyStalledCallers(t *testing.T) {
-	const events, memory = 40, 200 << 20
+	// Connecting may take 400 ms, which 2,000 connections at once exceed on a busy machine. There is
+	// no other target, so the router then refuses the request.
+	const events, memory, callersAtOnce = 40, 200 << 20, 50
 	callers := 2000
 	if raceDetector {
 		// With the race detector, 2,000 callers take 750 MB and the router refuses part of them.
@@ -341,7 +343,9 @@
 	}
 	budget := int64(callers) * 2 << 10
 	event := "data: " + strings.Repeat("x", 200) + "\n\n"
+	var reached atomic.Int64
 	f := newBufferedForwarder(t, budget, func(w http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
 		for n := range events {
 			fmt.Fprintf(w, "id: %d\n%s", n+1, event)
 			_ = http.NewResponseController(w).Flush()
@@ -354,6 +358,9 @@
 	defer g.Wait()
 	var list []*stalledCaller
 	for i := range callers {
+		if i%callersAtOnce == 0 {
+			eventually(t, "the callers so far have reached the target", 20*time.Second, func() bool { return reached.Load() == int64(i) })
+		}
 		c := newStalledCaller()
 		list = append(list, c)
 		defer c.StopWriting()
