--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -32,7 +32,7 @@
 	// startsTTL is how long a router's last report of started tokens is kept.
 	startsTTL = 10 * time.Second
 	// maxBookedFactor bounds what one report books in a slot, relative to the configured capacity. At
-	// some times the capacity asked for, as in the heaviest plays, slots are filled several times.
+	// times the load exceeds the capacity several times over, and so do the bookings.
 	maxBookedFactor = 8
 	// maxBeganFactor bounds the starts between two reports, relative to the configured capacity over
 	// a quota window. Engines may take more than is configured, and reports may be lost for some time.
