Log where callers' connections wait

Callers of a flooded box get no answer, and nothing told where their connections waited: in the kernel's accept queue, for the number of open connections to fall, between two routers, or unread at the one that took them over. Those are the places that tell the hypotheses apart.

A line a second names the longest wait at each place, and the length of the accept queue with its limit; the line about handing over also has what came back, what ended unanswered, and the longest offer and answer. No decision changes. TestNotAccepted compares all counts and so names the new one, too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,6 +185,8 @@
 	loggedBackoffs int64
 	loggedPauses   loggedPauses
 	tally          tally
+	// loggedArrivalsAt is when waits of new connections were last considered for a log line.
+	loggedArrivalsAt time.Time
 	// answers is the memory for buffered answers.
 	answers answerBuffers
 }
--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -67,6 +67,9 @@
 type relay struct {
 	caller, peer net.Conn
 	spacing      func() time.Duration
+	// observe is called with the time that the caller waited for the first piece of an answer; nil if
+	// that is of no interest.
+	observe func(time.Duration)
 	// lastMoved is the time at which bytes were last read or written, in nanoseconds since began.
 	began     time.Time
 	lastMoved atomic.Int64
@@ -173,6 +176,9 @@
 		}
 		if answer {
 			r.writing.Store(true)
+			if r.observe != nil && r.answered.Load() != in.asked {
+				r.observe(r.quietFor())
+			}
 		} else {
 			r.asked.Add(1)
 		}
@@ -218,6 +224,9 @@
 	return r.answered.Load() == r.asked.Load() && !r.writing.Load() && r.quietFor() >= d
 }
 
+// unanswered reports whether nothing has been written to the caller since its last bytes.
+func (r *relay) unanswered() bool { return r.answered.Load() != r.asked.Load() }
+
 // finishIfQuiet ends a relay that is to finish, and returns true, unless the caller has sent
 // something since its last answer or more of an answer arrives. Otherwise the relay stays open. It is
 // called by the goroutine that reads from the caller, so that nothing is read meanwhile.
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -156,10 +156,10 @@
 		stats     handover.Stats
 	}{
 		"accepts":             {[]string{receiver(t, always, echoLine).Addr().String()}, "there question\n", handover.Stats{Sent: 1, Accepted: 1, Bytes: 24}},
-		"declines":            {[]string{decliner}, "local question\n", handover.Stats{Sent: 1, Declined: 1}},
-		"both decline":        {[]string{decliner, decliner}, "local question\n", handover.Stats{Sent: 2, Declined: 2}},
-		"does not answer":     {[]string{silent.Addr().String()}, "local question\n", handover.Stats{Sent: 1, Failed: 1}},
-		"cannot be reached":   {[]string{gone.Addr().String()}, "local question\n", handover.Stats{Sent: 1, Failed: 1}},
+		"declines":            {[]string{decliner}, "local question\n", handover.Stats{Sent: 1, Declined: 1, Returned: 1}},
+		"both decline":        {[]string{decliner, decliner}, "local question\n", handover.Stats{Sent: 2, Declined: 2, Returned: 1}},
+		"does not answer":     {[]string{silent.Addr().String()}, "local question\n", handover.Stats{Sent: 1, Failed: 1, Returned: 1}},
+		"cannot be reached":   {[]string{gone.Addr().String()}, "local question\n", handover.Stats{Sent: 1, Failed: 1, Returned: 1}},
 		"there are no others": {nil, "local question\n", handover.Stats{}},
 	}
 	for name, c := range cases {
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -83,6 +83,10 @@
 	Failed   int64 `json:"failed"`
 	// Open is the number of connections being relayed.
 	Open int64 `json:"open"`
+	// Returned counts the connections that no other router accepted, and Unanswered the relays that
+	// ended with nothing written to the caller since its last bytes.
+	Returned   int64 `json:"returned"`
+	Unanswered int64 `json:"unanswered"`
 	// Received and ReceivedDeclined count the connections that other routers offered and this one
 	// accepted, or declined for a reason.
 	Received         int64             `json:"received"`
@@ -110,6 +114,11 @@
 	madeRoomAt time.Time
 
 	sent, accepted, declined, failed, open, bytes expvar.Int
+	returned, unanswered                          expvar.Int
+	// longestOffer is the longest time that the offers of one connection took, and longestAnswer that
+	// from a caller's last bytes to an answer or to the end of the relay, both in nanoseconds and since
+	// the last log line.
+	longestOffer, longestAnswer atomic.Int64
 	// loggedAt is the time of the last log line, in nanoseconds since began, and loggedSent what
 	// had been counted in sent.
 	began      time.Time
@@ -197,10 +206,14 @@
 		return false
 	}
 	s.group.GoContext(func(ctx context.Context) {
-		if peer, id, ok := s.offer(ctx, to); ok {
+		began := clock.Now()
+		peer, id, ok := s.offer(ctx, to)
+		storeMax(&s.longestOffer, clock.Since(began))
+		if ok {
 			s.relay(ctx, caller, peer, id)
 			return
 		}
+		s.returned.Add(1)
 		local(caller)
 	})
 	return true
@@ -309,10 +322,15 @@
 // relay copies bytes until the connection ends.
 func (s *Sender) relay(ctx context.Context, caller, peer net.Conn, id message.RouterID) {
 	r := newRelay(caller, peer, s.spacing)
+	r.observe = func(d time.Duration) { storeMax(&s.longestAnswer, d) }
 	s.open.Add(1)
 	s.note(func() { s.relays[r] = struct{}{} })
 	s.logCounts(clock.Now())
 	result, err := r.run(ctx, s.group.Go)
+	if r.unanswered() {
+		s.unanswered.Add(1)
+		r.observe(r.quietFor())
+	}
 	s.open.Add(-1)
 	s.bytes.Add(result.FromCaller + result.ToCaller)
 	s.note(func() {
@@ -324,6 +342,16 @@
 	}
 }
 
+// storeMax sets v to d if that is greater.
+func storeMax(v *atomic.Int64, d time.Duration) {
+	for {
+		old := v.Load()
+		if int64(d) <= old || v.CompareAndSwap(old, int64(d)) {
+			return
+		}
+	}
+}
+
 // spacing returns how long a piece of an answer may wait for the next one.
 func (s *Sender) spacing() time.Duration {
 	if !s.spaces.Load() {
@@ -361,7 +389,7 @@
 func (s *Sender) Stats() Stats {
 	return Stats{
 		Sent: s.sent.Value(), Accepted: s.accepted.Value(), Declined: s.declined.Value(), Failed: s.failed.Value(),
-		Open: s.open.Value(), Bytes: s.bytes.Value(),
+		Open: s.open.Value(), Returned: s.returned.Value(), Unanswered: s.unanswered.Value(), Bytes: s.bytes.Value(),
 	}
 }
 
@@ -380,6 +408,8 @@
 	})
 	s.log.Info("connections handed over", "offered", count-s.loggedSent.Swap(count), "accepted_total", s.accepted.Value(),
 		"declined_total", s.declined.Value(), "failed_total", s.failed.Value(), "open", s.open.Value(),
+		"returned_total", s.returned.Value(), "unanswered_total", s.unanswered.Value(),
+		"offer_ms", time.Duration(s.longestOffer.Swap(0)).Milliseconds(), "answer_ms", time.Duration(s.longestAnswer.Swap(0)).Milliseconds(),
 		"to", to, "part", part, "candidates", len(s.current()), "backed_off", backedOff, "busy", s.meter.utilisation(now))
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -39,6 +39,10 @@
 	// longestWait the longest time that one of them waited for its first read.
 	accepted    int
 	longestWait time.Duration
+	// arrivals holds the statistics since the last call of TakeArrivalStats, and listener the one
+	// whose accept queue is observed; nil if there is none.
+	arrivals ArrivalStats
+	listener *net.TCPListener
 	// changed is signalled when a connection is closed or becomes idle.
 	changed sync.Cond
 }
@@ -54,10 +58,14 @@
 func (s *conns) reserve() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.open >= s.max && !s.closed {
-		if !s.evictOldest() {
-			s.changed.Wait()
+	if s.open >= s.max {
+		began := clock.Now()
+		for s.open >= s.max && !s.closed {
+			if !s.evictOldest() {
+				s.changed.Wait()
+			}
 		}
+		s.arrivals.RoomWait = max(s.arrivals.RoomWait, clock.Since(began))
 	}
 	s.open++
 	return !s.closed
@@ -121,9 +129,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.accepted++
+	s.arrivals.Accepted++
 	return s.unread.Enqueue(clock.Now(), s.overloaded())
 }
 
+// countRefused counts a connection whose request was refused, or that was rejected, before the HTTP
+// server got it.
+func (s *conns) countRefused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals.Refused++
+}
+
 // remove removes a connection that was refused, or failed, before its first read.
 func (s *conns) remove(element *list.Element) {
 	s.mu.Lock()
@@ -138,7 +155,13 @@
 	defer s.mu.Unlock()
 	now, element := clock.Now(), c.unreadElement
 	s.countRead(c)
-	s.longestWait = max(s.longestWait, now.Sub(element.Value.(time.Time)))
+	waited := now.Sub(element.Value.(time.Time))
+	s.longestWait = max(s.longestWait, waited)
+	if c.received {
+		s.arrivals.ReceivedReadWait = max(s.arrivals.ReceivedReadWait, waited)
+	} else {
+		s.arrivals.ReadWait = max(s.arrivals.ReadWait, waited)
+	}
 	return s.unread.Dequeue(now, element, s.overloaded())
 }
 
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -46,6 +46,7 @@
 		return out
 	}
 	var err error
+	s.conns.watchQueue(tcp)
 	if out.acceptor, err = sockopt.NewAcceptor(tcp); err != nil {
 		s.log.Info("early refusal of requests not available", "cause", err.Error())
 	}
@@ -57,6 +58,7 @@
 	for {
 		early, handsOver := l.server.refusesEarly(), l.server.handsOver()
 		if l.batch.Next(early) {
+			l.conns.sampleQueue()
 			runtime.Gosched()
 		}
 		accept := l.accept
@@ -189,6 +191,7 @@
 	if _, err := c.Write(s.formatRefusal(r.ID, result, true)); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
 	}
+	s.conns.countRefused()
 	// An error means that the caller has disconnected.
 	_ = c.Close()
 	s.observer.RequestEnded(r, result, 0)
--- a/internal/sockopt/accept_test.go
+++ b/internal/sockopt/accept_test.go
@@ -130,3 +130,18 @@
 		t.Errorf("%d of %d callers connected, want some but not all", connected, callers)
 	}
 }
+
+func TestAcceptQueue(t *testing.T) {
+	l, _ := listening(t)
+	const limit, callers = 5, 3
+	if err := sockopt.SetBacklog(l, limit); err != nil {
+		t.Fatal(err)
+	}
+	for range callers {
+		arrive(t, l)
+	}
+	eventually(t, "queue is not as long as callers have connected", func() bool {
+		queued, got, err := sockopt.AcceptQueue(l)
+		return err == nil && queued == callers && got == limit
+	})
+}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -43,6 +43,24 @@
 	return callErr
 }
 
+// AcceptQueue returns the number of connections in a TCP listener's accept queue, and the maximum.
+func AcceptQueue(l *net.TCPListener) (queued, limit int, err error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return 0, 0, err
+	}
+	var info *unix.TCPInfo
+	var callErr error
+	if err := raw.Control(func(fd uintptr) { info, callErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return 0, 0, err
+	}
+	if callErr != nil {
+		return 0, 0, callErr
+	}
+	// For listening sockets, these fields hold the queue's length and limit.
+	return int(info.Unacked), int(info.Sacked), nil
+}
+
 // Idle reports whether a TCP connection is open and has no unread input. Another goroutine may
 // be blocked in Read meanwhile. For connections that are not TCP it returns true.
 func Idle(c net.Conn) bool {
