Do not hand over connections of organisations over their share

Callers saw late answers and refusals at engines that had had room: beside a flood at one small box, full-quote came late or was refused although its organisations were within their shares.

Cause: a router short of processor time handed over each new connection before it knew whose it was. An organisation with 2.1 to 2.5 million tokens of a share of 0.8 to 1.0 million was carried to the three large boxes of its zone, some 240 connections a second, and its requests took the room at engines that was due to others. While it did so, the router accepted through the Go runtime and not as plain sockets, so that refusing cost more as well.

The class: a decision that looks at a box's load alone, where the promise is per organisation. So a connection is handed over only once its request's head has been read: of organisations over their share, or so far ahead of others that wait that they let those go first, none is. What was read is passed on first. A request that cannot be identified is served here. All connections are accepted as plain sockets meanwhile. A router that receives a connection closes it with a refusal, so that the caller's router decides again. A router that hands over counts as serving, since it needs the others' reports to know what an organisation had.

It posts for the small organisation first now: with the fix, none of the large one's may be handed over at all, so that they cannot show that handing over works.

Ruled out: waiting for room among open connections (50 ms at most), and unread connections at the routers that received them.

The test of idle handed-over connections asks for an unknown route now, since refusals with 503 close them.

--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -106,6 +106,23 @@
 // levelTTL is how long a computed fair share is used before it is computed again.
 const levelTTL = 50 * time.Millisecond
 
+// OverShare returns the organisations that were served more than their share, or so much more than
+// others with waiting requests that they must let those go first.
+func (s *State) OverShare(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	maxLead := s.maxLead(now, s.allForecasts())
+	add := func(name string) {
+		if s.overShare(now, name) || s.exceedsLead(now, name, maxLead) {
+			out[name] = true
+		}
+	}
+	for name := range s.shares.usages {
+		add(name)
+	}
+	s.peers.EachOrganisation(now, func(name string, _ view.Usage) { add(name) })
+	return out
+}
+
 // level holds the max-min fair shares of an organisation, and when they were computed.
 type level struct {
 	// tokens is the share of the configured capacity, attained that of what all engines
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/group"
@@ -120,7 +121,7 @@
 }
 
 // updateHandover applies the configuration and the present routers of the zone.
-func (g *Gateway) updateHandover(now time.Time) {
+func (g *Gateway) updateHandover(s *balance.State, now time.Time) {
 	if g.handover.sender == nil {
 		return
 	}
@@ -133,8 +134,15 @@
 		return
 	}
 	g.handover.sender.SetCandidates(handover.Candidates(g.roster.Self(), g.roster.Each(now)))
+	if g.handsOver() {
+		g.handover.sender.SetOverShare(s.OverShare(now))
+	}
 }
 
+// handsOver reports whether the router hands over part of its new connections. It then needs other
+// routers' reports, even if it serves no request itself.
+func (g *Gateway) handsOver() bool { return g.handover.sender != nil && g.handover.sender.Active() }
+
 // openRequests returns the number of requests being served and of connections being relayed, each
 // of which counts as a request.
 func (g *Gateway) openRequests() int64 { return g.server.OpenRequests() + g.openRelays() }
--- a/internal/gateway/handover_bench_test.go
+++ b/internal/gateway/handover_bench_test.go
@@ -128,6 +128,21 @@
 	return g.Self().Address
 }
 
+// benchArrival is a new connection, which must be handed over.
+type benchArrival struct {
+	net.Conn
+	b *testing.B
+}
+
+func (benchArrival) Organisation() (string, bool)      { return "", true }
+func (benchArrival) AwaitOrganisation() (string, bool) { return "", true }
+func (a benchArrival) Open() (net.Conn, error)         { return a.Conn, nil }
+func (benchArrival) ReadAhead() []byte                 { return nil }
+func (a benchArrival) ServeLocally() {
+	a.b.Error("connection not handed over")
+	_ = a.Close()
+}
+
 // benchHandover starts a sender that hands all connections over to an engine, which stands for the
 // other router, and returns its address. utilisation is that of the sender, after the first
 // connection.
@@ -157,18 +172,14 @@
 	sender := handover.NewSender(g, limits, 0, metrics.ProcessorTime, control, logr.Discard())
 	sender.SetSpacing(true)
 	sender.SetCandidates([]handover.Candidate{{ID: "r", Address: receiver.Addr().String(), Cores: 1}})
-	notTaken := func(c net.Conn) {
-		b.Error("connection not handed over")
-		_ = c.Close()
-	}
 	g.Go(func() {
 		for {
 			caller, err := l.Accept()
 			if err != nil {
 				return
 			}
-			if !sender.Take(caller, notTaken) {
-				notTaken(caller)
+			if a := (benchArrival{caller, b}); !sender.Take(a) {
+				a.ServeLocally()
 			}
 		}
 	})
--- a/internal/gateway/handover_share_test.go
+++ b/internal/gateway/handover_share_test.go
@@ -78,17 +78,19 @@
 // its own, and returns how many connections were handed over meanwhile.
 func (p *sharePair) post(organisation string, tokens int, d time.Duration) int64 {
 	before := p.accepted()
+	transport := &http.Transport{}
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		p.lastID++
 		req, _ := http.NewRequest(http.MethodPost, "http://"+p.busy.Self().Address+"/stream/x", strings.NewReader("question"))
-		req.Host, req.Close = "h", true
+		req.Host = "h"
 		req.Header.Set(headerNames.RequestID, fmt.Sprint("s", p.lastID))
 		req.Header.Set(headerNames.Deadline, "4000")
 		req.Header.Set(headerNames.PromptSize, fmt.Sprint(tokens, ",1"))
 		req.Header.Set("Authorization", "Bearer "+organisation)
-		if res, err := http.DefaultTransport.RoundTrip(req); err == nil {
+		if res, err := transport.RoundTrip(req); err == nil {
 			_ = res.Body.Close()
 		}
+		transport.CloseIdleConnections()
 	}
 	return p.accepted() - before
 }
@@ -105,15 +107,15 @@
 // than its share: large boxes served it, in the room at engines that was due to others.
 func TestNoHandoverBeyondShare(t *testing.T) {
 	p := newSharePair(t)
-	// Until other routers' reports tell what the organisation had, its connections are handed over.
-	first := p.post("large", 100_000, 2*time.Second)
-	if first == 0 {
-		t.Fatal("no connection handed over")
+	if n := p.post("small", 1, time.Second); n == 0 {
+		t.Error("no connection of an organisation within its share handed over")
 	}
+	// Until other routers' reports tell what the organisation had, its connections may be handed over.
+	p.post("large", 100_000, 2*time.Second)
 	if n := p.post("large", 100_000, time.Second); n > 0 {
 		t.Errorf("%d connections of an organisation beyond its share handed over", n)
 	}
 	if n := p.post("small", 1, time.Second); n == 0 {
-		t.Error("no connection of an organisation within its share handed over")
+		t.Error("no connection of an organisation within its share handed over beside another one")
 	}
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -54,7 +54,7 @@
 		g.forwardNews(now, true)
 	}
 	g.requestFromFar(now)
-	g.updateHandover(now)
+	g.updateHandover(s, now)
 	g.updateSelf()
 	g.sendPings(g.roster.Tick(now))
 	g.logStateChanges(g.roster.Changes())
@@ -243,7 +243,7 @@
 // updateSelf updates this router's own record in the roster.
 func (g *Gateway) updateSelf() {
 	g.roster.UpdateSelf(message.RouterRecord{
-		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active,
+		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active || g.handsOver(),
 		StoreFailing: !g.storeFailingSince.IsZero(), Capacity: g.Capacity, Handover: g.handover.announced(),
 	})
 	g.roster.SetRevisions(g.catalog.Newest(), g.quarantine.state.Digest())
--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -67,6 +67,8 @@
 type relay struct {
 	caller, peer net.Conn
 	spacing      func() time.Duration
+	// ahead holds the bytes that were read from the caller before the relay began.
+	ahead []byte
 	// observe is called with the time that the caller waited for the first piece of an answer; nil if
 	// that is of no interest.
 	observe func(time.Duration)
@@ -100,7 +102,7 @@
 	done := make(chan struct{})
 	run(func() {
 		defer close(done)
-		result.FromCaller, callerErr = r.copy(r.peer, r.caller, false)
+		result.FromCaller, callerErr = r.copyFromCaller()
 	})
 	var peerErr error
 	result.ToCaller, peerErr = r.copy(r.caller, r.peer, true)
@@ -119,6 +121,16 @@
 	return result, callerErr
 }
 
+// copyFromCaller passes on what was read ahead, and then copies from the caller.
+func (r *relay) copyFromCaller() (int64, error) {
+	// If the other router does not take them, reading from it ends the relay.
+	if n, _ := r.peer.Write(r.ahead); n > 0 {
+		r.noteMoved()
+	}
+	total, err := r.copy(r.peer, r.caller, false)
+	return total + int64(len(r.ahead)), err
+}
+
 // copy copies from one side to the other until the first one stops sending.
 func (r *relay) copy(to, from net.Conn, answer bool) (int64, error) {
 	in := newReader(from, &r.asked)
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -59,7 +59,7 @@
 			if err != nil {
 				return
 			}
-			if !f.sender.Take(c, f.serveLocally) {
+			if !f.sender.Take(arrival{Conn: c, local: f.serveLocally}) {
 				f.serveLocally(c)
 			}
 		}
@@ -71,6 +71,18 @@
 	return f
 }
 
+// arrival is a new connection of an unknown organisation, from which nothing has been read.
+type arrival struct {
+	net.Conn
+	local func(net.Conn)
+}
+
+func (arrival) Organisation() (string, bool)      { return "", true }
+func (arrival) AwaitOrganisation() (string, bool) { return "", true }
+func (a arrival) Open() (net.Conn, error)         { return a.Conn, nil }
+func (arrival) ReadAhead() []byte                 { return nil }
+func (a arrival) ServeLocally()                   { a.local(a.Conn) }
+
 // serveLocally answers "local " and the first line of the request.
 func (f *front) serveLocally(c net.Conn) {
 	defer c.Close()
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -103,6 +103,8 @@
 	meter      *meter
 	dialer     net.Dialer
 	candidates atomic.Pointer[[]Candidate]
+	// overShare holds the organisations whose connections are not handed over.
+	overShare atomic.Pointer[map[string]bool]
 	// spaces is set if callers accept that events come together.
 	spaces atomic.Bool
 
@@ -182,6 +184,13 @@
 	return s.selector.Wanted()
 }
 
+// Active reports whether part of the new connections is handed over.
+func (s *Sender) Active() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Part() > 0
+}
+
 // makeRoom closes some relays on which nothing happens, when most of those that are allowed are
 // open: callers keep connections open for up to a minute after their last request. mu must be held.
 func (s *Sender) makeRoom(now time.Time) {
@@ -192,11 +201,12 @@
 	s.closeQuiet(QuietTime, max(s.maxRelays*(100-makeRoomFrom)/100, 1))
 }
 
-// Take decides whether to hand over a new connection, from which nothing has been read. It returns
-// false if the connection is to be served here. Otherwise it returns at once; if no other router
-// accepts the connection, local is called in another goroutine.
-func (s *Sender) Take(caller net.Conn, local func(net.Conn)) bool {
-	if !s.Wanted() {
+// Take decides whether to hand over a new connection. It returns false if the connection is to be
+// served here. Otherwise it returns at once; its ServeLocally is called in another goroutine if no other
+// router accepts it, or if its organisation is over its share or stays unknown.
+func (s *Sender) Take(a Arrival) bool {
+	organisation, identified := a.Organisation()
+	if identified && !s.mayHandOver(organisation) || !s.Wanted() {
 		return false
 	}
 	s.mu.Lock()
@@ -205,20 +215,38 @@
 	if !ok {
 		return false
 	}
+	caller, err := a.Open()
+	if err != nil {
+		s.note(func() { s.selector.Cancelled(to.ID) })
+		s.log.V(1).Info("accepted connection lost", "cause", err.Error())
+		return true
+	}
 	s.group.GoContext(func(ctx context.Context) {
-		began := clock.Now()
-		peer, id, ok := s.offer(ctx, to)
-		storeMax(&s.longestOffer, clock.Since(began))
-		if ok {
-			s.relay(ctx, caller, peer, id)
-			return
+		if !identified {
+			if organisation, ok := a.AwaitOrganisation(); !ok || !s.mayHandOver(organisation) {
+				s.note(func() { s.selector.Cancelled(to.ID) })
+				a.ServeLocally()
+				return
+			}
 		}
-		s.returned.Add(1)
-		local(caller)
+		s.handOver(ctx, caller, a, to)
 	})
 	return true
 }
 
+// handOver offers a connection to other routers and relays it, or has it served here if none accepts.
+func (s *Sender) handOver(ctx context.Context, caller net.Conn, a Arrival, to Candidate) {
+	began := clock.Now()
+	peer, id, ok := s.offer(ctx, to)
+	storeMax(&s.longestOffer, clock.Since(began))
+	if !ok {
+		s.returned.Add(1)
+		a.ServeLocally()
+		return
+	}
+	s.relay(ctx, caller, peer, id, a.ReadAhead())
+}
+
 // offer offers a connection to a router and, if that declines, to another one. It returns the
 // connection to the router that accepted.
 func (s *Sender) offer(ctx context.Context, to Candidate) (net.Conn, message.RouterID, bool) {
@@ -319,9 +347,10 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// relay copies bytes until the connection ends.
-func (s *Sender) relay(ctx context.Context, caller, peer net.Conn, id message.RouterID) {
+// relay copies bytes until the connection ends. ahead holds those that have been read from the caller.
+func (s *Sender) relay(ctx context.Context, caller, peer net.Conn, id message.RouterID, ahead []byte) {
 	r := newRelay(caller, peer, s.spacing)
+	r.ahead = ahead
 	r.observe = func(d time.Duration) { storeMax(&s.longestAnswer, d) }
 	s.open.Add(1)
 	s.note(func() { s.relays[r] = struct{}{} })
--- a/internal/handover/sender_internal_test.go
+++ b/internal/handover/sender_internal_test.go
@@ -13,6 +13,18 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 )
 
+// testArrival is a new connection of an unknown organisation; local is closed if it is served locally.
+type testArrival struct {
+	conn  net.Conn
+	local chan struct{}
+}
+
+func (testArrival) Organisation() (string, bool)      { return "", true }
+func (testArrival) AwaitOrganisation() (string, bool) { return "", true }
+func (a testArrival) Open() (net.Conn, error)         { return a.conn, nil }
+func (testArrival) ReadAhead() []byte                 { return nil }
+func (a testArrival) ServeLocally()                   { close(a.local) }
+
 // TestOwnDelay guards against putting healthy routers aside because this one had no CPU time to
 // notice that it was connected.
 func TestOwnDelay(t *testing.T) {
@@ -42,7 +54,7 @@
 			defer caller.Close()
 			defer other.Close()
 			local := make(chan struct{})
-			if !s.Take(caller, func(net.Conn) { close(local) }) {
+			if !s.Take(testArrival{conn: caller, local: local}) {
 				t.Fatal("not offered")
 			}
 			<-local
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -225,6 +225,13 @@
 	return ok && sockopt.RemoteClosed(c.Conn)
 }
 
+// wasReceived reports whether the connection of a request was handed over by another router. Refusals
+// close such connections, so that the router that its caller uses decides again which one serves it.
+func wasReceived(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.received
+}
+
 // unacknowledged returns the number of bytes sent to the caller of a request that its host has not
 // confirmed to have received.
 func unacknowledged(ctx context.Context) int {
@@ -370,6 +377,9 @@
 			c.unread = length - n
 			return n, nil
 		}
+		if c.received {
+			return 0, io.EOF
+		}
 		c.betweenRequests = true
 		c.markIdle()
 	}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -1,16 +1,19 @@
 package ingress
 
 import (
+	"bytes"
 	"container/list"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -19,10 +22,9 @@
 type Handover interface {
 	// Wanted reports whether the next new connection may be taken.
 	Wanted() bool
-	// Take returns false if the connection is to be served here. Otherwise it returns at once; if
-	// no other router accepts the connection, it calls local in another goroutine, with nothing
-	// read from the connection.
-	Take(c net.Conn, local func(net.Conn)) bool
+	// Take returns false if the connection is to be served here. Otherwise it returns at once; if the
+	// connection is not handed over after all, it calls ServeLocally in another goroutine.
+	Take(a handover.Arrival) bool
 }
 
 // HandOver makes the server offer new connections to h. It must be called before Serve.
@@ -33,65 +35,90 @@
 	return s.handover != nil && !s.closing.Load() && s.handover.Wanted()
 }
 
-// acceptToHandOver accepts a connection and hands it over. If the connection is to be served here,
-// acceptToHandOver treats it like any other. It returns nil if the connection was handed over or
-// refused.
-func (l listener) acceptToHandOver() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// maxHeadWait bounds the time to wait for the head of a request whose connection is to be handed
+// over. Callers send it right after they have connected.
+const maxHeadWait = 50 * time.Millisecond
+
+// arrival implements handover.Arrival.
+type arrival struct {
+	listener
+	socket   sockopt.Socket
+	accepted time.Time
+	// ahead holds the bytes read from the connection, and conn is the connection once Open has been
+	// called.
+	ahead []byte
+	conn  net.Conn
+}
+
+// Organisation implements handover.Arrival.
+func (a *arrival) Organisation() (name string, ok bool) {
+	if _, _, ok := parseHead(a.ahead, &a.server.headerNames); !ok {
+		return "", false
 	}
-	// The connection is handed over before any other check: those refuse requests for lack of CPU
-	// time here, which says nothing about other routers.
-	accepted := clock.Now()
-	if l.server.handover.Take(raw, func(c net.Conn) { l.serveLocally(c, accepted) }) {
-		return nil, nil
+	return a.server.readHead(a.ahead).Organisation, true
+}
+
+// Open implements handover.Arrival.
+func (a *arrival) Open() (net.Conn, error) {
+	// The listener reuses its buffer.
+	a.ahead = slices.Clone(a.ahead)
+	var err error
+	a.conn, err = a.socket.Conn()
+	return a.conn, err
+}
+
+// AwaitOrganisation implements handover.Arrival.
+func (a *arrival) AwaitOrganisation() (name string, ok bool) {
+	buffer := scratchBuffers.Get().(*[scratchSize]byte)
+	defer scratchBuffers.Put(buffer)
+	if a.conn.SetReadDeadline(clock.Deadline(maxHeadWait)) != nil {
+		return "", false
 	}
-	return l.inspect(raw, l.buffer[:])
+	for len(a.ahead) < len(buffer) {
+		n, err := a.conn.Read(buffer[:len(buffer)-len(a.ahead)])
+		a.ahead = append(a.ahead, buffer[:n]...)
+		if name, ok = a.Organisation(); ok || err != nil || bytes.Contains(a.ahead, headEnd) {
+			break
+		}
+	}
+	// An error shows at the next read.
+	_ = a.conn.SetReadDeadline(time.Time{})
+	return name, ok
 }
 
-// serveLocally serves a connection that no other router accepted, unless it has waited too long for
-// that.
-func (l listener) serveLocally(raw net.Conn, accepted time.Time) {
+// ReadAhead implements handover.Arrival.
+func (a *arrival) ReadAhead() []byte { return a.ahead }
+
+// ServeLocally implements handover.Arrival. The connection is rejected if it has waited for too long.
+func (a *arrival) ServeLocally() {
 	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	if backlog.Overdue(clock.Since(accepted), l.conns.overloaded()) {
-		l.server.reject(earlyTCPConn{raw}, buffer[:], 0)
-		scratchBuffers.Put(buffer)
+	defer scratchBuffers.Put(buffer)
+	early := earlyTCPConn{a.conn}
+	if backlog.Overdue(clock.Since(a.accepted), a.conns.overloaded()) {
+		a.server.reject(early, buffer[:], copy(buffer[:], a.ahead))
 		return
 	}
-	c, err := l.inspect(raw, buffer[:])
-	scratchBuffers.Put(buffer)
-	if c == nil || err != nil {
+	element := a.conns.enqueue()
+	if element == nil {
+		a.server.reject(early, buffer[:], copy(buffer[:], a.ahead))
+		return
+	}
+	if a.server.refusesEarly() && a.server.refuseComplete(early, a.ahead) {
+		a.conns.remove(element)
+		return
+	}
+	c, err := a.admit(a.conn, element, a.ahead)
+	if err != nil {
 		return
 	}
 	// Serve handles each connection in a goroutine of its own, and returns once there is no other.
 	single := &singleListener{conn: c}
-	if err := l.server.server.Serve(single); single.conn != nil {
-		l.server.log.V(1).Info("accepted connection lost", "cause", err.Error())
+	if err := a.server.server.Serve(single); single.conn != nil {
+		a.server.log.V(1).Info("accepted connection lost", "cause", err.Error())
 		_ = c.Close()
 	}
 }
 
-// inspect refuses the request of a new connection if the router is short of CPU time. Otherwise it
-// returns the connection for the HTTP server.
-func (l listener) inspect(raw net.Conn, buffer []byte) (net.Conn, error) {
-	element := l.conns.enqueue()
-	if element == nil {
-		l.server.reject(earlyTCPConn{raw}, buffer, 0)
-		return nil, nil
-	}
-	if !l.server.refusesEarly() {
-		return l.admit(raw, element, nil)
-	}
-	early := earlyTCPConn{raw}
-	ahead := buffer[:early.ReadNow(buffer)]
-	if l.server.refuseComplete(early, ahead) {
-		l.conns.remove(element)
-		return nil, nil
-	}
-	return l.admit(raw, element, append([]byte(nil), ahead...))
-}
-
 // singleListener is a listener that accepts one connection.
 type singleListener struct{ conn net.Conn }
 
--- a/internal/ingress/handover_internal_test.go
+++ b/internal/ingress/handover_internal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/handover"
 )
 
 // TestReceivedBacklog guards against senders that together hand over more than a router has CPU time
@@ -64,10 +65,13 @@
 
 func (delayingTaker) Wanted() bool { return true }
 
-func (d delayingTaker) Take(c net.Conn, local func(net.Conn)) bool {
+func (d delayingTaker) Take(a handover.Arrival) bool {
+	if _, err := a.Open(); err != nil {
+		return false
+	}
 	d.group.Go(func() {
 		time.Sleep(d.delay)
-		local(c)
+		a.ServeLocally()
 	})
 	return true
 }
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 )
 
@@ -23,22 +24,26 @@
 	group *group.Group
 	keep  bool
 	taken atomic.Int64
+	// organisation is that of the last connection.
+	organisation string
 }
 
 func (t *taker) Wanted() bool { return true }
 
-func (t *taker) Take(c net.Conn, local func(net.Conn)) bool {
+func (t *taker) Take(a handover.Arrival) bool {
 	t.taken.Add(1)
+	c, err := a.Open()
+	Expect(err).NotTo(HaveOccurred())
 	t.group.Go(func() {
+		defer GinkgoRecover()
+		t.organisation, _ = a.AwaitOrganisation()
 		if t.keep {
-			// A connection that is closed with unread bytes is reset.
-			_, _ = c.Read(make([]byte, 1000))
 			_, _ = io.WriteString(c, "taken")
 			_ = c.Close()
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
-		local(c)
+		a.ServeLocally()
 	})
 	return true
 }
@@ -84,6 +89,7 @@
 		got, err := io.ReadAll(dial(l, request("k1")))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(got)).To(Equal("taken"))
+		Expect(t.organisation).To(Equal("loud"))
 	})
 
 	DescribeTable(
@@ -129,6 +135,14 @@
 			Expect(t.taken.Load()).To(BeZero())
 		})
 
+		It("are closed when their request is refused", func() {
+			Expect(s.ReserveReceived()).To(BeTrue())
+			in := bufio.NewReader(dial(received, request("k1")))
+			Expect(reason(in)).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+			_, err := in.ReadByte()
+			Expect(err).To(MatchError(io.EOF))
+		})
+
 		It("take at most half of its connections", func() {
 			var open []net.Conn
 			for s.ReserveReceived() {
@@ -144,8 +158,9 @@
 			var open []net.Conn
 			for range maxConnections / 2 {
 				Expect(s.ReserveReceived()).To(BeTrue())
-				c := dial(received, request("k2"))
-				Expect(reason(bufio.NewReader(c))).To(Equal("no-target"))
+				// Unlike other refusals, this one leaves the connection open.
+				c := dial(received, head("/none", "k2", "r", 4, "")+"body")
+				Expect(reason(bufio.NewReader(c))).To(Equal(string(ingress.ReasonNoRoute)))
 				open = append(open, c)
 			}
 			Eventually(s.ReserveReceived).Should(BeTrue())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -218,14 +218,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	request, result := s.prepare(w, r, arrived)
-	if result.Status != 0 {
-		s.finish(w, request, result, arrived)
-		return
+	if result.Status == 0 {
+		defer s.bodyBytes.Add(-int64(len(request.Body)))
+		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
+		a := &answer{w: w, flush: http.NewResponseController(w), request: r}
+		result = s.forwarder.Forward(r.Context(), request, a)
+	}
+	if result.Status == http.StatusServiceUnavailable && !result.HeadSent && wasReceived(r.Context()) {
+		w.Header().Set("Connection", "close")
 	}
-	defer s.bodyBytes.Add(-int64(len(request.Body)))
-	request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
-	a := &answer{w: w, flush: http.NewResponseController(w), request: r}
-	s.finish(w, request, s.forwarder.Forward(r.Context(), request, a), arrived)
+	s.finish(w, request, result, arrived)
 }
 
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -62,11 +62,8 @@
 			runtime.Gosched()
 		}
 		accept := l.accept
-		switch {
-		case handsOver:
-			accept = l.acceptToHandOver
-		case l.acceptor != nil && early:
-			accept = l.acceptSocket
+		if l.acceptor != nil && (early || handsOver) {
+			accept = func() (net.Conn, error) { return l.acceptSocket(handsOver) }
 		}
 		if c, err := accept(); c != nil || err != nil {
 			return c, err
@@ -93,18 +90,23 @@
 }
 
 // acceptSocket accepts a connection as a plain socket and reads what has arrived on it. It
-// returns nil if the connection was rejected or its request refused.
-func (l listener) acceptSocket() (net.Conn, error) {
+// returns nil if the connection was handed over or rejected, or its request refused.
+func (l listener) acceptSocket(handsOver bool) (net.Conn, error) {
 	socket, err := l.acceptor.Accept()
 	if err != nil {
 		return nil, err
 	}
+	ahead := l.buffer[:socket.ReadNow(l.buffer[:])]
+	// The connection is offered before any other check: those refuse requests for lack of CPU time
+	// here, which says nothing about other routers.
+	if handsOver && l.server.handover.Take(&arrival{listener: l, socket: socket, accepted: clock.Now(), ahead: ahead}) {
+		return nil, nil
+	}
 	element := l.conns.enqueue()
 	if element == nil {
-		l.server.reject(socket, l.buffer[:], 0)
+		l.server.reject(socket, l.buffer[:], len(ahead))
 		return nil, nil
 	}
-	ahead := l.buffer[:socket.ReadNow(l.buffer[:])]
 	if l.server.refuseComplete(socket, ahead) {
 		l.conns.remove(element)
 		return nil, nil
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -37,7 +37,7 @@
 		return false, length, err
 	}
 	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
-	if _, err := c.Write(s.formatRefusal(r.ID, result, false)); err != nil {
+	if _, err := c.Write(s.formatRefusal(r.ID, result, c.received)); err != nil {
 		return false, length, errors.Wrap(err, "write refusal")
 	}
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
