Hand over connections beyond shares while no other organisation waits

Capacity must not be idle while work waits, so an organisation over its share yields only while others wait, at any router.

--- a/internal/balance/order.go
+++ b/internal/balance/order.go
@@ -66,6 +66,23 @@
 	return s.unmetLead.max
 }
 
+// waitingAnywhere returns the organisations with waiting requests to engines, at any router. If unmetOnly
+// is set, those without unmet demand are left out.
+func (s *State) waitingAnywhere(now time.Time, unmetOnly bool) map[string]bool {
+	out := map[string]bool{}
+	for name := range s.waitingByOrganisation(now) {
+		if !unmetOnly || s.hasUnmetDemand(now, name) {
+			out[name] = true
+		}
+	}
+	s.peers.EachOrganisation(now, func(name string, u view.Usage) {
+		if u.Waiting > 0 {
+			out[name] = true
+		}
+	})
+	return out
+}
+
 // eachWaiting calls f for each organisation with waiting requests to engines, with what it was
 // served, and whether requests wait at this router. f is called twice for an organisation that also
 // waits at others. If unmetOnly is set, those without unmet demand are left out. Other routers with forecasts leave
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -106,13 +106,18 @@
 // levelTTL is how long a computed fair share is used before it is computed again.
 const levelTTL = 50 * time.Millisecond
 
-// OverShare returns the organisations that were served more than their share, or so much more than
-// others with waiting requests that they must let those go first.
-func (s *State) OverShare(now time.Time) map[string]bool {
-	out := map[string]bool{}
-	maxLead := s.maxLead(now, s.allForecasts())
+// Yielding returns the organisations that must let others go first everywhere: they were served more
+// than their share while others wait, or so much more than one of those that they exceed its lead.
+func (s *State) Yielding(now time.Time) map[string]bool {
+	unmetOnly := s.allForecasts()
+	waiting := s.waitingAnywhere(now, unmetOnly)
+	if len(waiting) == 0 {
+		return nil
+	}
+	out, maxLead := map[string]bool{}, s.maxLead(now, unmetOnly)
 	add := func(name string) {
-		if s.overShare(now, name) || s.exceedsLead(now, name, maxLead) {
+		othersWait := len(waiting) > 1 || !waiting[name]
+		if othersWait && s.overShare(now, name) || s.exceedsLead(now, name, maxLead) {
 			out[name] = true
 		}
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -135,7 +135,7 @@
 	}
 	g.handover.sender.SetCandidates(handover.Candidates(g.roster.Self(), g.roster.Each(now)))
 	if g.handsOver() {
-		g.handover.sender.SetOverShare(s.OverShare(now))
+		g.handover.sender.SetYielding(s.Yielding(now))
 	}
 }
 
--- a/internal/handover/arrival.go
+++ b/internal/handover/arrival.go
@@ -22,15 +22,14 @@
 	ServeLocally()
 }
 
-// SetOverShare replaces the organisations that have been served more than is due to them. Their
-// connections are not handed over: other routers would serve them in the room at targets that is due
-// to others.
-func (s *Sender) SetOverShare(organisations map[string]bool) {
-	s.overShare.Store(new(maps.Clone(organisations)))
+// SetYielding replaces the organisations that must let others go first. Their connections are not handed
+// over: other routers would serve them in the room at targets that is due to those others.
+func (s *Sender) SetYielding(organisations map[string]bool) {
+	s.yielding.Store(new(maps.Clone(organisations)))
 }
 
 // mayHandOver reports whether connections of an organisation may be handed over.
 func (s *Sender) mayHandOver(organisation string) bool {
-	over := s.overShare.Load()
-	return over == nil || !(*over)[organisation]
+	yielding := s.yielding.Load()
+	return yielding == nil || !(*yielding)[organisation]
 }
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -103,8 +103,8 @@
 	meter      *meter
 	dialer     net.Dialer
 	candidates atomic.Pointer[[]Candidate]
-	// overShare holds the organisations whose connections are not handed over.
-	overShare atomic.Pointer[map[string]bool]
+	// yielding holds the organisations that must let others go first.
+	yielding atomic.Pointer[map[string]bool]
 	// spaces is set if callers accept that events come together.
 	spaces atomic.Bool
 
@@ -203,7 +203,7 @@
 
 // Take decides whether to hand over a new connection. It returns false if the connection is to be
 // served here. Otherwise it returns at once; its ServeLocally is called in another goroutine if no other
-// router accepts it, or if its organisation is over its share or stays unknown.
+// router accepts it, or if its organisation must let others go first or stays unknown.
 func (s *Sender) Take(a Arrival) bool {
 	organisation, identified := a.Organisation()
 	if identified && !s.mayHandOver(organisation) || !s.Wanted() {
