Add a failing test: the share at a flooded box beyond the configured share

In plays of a flood on the landed code, all three flooding organisations are beyond their configured shares, and at each of their boxes the lines say cores 0.024: an eighth of 0.192.

The plays of such a box configured no throughput, so that the organisation was always far behind its share and had 0.4 of the processor.

--- a/internal/balance/box_test.go
+++ b/internal/balance/box_test.go
@@ -11,6 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
+	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 const (
@@ -43,6 +44,9 @@
 	readTime = 100 * time.Millisecond
 	// maxCoalesceMillis is the longest time for which events are coalesced, in milliseconds.
 	maxCoalesceMillis = 100
+	// quotaWindow is the time over which shares are counted, and boxSlots the slots of an engine.
+	quotaWindow = 4 * time.Second
+	boxSlots    = 1000
 	// bestServedRate is what another organisation is served meanwhile, in tokens a second.
 	bestServedRate = 1_097_000
 )
@@ -117,6 +121,8 @@
 	// listenBacklog holds the connections that were not accepted yet.
 	listenBacklog []arrival
 	accepting     bool
+	// rival is what an organisation at other routers is served, in tokens a second; 0 if there is none.
+	rival float64
 	// impatient is the fraction of callers that ignore Retry-After when they are refused, and
 	// instead reconnect at once, maxReconnects times.
 	impatient float64
@@ -136,21 +142,31 @@
 	t.Helper()
 	now := time.Unix(1000, 0)
 	b := &box{cores: boxCores, now: now, start: now, random: rand.New(rand.NewPCG(seed, 1))}
-	b.State = New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: 4 * time.Second}, b.random)
-	const engines, slots, memory = 40, 1000, 1_000_000_000
-	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: slots, CacheTokens: memory}}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.Configure(table)
+	b.State = New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: quotaWindow}, b.random)
+	b.configure(t, 0)
 	var list []Target
+	const engines = 40
 	for i := range engines {
-		list = append(list, Target{ID: fmt.Sprint("e", i), Service: "llm", Zone: "z", Slots: slots})
+		list = append(list, Target{ID: fmt.Sprint("e", i), Service: "llm", Zone: "z", Slots: boxSlots})
 	}
 	b.SetTargets(now, list)
 	return b
 }
 
+// configure sets the throughput of all engines, in tokens a second; 0 if it is unknown.
+func (b *box) configure(t *testing.T, tokensPerSecond float64) {
+	t.Helper()
+	const memory = 1_000_000_000
+	table, err := routing.New(routing.Spec{
+		Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: boxSlots, CacheTokens: memory}}},
+		Limits:   routing.Limits{TokensPerSecond: tokensPerSecond},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Configure(table)
+}
+
 func (b *box) after(d time.Duration, do func()) {
 	heap.Push(&b.events, event{b.now.Add(max(d, 0)), do})
 }
@@ -209,6 +225,9 @@
 
 // tick simulates what the control loop does at each tick.
 func (b *box) tick(n int, used time.Duration, measuredAt time.Time) {
+	if n%meterTicks == 0 {
+		b.reportRival()
+	}
 	b.Tick(b.now)
 	if n%meterTicks == 0 && n > 0 {
 		b.SetCPUUtilisation(b.now, (b.used-used).Seconds()/(b.now.Sub(measuredAt).Seconds()*b.cores), b.cores)
@@ -218,6 +237,16 @@
 	b.after(tickInterval, func() { b.workInLoop(tickCost, func() { b.tick(n+1, used, measuredAt) }) })
 }
 
+// reportRival simulates another router's report on the organisation there, which asks for ten times what
+// it is served.
+func (b *box) reportRival() {
+	if b.rival == 0 {
+		return
+	}
+	served := b.rival * quotaWindow.Seconds() / 2
+	b.ApplyReport(b.now, "other", view.Report{Usage: map[string]view.Usage{"rival": {Demand: 10 * served, Started: served}}})
+}
+
 // drawKind returns a random kind of request.
 func (b *box) drawKind() kind {
 	total := 0
--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -113,6 +113,27 @@
 	}
 }
 
+// Guards against losing the share at an overloaded box once the configured share is used up. Where
+// engines serve more than is configured, others go on beyond their shares, and the box left an eighth of
+// its processor for serving: the organisation got 369,000 tokens a second, another one 766,000.
+func TestShareBeyondConfiguredShare(t *testing.T) {
+	for name, rates := range map[string][]float64{
+		"overload":                  {220, 900, 900},
+		"flood of 3,000 a second":   {220, 3000, 3000},
+		"flood of 6,000 a second":   {220, 6000, 6000},
+		"flood that comes and goes": {6000, 200, 6000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				b := newBox(t, seed)
+				b.contended, b.impatient, b.rival = true, impatientRatio, bestServedRate
+				b.configure(t, bestServedRate/2)
+				checkShares(t, seed, b.run(rates, 4*time.Second))
+			}
+		})
+	}
+}
+
 // maxServedChange is the highest factor by which what the organisation is served may change
 // beyond the change in processor time.
 const maxServedChange = 1.5
