Keep more of the processor for an organisation that others lead too far

Cause: the part of the processor that a busy router keeps for serving an organisation followed how far it is below its share of the configured throughput, and fell to an eighth once it had that. Where engines serve more than is configured, all flooding organisations are beyond their shares (2.0 to 2.9 million of 0.8), and what each gets beyond is up to its boxes.

The part now also rises with the lead of the most served organisation: from 1.4 times as much on, up to which nobody waits for others, to twice as much, which is unfair. The throttling line names what the most served one had.

Ruled out by a trial: counting the lead from 1 on.

Ruled out, too: requests refused after they were read, and waits for room among open connections.

--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -128,12 +128,15 @@
 	return out
 }
 
-// level holds the max-min fair shares of an organisation, and when they were computed.
+// level holds the max-min fair shares of an organisation, what the most served one was served, and
+// when they were computed.
 type level struct {
 	// tokens is the share of the configured capacity, attained that of what all engines
 	// actually served.
 	tokens, attained float64
-	computedAt       time.Time
+	// mostServed is what the most served organisation was served.
+	mostServed float64
+	computedAt time.Time
 }
 
 // fairShare returns the most that an organisation may be served: the level at which the
@@ -156,21 +159,23 @@
 		return s.level
 	}
 	var demands []float64
-	total := 0.0
+	total, mostServed := 0.0, 0.0
 	for name := range s.shares.usages {
 		own, others := s.shares.usageOf(now, name), s.peers.Usage(now, name)
 		demands = append(demands, own.demand+others.Demand)
 		total += own.served + others.Started
+		mostServed = max(mostServed, own.served+others.Started)
 	}
 	s.peers.EachOrganisation(now, func(name string, u view.Usage) {
 		if s.shares.usages[name] == nil {
 			demands = append(demands, u.Demand)
 			total += u.Started
+			mostServed = max(mostServed, u.Started)
 		}
 	})
 	// The decayed sum of a constant rate converges to the rate times the time constant.
 	capacity := s.shares.capacity * s.limits.QuotaWindow.Seconds() / 2
-	s.level = level{tokens: maxMinLevel(demands, capacity), attained: maxMinLevel(demands, min(total, capacity)), computedAt: now}
+	s.level = level{tokens: maxMinLevel(demands, capacity), attained: maxMinLevel(demands, min(total, capacity)), mostServed: mostServed, computedAt: now}
 	return s.level
 }
 
--- a/internal/balance/throttling.go
+++ b/internal/balance/throttling.go
@@ -31,6 +31,8 @@
 	return func(organisation string) throttle.ShareStatus {
 		least := math.Inf(1)
 		s.eachWaiting(now, false, func(served float64, _ bool) { least = min(least, served) })
-		return throttle.ShareStatus{Served: s.served(now, organisation), FairShare: s.fairShare(now), LeastServedWaiting: least}
+		return throttle.ShareStatus{
+			Served: s.served(now, organisation), FairShare: s.fairShare(now), MostServed: s.currentLevel(now).mostServed, LeastServedWaiting: least,
+		}
 	}
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -116,7 +116,7 @@
 			what = "organisation no longer throttled"
 		}
 		g.Log.Info(what, "organisation", k.Organisation, "busy", k.CPUUtilisation, "coalesce", k.CoalesceLevel, "cores", k.CoreLimit,
-			"had", int(k.Served), "share", int(min(k.FairShare, math.MaxInt32)), "least_waiting", int(min(k.LeastServedWaiting, math.MaxInt32)),
+			"had", int(k.Served), "share", int(min(k.FairShare, math.MaxInt32)), "most_served", int(k.MostServed), "least_waiting", int(min(k.LeastServedWaiting, math.MaxInt32)),
 			"waiting", k.Waiting, "crowded", k.RejectedQueueFull, "busied", k.RejectedBusy, "after_ms", k.Duration.Milliseconds())
 	}
 }
--- a/internal/throttle/control.go
+++ b/internal/throttle/control.go
@@ -47,6 +47,11 @@
 	// otherwise.
 	minCPUFraction         = 0.125
 	minCPUFractionUnserved = 0.4
+	// toleratedLead is how many times as much as a throttled organisation another one may be served,
+	// and unfairLead the factor from which that is unfair. Up to the first one organisations need not
+	// wait for one another, even if engines have room for more than all shares.
+	toleratedLead = 1.4
+	unfairLead    = 2
 	// allowanceStep is the fraction of the cores by which the allowance also rises per update
 	// while the CPU is below its limit.
 	allowanceStep = 0.0125
@@ -189,19 +194,22 @@
 // ShareStatus is how an organisation and its competitors stand in the fair sharing of engines.
 type ShareStatus struct {
 	// Served is how much the organisation was served recently, FairShare what its fair share
-	// is, and LeastServedWaiting how much the least served organisation with waiting requests
-	// was served (infinite if none waits), all in tokens.
-	Served, FairShare, LeastServedWaiting float64
+	// is, MostServed how much the most served organisation was served, and LeastServedWaiting how
+	// much the least served organisation with waiting requests was served (infinite if none
+	// waits), all in tokens.
+	Served, FairShare, MostServed, LeastServedWaiting float64
 }
 
 // cpuFloor returns the fraction of the cores that an organisation may use however busy they
-// are. It is larger the further the organisation is below its fair share: what an organisation
-// above its share is served is taken from others.
+// are. It is larger the further the organisation is below its fair share, or the further the most
+// served organisation leads beyond what is tolerated.
 func (a ShareStatus) cpuFloor() float64 {
 	deficit := 1.0
 	if a.FairShare > 0 {
 		deficit = max(1-a.Served/a.FairShare, 0)
 	}
+	lead := a.MostServed / max(a.Served, 1)
+	deficit = max(deficit, min((lead-toleratedLead)/(unfairLead-toleratedLead), 1))
 	return minCPUFraction + (minCPUFractionUnserved-minCPUFraction)*deficit
 }
 
