Leave handing connections over off unless the settings switch it on

A router that is very short of processor time relays late, and the other router can't see that the caller has gone. Until a relay keeps the promise, auto means off. Settings can still switch it on.

The spec that hands over switches it on now; what auto did before is asked the other way round: with tolerant routes the router serves itself.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -15,6 +15,10 @@
 	"github.com/stepcroft/stepcroft/internal/metrics"
 )
 
+// handoverByDefault is what the switch means if the settings leave it to the configuration. A relay of a
+// router that is very short of CPU time passes requests on after their callers have disconnected.
+const handoverByDefault = false
+
 const (
 	// defaultMaxRelays bounds the connections handed over if Options.MaxRelays does not.
 	defaultMaxRelays = 256
@@ -126,17 +130,19 @@
 		return
 	}
 	t := g.catalog.Table()
-	g.handover.enabled.Store(t != nil && g.Features.Handover.Enabled(t.AllTolerate()))
-	// With the switch on, routes may accept only shorter pauses.
+	g.handover.enabled.Store(t != nil && g.Features.Handover.Enabled(handoverByDefault))
+	// Routes may accept only shorter pauses.
 	g.handover.sender.SetSpacing(t != nil && t.AllTolerate())
 	if !g.handover.enabled.Load() || g.leaving {
 		g.handover.sender.SetCandidates(nil)
 		return
 	}
 	g.handover.sender.SetCandidates(handover.Candidates(g.roster.Self(), g.roster.Each(now)))
+	var yielding map[string]bool
 	if g.handsOver() {
-		g.handover.sender.SetYielding(s.Yielding(now))
+		yielding = s.Yielding(now)
 	}
+	g.handover.sender.SetYielding(yielding)
 }
 
 // handsOver reports whether the router hands over part of its new connections. It then needs other
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -86,7 +86,7 @@
 	}
 
 	It("hands connections over to another one, which serves them", func() {
-		busy, other := pair(feature.Auto, tolerant(), streamer(5, 5, time.Millisecond))
+		busy, other := pair(feature.On, tolerant(), streamer(5, 5, time.Millisecond))
 		got := postUntilHandedOver(busy, "/stream/x")
 		Expect(got).To(And(HaveField("Err", BeNil()), HaveField("Body", fullStream(5))))
 		Expect(handoverStats(other).Received).To(BeNumerically(">", 0))
@@ -108,6 +108,7 @@
 			Expect(handoverStats(other).Received).To(BeZero())
 		},
 		Entry("if routes accept short pauses only", feature.Auto, spec(1)),
+		Entry("if the settings leave it to the configuration", feature.Auto, tolerant()),
 		Entry("if the settings say so", feature.Off, tolerant()),
 	)
 
--- a/internal/handover/arrival.go
+++ b/internal/handover/arrival.go
@@ -25,7 +25,8 @@
 // SetYielding replaces the organisations that must let others go first. Their connections are not handed
 // over: other routers would serve them in the room at targets that is due to those others.
 func (s *Sender) SetYielding(organisations map[string]bool) {
-	s.yielding.Store(new(maps.Clone(organisations)))
+	organisations = maps.Clone(organisations)
+	s.yielding.Store(&organisations)
 }
 
 // mayHandOver reports whether connections of an organisation may be handed over.
--- a/internal/handover/relay_test.go
+++ b/internal/handover/relay_test.go
@@ -75,12 +75,13 @@
 type arrival struct {
 	net.Conn
 	local func(net.Conn)
+	ahead string
 }
 
 func (arrival) Organisation() (string, bool)      { return "", true }
 func (arrival) AwaitOrganisation() (string, bool) { return "", true }
 func (a arrival) Open() (net.Conn, error)         { return a.Conn, nil }
-func (arrival) ReadAhead() []byte                 { return nil }
+func (a arrival) ReadAhead() []byte               { return []byte(a.ahead) }
 func (a arrival) ServeLocally()                   { a.local(a.Conn) }
 
 // serveLocally answers "local " and the first line of the request.
@@ -189,6 +190,55 @@
 	}
 }
 
+// TestReadAheadIsRelayedFirst guards against losing the bytes that told whose a connection is.
+func TestReadAheadIsRelayedFirst(t *testing.T) {
+	f := newFront(t, 1, receiver(t, always, echoLine).Addr().String())
+	accepted, caller := pair(t)
+	if !f.sender.Take(arrival{Conn: accepted, ahead: "que"}) {
+		t.Fatal("not taken")
+	}
+	_, _ = io.WriteString(caller, "stion\n")
+	if got, err := io.ReadAll(caller); string(got) != "there question\n" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// TestYieldingOrganisation guards against handing over connections of organisations that must let
+// others go first, also of those that are known only once their request has arrived.
+func TestYieldingOrganisation(t *testing.T) {
+	for name, identified := range map[string]bool{"known at once": true, "known later": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, 1, receiver(t, always, echoLine).Addr().String())
+			f.sender.SetYielding(map[string]bool{"ahead": true})
+			for _, organisation := range []string{"ahead", "behind"} {
+				want := map[string]int64{"ahead": 0, "behind": 1}[organisation]
+				accepted, caller := pair(t)
+				_, _ = io.WriteString(caller, "question\n")
+				a := identifiedArrival{arrival{Conn: accepted, local: f.serveLocally}, organisation, identified}
+				if !f.sender.Take(a) {
+					f.serveLocally(accepted)
+				}
+				if _, err := io.ReadAll(caller); err != nil {
+					t.Fatal(err)
+				}
+				if got := f.sender.Stats().Accepted; got != want {
+					t.Errorf("%s: %d handed over, want %d", organisation, got, want)
+				}
+			}
+		})
+	}
+}
+
+// identifiedArrival is a new connection of a known organisation.
+type identifiedArrival struct {
+	arrival
+	organisation string
+	atOnce       bool
+}
+
+func (a identifiedArrival) Organisation() (string, bool)      { return a.organisation, a.atOnce }
+func (a identifiedArrival) AwaitOrganisation() (string, bool) { return a.organisation, true }
+
 func TestIdleRouterServesItself(t *testing.T) {
 	f := newFront(t, 0.55, receiver(t, always, echoLine).Addr().String())
 	if got, err := ask(t, f); got != "local question\n" || err != nil {
