Log and count at which version of the software streams go on

The lines showed that routers continue streams at any version, and could not show whether callers' take-ups do the same at routers that know nothing of the stream's begin. Lines of requests and of failed sends name the target's version, and the request that is taken up; streams_continued counts who continued streams and whether the version was the same. No decision changes.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -42,6 +42,8 @@
 	CountRetry(r Reason)
 	// CountAdvice counts a target's report about itself that changes what was known.
 	CountAdvice(a Advice)
+	// CountContinuation counts a stream of which a target sends the rest.
+	CountContinuation(c Continuation)
 }
 
 // New returns a forwarder that sends requests with s to the targets that l chooses.
@@ -112,6 +114,10 @@
 	// lastEventID is the id of the last event that the caller has, or that is in its buffer and
 	// will be delivered. A retry resumes after it.
 	lastEventID string
+	// target is the target of the current send.
+	target balance.Target
+	// begun is the version of the target that began the stream.
+	begun beginning
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
 	// contentKey identifies the request by its content; computed when first needed, see key.
@@ -187,7 +193,7 @@
 			x.refuse(Reason(d.Refused), d.RetryAfter)
 			return balance.Target{}, false
 		}
-		x.result.TargetID = d.Target.ID
+		x.result.TargetID, x.result.TargetVersion = d.Target.ID, d.Target.Version
 		x.result.PendingTokens, x.result.UncachedTokens, x.result.FetchableTokens = d.PendingTokens, d.UncachedTokens, d.FetchedTokens
 		x.result.LapsedFor = d.LapsedFor
 		x.result.Speed = d.Speed
@@ -316,7 +322,7 @@
 	if f.reason == ReasonBroken || f.reason == ReasonRestarted {
 		log = log.WithValues("content", x.key().String())
 	}
-	log.Info(what, "id", x.ID, "target", to.ID, "reason", f.reason, "cause", f.cause.Error(), "events", x.forwardedEvents)
+	log.Info(what, "id", x.ID, "target", to.ID, "version", to.Version, "reason", f.reason, "cause", f.cause.Error(), "events", x.forwardedEvents)
 }
 
 // mayRetry reports whether the request may be sent to another target.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -46,12 +46,13 @@
 // discard implements forward.Caller and forward.Counters and discards everything.
 type discard struct{}
 
-func (discard) Head(int, http.Header, int64) {}
-func (discard) Write([]byte) error           { return nil }
-func (discard) Unacknowledged() int          { return 0 }
-func (discard) StopWriting()                 {}
-func (discard) CountRetry(forward.Reason)    {}
-func (discard) CountAdvice(forward.Advice)   {}
+func (discard) Head(int, http.Header, int64)           {}
+func (discard) Write([]byte) error                     { return nil }
+func (discard) Unacknowledged() int                    { return 0 }
+func (discard) StopWriting()                           {}
+func (discard) CountRetry(forward.Reason)              {}
+func (discard) CountContinuation(forward.Continuation) {}
+func (discard) CountAdvice(forward.Advice)             {}
 
 var _ = Describe("Forward", func() {
 	It("releases the load of a request whose caller disconnects while another target is chosen", func() {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -28,8 +28,9 @@
 	// FetchFrom carries the address of an engine from which the target can fetch the
 	// parts of the prompt that it has not cached; empty if the deployment has no such header.
 	FetchFrom string
-	// LastEventID carries the id of the event after which a stream is to resume.
-	LastEventID string
+	// LastEventID carries the id of the event after which a stream is to resume, Resumes the id of
+	// the request that brought the stream's first event.
+	LastEventID, Resumes string
 	// PromptSize carries "INPUT TOKENS,MAXIMUM OUTPUT TOKENS", PromptParts the parts of
 	// the prompt in order as "ID:TOKENS" separated by commas, and OutputHint the expected
 	// number of output tokens.
@@ -60,8 +61,9 @@
 	Parts    []prefix.Part
 	// Input is the number of prompt tokens, Output the maximum number of output tokens.
 	Input, Output int
-	// LastEventID is the id of the last event that the caller has received; empty if none.
-	LastEventID string
+	// LastEventID is the id of the last event that the caller has received; empty if none. Resumes
+	// is the id of the request that brought the first one.
+	LastEventID, Resumes string
 	// CallerGone reports whether the caller has disconnected, checked on its connection
 	// because on a busy box the request's context ends late. It is nil if that cannot be
 	// checked.
@@ -119,8 +121,9 @@
 	LongestPause time.Duration
 	// Speed is the time factor of the last target when it was chosen, 1 if unknown.
 	Speed float64
-	// TargetID is the id of the last target that was chosen.
-	TargetID string
+	// TargetID is the id of the last target that was chosen, TargetVersion the version of its
+	// software.
+	TargetID, TargetVersion string
 	// PendingTokens is the number of prompt tokens that the target still had to process when
 	// it was chosen (its prefill backlog), including this request's. UncachedTokens is the
 	// number of this request's among them: those neither cached there nor fetched.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -52,6 +52,7 @@
 	defer cancel(nil)
 	silence := x.startSilenceTimer(cancel)
 	defer silence.Stop()
+	x.target = to
 	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	defer x.ticket.OnLost(nil)
@@ -289,6 +290,9 @@
 	if x.forwardedEvents == 0 || !x.result.HeadSent {
 		x.startStream(a)
 	}
+	if !x.answerStarted {
+		x.recordVersion()
+	}
 	x.recordPiece()
 	began := clock.Now()
 	err := x.writeBatch(ctx, batch, silence)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -48,6 +48,8 @@
 	// advice counts what targets reported about themselves in responses (leaving, backing
 	// off), againstAdvice the requests that were sent to such a target nevertheless.
 	advice, againstAdvice *expvar.Map
+	// continuations counts streams that were continued at another target.
+	continuations *expvar.Map
 	// suspects counts changes to the records of requests that are suspected of crashing
 	// targets, by their new state.
 	suspects *expvar.Map
@@ -75,7 +77,7 @@
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
-		advice: new(expvar.Map), againstAdvice: new(expvar.Map),
+		continuations: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		refusedByForecast: new(expvar.Map), returns: new(expvar.Map), usageIgnored: new(expvar.Int),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -94,6 +96,7 @@
 	m.root.Set("cold_passed_over", m.coldSkipped)
 	m.root.Set("suspected_requests", m.suspects)
 	m.root.Set("target_advice", m.advice)
+	m.root.Set("streams_continued", m.continuations)
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("refused_by_forecast", m.refusedByForecast)
 	m.root.Set("returns", m.returns)
@@ -132,6 +135,9 @@
 // CountAdvice counts what a target reported about itself.
 func (m *Metrics) CountAdvice(a forward.Advice) { m.advice.Add(string(a), 1) }
 
+// CountContinuation counts a stream that was continued at another target.
+func (m *Metrics) CountContinuation(c forward.Continuation) { m.continuations.Add(string(c), 1) }
+
 func (m *Metrics) recordRequest(v forward.Result, took time.Duration) {
 	m.statuses.Add(fmt.Sprint(v.Status), 1)
 	switch {
@@ -288,8 +294,11 @@
 	if v.ContentDigest != "" {
 		log = log.WithValues("content", v.ContentDigest)
 	}
+	if r.LastEventID != "" {
+		log = log.WithValues("resumes", r.Resumes, "after", r.LastEventID)
+	}
 	log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v),
-		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID,
+		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
 		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
 		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
 		"goal_ms", milliseconds(goal), "waited_ms", milliseconds(v.QueueTime), "first_ms", milliseconds(v.TimeToFirstByte),
