Continue streams only at the version that began them

Cause: a stream is continued at any engine. Within an answer the router that began it chose the next engine without its version; over a caller's tries nobody knew the version at all, as the router that did is another one or gone. The class is a fact that belongs to a stream and was kept with one send.

Nothing is sent while a service has one version; when it gets a second one, routers tell of the streams that run. What nobody knows is refused where there are or were several versions in the last minute, and goes on where there is and was only one.

Ruled out: choosing the version by the id alone, as the versions in service change while streams run; asking all routers, at 630 of them.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -60,6 +60,8 @@
 		}}}
 	case message.Quarantine:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Quarantine{Quarantine: encodeQuarantine(m)}}
+	case message.StreamVersions:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_StreamVersions{StreamVersions: encodeStreamVersions(m)}}
 	case message.Ping:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Ping{Ping: encodePing(m)}}
 	}
@@ -132,6 +134,8 @@
 		return message.ZoneStatus{Zone: b.ZoneStatus.GetZone(), Status: decodeStatus(b.ZoneStatus.GetStatus())}
 	case *peerpb.Envelope_Quarantine:
 		return decodeQuarantine(b.Quarantine)
+	case *peerpb.Envelope_StreamVersions:
+		return decodeStreamVersions(b.StreamVersions)
 	case *peerpb.Envelope_Ping:
 		return decodePing(b.Ping)
 	case *peerpb.Envelope_NeedCopy:
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -174,7 +174,12 @@
 	coldAllowance func(now time.Time, target string, r coldstart.Rate) int
 	coldSkips     int64
 	// rollouts decides which requests may go to which version of a service; nil allows all.
-	rollouts          *rollout.Tracker
+	rollouts *rollout.Tracker
+	// versions has the versions of each service, newlyMixed the services that have got another
+	// one. onStreamBegun is called when a stream begins; nil if not set.
+	versions          map[string]*versionHistory
+	newlyMixed        []string
+	onStreamBegun     func(now time.Time, b Stream, shared bool)
 	advice            advice.Records
 	sentAgainstAdvice SentAgainstAdvice
 	// backoffs counts the backoffs that this router started without a target having asked for
@@ -192,6 +197,7 @@
 		random:            random,
 		targets:           map[string]*target{},
 		services:          map[string]*service{},
+		versions:          map[string]*versionHistory{},
 		active:            map[*target]struct{}{},
 		cold:              map[*target]struct{}{},
 		releasedAt:        now,
@@ -355,6 +361,7 @@
 	}
 	t.started = true
 	t.slow = s.startedSlowly(now, t)
+	s.reportStream(now, t)
 	t.target.endProbe(t)
 	t.target.consecutiveRefusals = 0
 	t.target.lastProgress = now
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -68,7 +68,7 @@
 func (s *State) ChangeTargets(now time.Time, changed []Target, removed []string) {
 	for _, id := range removed {
 		if t := s.targets[id]; t != nil {
-			s.unlist(t)
+			s.unlist(now, t)
 		}
 	}
 	added := map[string][]*target{}
@@ -82,7 +82,7 @@
 		case old == nil:
 		case old.Born != t.Born:
 			old.abortRunning()
-			s.unlist(old)
+			s.unlist(now, old)
 			old = nil
 		case old.Service != t.Service || old.Zone != t.Zone:
 			s.removeFromService(old)
@@ -95,6 +95,10 @@
 			added[t.Service] = append(added[t.Service], old)
 		}
 		s.leaving += count(t.Leaving) - count(old.Target.Leaving)
+		s.addVersion(now, t)
+		if old.Target.ID != "" {
+			s.removeVersion(now, old.Target)
+		}
 		old.Target = t
 		s.extendCold(now, old, before)
 	}
@@ -113,7 +117,8 @@
 }
 
 // unlist removes a target from the list.
-func (s *State) unlist(t *target) {
+func (s *State) unlist(now time.Time, t *target) {
+	s.removeVersion(now, t.Target)
 	s.leaving -= count(t.Target.Leaving)
 	delete(s.targets, t.ID)
 	delete(s.active, t)
--- a/internal/balance/refusal.go
+++ b/internal/balance/refusal.go
@@ -11,7 +11,7 @@
 	_, backingOff := s.backoffEnd(now, t.Service, t.Tried)
 	switch {
 	case !open && s.anyOpen(now, t.Service):
-		return NoAllowedTarget
+		return noAllowedTarget(t)
 	case !open:
 		return NoTarget
 	case backingOff:
@@ -51,11 +51,19 @@
 	case s.allDrained(now, t.Service):
 		return Drained, true
 	case s.anyOpen(now, t.Service):
-		return NoAllowedTarget, true
+		return noAllowedTarget(t), true
 	}
 	return NoTarget, true
 }
 
+// noAllowedTarget returns the reason for refusing t where it may not be sent to any open target.
+func noAllowedTarget(t *Ticket) Reason {
+	if t.Version.IsSet() {
+		return NoTargetOfVersion
+	}
+	return NoAllowedTarget
+}
+
 // anyOpen reports whether any target of a service takes requests.
 func (s *State) anyOpen(now time.Time, service string) bool {
 	return slices.ContainsFunc(s.targetsOf(service), func(to *target) bool { return !to.Closed(now) })
@@ -92,7 +100,7 @@
 // that refused callers do not retry together.
 func (s *State) retryAfter(now time.Time, t *Ticket, why Reason) time.Duration {
 	// Without a target that the request may use, no capacity is short, and none is to be kept free.
-	if why != NoTarget && why != NoAllowedTarget && t.Engine && s.returnSlots(t.Service) {
+	if why != NoTarget && why != NoAllowedTarget && why != NoTargetOfVersion && t.Engine && s.returnSlots(t.Service) {
 		return s.bookReturn(now, t, why)
 	}
 	if d, ok := s.BackoffLeft(now, t.Service); ok {
--- /dev/null
+++ b/internal/balance/streamversion_test.go
@@ -0,0 +1,53 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
+)
+
+func versioned(id, version string) balance.Target {
+	return balance.Target{ID: id, Service: "llm", Address: "a:1", Zone: "z", Slots: 8, Version: version}
+}
+
+func TestOnlyVersion(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const long = 2 * streamversion.TTL
+	type step struct {
+		after time.Duration
+		list  []balance.Target
+	}
+	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
+	for name, c := range map[string]struct {
+		steps []step
+		want  string
+	}{
+		"no targets":                {},
+		"one version":               {steps: []step{{list: []balance.Target{v1, versioned("c", "v1")}}}, want: "v1"},
+		"no version named":          {steps: []step{{list: []balance.Target{versioned("c", "")}}}, want: "(none)"},
+		"two versions":              {steps: []step{{list: []balance.Target{v1, v2}}}},
+		"another a moment ago":      {steps: []step{{list: []balance.Target{v1, v2}}, {time.Second, []balance.Target{v1}}}},
+		"another long ago":          {steps: []step{{list: []balance.Target{v1, v2}}, {time.Second, []balance.Target{v1}}, {long, []balance.Target{v1}}}, want: "v1"},
+		"all gone and back":         {steps: []step{{list: []balance.Target{v1}}, {time.Second, nil}, {time.Second, []balance.Target{v1}}}, want: "v1"},
+		"all replaced by another":   {steps: []step{{list: []balance.Target{v1}}, {time.Second, nil}, {time.Second, []balance.Target{v2}}}},
+		"an entry changes":          {steps: []step{{list: []balance.Target{v1}}, {time.Second, []balance.Target{versioned("a", "v2")}}}},
+		"an entry stays as it is":   {steps: []step{{list: []balance.Target{v1}}, {time.Second, []balance.Target{v1}}}, want: "v1"},
+		"a process restarts anew":   {steps: []step{{list: []balance.Target{v1}}, {time.Second, []balance.Target{{ID: "a", Service: "llm", Version: "v2", Born: 5}}}}},
+		"a process restarts as was": {steps: []step{{list: []balance.Target{v1}}, {time.Second, []balance.Target{{ID: "a", Service: "llm", Version: "v1", Born: 5}}}}, want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := balance.New(start, "z", balance.Limits{}, nil)
+			now := start
+			for _, step := range c.steps {
+				now = now.Add(step.after)
+				s.SetTargets(now, step.list)
+			}
+			got, only := s.OnlyVersion(now, "llm")
+			if want := c.want; only != (want != "") || only && got != want && want != "(none)" {
+				t.Errorf("got %q, %v; want %q", got, only, want)
+			}
+		})
+	}
+}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -36,6 +36,12 @@
 	// Resumes is set if the caller already has a part of the answer and the rest is requested.
 	// Such a request waits up to maxResumeWait and overtakes all others.
 	Resumes bool
+	// StreamID is the id of the request that began the stream if the caller may ask for its rest
+	// later, else empty.
+	StreamID string
+	// Version restricts the request to targets of the version that began the stream. The State
+	// sets it when a stream begins.
+	Version VersionLimit
 	// Continues is set if the caller asks for the rest of a stream that it got a part of with an earlier
 	// request. Output is then the expected length of the whole answer, and that of the rest is unknown.
 	Continues bool
@@ -129,6 +135,9 @@
 	// NoAllowedTarget means that some targets of the service take requests, but the request may not
 	// be sent to any of them: they are in other regions, or of a version that was rolled back.
 	NoAllowedTarget Reason = "no-allowed-target"
+	// NoTargetOfVersion means that some targets of the service take requests, but none of the version
+	// that began the stream.
+	NoTargetOfVersion Reason = "no-target-of-version"
 	// Drained means that no target of the service takes requests and some of them are in
 	// drained availability zones.
 	Drained Reason = "zones-drained"
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -1,10 +1,12 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
 const (
@@ -19,8 +21,131 @@
 // service.
 func (s *State) SetRollouts(t *rollout.Tracker) { s.rollouts = t }
 
-// allowsVersion reports whether a roll-out lets t be sent to a target's version.
+// VersionLimit restricts a request to targets of one version. The zero value allows all.
+type VersionLimit struct {
+	version string
+	set     bool
+}
+
+// OnlyVersion returns a limit to one version.
+func OnlyVersion(version string) VersionLimit { return VersionLimit{version: version, set: true} }
+
+// IsSet reports whether the limit is to one version.
+func (l VersionLimit) IsSet() bool { return l.set }
+
+// Allows reports whether the limit allows a version.
+func (l VersionLimit) Allows(version string) bool { return !l.set || l.version == version }
+
+// versionHistory tells which versions of a service there are, and were a short time ago.
+type versionHistory struct {
+	// listed counts the listed targets by version, goneAt is when the last one of a version was
+	// removed.
+	listed map[string]int
+	goneAt map[string]time.Time
+	// mixed is set while there are several versions, or were within streamversion.TTL.
+	mixed bool
+}
+
+// only reports whether a version is and was the only one.
+func (h *versionHistory) only(now time.Time) (string, bool) {
+	maps.DeleteFunc(h.goneAt, func(_ string, at time.Time) bool { return now.Sub(at) > streamversion.TTL })
+	if len(h.listed) != 1 || len(h.goneAt) > 1 {
+		return "", false
+	}
+	for version := range h.listed {
+		_, back := h.goneAt[version]
+		return version, back || len(h.goneAt) == 0
+	}
+	return "", false
+}
+
+// addVersion counts a target that is listed, and notes services that get another version.
+func (s *State) addVersion(now time.Time, t Target) {
+	h := s.versions[t.Service]
+	if h == nil {
+		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}}
+		s.versions[t.Service] = h
+	}
+	h.listed[t.Version]++
+	_, only := h.only(now)
+	if !only && !h.mixed {
+		s.newlyMixed = append(s.newlyMixed, t.Service)
+	}
+	h.mixed = !only
+}
+
+// removeVersion counts a target that is no longer listed.
+func (s *State) removeVersion(now time.Time, t Target) {
+	h := s.versions[t.Service]
+	if h.listed[t.Version]--; h.listed[t.Version] == 0 {
+		delete(h.listed, t.Version)
+		h.goneAt[t.Version] = now
+	}
+}
+
+// OnlyVersion returns the version of all targets of a service, or false if there are several versions
+// or were within streamversion.TTL.
+func (s *State) OnlyVersion(now time.Time, service string) (string, bool) {
+	h := s.versions[service]
+	if h == nil {
+		return "", false
+	}
+	version, only := h.only(now)
+	h.mixed = !only
+	return version, only
+}
+
+// Stream is a stream of which the caller may ask for the rest later, and the version that began it.
+type Stream struct {
+	Service, ID, Version string
+}
+
+// OnStreamBegun sets a function to be called when a stream has begun, and when the rest of one has.
+// shared tells whether its service has several versions.
+func (s *State) OnStreamBegun(f func(now time.Time, b Stream, shared bool)) { s.onStreamBegun = f }
+
+// reportStream reports that t's answer has begun at its target.
+func (s *State) reportStream(now time.Time, t *Ticket) {
+	if !t.Stream || t.ServerError.Load() {
+		return
+	}
+	if !t.Version.IsSet() {
+		t.Version = OnlyVersion(t.target.Version)
+	}
+	if t.StreamID == "" || s.onStreamBegun == nil {
+		return
+	}
+	_, only := s.OnlyVersion(now, t.Service)
+	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.target.Version}, !only)
+}
+
+// TakeNewlyMixed returns the running streams of services that have got another version since the
+// last call.
+func (s *State) TakeNewlyMixed() []Stream {
+	if len(s.newlyMixed) == 0 {
+		return nil
+	}
+	var list []Stream
+	for to := range s.active {
+		if !slices.Contains(s.newlyMixed, to.Service) {
+			continue
+		}
+		for t := range to.running {
+			if t.started && t.StreamID != "" {
+				list = append(list, Stream{Service: t.Service, ID: t.StreamID, Version: to.Version})
+			}
+		}
+	}
+	s.newlyMixed = nil
+	return list
+}
+
+// allowsVersion reports whether t may be sent to a target's version: that which began its stream, or
+// else one that a roll-out lets it be sent to.
 func (s *State) allowsVersion(now time.Time, t *Ticket, c *target) bool {
+	if t.Version.IsSet() {
+		return t.Version.Allows(c.Version) && !s.rollouts.RolledBack(t.Service, c.Version)
+	}
 	return !s.rollouts.Active() || s.rollouts.Allows(now, t.Service, c.Version, t.ID)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -27,6 +27,8 @@
 	sender   Sender
 	loop     *balance.Loop
 	suspects Suspects
+	// versions knows which versions began streams; nil if streams may be taken up anywhere.
+	versions StreamVersions
 	log      logr.Logger
 	counters Counters
 	// budget is the memory for buffered streams, nil if there are none; buffered reports whether
@@ -58,6 +60,14 @@
 	return &out
 }
 
+// WithStreamVersions returns a forwarder that lets callers take streams up only at the version that
+// began them.
+func (f *Forwarder) WithStreamVersions(v StreamVersions) *Forwarder {
+	out := *f
+	out.versions = v
+	return &out
+}
+
 // WithMaxStall returns a forwarder that closes a caller's connection if the caller accepts nothing of the
 // rest of a buffered answer for a time.
 func (f *Forwarder) WithMaxStall(d time.Duration) *Forwarder {
@@ -116,8 +126,8 @@
 	lastEventID string
 	// target is the target of the current send.
 	target balance.Target
-	// begun is the version of the target that began the stream.
-	begun beginning
+	// begun is the version that began the stream, if it is known.
+	begun balance.VersionLimit
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
 	// contentKey identifies the request by its content; computed when first needed, see key.
@@ -134,12 +144,12 @@
 	x.ticket = &balance.Ticket{
 		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Route: r.Route.Name, Engine: r.ToEngine, Stream: r.Route.Kind == routing.Streaming,
 		Continues: r.LastEventID != "", Parts: r.Parts, Input: r.Input, Output: r.Output, Goal: r.Route.Goal,
-		Arrived: r.Arrived, Deadline: deadline, Decision: make(chan balance.Decision, 1),
+		StreamID: r.streamID(), Arrived: r.Arrived, Deadline: deadline, Decision: make(chan balance.Decision, 1),
 	}
 	timed, cancel := context.WithTimeout(ctx, clock.Until(deadline))
 	defer cancel()
 	x.cancel = cancel
-	if x.refuseQuarantined(timed) {
+	if x.refuseQuarantined(timed) || !x.findVersion(timed) {
 		return x.result
 	}
 	x.sendUntilDone(timed)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -156,6 +156,10 @@
 	// before parsing.
 	ReasonOrganisationQueueFull Reason = Reason(balance.OrganisationQueueFull)
 	ReasonRouterBusy            Reason = Reason(balance.RouterBusy)
+	// ReasonNoTargetOfVersion means that no target of the version that began the stream takes
+	// requests, and ReasonUnknownVersion that nobody knows which version that is.
+	ReasonNoTargetOfVersion Reason = Reason(balance.NoTargetOfVersion)
+	ReasonUnknownVersion    Reason = "unknown-version"
 	// ReasonDeadline means that the request's deadline passed.
 	ReasonDeadline Reason = "deadline"
 	// ReasonCallerGone means that the caller disconnected.
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -1,9 +1,53 @@
 package forward
 
-// beginning tells which version of a service's software began a stream.
-type beginning struct {
-	version string
-	known   bool
+import (
+	"context"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
+)
+
+// StreamVersions knows which versions of services began streams.
+type StreamVersions interface {
+	// Lookup returns the version of a service that began the stream of an earlier request. It may
+	// ask other routers.
+	Lookup(ctx context.Context, service, request string) streamversion.Answer
+}
+
+// findVersion finds out which version began the stream that the caller takes up, and refuses the
+// request and returns false if that stays unknown: its rest might come from another version.
+func (x *inflight) findVersion(ctx context.Context) bool {
+	if x.versions == nil || x.LastEventID == "" || x.Route.Kind != routing.Streaming {
+		return true
+	}
+	a := x.versions.Lookup(ctx, x.Service, x.Resumes)
+	switch {
+	case a.Known:
+		x.begun = balance.OnlyVersion(a.Version)
+		x.ticket.Version = x.begun
+		return true
+	case ctx.Err() != nil:
+		x.abandon(ctx)
+	case a.Confirmed:
+		// No router will know it later either.
+		x.refuse(ReasonUnknownVersion, 0)
+	default:
+		x.refuse(ReasonUnknownVersion, defaultRetryAfter)
+	}
+	return false
+}
+
+// streamID returns the id of the request that begins the stream, if the caller may ask for its rest
+// later, else "".
+func (r Request) streamID() string {
+	switch {
+	case r.Route.Kind != routing.Streaming || !r.Route.Resumable:
+		return ""
+	case r.LastEventID != "":
+		return r.Resumes
+	}
+	return r.ID
 }
 
 // Continuation says who continues a stream, and at which version of the service's software.
@@ -22,23 +66,23 @@
 // recordVersion records that the target of the current send sends its first events.
 func (x *inflight) recordVersion() {
 	if x.lastEventID == "" {
-		x.begun = beginning{version: x.target.Version, known: true}
+		x.begun = balance.OnlyVersion(x.target.Version)
 		return
 	}
 	x.counters.CountContinuation(x.continuation())
-	if !x.begun.known {
-		x.begun = beginning{version: x.target.Version, known: true}
+	if !x.begun.IsSet() {
+		x.begun = balance.OnlyVersion(x.target.Version)
 	}
 }
 
 func (x *inflight) continuation() Continuation {
-	same := x.begun.version == x.target.Version
+	same := x.begun.Allows(x.target.Version)
 	switch within := x.forwardedEvents > 0; {
 	case within && same:
 		return ContinuedSameVersion
 	case within:
 		return ContinuedOtherVersion
-	case !x.begun.known:
+	case !x.begun.IsSet():
 		return TakenUpUnknownVersion
 	case same:
 		return TakenUpSameVersion
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -51,6 +51,8 @@
 			g.mergeCopy(s, now, from, m)
 		case message.Quarantine:
 			g.handleQuarantine(now, from, m)
+		case message.StreamVersions:
+			g.handleStreamVersions(now, from, m)
 		}
 		g.roster.NoteContact(now, from.ID)
 	})
@@ -204,6 +206,7 @@
 func (g *Gateway) applyTargets(s *balance.State, now time.Time) {
 	c := g.catalog.TakeChanges()
 	s.ChangeTargets(now, c.Changed, c.Removed)
+	g.shareStreams(s, now)
 	g.recordRestarts(now, c.Changed)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
@@ -160,6 +161,8 @@
 	// persistedEra is the newest era of the store in which the held-back requests were written
 	// again.
 	persistedEra int64
+	// streams knows which versions began streams.
+	streams *streamversion.Directory
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
@@ -251,8 +254,10 @@
 		Capacity: o.Capacity,
 	}, o.Seeds, random)
 	g.quarantine.exchange = quarantine.NewExchange(g.quarantine.state, g.roster)
+	g.streams = streamversion.New(now, g.roster)
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
+	state.OnStreamBegun(g.streamBegun)
 	g.coldSenders = coldstart.NewSenders(now, g.roster, self.ID)
 	state.SetColdAllowance(g.coldSenders.SendLimit)
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
@@ -265,7 +270,7 @@
 	g.transport = httptarget.New(g.group)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
-		WithBuffers(g.answers.budget, g.answers.enabled.Load).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+		WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
 const (
@@ -50,6 +51,8 @@
 	advice, againstAdvice *expvar.Map
 	// continuations counts streams that were continued at another target.
 	continuations *expvar.Map
+	// streamLookups counts the streams taken up by whether the version that began them is known.
+	streamLookups *expvar.Map
 	// suspects counts changes to the records of requests that are suspected of crashing
 	// targets, by their new state.
 	suspects *expvar.Map
@@ -77,7 +80,7 @@
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
-		continuations: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
+		continuations: new(expvar.Map), streamLookups: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		refusedByForecast: new(expvar.Map), returns: new(expvar.Map), usageIgnored: new(expvar.Int),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -97,6 +100,7 @@
 	m.root.Set("suspected_requests", m.suspects)
 	m.root.Set("target_advice", m.advice)
 	m.root.Set("streams_continued", m.continuations)
+	m.root.Set("stream_lookups", m.streamLookups)
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("refused_by_forecast", m.refusedByForecast)
 	m.root.Set("returns", m.returns)
@@ -138,6 +142,18 @@
 // CountContinuation counts a stream that was continued at another target.
 func (m *Metrics) CountContinuation(c forward.Continuation) { m.continuations.Add(string(c), 1) }
 
+// countStreamLookup counts whether the version that began a stream is known.
+func (m *Metrics) countStreamLookup(a streamversion.Answer) {
+	switch {
+	case a.Known:
+		m.streamLookups.Add("known", 1)
+	case a.Confirmed:
+		m.streamLookups.Add("unknown", 1)
+	default:
+		m.streamLookups.Add("unanswered", 1)
+	}
+}
+
 func (m *Metrics) recordRequest(v forward.Result, took time.Duration) {
 	m.statuses.Add(fmt.Sprint(v.Status), 1)
 	switch {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -68,6 +68,7 @@
 	g.publishSpeeds(s, now)
 	g.logAnswersWaiting(now)
 	g.publishLocalChanges(now)
+	g.tickStreams(now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
--- /dev/null
+++ b/internal/gateway/streams.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
+)
+
+// streamVersions implements forward.StreamVersions.
+type streamVersions struct{ *Gateway }
+
+// Lookup implements forward.StreamVersions.
+func (g streamVersions) Lookup(ctx context.Context, service, request string) streamversion.Answer {
+	answers := make(chan streamversion.Answer, 1)
+	g.loop.Post(func(s *balance.State, now time.Time) { g.lookUpStream(s, now, service, request, answers) })
+	select {
+	case a := <-answers:
+		return a
+	case <-ctx.Done():
+		return streamversion.Answer{}
+	}
+}
+
+// lookUpStream sends the version that began a stream to answers, which has room for it. A stream that
+// nobody knows was begun by the only version of its service if there is just one.
+func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, answers chan<- streamversion.Answer) {
+	done := func(a streamversion.Answer) {
+		if !a.Known && a.Confirmed {
+			a.Version, a.Known = s.OnlyVersion(now, service)
+		}
+		g.Metrics.countStreamLookup(a)
+		answers <- a
+	}
+	if request == "" {
+		done(streamversion.Answer{Confirmed: true})
+		return
+	}
+	g.streams.Lookup(now, streamversion.KeyOf(service, request), done)
+	g.sendStreamVersions()
+	g.tickEarlier(now)
+}
+
+// streamBegun records which version began a stream.
+func (g *Gateway) streamBegun(now time.Time, b balance.Stream, shared bool) {
+	g.streams.Begin(now, streamversion.Record{Key: streamversion.KeyOf(b.Service, b.ID), Version: b.Version}, shared)
+	g.tickEarlier(now)
+}
+
+// shareStreams tells other routers of the running streams of services that have just got a second
+// version.
+func (g *Gateway) shareStreams(s *balance.State, now time.Time) {
+	for _, b := range s.TakeNewlyMixed() {
+		g.streamBegun(now, b, true)
+	}
+}
+
+// handleStreamVersions handles another router's message about versions of streams.
+func (g *Gateway) handleStreamVersions(now time.Time, from member.Member, m message.StreamVersions) {
+	g.streams.Receive(now, from.Peer, m.Message)
+	if len(m.Asked) > 0 {
+		g.sendStreamVersions()
+	}
+}
+
+// tickStreams ends lookups in time and sends what has come together since the last tick.
+func (g *Gateway) tickStreams(now time.Time) {
+	g.streams.Tick(now)
+	g.sendStreamVersions()
+}
+
+func (g *Gateway) sendStreamVersions() {
+	for _, o := range g.streams.Take() {
+		g.sendTo(member.Member{Peer: o.To}, message.StreamVersions{Message: o.Message})
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -10,6 +10,7 @@
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
 // RouterID is the name of a router from its settings, unique within the fleet.
@@ -331,6 +332,11 @@
 	WantAll bool
 }
 
+// StreamVersions tells which versions of services' software began streams, and asks for others.
+type StreamVersions struct{ streamversion.Message }
+
+func (StreamVersions) message() {}
+
 func (Ping) message()       {}
 func (ZoneStatus) message() {}
 func (Status) message()     {}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -161,6 +161,15 @@
 	return t.shifted(now, p) || t.onTrial(request)
 }
 
+// RolledBack reports whether a version was rolled back, so that it gets no more requests.
+func (t *Tracker) RolledBack(service, version string) bool {
+	if !t.Active() {
+		return false
+	}
+	p := t.byName[service]
+	return p != nil && version == p.Version && p.state() == RolledBack
+}
+
 // Preferred returns the version that a request should be sent to if a target of it has room, or
 // false if it does not matter.
 func (t *Tracker) Preferred(now time.Time, service, request string) (string, bool) {
