Name the shared parts of prompts in lines of broken answers

Engines ended one after the other under requests no two of which were alike (incident in docs/incidents/crashing-part.md). The lines could not tell a part of prompts from an organisation as what these requests have in common. No decision changes.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
@@ -325,16 +326,31 @@
 }
 
 // logFailure logs a failed send and what follows it. If the target broke off its answer, the
-// line has a digest of the content, so that a request that breaks one target after another
-// can be found in the log.
+// line has a digest of the content and the shared parts of the prompt, so that what breaks one
+// target after another can be found in the log.
 func (x *inflight) logFailure(what string, to balance.Target, f *failure) {
 	log := x.log
 	if f.reason == ReasonBroken || f.reason == ReasonRestarted {
-		log = log.WithValues("content", x.key().String())
+		log = log.WithValues("content", x.key().String(), "organisation", x.Organisation, "parts", sharedPartIDs(x.Parts))
 	}
 	log.Info(what, "id", x.ID, "target", to.ID, "version", to.Version, "reason", f.reason, "cause", f.cause.Error(), "events", x.forwardedEvents)
 }
 
+// maxLoggedParts is the most parts of a prompt named in a log line.
+const maxLoggedParts = 8
+
+// sharedPartIDs returns the ids of the parts of a prompt that other prompts may share: all but the
+// last.
+func sharedPartIDs(parts []prefix.Part) []string {
+	var list []string
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		if len(list) < maxLoggedParts {
+			list = append(list, p.ID)
+		}
+	}
+	return list
+}
+
 // mayRetry reports whether the request may be sent to another target.
 func (x *inflight) mayRetry(f *failure) bool {
 	if x.result.Sends >= max(x.Route.MaxAttempts, 1) {
