Hold back parts of prompts that crash engines

Cause: what is known of a crash was kept by the request's whole content, so that each of these requests was new. The class: an identity that the sender chooses.

The parts of a prompt but the last are now attributes of a request beside its content, in the same records (a set of ended incarnations, merged by union), at the same collectors, in the same gossip and store. A part is suspected where an answer had just begun, told to all from the second crash, held back from the third, and tried as before after 3 s, 30 s and 5 min; one that several requests share is cleared by any that ends well and was sent after the crashes were known, and is not suspected at all within a second after one ended well. That credit counts for contents, too. Of a request with several held parts no trial begins until those with one had 5 s.

Also: a break whose event was not awaited no longer reads the event's result.

--- a/internal/adapter/peer/quarantine.go
+++ b/internal/adapter/peer/quarantine.go
@@ -16,7 +16,7 @@
 	out := &peerpb.Quarantine{WantAll: m.WantAll}
 	for _, r := range m.Records {
 		s := &peerpb.SuspectedRequest{
-			Key: r.Key[:], Organisation: r.Organisation, CrashAgeMs: ageMillis(r.SinceCrash), SeenAgeMs: ageMillis(r.SinceSeen),
+			Key: r.Key[:], Part: r.Part, Organisation: r.Organisation, CrashAgeMs: ageMillis(r.SinceCrash), SeenAgeMs: ageMillis(r.SinceSeen),
 		}
 		for _, c := range r.Crashes {
 			if c.Trial {
@@ -46,7 +46,7 @@
 			continue
 		}
 		r := quarantine.Record{
-			Key: quarantine.Key(s.GetKey()), Organisation: s.GetOrganisation(),
+			Key: quarantine.Key(s.GetKey()), Part: s.GetPart(), Organisation: s.GetOrganisation(),
 			SinceCrash: time.Duration(s.GetCrashAgeMs()) * time.Millisecond,
 			SinceSeen:  time.Duration(s.GetSeenAgeMs()) * time.Millisecond,
 		}
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -78,9 +79,9 @@
 		return errors.Wrap(json.NewEncoder(s.out).Encode(shown), "write list")
 	}
 	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "CONTENT\tORGANISATION\tSTATE\tTARGETS ENDED\tLAST ENDED\tLAST CAME")
+	fmt.Fprintln(w, "CONTENT\tPART\tORGANISATION\tSTATE\tTARGETS ENDED\tLAST ENDED\tLAST CAME")
 	for _, r := range shown {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.0f s ago\t%.0f s ago\n", r.Content, r.Organisation, r.State, r.Crashes, r.SecondsSinceCrash, r.SecondsSinceSeen)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.0f s ago\t%.0f s ago\n", r.Content, cmp.Or(r.Part, "-"), r.Organisation, r.State, r.Crashes, r.SecondsSinceCrash, r.SecondsSinceSeen)
 	}
 	return errors.Wrap(w.Flush(), "write list")
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -131,10 +131,14 @@
 	begun balance.VersionLimit
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
-	// contentKey identifies the request by its content; computed when first needed, see key.
-	contentKey *quarantine.Key
-	// onTrial is set if the request is sent although targets have crashed while running it.
-	onTrial bool
+	// suspectable has what may be suspected of crashing targets; computed when first needed, see
+	// attributes.
+	suspectable []quarantine.Attribute
+	// trials has the attributes with which the request is sent although targets have crashed while
+	// running requests with them.
+	trials []quarantine.Key
+	// sentAt is when the current send began.
+	sentAt time.Time
 }
 
 // Forward sends r to a target and the answer to caller. It returns when the answer is
@@ -154,8 +158,8 @@
 		return x.result
 	}
 	x.sendUntilDone(timed)
-	if x.onTrial {
-		x.suspects.EndTrial(x.key())
+	for _, k := range x.trials {
+		x.suspects.EndTrial(k)
 	}
 	x.deliverRest(ctx)
 	return x.result
@@ -331,22 +335,16 @@
 func (x *inflight) logFailure(what string, to balance.Target, f *failure) {
 	log := x.log
 	if f.reason == ReasonBroken || f.reason == ReasonRestarted {
-		log = log.WithValues("content", x.key().String(), "organisation", x.Organisation, "parts", sharedPartIDs(x.Parts))
+		log = log.WithValues("content", x.attributes()[0].Key.String(), "organisation", x.Organisation, "parts", partIDs(sharedParts(x.Parts)))
 	}
 	log.Info(what, "id", x.ID, "target", to.ID, "version", to.Version, "reason", f.reason, "cause", f.cause.Error(), "events", x.forwardedEvents)
 }
 
-// maxLoggedParts is the most parts of a prompt named in a log line.
-const maxLoggedParts = 8
-
-// sharedPartIDs returns the ids of the parts of a prompt that other prompts may share: all but the
-// last.
-func sharedPartIDs(parts []prefix.Part) []string {
-	var list []string
-	for _, p := range parts[:max(len(parts)-1, 0)] {
-		if len(list) < maxLoggedParts {
-			list = append(list, p.ID)
-		}
+// partIDs returns the ids of parts of a prompt.
+func partIDs(parts []prefix.Part) []string {
+	list := make([]string, 0, len(parts))
+	for _, p := range parts {
+		list = append(list, p.ID)
 	}
 	return list
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -134,9 +134,9 @@
 	// LapsedFor is how long ago the target's entry had lapsed, that is, its TTL ran out while
 	// the store was unavailable; 0 if it was listed.
 	LapsedFor time.Duration
-	// ContentDigest is a digest of the request's content if the request was refused because it
-	// is quarantined, else empty.
-	ContentDigest string
+	// ContentDigest identifies the content or the part of the prompt for which the request was refused
+	// because it is quarantined, else it is empty. HeldPart is the id of the part.
+	ContentDigest, HeldPart string
 }
 
 // Reason is why a request was refused, failed or was retried.
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 )
 
@@ -15,40 +17,67 @@
 	// View returns the requests suspected now, or nil if there are none.
 	View() *quarantine.View
 	// RecordBreak records that a target broke off its answer to a request. It returns the
-	// number of targets that have exited while running the request.
+	// number of targets that have exited while running the same content.
 	RecordBreak(ctx context.Context, b Break) int
-	// StartTrial reports whether a quarantined request may be sent on trial. The trial ends
-	// with EndTrial, and at the latest at until.
-	StartTrial(ctx context.Context, k quarantine.Key, until time.Time) bool
+	// StartTrial reports whether a request with quarantined attributes may be sent on trial. The
+	// trial ends with an EndTrial for each, and at the latest at until.
+	StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool
 	EndTrial(k quarantine.Key)
 	// RecordExit records that the process of a target has exited.
 	RecordExit(t balance.Target)
-	// RecordSuccess records that a target has run a suspected request to its end.
-	RecordSuccess(k quarantine.Key)
-	// RecordSeen records that a quarantined request has been received again.
+	// RecordEnd records that a request has ended well, by the local hashes of its attributes.
+	RecordEnd(attributes []uint64)
+	// RecordSuccess records that a target has run a request to its end that was sent at a time and has
+	// a suspected attribute.
+	RecordSuccess(k quarantine.Key, sent time.Time)
+	// RecordSeen records that a request with a quarantined attribute has been received again.
 	RecordSeen(k quarantine.Key)
 }
 
 // Break describes an answer that a target broke off.
 type Break struct {
-	Key          quarantine.Key
+	// Attributes are what may be suspected, the request's content first.
+	Attributes   []quarantine.Attribute
 	Organisation string
 	Target       balance.Target
-	// TargetExited is set if the target's process is known to have exited. OnTrial is set if
-	// the request was sent although other targets had crashed while running it.
-	TargetExited, OnTrial bool
+	// TargetExited is set if the target's process is known to have exited. Trials are the attributes
+	// with which the request was sent although other targets had crashed.
+	TargetExited bool
+	Trials       []quarantine.Key
 }
 
-// key identifies the request by its content, so that repeats with other ids are recognised.
-func (x *inflight) key() quarantine.Key {
-	if x.contentKey == nil {
-		k := quarantine.KeyOf(x.Organisation, x.Method, x.URI, x.Body)
-		x.contentKey = &k
+// attributes returns what may be suspected if a target crashes: the request's content, by which repeats
+// with other ids are recognised, and the parts of its prompt that other requests share.
+func (x *inflight) attributes() []quarantine.Attribute {
+	if x.suspectable == nil {
+		x.suspectable = append(x.suspectable, quarantine.ContentOf(x.Organisation, x.Method, x.URI, x.Body))
+		for _, p := range sharedParts(x.Parts) {
+			x.suspectable = append(x.suspectable, quarantine.PartOf(x.Service, p.ID))
+		}
 	}
-	return *x.contentKey
+	return x.suspectable
 }
 
-// refuseQuarantined refuses the request and returns true if the request is quarantined.
+// localHashes returns the local hashes of the request's attributes.
+func (x *inflight) localHashes() []uint64 {
+	shared := sharedParts(x.Parts)
+	list := make([]uint64, 0, 1+len(shared))
+	list = append(list, quarantine.ContentHash(x.Organisation, x.Method, x.URI, x.Body))
+	for _, p := range shared {
+		list = append(list, quarantine.PartHash(x.Service, p.ID))
+	}
+	return list
+}
+
+// maxSharedParts bounds the parts of a prompt that are looked at; prompts have a few.
+const maxSharedParts = 16
+
+// sharedParts returns the parts of a prompt that other prompts may share: all but the last.
+func sharedParts(parts []prefix.Part) []prefix.Part {
+	return parts[:min(max(len(parts)-1, 0), maxSharedParts)]
+}
+
+// refuseQuarantined refuses the request and returns true if it or a part of its prompt is quarantined.
 // Without this, one request that a caller kept repeating crashed 38 to 44 engines in 10 s,
 // together with everything else they ran. It costs one pointer comparison while nothing is
 // suspected.
@@ -57,40 +86,76 @@
 	if v == nil {
 		return false
 	}
-	now, k := clock.Now(), x.key()
-	left := v.RejectedFor(now, k)
-	if left == 0 && x.maySendSuspect(ctx, v.Crashes(k)) {
-		return false
+	now := clock.Now()
+	var held []quarantine.Attribute
+	for _, a := range x.attributes() {
+		switch {
+		case v.RejectedFor(now, a.Key) > 0:
+			x.refuseSuspect(now, v, a, v.RejectedFor(now, a.Key))
+			return true
+		case slices.Contains(x.trials, a.Key):
+		case quarantine.HeldBack(v.Crashes(a.Key)):
+			held = append(held, a)
+		case a.Part == "" && !quarantine.MayRetry(v.Crashes(a.Key)):
+			x.trials = append(x.trials, a.Key)
+		}
 	}
-	if v.LastSeenStale(now, k) {
-		x.suspects.RecordSeen(k)
+	if len(held) == 0 || x.startTrial(ctx, now, v, held) {
+		return false
 	}
-	x.result.ContentDigest = k.String()
-	if left == 0 {
-		left = trialRetryAfter
+	x.refuseSuspect(now, v, held[0], trialRetryAfter)
+	return true
+}
+
+// refuseSuspect refuses the request because of a quarantined attribute.
+func (x *inflight) refuseSuspect(now time.Time, v *quarantine.View, a quarantine.Attribute, left time.Duration) {
+	if v.LastSeenStale(now, a.Key) {
+		x.suspects.RecordSeen(a.Key)
 	}
+	x.result.ContentDigest, x.result.HeldPart = a.Key.String(), a.Part
 	x.refuse(ReasonQuarantined, left)
+}
+
+const (
+	// trialRetryAfter is the Retry-After of a quarantined request that may be sent on trial, but
+	// not now or not by this router.
+	trialRetryAfter = 5 * time.Second
+	// commonTrialDelay is how much later a request with several quarantined attributes goes on
+	// trial: until then, requests with one of them may show which of them is the cause.
+	commonTrialDelay = 5 * time.Second
+)
+
+// startTrial reports whether the request may be sent although some of its attributes are held back:
+// one request with them at a time, by one router.
+func (x *inflight) startTrial(ctx context.Context, now time.Time, v *quarantine.View, held []quarantine.Attribute) bool {
+	keys := make([]quarantine.Key, 0, len(held))
+	for _, a := range held {
+		if len(held) > 1 && v.DueFor(now, a.Key) < commonTrialDelay {
+			return false
+		}
+		keys = append(keys, a.Key)
+	}
+	if !x.suspects.StartTrial(ctx, x.deadline, keys) {
+		return false
+	}
+	x.trials = append(x.trials, keys...)
 	return true
 }
 
-// trialRetryAfter is the Retry-After of a quarantined request that may be sent on trial, but
-// not now or not by this router.
-const trialRetryAfter = 5 * time.Second
+// beginTime is how long after its first event an answer counts as just begun.
+const beginTime = 500 * time.Millisecond
 
-// maySendSuspect reports whether the request may be sent although targets have crashed while
-// running it. From a certain number of crashes on it may be sent only on trial, by one router
-// at a time.
-func (x *inflight) maySendSuspect(ctx context.Context, crashes int) bool {
-	if !quarantine.HeldBack(crashes) || x.onTrial {
-		x.onTrial = !quarantine.MayRetry(crashes)
+// hasJustBegun reports whether the answer of the current target has not begun, or a moment ago.
+func (x *inflight) hasJustBegun() bool {
+	if !x.answerStarted {
 		return true
 	}
-	x.onTrial = x.suspects.StartTrial(ctx, x.key(), x.deadline)
-	return x.onTrial
+	return clock.Since(x.ticket.Arrived)-time.Duration(x.ticket.FirstEvent.Load()) < beginTime
 }
 
 // reportBreak reports a broken-off answer or a silent target to the suspects. It returns true if
-// so many targets have exited while running the request that the router must not retry it.
+// so many targets have exited while running the request that the router must not retry it. A part of
+// a prompt crashes a target as it begins the answer, so that parts are suspected only then.
 func (x *inflight) reportBreak(ctx context.Context, to balance.Target, f *failure) bool {
 	exited := false
 	switch f.reason {
@@ -103,13 +168,20 @@
 	default:
 		return false
 	}
-	crashes := x.suspects.RecordBreak(ctx, Break{Key: x.key(), Organisation: x.Organisation, Target: to, TargetExited: exited, OnTrial: x.onTrial})
-	return !quarantine.MayRetry(crashes)
+	b := Break{Attributes: x.attributes(), Organisation: x.Organisation, Target: to, TargetExited: exited, Trials: x.trials}
+	if !x.hasJustBegun() {
+		b.Attributes = b.Attributes[:1]
+	}
+	return !quarantine.MayRetry(x.suspects.RecordBreak(ctx, b))
 }
 
-// clearSuspicion clears the suspicion against a request that a target has run to its end.
+// clearSuspicion clears the suspicion against the attributes of a request that a target has run to its
+// end.
 func (x *inflight) clearSuspicion() {
-	if x.suspects.View().Crashes(x.key()) > 0 {
-		x.suspects.RecordSuccess(x.key())
+	v := x.suspects.View()
+	for _, a := range x.attributes() {
+		if v.Crashes(a.Key) > 0 {
+			x.suspects.RecordSuccess(a.Key, x.sentAt)
+		}
 	}
 }
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -52,7 +52,7 @@
 	defer cancel(nil)
 	silence := x.startSilenceTimer(cancel)
 	defer silence.Stop()
-	x.target = to
+	x.target, x.sentAt = to, clock.Now()
 	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	defer x.ticket.OnLost(nil)
@@ -70,6 +70,7 @@
 	answer.Close()
 	if f == nil {
 		x.endSend(balance.Answered)
+		x.suspects.RecordEnd(x.localHashes())
 		if x.suspects.View() != nil {
 			x.clearSuspicion()
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -262,15 +262,19 @@
 // countSuspect counts a change to the record of a suspected request. A request with a single
 // crash may only have run on the target by chance when another one crashed it: it is a bystander.
 func (m *Metrics) countSuspect(r quarantine.Record) {
+	prefix := ""
+	if r.Part != "" {
+		prefix = "part-"
+	}
 	switch n := r.Uncleared(); {
 	case n == 0:
-		m.suspects.Add("cleared", 1)
+		m.suspects.Add(prefix+"cleared", 1)
 	case quarantine.HeldBack(n):
-		m.suspects.Add("held", 1)
+		m.suspects.Add(prefix+"held", 1)
 	case n == 1:
-		m.suspects.Add("bystander", 1)
+		m.suspects.Add(prefix+"bystander", 1)
 	default:
-		m.suspects.Add("suspected", 1)
+		m.suspects.Add(prefix+"suspected", 1)
 	}
 }
 
@@ -308,7 +312,7 @@
 	}
 	log := o.log
 	if v.ContentDigest != "" {
-		log = log.WithValues("content", v.ContentDigest)
+		log = log.WithValues("content", v.ContentDigest, "part", v.HeldPart)
 	}
 	if r.LastEventID != "" {
 		log = log.WithValues("resumes", r.Resumes, "after", r.LastEventID)
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -12,7 +12,9 @@
 
 // Suspect describes a suspected request for operators. It leaves out the request's body.
 type Suspect struct {
-	Content      string `json:"content"`
+	Content string `json:"content"`
+	// Part is the id of the part of prompts that is suspected; empty if a whole content is.
+	Part         string `json:"part,omitempty"`
 	Organisation string `json:"organisation"`
 	// State is "suspected", "sent away", "held back" or "cleared".
 	State string `json:"state"`
@@ -31,7 +33,7 @@
 
 func newSuspect(now time.Time, v *quarantine.View, r quarantine.Record) Suspect {
 	out := Suspect{
-		Content: r.Key.String(), Organisation: r.Organisation, Targets: crashedTargets(r), Crashes: r.Uncleared(),
+		Content: r.Key.String(), Part: r.Part, Organisation: r.Organisation, Targets: crashedTargets(r), Crashes: r.Uncleared(),
 		SecondsSinceCrash: r.SinceCrash.Seconds(), SecondsSinceSeen: r.SinceSeen.Seconds(), RejectedForSeconds: v.RejectedFor(now, r.Key).Seconds(),
 	}
 	for _, c := range r.Crashes {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -60,7 +60,7 @@
 // RecordBreak implements forward.Suspects.
 func (g suspects) RecordBreak(ctx context.Context, b forward.Break) int {
 	crashes := 0
-	g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
+	answered := g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
 		if g.exitExpected(s, b.Target) {
 			return
 		}
@@ -68,23 +68,40 @@
 		if b.TargetExited {
 			g.quarantine.state.RecordExit(now, name)
 		}
-		crashes = g.quarantine.state.RecordBreak(now, b.Key, b.Organisation, name, b.OnTrial)
+		for i, a := range b.Attributes {
+			n := g.quarantine.state.RecordAttributeBreak(now, a, b.Organisation, name, slices.Contains(b.Trials, a.Key))
+			if i == 0 {
+				crashes = n
+			}
+		}
 		g.publishLocalChanges(now)
 	})
+	if !answered {
+		// The event may still be running, so its result must not be read.
+		return 0
+	}
 	return crashes
 }
 
 // StartTrial implements forward.Suspects. Of all running routers, only the one that ranks first
-// for the request may send it as a trial.
-func (g suspects) StartTrial(ctx context.Context, k quarantine.Key, until time.Time) bool {
+// for the first attribute may send the request as a trial.
+func (g suspects) StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool {
 	allowed := false
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
-		allowed = g.ranksFirst(now, k) && g.quarantine.state.StartTrial(now, k, until)
-		if allowed {
+	answered := g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
+		allowed = g.ranksFirst(now, keys[0]) && g.quarantine.state.StartTrial(now, until, keys...)
+		if !allowed {
+			return
+		}
+		for _, k := range keys {
 			g.Log.Info("request on trial", "content", k.String())
 		}
 	})
-	return allowed
+	return answered && allowed
+}
+
+// RecordEnd implements forward.Suspects.
+func (g suspects) RecordEnd(attributes []uint64) {
+	g.loop.Post(func(_ *balance.State, now time.Time) { g.quarantine.state.RecordEnd(now, attributes) })
 }
 
 // EndTrial implements forward.Suspects.
@@ -103,9 +120,9 @@
 }
 
 // RecordSuccess implements forward.Suspects.
-func (g suspects) RecordSuccess(k quarantine.Key) {
+func (g suspects) RecordSuccess(k quarantine.Key, sent time.Time) {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
-		g.quarantine.state.Clear(k)
+		g.quarantine.state.ClearBefore(k, sent)
 		g.publishLocalChanges(now)
 	})
 }
@@ -219,14 +236,18 @@
 		if len(r.Crashes) == 1 {
 			continue
 		}
-		what := "request suspected"
+		subject, log := "request", g.Log
+		if r.Part != "" {
+			subject, log = "part", log.WithValues("part", r.Part)
+		}
+		what := " suspected"
 		switch {
 		case quarantine.HeldBack(uncleared):
-			what = "request held back"
+			what = " held back"
 		case uncleared == 0:
-			what = "request cleared"
+			what = " cleared"
 		}
-		g.Log.Info(what, "content", r.Key.String(), "organisation", r.Organisation, "crashes", uncleared,
+		log.Info(subject+what, "content", r.Key.String(), "organisation", r.Organisation, "crashes", uncleared,
 			"targets", crashedTargets(r), "from", from)
 	}
 }
--- a/internal/quarantine/accuse.go
+++ b/internal/quarantine/accuse.go
@@ -50,7 +50,7 @@
 // rejectedUntil returns the time until which the request is rejected, the zero time if it is
 // not.
 func (s *State) rejectedUntil(e *entry) time.Time {
-	if !s.implicated(e) {
+	if !s.implicated(e) || e.part != "" && s.countedCrashes(e) < minCrashesToHold {
 		return time.Time{}
 	}
 	if n := e.failedTrials(); n < len(trialDelays) {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 const (
 	// minPullInterval is the minimum time between pulls of all records that another router
@@ -19,7 +23,7 @@
 	// of sendBurstBytes, which is enough to report the requests that run at two engines to
 	// the collectors. Excess records are not sent: losing a request that only ran beside the
 	// cause does no harm, and a request that crashes targets comes again.
-	sendBytesPerSecond = 1000
+	sendBytesPerSecond = 2000
 	sendBurstBytes     = 8 << 10
 	// receiveBytesPerSecond and receiveBurstBytes bound what a collector accepts. At some 10
 	// microseconds a record, that is 0.1% of a core.
@@ -116,8 +120,11 @@
 	return append(known, x.receiveLimit.admit(now, first, 1)...)
 }
 
-// split separates the records for all routers from those for the collectors only.
+// split separates the records for all routers from those for the collectors only. Parts of prompts
+// come first in each, since there are fewer of them, and requests with them are new each time.
 func (x *Exchange) split(updates []Record) (shared, first []Record) {
+	updates = slices.Clone(updates)
+	slices.SortStableFunc(updates, func(a, b Record) int { return strings.Compare(b.Part, a.Part) })
 	for _, r := range updates {
 		if x.state.Shared(r.Key) {
 			shared = append(shared, r)
@@ -205,7 +212,7 @@
 
 // size returns about how many bytes a record takes in a message.
 func (r Record) size() int {
-	n := recordOverheadBytes + len(r.Organisation)
+	n := recordOverheadBytes + len(r.Organisation) + len(r.Part)
 	for _, c := range r.Crashes {
 		n += len(c.Target)
 	}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -1,12 +1,16 @@
 // Package quarantine detects requests that crash the engines that run them. Callers retry such
 // a request again and again, at any router and with a new id each time, and each attempt
-// crashes one more engine along with all other requests that run there.
+// crashes one more engine along with all other requests that run there. What crashes engines may
+// be a request's whole content, or a part of prompts whatever else a request holds: both are
+// attributes of requests that are suspected and held back in the same way.
 package quarantine
 
 import (
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
+	"io"
 
 	"github.com/pkg/errors"
 )
@@ -23,17 +27,22 @@
 // KeyOf returns the key of a request.
 func KeyOf(organisation, method, target string, body []byte) Key {
 	h := sha256.New()
-	var size [binary.MaxVarintLen64]byte
-	for _, part := range []string{organisation, method, target} {
-		// The length prefix keeps the end of one part from being taken for the start of the next.
-		h.Write(size[:binary.PutUvarint(size[:], uint64(len(part)))])
-		h.Write([]byte(part))
-	}
+	writeSized(h, organisation, method, target)
 	h.Write(body)
 	var sum [sha256.Size]byte
 	return Key(h.Sum(sum[:0])[:KeySize])
 }
 
+// writeSized writes texts to a hash. Their lengths keep the end of one from being taken for the start
+// of the next.
+func writeSized(h hash.Hash, texts ...string) {
+	var size [binary.MaxVarintLen64]byte
+	for _, text := range texts {
+		_, _ = h.Write(size[:binary.PutUvarint(size[:], uint64(len(text)))])
+		_, _ = io.WriteString(h, text)
+	}
+}
+
 // ErrNoKey means that a text is not a key in hexadecimal digits.
 var ErrNoKey = errors.New("no content of a request")
 
--- /dev/null
+++ b/internal/quarantine/part_test.go
@@ -0,0 +1,142 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/quarantine"
+)
+
+// part returns the attribute of requests with a part.
+func part(id string) quarantine.Attribute { return quarantine.PartOf("s", id) }
+
+// crashParts reports that a target crashed while it began answers to requests with some parts.
+func crashParts(s *quarantine.State, now time.Time, target string, ids ...string) {
+	for _, id := range ids {
+		s.RecordAttributeBreak(now, part(id), "o", target, false)
+	}
+	s.RecordExit(now, target)
+}
+
+// endWell reports that a request with some parts ended well.
+func endWell(s *quarantine.State, now time.Time, ids ...string) {
+	for _, id := range ids {
+		s.RecordEnd(now, []uint64{part(id).Local})
+	}
+}
+
+func TestPart(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for name, c := range map[string]struct {
+		do func(s *quarantine.State)
+		// crashes is the number that counts at second 20, and rejected whether the part is rejected
+		// just after the last crash, at second 10.
+		crashes  int
+		rejected bool
+	}{
+		"no crash": {do: func(*quarantine.State) {}},
+		"two crashes": {crashes: 2, do: func(s *quarantine.State) {
+			crashParts(s, at(8), "a", "p")
+			crashParts(s, at(10), "b", "p")
+		}},
+		"three crashes": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			crashParts(s, at(6), "a", "p")
+			crashParts(s, at(8), "b", "p")
+			crashParts(s, at(10), "c", "p")
+		}},
+		"three crashes at once": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			for _, target := range []string{"a", "b", "c"} {
+				crashParts(s, at(10), target, "p")
+			}
+		}},
+		"it ends well beside the crashes": {do: func(s *quarantine.State) {
+			for i := range 5 {
+				now := at(float64(2 * (i + 1)))
+				endWell(s, now.Add(-500*time.Millisecond), "p")
+				crashParts(s, now, fmt.Sprint(i), "p")
+			}
+		}},
+		"it ended well long before": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			endWell(s, at(1), "p")
+			for i := range 3 {
+				crashParts(s, at(float64(2*i+6)), fmt.Sprint(i), "p")
+			}
+		}},
+		"one sent after two crashes ends well": {crashes: 1, do: func(s *quarantine.State) {
+			crashParts(s, at(5), "a", "p")
+			crashParts(s, at(6), "b", "p")
+			s.ClearBefore(part("p").Key, at(7))
+			crashParts(s, at(10), "c", "p")
+		}},
+		"one sent before the crashes ends well": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			crashParts(s, at(5), "a", "p")
+			crashParts(s, at(6), "b", "p")
+			s.ClearBefore(part("p").Key, at(4))
+			crashParts(s, at(10), "c", "p")
+		}},
+		"of another service": {do: func(s *quarantine.State) {
+			for _, target := range []string{"a", "b", "c"} {
+				s.RecordAttributeBreak(at(10), quarantine.PartOf("other", "p"), "o", target, false)
+				s.RecordExit(at(10), target)
+			}
+		}},
+		"of many organisations": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			for i, target := range []string{"a", "b", "c"} {
+				s.RecordAttributeBreak(at(10), part("p"), fmt.Sprint("o", i), target, false)
+				s.RecordExit(at(10), target)
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := quarantine.New()
+			c.do(s)
+			v, k := s.View(), part("p").Key
+			if got := v.RejectedFor(at(10), k) > 0; got != c.rejected {
+				t.Errorf("rejected %v, want %v", got, c.rejected)
+			}
+			if got := v.Crashes(k); got != c.crashes {
+				t.Errorf("%d crashes, want %d", got, c.crashes)
+			}
+		})
+	}
+}
+
+// TestPartKnownByAll shows that routers which each saw one crash hold the part back together, and
+// another that starts afterwards does.
+func TestPartKnownByAll(t *testing.T) {
+	fleet := make([]*quarantine.State, 4)
+	for i := range fleet {
+		fleet[i] = quarantine.New()
+	}
+	for i, s := range fleet[:3] {
+		crashParts(s, start, fmt.Sprint("target-", i), "p")
+	}
+	for _, s := range fleet[:3] {
+		fleet[0].Merge(start, s.All(start))
+	}
+	if !fleet[0].Shared(part("p").Key) {
+		t.Error("the part is not told to all routers")
+	}
+	fleet[3].Merge(start, fleet[0].AllShared(start))
+	for _, i := range []int{0, 3} {
+		list := fleet[i].All(start)
+		if len(list) != 1 || list[0].Part != "p" || !quarantine.HeldBack(fleet[i].View().Crashes(part("p").Key)) {
+			t.Errorf("router %d knows %+v, want the part to be held back", i, list)
+		}
+	}
+}
+
+func TestPartKey(t *testing.T) {
+	k := quarantine.PartOf("s", "p").Key
+	for name, other := range map[string]quarantine.Key{
+		"service":  quarantine.PartOf("t", "p").Key,
+		"id":       quarantine.PartOf("s", "q").Key,
+		"boundary": quarantine.PartOf("sp", "").Key,
+		"content":  quarantine.KeyOf("part", "s", "", []byte("p")),
+	} {
+		if other == k {
+			t.Errorf("another %s gives the same key", name)
+		}
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -48,7 +48,9 @@
 
 // brokenRequest is a request whose answer broke off.
 type brokenRequest struct {
-	key          Key
+	key Key
+	// part is the part of the prompt that the key identifies; empty if it is the content.
+	part         string
 	organisation string
 	crash        Crash
 	at           time.Time
@@ -57,13 +59,16 @@
 // State holds one router's records of requests under which targets crashed. A request is
 // suspected from its first crash on, rejected for a while from the second on, and held back, so
 // that it is sent on trial only, from the third on. It is cleared when it completes at any
-// engine, and expires with time. A State is a plain state machine: it gets the time as an
+// engine, and expires with time. A part of prompts is not rejected from the second crash on, as it may
+// be one that most requests share. It is cleared when a request with it completes that was sent after
+// the crashes. A State is a plain state machine: it gets the time as an
 // argument, and one goroutine drives it. Use New to create one.
 type State struct {
 	entries   map[Key]*entry
 	entriesOf map[string]int
 	broken    []brokenRequest
 	exits     exits
+	credits   credits
 	digest    uint64
 	// now is the latest time that was passed in.
 	now time.Time
@@ -89,14 +94,17 @@
 // target is known to have exited, which may be before this call or later. trial is set if other
 // targets were known to have crashed under the request when it was sent.
 func (s *State) RecordBreak(now time.Time, k Key, organisation, target string, trial bool) int {
+	return s.recordBreak(now, brokenRequest{key: k, organisation: organisation, crash: Crash{Target: target, Trial: trial}, at: now})
+}
+
+func (s *State) recordBreak(now time.Time, b brokenRequest) int {
 	s.expireBroken(now)
-	b := brokenRequest{key: k, organisation: organisation, crash: Crash{Target: target, Trial: trial}, at: now}
-	if s.exits.recent(now, target) {
+	if s.exits.recent(now, b.crash.Target) {
 		s.addCrash(now, b)
 	} else if len(s.broken) < maxBroken {
 		s.broken = append(s.broken, b)
 	}
-	return s.crashesOf(k)
+	return s.crashesOf(b.key)
 }
 
 // RecordExit records that a target's process has exited without notice: it crashed under one
@@ -150,16 +158,17 @@
 
 // addCrash records that a target crashed under a request whose answer broke off there.
 func (s *State) addCrash(now time.Time, b brokenRequest) {
-	e := s.ensureEntry(now, b.key, b.organisation)
+	e := s.ensureEntry(now, b.key, b.part, b.organisation)
 	if _, known := e.crashes[b.crash.Target]; known || len(e.crashes) >= MaxCrashes {
 		return
 	}
+	e.learnt[b.crash.Target] = now
 	s.updateCrash(b.key, e, b.crash)
 	e.lastCrash, e.lastSeen = now, now
 }
 
 // ensureEntry returns the entry of a request, creating it if there is none.
-func (s *State) ensureEntry(now time.Time, k Key, organisation string) *entry {
+func (s *State) ensureEntry(now time.Time, k Key, part, organisation string) *entry {
 	e := s.entries[k]
 	if e != nil {
 		return e
@@ -169,7 +178,7 @@
 	} else if len(s.entries) >= maxEntries {
 		s.remove(s.leastSuspected(func(*entry) bool { return true }))
 	}
-	e = &entry{organisation: organisation, crashes: map[string]Crash{}, lastCrash: now, lastSeen: now}
+	e = &entry{part: part, organisation: organisation, crashes: map[string]Crash{}, learnt: map[string]time.Time{}, lastCrash: now, lastSeen: now}
 	s.entries[k] = e
 	s.entriesOf[organisation]++
 	return e
@@ -234,15 +243,19 @@
 	}
 }
 
-// StartTrial reports whether a held-back request may be sent on trial, and records that it is:
-// the delay is over, and no other trial is under way. For each request, only one router of the
-// fleet calls it, so that one trial is under way at a time.
-func (s *State) StartTrial(now time.Time, k Key, until time.Time) bool {
-	e := s.entries[k]
-	if e == nil || now.Before(s.rejectedUntil(e)) || now.Before(e.trialUntil) {
-		return false
+// StartTrial reports whether a request with held-back attributes may be sent on trial, and records
+// that it is: the delay of each is over, and no other trial is under way. For each request, only one
+// router of the fleet calls it, so that one trial is under way at a time.
+func (s *State) StartTrial(now, until time.Time, keys ...Key) bool {
+	for _, k := range keys {
+		e := s.entries[k]
+		if e == nil || now.Before(s.rejectedUntil(e)) || now.Before(e.trialUntil) {
+			return false
+		}
+	}
+	for _, k := range keys {
+		s.entries[k].trialUntil = until
 	}
-	e.trialUntil = until
 	return true
 }
 
@@ -257,7 +270,7 @@
 // further trial, until it is cleared or has not arrived for a while. operator names who requested
 // that. It returns false if the request has been held too often.
 func (s *State) Hold(now time.Time, k Key, organisation, operator string) bool {
-	e := s.ensureEntry(now, k, organisation)
+	e := s.ensureEntry(now, k, "", organisation)
 	if len(e.crashes)+minCrashesToHold > MaxCrashes {
 		return false
 	}
@@ -294,7 +307,7 @@
 		if c.Target == "" {
 			continue
 		}
-		e := s.ensureEntry(now, r.Key, r.Organisation)
+		e := s.ensureEntry(now, r.Key, r.Part, r.Organisation)
 		if len(e.crashes) == 0 {
 			e.lastCrash, e.lastSeen = now.Add(-r.SinceCrash), now.Add(-r.SinceSeen)
 		}
@@ -302,6 +315,7 @@
 		if old.Cleared || known && !c.Cleared || !known && len(e.crashes) >= MaxCrashes {
 			continue
 		}
+		e.learnt[c.Target] = now
 		s.updateCrash(r.Key, e, c)
 		if !c.Cleared && r.SinceCrash < brokenTTL {
 			s.RecordExit(now.Add(-r.SinceCrash), c.Target)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -91,11 +91,11 @@
 		crash(s, now, target, false, "q")
 	}
 	for i, pause := range []time.Duration{3 * time.Second, 30 * time.Second, 5 * time.Minute} {
-		if s.StartTrial(now.Add(pause-time.Millisecond), key("q"), now.Add(time.Hour)) {
+		if s.StartTrial(now.Add(pause-time.Millisecond), now.Add(time.Hour), key("q")) {
 			t.Fatalf("trial %d allowed before its delay is over", i)
 		}
 		now = now.Add(pause)
-		if !s.StartTrial(now, key("q"), now.Add(time.Second)) || s.StartTrial(now, key("q"), now.Add(time.Second)) {
+		if !s.StartTrial(now, now.Add(time.Second), key("q")) || s.StartTrial(now, now.Add(time.Second), key("q")) {
 			t.Fatalf("trial %d: not exactly one was allowed", i)
 		}
 		crash(s, now, fmt.Sprint("t", i), true, "q")
@@ -106,7 +106,7 @@
 		now = now.Add(time.Minute)
 		s.RecordSeen(now, key("q"))
 		s.Expire(now)
-		if s.StartTrial(now, key("q"), now) {
+		if s.StartTrial(now, now, key("q")) {
 			t.Fatal("a fourth trial was allowed")
 		}
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -20,7 +20,9 @@
 // into the union of their crashes, where a crash is cleared if either record has it cleared.
 // Records may therefore arrive twice, late, or in any order.
 type Record struct {
-	Key          Key
+	Key Key
+	// Part is the id of the part of prompts that the key identifies; empty if it is a content.
+	Part         string
 	Organisation string
 	Crashes      []Crash
 	// SinceCrash is the time since the last crash that was not cleared, SinceSeen the time
@@ -41,9 +43,11 @@
 
 // entry is what is known of a suspected request.
 type entry struct {
-	organisation string
-	// crashes holds the known crashes, by target.
+	// part is the id of a part of prompts, empty for a content.
+	part, organisation string
+	// crashes holds the known crashes, and learnt when they became known here, by target.
 	crashes             map[string]Crash
+	learnt              map[string]time.Time
 	lastCrash, lastSeen time.Time
 	// trialUntil is the latest time until which a trial that this router started may run.
 	trialUntil time.Time
@@ -95,7 +99,7 @@
 
 func (e *entry) record(now time.Time, k Key) Record {
 	r := Record{
-		Key: k, Organisation: e.organisation,
+		Key: k, Part: e.part, Organisation: e.organisation,
 		SinceCrash: max(now.Sub(e.lastCrash), 0), SinceSeen: max(now.Sub(e.lastSeen), 0),
 	}
 	for _, target := range slices.Sorted(maps.Keys(e.crashes)) {
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -43,6 +43,9 @@
 	return max(v.marks[k].rejectedUntil.Sub(now), 0)
 }
 
+// DueFor returns for how long a held-back attribute could have been on trial.
+func (v *View) DueFor(now time.Time, k Key) time.Duration { return now.Sub(v.marks[k].rejectedUntil) }
+
 // Crashes returns the number of crashes that count against a request.
 func (v *View) Crashes(k Key) int {
 	if v == nil {
