Bound the heads of answers

Interim answers and answers to other requests without end held a request until its deadline.

Cause: http.ReadResponse reads a head as long as it comes. A connection to a target now fails after 64 KB without the head of the answer; that counts as a broken answer, with a counter. Heads from the store and in the other clients have the same bound.

--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -22,6 +22,9 @@
 )
 
 // Headers and paths of the engine protocol; docs/ENGINE.md describes it.
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 64 << 10
+
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderPriority  = "X-Priority"
@@ -76,6 +79,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      streamBufferSize,
 		WriteBufferSize:     streamBufferSize,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{http: &http.Client{Transport: transport, CheckRedirect: dontFollowRedirects}}
 }
--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/platform/platform.go
@@ -26,6 +26,8 @@
 	callTimeout = 3 * time.Second
 	// maxBody bounds the body of a response, in bytes.
 	maxBody = 64 << 20
+	// maxHeadBytes bounds its head.
+	maxHeadBytes = 64 << 10
 )
 
 // Client calls the object API. Create one with New. It is safe for concurrent use.
@@ -37,7 +39,7 @@
 
 // New returns a client of the object API at address, given as host:port.
 func New(address string) *Client {
-	return &Client{base: "http://" + address, http: &http.Client{Transport: &http.Transport{}}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Calls returns the number of calls made since the start.
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -2,19 +2,29 @@
 
 import (
 	"bufio"
+	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
+// ErrHeadTooLong means that a target sent more than maxHeadBytes without the head of an answer. It
+// wraps ErrBroken.
+var ErrHeadTooLong = errors.WithMessage(ErrBroken, "head of the answer is too long")
+
 // conn is a connection to a target. It carries one exchange at a time.
 type conn struct {
 	net.Conn
 	endpoint
 	reader *bufio.Reader
+	// head limits what the reader takes from the connection while it reads a head.
+	head *headLimit
 	// idleTimeout is how long the target keeps an unused connection open according to its
 	// Keep-Alive header; 0 if it sent none.
 	idleTimeout time.Duration
@@ -22,7 +32,29 @@
 }
 
 func newConn(c net.Conn, e endpoint) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), endpoint: e}
+	head := &headLimit{source: c, left: unlimited}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferSize), head: head, endpoint: e}
+}
+
+// headLimit is a reader that fails once it has read a number of bytes.
+type headLimit struct {
+	source io.Reader
+	left   int
+}
+
+// unlimited is the number of bytes left that is not counted.
+const unlimited = math.MaxInt
+
+func (l *headLimit) Read(b []byte) (int, error) {
+	if l.left == unlimited {
+		return l.source.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.source.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // quiet reports whether an unused connection is still open and has no unread bytes, which
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -53,6 +53,9 @@
 	// maxKeepAlivePercent is the percentage of the target's Keep-Alive timeout after which a
 	// connection is no longer reused, because the target may be about to close it.
 	maxKeepAlivePercent = 70
+	// maxHeadBytes bounds the head of an answer in bytes, with interim answers before it and the body of
+	// an answer to an earlier request. It is the same as for callers' heads.
+	maxHeadBytes = 64 << 10
 	// maxStrayAnswers is the number of answers to earlier requests that are skipped before a
 	// connection is closed.
 	maxStrayAnswers = 2
@@ -84,6 +87,8 @@
 	// UnexpectedBytes counts unused connections that were found to have unread bytes, or to
 	// have been closed by the target.
 	UnexpectedBytes int64 `json:"unexpected_bytes"`
+	// OversizedHeads counts answers that were given up because their head had no end.
+	OversizedHeads int64 `json:"oversized_heads"`
 }
 
 // Transport holds the connections to targets. Use New to make one. It is safe for concurrent
@@ -97,7 +102,7 @@
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
 
-	dialled, dialFailed, reused, strayAnswers, unexpectedBytes atomic.Int64
+	dialled, dialFailed, reused, strayAnswers, unexpectedBytes, oversizedHeads atomic.Int64
 }
 
 // New returns a transport that runs its goroutines in g.
@@ -117,7 +122,7 @@
 func (t *Transport) Stats() Stats {
 	return Stats{
 		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
-		StrayAnswers: t.strayAnswers.Load(), UnexpectedBytes: t.unexpectedBytes.Load(),
+		StrayAnswers: t.strayAnswers.Load(), UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(),
 	}
 }
 
@@ -137,6 +142,9 @@
 	}
 	if err := a.readHead(r); err != nil {
 		a.Close()
+		if errors.Is(err, ErrHeadTooLong) {
+			t.oversizedHeads.Add(1)
+		}
 		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", address, err)
 	}
 	return a, nil
@@ -310,6 +318,8 @@
 // readHead reads the head of the answer to r. It skips interim (1xx) answers and answers to
 // earlier requests on the connection.
 func (a *Answer) readHead(r Request) error {
+	a.conn.head.left = maxHeadBytes
+	defer func() { a.conn.head.left = unlimited }()
 	for range maxStrayAnswers + 1 {
 		res, err := readResponse(a.conn.reader, r.Method)
 		if err != nil {
