--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -22,9 +22,6 @@
 )
 
 // Headers and paths of the engine protocol; docs/ENGINE.md describes it.
-// maxHeadBytes bounds the head of an answer.
-const maxHeadBytes = 64 << 10
-
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderPriority  = "X-Priority"
@@ -63,6 +60,9 @@
 	eventEnd   = []byte("\n\n")
 )
 
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 64 << 10
+
 // Client sends requests to targets. Create one with New. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
