Return results of control events by value

TestLoad once showed a data race: who asks the control loop reads a variable that the event writes, also when the loop is told to end while the event runs. An event's result now goes through a channel of its own.

--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -39,16 +39,17 @@
 	}
 }
 
-// call queues an event and waits until it has run or the loop has ended.
-func (l *loop) call(e event) {
-	ran := make(chan struct{})
-	l.post(func(s *control.State, now time.Time) {
-		e(s, now)
-		close(ran)
-	})
+// call queues an event and waits for its result. It returns the zero value if the loop is told to end
+// before; the event may then still be running.
+func call[T any](l *loop, f func(s *control.State, now time.Time) T) T {
+	result := make(chan T, 1)
+	l.post(func(s *control.State, now time.Time) { result <- f(s, now) })
 	select {
-	case <-ran:
+	case v := <-result:
+		return v
 	case <-l.done:
+		var none T
+		return none
 	}
 }
 
@@ -103,16 +104,18 @@
 }
 
 func (c controlLoop) Members() []member.Member {
-	var list []member.Member
-	c.router.loop.call(func(s *control.State, now time.Time) { list = s.LiveRouters(now) })
-	return list
+	return call(c.router.loop, func(s *control.State, now time.Time) []member.Member { return s.LiveRouters(now) })
 }
 
 func (c controlLoop) Lookup(router string) (member.Member, bool) {
-	var (
-		m  member.Member
-		ok bool
-	)
-	c.router.loop.call(func(s *control.State, now time.Time) { m, ok = s.Lookup(message.RouterID(router), now) })
-	return m, ok
+	found := call(c.router.loop, func(s *control.State, now time.Time) *member.Member {
+		if m, ok := s.Lookup(message.RouterID(router), now); ok {
+			return &m
+		}
+		return nil
+	})
+	if found == nil {
+		return member.Member{}, false
+	}
+	return *found, true
 }
--- a/internal/router/poll.go
+++ b/internal/router/poll.go
@@ -39,8 +39,8 @@
 // dueEngines returns the owned engines whose poll is due and sets their time in lastPolled, which
 // holds the time of the last poll by name. It deletes engines that are no longer owned from it.
 func (r *Router) dueEngines(lastPolled map[string]time.Time) []config.Box {
-	var owned, due []config.Box
-	r.loop.call(func(s *control.State, _ time.Time) { owned = s.OwnedEngines() })
+	var due []config.Box
+	owned := call(r.loop, func(s *control.State, _ time.Time) []config.Box { return s.OwnedEngines() })
 	now := clock.Now()
 	isOwned := map[string]bool{}
 	for _, box := range owned {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -235,9 +235,7 @@
 
 // Status returns a summary of the control state.
 func (r *Router) Status() control.Status {
-	var status control.Status
-	r.loop.call(func(s *control.State, now time.Time) { status = s.Status(now) })
-	return status
+	return call(r.loop, func(s *control.State, now time.Time) control.Status { return s.Status(now) })
 }
 
 // publishMetrics registers the metrics that are computed when they are read.
@@ -279,9 +277,7 @@
 
 // idle reports whether no request waits, runs or is being answered.
 func (r *Router) idle() bool {
-	idle := false
-	r.loop.call(func(s *control.State, _ time.Time) { idle = s.Idle() })
-	return idle && r.handler.OpenRequests() == 0
+	return call(r.loop, func(s *control.State, _ time.Time) bool { return s.Idle() }) && r.handler.OpenRequests() == 0
 }
 
 // Stop stops the router at once.
