Gateway: return results of control events by value

The same fault as in the other router's loop, by reading only: operators' calls, the choice of addresses and reports of broken answers read a variable that an event may still write after their context ended.

--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -210,6 +210,20 @@
 // Post queues an event, to be applied soon and in order.
 func (l *Loop) Post(e Event) { l.events <- e }
 
+// Call queues an event and waits for its result, or returns false if ctx ended before; the event may
+// then still be running.
+func Call[T any](ctx context.Context, l *Loop, f func(s *State, now time.Time) T) (T, bool) {
+	result := make(chan T, 1)
+	l.Post(func(s *State, now time.Time) { result <- f(s, now) })
+	select {
+	case v := <-result:
+		return v, true
+	case <-ctx.Done():
+		var none T
+		return none, false
+	}
+}
+
 // PostAndWait queues an event and waits until it has been applied; it returns false if ctx
 // ended before that.
 func (l *Loop) PostAndWait(ctx context.Context, e Event) bool {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -241,8 +241,8 @@
 // large ones, and one router of another zone if this one has a single router. If the zone has
 // none, it returns routers of other zones.
 func (g *Gateway) Addresses(ctx context.Context, zone string) []string {
-	var sameZone, otherZones []message.RouterRecord
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
+	zones, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) [2][]message.RouterRecord {
+		var sameZone, otherZones []message.RouterRecord
 		g.updateSelf()
 		for _, r := range g.roster.Live(now) {
 			if !r.Ready || r.State != message.Alive {
@@ -254,9 +254,9 @@
 			}
 			otherZones = append(otherZones, r)
 		}
-		sameZone = largeRouters(sameZone)
-		otherZones = largeRouters(g.nearestZones(zone, otherZones))
+		return [2][]message.RouterRecord{largeRouters(sameZone), largeRouters(g.nearestZones(zone, otherZones))}
 	})
+	sameZone, otherZones := zones[0], zones[1]
 	if len(sameZone) == 0 {
 		sameZone, otherZones = otherZones, nil
 	}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -56,12 +56,13 @@
 
 // Suspects returns the suspected requests that this router knows.
 func (g *Gateway) Suspects(ctx context.Context) []Suspect {
-	list := []Suspect{}
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
+	list, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) []Suspect {
+		list := []Suspect{}
 		v := g.quarantine.state.View()
 		for _, r := range g.quarantine.state.All(now) {
 			list = append(list, newSuspect(now, v, r))
 		}
+		return list
 	})
 	return list
 }
@@ -69,12 +70,12 @@
 // Release clears a request at all routers, so that only new crashes count against it. It returns
 // false if this router does not know the request.
 func (g *Gateway) Release(ctx context.Context, k quarantine.Key) bool {
-	known := false
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
+	known, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool {
 		g.quarantine.state.Clear(k)
-		known = g.quarantine.state.Known(k)
+		known := g.quarantine.state.Known(k)
 		g.Log.Info("request released by an operator", "content", k.String(), "known", known)
 		g.publishLocalChanges(now)
+		return known
 	})
 	return known
 }
@@ -82,11 +83,11 @@
 // Hold holds back a request of an organisation at all routers until it is released or has not
 // come for an hour. It returns false if the request was held and released too often.
 func (g *Gateway) Hold(ctx context.Context, k quarantine.Key, organisation string) bool {
-	held := false
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
-		held = g.quarantine.state.Hold(now, k, organisation, "operator")
+	held, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool {
+		held := g.quarantine.state.Hold(now, k, organisation, "operator")
 		g.Log.Info("request held back by an operator", "content", k.String(), "organisation", organisation, "held", held)
 		g.publishLocalChanges(now)
+		return held
 	})
 	return held
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -59,44 +59,42 @@
 
 // RecordBreak implements forward.Suspects.
 func (g suspects) RecordBreak(ctx context.Context, b forward.Break) int {
+	crashes, _ := balance.Call(ctx, g.loop, func(s *balance.State, now time.Time) int { return g.recordBreak(s, now, b) })
+	return crashes
+}
+
+func (g *Gateway) recordBreak(s *balance.State, now time.Time, b forward.Break) int {
+	if g.exitExpected(s, b.Target) {
+		return 0
+	}
+	name := b.Target.Incarnation()
+	if b.TargetExited {
+		g.quarantine.state.RecordExit(now, name)
+	}
 	crashes := 0
-	answered := g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
-		if g.exitExpected(s, b.Target) {
-			return
+	for i, a := range b.Attributes {
+		n := g.quarantine.state.RecordAttributeBreak(now, a, b.Organisation, name, slices.Contains(b.Trials, a.Key))
+		if i == 0 {
+			crashes = n
 		}
-		name := b.Target.Incarnation()
-		if b.TargetExited {
-			g.quarantine.state.RecordExit(now, name)
-		}
-		for i, a := range b.Attributes {
-			n := g.quarantine.state.RecordAttributeBreak(now, a, b.Organisation, name, slices.Contains(b.Trials, a.Key))
-			if i == 0 {
-				crashes = n
-			}
-		}
-		g.publishLocalChanges(now)
-	})
-	if !answered {
-		// The event may still be running, so its result must not be read.
-		return 0
 	}
+	g.publishLocalChanges(now)
 	return crashes
 }
 
 // StartTrial implements forward.Suspects. Of all running routers, only the one that ranks first
 // for the first attribute may send the request as a trial.
 func (g suspects) StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool {
-	allowed := false
-	answered := g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
-		allowed = g.ranksFirst(now, keys[0]) && g.quarantine.state.StartTrial(now, until, keys...)
-		if !allowed {
-			return
+	allowed, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool {
+		if !g.ranksFirst(now, keys[0]) || !g.quarantine.state.StartTrial(now, until, keys...) {
+			return false
 		}
 		for _, k := range keys {
 			g.Log.Info("request on trial", "content", k.String())
 		}
+		return true
 	})
-	return answered && allowed
+	return allowed
 }
 
 // RecordEnd implements forward.Suspects.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -70,10 +70,7 @@
 
 // StoreRevision returns the store's revision of this router's list of targets.
 func (g *Gateway) StoreRevision(ctx context.Context) int64 {
-	known := int64(0)
-	if !g.loop.PostAndWait(ctx, func(*balance.State, time.Time) { known = g.catalog.TargetsRevision() }) {
-		return 0
-	}
+	known, _ := balance.Call(ctx, g.loop, func(*balance.State, time.Time) int64 { return g.catalog.TargetsRevision() })
 	return known
 }
 
@@ -91,9 +88,8 @@
 // of the running routers, or of those that reach the store. A router that knows no other running
 // one ranks first.
 func (g *Gateway) ShouldWatchStore(ctx context.Context) bool {
-	watches := true
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) { watches = g.shouldWatchStore(now) })
-	return watches
+	watches, answered := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool { return g.shouldWatchStore(now) })
+	return watches || !answered
 }
 
 // shouldWatchStore is ShouldWatchStore for the control goroutine.
@@ -155,11 +151,12 @@
 // OthersReachStore reports whether, as far as known, another running router reaches the store, so
 // that the fleet does not depend on this one.
 func (g *Gateway) OthersReachStore(ctx context.Context) bool {
-	found := false
-	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
+	found, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool {
+		found := false
 		for r := range g.runningRouters(now) {
 			found = found || r.ID != g.self.ID && !r.StoreFailing
 		}
+		return found
 	})
 	return found
 }
