Do not hold back popular parts of prompts after an outage

When all engines of a zone end at once, a popular part had just begun at most of them: in a simulation of 91 and 295 routers (TestZoneCrash, now with prompts of three shared parts) 2,029 and more holds of parts were seen over all routers, and twice the bytes that are allowed were sent; the run stops there.

Evidence counts over the fleet now. A router where a request with a part ended well within the last one or two seconds clears the part as soon as it is told of it. Of targets that ended together, a part is implicated only if it ran at half of them or more, and only once it is known how many ended. It is held back 0.5 s after the second crash at the earliest, so that all routers have been asked by then; the crash's own time counts, so that a router that starts anew does not wait again.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -39,7 +39,7 @@
 // noSuspects implements forward.Suspects and suspects no request.
 type noSuspects struct{ forward.Suspects }
 
-func (noSuspects) RecordEnd([]uint64) {}
+func (noSuspects) RecordEnd([]quarantine.Credit) {}
 
 func (noSuspects) View() *quarantine.View                         { return nil }
 func (noSuspects) RecordExit(balance.Target)                      {}
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -25,8 +25,8 @@
 	EndTrial(k quarantine.Key)
 	// RecordExit records that the process of a target has exited.
 	RecordExit(t balance.Target)
-	// RecordEnd records that a request has ended well, by the local hashes of its attributes.
-	RecordEnd(attributes []uint64)
+	// RecordEnd records that a request with these attributes has ended well.
+	RecordEnd(attributes []quarantine.Credit)
 	// RecordSuccess records that a target has run a request to its end that was sent at a time and has
 	// a suspected attribute.
 	RecordSuccess(k quarantine.Key, sent time.Time)
@@ -58,13 +58,13 @@
 	return x.suspectable
 }
 
-// localHashes returns the local hashes of the request's attributes.
-func (x *inflight) localHashes() []uint64 {
+// credits returns the request's attributes for RecordEnd.
+func (x *inflight) credits() []quarantine.Credit {
 	shared := sharedParts(x.Parts)
-	list := make([]uint64, 0, 1+len(shared))
-	list = append(list, quarantine.ContentHash(x.Organisation, x.Method, x.URI, x.Body))
+	list := make([]quarantine.Credit, 0, 1+len(shared))
+	list = append(list, quarantine.ContentCredit(x.Organisation, x.Method, x.URI, x.Body))
 	for _, p := range shared {
-		list = append(list, quarantine.PartHash(x.Service, p.ID))
+		list = append(list, quarantine.PartOf(x.Service, p.ID).Credit)
 	}
 	return list
 }
@@ -94,7 +94,7 @@
 			x.refuseSuspect(now, v, a, v.RejectedFor(now, a.Key))
 			return true
 		case slices.Contains(x.trials, a.Key):
-		case quarantine.HeldBack(v.Crashes(a.Key)):
+		case v.HoldsBack(now, a.Key):
 			held = append(held, a)
 		case a.Part == "" && !quarantine.MayRetry(v.Crashes(a.Key)):
 			x.trials = append(x.trials, a.Key)
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -70,7 +70,7 @@
 	answer.Close()
 	if f == nil {
 		x.endSend(balance.Answered)
-		x.suspects.RecordEnd(x.localHashes())
+		x.suspects.RecordEnd(x.credits())
 		if x.suspects.View() != nil {
 			x.clearSuspicion()
 		}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -98,7 +98,7 @@
 }
 
 // RecordEnd implements forward.Suspects.
-func (g suspects) RecordEnd(attributes []uint64) {
+func (g suspects) RecordEnd(attributes []quarantine.Credit) {
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.quarantine.state.RecordEnd(now, attributes) })
 }
 
--- a/internal/quarantine/accuse.go
+++ b/internal/quarantine/accuse.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Shared reports whether all routers need to know of a request: more targets crashed under it
 // than by chance, or another router reported so. Once set, it stays set.
@@ -16,12 +19,13 @@
 }
 
 // implicated reports whether a request is to be rejected. Two targets that exited at the same
-// time implicate it only once it is known how many others did.
+// time implicate it only once it is known how many others did. The same holds for a part of prompts
+// whatever the number of targets, since a popular one ran at most of those that an outage took.
 func (s *State) implicated(e *entry) bool {
 	switch n := s.countedCrashes(e); {
 	case n < minCrashesToReject:
 		return false
-	case n > minCrashesToReject || e.shared:
+	case e.shared || n > minCrashesToReject && e.part == "":
 		return true
 	}
 	last, simultaneous := s.exits.simultaneous(e)
@@ -59,6 +63,28 @@
 	return e.expires()
 }
 
+// partGrace is the time from the crash at which all routers are told of a part of prompts until it may
+// be held back. Meanwhile those where requests with the part end well clear it.
+const partGrace = 500 * time.Millisecond
+
+// heldFrom returns when an attribute with enough crashes is held back.
+func (s *State) heldFrom(e *entry) time.Time {
+	if e.part == "" {
+		return time.Time{}
+	}
+	var times []time.Time
+	for target, c := range e.crashes {
+		if !c.Cleared {
+			times = append(times, e.crashedBy[target])
+		}
+	}
+	if len(times) < minCrashesToHold {
+		return time.Time{}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times[minCrashesToReject-1].Add(partGrace)
+}
+
 // resolveUndecided marks the undecided requests that turned out to be implicated as updated.
 func (s *State) resolveUndecided(now time.Time) {
 	s.now = latest(s.now, now)
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -22,7 +22,7 @@
 // endWell reports that a request with some parts ended well.
 func endWell(s *quarantine.State, now time.Time, ids ...string) {
 	for _, id := range ids {
-		s.RecordEnd(now, []uint64{part(id).Local})
+		s.RecordEnd(now, []quarantine.Credit{part(id).Credit})
 	}
 }
 
@@ -30,8 +30,8 @@
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 	for name, c := range map[string]struct {
 		do func(s *quarantine.State)
-		// crashes is the number that counts at second 20, and rejected whether the part is rejected
-		// just after the last crash, at second 10.
+		// crashes is the number that counts, and rejected whether the part is rejected, a second
+		// after the last crash, which is at second 10.
 		crashes  int
 		rejected bool
 	}{
@@ -45,6 +45,16 @@
 			crashParts(s, at(8), "b", "p")
 			crashParts(s, at(10), "c", "p")
 		}},
+		"three of six that crash at once": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			for i, target := range []string{"a", "b", "c", "d", "e", "f"} {
+				crashParts(s, at(10), target, fmt.Sprint("p", i%2), []string{"p", "q"}[i%2])
+			}
+		}},
+		"three of nine that crash at once": {do: func(s *quarantine.State) {
+			for i := range 9 {
+				crashParts(s, at(10), fmt.Sprint(i), fmt.Sprint("q", i), []string{"p", "q", "r"}[i%3])
+			}
+		}},
 		"three crashes at once": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
 			for _, target := range []string{"a", "b", "c"} {
 				crashParts(s, at(10), target, "p")
@@ -75,6 +85,15 @@
 			s.ClearBefore(part("p").Key, at(4))
 			crashParts(s, at(10), "c", "p")
 		}},
+		"it ended well elsewhere": {do: func(s *quarantine.State) {
+			other := quarantine.New()
+			for _, target := range []string{"a", "b", "c"} {
+				crashParts(s, at(10), target, "p")
+			}
+			endWell(other, at(9.5), "p")
+			other.Merge(at(10), s.All(at(10)))
+			s.Merge(at(10), other.All(at(10)))
+		}},
 		"of another service": {do: func(s *quarantine.State) {
 			for _, target := range []string{"a", "b", "c"} {
 				s.RecordAttributeBreak(at(10), quarantine.PartOf("other", "p"), "o", target, false)
@@ -91,8 +110,9 @@
 		t.Run(name, func(t *testing.T) {
 			s := quarantine.New()
 			c.do(s)
+			s.Updates(at(11))
 			v, k := s.View(), part("p").Key
-			if got := v.RejectedFor(at(10), k) > 0; got != c.rejected {
+			if got := v.RejectedFor(at(11), k) > 0; got != c.rejected {
 				t.Errorf("rejected %v, want %v", got, c.rejected)
 			}
 			if got := v.Crashes(k); got != c.crashes {
@@ -115,6 +135,7 @@
 	for _, s := range fleet[:3] {
 		fleet[0].Merge(start, s.All(start))
 	}
+	fleet[0].Updates(start.Add(time.Second))
 	if !fleet[0].Shared(part("p").Key) {
 		t.Error("the part is not told to all routers")
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -162,7 +162,7 @@
 	if _, known := e.crashes[b.crash.Target]; known || len(e.crashes) >= MaxCrashes {
 		return
 	}
-	e.learnt[b.crash.Target] = now
+	e.crashedBy[b.crash.Target] = now
 	s.updateCrash(b.key, e, b.crash)
 	e.lastCrash, e.lastSeen = now, now
 }
@@ -178,7 +178,7 @@
 	} else if len(s.entries) >= maxEntries {
 		s.remove(s.leastSuspected(func(*entry) bool { return true }))
 	}
-	e = &entry{part: part, organisation: organisation, crashes: map[string]Crash{}, learnt: map[string]time.Time{}, lastCrash: now, lastSeen: now}
+	e = &entry{part: part, organisation: organisation, crashes: map[string]Crash{}, crashedBy: map[string]time.Time{}, lastCrash: now, lastSeen: now}
 	s.entries[k] = e
 	s.entriesOf[organisation]++
 	return e
@@ -315,7 +315,7 @@
 		if old.Cleared || known && !c.Cleared || !known && len(e.crashes) >= MaxCrashes {
 			continue
 		}
-		e.learnt[c.Target] = now
+		e.crashedBy[c.Target] = now.Add(-r.SinceCrash)
 		s.updateCrash(r.Key, e, c)
 		if !c.Cleared && r.SinceCrash < brokenTTL {
 			s.RecordExit(now.Add(-r.SinceCrash), c.Target)
@@ -327,6 +327,7 @@
 		}
 		e.lastCrash = latest(e.lastCrash, now.Add(-r.SinceCrash))
 		e.lastSeen = latest(e.lastSeen, now.Add(-r.SinceSeen))
+		s.clearCredited(now, r.Key, e)
 	}
 }
 
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -45,9 +45,10 @@
 type entry struct {
 	// part is the id of a part of prompts, empty for a content.
 	part, organisation string
-	// crashes holds the known crashes, and learnt when they became known here, by target.
+	// crashes holds the known crashes, and crashedBy the latest time at which each may have been, by
+	// target.
 	crashes             map[string]Crash
-	learnt              map[string]time.Time
+	crashedBy           map[string]time.Time
 	lastCrash, lastSeen time.Time
 	// trialUntil is the latest time until which a trial that this router started may run.
 	trialUntil time.Time
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -14,7 +14,8 @@
 
 // mark tells how to treat a suspected request.
 type mark struct {
-	rejectedUntil, lastSeen time.Time
+	// heldFrom is when a part of prompts begins to be held back.
+	heldFrom, rejectedUntil, lastSeen time.Time
 	// crashes is the number of crashes that count against the request.
 	crashes int
 }
@@ -25,7 +26,7 @@
 		s.view = &View{marks: make(map[Key]mark, len(s.entries))}
 		for k, e := range s.entries {
 			if n := s.countedCrashes(e); n > 0 {
-				s.view.marks[k] = mark{rejectedUntil: s.rejectedUntil(e), lastSeen: e.lastSeen, crashes: n}
+				s.view.marks[k] = mark{heldFrom: s.heldFrom(e), rejectedUntil: s.rejectedUntil(e), lastSeen: e.lastSeen, crashes: n}
 			}
 		}
 	}
@@ -37,12 +38,17 @@
 
 // RejectedFor returns how much longer a request must not be sent, 0 if it may be.
 func (v *View) RejectedFor(now time.Time, k Key) time.Duration {
-	if v == nil {
+	if v == nil || now.Before(v.marks[k].heldFrom) {
 		return 0
 	}
 	return max(v.marks[k].rejectedUntil.Sub(now), 0)
 }
 
+// HoldsBack reports whether requests with an attribute are sent on trial only.
+func (v *View) HoldsBack(now time.Time, k Key) bool {
+	return HeldBack(v.Crashes(k)) && !now.Before(v.marks[k].heldFrom)
+}
+
 // DueFor returns for how long a held-back attribute could have been on trial.
 func (v *View) DueFor(now time.Time, k Key) time.Duration { return now.Sub(v.marks[k].rejectedUntil) }
 
--- a/internal/roster/storm_test.go
+++ b/internal/roster/storm_test.go
@@ -14,6 +14,10 @@
 const (
 	crashedEngines    = 20
 	requestsPerEngine = 30
+	// sharedParts are the sizes of the sets from which the shared parts of each request's prompt are
+	// drawn. Routers answer answeredPerSecond requests a second together while engines of other zones
+	// serve.
+	answeredPerSecond = 600
 	// retriedFraction is the fraction of the requests that had been sent to two engines.
 	retriedFraction = 0.1
 	// maxDetectionDelay is the maximum time until a router notices that an engine has crashed:
@@ -28,12 +32,35 @@
 	maxReceivedPerSecond  = 200
 )
 
+var sharedPartSets = []int{4, 20, 335}
+
+// drawParts returns the shared parts of a prompt.
+func (s *quarantineFleet) drawParts() []quarantine.Attribute {
+	var list []quarantine.Attribute
+	for i, n := range sharedPartSets {
+		list = append(list, quarantine.PartOf("s", fmt.Sprint(i, "-", s.random.IntN(n))))
+	}
+	return list
+}
+
+// answer simulates the good ends of requests during a time, and returns the keys of their parts.
+func (s *quarantineFleet) answer(d time.Duration) (keys []quarantine.Key) {
+	for range int(answeredPerSecond * d.Seconds()) {
+		state := s.states[s.random.IntN(len(s.states))]
+		for _, a := range s.drawParts() {
+			keys = append(keys, a.Key)
+			state.RecordEnd(s.time(), []quarantine.Credit{a.Credit})
+		}
+	}
+	return keys
+}
+
 // crashZone simulates the crash of all engines of a zone and returns the requests that ran
 // there.
 func (s *quarantineFleet) crashZone() []quarantine.Key {
 	var keys []quarantine.Key
 	seen := map[int]map[*router]bool{}
-	breakAnswer := func(engine int, r *router, k quarantine.Key) {
+	breakAnswer := func(engine int, r *router, k quarantine.Key, parts []quarantine.Attribute) {
 		if seen[engine] == nil {
 			seen[engine] = map[*router]bool{}
 		}
@@ -43,6 +70,9 @@
 			name := fmt.Sprint("engine-", engine)
 			state.RecordExit(s.time(), name)
 			state.RecordBreak(s.time(), k, "o", name, false)
+			for _, a := range parts {
+				state.RecordAttributeBreak(s.time(), a, "o", name, false)
+			}
 			s.sendFound(r)
 		})
 	}
@@ -51,9 +81,14 @@
 			k := quarantine.KeyOf("o", "POST", fmt.Sprint(engine, i), nil)
 			keys = append(keys, k)
 			r := s.routers[s.random.IntN(len(s.routers))]
-			breakAnswer(engine, r, k)
+			var parts []quarantine.Attribute
+			if i%4 == 0 {
+				// Its answer had just begun.
+				parts = s.drawParts()
+			}
+			breakAnswer(engine, r, k, parts)
 			if s.random.Float64() < retriedFraction {
-				breakAnswer((engine+1)%crashedEngines, r, k)
+				breakAnswer((engine+1)%crashedEngines, r, k, parts)
 			}
 		}
 	}
@@ -84,12 +119,14 @@
 			f.launch(1, f.routers...)
 			f.run(5 * time.Second)
 			s := newQuarantineFleet(f)
-			keys := s.crashZone()
+			keys := s.answer(time.Second)
+			keys = append(keys, s.crashZone()...)
 			held, seconds := 0, int(observationTime/time.Second)
 			maxSentBytes := maxSentBytesPerSecond * n * seconds
 			// Stops early if far too much was sent already.
 			for began := f.now; f.now-began < observationTime && s.bytes <= 2*maxSentBytes; {
 				f.run(50 * time.Millisecond)
+				s.answer(50 * time.Millisecond)
 				held = max(held, s.heldBack(keys))
 			}
 			t.Logf("%d messages, %d bytes, %d records received", s.messages, s.bytes, s.received)
