Keep operators' holds of parts while requests with them end well

A hold by an operator was cleared by the next request with the part that ended well, sent before the hold. Its time is now known, and credit does not clear it; seen by reading, TestPart has the case.

--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -94,6 +94,17 @@
 			other.Merge(at(10), s.All(at(10)))
 			s.Merge(at(10), other.All(at(10)))
 		}},
+		"an operator holds it while requests end well": {crashes: 3, rejected: true, do: func(s *quarantine.State) {
+			crashParts(s, at(5), "a", "p")
+			s.ClearBefore(part("p").Key, at(6))
+			s.Hold(at(10), part("p").Key, "o", "operator")
+			endWell(s, at(10), "p")
+			s.ClearBefore(part("p").Key, at(9.9))
+			other := quarantine.New()
+			endWell(other, at(10), "p")
+			other.Merge(at(10), s.All(at(10)))
+			s.Merge(at(10), other.All(at(10)))
+		}},
 		"of another service": {do: func(s *quarantine.State) {
 			for _, target := range []string{"a", "b", "c"} {
 				s.RecordAttributeBreak(at(10), quarantine.PartOf("other", "p"), "o", target, false)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -277,7 +277,9 @@
 	for range minCrashesToHold {
 		// The number distinguishes holds of the same millisecond, since a crash that was
 		// cleared once stays cleared.
-		s.updateCrash(k, e, Crash{Target: fmt.Sprintf("%s, %d, %d", operator, now.UnixMilli(), len(e.crashes)), Trial: true})
+		name := fmt.Sprintf("%s, %d, %d", operator, now.UnixMilli(), len(e.crashes))
+		e.crashedBy[name] = now
+		s.updateCrash(k, e, Crash{Target: name, Trial: true})
 	}
 	e.lastCrash, e.lastSeen = now, now
 	return true
