--- a/internal/adapter/peer/quarantine_test.go
+++ b/internal/adapter/peer/quarantine_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
 // quarantineMessage returns a message in which every field is set.
@@ -19,20 +21,34 @@
 		Key: quarantine.KeyOf("o", "POST", "/x", nil), Organisation: "o",
 		Crashes:    []quarantine.Crash{{Target: "a@1"}, {Target: "b", Trial: true}, {Target: "c", Cleared: true, Trial: true}},
 		SinceCrash: 1500 * time.Millisecond, SinceSeen: time.Second,
+	}, {
+		Key: quarantine.PartOf("s", "p").Key, Part: "p", Organisation: "o", Crashes: []quarantine.Crash{{Target: "a@1"}},
 	}}}
 }
 
-func TestQuarantineOnTheWire(t *testing.T) {
-	b, err := proto.Marshal(encode(quarantineMessage()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	e := new(peerpb.Envelope)
-	if err := proto.Unmarshal(b, e); err != nil {
-		t.Fatal(err)
-	}
-	if got := decode(e, member.Member{}); !reflect.DeepEqual(got, quarantineMessage()) {
-		t.Errorf("decoded %+v, want %+v", got, quarantineMessage())
+// streamVersionsMessage returns a message in which every field is set.
+func streamVersionsMessage() message.StreamVersions {
+	return message.StreamVersions{Message: streamversion.Message{
+		Records: []streamversion.Record{{Key: 1, Version: "v1"}, {Key: math.MaxUint64, Version: "v1"}, {Key: 2, Version: ""}},
+		Asked:   []streamversion.Key{3}, Unknown: []streamversion.Key{4, 5},
+	}}
+}
+
+func TestOnTheWire(t *testing.T) {
+	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage()} {
+		t.Run(name, func(t *testing.T) {
+			b, err := proto.Marshal(encode(m))
+			if err != nil {
+				t.Fatal(err)
+			}
+			e := new(peerpb.Envelope)
+			if err := proto.Unmarshal(b, e); err != nil {
+				t.Fatal(err)
+			}
+			if got := decode(e, member.Member{}); !reflect.DeepEqual(got, m) {
+				t.Errorf("decoded %+v, want %+v", got, m)
+			}
+		})
 	}
 }
 
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -14,8 +14,16 @@
 	case "":
 		return t.lateCause(end)
 	case "quarantined":
-		heldBack := t.lastBefore("request held back", end.Router, end.Time, func(l Line) bool { return l.text("content") == end.text("content") })
-		return "targets ended each time they ran the same request", nonEmpty(heldBack)
+		sameContent := func(l Line) bool { return l.text("content") == end.text("content") }
+		if part := end.text("part"); part != "" {
+			return "targets ended each time they began an answer to a request with the part " + part + " in its prompt",
+				nonEmpty(t.lastBefore("part held back", end.Router, end.Time, sameContent))
+		}
+		return "targets ended each time they ran the same request", nonEmpty(t.lastBefore("request held back", end.Router, end.Time, sameContent))
+	case "unknown-version":
+		return "no router knew which version of the service began the stream that it takes up", nonEmpty(t.lastBefore("targets known", end.Router, end.Time, nil))
+	case "no-target-of-version":
+		return "no target of the version that began the stream took requests", nonEmpty(t.lastBefore("targets known", end.Router, end.Time, nil))
 	case "queue-full":
 		return "no engine had room for it in time" + t.organisationOutcomes(), nil
 	case "cannot-finish":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -58,6 +58,21 @@
 			wantCause: "same request",
 			wantLine:  "content=c1",
 		},
+		"part held back": {
+			logs:      []string{line(3, "part held back", `,"content":"c1","part":"p1"`), line(4, "part held back", `,"content":"c2","part":"p2"`), request(10, `,"outcome":"refused","status":503,"reason":"quarantined","content":"c1","part":"p1"`)},
+			wantCause: "the part p1",
+			wantLine:  "content=c1",
+		},
+		"version unknown": {
+			logs:      []string{line(3, "targets known", `,"targets":4`), request(10, `,"outcome":"refused","status":503,"reason":"unknown-version"`)},
+			wantCause: "no router knew which version",
+			wantLine:  "targets=4",
+		},
+		"no target of the version": {
+			logs:      []string{line(3, "targets known", `,"targets":4`), request(10, `,"outcome":"refused","status":503,"reason":"no-target-of-version"`)},
+			wantCause: "no target of the version",
+			wantLine:  "targets=4",
+		},
 		"no room": {
 			logs: []string{
 				strings.Replace(request(9, `,"outcome":"answered"`), `"id":"r"`, `"id":"other"`, 1),
