Give all routers time to clear a part before it is held back

After an outage at 295 routers 145 holds of popular parts were seen in one further run of TestZoneCrash, where requests that end well now clear parts as routers do: the time for that was counted from the crash, and the collectors need most of it to find out how many targets ended. It now counts from when all routers are told, and records say how long ago that was, so that a router that starts anew does not wait again.

--- a/internal/adapter/peer/quarantine.go
+++ b/internal/adapter/peer/quarantine.go
@@ -16,7 +16,7 @@
 	out := &peerpb.Quarantine{WantAll: m.WantAll}
 	for _, r := range m.Records {
 		s := &peerpb.SuspectedRequest{
-			Key: r.Key[:], Part: r.Part, Organisation: r.Organisation, CrashAgeMs: ageMillis(r.SinceCrash), SeenAgeMs: ageMillis(r.SinceSeen),
+			Key: r.Key[:], Part: r.Part, Organisation: r.Organisation, CrashAgeMs: ageMillis(r.SinceCrash), SeenAgeMs: ageMillis(r.SinceSeen), SharedAgeMs: ageMillis(r.SinceShared),
 		}
 		for _, c := range r.Crashes {
 			if c.Trial {
@@ -49,6 +49,8 @@
 			Key: quarantine.Key(s.GetKey()), Part: s.GetPart(), Organisation: s.GetOrganisation(),
 			SinceCrash: time.Duration(s.GetCrashAgeMs()) * time.Millisecond,
 			SinceSeen:  time.Duration(s.GetSeenAgeMs()) * time.Millisecond,
+
+			SinceShared: time.Duration(s.GetSharedAgeMs()) * time.Millisecond,
 		}
 		for _, target := range s.GetCrashed() {
 			r.Crashes = append(r.Crashes, quarantine.Crash{Target: target, Trial: slices.Contains(s.GetTrials(), target)})
--- a/internal/adapter/peer/quarantine_test.go
+++ b/internal/adapter/peer/quarantine_test.go
@@ -20,7 +20,7 @@
 	return message.Quarantine{WantAll: true, Records: []quarantine.Record{{
 		Key: quarantine.KeyOf("o", "POST", "/x", nil), Organisation: "o",
 		Crashes:    []quarantine.Crash{{Target: "a@1"}, {Target: "b", Trial: true}, {Target: "c", Cleared: true, Trial: true}},
-		SinceCrash: 1500 * time.Millisecond, SinceSeen: time.Second,
+		SinceCrash: 1500 * time.Millisecond, SinceSeen: time.Second, SinceShared: 1200 * time.Millisecond,
 	}, {
 		Key: quarantine.PartOf("s", "p").Key, Part: "p", Organisation: "o", Crashes: []quarantine.Crash{{Target: "a@1"}},
 	}}}
--- a/internal/quarantine/accuse.go
+++ b/internal/quarantine/accuse.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Shared reports whether all routers need to know of a request: more targets crashed under it
 // than by chance, or another router reported so. Once set, it stays set.
@@ -35,6 +32,7 @@
 // share marks a request as one that all routers need to know of.
 func (s *State) share(k Key, e *entry) {
 	e.shared = true
+	e.sharedAt = s.now
 	s.digest ^= e.digest(k)
 	s.view = nil
 }
@@ -63,26 +61,16 @@
 	return e.expires()
 }
 
-// partGrace is the time from the crash at which all routers are told of a part of prompts until it may
-// be held back. Meanwhile those where requests with the part end well clear it.
+// partGrace is the time from when all routers are told of a part of prompts until it may be held back.
+// Meanwhile those where requests with the part end well clear it.
 const partGrace = 500 * time.Millisecond
 
 // heldFrom returns when an attribute with enough crashes is held back.
 func (s *State) heldFrom(e *entry) time.Time {
-	if e.part == "" {
+	if e.part == "" || !e.shared {
 		return time.Time{}
 	}
-	var times []time.Time
-	for target, c := range e.crashes {
-		if !c.Cleared {
-			times = append(times, e.crashedBy[target])
-		}
-	}
-	if len(times) < minCrashesToHold {
-		return time.Time{}
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times[minCrashesToReject-1].Add(partGrace)
+	return e.sharedAt.Add(partGrace)
 }
 
 // resolveUndecided marks the undecided requests that turned out to be implicated as updated.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -327,6 +327,10 @@
 		if !e.shared && len(r.Crashes) >= minCrashesToReject {
 			s.share(r.Key, e)
 		}
+		if at := now.Add(-r.SinceShared); e.shared && at.Before(e.sharedAt) {
+			e.sharedAt = at
+			s.view = nil
+		}
 		e.lastCrash = latest(e.lastCrash, now.Add(-r.SinceCrash))
 		e.lastSeen = latest(e.lastSeen, now.Add(-r.SinceSeen))
 		s.clearCredited(now, r.Key, e)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -28,6 +28,8 @@
 	// SinceCrash is the time since the last crash that was not cleared, SinceSeen the time
 	// since the request last arrived or had a crash.
 	SinceCrash, SinceSeen time.Duration
+	// SinceShared is the time since all routers need to know of the request; 0 if they need not.
+	SinceShared time.Duration
 }
 
 // Uncleared returns the number of crashes that are not cleared.
@@ -52,8 +54,9 @@
 	lastCrash, lastSeen time.Time
 	// trialUntil is the latest time until which a trial that this router started may run.
 	trialUntil time.Time
-	// shared is set once all routers need to know of the request.
-	shared bool
+	// shared is set once all routers need to know of the request, which was at sharedAt.
+	shared   bool
+	sharedAt time.Time
 }
 
 // digest returns what the entry adds to the State's digest: 0 unless all routers need to know
@@ -103,6 +106,9 @@
 		Key: k, Part: e.part, Organisation: e.organisation,
 		SinceCrash: max(now.Sub(e.lastCrash), 0), SinceSeen: max(now.Sub(e.lastSeen), 0),
 	}
+	if e.shared {
+		r.SinceShared = max(now.Sub(e.sharedAt), 0)
+	}
 	for _, target := range slices.Sorted(maps.Keys(e.crashes)) {
 		r.Crashes = append(r.Crashes, e.crashes[target])
 	}
--- a/internal/roster/storm_test.go
+++ b/internal/roster/storm_test.go
@@ -18,6 +18,7 @@
 	// drawn. Routers answer answeredPerSecond requests a second together while engines of other zones
 	// serve.
 	answeredPerSecond = 600
+	answerTime        = 300 * time.Millisecond
 	// retriedFraction is the fraction of the requests that had been sent to two engines.
 	retriedFraction = 0.1
 	// maxDetectionDelay is the maximum time until a router notices that an engine has crashed:
@@ -46,10 +47,15 @@
 // answer simulates the good ends of requests during a time, and returns the keys of their parts.
 func (s *quarantineFleet) answer(d time.Duration) (keys []quarantine.Key) {
 	for range int(answeredPerSecond * d.Seconds()) {
-		state := s.states[s.random.IntN(len(s.states))]
+		i := s.random.IntN(len(s.states))
+		state := s.states[i]
 		for _, a := range s.drawParts() {
 			keys = append(keys, a.Key)
 			state.RecordEnd(s.time(), []quarantine.Credit{a.Credit})
+			if v := state.View(); v.Crashes(a.Key) > 0 {
+				state.ClearBefore(a.Key, s.time().Add(-answerTime))
+				s.sendFound(s.routers[i])
+			}
 		}
 	}
 	return keys
