Begin no other trial while it is not known whether the last one crashed its target

TestCrashingPart failed once (two parts, beside a load of 16): four requests with held parts reached engines late, three may. Six further plays did not fail, and the logs were not kept, so that the cause is suspected only: a router that is asked late whether a target has exited does not count the crash yet, and the end of the trial allowed the next one at once. TestTrialWhoseExitIsNotKnownYet shows that; after a trial whose answer broke off there is none for five seconds, which is how long a break waits for its target's exit.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -159,7 +159,7 @@
 	}
 	x.sendUntilDone(timed)
 	for _, k := range x.trials {
-		x.suspects.EndTrial(k)
+		x.suspects.EndTrial(k, x.mayHaveRun && x.result.Reason != "")
 	}
 	x.deliverRest(ctx)
 	return x.result
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -20,9 +20,10 @@
 	// number of targets that have exited while running the same content.
 	RecordBreak(ctx context.Context, b Break) int
 	// StartTrial reports whether a request with quarantined attributes may be sent on trial. The
-	// trial ends with an EndTrial for each, and at the latest at until.
+	// trial ends with an EndTrial for each, which says whether the answer broke off, and at the latest
+	// at until.
 	StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool
-	EndTrial(k quarantine.Key)
+	EndTrial(k quarantine.Key, broke bool)
 	// RecordExit records that the process of a target has exited.
 	RecordExit(t balance.Target)
 	// RecordEnd records that a request with these attributes has ended well.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -103,8 +103,8 @@
 }
 
 // EndTrial implements forward.Suspects.
-func (g suspects) EndTrial(k quarantine.Key) {
-	g.loop.Post(func(*balance.State, time.Time) { g.quarantine.state.EndTrial(k) })
+func (g suspects) EndTrial(k quarantine.Key, broke bool) {
+	g.loop.Post(func(_ *balance.State, now time.Time) { g.quarantine.state.EndTrial(now, k, broke) })
 }
 
 // RecordExit implements forward.Suspects.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -259,10 +259,16 @@
 	return true
 }
 
-// EndTrial records that a trial is over, whatever its outcome.
-func (s *State) EndTrial(k Key) {
-	if e := s.entries[k]; e != nil {
-		e.trialUntil = time.Time{}
+// EndTrial records that a trial is over. If its answer broke off, there is no other one until it is
+// known whether the target has exited.
+func (s *State) EndTrial(now time.Time, k Key, broke bool) {
+	e := s.entries[k]
+	if e == nil {
+		return
+	}
+	e.trialUntil = time.Time{}
+	if broke {
+		e.trialUntil = now.Add(brokenTTL)
 	}
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -99,7 +99,7 @@
 			t.Fatalf("trial %d: not exactly one was allowed", i)
 		}
 		crash(s, now, fmt.Sprint("t", i), true, "q")
-		s.EndTrial(key("q"))
+		s.EndTrial(now, key("q"), true)
 	}
 	// The request keeps arriving for most of a day.
 	for range 20 * 60 {
@@ -115,6 +115,29 @@
 	}
 }
 
+// TestTrialWhoseExitIsNotKnownYet guards against a second trial before it is known that the first one
+// crashed its target.
+func TestTrialWhoseExitIsNotKnownYet(t *testing.T) {
+	s, now := quarantine.New(), start
+	for _, target := range []string{"a", "b", "c"} {
+		crash(s, now, target, false, "q")
+	}
+	now = now.Add(3 * time.Second)
+	if !s.StartTrial(now, now.Add(4*time.Second), key("q")) {
+		t.Fatal("no trial allowed")
+	}
+	s.RecordBreak(now, key("q"), "o", "d", true)
+	s.EndTrial(now, key("q"), true)
+	now = now.Add(time.Second)
+	if s.StartTrial(now, now.Add(4*time.Second), key("q")) {
+		t.Error("another trial allowed before the exit of the first one's target is known")
+	}
+	s.RecordExit(now, "d")
+	if now = now.Add(20 * time.Second); s.StartTrial(now, now.Add(4*time.Second), key("q")) {
+		t.Error("another trial allowed 20 s after the crash of the first one")
+	}
+}
+
 func TestHoldsInTheSameMillisecond(t *testing.T) {
 	s := quarantine.New()
 	for range 2 {
