Accuse several parts that crash targets at the same time

TestCrashingPart failed a third time (two parts; logs kept): one part was held back 3.7 s after the first end only, with 12 ends, since each of the two had begun at about half of the targets that ended within a second, and half is what an outage asks. Fewer than twelve targets in a second are no outage for parts now, where good ends protect what is popular.

--- a/internal/quarantine/ends.go
+++ b/internal/quarantine/ends.go
@@ -14,8 +14,9 @@
 	// A request with minCrashesToHold crashes or more in an event is implicated by it only if
 	// it ran at at least one in outageTargetsPerRun of the event's targets.
 	outageTargetsPerRun = 8
-	// outageTargetsPerPartRun is the same for a part of prompts, which more requests share than a
-	// content.
+	// minPartOutageTargets and outageTargetsPerPartRun are the same for a part of prompts, which more
+	// requests share than a content. Several parts at a time may make some targets exit in a second.
+	minPartOutageTargets    = 12
 	outageTargetsPerPartRun = 2
 	// decisionDelay is the wait after two targets exited at the same time until it is
 	// decided whether it was an outage: reports of other exits may be on their way.
@@ -92,7 +93,7 @@
 		return all < minOutageTargets
 	}
 	if r.part != "" {
-		return ran*outageTargetsPerPartRun >= all
+		return all < minPartOutageTargets || ran*outageTargetsPerPartRun >= all
 	}
 	return ran*outageTargetsPerRun >= all
 }
