--- a/internal/balance/fleetshare_test.go
+++ b/internal/balance/fleetshare_test.go
@@ -187,6 +187,7 @@
 func TestShareWhileEnginesAreDown(t *testing.T) {
 	for name, organisations := range sharePlays {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(5) {
 				checkFleetShares(t, seed, organisations)
 			}
@@ -201,6 +202,7 @@
 	plays["beside many and a small one"] = append(slices.Clone(sharePlays["beside many"]), shareOrganisation{"small", otherRouters[:1], 5000, 1000})
 	for name, organisations := range plays {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(30) {
 				checkFleetShares(t, seed, organisations)
 			}
--- a/internal/balance/smallbox_test.go
+++ b/internal/balance/smallbox_test.go
@@ -37,6 +37,7 @@
 		"high demand from the start":         {rates: []float64{600}, each: 12 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(5) {
 				seconds := newBox(t, seed).run(c.rates, c.each)
 				checkShares(t, seed, seconds)
@@ -104,6 +105,7 @@
 		"flood that comes and goes": {6000, 200, 6000},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				b := newBox(t, seed)
 				b.contended, b.impatient = true, impatientRatio
@@ -124,6 +126,7 @@
 		"flood that comes and goes": {6000, 200, 6000},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				b := newBox(t, seed)
 				b.contended, b.impatient, b.rival = true, impatientRatio, bestServedRate
@@ -175,6 +178,7 @@
 		"repeated overloads":      {rates: []float64{200, 1500, 200, 1500}, each: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(5) {
 				b := newBox(t, seed)
 				b.contended, b.impatient = true, impatient
--- a/internal/roster/storm_test.go
+++ b/internal/roster/storm_test.go
@@ -121,6 +121,7 @@
 	cases := map[string]int{"8 routers": 8, "91": 91, "295": 295}
 	for name, n := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(n, 9)
 			f.launch(1, f.routers...)
 			f.run(5 * time.Second)
