Review: a status below 100 keeps a request at its engine for ever (case 4)

Bytes with the status 000 make the handler panic; the request stays counted at its engine, and once 24 are, no router sends that engine anything. A service all of whose engines had this refuses every request while they are idle (Starved).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +42,7 @@
 
 var plays = map[string]play{
 	"memory": playMemory,
+	"leak":   playLeak,
 	"twice":  playTwice,
 	"stray":  playStray,
 }
@@ -75,10 +78,15 @@
 			result <- exitHeld
 		}
 	})
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
 	select {
 	case code := <-result:
 		rec.say("exit %d", code)
 		return code
+	case <-ended:
+		rec.say("not run: ended by a signal")
+		return exitNotRun
 	case <-time.After(maxTime):
 		rec.say("not run: no end after %s", maxTime)
 		return exitNotRun
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -22,6 +22,13 @@
 	restartTime = 500 * time.Millisecond
 )
 
+// The ports of routers, below those that the kernel gives to outgoing connections. Plays that run beside one
+// another begin at different ones.
+const (
+	firstPort, lastPort = 12000, 32000
+	portSteps           = 500
+)
+
 // router is a router that runs as a process of its own, with the command of the deploy file.
 type router struct {
 	name, dir, zone               string
@@ -45,7 +52,7 @@
 
 // freePorts returns n consecutive free ports.
 func freePorts(n int) (int, error) {
-	for start := 20000 + os.Getpid()%8000; start < 60000; start += n {
+	for start := firstPort + os.Getpid()%portSteps*n; start < lastPort; start += n {
 		free := true
 		for p := start; p < start+n && free; p++ {
 			l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", p))
--- a/review/standin/stray.go
+++ b/review/standin/stray.go
@@ -36,6 +36,7 @@
 	// due has the channels on which such bytes are still to be sent.
 	due  map[net.Conn]bool
 	sent atomic.Int64
+	dose dose
 }
 
 func (s *strayEngines) take(c net.Conn) bool {
@@ -59,7 +60,7 @@
 	if _, err := io.WriteString(c, wholeAnswer(id)); err != nil {
 		return false
 	}
-	if s.on.Load() && s.faulty[e.id] && rand.Float64() < spoiledShare {
+	if s.on.Load() && s.faulty[e.id] && s.dose.take(spoiledShare) {
 		s.mu.Lock()
 		s.due[c] = true
 		s.mu.Unlock()
