--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -77,7 +77,6 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+headerServedBy+": "+e.id+"\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		e.record.ran(id, e.id)
 		if !e.answer(e, c, r, id) {
 			return
 		}
@@ -96,9 +95,13 @@
 		headerID, id, headerSeal, seal(id), len(body(id)), body(id))
 }
 
+// rejection is the answer of an engine that is full, as `fleetbench wire` shows it.
+const rejection = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+
 // soundAnswer answers a request after the time that it takes.
 func soundAnswer(work time.Duration) answerFunc {
-	return func(_ *engine, c net.Conn, _ *http.Request, id string) bool {
+	return func(e *engine, c net.Conn, _ *http.Request, id string) bool {
+		e.record.ran(id, e.id)
 		time.Sleep(work)
 		_, err := io.WriteString(c, wholeAnswer(id))
 		return err == nil
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,6 +40,8 @@
 
 var plays = map[string]play{
 	"memory": playMemory,
+	"twice":  playTwice,
+	"stray":  playStray,
 }
 
 func main() { os.Exit(run()) }
