--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the deploy file's build, then review/build.sh" >&2
 	exit 2
 fi
-exec target/review/standin memory "$here/record.txt"
+exec target/review/standin stray "$here/record.txt"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -107,3 +107,27 @@
 	}
 	return c.read(method)
 }
+
+// order sends one request after the other on a kept channel, until it breaks or end.
+func (f *fleet) order(r *router, path string, end time.Time, timeout, pause time.Duration, got func(string, answer)) {
+	c, err := dial(r.front)
+	if err != nil {
+		time.Sleep(100 * time.Millisecond)
+		return
+	}
+	defer c.Close()
+	for clock.Now().Before(end) {
+		id := newID("order")
+		f.record.note("send     %s to %s", id, r.name)
+		a, err := c.exchange(http.MethodPost, path, id, timeout, []byte("order"))
+		if err != nil {
+			f.record.note("cut      %s: %v", id, err)
+			return
+		}
+		got(id, a)
+		time.Sleep(pause)
+		if a.last {
+			return
+		}
+	}
+}
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -153,6 +153,13 @@
 	return nil
 }
 
+// startsNow returns how often the process has been started.
+func (r *router) startsNow() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts
+}
+
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
