Don't pass on bytes that are not the answer to a request

Cause: httptarget.readHead took a message without an id for the answer to the present request. Beside it: a connection was used again after a rejection without an id, so that a late second copy was taken for the rejection of the next request, which ran.

Change: a message without the id, or with several, is no answer; nor is a success without the seal or one that says it was not run. The caller gets 502 (target-invalid), or another target's answer where the request may be repeated; it counts as the target's failure.

Ruled out: bytes left over from an earlier exchange (each play spoils the request's own answer; the connection is checked before it is reused). Waiting for a true answer behind such bytes: none follows, and the caller would learn so at its deadline.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -50,7 +50,7 @@
 	case "targets-resting":
 		return "all targets of the service had turned requests away and asked for a rest, or were left alone for a moment",
 			nonEmpty(t.lastBefore("target asks for a rest", end.Router, end.Time, nil), t.lastBefore("targets left alone that turn requests away", end.Router, end.Time, nil))
-	case "target-broken", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
+	case "target-broken", "target-invalid", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
 		return t.targetFault(reason), t.firstAfter("targets known", end)
 	case "caller-gone":
 		return fmt.Sprintf("the caller left after %.0f ms", end.number("took_ms")), nil
@@ -84,6 +84,7 @@
 func (t *Timeline) targetFault(reason string) string {
 	format := map[string]string{
 		"target-broken":      "target %s broke off its answer",
+		"target-invalid":     "target %s sent something that is no answer to it",
 		"target-restarted":   "target %s ended and started again",
 		"target-silent":      "target %s showed no sign for too long",
 		"target-unreachable": "no connection to target %s came about",
--- a/internal/forward/coalesce_test.go
+++ b/internal/forward/coalesce_test.go
@@ -40,7 +40,8 @@
 	ask := func(busy float64) []string {
 		g := group.New(context.Background())
 		DeferCleanup(g.Stop)
-		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
 			for i := range length {
 				fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 				_ = http.NewResponseController(w).Flush()
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -39,7 +39,7 @@
 	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
 	g.GoContext(loop.Run)
 	d := forward.HeaderNames{
-		RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, Leaving: headerLeaving,
+		RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, Seal: headerSeal, Leaving: headerLeaving,
 	}
 	return &testForwarder{loop: loop, Forwarder: forward.New(d, httptarget.New(g), loop, noSuspects{}, logr.Discard(), discard{})}
 }
@@ -53,14 +53,17 @@
 }
 
 // send forwards a request and returns its result.
-func (f *testForwarder) send(kind routing.Kind) forward.Result {
+func (f *testForwarder) send(kind routing.Kind) forward.Result { return f.sendTo(kind, discard{}) }
+
+// sendTo forwards a request of a caller and returns its result.
+func (f *testForwarder) sendTo(kind routing.Kind, c forward.Caller) forward.Result {
 	f.requests++
 	now := time.Now()
 	return f.Forward(context.Background(), forward.Request{
 		ID: fmt.Sprint("r", f.requests), Method: http.MethodPost, URI: "/", Host: "h", Service: "s",
 		Arrived: now, Deadline: now.Add(10 * time.Second),
 		Route: &routing.Route{Kind: kind, Goal: time.Second, MaxPause: time.Second, MaxAttempts: 2},
-	}, discard{})
+	}, c)
 }
 
 // startTarget starts a target that answers with h and counts its requests in count.
@@ -68,6 +71,8 @@
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		count.Add(1)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set(headerSeal, "s")
 		h(w, r)
 	}))
 	t.Cleanup(server.Close)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -23,6 +23,8 @@
 	ExpectTarget string
 	// NotRun is set in answers to requests that the target did not run.
 	NotRun string
+	// Seal is set in all successful answers of targets; empty if the deployment has no such header.
+	Seal string
 	// Leaving is true in the answers of a target that is leaving.
 	Leaving string
 	// FetchFrom carries the address of an engine from which the target can fetch the
@@ -174,8 +176,10 @@
 	ReasonRefused Reason = "target-refused"
 	// ReasonUnreachable means that no connection to a target could be made.
 	ReasonUnreachable Reason = "target-unreachable"
-	// ReasonBroken means that a target's answer broke off, never came or was invalid.
+	// ReasonBroken means that a target's answer broke off, never came or is not HTTP.
 	ReasonBroken Reason = "target-broken"
+	// ReasonInvalid means that a target sent an HTTP message that is not the answer to the request.
+	ReasonInvalid Reason = "target-invalid"
 	// ReasonFailed means that a target answered with an error status.
 	ReasonFailed Reason = "target-failed"
 	// ReasonSilent means that a target sent nothing for too long.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -65,8 +65,7 @@
 	}
 	x.result.Sends++
 	x.answerStarted = false
-	x.readAdvice(to, answer)
-	f := x.forwardAnswer(ctx, answer, silence)
+	f := x.forwardAnswer(ctx, to, answer, silence)
 	answer.Close()
 	if f == nil {
 		x.endSend(balance.Answered)
@@ -163,8 +162,15 @@
 }
 
 // forwardAnswer forwards an answer, or returns why it could not.
-func (x *inflight) forwardAnswer(ctx context.Context, a *httptarget.Answer, silence *time.Timer) *failure {
-	if a.Header.Get(x.headers.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
+func (x *inflight) forwardAnswer(ctx context.Context, to balance.Target, a *httptarget.Answer, silence *time.Timer) *failure {
+	rejected := x.isRejection(a)
+	if !rejected {
+		if err := x.checkHead(a); err != nil {
+			return &failure{reason: ReasonInvalid, result: balance.Failed, mayHaveRun: true, cause: err}
+		}
+	}
+	x.readAdvice(to, a)
+	if rejected {
 		cause := errors.Errorf("status %d", a.Status)
 		if _, err := io.Copy(io.Discard, io.LimitReader(a, maxBufferedAnswer)); err != nil {
 			cause = errors.Wrap(err, cause.Error())
@@ -177,6 +183,28 @@
 	return x.forwardBuffered(a)
 }
 
+// isRejection reports whether the target says in an answer that it did not run the request. Targets may
+// leave the request's id out of such an answer.
+func (x *inflight) isRejection(a *httptarget.Answer) bool {
+	if a.Status == http.StatusMisdirectedRequest {
+		return true
+	}
+	return a.Header.Get(x.headers.NotRun) != "" && a.Status >= http.StatusBadRequest
+}
+
+// checkHead returns an error if an answer that is no rejection cannot be the target's answer to the request.
+func (x *inflight) checkHead(a *httptarget.Answer) error {
+	switch {
+	case !a.Identified:
+		return errors.Errorf("status %d without the request's id", a.Status)
+	case a.Header.Get(x.headers.NotRun) != "":
+		return errors.Errorf("status %d says that the request was not run", a.Status)
+	case x.headers.Seal != "" && a.Status/100 == 2 && a.Header.Get(x.headers.Seal) == "":
+		return errors.Errorf("status %d without %s", a.Status, x.headers.Seal)
+	}
+	return nil
+}
+
 // forwardBuffered forwards an answer that is not a stream. It buffers the answer first, so
 // that the request can be retried if the answer breaks off, unless it is too long for that.
 func (x *inflight) forwardBuffered(a *httptarget.Answer) *failure {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -135,13 +135,21 @@
 
 // serve adds a target that answers with handler and returns its address.
 func (r *rig) serve(id string, handler http.HandlerFunc) string {
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(identified(handler))
 	DeferCleanup(server.Close)
 	address := server.Listener.Addr().String()
 	r.add(id, address)
 	return address
 }
 
+// identified returns a handler whose answers carry the id of their request, as those of all targets do.
+func identified(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerNames.RequestID, r.Header.Get(headerNames.RequestID))
+		h(w, r)
+	}
+}
+
 // add adds a target at an address.
 func (r *rig) add(id, address string) {
 	r.revision++
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -18,9 +18,10 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
-// notRun returns a handler of a target that rejects requests without running them.
+// notRun returns a handler of a target that rejects requests without running them or naming their id.
 func notRun(status int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del(headerNames.RequestID)
 		w.Header().Set(headerNames.NotRun, "1")
 		w.WriteHeader(status)
 	}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,10 +30,16 @@
 	stallingStream := func(began chan<- struct{}) func(net.Conn) {
 		return func(c net.Conn) {
 			buffer := make([]byte, 4096)
-			if _, err := c.Read(buffer); err != nil {
+			n, err := c.Read(buffer)
+			if err != nil {
 				return
 			}
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(buffer[:n])))
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+				req.Header.Get(headerNames.RequestID))
 			for i := 1; i <= 2; i++ {
 				event := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
 				fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -70,7 +70,9 @@
 	Method string
 	Head   []byte
 	Body   []byte
-	// ID is the value that the answer's IDHeader must have if it is present.
+	// ID is the value that IDHeader has in the answer. An answer with another value belongs to an
+	// earlier request and is skipped; see Answer.Identified for one without it. If IDHeader is empty,
+	// answers are not checked.
 	ID       string
 	IDHeader string
 	// Instance names the process that the request is for. A connection made for another
@@ -84,6 +86,8 @@
 	DialFailed   int64 `json:"dial_failed"`
 	Reused       int64 `json:"reused"`
 	StrayAnswers int64 `json:"stray_answers"`
+	// UnidentifiedAnswers counts answers that do not name the request they belong to.
+	UnidentifiedAnswers int64 `json:"unidentified_answers"`
 	// UnexpectedBytes counts unused connections that were found to have unread bytes, or to
 	// have been closed by the target.
 	UnexpectedBytes int64 `json:"unexpected_bytes"`
@@ -102,7 +106,7 @@
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
 
-	dialled, dialFailed, reused, strayAnswers, unexpectedBytes, oversizedHeads atomic.Int64
+	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads atomic.Int64
 }
 
 // New returns a transport that runs its goroutines in g.
@@ -122,7 +126,8 @@
 func (t *Transport) Stats() Stats {
 	return Stats{
 		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
-		StrayAnswers: t.strayAnswers.Load(), UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(),
+		StrayAnswers: t.strayAnswers.Load(), UnidentifiedAnswers: t.unidentifiedAnswers.Load(),
+		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(),
 	}
 }
 
@@ -285,6 +290,11 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Identified is set if the answer carries the id of the request. Bytes of a faulty target that look
+	// like an answer do not, and some targets leave the id out of an answer by which they reject a
+	// request. What belongs to the request may still follow an answer without an id, so that its
+	// connection is not reused.
+	Identified bool
 
 	transport         *Transport
 	conn              *conn
@@ -325,11 +335,15 @@
 		if err != nil {
 			return err
 		}
-		id := res.Header.Get(r.IDHeader)
+		id := answerID(res, r)
 		if id == "" || id == r.ID {
 			a.response = res
 			a.Status = res.StatusCode
 			a.Header = res.Header
+			a.Identified = id == r.ID
+			if !a.Identified {
+				a.transport.unidentifiedAnswers.Add(1)
+			}
 			return nil
 		}
 		a.transport.strayAnswers.Add(1)
@@ -343,6 +357,18 @@
 	return errors.New("too many answers to other requests")
 }
 
+// answerID returns the id of the request that an answer belongs to, or "" if it names none or several.
+func answerID(res *http.Response, r Request) string {
+	if r.IDHeader == "" {
+		return r.ID
+	}
+	ids := res.Header.Values(r.IDHeader)
+	if len(ids) != 1 {
+		return ""
+	}
+	return ids[0]
+}
+
 func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		res, err := http.ReadResponse(r, &http.Request{Method: method})
@@ -390,7 +416,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if !a.complete || a.response.Close || a.conn.reader.Buffered() > 0 {
+	if !a.complete || !a.Identified || a.response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
