Count request bodies while they arrive

Cause: a body was added to the sum that is bounded once it was whole, and its memory was allocated by its announced length before its first byte.

Change: internal/memory is one account, taken before memory is allocated, in pieces as bytes arrive, given back at the request's end; its bound is half of the process's memory. When it is used up, the body that lacks most is evicted, of the organisation that holds most. Its caller gets 503 (bodies-full) at once, and the rest of the body is read and discarded so that the refusal arrives. Refusals have a Content-Length, as the answer is complete before the handler returns.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -413,8 +413,8 @@
 	if x.fetchSource.ID != "" && x.headers.FetchFrom != "" {
 		b = appendHeader(b, x.headers.FetchFrom, x.fetchSource.Address)
 	}
-	if len(x.Body) > 0 || x.Method == http.MethodPost || x.Method == http.MethodPut || x.Method == http.MethodPatch {
-		b = appendHeader(b, "Content-Length", strconv.Itoa(len(x.Body)))
+	if x.Body.Len() > 0 || x.Method == http.MethodPost || x.Method == http.MethodPut || x.Method == http.MethodPatch {
+		b = appendHeader(b, "Content-Length", strconv.Itoa(x.Body.Len()))
 	}
 	return append(b, "\r\n"...)
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -58,7 +59,7 @@
 	Organisation  string
 	// Header has the headers to forward, without those that the router sets itself.
 	Header  http.Header
-	Body    []byte
+	Body    memory.Buffer
 	Arrived time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -51,7 +51,7 @@
 // with other ids are recognised, and the parts of its prompt that other requests share.
 func (x *inflight) attributes() []quarantine.Attribute {
 	if x.suspectable == nil {
-		x.suspectable = append(x.suspectable, quarantine.ContentOf(x.Organisation, x.Method, x.URI, x.Body))
+		x.suspectable = append(x.suspectable, quarantine.ContentOf(x.Organisation, x.Method, x.URI, x.Body.Chunks()...))
 		for _, p := range sharedParts(x.Parts) {
 			x.suspectable = append(x.suspectable, quarantine.PartOf(x.Service, p.ID))
 		}
@@ -63,7 +63,7 @@
 func (x *inflight) credits() []quarantine.Credit {
 	shared := sharedParts(x.Parts)
 	list := make([]quarantine.Credit, 0, 1+len(shared))
-	list = append(list, quarantine.ContentCredit(x.Organisation, x.Method, x.URI, x.Body))
+	list = append(list, quarantine.ContentCredit(x.Organisation, x.Method, x.URI, x.Body.Chunks()...))
 	for _, p := range shared {
 		list = append(list, quarantine.PartOf(x.Service, p.ID).Credit)
 	}
--- a/internal/forward/suspects_internal_test.go
+++ b/internal/forward/suspects_internal_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 )
 
@@ -43,7 +44,7 @@
 func TestNoTrialBeforeAccusation(t *testing.T) {
 	suspects := stateSuspects{quarantine.New()}
 	send := func() *inflight {
-		return &inflight{Forwarder: &Forwarder{suspects: suspects}, Request: Request{Organisation: "o", Method: "POST", URI: "/x", Body: []byte("question")}}
+		return &inflight{Forwarder: &Forwarder{suspects: suspects}, Request: Request{Organisation: "o", Method: "POST", URI: "/x", Body: memory.Of([]byte("question"))}}
 	}
 	crash := func(x *inflight, target string) {
 		suspects.RecordBreak(context.Background(), Break{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
@@ -57,6 +58,8 @@
 	defaultEntryTTL = 4 * time.Second
 	// defaultMemoryBytes is the router's memory if Options.MemoryBytes is not set.
 	defaultMemoryBytes = 128 << 20
+	// messageMemoryPart is the divisor of the router's memory that the bodies of requests may use.
+	messageMemoryPart = 2
 )
 
 // Options configures a gateway.
@@ -160,6 +163,8 @@
 	ticks     atomic.Int64
 	tickSoon  chan struct{}
 	transport *httptarget.Transport
+	// memory is the budget for the bodies of requests.
+	memory    *memory.Budget
 	server    *ingress.Server
 	handover  handoverState
 	peers     *peer.Transport
@@ -279,13 +284,14 @@
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
 	g.transport = httptarget.New(g.group)
+	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
 		WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
-	}, o.Log)
+	}, g.memory, o.Log)
 	g.startHandover()
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -130,6 +130,7 @@
 	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
 	m.Set("handover", func() any { return g.handover.stats() })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
+	m.Set("bodies", func() any { return g.memory.Stats() })
 	m.Set("answer_buffers", func() any { return g.answers.budget.Stats() })
 	m.Set("configuration", g.configStats)
 	m.Set("store_copies", g.copyStats)
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -20,6 +20,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -69,7 +70,7 @@
 type Request struct {
 	Method string
 	Head   []byte
-	Body   []byte
+	Body   memory.Buffer
 	// ID is the value that IDHeader has in the answer. An answer with another value belongs to an
 	// earlier request and is skipped; see Answer.Identified for one without it. If IDHeader is empty,
 	// answers are not checked.
@@ -312,11 +313,11 @@
 	if err := a.conn.SetWriteDeadline(clock.Deadline(writeTimeout)); err != nil {
 		return err
 	}
-	if len(r.Body) < asyncBodySize {
-		_, err := a.conn.Write(append(r.Head, r.Body...))
+	if r.Body.Len() < asyncBodySize {
+		_, err := a.conn.Write(append(r.Head, r.Body.Bytes()...))
 		return err
 	}
-	buffers := net.Buffers{r.Head, r.Body}
+	buffers := r.Body.Behind(r.Head)
 	a.bodyWritten = make(chan struct{})
 	a.transport.group.Go(func() {
 		defer close(a.bodyWritten)
--- a/internal/httptarget/httptarget_test.go
+++ b/internal/httptarget/httptarget_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/memory"
 )
 
 func TestHTTPTarget(t *testing.T) {
@@ -83,7 +84,7 @@
 
 func request(id string, body string) httptarget.Request {
 	head := fmt.Sprintf("POST /p HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", id, len(body))
-	return httptarget.Request{Method: http.MethodPost, Head: []byte(head), Body: []byte(body), ID: id, IDHeader: "X-Id"}
+	return httptarget.Request{Method: http.MethodPost, Head: []byte(head), Body: memory.Of([]byte(body)), ID: id, IDHeader: "X-Id"}
 }
 
 // okAnswer returns the text of an answer with status 200.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log"
@@ -25,6 +26,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -45,11 +47,8 @@
 	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes is the maximum size of a request's body if none is configured.
 	defaultMaxBodyBytes = 4 << 20
-	// maxBufferedBodyBytes bounds the total size of the request bodies in memory: a quarter of
-	// the memory of the smallest box.
-	maxBufferedBodyBytes = 32 << 20
 	// notReadyRetryAfter is the Retry-After of a router that has no configuration yet, or has too
-	// many requests or bodies in memory.
+	// many requests in memory, and the least of one that has too many bodies.
 	notReadyRetryAfter = 500 * time.Millisecond
 	// leavingRetryAfter is the Retry-After of a router that shuts down. It is short because the
 	// caller can go to another router at once.
@@ -66,6 +65,7 @@
 	ReasonNotReady              forward.Reason = "not-ready"
 	ReasonLeaving               forward.Reason = "router-leaving"
 	ReasonProcessFull           forward.Reason = "process-full"
+	ReasonBodyEvicted           forward.Reason = "bodies-full"
 	ReasonOrganisationQueueFull forward.Reason = forward.ReasonOrganisationQueueFull
 )
 
@@ -83,6 +83,10 @@
 	return minOverloadRetryAfter + rand.N(overloadRetryAfterSpread)
 }
 
+// bodyRetryAfter returns a random Retry-After for a refusal for want of memory, so that the bodies refused
+// together do not come back together.
+func bodyRetryAfter() time.Duration { return notReadyRetryAfter + rand.N(notReadyRetryAfter) }
+
 // Observer receives the result of each request, also of refused ones.
 type Observer interface {
 	RequestEnded(r forward.Request, result forward.Result, took time.Duration)
@@ -98,8 +102,8 @@
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
-	// bodyBytes is the total size of the request bodies in memory.
-	bodyBytes  atomic.Int64
+	// memory is the budget for request bodies.
+	memory     *memory.Budget
 	conns      *conns
 	rejections rejectionCounter
 	// handover takes new connections to other routers; nil if there is none.
@@ -126,10 +130,11 @@
 	Connections int
 }
 
-// New returns a server that refuses all requests until Configure is called.
-func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, l logr.Logger) *Server {
+// New returns a server that refuses all requests until Configure is called. It holds request bodies within
+// the budget b.
+func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, l logr.Logger) *Server {
 	s := &Server{
-		headerNames: names, forwarder: f, observer: o, log: l,
+		headerNames: names, forwarder: f, observer: o, memory: b, log: l,
 		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
 	}
 	s.server = &http.Server{
@@ -222,9 +227,11 @@
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	request, result := s.prepare(w, r, arrived)
+	request, body, result := s.prepare(w, r, arrived)
+	if body != nil {
+		defer body.Close()
+	}
 	if result.Status == 0 {
-		defer s.bodyBytes.Add(-int64(len(request.Body)))
 		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
 		a := &answer{w: w, flush: http.NewResponseController(w), request: r}
 		result = s.forwarder.Forward(r.Context(), request, a)
@@ -232,6 +239,9 @@
 	if result.Status == http.StatusServiceUnavailable && !result.HeadSent && wasReceived(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
+	if result.Reason == ReasonBodyEvicted {
+		defer s.discardBody(w, r, request)()
+	}
 	s.finish(w, request, result, arrived)
 }
 
@@ -252,9 +262,11 @@
 	if result.RetryAfter > 0 {
 		h.Set("Retry-After", retryAfter(result.RetryAfter))
 	}
+	text := string(result.Reason) + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(result.Status)
-	if _, err := io.WriteString(w, string(result.Reason)+"\n"); err != nil {
+	if _, err := io.WriteString(w, text); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
 	}
 }
@@ -271,39 +283,40 @@
 }
 
 // prepare parses and checks a request and reads its body. If it returns a result with a status,
-// the request is refused.
-func (s *Server) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, forward.Result) {
+// the request is refused. The caller must close the reservation of the body unless it is nil.
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, *memory.Reservation, forward.Result) {
 	out := forward.Request{
 		ID: r.Header.Get(s.headerNames.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Arrived: arrived,
 	}
 	t := s.table.Load()
 	if t == nil || s.paused.Load() {
-		return out, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyRetryAfter)
+		return out, nil, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyRetryAfter)
 	}
 	out.ConfigVersion = t.Version()
 	if at := s.confirmed.Load(); at != nil {
 		out.ConfigAge = arrived.Sub(*at)
 	}
 	if result := s.identify(t, &out, r.Header.Get("Authorization")); result.Status != 0 {
-		return out, result
+		return out, nil, result
 	}
 	out.Input, out.Output = parseSizes(r.Header.Get(s.headerNames.PromptSize), r.Header.Get(s.headerNames.OutputHint))
 	if reason := s.admit(out); reason != "" {
 		// The body stays unread, so the connection cannot be reused.
 		w.Header().Set("Connection", "close")
-		return out, refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
+		return out, nil, refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
 	}
 	if s.open.Load() > s.maxOpen {
-		return out, refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyRetryAfter)
+		return out, nil, refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyRetryAfter)
 	}
 	if err := s.applyHeaders(&out, r); err != nil {
 		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
-		return out, refused(http.StatusBadRequest, ReasonBadRequest, 0)
+		return out, nil, refused(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
 	if s.mayOutlast(out) {
-		return out, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingRetryAfter)
+		return out, nil, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingRetryAfter)
 	}
-	return out, s.receiveBody(w, r, t, &out)
+	body, result := s.receiveBody(w, r, t, &out)
+	return out, body, result
 }
 
 // admit returns the reason to refuse a request before its body is read, or "".
@@ -341,53 +354,82 @@
 
 // receiveBody reads the request's body, up to the configured limit. If it returns a result with
 // a status, the request is refused.
-func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, t *routing.Table, out *forward.Request) forward.Result {
+func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, t *routing.Table, out *forward.Request) (*memory.Reservation, forward.Result) {
 	limit := int64(t.Limits().BodyBytes)
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	if r.ContentLength > limit {
-		return refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
-	}
-	if s.bodyBytes.Load() > maxBufferedBodyBytes {
-		return refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyRetryAfter)
+		return nil, refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 	}
 	if r.ContentLength == 0 {
-		return forward.Result{}
+		return nil, forward.Result{}
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(clock.Deadline(bodyTimeout)); err != nil {
 		s.log.V(1).Info("read deadline not set", "id", out.ID, "cause", err.Error())
 	}
-	body, err := readBody(r, limit)
+	size := max(r.ContentLength, memory.UnknownSize)
+	reservation := s.memory.Open(out.Organisation, cmp.Or(max(size, 0), limit), func() {
+		// An error means that the connection is closed already.
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+	})
+	body, err := reservation.Read(r.Body, size, limit)
+	if err == nil {
+		err = reservation.Keep()
+	}
 	if err != nil {
-		return s.bodyFailed(w, out, err)
+		// What was read of the body is garbage from here on.
+		reservation.Close()
+		return nil, s.bodyFailed(w, out, err)
 	}
-	if int64(len(body)) > limit {
-		return refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
+	if int64(body.Len()) > limit {
+		return reservation, refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		s.log.V(1).Info("read deadline not cleared", "id", out.ID, "cause", err.Error())
 	}
 	out.Body = body
-	s.bodyBytes.Add(int64(len(body)))
-	return forward.Result{}
+	return reservation, forward.Result{}
 }
 
-// readBody reads the whole body if its length is known. Otherwise it reads at most limit+1 bytes,
-// so that its caller can recognise a body that is too large.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
+// discardBody lets the caller of a refused request send the rest of its body, so that the connection is not
+// reset before it has read the refusal. It must be called before the refusal is written, and the function
+// that it returns afterwards.
+func (s *Server) discardBody(w http.ResponseWriter, r *http.Request, out forward.Request) func() {
+	control := http.NewResponseController(w)
+	if r.Header.Get("Expect") != "" || control.EnableFullDuplex() != nil {
+		return func() {}
+	}
+	w.Header().Set("Connection", "close")
+	return func() {
+		end := clock.Now().Add(bodyTimeout)
+		if out.Expires().Before(end) {
+			end = out.Expires()
+		}
+		if last := s.latestEnd.Load(); last != nil && last.Before(end) {
+			end = *last
+		}
+		if control.Flush() != nil || control.SetReadDeadline(clock.Deadline(clock.Until(end))) != nil {
+			return
+		}
+		var rest io.Reader = r.Body
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && r.ContentLength < 0 {
+			// The decoder of chunks reads nothing more after it was interrupted. The caller closes the
+			// connection once it has read the refusal.
+			rest = c.Conn
+		}
+		// An error means that the caller has gone or takes too long.
+		_, _ = io.Copy(io.Discard, rest)
 	}
-	return io.ReadAll(io.LimitReader(r.Body, limit+1))
 }
 
 // bodyFailed returns the result of a request whose body could not be read.
 func (s *Server) bodyFailed(w http.ResponseWriter, out *forward.Request, err error) forward.Result {
 	s.log.Info("request body not read", "id", out.ID, "cause", err.Error())
+	if errors.Is(err, memory.ErrEvicted) {
+		return refused(http.StatusServiceUnavailable, ReasonBodyEvicted, bodyRetryAfter())
+	}
 	w.Header().Set("Connection", "close")
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/internal/quarantine/attribute.go
+++ b/internal/quarantine/attribute.go
@@ -26,19 +26,21 @@
 // maxPartBytes is the length to which a part's id is shortened for records and operators.
 const maxPartBytes = 64
 
-// ContentOf returns the attribute of all requests with the same content.
-func ContentOf(organisation, method, target string, body []byte) Attribute {
-	return Attribute{Key: KeyOf(organisation, method, target, body), Credit: ContentCredit(organisation, method, target, body)}
+// ContentOf returns the attribute of all requests with the same content. The body may be in pieces.
+func ContentOf(organisation, method, target string, body ...[]byte) Attribute {
+	return Attribute{Key: KeyOf(organisation, method, target, body...), Credit: ContentCredit(organisation, method, target, body...)}
 }
 
 var localSeed = maphash.MakeSeed()
 
-// ContentCredit returns the Credit of a request's content.
-func ContentCredit(organisation, method, target string, body []byte) Credit {
+// ContentCredit returns the Credit of a request's content. The body may be in pieces.
+func ContentCredit(organisation, method, target string, body ...[]byte) Credit {
 	var h maphash.Hash
 	h.SetSeed(localSeed)
 	writeSized(&h, organisation, method, target)
-	_, _ = h.Write(body)
+	for _, piece := range body {
+		_, _ = h.Write(piece)
+	}
 	return Credit{content: h.Sum64()}
 }
 
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -25,10 +25,12 @@
 type Key [KeySize]byte
 
 // KeyOf returns the key of a request.
-func KeyOf(organisation, method, target string, body []byte) Key {
+func KeyOf(organisation, method, target string, body ...[]byte) Key {
 	h := sha256.New()
 	writeSized(h, organisation, method, target)
-	h.Write(body)
+	for _, piece := range body {
+		h.Write(piece)
+	}
 	var sum [sha256.Size]byte
 	return Key(h.Sum(sum[:0])[:KeySize])
 }
