Don't take a body that its decoder found cut off for a whole one

The commit before read bodies until io.ErrUnexpectedEOF, which net/http also returns for chunks that end early: a request cut off in the middle would have been forwarded with half of its body.

--- a/internal/ingress/bodies_test.go
+++ b/internal/ingress/bodies_test.go
@@ -237,3 +237,26 @@
 		})
 	}
 }
+
+// Guards against forwarding a body that was cut off as if it were whole.
+func TestBodyCutOffIsNotForwarded(t *testing.T) {
+	for name, chunked := range map[string]bool{"with a length": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			u := begin(t, startBodyServer(t, memory.New(1<<20)), "k1", 1000, chunked)
+			if err := u.send(500); err != nil {
+				t.Fatal(err)
+			}
+			if err := u.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(bufio.NewReader(u), nil)
+			if err != nil {
+				return
+			}
+			defer res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				t.Error("the target ran a request whose body was cut off")
+			}
+		})
+	}
+}
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -174,6 +174,13 @@
 			t.Error(err)
 		}
 	})
+	t.Run("cut off by its decoder", func(t *testing.T) {
+		r := memory.New(1<<20).Open("o", 100, nil)
+		from := io.MultiReader(strings.NewReader("short"), iotest.ErrReader(io.ErrUnexpectedEOF))
+		if _, err := r.Read(from, memory.UnknownSize, 100); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Error(err)
+		}
+	})
 	t.Run("beyond the limit", func(t *testing.T) {
 		r := memory.New(1<<20).Open("o", 100, nil)
 		if b, err := r.Read(strings.NewReader(text), memory.UnknownSize, 100); err != nil || b.Len() != 101 {
--- a/internal/memory/buffer.go
+++ b/internal/memory/buffer.go
@@ -69,14 +69,13 @@
 		if err := r.Take(next); err != nil {
 			return b, err
 		}
-		chunk := make([]byte, next)
-		n, err := io.ReadFull(from, chunk)
-		if n > 0 {
-			b.chunks = append(b.chunks, chunk[:n])
-			b.length += n
+		chunk, err := fill(from, make([]byte, next))
+		if len(chunk) > 0 {
+			b.chunks = append(b.chunks, chunk)
+			b.length += len(chunk)
 		}
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			if size == UnknownSize {
+		if errors.Is(err, io.EOF) {
+			if size == UnknownSize || int64(b.length) == size {
 				return b, nil
 			}
 			return b, io.ErrUnexpectedEOF
@@ -88,6 +87,20 @@
 	return b, nil
 }
 
+// fill reads until chunk is full, and returns what was read. Unlike io.ReadFull it returns io.EOF at each
+// end of the message, so that it differs from the io.ErrUnexpectedEOF of one that was cut off.
+func fill(from io.Reader, chunk []byte) ([]byte, error) {
+	n := 0
+	for n < len(chunk) {
+		read, err := from.Read(chunk[n:])
+		n += read
+		if err != nil {
+			return chunk[:n], err
+		}
+	}
+	return chunk, nil
+}
+
 // readError returns the error of a read that failed: ErrEvicted if it was interrupted for that.
 func (r *Reservation) readError(err error) error {
 	r.budget.mu.Lock()
