Count buffered answers; forward long ones without a length

The same buffer counted nowhere: some 700 requests at a router of 134 MB may each hold 256 KB.

Change: buffered answers take their memory from the account of request bodies. One that is longer than the buffer, or finds no memory, is forwarded as it arrives; it can't be repeated then. An answer that is no stream is never continued by another target once its head is sent.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/routing"
@@ -38,6 +40,8 @@
 	buffered func() bool
 	// maxStall is how long a caller may accept nothing of the rest of a buffered answer.
 	maxStall time.Duration
+	// memory is the budget for answers that are buffered as a whole.
+	memory *memory.Budget
 }
 
 // Counters counts retries by reason, and what targets report about themselves.
@@ -51,7 +55,14 @@
 
 // New returns a forwarder that sends requests with s to the targets that l chooses.
 func New(h HeaderNames, s Sender, l *balance.Loop, q Suspects, log logr.Logger, c Counters) *Forwarder {
-	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, maxStall: DefaultMaxStall}
+	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, maxStall: DefaultMaxStall, memory: memory.New(math.MaxInt64)}
+}
+
+// WithMemory returns a forwarder that buffers answers that are not streams within a budget.
+func (f *Forwarder) WithMemory(b *memory.Budget) *Forwarder {
+	out := *f
+	out.memory = b
+	return &out
 }
 
 // WithBuffers returns a forwarder that buffers streams within a budget while enabled returns true.
@@ -139,6 +150,11 @@
 	trials []quarantine.Key
 	// sentAt is when the current send began.
 	sentAt time.Time
+	// answerMemory is the memory of the buffered answer, nil if there is none.
+	answerMemory *memory.Reservation
+	// notStream is set if the head that the caller has is not that of a stream, which another target
+	// could resume.
+	notStream bool
 }
 
 // Forward sends r to a target and the answer to caller. It returns when the answer is
@@ -157,6 +173,7 @@
 	if x.refuseQuarantined(timed) || !x.findVersion(timed) {
 		return x.result
 	}
+	defer x.releaseAnswer()
 	x.sendUntilDone(timed)
 	for _, k := range x.trials {
 		x.suspects.EndTrial(k, x.mayHaveRun && x.result.Reason != "")
@@ -357,7 +374,7 @@
 	if clock.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
-	if x.result.HeadSent && !x.Route.Resumable {
+	if x.result.HeadSent && (x.notStream || !x.Route.Resumable) {
 		return false
 	}
 	return !f.mayHaveRun || x.Route.Repeatable()
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -57,13 +57,18 @@
 
 // sendTo forwards a request of a caller and returns its result.
 func (f *testForwarder) sendTo(kind routing.Kind, c forward.Caller) forward.Result {
+	return f.Forward(context.Background(), f.prepare(kind), c)
+}
+
+// prepare returns the next request.
+func (f *testForwarder) prepare(kind routing.Kind) forward.Request {
 	f.requests++
 	now := time.Now()
-	return f.Forward(context.Background(), forward.Request{
+	return forward.Request{
 		ID: fmt.Sprint("r", f.requests), Method: http.MethodPost, URI: "/", Host: "h", Service: "s",
 		Arrived: now, Deadline: now.Add(10 * time.Second),
 		Route: &routing.Route{Kind: kind, Goal: time.Second, MaxPause: time.Second, MaxAttempts: 2},
-	}, c)
+	}
 }
 
 // startTarget starts a target that answers with h and counts its requests in count.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -14,6 +14,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -42,7 +43,7 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   memory.Buffer
 }
 
 // sendTo sends the request to one target and forwards the answer. It returns nil if the answer
@@ -206,21 +207,21 @@
 }
 
 // forwardBuffered forwards an answer that is not a stream. It buffers the answer first, so
-// that the request can be retried if the answer breaks off, unless it is too long for that.
+// that the request can be retried if the answer breaks off, unless it is too long for that or there is
+// no memory for it.
 func (x *inflight) forwardBuffered(a *httptarget.Answer) *failure {
 	if a.Length() > maxBufferedAnswer {
-		if x.result.HeadSent {
-			return notResumed(a)
-		}
-		return x.forwardUnbuffered(a)
+		return x.forwardUnbuffered(a, memory.Buffer{})
+	}
+	x.releaseAnswer()
+	x.answerMemory = x.memory.Open(x.Organisation, maxBufferedAnswer, nil)
+	body, err := x.answerMemory.Read(a, memory.UnknownSize, maxBufferedAnswer)
+	if errors.Is(err, memory.ErrEvicted) || err == nil && body.Len() > maxBufferedAnswer {
+		return x.forwardUnbuffered(a, body)
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
 	if err != nil {
 		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: err}
 	}
-	if len(body) > maxBufferedAnswer {
-		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: errors.New("answer without Content-Length is too long to buffer")}
-	}
 	// This comes first, since the control goroutine reads it when it learns that the answer started.
 	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
 	x.recordPiece()
@@ -235,6 +236,14 @@
 	return nil
 }
 
+// releaseAnswer gives back the memory of a buffered answer.
+func (x *inflight) releaseAnswer() {
+	if x.answerMemory != nil {
+		x.answerMemory.Close()
+		x.answerMemory = nil
+	}
+}
+
 // notResumed returns the failure of a target that answers a request to resume a stream with something
 // else. Nothing of that may reach the caller, who may be written to by its delivery at the same time.
 func notResumed(a *httptarget.Answer) *failure {
@@ -245,19 +254,38 @@
 func (x *inflight) writeAnswer(a *bufferedAnswer) {
 	x.result.HeadSent = true
 	x.result.Status = a.status
-	x.caller.Head(a.status, a.header, int64(len(a.body)))
-	if err := x.caller.Write(a.body); err != nil {
+	x.caller.Head(a.status, a.header, int64(a.body.Len()))
+	if err := x.writeBuffer(a.body); err != nil {
 		x.result.Truncated = true
 		x.result.Reason = ReasonCallerGone
 	}
 }
 
-// forwardUnbuffered forwards an answer of known length while it is being received.
-func (x *inflight) forwardUnbuffered(a *httptarget.Answer) *failure {
+func (x *inflight) writeBuffer(b memory.Buffer) error {
+	for _, chunk := range b.Chunks() {
+		if err := x.caller.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// forwardUnbuffered forwards an answer that is not a stream while it is being received. begin is what has
+// been read of it already.
+func (x *inflight) forwardUnbuffered(a *httptarget.Answer, begin memory.Buffer) *failure {
+	if x.result.HeadSent {
+		return notResumed(a)
+	}
+	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
 	x.recordPiece()
 	x.result.HeadSent = true
 	x.result.Status = a.Status
+	x.notStream = true
 	x.caller.Head(a.Status, x.answerHeader(a.Header), a.Length())
+	if err := x.writeBuffer(begin); err != nil {
+		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
+	}
+	x.releaseAnswer()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := a.Read(buffer)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,8 @@
 	defaultEntryTTL = 4 * time.Second
 	// defaultMemoryBytes is the router's memory if Options.MemoryBytes is not set.
 	defaultMemoryBytes = 128 << 20
-	// messageMemoryPart is the divisor of the router's memory that the bodies of requests may use.
+	// messageMemoryPart is the divisor of the router's memory that the bodies of requests, and
+	// answers that are buffered as a whole, may use.
 	messageMemoryPart = 2
 )
 
@@ -163,7 +164,7 @@
 	ticks     atomic.Int64
 	tickSoon  chan struct{}
 	transport *httptarget.Transport
-	// memory is the budget for the bodies of requests.
+	// memory is the budget for the bodies of requests and for answers that are buffered as a whole.
 	memory    *memory.Budget
 	server    *ingress.Server
 	handover  handoverState
@@ -287,7 +288,7 @@
 	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
-		WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
