Store which versions began streams; confirm nothing just after a start

Cause: who began a stream was known to processes only, and the absence of a record was taken for evidence by routers that could not have it: one that has just started took the only version it saw for the only one there had been, and routers that had just started confirmed to one another that nobody knew a stream.

The store has the versions in service, written as they change, and while a service has several of them, the records of the last 20 s, by shard and slot of a second, from the router that ranks first for the shard. A stream that no record names belongs to the only version that was in service before the start; where there were several it is refused.

TestLookup's routers now say that nothing was stored before they started: without that they must not confirm anything, which is what the tests took for granted.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -177,11 +177,15 @@
 	rollouts *rollout.Tracker
 	// versions has the versions of each service, newlyMixed the services that have got another
 	// one. onStreamBegun is called when a stream begins; nil if not set.
-	versions          map[string]*versionHistory
-	newlyMixed        []string
-	onStreamBegun     func(now time.Time, b Stream, shared bool)
-	advice            advice.Records
-	sentAgainstAdvice SentAgainstAdvice
+	versions map[string]*versionHistory
+	// versionsRestored is set once the versions before startedAt are known, versionsChanged if they have
+	// changed since the last call of VersionsChanged, and listed once targets have been listed.
+	versionsRestored, versionsChanged, listed bool
+	startedAt                                 time.Time
+	newlyMixed                                []string
+	onStreamBegun                             func(now time.Time, b Stream, shared bool)
+	advice                                    advice.Records
+	sentAgainstAdvice                         SentAgainstAdvice
 	// backoffs counts the backoffs that this router started without a target having asked for
 	// one.
 	backoffs  int64
@@ -198,6 +202,7 @@
 		targets:           map[string]*target{},
 		services:          map[string]*service{},
 		versions:          map[string]*versionHistory{},
+		startedAt:         now,
 		active:            map[*target]struct{}{},
 		cold:              map[*target]struct{}{},
 		releasedAt:        now,
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -107,6 +107,7 @@
 	}
 	s.advice.Prune(now, func(name string) bool { return s.findIncarnation(name) != nil })
 	s.dispatch(now)
+	s.listed = s.listed || len(changed) > 0
 }
 
 func count(b bool) int {
--- a/internal/balance/streamversion_test.go
+++ b/internal/balance/streamversion_test.go
@@ -51,3 +51,51 @@
 		})
 	}
 }
+
+// TestUnrecordedVersion guards against taking the version that is left for the only one that a service had,
+// just after all routers have started again.
+func TestUnrecordedVersion(t *testing.T) {
+	start := time.Unix(1000, 0)
+	served := func(version string, gone bool, ago time.Duration) streamversion.Served {
+		return streamversion.Served{Service: "llm", Version: version, Gone: gone, GoneFor: ago}
+	}
+	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
+	const long = 2 * streamversion.TTL
+	for name, c := range map[string]struct {
+		// stored is nil if nothing could be read.
+		stored []streamversion.Served
+		listed []balance.Target
+		after  time.Duration
+		later  []balance.Target
+		want   string
+	}{
+		"not known yet":                    {listed: []balance.Target{v1}},
+		"not known for long":               {listed: []balance.Target{v1}, after: long, later: []balance.Target{v1}, want: "v1"},
+		"nothing was stored":               {stored: []streamversion.Served{}, listed: []balance.Target{v1}, want: "v1"},
+		"the same version":                 {stored: []streamversion.Served{served("v1", false, 0)}, listed: []balance.Target{v1}, want: "v1"},
+		"another version left before":      {stored: []streamversion.Served{served("v1", true, time.Second), served("v2", false, 0)}, listed: []balance.Target{v2}},
+		"another version left long ago":    {stored: []streamversion.Served{served("v1", true, long), served("v2", false, 0)}, listed: []balance.Target{v2}, want: "v2"},
+		"replaced while no router ran":     {stored: []streamversion.Served{served("v1", false, 0)}, listed: []balance.Target{v2}, want: "v1"},
+		"another came while no router ran": {stored: []streamversion.Served{served("v1", false, 0)}, listed: []balance.Target{v1, v2}, want: "v1"},
+		"another came afterwards":          {stored: []streamversion.Served{served("v1", false, 0)}, listed: []balance.Target{v1}, after: time.Second, later: []balance.Target{v1, v2}},
+		"two versions stay":                {stored: []streamversion.Served{served("v1", false, 0), served("v2", false, 0)}, listed: []balance.Target{v1, v2}},
+		"of another service":               {stored: []streamversion.Served{{Service: "other", Version: "v9"}}, listed: []balance.Target{v1}, want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := balance.New(start, "z", balance.Limits{}, nil)
+			if c.stored != nil {
+				s.RestoreVersions(start, c.stored)
+			}
+			now := start
+			s.SetTargets(now, c.listed)
+			if c.later != nil {
+				now = now.Add(c.after)
+				s.SetTargets(now, c.later)
+			}
+			got, known := s.UnrecordedVersion(now, "llm")
+			if known != (c.want != "") || known && got != c.want {
+				t.Errorf("got %q, %v; want %q", got, known, c.want)
+			}
+		})
+	}
+}
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -44,6 +44,10 @@
 	goneAt map[string]time.Time
 	// mixed is set while there are several versions, or were within streamversion.TTL.
 	mixed bool
+	// earlier is the only version that was in service before this process started, if another one came
+	// while no router ran; valid until earlierUntil.
+	earlier      string
+	earlierUntil time.Time
 }
 
 // only reports whether a version is and was the only one.
@@ -61,12 +65,14 @@
 
 // addVersion counts a target that is listed, and notes services that get another version.
 func (s *State) addVersion(now time.Time, t Target) {
-	h := s.versions[t.Service]
-	if h == nil {
-		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}}
-		s.versions[t.Service] = h
+	h := s.versionHistory(t.Service)
+	if h.listed[t.Version]++; h.listed[t.Version] == 1 {
+		s.versionsChanged = true
+		if s.listed {
+			// Streams may begin at it that are in no record yet.
+			h.earlierUntil = time.Time{}
+		}
 	}
-	h.listed[t.Version]++
 	_, only := h.only(now)
 	if !only && !h.mixed {
 		s.newlyMixed = append(s.newlyMixed, t.Service)
@@ -80,9 +86,82 @@
 	if h.listed[t.Version]--; h.listed[t.Version] == 0 {
 		delete(h.listed, t.Version)
 		h.goneAt[t.Version] = now
+		s.versionsChanged = true
+	}
+}
+
+func (s *State) versionHistory(service string) *versionHistory {
+	h := s.versions[service]
+	if h == nil {
+		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}}
+		s.versions[service] = h
+	}
+	return h
+}
+
+// RestoreVersions adds the versions that were in service before this process started. A service that has
+// none of them is taken for one that was not in service.
+func (s *State) RestoreVersions(now time.Time, list []streamversion.Served) {
+	s.versionsRestored = true
+	earlier := map[string][]string{}
+	for _, v := range list {
+		if v.GoneFor > streamversion.TTL {
+			continue
+		}
+		earlier[v.Service] = append(earlier[v.Service], v.Version)
+		h := s.versionHistory(v.Service)
+		if at := now.Add(-v.GoneFor); h.listed[v.Version] == 0 && at.After(h.goneAt[v.Version]) {
+			h.goneAt[v.Version] = at
+		}
+	}
+	for service, versions := range earlier {
+		if len(versions) == 1 {
+			h := s.versionHistory(service)
+			h.earlier, h.earlierUntil = versions[0], now.Add(streamversion.TTL)
+		}
 	}
 }
 
+// UnrecordedVersion returns the version that began a stream of which there is no record although there
+// would have to be one if its service had had several versions. It returns false while this router cannot
+// know which versions its service had.
+func (s *State) UnrecordedVersion(now time.Time, service string) (string, bool) {
+	if !s.versionsRestored && now.Sub(s.startedAt) <= streamversion.TTL {
+		return "", false
+	}
+	if version, only := s.OnlyVersion(now, service); only {
+		return version, true
+	}
+	h := s.versions[service]
+	if h == nil || !now.Before(h.earlierUntil) {
+		return "", false
+	}
+	return h.earlier, true
+}
+
+// ServedVersions returns the versions of each service that are listed or were within streamversion.TTL.
+func (s *State) ServedVersions(now time.Time) []streamversion.Served {
+	var list []streamversion.Served
+	for service, h := range s.versions {
+		for version := range h.listed {
+			list = append(list, streamversion.Served{Service: service, Version: version})
+		}
+		for version, at := range h.goneAt {
+			if since := now.Sub(at); h.listed[version] == 0 && since <= streamversion.TTL {
+				list = append(list, streamversion.Served{Service: service, Version: version, Gone: true, GoneFor: since})
+			}
+		}
+	}
+	return list
+}
+
+// VersionsChanged reports whether a version has come into service or left it since the last call.
+func (s *State) VersionsChanged() bool {
+	changed := s.versionsChanged
+	s.versionsChanged = false
+	return changed
+}
+
 // OnlyVersion returns the version of all targets of a service, or false if there are several versions
 // or were within streamversion.TTL.
 func (s *State) OnlyVersion(now time.Time, service string) (string, bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,9 @@
 	// QuarantineStore persists the requests that are held back, so that they survive a restart of
 	// all routers; nil if they are not persisted.
 	QuarantineStore QuarantineStore
+	// StreamStore persists which versions of services began streams; nil if nothing preceded this
+	// process.
+	StreamStore StreamStore
 	// RolloutStore holds the roll-outs of services; nil if there are none. A bad version may get
 	// up to the part RolloutExposure, from 0 to 1, of a service's requests.
 	RolloutStore    RolloutStore
@@ -178,7 +181,8 @@
 	// again.
 	persistedEra int64
 	// streams knows which versions began streams.
-	streams *streamversion.Directory
+	streams     *streamversion.Directory
+	streamStore streamStore
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
@@ -275,6 +279,10 @@
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
 	state.OnStreamBegun(g.streamBegun)
+	if o.StreamStore == nil {
+		g.streams.Restore(now, nil)
+		state.RestoreVersions(now, nil)
+	}
 	g.coldSenders = coldstart.NewSenders(now, g.roster, self.ID)
 	state.SetColdAllowance(g.coldSenders.SendLimit)
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -93,7 +93,7 @@
 	g.publishSpeeds(s, now)
 	g.logAnswersWaiting(now)
 	g.publishLocalChanges(now)
-	g.tickStreams(now)
+	g.tickStreams(s, now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -26,11 +26,11 @@
 }
 
 // lookUpStream sends the version that began a stream to answers, which has room for it. A stream that
-// nobody knows was begun by the only version of its service if there is just one.
+// nobody knows was begun by the only version that its service had.
 func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, answers chan<- streamversion.Answer) {
 	done := func(a streamversion.Answer) {
 		if !a.Known && a.Confirmed {
-			a.Version, a.Known = s.OnlyVersion(now, service)
+			a.Version, a.Known = s.UnrecordedVersion(now, service)
 		}
 		g.Metrics.countStreamLookup(a)
 		answers <- a
@@ -63,6 +63,7 @@
 		g.streams.Begin(now, streamversion.Record{Key: streamversion.KeyOf(b.Service, b.ID), Version: b.Version}, shared)
 	}
 	g.sendStreamVersions(g.streams.TakePrompt())
+	g.storeRecords(now)
 	g.tickEarlier(now)
 }
 
@@ -72,12 +73,16 @@
 	if len(m.Asked) > 0 {
 		g.sendStreamVersions(g.streams.Take())
 	}
+	g.storeRecords(now)
+	g.tickEarlier(now)
 }
 
-// tickStreams ends lookups in time and sends what has come together since the last tick.
-func (g *Gateway) tickStreams(now time.Time) {
+// tickStreams ends lookups in time, sends what has come together since the last tick, and stores what is
+// to outlive all routers.
+func (g *Gateway) tickStreams(s *balance.State, now time.Time) {
 	g.streams.Tick(now)
 	g.sendStreamVersions(g.streams.Take())
+	g.storeStreams(s, now)
 }
 
 func (g *Gateway) sendStreamVersions(list []streamversion.Outgoing) {
--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -67,6 +67,27 @@
 	return list
 }
 
+// First reports whether this router ranks first for a key among the live routers by rendezvous hashing.
+func (r *Roster) First(now time.Time, key string) bool {
+	hash := rendezvous.Hash(key)
+	own := rendezvous.WeightFromHashes(hash, rendezvous.Hash(string(r.self.ID)))
+	for other := range r.Each(now) {
+		if other.ID != r.self.ID && rendezvous.WeightFromHashes(hash, rendezvous.Hash(string(other.ID))) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// Size returns the number of live routers, this one included.
+func (r *Roster) Size(now time.Time) int {
+	n := 0
+	for range r.Each(now) {
+		n++
+	}
+	return n
+}
+
 // rankedRouter is a router and its rendezvous weight for a key.
 type rankedRouter struct {
 	weight uint64
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -7,13 +7,15 @@
 )
 
 const (
-	// copies is the number of routers that rendezvous hashing chooses for a record. As a record is
-	// lost only if all of them end within one TTL, there is more than one.
+	// copies is the number of routers that rendezvous hashing chooses for a record, with the one that
+	// stores it. As it is lost only if all of them end at once, there is more than one.
 	copies = 3
 	// answerTimeout is how long a lookup waits for the answers of the first routers until it asks
 	// as many others, and lookupTimeout how long it waits in all.
 	answerTimeout = 100 * time.Millisecond
 	lookupTimeout = 300 * time.Millisecond
+	// restoreTimeout is the same for a router that has not restored yet what was stored before it started.
+	restoreTimeout = time.Second
 	// maxPrompt is how often TakePrompt returns messages between two ticks, so that a router that
 	// begins many streams sends their records together.
 	maxPrompt = 16
@@ -24,6 +26,10 @@
 	// Ranked returns the addresses of the n routers that rank first for a key, without this one if
 	// it is among them.
 	Ranked(now time.Time, key string, n int) []string
+	// First reports whether this router ranks first for a key.
+	First(now time.Time, key string) bool
+	// Size returns the number of routers.
+	Size(now time.Time) int
 }
 
 // Message is what routers tell one another about the versions of streams.
@@ -45,8 +51,9 @@
 	// Version is the version that began the stream, if Known is set.
 	Version string
 	Known   bool
-	// Confirmed is set if other routers would have to know the stream and do not, or if there are
-	// no others. If neither Known nor Confirmed is set, nobody answered.
+	// Confirmed is set if those who would have to know the stream do not: this router, if there are no
+	// others, or others that ran when it began or have restored what was stored. If neither Known nor
+	// Confirmed is set, nobody answered who would have to know it.
 	Confirmed bool
 }
 
@@ -55,6 +62,15 @@
 type Directory struct {
 	fleet   Fleet
 	records records
+	// startedAt is when the directory was created. What began before is known once it was restored.
+	startedAt time.Time
+	restored  bool
+	stored    ledger
+	// storedBy has the router that stores each of the shards that streams began in here, as of
+	// storingCheckedAt, and shards is their number.
+	storedBy         map[int]string
+	shards           int
+	storingCheckedAt time.Time
 	// hadPeers is set once there was another router.
 	hadPeers bool
 	outbox   map[string]*Message
@@ -75,7 +91,30 @@
 
 // New returns a directory without records.
 func New(now time.Time, f Fleet) *Directory {
-	return &Directory{fleet: f, records: newRecords(now), outbox: map[string]*Message{}, lookups: map[Key]*lookup{}}
+	return &Directory{fleet: f, records: newRecords(now), startedAt: now, storedBy: map[int]string{}, outbox: map[string]*Message{}, lookups: map[Key]*lookup{}}
+}
+
+// Restore adds the records that other routers, or an earlier process of this one, stored.
+func (d *Directory) Restore(now time.Time, list []Record) {
+	d.restored = true
+	d.Add(now, list)
+	for k, l := range d.lookups {
+		d.endIfConfirmed(now, k, l)
+	}
+}
+
+// Add adds records that other routers keep.
+func (d *Directory) Add(now time.Time, list []Record) {
+	for _, r := range list {
+		d.records.put(now, r.Key, r.Version)
+		d.stored.add(now, r, false)
+		d.resolve(r.Key)
+	}
+}
+
+// complete reports whether the directory would have to know each stream that it is asked for.
+func (d *Directory) complete(now time.Time) bool {
+	return d.restored || now.Sub(d.startedAt) > TTL
 }
 
 // Begin records which version began a stream. If it is to be shared, other routers are told.
@@ -84,7 +123,9 @@
 	if !share {
 		return
 	}
-	for _, to := range d.rank(now, r.Key, copies) {
+	d.stored.add(now, r, true)
+	list := d.holders(now, r.Key)
+	for _, to := range list {
 		m := d.messageTo(to)
 		m.Records = append(m.Records, r)
 	}
@@ -101,50 +142,47 @@
 		l.done = append(l.done, done)
 		return
 	}
-	first := d.rank(now, k, copies)
-	if len(first) == 0 {
-		done(Answer{Confirmed: !d.hadPeers})
-		return
-	}
+	first := d.holders(now, k)
 	l := &lookup{began: now, done: []func(Answer){done}}
 	d.lookups[k] = l
 	d.ask(k, l, first)
+	d.endIfConfirmed(now, k, l)
 }
 
 // Receive handles a message of another router.
 func (d *Directory) Receive(now time.Time, from string, m Message) {
-	for _, r := range m.Records {
-		d.records.put(now, r.Key, r.Version)
-		d.resolve(r.Key)
-	}
+	d.Add(now, m.Records)
 	for _, k := range m.Unknown {
 		if l := d.lookups[k]; l != nil {
 			l.unknown = true
 			l.asked = slices.DeleteFunc(l.asked, func(to string) bool { return to == from })
-			if len(l.asked) == 0 {
-				d.end(k, Answer{Confirmed: true})
-			}
+			d.endIfConfirmed(now, k, l)
 		}
 	}
 	for _, k := range m.Asked {
-		out := d.messageTo(from)
 		if version, known := d.records.find(k); known {
+			out := d.messageTo(from)
 			out.Records = append(out.Records, Record{Key: k, Version: version})
 			continue
 		}
-		out.Unknown = append(out.Unknown, k)
+		// A router that has just started and could not restore anything does not know what it lacks.
+		if d.complete(now) {
+			out := d.messageTo(from)
+			out.Unknown = append(out.Unknown, k)
+		}
 	}
 }
 
-// Tick ends lookups that have waited long enough, and asks more routers for others. Call it every few
+// Tick ends lookups that have waited long enough, asks more routers for others, and hands over records. Call it every few
 // tens of milliseconds unless the directory is idle.
 func (d *Directory) Tick(now time.Time) {
 	d.prompt = 0
+	d.handOver(now)
 	for k, l := range d.lookups {
 		waited := now.Sub(l.began)
 		switch {
-		case waited >= lookupTimeout:
-			d.end(k, Answer{Confirmed: l.unknown})
+		case waited >= restoreTimeout, waited >= lookupTimeout && d.complete(now):
+			d.end(k, Answer{Confirmed: l.unknown && d.complete(now)})
 		case waited >= answerTimeout && !l.wider:
 			l.wider = true
 			d.ask(k, l, d.rank(now, k, 2*copies))
@@ -177,7 +215,9 @@
 }
 
 // Idle reports whether neither Tick nor Take need to be called.
-func (d *Directory) Idle() bool { return len(d.outbox) == 0 && len(d.lookups) == 0 }
+func (d *Directory) Idle() bool {
+	return len(d.outbox) == 0 && len(d.lookups) == 0 && len(d.stored.list) == 0
+}
 
 // resolve ends the lookup of a stream that has become known.
 func (d *Directory) resolve(k Key) {
@@ -186,6 +226,13 @@
 	}
 }
 
+// endIfConfirmed ends a lookup if no router is left that could still know the stream, this one included.
+func (d *Directory) endIfConfirmed(now time.Time, k Key, l *lookup) {
+	if len(l.asked) == 0 && d.complete(now) {
+		d.end(k, Answer{Confirmed: l.unknown || !d.hadPeers})
+	}
+}
+
 func (d *Directory) end(k Key, a Answer) {
 	l := d.lookups[k]
 	if l == nil {
--- a/internal/streamversion/directory_test.go
+++ b/internal/streamversion/directory_test.go
@@ -35,16 +35,29 @@
 	return slices.DeleteFunc(list, func(id string) bool { return id == v.self })
 }
 
+func (v view) First(_ time.Time, key string) bool {
+	first := slices.MaxFunc(v.known, func(a, b string) int { return cmp.Compare(rendezvous.Weight(key, a), rendezvous.Weight(key, b)) })
+	return first == v.self
+}
+
+func (v view) Size(time.Time) int { return len(v.known) }
+
 func newFleet(n int) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), routers: map[string]*streamversion.Directory{}, down: map[string]bool{}}
 	for i := range n {
 		id := fmt.Sprint("router-", i)
 		f.known = append(f.known, id)
-		f.routers[id] = streamversion.New(f.now, view{f, id})
+		f.start(id)
 	}
 	return f
 }
 
+// start starts a router that knows that nothing was stored before.
+func (f *fleet) start(id string) {
+	f.routers[id] = streamversion.New(f.now, view{f, id})
+	f.routers[id].Restore(f.now, nil)
+}
+
 // run delivers messages for a time.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(10 * time.Millisecond) {
@@ -94,7 +107,7 @@
 			routers: 20, request: "begun", want: streamversion.Answer{Version: "v1", Known: true},
 			prepare: func(f *fleet) {
 				f.known = append(f.known, "new")
-				f.routers["new"] = streamversion.New(f.now, view{f, "new"})
+				f.start("new")
 			},
 		},
 		"nobody began it": {routers: 20, request: "other", want: streamversion.Answer{Confirmed: true}},
@@ -102,7 +115,7 @@
 			routers: 20, request: "begun", want: streamversion.Answer{},
 			prepare: func(f *fleet) {
 				// The router that is asked may be one of those that keep the record.
-				f.routers["router-19"] = streamversion.New(f.now, view{f, "router-19"})
+				f.start("router-19")
 				for _, id := range f.known[:19] {
 					f.down[id] = true
 				}
@@ -148,7 +161,7 @@
 	f.run(100 * time.Millisecond)
 	for i := range 4 {
 		id := fmt.Sprint("router-", i)
-		f.routers[id] = streamversion.New(f.now, view{f, id})
+		f.start(id)
 	}
 	known := 0
 	for i := range streams {
@@ -217,3 +230,134 @@
 		t.Errorf("%.0f messages a second from each router, at most %d", each, 3*perSecond)
 	}
 }
+
+// stored is what a fleet has in the store.
+type stored map[[2]int][]streamversion.Record
+
+// store writes what routers have to store.
+func (s stored) store(f *fleet) {
+	for id, d := range f.routers {
+		if f.down[id] {
+			continue
+		}
+		for _, snapshot := range d.TakeSnapshots(f.now) {
+			s[[2]int{snapshot.Shard, snapshot.Slot}] = snapshot.Records
+		}
+	}
+}
+
+func (s stored) records() (list []streamversion.Record) {
+	for _, records := range s {
+		list = append(list, records...)
+	}
+	return list
+}
+
+// Guards against streams of which nobody knows the version after all routers were killed, and against
+// records that are overwritten when another router stores them.
+func TestRecordsOutliveAllRouters(t *testing.T) {
+	const streams = 300
+	for name, c := range map[string]struct {
+		routers int
+		killed  []string
+	}{
+		"a small fleet":                        {routers: 8},
+		"several shards":                       {routers: 60},
+		"routers are killed one after another": {routers: 8, killed: []string{"router-3", "router-5", "router-0"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, s := newFleet(c.routers), stored{}
+			for i := range streams {
+				if n := len(c.killed); n > 0 && i%100 == 50 {
+					f.start(c.killed[i/100])
+					f.routers[c.killed[i/100]].Restore(f.now, s.records())
+				}
+				f.begin(f.known[i%c.routers], fmt.Sprint(i), "v1")
+				if i%10 == 9 {
+					f.run(50 * time.Millisecond)
+					s.store(f)
+				}
+			}
+			for _, id := range f.known {
+				f.routers[id] = streamversion.New(f.now, view{f, id})
+				f.routers[id].Restore(f.now, s.records())
+			}
+			known := 0
+			for i := range streams {
+				if a, _ := f.lookup(f.known[(i*7)%c.routers], fmt.Sprint(i)); a.Version == "v1" {
+					known++
+				}
+			}
+			if known < streams*95/100 {
+				t.Errorf("%d of %d known after all routers were killed", known, streams)
+			}
+		})
+	}
+}
+
+// Guards against records that the router which stores them from now on never gets, as the one before was
+// killed or the router did not know yet of the others.
+func TestRecordsAreHandedOver(t *testing.T) {
+	for name, change := range map[string]func(f *fleet, stores string){
+		"the one before was killed": func(f *fleet, stores string) {
+			f.down[stores] = true
+			f.known = slices.DeleteFunc(f.known, func(id string) bool { return id == stores })
+		},
+		"another one joins that ranks before it": func(f *fleet, stores string) {
+			for i := 100; f.routers[stores].LeadsFleet(f.now); i++ {
+				f.known = append(f.known, fmt.Sprint("router-", i))
+				f.start(fmt.Sprint("router-", i))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const streams = 40
+			f := newFleet(6)
+			stores := func() string {
+				return f.known[slices.IndexFunc(f.known, func(id string) bool { return f.routers[id].LeadsFleet(f.now) })]
+			}
+			first := stores()
+			for i := range streams {
+				if from := f.known[i%6]; from != first {
+					f.begin(from, fmt.Sprint(i), "v1")
+				}
+			}
+			f.run(100 * time.Millisecond)
+			change(f, first)
+			f.run(time.Second)
+			got := 0
+			for _, id := range f.known {
+				for _, s := range f.routers[id].TakeSnapshots(f.now) {
+					got += len(s.Records)
+				}
+			}
+			if want := streams * 5 / 6; got < want-1 {
+				t.Errorf("%d of %d records reached the router that stores them", got, want)
+			}
+		})
+	}
+}
+
+// Guards against taking the ignorance of routers that have just started for proof that a stream is unknown.
+func TestRouterThatHasNotRestoredConfirmsNothing(t *testing.T) {
+	f := newFleet(8)
+	f.begin("router-0", "begun", "v1")
+	f.run(100 * time.Millisecond)
+	for _, id := range f.known {
+		f.routers[id] = streamversion.New(f.now, view{f, id})
+	}
+	f.routers["router-1"].Lookup(f.now, streamversion.KeyOf("s", "begun"), func(a streamversion.Answer) {
+		if a.Confirmed || a.Known {
+			t.Errorf("got %+v", a)
+		}
+	})
+	f.run(2 * time.Second)
+	f.routers["router-1"].Lookup(f.now, streamversion.KeyOf("s", "begun"), func(a streamversion.Answer) {
+		if a.Version != "v1" {
+			t.Errorf("got %+v after what was stored has been restored meanwhile", a)
+		}
+	})
+	f.run(100 * time.Millisecond)
+	f.routers["router-1"].Restore(f.now, []streamversion.Record{{Key: streamversion.KeyOf("s", "begun"), Version: "v1"}})
+	f.run(time.Second)
+}
--- /dev/null
+++ b/internal/streamversion/stored.go
@@ -0,0 +1,200 @@
+package streamversion
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// routersPerShard is how many routers there are for each shard of the records.
+	routersPerShard = 32
+	// maxShards bounds the number of shards.
+	maxShards = 64
+	// storingCheckInterval is the time between two checks whether another router stores a shard.
+	storingCheckInterval = 200 * time.Millisecond
+	// storedFor is how long a record is stored after the stream began. It exceeds the deadlines that
+	// callers set.
+	storedFor = 20 * time.Second
+	// slotDuration is the time whose records are stored together, so that a write has only the newest ones,
+	// and slotCount the number of slots, which are used again in turn.
+	slotDuration = time.Second
+	slotCount    = int(storedFor/slotDuration) + 1
+	// maxStored bounds the stored records of a router. One takes 11 bytes of a stored value.
+	maxStored = 1 << 15
+)
+
+// shardCount returns the number of shards of a fleet, a power of two. Routers that disagree about the size
+// of the fleet agree about it mostly; where they do not, records of a stream are found at more routers.
+func shardCount(routers int) int {
+	n := 1
+	for n < maxShards && n*routersPerShard < routers {
+		n *= 2
+	}
+	return n
+}
+
+func shardOf(k Key, shards int) int { return int(uint64(k) % uint64(shards)) }
+
+// rankKey returns the key by which routers rank for storing a shard.
+func rankKey(shard int) string { return "streams " + strconv.Itoa(shard) }
+
+// holders returns the routers that keep a stream's record: those that rank first for it, and in place of
+// the last of them the one that stores it as of the last check. This router is left out if it is one of them.
+func (d *Directory) holders(now time.Time, k Key) []string {
+	list := d.rank(now, k, copies)
+	if len(d.storedBy) == 0 {
+		d.shards = shardCount(d.fleet.Size(now))
+	}
+	shard := shardOf(k, d.shards)
+	storing, known := d.storedBy[shard]
+	if !known {
+		storing = d.storing(now, shard)
+		d.storedBy[shard] = storing
+	}
+	switch {
+	case storing == "" || slices.Contains(list, storing):
+	case len(list) < copies:
+		list = append(list, storing)
+	default:
+		list[copies-1] = storing
+	}
+	return list
+}
+
+// storing returns the router that stores a shard, "" if it is this one.
+func (d *Directory) storing(now time.Time, shard int) string {
+	for _, to := range d.fleet.Ranked(now, rankKey(shard), 1) {
+		return to
+	}
+	return ""
+}
+
+// handOver sends the records of streams that began here to routers that have come to store their shard: the
+// one before may have ended, or be one that does not know yet of the others.
+func (d *Directory) handOver(now time.Time) {
+	if len(d.stored.list) == 0 || now.Sub(d.storingCheckedAt) < storingCheckInterval {
+		return
+	}
+	d.storingCheckedAt = now
+	d.stored.expire(now)
+	shards := shardCount(d.fleet.Size(now))
+	current := map[int]string{}
+	for _, e := range d.stored.list {
+		if !e.own {
+			continue
+		}
+		shard := shardOf(e.Key, shards)
+		to, checked := current[shard]
+		if !checked {
+			to = d.storing(now, shard)
+			current[shard] = to
+		}
+		if before, sent := d.storedBy[shard]; to != "" && (to != before || !sent || shards != d.shards) {
+			m := d.messageTo(to)
+			m.Records = append(m.Records, e.Record)
+		}
+	}
+	d.storedBy, d.shards = current, shards
+}
+
+// Snapshot has the records of a slot of a shard, which are to outlive all routers.
+type Snapshot struct {
+	Shard, Slot int
+	Records     []Record
+}
+
+func slotOf(at time.Time) int { return int(at.UnixNano() / int64(slotDuration) % int64(slotCount)) }
+
+// Served is a version of a service's software that is in service, or was when the store was last told.
+type Served struct {
+	Service, Version string
+	// Gone is set if it has left service, GoneFor how long ago.
+	Gone    bool
+	GoneFor time.Duration
+}
+
+// ledger has the records of the last seconds in the order in which they came.
+type ledger struct {
+	list  []ledgerEntry
+	known map[Key]struct{}
+	// unsaved is the number of records at the end of the list that have come since the last snapshots were
+	// taken.
+	unsaved int
+}
+
+type ledgerEntry struct {
+	Record
+	at time.Time
+	// own is set if the stream began at this router.
+	own bool
+}
+
+func (l *ledger) add(now time.Time, r Record, own bool) {
+	if _, known := l.known[r.Key]; known {
+		return
+	}
+	l.expire(now)
+	if l.known == nil {
+		l.known = map[Key]struct{}{}
+	}
+	l.known[r.Key] = struct{}{}
+	l.list = append(l.list, ledgerEntry{r, now, own})
+	l.unsaved++
+}
+
+// expire removes what is too old, and the oldest records if there are too many.
+func (l *ledger) expire(now time.Time) {
+	n := 0
+	for n < len(l.list) && (len(l.list)-n >= maxStored || now.Sub(l.list[n].at) > storedFor) {
+		delete(l.known, l.list[n].Key)
+		n++
+	}
+	l.list = l.list[n:]
+	l.unsaved = min(l.unsaved, len(l.list))
+	if len(l.list) == 0 {
+		// The array that the slice has moved through is released.
+		l.list = nil
+	}
+}
+
+// Unsaved reports whether TakeSnapshots may return something.
+func (d *Directory) Unsaved() bool { return d.stored.unsaved > 0 }
+
+// TakeSnapshots returns the records that this router has to store: those of each shard for which it ranks
+// first and of each slot in which any have come since the last call.
+func (d *Directory) TakeSnapshots(now time.Time) []Snapshot {
+	d.stored.expire(now)
+	if d.stored.unsaved == 0 {
+		return nil
+	}
+	oldest := d.stored.list[len(d.stored.list)-d.stored.unsaved].at.Truncate(slotDuration)
+	d.stored.unsaved = 0
+	shards := shardCount(d.fleet.Size(now))
+	stores := map[int]bool{}
+	list := map[[2]int]*Snapshot{}
+	for i := len(d.stored.list) - 1; i >= 0 && !d.stored.list[i].at.Before(oldest); i-- {
+		e := d.stored.list[i]
+		shard, slot := shardOf(e.Key, shards), slotOf(e.at)
+		if _, checked := stores[shard]; !checked {
+			stores[shard] = d.fleet.First(now, rankKey(shard))
+		}
+		if !stores[shard] {
+			continue
+		}
+		s := list[[2]int{shard, slot}]
+		if s == nil {
+			s = &Snapshot{Shard: shard, Slot: slot}
+			list[[2]int{shard, slot}] = s
+		}
+		s.Records = append(s.Records, e.Record)
+	}
+	var out []Snapshot
+	for _, s := range list {
+		out = append(out, *s)
+	}
+	return out
+}
+
+// LeadsFleet reports whether this router ranks first for what concerns the whole fleet.
+func (d *Directory) LeadsFleet(now time.Time) bool { return d.fleet.First(now, rankKey(0)) }
