Retry budget: cover windows of any length

Later the buckets are counted twice. Cause: 64 buckets of half a second whatever the window. The buckets are as wide now as the window needs. TestRetryWindowOfAnyLength panicked before at 33 s and passes from 1 s to an hour.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -215,7 +215,7 @@
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
 		forecasts:         newForecasts(),
 		returning:         newReturning(),
-		budget:            budget{start: now, histories: map[string]*history{}},
+		budget:            newBudget(now, limits.RetryWindow),
 	}
 }
 
@@ -464,6 +464,9 @@
 
 // SetLimits applies changed limits.
 func (s *State) SetLimits(l Limits) {
+	if bucketWidthFor(l.RetryWindow) != s.budget.width {
+		s.budget = newBudget(s.budget.start, l.RetryWindow)
+	}
 	s.limits = l
 	s.shares.window = l.QuotaWindow
 	s.peers.SetWindow(l.QuotaWindow)
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -5,10 +5,10 @@
 )
 
 const (
-	// bucketWidth is the time that one bucket of the retry budget's counts covers, and
-	// bucketCount the number of buckets kept.
-	bucketWidth = 500 * time.Millisecond
-	bucketCount = 64
+	// minBucketWidth is the least time that one bucket of the retry budget's counts covers, and
+	// bucketCount the number of buckets kept. For a long window, buckets are wider.
+	minBucketWidth = 500 * time.Millisecond
+	bucketCount    = 64
 	// budgetPercent is the part of the retry budget that routers use. It is below 100 since
 	// windows slide and each router works out its part by itself.
 	budgetPercent = 60
@@ -18,9 +18,20 @@
 // the monotonic clock, since the wall clock may jump.
 type budget struct {
 	start     time.Time
+	width     time.Duration
 	histories map[string]*history
 }
 
+// newBudget returns a budget without counts for a window.
+func newBudget(now time.Time, window time.Duration) budget {
+	return budget{start: now, width: bucketWidthFor(window), histories: map[string]*history{}}
+}
+
+// bucketWidthFor returns the width at which the buckets cover a window, and the one that has just begun.
+func bucketWidthFor(window time.Duration) time.Duration {
+	return max(minBucketWidth, window/(bucketCount-2))
+}
+
 type history struct {
 	newest   int64
 	requests [bucketCount]int
@@ -33,7 +44,7 @@
 		h = &history{}
 		b.histories[service] = h
 	}
-	h.advance(int64(now.Sub(b.start) / bucketWidth))
+	h.advance(int64(now.Sub(b.start) / b.width))
 	return h
 }
 
@@ -62,7 +73,7 @@
 func (b budget) allowRetry(now time.Time, service string, l Limits, routers int) bool {
 	h := b.history(now, service)
 	requests, retries := 0, 0
-	for i := range int64(l.RetryWindow/bucketWidth) + 1 {
+	for i := range min(int64(l.RetryWindow/b.width)+1, bucketCount) {
 		at := (h.newest - i + bucketCount) % bucketCount
 		requests += h.requests[at]
 		retries += h.retries[at]
