Release a target whose request's handler panics

The end of a send is told in a deferred call now, whatever ends it. TestPanicReleasesTarget: 1 request counted before, 0 after.

--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -57,19 +57,24 @@
 	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	defer x.ticket.OnLost(nil)
+	// If the handler panics, the load at the target must not stay counted.
+	result := balance.Abandoned
+	defer func() { x.endSend(result) }()
 	answer, err := x.sender.Send(ctx, to.Address, httptarget.Request{
 		Method: x.Method, Head: x.requestHead(to, x.deadline), Body: x.Body, Instance: to.Incarnation(),
 		ID: x.ID, IDHeader: x.headers.RequestID,
 	})
 	if err != nil {
-		return x.sendFailed(ctx, to, err)
+		f := x.sendFailed(ctx, to, err)
+		result = f.result
+		return f
 	}
 	x.result.Sends++
 	x.answerStarted = false
 	f := x.forwardAnswer(ctx, to, answer, silence)
 	answer.Close()
 	if f == nil {
-		x.endSend(balance.Answered)
+		result = balance.Answered
 		x.suspects.RecordEnd(x.credits())
 		if x.suspects.View() != nil {
 			x.clearSuspicion()
@@ -79,11 +84,11 @@
 	if context.Cause(ctx) != nil {
 		f = x.cancelledFailure(ctx, f.cause)
 	}
-	x.endSend(f.result)
+	result = f.result
 	return f
 }
 
-// sendFailed handles a send that got no answer: not even its head was received.
+// sendFailed returns the failure of a send that got no answer: not even its head was received.
 func (x *inflight) sendFailed(ctx context.Context, to balance.Target, err error) *failure {
 	if errors.Is(err, httptarget.ErrNotSent) {
 		f := &failure{reason: ReasonUnreachable, result: balance.Unreachable, cause: err}
@@ -93,7 +98,6 @@
 		if ctx.Err() != nil {
 			f.result = balance.Abandoned
 		}
-		x.endSend(f.result)
 		return f
 	}
 	x.result.Sends++
@@ -101,7 +105,6 @@
 	if ctx.Err() != nil {
 		f = x.cancelledFailure(ctx, err)
 	}
-	x.endSend(f.result)
 	return f
 }
 
