Take a status below 100 for no answer of HTTP

Callers saw a closed connection: net/http panics in WriteHeader for such a status, which http.ReadResponse accepts (the review, by reading). It is a broken answer now, which counts against the target. TestStatusThatIsNotOfHTTP: status 0, 1 and 99 were passed on before.

--- a/internal/forward/invalid_answer_test.go
+++ b/internal/forward/invalid_answer_test.go
@@ -162,3 +162,19 @@
 		})
 	}
 }
+
+// Guards against a status that HTTP does not have and that makes net/http panic when it is passed on.
+func TestStatusThatIsNotOfHTTP(t *testing.T) {
+	for _, status := range []string{"000", "001", "099"} {
+		t.Run(status, func(t *testing.T) {
+			f := newTestForwarder(t)
+			f.setTargets(t, startRawTarget(t, "a", func(id string, _ int) string {
+				return fmt.Sprintf("HTTP/1.1 %s x\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+			}))
+			v := f.send(routing.NonIdempotent)
+			if v.Status != http.StatusBadGateway || v.HeadSent || v.Reason != forward.ReasonBroken {
+				t.Errorf("status %d, reason %q, head sent %v", v.Status, v.Reason, v.HeadSent)
+			}
+		})
+	}
+}
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -376,8 +376,10 @@
 		if err != nil {
 			return nil, err
 		}
-		interim := res.StatusCode >= 100 && res.StatusCode < 200
-		if !interim {
+		switch {
+		case res.StatusCode < http.StatusContinue:
+			return nil, errors.Errorf("status %03d is not of HTTP", res.StatusCode)
+		case res.StatusCode >= http.StatusOK:
 			return res, nil
 		}
 		if res.StatusCode == http.StatusSwitchingProtocols {
