Let targets take their time to read a long body

Bodies of 64 KB or more have neither bound now; the deadline of the exchange closes the connection as before, and a silent target is left for another one where the request may be repeated. A target that goes dark while it is sent a long body that may not be repeated is noticed at the deadline and not after 1.5 s. Shorter bodies are as before.

--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -60,6 +60,10 @@
 	// maxStrayAnswers is the number of answers to earlier requests that are skipped before a
 	// connection is closed.
 	maxStrayAnswers = 2
+	// longBodySize is the size in bytes from which a target may take a while to read a body: it is not
+	// given up while it reads nothing, as the kernel does not tell a peer that is slow from one that has
+	// gone once its receive buffer is full.
+	longBodySize = 64 << 10
 	// asyncBodySize is the size in bytes from which a body is written by another goroutine
 	// while the answer is read: the target may answer before it has read the whole body.
 	asyncBodySize = 4 << 10
@@ -307,6 +311,8 @@
 	bodyWritten chan struct{}
 	writeErr    error
 	complete    bool
+	// slowReading is set if the target may take its time to read the body.
+	slowReading bool
 }
 
 func (a *Answer) write(r Request) error {
@@ -317,6 +323,11 @@
 		_, err := a.conn.Write(append(r.Head, r.Body.Bytes()...))
 		return err
 	}
+	if r.Body.Len() >= longBodySize {
+		if err := a.allowSlowReading(); err != nil {
+			return err
+		}
+	}
 	buffers := r.Body.Behind(r.Head)
 	a.bodyWritten = make(chan struct{})
 	a.transport.group.Go(func() {
@@ -326,6 +337,16 @@
 	return nil
 }
 
+// allowSlowReading lifts the bounds on the time that the target takes to read the body; the exchange's context
+// still bounds it.
+func (a *Answer) allowSlowReading() error {
+	if err := a.conn.SetWriteDeadline(time.Time{}); err != nil {
+		return err
+	}
+	a.slowReading = true
+	return sockopt.SetUserTimeout(a.conn.Conn, 0)
+}
+
 // readHead reads the head of the answer to r. It skips interim (1xx) answers and answers to
 // earlier requests on the connection.
 func (a *Answer) readHead(r Request) error {
@@ -428,6 +449,9 @@
 	if !a.requestWritten() {
 		return false
 	}
+	if a.slowReading && sockopt.SetUserTimeout(a.conn.Conn, unackedTimeout) != nil {
+		return false
+	}
 	a.conn.idleTimeout = keepAliveTimeout(a.Header.Get("Keep-Alive"))
 	return a.conn.SetDeadline(time.Time{}) == nil
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -17,16 +17,32 @@
 // UserTimeout returns a value for net.Dialer.Control that makes the kernel abort a connection
 // once sent data has been unacknowledged for d.
 func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var callErr error
-		err := raw.Control(func(fd uintptr) {
-			callErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return callErr
+	return func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, d) }
+}
+
+// SetUserTimeout sets the same for a connection. With 0, the kernel's own bound of some minutes applies. It
+// does nothing for a connection that is not TCP.
+func SetUserTimeout(c net.Conn, d time.Duration) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return setUserTimeout(raw, d)
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var callErr error
+	err := raw.Control(func(fd uintptr) {
+		callErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return callErr
 }
 
 // SetBacklog sets the maximum number of connections in a TCP listener's accept queue. While the
