A router that comes to store a shard stores all it knows of it

By reading: a router that ranks first for a shard from now on stored only what had come in the running second, as older records had been looked at while it did not rank first.

--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -66,6 +66,8 @@
 	startedAt time.Time
 	restored  bool
 	stored    ledger
+	// stores tells for which shards this router ranked first when it took snapshots last.
+	stores map[int]bool
 	// storedBy has the router that stores each of the shards that streams began in here, as of
 	// storingCheckedAt, and shards is their number.
 	storedBy         map[int]string
--- a/internal/streamversion/directory_test.go
+++ b/internal/streamversion/directory_test.go
@@ -323,6 +323,12 @@
 				}
 			}
 			f.run(100 * time.Millisecond)
+			for _, id := range f.known {
+				if list := f.routers[id].TakeSnapshots(f.now); id != first && len(list) > 0 {
+					t.Errorf("%s stores records that are not its", id)
+				}
+			}
+			f.run(2 * time.Second)
 			change(f, first)
 			f.run(time.Second)
 			got := 0
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -162,7 +162,8 @@
 func (d *Directory) Unsaved() bool { return d.stored.unsaved > 0 }
 
 // TakeSnapshots returns the records that this router has to store: those of each shard for which it ranks
-// first and of each slot in which any have come since the last call.
+// first, in each slot in which any have come since the last call, and all of them if it did not store the
+// shard before. It returns nothing if no records have come.
 func (d *Directory) TakeSnapshots(now time.Time) []Snapshot {
 	d.stored.expire(now)
 	if d.stored.unsaved == 0 {
@@ -173,13 +174,14 @@
 	shards := shardCount(d.fleet.Size(now))
 	stores := map[int]bool{}
 	list := map[[2]int]*Snapshot{}
-	for i := len(d.stored.list) - 1; i >= 0 && !d.stored.list[i].at.Before(oldest); i-- {
-		e := d.stored.list[i]
+	for _, e := range d.stored.list {
 		shard, slot := shardOf(e.Key, shards), slotOf(e.at)
-		if _, checked := stores[shard]; !checked {
-			stores[shard] = d.fleet.First(now, rankKey(shard))
+		first, checked := stores[shard]
+		if !checked {
+			first = d.fleet.First(now, rankKey(shard))
+			stores[shard] = first
 		}
-		if !stores[shard] {
+		if !first || d.stores[shard] && e.at.Before(oldest) {
 			continue
 		}
 		s := list[[2]int{shard, slot}]
@@ -189,6 +191,7 @@
 		}
 		s.Records = append(s.Records, e.Record)
 	}
+	d.stores = stores
 	var out []Snapshot
 	for _, s := range list {
 		out = append(out, *s)
