--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -28,13 +28,18 @@
 	// minSilence is the shortest time after which a target counts as silent.
 	minSilence = 600 * time.Millisecond
 	// maxBufferedAnswer is the size, in bytes, up to which an answer is buffered until it is
-	// complete.
+	// complete. maxUnknownLength is the same for one that does not tell its length: a faulty target may
+	// send bytes without end, which must not reach the caller. It is as much as a request may have if
+	// nothing else is configured.
 	maxBufferedAnswer = 256 << 10
+	maxUnknownLength  = 4 << 20
 )
 
 var (
 	// errSilent is the cancellation cause when a target has sent nothing for too long.
 	errSilent = errors.New("target silent")
+	// errEndless is the cause of a failure when an answer without a length is too long.
+	errEndless = errors.New("answer without Content-Length is too long")
 	// errRestarted is the cancellation cause when the target's process was restarted.
 	errRestarted = errors.New("target restarted")
 )
@@ -213,17 +218,23 @@
 // that the request can be retried if the answer breaks off, unless it is too long for that or there is
 // no memory for it.
 func (x *inflight) forwardBuffered(a *httptarget.Answer) *failure {
-	if a.Length() > maxBufferedAnswer {
+	limit := int64(maxBufferedAnswer)
+	switch {
+	case a.Length() > limit:
 		return x.forwardUnbuffered(a, memory.Buffer{})
+	case a.Length() < 0:
+		limit = maxUnknownLength
 	}
 	x.releaseAnswer()
-	x.answerMemory = x.memory.Open(x.Organisation, maxBufferedAnswer, nil)
-	body, err := x.answerMemory.Read(a, memory.UnknownSize, maxBufferedAnswer)
-	if errors.Is(err, memory.ErrEvicted) || err == nil && body.Len() > maxBufferedAnswer {
+	x.answerMemory = x.memory.Open(x.Organisation, limit, nil)
+	body, err := x.answerMemory.Read(a, memory.UnknownSize, limit)
+	switch {
+	case errors.Is(err, memory.ErrEvicted):
 		return x.forwardUnbuffered(a, body)
-	}
-	if err != nil {
+	case err != nil:
 		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: err}
+	case int64(body.Len()) > limit:
+		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: errEndless}
 	}
 	// This comes first, since the control goroutine reads it when it learns that the answer started.
 	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
@@ -290,8 +301,11 @@
 	}
 	x.releaseAnswer()
 	buffer := make([]byte, 16<<10)
-	for {
+	for sent := begin.Len(); ; {
 		n, err := a.Read(buffer)
+		if sent += n; a.Length() < 0 && sent > maxUnknownLength {
+			return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: errEndless}
+		}
 		if n > 0 {
 			if writeErr := x.caller.Write(buffer[:n]); writeErr != nil {
 				return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: writeErr}
