Count what a message holds until it is freed

By reading: a buffered answer that found no more memory gave back what it had taken while it was still being passed on. It keeps that until it is closed now. TestMessageThatMayNotBeEvicted; the model of TestReservationsAgainstSums keeps what may not be evicted.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -34,7 +34,7 @@
 	Limit int64 `json:"limit"`
 	Used  int64 `json:"bytes"`
 	Peak  int64 `json:"peak_bytes"`
-	// Open is the number of reservations, Evicted that of those evicted since the start.
+	// Open is the number of reservations, Evicted that of those evicted, or refused more, since the start.
 	Open    int   `json:"open"`
 	Evicted int64 `json:"evicted"`
 }
@@ -76,7 +76,8 @@
 
 // Open returns a reservation for a message of an organisation that is expected to have size bytes. It
 // holds nothing yet. If another one needs its memory, onEvict is called, which must not block nor use the
-// budget; Take and Keep then return ErrEvicted. The caller must call Close.
+// budget; Take and Keep then return ErrEvicted. With a nil onEvict it keeps what it has taken, and Take alone
+// returns ErrEvicted if there is no more. The caller must call Close.
 func (b *Budget) Open(name string, size int64, onEvict func()) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -97,7 +98,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !r.evicted && b.used+n > b.limit {
-		b.victim(r, n).evict()
+		victim := b.victim(r, n)
+		if victim == r && r.onEvict == nil {
+			// What it holds stays in use until Close.
+			b.evicted++
+			return errors.WithStack(ErrEvicted)
+		}
+		victim.evict()
 	}
 	if r.evicted {
 		return errors.WithStack(ErrEvicted)
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -69,9 +69,10 @@
 				if err != nil && !errors.Is(err, memory.ErrEvicted) {
 					t.Fatal(err)
 				}
-				if err == nil {
+				switch {
+				case err == nil:
 					m.used += n
-				} else {
+				case !m.kept:
 					m.used = 0
 				}
 				if err == nil && m.evicted {
@@ -144,6 +145,22 @@
 	}
 }
 
+// TestMessageThatMayNotBeEvicted guards against memory that is in use and no longer counted.
+func TestMessageThatMayNotBeEvicted(t *testing.T) {
+	b := memory.New(1000)
+	r := b.Open("o", 2000, nil)
+	if err := r.Take(800); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Take(300); !errors.Is(err, memory.ErrEvicted) || b.Stats().Used != 800 {
+		t.Errorf("error %v, %+v", err, b.Stats())
+	}
+	r.Close()
+	if used := b.Stats().Used; used != 0 {
+		t.Errorf("%d bytes in use at the end", used)
+	}
+}
+
 // TestReadMessage guards against messages that lose bytes or take more memory than has arrived of them.
 func TestReadMessage(t *testing.T) {
 	text := strings.Repeat("0123456789", 30_000)
