Store the versions in service after a late restore

By reading: versions that came more than 3 s before what is stored could be read were never written. TestVersionsAreStoredAfterLateRestore failed before.

--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -56,6 +56,8 @@
 		g.streams.Restore(now, records)
 		s.RestoreVersions(now, versions)
 		g.streamStore.restored, g.streamStore.served = true, servedSet(versions)
+		// They may have changed while what is stored could not be read.
+		g.streamStore.changed, g.streamStore.changedAt = true, now
 		g.Log.Info("versions of streams restored", "streams", len(records), "versions", len(versions))
 	})
 }
