--- /dev/null
+++ b/internal/forward/buffered.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/memory"
+)
+
+const (
+	// maxBufferedAnswer is the size, in bytes, up to which an answer is buffered until it is
+	// complete. maxUnknownLength is the same for one that does not tell its length: a faulty target may
+	// send bytes without end, which must not reach the caller. It is as much as a request may have if
+	// nothing else is configured.
+	maxBufferedAnswer = 256 << 10
+	maxUnknownLength  = 4 << 20
+)
+
+// errEndless is the cause of a failure when an answer without a length is too long.
+var errEndless = errors.New("answer without Content-Length is too long")
+
+// bufferedAnswer is an answer that has been received completely.
+type bufferedAnswer struct {
+	status int
+	header http.Header
+	body   memory.Buffer
+}
+
+// forwardBuffered forwards an answer that is not a stream. It buffers the answer first, so
+// that the request can be retried if the answer breaks off, unless it is too long for that or there is
+// no memory for it.
+func (x *inflight) forwardBuffered(a *httptarget.Answer) *failure {
+	limit := int64(maxBufferedAnswer)
+	switch {
+	case a.Length() > limit:
+		return x.forwardUnbuffered(a, memory.Buffer{})
+	case a.Length() < 0:
+		limit = maxUnknownLength
+	}
+	x.releaseAnswer()
+	x.answerMemory = x.memory.Open(x.Organisation, limit, nil)
+	body, err := x.answerMemory.Read(a, memory.UnknownSize, limit)
+	switch {
+	case errors.Is(err, memory.ErrEvicted):
+		return x.forwardUnbuffered(a, body)
+	case err != nil:
+		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: err}
+	case int64(body.Len()) > limit:
+		return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: errEndless}
+	}
+	// This comes first, since the control goroutine reads it when it learns that the answer started.
+	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
+	x.recordPiece()
+	whole := &bufferedAnswer{status: a.Status, header: x.answerHeader(a.Header), body: body}
+	if a.Status >= http.StatusInternalServerError {
+		return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, errorAnswer: whole, cause: errors.Errorf("status %d", a.Status)}
+	}
+	if x.result.HeadSent {
+		return notResumed(a)
+	}
+	x.writeAnswer(whole)
+	return nil
+}
+
+// releaseAnswer gives back the memory of a buffered answer.
+func (x *inflight) releaseAnswer() {
+	if x.answerMemory != nil {
+		x.answerMemory.Close()
+		x.answerMemory = nil
+	}
+}
+
+// notResumed returns the failure of a target that answers a request to resume a stream with something
+// else. Nothing of that may reach the caller, who may be written to by its delivery at the same time.
+func notResumed(a *httptarget.Answer) *failure {
+	return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, cause: errors.Errorf("status %d instead of the resumed stream", a.Status)}
+}
+
+// writeAnswer sends a buffered answer to the caller.
+func (x *inflight) writeAnswer(a *bufferedAnswer) {
+	x.result.HeadSent = true
+	x.result.Status = a.status
+	x.caller.Head(a.status, a.header, int64(a.body.Len()))
+	if err := x.writeBuffer(a.body); err != nil {
+		x.result.Truncated = true
+		x.result.Reason = ReasonCallerGone
+	}
+}
+
+func (x *inflight) writeBuffer(b memory.Buffer) error {
+	for _, chunk := range b.Chunks() {
+		if err := x.caller.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// forwardUnbuffered forwards an answer that is not a stream while it is being received. begin is what has
+// been read of it already.
+func (x *inflight) forwardUnbuffered(a *httptarget.Answer, begin memory.Buffer) *failure {
+	if x.result.HeadSent {
+		return notResumed(a)
+	}
+	x.ticket.ServerError.Store(a.Status >= http.StatusInternalServerError)
+	x.recordPiece()
+	x.result.HeadSent = true
+	x.result.Status = a.Status
+	x.notStream = true
+	x.caller.Head(a.Status, x.answerHeader(a.Header), a.Length())
+	if err := x.writeBuffer(begin); err != nil {
+		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
+	}
+	x.releaseAnswer()
+	buffer := make([]byte, 16<<10)
+	for sent := begin.Len(); ; {
+		n, err := a.Read(buffer)
+		if sent += n; a.Length() < 0 && sent > maxUnknownLength {
+			return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: errEndless}
+		}
+		if n > 0 {
+			if writeErr := x.caller.Write(buffer[:n]); writeErr != nil {
+				return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: writeErr}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &failure{reason: ReasonBroken, result: balance.Failed, mayHaveRun: true, cause: err}
+		}
+	}
+}
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -29,13 +29,13 @@
 
 // streamStore is what is to be written to the StreamStore.
 type streamStore struct {
-	// restored is set once what earlier processes stored is known: it would be lost by a write before.
+	// restored is set once what earlier processes stored is known. A write before would replace it.
 	restored bool
 	// nextAt is when records may be written again.
 	nextAt time.Time
-	// changedAt is when versions changed, zero if that is written or another router has done so.
-	changedAt time.Time
+	// changed is set if the versions in service have changed, at changedAt, and may not be stored yet.
 	changed   bool
+	changedAt time.Time
 	// served is what is stored of the versions in service, as far as this router knows.
 	served map[streamversion.Served]struct{}
 }
--- a/internal/streamversion/records.go
+++ b/internal/streamversion/records.go
@@ -4,7 +4,8 @@
 // began the stream has gone.
 //
 // Each record is kept by the router that began the stream and by a few others, which rendezvous
-// hashing chooses by the stream. They are sent only while a service has several versions.
+// hashing chooses by the stream. They are sent only while a service has several versions. The records of
+// the last seconds are then also stored, in shards, so that they outlive all routers.
 package streamversion
 
 import (
