--- a/internal/balance/streamversion_test.go
+++ b/internal/balance/streamversion_test.go
@@ -92,7 +92,8 @@
 				now = now.Add(c.after)
 				s.SetTargets(now, c.later)
 			}
-			got, known := s.UnrecordedVersion(now, "llm")
+			got, evidence := s.UnrecordedVersion(now, "llm")
+			known := evidence != ""
 			if known != (c.want != "") || known && got != c.want {
 				t.Errorf("got %q, %v; want %q", got, known, c.want)
 			}
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -123,20 +123,20 @@
 }
 
 // UnrecordedVersion returns the version that began a stream of which there is no record although there
-// would have to be one if its service had had several versions. It returns false while this router cannot
-// know which versions its service had.
-func (s *State) UnrecordedVersion(now time.Time, service string) (string, bool) {
+// would have to be one if its service had had several versions, and how that is known. The evidence is empty
+// while this router cannot know which versions its service had.
+func (s *State) UnrecordedVersion(now time.Time, service string) (string, streamversion.Evidence) {
 	if !s.versionsRestored && now.Sub(s.startedAt) <= streamversion.TTL {
-		return "", false
+		return "", ""
 	}
 	if version, only := s.OnlyVersion(now, service); only {
-		return version, true
+		return version, streamversion.EvidenceOnlyVersion
 	}
 	h := s.versions[service]
 	if h == nil || !now.Before(h.earlierUntil) {
-		return "", false
+		return "", ""
 	}
-	return h.earlier, true
+	return h.earlier, streamversion.EvidenceStoredVersion
 }
 
 // ServedVersions returns the versions of each service that are listed or were within streamversion.TTL.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -24,10 +24,11 @@
 	buffer []byte
 	// buffered is the number of bytes in buffer that have been read but not yet returned.
 	buffered int
-	// lastID is the id of the last event returned, and batchCount the number of events in
-	// the last batch.
+	// lastID is the id of the last event returned, batchCount the number of events in the last batch,
+	// and skipped the number of ids that they leave out.
 	lastID     string
 	batchCount int
+	skipped    int64
 }
 
 func newEventReader(from io.Reader) *eventReader {
@@ -38,7 +39,7 @@
 // "". It may return events together with an error; io.EOF means that the stream ended after
 // a whole event.
 func (e *eventReader) next(after string) ([]byte, error) {
-	e.lastID, e.batchCount = after, 0
+	e.lastID, e.batchCount, e.skipped = after, 0, 0
 	for {
 		if e.buffered == len(e.buffer) {
 			if len(e.buffer) >= maxEventSize {
@@ -98,20 +99,26 @@
 			continue
 		}
 		id := string(bytes.TrimSpace(value))
-		if !mayFollow(e.lastID, id) {
+		skipped, ok := follows(e.lastID, id)
+		if !ok {
 			return errors.Wrapf(errEventOrder, "%q after %q", id, e.lastID)
 		}
+		e.skipped += skipped
 		e.lastID = id
 	}
 	return nil
 }
 
-// mayFollow reports whether id may come after last. Ids that are not numbers are not compared.
-func mayFollow(last, id string) bool {
+// follows reports whether id may come after last, and how many ids are between them. Ids that are not
+// numbers are not compared.
+func follows(last, id string) (skipped int64, ok bool) {
 	if last == "" {
-		return true
+		return 0, true
 	}
 	a, errA := strconv.ParseInt(last, 10, 64)
 	b, errB := strconv.ParseInt(id, 10, 64)
-	return errA != nil || errB != nil || b > a
+	if errA != nil || errB != nil {
+		return 0, true
+	}
+	return max(b-a-1, 0), b > a
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -10,6 +10,7 @@
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
 // HeaderNames holds the names of the headers that a deployment uses.
@@ -131,6 +132,11 @@
 	// TargetID is the id of the last target that was chosen, TargetVersion the version of its
 	// software.
 	TargetID, TargetVersion string
+	// VersionEvidence is how the version is known that began the stream which the caller takes up; empty if
+	// it takes none up or the version is unknown.
+	VersionEvidence streamversion.Evidence
+	// SkippedIDs is the number of ids that the stream's events left out.
+	SkippedIDs int64
 	// PendingTokens is the number of prompt tokens that the target still had to process when
 	// it was chosen (its prefill backlog), including this request's. UncachedTokens is the
 	// number of this request's among them: those neither cached there nor fetched.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -256,6 +256,7 @@
 	x.ticket.Events.Add(int64(reader.batchCount))
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
+	x.result.SkippedIDs += reader.skipped
 	if x.Route.Repeatable() && x.result.Sends < x.Route.MaxAttempts {
 		silence.Reset(max(maxSilentPauses*x.Route.MaxPause, minSilence))
 		return nil
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -24,6 +24,7 @@
 	a := x.versions.Lookup(ctx, x.Service, x.Resumes)
 	switch {
 	case a.Known:
+		x.result.VersionEvidence = a.Evidence
 		x.begun = balance.OnlyVersion(a.Version)
 		x.ticket.Version = x.begun
 		return true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -69,6 +69,10 @@
 	// that were ignored.
 	speeds        atomic.Pointer[map[string]enginespeed.Summary]
 	speedsIgnored expvar.Int
+	// versionEvidence counts how the versions that began streams were known, skippedIDs the ids that the
+	// events of streams left out.
+	versionEvidence *expvar.Map
+	skippedIDs      expvar.Int
 
 	mu                       sync.Mutex
 	waited, firstByte, total *hdrhistogram.Histogram
@@ -80,7 +84,7 @@
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
-		continuations: new(expvar.Map), streamLookups: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
+		continuations: new(expvar.Map), streamLookups: new(expvar.Map), versionEvidence: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		refusedByForecast: new(expvar.Map), returns: new(expvar.Map), usageIgnored: new(expvar.Int),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -101,6 +105,8 @@
 	m.root.Set("target_advice", m.advice)
 	m.root.Set("streams_continued", m.continuations)
 	m.root.Set("stream_lookups", m.streamLookups)
+	m.root.Set("stream_version_evidence", m.versionEvidence)
+	m.root.Set("event_ids_skipped", &m.skippedIDs)
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("refused_by_forecast", m.refusedByForecast)
 	m.root.Set("returns", m.returns)
@@ -150,6 +156,7 @@
 	switch {
 	case a.Known:
 		m.streamLookups.Add("known", 1)
+		m.versionEvidence.Add(string(a.Evidence), 1)
 	case a.Confirmed:
 		m.streamLookups.Add("unknown", 1)
 	default:
@@ -159,6 +166,7 @@
 
 func (m *Metrics) recordRequest(v forward.Result, took time.Duration) {
 	m.statuses.Add(fmt.Sprint(v.Status), 1)
+	m.skippedIDs.Add(v.SkippedIDs)
 	switch {
 	case v.Reason == "":
 	case v.HeadSent || v.Status == http.StatusBadGateway || v.Status == http.StatusGatewayTimeout:
@@ -318,7 +326,10 @@
 		log = log.WithValues("content", v.ContentDigest, "part", v.HeldPart)
 	}
 	if r.LastEventID != "" {
-		log = log.WithValues("resumes", r.Resumes, "after", r.LastEventID)
+		log = log.WithValues("resumes", r.Resumes, "after", r.LastEventID, "version_by", string(v.VersionEvidence))
+	}
+	if v.SkippedIDs > 0 {
+		log = log.WithValues("skipped_ids", v.SkippedIDs)
 	}
 	log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v),
 		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -30,7 +30,8 @@
 func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, answers chan<- streamversion.Answer) {
 	done := func(a streamversion.Answer) {
 		if !a.Known && a.Confirmed {
-			a.Version, a.Known = s.UnrecordedVersion(now, service)
+			a.Version, a.Evidence = s.UnrecordedVersion(now, service)
+			a.Known = a.Evidence != ""
 		}
 		g.Metrics.countStreamLookup(a)
 		answers <- a
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -98,6 +98,8 @@
 	UnexpectedBytes int64 `json:"unexpected_bytes"`
 	// OversizedHeads counts answers that were given up because their head had no end.
 	OversizedHeads int64 `json:"oversized_heads"`
+	// UnframedAnswers counts answers with neither a length nor chunks that ended with their connection.
+	UnframedAnswers int64 `json:"unframed_answers"`
 }
 
 // Transport holds the connections to targets. Use New to make one. It is safe for concurrent
@@ -111,7 +113,7 @@
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
 
-	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads atomic.Int64
+	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads, unframedAnswers atomic.Int64
 }
 
 // New returns a transport that runs its goroutines in g.
@@ -132,7 +134,7 @@
 	return Stats{
 		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
 		StrayAnswers: t.strayAnswers.Load(), UnidentifiedAnswers: t.unidentifiedAnswers.Load(),
-		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(),
+		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(), UnframedAnswers: t.unframedAnswers.Load(),
 	}
 }
 
@@ -420,6 +422,9 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if !a.complete && !a.framed() {
+			a.transport.unframedAnswers.Add(1)
+		}
 		a.complete = true
 		return n, io.EOF
 	}
@@ -443,10 +448,7 @@
 	if !a.complete || !a.Identified || a.response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
-		return false
-	}
-	if !a.requestWritten() {
+	if !a.framed() || !a.requestWritten() {
 		return false
 	}
 	if a.slowReading && sockopt.SetUserTimeout(a.conn.Conn, unackedTimeout) != nil {
@@ -456,6 +458,11 @@
 	return a.conn.SetDeadline(time.Time{}) == nil
 }
 
+// framed reports whether the end of the body can be told from that of the connection.
+func (a *Answer) framed() bool {
+	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+}
+
 // requestWritten reports whether the whole request has been written.
 func (a *Answer) requestWritten() bool {
 	if a.bodyWritten == nil {
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -46,11 +46,23 @@
 	Message Message
 }
 
+// Evidence is how a router knows the version that began a stream.
+type Evidence string
+
+// The kinds of evidence: a record of the stream, that its service has and had no other version while this
+// router watched, or that no other one was in service before this router started, by what was stored.
+const (
+	EvidenceRecord        Evidence = "record"
+	EvidenceOnlyVersion   Evidence = "only-version"
+	EvidenceStoredVersion Evidence = "stored-version"
+)
+
 // Answer is the result of a lookup.
 type Answer struct {
-	// Version is the version that began the stream, if Known is set.
-	Version string
-	Known   bool
+	// Version is the version that began the stream, if Known is set, and Evidence how that is known.
+	Version  string
+	Known    bool
+	Evidence Evidence
 	// Confirmed is set if those who would have to know the stream do not: this router, if there are no
 	// others, or others that ran when it began or have restored what was stored. If neither Known nor
 	// Confirmed is set, nobody answered who would have to know it.
@@ -137,7 +149,7 @@
 // other routers have answered or have not answered in time.
 func (d *Directory) Lookup(now time.Time, k Key, done func(Answer)) {
 	if version, known := d.records.find(k); known {
-		done(Answer{Version: version, Known: true})
+		done(Answer{Version: version, Known: true, Evidence: EvidenceRecord})
 		return
 	}
 	if l := d.lookups[k]; l != nil {
@@ -224,7 +236,7 @@
 // resolve ends the lookup of a stream that has become known.
 func (d *Directory) resolve(k Key) {
 	if version, known := d.records.find(k); known {
-		d.end(k, Answer{Version: version, Known: true})
+		d.end(k, Answer{Version: version, Known: true, Evidence: EvidenceRecord})
 	}
 }
 
