Begin streams only at versions that the store holds

Callers saw streams with events of two software versions where all routers were killed soon after a newer version came: at a router that starts, a stream without a record belonged to the only version that was stored, although the newer one had been serving while the write about it was refused, lost or pending, or was lost with a store that came back from an older copy.

Cause: a record that is written after what it speaks of was taken as complete. Now it is written ahead: a stream that callers may take up begins at a version only once the store is known to hold that version, as long as its service has open targets of a version that the store holds (20 s at most, after which capacity matters more). The router that writes the versions tells the others; who was not told reads them. What is stored names the era of the store it was written for, and from when on it names all versions; after the store came back older, routers that still run write versions and records again, and one that starts before relies on nothing.

--- a/internal/adapter/peer/streamversion.go
+++ b/internal/adapter/peer/streamversion.go
@@ -22,6 +22,9 @@
 		}
 		b.Keys = append(b.Keys, uint64(r.Key))
 	}
+	for _, v := range m.Stored {
+		out.Stored = append(out.Stored, &peerpb.ServiceVersion{Service: v.Service, Version: v.Version})
+	}
 	return out
 }
 
@@ -36,6 +39,11 @@
 			out.Records = append(out.Records, streamversion.Record{Key: streamversion.Key(k), Version: b.GetVersion()})
 		}
 	}
+	for _, v := range m.GetStored() {
+		if len(v.GetVersion()) <= maxVersionBytes {
+			out.Stored = append(out.Stored, streamversion.ServiceVersion{Service: v.GetService(), Version: v.GetVersion()})
+		}
+	}
 	return message.StreamVersions{Message: out}
 }
 
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -18,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/pace"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -183,9 +184,13 @@
 	versionsRestored, versionsChanged, listed bool
 	startedAt                                 time.Time
 	newlyMixed                                []string
-	onStreamBegun                             func(now time.Time, b Stream, shared bool)
-	advice                                    advice.Records
-	sentAgainstAdvice                         SentAgainstAdvice
+	// requireStored is set if streams may begin only at versions that the store holds, and unstored has the
+	// listed versions that it is not known to hold, with the times when they were listed first.
+	requireStored     bool
+	unstored          map[streamversion.ServiceVersion]time.Time
+	onStreamBegun     func(now time.Time, b Stream, shared bool)
+	advice            advice.Records
+	sentAgainstAdvice SentAgainstAdvice
 	// backoffs counts the backoffs that this router started without a target having asked for
 	// one.
 	backoffs  int64
@@ -202,6 +207,7 @@
 		targets:           map[string]*target{},
 		services:          map[string]*service{},
 		versions:          map[string]*versionHistory{},
+		unstored:          map[streamversion.ServiceVersion]time.Time{},
 		startedAt:         now,
 		active:            map[*target]struct{}{},
 		cold:              map[*target]struct{}{},
--- a/internal/balance/streamversion_test.go
+++ b/internal/balance/streamversion_test.go
@@ -57,17 +57,19 @@
 func TestUnrecordedVersion(t *testing.T) {
 	start := time.Unix(1000, 0)
 	served := func(version string, gone bool, ago time.Duration) streamversion.Served {
-		return streamversion.Served{Service: "llm", Version: version, Gone: gone, GoneFor: ago}
+		return streamversion.Served{ServiceVersion: streamversion.ServiceVersion{Service: "llm", Version: version}, Gone: gone, GoneFor: ago}
 	}
 	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
 	const long = 2 * streamversion.TTL
 	for name, c := range map[string]struct {
 		// stored is nil if nothing could be read.
 		stored []streamversion.Served
-		listed []balance.Target
-		after  time.Duration
-		later  []balance.Target
-		want   string
+		// incomplete is set if the store may have lost some.
+		incomplete bool
+		listed     []balance.Target
+		after      time.Duration
+		later      []balance.Target
+		want       string
 	}{
 		"not known yet":                    {listed: []balance.Target{v1}},
 		"not known for long":               {listed: []balance.Target{v1}, after: long, later: []balance.Target{v1}, want: "v1"},
@@ -79,12 +81,14 @@
 		"another came while no router ran": {stored: []streamversion.Served{served("v1", false, 0)}, listed: []balance.Target{v1, v2}, want: "v1"},
 		"another came afterwards":          {stored: []streamversion.Served{served("v1", false, 0)}, listed: []balance.Target{v1}, after: time.Second, later: []balance.Target{v1, v2}},
 		"two versions stay":                {stored: []streamversion.Served{served("v1", false, 0), served("v2", false, 0)}, listed: []balance.Target{v1, v2}},
-		"of another service":               {stored: []streamversion.Served{{Service: "other", Version: "v9"}}, listed: []balance.Target{v1}, want: "v1"},
+		"the store lost some":              {stored: []streamversion.Served{served("v1", false, 0)}, incomplete: true, listed: []balance.Target{v1, v2}},
+		"the store lost some, one is left": {stored: []streamversion.Served{served("v1", false, 0)}, incomplete: true, listed: []balance.Target{v1}},
+		"of another service":               {stored: []streamversion.Served{{ServiceVersion: streamversion.ServiceVersion{Service: "other", Version: "v9"}}}, listed: []balance.Target{v1}, want: "v1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := balance.New(start, "z", balance.Limits{}, nil)
 			if c.stored != nil {
-				s.RestoreVersions(start, c.stored)
+				s.RestoreVersions(start, c.stored, !c.incomplete)
 			}
 			now := start
 			s.SetTargets(now, c.listed)
--- /dev/null
+++ b/internal/balance/unstored.go
@@ -0,0 +1,49 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/streamversion"
+)
+
+// maxHold is how long streams are kept from a version that the store is not known to hold. After that, the
+// capacity of its targets matters more.
+const maxHold = 20 * time.Second
+
+// RequireStoredVersions makes streams that callers may take up begin only at versions that the store is known
+// to hold, as long as their service has such targets. What is stored then names all versions that may have
+// begun streams, and a router that starts can rely on it.
+func (s *State) RequireStoredVersions() { s.requireStored = true }
+
+// SetStoredVersions records versions that the store holds.
+func (s *State) SetStoredVersions(now time.Time, list []streamversion.ServiceVersion) {
+	for _, v := range list {
+		s.versionHistory(v.Service).stored[v.Version] = true
+		delete(s.unstored, v)
+	}
+	s.dispatch(now)
+}
+
+// UnstoredVersions returns since when versions have been listed that the store is not known to hold: the
+// first and the last of them. It returns zero times if there are none.
+func (s *State) UnstoredVersions() (first, last time.Time) {
+	for _, at := range s.unstored {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return first, last
+}
+
+// isHeld reports whether t would begin a stream at a version of which there might be no trace if all routers
+// were killed.
+func (s *State) isHeld(now time.Time, t *Ticket, c *target) bool {
+	if len(s.unstored) == 0 || t.StreamID == "" {
+		return false
+	}
+	at, unstored := s.unstored[streamversion.ServiceVersion{Service: c.Service, Version: c.Version}]
+	return unstored && now.Sub(at) < maxHold && s.versions[c.Service].storedOpen()
+}
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -38,21 +38,44 @@
 
 // versionHistory tells which versions of a service there are, and were a short time ago.
 type versionHistory struct {
-	// listed counts the listed targets by version, goneAt is when the last one of a version was
-	// removed.
-	listed map[string]int
-	goneAt map[string]time.Time
+	// listed counts the listed targets by version, open those among them that take new requests, and goneAt
+	// is when the last one of a version was removed.
+	listed, open map[string]int
+	goneAt       map[string]time.Time
+	// stored has the versions that the store is known to hold.
+	stored map[string]bool
 	// mixed is set while there are several versions, or were within streamversion.TTL.
 	mixed bool
-	// earlier is the only version that was in service before this process started, if another one came
+	// earlier is the only version that began streams before this process started, if another one came
 	// while no router ran; valid until earlierUntil.
 	earlier      string
 	earlierUntil time.Time
 }
 
+// expire forgets versions that left long ago.
+func (h *versionHistory) expire(now time.Time) {
+	maps.DeleteFunc(h.goneAt, func(version string, at time.Time) bool {
+		expired := now.Sub(at) > streamversion.TTL
+		if expired && h.listed[version] == 0 {
+			delete(h.stored, version)
+		}
+		return expired
+	})
+}
+
+// storedOpen reports whether targets of a version that the store holds take new requests.
+func (h *versionHistory) storedOpen() bool {
+	for version, n := range h.open {
+		if n > 0 && h.stored[version] {
+			return true
+		}
+	}
+	return false
+}
+
 // only reports whether a version is and was the only one.
 func (h *versionHistory) only(now time.Time) (string, bool) {
-	maps.DeleteFunc(h.goneAt, func(_ string, at time.Time) bool { return now.Sub(at) > streamversion.TTL })
+	h.expire(now)
 	if len(h.listed) != 1 || len(h.goneAt) > 1 {
 		return "", false
 	}
@@ -66,8 +89,13 @@
 // addVersion counts a target that is listed, and notes services that get another version.
 func (s *State) addVersion(now time.Time, t Target) {
 	h := s.versionHistory(t.Service)
+	h.expire(now)
+	h.open[t.Version] += count(!t.Leaving && !t.Drained)
 	if h.listed[t.Version]++; h.listed[t.Version] == 1 {
 		s.versionsChanged = true
+		if s.requireStored && !h.stored[t.Version] {
+			s.unstored[streamversion.ServiceVersion{Service: t.Service, Version: t.Version}] = now
+		}
 		if s.listed {
 			// Streams may begin at it that are in no record yet.
 			h.earlierUntil = time.Time{}
@@ -83,8 +111,11 @@
 // removeVersion counts a target that is no longer listed.
 func (s *State) removeVersion(now time.Time, t Target) {
 	h := s.versions[t.Service]
+	h.open[t.Version] -= count(!t.Leaving && !t.Drained)
 	if h.listed[t.Version]--; h.listed[t.Version] == 0 {
 		delete(h.listed, t.Version)
+		delete(h.open, t.Version)
+		delete(s.unstored, streamversion.ServiceVersion{Service: t.Service, Version: t.Version})
 		h.goneAt[t.Version] = now
 		s.versionsChanged = true
 	}
@@ -93,22 +124,25 @@
 func (s *State) versionHistory(service string) *versionHistory {
 	h := s.versions[service]
 	if h == nil {
-		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}}
+		h = &versionHistory{listed: map[string]int{}, open: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]bool{}}
 		s.versions[service] = h
 	}
 	return h
 }
 
-// RestoreVersions adds the versions that were in service before this process started. A service that has
-// none of them is taken for one that was not in service.
-func (s *State) RestoreVersions(now time.Time, list []streamversion.Served) {
-	s.versionsRestored = true
+// RestoreVersions adds the versions that were in service before this process started, as far as they were
+// stored. If complete is set, these are all: a service that has none of them is taken for one that was not in
+// service.
+func (s *State) RestoreVersions(now time.Time, list []streamversion.Served, complete bool) {
+	s.versionsRestored = complete
 	earlier := map[string][]string{}
+	stored := make([]streamversion.ServiceVersion, 0, len(list))
 	for _, v := range list {
 		if v.GoneFor > streamversion.TTL {
 			continue
 		}
 		earlier[v.Service] = append(earlier[v.Service], v.Version)
+		stored = append(stored, v.ServiceVersion)
 		h := s.versionHistory(v.Service)
 		if at := now.Add(-v.GoneFor); h.listed[v.Version] == 0 && at.After(h.goneAt[v.Version]) {
 			h.goneAt[v.Version] = at
@@ -120,13 +154,14 @@
 			h.earlier, h.earlierUntil = versions[0], now.Add(streamversion.TTL)
 		}
 	}
+	s.SetStoredVersions(now, stored)
 }
 
 // UnrecordedVersion returns the version that began a stream of which there is no record although there
 // would have to be one if its service had had several versions, and how that is known. The evidence is empty
 // while this router cannot know which versions its service had.
 func (s *State) UnrecordedVersion(now time.Time, service string) (string, streamversion.Evidence) {
-	if !s.versionsRestored && now.Sub(s.startedAt) <= streamversion.TTL {
+	if !s.VersionsKnownSince(now).IsZero() {
 		return "", ""
 	}
 	if version, only := s.OnlyVersion(now, service); only {
@@ -139,16 +174,25 @@
 	return h.earlier, streamversion.EvidenceStoredVersion
 }
 
+// VersionsKnownSince returns the time from which this router knows all versions that have begun streams, the
+// zero time if that is longer than callers wait.
+func (s *State) VersionsKnownSince(now time.Time) time.Time {
+	if s.versionsRestored || now.Sub(s.startedAt) > streamversion.TTL {
+		return time.Time{}
+	}
+	return s.startedAt
+}
+
 // ServedVersions returns the versions of each service that are listed or were within streamversion.TTL.
 func (s *State) ServedVersions(now time.Time) []streamversion.Served {
 	var list []streamversion.Served
 	for service, h := range s.versions {
 		for version := range h.listed {
-			list = append(list, streamversion.Served{Service: service, Version: version})
+			list = append(list, streamversion.Served{ServiceVersion: streamversion.ServiceVersion{Service: service, Version: version}})
 		}
 		for version, at := range h.goneAt {
 			if since := now.Sub(at); h.listed[version] == 0 && since <= streamversion.TTL {
-				list = append(list, streamversion.Served{Service: service, Version: version, Gone: true, GoneFor: since})
+				list = append(list, streamversion.Served{ServiceVersion: streamversion.ServiceVersion{Service: service, Version: version}, Gone: true, GoneFor: since})
 			}
 		}
 	}
@@ -225,6 +269,9 @@
 	if t.Version.IsSet() {
 		return t.Version.Allows(c.Version) && !s.rollouts.RolledBack(t.Service, c.Version)
 	}
+	if s.isHeld(now, t, c) {
+		return false
+	}
 	return !s.rollouts.Active() || s.rollouts.Allows(now, t.Service, c.Version, t.ID)
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -53,7 +53,7 @@
 		case message.Quarantine:
 			g.handleQuarantine(now, from, m)
 		case message.StreamVersions:
-			g.handleStreamVersions(now, from, m)
+			g.handleStreamVersions(s, now, from, m)
 		}
 		g.roster.NoteContact(now, from.ID)
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,8 +280,10 @@
 	state.OnLongPrompt(g.sendLoad)
 	state.OnStreamBegun(g.streamBegun)
 	if o.StreamStore == nil {
-		g.streams.Restore(now, nil)
-		state.RestoreVersions(now, nil)
+		g.streams.Restore(now, nil, true)
+		state.RestoreVersions(now, nil, true)
+	} else {
+		state.RequireStoredVersions()
 	}
 	g.coldSenders = coldstart.NewSenders(now, g.roster, self.ID)
 	state.SetColdAllowance(g.coldSenders.SendLimit)
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -2,9 +2,14 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/member"
+	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
+	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -15,29 +20,39 @@
 	// versionsDelay is the time after the start for which the versions in service are not written: until
 	// then a router does not know the others, and each of them ranks first.
 	versionsDelay = 250 * time.Millisecond
-	// versionsTakeover is how long a router that does not rank first keeps in mind that versions have
-	// changed, in case the first one ends before it has written so.
+	// versionsTakeover is the time after which one more router writes versions that are not stored, in case the
+	// first ones can't.
 	versionsTakeover = 3 * time.Second
+	// versionsReadInterval is the time between reads of what is stored, by a router that was not told that
+	// a version is.
+	versionsReadInterval = 2 * time.Second
 )
 
 // StreamStore persists which versions of services began streams, so that callers can take streams up
 // after all routers were killed. Its methods do not block, and return false if too many writes are pending.
 type StreamStore interface {
 	SaveStreams(s streamversion.Snapshot) bool
-	SaveVersions(list []streamversion.Served) bool
+	// SaveVersions persists the versions in service and calls Gateway.VersionsStored once that is done.
+	SaveVersions(v streamversion.Versions) bool
+	// ReadVersions reads which versions are stored and calls Gateway.VersionsStored.
+	ReadVersions()
 }
 
 // streamStore is what is to be written to the StreamStore.
 type streamStore struct {
 	// restored is set once what earlier processes stored is known. A write before would replace it.
 	restored bool
+	// era is the era of the store that what this router has saved was meant for.
+	era int64
 	// nextAt is when records may be written again.
 	nextAt time.Time
 	// changed is set if the versions in service have changed, at changedAt, and may not be stored yet.
 	changed   bool
 	changedAt time.Time
-	// served is what is stored of the versions in service, as far as this router knows.
-	served map[streamversion.Served]struct{}
+	// saved is what this router has read or saved last of the versions in service.
+	saved map[streamversion.Served]struct{}
+	// readAt is when the stored versions are read if one is not known to be among them.
+	readAt time.Time
 }
 
 // servedSet returns the versions without their times.
@@ -51,14 +66,14 @@
 }
 
 // RestoreStreams adds which versions began streams, and were in service, before this router started.
-func (g *Gateway) RestoreStreams(records []streamversion.Record, versions []streamversion.Served) {
+func (g *Gateway) RestoreStreams(stored streamversion.Stored) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.streams.Restore(now, records)
-		s.RestoreVersions(now, versions)
-		g.streamStore.restored, g.streamStore.served = true, servedSet(versions)
+		g.streams.Restore(now, stored.Records, stored.Complete)
+		s.RestoreVersions(now, stored.Versions, stored.Complete)
+		g.streamStore.restored, g.streamStore.era, g.streamStore.saved = true, stored.Era, servedSet(stored.Versions)
 		// They may have changed while what is stored could not be read.
 		g.streamStore.changed, g.streamStore.changedAt = true, now
-		g.Log.Info("versions of streams restored", "streams", len(records), "versions", len(versions))
+		g.Log.Info("versions of streams restored", "streams", len(stored.Records), "versions", len(stored.Versions), "complete", stored.Complete)
 	})
 }
 
@@ -67,11 +82,32 @@
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.streams.Add(now, records) })
 }
 
+// VersionsStored records versions that the store holds. If this router has written them, it tells the others,
+// who may not let streams begin at them before.
+func (g *Gateway) VersionsStored(list []streamversion.ServiceVersion, written bool) {
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		s.SetStoredVersions(now, list)
+		if !written {
+			return
+		}
+		var others []member.Member
+		for r := range g.runningRouters(now) {
+			if r.ID != g.self.ID {
+				others = append(others, roster.Member(r))
+			}
+		}
+		g.sendAll(others, message.StreamVersions{Message: streamversion.Message{Stored: list}})
+	})
+}
+
 // streamStoreIdle reports whether storeStreams need not be called.
 func (g *Gateway) streamStoreIdle() bool {
-	return g.StreamStore == nil || !g.streams.Unsaved() && !g.streamStore.changed
+	return g.StreamStore == nil || !g.streams.Unsaved() && !g.streamStore.changed && g.storeEra() <= g.streamStore.era
 }
 
+// storeEra returns the era of the store as far as this router knows.
+func (g *Gateway) storeEra() int64 { return revision.Era(g.catalog.TargetsRevision()) }
+
 // storeStreams writes to the StreamStore what this router ranks first for.
 func (g *Gateway) storeStreams(s *balance.State, now time.Time) {
 	p := &g.streamStore
@@ -81,12 +117,52 @@
 	if g.StreamStore == nil || !p.restored {
 		return
 	}
+	if era := g.storeEra(); era > p.era {
+		// The store may have lost all that routers wrote.
+		p.era, p.saved, p.changed, p.changedAt = era, nil, true, now
+		g.streams.Resave()
+	}
 	if p.changed && now.Sub(g.started) >= versionsDelay {
 		g.storeVersions(s, now)
 	}
 	g.storeRecords(now)
 }
 
+// storeVersions writes the versions in service if they are not stored yet and it is this router's turn, and
+// reads what is stored if nobody has told that one of them is.
+func (g *Gateway) storeVersions(s *balance.State, now time.Time) {
+	p := &g.streamStore
+	first, _ := s.UnstoredVersions()
+	unstored := !first.IsZero()
+	list := s.ServedVersions(now)
+	set := servedSet(list)
+	if writers := 1 + int(now.Sub(p.changedAt)/versionsTakeover); !maps.Equal(set, p.saved) &&
+		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) &&
+		g.StreamStore.SaveVersions(streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now)}) {
+		p.saved = set
+	}
+	if unstored {
+		g.readVersions(now, first)
+		return
+	}
+	p.readAt = time.Time{}
+	p.changed = !maps.Equal(set, p.saved) && now.Sub(p.changedAt) <= versionsTakeover
+}
+
+// readVersions reads what is stored some time after a version has come, and again and again. Routers that
+// wait for the same version are spread over time.
+func (g *Gateway) readVersions(now, came time.Time) {
+	p := &g.streamStore
+	if p.readAt.IsZero() {
+		p.readAt = came.Add(versionsReadInterval/2 + rand.N(versionsReadInterval/2))
+	}
+	if now.Before(p.readAt) {
+		return
+	}
+	p.readAt = now.Add(versionsReadInterval/2 + rand.N(versionsReadInterval))
+	g.StreamStore.ReadVersions()
+}
+
 // storeRecords writes the records that have come, unless that was done a moment ago.
 func (g *Gateway) storeRecords(now time.Time) {
 	p := &g.streamStore
@@ -100,16 +176,3 @@
 		}
 	}
 }
-
-// storeVersions writes the versions in service if they are not stored yet and this router ranks first.
-func (g *Gateway) storeVersions(s *balance.State, now time.Time) {
-	p := &g.streamStore
-	list := s.ServedVersions(now)
-	set := servedSet(list)
-	switch {
-	case maps.Equal(set, p.served) || now.Sub(p.changedAt) > versionsTakeover:
-		p.changed = false
-	case g.streams.LeadsFleet(now) && g.StreamStore.SaveVersions(list):
-		p.changed, p.served = false, set
-	}
-}
--- a/internal/gateway/streamstore_internal_test.go
+++ b/internal/gateway/streamstore_internal_test.go
@@ -16,11 +16,13 @@
 
 func (savedVersions) SaveStreams(streamversion.Snapshot) bool { return true }
 
-func (s savedVersions) SaveVersions(list []streamversion.Served) bool {
-	s <- list
+func (s savedVersions) SaveVersions(v streamversion.Versions) bool {
+	s <- v.Served
 	return true
 }
 
+func (savedVersions) ReadVersions() {}
+
 // TestVersionsAreStoredAfterLateRestore guards against versions that are never stored since they came before
 // what was stored could be read.
 func TestVersionsAreStoredAfterLateRestore(t *testing.T) {
@@ -39,7 +41,7 @@
 	if len(saved) > 0 {
 		t.Fatal("versions were written before what is stored was read")
 	}
-	g.RestoreStreams(nil, nil)
+	g.RestoreStreams(streamversion.Stored{Complete: true})
 	select {
 	case list := <-saved:
 		if len(list) != 1 || list[0].Version != "v1" {
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -38,6 +38,8 @@
 	// for, and Unknown those for which the receiver asked and that the sender does not know.
 	Records        []Record
 	Asked, Unknown []Key
+	// Stored has versions of services that the store holds.
+	Stored []ServiceVersion
 }
 
 // Outgoing is a message to one router.
@@ -108,9 +110,10 @@
 	return &Directory{fleet: f, records: newRecords(now), startedAt: now, storedBy: map[int]string{}, outbox: map[string]*Message{}, lookups: map[Key]*lookup{}}
 }
 
-// Restore adds the records that other routers, or an earlier process of this one, stored.
-func (d *Directory) Restore(now time.Time, list []Record) {
-	d.restored = true
+// Restore adds the records that other routers, or an earlier process of this one, stored. complete tells
+// whether these are all.
+func (d *Directory) Restore(now time.Time, list []Record, complete bool) {
+	d.restored = complete
 	d.Add(now, list)
 	for k, l := range d.lookups {
 		d.endIfConfirmed(now, k, l)
--- a/internal/streamversion/directory_test.go
+++ b/internal/streamversion/directory_test.go
@@ -55,7 +55,7 @@
 // start starts a router that knows that nothing was stored before.
 func (f *fleet) start(id string) {
 	f.routers[id] = streamversion.New(f.now, view{f, id})
-	f.routers[id].Restore(f.now, nil)
+	f.routers[id].Restore(f.now, nil, true)
 }
 
 // run delivers messages for a time.
@@ -270,7 +270,7 @@
 			for i := range streams {
 				if n := len(c.killed); n > 0 && i%100 == 50 {
 					f.start(c.killed[i/100])
-					f.routers[c.killed[i/100]].Restore(f.now, s.records())
+					f.routers[c.killed[i/100]].Restore(f.now, s.records(), true)
 				}
 				f.begin(f.known[i%c.routers], fmt.Sprint(i), "v1")
 				if i%10 == 9 {
@@ -280,7 +280,7 @@
 			}
 			for _, id := range f.known {
 				f.routers[id] = streamversion.New(f.now, view{f, id})
-				f.routers[id].Restore(f.now, s.records())
+				f.routers[id].Restore(f.now, s.records(), true)
 			}
 			known := 0
 			for i := range streams {
@@ -364,6 +364,6 @@
 		}
 	})
 	f.run(100 * time.Millisecond)
-	f.routers["router-1"].Restore(f.now, []streamversion.Record{{Key: streamversion.KeyOf("s", "begun"), Version: "v1"}})
+	f.routers["router-1"].Restore(f.now, []streamversion.Record{{Key: streamversion.KeyOf("s", "begun"), Version: "v1"}}, true)
 	f.run(time.Second)
 }
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -106,9 +106,12 @@
 
 func slotOf(at time.Time) int { return int(at.UnixNano() / int64(slotDuration) % int64(slotCount)) }
 
+// ServiceVersion is a version of a service's software.
+type ServiceVersion struct{ Service, Version string }
+
 // Served is a version of a service's software that is in service, or was when the store was last told.
 type Served struct {
-	Service, Version string
+	ServiceVersion
 	// Gone is set if it has left service, GoneFor how long ago.
 	Gone    bool
 	GoneFor time.Duration
@@ -199,5 +202,37 @@
 	return out
 }
 
+// Versions are the versions in service of all services.
+type Versions struct {
+	Served []Served
+	// Era is the era of the store that they are written for: one that comes back from an older copy does
+	// not hold what was written since.
+	Era int64
+	// Since is the time from which all versions that have begun streams are among them, the zero time if it is
+	// long ago.
+	Since time.Time
+}
+
+// Stored is what the store held when a router started.
+type Stored struct {
+	Records  []Record
+	Versions []Served
+	// Complete is set unless the store may have lost something that routers had written.
+	Complete bool
+	// Era is the era of the store that it was read in.
+	Era int64
+}
+
+// Resave makes TakeSnapshots return all records once more, since the store may have lost them.
+func (d *Directory) Resave() {
+	d.stores = nil
+	d.stored.unsaved = len(d.stored.list)
+}
+
 // LeadsFleet reports whether this router ranks first for what concerns the whole fleet.
 func (d *Directory) LeadsFleet(now time.Time) bool { return d.fleet.First(now, rankKey(0)) }
+
+// RanksAmong reports whether this router is one of the n that rank first for what concerns the whole fleet.
+func (d *Directory) RanksAmong(now time.Time, n int) bool {
+	return len(d.fleet.Ranked(now, rankKey(0), n)) < min(n, d.fleet.Size(now))
+}
