Store the records of running streams before a version that has come

Callers whose streams broke off as all routers were killed 60 or 150 ms after a newer version came were refused: the store held both versions already, but not yet who began the streams that ran by then, which are stored up to 150 ms later.

A version that has come is written 300 ms later now. Until then streams begin at the others only, what is stored names these alone, and a stream without a record is one of theirs.

--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -20,6 +20,9 @@
 	// versionsDelay is the time after the start for which the versions in service are not written: until
 	// then a router does not know the others, and each of them ranks first.
 	versionsDelay = 250 * time.Millisecond
+	// versionsSettle is the time for which a version that has come is not written: the streams that run at
+	// the others are stored first, without whose records they could be of either.
+	versionsSettle = 300 * time.Millisecond
 	// versionsTakeover is the time after which one more router writes versions that are not stored, in case the
 	// first ones can't.
 	versionsTakeover = 3 * time.Second
@@ -132,8 +135,11 @@
 // reads what is stored if nobody has told that one of them is.
 func (g *Gateway) storeVersions(s *balance.State, now time.Time) {
 	p := &g.streamStore
-	first, _ := s.UnstoredVersions()
+	first, last := s.UnstoredVersions()
 	unstored := !first.IsZero()
+	if now.Sub(last) < versionsSettle {
+		return
+	}
 	list := s.ServedVersions(now)
 	set := servedSet(list)
 	if writers := 1 + int(now.Sub(p.changedAt)/versionsTakeover); !maps.Equal(set, p.saved) &&
