Hold streams from unstored versions only if they may begin elsewhere

What counts now is a target of a stored version at which this request may begin. TestHeldStreamHasAnotherTarget failed in both cases before (no-allowed-target).

--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -74,6 +74,9 @@
 	// regions are those that regionsBy allows for the request.
 	regions   routing.Regions
 	regionsBy *routing.Table
+	// elsewhere is the last result of State.mayBeginElsewhere, as of elsewhereAt.
+	elsewhere   bool
+	elsewhereAt time.Time
 	// slow is set if the answer started much later than expected.
 	slow bool
 	// foundFreeSlot is set if the target of a plain service had a free slot when the request
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/streamversion"
@@ -45,5 +46,17 @@
 		return false
 	}
 	at, unstored := s.unstored[streamversion.ServiceVersion{Service: c.Service, Version: c.Version}]
-	return unstored && now.Sub(at) < maxHold && s.versions[c.Service].storedOpen()
+	return unstored && now.Sub(at) < maxHold && s.mayBeginElsewhere(now, t)
+}
+
+// mayBeginElsewhere reports whether there is a target of a version that the store holds at which t may begin.
+func (s *State) mayBeginElsewhere(now time.Time, t *Ticket) bool {
+	if t.elsewhereAt.Equal(now) {
+		return t.elsewhere
+	}
+	h := s.versions[t.Service]
+	t.elsewhereAt, t.elsewhere = now, slices.ContainsFunc(s.targetsOf(t.Service), func(c *target) bool {
+		return h.stored[c.Version] && !c.Closed(now) && s.rolloutAllows(now, t, c) && s.allowsRegion(t, c)
+	})
+	return t.elsewhere
 }
--- a/internal/balance/unstored_test.go
+++ b/internal/balance/unstored_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -73,6 +75,48 @@
 	}
 }
 
+// TestHeldStreamHasAnotherTarget guards against streams that wait or are refused as the only target that they
+// may be sent to has a version that is not stored.
+func TestHeldStreamHasAnotherTarget(t *testing.T) {
+	older, newer := versioned("a", "v1"), versioned("b", "v2")
+	older.Zone, newer.Zone = "z", "y"
+	for name, prepare := range map[string]func(w *world) *balance.Ticket{
+		"the stored one was rolled back": func(w *world) *balance.Ticket {
+			tracker := rollout.New(0.1, func() float64 { return 0 })
+			tracker.SetOrders(w.now, []rollout.Order{{Service: "llm", Version: "v1", Duration: time.Minute, State: rollout.RolledBack}})
+			w.SetRollouts(tracker)
+			return w.prompt("o", "s", 100)
+		},
+		"only its region is allowed": func(w *world) *balance.Ticket {
+			table, err := routing.New(routing.Spec{
+				Services:      []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 230_000}}},
+				Routes:        []routing.Route{{Name: "r", Prefix: "/", Shares: []routing.Share{{Service: "llm"}}, Regions: []string{"newer"}}},
+				Organisations: []routing.Organisation{{Name: "o"}},
+				Limits:        routing.Limits{TokensPerSecond: tokensPerSecond},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			w.Configure(table)
+			w.SetRegions(map[string]string{"z": "older", "y": "newer"})
+			k := w.prompt("o", "s", 100)
+			k.Route = "r"
+			return k
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.RequireStoredVersions()
+			w.SetTargets(w.now, []balance.Target{older, newer})
+			w.SetStoredVersions(w.now, []streamversion.ServiceVersion{{Service: "llm", Version: "v1"}})
+			k := prepare(w)
+			k.Stream, k.StreamID = true, "s"
+			if d := w.arrive(k); d == nil || d.Target.ID != "b" {
+				t.Errorf("decision: %+v", d)
+			}
+		})
+	}
+}
+
 // TestWaitingStreamStartsOnceVersionIsStored guards against streams that go on waiting for a version that has
 // been stored.
 func TestWaitingStreamStartsOnceVersionIsStored(t *testing.T) {
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -38,10 +38,10 @@
 
 // versionHistory tells which versions of a service there are, and were a short time ago.
 type versionHistory struct {
-	// listed counts the listed targets by version, open those among them that take new requests, and goneAt
-	// is when the last one of a version was removed.
-	listed, open map[string]int
-	goneAt       map[string]time.Time
+	// listed counts the listed targets by version, goneAt is when the last one of a version was
+	// removed.
+	listed map[string]int
+	goneAt map[string]time.Time
 	// stored has the versions that the store is known to hold.
 	stored map[string]bool
 	// mixed is set while there are several versions, or were within streamversion.TTL.
@@ -63,16 +63,6 @@
 	})
 }
 
-// storedOpen reports whether targets of a version that the store holds take new requests.
-func (h *versionHistory) storedOpen() bool {
-	for version, n := range h.open {
-		if n > 0 && h.stored[version] {
-			return true
-		}
-	}
-	return false
-}
-
 // only reports whether a version is and was the only one.
 func (h *versionHistory) only(now time.Time) (string, bool) {
 	h.expire(now)
@@ -90,7 +80,6 @@
 func (s *State) addVersion(now time.Time, t Target) {
 	h := s.versionHistory(t.Service)
 	h.expire(now)
-	h.open[t.Version] += count(!t.Leaving && !t.Drained)
 	if h.listed[t.Version]++; h.listed[t.Version] == 1 {
 		s.versionsChanged = true
 		if s.requireStored && !h.stored[t.Version] {
@@ -111,10 +100,8 @@
 // removeVersion counts a target that is no longer listed.
 func (s *State) removeVersion(now time.Time, t Target) {
 	h := s.versions[t.Service]
-	h.open[t.Version] -= count(!t.Leaving && !t.Drained)
 	if h.listed[t.Version]--; h.listed[t.Version] == 0 {
 		delete(h.listed, t.Version)
-		delete(h.open, t.Version)
 		delete(s.unstored, streamversion.ServiceVersion{Service: t.Service, Version: t.Version})
 		h.goneAt[t.Version] = now
 		s.versionsChanged = true
@@ -124,7 +111,7 @@
 func (s *State) versionHistory(service string) *versionHistory {
 	h := s.versions[service]
 	if h == nil {
-		h = &versionHistory{listed: map[string]int{}, open: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]bool{}}
+		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]bool{}}
 		s.versions[service] = h
 	}
 	return h
@@ -269,9 +256,12 @@
 	if t.Version.IsSet() {
 		return t.Version.Allows(c.Version) && !s.rollouts.RolledBack(t.Service, c.Version)
 	}
-	if s.isHeld(now, t, c) {
-		return false
-	}
+	return s.rolloutAllows(now, t, c) && !s.isHeld(now, t, c)
+}
+
+// rolloutAllows reports whether the roll-out of t's service, if there is one, lets it be sent to a target's
+// version.
+func (s *State) rolloutAllows(now time.Time, t *Ticket, c *target) bool {
 	return !s.rollouts.Active() || s.rollouts.Allows(now, t.Service, c.Version, t.ID)
 }
 
