--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -186,8 +186,10 @@
 	newlyMixed                                []string
 	// requireStored is set if streams may begin only at versions that the store holds, and unstored has the
 	// listed versions that it is not known to hold, with the times when they were listed first.
-	requireStored     bool
-	unstored          map[streamversion.ServiceVersion]time.Time
+	requireStored bool
+	unstored      map[streamversion.ServiceVersion]time.Time
+	// heldStreams is the number of streams that were kept from such a version.
+	heldStreams       int64
 	onStreamBegun     func(now time.Time, b Stream, shared bool)
 	advice            advice.Records
 	sentAgainstAdvice SentAgainstAdvice
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -74,6 +74,8 @@
 	// regions are those that regionsBy allows for the request.
 	regions   routing.Regions
 	regionsBy *routing.Table
+	// held is set once the request was kept from a version that is not stored.
+	held bool
 	// elsewhere is the last result of State.mayBeginElsewhere, as of elsewhereAt.
 	elsewhere   bool
 	elsewhereAt time.Time
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -46,9 +46,20 @@
 		return false
 	}
 	at, unstored := s.unstored[streamversion.ServiceVersion{Service: c.Service, Version: c.Version}]
-	return unstored && now.Sub(at) < maxHold && s.mayBeginElsewhere(now, t)
+	if !unstored || now.Sub(at) >= maxHold || !s.mayBeginElsewhere(now, t) {
+		return false
+	}
+	if !t.held {
+		t.held = true
+		s.heldStreams++
+	}
+	return true
 }
 
+// HeldStreams returns the number of streams since the start that were kept from a version that the store was
+// not known to hold.
+func (s *State) HeldStreams() int64 { return s.heldStreams }
+
 // mayBeginElsewhere reports whether there is a target of a version that the store holds at which t may begin.
 func (s *State) mayBeginElsewhere(now time.Time, t *Ticket) bool {
 	if t.elsewhereAt.Equal(now) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -70,9 +70,9 @@
 	speeds        atomic.Pointer[map[string]enginespeed.Summary]
 	speedsIgnored expvar.Int
 	// versionEvidence counts how the versions that began streams were known, skippedIDs the ids that the
-	// events of streams left out.
-	versionEvidence *expvar.Map
-	skippedIDs      expvar.Int
+	// events of streams left out, and heldStreams the streams kept from versions that were not stored.
+	versionEvidence         *expvar.Map
+	skippedIDs, heldStreams expvar.Int
 
 	mu                       sync.Mutex
 	waited, firstByte, total *hdrhistogram.Histogram
@@ -107,6 +107,7 @@
 	m.root.Set("stream_lookups", m.streamLookups)
 	m.root.Set("stream_version_evidence", m.versionEvidence)
 	m.root.Set("event_ids_skipped", &m.skippedIDs)
+	m.root.Set("streams_held", &m.heldStreams)
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("refused_by_forecast", m.refusedByForecast)
 	m.root.Set("returns", m.returns)
