Red: a stream without ids is sent twice within one answer

A stream on a resumable route whose events have no ids, or empty ones, breaks off after two events; the router asks another target without Last-Event-Id and passes the whole stream on behind what the caller has: five events for three, complete. Both with and without buffers.

--- /dev/null
+++ b/internal/forward/place_test.go
@@ -0,0 +1,61 @@
+package forward_test
+
+import (
+	"net/http"
+	"testing"
+)
+
+// identified returns events with a line of data each; an id of "" is left out.
+func identified(ids ...string) string {
+	text := ""
+	for _, id := range ids {
+		if id != "" {
+			text += "id: " + id + "\n"
+		}
+		text += "data: of " + id + "\n\n"
+	}
+	return text
+}
+
+// resumption is a stream that breaks off, what its targets answer, and what the caller must get.
+type resumption struct {
+	broken string
+	// resumed answer the requests to resume the stream, in order.
+	resumed []string
+	want    string
+	// cut is set if the stream must not be resumed at any target.
+	cut bool
+}
+
+func (r resumption) check(t *testing.T) {
+	t.Helper()
+	sends := []func(string) send{func(string) send { return send{text: r.broken, breaks: true} }}
+	for _, text := range r.resumed {
+		sends = append(sends, func(string) send { return send{text: text} })
+	}
+	for _, buffered := range []bool{false, true} {
+		got, result := forwardSends(t, buffered, sends...)
+		if got != r.want || result.Truncated != r.cut || result.Status != http.StatusOK {
+			t.Errorf("buffered: %t; the caller got %q, want %q; status %d, truncated: %t", buffered, got, r.want, result.Status, result.Truncated)
+		}
+	}
+}
+
+// TestStreamWithoutIDsIsNotSentTwice guards against a stream whose events have no ids and that is sent again from
+// its start behind what the caller has.
+func TestStreamWithoutIDsIsNotSentTwice(t *testing.T) {
+	tests := map[string]resumption{
+		"no ids": {
+			broken: identified("", ""), resumed: []string{identified("", "", "")}, want: identified("", ""), cut: true,
+		},
+		"empty ids": {
+			broken: "id:\ndata: x\n\nid\ndata: y\n\n", resumed: []string{"id:\ndata: x\n\n"}, want: "id:\ndata: x\n\nid\ndata: y\n\n", cut: true,
+		},
+		"only comments so far": {
+			broken: ": wait\n\n", resumed: []string{identified("1", "2")}, want: ": wait\n\n" + identified("1", "2"),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, test.check)
+	}
+}
