Don't resume a stream whose events have no ids

Callers of a resumable route had the events of a stream twice in one answer, complete, when the target broke off and the events had no ids: without Last-Event-Id the next target begins anew. Cause: a resumption was allowed by the route alone, not by what is known of the place. Once the caller has events with data and none has an id, the stream is not sent again: its answer ends without its end, which the caller sees, and no target is left for being silent. An empty id no longer replaces the last one. Comments alone leave the place as it was: the next target begins the stream, as before.

The timer for silent targets now stops while an event is written to a slow caller also without buffers, as it did with them: otherwise it could end such a stream for its caller's slowness.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -24,11 +24,13 @@
 	buffer []byte
 	// buffered is the number of bytes in buffer that have been read but not yet returned.
 	buffered int
-	// lastID is the id of the last event returned, batchCount the number of events in the last batch,
-	// and skipped the number of ids that they leave out.
+	// lastID is the id of the last event returned that has one, batchCount the number of events in the
+	// last batch, and skipped the number of ids that they leave out.
 	lastID     string
 	batchCount int
 	skipped    int64
+	// unnumbered is set if an event with data was returned before the first one with an id.
+	unnumbered bool
 }
 
 func newEventReader(from io.Reader) *eventReader {
@@ -83,7 +85,7 @@
 		if n < 0 {
 			return end, nil
 		}
-		if err := e.checkID(e.buffer[end : end+n]); err != nil {
+		if err := e.check(parseEvent(e.buffer[end : end+n])); err != nil {
 			return 0, err
 		}
 		e.batchCount++
@@ -91,21 +93,35 @@
 	}
 }
 
-// checkID returns an error if an event has an id that does not follow the previous one.
-func (e *eventReader) checkID(event []byte) error {
-	for l := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(l, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id := string(bytes.TrimSpace(value))
-		skipped, ok := follows(e.lastID, id)
-		if !ok {
-			return errors.Wrapf(errEventOrder, "%q after %q", id, e.lastID)
+// event is what the router reads of an event: its id, empty if it has none, and whether it has data. Others,
+// such as comments, mean nothing to the caller.
+type event struct {
+	id      string
+	hasData bool
+}
+
+func parseEvent(text []byte) (e event) {
+	for l := range bytes.Lines(text) {
+		if value, ok := bytes.CutPrefix(l, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(value))
 		}
-		e.skipped += skipped
-		e.lastID = id
+		e.hasData = e.hasData || bytes.HasPrefix(l, []byte("data"))
+	}
+	return e
+}
+
+// check returns an error if an event has an id that does not follow the previous one.
+func (e *eventReader) check(next event) error {
+	if next.id == "" {
+		e.unnumbered = e.unnumbered || next.hasData && e.lastID == ""
+		return nil
+	}
+	skipped, ok := follows(e.lastID, next.id)
+	if !ok {
+		return errors.Wrapf(errEventOrder, "%q after %q", next.id, e.lastID)
 	}
+	e.skipped += skipped
+	e.lastID = next.id
 	return nil
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,6 +136,9 @@
 	// lastEventID is the id of the last event that the caller has, or that is in its buffer and
 	// will be delivered. A retry resumes after it.
 	lastEventID string
+	// placeUnknown is set once the caller has events of a stream and none of them has an id, so that no
+	// target can be told where to resume.
+	placeUnknown bool
 	// target is the target of the current send.
 	target balance.Target
 	// begun is the version that began the stream, if it is known.
@@ -374,7 +377,7 @@
 	if clock.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
-	if x.result.HeadSent && (x.notStream || !x.Route.Resumable) {
+	if x.result.HeadSent && (x.notStream || x.placeUnknown || !x.Route.Resumable) {
 		return false
 	}
 	return !f.mayHaveRun || x.Route.Repeatable()
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -246,8 +246,11 @@
 		x.recordVersion()
 	}
 	x.recordPiece()
+	x.placeUnknown = reader.lastID == "" && (x.placeUnknown || reader.unnumbered)
+	// The engine is not silent while its answer is not read, because the caller is slow or there is no room.
+	silence.Stop()
 	began := clock.Now()
-	err := x.writeBatch(ctx, batch, silence)
+	err := x.writeBatch(ctx, batch)
 	x.ticket.Writing.Add(clock.Since(began).Nanoseconds())
 	if err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
@@ -257,21 +260,17 @@
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
 	x.result.SkippedIDs += reader.skipped
-	if x.Route.Repeatable() && x.result.Sends < x.Route.MaxAttempts {
+	if x.Route.Repeatable() && !x.placeUnknown && x.result.Sends < x.Route.MaxAttempts {
 		silence.Reset(max(maxSilentPauses*x.Route.MaxPause, minSilence))
-		return nil
 	}
-	silence.Stop()
 	return nil
 }
 
 // writeBatch writes a batch of events to the caller, or puts it into the caller's buffer.
-func (x *inflight) writeBatch(ctx context.Context, batch []byte, silence *time.Timer) error {
+func (x *inflight) writeBatch(ctx context.Context, batch []byte) error {
 	if !x.startDelivery() {
 		return x.caller.Write(batch)
 	}
-	// The engine is not silent while its answer is not read for want of room.
-	silence.Stop()
 	return x.delivery.buffer.Append(ctx, batch)
 }
 
