Red: an event without an id is carried twice when a stream is resumed

A stream breaks off after an event without an id, for example the one that marks its end. The next target resumes it after the last id, which comes before that event, and sends it again.

--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -59,3 +59,28 @@
 		t.Run(name, test.check)
 	}
 }
+
+// TestEventsWithoutIDAreNotRepeated guards against events without an id that come after the last one with an id
+// and that the next target sends again.
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	tests := map[string]resumption{
+		"in the middle": {
+			broken: identified("1", ""), resumed: []string{identified("", "2", "", "3")}, want: identified("1", "", "2", "", "3"),
+		},
+		"at the end": {
+			broken: identified("1") + "data: [DONE]\n\n", resumed: []string{"data: [DONE]\n\n"}, want: identified("1") + "data: [DONE]\n\n",
+		},
+		"two, and a comment": {
+			broken: identified("1", "", ""), resumed: []string{": resumed\n\n" + identified("", "", "", "2")}, want: identified("1", "", "") + ": resumed\n\n" + identified("", "2"),
+		},
+		"an empty id resets nothing": {
+			broken: identified("1") + "id:\ndata: x\n\n", resumed: []string{"id:\ndata: x\n\n" + identified("2")}, want: identified("1") + "id:\ndata: x\n\n" + identified("2"),
+		},
+		"others": {
+			broken: identified("1", ""), resumed: []string{"data: other\n\n" + identified("2")}, want: identified("1", "") + "data: other\n\n" + identified("2"),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, test.check)
+	}
+}
