Leave out events without an id that a resumed stream repeats

Callers had an event without an id twice if their stream broke off behind it: the next target resumes after the last id, which comes before that event, and sends it again. The router now keeps a digest (8 bytes) of each event with data behind the last one with an id, and leaves out those that a resumed stream sends again, in their order, before its first event with an id. What differs is passed on, and streams that go on today go on.

Not changed: a caller that takes a stream up at another router gets such events again, as that router knows only the last id.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"hash/maphash"
 	"io"
 	"strconv"
 
@@ -29,19 +30,29 @@
 	lastID     string
 	batchCount int
 	skipped    int64
-	// unnumbered is set if an event with data was returned before the first one with an id.
-	unnumbered bool
+	// identified is set if the last batch has an event with an id, and tail has the digests of the events
+	// with data behind the last such event.
+	identified bool
+	tail       []uint64
+	// repeated has the digests of events without an id that the caller has already, and which come first in
+	// a resumed stream.
+	repeated []uint64
 }
 
-func newEventReader(from io.Reader) *eventReader {
-	return &eventReader{source: from, buffer: make([]byte, initialEventBufferSize)}
+// digestSeed is the seed of the digests of events.
+var digestSeed = maphash.MakeSeed()
+
+// newEventReader returns a reader that leaves out the events with the digests repeated, if they come in that
+// order before the first event with an id.
+func newEventReader(from io.Reader, repeated []uint64) *eventReader {
+	return &eventReader{source: from, buffer: make([]byte, initialEventBufferSize), repeated: repeated}
 }
 
 // next returns the next batch of whole events. after is the id of the event before them, or
 // "". It may return events together with an error; io.EOF means that the stream ended after
 // a whole event.
 func (e *eventReader) next(after string) ([]byte, error) {
-	e.lastID, e.batchCount, e.skipped = after, 0, 0
+	e.lastID, e.batchCount, e.skipped, e.identified, e.tail = after, 0, 0, false, nil
 	for {
 		if e.buffered == len(e.buffer) {
 			if len(e.buffer) >= maxEventSize {
@@ -85,9 +96,15 @@
 		if n < 0 {
 			return end, nil
 		}
-		if err := e.check(parseEvent(e.buffer[end : end+n])); err != nil {
+		repeated, err := e.check(e.buffer[end : end+n])
+		if err != nil {
 			return 0, err
 		}
+		if repeated {
+			copy(e.buffer[end:], e.buffer[end+n:e.buffered])
+			e.buffered -= n
+			continue
+		}
 		e.batchCount++
 		end += n
 	}
@@ -110,19 +127,30 @@
 	return e
 }
 
-// check returns an error if an event has an id that does not follow the previous one.
-func (e *eventReader) check(next event) error {
-	if next.id == "" {
-		e.unnumbered = e.unnumbered || next.hasData && e.lastID == ""
-		return nil
+// check reports whether the caller has an event already, and returns an error if it has an id that does not
+// follow the previous one.
+func (e *eventReader) check(text []byte) (repeated bool, err error) {
+	next := parseEvent(text)
+	switch {
+	case next.id != "":
+	case !next.hasData:
+		return false, nil
+	default:
+		digest := maphash.Bytes(digestSeed, text)
+		if len(e.repeated) > 0 && digest == e.repeated[0] {
+			e.repeated = e.repeated[1:]
+			return true, nil
+		}
+		e.tail = append(e.tail, digest)
+		return false, nil
 	}
 	skipped, ok := follows(e.lastID, next.id)
 	if !ok {
-		return errors.Wrapf(errEventOrder, "%q after %q", next.id, e.lastID)
+		return false, errors.Wrapf(errEventOrder, "%q after %q", next.id, e.lastID)
 	}
 	e.skipped += skipped
-	e.lastID = next.id
-	return nil
+	e.lastID, e.identified, e.tail, e.repeated = next.id, true, nil, nil
+	return false, nil
 }
 
 // follows reports whether id may come after last, and how many ids are between them. Ids that are not
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -139,6 +139,8 @@
 	// placeUnknown is set once the caller has events of a stream and none of them has an id, so that no
 	// target can be told where to resume.
 	placeUnknown bool
+	// tail has the digests of the events with data that the caller has behind the last one with an id.
+	tail []uint64
 	// target is the target of the current send.
 	target balance.Target
 	// begun is the version that began the stream, if it is known.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -200,7 +200,7 @@
 
 // forwardStream forwards a stream of events as they arrive.
 func (x *inflight) forwardStream(ctx context.Context, a *httptarget.Answer, silence *time.Timer) *failure {
-	reader := newEventReader(a)
+	reader := newEventReader(a, x.tail)
 	for {
 		batch, err := reader.next(x.lastEventID)
 		if len(batch) > 0 {
@@ -246,7 +246,7 @@
 		x.recordVersion()
 	}
 	x.recordPiece()
-	x.placeUnknown = reader.lastID == "" && (x.placeUnknown || reader.unnumbered)
+	x.placeUnknown = reader.lastID == "" && (x.placeUnknown || len(reader.tail) > 0)
 	// The engine is not silent while its answer is not read, because the caller is slow or there is no room.
 	silence.Stop()
 	began := clock.Now()
@@ -259,6 +259,7 @@
 	x.ticket.Events.Add(int64(reader.batchCount))
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
+	x.noteTail(reader)
 	x.result.SkippedIDs += reader.skipped
 	if x.Route.Repeatable() && !x.placeUnknown && x.result.Sends < x.Route.MaxAttempts {
 		silence.Reset(max(maxSilentPauses*x.Route.MaxPause, minSilence))
@@ -266,6 +267,16 @@
 	return nil
 }
 
+// noteTail notes the events of a batch which the next target would send again.
+func (x *inflight) noteTail(reader *eventReader) {
+	if reader.identified {
+		x.tail = nil
+	}
+	if !x.placeUnknown && x.Route.Resumable {
+		x.tail = append(x.tail, reader.tail...)
+	}
+}
+
 // writeBatch writes a batch of events to the caller, or puts it into the caller's buffer.
 func (x *inflight) writeBatch(ctx context.Context, batch []byte) error {
 	if !x.startDelivery() {
