Red: events whose ids are no numbers are carried twice

A target that is asked to resume a stream after the id b sends a or b again. Ids that are no numbers, or too large ones, are not compared, so that the caller gets these events twice.

--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -84,3 +84,29 @@
 		t.Run(name, test.check)
 	}
 }
+
+// TestIDsWithoutOrderAreNotRepeated guards against events whose ids are no numbers and that a target sends again
+// which does not resume the stream where it is asked to.
+func TestIDsWithoutOrderAreNotRepeated(t *testing.T) {
+	tests := map[string]resumption{
+		"from the start": {
+			broken: identified("a", "b"), resumed: []string{identified("a", "b", "c"), identified("c")}, want: identified("a", "b", "c"),
+		},
+		"the last one again": {
+			broken: identified("a", "b"), resumed: []string{identified("b", "c"), identified("c")}, want: identified("a", "b", "c"),
+		},
+		"from the middle, everywhere": {
+			broken: identified("a", "b", "c"), resumed: []string{identified("b", "c"), identified("b")}, want: identified("a", "b", "c"), cut: true,
+		},
+		"large numbers": {
+			broken: identified("99999999999999999998", "99999999999999999999"), resumed: []string{identified("99999999999999999998"), ""},
+			want: identified("99999999999999999998", "99999999999999999999"),
+		},
+		"in their place": {
+			broken: identified("b", "a"), resumed: []string{identified("c", "aa")}, want: identified("b", "a", "c", "aa"),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, test.check)
+	}
+}
