Refuse ids that a resumed stream repeats though they are no numbers

Callers had events twice if the ids of a stream are no numbers (or too large) and the target that was asked to resume it began at an earlier event: such ids were not compared at all. Digests (8 bytes) of those that the caller has are kept, and a later send that repeats one of them counts as out of order, as it does with numbers, and goes to another target. Within one send such ids are not compared, as before. A caller's own Last-Event-Id counts as an id that it has.

What a target leaves out cannot be told from such ids.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -16,7 +16,7 @@
 	maxEventSize           = 256 << 10
 )
 
-// errEventOrder means that the ids of a stream's events do not increase.
+// errEventOrder means that the ids of a stream's events do not increase, or that a resumed stream repeats one.
 var errEventOrder = errors.New("events out of order")
 
 // eventReader reads a stream of server-sent events in batches of whole events.
@@ -34,6 +34,10 @@
 	// with data behind the last such event.
 	identified bool
 	tail       []uint64
+	// names has the digests of the ids in the last batch that are no numbers, and passed those of earlier
+	// sends.
+	names  []uint64
+	passed map[uint64]bool
 	// repeated has the digests of events without an id that the caller has already, and which come first in
 	// a resumed stream.
 	repeated []uint64
@@ -43,16 +47,22 @@
 var digestSeed = maphash.MakeSeed()
 
 // newEventReader returns a reader that leaves out the events with the digests repeated, if they come in that
-// order before the first event with an id.
-func newEventReader(from io.Reader, repeated []uint64) *eventReader {
-	return &eventReader{source: from, buffer: make([]byte, initialEventBufferSize), repeated: repeated}
+// order before the first event with an id, and refuses ids with the digests passed.
+func newEventReader(from io.Reader, repeated []uint64, passed map[uint64]bool) *eventReader {
+	return &eventReader{source: from, buffer: make([]byte, initialEventBufferSize), repeated: repeated, passed: passed}
+}
+
+// isNumber reports whether an id can be compared with others.
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
 }
 
 // next returns the next batch of whole events. after is the id of the event before them, or
 // "". It may return events together with an error; io.EOF means that the stream ended after
 // a whole event.
 func (e *eventReader) next(after string) ([]byte, error) {
-	e.lastID, e.batchCount, e.skipped, e.identified, e.tail = after, 0, 0, false, nil
+	e.lastID, e.batchCount, e.skipped, e.identified, e.tail, e.names = after, 0, 0, false, nil, nil
 	for {
 		if e.buffered == len(e.buffer) {
 			if len(e.buffer) >= maxEventSize {
@@ -145,6 +155,11 @@
 		return false, nil
 	}
 	skipped, ok := follows(e.lastID, next.id)
+	if !isNumber(next.id) {
+		name := maphash.String(digestSeed, next.id)
+		ok = !e.passed[name]
+		e.names = append(e.names, name)
+	}
 	if !ok {
 		return false, errors.Wrapf(errEventOrder, "%q after %q", next.id, e.lastID)
 	}
--- a/internal/forward/events_internal_test.go
+++ b/internal/forward/events_internal_test.go
@@ -105,7 +105,7 @@
 			want += event
 		}
 		got, lastID, err := "", after, error(nil)
-		reader := newEventReader(source, nil)
+		reader := newEventReader(source, nil, nil)
 		for err == nil {
 			var batch []byte
 			batch, err = reader.next(lastID)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -141,6 +141,8 @@
 	placeUnknown bool
 	// tail has the digests of the events with data that the caller has behind the last one with an id.
 	tail []uint64
+	// names has the digests of the ids that the caller has and that are no numbers.
+	names []uint64
 	// target is the target of the current send.
 	target balance.Target
 	// begun is the version that began the stream, if it is known.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"net/http"
 	"strings"
@@ -200,7 +201,7 @@
 
 // forwardStream forwards a stream of events as they arrive.
 func (x *inflight) forwardStream(ctx context.Context, a *httptarget.Answer, silence *time.Timer) *failure {
-	reader := newEventReader(a, x.tail)
+	reader := newEventReader(a, x.tail, x.passedNames())
 	for {
 		batch, err := reader.next(x.lastEventID)
 		if len(batch) > 0 {
@@ -260,6 +261,7 @@
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
 	x.noteTail(reader)
+	x.names = append(x.names, reader.names...)
 	x.result.SkippedIDs += reader.skipped
 	if x.Route.Repeatable() && !x.placeUnknown && x.result.Sends < x.Route.MaxAttempts {
 		silence.Reset(max(maxSilentPauses*x.Route.MaxPause, minSilence))
@@ -267,6 +269,22 @@
 	return nil
 }
 
+// passedNames returns the digests of the ids that the caller has and that are no numbers: such ids tell only
+// by their repetition that a target does not resume the stream where it should.
+func (x *inflight) passedNames() map[uint64]bool {
+	if x.LastEventID != "" && !isNumber(x.LastEventID) && len(x.names) == 0 {
+		x.names = append(x.names, maphash.String(digestSeed, x.LastEventID))
+	}
+	if len(x.names) == 0 {
+		return nil
+	}
+	passed := make(map[uint64]bool, len(x.names))
+	for _, name := range x.names {
+		passed[name] = true
+	}
+	return passed
+}
+
 // noteTail notes the events of a batch which the next target would send again.
 func (x *inflight) noteTail(reader *eventReader) {
 	if reader.identified {
