Red: a stream that breaks off looks complete over HTTP/1.0

An answer to a caller that speaks HTTP/1.0 has no chunks and ends with its connection. If the target breaks a stream off, the router closes the caller's connection plainly, so that the caller gets the events so far as a complete answer. Over HTTP/1.1 the last chunk is missing, as it should.

The stand-in for suspects in these tests had no RecordEnd: answers that end panicked behind their last byte, which only an answer without a length shows.

--- a/internal/ingress/bodies_test.go
+++ b/internal/ingress/bodies_test.go
@@ -27,17 +27,24 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
-// startBodyServer starts a server for callers of the organisations "loud" and "calm" that holds bodies
-// within a budget, before a target that reads them, and returns its address.
+// startBodyServer starts a server that holds bodies within a budget, before a target that reads them, and
+// returns its address.
 func startBodyServer(t *testing.T, b *memory.Budget) string {
 	t.Helper()
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n, err := io.Copy(io.Discard, r.Body)
-		if err != nil {
-			return
+	return startServer(t, b, func(w http.ResponseWriter, r *http.Request) {
+		if n, err := io.Copy(io.Discard, r.Body); err == nil {
+			fmt.Fprint(w, n)
 		}
+	})
+}
+
+// startServer starts a server for callers of the organisations "loud" and "calm", before a target, and returns
+// its address. It has a route to streams at /stream/ and one to other answers at /plain/.
+func startServer(t *testing.T, b *memory.Budget, answer http.HandlerFunc) string {
+	t.Helper()
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
-		fmt.Fprint(w, n)
+		answer(w, r)
 	}))
 	t.Cleanup(target.Close)
 	g := group.New(context.Background())
@@ -46,7 +53,10 @@
 	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
 	g.GoContext(loop.Run)
 	table, err := routing.New(routing.Spec{
-		Routes:        []routing.Route{{Name: "plain", Host: "h", Prefix: "/plain/", Shares: []routing.Share{{Service: "desk", Weight: 1}}}},
+		Routes: []routing.Route{
+			{Name: "plain", Host: "h", Prefix: "/plain/", Shares: []routing.Share{{Service: "desk", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Shares: []routing.Share{{Service: "desk", Weight: 1}}},
+		},
 		Services:      []routing.Service{{Name: "desk"}},
 		Organisations: []routing.Organisation{{Name: "loud", Keys: []string{"k1"}}, {Name: "calm", Keys: []string{"k2"}}},
 	})
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -46,6 +46,7 @@
 // noSuspects is a forward.Suspects that suspects no request.
 type noSuspects struct{ forward.Suspects }
 
+func (noSuspects) RecordEnd([]quarantine.Credit)                  {}
 func (noSuspects) View() *quarantine.View                         { return nil }
 func (noSuspects) RecordExit(balance.Target)                      {}
 func (noSuspects) RecordBreak(context.Context, forward.Break) int { return 0 }
