End lines of events at LF, CRLF and CR

Streams that were whole were taken for broken, and sent again or cut, if an event ended in LF and CRLF, if lines ended in CR, or if one more blank line came at the end; events that ended so were withheld until the next usual end. Cause: an event's end was looked for as two equal line ends only, and lines of an event as ending in LF, so that an id could carry a CR and what follows it into the head of the request that resumes its stream. Lines now end as the format of such streams says; a CR that may be the first half of CRLF waits for the next byte, unless the lines before ended in CR alone.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -120,6 +120,47 @@
 	}
 }
 
+// lineEndOffset returns the offset just after the first line in b, which ends in LF, CRLF or CR, or -1 if there
+// is no whole line.
+func lineEndOffset(b []byte) int {
+	lf := bytes.IndexByte(b, '\n')
+	before := b
+	if lf >= 0 {
+		before = b[:lf]
+	}
+	if cr := bytes.IndexByte(before, '\r'); cr >= 0 && cr != lf-1 {
+		return cr + 1
+	}
+	if lf < 0 {
+		return -1
+	}
+	return lf + 1
+}
+
+// eventEndOffset returns the offset just after the first whole event in b, which ends with a blank line, or -1 if
+// there is none.
+func eventEndOffset(b []byte) int {
+	last := byte('\n')
+	for start := 0; start < len(b); {
+		n := lineEndOffset(b[start:])
+		if n < 0 {
+			return -1
+		}
+		line := b[start : start+n]
+		start += n
+		if line[0] != '\n' && line[0] != '\r' {
+			last = line[n-1]
+			continue
+		}
+		if start == len(b) && line[n-1] == '\r' && last != '\r' {
+			// It may be the first half of CRLF.
+			return -1
+		}
+		return start
+	}
+	return -1
+}
+
 // event is what the router reads of an event: its id, empty if it has none, and whether it has data. Others,
 // such as comments, mean nothing to the caller.
 type event struct {
@@ -128,7 +169,12 @@
 }
 
 func parseEvent(text []byte) (e event) {
-	for l := range bytes.Lines(text) {
+	for len(text) > 0 {
+		l := text
+		if n := lineEndOffset(text); n > 0 {
+			l = text[:n]
+		}
+		text = text[len(l):]
 		if value, ok := bytes.CutPrefix(l, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
 		}
--- a/internal/forward/events_internal_test.go
+++ b/internal/forward/events_internal_test.go
@@ -40,15 +40,16 @@
 	var b strings.Builder
 	id := rapid.Int64Range(-2, 3).Draw(t, "first")
 	for range rapid.IntRange(0, 12).Draw(t, "events") {
-		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+		ends := rapid.SampledFrom([][]string{{"\n"}, {"\r\n"}, {"\n", "\r\n"}}).Draw(t, "line ends")
+		end := func() string { return rapid.SampledFrom(ends).Draw(t, "line end") }
 		if rapid.Bool().Draw(t, "comment") {
-			fmt.Fprintf(&b, ": id: 9%s", end)
+			fmt.Fprintf(&b, ": id: 9%s", end())
 		}
 		if rapid.IntRange(0, 5).Draw(t, "identified") > 0 {
 			id += rapid.SampledFrom([]int64{1, 1, 1, 1, 1, 1, 1, 1, 7, 0, -1}).Draw(t, "step")
-			fmt.Fprintf(&b, "id:%s%d%s", rapid.SampledFrom([]string{"", " "}).Draw(t, "blank"), id, end)
+			fmt.Fprintf(&b, "id:%s%d%s", rapid.SampledFrom([]string{"", " "}).Draw(t, "blank"), id, end())
 		}
-		fmt.Fprintf(&b, "data: %s%s%s", strings.Repeat("x", rapid.SampledFrom([]int{0, 1, 30, 3000}).Draw(t, "size")), end, end)
+		fmt.Fprintf(&b, "data: %s%s%s", strings.Repeat("x", rapid.SampledFrom([]int{0, 1, 30, 3000}).Draw(t, "size")), end(), end())
 	}
 	return b.String()
 }
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"hash/maphash"
 	"io"
@@ -349,21 +348,3 @@
 	}
 	return false
 }
-
-// eventTerminator ends an event whose lines end in LF.
-var eventTerminator = []byte("\n\n")
-
-// eventEndOffset returns the offset just after the first whole event in b, or -1 if there is
-// none.
-func eventEndOffset(b []byte) int {
-	lf := bytes.Index(b, eventTerminator)
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return -1
-	case crlf < 0 || lf >= 0 && lf < crlf:
-		return lf + 2
-	default:
-		return crlf + 4
-	}
-}
