--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -361,6 +361,9 @@
 	if f.reason == ReasonBroken || f.reason == ReasonRestarted {
 		log = log.WithValues("content", x.attributes()[0].Key.String(), "organisation", x.Organisation, "parts", partIDs(sharedParts(x.Parts)))
 	}
+	if x.placeUnknown {
+		log = log.WithValues("place", "unknown")
+	}
 	log.Info(what, "id", x.ID, "target", to.ID, "version", to.Version, "reason", f.reason, "cause", f.cause.Error(), "events", x.forwardedEvents)
 }
 
