--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"hash/maphash"
 	"io"
 	"strconv"
 
@@ -15,7 +16,7 @@
 	maxEventSize           = 256 << 10
 )
 
-// errEventOrder means that the ids of a stream's events do not increase.
+// errEventOrder means that the ids of a stream's events do not increase, or that a resumed stream repeats one.
 var errEventOrder = errors.New("events out of order")
 
 // eventReader reads a stream of server-sent events in batches of whole events.
@@ -24,22 +25,44 @@
 	buffer []byte
 	// buffered is the number of bytes in buffer that have been read but not yet returned.
 	buffered int
-	// lastID is the id of the last event returned, batchCount the number of events in the last batch,
-	// and skipped the number of ids that they leave out.
+	// lastID is the id of the last event returned that has one, batchCount the number of events in the
+	// last batch, and skipped the number of ids that they leave out.
 	lastID     string
 	batchCount int
 	skipped    int64
+	// identified is set if the last batch has an event with an id, and tail has the digests of the events
+	// with data behind the last such event.
+	identified bool
+	tail       []uint64
+	// names has the digests of the ids in the last batch that are no numbers, and passed those of earlier
+	// sends.
+	names  []uint64
+	passed map[uint64]bool
+	// repeated has the digests of events without an id that the caller has already, and which come first in
+	// a resumed stream.
+	repeated []uint64
 }
 
-func newEventReader(from io.Reader) *eventReader {
-	return &eventReader{source: from, buffer: make([]byte, initialEventBufferSize)}
+// digestSeed is the seed of the digests of events.
+var digestSeed = maphash.MakeSeed()
+
+// newEventReader returns a reader that leaves out the events with the digests repeated, if they come in that
+// order before the first event with an id, and refuses ids with the digests passed.
+func newEventReader(from io.Reader, repeated []uint64, passed map[uint64]bool) *eventReader {
+	return &eventReader{source: from, buffer: make([]byte, initialEventBufferSize), repeated: repeated, passed: passed}
+}
+
+// isNumber reports whether an id can be compared with others.
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
 }
 
 // next returns the next batch of whole events. after is the id of the event before them, or
 // "". It may return events together with an error; io.EOF means that the stream ended after
 // a whole event.
 func (e *eventReader) next(after string) ([]byte, error) {
-	e.lastID, e.batchCount, e.skipped = after, 0, 0
+	e.lastID, e.batchCount, e.skipped, e.identified, e.tail, e.names = after, 0, 0, false, nil, nil
 	for {
 		if e.buffered == len(e.buffer) {
 			if len(e.buffer) >= maxEventSize {
@@ -83,30 +106,112 @@
 		if n < 0 {
 			return end, nil
 		}
-		if err := e.checkID(e.buffer[end : end+n]); err != nil {
+		repeated, err := e.check(e.buffer[end : end+n])
+		if err != nil {
 			return 0, err
 		}
+		if repeated {
+			copy(e.buffer[end:], e.buffer[end+n:e.buffered])
+			e.buffered -= n
+			continue
+		}
 		e.batchCount++
 		end += n
 	}
 }
 
-// checkID returns an error if an event has an id that does not follow the previous one.
-func (e *eventReader) checkID(event []byte) error {
-	for l := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(l, []byte("id:"))
-		if !ok {
+// lineEndOffset returns the offset just after the first line in b, which ends in LF, CRLF or CR, or -1 if there
+// is no whole line.
+func lineEndOffset(b []byte) int {
+	lf := bytes.IndexByte(b, '\n')
+	before := b
+	if lf >= 0 {
+		before = b[:lf]
+	}
+	if cr := bytes.IndexByte(before, '\r'); cr >= 0 && cr != lf-1 {
+		return cr + 1
+	}
+	if lf < 0 {
+		return -1
+	}
+	return lf + 1
+}
+
+// eventEndOffset returns the offset just after the first whole event in b, which ends with a blank line, or -1 if
+// there is none.
+func eventEndOffset(b []byte) int {
+	last := byte('\n')
+	for start := 0; start < len(b); {
+		n := lineEndOffset(b[start:])
+		if n < 0 {
+			return -1
+		}
+		line := b[start : start+n]
+		start += n
+		if line[0] != '\n' && line[0] != '\r' {
+			last = line[n-1]
 			continue
 		}
-		id := string(bytes.TrimSpace(value))
-		skipped, ok := follows(e.lastID, id)
-		if !ok {
-			return errors.Wrapf(errEventOrder, "%q after %q", id, e.lastID)
+		if start == len(b) && line[n-1] == '\r' && last != '\r' {
+			// It may be the first half of CRLF.
+			return -1
 		}
-		e.skipped += skipped
-		e.lastID = id
+		return start
+	}
+	return -1
+}
+
+// event is what the router reads of an event: its id, empty if it has none, and whether it has data. Others,
+// such as comments, mean nothing to the caller.
+type event struct {
+	id      string
+	hasData bool
+}
+
+func parseEvent(text []byte) (e event) {
+	for len(text) > 0 {
+		l := text
+		if n := lineEndOffset(text); n > 0 {
+			l = text[:n]
+		}
+		text = text[len(l):]
+		if value, ok := bytes.CutPrefix(l, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(value))
+		}
+		e.hasData = e.hasData || bytes.HasPrefix(l, []byte("data"))
+	}
+	return e
+}
+
+// check reports whether the caller has an event already, and returns an error if it has an id that does not
+// follow the previous one.
+func (e *eventReader) check(text []byte) (repeated bool, err error) {
+	next := parseEvent(text)
+	switch {
+	case next.id != "":
+	case !next.hasData:
+		return false, nil
+	default:
+		digest := maphash.Bytes(digestSeed, text)
+		if len(e.repeated) > 0 && digest == e.repeated[0] {
+			e.repeated = e.repeated[1:]
+			return true, nil
+		}
+		e.tail = append(e.tail, digest)
+		return false, nil
+	}
+	skipped, ok := follows(e.lastID, next.id)
+	if !isNumber(next.id) {
+		name := maphash.String(digestSeed, next.id)
+		ok = !e.passed[name]
+		e.names = append(e.names, name)
+	}
+	if !ok {
+		return false, errors.Wrapf(errEventOrder, "%q after %q", next.id, e.lastID)
 	}
-	return nil
+	e.skipped += skipped
+	e.lastID, e.identified, e.tail, e.repeated = next.id, true, nil, nil
+	return false, nil
 }
 
 // follows reports whether id may come after last, and how many ids are between them. Ids that are not
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,6 +136,13 @@
 	// lastEventID is the id of the last event that the caller has, or that is in its buffer and
 	// will be delivered. A retry resumes after it.
 	lastEventID string
+	// placeUnknown is set once the caller has events of a stream and none of them has an id, so that no
+	// target can be told where to resume.
+	placeUnknown bool
+	// tail has the digests of the events with data that the caller has behind the last one with an id.
+	tail []uint64
+	// names has the digests of the ids that the caller has and that are no numbers.
+	names []uint64
 	// target is the target of the current send.
 	target balance.Target
 	// begun is the version that began the stream, if it is known.
@@ -354,6 +361,9 @@
 	if f.reason == ReasonBroken || f.reason == ReasonRestarted {
 		log = log.WithValues("content", x.attributes()[0].Key.String(), "organisation", x.Organisation, "parts", partIDs(sharedParts(x.Parts)))
 	}
+	if x.placeUnknown {
+		log = log.WithValues("place", "unknown")
+	}
 	log.Info(what, "id", x.ID, "target", to.ID, "version", to.Version, "reason", f.reason, "cause", f.cause.Error(), "events", x.forwardedEvents)
 }
 
@@ -374,7 +384,7 @@
 	if clock.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
-	if x.result.HeadSent && (x.notStream || !x.Route.Resumable) {
+	if x.result.HeadSent && (x.notStream || x.placeUnknown || !x.Route.Resumable) {
 		return false
 	}
 	return !f.mayHaveRun || x.Route.Repeatable()
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -1,8 +1,8 @@
 package forward
 
 import (
-	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"net/http"
 	"strings"
@@ -200,7 +200,7 @@
 
 // forwardStream forwards a stream of events as they arrive.
 func (x *inflight) forwardStream(ctx context.Context, a *httptarget.Answer, silence *time.Timer) *failure {
-	reader := newEventReader(a)
+	reader := newEventReader(a, x.tail, x.passedNames())
 	for {
 		batch, err := reader.next(x.lastEventID)
 		if len(batch) > 0 {
@@ -246,8 +246,11 @@
 		x.recordVersion()
 	}
 	x.recordPiece()
+	x.placeUnknown = reader.lastID == "" && (x.placeUnknown || len(reader.tail) > 0)
+	// The engine is not silent while its answer is not read, because the caller is slow or there is no room.
+	silence.Stop()
 	began := clock.Now()
-	err := x.writeBatch(ctx, batch, silence)
+	err := x.writeBatch(ctx, batch)
 	x.ticket.Writing.Add(clock.Since(began).Nanoseconds())
 	if err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
@@ -256,22 +259,46 @@
 	x.ticket.Events.Add(int64(reader.batchCount))
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
+	x.noteTail(reader)
+	x.names = append(x.names, reader.names...)
 	x.result.SkippedIDs += reader.skipped
-	if x.Route.Repeatable() && x.result.Sends < x.Route.MaxAttempts {
+	if x.Route.Repeatable() && !x.placeUnknown && x.result.Sends < x.Route.MaxAttempts {
 		silence.Reset(max(maxSilentPauses*x.Route.MaxPause, minSilence))
-		return nil
 	}
-	silence.Stop()
 	return nil
 }
 
+// passedNames returns the digests of the ids that the caller has and that are no numbers: such ids tell only
+// by their repetition that a target does not resume the stream where it should.
+func (x *inflight) passedNames() map[uint64]bool {
+	if x.LastEventID != "" && !isNumber(x.LastEventID) && len(x.names) == 0 {
+		x.names = append(x.names, maphash.String(digestSeed, x.LastEventID))
+	}
+	if len(x.names) == 0 {
+		return nil
+	}
+	passed := make(map[uint64]bool, len(x.names))
+	for _, name := range x.names {
+		passed[name] = true
+	}
+	return passed
+}
+
+// noteTail notes the events of a batch which the next target would send again.
+func (x *inflight) noteTail(reader *eventReader) {
+	if reader.identified {
+		x.tail = nil
+	}
+	if !x.placeUnknown && x.Route.Resumable {
+		x.tail = append(x.tail, reader.tail...)
+	}
+}
+
 // writeBatch writes a batch of events to the caller, or puts it into the caller's buffer.
-func (x *inflight) writeBatch(ctx context.Context, batch []byte, silence *time.Timer) error {
+func (x *inflight) writeBatch(ctx context.Context, batch []byte) error {
 	if !x.startDelivery() {
 		return x.caller.Write(batch)
 	}
-	// The engine is not silent while its answer is not read for want of room.
-	silence.Stop()
 	return x.delivery.buffer.Append(ctx, batch)
 }
 
@@ -321,21 +348,3 @@
 	}
 	return false
 }
-
-// eventTerminator ends an event whose lines end in LF.
-var eventTerminator = []byte("\n\n")
-
-// eventEndOffset returns the offset just after the first whole event in b, or -1 if there is
-// none.
-func eventEndOffset(b []byte) int {
-	lf := bytes.Index(b, eventTerminator)
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return -1
-	case crlf < 0 || lf >= 0 && lf < crlf:
-		return lf + 2
-	default:
-		return crlf + 4
-	}
-}
