Tests: answers of killed engines that end early and look complete

Engines run as processes of their own, so that the kernel ends their connections when they are killed, and callers compare what looks complete with what is.

--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 // TestProcessExited calls ProcessExited many times at once, as happens when a target breaks
@@ -94,3 +96,82 @@
 		t.Errorf("cancelled: %v", err)
 	}
 }
+
+// unframedBegin is the begin of an answer that ends with its connection.
+const unframedBegin = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbegin"
+
+// TestEndOfUnframedAnswer guards against an answer without a length that looks complete although its target's
+// process has exited, whose kernel closes its connections like those of a complete answer, and against taking a
+// running target for one that has exited.
+func TestEndOfUnframedAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		// end ends the answer on connection c of the target that listens on l.
+		end      func(l *net.TCPListener, c *net.TCPConn)
+		complete bool
+	}{
+		"process runs":                     {complete: true, end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.Close() }},
+		"process exits":                    {end: func(l *net.TCPListener, c *net.TCPConn) { _ = l.Close(); _ = c.Close() }},
+		"process exits, listens till last": {end: func(l *net.TCPListener, c *net.TCPConn) { _ = c.Close(); time.Sleep(time.Millisecond); _ = l.Close() }},
+		"process resets":                   {end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
+		"process resets other connections": {complete: true, end: func(l *net.TCPListener, c *net.TCPConn) {
+			_ = c.Close()
+			for {
+				other, err := l.AcceptTCP()
+				if err != nil {
+					return
+				}
+				_ = other.SetLinger(0)
+				_ = other.Close()
+			}
+		}},
+		"process accepts no other connections": {complete: true, end: func(l *net.TCPListener, c *net.TCPConn) {
+			_ = sockopt.SetBacklog(l, 0)
+			waiting, err := net.Dial("tcp", l.Addr().String())
+			if err == nil {
+				defer waiting.Close()
+			}
+			_ = c.Close()
+			time.Sleep(time.Second)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := group.New(t.Context())
+			defer g.Stop()
+			defer l.Close()
+			g.Go(func() {
+				c2, err := l.Accept()
+				if err != nil {
+					return
+				}
+				serveRequests(c2, func(int, *http.Request) bool {
+					_, _ = io.WriteString(c2, unframedBegin)
+					c.end(l.(*net.TCPListener), c2.(*net.TCPConn))
+					return false
+				})
+			})
+			transport := httptarget.New(g)
+			defer transport.Close()
+			a, err := transport.Send(t.Context(), l.Addr().String(), request("a", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			began := time.Now()
+			text, err := io.ReadAll(a)
+			if c.complete != (err == nil) || string(text) != "begin" {
+				t.Errorf("read %q, %v; complete: want %v", text, err, c.complete)
+			}
+			if err != nil && !errors.Is(err, httptarget.ErrBroken) {
+				t.Errorf("%v, want ErrBroken", err)
+			}
+			if took := time.Since(began); took > 500*time.Millisecond {
+				t.Errorf("its end took %v to be told", took)
+			}
+		})
+	}
+}
