--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -109,10 +109,16 @@
 		end      func(l *net.TCPListener, c *net.TCPConn)
 		complete bool
 	}{
-		"process runs":                     {complete: true, end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.Close() }},
-		"process exits":                    {end: func(l *net.TCPListener, c *net.TCPConn) { _ = l.Close(); _ = c.Close() }},
-		"process exits, listens till last": {end: func(l *net.TCPListener, c *net.TCPConn) { _ = c.Close(); time.Sleep(time.Millisecond); _ = l.Close() }},
-		"process resets":                   {end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
+		"process runs":  {complete: true, end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.Close() }},
+		"process exits": {end: func(l *net.TCPListener, c *net.TCPConn) { _ = l.Close(); _ = c.Close() }},
+		"process exits, the listening socket last": {end: func(l *net.TCPListener, c *net.TCPConn) {
+			_ = c.Close()
+			if other, err := l.Accept(); err == nil {
+				_ = other.Close()
+			}
+			_ = l.Close()
+		}},
+		"process resets": {end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
 		"process resets other connections": {complete: true, end: func(l *net.TCPListener, c *net.TCPConn) {
 			_ = c.Close()
 			for {
