httptarget: an answer without a length ends only if its process goes on

Callers saw answers that ended early and looked complete: streams, streams that may not be resumed, and other answers, of engines that were killed while they sent an answer with neither a length nor chunks.

Cause: the kernel closes the connections of a killed process plainly as long as the process has read all that was sent, just as the process does at the end of an answer, and the end of the connection was taken for the end of the answer.

Now such an end counts only if the process goes on: if an unused connection to it stays open, or it does not refuse connections, for 20 ms. A process that has exited makes the read fail like any broken answer, so that a stream is resumed within its answer, a request that may be repeated is, and all else is cut or answered 502. Whatever exits right after an answer of which all came is resumed after the last event, without a piece twice. A process with no room resets or does not accept connections, but does not refuse them; the check takes at most 0.2 s.

--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -98,8 +98,10 @@
 	UnexpectedBytes int64 `json:"unexpected_bytes"`
 	// OversizedHeads counts answers that were given up because their head had no end.
 	OversizedHeads int64 `json:"oversized_heads"`
-	// UnframedAnswers counts answers with neither a length nor chunks that ended with their connection.
-	UnframedAnswers int64 `json:"unframed_answers"`
+	// UnframedAnswers counts answers with neither a length nor chunks that ended with their connection, and
+	// CutUnframedAnswers those of them that were not complete, as their target's process exited.
+	UnframedAnswers    int64 `json:"unframed_answers"`
+	CutUnframedAnswers int64 `json:"cut_unframed_answers"`
 }
 
 // Transport holds the connections to targets. Use New to make one. It is safe for concurrent
@@ -108,12 +110,14 @@
 	group  *group.Group
 	dialer net.Dialer
 
-	probes singleflight.Group
+	probes, exitChecks singleflight.Group
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
 
-	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads, unframedAnswers atomic.Int64
+	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads atomic.Int64
+
+	unframedAnswers, cutUnframedAnswers atomic.Int64
 }
 
 // New returns a transport that runs its goroutines in g.
@@ -134,7 +138,8 @@
 	return Stats{
 		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
 		StrayAnswers: t.strayAnswers.Load(), UnidentifiedAnswers: t.unidentifiedAnswers.Load(),
-		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(), UnframedAnswers: t.unframedAnswers.Load(),
+		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(),
+		UnframedAnswers: t.unframedAnswers.Load(), CutUnframedAnswers: t.cutUnframedAnswers.Load(),
 	}
 }
 
@@ -146,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{transport: t, conn: c, method: r.Method}
+	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method}
 	a.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(r); err != nil {
 		a.Close()
@@ -192,33 +197,6 @@
 	return ErrNotSent
 }
 
-// probeTimeout bounds the time of a probe. A refusal to connect arrives within a round trip,
-// which takes some milliseconds between zones.
-const probeTimeout = 100 * time.Millisecond
-
-// ProcessExited reports whether the process of a target has exited: it probes the target with a
-// connection, and a refused one counts as an exit. Concurrent calls for the same process, as
-// when a target breaks off many answers at once, share one probe. A connection that is made is
-// kept for reuse.
-func (t *Transport) ProcessExited(ctx context.Context, address, instance string) bool {
-	e := endpoint{address, instance}
-	exited, _, _ := t.probes.Do(address+" "+instance, func() (any, error) { return t.probe(ctx, e), nil })
-	return exited.(bool)
-}
-
-func (t *Transport) probe(ctx context.Context, e endpoint) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
-	raw, err := t.dialer.DialContext(ctx, "tcp", e.address)
-	if err != nil {
-		t.dialFailed.Add(1)
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	t.dialled.Add(1)
-	t.putIdle(newConn(raw, e))
-	return false
-}
-
 // takeIdle returns the usable connection that was used last, or nil, and closes unusable ones.
 func (t *Transport) takeIdle(e endpoint) *conn {
 	now := clock.Now()
@@ -303,6 +281,7 @@
 	// connection is not reused.
 	Identified bool
 
+	ctx               context.Context
 	transport         *Transport
 	conn              *conn
 	method            string
@@ -313,6 +292,8 @@
 	bodyWritten chan struct{}
 	writeErr    error
 	complete    bool
+	// cut is why an answer that ended with its connection is not complete.
+	cut error
 	// slowReading is set if the target may take its time to read the body.
 	slowReading bool
 }
@@ -421,10 +402,10 @@
 // the body was cut off.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
+	if errors.Is(err, io.EOF) && !a.complete && !a.framed() {
+		err = a.unframedEnd()
+	}
 	if errors.Is(err, io.EOF) {
-		if !a.complete && !a.framed() {
-			a.transport.unframedAnswers.Add(1)
-		}
 		a.complete = true
 		return n, io.EOF
 	}
