--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -181,3 +182,57 @@
 		})
 	}
 }
+
+// TestResetWhileBodyIsWritten guards against an answer without a length that looks complete although its connection
+// was reset: if the write of a long body fails first, the kernel reports the reset to it alone, and an end of
+// input to the reader.
+func TestResetWhileBodyIsWritten(t *testing.T) {
+	for name, c := range map[string]struct {
+		end      func(c *net.TCPConn)
+		complete bool
+	}{
+		"reset":  {end: func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
+		"closed": {complete: true, end: func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c); _ = c.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := group.New(t.Context())
+			defer g.Stop()
+			defer l.Close()
+			g.Go(func() {
+				for {
+					raw, err := l.Accept()
+					if err != nil {
+						return
+					}
+					g.Go(func() {
+						buffer := make([]byte, 1)
+						if n, _ := raw.Read(buffer); n == 0 {
+							return
+						}
+						_, _ = io.WriteString(raw, unframedBegin)
+						time.Sleep(50 * time.Millisecond)
+						c.end(raw.(*net.TCPConn))
+					})
+				}
+			})
+			transport := httptarget.New(g)
+			defer transport.Close()
+			a, err := transport.Send(t.Context(), l.Addr().String(), request("a", strings.Repeat("b", beyondBuffers)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			// The writer learns of the reset first.
+			time.Sleep(100 * time.Millisecond)
+			text, err := io.ReadAll(a)
+			if c.complete != (err == nil) || string(text) != "begin" {
+				t.Errorf("read %q, %v; complete: want %v", text, err, c.complete)
+			}
+		})
+	}
+}
