httptarget: a reset that only the writer of a body is told of cuts the answer

An answer without a length that was reset while its request's body (4 kB or more) was still written looked complete: the kernel reports a reset to the first call on the socket alone, and an end of input to the reader if that call was the writer's.

At the end of input of such an answer, a connection that is closed in both directions makes the writer return at once, and its error counts: all but EPIPE, which the kernel reports where the target had ended its answer before it reset the connection. A request that was written in whole needs no check, as nobody but the reader can have taken the error then.

--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -11,6 +11,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 const (
@@ -31,20 +32,44 @@
 
 // unframedEnd returns io.EOF if a body without a length that ended with its connection is complete. The kernel
 // closes the connections of a process that was killed as the process itself does at the end of an answer, so that
-// the end counts only if the process goes on.
+// the end counts only if the process goes on and the connection has not been reset.
 func (a *Answer) unframedEnd() error {
 	if a.cut != nil {
 		return a.cut
 	}
 	a.transport.unframedAnswers.Add(1)
-	if !a.transport.exits(a.ctx, a.conn.endpoint) {
+	a.cut = a.brokenWrite()
+	if a.cut == nil && a.transport.exits(a.ctx, a.conn.endpoint) {
+		a.cut = errProcessExited
+	}
+	if a.cut == nil {
 		return io.EOF
 	}
 	a.transport.cutUnframedAnswers.Add(1)
-	a.cut = errProcessExited
 	return a.cut
 }
 
+// brokenWrite returns the error of another goroutine's write of the body if it tells that the connection broke:
+// the kernel reports a reset once, and an end of input from then on. EPIPE only tells that the target had closed the
+// connection before that.
+func (a *Answer) brokenWrite() error {
+	if a.bodyWritten == nil {
+		return nil
+	}
+	if sockopt.Closed(a.conn.Conn) {
+		<-a.bodyWritten
+	}
+	select {
+	case <-a.bodyWritten:
+	default:
+		return nil
+	}
+	if errors.Is(a.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return errors.Wrap(a.writeErr, "write request")
+}
+
 // exitCheck is a check that began at a time.
 type exitCheck struct {
 	exited bool
--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -193,6 +193,12 @@
 	}{
 		"reset":  {end: func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
 		"closed": {complete: true, end: func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c); _ = c.Close() }},
+		"closed, then reset": {complete: true, end: func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -99,7 +99,7 @@
 	// OversizedHeads counts answers that were given up because their head had no end.
 	OversizedHeads int64 `json:"oversized_heads"`
 	// UnframedAnswers counts answers with neither a length nor chunks that ended with their connection, and
-	// CutUnframedAnswers those of them that were not complete, as their target's process exited.
+	// CutUnframedAnswers those of them that were not complete, as their target's process exited or the connection was reset.
 	UnframedAnswers    int64 `json:"unframed_answers"`
 	CutUnframedAnswers int64 `json:"cut_unframed_answers"`
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -92,6 +92,17 @@
 	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
 }
 
+// Closed reports whether a TCP connection is closed in both directions, as after a reset: reads and writes no
+// longer block. For connections that are not TCP it returns false.
+func Closed(c net.Conn) bool {
+	closed := false
+	err := withDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && closed
+}
+
 // ReadNow reads what has arrived on a TCP connection, without blocking, and returns the number
 // of bytes. It returns 0 if nothing has arrived, if the remote side has closed the connection,
 // and for connections that are not TCP.
--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -103,6 +103,22 @@
 	eventually(t, "RemoteClosed is still false after the remote side closed the connection", func() bool { return sockopt.RemoteClosed(b) })
 }
 
+func TestClosed(t *testing.T) {
+	a, b := pair(t)
+	if err := b.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "end of input did not arrive", func() bool { return sockopt.RemoteClosed(a) })
+	if sockopt.Closed(a) {
+		t.Error("Closed is true for a connection that is closed in one direction")
+	}
+	if err := b.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	b.Close()
+	eventually(t, "Closed is still false after a reset", func() bool { return sockopt.Closed(a) })
+}
+
 // TestUnacknowledged guards against a caller that reads slowly being taken for one that has stopped
 // reading: what its host has not received must go down as it reads.
 func TestUnacknowledged(t *testing.T) {
