ingress: a cut answer that would end with its connection is reset

To a caller of HTTP/1.0, an answer of unknown length ends with its connection. A stream that was cut, since its target broke it off or as the server or its process ended, was closed plainly and so looked complete.

Such a connection is now to be reset when it is closed from the head of the answer on, until the answer has been written to its end. It does not depend on who closes it: the kernel resets it, too, if the router is killed. Answers in chunks or of known length show that they are cut, and are closed as before.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -242,6 +242,25 @@
 	return sockopt.Unacknowledged(c.Conn)
 }
 
+// setResetOnClose sets whether the connection of a request is reset when it is closed, by the kernel also if this
+// process is killed.
+func setResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	// An error means that the connection is closed already.
+	_ = tcp.SetLinger(seconds)
+}
+
 // connState implements http.Server.ConnState: it marks connections idle when their request has
 // ended.
 func connState(raw net.Conn, state http.ConnState) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -230,6 +230,9 @@
 		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
 		a := &answer{w: w, flush: http.NewResponseController(w), request: r}
 		result = s.forwarder.Forward(r.Context(), request, a)
+		if !result.Truncated {
+			a.complete()
+		}
 	}
 	if result.Status == http.StatusServiceUnavailable && !result.HeadSent && wasReceived(r.Context()) {
 		w.Header().Set("Connection", "close")
@@ -352,6 +355,8 @@
 	w       http.ResponseWriter
 	flush   *http.ResponseController
 	request *http.Request
+	// endsWithConnection is set if only the end of the connection tells the caller that of the answer.
+	endsWithConnection bool
 }
 
 // Head implements forward.Caller.
@@ -366,9 +371,21 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if length < 0 && !a.request.ProtoAtLeast(1, 1) {
+		// Whatever ends the answer early, even if it is the end of this process, must not look like its end.
+		a.endsWithConnection = true
+		setResetOnClose(a.request.Context(), true)
+	}
 	a.w.WriteHeader(status)
 }
 
+// complete marks the answer as written to its end.
+func (a *answer) complete() {
+	if a.endsWithConnection {
+		setResetOnClose(a.request.Context(), false)
+	}
+}
+
 // Write implements forward.Caller.
 func (a *answer) Write(b []byte) error {
 	if len(b) == 0 {
