--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -225,18 +225,6 @@
 	return ok && sockopt.RemoteClosed(c.Conn)
 }
 
-// resetOnClose makes the connection of a request be reset when it is closed.
-func resetOnClose(ctx context.Context) {
-	c, ok := ctx.Value(connKey{}).(*conn)
-	if !ok {
-		return
-	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// An error means that the connection is closed already.
-		_ = tcp.SetLinger(0)
-	}
-}
-
 // wasReceived reports whether the connection of a request was handed over by another router. Refusals
 // close such connections, so that the router that its caller uses decides again which one serves it.
 func wasReceived(ctx context.Context) bool {
@@ -254,6 +242,25 @@
 	return sockopt.Unacknowledged(c.Conn)
 }
 
+// setResetOnClose sets whether the connection of a request is reset when it is closed, by the kernel also if this
+// process is killed.
+func setResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	// An error means that the connection is closed already.
+	_ = tcp.SetLinger(seconds)
+}
+
 // connState implements http.Server.ConnState: it marks connections idle when their request has
 // ended.
 func connState(raw net.Conn, state http.ConnState) {
