--- /dev/null
+++ b/internal/balance/unstored_review_test.go
@@ -0,0 +1,146 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
+
+	. "github.com/onsi/gomega"
+)
+
+func serviceVersions(versions ...string) (list []streamversion.ServiceVersion) {
+	for _, v := range versions {
+		list = append(list, streamversion.ServiceVersion{Service: "llm", Version: v})
+	}
+	return list
+}
+
+// TestHeldStreamIsServedWhereStoredVersionCannot guards against streams that are refused or wait since a target
+// that may not serve them counts as one of a stored version that takes requests.
+func TestHeldStreamIsServedWhereStoredVersionCannot(t *testing.T) {
+	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
+	for name, prepare := range map[string]func(w *world){
+		"in a region that is not allowed": func(w *world) {
+			w.SetRegions(map[string]string{"z": "far", "y": "near"})
+			far, near := v1, v2
+			near.Zone = "y"
+			table, err := routing.New(routing.Spec{
+				Services:      []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 230_000}}},
+				Organisations: []routing.Organisation{{Name: "o", Regions: []string{"near"}}},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			w.Configure(table)
+			w.SetTargets(w.now, []balance.Target{far, near})
+		},
+		"its entry has lapsed": func(w *world) {
+			lapsed := v1
+			lapsed.UsableUntil = w.now.Add(-time.Second)
+			w.SetTargets(w.now, []balance.Target{lapsed, v2})
+		},
+		"reported that it leaves": func(w *world) {
+			w.SetTargets(w.now, []balance.Target{v1, v2})
+			first := w.prompt("o", "first", 100)
+			first.Version = balance.OnlyVersion("v1")
+			Expect(w.arrive(first)).NotTo(BeNil())
+			w.RecordLeaving(w.now, first)
+			w.complete(first)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.RequireStoredVersions()
+			k := w.prompt("o", "s", 100)
+			k.Stream, k.StreamID = true, "s"
+			prepare(w)
+			w.SetStoredVersions(w.now, serviceVersions("v1"))
+			if d := w.arrive(k); d == nil || d.Target.ID != "b" {
+				t.Errorf("decision %+v, want target b", d)
+			}
+		})
+	}
+}
+
+// TestStoredMarkEndsWithTheEntry guards against streams that begin at a version that the store holds as one that has
+// left, or no longer holds.
+func TestStoredMarkEndsWithTheEntry(t *testing.T) {
+	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
+	for name, bringBack := range map[string]func(w *world){
+		"comes back just before the store's entry ends": func(w *world) {
+			w.SetTargets(w.now, []balance.Target{v1, v2})
+			w.SetStoredVersions(w.now, serviceVersions("v1", "v2"))
+			w.SetTargets(w.now, []balance.Target{v1})
+			w.now = w.now.Add(streamversion.TTL - time.Second)
+			w.SetTargets(w.now, []balance.Target{v1, v2})
+		},
+		"was told of long before it is listed": func(w *world) {
+			w.SetTargets(w.now, []balance.Target{v1})
+			w.SetStoredVersions(w.now, serviceVersions("v1", "v2"))
+			w.now = w.now.Add(2 * streamversion.TTL)
+			w.SetTargets(w.now, []balance.Target{v1, v2})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.RequireStoredVersions()
+			bringBack(w)
+			// Until now the store has refused to hold that v2 serves again, and all routers are killed.
+			w.now = w.now.Add(2 * time.Second)
+			if first, _ := w.UnstoredVersions(); first.IsZero() {
+				t.Error("v2 counts as stored")
+			}
+			k := w.prompt("o", "s", 100)
+			k.Stream, k.StreamID, k.Tried = true, "s", []string{"a"}
+			began := w.arrive(k)
+			started := newWorld(0)
+			started.RestoreVersions(w.now, []streamversion.Served{
+				{ServiceVersion: streamversion.ServiceVersion{Service: "llm", Version: "v1"}},
+				{ServiceVersion: streamversion.ServiceVersion{Service: "llm", Version: "v2"}, Gone: true, GoneFor: streamversion.TTL + time.Second},
+			}, true)
+			started.SetTargets(w.now, []balance.Target{v1, v2})
+			if version, why := started.UnrecordedVersion(w.now, "llm"); began != nil && version == "v1" {
+				t.Errorf("a stream began at %s, and goes on at %s by %s", began.Target.Version, version, why)
+			}
+		})
+	}
+}
+
+// TestUnrecordedVersionOfStreamsBegunSince guards against taking a stream that began after the start, and of which the
+// record was lost with its router, for one of the version that was stored before.
+func TestUnrecordedVersionOfStreamsBegunSince(t *testing.T) {
+	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
+	restored := []streamversion.Served{{ServiceVersion: streamversion.ServiceVersion{Service: "llm", Version: "v1"}}}
+	for name, begin := range map[string]func(w *world){
+		"the newer one was stored since": func(w *world) {
+			w.RestoreVersions(w.now, restored, true)
+			w.SetTargets(w.now, []balance.Target{v1, v2})
+			w.now = w.now.Add(time.Second)
+			w.SetStoredVersions(w.now, serviceVersions("v1", "v2"))
+		},
+		"before the restore": func(w *world) { w.SetTargets(w.now, []balance.Target{v1, v2}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.RequireStoredVersions()
+			begin(w)
+			k := w.prompt("o", "s", 100)
+			k.Stream, k.StreamID, k.Tried = true, "s", []string{"a"}
+			d := w.arrive(k)
+			if d == nil {
+				return
+			}
+			w.now = w.now.Add(2 * time.Second)
+			if name == "before the restore" {
+				w.RestoreVersions(w.now, restored, true)
+			}
+			if version, why := w.UnrecordedVersion(w.now, "llm"); version != "" {
+				t.Errorf("streams have begun at %s since the start; one without a record is taken for one of %s by %s", d.Target.Version, version, why)
+			}
+		})
+	}
+}
