Record the end of a roll-out again where the store has lost it

What callers saw: after the store came back from a copy that lacks the end of a roll-out, routers that start later send requests to a version that was rolled back, as one on trial, and operators wait for an end that never comes.

Cause: the tracker overwrote the recorded state with the end that it remembered, so that it took the end for recorded. Where a router that did not know the first end recorded another one, the others kept to theirs for good.

Why it works: the recorded state and the end that a router remembers are kept apart. The end decides which requests may be sent; where the recorded state differs from it, it is a decision to write, under the same delay and condition as others. An end that is recorded later replaces the one remembered, since operators act on what the store holds.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -94,6 +94,9 @@
 	// decided is this router's decision, to be written at writeAt.
 	decided State
 	writeAt time.Time
+	// ended is the final state that was recorded last. A store that was restored from an older copy may
+	// lack it: then it is recorded again, for routers that start later.
+	ended State
 }
 
 // Tracker follows the roll-outs of all services. Use New to make one.
@@ -121,9 +124,8 @@
 		if p == nil || p.Version != o.Version {
 			p = &progress{since: now, own: Results{Service: o.Service, Version: o.Version}, peers: map[string]Results{}}
 		}
-		if p.State.Final() {
-			// A store that was restored from an older copy may lack the end.
-			o.State = p.State
+		if o.State.Final() {
+			p.ended = o.State
 		}
 		p.Order = o
 		kept[o.Service] = p
@@ -131,13 +133,9 @@
 	t.byName = kept
 }
 
-// state returns the state by which requests are sent: that recorded, or this router's decision.
-func (p *progress) state() State {
-	if p.State.Final() || p.decided == "" {
-		return p.State
-	}
-	return p.decided
-}
+// state returns the state by which requests are sent: the recorded end, or else this router's decision, or else
+// the recorded state.
+func (p *progress) state() State { return cmp.Or(p.ended, p.decided, p.State) }
 
 // shifted reports whether the version gets all requests although the roll-out is not complete.
 func (t *Tracker) shifted(now time.Time, p *progress) bool {
@@ -192,7 +190,7 @@
 // Record counts an answer of a target. A bad one failed or was several times slower than expected.
 func (t *Tracker) Record(service, version string, bad bool) {
 	p := t.byName[service]
-	if p == nil || p.State.Final() {
+	if p == nil || p.ended.Final() {
 		return
 	}
 	c := &p.own.Other
@@ -209,7 +207,7 @@
 func (t *Tracker) Results() []Results {
 	var list []Results
 	for _, service := range slices.Sorted(maps.Keys(t.byName)) {
-		if p := t.byName[service]; !p.State.Final() && p.own.New.Answers+p.own.Other.Answers > 0 {
+		if p := t.byName[service]; !p.ended.Final() && p.own.New.Answers+p.own.Other.Answers > 0 {
 			list = append(list, p.own)
 		}
 	}
@@ -296,8 +294,8 @@
 func (p *progress) next(now time.Time) State {
 	passed := now.Sub(p.since)
 	switch {
-	case p.State.Final():
-		return p.State
+	case p.ended.Final():
+		return p.ended
 	case p.decided == RolledBack || p.bad():
 		return RolledBack
 	case passed*100 >= p.Duration*completePercent && p.trusted():
