--- a/internal/rollout/older_test.go
+++ b/internal/rollout/older_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/revision"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 )
 
@@ -57,3 +58,42 @@
 		t.Error("the version gets no requests although its roll-out is recorded as complete")
 	}
 }
+
+// TestRolledBackInEarlierEra guards against trying a version again that was rolled back, since the store came
+// back from a copy without the order, and the operators wrote that again.
+func TestRolledBackInEarlierEra(t *testing.T) {
+	for name, c := range map[string]struct {
+		era  int64
+		want bool
+	}{
+		"the store lost the order":           {era: 1},
+		"the operators ordered it once more": {era: 0, want: true},
+		"the store lost the order twice":     {era: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tracker := rollout.New(exposure, func() float64 { return 0 })
+			at := func(era, store int64) int64 {
+				n, err := revision.New(era, store)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return n
+			}
+			order := rollout.Order{Service: "s", Version: "v2", Duration: duration, State: rollout.RolledBack, Revision: at(0, 7)}
+			tracker.SetOrders(now, []rollout.Order{order})
+			for range max(c.era, 1) {
+				tracker.SetOrders(now, nil)
+			}
+			order.State, order.Revision = "", at(c.era, 8)
+			tracker.SetOrders(now, []rollout.Order{order})
+			allowed := false
+			for i := range 1000 {
+				allowed = allowed || tracker.Allows(now, "s", "v2", fmt.Sprint(i))
+			}
+			if allowed != c.want {
+				t.Errorf("requests are sent to it: %v, want %v", allowed, c.want)
+			}
+		})
+	}
+}
