Remember over eras of the store that a version was rolled back

What callers saw: requests on a version that was rolled back, after the store came back from a copy made before its order, once the operators had written the order again.

Cause: what is known of an order was dropped with it.

Why it works: an order that comes back in a later era with the same version is taken for the one that was rolled back, and its end is recorded again. A complete roll-out is not remembered so: old targets are stopped at once where one is recorded as complete, which an order of the later era must earn. Between the copy and the order's return, versions are not restricted, as before: nothing says then that there is an order.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 // State is how far a roll-out has got, as recorded in the store.
@@ -105,12 +106,14 @@
 	exposure float64
 	random   func() float64
 	byName   map[string]*progress
+	// rolledBack has the last orders that ended so and are no longer in the store, by service.
+	rolledBack map[string]*progress
 }
 
 // New returns a tracker without orders. exposure is the part of a service's requests, from 0 to 1,
 // that a bad version may get; random returns numbers from 0 to 1.
 func New(exposure float64, random func() float64) *Tracker {
-	return &Tracker{exposure: exposure, random: random, byName: map[string]*progress{}}
+	return &Tracker{exposure: exposure, random: random, byName: map[string]*progress{}, rolledBack: map[string]*progress{}}
 }
 
 // SetExposure changes the allowed part.
@@ -121,6 +124,9 @@
 	kept := map[string]*progress{}
 	for _, o := range list {
 		p := t.byName[o.Service]
+		if p == nil {
+			p = t.lost(o)
+		}
 		if p == nil || p.Version != o.Version {
 			p = &progress{since: now, own: Results{Service: o.Service, Version: o.Version}, peers: map[string]Results{}}
 		}
@@ -129,10 +135,26 @@
 		}
 		p.Order = o
 		kept[o.Service] = p
+		delete(t.rolledBack, o.Service)
+	}
+	for service, p := range t.byName {
+		if kept[service] == nil && p.ended == RolledBack {
+			t.rolledBack[service] = p
+		}
 	}
 	t.byName = kept
 }
 
+// lost returns what is known of an order that comes back in a later era of the store, whose older copy may have
+// lacked it, nil if nothing is. In the same era it is an order that operators have withdrawn and given again.
+func (t *Tracker) lost(o Order) *progress {
+	p := t.rolledBack[o.Service]
+	if p == nil || revision.Era(o.Revision) <= revision.Era(p.Revision) {
+		return nil
+	}
+	return p
+}
+
 // state returns the state by which requests are sent: the recorded end, or else this router's decision, or else
 // the recorded state.
 func (p *progress) state() State { return cmp.Or(p.ended, p.decided, p.State) }
