--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -138,3 +138,29 @@
 		t.Errorf("written %d times after the store came back, want once", n)
 	}
 }
+
+// TestAllHeldBackRequestsAfterStoreCameBackOlder guards against storing only some of the held-back requests
+// again: the limit on what is sent to other routers applied to the store, too.
+func TestAllHeldBackRequestsAfterStoreCameBackOlder(t *testing.T) {
+	g := newConfigured(t)
+	store := &countingStore{count: map[quarantine.Key]int{}}
+	const requests = 120
+	var list []quarantine.Record
+	for i := range requests {
+		list = append(list, quarantine.Record{
+			Key: quarantine.KeyOf("o", "POST", fmt.Sprint("/", i), nil), Organisation: "o",
+			Crashes: []quarantine.Crash{{Target: "a@1"}, {Target: "b@2"}, {Target: "c@3"}},
+		})
+	}
+	g.Restore(list)
+	g.loop.PostAndWait(context.Background(), func(*balance.State, time.Time) {
+		g.QuarantineStore = store
+	})
+	g.StoreCameBackOlder(1)
+	g.loop.PostAndWait(context.Background(), func(*balance.State, time.Time) {})
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if len(store.count) != requests {
+		t.Errorf("%d of %d requests written again", len(store.count), requests)
+	}
+}
