Merge what is stored of held-back requests, under conditions

What callers saw: after a kill of all routers, a request that had succeeded was held back again, or one that crashes targets was sent to them again.

Cause: records of held-back requests were written without a condition, and deleted when cleared. A write that got no answer may be done seconds later and then undid newer ones, and of two routers that write the same record the last one won, whatever it knew.

Crashes of both records are kept, and one that either has cleared is cleared, which is how routers merge them in memory. Records of cleared requests stay in the store until they expire: a deleted object could be created again by a late call.

Left: a record that expires while no router runs stays stored, as before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -37,7 +37,8 @@
 }
 
 // QuarantineStore persists requests that are held back, so that they survive a restart of all
-// routers. Its methods do not block, and return false if too many writes are pending.
+// routers. Its methods do not block, and return false if too many writes are pending. Save merges a
+// record with what is stored.
 type QuarantineStore interface {
 	Save(r quarantine.Record) bool
 	Delete(k quarantine.Key) bool
@@ -191,20 +192,14 @@
 }
 
 // persist writes changes that arose at this router to the QuarantineStore: records of requests
-// that are held back, and the removal of those that were cleared.
+// that are held back, or were until they were cleared. The latter stay there until they expire, so
+// that a router that does not know it yet cannot store them as they were before.
 func (g *Gateway) persist(list []quarantine.Record) {
 	if g.QuarantineStore == nil {
 		return
 	}
 	for _, r := range list {
-		queued := true
-		switch n := r.Uncleared(); {
-		case quarantine.HeldBack(n):
-			queued = g.QuarantineStore.Save(r)
-		case n == 0 && quarantine.HeldBack(len(r.Crashes)):
-			queued = g.QuarantineStore.Delete(r.Key)
-		}
-		if !queued {
+		if quarantine.HeldBack(len(r.Crashes)) && !g.QuarantineStore.Save(r) {
 			g.Log.Info("request held back not kept", "content", r.Key.String())
 		}
 	}
@@ -290,7 +285,7 @@
 		if r.Uncleared() > 1 {
 			g.Log.Info("request forgotten", "content", r.Key.String(), "organisation", r.Organisation, "crashes", r.Uncleared())
 		}
-		if g.QuarantineStore != nil && quarantine.HeldBack(r.Uncleared()) && g.ranksFirst(now, r.Key) && !g.QuarantineStore.Delete(r.Key) {
+		if g.QuarantineStore != nil && quarantine.HeldBack(len(r.Crashes)) && g.ranksFirst(now, r.Key) && !g.QuarantineStore.Delete(r.Key) {
 			g.Log.Info("request held back not deleted", "content", r.Key.String())
 		}
 		g.publishSuspects()
