Take a copy for complete only as of the revision that it was made for

What callers saw: requests sent to a target that had left, and a zone that stayed drained, on single routers and for good, after the store had lost its history or come back older.

Cause: a router that lists the store again does not know what came and went between its two lists. It sends others the changes since the revision that they named. One that had got another copy by then knew such an object, took the changes for all there were, and moved past the removal that nobody told.

Evidence: TestCrossingCopies, 2 of 2 cases red before, for targets and zones, none after.

Why it works: where the router's revision is another one by then, the changes are applied, but it asks again before it takes its list for complete; the sender then sees that the revision lies within its gap, and sends the list.

--- a/internal/catalog/crossing_test.go
+++ b/internal/catalog/crossing_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,10 @@
 			for _, c := range []**catalog.Catalog{&to, &watches, &listed} {
 				*c = catalog.New(codec{}, drainPeriod, entryTTL)
 				(*c).SetTargets(now, at(0, 10), listOf(at(0, 10), "a", "b"))
+				(*c).SetZones(now, at(0, 10), listOf(at(0, 10), "x", "y"))
 			}
+			watches.ApplyZones(at(0, 12), []catalog.Change{{StoredObject: listOf(at(0, 12), "drained and back")[0]}})
+			listed.SetZones(now, again, listOf(at(0, 10), "y"))
 			watches.ApplyTargets(now, at(0, 12), []catalog.Change{{StoredObject: listOf(at(0, 12), "came and went")[0]}})
 			listed.SetTargets(now, again, listOf(at(0, 10), "a"))
 			need := message.NeedCopy{Revisions: to.Complete()}
@@ -39,6 +43,9 @@
 			if _, used := to.Target("came and went"); used || to.CountTargets() != 1 {
 				t.Errorf("%v in use as of %d, where the store has only a as of %d", to.Targets(), to.TargetsRevision(), again)
 			}
+			if zones := to.DrainedZones(); !slices.Equal(zones, []string{"y"}) {
+				t.Errorf("%v drained, where the store has only y", zones)
+			}
 		})
 	}
 }
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -269,7 +269,9 @@
 }
 
 // merge merges another router's objects and returns the changes. It returns false if nothing is
-// new, or if accepts rejects them.
+// new, or if accepts rejects them. The copy is complete afterwards only if it still is as of the revision for
+// which the other router chose the changes: what became known meanwhile may have been removed in a gap of the
+// other one, which does not know it then.
 func (r *replica) merge(m message.StoredObjects) ([]Change, bool) {
 	if !r.accepts(m) {
 		return nil, false
@@ -284,5 +286,9 @@
 	for _, o := range m.Removed {
 		changes = append(changes, Change{StoredObject: o, Gone: true})
 	}
-	return r.apply(m.Revision, changes), len(changes) > 0
+	complete := m.Revision
+	if m.Since != r.revision {
+		complete = r.revision
+	}
+	return r.apply(complete, changes), len(changes) > 0
 }
