--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 // State is how far a roll-out has got, as recorded in the store.
@@ -94,6 +95,9 @@
 	// decided is this router's decision, to be written at writeAt.
 	decided State
 	writeAt time.Time
+	// ended is the final state that was recorded last. A store that was restored from an older copy may
+	// lack it: then it is recorded again, for routers that start later.
+	ended State
 }
 
 // Tracker follows the roll-outs of all services. Use New to make one.
@@ -102,12 +106,14 @@
 	exposure float64
 	random   func() float64
 	byName   map[string]*progress
+	// rolledBack has the last orders that ended so and are no longer in the store, by service.
+	rolledBack map[string]*progress
 }
 
 // New returns a tracker without orders. exposure is the part of a service's requests, from 0 to 1,
 // that a bad version may get; random returns numbers from 0 to 1.
 func New(exposure float64, random func() float64) *Tracker {
-	return &Tracker{exposure: exposure, random: random, byName: map[string]*progress{}}
+	return &Tracker{exposure: exposure, random: random, byName: map[string]*progress{}, rolledBack: map[string]*progress{}}
 }
 
 // SetExposure changes the allowed part.
@@ -118,27 +124,41 @@
 	kept := map[string]*progress{}
 	for _, o := range list {
 		p := t.byName[o.Service]
+		if p == nil {
+			p = t.lost(o)
+		}
 		if p == nil || p.Version != o.Version {
 			p = &progress{since: now, own: Results{Service: o.Service, Version: o.Version}, peers: map[string]Results{}}
 		}
-		if p.State.Final() {
-			// A store that was restored from an older copy may lack the end.
-			o.State = p.State
+		if o.State.Final() {
+			p.ended = o.State
 		}
 		p.Order = o
 		kept[o.Service] = p
+		delete(t.rolledBack, o.Service)
+	}
+	for service, p := range t.byName {
+		if kept[service] == nil && p.ended == RolledBack {
+			t.rolledBack[service] = p
+		}
 	}
 	t.byName = kept
 }
 
-// state returns the state by which requests are sent: that recorded, or this router's decision.
-func (p *progress) state() State {
-	if p.State.Final() || p.decided == "" {
-		return p.State
+// lost returns what is known of an order that comes back in a later era of the store, whose older copy may have
+// lacked it, nil if nothing is. In the same era it is an order that operators have withdrawn and given again.
+func (t *Tracker) lost(o Order) *progress {
+	p := t.rolledBack[o.Service]
+	if p == nil || revision.Era(o.Revision) <= revision.Era(p.Revision) {
+		return nil
 	}
-	return p.decided
+	return p
 }
 
+// state returns the state by which requests are sent: the recorded end, or else this router's decision, or else
+// the recorded state.
+func (p *progress) state() State { return cmp.Or(p.ended, p.decided, p.State) }
+
 // shifted reports whether the version gets all requests although the roll-out is not complete.
 func (t *Tracker) shifted(now time.Time, p *progress) bool {
 	left := p.Duration - now.Sub(p.since)
@@ -192,7 +212,7 @@
 // Record counts an answer of a target. A bad one failed or was several times slower than expected.
 func (t *Tracker) Record(service, version string, bad bool) {
 	p := t.byName[service]
-	if p == nil || p.State.Final() {
+	if p == nil || p.ended.Final() {
 		return
 	}
 	c := &p.own.Other
@@ -209,7 +229,7 @@
 func (t *Tracker) Results() []Results {
 	var list []Results
 	for _, service := range slices.Sorted(maps.Keys(t.byName)) {
-		if p := t.byName[service]; !p.State.Final() && p.own.New.Answers+p.own.Other.Answers > 0 {
+		if p := t.byName[service]; !p.ended.Final() && p.own.New.Answers+p.own.Other.Answers > 0 {
 			list = append(list, p.own)
 		}
 	}
@@ -296,8 +316,8 @@
 func (p *progress) next(now time.Time) State {
 	passed := now.Sub(p.since)
 	switch {
-	case p.State.Final():
-		return p.State
+	case p.ended.Final():
+		return p.ended
 	case p.decided == RolledBack || p.bad():
 		return RolledBack
 	case passed*100 >= p.Duration*completePercent && p.trusted():
