Count a version as stored only while the store holds it as in service

Found by review: streams could begin at a version of which a router that starts would know nothing, so that they went on at the other version.

What a router is told of as stored are the versions in service, all of them: one that it lists and that is not among them is written again. The mark ends with the version's last target.

--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -7,22 +7,43 @@
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
-// maxHold is how long streams are kept from a version that the store is not known to hold. After that, the
-// capacity of its targets matters more.
-const maxHold = 20 * time.Second
+const (
+	// maxHold is how long streams are kept from a version that the store is not known to hold. After that,
+	// the capacity of its targets matters more.
+	maxHold = 20 * time.Second
+	// storedMarkTTL is how long a version counts as stored that is not listed here yet.
+	storedMarkTTL = 10 * time.Second
+)
 
 // RequireStoredVersions makes streams that callers may take up begin only at versions that the store is known
-// to hold, as long as their service has such targets. What is stored then names all versions that may have
+// to hold, as long as they may begin at such targets. What is stored then names all versions that may have
 // begun streams, and a router that starts can rely on it.
 func (s *State) RequireStoredVersions() { s.requireStored = true }
 
-// SetStoredVersions records versions that the store holds.
-func (s *State) SetStoredVersions(now time.Time, list []streamversion.ServiceVersion) {
+// SetStoredVersions records which versions the store holds as being in service. It returns false if a version
+// is not among them that is listed here.
+func (s *State) SetStoredVersions(now time.Time, list []streamversion.ServiceVersion) bool {
+	stored := make(map[streamversion.ServiceVersion]bool, len(list))
 	for _, v := range list {
-		s.versionHistory(v.Service).stored[v.Version] = true
+		stored[v] = true
+		s.versionHistory(v.Service).stored[v.Version] = now
 		delete(s.unstored, v)
 	}
+	all := true
+	for service, h := range s.versions {
+		for version := range h.listed {
+			v := streamversion.ServiceVersion{Service: service, Version: version}
+			if _, known := s.unstored[v]; !stored[v] {
+				all = false
+				delete(h.stored, version)
+				if s.requireStored && !known {
+					s.unstored[v] = now
+				}
+			}
+		}
+	}
 	s.dispatch(now)
+	return all
 }
 
 // UnstoredVersions returns since when versions have been listed that the store is not known to hold: the
@@ -67,7 +88,7 @@
 	}
 	h := s.versions[t.Service]
 	t.elsewhereAt, t.elsewhere = now, slices.ContainsFunc(s.targetsOf(t.Service), func(c *target) bool {
-		return h.stored[c.Version] && !c.Closed(now) && s.rolloutAllows(now, t, c) && s.allowsRegion(t, c)
+		return h.isStored(c.Version) && !c.Closed(now) && s.rolloutAllows(now, t, c) && s.allowsRegion(t, c)
 	})
 	return t.elsewhere
 }
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -42,8 +42,9 @@
 	// removed.
 	listed map[string]int
 	goneAt map[string]time.Time
-	// stored has the versions that the store is known to hold.
-	stored map[string]bool
+	// stored has the versions that the store is known to hold as being in service, and when it was said so
+	// last.
+	stored map[string]time.Time
 	// mixed is set while there are several versions, or were within streamversion.TTL.
 	mixed bool
 	// earlier is the only version that began streams before this process started, if another one came
@@ -54,13 +55,14 @@
 
 // expire forgets versions that left long ago.
 func (h *versionHistory) expire(now time.Time) {
-	maps.DeleteFunc(h.goneAt, func(version string, at time.Time) bool {
-		expired := now.Sub(at) > streamversion.TTL
-		if expired && h.listed[version] == 0 {
-			delete(h.stored, version)
-		}
-		return expired
-	})
+	maps.DeleteFunc(h.goneAt, func(_ string, at time.Time) bool { return now.Sub(at) > streamversion.TTL })
+	maps.DeleteFunc(h.stored, func(version string, at time.Time) bool { return h.listed[version] == 0 && now.Sub(at) > storedMarkTTL })
+}
+
+// isStored reports whether the store is known to hold a version.
+func (h *versionHistory) isStored(version string) bool {
+	_, stored := h.stored[version]
+	return stored
 }
 
 // only reports whether a version is and was the only one.
@@ -82,7 +84,7 @@
 	h.expire(now)
 	if h.listed[t.Version]++; h.listed[t.Version] == 1 {
 		s.versionsChanged = true
-		if s.requireStored && !h.stored[t.Version] {
+		if s.requireStored && !h.isStored(t.Version) {
 			s.unstored[streamversion.ServiceVersion{Service: t.Service, Version: t.Version}] = now
 		}
 		if s.listed {
@@ -102,6 +104,8 @@
 	h := s.versions[t.Service]
 	if h.listed[t.Version]--; h.listed[t.Version] == 0 {
 		delete(h.listed, t.Version)
+		// If it comes back, the store must hold that it is in service again.
+		delete(h.stored, t.Version)
 		delete(s.unstored, streamversion.ServiceVersion{Service: t.Service, Version: t.Version})
 		h.goneAt[t.Version] = now
 		s.versionsChanged = true
@@ -111,7 +115,7 @@
 func (s *State) versionHistory(service string) *versionHistory {
 	h := s.versions[service]
 	if h == nil {
-		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]bool{}}
+		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]time.Time{}}
 		s.versions[service] = h
 	}
 	return h
@@ -129,15 +133,17 @@
 			continue
 		}
 		earlier[v.Service] = append(earlier[v.Service], v.Version)
-		stored = append(stored, v.ServiceVersion)
+		if !v.Gone {
+			stored = append(stored, v.ServiceVersion)
+		}
 		h := s.versionHistory(v.Service)
 		if at := now.Add(-v.GoneFor); h.listed[v.Version] == 0 && at.After(h.goneAt[v.Version]) {
 			h.goneAt[v.Version] = at
 		}
 	}
 	for service, versions := range earlier {
+		h := s.versionHistory(service)
 		if len(versions) == 1 {
-			h := s.versionHistory(service)
 			h.earlier, h.earlierUntil = versions[0], now.Add(streamversion.TTL)
 		}
 	}
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -73,7 +73,8 @@
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		g.streams.Restore(now, stored.Records, stored.Complete)
 		s.RestoreVersions(now, stored.Versions, stored.Complete)
-		g.streamStore.restored, g.streamStore.era, g.streamStore.saved = true, stored.Era, servedSet(stored.Versions)
+		g.streamStore.restored, g.streamStore.era = true, stored.Era
+		g.streamStore.saved = servedSet(stored.Versions)
 		// They may have changed while what is stored could not be read.
 		g.streamStore.changed, g.streamStore.changedAt = true, now
 		g.Log.Info("versions of streams restored", "streams", len(stored.Records), "versions", len(stored.Versions), "complete", stored.Complete)
@@ -89,7 +90,7 @@
 // who may not let streams begin at them before.
 func (g *Gateway) VersionsStored(list []streamversion.ServiceVersion, written bool) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		s.SetStoredVersions(now, list)
+		g.setStoredVersions(s, now, list)
 		if !written {
 			return
 		}
@@ -103,6 +104,15 @@
 	})
 }
 
+// setStoredVersions records which versions the store holds. If it lacks one that is listed here, versions are
+// written again.
+func (g *Gateway) setStoredVersions(s *balance.State, now time.Time, list []streamversion.ServiceVersion) {
+	if p := &g.streamStore; !s.SetStoredVersions(now, list) && !p.changed {
+		p.saved, p.changed, p.changedAt = nil, true, now
+		g.tickEarlier(now)
+	}
+}
+
 // streamStoreIdle reports whether storeStreams need not be called.
 func (g *Gateway) streamStoreIdle() bool {
 	return g.StreamStore == nil || !g.streams.Unsaved() && !g.streamStore.changed && g.storeEra() <= g.streamStore.era
