Doubt the version stored before the start once a router is lost

Found by review: for a minute after the start, a stream without a record was taken for one of the only version stored before, although streams had begun at a newer one since, whose records may be lost with the router that began them; or although this router had sent streams there before it knew what was stored.

Records go to other routers as streams begin, so that they are lost only with a router: when one is believed to have ended and the store holds a newer version, streams without a record are refused from then on.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -328,6 +328,9 @@
 	invariant.Check(!to.Closed(now), invariant.LeftInTime)
 	t.target = to
 	t.sentAt = now
+	if t.StreamID != "" && !t.Version.IsSet() {
+		s.versionHistory(to.Service).begun[to.Version] = true
+	}
 	t.foundFreeSlot = !t.Engine && s.loadOf(now, to).Running < to.Slots
 	t.load = view.Load{PendingTokens: p.uncachedTokens, Running: 1, MemoryTokens: t.unsharedTokens()}
 	t.work = p.work
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -81,6 +81,18 @@
 // not known to hold.
 func (s *State) HeldStreams() int64 { return s.heldStreams }
 
+// RouterLost records that another router has ended in an unplanned way. With it, records of streams may be lost
+// that have begun since the start, so that a stream without one need not have begun before.
+func (s *State) RouterLost() {
+	for _, h := range s.versions {
+		for version := range h.stored {
+			if version != h.earlier && h.listed[version] > 0 {
+				h.earlierUntil = time.Time{}
+			}
+		}
+	}
+}
+
 // mayBeginElsewhere reports whether there is a target of a version that the store holds at which t may begin.
 func (s *State) mayBeginElsewhere(now time.Time, t *Ticket) bool {
 	if t.elsewhereAt.Equal(now) {
--- a/internal/balance/unstored_review_test.go
+++ b/internal/balance/unstored_review_test.go
@@ -120,6 +120,7 @@
 			w.SetTargets(w.now, []balance.Target{v1, v2})
 			w.now = w.now.Add(time.Second)
 			w.SetStoredVersions(w.now, serviceVersions("v1", "v2"))
+			w.RouterLost()
 		},
 		"before the restore": func(w *world) { w.SetTargets(w.now, []balance.Target{v1, v2}) },
 	} {
--- a/internal/balance/unstored_test.go
+++ b/internal/balance/unstored_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// TestUnrecordedVersionWhileNoRouterIsLost guards against refusing streams that began before the start as soon as
+// others begin at a newer version: their records are lost only with a router.
+func TestUnrecordedVersionWhileNoRouterIsLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := balance.New(now, "z", balance.Limits{}, nil)
+	s.RequireStoredVersions()
+	v1 := streamversion.ServiceVersion{Service: "llm", Version: "v1"}
+	s.RestoreVersions(now, []streamversion.Served{{ServiceVersion: v1}}, true)
+	s.SetTargets(now, []balance.Target{versioned("a", "v1"), versioned("b", "v2")})
+	s.RouterLost()
+	s.SetStoredVersions(now, []streamversion.ServiceVersion{v1, {Service: "llm", Version: "v2"}})
+	if version, _ := s.UnrecordedVersion(now, "llm"); version != "v1" {
+		t.Errorf("began at %q, want v1", version)
+	}
+}
+
 // TestHeldStreamHasAnotherTarget guards against streams that wait or are refused as the only target that they
 // may be sent to has a version that is not stored.
 func TestHeldStreamHasAnotherTarget(t *testing.T) {
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -43,8 +43,9 @@
 	listed map[string]int
 	goneAt map[string]time.Time
 	// stored has the versions that the store is known to hold as being in service, and when it was said so
-	// last.
+	// last, and begun those to whose targets streams were sent.
 	stored map[string]time.Time
+	begun  map[string]bool
 	// mixed is set while there are several versions, or were within streamversion.TTL.
 	mixed bool
 	// earlier is the only version that began streams before this process started, if another one came
@@ -115,7 +116,7 @@
 func (s *State) versionHistory(service string) *versionHistory {
 	h := s.versions[service]
 	if h == nil {
-		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]time.Time{}}
+		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]time.Time{}, begun: map[string]bool{}}
 		s.versions[service] = h
 	}
 	return h
@@ -143,7 +144,8 @@
 	}
 	for service, versions := range earlier {
 		h := s.versionHistory(service)
-		if len(versions) == 1 {
+		delete(h.begun, versions[0])
+		if len(versions) == 1 && len(h.begun) == 0 {
 			h.earlier, h.earlierUntil = versions[0], now.Add(streamversion.TTL)
 		}
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -82,7 +82,11 @@
 	g.updateHandover(s, now)
 	g.updateSelf()
 	g.sendPings(now, g.roster.Tick(now))
-	g.logStateChanges(g.roster.Changes())
+	changes := g.roster.Changes()
+	g.logStateChanges(changes)
+	if slices.ContainsFunc(changes, func(r message.RouterRecord) bool { return r.State == message.Suspected || r.State == message.Gone }) {
+		s.RouterLost()
+	}
 	g.logThrottles(s.ThrottleNotices())
 	g.logPauses(s, now)
 	g.logTallies(now)
