Store versions for an era that began while no router ran, and while others come

Found by review: a router that found the versions in service as they were in a copy of the store did not write them for the new era, so that take-ups after each later kill of all routers were refused (TestVersionsAreStoredForNewEra); and where a version came each 0.2 s, for whatever service, none was ever written (TestVersionsOfManyServicesAreStored).

--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -23,6 +23,8 @@
 	// versionsSettle is the time for which a version that has come is not written: the streams that run at
 	// the others are stored first, without whose records they could be of either.
 	versionsSettle = 300 * time.Millisecond
+	// maxSettle is the same where further versions keep coming.
+	maxSettle = time.Second
 	// versionsTakeover is the time after which one more router writes versions that are not stored, in case the
 	// first ones can't.
 	versionsTakeover = 3 * time.Second
@@ -74,7 +76,9 @@
 		g.streams.Restore(now, stored.Records, stored.Complete)
 		s.RestoreVersions(now, stored.Versions, stored.Complete)
 		g.streamStore.restored, g.streamStore.era = true, stored.Era
-		g.streamStore.saved = servedSet(stored.Versions)
+		if stored.Complete {
+			g.streamStore.saved = servedSet(stored.Versions)
+		}
 		// They may have changed while what is stored could not be read.
 		g.streamStore.changed, g.streamStore.changedAt = true, now
 		g.Log.Info("versions of streams restored", "streams", len(stored.Records), "versions", len(stored.Versions), "complete", stored.Complete)
@@ -148,7 +152,7 @@
 	g.Metrics.heldStreams.Set(s.HeldStreams())
 	first, last := s.UnstoredVersions()
 	unstored := !first.IsZero()
-	if now.Sub(last) < versionsSettle {
+	if now.Sub(last) < versionsSettle && now.Sub(first) < maxSettle {
 		return
 	}
 	list := s.ServedVersions(now)
