Keep streams from a version that is not stored for a minute

Found by review: where the store refused writes for 22 s, streams began at the newer version after 20 s, and 15 of them went on at the other version as all routers were killed (TestStreamKeepsVersionWhenStoreRefusesWritesForLong).

--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -10,7 +10,7 @@
 const (
 	// maxHold is how long streams are kept from a version that the store is not known to hold. After that,
 	// the capacity of its targets matters more.
-	maxHold = 20 * time.Second
+	maxHold = time.Minute
 	// storedMarkTTL is how long a version counts as stored that is not listed here yet.
 	storedMarkTTL = 10 * time.Second
 )
