Tests: a target that exits while attempts to connect to it time out

The bound on the time of the check is a second now, as three attempts of 0.1 s are due; the target that accepts no connections stays for longer.

--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -101,6 +101,20 @@
 // unframedBegin is the begin of an answer that ends with its connection.
 const unframedBegin = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbegin"
 
+// endWithFullQueue returns a function that ends an answer while attempts to connect to its target time out. The target
+// exits some time later.
+func endWithFullQueue(later time.Duration) func(*net.TCPListener, *net.TCPConn) {
+	return func(l *net.TCPListener, c *net.TCPConn) {
+		_ = sockopt.SetBacklog(l, 0)
+		if waiting, err := net.Dial("tcp", l.Addr().String()); err == nil {
+			defer waiting.Close()
+		}
+		_ = c.Close()
+		time.Sleep(later)
+		_ = l.Close()
+	}
+}
+
 // TestEndOfUnframedAnswer guards against an answer without a length that looks complete although its target's
 // process has exited, whose kernel closes its connections like those of a complete answer, and against taking a
 // running target for one that has exited.
@@ -131,15 +145,8 @@
 				_ = other.Close()
 			}
 		}},
-		"process accepts no other connections": {complete: true, end: func(l *net.TCPListener, c *net.TCPConn) {
-			_ = sockopt.SetBacklog(l, 0)
-			waiting, err := net.Dial("tcp", l.Addr().String())
-			if err == nil {
-				defer waiting.Close()
-			}
-			_ = c.Close()
-			time.Sleep(time.Second)
-		}},
+		"process accepts no other connections":            {complete: true, end: endWithFullQueue(1500 * time.Millisecond)},
+		"process accepts no other connections, then exits": {end: endWithFullQueue(150 * time.Millisecond)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -176,7 +183,7 @@
 			if err != nil && !errors.Is(err, httptarget.ErrBroken) {
 				t.Errorf("%v, want ErrBroken", err)
 			}
-			if took := time.Since(began); took > 500*time.Millisecond {
+			if took := time.Since(began); took > time.Second {
 				t.Errorf("its end took %v to be told", took)
 			}
 		})
