httptarget: an attempt to connect that times out does not show that a process goes on

An answer without a length still looked complete after its target's process had exited if the attempt to connect took over 0.1 s: on a busy machine since the router itself did not run. Such an attempt tells nothing, and the check now goes on with up to three.

The end of an answer of a target that lets all attempts time out comes 0.3 s later.

--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -20,8 +20,9 @@
 	probeTimeout = 100 * time.Millisecond
 	// A process that was killed may go on to accept connections for a while: the kernel closes its sockets
 	// one after another, the listening one about last. Therefore the check is repeated exitChecks times, an
-	// interval apart, with at most maxExitProbes connections, since a target that has no room resets them.
-	// On a busy machine, pauses make the whole longer, like the end of a process there.
+	// interval apart, with at most maxExitProbes attempts to connect: a target that has no room resets the
+	// connection or lets the attempt time out, and so does a pause of this process. On a busy machine, pauses make
+	// the whole longer, like the end of a process there.
 	exitChecks        = 5
 	exitCheckInterval = 5 * time.Millisecond
 	maxExitProbes     = 3
@@ -101,7 +102,7 @@
 		if t.hasOpenIdle(e) {
 			continue
 		}
-		if probes++; probes > maxExitProbes || clock.Since(c.began) > probeTimeout {
+		if probes++; probes > maxExitProbes {
 			break
 		}
 		if c.exited = t.probe(ctx, e); c.exited {
