--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -145,7 +145,7 @@
 				_ = other.Close()
 			}
 		}},
-		"process accepts no other connections":            {complete: true, end: endWithFullQueue(1500 * time.Millisecond)},
+		"process accepts no other connections":             {complete: true, end: endWithFullQueue(1500 * time.Millisecond)},
 		"process accepts no other connections, then exits": {end: endWithFullQueue(150 * time.Millisecond)},
 	} {
 		t.Run(name, func(t *testing.T) {
