Doubt the entry of a process that has ended

Callers saw streams with events of two versions where an engine starts again under its id and address with another version: the rest of a stream of the old version was sent to the new process, and streams that began there were recorded as of the old one and continued at others of it, at the latest when the new entry was read, which broke off all requests at the address.

Cause: what listens at an address is known by an entry that is written after the process has started. Class: what a process told of itself is believed after its end. The end is known first-hand sooner: a connection to it is refused, or it says on /v1/report that it started later than its entry tells. It is asked after a broken answer, before the rest of a stream is sent to it, and before a stream that may be continued if all connections to it ended or, in the first 10 s of a router, if there is none. Only engines whose entries have a start time are asked; no answer changes nothing.

From then until a newer entry is read, for 10 s at most, it takes no rest of a stream, streams that may be continued begin elsewhere if another target can take them, and those that begin there are of unknown version, so that they are refused later rather than joined. Requests that are known to run at the new process are no longer broken off when its entry is read; their streams are then of its version.

Ruled out: taking an answer that breaks off, or all connections that end, for the end of the process without asking, as resets and network cuts would put sound engines in doubt; Versions and Expect-Version, which are of the weights.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -62,6 +62,8 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Quarantine{Quarantine: encodeQuarantine(m)}}
 	case message.StreamVersions:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_StreamVersions{StreamVersions: encodeStreamVersions(m)}}
+	case message.TargetExits:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_TargetExits{TargetExits: &peerpb.TargetExits{Incarnations: m.Incarnations}}}
 	case message.Ping:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Ping{Ping: encodePing(m)}}
 	}
@@ -136,6 +138,8 @@
 		return decodeQuarantine(b.Quarantine)
 	case *peerpb.Envelope_StreamVersions:
 		return decodeStreamVersions(b.StreamVersions)
+	case *peerpb.Envelope_TargetExits:
+		return message.TargetExits{Incarnations: b.TargetExits.GetIncarnations()}
 	case *peerpb.Envelope_Ping:
 		return decodePing(b.Ping)
 	case *peerpb.Envelope_NeedCopy:
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -127,7 +127,9 @@
 	table    *routing.Table
 	targets  map[string]*target
 	// leaving is the number of listed targets whose entries say that they are leaving.
-	leaving  int
+	leaving int
+	// exits has when processes are known to have ended, by incarnation, see RecordExit.
+	exits    map[string]time.Time
 	services map[string]*service
 	// active holds the listed targets with an activity, cold those that may be cold.
 	active, cold map[*target]struct{}
@@ -200,6 +202,7 @@
 		limits:            limits,
 		random:            random,
 		targets:           map[string]*target{},
+		exits:             map[string]time.Time{},
 		services:          map[string]*service{},
 		versions:          map[string]*versionHistory{},
 		startedAt:         now,
@@ -346,7 +349,7 @@
 	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
 		s.onLongPrompt(to.incarnation, to.localLoad, t.load)
 	}
-	d := Decision{Target: to.Target, Waited: now.Sub(t.Arrived), PendingTokens: s.loadOf(now, to).PendingTokens, UncachedTokens: p.uncachedTokens}
+	d := Decision{Target: to.Target, InDoubt: s.inDoubt(now, to), Waited: now.Sub(t.Arrived), PendingTokens: s.loadOf(now, to).PendingTokens, UncachedTokens: p.uncachedTokens}
 	if p.source != nil {
 		d.Source, d.FetchedTokens = p.source.Target, p.fetchTokens
 	}
@@ -437,6 +440,7 @@
 		t.checkSilence(now)
 	}
 	s.releaseUnused(now)
+	s.checkExits(now)
 	s.holders.prune(now)
 	s.speeds.Expire(now)
 	s.compareEngines(now)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -215,9 +215,10 @@
 }
 
 // avoids reports whether t is sent to a target only if there is no other one. A retry does not try out
-// whether a target works again: the request would fail for good.
+// whether a target works again: the request would fail for good. The version of a stream that begins at
+// a target in doubt is unknown.
 func (s *State) avoids(now time.Time, t *Ticket, c *target) bool {
-	return c.suspected(now) || len(t.Tried) > 0 && c.recovering()
+	return c.suspected(now) || len(t.Tried) > 0 && c.recovering() || t.StreamID != "" && s.inDoubt(now, c)
 }
 
 // usable returns the targets of a list that t may be sent to. Those that it avoids are returned only
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -27,12 +27,10 @@
 	return &target{hash: rendezvous.Hash(t.ID), incarnation: t.Incarnation(), activity: noActivity}
 }
 
-// abortRunning reports to all requests running at an incarnation that it has ended.
-func (t *target) abortRunning() {
-	for k := range t.running {
-		if lost := k.lost.Load(); lost != nil {
-			(*lost)()
-		}
+// abort reports that the process that the request was sent to has ended.
+func (t *Ticket) abort() {
+	if lost := t.lost.Load(); lost != nil {
+		(*lost)()
 	}
 }
 
@@ -81,7 +79,7 @@
 		switch {
 		case old == nil:
 		case old.Born != t.Born:
-			old.abortRunning()
+			s.passRunning(now, old, t)
 			s.unlist(now, old)
 			old = nil
 		case old.Service != t.Service || old.Zone != t.Zone:
@@ -98,6 +96,7 @@
 		s.addVersion(now, t)
 		if old.Target.ID != "" {
 			s.removeVersion(now, old.Target)
+			s.confirm(old.Target, t)
 		}
 		old.Target = t
 		s.extendCold(now, old, before)
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -71,6 +71,8 @@
 	load    view.Load
 	work    pace.Work
 	started bool
+	// beganAt is the target that sent the stream's first event.
+	beganAt *target
 	// regions are those that regionsBy allows for the request.
 	regions   routing.Regions
 	regionsBy *routing.Table
@@ -97,6 +99,8 @@
 // Decision says which target a request is to be sent to, or that it is refused.
 type Decision struct {
 	Target Target
+	// InDoubt is set if another process than the entry describes may listen at the target's address.
+	InDoubt bool
 	// Refused is the reason for a refusal; empty if there is a target.
 	Refused Reason
 	// RetryAfter is how long a refused caller should wait before it retries.
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -189,13 +189,22 @@
 		return
 	}
 	if !t.Version.IsSet() {
-		t.Version = OnlyVersion(t.target.Version)
+		t.Version, t.beganAt = OnlyVersion(s.versionAt(now, t.target)), t.target
 	}
 	if t.StreamID == "" || s.onStreamBegun == nil {
 		return
 	}
 	_, only := s.OnlyVersion(now, t.Service)
-	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.target.Version}, !only)
+	unknown := t.Version.version == streamversion.Unknown
+	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version}, !only || unknown)
+}
+
+// versionAt returns the version of the process that listens at a target's address.
+func (s *State) versionAt(now time.Time, t *target) string {
+	if s.inDoubt(now, t) {
+		return streamversion.Unknown
+	}
+	return t.Version
 }
 
 // TakeNewlyMixed returns the running streams of services that have got another version since the
@@ -211,7 +220,7 @@
 		}
 		for t := range to.running {
 			if t.started && t.StreamID != "" {
-				list = append(list, Stream{Service: t.Service, ID: t.StreamID, Version: to.Version})
+				list = append(list, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version})
 			}
 		}
 	}
@@ -223,7 +232,7 @@
 // else one that a roll-out lets it be sent to.
 func (s *State) allowsVersion(now time.Time, t *Ticket, c *target) bool {
 	if t.Version.IsSet() {
-		return t.Version.Allows(c.Version) && !s.rollouts.RolledBack(t.Service, c.Version)
+		return t.Version.Allows(c.Version) && !s.inDoubt(now, c) && !s.rollouts.RolledBack(t.Service, c.Version)
 	}
 	return !s.rollouts.Active() || s.rollouts.Allows(now, t.Service, c.Version, t.ID)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,6 +38,10 @@
 	// streams are buffered.
 	budget   *answerbuffer.Budget
 	buffered func() bool
+	// status says how engines are asked when their processes started.
+	status StatusQuery
+	// startedAt is when the forwarder was created.
+	startedAt time.Time
 	// maxStall is how long a caller may accept nothing of the rest of a buffered answer.
 	maxStall time.Duration
 	// memory is the budget for answers that are buffered as a whole.
@@ -55,7 +59,7 @@
 
 // New returns a forwarder that sends requests with s to the targets that l chooses.
 func New(h HeaderNames, s Sender, l *balance.Loop, q Suspects, log logr.Logger, c Counters) *Forwarder {
-	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, maxStall: DefaultMaxStall, memory: memory.New(math.MaxInt64)}
+	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, startedAt: clock.Now(), maxStall: DefaultMaxStall, memory: memory.New(math.MaxInt64)}
 }
 
 // WithMemory returns a forwarder that buffers answers that are not streams within a budget.
@@ -138,6 +142,8 @@
 	lastEventID string
 	// target is the target of the current send.
 	target balance.Target
+	// inDoubt is set if another process than target describes may listen at its address.
+	inDoubt bool
 	// begun is the version that began the stream, if it is known.
 	begun balance.VersionLimit
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
@@ -229,7 +235,7 @@
 		x.result.PendingTokens, x.result.UncachedTokens, x.result.FetchableTokens = d.PendingTokens, d.UncachedTokens, d.FetchedTokens
 		x.result.LapsedFor = d.LapsedFor
 		x.result.Speed = d.Speed
-		x.fetchSource = d.Source
+		x.fetchSource, x.inDoubt = d.Source, d.InDoubt
 		return d.Target, true
 	case <-ctx.Done():
 		x.withdraw()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -36,6 +36,8 @@
 
 func (brokenSender) ProcessExited(context.Context, string, string) bool { return false }
 
+func (brokenSender) CheckUnused(string, string) (open, ended bool) { return false, false }
+
 // noSuspects implements forward.Suspects and suspects no request.
 type noSuspects struct{ forward.Suspects }
 
--- /dev/null
+++ b/internal/forward/process.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+)
+
+// StatusQuery says how an engine is asked when its process started: with a GET of Path, which answers a JSON
+// object in which Field is the time in Unix milliseconds. The zero value asks nobody.
+type StatusQuery struct{ Path, Field string }
+
+const (
+	// statusTimeout bounds the time to ask an engine, which answers without a slot within a round trip.
+	statusTimeout = 200 * time.Millisecond
+	// startTime is how long after its start a router may lack what others know of processes that have ended.
+	startTime = 10 * time.Second
+	// maxStatusBytes bounds the part of its answer that is read.
+	maxStatusBytes = 256 << 10
+)
+
+// errOtherProcess means that another process listens at a target's address than its entry describes.
+var errOtherProcess = errors.New("another process listens at the target's address")
+
+// WithStatusQuery returns a forwarder that asks engines when their processes started, where that matters.
+func (f *Forwarder) WithStatusQuery(q StatusQuery) *Forwarder {
+	out := *f
+	out.status = q
+	return &out
+}
+
+// isOtherProcess reports whether an engine says that its process started later than its entry tells. An
+// engine that does not answer is taken for the one of the entry.
+func (x *inflight) isOtherProcess(ctx context.Context, to balance.Target) bool {
+	if x.status.Path == "" || to.Born == 0 || !x.ToEngine {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.status.Path, to.Address)
+	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation()})
+	if err != nil {
+		return errors.Is(err, httptarget.ErrConnectionRefused)
+	}
+	defer a.Close()
+	text, err := io.ReadAll(io.LimitReader(a, maxStatusBytes))
+	if err != nil || a.Status != http.StatusOK {
+		return false
+	}
+	var fields map[string]json.RawMessage
+	var born int64
+	if json.Unmarshal(text, &fields) != nil || json.Unmarshal(fields[x.status.Field], &born) != nil {
+		return false
+	}
+	return born > to.Born
+}
+
+// checkProcess returns an error if another process than the entry describes listens at a target's address, of
+// which the version is not known. It looks only before the rest of a stream is sent there, and before a
+// stream that may be continued if all unused connections to the target have ended, or if there are none
+// and this router has just started, so that it may know of no process's end.
+func (x *inflight) checkProcess(ctx context.Context, to balance.Target) *failure {
+	if x.status.Path == "" || to.Born == 0 || x.ticket.StreamID == "" || x.inDoubt {
+		return nil
+	}
+	open, ended := x.sender.CheckUnused(to.Address, to.Incarnation())
+	justStarted := clock.Since(x.startedAt) < startTime
+	if x.lastEventID == "" && (open || !ended && !justStarted) || !x.isOtherProcess(ctx, to) {
+		return nil
+	}
+	x.suspects.RecordExit(to)
+	return &failure{reason: ReasonUnreachable, result: balance.Refused, cause: errOtherProcess}
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -105,6 +105,9 @@
 	Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error)
 	// ProcessExited reports whether the process of a target has exited.
 	ProcessExited(ctx context.Context, address, instance string) bool
+	// CheckUnused reports whether an unused connection to a target is open, or else whether there were some
+	// and all of them have ended before their time.
+	CheckUnused(address, instance string) (open, ended bool)
 }
 
 // Result is how a request ended, with what is needed to answer its caller and to log it.
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -163,7 +163,7 @@
 	case ReasonRestarted:
 		exited = true
 	case ReasonBroken:
-		exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation())
+		exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()) || x.isOtherProcess(ctx, to)
 	case ReasonSilent:
 		// The process may have exited; that is found out later.
 	default:
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -49,6 +49,10 @@
 	// If the handler panics, the load at the target must not stay counted.
 	result := balance.Abandoned
 	defer func() { x.endSend(result) }()
+	if f := x.checkProcess(ctx, to); f != nil {
+		result = f.result
+		return f
+	}
 	answer, err := x.sender.Send(ctx, to.Address, httptarget.Request{
 		Method: x.Method, Head: x.requestHead(to, x.deadline), Body: x.Body, Instance: to.Incarnation(),
 		ID: x.ID, IDHeader: x.headers.RequestID,
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,6 +54,8 @@
 			g.handleQuarantine(now, from, m)
 		case message.StreamVersions:
 			g.handleStreamVersions(now, from, m)
+		case message.TargetExits:
+			g.handleTargetExits(s, now, m)
 		}
 		g.roster.NoteContact(now, from.ID)
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,10 @@
 	// and 4,000 connections.
 	CallerLimits ingress.Limits
 	Headers      forward.HeaderNames
-	Codec        catalog.Codec
-	Limits       balance.Limits
+	// StatusQuery says how engines are asked when their processes started.
+	StatusQuery forward.StatusQuery
+	Codec       catalog.Codec
+	Limits      balance.Limits
 	// Features are the switches of optional decisions.
 	Features feature.Set
 	// MemoryBytes is the memory that the router may use; 0 means 128 MB, which the smallest of
@@ -186,6 +188,7 @@
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
+	exits      exits
 	// unconfirmedSince is the time since when the router has waited, after the box was suspended,
 	// for a confirmation that its copy of the store is current; zero if it does not wait.
 	unconfirmedSince time.Time
@@ -296,7 +299,7 @@
 	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
-		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -72,7 +72,9 @@
 	// versionEvidence counts how the versions that began streams were known, skippedIDs the ids that the
 	// events of streams left out.
 	versionEvidence *expvar.Map
-	skippedIDs      expvar.Int
+	// targetExits counts processes of targets that ended, as this router saw or as others told.
+	targetExits *expvar.Map
+	skippedIDs  expvar.Int
 
 	mu                       sync.Mutex
 	waited, firstByte, total *hdrhistogram.Histogram
@@ -84,7 +86,7 @@
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
-		continuations: new(expvar.Map), streamLookups: new(expvar.Map), versionEvidence: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
+		continuations: new(expvar.Map), streamLookups: new(expvar.Map), versionEvidence: new(expvar.Map), targetExits: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		refusedByForecast: new(expvar.Map), returns: new(expvar.Map), usageIgnored: new(expvar.Int),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -106,6 +108,7 @@
 	m.root.Set("streams_continued", m.continuations)
 	m.root.Set("stream_lookups", m.streamLookups)
 	m.root.Set("stream_version_evidence", m.versionEvidence)
+	m.root.Set("target_exits", m.targetExits)
 	m.root.Set("event_ids_skipped", &m.skippedIDs)
 	m.root.Set("sent_against_advice", m.againstAdvice)
 	m.root.Set("refused_by_forecast", m.refusedByForecast)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -94,6 +94,7 @@
 	g.logAnswersWaiting(now)
 	g.publishLocalChanges(now)
 	g.tickStreams(s, now)
+	g.tickExits(now)
 	g.expireSuspects(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -29,7 +29,9 @@
 // nobody knows was begun by the only version that its service had.
 func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, answers chan<- streamversion.Answer) {
 	done := func(a streamversion.Answer) {
-		if !a.Known && a.Confirmed {
+		if a.Known && a.Version == streamversion.Unknown {
+			a = streamversion.Answer{Confirmed: true}
+		} else if !a.Known && a.Confirmed {
 			a.Version, a.Evidence = s.UnrecordedVersion(now, service)
 			a.Known = a.Evidence != ""
 		}
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -29,11 +30,12 @@
 	// Keep-Alive header; 0 if it sent none.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	madeAt      time.Time
 }
 
 func newConn(c net.Conn, e endpoint) *conn {
 	head := &headLimit{source: c, left: unlimited}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferSize), head: head, endpoint: e}
+	return &conn{Conn: c, madeAt: clock.Now(), reader: bufio.NewReaderSize(head, readBufferSize), head: head, endpoint: e}
 }
 
 // headLimit is a reader that fails once it has read a number of bytes.
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -8,8 +8,10 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -112,6 +114,8 @@
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
+	// brokenAt is when connections in use broke, by process.
+	brokenAt map[endpoint]time.Time
 
 	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads, unframedAnswers atomic.Int64
 }
@@ -121,6 +125,8 @@
 	return &Transport{
 		group: g,
 		idle:  map[endpoint][]*conn{},
+
+		brokenAt: map[endpoint]time.Time{},
 		dialer: net.Dialer{
 			Timeout:   dialTimeout,
 			KeepAlive: -1,
@@ -150,6 +156,7 @@
 	a.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(r); err != nil {
 		a.Close()
+		t.noteBroken(c.endpoint, err)
 		return nil, errors.Wrapf(ErrBroken, "write to %s: %v", address, err)
 	}
 	if err := a.readHead(r); err != nil {
@@ -157,6 +164,7 @@
 		if errors.Is(err, ErrHeadTooLong) {
 			t.oversizedHeads.Add(1)
 		}
+		t.noteBroken(c.endpoint, err)
 		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", address, err)
 	}
 	return a, nil
@@ -240,6 +248,52 @@
 	}
 }
 
+// brokenTTL is how long a connection that broke counts as a sign that its process has ended.
+const brokenTTL = time.Second
+
+// noteBroken records that a connection in use broke, unless this router closed it.
+func (t *Transport) noteBroken(e endpoint, err error) {
+	if errors.Is(err, net.ErrClosed) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.brokenAt[e] = clock.Now()
+}
+
+// CheckUnused reports whether an unused connection to the process of a target is open, or else whether any
+// connections have ended before their time lately: the process may have ended, and another one may listen at
+// its address. An open connection that was made after these were last used may be to that one.
+func (t *Transport) CheckUnused(address, instance string) (open, ended bool) {
+	e := endpoint{address, instance}
+	now := clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var endedAt time.Time
+	if at := t.brokenAt[e]; now.Sub(at) < brokenTTL {
+		endedAt = at
+	}
+	kept := t.idle[e][:0]
+	for _, c := range t.idle[e] {
+		switch {
+		case c.expired(now, maxIdleTime):
+			_ = c.Close()
+		case !c.quiet():
+			t.unexpectedBytes.Add(1)
+			_ = c.Close()
+			if c.idleSince.After(endedAt) {
+				endedAt = c.idleSince
+			}
+		default:
+			kept = append(kept, c)
+		}
+	}
+	clear(t.idle[e][len(kept):])
+	t.idle[e] = kept
+	open = slices.ContainsFunc(kept, func(c *conn) bool { return endedAt.IsZero() || c.madeAt.Before(endedAt) })
+	return open, !open && !endedAt.IsZero()
+}
+
 func (t *Transport) popIdle(e endpoint) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -279,6 +333,7 @@
 			delete(t.idle, e)
 		}
 	}
+	maps.DeleteFunc(t.brokenAt, func(_ endpoint, at time.Time) bool { return now.Sub(at) >= brokenTTL })
 }
 
 // Close closes the unused connections.
@@ -429,6 +484,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
+		a.transport.noteBroken(a.conn.endpoint, err)
 		return n, errors.Wrapf(ErrBroken, "read answer of %s: %v", a.conn.address, err)
 	}
 	return n, nil
--- a/internal/ingress/gone_test.go
+++ b/internal/ingress/gone_test.go
@@ -26,6 +26,8 @@
 
 func (*countingSender) ProcessExited(context.Context, string, string) bool { return false }
 
+func (*countingSender) CheckUnused(string, string) (open, ended bool) { return false, false }
+
 func (s *countingSender) Send(context.Context, string, httptarget.Request) (*httptarget.Answer, error) {
 	s.sends.Add(1)
 	return nil, errors.Wrap(httptarget.ErrBroken, "test")
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -43,6 +43,8 @@
 
 func (unreachableSender) ProcessExited(context.Context, string, string) bool { return false }
 
+func (unreachableSender) CheckUnused(string, string) (open, ended bool) { return false, false }
+
 // noSuspects is a forward.Suspects that suspects no request.
 type noSuspects struct{ forward.Suspects }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -401,6 +401,11 @@
 
 func (StreamVersions) message() {}
 
+// TargetExits names incarnations of targets whose processes have ended.
+type TargetExits struct{ Incarnations []string }
+
+func (TargetExits) message() {}
+
 func (Ping) message()       {}
 func (ZoneStatus) message() {}
 func (Status) message()     {}
--- a/internal/streamversion/records.go
+++ b/internal/streamversion/records.go
@@ -23,6 +23,10 @@
 	maxRecords = 1 << 16
 )
 
+// Unknown is recorded as the version of a stream that began while its target's version was not known. No target
+// has it.
+const Unknown = "\x00"
+
 // Key identifies a stream.
 type Key uint64
 
