Red: a list without a visible change does not undo what others know

A router knows of an object from another one that has ended since; those that list the store after the object was removed never knew it, see no change, and do not tell that their lists are newer. The object stays until the next change of its kind. Not mended: telling of each list of the store would have each router ask for a copy each time, also of lists that are read as routers take over or while the store is slow; to be weighed with its cost measured.

--- a/internal/catalog/crossing_test.go
+++ b/internal/catalog/crossing_test.go
@@ -49,3 +49,21 @@
 		})
 	}
 }
+
+// TestListWithoutVisibleChange guards against a zone that stays drained although that was undone: a router that
+// lists the store again after both sees no change, and tells nobody.
+func TestListWithoutVisibleChange(t *testing.T) {
+	now := time.Unix(1000, 0)
+	knows, listed := catalog.New(codec{}, drainPeriod, entryTTL), catalog.New(codec{}, drainPeriod, entryTTL)
+	for _, c := range []*catalog.Catalog{knows, listed} {
+		c.SetZones(now, 10, nil)
+	}
+	knows.ApplyZones(12, []catalog.Change{{StoredObject: message.StoredObject{Name: "y", Revision: 12}}})
+	listed.SetZones(now, 20, nil)
+	if listed.Newest().NewerThan(knows.Complete()) {
+		knows.Merge(now, listed.Copy(now, message.NeedCopy{Revisions: knows.Complete()}))
+	}
+	if zones := knows.DrainedZones(); len(zones) > 0 {
+		t.Errorf("%v drained, which the store no longer has", zones)
+	}
+}
