--- a/internal/catalog/eras_test.go
+++ b/internal/catalog/eras_test.go
@@ -231,7 +231,7 @@
 					}
 				}
 			},
-			"start again": func(t *rapid.T) {
+			"start again": func(*rapid.T) {
 				r := which("router")
 				*r = eraRouter{Catalog: catalog.New(codec{}, drainPeriod, entryTTL)}
 				copies = slices.DeleteFunc(copies, func(c eraCopy) bool { return c.to == r })
