Count the time that messages take in the ages of copies

Cause: routers tell each other how old their copies of the store are, and a receiver subtracts that from its own time, however long the message took. So a copy became more recent with each router that passed the age on, in circles, and where messages take long, no copy ever counted as too old: no router read the store although nobody's calls were answered.

Evidence: TestAgesWithoutStore, six routers, nobody reads the store for 10 s: the youngest copy counted as 9.6, 5.0, 1.3 and 0.7 s old where messages take 1, 20, 100 and 300 ms, now 10.0 each.

Why it works: a receiver adds the longest of its recent round trips of pings, counted from the first ping that had no answer, which bounds how long a message is on its way and waits at both ends. Left: messages that take longer than any recent ping and its answer; only a name for each confirmation, on the wire, would exclude these.

--- a/internal/freshness/relay_test.go
+++ b/internal/freshness/relay_test.go
@@ -11,7 +11,7 @@
 
 // TestAgesWithoutStore guards against routers that confirm one another's copies for ever while none of them reads
 // the store: an age is told without the time that the message takes, so that a copy becomes more recent with each
-// router that passes the age on, and nobody reads the store.
+// router that passes the age on, and nobody reads the store. The routers know how long a ping and its answer take.
 func TestAgesWithoutStore(t *testing.T) {
 	const (
 		routers = 6
@@ -43,7 +43,7 @@
 				for len(wire) > 0 && !now.Before(wire[0].at) {
 					d := wire[0]
 					wire = wire[1:]
-					fleet[d.to].Heard(now, string(rune('a'+d.from)), known, d.ages, known)
+					fleet[d.to].Heard(now, string(rune('a'+d.from)), known, d.ages.Plus(2*transit), known)
 					if d.reply {
 						send(d.to, d.from, false)
 					}
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -20,9 +20,10 @@
 	})
 }
 
-// hearAges notes what another router tells of its copy of the store.
+// hearAges notes what another router tells of its copy of the store. The ages were those when the message was
+// sent: without the time that it took, copies would become more recent as routers tell one another.
 func (g *Gateway) hearAges(now time.Time, from member.Member, theirs message.Revisions, ages message.Ages) {
-	g.copiesConfirmed(now, g.copies.Heard(now, string(from.ID), theirs, ages, g.catalog.Complete()), string(from.ID))
+	g.copiesConfirmed(now, g.copies.Heard(now, string(from.ID), theirs, ages.Plus(g.roster.RoundTrip()), g.catalog.Complete()), string(from.ID))
 }
 
 // minForwardedGain is the part of a kind's limit by which a copy must have become more recent for this
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -267,6 +267,14 @@
 	ByKind [StoreKindCount]time.Duration
 }
 
+// Plus returns the ages after a time without confirmation.
+func (a Ages) Plus(d time.Duration) Ages {
+	for kind := range a.ByKind {
+		a.ByKind[kind] = min(a.ByKind[kind]+d, UnknownAge)
+	}
+	return a
+}
+
 // UnknownAge is the age of a copy that nobody has confirmed.
 const UnknownAge = math.MaxUint32 * time.Millisecond
 
--- a/internal/roster/detect.go
+++ b/internal/roster/detect.go
@@ -245,6 +245,9 @@
 
 func (r *Roster) pingPeer(now time.Time, e *entry) Outgoing {
 	e.pingedAt = now
+	if e.askedAt.IsZero() {
+		e.askedAt = now
+	}
 	r.unanswered = append(r.unanswered, e.ID)
 	m := r.ping(message.PingRequest, false)
 	if e.State != message.Alive {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -103,6 +103,8 @@
 	// is the number of pings before that one that timed out.
 	pingedAt    time.Time
 	missedPings int
+	// askedAt is when the first of the pings was sent that have had no answer, zero if there is none.
+	askedAt time.Time
 }
 
 // digestPart returns the entry's contribution to the digest.
@@ -147,6 +149,8 @@
 	lastSync time.Time
 	// changes holds the records that changed a state since the last call of Changes.
 	changes []message.RouterRecord
+	// roundTrip is the longest time that recent pings took, less the longer ago that was.
+	roundTrip time.Duration
 	// listReceived is set once the platform's list of routers has arrived.
 	listReceived bool
 	// revisions are those of this router's copy of the store's entries, quarantineDigest
@@ -247,7 +251,7 @@
 // ping.
 func (r *Roster) markHeard(now time.Time, e *entry) {
 	e.lastHeard = now
-	e.pingedAt, e.missedPings = time.Time{}, 0
+	e.pingedAt, e.missedPings, e.askedAt = time.Time{}, 0, time.Time{}
 }
 
 // Receive processes a ping message and returns the messages to send in response.
@@ -263,6 +267,9 @@
 	if e == nil {
 		return nil
 	}
+	if m.Kind == message.PingReply && !e.askedAt.IsZero() {
+		r.noteRoundTrip(now.Sub(e.askedAt))
+	}
 	r.markHeard(now, e)
 	for _, record := range m.Records {
 		r.merge(now, record)
@@ -277,13 +284,25 @@
 	return out
 }
 
+// roundTripMemory is the weight of the earlier round-trip times, as a fraction, where a ping takes less.
+const roundTripMemory = 7.0 / 8
+
+// noteRoundTrip notes how long a ping and its answer took.
+func (r *Roster) noteRoundTrip(d time.Duration) {
+	r.roundTrip = max(d, time.Duration(float64(r.roundTrip)*roundTripMemory))
+}
+
+// RoundTrip returns how long a ping and its answer take at most, by the recent ones: a bound on the time that a
+// message of another router takes, with the time that it waits on both boxes.
+func (r *Roster) RoundTrip() time.Duration { return r.roundTrip }
+
 // Resume must be called after the box was suspended. It drops the outstanding pings, since a
 // missing answer says nothing about the pinged router, and restarts the suspicion timeouts,
 // since refutations could not arrive meanwhile.
 func (r *Roster) Resume(now time.Time) {
 	for _, id := range r.unanswered {
 		if e := r.peers[id]; e != nil {
-			e.pingedAt, e.missedPings = time.Time{}, 0
+			e.pingedAt, e.missedPings, e.askedAt = time.Time{}, 0, time.Time{}
 		}
 	}
 	r.unanswered = nil
