Hold no stream where all stored versions' targets fail or rest; fewer reads while nothing is stored

Found by review: a stream waited for a target of a stored version that was suspected or backing off although one of the newer version could serve it; each router that was not told that a version is stored read what is, 23 times in 45 s, as long as the store refused writes, and one more router began to write each 3 s. The time between reads doubles now, up to 30 s, and eight routers at most write.

--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -100,7 +100,8 @@
 	}
 	h := s.versions[t.Service]
 	t.elsewhereAt, t.elsewhere = now, slices.ContainsFunc(s.targetsOf(t.Service), func(c *target) bool {
-		return h.isStored(c.Version) && !c.Closed(now) && s.rolloutAllows(now, t, c) && s.allowsRegion(t, c)
+		return h.isStored(c.Version) && !c.Closed(now) && s.rolloutAllows(now, t, c) && s.allowsRegion(t, c) &&
+			!c.suspected(now) && !c.backingOffOrProbed(now)
 	})
 	return t.elsewhere
 }
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -28,9 +28,12 @@
 	// versionsTakeover is the time after which one more router writes versions that are not stored, in case the
 	// first ones can't.
 	versionsTakeover = 3 * time.Second
-	// versionsReadInterval is the time between reads of what is stored, by a router that was not told that
-	// a version is.
-	versionsReadInterval = 2 * time.Second
+	// versionsReadInterval is the time until the first read of what is stored, by a router that was not told
+	// that a version is. The time until the next one doubles, up to maxVersionsReadInterval.
+	versionsReadInterval    = time.Second
+	maxVersionsReadInterval = 30 * time.Second
+	// maxVersionWriters bounds the routers that write versions while none of them is stored.
+	maxVersionWriters = 8
 )
 
 // StreamStore persists which versions of services began streams, so that callers can take streams up
@@ -56,8 +59,10 @@
 	changedAt time.Time
 	// saved is what this router has read or saved last of the versions in service.
 	saved map[streamversion.Served]struct{}
-	// readAt is when the stored versions are read if one is not known to be among them.
-	readAt time.Time
+	// readAt is when the stored versions are read if one is not known to be among them, readInterval the
+	// time until the read after that.
+	readAt       time.Time
+	readInterval time.Duration
 }
 
 // servedSet returns the versions without their times.
@@ -157,7 +162,7 @@
 	}
 	list := s.ServedVersions(now)
 	set := servedSet(list)
-	if writers := 1 + int(now.Sub(p.changedAt)/versionsTakeover); !maps.Equal(set, p.saved) &&
+	if writers := min(1+int(now.Sub(p.changedAt)/versionsTakeover), maxVersionWriters); !maps.Equal(set, p.saved) &&
 		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) &&
 		g.StreamStore.SaveVersions(streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now)}) {
 		p.saved = set
@@ -175,12 +180,14 @@
 func (g *Gateway) readVersions(now, came time.Time) {
 	p := &g.streamStore
 	if p.readAt.IsZero() {
-		p.readAt = came.Add(versionsReadInterval/2 + rand.N(versionsReadInterval/2))
+		p.readInterval = versionsReadInterval
+		p.readAt = came.Add(p.readInterval + rand.N(p.readInterval))
 	}
 	if now.Before(p.readAt) {
 		return
 	}
-	p.readAt = now.Add(versionsReadInterval/2 + rand.N(versionsReadInterval))
+	p.readInterval = min(2*p.readInterval, maxVersionsReadInterval)
+	p.readAt = now.Add(p.readInterval/2 + rand.N(p.readInterval))
 	g.StreamStore.ReadVersions()
 }
 
