--- a/internal/balance/unstored_review_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -90,7 +90,7 @@
 			bringBack(w)
 			// Until now the store has refused to hold that v2 serves again, and all routers are killed.
 			w.now = w.now.Add(2 * time.Second)
-			if first, _ := w.UnstoredVersions(); first.IsZero() {
+			if first, _ := w.UnstoredSince(); first.IsZero() {
 				t.Error("v2 counts as stored")
 			}
 			k := w.prompt("o", "s", 100)
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -46,9 +46,9 @@
 	return all
 }
 
-// UnstoredVersions returns since when versions have been listed that the store is not known to hold: the
+// UnstoredSince returns since when versions have been listed that the store is not known to hold: the
 // first and the last of them. It returns zero times if there are none.
-func (s *State) UnstoredVersions() (first, last time.Time) {
+func (s *State) UnstoredSince() (first, last time.Time) {
 	for _, at := range s.unstored {
 		if first.IsZero() || at.Before(first) {
 			first = at
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -155,7 +155,7 @@
 func (g *Gateway) storeVersions(s *balance.State, now time.Time) {
 	p := &g.streamStore
 	g.Metrics.heldStreams.Set(s.HeldStreams())
-	first, last := s.UnstoredVersions()
+	first, last := s.UnstoredSince()
 	unstored := !first.IsZero()
 	if now.Sub(last) < versionsSettle && now.Sub(first) < maxSettle {
 		return
