Store a version again that another router has dropped just after a write

By reading: the router that had just written the versions took another router's word that one of them was no longer stored without writing it again, if the word came before its next tick. TestVersionIsStoredAgainAfterAnotherRouterDroppedIt failed before.

--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -116,8 +116,13 @@
 // setStoredVersions records which versions the store holds. If it lacks one that is listed here, versions are
 // written again.
 func (g *Gateway) setStoredVersions(s *balance.State, now time.Time, list []streamversion.ServiceVersion) {
-	if p := &g.streamStore; !s.SetStoredVersions(now, list) && !p.changed {
-		p.saved, p.changed, p.changedAt = nil, true, now
+	p := &g.streamStore
+	if s.SetStoredVersions(now, list) {
+		return
+	}
+	p.saved = nil
+	if !p.changed {
+		p.changed, p.changedAt = true, now
 		g.tickEarlier(now)
 	}
 }
--- a/internal/gateway/streamstore_era_internal_test.go
+++ b/internal/gateway/streamstore_era_internal_test.go
@@ -66,3 +66,21 @@
 		t.Errorf("nothing was stored in %v", 20*versionsSettle*2/3)
 	}
 }
+
+// TestVersionIsStoredAgainAfterAnotherRouterDroppedIt guards against a version in service that stays unstored since
+// another router's word that the store lacks it comes just after this one's write.
+func TestVersionIsStoredAgainAfterAnotherRouterDroppedIt(t *testing.T) {
+	saved := make(savedVersions, 10)
+	g := newVersionStoreGateway(t, saved)
+	setTargets(t, g, targetOf("s", "v1"), targetOf("s", "v2"))
+	g.RestoreStreams(streamversion.Stored{Complete: true})
+	<-saved
+	v1, v2 := streamversion.ServiceVersion{Service: "s", Version: "v1"}, streamversion.ServiceVersion{Service: "s", Version: "v2"}
+	g.VersionsStored([]streamversion.ServiceVersion{v1, v2}, true)
+	g.VersionsStored([]streamversion.ServiceVersion{v1}, false)
+	select {
+	case <-saved:
+	case <-time.After(5 * time.Second):
+		t.Error("not stored again")
+	}
+}
