--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -145,3 +145,25 @@
 		})
 	}
 }
+
+// TestUnrecordedVersionBeforeLossIsNoticed guards against taking a stream that began after the start for one of the
+// version stored before, in the time until the loss of the router that had its record is noticed.
+func TestUnrecordedVersionBeforeLossIsNoticed(t *testing.T) {
+	RegisterTestingT(t)
+	w := newWorld(0)
+	w.RequireStoredVersions()
+	w.RestoreVersions(w.now, []streamversion.Served{{ServiceVersion: streamversion.ServiceVersion{Service: "llm", Version: "v1"}}}, true)
+	w.SetTargets(w.now, []balance.Target{versioned("a", "v1"), versioned("b", "v2")})
+	w.now = w.now.Add(time.Second)
+	w.SetStoredVersions(w.now, serviceVersions("v1", "v2"))
+	k := w.prompt("o", "s", 100)
+	k.Stream, k.StreamID, k.Tried = true, "s", []string{"a"}
+	d := w.arrive(k)
+	if d == nil {
+		return
+	}
+	w.now = w.now.Add(2 * time.Second)
+	if version, why := w.UnrecordedVersion(w.now, "llm"); version != "" {
+		t.Errorf("streams have begun at %s since the start; one without a record is taken for one of %s by %s", d.Target.Version, version, why)
+	}
+}
