Tell others of a list that hides a change which they know

A zone stayed drained at some routers although that had been undone, until the next change of a drained zone: a router had learned of the drain from one that then ended, and the routers that read the store next read a list without it. That list was no change to them, so that they told nobody.

A list that replaces an earlier one leaves a gap in the history. A router that hears, in any message, of a change within such a gap now counts its list as a change; whoever knows the gap's change asks for the list, as for any other news. Targets and roll-outs had the same fault. Nothing is sent where nobody differs: to tell of each list would cost each router a copy for each.

The unit test called for the list to be news although nobody had said that he knew otherwise; it now has that message, which routers send several times a second, wants nothing to be told without it, and has a second case, a store that came back older.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -154,6 +154,13 @@
 	return message.Revisions{Config: c.configRevision, Version: c.version(), Targets: c.targets.revision, Zones: c.zones.revision, Rollouts: c.rollouts.revision}
 }
 
+// Hear takes note of the revisions of the newest changes that another router knows, and reports whether those of Newest
+// are newer for it.
+func (c *Catalog) Hear(theirs message.Revisions) bool {
+	targets, zones, rollouts := c.targets.hear(theirs.Targets), c.zones.hear(theirs.Zones), c.rollouts.hear(theirs.Rollouts)
+	return targets || zones || rollouts
+}
+
 // MarkUnstable notes that the store is in trouble: entries that disappear within maxLapse from
 // now may belong to healthy targets.
 func (c *Catalog) MarkUnstable(now time.Time) { c.unstableUntil = now.Add(c.maxLapse) }
--- a/internal/catalog/crossing_test.go
+++ b/internal/catalog/crossing_test.go
@@ -53,17 +53,28 @@
 // TestListWithoutVisibleChange guards against a zone that stays drained although that was undone: a router that
 // lists the store again after both sees no change, and tells nobody.
 func TestListWithoutVisibleChange(t *testing.T) {
-	now := time.Unix(1000, 0)
-	knows, listed := catalog.New(codec{}, drainPeriod, entryTTL), catalog.New(codec{}, drainPeriod, entryTTL)
-	for _, c := range []*catalog.Catalog{knows, listed} {
-		c.SetZones(now, 10, nil)
-	}
-	knows.ApplyZones(12, []catalog.Change{{StoredObject: message.StoredObject{Name: "y", Revision: 12}}})
-	listed.SetZones(now, 20, nil)
-	if listed.Newest().NewerThan(knows.Complete()) {
-		knows.Merge(now, listed.Copy(now, message.NeedCopy{Revisions: knows.Complete()}))
-	}
-	if zones := knows.DrainedZones(); len(zones) > 0 {
-		t.Errorf("%v drained, which the store no longer has", zones)
+	for name, lists := range map[string]int64{"the store lost its history": at(0, 20), "the store came back older": at(1, 10)} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			knows, listed := catalog.New(codec{}, drainPeriod, entryTTL), catalog.New(codec{}, drainPeriod, entryTTL)
+			for _, c := range []*catalog.Catalog{knows, listed} {
+				c.SetZones(now, at(0, 10), nil)
+			}
+			agrees := knows.Newest()
+			knows.ApplyZones(at(0, 12), []catalog.Change{{StoredObject: message.StoredObject{Name: "y", Revision: at(0, 12)}}})
+			listed.SetZones(now, lists, nil)
+			if listed.Hear(agrees) || listed.Newest() != agrees {
+				t.Error("a list without a change is told of, though nobody differs")
+			}
+			if !listed.Hear(knows.Newest()) || listed.Hear(knows.Newest()) {
+				t.Error("a change that the list has skipped is not told of, or twice")
+			}
+			if listed.Newest().NewerThan(knows.Complete()) {
+				knows.Merge(now, listed.Copy(now, message.NeedCopy{Revisions: knows.Complete()}))
+			}
+			if zones := knows.DrainedZones(); len(zones) > 0 {
+				t.Errorf("%v drained, which the store no longer has", zones)
+			}
+		})
 	}
 }
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -122,6 +122,18 @@
 	return slices.ContainsFunc(r.gaps, func(g gap) bool { return g.after < revision && revision < g.before })
 }
 
+// hear takes note of the newest change that another router knows. It reports whether this router now has news for
+// others: a change that lies in a gap was never known here, so that whoever knows it lacks the list after the gap, even if
+// that showed no change here.
+func (r *replica) hear(changed int64) bool {
+	i := slices.IndexFunc(r.gaps, func(g gap) bool { return g.after < changed && changed < g.before })
+	if i < 0 || r.changed >= r.gaps[i].before {
+		return false
+	}
+	r.changed = r.gaps[i].before
+	return true
+}
+
 // apply applies changes, which are complete up to revision, and returns those that were new.
 func (r *replica) apply(revision int64, changes []Change) []Change {
 	var applied []Change
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -62,6 +62,20 @@
 		Eventually(func() int { return r.post("/many/x").Status }).Should(Equal(http.StatusServiceUnavailable))
 	})
 
+	It("undo the drain of a zone that the others' lists never showed", func() {
+		a := newRig()
+		b := newRig(a.Self().Peer)
+		a.configure(spec(1))
+		a.serve("t", answer)
+		Eventually(func() int { return b.post("/many/x").Status }).Should(Equal(http.StatusOK))
+		a.SetZones(10, nil)
+		a.SetZones(20, nil)
+		b.SetZones(10, nil)
+		b.ChangeZones(12, []catalog.Change{{StoredObject: message.StoredObject{Name: "z", Revision: 12}}})
+		Eventually(func() int { return b.post("/many/x").Status }).Should(Equal(http.StatusOK))
+		Expect(a.post("/many/x").Status).To(Equal(http.StatusOK))
+	})
+
 	It("never replace the configuration by an older or invalid one", func() {
 		r := newRig()
 		r.configure(spec(1))
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -29,10 +29,14 @@
 	maxNewsInterval       = 400 * time.Millisecond
 )
 
-// requestNewer requests a copy of the store's contents from a router that has newer revisions. A
+// requestNewer requests a copy of the store's contents from a router that has newer revisions, and tells others if that
+// one lacks a list that showed no change here. A
 // router of another availability zone is asked only if nobody in this zone has sent a copy soon,
 // since traffic between zones is paid for.
 func (g *Gateway) requestNewer(now time.Time, from member.Member, theirs message.Revisions) {
+	if g.catalog.Hear(theirs) {
+		g.newsFrom(now, sourceStore)
+	}
 	known := g.catalog.Complete()
 	if !theirs.NewerThan(known) {
 		return
