Tell a target that closed its listener from one that was killed

What callers saw: an answer without a length that its target had sent to its end was cut (streams), answered with 502, or run again elsewhere, if the target had closed its listener before, to finish what it had begun and leave.

Cause: such an answer ends with its connection, and counts as complete only if the process goes on. A refused connection was taken for the end of the process.

Ruled out: - That a refusal seen earlier, with bytes behind it, shows a planned end: a process may be killed after it has closed its listener, as that case does. - A connection that is merely open: its end may have been lost on the way. - The entry in the store and the target's advice: they say that it will leave, not that it has sent an answer to its end. - A last event: the platform promises none.

--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -33,7 +33,8 @@
 
 // unframedEnd returns io.EOF if a body without a length that ended with its connection is complete. The kernel
 // closes the connections of a process that was killed as the process itself does at the end of an answer, so that
-// the end counts only if the process goes on and the connection has not been reset.
+// the end counts only if the process goes on and the connection has not been reset. A process that goes on may refuse
+// connections, to finish what it has begun.
 func (a *Answer) unframedEnd() error {
 	if a.cut != nil {
 		return a.cut
@@ -78,8 +79,8 @@
 }
 
 // exits reports whether the process of a target that has closed a connection has exited or is about to: whether
-// it refuses connections within some time. An unused connection that stays open shows that it goes on, too.
-// Concurrent calls for the same process share their checks.
+// it refuses connections within some time, and is not seen to go on with other answers. An unused connection that stays
+// open shows that it goes on, too. Concurrent calls for the same process share their checks.
 func (t *Transport) exits(ctx context.Context, e endpoint) bool {
 	called := clock.Now()
 	for {
@@ -105,7 +106,8 @@
 		if probes++; probes > maxExitProbes {
 			break
 		}
-		if c.exited = t.probe(ctx, e); c.exited {
+		if t.probe(ctx, e) {
+			c.exited = !t.delivers(ctx, e)
 			break
 		}
 	}
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -116,6 +116,8 @@
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
+	// inUse has the connections that carry an exchange.
+	inUse map[*conn]struct{}
 	// brokenAt is when connections in use broke, by process.
 	brokenAt map[endpoint]time.Time
 
@@ -129,6 +131,7 @@
 	return &Transport{
 		group: g,
 		idle:  map[endpoint][]*conn{},
+		inUse: map[*conn]struct{}{},
 
 		brokenAt: map[endpoint]time.Time{},
 		dialer: net.Dialer{
@@ -186,6 +189,7 @@
 	}
 	if c := t.takeIdle(e); c != nil {
 		t.reused.Add(1)
+		t.use(c)
 		return c, nil
 	}
 	raw, err := t.dialer.DialContext(ctx, "tcp", address)
@@ -194,7 +198,23 @@
 		return nil, errors.Wrapf(connectError(err), "connect to %s: %v", address, err)
 	}
 	t.dialled.Add(1)
-	return newConn(raw, e), nil
+	c := newConn(raw, e)
+	t.use(c)
+	return c, nil
+}
+
+// use records that a connection carries an exchange.
+func (t *Transport) use(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inUse[c] = struct{}{}
+}
+
+// release records that a connection no longer carries an exchange.
+func (t *Transport) release(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inUse, c)
 }
 
 // connectError returns the exported error for a failure to connect.
@@ -474,6 +494,7 @@
 // Close ends the exchange. The connection is kept for reuse if the whole request has been
 // written, the answer was read to its end and no bytes follow it.
 func (a *Answer) Close() {
+	a.transport.release(a.conn)
 	if !a.stopCloseOnCancel() || !a.reusable() {
 		_ = a.conn.Close()
 		return
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -103,6 +103,21 @@
 	return err == nil && closed
 }
 
+// Received returns the number of bytes that have arrived on a TCP connection, read or not, and whether it is no longer
+// open in both directions, whether what arrived before has been read or not. For connections that are not
+// TCP it returns 0 and false. Another goroutine may be blocked in Read meanwhile.
+func Received(c net.Conn) (n uint64, ended bool) {
+	err := withDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.State != unix.BPF_TCP_ESTABLISHED {
+			ended = true
+			return
+		}
+		n = info.Bytes_received
+	})
+	return n, ended || err != nil && !errors.Is(err, syscall.EAGAIN)
+}
+
 // ReadNow reads what has arrived on a TCP connection, without blocking, and returns the number
 // of bytes. It returns 0 if nothing has arrived, if the remote side has closed the connection,
 // and for connections that are not TCP.
--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -119,6 +119,26 @@
 	eventually(t, "Closed is still false after a reset", func() bool { return sockopt.Closed(a) })
 }
 
+func TestReceived(t *testing.T) {
+	a, b := pair(t)
+	if _, err := a.Write([]byte("xy")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "bytes did not arrive", func() bool { n, ended := sockopt.Received(b); return n == 2 && !ended })
+	if _, err := b.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if n, ended := sockopt.Received(b); n != 2 || ended {
+		t.Errorf("with an unread byte: %d, %v", n, ended)
+	}
+	a.Close()
+	eventually(t, "the end behind an unread byte is not told", func() bool { _, ended := sockopt.Received(b); return ended })
+	b.Close()
+	if _, ended := sockopt.Received(b); !ended {
+		t.Error("a closed connection has not ended")
+	}
+}
+
 // TestUnacknowledged guards against a caller that reads slowly being taken for one that has stopped
 // reading: what its host has not received must go down as it reads.
 func TestUnacknowledged(t *testing.T) {
