--- a/internal/balance/reconfigure_test.go
+++ b/internal/balance/reconfigure_test.go
@@ -140,3 +140,25 @@
 		}
 	}
 }
+
+// TestSecondSendKeepsRegions guards against second sends outside the regions of a request whose route has been removed
+// since.
+func TestSecondSendKeepsRegions(t *testing.T) {
+	for name, change := range configurationChanges {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newAdmittingWorld()
+			k := w.admitted(100)
+			d := w.arrive(k)
+			Expect(d).NotTo(BeNil())
+			Expect(d.Refused).To(BeEmpty())
+			w.advance(time.Second)
+			w.reconfigure(change)
+			tried := []string{"a-0", "a-1"}
+			if second, _ := w.AskSecond(w.now, k, time.Millisecond, tried, false); second != nil {
+				d := decision(second)
+				Expect(d == nil || d.Refused != "").To(BeTrue(), "sent outside its regions")
+			}
+		})
+	}
+}
