A request keeps the regions that it was admitted under

Requests could run in a region that their route or organisation does not allow, if that was removed from the configuration before a target was chosen for them: while their body arrived, or while they waited and there had been no open target to ask the regions for.

Cause: the request is identified by the table of its arrival, and its regions were first looked up by the control goroutine, in a table that may be newer. One that has the route or the organisation no more restricts nothing. The regions now go with the request from its admission; newer tables replace what they still have, and so may narrow them.

Regions that are narrowed or stated for the first time meanwhile apply, with 503 and a Retry-After if no target is left. Regions that are taken off one that is still there apply as well.

Ruled out, green before: key revoked, service of the route changed, limit of bodies lowered, regions narrowed, stated or lifted, routes and kinds changed; each whole request was answered. The table of the control goroutine is never older than that of the server, as it is set first, by the same goroutine.

Not covered: regions that one newer table narrows and the next one removes, both before any target is looked at; those of the admission apply.

--- a/internal/balance/second.go
+++ b/internal/balance/second.go
@@ -48,7 +48,7 @@
 		Parts: t.Parts, Input: t.Input, Output: t.Output, Goal: t.Goal, Arrived: t.Arrived, Deadline: t.Deadline,
 		Tried: slices.Concat(t.Tried, tried), Resumes: resumes, StreamID: t.StreamID, Version: t.Version, Continues: t.Continues,
 		Decision: make(chan Decision, 1), beganAt: t.beganAt, again: true, isSecond: true,
-		regions: t.regions, regionsBy: t.regionsBy,
+		Regions: t.Regions, regionsBy: t.regionsBy,
 	}
 	k.LastReceived.Store(t.LastReceived.Load())
 	k.Pieces.Store(t.Pieces.Load())
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -42,6 +42,9 @@
 	// Version restricts the request to targets of the version that began the stream. The State
 	// sets it when a stream begins.
 	Version VersionLimit
+	// Regions are those that the configuration by which the request was admitted allows. The State replaces them
+	// as newer ones come into force, except for what these do not have any more.
+	Regions routing.Regions
 	// Continues is set if the caller asks for the rest of a stream that it got a part of with an earlier
 	// request. Output is then the expected length of the whole answer, and that of the rest is unknown.
 	Continues bool
@@ -73,8 +76,7 @@
 	started bool
 	// beganAt is the target that sent the stream's first event.
 	beganAt *target
-	// regions are those that regionsBy allows for the request.
-	regions   routing.Regions
+	// regionsBy is the newest configuration that Regions takes into account.
 	regionsBy *routing.Table
 	// held is set once the request was kept from a version that is not stored.
 	held bool
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -297,9 +297,9 @@
 		return true
 	}
 	if t.regionsBy != s.table {
-		t.regions, t.regionsBy = t.regions.With(s.table, t.Route, t.Organisation), s.table
+		t.Regions, t.regionsBy = t.Regions.With(s.table, t.Route, t.Organisation), s.table
 	}
-	return t.regions.Allow(s.regions[c.Zone])
+	return t.Regions.Allow(s.regions[c.Zone])
 }
 
 // preferVersion returns the candidates of the version that a roll-out prefers for t, or all if
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -58,6 +58,8 @@
 	ConfigAge     time.Duration
 	Service       string
 	Organisation  string
+	// Regions are those that the configuration allows for the request.
+	Regions routing.Regions
 	// Header has the headers to forward, without those that the router sets itself.
 	Header  http.Header
 	Body    memory.Buffer
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -105,13 +105,16 @@
 
 // newRigWithStall returns such a router that closes connections of callers that read nothing for a time.
 func newRigWithStall(limits balance.Limits, maxStall time.Duration, seeds ...string) *rig {
+	return newRigWithOptions(gateway.Options{Limits: limits, MaxStall: maxStall, Seeds: seeds})
+}
+
+// newRigWithOptions returns such a router with some of its options.
+func newRigWithOptions(o gateway.Options) *rig {
 	r := &rig{metrics: gateway.NewMetrics()}
-	n := incarnation.Add(1)
-	g, err := gateway.New(context.Background(), gateway.Options{
-		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
-		Incarnation: n, Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: r.metrics,
-		Limits: limits, MaxStall: maxStall,
-	})
+	o.Incarnation = incarnation.Add(1)
+	o.ID, o.Zone, o.Listen, o.PeerListen = fmt.Sprint("router-", o.Incarnation), "z", "127.0.0.1:0", "127.0.0.1:0"
+	o.Headers, o.Codec, o.Log, o.Metrics = headerNames, codec{}, logr.Discard(), r.metrics
+	g, err := gateway.New(context.Background(), o)
 	Expect(err).NotTo(HaveOccurred())
 	r.Gateway = g
 	DeferCleanup(g.Stop)
--- a/internal/gateway/reconfigure_test.go
+++ b/internal/gateway/reconfigure_test.go
@@ -3,12 +3,15 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -87,23 +90,123 @@
 			Eventually(got, 5*time.Second).Should(Receive(And(HaveField("Status", http.StatusOK), HaveField("Body", "answer"))))
 		})
 
-		It("leaves a request its target whose body is still being read: "+name, func() {
-			r := newRig()
-			r.configure(admitting(1))
-			r.serve("a", answer)
-			body, end := io.Pipe()
-			q := newRequest(r.Self().Address, "/many/x")
-			q.Body, q.ContentLength, q.GetBody = body, 8, nil
-			got := make(chan reply, 1)
-			background(func() { got <- do(q) })
-			_, err := end.Write([]byte("ques"))
-			Expect(err).NotTo(HaveOccurred())
-			time.Sleep(50 * time.Millisecond)
-			reconfigure(r)
-			_, err = end.Write([]byte("tion"))
-			Expect(err).NotTo(HaveOccurred())
-			Expect(end.Close()).To(Succeed())
-			Eventually(got, 5*time.Second).Should(Receive(And(HaveField("Status", http.StatusOK), HaveField("Body", "answer"))))
+		for framing, length := range framings {
+			It("leaves a request its target whose body is still being read, "+framing+": "+name, func() {
+				r := newRig()
+				r.configure(admitting(1))
+				r.serve("a", answer)
+				got := r.postSlowly("/many/x", length, func() { reconfigure(r) })
+				Expect(got).To(And(HaveField("Err", BeNil()), HaveField("Status", http.StatusOK), HaveField("Body", "answer")))
+			})
+		}
+	}
+})
+
+// framings has the Content-Length of the body "question", by how its end is told.
+var framings = map[string]int64{"with a length": 8, "in chunks": -1}
+
+// postSlowly sends a request, calls f while half of the body has arrived, and returns the answer.
+func (r *rig) postSlowly(path string, length int64, f func()) reply {
+	body, end := io.Pipe()
+	q := newRequest(r.Self().Address, path)
+	q.Body, q.ContentLength, q.GetBody = body, length, nil
+	got := make(chan reply, 1)
+	background(func() { got <- do(q) })
+	_, err := io.WriteString(end, "ques")
+	Expect(err).NotTo(HaveOccurred())
+	time.Sleep(50 * time.Millisecond)
+	f()
+	_, err = io.WriteString(end, "tion")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(end.Close()).To(Succeed())
+	var out reply
+	Eventually(got, 5*time.Second).Should(Receive(&out))
+	return out
+}
+
+// These guard against requests that lose the regions of their route or organisation if that is removed before a target
+// is chosen for them.
+var _ = Describe("A request beside a newer configuration", func() {
+	here, elsewhere := []string{"here"}, []string{"elsewhere"}
+	routeRegions := func(c *routing.Spec, regions []string) {
+		eachRoute(c, func(r *routing.Route) { r.Regions = regions })
+	}
+	for name, c := range map[string]struct {
+		route, organisation []string
+		change              func(c *routing.Spec)
+		served              bool
+	}{
+		"route removed":                       {elsewhere, nil, laterChanges["routes removed"], false},
+		"route removed, region allowed":       {here, here, laterChanges["routes removed"], true},
+		"organisation removed":                {nil, elsewhere, laterChanges["organisation removed"], false},
+		"organisation removed, allowed":       {here, here, laterChanges["organisation removed"], true},
+		"all removed, by the route":           {elsewhere, here, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, false},
+		"all removed, by the organisation":    {here, elsewhere, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, false},
+		"all removed, region allowed":         {here, here, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, true},
+		"key revoked":                         {nil, elsewhere, laterChanges["keys"], false},
+		"key revoked, region allowed":         {here, here, laterChanges["keys"], true},
+		"service changed":                     {elsewhere, nil, laterChanges["service of the routes"], false},
+		"service changed, region allowed":     {here, here, laterChanges["service of the routes"], true},
+		"limits lowered":                      {elsewhere, nil, laterChanges["size of bodies"], false},
+		"limits lowered, region allowed":      {here, here, laterChanges["size of bodies"], true},
+		"route narrowed":                      {here, here, func(c *routing.Spec) { routeRegions(c, elsewhere) }, false},
+		"organisation narrowed":               {here, here, func(c *routing.Spec) { c.Organisations[0].Regions = elsewhere }, false},
+		"route restricted for the first time": {nil, nil, func(c *routing.Spec) { routeRegions(c, elsewhere) }, false},
+		"route allows all":                    {elsewhere, nil, func(c *routing.Spec) { routeRegions(c, nil) }, true},
+		"organisation allows all":             {nil, elsewhere, func(c *routing.Spec) { c.Organisations[0].Regions = nil }, true},
+		"route removed, organisation narrowed": {here, here, func(c *routing.Spec) {
+			c.Organisations[0].Regions = elsewhere
+			laterChanges["routes removed"](c)
+		}, false},
+	} {
+		// play has post send a request, add the target and change the configuration.
+		play := func(post func(r *rig, serve, change func()) reply) {
+			r := newRigWithOptions(gateway.Options{Regions: map[string]string{"z": "here"}})
+			admitted := admitting(1)
+			routeRegions(&admitted, c.route)
+			admitted.Organisations[0].Regions = c.organisation
+			r.configure(admitted)
+			var ran atomic.Int64
+			got := post(r, func() {
+				r.serve("a", func(w http.ResponseWriter, q *http.Request) {
+					ran.Add(1)
+					answer(w, q)
+				})
+			}, func() {
+				later := admitted
+				later.Version, later.Routes, later.Organisations = 2, slices.Clone(admitted.Routes), slices.Clone(admitted.Organisations)
+				c.change(&later)
+				r.configure(later)
+				r.Addresses(GinkgoT().Context(), "z")
+			})
+			Expect(got.Err).NotTo(HaveOccurred())
+			if c.served {
+				Expect(got).To(And(HaveField("Status", http.StatusOK), HaveField("Body", "answer")))
+				return
+			}
+			Expect(ran.Load()).To(BeZero(), "sent outside its regions")
+			Expect(got).To(And(HaveField("Status", http.StatusServiceUnavailable), HaveField("Body", string(balance.NoAllowedTarget)+"\n")))
+			Expect(got.Header).To(And(HaveKey("Retry-After"), HaveKey(headerNames.RequestID)))
+		}
+		for framing, length := range framings {
+			It("whose body arrives keeps to its regions and is answered, "+framing+": "+name, func() {
+				play(func(r *rig, serve, change func()) reply {
+					serve()
+					return r.postSlowly("/many/x", length, change)
+				})
+			})
+		}
+		It("that waits for its first target keeps to its regions and is answered: "+name, func() {
+			play(func(r *rig, serve, change func()) reply {
+				got := make(chan reply, 1)
+				background(func() { got <- r.post("/many/x") })
+				time.Sleep(50 * time.Millisecond)
+				change()
+				serve()
+				var out reply
+				Eventually(got, 5*time.Second).Should(Receive(&out))
+				return out
+			})
 		})
 	}
 })
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -364,7 +364,7 @@
 	return throttle.RequestSize{Input: r.Input, Output: r.Output}
 }
 
-// identify sets a request's route, organisation and service. If it returns a result with a
+// identify sets a request's route, organisation, regions and service. If it returns a result with a
 // status, the request is refused.
 func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Result {
 	path, _, _ := strings.Cut(out.URI, "?")
@@ -378,6 +378,7 @@
 			return refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
 		}
 	}
+	out.Regions = t.RegionsOf(route.Name, out.Organisation)
 	out.Service = route.Service(out.FirstID())
 	service, _ := t.Service(out.Service)
 	out.ToEngine = service.Engine != nil
