Heads refused before the HTTP server are read as it reads them

A caller whose request was refused because of its organisation's load, for want of processor time or as the router stopped could get an answer that is no HTTP, or with lines or an id that its request did not have as the HTTP server reads it: a bare line feed, return or control character in the id was sent back as it was, so that "X-Id: 1\nX-Text: 2" made two lines of the answer; a bare line feed in another value hid the headers behind it, the id or a Transfer-Encoding among them; an empty id, authorization or host followed by another one counted as absent; other space than blanks and tabs was cut off.

Such heads are now left to the HTTP server, which answers some of them with 400. Heads without such characters are read as before.

--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -176,14 +176,14 @@
 			return h, 0, false
 		}
 	}
-	return h, end + len(headEnd), h.host != nil
+	return h, end + len(headEnd), len(h.host) > 0
 }
 
 // requestLine parses the request line, without its line end. It returns false if the HTTP server
 // is to parse the request.
 func (h *quickHead) requestLine(l []byte) bool {
 	l, ok := bytes.CutSuffix(l, version)
-	if !ok {
+	if !ok || bytes.IndexByte(l, '\n') >= 0 {
 		return false
 	}
 	h.method, h.target, ok = bytes.Cut(l, []byte(" "))
@@ -193,18 +193,17 @@
 // header parses a header line, without its line end. It returns false if the HTTP server is to
 // parse the request.
 func (h *quickHead) header(l []byte, names *forward.HeaderNames) bool {
-	name, value, ok := bytes.Cut(l, []byte(":"))
-	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+	name, value, ok := cutHeader(l)
+	if !ok {
 		return false
 	}
-	value = bytes.TrimSpace(value)
 	switch {
 	case equalNames(name, "Host"):
 		return setOnce(&h.host, value)
 	case equalNames(name, "Authorization"):
 		return setOnce(&h.authorization, value)
 	case equalNames(name, names.RequestID):
-		return setOnce(&h.id, value)
+		return isPrintable(value) && setOnce(&h.id, value)
 	case equalNames(name, names.PromptSize):
 		return setOnce(&h.promptSize, value)
 	case equalNames(name, names.OutputHint):
@@ -220,6 +219,29 @@
 	return true
 }
 
+// cutHeader cuts a header line. It returns false if the line is folded, or if the HTTP server would see another name,
+// value or line end in it.
+func cutHeader(l []byte) (name, value []byte, ok bool) {
+	name, value, ok = bytes.Cut(l, []byte(":"))
+	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") || bytes.IndexByte(l, '\n') >= 0 || bytes.IndexByte(l, '\r') >= 0 {
+		return nil, nil, false
+	}
+	for len(value) > 0 && isBlank(value[0]) {
+		value = value[1:]
+	}
+	for len(value) > 0 && isBlank(value[len(value)-1]) {
+		value = value[:len(value)-1]
+	}
+	return name, value, true
+}
+
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+
+// isPrintable reports whether a header's value can be sent back as it is.
+func isPrintable(value []byte) bool {
+	return !bytes.ContainsFunc(value, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
+
 // setOnce sets *field to the value of a header, and returns false if it is set already, since the
 // header must not be repeated.
 func setOnce(field *[]byte, value []byte) bool {
@@ -227,6 +249,9 @@
 		return false
 	}
 	*field = value
+	if value == nil {
+		*field = []byte{}
+	}
 	return true
 }
 
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -210,6 +210,42 @@
 	})
 })
 
+// TestHeadIsReadAsServerReadsIt guards against refusals with lines or ids that the HTTP server would not see in a request.
+func TestHeadIsReadAsServerReadsIt(t *testing.T) {
+	g := group.New(t.Context())
+	defer g.Stop()
+	address := newServer(g)
+	for name, c := range map[string]struct{ header, id string }{
+		"a bare line feed in the id":        {"X-Id: 1\nX-Text: 2\r\n", "1"},
+		"a bare line feed in another value": {"X-Text: 1\nX-Id: 2\r\nX-Id: 3\r\n", "2"},
+		"a bare return":                     {"X-Id: 1\rX-Text: 2\r\n", ""},
+		"a control character":               {"X-Id: 1\x00\r\n", ""},
+		"a second id after an empty one":    {"X-Id:\r\nX-Id: 2\r\n", ""},
+		"space that is no blank":            {"X-Id: 1\u00a0\r\n", "1\u00a0"},
+		"blanks":                            {"X-Id: \t1 \t\r\n", "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /engine/a HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nContent-Length: 1\r\n%s\r\nx", c.header)
+			if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			if res.Header.Get("X-Id") != c.id || res.Header.Get("X-Text") != "" {
+				t.Errorf("%s, header %q, want id %q", res.Status, res.Header, c.id)
+			}
+		})
+	}
+}
+
 func BenchmarkRefuseCrowded(b *testing.B) {
 	g := group.New(context.Background())
 	defer g.Stop()
