Refusals before the HTTP server carry the id whatever the framing

A caller whose request was refused before the HTTP server saw it (waited too long for processor time, connection closed to make room, router stopping) got a 503 without the id of its request if that came in chunks, with a Connection, Expect or Upgrade header, as HTTP/1.0, with a whole address, or with a part of its head only. It could not match the answer to its request.

Cause: these refusals took the id from the parser that also finds the end of a request, and which gives up for every form whose end it can't tell. They close the connection and need no end. They now look for the id alone, if that parser gives up: in the lines up to the first empty one, behind a request line. It is left out if there are several, if a line is folded, has a bare line feed or may still be continued, or the bytes begin with no request. The connection is closed after the refusal as before, so that nothing of a body is taken for another request. The usual forms cost nothing more.

--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -51,12 +51,12 @@
 	return out
 }
 
-// readHead returns the request at the start of b, with its organisation if that is known, or
-// the zero request if b does not hold a complete head.
+// readHead returns the request at the start of b, with its organisation if that is known. If b does not
+// hold a complete head of the usual form, it returns a request that has at most an id.
 func (s *Server) readHead(b []byte) forward.Request {
 	h, _, ok := parseHead(b, &s.headerNames)
 	if !ok {
-		return forward.Request{}
+		return forward.Request{ID: arrivedID(b, s.headerNames.RequestID)}
 	}
 	out := h.request()
 	if t := s.table.Load(); t != nil {
@@ -187,7 +187,7 @@
 		return false
 	}
 	h.method, h.target, ok = bytes.Cut(l, []byte(" "))
-	return ok && len(h.target) > 0 && h.target[0] == '/' && !bytes.ContainsRune(h.target, ' ')
+	return ok && len(h.method) > 0 && len(h.target) > 0 && h.target[0] == '/' && !bytes.ContainsRune(h.target, ' ')
 }
 
 // header parses a header line, without its line end. It returns false if the HTTP server is to
