--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -51,12 +51,12 @@
 	return out
 }
 
-// readHead returns the request at the start of b, with its organisation if that is known, or
-// the zero request if b does not hold a complete head.
+// readHead returns the request at the start of b, with its organisation if that is known. If b does not
+// hold a complete head of the usual form, it returns a request that has at most an id.
 func (s *Server) readHead(b []byte) forward.Request {
 	h, _, ok := parseHead(b, &s.headerNames)
 	if !ok {
-		return forward.Request{}
+		return forward.Request{ID: arrivedID(b, s.headerNames.RequestID)}
 	}
 	out := h.request()
 	if t := s.table.Load(); t != nil {
@@ -176,35 +176,34 @@
 			return h, 0, false
 		}
 	}
-	return h, end + len(headEnd), h.host != nil
+	return h, end + len(headEnd), len(h.host) > 0
 }
 
 // requestLine parses the request line, without its line end. It returns false if the HTTP server
 // is to parse the request.
 func (h *quickHead) requestLine(l []byte) bool {
 	l, ok := bytes.CutSuffix(l, version)
-	if !ok {
+	if !ok || bytes.IndexByte(l, '\n') >= 0 {
 		return false
 	}
 	h.method, h.target, ok = bytes.Cut(l, []byte(" "))
-	return ok && len(h.target) > 0 && h.target[0] == '/' && !bytes.ContainsRune(h.target, ' ')
+	return ok && len(h.method) > 0 && len(h.target) > 0 && h.target[0] == '/' && !bytes.ContainsRune(h.target, ' ')
 }
 
 // header parses a header line, without its line end. It returns false if the HTTP server is to
 // parse the request.
 func (h *quickHead) header(l []byte, names *forward.HeaderNames) bool {
-	name, value, ok := bytes.Cut(l, []byte(":"))
-	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+	name, value, ok := cutHeader(l)
+	if !ok {
 		return false
 	}
-	value = bytes.TrimSpace(value)
 	switch {
 	case equalNames(name, "Host"):
 		return setOnce(&h.host, value)
 	case equalNames(name, "Authorization"):
 		return setOnce(&h.authorization, value)
 	case equalNames(name, names.RequestID):
-		return setOnce(&h.id, value)
+		return isPrintable(value) && setOnce(&h.id, value)
 	case equalNames(name, names.PromptSize):
 		return setOnce(&h.promptSize, value)
 	case equalNames(name, names.OutputHint):
@@ -220,6 +219,29 @@
 	return true
 }
 
+// cutHeader cuts a header line. It returns false if the line is folded, or if the HTTP server would see another name,
+// value or line end in it.
+func cutHeader(l []byte) (name, value []byte, ok bool) {
+	name, value, ok = bytes.Cut(l, []byte(":"))
+	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") || bytes.IndexByte(l, '\n') >= 0 || bytes.IndexByte(l, '\r') >= 0 {
+		return nil, nil, false
+	}
+	for len(value) > 0 && isBlank(value[0]) {
+		value = value[1:]
+	}
+	for len(value) > 0 && isBlank(value[len(value)-1]) {
+		value = value[:len(value)-1]
+	}
+	return name, value, true
+}
+
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+
+// isPrintable reports whether a header's value can be sent back as it is.
+func isPrintable(value []byte) bool {
+	return !bytes.ContainsFunc(value, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
+
 // setOnce sets *field to the value of a header, and returns false if it is set already, since the
 // header must not be repeated.
 func setOnce(field *[]byte, value []byte) bool {
@@ -227,6 +249,9 @@
 		return false
 	}
 	*field = value
+	if value == nil {
+		*field = []byte{}
+	}
 	return true
 }
 
