A pipelined request is not cut as an idle connection

A caller that sends a request before it has the answer to the one before could lose it: its connection was closed in the middle of the request, which may have run, to make room for another connection, or as the router stopped.

Cause: where the HTTP server has read the request together with the one before, it reads nothing more for it. The connection was marked idle after the first answer, and in use again only as something was read. Until then it could be evicted while the request was served; and what was read for its body was taken for the start of another request, whose refusal could take its id from there. The server's change of state, which comes before the handler runs and the connection is read again, now marks it in use.

Red before: TestBufferedRequestIsNotEvicted, 17 of 20 cases (whole, without a body, a part of the body with a length or in chunks, a head in the body; after a plain one and one in chunks; evicted, idle ones ended): "unexpected EOF" for the caller, "context canceled" for the handler. Green with the mend, five times with the race detector, as is the rest of the package. Ruled out: http.Server.Shutdown itself closes no such connection, as the server counts it as active (the same cases with Shutdown, a trial).

Not covered: an eviction between the end of the first answer and the change of state of the next request, in which the server only parses its head.

--- /dev/null
+++ b/internal/ingress/buffered_internal_test.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestBufferedRequestIsNotEvicted guards against connections that are closed, or refused by what is in a body, while a
+// request is served that the HTTP server had read together with the one before.
+func TestBufferedRequestIsNotEvicted(t *testing.T) {
+	befores := map[string]string{"a plain one": wholeRequest, "one in chunks": text("X-Id: 0\r\n"+chunked, chunkedBody)}
+	requests := map[string]struct{ now, later string }{
+		"whole":                   {text("X-Id: 1\r\nContent-Length: 5\r\n", "hello"), ""},
+		"without a body":          {text("X-Id: 1\r\n", ""), ""},
+		"a part of its body":      {text("X-Id: 1\r\nContent-Length: 5\r\n", "he"), "llo"},
+		"a head in its body":      {text(fmt.Sprintf("X-Id: 1\r\nContent-Length: %d\r\n", len(otherHead)+1), "x"), otherHead},
+		"a part of it, in chunks": {text("X-Id: 1\r\n"+chunked, chunkedBody[:6]), chunkedBody[6:]},
+	}
+	ends := map[string]func(s *Server){
+		"evicted": func(s *Server) {
+			s.conns.mu.Lock()
+			defer s.conns.mu.Unlock()
+			s.conns.evictOldest()
+		},
+		"idle ones ended": func(s *Server) { s.conns.end() },
+	}
+	for before, first := range befores {
+		for name, c := range requests {
+			for how, end := range ends {
+				t.Run(name+" after "+before+", "+how, func(t *testing.T) {
+					s := newTestServer(anyResult{}, false)
+					serving, ended := make(chan context.Context, 2), make(chan struct{})
+					s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						noteServing(r.Context())
+						w.Header().Set("X-Id", r.Header.Get("X-Id"))
+						if r.URL.Path == "/a" && r.Header.Get("X-Id") == "1" {
+							serving <- r.Context()
+							<-ended
+						}
+						if _, err := io.Copy(io.Discard, r.Body); err != nil || r.Context().Err() != nil {
+							t.Errorf("body: %v, caller gone: %v", err, r.Context().Err())
+						}
+					})
+					var wait sync.WaitGroup
+					defer wait.Wait()
+					caller := dialServer(t, startTestServer(t, s), first+c.now)
+					<-serving
+					time.Sleep(10 * time.Millisecond)
+					end(s)
+					time.Sleep(10 * time.Millisecond)
+					wait.Go(func() {
+						time.Sleep(10 * time.Millisecond)
+						fmt.Fprint(caller, c.later)
+					})
+					close(ended)
+					answers := bufio.NewReader(caller)
+					for i := range 2 {
+						res, err := http.ReadResponse(answers, nil)
+						if err != nil {
+							t.Fatalf("answer %d: %v", i, err)
+						}
+						_ = res.Body.Close()
+						if res.StatusCode != http.StatusOK || i == 1 && res.Header.Get("X-Id") != "1" {
+							t.Errorf("answer %d: %s, header %v", i, res.Status, res.Header)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -304,14 +304,23 @@
 }
 
 // connState implements http.Server.ConnState: it marks connections idle when their request has
-// ended.
+// ended, and in use again when the HTTP server takes a request that it had read with the one before.
 func connState(raw net.Conn, state http.ConnState) {
-	if c, ok := raw.(*conn); ok && state == http.StateIdle {
+	c, ok := raw.(*conn)
+	if !ok {
+		return
+	}
+	if state == http.StateIdle {
 		c.betweenRequests = true
 		c.unanswered.Store(c.unread == -1)
 		c.serving.Store(false)
 		c.markIdle()
 	}
+	if state == http.StateActive && c.betweenRequests {
+		c.betweenRequests = false
+		c.unanswered.Store(true)
+		c.leaveIdle()
+	}
 }
 
 // markIdle marks the connection as idle.
@@ -329,16 +338,28 @@
 	s.changed.Signal()
 }
 
+// leaveIdle marks the connection as not idle.
+func (c *conn) leaveIdle() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.removeIdle()
+}
+
+// removeIdle is leaveIdle; mu must be held.
+func (c *conn) removeIdle() {
+	if c.idleElement != nil {
+		c.conns.idle.Remove(c.idleElement)
+		c.idleElement = nil
+	}
+}
+
 // markInUse marks the connection as in use, with a request that begins. It returns false if the connection
 // is to end; Read must then close it.
 func (c *conn) markInUse() bool {
 	s := c.conns
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.idleElement != nil {
-		s.idle.Remove(c.idleElement)
-		c.idleElement = nil
-	}
+	c.removeIdle()
 	c.begin()
 	if c.refusing = c.evicted.Load() || s.ending.Load(); c.refusing {
 		c.begun()
@@ -384,10 +405,7 @@
 	}
 	c.closed = true
 	s.unread.Remove(c.unreadElement)
-	if c.idleElement != nil {
-		s.idle.Remove(c.idleElement)
-		c.idleElement = nil
-	}
+	c.removeIdle()
 	s.countClosed(c)
 	s.changed.Signal()
 	return toClose, s.closed
