Look for bare line ends once a head

The check for bare line feeds and returns in heads that may be refused before the HTTP server looked at each line. It now counts them once for the whole head, and what may be sent back is looked at byte by byte.

--- a/internal/ingress/arrived_id.go
+++ b/internal/ingress/arrived_id.go
@@ -17,7 +17,7 @@
 			break
 		}
 		name, value, ok := cutHeader(l)
-		if !ok {
+		if !ok || bytes.ContainsAny(l, "\r\n") {
 			return ""
 		}
 		if equalNames(name, header) {
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -154,12 +154,15 @@
 	lineEnd = []byte("\r\n")
 	headEnd = []byte("\r\n\r\n")
 	version = []byte(" HTTP/1.1")
+
+	lineFeed, carriageReturn = []byte("\n"), []byte("\r")
 )
 
 // parseHead parses the head of a request and returns its size in bytes. It returns false if
 // the head is incomplete, or unusual and so left to the HTTP server: for example without a Host,
 // with a repetition of a header that is read here, with a Content-Length that is not a positive
-// number, with folded lines, or with a Connection, Transfer-Encoding, Expect or Upgrade header.
+// number, with folded lines, with a bare line feed or carriage return, in which the server sees
+// the end of a line, or with a Connection, Transfer-Encoding, Expect or Upgrade header.
 func parseHead(b []byte, names *forward.HeaderNames) (h quickHead, size int, ok bool) {
 	end := bytes.Index(b, headEnd)
 	if end < 0 {
@@ -169,13 +172,17 @@
 	if !h.requestLine(first) {
 		return h, 0, false
 	}
-	for len(rest) > 0 {
+	lines := 0
+	for ; len(rest) > 0; lines++ {
 		var l []byte
 		l, rest, _ = bytes.Cut(rest, lineEnd)
 		if !h.header(l, names) {
 			return h, 0, false
 		}
 	}
+	if bytes.Count(b[:end], lineFeed) != lines || bytes.Count(b[:end], carriageReturn) != lines {
+		return h, 0, false
+	}
 	return h, end + len(headEnd), len(h.host) > 0
 }
 
@@ -183,7 +190,7 @@
 // is to parse the request.
 func (h *quickHead) requestLine(l []byte) bool {
 	l, ok := bytes.CutSuffix(l, version)
-	if !ok || bytes.IndexByte(l, '\n') >= 0 {
+	if !ok {
 		return false
 	}
 	h.method, h.target, ok = bytes.Cut(l, []byte(" "))
@@ -219,11 +226,10 @@
 	return true
 }
 
-// cutHeader cuts a header line. It returns false if the line is folded, or if the HTTP server would see another name,
-// value or line end in it.
+// cutHeader cuts a header line. It returns false if the line is folded or has no name.
 func cutHeader(l []byte) (name, value []byte, ok bool) {
 	name, value, ok = bytes.Cut(l, []byte(":"))
-	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") || bytes.IndexByte(l, '\n') >= 0 || bytes.IndexByte(l, '\r') >= 0 {
+	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
 		return nil, nil, false
 	}
 	for len(value) > 0 && isBlank(value[0]) {
@@ -239,7 +245,12 @@
 
 // isPrintable reports whether a header's value can be sent back as it is.
 func isPrintable(value []byte) bool {
-	return !bytes.ContainsFunc(value, func(r rune) bool { return r < ' ' || r == 0x7f })
+	for _, c := range value {
+		if c < ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
 }
 
 // setOnce sets *field to the value of a header, and returns false if it is set already, since the
