Answers announce the close of their connection where others wait for room

What callers saw: with more callers than connections (120 at 90), some requests ended with EOF or a reset and no answer. They crossed the close of a connection that was idle for a moment and was closed to make room. closed_unanswered counted none of them: this router had read none, and no engine had got one.

Cause: at its limit a router closed the connection that had been idle for the longest as soon as another one waited, however short that was; in a closed loop its caller is about to send the next request.

Now an answer or a refusal says Connection: close while a connection waits for room, as many as wait, and streams besides; refusals before the HTTP server do so, too. An idle connection is closed at once only after a second. If no answer has made room for 50 ms, one that has been idle for 50 ms is closed, as before.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -21,14 +21,18 @@
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
-// conns limits the number of callers' connections, since each takes memory. At the limit, the
-// connection that has been idle for the longest is closed to make room for a new one. If none
-// is idle, new connections wait in the kernel's accept queue.
+// conns limits the number of callers' connections, since each takes memory. At the limit, new
+// connections wait in the kernel's accept queue, and the next answer says that its connection is
+// closed to make room for one. A connection that stays idle is closed without that.
 type conns struct {
 	max int
 
 	mu   sync.Mutex
 	open int
+	// waiting is the number of connections that wait for room, and announced the number of those for which an
+	// answer has said that its connection is closed. full is whether there are any, to be read without mu.
+	waiting, announced int
+	full               atomic.Bool
 	// received is the number of open connections that other routers handed over.
 	received int
 	// receivedUnread is the number of those that have not been read yet, and reserved holds the
@@ -53,7 +57,7 @@
 	// whose accept queue is observed; nil if there is none.
 	arrivals ArrivalStats
 	listener *net.TCPListener
-	// changed is signalled when a connection is closed or becomes idle.
+	// changed is signalled when a connection is closed.
 	changed sync.Cond
 }
 
@@ -63,30 +67,82 @@
 	return c
 }
 
+const (
+	// announceTime is how long a new connection waits for an answer to make room, before another one is to, or a
+	// connection that has been idle for that long. A caller with another request sends it sooner.
+	announceTime = 50 * time.Millisecond
+	// stayIdleTime is the time after which an idle connection is closed for a new one at once.
+	stayIdleTime = time.Second
+)
+
 // reserve waits until there is room for another connection, and counts it as open. It returns
 // false once the listener is closed.
 func (s *conns) reserve() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open >= s.max {
-		began := clock.Now()
-		for s.open >= s.max && !s.closed {
-			if !s.evictOldest() {
-				s.changed.Wait()
-			}
-		}
-		s.arrivals.RoomWait = max(s.arrivals.RoomWait, clock.Since(began))
+		s.awaitRoom()
 	}
 	s.open++
 	return !s.closed
 }
 
+// awaitRoom waits until there is room for another connection or the listener is closed. mu must be held.
+func (s *conns) awaitRoom() {
+	began := clock.Now()
+	s.countWaiting(1)
+	minIdle := stayIdleTime
+	for round := began; s.open >= s.max && !s.closed; {
+		if clock.Since(round) >= announceTime {
+			s.announced, round, minIdle = 0, clock.Now(), announceTime
+		}
+		if !s.evictIdle(minIdle) {
+			wake := time.AfterFunc(announceTime, s.changed.Broadcast)
+			s.changed.Wait()
+			wake.Stop()
+		}
+	}
+	s.countWaiting(-1)
+	s.announced = max(s.announced-1, 0)
+	s.arrivals.RoomWait = max(s.arrivals.RoomWait, clock.Since(began))
+}
+
+// countWaiting adds n to the number of connections that wait for room. mu must be held.
+func (s *conns) countWaiting(n int) {
+	s.waiting += n
+	s.full.Store(s.waiting > 0)
+}
+
+// announceClose reports whether an answer that begins is to say that its connection is closed, to make room for
+// one that waits. A stream that is long does not make room soon, so others are to do so beside it.
+func (s *conns) announceClose(long bool) bool {
+	if !s.full.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if long {
+		return s.waiting > 0
+	}
+	if s.announced >= s.waiting {
+		return false
+	}
+	s.announced++
+	return true
+}
+
 // evictOldest closes the connection that has been idle for the longest, and returns false if
 // there is none. A connection with unread input, such as a request that has just arrived, does
 // not count as idle. mu must be held.
-func (s *conns) evictOldest() bool {
+func (s *conns) evictOldest() bool { return s.evictIdle(0) }
+
+// evictIdle is evictOldest for connections that have been idle for at least a time.
+func (s *conns) evictIdle(atLeast time.Duration) bool {
 	for s.idle.Len() > 0 {
 		c := s.idle.Front().Value.(*conn)
+		if clock.Since(c.idleSince) < atLeast {
+			return false
+		}
 		if !sockopt.Idle(c.Conn) {
 			s.idle.Remove(c.idleElement)
 			c.idleElement = nil
@@ -231,9 +287,10 @@
 	beginning atomic.Bool
 
 	// The fields below are guarded by conns.mu. idleElement is the connection's element in
-	// conns.idle, nil if it is not idle; refusing is set while Read refuses the last request and then
+	// conns.idle, nil if it is not idle, since idleSince; refusing is set while Read refuses the last request and then
 	// closes the connection.
 	idleElement      *list.Element
+	idleSince        time.Time
 	refusing, closed bool
 	// waits is set while the connection counts in conns.receivedUnread.
 	waits bool
@@ -274,6 +331,13 @@
 	return ok && c.received
 }
 
+// endsConnection reports whether the answer to a request, which begins now, is to be the last one on its
+// connection. long is set if it does not tell its length.
+func (s *Server) endsConnection(ctx context.Context, long bool) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.conns.announceClose(long)
+}
+
 // unacknowledged returns the number of bytes sent to the caller of a request that its host has not
 // confirmed to have received.
 func unacknowledged(ctx context.Context) int {
@@ -322,11 +386,10 @@
 	if c.evicted.Load() || c.closed || c.idleElement != nil {
 		return
 	}
-	c.idleElement = s.idle.PushBack(c)
+	c.idleElement, c.idleSince = s.idle.PushBack(c), clock.Now()
 	if s.ending.Load() {
 		s.evict(c)
 	}
-	s.changed.Signal()
 }
 
 // markInUse marks the connection as in use, with a request that begins. It returns false if the connection
@@ -516,9 +579,6 @@
 			return n, nil
 		}
 		c.begun()
-		if c.received {
-			return 0, io.EOF
-		}
 		c.betweenRequests = true
 		c.markIdle()
 	}
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -103,4 +104,35 @@
 		Expect(status(list[0])).To(Equal(http.StatusServiceUnavailable))
 		Expect(status(c)).To(Equal(http.StatusServiceUnavailable))
 	})
+
+	// Requests used to cross the close of connections that were idle for a moment, of which no answer had told.
+	DescribeTable(
+		"are not closed unannounced while callers go on sending", func(key string) {
+			request := head("/engine/a", key, "r", 2, "") + "x"
+			var list []callerConn
+			for range maxConnections {
+				c := dial()
+				write(c, request)
+				list = append(list, c)
+			}
+			c := dial()
+			write(c, whole)
+			time.Sleep(50 * time.Millisecond)
+			announced := func(c callerConn) bool {
+				Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+				res, err := http.ReadResponse(c.answers, nil)
+				Expect(err).NotTo(HaveOccurred())
+				_, err = io.Copy(io.Discard, res.Body)
+				Expect(err).NotTo(HaveOccurred())
+				return res.Close
+			}
+			write(list[0], "x")
+			Expect(announced(list[0])).To(BeTrue(), "a connection waits for room")
+			Expect(announced(c)).To(BeFalse(), "none waits")
+			write(list[1], "x")
+			Expect(announced(list[1])).To(BeFalse(), "none waits")
+		},
+		Entry("before an answer of the HTTP server", "k2"),
+		Entry("before a refusal that it does not see", "k1"),
+	)
 })
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -261,13 +261,13 @@
 	}
 	if result.Status == 0 {
 		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
-		a := &answer{w: w, flush: http.NewResponseController(w), request: r}
+		a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
 		result = s.forwarder.Forward(r.Context(), request, a)
 		if !result.Truncated {
 			a.complete()
 		}
 	}
-	if result.Status == http.StatusServiceUnavailable && !result.HeadSent && wasReceived(r.Context()) {
+	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
 		w.Header().Set("Connection", "close")
 	}
 	if result.Reason == ReasonBodyEvicted {
@@ -386,6 +386,7 @@
 
 // answer writes a target's answer to the caller.
 type answer struct {
+	server  *Server
 	w       http.ResponseWriter
 	flush   *http.ResponseController
 	request *http.Request
@@ -405,6 +406,9 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if a.server.endsConnection(a.request.Context(), length < 0) {
+		h.Set("Connection", "close")
+	}
 	if length < 0 && !a.request.ProtoAtLeast(1, 1) {
 		// Whatever ends the answer early, even if it is the end of this process, must not look like its end.
 		a.endsWithConnection = true
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -20,7 +20,8 @@
 
 // refuseQuickly answers a request that starts with the given bytes if it is to be refused
 // because of its organisation's load. It returns false, and has done nothing, if the HTTP
-// server is to serve the request. length is the request's length in bytes, or lengthUnknown.
+// server is to serve the request, and io.EOF if the refusal is the last answer on the connection.
+// length is the request's length in bytes, or lengthUnknown.
 func (s *Server) refuseQuickly(c *conn, first []byte) (refuse bool, length int, err error) {
 	arrived := clock.Now()
 	h, size, ok := parseHead(first, &s.headerNames)
@@ -37,10 +38,14 @@
 		return false, length, err
 	}
 	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
-	if _, err := c.Write(s.formatRefusal(r.ID, result, c.received)); err != nil {
+	last := c.received || c.conns.announceClose(false)
+	if _, err := c.Write(s.formatRefusal(r.ID, result, last)); err != nil {
 		return false, length, errors.Wrap(err, "write refusal")
 	}
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
+	if last {
+		return true, length, io.EOF
+	}
 	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
 }
 
