Answers that begin during a planned stop announce it

What callers saw: a request that was sent before a planned stop and answered during it kept its connection, which the stop closes while it is idle; the caller's next request may cross that close. Only requests that began after the stop were told.

Now the answer's head decides. A stream whose head was sent before the stop still cannot tell. The test failed before: "the answer keeps the connection".

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -334,6 +334,9 @@
 // endsConnection reports whether the answer to a request, which begins now, is to be the last one on its
 // connection. long is set if it does not tell its length.
 func (s *Server) endsConnection(ctx context.Context, long bool) bool {
+	if s.closing.Load() {
+		return true
+	}
 	c, ok := ctx.Value(connKey{}).(*conn)
 	return ok && c.conns.announceClose(long)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -252,9 +252,6 @@
 	defer s.open.Add(-1)
 	arrived := clock.Now()
 	noteServing(r.Context())
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	request, body, result := s.prepare(w, r, arrived)
 	if body != nil {
 		defer body.Close()
