Requests that a stop cuts no longer count as left by their callers

What was seen: a request that is still served when the time of a planned stop is over, or as the router is stopped at once, ends with its caller's connection, both ended by this router. Its line and the counter of cut answers said caller-gone, so that a cut by the router looked like one by the caller, and often there was no line, since the process ended first.

Now the connection notes that this process closed it while a handler ran, and the reason is router-stopped.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -279,6 +279,8 @@
 	// its handler runs, callerEnded once the caller has closed or reset the connection, and timedOut if the
 	// last read ended at its deadline. They decide only what is counted when the connection is closed.
 	unanswered, serving, callerEnded, timedOut atomic.Bool
+	// closedServing is set if this process closed the connection while the handler of a request ran.
+	closedServing atomic.Bool
 
 	// evicted is set, with conns.mu held, if the connection ends while it is idle: to make room for another
 	// one, or since the server shuts down.
@@ -324,6 +326,12 @@
 	return ok && sockopt.RemoteClosed(c.Conn)
 }
 
+// closedServing reports whether this process has closed the connection of a request that is being served.
+func closedServing(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.closedServing.Load()
+}
+
 // wasReceived reports whether the connection of a request was handed over by another router. Refusals
 // close such connections, so that the router that its caller uses decides again which one serves it.
 func wasReceived(ctx context.Context) bool {
@@ -434,6 +442,7 @@
 		return nil
 	}
 	c.noteClosed(stopping)
+	c.closedServing.Store(c.serving.Load() && !c.callerEnded.Load() && !sockopt.RemoteClosed(c.Conn))
 	return c.Conn.Close()
 }
 
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -26,6 +26,12 @@
 
 // newStreamServer starts a server with one route, to streams of a target that listens on the listener it returns.
 func newStreamServer(t *testing.T) (s *ingress.Server, address string, target net.Listener) {
+	t.Helper()
+	return newObservedServer(t, ignoringObserver{})
+}
+
+// newObservedServer is newStreamServer with an observer.
+func newObservedServer(t *testing.T, o ingress.Observer) (s *ingress.Server, address string, target net.Listener) {
 	t.Helper()
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -60,7 +66,7 @@
 	names := headerNames
 	names.ExpectTarget = "X-Expect-Target"
 	f := forward.New(names, transport, loop, noSuspects{}, logr.Discard(), ignoringObserver{})
-	s = ingress.New(names, f, ignoringObserver{}, ingress.Limits{Requests: 10, Connections: 10}, memory.New(1<<30), logr.Discard())
+	s = ingress.New(names, f, o, ingress.Limits{Requests: 10, Connections: 10}, memory.New(1<<30), logr.Discard())
 	s.Configure(table)
 	callers := listen()
 	g.Go(func() { _ = s.Serve(callers) })
--- /dev/null
+++ b/internal/ingress/ended_test.go
@@ -0,0 +1,80 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/ingress"
+)
+
+// resultObserver is an observer that passes on the results of the request "r".
+type resultObserver chan forward.Result
+
+func (o resultObserver) RequestEnded(r forward.Request, result forward.Result, _ time.Duration) {
+	if r.ID == "r" {
+		o <- result
+	}
+}
+
+// TestEndOfExchangeHasItsReason guards against requests that the router ends itself and whose line blames the caller,
+// or that have no line at all.
+func TestEndOfExchangeHasItsReason(t *testing.T) {
+	const head, event = "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n", "f\r\nid: 1\ndata: x\n\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		end    func(caller, target net.Conn, s *ingress.Server)
+		want   forward.Reason
+		status int
+	}{
+		"caller goes":            {head + event, func(caller, _ net.Conn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, 200},
+		"target breaks off":      {head + event, func(_, target net.Conn, _ *ingress.Server) { _ = target.Close() }, forward.ReasonBroken, 200},
+		"server is closed":       {head + event, func(_, _ net.Conn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, 200},
+		"time for stop over":     {head + event, func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 200},
+		"stop before the answer": {"", func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 504},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			results := make(resultObserver, 1)
+			s, address, targets := newObservedServer(t, results)
+			caller, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			fmt.Fprint(caller, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nContent-Length: 1\r\n\r\n1")
+			target, err := targets.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer target.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(target)); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(target, c.answer)
+			time.Sleep(100 * time.Millisecond)
+			c.end(caller, target, s)
+			select {
+			case got := <-results:
+				if got.Reason != c.want || got.Status != c.status {
+					t.Errorf("status %d, reason %q, want %d, %q", got.Status, got.Reason, c.status, c.want)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("no result")
+			}
+		})
+	}
+}
+
+// shutDown shuts a server down whose time is over soon.
+func shutDown(s *ingress.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_ = s.Shutdown(ctx)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -69,6 +69,9 @@
 	ReasonOrganisationQueueFull forward.Reason = forward.ReasonOrganisationQueueFull
 )
 
+// ReasonStopped means that the server was closed while it served the request.
+const ReasonStopped forward.Reason = "router-stopped"
+
 const (
 	// minOverloadRetryAfter and overloadRetryAfterSpread are the minimum and the random part of
 	// the Retry-After when an organisation has too many waiting requests or the router is
@@ -216,6 +219,7 @@
 	if closeErr := s.server.Close(); closeErr != nil {
 		s.log.Info("HTTP server for callers not closed", "cause", closeErr.Error())
 	}
+	s.awaitEnds()
 	if open == 0 {
 		// Only connections were left, such as of callers that still sent a body that had been refused.
 		return nil
@@ -230,6 +234,16 @@
 	beginningInterval = 2 * time.Millisecond
 )
 
+// maxEnding is how long a server that has closed all connections waits for the handlers to report their requests.
+const maxEnding = 50 * time.Millisecond
+
+// awaitEnds waits until all requests have ended.
+func (s *Server) awaitEnds() {
+	for end := clock.Now().Add(maxEnding); s.open.Load() > 0 && clock.Now().Before(end); {
+		time.Sleep(beginningInterval)
+	}
+}
+
 // awaitBeginning waits until the handlers of all requests run that have begun. http.Server closes the
 // connections of the others without an answer once it shuts down, even of those that it has just read.
 func (s *Server) awaitBeginning(ctx context.Context) {
@@ -257,12 +271,15 @@
 		defer body.Close()
 	}
 	if result.Status == 0 {
-		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
 		a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
+		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
 		result = s.forwarder.Forward(r.Context(), request, a)
 		if !result.Truncated {
 			a.complete()
 		}
+		if result.Reason == forward.ReasonCallerGone && closedServing(r.Context()) {
+			result.Reason = ReasonStopped
+		}
 	}
 	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
 		w.Header().Set("Connection", "close")
