A request whose handler panics is answered 502, and its line says so

What callers saw, by reading and a test: a panic of the handler closed the connection; before the head of an answer the caller got nothing. closed_unanswered counted it as aborted, a panic within an answer was counted nowhere, and the HTTP server's line had no id.

Now the handler's end is the request's: 502 (it may have run) or, after the head of an answer, a cut, with the reason router-failed; the line "handler failed" has the id and the stack. The headers of a target's answer are dropped before.

The test failed before: "status 0, counted map[aborted:1]".

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -72,6 +73,9 @@
 // ReasonStopped means that the server was closed while it served the request.
 const ReasonStopped forward.Reason = "router-stopped"
 
+// ReasonPanic means that the handler of the request panicked.
+const ReasonPanic forward.Reason = "router-failed"
+
 const (
 	// minOverloadRetryAfter and overloadRetryAfterSpread are the minimum and the random part of
 	// the Retry-After when an organisation has too many waiting requests or the router is
@@ -266,12 +270,18 @@
 	defer s.open.Add(-1)
 	arrived := clock.Now()
 	noteServing(r.Context())
+	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
+	a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.handlePanic(a, request, cause)
+		}
+	}()
 	request, body, result := s.prepare(w, r, arrived)
 	if body != nil {
 		defer body.Close()
 	}
 	if result.Status == 0 {
-		a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
 		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
 		result = s.forwarder.Forward(r.Context(), request, a)
 		if !result.Truncated {
@@ -290,6 +300,21 @@
 	s.finish(w, request, result, arrived)
 }
 
+// handlePanic ends a request whose handler panicked: with an error answer, or with the connection if the caller has
+// the head of another answer.
+func (s *Server) handlePanic(a *answer, r forward.Request, cause any) {
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	s.log.Error(errors.Errorf("%v", cause), "handler failed", "id", r.ID, "stack", string(debug.Stack()))
+	if !a.headSent {
+		clear(a.w.Header())
+		a.w.Header().Set("Connection", "close")
+	}
+	result := forward.Result{Status: http.StatusBadGateway, Reason: ReasonPanic, HeadSent: a.headSent, Truncated: a.headSent}
+	s.finish(a.w, r, result, r.Arrived)
+}
+
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
 func (s *Server) finish(w http.ResponseWriter, r forward.Request, result forward.Result, arrived time.Time) {
@@ -404,6 +429,8 @@
 	w       http.ResponseWriter
 	flush   *http.ResponseController
 	request *http.Request
+	// headSent is set once the head has been sent.
+	headSent bool
 	// endsWithConnection is set if only the end of the connection tells the caller that of the answer.
 	endsWithConnection bool
 }
@@ -429,6 +456,7 @@
 		setResetOnClose(a.request.Context(), true)
 	}
 	a.w.WriteHeader(status)
+	a.headSent = true
 }
 
 // complete marks the answer as written to its end.
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
 // anyResult is an observer that ignores all results.
@@ -175,3 +176,30 @@
 		})
 	}
 }
+
+// panicOnly is an observer that expects only the request "1", whose handler panicked.
+type panicOnly struct{ t *testing.T }
+
+func (o panicOnly) RequestEnded(r forward.Request, result forward.Result, _ time.Duration) {
+	if r.ID != "1" || result.Reason != ReasonPanic {
+		o.t.Errorf("request %q: %+v", r.ID, result)
+	}
+}
+
+// A request whose handler panicked used to get no answer, and to leave no line with its id.
+func TestRequestIsAnsweredIfItsHandlerPanics(t *testing.T) {
+	s := newTestServer(panicOnly{t}, false)
+	s.memory = nil
+	table, err := routing.New(routing.Spec{
+		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "s", Weight: 1}}}},
+		Services: []routing.Service{{Name: "s"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	caller := dialServer(t, startTestServer(t, s), "POST / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx")
+	if got := status(caller); got != http.StatusBadGateway {
+		t.Errorf("status %d, counted %v", got, s.ClosedUnanswered())
+	}
+}
