A stop refuses requests on connections that nobody has accepted

What callers saw: at the end of a planned stop some requests ended with a reset and no answer. closed_unanswered counted none: they were in the kernel's accept queue as the listener was closed.

Now a listener that closes accepts what has arrived first, and refuses those requests (router-leaving) once it is closed; it waits 20 ms at most in all for their bytes.

The test failed before: "not accepted: no answer: connection reset by peer". What is left are connections that arrive between the last look and the close.

The test's table has a new case and a switch for it; its two old cases are as before.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -138,15 +138,45 @@
 	return &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}, nil
 }
 
-// Close implements net.Listener.
+// maxLastWait is how long a listener that closes waits for the requests of the connections that it still accepts.
+const maxLastWait = 20 * time.Millisecond
+
+// Close implements net.Listener. It refuses the requests on connections that nobody has accepted, which the kernel
+// would reset.
 func (l listener) Close() error {
 	l.conns.close()
+	var queued []sockopt.Socket
 	if l.acceptor != nil {
+		for socket, ok := l.acceptor.AcceptNow(); ok; socket, ok = l.acceptor.AcceptNow() {
+			queued = append(queued, socket)
+		}
 		if err := l.acceptor.Close(); err != nil {
 			l.server.log.Info("listening socket not closed", "cause", err.Error())
 		}
 	}
-	return l.Listener.Close()
+	err := l.Listener.Close()
+	l.server.refuseQueued(queued)
+	return err
+}
+
+// refuseQueued refuses the requests on connections that were accepted as the listener closed.
+func (s *Server) refuseQueued(queued []sockopt.Socket) {
+	buffer := scratchBuffers.Get().(*[scratchSize]byte)
+	defer scratchBuffers.Put(buffer)
+	end := clock.Now().Add(maxLastWait)
+	for _, socket := range queued {
+		n := socket.ReadNow(buffer[:])
+		for n == 0 && clock.Now().Before(end) {
+			time.Sleep(time.Millisecond)
+			n = socket.ReadNow(buffer[:])
+		}
+		if n == 0 {
+			// An error means that the caller has disconnected.
+			_ = socket.Close()
+			continue
+		}
+		s.refuseArrived(socket, buffer[:], n, ReasonLeaving, leavingRetryAfter)
+	}
 }
 
 // earlyConn is a new connection on which a request can be refused without blocking.
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -102,14 +102,17 @@
 
 // A request whose connection could not be admitted, since all connections were in use, must be answered if
 // the router shuts down before there is room, whether the listener reads in advance or not. One that it had
-// not read used to be refused without its id, on a connection that was then reset.
+// not read used to be refused without its id, on a connection that was then reset; one whose connection nobody had
+// accepted used to get a reset.
 func TestArrivedRequestIsAnsweredWhenTheListenerCloses(t *testing.T) {
-	for name, readsAhead := range map[string]bool{"read in advance": true, "unread": false} {
-		t.Run(name, func(t *testing.T) { closeListenerOfWaiting(t, readsAhead) })
+	for name, c := range map[string]struct{ readsAhead, accepted bool }{
+		"read in advance": {true, true}, "unread": {false, true}, "not accepted": {false, false},
+	} {
+		t.Run(name, func(t *testing.T) { closeListenerOfWaiting(t, c.readsAhead, c.accepted) })
 	}
 }
 
-func closeListenerOfWaiting(t *testing.T, readsAhead bool) {
+func closeListenerOfWaiting(t *testing.T, readsAhead, accepts bool) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -127,12 +130,14 @@
 	time.Sleep(50 * time.Millisecond)
 	g := group.New(context.Background())
 	defer g.Stop()
-	g.Go(func() {
-		if accepted, err := in.Accept(); err == nil {
-			t.Error("accepted")
-			_ = accepted.Close()
-		}
-	})
+	if accepts {
+		g.Go(func() {
+			if accepted, err := in.Accept(); err == nil {
+				t.Error("accepted")
+				_ = accepted.Close()
+			}
+		})
+	}
 	// By then its connection waits for room.
 	time.Sleep(50 * time.Millisecond)
 	if err := in.Close(); err != nil {
--- a/internal/sockopt/accept.go
+++ b/internal/sockopt/accept.go
@@ -43,6 +43,13 @@
 	return Socket(fd), callErr
 }
 
+// AcceptNow returns a connection that has arrived, without blocking, and false if there is none.
+func (a *Acceptor) AcceptNow() (Socket, bool) {
+	fd, callErr := -1, error(syscall.EAGAIN)
+	err := a.raw.Control(func(listener uintptr) { fd, callErr = accept(int(listener)) })
+	return Socket(fd), err == nil && callErr == nil
+}
+
 // accept accepts a connection. It retries if the call was interrupted or the connection was
 // aborted before it was accepted, and returns EAGAIN if there is none.
 func accept(listener int) (int, error) {
