--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -54,6 +54,10 @@
 		return t.targetFault(reason), t.firstAfter("targets known", end)
 	case "caller-gone":
 		return fmt.Sprintf("the caller left after %.0f ms", end.number("took_ms")), nil
+	case "router-stopped":
+		return "the router closed the connection, as the time of its planned stop was over", nonEmpty(t.lastBefore("planned stop begins", end.Router, end.Time, nil))
+	case "router-failed":
+		return "the router failed while it served the request", nil
 	case "caller-stalled":
 		return "the engine's answer had ended, and the caller took no more of it for too long", nil
 	case "deadline":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,6 +45,15 @@
 		wantCause, wantLine string
 	}{
 		"answered in time": {logs: []string{request(10, `,"outcome":"answered","status":200,"reason":"","first_ms":50`)}, wantCause: "in time"},
+		"cut by a planned stop": {
+			logs:      []string{line(3, "planned stop begins", `,"open":1`), request(10, `,"outcome":"cut","status":200,"reason":"router-stopped"`)},
+			wantCause: "planned stop",
+			wantLine:  "open=1",
+		},
+		"handler failed": {
+			logs:      []string{line(9, "handler failed", `,"id":"r"`), request(10, `,"outcome":"refused","status":502,"reason":"router-failed"`)},
+			wantCause: "router failed",
+		},
 		"late behind long prompts": {
 			logs:      []string{request(10, `,"outcome":"answered","status":200,"reason":"","first_ms":900,"sends":1,"unread":20000`)},
 			wantCause: "20000 prompt tokens",
