Test two more reasons of connections closed without an answer

timeout (the rest of a head does not come, after a whole line; within a line the HTTP server answers 400) and aborted (the handler ends the connection before anything was written) had no test.

--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -8,6 +8,8 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -74,9 +76,18 @@
 			wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
 			map[string]int64{closedStopping: 1},
 		},
+		"the rest does not come": {"GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) }, map[string]int64{closedTimeout: 1}},
+		"its answer is aborted":  {strings.Replace(wholeRequest, "GET", "DELETE", 1), func(*Server, net.Conn) {}, map[string]int64{closedAborted: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(anyResult{}, false)
+			s.server.ReadHeaderTimeout = 200 * time.Millisecond
+			s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if s.ServeHTTP(httptest.NewRecorder(), r); r.Method == http.MethodDelete {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
 			caller := dialServer(t, startTestServer(t, s), c.sent)
 			time.Sleep(50 * time.Millisecond)
 			c.end(s, caller)
