--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -69,6 +70,12 @@
 	ReasonOrganisationQueueFull forward.Reason = forward.ReasonOrganisationQueueFull
 )
 
+// ReasonStopped means that the server was closed while it served the request.
+const ReasonStopped forward.Reason = "router-stopped"
+
+// ReasonPanic means that the handler of the request panicked.
+const ReasonPanic forward.Reason = "router-failed"
+
 const (
 	// minOverloadRetryAfter and overloadRetryAfterSpread are the minimum and the random part of
 	// the Retry-After when an organisation has too many waiting requests or the router is
@@ -216,6 +223,7 @@
 	if closeErr := s.server.Close(); closeErr != nil {
 		s.log.Info("HTTP server for callers not closed", "cause", closeErr.Error())
 	}
+	s.awaitEnds()
 	if open == 0 {
 		// Only connections were left, such as of callers that still sent a body that had been refused.
 		return nil
@@ -230,6 +238,16 @@
 	beginningInterval = 2 * time.Millisecond
 )
 
+// maxEnding is how long a server that has closed all connections waits for the handlers to report their requests.
+const maxEnding = 50 * time.Millisecond
+
+// awaitEnds waits until all requests have ended.
+func (s *Server) awaitEnds() {
+	for end := clock.Now().Add(maxEnding); s.open.Load() > 0 && clock.Now().Before(end); {
+		time.Sleep(beginningInterval)
+	}
+}
+
 // awaitBeginning waits until the handlers of all requests run that have begun. http.Server closes the
 // connections of the others without an answer once it shuts down, even of those that it has just read.
 func (s *Server) awaitBeginning(ctx context.Context) {
@@ -252,22 +270,28 @@
 	defer s.open.Add(-1)
 	arrived := clock.Now()
 	noteServing(r.Context())
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
+	a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.handlePanic(a, request, cause)
+		}
+	}()
 	request, body, result := s.prepare(w, r, arrived)
 	if body != nil {
 		defer body.Close()
 	}
 	if result.Status == 0 {
 		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
-		a := &answer{w: w, flush: http.NewResponseController(w), request: r}
 		result = s.forwarder.Forward(r.Context(), request, a)
 		if !result.Truncated {
 			a.complete()
 		}
+		if result.Reason == forward.ReasonCallerGone && closedServing(r.Context()) {
+			result.Reason = ReasonStopped
+		}
 	}
-	if result.Status == http.StatusServiceUnavailable && !result.HeadSent && wasReceived(r.Context()) {
+	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
 		w.Header().Set("Connection", "close")
 	}
 	if result.Reason == ReasonBodyEvicted {
@@ -276,6 +300,21 @@
 	s.finish(w, request, result, arrived)
 }
 
+// handlePanic ends a request whose handler panicked: with an error answer, or with the connection if the caller has
+// the head of another answer.
+func (s *Server) handlePanic(a *answer, r forward.Request, cause any) {
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	s.log.Error(errors.Errorf("%v", cause), "handler failed", "id", r.ID, "stack", string(debug.Stack()))
+	if !a.headSent {
+		clear(a.w.Header())
+		a.w.Header().Set("Connection", "close")
+	}
+	result := forward.Result{Status: http.StatusBadGateway, Reason: ReasonPanic, HeadSent: a.headSent, Truncated: a.headSent}
+	s.finish(a.w, r, result, r.Arrived)
+}
+
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
 func (s *Server) finish(w http.ResponseWriter, r forward.Request, result forward.Result, arrived time.Time) {
@@ -387,9 +426,12 @@
 
 // answer writes a target's answer to the caller.
 type answer struct {
+	server  *Server
 	w       http.ResponseWriter
 	flush   *http.ResponseController
 	request *http.Request
+	// headSent is set once the head has been sent.
+	headSent bool
 	// endsWithConnection is set if only the end of the connection tells the caller that of the answer.
 	endsWithConnection bool
 }
@@ -406,12 +448,16 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if a.server.endsConnection(a.request.Context(), length < 0) {
+		h.Set("Connection", "close")
+	}
 	if length < 0 && !a.request.ProtoAtLeast(1, 1) {
 		// Whatever ends the answer early, even if it is the end of this process, must not look like its end.
 		a.endsWithConnection = true
 		setResetOnClose(a.request.Context(), true)
 	}
 	a.w.WriteHeader(status)
+	a.headSent = true
 }
 
 // complete marks the answer as written to its end.
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -8,6 +8,8 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
 // anyResult is an observer that ignores all results.
@@ -73,9 +76,18 @@
 			wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
 			map[string]int64{closedStopping: 1},
 		},
+		"the rest does not come": {"GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) }, map[string]int64{closedTimeout: 1}},
+		"its answer is aborted":  {strings.Replace(wholeRequest, "GET", "DELETE", 1), func(*Server, net.Conn) {}, map[string]int64{closedAborted: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(anyResult{}, false)
+			s.server.ReadHeaderTimeout = 200 * time.Millisecond
+			s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if s.ServeHTTP(httptest.NewRecorder(), r); r.Method == http.MethodDelete {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
 			caller := dialServer(t, startTestServer(t, s), c.sent)
 			time.Sleep(50 * time.Millisecond)
 			c.end(s, caller)
@@ -175,3 +187,30 @@
 		})
 	}
 }
+
+// panicOnly is an observer that expects only the request "1", whose handler panicked.
+type panicOnly struct{ t *testing.T }
+
+func (o panicOnly) RequestEnded(r forward.Request, result forward.Result, _ time.Duration) {
+	if r.ID != "1" || result.Reason != ReasonPanic {
+		o.t.Errorf("request %q: %+v", r.ID, result)
+	}
+}
+
+// A request whose handler panicked used to get no answer, and to leave no line with its id.
+func TestRequestIsAnsweredIfItsHandlerPanics(t *testing.T) {
+	s := newTestServer(panicOnly{t}, false)
+	s.memory = nil
+	table, err := routing.New(routing.Spec{
+		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "s", Weight: 1}}}},
+		Services: []routing.Service{{Name: "s"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	caller := dialServer(t, startTestServer(t, s), "POST / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\nx")
+	if got := status(caller); got != http.StatusBadGateway {
+		t.Errorf("status %d, counted %v", got, s.ClosedUnanswered())
+	}
+}
