A planned stop cuts no relayed answer whose engine pauses

With the switch `handover` on, callers whose connection a stopping router relayed lost their answer when the engine paused: the stream ended within a second of its last event, though the engine went on and the stop had time left.

Cause: a stopping router closed the relays on which nothing had moved for a quarter of the time left since the last piece of an answer. It doesn't read what it relays, so a pause of an answer and the time between two requests look the same to it. Only the receiver knows where an answer ends.

Now the receiver ends the connections of a leaving router, as the membership tells it: those without a request at once, the others after the answer in progress, with `Connection: close`. A request that arrives before the connection ends is answered, and one that arrives as it ends is refused as router-leaving. The sender leaves its relays alone until the last 250 ms of the stop, for receivers that don't learn of it. Connections are told apart by the host that they come from; those from a host that the membership doesn't know are ended too. Callers of such connections connect again, nothing else changes for them.

A connection that its caller keeps without a request does not lengthen the stop, before and now.

The spec of callers that keep relayed connections in use now checks as well that each request that an engine ran was answered.

Ruled out: that the stop itself or the route's timeout cut them (the same streams end whole now), and a message on the relayed connection (older receivers would take it for a request).

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 )
 
@@ -26,10 +28,10 @@
 	// second, one or two wait for the network; more means that this router is too slow even for
 	// handing over.
 	maxConnecting = 32
-	// In a planned stop, relays are closed that are quiet for one stopQuietPart-th of the time left,
-	// at least minStopQuiet: less would cut streams between two events.
-	stopQuietPart = 4
-	minStopQuiet  = 100 * time.Millisecond
+	// At the end of a planned stop, relays are closed that are quiet for stopQuiet: less would cut streams
+	// between two events. It happens stopQuietBefore the end, since closing them takes a moment.
+	stopQuiet       = 100 * time.Millisecond
+	stopQuietBefore = 250 * time.Millisecond
 )
 
 // handoverState holds what the router needs to hand connections over and to receive them. sender is
@@ -124,11 +126,41 @@
 	return ""
 }
 
+// endReceived ends the connections that leaving routers of the zone handed over, once their requests have
+// ended.
+func (g *Gateway) endReceived(now time.Time) {
+	var left []netip.Addr
+	for r := range g.roster.Leaving(now) {
+		if r.Zone == g.self.Zone {
+			left = append(left, host(r))
+		}
+	}
+	if left == nil {
+		g.server.EndReceived(nil)
+		return
+	}
+	staying := map[netip.Addr]bool{}
+	for r := range g.roster.Each(now) {
+		staying[host(r)] = true
+	}
+	for _, h := range append(left, netip.Addr{}) {
+		delete(staying, h)
+	}
+	g.server.EndReceived(staying)
+}
+
+// host returns the address of a router's host, or the zero Addr if its record has none.
+func host(r message.RouterRecord) netip.Addr {
+	a, _ := netip.ParseAddrPort(r.Peer)
+	return a.Addr().Unmap()
+}
+
 // updateHandover applies the configuration and the present routers of the zone.
 func (g *Gateway) updateHandover(s *balance.State, now time.Time) {
 	if g.handover.sender == nil {
 		return
 	}
+	g.endReceived(now)
 	t := g.catalog.Table()
 	g.handover.enabled.Store(t != nil && g.Features.Handover.Enabled(handoverByDefault))
 	// Routes may accept only shorter pauses.
@@ -161,18 +193,16 @@
 	return g.handover.sender.Open()
 }
 
-// closeQuietRelays closes the relayed connections that callers keep open without a request, as the
-// HTTP server does for other connections when it stops. What is still open at the end of the stop is
-// reset, so the time without a byte falls with the time that is left.
+// closeQuietRelays closes the relayed connections that callers keep open without a request, if the stop
+// is about to end, when those still open are reset. Before that, the routers that serve them close them:
+// an answer that pauses looks like no request from here.
 func (g *Gateway) closeQuietRelays(ctx context.Context) {
 	if g.handover.sender == nil {
 		return
 	}
-	quiet := handover.QuietTime
-	if end, ok := ctx.Deadline(); ok {
-		quiet = min(quiet, max(minStopQuiet, end.Sub(clock.Now())/stopQuietPart))
+	if end, ok := ctx.Deadline(); ok && end.Sub(clock.Now()) <= stopQuietBefore {
+		g.handover.sender.CloseQuiet(stopQuiet)
 	}
-	g.handover.sender.CloseQuiet(quiet)
 }
 
 // waitRelays waits until no connection is relayed any longer, or until ctx ends.
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -125,10 +126,57 @@
 		Expect(<-got).To(And(HaveField("Err", BeNil()), HaveField("Body", fullStream(events))))
 	})
 
+	// pausing streams events, and after the first one falls silent for 1.2 s on the path of a long stream.
+	pausing := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stream/short" {
+			streamer(3, 3, time.Millisecond)(w, r)
+			return
+		}
+		streamer(3, 3, 1200*time.Millisecond)(w, r)
+	}
+	DescribeTable(
+		"cuts no answer in a planned stop whose engine pauses", func(bothStop bool) {
+			const callers = 8
+			busy, other := pair(feature.On, spec(1), pausing)
+			postUntilHandedOver(busy, "/stream/short")
+			got := make(chan reply, 10*callers)
+			sent, before := 0, handoverStats(busy).Accepted
+			for ; handoverStats(busy).Accepted-before < callers && sent < cap(got); sent++ {
+				background(func() { got <- busy.post("/stream/long") })
+				time.Sleep(20 * time.Millisecond)
+			}
+			Eventually(func() int64 { return handoverStats(busy).Open }).Should(BeNumerically(">=", callers))
+			stopped := make(chan struct{})
+			background(func() {
+				defer close(stopped)
+				if bothStop {
+					other.Drain(context.Background(), 4*time.Second)
+				}
+			})
+			busy.Drain(context.Background(), 4*time.Second)
+			<-stopped
+			busy.Stop()
+			cut := 0
+			for range sent {
+				if r := <-got; r.Err != nil || r.Body != fullStream(3) {
+					cut++
+				}
+			}
+			Expect(cut).To(BeZero(), "of %d answers", sent)
+		},
+		Entry("at the sender", false),
+		Entry("at both routers", true),
+	)
+
 	It("cuts no answers in a planned stop on relayed connections that callers keep in use", func() {
 		const callers, events = 6, 5
-		busy, _ := pair(feature.On, spec(1), streamer(events, events, 30*time.Millisecond))
+		var began, answered atomic.Int64
+		busy, _ := pair(feature.On, spec(1), func(w http.ResponseWriter, r *http.Request) {
+			began.Add(1)
+			streamer(events, events, 30*time.Millisecond)(w, r)
+		})
 		postUntilHandedOver(busy, "/stream/x")
+		began.Store(0)
 		cut, before := make(chan string, callers), handoverStats(busy).Accepted
 		for range callers {
 			background(func() {
@@ -153,6 +201,7 @@
 						cut <- fmt.Sprint(string(body), err)
 						return
 					}
+					answered.Add(1)
 					time.Sleep(400 * time.Millisecond)
 				}
 				cut <- ""
@@ -165,6 +214,76 @@
 		for range callers {
 			Expect(<-cut).To(BeEmpty())
 		}
+		Expect(answered.Load()).To(Equal(began.Load()), "requests that an engine ran")
+	})
+
+	It("does not wait in a planned stop for callers that keep relayed connections without a request", func() {
+		busy, _ := pair(feature.On, spec(1), streamer(2, 2, time.Millisecond))
+		var c net.Conn
+		var in *bufio.Reader
+		Eventually(func() int64 {
+			before := handoverStats(busy).Accepted
+			var err error
+			c, err = net.Dial("tcp", busy.Self().Address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = c.Close() })
+			Expect(c.SetDeadline(time.Now().Add(15 * time.Second))).To(Succeed())
+			Expect(newRequest(busy.Self().Address, "/stream/x").Write(c)).To(Succeed())
+			in = bufio.NewReader(c)
+			res, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(res.Body)).To(BeEquivalentTo(fullStream(2)))
+			return handoverStats(busy).Accepted - before
+		}).WithTimeout(10 * time.Second).Should(Equal(int64(1)))
+		closed := make(chan error, 1)
+		background(func() {
+			_, err := in.ReadByte()
+			_ = c.Close()
+			closed <- err
+		})
+		began := time.Now()
+		busy.Drain(context.Background(), 6*time.Second)
+		Expect(time.Since(began)).To(BeNumerically("<", 4*time.Second))
+		Expect(<-closed).To(MatchError(io.EOF))
+	})
+
+	It("closes relayed connections that look unused only at the end of a planned stop if the other one does not", func() {
+		busy := newBox(tinyCores, feature.On)
+		busy.configure(spec(1))
+		busy.serve("t", pausing)
+		received, err := handover.Listen(context.Background(), "127.0.0.1:0", func() handover.Decline { return "" }, func() {})
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(pausing)}
+		background(func() { _ = server.Serve(received) })
+		DeferCleanup(server.Close)
+		f := newFakeRouter()
+		f.self.Capacity, f.self.Handover = manyCores, received.Addr().String()
+		f.ping(busy, true)
+		// The callers keep their connections.
+		transport := &http.Transport{MaxIdleConnsPerHost: 100}
+		DeferCleanup(transport.CloseIdleConnections)
+		got, sent := make(chan string, 100), 0
+		for ; handoverStats(busy).Accepted < 4 && sent < cap(got); sent++ {
+			path := []string{"/stream/long", "/stream/short"}[sent%2]
+			background(func() {
+				res, err := transport.RoundTrip(newRequest(busy.Self().Address, path))
+				if err != nil {
+					got <- err.Error()
+					return
+				}
+				defer res.Body.Close()
+				body, err := io.ReadAll(res.Body)
+				got <- fmt.Sprint(string(body), err)
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		Expect(handoverStats(busy).Accepted).To(BeNumerically(">=", 4))
+		busy.Drain(context.Background(), 5*time.Second)
+		Expect(handoverStats(busy).Open).To(BeZero())
+		busy.Stop()
+		for range sent {
+			Expect(<-got).To(Equal(fullStream(3) + "<nil>"))
+		}
 	})
 
 	It("cuts answers off when the other one ends, and does not repeat requests", func() {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -35,8 +36,10 @@
 	// elements in unread of those that reserveReceived counted and receivedListener has not accepted.
 	receivedUnread int
 	reserved       []*list.Element
-	idle           list.List
-	closed         bool
+	// staying is what EndReceived set.
+	staying map[netip.Addr]bool
+	idle    list.List
+	closed  bool
 	// ending is set once the server shuts down: requests that begin then are refused. beginning is the
 	// number of those that began before and whose handlers do not run yet.
 	ending    atomic.Bool
@@ -204,8 +207,9 @@
 	net.Conn
 	server *Server
 	conns  *conns
-	// received is set if another router handed the connection over.
+	// received is set if another router handed the connection over, which runs at host.
 	received bool
+	host     netip.Addr
 	// betweenRequests is set while no request is being read or served, when the next bytes
 	// start a new one. It needs no lock: only one goroutine of the HTTP server reads then.
 	betweenRequests bool
@@ -325,6 +329,8 @@
 	c.idleElement = s.idle.PushBack(c)
 	if s.ending.Load() {
 		s.evict(c)
+	} else {
+		s.evictIfRouterLeaves(c)
 	}
 	s.changed.Signal()
 }
@@ -496,7 +502,7 @@
 		c.betweenRequests = false
 		if !c.markInUse() {
 			reason, after := ReasonProcessFull, notReadyRetryAfter
-			if c.conns.ending.Load() {
+			if c.conns.ending.Load() || c.routerLeaves() {
 				reason, after = ReasonLeaving, leavingRetryAfter
 			}
 			c.refuseLast(b[:n], reason, after)
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -243,7 +243,7 @@
 	}
 	s := l.server.conns
 	return &conn{
-		Conn: raw, server: l.server, conns: s, received: true, waits: true, betweenRequests: true,
+		Conn: raw, server: l.server, conns: s, received: true, host: remoteHost(raw), waits: true, betweenRequests: true,
 		unreadElement: s.takeReserved(),
 	}, nil
 }
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -143,6 +144,69 @@
 			Expect(err).To(MatchError(io.EOF))
 		})
 
+		// A relay cannot tell an answer that pauses from the time between two requests.
+		Context("whose router leaves", func() {
+			none := head("/none", "k2", "r", 4, "") + "body"
+			self := netip.MustParseAddr("127.0.0.1")
+			var c net.Conn
+			var in *bufio.Reader
+
+			BeforeEach(func() {
+				Expect(s.ReserveReceived()).To(BeTrue())
+				c = dial(received, none)
+				in = bufio.NewReader(c)
+				Expect(reason(in)).To(Equal(string(ingress.ReasonNoRoute)))
+			})
+
+			DescribeTable(
+				"are closed when they have no request", func(staying map[netip.Addr]bool) {
+					s.EndReceived(staying)
+					_, err := in.ReadByte()
+					Expect(err).To(MatchError(io.EOF))
+				},
+				Entry("with no other router", map[netip.Addr]bool{}),
+				Entry("with one that stays", map[netip.Addr]bool{netip.MustParseAddr("10.0.0.1"): true}),
+			)
+
+			It("stay open if they come from another router", func() {
+				s.EndReceived(map[netip.Addr]bool{self: true})
+				_, err := io.WriteString(c, none)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(reason(in)).To(Equal(string(ingress.ReasonNoRoute)))
+				s.EndReceived(nil)
+				_, err = io.WriteString(c, none)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(reason(in)).To(Equal(string(ingress.ReasonNoRoute)))
+			})
+
+			It("answer a request that has begun, and are closed after it", func() {
+				_, err := io.WriteString(c, none[:20])
+				Expect(err).NotTo(HaveOccurred())
+				time.Sleep(50 * time.Millisecond)
+				s.EndReceived(map[netip.Addr]bool{})
+				time.Sleep(50 * time.Millisecond)
+				_, err = io.WriteString(c, none[20:])
+				Expect(err).NotTo(HaveOccurred())
+				res, err := http.ReadResponse(in, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(res.Close).To(BeTrue())
+				Expect(res.StatusCode).To(Equal(http.StatusNotFound))
+				_, err = io.ReadAll(res.Body)
+				Expect(err).NotTo(HaveOccurred())
+				_, err = in.ReadByte()
+				Expect(err).To(MatchError(io.EOF))
+			})
+
+			It("answer or refuse a request that arrives meanwhile", func() {
+				_, err := io.WriteString(c, none)
+				Expect(err).NotTo(HaveOccurred())
+				s.EndReceived(map[netip.Addr]bool{})
+				Expect(reason(in)).To(BeElementOf(string(ingress.ReasonNoRoute), string(ingress.ReasonLeaving)))
+				_, err = in.ReadByte()
+				Expect(err).To(MatchError(io.EOF))
+			})
+		})
+
 		It("take at most half of its connections", func() {
 			var open []net.Conn
 			for s.ReserveReceived() {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -252,7 +252,7 @@
 	defer s.open.Add(-1)
 	arrived := clock.Now()
 	noteServing(r.Context())
-	if s.closing.Load() {
+	if s.closing.Load() || routerLeaves(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	request, body, result := s.prepare(w, r, arrived)
--- a/internal/roster/known.go
+++ b/internal/roster/known.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// Leaving yields the records of the other running routers that have begun a planned stop.
+func (r *Roster) Leaving(now time.Time) iter.Seq[message.RouterRecord] {
+	return func(yield func(message.RouterRecord) bool) {
+		for e := range r.runningPeers(now) {
+			if e.RouterRecord.Leaving && !yield(e.RouterRecord) {
+				return
+			}
+		}
+	}
+}
+
 // Serving returns the records of the other running routers that serve callers' requests, sorted
 // by id.
 func (r *Roster) Serving(now time.Time) []message.RouterRecord {
