--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -39,8 +40,10 @@
 	// elements in unread of those that reserveReceived counted and receivedListener has not accepted.
 	receivedUnread int
 	reserved       []*list.Element
-	idle           list.List
-	closed         bool
+	// staying is what EndReceived set.
+	staying map[netip.Addr]bool
+	idle    list.List
+	closed  bool
 	// ending is set once the server shuts down: requests that begin then are refused. beginning is the
 	// number of those that began before and whose handlers do not run yet.
 	ending    atomic.Bool
@@ -260,8 +263,9 @@
 	net.Conn
 	server *Server
 	conns  *conns
-	// received is set if another router handed the connection over.
+	// received is set if another router handed the connection over, which runs at host.
 	received bool
+	host     netip.Addr
 	// betweenRequests is set while no request is being read or served, when the next bytes
 	// start a new one. It needs no lock: only one goroutine of the HTTP server reads then.
 	betweenRequests bool
@@ -342,7 +346,7 @@
 // endsConnection reports whether the answer to a request, which begins now, is to be the last one on its
 // connection. long is set if it does not tell its length.
 func (s *Server) endsConnection(ctx context.Context, long bool) bool {
-	if s.closing.Load() {
+	if s.closing.Load() || routerLeaves(ctx) {
 		return true
 	}
 	c, ok := ctx.Value(connKey{}).(*conn)
@@ -409,6 +413,8 @@
 	c.idleElement, c.idleSince = s.idle.PushBack(c), clock.Now()
 	if s.ending.Load() {
 		s.evict(c)
+	} else {
+		s.evictIfRouterLeaves(c)
 	}
 }
 
@@ -589,7 +595,7 @@
 		c.betweenRequests = false
 		if !c.markInUse() {
 			reason, after := ReasonProcessFull, notReadyRetryAfter
-			if c.conns.ending.Load() {
+			if c.conns.ending.Load() || c.routerLeaves() {
 				reason, after = ReasonLeaving, leavingRetryAfter
 			}
 			c.refuseLast(b[:n], reason, after)
