Log what became of each second send

Callers see nothing of this. While a target is silent, a second one is asked; second_sends counts what became of it, but nothing told whether the answer had begun, for how long two targets ran the request, and what was read for nothing. A line "second send" does, for those that were sent.

Evidence: TestSecondSendIsLogged (no such line before).

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
@@ -112,6 +113,30 @@
 	ids     atomic.Int64
 	// attempts is how often a request may be sent.
 	attempts int
+	logged   logged
+}
+
+// logged has the lines that were logged.
+type logged struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logged) logger() logr.Logger {
+	return funcr.New(func(_, line string) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lines = append(l.lines, line)
+	}, funcr.Options{})
+}
+
+// has reports whether a line with all the texts was logged.
+func (l *logged) has(texts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.lines, func(line string) bool {
+		return !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) })
+	})
 }
 
 func newBufferedForwarder(t testing.TB, budget int64, handlers ...http.HandlerFunc) *bufferedForwarder {
@@ -123,7 +148,7 @@
 	g.GoContext(loop.Run)
 	f := &bufferedForwarder{budget: answerbuffer.New(budget), attempts: len(handlers)}
 	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, LastEventID: "X-Last", Organisation: "X-Organisation"}
-	forwarder := forward.New(names, httptarget.New(g), loop, noSuspects{}, logr.Discard(), discard{})
+	forwarder := forward.New(names, httptarget.New(g), loop, noSuspects{}, f.logged.logger(), discard{})
 	f.testForwarder = &testForwarder{loop: loop, Forwarder: forwarder.WithBuffers(f.budget, func() bool { return true })}
 	for i, h := range handlers {
 		f.targets = append(f.targets, startTarget(t, fmt.Sprint("e", i), new(atomic.Int64), h))
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -204,6 +204,7 @@
 	if i < 0 {
 		if s.result.Sends > 0 {
 			x.counters.CountSecond(SecondOvertaken)
+			s.logEnd(SecondOvertaken)
 		}
 		return false
 	}
@@ -217,11 +218,13 @@
 		r.overtake()
 		r.abort(errSilent)
 		x.counters.CountSecond(SecondTookOver)
+		s.logEnd(SecondTookOver)
 		return true
 	}
 	switch {
 	case s.sent:
 		x.counters.CountSecond(SecondFailed)
+		s.logEnd(SecondFailed)
 	case !errors.Is(f.cause, errNoSecond):
 		x.counters.CountSecond(SecondNotPlaced)
 	case f.reason == ReasonNoTarget:
--- a/internal/forward/second.go
+++ b/internal/forward/second.go
@@ -231,6 +231,13 @@
 	return nil
 }
 
+// logEnd logs what became of a second send: how long two targets ran the request, and how many prompt tokens the second
+// one had to process.
+func (s *second) logEnd(r SecondResult) {
+	s.log.Info("second send", "id", s.ID, "target", s.target.ID, "result", string(r), "resumes", s.result.HeadSent,
+		"overlap_ms", clock.Since(s.sentAt).Milliseconds(), "uncached_tokens", s.result.UncachedTokens)
+}
+
 // discard ends a second exchange that does not go on with the answer, and which failed unless f is nil.
 func (s *second) discard(f *failure) {
 	s.cancel(errOvertaken)
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -142,3 +142,29 @@
 		})
 	}
 }
+
+// TestSecondSendIsLogged guards against targets that run a request twice without a trace of how long they did.
+func TestSecondSendIsLogged(t *testing.T) {
+	cases := map[string]struct {
+		first, second http.HandlerFunc
+		result        forward.SecondResult
+		resumes       bool
+	}{
+		"first one goes on":  {streamWithSilence(0, shortSilence), hangs, forward.SecondOvertaken, false},
+		"second one goes on": {streamWithSilence(6, time.Hour), streamTo(silentEvents, complete), forward.SecondTookOver, true},
+		"second one fails":   {streamWithSilence(0, shortSilence), refuse, forward.SecondFailed, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := silentFirst(t, c.first, c.second)
+			f.setTargets(t, f.onlyFirst()...)
+			time.AfterFunc(50*time.Millisecond, func() { f.setTargets(t, f.targets...) })
+			f.ask(t.Context(), silentRoute, 5*time.Second)
+			want := []string{`"second send"`, `"target"="e1"`, fmt.Sprintf(`"result"=%q`, c.result), fmt.Sprintf(`"resumes"=%t`, c.resumes), `"overlap_ms"=`}
+			if !f.logged.has(want...) {
+				t.Errorf("no line has %q: %q", want, f.logged.lines)
+			}
+		})
+	}
+}
