Count a target's silence from when the request was sent to it

What callers saw: a request was sent to a second target, and the first one's work was in vain, though the first one had been silent only since this router had taken its time to connect and write: on a starved box, or where connecting takes long.

Cause: silence was counted from the decision, and the timer ran before the connection was made.

Now it begins once the request is written (for a long body, once its writing has begun). While it is not written, it counts from the decision as before, so that a target that cannot be connected to is still replaced.

Evidence: TestOwnDelayIsNotSilenceOfTarget, "sent late" fails without the new beginning (the request takes 450 ms to be sent, the target answers 450 ms later, and a second one is asked 600 ms after the decision). "sent late to a silent one" and "not sent to the first one" pass on both: the rest is kept.

Not covered: the time that a request takes on a slow link, after the kernel has taken it.

--- a/internal/balance/second.go
+++ b/internal/balance/second.go
@@ -60,10 +60,14 @@
 // lastReceived returns when the request's target last sent a part of the answer; it is t.Arrived if none did.
 func (t *Ticket) lastReceived() time.Time { return t.Arrived.Add(time.Duration(t.LastReceived.Load())) }
 
-// silentFor returns how long the target of a request has sent it nothing.
+// silentFor returns how long the target of a request has sent it nothing since the request was written. While it is not
+// written, that is since the target was chosen.
 func (t *Ticket) silentFor(now time.Time) time.Duration {
-	if received := t.lastReceived(); received.After(t.sentAt) {
-		return now.Sub(received)
+	since := t.sentAt
+	for _, at := range []time.Time{t.lastReceived(), t.Arrived.Add(time.Duration(t.Sent.Load()))} {
+		if at.After(since) {
+			since = at
+		}
 	}
-	return now.Sub(t.sentAt)
+	return now.Sub(since)
 }
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -48,6 +48,9 @@
 	// LastReceived is when the target last sent a part of the answer, in nanoseconds after
 	// Arrived. The request's own goroutine sets it.
 	LastReceived atomic.Int64
+	// Sent is when the request was last written to a target, in nanoseconds after Arrived. The request's own goroutine
+	// sets it.
+	Sent atomic.Int64
 	// Pieces is the number of pieces in which the answer was forwarded. The request's own
 	// goroutine sets it.
 	Pieces atomic.Int64
--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -114,6 +114,21 @@
 	// attempts is how often a request may be sent.
 	attempts int
 	logged   logged
+	// sendDelay is how long it takes until a request to the first target is sent, in nanoseconds.
+	sendDelay atomic.Int64
+}
+
+// slowSender is a sender on a box that takes time to send requests to the first target.
+type slowSender struct {
+	*httptarget.Transport
+	delay *atomic.Int64
+}
+
+func (s slowSender) Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error) {
+	if d := time.Duration(s.delay.Load()); d > 0 && strings.HasPrefix(r.Instance, "e0") {
+		group.SleepUntil(ctx, time.Now().Add(d))
+	}
+	return s.Transport.Send(ctx, address, r)
 }
 
 // logged has the lines that were logged.
@@ -148,7 +163,7 @@
 	g.GoContext(loop.Run)
 	f := &bufferedForwarder{budget: answerbuffer.New(budget), attempts: len(handlers)}
 	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, LastEventID: "X-Last", Organisation: "X-Organisation"}
-	forwarder := forward.New(names, httptarget.New(g), loop, noSuspects{}, f.logged.logger(), discard{})
+	forwarder := forward.New(names, slowSender{httptarget.New(g), &f.sendDelay}, loop, noSuspects{}, f.logged.logger(), discard{})
 	f.testForwarder = &testForwarder{loop: loop, Forwarder: forwarder.WithBuffers(f.budget, func() bool { return true })}
 	for i, h := range handlers {
 		f.targets = append(f.targets, startTarget(t, fmt.Sprint("e", i), new(atomic.Int64), h))
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -78,6 +78,17 @@
 	r.reset(silence)
 }
 
+// noteSent lets the silence of a target begin, as the request has only now been sent.
+func (x *inflight) noteSent() {
+	x.ticket.Sent.Store(clock.Since(x.ticket.Arrived).Nanoseconds())
+	r := &x.race
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.armed && len(r.seconds) == 0 {
+		r.reset(r.silence)
+	}
+}
+
 // reset makes the timer fire after a time.
 func (r *race) reset(d time.Duration) {
 	r.due = clock.Now().Add(d)
--- a/internal/forward/slow_send_test.go
+++ b/internal/forward/slow_send_test.go
@@ -80,3 +80,36 @@
 	f.setTargets(t, f.targets...)
 	callers.Wait()
 }
+
+// TestOwnDelayIsNotSilenceOfTarget guards against requests that are sent twice since this router took its time to send
+// them, and against those that wait for good for a target that they cannot be sent to.
+func TestOwnDelayIsNotSilenceOfTarget(t *testing.T) {
+	const delay = 450 * time.Millisecond
+	cases := map[string]struct {
+		delay time.Duration
+		first http.HandlerFunc
+		sends int
+		limit time.Duration
+	}{
+		"sent late":                 {delay, streamWithSilence(0, delay), 1, 2 * delay},
+		"sent late to a silent one": {delay, hangs, 2, delay + 600*time.Millisecond},
+		"not sent to the first one": {time.Hour, hangs, 1, 600 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := silentFirst(t, c.first, streamTo(silentEvents, complete))
+			f.sendDelay.Store(int64(c.delay))
+			f.setTargets(t, f.onlyFirst()...)
+			time.AfterFunc(50*time.Millisecond, func() { f.setTargets(t, f.targets...) })
+			began := time.Now()
+			got, result := f.ask(t.Context(), silentRoute, 5*time.Second)
+			if want := eventsFrom(0, silentEvents); got != want || result.Sends != c.sends {
+				t.Errorf("the caller got %q with %d sends, want %q with %d", got, result.Sends, want, c.sends)
+			}
+			if took := time.Since(began); took > c.limit+500*time.Millisecond {
+				t.Errorf("the request took %v", took)
+			}
+		})
+	}
+}
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -96,7 +96,7 @@
 func (x *inflight) send(ctx context.Context, to balance.Target) (*httptarget.Answer, error) {
 	return x.sender.Send(ctx, to.Address, httptarget.Request{
 		Method: x.Method, Head: x.requestHead(to, x.deadline), Body: x.Body, Instance: to.Incarnation(),
-		ID: x.ID, IDHeader: x.headers.RequestID,
+		ID: x.ID, IDHeader: x.headers.RequestID, OnSent: x.noteSent,
 	})
 }
 
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -85,6 +85,8 @@
 	// Instance names the process that the request is for. A connection made for another
 	// process at the same address is not reused.
 	Instance string
+	// OnSent, if it is set, is called once there is a connection and the request is written, but for a long body.
+	OnSent func()
 }
 
 // Stats counts connections and unexpected answers since the start.
@@ -164,6 +166,9 @@
 		t.noteBroken(c.endpoint, err)
 		return nil, errors.Wrapf(ErrBroken, "write to %s: %v", address, err)
 	}
+	if r.OnSent != nil {
+		r.OnSent()
+	}
 	if err := a.readHead(r); err != nil {
 		a.Close()
 		if errors.Is(err, ErrHeadTooLong) {
