--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -78,6 +78,17 @@
 	r.reset(silence)
 }
 
+// noteSent lets the silence of a target begin, as the request has only now been sent.
+func (x *inflight) noteSent() {
+	x.ticket.Sent.Store(clock.Since(x.ticket.Arrived).Nanoseconds())
+	r := &x.race
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.armed && len(r.seconds) == 0 {
+		r.reset(r.silence)
+	}
+}
+
 // reset makes the timer fire after a time.
 func (r *race) reset(d time.Duration) {
 	r.due = clock.Now().Add(d)
@@ -204,6 +215,7 @@
 	if i < 0 {
 		if s.result.Sends > 0 {
 			x.counters.CountSecond(SecondOvertaken)
+			s.logEnd(SecondOvertaken)
 		}
 		return false
 	}
@@ -217,11 +229,13 @@
 		r.overtake()
 		r.abort(errSilent)
 		x.counters.CountSecond(SecondTookOver)
+		s.logEnd(SecondTookOver)
 		return true
 	}
 	switch {
 	case s.sent:
 		x.counters.CountSecond(SecondFailed)
+		s.logEnd(SecondFailed)
 	case !errors.Is(f.cause, errNoSecond):
 		x.counters.CountSecond(SecondNotPlaced)
 	case f.reason == ReasonNoTarget:
