--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -74,6 +74,28 @@
 	return s, callers.Addr().String(), target
 }
 
+// exchange sends the request "r" and returns the connections of the caller and of the target that got it.
+func exchange(t *testing.T, address string, targets net.Listener, protocol string) (caller, target net.Conn) {
+	t.Helper()
+	caller, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	if err := caller.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(caller, "POST /x %s\r\nHost: h\r\nX-Id: r\r\nContent-Length: 1\r\n\r\n1", protocol)
+	if target, err = targets.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = target.Close() })
+	if _, err := http.ReadRequest(bufio.NewReader(target)); err != nil {
+		t.Fatal(err)
+	}
+	return caller, target
+}
+
 // TestCutAnswerThatEndsWithItsConnection guards against answers that are cut and look complete to callers of
 // HTTP/1.0, to whom an answer of unknown length ends with its connection.
 func TestCutAnswerThatEndsWithItsConnection(t *testing.T) {
@@ -94,23 +116,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, address, targets := newStreamServer(t)
-			caller, err := net.Dial("tcp", address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer caller.Close()
-			if err := caller.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
-				t.Fatal(err)
-			}
-			fmt.Fprint(caller, "POST /x HTTP/1.0\r\nHost: h\r\nX-Id: r\r\nContent-Length: 1\r\n\r\n1")
-			target, err := targets.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer target.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(target)); err != nil {
-				t.Fatal(err)
-			}
+			caller, target := exchange(t, address, targets, "HTTP/1.0")
 			const event = "id: 1\ndata: x\n\n"
 			fmt.Fprintf(target, "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(event), event)
 			answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
--- a/internal/ingress/ended_test.go
+++ b/internal/ingress/ended_test.go
@@ -1,12 +1,9 @@
 package ingress_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -43,20 +40,7 @@
 			t.Parallel()
 			results := make(resultObserver, 1)
 			s, address, targets := newObservedServer(t, results)
-			caller, err := net.Dial("tcp", address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer caller.Close()
-			fmt.Fprint(caller, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nContent-Length: 1\r\n\r\n1")
-			target, err := targets.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer target.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(target)); err != nil {
-				t.Fatal(err)
-			}
+			caller, target := exchange(t, address, targets, "HTTP/1.1")
 			_, _ = io.WriteString(target, c.answer)
 			time.Sleep(100 * time.Millisecond)
 			c.end(caller, target, s)
