Room that comes late is made for all connections that wait

At the limit, callers of new connections waited 50 ms each, one after another, while all idle connections were younger than 1 s and no answer began that could make room, as with long streams: 20 connections a second. Each one waited anew for an answer, though it had waited in the accept queue already.

Those that were in the accept queue when a wait was in vain now take an idle connection without another wait. Answers get a chance again for each one that comes after that, so closes stay announced where answers make room.

--- a/internal/ingress/arrivals.go
+++ b/internal/ingress/arrivals.go
@@ -63,3 +63,16 @@
 	}
 	s.arrivals.Queued, s.arrivals.QueueLimit = max(s.arrivals.Queued, queued), limit
 }
+
+// queued returns the length of the accept queue, or 0 if it is not known. mu must be held.
+func (s *conns) queued() int {
+	if s.listener == nil {
+		return 0
+	}
+	n, _, err := sockopt.AcceptQueue(s.listener)
+	if err != nil {
+		// The listener is closed, or the system does not tell.
+		return 0
+	}
+	return n
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -34,6 +34,9 @@
 	// answer has said that its connection is closed. full is whether there are any, to be read without mu.
 	waiting, announced int
 	full               atomic.Bool
+	// late is positive while connections are accepted that have waited in the accept queue, in vain, for an answer to
+	// make room.
+	late int
 	// received is the number of open connections that other routers handed over.
 	received int
 	// receivedUnread is the number of those that have not been read yet, and reserved holds the
@@ -95,9 +98,12 @@
 	began := clock.Now()
 	s.countWaiting(1)
 	minIdle := stayIdleTime
+	if s.late > 0 {
+		minIdle = announceTime
+	}
 	for round := began; s.open >= s.max && !s.closed; {
 		if clock.Since(round) >= announceTime {
-			s.announced, round, minIdle = 0, clock.Now(), announceTime
+			s.announced, round, minIdle, s.late = 0, clock.Now(), announceTime, 1+s.queued()
 		}
 		if !s.evictIdle(minIdle) {
 			wake := time.AfterFunc(announceTime, s.changed.Broadcast)
@@ -213,6 +219,7 @@
 	defer s.mu.Unlock()
 	s.accepted++
 	s.arrivals.Accepted++
+	s.late = max(s.late-1, 0)
 	return s.unread.Enqueue(clock.Now(), s.overloaded())
 }
 
--- /dev/null
+++ b/internal/ingress/room_internal_test.go
@@ -0,0 +1,48 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestLateRoomIsMadeForAllThatWait guards against new connections that are admitted one by one, each after a wait, while
+// others are idle and answers that make room are long.
+func TestLateRoomIsMadeForAllThatWait(t *testing.T) {
+	const connections = 12
+	s := newTestServer(anyResult{}, false)
+	s.conns.max = connections
+	serving, ended := make(chan struct{}, connections), make(chan struct{})
+	s.server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		noteServing(r.Context())
+		if r.Header.Get("X-Id") == "new" {
+			serving <- struct{}{}
+			<-ended
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	defer close(ended)
+	address := startTestServer(t, s)
+	for range connections {
+		dialServer(t, address, wholeRequest)
+	}
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	for range connections {
+		dialServer(t, address, text("X-Id: new\r\n", ""))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range connections {
+		select {
+		case <-serving:
+		case <-ctx.Done():
+			t.Fatal("not served")
+		}
+	}
+	if took := time.Since(began); took > 6*announceTime {
+		t.Errorf("%d connections waited %v for room", connections, took)
+	}
+}
