A wait for room does not make new connections overdue under overload

Callers at a router at its limit that was short of CPU time got 503 router-overdue after about 86 ms, though a connection had become idle 15 ms after they had connected: the wait for an answer that makes room, twice 50 ms, counts in the 65 ms after which new connections are rejected.

Under overload the wait is 15 ms, so that two of them leave half of that time for the CPU.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -77,6 +77,9 @@
 	// announceTime is how long a new connection waits for an answer to make room, before another one is to, or a
 	// connection that has been idle for that long. A caller with another request sends it sooner.
 	announceTime = 50 * time.Millisecond
+	// overloadedAnnounceTime is announceTime while the router is short of CPU time: the wait counts in the time after
+	// which a new connection is rejected.
+	overloadedAnnounceTime = 15 * time.Millisecond
 	// stayIdleTime is the time after which an idle connection is closed for a new one at once.
 	stayIdleTime = time.Second
 )
@@ -97,16 +100,19 @@
 func (s *conns) awaitRoom() {
 	began := clock.Now()
 	s.countWaiting(1)
-	minIdle := stayIdleTime
+	wait, minIdle := announceTime, stayIdleTime
+	if s.overloaded() {
+		wait = overloadedAnnounceTime
+	}
 	if s.late > 0 {
-		minIdle = announceTime
+		minIdle = wait
 	}
 	for round := began; s.open >= s.max && !s.closed; {
-		if clock.Since(round) >= announceTime {
-			s.announced, round, minIdle, s.late = 0, clock.Now(), announceTime, 1+s.queued()
+		if clock.Since(round) >= wait {
+			s.announced, round, minIdle, s.late = 0, clock.Now(), wait, 1+s.queued()
 		}
 		if !s.evictIdle(minIdle) {
-			wake := time.AfterFunc(announceTime, s.changed.Broadcast)
+			wake := time.AfterFunc(wait, s.changed.Broadcast)
 			s.changed.Wait()
 			wake.Stop()
 		}
--- a/internal/ingress/room_internal_test.go
+++ b/internal/ingress/room_internal_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -46,3 +47,33 @@
 		t.Errorf("%d connections waited %v for room", connections, took)
 	}
 }
+
+// TestWaitForRoomIsNotOverdue guards against new connections that are rejected for want of CPU time as they waited for
+// room, though a connection became idle soon.
+func TestWaitForRoomIsNotOverdue(t *testing.T) {
+	s := newTestServer(anyResult{}, true)
+	s.conns.max = 1
+	serving, end := make(chan struct{}), make(chan struct{})
+	s.server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		noteServing(r.Context())
+		if r.Header.Get("X-Id") == "long" {
+			serving <- struct{}{}
+			<-end
+		}
+	})
+	address := startTestServer(t, s)
+	dialServer(t, address, text("X-Id: long\r\n", ""))
+	<-serving
+	c := dialServer(t, address, wholeRequest)
+	time.Sleep(15 * time.Millisecond)
+	close(end)
+	began := time.Now()
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		t.Errorf("%s after %v", res.Status, time.Since(began))
+	}
+}
