A stop refuses more queued requests than it may open descriptors

Callers whose connections nobody had accepted when a planned stop closed the listener got a reset beyond the free descriptors of the process: all were accepted before any was refused.

Requests that have arrived are refused as they are accepted, so that each one needs a descriptor only for a moment. That takes longer, so a time bounds it while callers keep connecting.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -138,33 +138,54 @@
 	return &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}, nil
 }
 
-// maxLastWait is how long a listener that closes waits for the requests of the connections that it still accepts.
-const maxLastWait = 20 * time.Millisecond
+const (
+	// maxLastWait is how long a listener that closes waits for the requests of the connections that it still accepts.
+	maxLastWait = 20 * time.Millisecond
+	// maxLastAccepts is how long it accepts connections while callers keep connecting.
+	maxLastAccepts = 100 * time.Millisecond
+)
 
 // Close implements net.Listener. It refuses the requests on connections that nobody has accepted, which the kernel
 // would reset.
 func (l listener) Close() error {
 	l.conns.close()
-	var queued []sockopt.Socket
+	var waiting []sockopt.Socket
 	if l.acceptor != nil {
-		for socket, ok := l.acceptor.AcceptNow(); ok; socket, ok = l.acceptor.AcceptNow() {
-			queued = append(queued, socket)
-		}
+		waiting = l.refuseQueued()
 		if err := l.acceptor.Close(); err != nil {
 			l.server.log.Info("listening socket not closed", "cause", err.Error())
 		}
 	}
 	err := l.Listener.Close()
-	l.server.refuseQueued(queued)
+	l.server.refuseAwaited(waiting)
 	return err
 }
 
-// refuseQueued refuses the requests on connections that were accepted as the listener closed.
-func (s *Server) refuseQueued(queued []sockopt.Socket) {
+// refuseQueued accepts the connections that nobody has accepted, and refuses the requests that have arrived. It returns
+// the connections without one. The others are closed one by one, since there may be more than the process may open.
+func (l listener) refuseQueued() (waiting []sockopt.Socket) {
+	buffer := scratchBuffers.Get().(*[scratchSize]byte)
+	defer scratchBuffers.Put(buffer)
+	for end := clock.Now().Add(maxLastAccepts); clock.Now().Before(end); {
+		socket, ok := l.acceptor.AcceptNow()
+		if !ok {
+			break
+		}
+		if n := socket.ReadNow(buffer[:]); n > 0 {
+			l.server.refuseArrived(socket, buffer[:], n, ReasonLeaving, leavingRetryAfter)
+		} else {
+			waiting = append(waiting, socket)
+		}
+	}
+	return waiting
+}
+
+// refuseAwaited waits for the requests on connections that were accepted as the listener closed, and refuses them.
+func (s *Server) refuseAwaited(waiting []sockopt.Socket) {
 	buffer := scratchBuffers.Get().(*[scratchSize]byte)
 	defer scratchBuffers.Put(buffer)
 	end := clock.Now().Add(maxLastWait)
-	for _, socket := range queued {
+	for _, socket := range waiting {
 		n := socket.ReadNow(buffer[:])
 		for n == 0 && clock.Now().Before(end) {
 			time.Sleep(time.Millisecond)
