Answers announce closes for all connections in the accept queue

At the limit, callers of new connections waited until answers had made room one after another: only the connection that had been accepted counted as waiting, so that one close was announced at a time.

--- a/internal/ingress/arrivals.go
+++ b/internal/ingress/arrivals.go
@@ -64,8 +64,8 @@
 	s.arrivals.Queued, s.arrivals.QueueLimit = max(s.arrivals.Queued, queued), limit
 }
 
-// queued returns the length of the accept queue, or 0 if it is not known. mu must be held.
-func (s *conns) queued() int {
+// queueLength returns the length of the accept queue, or 0 if it is not known. mu must be held.
+func (s *conns) queueLength() int {
 	if s.listener == nil {
 		return 0
 	}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -30,10 +30,11 @@
 
 	mu   sync.Mutex
 	open int
-	// waiting is the number of connections that wait for room, and announced the number of those for which an
-	// answer has said that its connection is closed. full is whether there are any, to be read without mu.
-	waiting, announced int
-	full               atomic.Bool
+	// waiting is the number of connections that wait for room, queued that of others in the accept queue when the last
+	// of them began to, and announced the number of those for which an answer has said that its connection is closed.
+	// full is whether any wait, to be read without mu.
+	waiting, queued, announced int
+	full                       atomic.Bool
 	// late is positive while connections are accepted that have waited in the accept queue, in vain, for an answer to
 	// make room.
 	late int
@@ -92,6 +93,7 @@
 	if s.open >= s.max {
 		s.awaitRoom()
 	}
+	s.announced = max(s.announced-1, 0)
 	s.open++
 	return !s.closed
 }
@@ -100,6 +102,7 @@
 func (s *conns) awaitRoom() {
 	began := clock.Now()
 	s.countWaiting(1)
+	s.queued = s.queueLength()
 	wait, minIdle := announceTime, stayIdleTime
 	if s.overloaded() {
 		wait = overloadedAnnounceTime
@@ -109,7 +112,8 @@
 	}
 	for round := began; s.open >= s.max && !s.closed; {
 		if clock.Since(round) >= wait {
-			s.announced, round, minIdle, s.late = 0, clock.Now(), wait, 1+s.queued()
+			s.announced, s.queued, round, minIdle = 0, s.queueLength(), clock.Now(), wait
+			s.late = 1 + s.queued
 		}
 		if !s.evictIdle(minIdle) {
 			wake := time.AfterFunc(wait, s.changed.Broadcast)
@@ -118,7 +122,6 @@
 		}
 	}
 	s.countWaiting(-1)
-	s.announced = max(s.announced-1, 0)
 	s.arrivals.RoomWait = max(s.arrivals.RoomWait, clock.Since(began))
 }
 
@@ -139,7 +142,7 @@
 	if long {
 		return s.waiting > 0
 	}
-	if s.announced >= s.waiting {
+	if s.announced >= s.waiting+s.queued {
 		return false
 	}
 	s.announced++
--- a/internal/ingress/room_internal_test.go
+++ b/internal/ingress/room_internal_test.go
@@ -77,3 +77,28 @@
 		t.Errorf("%s after %v", res.Status, time.Since(began))
 	}
 }
+
+// TestRoomIsAnnouncedForQueue guards against new connections that wait in the accept queue until answers have made room
+// one after another.
+func TestRoomIsAnnouncedForQueue(t *testing.T) {
+	const queued = 5
+	s := newTestServer(anyResult{}, false)
+	s.conns.max = 1
+	address := startTestServer(t, s)
+	dialServer(t, address, "")
+	time.Sleep(announceTime / 5)
+	for range 1 + queued {
+		dialServer(t, address, wholeRequest)
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(announceTime + announceTime/5)
+	announced := 0
+	for range 2 * queued {
+		if s.conns.announceClose(false) {
+			announced++
+		}
+	}
+	if announced <= queued {
+		t.Errorf("%d closes announced while %d connections wait", announced, 1+queued)
+	}
+}
