--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -30,10 +30,14 @@
 
 	mu   sync.Mutex
 	open int
-	// waiting is the number of connections that wait for room, and announced the number of those for which an
-	// answer has said that its connection is closed. full is whether there are any, to be read without mu.
-	waiting, announced int
-	full               atomic.Bool
+	// waiting is the number of connections that wait for room, queued that of others in the accept queue when the last
+	// of them began to, and announced the number of those for which an answer has said that its connection is closed.
+	// full is whether any wait, to be read without mu.
+	waiting, queued, announced int
+	full                       atomic.Bool
+	// late is positive while connections are accepted that have waited in the accept queue, in vain, for an answer to
+	// make room.
+	late int
 	// received is the number of open connections that other routers handed over.
 	received int
 	// receivedUnread is the number of those that have not been read yet, and reserved holds the
@@ -74,6 +78,9 @@
 	// announceTime is how long a new connection waits for an answer to make room, before another one is to, or a
 	// connection that has been idle for that long. A caller with another request sends it sooner.
 	announceTime = 50 * time.Millisecond
+	// overloadedAnnounceTime is announceTime while the router is short of CPU time: the wait counts in the time after
+	// which a new connection is rejected.
+	overloadedAnnounceTime = 15 * time.Millisecond
 	// stayIdleTime is the time after which an idle connection is closed for a new one at once.
 	stayIdleTime = time.Second
 )
@@ -86,6 +93,7 @@
 	if s.open >= s.max {
 		s.awaitRoom()
 	}
+	s.announced = max(s.announced-1, 0)
 	s.open++
 	return !s.closed
 }
@@ -94,19 +102,26 @@
 func (s *conns) awaitRoom() {
 	began := clock.Now()
 	s.countWaiting(1)
-	minIdle := stayIdleTime
+	s.queued = s.queueLength()
+	wait, minIdle := announceTime, stayIdleTime
+	if s.overloaded() {
+		wait = overloadedAnnounceTime
+	}
+	if s.late > 0 {
+		minIdle = wait
+	}
 	for round := began; s.open >= s.max && !s.closed; {
-		if clock.Since(round) >= announceTime {
-			s.announced, round, minIdle = 0, clock.Now(), announceTime
+		if clock.Since(round) >= wait {
+			s.announced, s.queued, round, minIdle = 0, s.queueLength(), clock.Now(), wait
+			s.late = 1 + s.queued
 		}
 		if !s.evictIdle(minIdle) {
-			wake := time.AfterFunc(announceTime, s.changed.Broadcast)
+			wake := time.AfterFunc(wait, s.changed.Broadcast)
 			s.changed.Wait()
 			wake.Stop()
 		}
 	}
 	s.countWaiting(-1)
-	s.announced = max(s.announced-1, 0)
 	s.arrivals.RoomWait = max(s.arrivals.RoomWait, clock.Since(began))
 }
 
@@ -127,7 +142,7 @@
 	if long {
 		return s.waiting > 0
 	}
-	if s.announced >= s.waiting {
+	if s.announced >= s.waiting+s.queued {
 		return false
 	}
 	s.announced++
@@ -213,6 +228,7 @@
 	defer s.mu.Unlock()
 	s.accepted++
 	s.arrivals.Accepted++
+	s.late = max(s.late-1, 0)
 	return s.unread.Enqueue(clock.Now(), s.overloaded())
 }
 
