Keep account of requests from their first byte to their end

Three reports of lost requests came without logs, and no figure of a router could show one: ends are counted where somebody thought of it, and nothing compares them with what was read. A tracker counts each request once as read and once by its end; one that is over without an end, or that gets two, is an error at once.

--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,60 @@
+package lifecycle_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
+)
+
+const window = 3 * time.Second
+
+func ExampleTracker() {
+	now := time.Now()
+	t := lifecycle.New(window, logr.Discard())
+	first, second := t.Begin(now), t.Begin(now)
+	first.Decide("first", lifecycle.Answered)
+	first.Close(now, "")
+	t.NoteChange(now)
+	second.Decide("second", lifecycle.Answered)
+	second.NoteUndelivered(lifecycle.CallerGone)
+	second.Close(now, "")
+	sums := t.Sums(now)
+	fmt.Println(sums.Read, sums.Ends, sums.NearChange, sums.Check())
+	// Output: 2 map[answered:1 caller-gone:1] map[caller-gone:1] <nil>
+}
+
+func TestCheckNamesWhatIsWrong(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		end  func(*lifecycle.Request)
+		want error
+	}{
+		"in progress":       {func(*lifecycle.Request) {}, nil},
+		"ended":             {func(r *lifecycle.Request) { r.Decide("r", lifecycle.Refused); r.Close(now, "") }, nil},
+		"closed, with why":  {func(r *lifecycle.Request) { r.Close(now, lifecycle.Unanswered) }, nil},
+		"closed twice":      {func(r *lifecycle.Request) { r.Close(now, lifecycle.CallerGone); r.Close(now, "") }, nil},
+		"forgotten":         {func(r *lifecycle.Request) { r.Close(now, "") }, lifecycle.ErrForgotten},
+		"two ends":          {func(r *lifecycle.Request) { r.Decide("r", lifecycle.Cut); r.Decide("r", lifecycle.Cut) }, lifecycle.ErrEndedTwice},
+		"end after the end": {func(r *lifecycle.Request) { r.Close(now, lifecycle.Cut); r.Decide("r", lifecycle.Cut) }, lifecycle.ErrEndedTwice},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := lifecycle.New(window, logr.Discard())
+			c.end(tracker.Begin(now))
+			if err := tracker.Sums(now).Check(); !errors.Is(err, c.want) {
+				t.Errorf("Check() = %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+func TestCheckOfUnbalancedSums(t *testing.T) {
+	sums := lifecycle.Sums{Read: 3, Open: 1, Ends: map[lifecycle.End]int64{lifecycle.Answered: 1}}
+	if err := sums.Check(); !errors.Is(err, lifecycle.ErrUnbalanced) {
+		t.Errorf("Check() = %v", err)
+	}
+}
