Callers' requests are accounted for from their first byte to their end

What operators saw: nothing.

Each connection now opens the account of a request with its first byte. The handler, or whoever refuses the request before it, decides its end; it counts once the answer is written or the connection is closed, so that an answer whose last bytes could not be written is no whole one. A handler that returns without an end, or a second end, is an error line at once. The figure requests has the sums, by end and by whether the configuration had just changed; the line 'requests accounted' has them at the end of a planned stop; request lines say end, config_end and since_change_ms.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/config"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
@@ -155,6 +156,7 @@
 	g.server.Configure(t)
 	g.answers.enabled.Store(g.Features.AnswerBuffers.Enabled(t.AllTolerate()))
 	now := clock.Now()
+	g.requests.NoteChange(lifecycle.Change{Version: t.Version(), At: now})
 	age, source := g.copies.Age(now, message.StoreConfig)
 	before := g.inForce
 	g.inForce = configInForce{from: from, since: now}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
@@ -172,6 +173,7 @@
 	// memory is the budget for the bodies of requests and for answers that are buffered as a whole.
 	memory    *memory.Budget
 	server    *ingress.Server
+	requests  *lifecycle.Tracker
 	handover  handoverState
 	peers     *peer.Transport
 	datagrams *peer.Datagrams
@@ -302,10 +304,11 @@
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
 		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+	g.requests = lifecycle.New(changeWindow, o.Log)
 	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
-	}, g.memory, o.Log)
+	}, g.memory, g.requests, o.Log)
 	g.startHandover()
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
@@ -382,6 +385,7 @@
 	}
 	g.waitRelays(ctx)
 	g.Log.Info("planned stop is done", "took_ms", clock.Since(began).Milliseconds())
+	g.logRequestSums()
 }
 
 // waitIdle waits until there have been no requests for idleWindow, or until end.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,9 +13,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-logr/logr"
 
+	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/invariant"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/rollout"
@@ -151,6 +154,7 @@
 	m.Set("pause_bounded", func() any { bounded, _ := g.loop.PauseCounts(); return bounded })
 	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
 	m.Set("handover", func() any { return g.handover.stats() })
+	m.Set("requests", func() any { return g.requestSums() })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
 	m.Set("bodies", func() any { return g.memory.Stats() })
 	m.Set("answer_buffers", func() any { return g.answers.budget.Stats() })
@@ -344,10 +348,12 @@
 	logFull func() bool
 	metrics *Metrics
 	tally   *tally
+	// lastChange returns the last change of the configuration.
+	lastChange func() lifecycle.Change
 }
 
 func (g *Gateway) observer() observer {
-	return observer{log: g.Log, logFull: g.LogFull, metrics: g.Metrics, tally: &g.tally}
+	return observer{log: g.Log, logFull: g.LogFull, metrics: g.Metrics, tally: &g.tally, lastChange: g.requests.LastChange}
 }
 
 // RequestEnded implements ingress.Observer.
@@ -375,7 +381,10 @@
 	if v.ExchangeEnd != "" {
 		log = log.WithValues("exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
 	}
-	log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v),
+	if change := o.lastChange(); !change.At.IsZero() {
+		log = log.WithValues("config_end", change.Version, "since_change_ms", clock.Since(change.At).Milliseconds())
+	}
+	log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v), "end", string(ingress.EndOf(v)),
 		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
 		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
 		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
--- a/internal/ingress/bodies_test.go
+++ b/internal/ingress/bodies_test.go
@@ -23,6 +23,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -70,7 +71,7 @@
 	names := headerNames
 	names.ExpectTarget = "X-Expect"
 	f := forward.New(names, httptarget.New(g), loop, noSuspects{}, logr.Discard(), ignoringObserver{})
-	s := ingress.New(names, f, ignoringObserver{}, ingress.Limits{Requests: 1000, Connections: 1000}, b, logr.Discard())
+	s := ingress.New(names, f, ignoringObserver{}, ingress.Limits{Requests: 1000, Connections: 1000}, b, lifecycle.New(time.Second, logr.Discard()), logr.Discard())
 	s.Configure(table)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -45,6 +46,10 @@
 	// its handler runs, callerEnded once the caller has closed or reset the connection, and timedOut if the
 	// last read ended at its deadline. They decide only what is counted when the connection is closed.
 	unanswered, serving, callerEnded, timedOut atomic.Bool
+	// request is the account of the request that is read or served, nil if there is none, and served is set once
+	// its handler has returned.
+	request atomic.Pointer[lifecycle.Request]
+	served  atomic.Bool
 	// closedServing is set if this process closed the connection while the handler of a request ran.
 	closedServing atomic.Bool
 
@@ -152,6 +157,7 @@
 		return
 	}
 	if state == http.StateIdle {
+		c.endRequest("")
 		c.betweenRequests = true
 		c.unanswered.Store(c.unread == -1)
 		c.serving.Store(false)
@@ -159,7 +165,7 @@
 	}
 	if state == http.StateActive && c.betweenRequests {
 		c.betweenRequests = false
-		c.unanswered.Store(true)
+		c.beginRequest()
 		c.leaveIdle()
 	}
 }
@@ -228,9 +234,11 @@
 	c.begun()
 	toClose, stopping := c.release()
 	if !toClose {
+		c.endClosed()
 		return nil
 	}
 	c.noteClosed(stopping)
+	c.endClosed()
 	c.closedServing.Store(c.serving.Load() && !c.callerEnded.Load() && !sockopt.RemoteClosed(c.Conn))
 	return c.Conn.Close()
 }
@@ -258,8 +266,16 @@
 func (c *conn) Write(b []byte) (int, error) {
 	if c.unanswered.Load() && !bytes.HasPrefix(b, interimAnswer) {
 		c.unanswered.Store(false)
+		if !c.serving.Load() {
+			// The HTTP server refuses what is no proper request by itself.
+			c.request.Load().Decide(clock.Now(), "", lifecycle.Incomplete)
+		}
+	}
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.noteUndelivered()
 	}
-	return c.Conn.Write(b)
+	return n, err
 }
 
 // interimAnswer is the start of an answer that another one follows.
@@ -335,6 +351,7 @@
 		_ = c.Conn.Close()
 		return
 	}
+	c.unanswered.Store(false)
 	c.server.refuseArrived(early, buffer[:], n, reason, after)
 }
 
@@ -363,7 +380,7 @@
 			c.refuseLast(b[:n], reason, after)
 			return 0, io.EOF
 		}
-		c.unanswered.Store(true)
+		c.beginRequest()
 		if c.unread != 0 {
 			c.resumeRequest(b[:n])
 			return n, nil
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -20,6 +20,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -66,7 +67,7 @@
 	names := headerNames
 	names.ExpectTarget = "X-Expect-Target"
 	f := forward.New(names, transport, loop, noSuspects{}, logr.Discard(), ignoringObserver{})
-	s = ingress.New(names, f, o, ingress.Limits{Requests: 10, Connections: 10}, memory.New(1<<30), logr.Discard())
+	s = ingress.New(names, f, o, ingress.Limits{Requests: 10, Connections: 10}, memory.New(1<<30), lifecycle.New(time.Second, logr.Discard()), logr.Discard())
 	s.Configure(table)
 	callers := listen()
 	g.Go(func() { _ = s.Serve(callers) })
--- /dev/null
+++ b/internal/ingress/end.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
+)
+
+// EndOf returns how a request with a result ends once that has been written to its caller.
+func EndOf(v forward.Result) lifecycle.End {
+	switch v.Reason {
+	case "":
+		return lifecycle.Answered
+	case forward.ReasonCallerGone, forward.ReasonCallerStalled:
+		return lifecycle.CallerGone
+	case forward.ReasonDeadline:
+		return lifecycle.TimeOver
+	case ReasonStopped, ReasonPanic:
+		return lifecycle.Cut
+	}
+	switch {
+	case !v.Truncated && !v.HeadSent && v.Status != http.StatusBadGateway:
+		return lifecycle.Refused
+	case v.ExchangeEnd == forward.ReasonSilent, v.ExchangeEnd == forward.ReasonRestarted:
+		// This router ended the exchange; the target might have gone on.
+		return lifecycle.Cut
+	}
+	return lifecycle.TargetFailed
+}
+
+// tracked returns the account of the request that is served, nil if it came on a connection of another kind.
+func tracked(ctx context.Context) *lifecycle.Request {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return nil
+	}
+	return c.request.Load()
+}
+
+// noteServed notes that the handler of a request has returned.
+func noteServed(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.served.Store(true)
+	}
+}
+
+// beginRequest begins the account of a request of which the first bytes have been read.
+func (c *conn) beginRequest() {
+	c.unanswered.Store(true)
+	c.served.Store(false)
+	if c.request.Load() == nil {
+		c.request.Store(c.server.requests.Begin(clock.Now()))
+	}
+}
+
+// endRequest ends the account of the last request, if it has not ended. A request for which no end was decided ends as otherwise says.
+func (c *conn) endRequest(otherwise lifecycle.End) { c.request.Swap(nil).Close(clock.Now(), otherwise) }
+
+// endClosed ends the account of a request whose connection is being closed. If its handler still runs, that decides
+// how it ends, and the HTTP server closes the connection once more.
+func (c *conn) endClosed() {
+	serving := c.serving.Load()
+	switch {
+	case serving && !c.served.Load():
+	case serving:
+		c.endRequest("")
+	case c.request.Load() == nil && c.unanswered.Load():
+		// The HTTP server had read the first byte of it with the request before.
+		c.server.requests.Count(clock.Now(), c.closedEnd())
+	default:
+		c.endRequest(c.closedEnd())
+	}
+}
+
+// closedEnd returns how a request ends whose connection is closed before its handler runs.
+func (c *conn) closedEnd() lifecycle.End {
+	switch {
+	case c.callerEnded.Load(), sockopt.RemoteClosed(c.Conn):
+		return lifecycle.CallerGone
+	case c.timedOut.Load():
+		return lifecycle.Incomplete
+	}
+	return lifecycle.Unanswered
+}
+
+// noteUndelivered notes that a part of the answer could not be written.
+func (c *conn) noteUndelivered() {
+	end := lifecycle.CallerGone
+	if c.closedServing.Load() {
+		end = lifecycle.Cut
+	}
+	c.request.Load().NoteUndelivered(end)
+}
+
+// loseConnection counts a connection that the process has no descriptor for, of which n bytes have been read.
+func (s *Server) loseConnection(n int) {
+	if n == 0 {
+		return
+	}
+	s.countUnanswered(closedLost)
+	s.requests.Count(clock.Now(), lifecycle.Unanswered)
+}
--- a/internal/ingress/gone_test.go
+++ b/internal/ingress/gone_test.go
@@ -17,6 +17,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -61,7 +62,7 @@
 		})
 		sender, observer := &countingSender{}, &countingObserver{}
 		f := forward.New(headerNames, sender, loop, noSuspects{}, logr.Discard(), ignoringObserver{})
-		s := ingress.New(headerNames, f, observer, ingress.Limits{Requests: callers, Connections: callers}, memory.New(1<<30), logr.Discard())
+		s := ingress.New(headerNames, f, observer, ingress.Limits{Requests: callers, Connections: callers}, memory.New(1<<30), lifecycle.New(time.Second, logr.Discard()), logr.Discard())
 		s.Configure(table)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -63,8 +63,8 @@
 	// The listener reuses its buffer.
 	a.ahead = slices.Clone(a.ahead)
 	var err error
-	if a.conn, err = a.socket.Conn(); err != nil && len(a.ahead) > 0 {
-		a.server.countUnanswered(closedLost)
+	if a.conn, err = a.socket.Conn(); err != nil {
+		a.server.loseConnection(len(a.ahead))
 	}
 	return a.conn, err
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -27,6 +27,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
@@ -108,6 +109,7 @@
 	// memory is the budget for request bodies.
 	memory     *memory.Budget
 	conns      *conns
+	requests   *lifecycle.Tracker
 	rejections rejectionCounter
 	unanswered unansweredCounter
 	// handover takes new connections to other routers; nil if there is none.
@@ -135,10 +137,10 @@
 }
 
 // New returns a server that refuses all requests until Configure is called. It holds request bodies within
-// the budget b.
-func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, l logr.Logger) *Server {
+// the budget b and keeps account of all requests in t.
+func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, t *lifecycle.Tracker, l logr.Logger) *Server {
 	s := &Server{
-		headerNames: names, forwarder: f, observer: o, memory: b, log: l,
+		headerNames: names, forwarder: f, observer: o, memory: b, requests: t, log: l,
 		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
 	}
 	s.server = &http.Server{
@@ -268,6 +270,7 @@
 	s.started.Add(1)
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	defer noteServed(r.Context())
 	arrived := clock.Now()
 	noteServing(r.Context())
 	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
@@ -297,7 +300,7 @@
 	if result.Reason == ReasonBodyEvicted {
 		defer s.discardBody(w, r, request)()
 	}
-	s.finish(w, request, result, arrived)
+	s.finish(w, r, request, result, arrived)
 }
 
 // handlePanic ends a request whose handler panicked: with an error answer, or with the connection if the caller has
@@ -312,12 +315,13 @@
 		a.w.Header().Set("Connection", "close")
 	}
 	result := forward.Result{Status: http.StatusBadGateway, Reason: ReasonPanic, HeadSent: a.headSent, Truncated: a.headSent}
-	s.finish(a.w, r, result, r.Arrived)
+	s.finish(a.w, a.request, r, result, r.Arrived)
 }
 
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
-func (s *Server) finish(w http.ResponseWriter, r forward.Request, result forward.Result, arrived time.Time) {
+func (s *Server) finish(w http.ResponseWriter, served *http.Request, r forward.Request, result forward.Result, arrived time.Time) {
+	tracked(served.Context()).Decide(clock.Now(), r.ID, EndOf(result))
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
 	if result.Truncated {
 		panic(http.ErrAbortHandler)
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -13,6 +13,7 @@
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -115,9 +116,7 @@
 	if err != nil {
 		// Returning the error would stop http.Server.
 		l.conns.remove(element)
-		if len(ahead) > 0 {
-			l.server.countUnanswered(closedLost)
-		}
+		l.server.loseConnection(len(ahead))
 		l.server.log.Info("accepted connection lost", "cause", err.Error())
 		return nil, nil
 	}
@@ -252,9 +251,12 @@
 // connection.
 func (s *Server) refuseAndClose(c earlyConn, r forward.Request, reason forward.Reason, after time.Duration) {
 	result := refused(http.StatusServiceUnavailable, reason, after)
+	end := lifecycle.Refused
 	if _, err := c.Write(s.formatRefusal(r.ID, result, true)); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
+		end = lifecycle.CallerGone
 	}
+	s.requests.Count(clock.Now(), end)
 	s.conns.countRefused()
 	// An error means that the caller has disconnected.
 	_ = c.Close()
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -11,6 +11,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
 // An organisation that sends many times its share can keep a small box busy with refusals
@@ -39,9 +40,12 @@
 	}
 	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
 	last := c.received || c.conns.announceClose(false)
+	c.request.Load().Decide(clock.Now(), r.ID, lifecycle.Refused)
+	c.unanswered.Store(false)
 	if _, err := c.Write(s.formatRefusal(r.ID, result, last)); err != nil {
 		return false, length, errors.Wrap(err, "write refusal")
 	}
+	c.endRequest("")
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
 	if last {
 		return true, length, io.EOF
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -21,6 +21,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/routing"
@@ -114,7 +115,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	f := forward.New(headerNames, unreachableSender{}, loop, noSuspects{}, logr.Discard(), ignoringObserver{})
-	s := ingress.New(headerNames, f, o, ingress.Limits{Requests: 1000, Connections: maxConnections}, memory.New(1<<30), logr.Discard())
+	s := ingress.New(headerNames, f, o, ingress.Limits{Requests: 1000, Connections: maxConnections}, memory.New(1<<30), lifecycle.New(time.Second, logr.Discard()), logr.Discard())
 	s.Configure(table)
 	for _, f := range prepare {
 		f(s)
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -18,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 )
 
@@ -47,7 +48,7 @@
 func newTestServer(o Observer, short bool) *Server {
 	loop := balance.NewLoop(balance.New(clock.Now(), "z", balance.Limits{}, rand.New(rand.NewPCG(1, 1))))
 	d := forward.HeaderNames{RequestID: "X-Id"}
-	s := New(d, forward.New(d, nil, loop, nil, logr.Discard(), nil), o, Limits{Requests: 100, Connections: 100}, memory.New(1<<30), logr.Discard())
+	s := New(d, forward.New(d, nil, loop, nil, logr.Discard(), nil), o, Limits{Requests: 100, Connections: 100}, memory.New(1<<30), lifecycle.New(time.Second, logr.Discard()), logr.Discard())
 	s.conns.overloaded = func() bool { return short }
 	return s
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -87,8 +87,8 @@
 	read, endedTwice int64
 	ends, nearChange map[End]int64
 	// open holds the requests in progress, the oldest one first.
-	open      list.List
-	changedAt time.Time
+	open   list.List
+	change Change
 }
 
 // New returns a tracker that counts ends within a window after a change of the configuration by themselves. It
@@ -97,18 +97,25 @@
 	return &Tracker{window: window, log: l, ends: map[End]int64{}, nearChange: map[End]int64{}}
 }
 
-// NoteChange notes that another configuration is in force.
-func (t *Tracker) NoteChange(now time.Time) {
+// Change is a change of the configuration.
+type Change struct {
+	// Version is the version that is in force since then; At is zero before the first one.
+	Version int64
+	At      time.Time
+}
+
+// NoteChange notes a change of the configuration.
+func (t *Tracker) NoteChange(c Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.changedAt = now
+	t.change = c
 }
 
-// SinceChange returns the time since the last change of the configuration, and false if there was none.
-func (t *Tracker) SinceChange(now time.Time) (time.Duration, bool) {
+// LastChange returns the last change of the configuration.
+func (t *Tracker) LastChange() Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Sub(t.changedAt), !t.changedAt.IsZero()
+	return t.change
 }
 
 // Begin counts a request of which the first bytes were read. Close must be called when it is over.
@@ -132,7 +139,7 @@
 // count counts an end. mu must be held.
 func (t *Tracker) count(now time.Time, e End) {
 	t.ends[e]++
-	if !t.changedAt.IsZero() && now.Sub(t.changedAt) < t.window {
+	if !t.change.At.IsZero() && now.Sub(t.change.At) < t.window {
 		t.nearChange[e]++
 	}
 }
@@ -154,15 +161,16 @@
 	began   time.Time
 
 	// The fields below are guarded by the tracker's mutex. end is how the request ends once its answer has been
-	// written, and undelivered how it ends instead since that failed; both are empty if that is not known. element is
-	// nil once the request is over.
+	// written, as decided at a time, and undelivered how it ends instead since that failed; both are empty if that is
+	// not known. element is nil once the request is over.
 	id               string
 	end, undelivered End
+	decidedAt        time.Time
 	element          *list.Element
 }
 
 // Decide says how the request ends once its answer has been written.
-func (r *Request) Decide(id string, e End) {
+func (r *Request) Decide(now time.Time, id string, e End) {
 	if r == nil {
 		return
 	}
@@ -173,7 +181,7 @@
 		r.tracker.log.Error(ErrEndedTwice, "request has two ends", "id", id, "first", string(r.end), "second", string(e))
 		return
 	}
-	r.id, r.end = id, e
+	r.id, r.end, r.decidedAt = id, e, now
 }
 
 // NoteUndelivered says how the request ends instead of as decided, since its answer could not be written.
@@ -202,6 +210,9 @@
 	}
 	t.open.Remove(r.element)
 	r.element = nil
+	if r.end != "" {
+		now = r.decidedAt
+	}
 	t.count(now, r.finalEnd(otherwise))
 }
 
@@ -212,6 +223,8 @@
 		return r.undelivered
 	case r.end != "":
 		return r.end
+	case r.undelivered != "":
+		return r.undelivered
 	case otherwise != "":
 		return otherwise
 	}
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -17,10 +17,10 @@
 	now := time.Now()
 	t := lifecycle.New(window, logr.Discard())
 	first, second := t.Begin(now), t.Begin(now)
-	first.Decide("first", lifecycle.Answered)
+	first.Decide(now, "first", lifecycle.Answered)
 	first.Close(now, "")
-	t.NoteChange(now)
-	second.Decide("second", lifecycle.Answered)
+	t.NoteChange(lifecycle.Change{Version: 2, At: now})
+	second.Decide(now, "second", lifecycle.Answered)
 	second.NoteUndelivered(lifecycle.CallerGone)
 	second.Close(now, "")
 	sums := t.Sums(now)
@@ -35,12 +35,12 @@
 		want error
 	}{
 		"in progress":       {func(*lifecycle.Request) {}, nil},
-		"ended":             {func(r *lifecycle.Request) { r.Decide("r", lifecycle.Refused); r.Close(now, "") }, nil},
+		"ended":             {func(r *lifecycle.Request) { r.Decide(now, "r", lifecycle.Refused); r.Close(now, "") }, nil},
 		"closed, with why":  {func(r *lifecycle.Request) { r.Close(now, lifecycle.Unanswered) }, nil},
 		"closed twice":      {func(r *lifecycle.Request) { r.Close(now, lifecycle.CallerGone); r.Close(now, "") }, nil},
 		"forgotten":         {func(r *lifecycle.Request) { r.Close(now, "") }, lifecycle.ErrForgotten},
-		"two ends":          {func(r *lifecycle.Request) { r.Decide("r", lifecycle.Cut); r.Decide("r", lifecycle.Cut) }, lifecycle.ErrEndedTwice},
-		"end after the end": {func(r *lifecycle.Request) { r.Close(now, lifecycle.Cut); r.Decide("r", lifecycle.Cut) }, lifecycle.ErrEndedTwice},
+		"two ends":          {func(r *lifecycle.Request) { r.Decide(now, "r", lifecycle.Cut); r.Decide(now, "r", lifecycle.Cut) }, lifecycle.ErrEndedTwice},
+		"end after the end": {func(r *lifecycle.Request) { r.Close(now, lifecycle.Cut); r.Decide(now, "r", lifecycle.Cut) }, lifecycle.ErrEndedTwice},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := lifecycle.New(window, logr.Discard())
