Split the reading of heads from the callers' server

What reads the head of a request before the HTTP server does depends on nothing else there: package httphead. Moved with the names of fields exported; the table of heads and the fuzz test stay where they compare it with the server. No change of behaviour; tests of ingress passed.

--- a/internal/ingress/arrived_id.go
+++ b/internal/httphead/id.go
@@ -1,11 +1,11 @@
-package ingress
+package httphead
 
 import "bytes"
 
-// arrivedID returns the id of the request that b begins with, or "" if it has none, or several, or b does not begin
-// with a request. The head may be incomplete, and of a form that parseHead leaves to the HTTP server. The caller must
+// ID returns the id of the request that b begins with, or "" if it has none, or several, or b does not begin
+// with a request. The head may be incomplete, and of a form that Parse leaves to the HTTP server. The caller must
 // refuse the request and close the connection, since the end of the request is not known.
-func arrivedID(b []byte, header string) string {
+func ID(b []byte, header string) string {
 	first, rest, ok := bytes.Cut(b, lineEnd)
 	if !ok || !isRequestLine(first) {
 		return ""
--- a/internal/ingress/arrived_id_internal_test.go
+++ b/internal/ingress/arrived_id_internal_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
-	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httphead"
 )
 
 const (
@@ -131,11 +131,11 @@
 	for _, c := range arrivedRequests {
 		f.Add([]byte(c.text))
 	}
-	names := forward.HeaderNames{RequestID: "X-Id"}
+	names := httphead.Names{ID: "X-Id"}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		id := arrivedID(b, names.RequestID)
-		if h, _, ok := parseHead(b, &names); ok && string(h.id) != id {
-			t.Errorf("id %q, of the head that is refused before the server %q", id, h.id)
+		id := httphead.ID(b, names.ID)
+		if h, _, ok := httphead.Parse(b, &names); ok && string(h.ID) != id {
+			t.Errorf("id %q, of the head that is refused before the server %q", id, h.ID)
 		}
 		// The HTTP server's answer to a request that it takes must have the same id.
 		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(b))))
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
@@ -325,8 +326,8 @@
 		return
 	}
 	// The byte is the first one of the method, which does not affect the length.
-	h, size, ok := parseHead(append([]byte{'P'}, rest...), &c.server.headerNames)
-	c.unread = h.length(size, ok) - 1 - len(rest)
+	h, size, ok := httphead.Parse(append([]byte{'P'}, rest...), &c.server.headNames)
+	c.unread = requestLength(h, size, ok) - 1 - len(rest)
 }
 
 // SetReadDeadline implements net.Conn.
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"container/list"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -52,7 +52,7 @@
 
 // Organisation implements handover.Arrival.
 func (a *arrival) Organisation() (name string, ok bool) {
-	if _, _, ok := parseHead(a.ahead, &a.server.headerNames); !ok {
+	if _, _, ok := httphead.Parse(a.ahead, &a.server.headNames); !ok {
 		return "", false
 	}
 	return a.server.readHead(a.ahead).Organisation, true
@@ -79,7 +79,7 @@
 	for len(a.ahead) < len(buffer) {
 		n, err := a.conn.Read(buffer[:len(buffer)-len(a.ahead)])
 		a.ahead = append(a.ahead, buffer[:n]...)
-		if name, ok = a.Organisation(); ok || err != nil || bytes.Contains(a.ahead, headEnd) {
+		if name, ok = a.Organisation(); ok || err != nil || httphead.Complete(a.ahead) {
 			break
 		}
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -27,6 +27,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/routing"
@@ -99,10 +100,12 @@
 // Server serves a router's callers. Use New to create one.
 type Server struct {
 	headerNames forward.HeaderNames
-	forwarder   *forward.Forwarder
-	observer    Observer
-	log         logr.Logger
-	table       atomic.Pointer[routing.Table]
+	// headNames are those of them that are read before the HTTP server gets a request.
+	headNames httphead.Names
+	forwarder *forward.Forwarder
+	observer  Observer
+	log       logr.Logger
+	table     atomic.Pointer[routing.Table]
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
@@ -140,7 +143,8 @@
 // the budget b and keeps account of all requests in t.
 func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, t *lifecycle.Tracker, l logr.Logger) *Server {
 	s := &Server{
-		headerNames: names, forwarder: f, observer: o, memory: b, requests: t, log: l,
+		headerNames: names, headNames: httphead.Names{ID: names.RequestID, PromptSize: names.PromptSize, OutputHint: names.OutputHint},
+		forwarder: f, observer: o, memory: b, requests: t, log: l,
 		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
 	}
 	s.server = &http.Server{
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -13,6 +13,7 @@
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
@@ -215,8 +216,8 @@
 // are to be refused. It returns false, and has done nothing, if the HTTP server is to serve the
 // connection.
 func (s *Server) refuseComplete(c earlyConn, arrived []byte) bool {
-	h, size, ok := parseHead(arrived, &s.headerNames)
-	if !ok || h.bodyLength != len(arrived)-size || s.closing.Load() {
+	h, size, ok := httphead.Parse(arrived, &s.headNames)
+	if !ok || h.BodyLength != len(arrived)-size || s.closing.Load() {
 		return false
 	}
 	r, reason := s.overloadReason(h)
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
@@ -25,8 +25,8 @@
 // length is the request's length in bytes, or lengthUnknown.
 func (s *Server) refuseQuickly(c *conn, first []byte) (refuse bool, length int, err error) {
 	arrived := clock.Now()
-	h, size, ok := parseHead(first, &s.headerNames)
-	length = h.length(size, ok)
+	h, size, ok := httphead.Parse(first, &s.headNames)
+	length = requestLength(h, size, ok)
 	if length < len(first) || s.closing.Load() {
 		return false, length, nil
 	}
@@ -53,40 +53,40 @@
 	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
 }
 
-// request converts a request's head to a request without route and organisation.
-func (h quickHead) request() forward.Request {
-	out := forward.Request{ID: string(h.id), Method: string(h.method), URI: string(h.target), Host: string(h.host)}
-	out.Input, out.Output = parseSizes(string(h.promptSize), string(h.outputHint))
+// requestOf converts a request's head to a request without route and organisation.
+func requestOf(h httphead.Head) forward.Request {
+	out := forward.Request{ID: string(h.ID), Method: string(h.Method), URI: string(h.Target), Host: string(h.Host)}
+	out.Input, out.Output = parseSizes(string(h.PromptSize), string(h.OutputHint))
 	return out
 }
 
 // readHead returns the request at the start of b, with its organisation if that is known. If b does not
 // hold a complete head of the usual form, it returns a request that has at most an id.
 func (s *Server) readHead(b []byte) forward.Request {
-	h, _, ok := parseHead(b, &s.headerNames)
+	h, _, ok := httphead.Parse(b, &s.headNames)
 	if !ok {
-		return forward.Request{ID: arrivedID(b, s.headerNames.RequestID)}
+		return forward.Request{ID: httphead.ID(b, s.headerNames.RequestID)}
 	}
-	out := h.request()
+	out := requestOf(h)
 	if t := s.table.Load(); t != nil {
-		s.identify(t, &out, string(h.authorization))
+		s.identify(t, &out, string(h.Authorization))
 	}
 	return out
 }
 
 // overloadReason returns the request of a head and the reason to refuse it because of its
 // organisation's load, or "".
-func (s *Server) overloadReason(h quickHead) (forward.Request, forward.Reason) {
-	out := h.request()
+func (s *Server) overloadReason(h httphead.Head) (forward.Request, forward.Reason) {
+	out := requestOf(h)
 	t := s.table.Load()
 	if t == nil || out.ID == "" {
 		return out, ""
 	}
 	limit := t.Limits().BodyBytes
-	if limit > 0 && h.bodyLength > limit {
+	if limit > 0 && h.BodyLength > limit {
 		return out, ""
 	}
-	if result := s.identify(t, &out, string(h.authorization)); result.Status != 0 {
+	if result := s.identify(t, &out, string(h.Authorization)); result.Status != 0 {
 		return out, ""
 	}
 	if !out.ToEngine {
@@ -141,141 +141,10 @@
 	return nil
 }
 
-// quickHead holds the values of a request's head that are needed to refuse the request.
-type quickHead struct {
-	method, target, host, id, authorization []byte
-	// promptSize and outputHint are the header values that parseSizes parses.
-	promptSize, outputHint []byte
-	// bodyLength is the length of the body, in bytes.
-	bodyLength int
-}
-
-// length returns the length of the request whose head parseHead has parsed, given parseHead's other
-// results.
-func (h quickHead) length(size int, ok bool) int {
+// requestLength returns the length of a request, in bytes, given the results of httphead.Parse.
+func requestLength(h httphead.Head, size int, ok bool) int {
 	if !ok {
 		return lengthUnknown
 	}
-	return size + h.bodyLength
-}
-
-var (
-	lineEnd = []byte("\r\n")
-	headEnd = []byte("\r\n\r\n")
-	version = []byte(" HTTP/1.1")
-
-	lineFeed, carriageReturn = []byte("\n"), []byte("\r")
-)
-
-// parseHead parses the head of a request and returns its size in bytes. It returns false if
-// the head is incomplete, or unusual and so left to the HTTP server: for example without a Host,
-// with a repetition of a header that is read here, with a Content-Length that is not a positive
-// number, with folded lines, with a bare line feed or carriage return, in which the server sees
-// the end of a line, or with a Connection, Transfer-Encoding, Expect or Upgrade header.
-func parseHead(b []byte, names *forward.HeaderNames) (h quickHead, size int, ok bool) {
-	end := bytes.Index(b, headEnd)
-	if end < 0 {
-		return h, 0, false
-	}
-	first, rest, _ := bytes.Cut(b[:end], lineEnd)
-	if !h.requestLine(first) {
-		return h, 0, false
-	}
-	lines := 0
-	for ; len(rest) > 0; lines++ {
-		var l []byte
-		l, rest, _ = bytes.Cut(rest, lineEnd)
-		if !h.header(l, names) {
-			return h, 0, false
-		}
-	}
-	if bytes.Count(b[:end], lineFeed) != lines || bytes.Count(b[:end], carriageReturn) != lines {
-		return h, 0, false
-	}
-	return h, end + len(headEnd), len(h.host) > 0
-}
-
-// requestLine parses the request line, without its line end. It returns false if the HTTP server
-// is to parse the request.
-func (h *quickHead) requestLine(l []byte) bool {
-	l, ok := bytes.CutSuffix(l, version)
-	if !ok {
-		return false
-	}
-	h.method, h.target, ok = bytes.Cut(l, []byte(" "))
-	return ok && len(h.method) > 0 && len(h.target) > 0 && h.target[0] == '/' && !bytes.ContainsRune(h.target, ' ')
-}
-
-// header parses a header line, without its line end. It returns false if the HTTP server is to
-// parse the request.
-func (h *quickHead) header(l []byte, names *forward.HeaderNames) bool {
-	name, value, ok := cutHeader(l)
-	if !ok {
-		return false
-	}
-	switch {
-	case equalNames(name, "Host"):
-		return setOnce(&h.host, value)
-	case equalNames(name, "Authorization"):
-		return setOnce(&h.authorization, value)
-	case equalNames(name, names.RequestID):
-		return isPrintable(value) && setOnce(&h.id, value)
-	case equalNames(name, names.PromptSize):
-		return setOnce(&h.promptSize, value)
-	case equalNames(name, names.OutputHint):
-		return setOnce(&h.outputHint, value)
-	case equalNames(name, "Content-Length"):
-		n, err := strconv.ParseUint(string(value), 10, 31)
-		repeated := h.bodyLength != 0
-		h.bodyLength = int(n)
-		return err == nil && !repeated && n > 0
-	case equalNames(name, "Transfer-Encoding"), equalNames(name, "Connection"), equalNames(name, "Expect"), equalNames(name, "Upgrade"):
-		return false
-	}
-	return true
-}
-
-// cutHeader cuts a header line. It returns false if the line is folded or has no name.
-func cutHeader(l []byte) (name, value []byte, ok bool) {
-	name, value, ok = bytes.Cut(l, []byte(":"))
-	if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
-		return nil, nil, false
-	}
-	for len(value) > 0 && isBlank(value[0]) {
-		value = value[1:]
-	}
-	for len(value) > 0 && isBlank(value[len(value)-1]) {
-		value = value[:len(value)-1]
-	}
-	return name, value, true
-}
-
-func isBlank(c byte) bool { return c == ' ' || c == '\t' }
-
-// isPrintable reports whether a header's value can be sent back as it is.
-func isPrintable(value []byte) bool {
-	for _, c := range value {
-		if c < ' ' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
-// setOnce sets *field to the value of a header, and returns false if it is set already, since the
-// header must not be repeated.
-func setOnce(field *[]byte, value []byte) bool {
-	if *field != nil {
-		return false
-	}
-	*field = value
-	if value == nil {
-		*field = []byte{}
-	}
-	return true
-}
-
-// equalNames reports whether a header's name is want, ignoring case.
-func equalNames(name []byte, want string) bool {
-	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
+	return size + h.BodyLength
 }
