Split the counters from the gateway

Its counters know nothing of a gateway but the values they are told: package counters, type Registry, in place of gateway.Metrics. Two internal tests move with what they test, their checks unchanged; the others use the new names. Names of published values stay.

--- a/internal/gateway/metrics.go
+++ b/internal/counters/counters.go
@@ -1,9 +1,11 @@
-package gateway
+// Package counters holds the counters and latency histograms of a router, which expvar publishes as one JSON object.
+package counters
 
 import (
 	"cmp"
 	"expvar"
 	"fmt"
+	"maps"
 	"net/http"
 	"runtime"
 	"sync"
@@ -11,16 +13,13 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/go-logr/logr"
 
-	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/forward"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/invariant"
-	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
@@ -32,8 +31,8 @@
 	latencyDigits    = 2
 )
 
-// Metrics holds the counters and latency histograms of a gateway. Use NewMetrics to make one.
-type Metrics struct {
+// Registry holds the counters and latency histograms of a router. Use New to make one.
+type Registry struct {
 	root     *expvar.Map
 	refusals *expvar.Map
 	failures *expvar.Map
@@ -90,9 +89,9 @@
 	waited, firstByte, total *hdrhistogram.Histogram
 }
 
-// NewMetrics returns a set of counters at zero.
-func NewMetrics() *Metrics {
-	m := &Metrics{
+// New returns a set of counters at zero.
+func New() *Registry {
+	m := &Registry{
 		root: new(expvar.Map), refusals: new(expvar.Map), failures: new(expvar.Map),
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
@@ -141,38 +140,19 @@
 }
 
 // Set adds a value that is computed by read each time the metrics are read.
-func (m *Metrics) Set(name string, read func() any) { m.root.Set(name, expvar.Func(read)) }
-
-func (m *Metrics) addGauges(g *Gateway) {
-	m.Set("target_connections", func() any { return g.transport.Stats() })
-	m.Set("peer_messages", func() any { return g.peers.Stats() })
-	m.Set("peer_datagrams", func() any { return g.datagrams.Stats() })
-	m.Set("processor_part", func() any { return g.loop.CPUUtilisation() })
-	m.Set("turned_away", func() any { return g.server.RejectedConnections() })
-	m.Set("closed_unanswered", func() any { return g.server.ClosedUnanswered() })
-	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
-	m.Set("pause_bounded", func() any { bounded, _ := g.loop.PauseCounts(); return bounded })
-	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
-	m.Set("handover", func() any { return g.handover.stats() })
-	m.Set("requests", func() any { return g.requestSums() })
-	m.Set("open_requests", func() any { return g.server.OpenRequests() })
-	m.Set("bodies", func() any { return g.memory.Stats() })
-	m.Set("answer_buffers", func() any { return g.answers.budget.Stats() })
-	m.Set("configuration", g.configStats)
-	m.Set("store_copies", g.copyStats)
-}
+func (m *Registry) Set(name string, read func() any) { m.root.Set(name, expvar.Func(read)) }
 
 // CountRetry counts a retry by its reason.
-func (m *Metrics) CountRetry(r forward.Reason) { m.retries.Add(string(r), 1) }
+func (m *Registry) CountRetry(r forward.Reason) { m.retries.Add(string(r), 1) }
 
 // CountAdvice counts what a target reported about itself.
-func (m *Metrics) CountAdvice(a forward.Advice) { m.advice.Add(string(a), 1) }
+func (m *Registry) CountAdvice(a forward.Advice) { m.advice.Add(string(a), 1) }
 
 // CountContinuation counts a stream that was continued at another target.
-func (m *Metrics) CountContinuation(c forward.Continuation) { m.continuations.Add(string(c), 1) }
+func (m *Registry) CountContinuation(c forward.Continuation) { m.continuations.Add(string(c), 1) }
 
 // CountAborted counts an exchange with a target that this router ended.
-func (m *Metrics) CountAborted(why forward.Reason, inAnswer bool) {
+func (m *Registry) CountAborted(why forward.Reason, inAnswer bool) {
 	when := "before answer"
 	if inAnswer {
 		when = "in answer"
@@ -181,10 +161,10 @@
 }
 
 // CountSecond counts a second send by what became of it.
-func (m *Metrics) CountSecond(r forward.SecondResult) { m.seconds.Add(string(r), 1) }
+func (m *Registry) CountSecond(r forward.SecondResult) { m.seconds.Add(string(r), 1) }
 
-// countStreamLookup counts whether the version that began a stream is known.
-func (m *Metrics) countStreamLookup(a streamversion.Answer) {
+// CountStreamLookup counts whether the version that began a stream is known.
+func (m *Registry) CountStreamLookup(a streamversion.Answer) {
 	switch {
 	case a.Known:
 		m.streamLookups.Add("known", 1)
@@ -196,7 +176,8 @@
 	}
 }
 
-func (m *Metrics) recordRequest(v forward.Result, took time.Duration) {
+// RecordRequest records a request that has ended after a time.
+func (m *Registry) RecordRequest(v forward.Result, took time.Duration) {
 	m.statuses.Add(fmt.Sprint(v.Status), 1)
 	m.skippedIDs.Add(v.SkippedIDs)
 	if v.Truncated {
@@ -242,7 +223,7 @@
 	Max   float64 `json:"max"`
 }
 
-func (m *Metrics) latencies() any {
+func (m *Registry) latencies() any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return map[string]latency{"waited": summary(m.waited), "first_byte": summary(m.firstByte), "total": summary(m.total)}
@@ -256,21 +237,22 @@
 	}
 }
 
-func (m *Metrics) recordSuspension(missed time.Duration) {
+// RecordSuspension records that the box was suspended for a time.
+func (m *Registry) RecordSuspension(missed time.Duration) {
 	m.suspensions.Add(1)
 	m.suspendedMillis.Add(missed.Milliseconds())
 }
 
-// setZones replaces the drained availability zones.
-func (m *Metrics) setZones(drained []string) {
+// SetZones replaces the drained availability zones.
+func (m *Registry) SetZones(drained []string) {
 	m.zones.Init()
 	for _, zone := range drained {
 		m.zones.Add(zone, 1)
 	}
 }
 
-// countCopy counts a copy sent to a router of the own zone or of another one.
-func (m *Metrics) countCopy(near bool) {
+// CountCopy counts a copy sent to a router of the own zone or of another one.
+func (m *Registry) CountCopy(near bool) {
 	if near {
 		m.copies.Add("near", 1)
 		return
@@ -278,31 +260,44 @@
 	m.copies.Add("far", 1)
 }
 
-// setRollouts replaces the states of roll-outs by service.
-func (m *Metrics) setRollouts(states map[string]rollout.State) {
+// SetRollouts replaces the states of roll-outs by service.
+func (m *Registry) SetRollouts(states map[string]rollout.State) {
 	m.rollouts.Init()
 	for service, state := range states {
 		m.rollouts.Add(service+" "+string(state), 1)
 	}
 }
 
-// setCold replaces the numbers of cold targets by service.
-func (m *Metrics) setCold(count map[string]int) {
+// SetCold replaces the numbers of cold targets by service.
+func (m *Registry) SetCold(count map[string]int) {
 	m.cold.Init()
 	for service, n := range count {
 		m.cold.Add(service, int64(n))
 	}
 }
 
-// setWaits replaces the counts of refusals without a wait and of booked returns.
-func (m *Metrics) setWaits(c waitCounts) {
-	for why, n := range c.refused {
+// Waits counts the requests that were refused without a wait, by reason, and the returns that were booked for
+// refused callers. UsageIgnored counts invalid usages in other routers' reports.
+type Waits struct {
+	Refused      map[string]int64
+	Returns      returns.Counts
+	UsageIgnored int64
+}
+
+// Equal reports whether both have the same counts.
+func (w Waits) Equal(o Waits) bool {
+	return w.Returns == o.Returns && w.UsageIgnored == o.UsageIgnored && maps.Equal(w.Refused, o.Refused)
+}
+
+// SetWaits replaces the counts of refusals without a wait and of booked returns.
+func (m *Registry) SetWaits(c Waits) {
+	for why, n := range c.Refused {
 		setCount(m.refusedByForecast, why, n)
 	}
-	setCount(m.returns, "booked", c.returns.Booked)
-	setCount(m.returns, "full", c.returns.Full)
-	setCount(m.returns, "ignored", c.returns.Ignored)
-	m.usageIgnored.Set(c.usageIgnored)
+	setCount(m.returns, "booked", c.Returns.Booked)
+	setCount(m.returns, "full", c.Returns.Full)
+	setCount(m.returns, "ignored", c.Returns.Ignored)
+	m.usageIgnored.Set(c.UsageIgnored)
 }
 
 // setCount sets a count of a map that only one goroutine changes.
@@ -315,9 +310,9 @@
 	old.Set(n)
 }
 
-// countSuspect counts a change to the record of a suspected request. A request with a single
+// CountSuspect counts a change to the record of a suspected request. A request with a single
 // crash may only have run on the target by chance when another one crashed it: it is a bystander.
-func (m *Metrics) countSuspect(r quarantine.Record) {
+func (m *Registry) CountSuspect(r quarantine.Record) {
 	prefix := ""
 	if r.Part != "" {
 		prefix = "part-"
@@ -335,82 +330,33 @@
 }
 
 // ServeHTTP writes all metrics as one JSON object.
-func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (m *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	if _, err := w.Write([]byte(m.root.String())); err != nil {
 		return
 	}
 }
 
-// observer logs and counts each request that has ended.
-type observer struct {
-	log     logr.Logger
-	logFull func() bool
-	metrics *Metrics
-	tally   *tally
-	// lastChange returns the last change of the configuration.
-	lastChange func() lifecycle.Change
-}
+// CountExits counts processes of targets that have ended, as this router has "seen" or as it was "told".
+func (m *Registry) CountExits(how string, n int) { m.targetExits.Add(how, int64(n)) }
 
-func (g *Gateway) observer() observer {
-	return observer{log: g.Log, logFull: g.LogFull, metrics: g.Metrics, tally: &g.tally, lastChange: g.requests.LastChange}
-}
+// CountAdviceBy adds to the count of what targets report about themselves.
+func (m *Registry) CountAdviceBy(a string, n int64) { m.advice.Add(a, n) }
 
-// RequestEnded implements ingress.Observer.
-func (o observer) RequestEnded(r forward.Request, v forward.Result, took time.Duration) {
-	o.metrics.recordRequest(v, took)
-	unlogged := o.logFull != nil && o.logFull()
-	o.tally.add(r, v, unlogged)
-	if unlogged {
-		return
-	}
-	route, goal := "", time.Duration(0)
-	if r.Route != nil {
-		route, goal = r.Route.Name, r.Route.Goal
-	}
-	log := o.log
-	if v.ContentDigest != "" {
-		log = log.WithValues("content", v.ContentDigest, "part", v.HeldPart)
-	}
-	if r.LastEventID != "" {
-		log = log.WithValues("resumes", r.Resumes, "after", r.LastEventID, "version_by", string(v.VersionEvidence))
-	}
-	if v.SkippedIDs > 0 {
-		log = log.WithValues("skipped_ids", v.SkippedIDs)
-	}
-	if v.ExchangeEnd != "" {
-		log = log.WithValues("exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
-	}
-	if change := o.lastChange(); !change.At.IsZero() {
-		log = log.WithValues("config_end", change.Version, "since_change_ms", clock.Since(change.At).Milliseconds())
-	}
-	log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v), "end", string(ingress.EndOf(v)),
-		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
-		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
-		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
-		"goal_ms", milliseconds(goal), "waited_ms", milliseconds(v.QueueTime), "first_ms", milliseconds(v.TimeToFirstByte),
-		"pause_ms", milliseconds(v.LongestPause), "speed", v.Speed,
-		"took_ms", milliseconds(took), "retry_after_ms", v.RetryAfter.Milliseconds(),
-		"config", r.ConfigVersion, "config_age_ms", r.ConfigAge.Milliseconds())
-}
+// CountAgainstAdvice counts requests that were sent to targets despite what those had reported.
+func (m *Registry) CountAgainstAdvice(a forward.Advice, n int64) { m.againstAdvice.Add(string(a), n) }
 
-// outcome returns one word for how a request ended. It is the value of the key outcome in the
-// log.
-func outcome(v forward.Result) string {
-	switch {
-	case v.Truncated:
-		return "cut"
-	case v.Reason != "":
-		return "refused"
-	}
-	return "answered"
-}
+// CountIgnored counts entries of the store that could not be used, by the invalid field.
+func (m *Registry) CountIgnored(field string, n int) { m.ignored.Add(field, int64(n)) }
 
-func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+// SetHeldStreams replaces the number of streams kept from versions that were not stored.
+func (m *Registry) SetHeldStreams(n int64) { m.heldStreams.Set(n) }
 
-func goalOf(r forward.Request) time.Duration {
-	if r.Route == nil {
-		return 0
-	}
-	return r.Route.Goal
+// SetColdSkipped replaces the number of times that a target was skipped for being cold.
+func (m *Registry) SetColdSkipped(n int64) { m.coldSkipped.Set(n) }
+
+// SetSpeeds replaces the speeds of engines, by service, and the number of values about them that were ignored.
+func (m *Registry) SetSpeeds(all map[string]enginespeed.Summary, ignored int64) {
+	m.speeds.Store(&all)
+	m.speedsIgnored.Set(ignored)
 }
--- a/internal/gateway/cut_internal_test.go
+++ b/internal/counters/counters_internal_test.go
@@ -1,4 +1,4 @@
-package gateway
+package counters
 
 import (
 	"testing"
@@ -19,8 +19,8 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			m := NewMetrics()
-			m.recordRequest(c.result, 0)
+			m := New()
+			m.RecordRequest(c.result, 0)
 			want := "{}"
 			if c.want != "" {
 				want = `{"` + c.want + `": 1}`
--- a/internal/gateway/waits_internal_test.go
+++ b/internal/counters/waits_internal_test.go
@@ -1,4 +1,4 @@
-package gateway
+package counters
 
 import (
 	"testing"
@@ -8,9 +8,9 @@
 
 // TestSetWaits guards against counts that are added up again with each tick.
 func TestSetWaits(t *testing.T) {
-	m := NewMetrics()
+	m := New()
 	for range 2 {
-		m.setWaits(waitCounts{refused: map[string]int64{"over-share": 3}, returns: returns.Counts{Booked: 5, Full: 1}})
+		m.SetWaits(Waits{Refused: map[string]int64{"over-share": 3}, Returns: returns.Counts{Booked: 5, Full: 1}})
 	}
 	if got := m.refusedByForecast.String(); got != `{"over-share": 3}` {
 		t.Errorf("refused_by_forecast is %s", got)
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -14,7 +14,7 @@
 func (g *Gateway) logAdvice(s *balance.State) {
 	if backoffs := s.Backoffs(); backoffs != g.loggedBackoffs {
 		g.Log.Info("targets left alone that turn requests away", "count", backoffs-g.loggedBackoffs)
-		g.Metrics.advice.Add(adviceRefusing, backoffs-g.loggedBackoffs)
+		g.Metrics.CountAdviceBy(adviceRefusing, backoffs-g.loggedBackoffs)
 		g.loggedBackoffs = backoffs
 	}
 	now, before := s.SentAgainstAdvice(), g.loggedAgainstAdvice
@@ -23,7 +23,7 @@
 	}
 	leaving, backingOff := now.Leaving-before.Leaving, now.BackingOff-before.BackingOff
 	g.Log.Info("requests sent against advice", "leaving", leaving, "resting", backingOff)
-	g.Metrics.againstAdvice.Add(string(forward.AdviceLeaving), leaving)
-	g.Metrics.againstAdvice.Add(string(forward.AdviceBackoff), backingOff)
+	g.Metrics.CountAgainstAdvice(forward.AdviceLeaving, leaving)
+	g.Metrics.CountAgainstAdvice(forward.AdviceBackoff, backingOff)
 	g.loggedAgainstAdvice = now
 }
--- a/internal/gateway/awake.go
+++ b/internal/gateway/awake.go
@@ -23,7 +23,7 @@
 // been revoked.
 func (g *Gateway) resume(_ *balance.State, now time.Time, missed time.Duration) {
 	g.Log.Info("box was suspended", "missed_ms", missed.Milliseconds(), "open", g.server.OpenRequests())
-	g.Metrics.recordSuspension(missed)
+	g.Metrics.RecordSuspension(missed)
 	g.roster.Resume(now)
 	g.coldSenders.Join(now)
 	g.transport.Close()
--- a/internal/gateway/awake_internal_test.go
+++ b/internal/gateway/awake_internal_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -43,7 +44,7 @@
 	n := started.Add(1)
 	g, err := New(context.Background(), Options{
 		ID: fmt.Sprint("a", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds, Incarnation: n,
-		Codec: jsonCodec{}, Log: logr.Discard(), Metrics: NewMetrics(),
+		Codec: jsonCodec{}, Log: logr.Discard(), Metrics: counters.New(),
 		Limits: balance.Limits{RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
 	})
 	if err != nil {
--- a/internal/gateway/exits.go
+++ b/internal/gateway/exits.go
@@ -36,7 +36,7 @@
 	if !s.RecordExit(now, t) {
 		return
 	}
-	g.Metrics.targetExits.Add("seen", 1)
+	g.Metrics.CountExits("seen", 1)
 	g.Log.Info("process of target has ended", "target", t.ID, "born", t.Born, "version", t.Version)
 	g.passOnExits(now, t.Incarnation())
 }
@@ -49,7 +49,7 @@
 			news = append(news, name)
 		}
 	}
-	g.Metrics.targetExits.Add("told", int64(len(news)))
+	g.Metrics.CountExits("told", len(news))
 	g.passOnExits(now, news...)
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -230,7 +230,7 @@
 		g.Log.Info("target ignored", "target", e.Name, "era", revision.Era(e.Revision), "revision", revision.Store(e.Revision), "field", e.Field, "found", e.Found, "from", from)
 	}
 	for field, n := range by {
-		g.Metrics.ignored.Add(field, int64(n))
+		g.Metrics.CountIgnored(field, n)
 	}
 }
 
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/freshness"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/group"
@@ -34,7 +35,7 @@
 // agesFleet is an idle fleet whose store is simulated: it has one configuration and answers at once.
 type agesFleet struct {
 	routers []*gateway.Gateway
-	counts  []*gateway.Metrics
+	counts  []*counters.Registry
 	// silent is set while routers that watch the store get no answers, unavailable while no router
 	// does.
 	silent, unavailable atomic.Bool
@@ -46,7 +47,7 @@
 	f := &agesFleet{}
 	var seeds []string
 	for i := range size {
-		f.counts = append(f.counts, gateway.NewMetrics())
+		f.counts = append(f.counts, counters.New())
 		g, err := gateway.New(ctx, gateway.Options{
 			ID: fmt.Sprint("ages-", i), Zone: fmt.Sprint("z", i%min(agesZones, max(size/3, 1))), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 			Seeds: seeds, Incarnation: incarnation.Add(1), Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: f.counts[i],
@@ -131,7 +132,7 @@
 	Datagrams struct{ Bytes, Sent int64 } `json:"peer_datagrams"`
 }
 
-func readAges(b *testing.B, m *gateway.Metrics) agesValues {
+func readAges(b *testing.B, m *counters.Registry) agesValues {
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, nil)
 	var values agesValues
@@ -141,7 +142,7 @@
 	return values
 }
 
-func copyAge(b *testing.B, m *gateway.Metrics) time.Duration {
+func copyAge(b *testing.B, m *counters.Registry) time.Duration {
 	return time.Duration(readAges(b, m).Copies["config"].AgeMS) * time.Millisecond
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/freshness"
@@ -127,7 +128,7 @@
 	// LogFull reports whether a log line about a request would be dropped, and counts it as
 	// dropped if so; nil means never.
 	LogFull func() bool
-	Metrics *Metrics
+	Metrics *counters.Registry
 }
 
 // Gateway is a running router. Use New to make one.
@@ -312,7 +313,7 @@
 	g.startHandover()
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
-	o.Metrics.addGauges(g)
+	g.addGauges(o.Metrics)
 	g.group.GoContext(g.loop.Run)
 	g.group.GoContext(g.runTicks)
 	g.group.GoContext(g.sweep)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/invariant"
@@ -86,7 +87,7 @@
 // rig is a router with targets whose handlers are part of the test.
 type rig struct {
 	*gateway.Gateway
-	metrics  *gateway.Metrics
+	metrics  *counters.Registry
 	revision int64
 	targets  []message.StoredObject
 }
@@ -110,7 +111,7 @@
 
 // newRigWithOptions returns such a router with some of its options.
 func newRigWithOptions(o gateway.Options) *rig {
-	r := &rig{metrics: gateway.NewMetrics()}
+	r := &rig{metrics: counters.New()}
 	o.Incarnation = incarnation.Add(1)
 	o.ID, o.Zone, o.Listen, o.PeerListen = fmt.Sprint("router-", o.Incarnation), "z", "127.0.0.1:0", "127.0.0.1:0"
 	o.Headers, o.Codec, o.Log, o.Metrics = headerNames, codec{}, logr.Discard(), r.metrics
--- a/internal/gateway/handover_bench_test.go
+++ b/internal/gateway/handover_bench_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/handover"
@@ -105,7 +106,7 @@
 	b.Helper()
 	g, err := gateway.New(context.Background(), gateway.Options{
 		ID: "bench", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Incarnation: 1,
-		Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: gateway.NewMetrics(),
+		Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: counters.New(),
 		Limits: balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
 	})
 	if err != nil {
--- a/internal/gateway/handover_share_test.go
+++ b/internal/gateway/handover_share_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/group"
@@ -26,7 +27,7 @@
 // engine.
 type sharePair struct {
 	busy        *gateway.Gateway
-	busyMetrics *gateway.Metrics
+	busyMetrics *counters.Registry
 	lastID      atomic.Int64
 }
 
@@ -70,9 +71,9 @@
 }
 
 // startBox starts a router that hands connections over.
-func startBox(t *testing.T, cores float64, config routing.Spec, targets []balance.Target, seeds ...string) (*gateway.Gateway, *gateway.Metrics) {
+func startBox(t *testing.T, cores float64, config routing.Spec, targets []balance.Target, seeds ...string) (*gateway.Gateway, *counters.Registry) {
 	t.Helper()
-	m, n := gateway.NewMetrics(), incarnation.Add(1)
+	m, n := counters.New(), incarnation.Add(1)
 	g, err := gateway.New(context.Background(), gateway.Options{
 		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
 		Incarnation: n, Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: m,
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/handover"
@@ -32,7 +33,7 @@
 
 // newBox returns a router with a number of cores and the switch for handing over.
 func newBox(cores float64, s feature.Switch, seeds ...string) *rig {
-	r := &rig{metrics: gateway.NewMetrics()}
+	r := &rig{metrics: counters.New()}
 	n := incarnation.Add(1)
 	g, err := gateway.New(context.Background(), gateway.Options{
 		ID: fmt.Sprint("router-", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/metrics"
@@ -28,7 +29,7 @@
 		g, err := gateway.New(ctx, gateway.Options{
 			ID: fmt.Sprint("idle-", i), Zone: fmt.Sprint("z", i%zones), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 			Seeds: seeds, Incarnation: incarnation.Add(1), Headers: headerNames, Codec: codec{}, Log: logr.Discard(),
-			Metrics: gateway.NewMetrics(), Limits: balance.Limits{QuotaWindow: time.Second},
+			Metrics: counters.New(), Limits: balance.Limits{QuotaWindow: time.Second},
 		})
 		if err != nil {
 			b.Fatal(err)
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -7,14 +7,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/stepcroft/stepcroft/internal/gateway"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 )
 
 var _ = Describe("The metrics", func() {
 	It("have a count for each invariant", func() {
 		w := httptest.NewRecorder()
-		gateway.NewMetrics().ServeHTTP(w, nil)
+		counters.New().ServeHTTP(w, nil)
 		var metrics struct {
 			Violations map[string]int `json:"violations"`
 		}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -83,7 +83,7 @@
 // sendCopy sends another router what it lacks.
 func (g *Gateway) sendCopy(now time.Time, to member.Member, need message.NeedCopy) {
 	c := g.catalog.Copy(now, need)
-	g.Metrics.countCopy(to.Zone == g.self.Zone)
+	g.Metrics.CountCopy(to.Zone == g.self.Zone)
 	if !need.Packed || len(c.Targets.List) > maxDatagramTargets {
 		g.peers.Send(to, c)
 		return
--- a/internal/gateway/news_test.go
+++ b/internal/gateway/news_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/message"
 )
@@ -28,10 +29,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var fleet []*gateway.Gateway
-	var counts []*gateway.Metrics
+	var counts []*counters.Registry
 	var seeds []string
 	for i := range zones * perZone {
-		counts = append(counts, gateway.NewMetrics())
+		counts = append(counts, counters.New())
 		g, err := gateway.New(ctx, gateway.Options{
 			ID: fmt.Sprint("news-", i), Zone: fmt.Sprint("z", i%zones), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 			Seeds: seeds, Incarnation: incarnation.Add(1), Headers: headerNames, Codec: codec{}, Log: logr.Discard(),
@@ -75,7 +76,7 @@
 type copyCounts struct{ Near, Far int64 }
 
 // copies adds up the copies that all routers have sent.
-func copies(t *testing.T, metrics []*gateway.Metrics) copyCounts {
+func copies(t *testing.T, metrics []*counters.Registry) copyCounts {
 	t.Helper()
 	var sum copyCounts
 	for _, m := range metrics {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -228,7 +228,7 @@
 // dozens of them may just have been running on the target that crashed.
 func (g *Gateway) logSuspects(list []quarantine.Record, from string) {
 	for _, r := range list {
-		g.Metrics.countSuspect(r)
+		g.Metrics.CountSuspect(r)
 		uncleared := r.Uncleared()
 		if len(r.Crashes) == 1 {
 			continue
--- a/internal/gateway/register_test.go
+++ b/internal/gateway/register_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
@@ -25,9 +26,9 @@
 	defer cancel()
 	var fleet []*gateway.Gateway
 	var seeds []string
-	var counts []*gateway.Metrics
+	var counts []*counters.Registry
 	for i := range routers {
-		counts = append(counts, gateway.NewMetrics())
+		counts = append(counts, counters.New())
 		g, err := gateway.New(ctx, gateway.Options{
 			ID: fmt.Sprint("reg-", i), Zone: fmt.Sprint("z", i%5), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 			Seeds: seeds, Incarnation: incarnation.Add(1), Headers: headerNames, Codec: codec{}, Log: logr.Discard(),
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -50,7 +50,7 @@
 		order, err := g.RolloutStore.Decode(o)
 		if err != nil {
 			g.Log.Info("roll-out ignored", "name", o.Name[:min(len(o.Name), maxLoggedName)], "revision", revision.Store(o.Revision), "cause", err.Error(), "from", from)
-			g.Metrics.ignored.Add("rollout", 1)
+			g.Metrics.CountIgnored("rollout", 1)
 			continue
 		}
 		orders = append(orders, order)
@@ -71,7 +71,7 @@
 	}
 	g.Log.Info("roll-outs known", "states", phases, "before", g.loggedRollouts, "results", g.rollouts.Results(), "from", from)
 	g.loggedRollouts = phases
-	g.Metrics.setRollouts(phases)
+	g.Metrics.SetRollouts(phases)
 }
 
 // decideRollouts records the states that roll-outs have come to.
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -27,7 +27,7 @@
 	}
 	g.speeds.due = now.Add(speedsInterval)
 	all := s.EngineSpeeds(now)
-	g.Metrics.setSpeeds(all, s.IgnoredSpeeds())
+	g.Metrics.SetSpeeds(all, s.IgnoredSpeeds())
 	if now.Before(g.speeds.logDue) {
 		return
 	}
@@ -42,8 +42,3 @@
 		g.Log.Info("engines differ in speed", "services", differing)
 	}
 }
-
-func (m *Metrics) setSpeeds(all map[string]enginespeed.Summary, ignored int64) {
-	m.speeds.Store(&all)
-	m.speedsIgnored.Set(ignored)
-}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -35,7 +35,7 @@
 			a.Version, a.Evidence = s.UnrecordedVersion(now, service)
 			a.Known = a.Evidence != ""
 		}
-		g.Metrics.countStreamLookup(a)
+		g.Metrics.CountStreamLookup(a)
 		answers <- a
 	}
 	if request == "" {
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/group"
@@ -61,7 +62,7 @@
 		b.Run(name, func(b *testing.B) {
 			g, err := gateway.New(context.Background(), gateway.Options{
 				ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Incarnation: 1, Capacity: c.cores,
-				Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: gateway.NewMetrics(),
+				Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: counters.New(),
 				Features: feature.Set{AnswerBuffers: c.buffers},
 				Limits:   balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
 			})
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -159,7 +159,7 @@
 // reads what is stored if nobody has told that one of them is.
 func (g *Gateway) storeVersions(s *balance.State, now time.Time) {
 	p := &g.streamStore
-	g.Metrics.heldStreams.Set(s.HeldStreams())
+	g.Metrics.SetHeldStreams(s.HeldStreams())
 	first, last := s.UnstoredSince()
 	unstored := !first.IsZero()
 	if now.Sub(last) < versionsSettle && now.Sub(first) < maxSettle {
--- a/internal/gateway/streamstore_era_internal_test.go
+++ b/internal/gateway/streamstore_era_internal_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -16,7 +17,7 @@
 func newVersionStoreGateway(t *testing.T, store StreamStore) *Gateway {
 	t.Helper()
 	g, err := New(context.Background(), Options{
-		ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", StreamStore: store, Log: logr.Discard(), Metrics: NewMetrics(),
+		ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", StreamStore: store, Log: logr.Discard(), Metrics: counters.New(),
 		Limits: balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
 	})
 	if err != nil {
--- a/internal/gateway/streamstore_internal_test.go
+++ b/internal/gateway/streamstore_internal_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -28,7 +29,7 @@
 func TestVersionsAreStoredAfterLateRestore(t *testing.T) {
 	saved := make(savedVersions, 10)
 	g, err := New(context.Background(), Options{
-		ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", StreamStore: saved, Log: logr.Discard(), Metrics: NewMetrics(),
+		ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", StreamStore: saved, Log: logr.Discard(), Metrics: counters.New(),
 		Limits: balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
 	})
 	if err != nil {
--- a/internal/gateway/ticks_test.go
+++ b/internal/gateway/ticks_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 )
 
@@ -26,10 +27,10 @@
 	for _, routers := range []int{2, 12} {
 		ctx, cancel := context.WithCancel(context.Background())
 		var fleet []*gateway.Gateway
-		var metrics []*gateway.Metrics
+		var metrics []*counters.Registry
 		var seeds []string
 		for i := range routers {
-			m := gateway.NewMetrics()
+			m := counters.New()
 			g, err := gateway.New(ctx, gateway.Options{
 				ID: fmt.Sprint("r", i), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds,
 				Incarnation: incarnation.Add(1), Headers: headerNames, Codec: codec{}, Log: logr.Discard(), Metrics: m,
@@ -53,7 +54,7 @@
 	}
 }
 
-func countTicks(t *testing.T, m *gateway.Metrics) int64 {
+func countTicks(t *testing.T, m *counters.Registry) int64 {
 	t.Helper()
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, nil)
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -64,7 +64,7 @@
 	// A count of 0 shows a zone whose name is unknown, or that has no targets.
 	g.Log.Info("zones drained", "targets", targets, "before", g.loggedDrained.zones, "era", revision.Era(g.catalog.Newest().Zones), "revision", revision.Store(g.catalog.Newest().Zones),
 		"before_ms", now.Sub(g.loggedDrained.since).Milliseconds(), "from", from)
-	g.Metrics.setZones(drained)
+	g.Metrics.SetZones(drained)
 	g.loggedDrained = drainedZones{zones: drained, since: now}
 }
 
@@ -72,11 +72,11 @@
 func (g *Gateway) logCold(s *balance.State, now time.Time) {
 	count, skipped := s.ColdTargets(now)
 	if skipped != g.loggedCold.skipped {
-		g.Metrics.coldSkipped.Set(skipped)
+		g.Metrics.SetColdSkipped(skipped)
 	}
 	if !maps.Equal(count, g.loggedCold.count) {
 		g.Log.Info("targets cold", "count", count, "before", g.loggedCold.count, "passed_over", skipped-g.loggedCold.skipped)
-		g.Metrics.setCold(count)
+		g.Metrics.SetCold(count)
 		g.loggedCold = coldTargets{count: count, skipped: skipped}
 	}
 }
