Split the retry budget from balance

The budget that bounds retries depends on nothing else there: package retrybudget, type Budget, with limits of its own.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,6 +16,7 @@
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
+	"github.com/stepcroft/stepcroft/internal/retrybudget"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
@@ -166,7 +167,7 @@
 	level        level
 	// unmetLead is the last result of maxLead for organisations with unmet demand.
 	unmetLead lead
-	budget    budget
+	budget    *retrybudget.Budget
 	throttle  *throttle.Controller
 	holders   holders
 	// sample, good, suspect, near and missing are scratch space for choosing a target.
@@ -231,7 +232,7 @@
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
 		forecasts:         newForecasts(),
 		returning:         newReturning(),
-		budget:            newBudget(now, limits.RetryWindow),
+		budget:            retrybudget.New(now, limits.retries()),
 	}
 }
 
@@ -254,34 +255,11 @@
 // Arrive accepts a request. Its decision follows on the ticket's channel: at once, when there
 // is room, or when the request has waited long enough.
 func (s *State) Arrive(now time.Time, t *Ticket) {
-	s.budget.countRequest(now, t.Service)
+	s.budget.CountRequest(now, t.Service)
 	s.shares.addDemand(now, t.Organisation, t.tokens())
 	s.arrive(now, t)
 }
 
-// Retry accepts a retry of a request. It returns false if the retry budget is spent; the
-// ticket then gets no decision.
-func (s *State) Retry(now time.Time, t *Ticket) bool {
-	percent := budgetPercent
-	if t.Resumes {
-		percent = resumeBudgetPercent
-	}
-	if !s.budget.allowRetry(now, t.Service, s.limits, s.routers(), percent) {
-		return false
-	}
-	s.budget.countRetry(now, t.Service)
-	t.again, t.isSecond = true, false
-	s.arrive(now, t)
-	return true
-}
-
-// Requeue accepts again a request that was not sent for lack of a connection. It counts
-// neither as a new request nor as a retry.
-func (s *State) Requeue(now time.Time, t *Ticket) {
-	t.again, t.isSecond = true, false
-	s.arrive(now, t)
-}
-
 func (s *State) arrive(now time.Time, t *Ticket) {
 	t.started = false
 	t.expires = now.Add(s.maxWait(now, t))
@@ -475,9 +453,7 @@
 
 // SetLimits applies changed limits.
 func (s *State) SetLimits(l Limits) {
-	if bucketWidthFor(l.RetryWindow) != s.budget.width {
-		s.budget = newBudget(s.budget.start, l.RetryWindow)
-	}
+	s.budget = s.budget.WithLimits(l.retries())
 	s.limits = l
 	s.shares.window = l.QuotaWindow
 	s.peers.SetWindow(l.QuotaWindow)
--- a/internal/balance/second.go
+++ b/internal/balance/second.go
@@ -18,14 +18,14 @@
 	if t.target == nil || t.silentFor(now) < silence {
 		return nil, ""
 	}
-	if !s.budget.allowRetry(now, t.Service, s.limits, s.routers(), budgetPercent) {
+	if !s.budget.Allows(now, t.Service, s.routers(), budgetPercent) {
 		return nil, BudgetSpent
 	}
 	second := t.second(append(tried, t.target.incarnation), resumes)
 	if !slices.ContainsFunc(s.targetsOf(t.Service), func(c *target) bool { return s.isUsable(now, second, c) && !c.suspected(now) }) {
 		return nil, NoTarget
 	}
-	s.budget.countRetry(now, t.Service)
+	s.budget.CountRetry(now, t.Service)
 	s.arrive(now, second)
 	return second, ""
 }
@@ -39,7 +39,7 @@
 func (t *target) wasHeard(now time.Time) bool { return now.Sub(t.heardAt()) < maxQuiet }
 
 // CancelSecond gives back what a second send has taken of the retry budget, as the request was not sent.
-func (s *State) CancelSecond(now time.Time, t *Ticket) { s.budget.uncountRetry(now, t.Service) }
+func (s *State) CancelSecond(now time.Time, t *Ticket) { s.budget.UncountRetry(now, t.Service) }
 
 // second returns a ticket for the same request at another target.
 func (t *Ticket) second(tried []string, resumes bool) *Ticket {
