The account of a request ends once the HTTP server is done with it

What operators saw: sums that held and were wrong. An account that was closed by whoever closed the connection first gave one request of a closing server two (caller-gone and unanswered), counted a refusal as such whose bytes were never written, forgot requests that the HTTP server had read with the one before and then refused or dropped, and blamed the caller or the clock where this process ended the connection.

Every ingress test server now checks its account as it closes: read = ended, nothing forgotten, nothing twice, and no fewer read than served.

- closed within a request by the server: {caller-gone 1, unanswered 1} for one request.
The account was ended in Close, and once more in the second Close, whose failed peek looks like a caller that left.
Close now runs once and only notes how an unanswered request ends; the HTTP server's StateClosed, which comes once for each connection after its last write, ends the account.
- decided, then closed or aborted before anything was written: refused 1, answered 1 -> unanswered 1.
- the server stops after the first byte(s) of a request that came with the one before: caller-gone or nothing -> unanswered, closed_unanswered nothing -> stopping.
- no HTTP behind a whole request, in one read: nothing -> incomplete.
The server gets it from its buffer, without a Read and without StateActive.
- the caller closes within a head: incomplete -> caller-gone.

A quick refusal that could not be written had no line; it has one now, and nothing is tried after it. The end that closed_unanswered and the account see is decided in one place (noteClosing). Shutdown waits up to 50 ms for ends rather than handlers, so that the line 'requests accounted' has them.

Known limit: a part of a request that came in one read with one in chunks is not seen if the connection is closed before the rest (the length of the first is not known there).

Changed in tests: the rigs wrap handlers that replace the server's, so that these have ends; the handler of TestClosedUnansweredAreCounted no longer calls ServeHTTP with a recorder, which decided an end that nobody wrote.

--- a/internal/ingress/arrived_id_internal_test.go
+++ b/internal/ingress/arrived_id_internal_test.go
@@ -73,7 +73,7 @@
 			s := newTestServer(anyResult{}, true)
 			g := group.New(t.Context())
 			defer g.Stop()
-			defer s.Close()
+			defer checkAccount(t, s)
 			s.conns.unread.Enqueue(clock.Now().Add(-time.Second), true)
 			caller := dialServer(t, l.Addr(), c.text)
 			time.Sleep(20 * time.Millisecond)
--- a/internal/ingress/bodies_test.go
+++ b/internal/ingress/bodies_test.go
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	g.Go(func() { _ = s.Serve(l) })
-	t.Cleanup(func() { _ = s.Close() })
+	t.Cleanup(func() { closeAndCheck(s) })
 	return l.Addr().String()
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,16 +44,18 @@
 	// unread is the number of bytes of the current request that the HTTP server has not read yet,
 	// or lengthUnknown. It is negative if the server has read the start of the next request.
 	unread int
+	// aheadRead is set if the last byte read was read by itself, as the HTTP server reads the first one of the next
+	// request while it serves one.
+	aheadRead bool
 	// unanswered is set while a request of which something has been read has got no answer, serving while
 	// its handler runs, callerEnded once the caller has closed or reset the connection, and timedOut if the
 	// last read ended at its deadline. They decide only what is counted when the connection is closed.
 	unanswered, serving, callerEnded, timedOut atomic.Bool
-	// request is the account of the request that is read or served, nil if there is none, and served is set once
-	// its handler has returned.
+	// request is the account of the request that is read or served, nil if there is none.
 	request atomic.Pointer[lifecycle.Request]
-	served  atomic.Bool
-	// closedServing is set if this process closed the connection while the handler of a request ran.
-	closedServing atomic.Bool
+	// closedAs is how a request without an answer ends as the connection was closed, nil before.
+	closedAs atomic.Pointer[lifecycle.End]
+	closing  sync.Once
 
 	// evicted is set, with conns.mu held, if the connection ends while it is idle: to make room for another
 	// one, or since the server shuts down.
@@ -101,7 +104,13 @@
 // closedServing reports whether this process has closed the connection of a request that is being served.
 func closedServing(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.closedServing.Load()
+	return ok && c.closedHere()
+}
+
+// closedHere reports whether this process has closed the connection, though its caller had not.
+func (c *conn) closedHere() bool {
+	end := c.closedAs.Load()
+	return end != nil && *end != lifecycle.CallerGone
 }
 
 // wasReceived reports whether the connection of a request was handed over by another router. Refusals
@@ -160,17 +169,26 @@
 	if state == http.StateIdle {
 		c.endRequest("")
 		c.betweenRequests = true
-		c.unanswered.Store(c.unread == -1)
+		c.unanswered.Store(c.aheadRead || c.unread < 0 && c.unread > lengthUnknown/2)
 		c.serving.Store(false)
 		c.markIdle()
 	}
 	if state == http.StateActive && c.betweenRequests {
-		c.betweenRequests = false
-		c.beginRequest()
-		c.leaveIdle()
+		c.takeBuffered()
+	}
+	if state == http.StateClosed {
+		c.endClosed()
 	}
 }
 
+// takeBuffered begins a request that the HTTP server had read with the one before.
+func (c *conn) takeBuffered() {
+	c.betweenRequests = false
+	c.unread = lengthUnknown
+	c.beginRequest()
+	c.leaveIdle()
+}
+
 // markIdle marks the connection as idle.
 func (c *conn) markIdle() {
 	s := c.conns
@@ -230,18 +248,18 @@
 	}
 }
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.begun()
-	toClose, stopping := c.release()
-	if !toClose {
-		c.endClosed()
-		return nil
-	}
-	c.noteClosed(stopping)
-	c.endClosed()
-	c.closedServing.Store(c.serving.Load() && !c.callerEnded.Load() && !sockopt.RemoteClosed(c.Conn))
-	return c.Conn.Close()
+// Close implements net.Conn. Only the first call closes the connection; others wait for it.
+func (c *conn) Close() (err error) {
+	c.closing.Do(func() {
+		c.begun()
+		toClose, stopping := c.release()
+		if !toClose {
+			return
+		}
+		c.noteClosing(stopping)
+		err = c.Conn.Close()
+	})
+	return err
 }
 
 // release removes the connection from conns. It returns false if it is closed already, or by Read. stopping
@@ -265,14 +283,19 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	if c.unanswered.Load() && !bytes.HasPrefix(b, interimAnswer) {
-		c.unanswered.Store(false)
-		if !c.serving.Load() {
-			// The HTTP server refuses what is no proper request by itself.
-			c.request.Load().Decide(clock.Now(), "", lifecycle.Incomplete)
-		}
+	if !c.serving.Load() && (c.betweenRequests || c.unanswered.Load()) {
+		// The HTTP server refuses what is no proper request by itself.
+		c.noteImproper()
 	}
+	return c.writeAnswer(b)
+}
+
+// writeAnswer writes a part of the answer to the request in progress.
+func (c *conn) writeAnswer(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
+	if n > 0 && !bytes.HasPrefix(b, interimAnswer) {
+		c.unanswered.Store(false)
+	}
 	if err != nil {
 		c.noteUndelivered()
 	}
@@ -348,6 +371,7 @@
 	n := copy(buffer[:], read)
 	n += early.ReadNow(buffer[n:])
 	if n == 0 {
+		c.noteClosing(c.conns.ending.Load())
 		// An error means that the caller has disconnected.
 		_ = c.Conn.Close()
 		return
@@ -370,6 +394,7 @@
 		n, err := c.readInput(b)
 		if !c.betweenRequests || (n == 0 || err != nil) && !c.evicted.Load() {
 			c.unread -= n
+			c.aheadRead = n == 1 && len(b) == 1
 			return n, err
 		}
 		c.betweenRequests = false
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -71,7 +71,7 @@
 	s.Configure(table)
 	callers := listen()
 	g.Go(func() { _ = s.Serve(callers) })
-	t.Cleanup(func() { _ = s.Close() })
+	t.Cleanup(func() { closeAndCheck(s) })
 	return s, callers.Addr().String(), target
 }
 
--- a/internal/ingress/end.go
+++ b/internal/ingress/end.go
@@ -7,7 +7,6 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
-	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
 // EndOf returns how a request with a result ends once that has been written to its caller.
@@ -41,17 +40,9 @@
 	return c.request.Load()
 }
 
-// noteServed notes that the handler of a request has returned.
-func noteServed(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*conn); ok {
-		c.served.Store(true)
-	}
-}
-
 // beginRequest begins the account of a request of which the first bytes have been read.
 func (c *conn) beginRequest() {
 	c.unanswered.Store(true)
-	c.served.Store(false)
 	if c.request.Load() == nil {
 		c.request.Store(c.server.requests.Begin(clock.Now()))
 	}
@@ -60,37 +51,45 @@
 // endRequest ends the account of the last request, if it has not ended. A request for which no end was decided ends as otherwise says.
 func (c *conn) endRequest(otherwise lifecycle.End) { c.request.Swap(nil).Close(clock.Now(), otherwise) }
 
-// endClosed ends the account of a request whose connection is being closed. If its handler still runs, that decides
-// how it ends, and the HTTP server closes the connection once more.
+// endClosed ends the account of a connection that the HTTP server has done with.
 func (c *conn) endClosed() {
-	serving := c.serving.Load()
-	switch {
-	case serving && !c.served.Load():
-	case serving:
-		c.endRequest("")
-	case c.request.Load() == nil && c.unanswered.Load():
+	closedAs := lifecycle.Unanswered
+	if end := c.closedAs.Load(); end != nil {
+		closedAs = *end
+	}
+	switch unanswered := c.unanswered.Load(); {
+	case c.request.Load() == nil && unanswered:
 		// The HTTP server had read the first byte of it with the request before.
-		c.server.requests.Count(clock.Now(), c.closedEnd())
+		c.server.requests.Count(clock.Now(), closedAs)
+	case !c.serving.Load():
+		c.endRequest(closedAs)
+	case unanswered:
+		c.request.Load().NoteUndelivered(closedAs)
+		fallthrough
 	default:
-		c.endRequest(c.closedEnd())
+		c.endRequest("")
 	}
 }
 
-// closedEnd returns how a request ends whose connection is closed before its handler runs.
-func (c *conn) closedEnd() lifecycle.End {
-	switch {
-	case c.callerEnded.Load(), sockopt.RemoteClosed(c.Conn):
-		return lifecycle.CallerGone
-	case c.timedOut.Load():
-		return lifecycle.Incomplete
+// noteImproper notes that the HTTP server refuses what has been read, since that is no proper request.
+func (c *conn) noteImproper() {
+	if c.betweenRequests {
+		c.takeBuffered()
 	}
-	return lifecycle.Unanswered
+	end := lifecycle.Incomplete
+	if c.callerEnded.Load() {
+		end = lifecycle.CallerGone
+	}
+	c.request.Load().Decide(clock.Now(), "", end)
 }
 
 // noteUndelivered notes that a part of the answer could not be written.
 func (c *conn) noteUndelivered() {
 	end := lifecycle.CallerGone
-	if c.closedServing.Load() {
+	switch {
+	case c.closedHere() && c.unanswered.Load():
+		end = lifecycle.Unanswered
+	case c.closedHere():
 		end = lifecycle.Cut
 	}
 	c.request.Load().NoteUndelivered(end)
--- a/internal/ingress/ended_test.go
+++ b/internal/ingress/ended_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
 // resultObserver is an observer that passes on the results of the request "r".
@@ -29,12 +31,14 @@
 		end    func(caller, target net.Conn, s *ingress.Server)
 		want   forward.Reason
 		status int
+		ends   lifecycle.End
 	}{
-		"caller goes":            {head + event, func(caller, _ net.Conn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, 200},
-		"target breaks off":      {head + event, func(_, target net.Conn, _ *ingress.Server) { _ = target.Close() }, forward.ReasonBroken, 200},
-		"server is closed":       {head + event, func(_, _ net.Conn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, 200},
-		"time for stop over":     {head + event, func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 200},
-		"stop before the answer": {"", func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 504},
+		"whole":                  {head + event, func(_, target net.Conn, _ *ingress.Server) { _, _ = io.WriteString(target, "0\r\n\r\n") }, "", 200, lifecycle.Answered},
+		"caller goes":            {head + event, func(caller, _ net.Conn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, 200, lifecycle.CallerGone},
+		"target breaks off":      {head + event, func(_, target net.Conn, _ *ingress.Server) { _ = target.Close() }, forward.ReasonBroken, 200, lifecycle.TargetFailed},
+		"server is closed":       {head + event, func(_, _ net.Conn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, 200, lifecycle.Cut},
+		"time for stop over":     {head + event, func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 200, lifecycle.Cut},
+		"stop before the answer": {"", func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 504, lifecycle.Cut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -52,6 +56,10 @@
 			case <-time.After(5 * time.Second):
 				t.Error("no result")
 			}
+			_ = s.Close()
+			if got := s.Ends(); !maps.Equal(got, map[lifecycle.End]int64{c.ends: 1}) {
+				t.Errorf("ends %v, want %q", got, c.ends)
+			}
 		})
 	}
 }
--- a/internal/ingress/gone_test.go
+++ b/internal/ingress/gone_test.go
@@ -74,7 +74,7 @@
 			Expect(c.Close()).To(Succeed())
 		}
 		g.Go(func() { _ = s.Serve(l) })
-		DeferCleanup(s.Close)
+		DeferCleanup(closeAndCheck, s)
 		Eventually(observer.n.Load).Should(Equal(int64(callers)))
 		Expect(sender.sends.Load()).To(BeZero())
 	})
--- a/internal/ingress/handover_internal_test.go
+++ b/internal/ingress/handover_internal_test.go
@@ -95,7 +95,7 @@
 			s := newTestServer(ignoreAll{}, c.short)
 			g := group.New(t.Context())
 			defer g.Stop()
-			defer s.Close()
+			defer checkAccount(t, s)
 			s.HandOver(delayingTaker{g, c.delay})
 			g.Go(func() { _ = s.Serve(l) })
 			caller, err := net.Dial("tcp", l.Addr().String())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -223,6 +223,7 @@
 	s.awaitBeginning(ctx)
 	err := s.server.Shutdown(ctx)
 	if err == nil {
+		s.awaitEnds()
 		return nil
 	}
 	open := s.open.Load()
@@ -244,12 +245,12 @@
 	beginningInterval = 2 * time.Millisecond
 )
 
-// maxEnding is how long a server that has closed all connections waits for the handlers to report their requests.
+// maxEnding is how long a server that has closed all connections waits for the ends of their requests.
 const maxEnding = 50 * time.Millisecond
 
 // awaitEnds waits until all requests have ended.
 func (s *Server) awaitEnds() {
-	for end := clock.Now().Add(maxEnding); s.open.Load() > 0 && clock.Now().Before(end); {
+	for end := clock.Now().Add(maxEnding); s.requests.Sums(clock.Now()).Open > 0 && clock.Now().Before(end); {
 		time.Sleep(beginningInterval)
 	}
 }
@@ -274,7 +275,6 @@
 	s.started.Add(1)
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	defer noteServed(r.Context())
 	arrived := clock.Now()
 	noteServing(r.Context())
 	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
--- a/internal/ingress/queued_internal_test.go
+++ b/internal/ingress/queued_internal_test.go
@@ -19,7 +19,9 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	in := newListener(l, newTestServer(anyResult{}, false))
+	s := newTestServer(anyResult{}, false)
+	defer checkAccount(t, s)
+	in := newListener(l, s)
 	var conns []net.Conn
 	for range callers {
 		conns = append(conns, dialServer(t, l.Addr(), wholeRequest))
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -41,13 +41,10 @@
 	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
 	last := c.received || c.conns.announceClose(false)
 	c.request.Load().Decide(clock.Now(), r.ID, lifecycle.Refused)
-	c.unanswered.Store(false)
-	if _, err := c.Write(s.formatRefusal(r.ID, result, last)); err != nil {
-		return false, length, errors.Wrap(err, "write refusal")
-	}
+	_, err = c.writeAnswer(s.formatRefusal(r.ID, result, last))
 	c.endRequest("")
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
-	if last {
+	if last || err != nil {
 		return true, length, io.EOF
 	}
 	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -123,10 +123,18 @@
 	g.Go(func() { _ = s.Serve(l) })
 	g.GoContext(func(ctx context.Context) {
 		<-ctx.Done()
-		_ = s.Close()
+		closeAndCheck(s)
 	})
 }
 
+// closeAndCheck closes a server and checks the account of its requests.
+func closeAndCheck(s *ingress.Server) {
+	_ = s.Close()
+	if err := s.CheckAccount(); err != nil {
+		panic(err)
+	}
+}
+
 // head returns a request's head; more holds further header lines.
 func head(path, key, id string, length int, more string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Wait-Ms: 2000\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n%s\r\n",
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -66,7 +66,7 @@
 			s := newTestServer(rejectedOnly{t}, true)
 			g := group.New(context.Background())
 			defer g.Stop()
-			defer s.Close()
+			defer checkAccount(t, s)
 			if !overdue {
 				s.conns.unread.Enqueue(clock.Now().Add(-time.Second), true)
 			}
@@ -144,6 +144,7 @@
 	if err := in.Close(); err != nil {
 		t.Fatal(err)
 	}
+	defer checkAccount(t, s)
 	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ingress/unanswered.go
+++ b/internal/ingress/unanswered.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -48,27 +49,24 @@
 	s.log.Info("callers closed without an answer", "why", reason, "counts", s.ClosedUnanswered())
 }
 
-// noteClosed counts the request that is left without an answer, if any, when this process is about to close
-// the connection. stopping is set if the server has shut down.
-func (c *conn) noteClosed(stopping bool) {
-	if c.callerEnded.Load() {
-		return
-	}
-	reason, suffix := closedAborted, ""
-	switch {
-	case !c.unanswered.Load():
-		if sockopt.Idle(c.Conn) || sockopt.RemoteClosed(c.Conn) {
-			return
-		}
-		suffix = unreadSuffix
-	case sockopt.RemoteClosed(c.Conn):
-		return
-	}
+// noteClosing notes, as the connection is about to be closed, how a request without an answer ends, and counts it if
+// that is this process's doing. stopping is set if the server has shut down.
+func (c *conn) noteClosing(stopping bool) {
+	end, reason := lifecycle.Unanswered, closedAborted
 	switch {
-	case c.timedOut.Load() && !c.serving.Load():
-		reason = closedTimeout
+	case c.callerEnded.Load(), sockopt.RemoteClosed(c.Conn):
+		end, reason = lifecycle.CallerGone, ""
+	case c.timedOut.Load() && !c.evicted.Load() && !c.serving.Load():
+		end, reason = lifecycle.Incomplete, closedTimeout
 	case stopping:
 		reason = closedStopping
 	}
-	c.server.countUnanswered(reason + suffix)
+	c.closedAs.Store(&end)
+	switch {
+	case reason == "", !c.unanswered.Load() && sockopt.Idle(c.Conn):
+		return
+	case !c.unanswered.Load():
+		reason += unreadSuffix
+	}
+	c.server.countUnanswered(reason)
 }
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -8,7 +8,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +17,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -28,7 +28,7 @@
 
 const wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n"
 
-// startTestServer serves a new listener until the test ends.
+// startTestServer serves a new listener until the test ends, and checks the account of its requests then.
 func startTestServer(t *testing.T, s *Server) net.Addr {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -36,8 +36,9 @@
 		t.Fatal(err)
 	}
 	g := group.New(context.Background())
+	s.server.Handler = s.accounted(s.server.Handler)
 	t.Cleanup(func() {
-		_ = s.Close()
+		checkAccount(t, s)
 		g.Stop()
 	})
 	g.Go(func() { _ = s.Serve(l) })
@@ -65,26 +66,71 @@
 		sent string
 		end  func(s *Server, caller net.Conn)
 		want map[string]int64
+		ends map[lifecycle.End]int64
 	}{
-		"nothing was sent": {"", func(s *Server, _ net.Conn) { _ = s.Close() }, nil},
+		"nothing was sent": {"", func(s *Server, _ net.Conn) { _ = s.Close() }, nil, nil},
 		"its request was answered": {wholeRequest, func(s *Server, caller net.Conn) {
 			_, _ = io.ReadFull(caller, make([]byte, 16))
 			_ = s.Close()
-		}, nil},
-		"the caller closed it within a request": {wholeRequest[:20], func(_ *Server, caller net.Conn) { _ = caller.Close() }, nil},
+		}, nil, ends{lifecycle.Answered: 1}},
+		"the caller closed it within a request": {wholeRequest[:20], func(_ *Server, caller net.Conn) { _ = caller.Close() }, nil, ends{lifecycle.CallerGone: 1}},
 		"the server is closed within a request": {
 			wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
 			map[string]int64{closedStopping: 1},
+			ends{lifecycle.Unanswered: 1},
+		},
+		"the rest does not come": {
+			"GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) },
+			map[string]int64{closedTimeout: 1},
+			ends{lifecycle.Incomplete: 1},
+		},
+		"its answer is aborted": {
+			strings.Replace(wholeRequest, "GET", "DELETE", 1), func(*Server, net.Conn) {},
+			map[string]int64{closedAborted: 1},
+			ends{lifecycle.Unanswered: 1},
+		},
+		"the server stops after the first byte of a request": {
+			wholeRequest + "G", func(s *Server, _ net.Conn) { s.conns.end() },
+			map[string]int64{closedStopping: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
+		},
+		"the server stops after the first bytes of a request": {
+			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { s.conns.end() },
+			map[string]int64{closedStopping: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
+		},
+		"the server stops after the first byte behind chunks": {
+			strings.Replace(text(chunked, chunkedBody), "POST", "PATCH", 1), func(s *Server, caller net.Conn) {
+				fmt.Fprint(caller, "G")
+				time.Sleep(60 * time.Millisecond)
+				s.conns.end()
+			},
+			map[string]int64{closedStopping: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
+		},
+		"the caller closed it after the first byte of a request": {
+			wholeRequest + "G", func(_ *Server, caller net.Conn) { _ = caller.(*net.TCPConn).CloseWrite() },
+			nil,
+			ends{lifecycle.Answered: 1, lifecycle.CallerGone: 1},
 		},
-		"the rest does not come": {"GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) }, map[string]int64{closedTimeout: 1}},
-		"its answer is aborted":  {strings.Replace(wholeRequest, "GET", "DELETE", 1), func(*Server, net.Conn) {}, map[string]int64{closedAborted: 1}},
+		"no HTTP":                     {"hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Incomplete: 1}},
+		"no HTTP after a request":     {wholeRequest + "hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1}},
+		"no HTTP after chunks":        {text(chunked, chunkedBody) + "hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1}},
+		"an expectation that is none": {text("Expect: x\r\nContent-Length: 1\r\n", "x"), waitEnd, nil, ends{lifecycle.Incomplete: 1}},
+		"asks before its body":        {text("Expect: 100-continue\r\nContent-Length: 1\r\n", ""), waitEnd, nil, ends{lifecycle.Answered: 1}},
+		"three requests at once":      {wholeRequest + text(chunked, chunkedBody) + wholeRequest, waitEnd, nil, ends{lifecycle.Answered: 3}},
+		"HTTP/1.0":                    {"GET / HTTP/1.0\r\n\r\n", waitEnd, nil, ends{lifecycle.Answered: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(anyResult{}, false)
 			s.server.ReadHeaderTimeout = 200 * time.Millisecond
 			s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if s.ServeHTTP(httptest.NewRecorder(), r); r.Method == http.MethodDelete {
+				switch r.Method {
+				case http.MethodDelete:
 					panic(http.ErrAbortHandler)
+				case http.MethodPatch:
+					_, _ = io.Copy(io.Discard, r.Body)
+					time.Sleep(80 * time.Millisecond)
 				}
 				w.WriteHeader(http.StatusServiceUnavailable)
 			})
@@ -95,10 +141,36 @@
 			if got := s.ClosedUnanswered(); !maps.Equal(got, c.want) {
 				t.Errorf("counted %v, want %v", got, c.want)
 			}
+			_ = s.Close()
+			if got := s.Ends(); !maps.Equal(got, c.ends) {
+				t.Errorf("ends %v, want %v", got, c.ends)
+			}
 		})
 	}
 }
 
+// ends holds numbers of requests by their ends.
+type ends = map[lifecycle.End]int64
+
+// waitEnd waits until a caller's request has ended by itself.
+func waitEnd(*Server, net.Conn) {}
+
+// TestUnwrittenRefusalIsNotCounted guards against refusals that count as such although the server was closed before
+// they were written.
+func TestUnwrittenRefusalIsNotCounted(t *testing.T) {
+	s := newTestServer(anyResult{}, false)
+	s.server.Handler = ownAccount{http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.ServeHTTP(w, r)
+		_ = s.Close()
+	})}
+	if got := status(dialServer(t, startTestServer(t, s), wholeRequest)); got != 0 {
+		t.Error("status", got)
+	}
+	if got, want := s.Ends(), (ends{lifecycle.Unanswered: 1}); !maps.Equal(got, want) {
+		t.Errorf("ends %v, want %v", got, want)
+	}
+}
+
 // status returns the status of the next answer on a connection, or 0 if the connection ends without one.
 func status(c net.Conn) int {
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
