Each router of the gateway's tests has its account checked at its end

A path that forgets a request, or ends it twice, now fails whichever test takes it: the rigs read the figure requests as operators do once the router has stopped.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/invariant"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -117,10 +118,32 @@
 	g, err := gateway.New(context.Background(), o)
 	Expect(err).NotTo(HaveOccurred())
 	r.Gateway = g
-	DeferCleanup(g.Stop)
+	DeferCleanup(r.stopAndCheck)
 	return r
 }
 
+// stopAndCheck stops the router, and checks that each request that it has read has one end.
+func (r *rig) stopAndCheck() {
+	r.Stop()
+	Eventually(func() error { return accountError(r.Gateway) }).Should(Succeed())
+}
+
+// accountError returns an error unless each request that a stopped router has read has one end, as operators see it.
+func accountError(g *gateway.Gateway) error {
+	w := httptest.NewRecorder()
+	g.Metrics.ServeHTTP(w, nil)
+	var metrics struct {
+		Requests lifecycle.Sums `json:"requests"`
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &metrics); err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	if n := metrics.Requests.Open; n > 0 {
+		return errors.Errorf("%d requests still in progress", n)
+	}
+	return metrics.Requests.Check()
+}
+
 func (r *rig) configure(s routing.Spec) {
 	value, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/handover_share_test.go
+++ b/internal/gateway/handover_share_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/feature"
@@ -82,7 +83,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(g.Stop)
+	t.Cleanup(func() {
+		g.Stop()
+		NewWithT(t).Eventually(func() error { return accountError(g) }).Should(Succeed())
+	})
 	table, err := json.Marshal(config)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -42,7 +42,7 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	r.Gateway = g
-	DeferCleanup(g.Stop)
+	DeferCleanup(r.stopAndCheck)
 	return r
 }
 
