Refusals of improper requests by the HTTP server carry the id and leave a line

What callers and operators saw: a request whose head the HTTP server refuses by itself (400, 417, 431, 501, 505) got an answer without its id, and no line told of it.

These refusals are written before a handler runs, by one write: conn.Write adds the id to the head of that answer and reports it, reason improper-request, status as sent, end incomplete (caller-gone if the caller has closed). The id is read as other early refusals read it (httphead.ID), so control characters and line ends do not come back. Heads of the usual form keep the id that was read anyhow; of others the first 4 KB are kept, in a buffer from a pool that is given back as the handler runs.

An id is not known, and left out, behind the first 4 KB of a head, of a protocol other than HTTP/1, and of a request that was read whole with the one before.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -47,6 +47,9 @@
 	// aheadRead is set if the last byte read was read by itself, as the HTTP server reads the first one of the next
 	// request while it serves one.
 	aheadRead bool
+	// head is what is kept of the request that begins. Only the goroutine that serves the connection uses it, and
+	// not the one that reads a single byte ahead.
+	head arrivedHead
 	// unanswered is set while a request of which something has been read has got no answer, serving while
 	// its handler runs, callerEnded once the caller has closed or reset the connection, and timedOut if the
 	// last read ended at its deadline. They decide only what is counted when the connection is closed.
@@ -88,6 +91,7 @@
 // noteServing notes that the handler of a request runs.
 func noteServing(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.head.drop()
 		c.serving.Store(true)
 		c.begun()
 	}
@@ -177,6 +181,7 @@
 		c.takeBuffered()
 	}
 	if state == http.StateClosed {
+		c.head.drop()
 		c.endClosed()
 	}
 }
@@ -284,8 +289,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if !c.serving.Load() && (c.betweenRequests || c.unanswered.Load()) {
-		// The HTTP server refuses what is no proper request by itself.
-		c.noteImproper()
+		return c.refuseImproper(b)
 	}
 	return c.writeAnswer(b)
 }
@@ -346,10 +350,13 @@
 func (c *conn) resumeRequest(rest []byte) {
 	if c.unread != -1 {
 		c.unread = lengthUnknown
+		c.head.keep(rest)
 		return
 	}
 	// The byte is the first one of the method, which does not affect the length.
-	h, size, ok := httphead.Parse(append([]byte{'P'}, rest...), &c.server.headNames)
+	whole := append([]byte{'P'}, rest...)
+	c.head.keep(whole)
+	h, size, ok := httphead.Parse(whole, &c.server.headNames)
 	c.unread = requestLength(h, size, ok) - 1 - len(rest)
 }
 
@@ -394,6 +401,9 @@
 		n, err := c.readInput(b)
 		if !c.betweenRequests || (n == 0 || err != nil) && !c.evicted.Load() {
 			c.unread -= n
+			if len(b) > 1 {
+				c.head.add(b[:n])
+			}
 			c.aheadRead = n == 1 && len(b) == 1
 			return n, err
 		}
--- a/internal/ingress/end.go
+++ b/internal/ingress/end.go
@@ -20,6 +20,8 @@
 		return lifecycle.TimeOver
 	case ReasonStopped, ReasonPanic:
 		return lifecycle.Cut
+	case ReasonImproper:
+		return lifecycle.Incomplete
 	}
 	switch {
 	case !v.Truncated && !v.HeadSent && v.Status != http.StatusBadGateway:
@@ -71,18 +73,6 @@
 	}
 }
 
-// noteImproper notes that the HTTP server refuses what has been read, since that is no proper request.
-func (c *conn) noteImproper() {
-	if c.betweenRequests {
-		c.takeBuffered()
-	}
-	end := lifecycle.Incomplete
-	if c.callerEnded.Load() {
-		end = lifecycle.CallerGone
-	}
-	c.request.Load().Decide(clock.Now(), "", end)
-}
-
 // noteUndelivered notes that a part of the answer could not be written.
 func (c *conn) noteUndelivered() {
 	end := lifecycle.CallerGone
