--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -301,7 +301,7 @@
 		c.unanswered.Store(false)
 	}
 	if err != nil {
-		c.noteUndelivered()
+		c.request.Load().NoteUndelivered(c.undelivered())
 	}
 	return n, err
 }
@@ -416,16 +416,18 @@
 			c.refuseLast(b[:n], reason, after)
 			return 0, io.EOF
 		}
-		c.beginRequest()
 		if c.unread != 0 {
+			c.beginRequest()
 			c.resumeRequest(b[:n])
 			return n, nil
 		}
+		c.unanswered.Store(true)
 		refused, length, err := c.server.refuseQuickly(c, b[:n])
 		if err != nil {
 			return 0, err
 		}
 		if !refused {
+			c.beginRequest()
 			c.unread = length - n
 			return n, nil
 		}
--- a/internal/ingress/end.go
+++ b/internal/ingress/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
@@ -73,16 +74,31 @@
 	}
 }
 
-// noteUndelivered notes that a part of the answer could not be written.
-func (c *conn) noteUndelivered() {
-	end := lifecycle.CallerGone
+// endRefused ends the account of a request whose refusal was written before the HTTP server got it. A request that
+// arrived whole needs none until then.
+func (c *conn) endRefused(now time.Time, err error) {
+	end := lifecycle.Refused
+	if err != nil {
+		end = c.undelivered()
+	}
+	// It has been counted, written or not.
+	c.unanswered.Store(false)
+	if r := c.request.Swap(nil); r != nil {
+		r.Close(now, end)
+		return
+	}
+	c.server.requests.Count(now, end)
+}
+
+// undelivered returns how a request ends of whose answer a part could not be written.
+func (c *conn) undelivered() lifecycle.End {
 	switch {
-	case c.closedHere() && c.unanswered.Load():
-		end = lifecycle.Unanswered
-	case c.closedHere():
-		end = lifecycle.Cut
+	case !c.closedHere():
+		return lifecycle.CallerGone
+	case c.unanswered.Load():
+		return lifecycle.Unanswered
 	}
-	c.request.Load().NoteUndelivered(end)
+	return lifecycle.Cut
 }
 
 // loseConnection counts a connection that the process has no descriptor for, of which n bytes have been read.
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -57,3 +59,9 @@
 		h.ServeHTTP(w, r)
 	})
 }
+
+// ReadAll reads from a connection to its end, as the HTTP server does, which gets no request that is refused quickly.
+func (s *Server) ReadAll(raw net.Conn) {
+	c := &conn{Conn: raw, server: s, conns: s.conns, betweenRequests: true, firstReadDone: true}
+	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c})
+}
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -11,7 +11,6 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httphead"
-	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
 // An organisation that sends many times its share can keep a small box busy with refusals
@@ -37,15 +36,18 @@
 		return false, length, nil
 	}
 	r.Arrived = arrived
-	if err := discard(c, length-len(first)); err != nil {
-		return false, length, err
+	if length > len(first) {
+		c.beginRequest()
+		if err := discard(c, length-len(first)); err != nil {
+			return false, length, err
+		}
 	}
 	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
 	last := c.received || c.conns.announceClose(false)
-	c.request.Load().Decide(clock.Now(), r.ID, lifecycle.Refused)
 	_, err = c.writeAnswer(s.formatRefusal(r.ID, result, last))
-	c.endRequest("")
-	s.observer.RequestEnded(r, result, clock.Since(arrived))
+	took := clock.Since(arrived)
+	c.endRefused(arrived.Add(took), err)
+	s.observer.RequestEnded(r, result, took)
 	if last || err != nil {
 		return true, length, io.EOF
 	}
@@ -119,9 +121,6 @@
 
 // discard reads n bytes of a request's body and drops them.
 func discard(c *conn, n int) error {
-	if n == 0 {
-		return nil
-	}
 	if err := c.SetReadDeadline(clock.Deadline(bodyTimeout)); err != nil {
 		return errors.Wrap(err, "discard body")
 	}
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -58,3 +58,23 @@
 		t.Errorf("Check() = %v", err)
 	}
 }
+
+func BenchmarkAccount(b *testing.B) {
+	now := time.Now()
+	for name, account := range map[string]func(*lifecycle.Tracker){
+		"at once": func(t *lifecycle.Tracker) { t.Count(now, lifecycle.Refused) },
+		"begun": func(t *lifecycle.Tracker) {
+			r := t.Begin(now)
+			r.Decide(now, "r", lifecycle.Answered)
+			r.Close(now, "")
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			t := lifecycle.New(window, logr.Discard())
+			b.ReportAllocs()
+			for b.Loop() {
+				account(t)
+			}
+		})
+	}
+}
