Let timelines share what routers said of their state

No change for callers or operators. Explaining several requests of one directory of logs kept the lines about routers' state once a request; States holds them once. ReadMessage finds the lines of one message without decoding the others, so that a first look at gigabytes costs little. Line.Text and Line.Number are exported for packages that read lines.

go test ./internal/explain ./internal/cli passes.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -8,14 +8,14 @@
 	if end.Message == "" {
 		return "no line says how it ended: it may still run, or its router was lost with it", t.restartLine()
 	}
-	reason, organisation := end.text("reason"), end.text("organisation")
-	ofOrganisation := func(l Line) bool { return l.text("organisation") == organisation }
+	reason, organisation := end.Text("reason"), end.Text("organisation")
+	ofOrganisation := func(l Line) bool { return l.Text("organisation") == organisation }
 	switch reason {
 	case "":
 		return t.lateCause(end)
 	case "quarantined":
-		sameContent := func(l Line) bool { return l.text("content") == end.text("content") }
-		if part := end.text("part"); part != "" {
+		sameContent := func(l Line) bool { return l.Text("content") == end.Text("content") }
+		if part := end.Text("part"); part != "" {
 			return "targets ended each time they began an answer to a request with the part " + part + " in its prompt",
 				nonEmpty(t.lastBefore("part held back", end.Router, end.Time, sameContent))
 		}
@@ -38,7 +38,7 @@
 		return text + t.organisationOutcomes(), nonEmpty(t.lastBefore("organisation throttled", end.Router, end.Time, ofOrganisation))
 	case "unknown-key", "no-route":
 		return fmt.Sprintf("the configuration in force at this router, version %.0f, did not know it; the store had last been known to hold no newer one %.0f ms before",
-				end.number("config"), end.number("config_age_ms")),
+				end.Number("config"), end.Number("config_age_ms")),
 			nonEmpty(t.lastBefore("configuration in force", end.Router, end.Time, nil), t.lastBefore("copy of the store is old", end.Router, end.Time, nil), t.lastBefore("store came back older", end.Router, end.Time, nil))
 	case "not-ready":
 		return "the router had no configuration that it could rely on",
@@ -53,7 +53,7 @@
 	case "target-broken", "target-invalid", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
 		return t.targetFault(reason), t.firstAfter("targets known", end)
 	case "caller-gone":
-		return fmt.Sprintf("the caller left after %.0f ms", end.number("took_ms")), nil
+		return fmt.Sprintf("the caller left after %.0f ms", end.Number("took_ms")), nil
 	case "router-stopped":
 		return "the router closed the connection, as the time of its planned stop was over", nonEmpty(t.lastBefore("planned stop begins", end.Router, end.Time, nil))
 	case "router-failed":
@@ -61,7 +61,7 @@
 	case "caller-stalled":
 		return "the engine's answer had ended, and the caller took no more of it for too long", nil
 	case "deadline":
-		return fmt.Sprintf("its time was over after %.0f ms", end.number("took_ms")), nil
+		return fmt.Sprintf("its time was over after %.0f ms", end.Number("took_ms")), nil
 	}
 	return reason, nil
 }
@@ -70,17 +70,17 @@
 // did. It checks for retries first, then for time in the queue, and otherwise blames the engine's
 // prefill backlog.
 func (t *Timeline) lateCause(end Line) (string, []Line) {
-	first, goal := end.number("first_ms"), end.number("goal_ms")
+	first, goal := end.Number("first_ms"), end.Number("goal_ms")
 	switch {
 	case goal <= 0 || first <= goal:
 		return "none: it was answered in time, as far as its router can tell", nil
-	case end.number("sends") > 1:
-		return fmt.Sprintf("late, %.0f ms for a goal of %.0f: it was sent to %.0f targets", first, goal, end.number("sends")), nil
-	case end.number("waited_ms")*2 > first:
-		return fmt.Sprintf("late, %.0f ms for a goal of %.0f: it waited %.0f ms for room", first, goal, end.number("waited_ms")), nil
+	case end.Number("sends") > 1:
+		return fmt.Sprintf("late, %.0f ms for a goal of %.0f: it was sent to %.0f targets", first, goal, end.Number("sends")), nil
+	case end.Number("waited_ms")*2 > first:
+		return fmt.Sprintf("late, %.0f ms for a goal of %.0f: it waited %.0f ms for room", first, goal, end.Number("waited_ms")), nil
 	}
 	return fmt.Sprintf("late, %.0f ms for a goal of %.0f: its engine had %.0f prompt tokens to read before it, %.0f of them its own",
-		first, goal, end.number("unread"), end.number("miss")), nil
+		first, goal, end.Number("unread"), end.Number("miss")), nil
 }
 
 // targetFault describes how the target failed and how many other requests failed there at about
@@ -122,7 +122,7 @@
 // firstAfter returns the first line with a message that the request's router wrote after the
 // request ended, provided that it came soon enough to be related.
 func (t *Timeline) firstAfter(message string, end Line) []Line {
-	for _, l := range t.StateLines {
+	for _, l := range t.states.lines {
 		if l.Message == message && l.Router == end.Router && l.Time.After(end.Time) && l.Time.Sub(end.Time) < 5*neighbourWindow {
 			return []Line{l}
 		}
@@ -134,7 +134,7 @@
 // request without a final line it shows that the router crashed.
 func (t *Timeline) restartLine() []Line {
 	last := t.RequestLines[len(t.RequestLines)-1]
-	for _, l := range t.StateLines {
+	for _, l := range t.states.lines {
 		if l.Message == "router runs" && l.Router == last.Router && l.Time.After(last.Time) {
 			return []Line{l}
 		}
--- a/internal/explain/read.go
+++ b/internal/explain/read.go
@@ -22,14 +22,14 @@
 	Fields  map[string]any
 }
 
-// text returns a field as text, empty if it is missing or of another type.
-func (l Line) text(field string) string {
+// Text returns a field as text, empty if it is missing or of another type.
+func (l Line) Text(field string) string {
 	s, _ := l.Fields[field].(string)
 	return s
 }
 
-// number returns a field as a number, 0 if it is missing or of another type.
-func (l Line) number(field string) float64 {
+// Number returns a field as a number, 0 if it is missing or of another type.
+func (l Line) Number(field string) float64 {
 	n, _ := l.Fields[field].(float64)
 	return n
 }
@@ -54,6 +54,33 @@
 // each line that cannot be parsed. It ignores text before the JSON object, such as a timestamp
 // that a log collector prepended.
 func Read(r io.Reader, name string, f func(Line), bad func(BadLine)) error {
+	var previous Line
+	return scan(r, name, func(n int, text []byte) {
+		l, err := parseLine(text, previous)
+		if err != nil {
+			bad(BadLine{name, n, err})
+			return
+		}
+		previous = l
+		f(l)
+	}, bad)
+}
+
+// ReadMessage calls f for each line with a message. It decodes no others, which takes a fraction of the time of Read,
+// and passes over lines that cannot be parsed.
+func ReadMessage(r io.Reader, name, message string, f func(Line)) error {
+	return scan(r, name, func(_ int, text []byte) {
+		if !bytes.Contains(text, []byte(message)) {
+			return
+		}
+		if l, err := parseLine(text, Line{}); err == nil && l.Message == message {
+			f(l)
+		}
+	}, func(BadLine) {})
+}
+
+// scan calls f for each line that is not blank, and bad for each one that is too long.
+func scan(r io.Reader, name string, f func(n int, text []byte), bad func(BadLine)) error {
 	in := bufio.NewReaderSize(r, maxLineBytes)
 	if head, err := in.Peek(len(gzipMagic)); err == nil && bytes.Equal(head, gzipMagic) {
 		z, err := gzip.NewReader(in)
@@ -62,7 +89,6 @@
 		}
 		in = bufio.NewReaderSize(z, maxLineBytes)
 	}
-	var previous Line
 	for n := 1; ; n++ {
 		text, err := in.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -71,12 +97,7 @@
 			text = nil
 		}
 		if text = bytes.TrimSpace(text); len(text) > 0 {
-			if l, err := parseLine(text, previous); err != nil {
-				bad(BadLine{name, n, err})
-			} else {
-				previous = l
-				f(l)
-			}
+			f(n, text)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -113,14 +134,14 @@
 	if err := json.Unmarshal(text[i:], &l.Fields); err != nil {
 		return Line{}, errors.Wrap(err, "decode")
 	}
-	if l.Message = l.text("msg"); l.Message == msgLinesDropped {
+	if l.Message = l.Text("msg"); l.Message == msgLinesDropped {
 		l.Time, l.Router = previous.Time, previous.Router
 		return l, nil
 	}
-	at, err := time.Parse(time.RFC3339Nano, l.text("time"))
+	at, err := time.Parse(time.RFC3339Nano, l.Text("time"))
 	if err != nil {
 		return Line{}, errors.Wrap(err, "parse time of line")
 	}
-	l.Time, l.Router = at, l.text("router")
+	l.Time, l.Router = at, l.Text("router")
 	return l, nil
 }
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -34,18 +34,47 @@
 	"request cleared": true, "lapsed targets given up": true, msgLinesDropped: true, "callers turned away": true, "streams bounded": true,
 }
 
+// States holds lines that report routers' state. The timelines of several requests may share one. The zero value is
+// empty.
+type States struct {
+	lines []Line
+	// dropped is the number of lines that routers did not write because they logged too fast.
+	dropped int
+	// truncated is set if there were more than maxStateLines, so that later ones are missing.
+	truncated bool
+	sorted    bool
+}
+
+// Add keeps a line if it reports a router's state.
+func (s *States) Add(l Line) {
+	if !stateMessages[l.Message] {
+		return
+	}
+	if l.Message == msgLinesDropped {
+		s.dropped += int(l.Number("lines"))
+	}
+	if len(s.lines) >= maxStateLines {
+		s.truncated = true
+		return
+	}
+	s.lines, s.sorted = append(s.lines, l), false
+}
+
+// sort orders the lines by time.
+func (s *States) sort() {
+	if !s.sorted {
+		slices.SortStableFunc(s.lines, byTime)
+		s.sorted = true
+	}
+}
+
 // Timeline collects what is known about one request. Pass each line to Add, call Sort, then pass
 // each line to AddNeighbour.
 type Timeline struct {
 	ID string
-	// RequestLines holds the lines about the request, StateLines the lines about routers' state.
-	// DroppedLines is the number of lines that routers did not write because they logged too
-	// fast.
+	// RequestLines holds the lines about the request.
 	RequestLines []Line
-	StateLines   []Line
-	DroppedLines int
-	// truncated is set if StateLines reached maxStateLines, so that later lines are missing.
-	truncated bool
+	states       *States
 	// neighbours counts the outcomes of other requests that ended at about the same time.
 	neighbours neighbours
 }
@@ -60,32 +89,28 @@
 }
 
 // New returns an empty timeline of the request with this ID.
-func New(id string) *Timeline { return &Timeline{ID: id} }
+func New(id string) *Timeline { return NewShared(id, &States{}) }
+
+// NewShared returns an empty timeline of the request with this ID that shares the lines about routers' state.
+func NewShared(id string, s *States) *Timeline { return &Timeline{ID: id, states: s} }
 
 // Add keeps a line if it is about the request or reports a router's state.
 func (t *Timeline) Add(l Line) {
-	switch {
-	case l.text("id") == t.ID:
+	if l.Text("id") == t.ID {
 		t.RequestLines = append(t.RequestLines, l)
-	case stateMessages[l.Message]:
-		if l.Message == msgLinesDropped {
-			t.DroppedLines += int(l.number("lines"))
-		}
-		if len(t.StateLines) >= maxStateLines {
-			t.truncated = true
-			return
-		}
-		t.StateLines = append(t.StateLines, l)
+		return
 	}
+	t.states.Add(l)
 }
 
 // Sort orders the lines by time. Call it after the last Add.
 func (t *Timeline) Sort() {
-	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(t.RequestLines, byTime)
-	slices.SortStableFunc(t.StateLines, byTime)
+	t.states.sort()
 }
 
+func byTime(a, b Line) int { return a.Time.Compare(b.Time) }
+
 // AddNeighbour counts a line if it is about a neighbour of the request. It needs a second pass
 // over all lines, after Sort, since neighbours are found by the time at which the request ended.
 func (t *Timeline) AddNeighbour(l Line) {
@@ -94,17 +119,17 @@
 		*n = neighbours{counted: true, reasonsAtTarget: map[string]int{}, outcomesOfOrganisation: map[string]int{}}
 	}
 	end := t.endLine()
-	if end.Message == "" || l.text("id") == t.ID || l.text("id") == "" {
+	if end.Message == "" || l.Text("id") == t.ID || l.Text("id") == "" {
 		return
 	}
 	if d := l.Time.Sub(end.Time); d > neighbourWindow || d < -neighbourWindow {
 		return
 	}
-	if target := t.target(); target != "" && l.text("target") == target && l.Message != msgRequest {
-		n.reasonsAtTarget[l.text("reason")]++
+	if target := t.target(); target != "" && l.Text("target") == target && l.Message != msgRequest {
+		n.reasonsAtTarget[l.Text("reason")]++
 	}
-	if l.Message == msgRequest && l.Router == end.Router && l.text("organisation") == end.text("organisation") {
-		n.outcomesOfOrganisation[l.text("outcome")]++
+	if l.Message == msgRequest && l.Router == end.Router && l.Text("organisation") == end.Text("organisation") {
+		n.outcomesOfOrganisation[l.Text("outcome")]++
 	}
 }
 
@@ -122,16 +147,16 @@
 func (t *Timeline) target() string {
 	for _, l := range slices.Backward(t.RequestLines) {
 		if l.Message == msgGivenUp || l.Message == msgSentAgain {
-			return l.text("target")
+			return l.Text("target")
 		}
 	}
-	return t.endLine().text("target")
+	return t.endLine().Text("target")
 }
 
 // lastBefore returns the last line with a message that a router wrote no later than a time and
 // that keep accepts, or an empty one. A nil keep accepts all lines.
 func (t *Timeline) lastBefore(message, router string, before time.Time, keep func(Line) bool) Line {
-	for _, l := range slices.Backward(t.StateLines) {
+	for _, l := range slices.Backward(t.states.lines) {
 		if l.Message == message && l.Router == router && !l.Time.After(before) && (keep == nil || keep(l)) {
 			return l
 		}
@@ -168,7 +193,7 @@
 	for _, l := range because {
 		out.Because = append(out.Because, clockText(l.Time)+"  "+l.Router+" "+formatLine(l))
 	}
-	if t.truncated {
+	if t.states.truncated {
 		out.Because = append(out.Because, fmt.Sprintf("only the first %d lines of what routers believed were looked at", maxStateLines))
 	}
 	return out
@@ -180,9 +205,9 @@
 	end := t.endLine()
 	var out []string
 	if end.Message != "" {
-		arrival := end.Time.Add(-time.Duration(end.number("took_ms") * float64(time.Millisecond)))
+		arrival := end.Time.Add(-time.Duration(end.Number("took_ms") * float64(time.Millisecond)))
 		out = append(out, fmt.Sprintf("%s  %s reads it: organisation %s, route %s, %.0f tokens in, %.0f out",
-			clockText(arrival), end.Router, orDefault(end.text("organisation"), "none"), orDefault(end.text("route"), "none"), end.number("input"), end.number("output")))
+			clockText(arrival), end.Router, orDefault(end.Text("organisation"), "none"), orDefault(end.Text("route"), "none"), end.Number("input"), end.Number("output")))
 		out = append(out, t.routerState(end.Router, arrival)...)
 	}
 	for _, l := range t.RequestLines {
@@ -195,12 +220,12 @@
 // routers dropped, since the request may be among them.
 func (t *Timeline) noLinesFound() Explanation {
 	out := Explanation{ID: t.ID, Events: []string{}, Cause: "no line has this id", Because: []string{}}
-	if t.DroppedLines > 0 {
-		out.Cause += fmt.Sprintf("; %d lines were left out by routers that wrote too many", t.DroppedLines)
+	if t.states.dropped > 0 {
+		out.Cause += fmt.Sprintf("; %d lines were left out by routers that wrote too many", t.states.dropped)
 	}
-	for _, l := range t.StateLines {
+	for _, l := range t.states.lines {
 		if l.Message == msgLinesDropped {
-			out.Because = append(out.Because, fmt.Sprintf("%s  %s left out %.0f", clockText(l.Time), l.Router, l.number("lines")))
+			out.Because = append(out.Because, fmt.Sprintf("%s  %s left out %.0f", clockText(l.Time), l.Router, l.Number("lines")))
 		}
 	}
 	return out
@@ -211,11 +236,11 @@
 func (t *Timeline) routerState(router string, at time.Time) []string {
 	var out []string
 	if l := t.lastBefore("configuration in force", router, at, nil); l.Message != "" {
-		out = append(out, fmt.Sprintf("    configuration %.0f, for %s, from %s", l.number("version"), ageText(at.Sub(l.Time)), l.text("from")))
+		out = append(out, fmt.Sprintf("    configuration %.0f, for %s, from %s", l.Number("version"), ageText(at.Sub(l.Time)), l.Text("from")))
 	}
 	if l := t.lastBefore("targets known", router, at, nil); l.Message != "" {
 		out = append(out, fmt.Sprintf("    %.0f targets (%.0f leaving, %.0f lapsed) as of %s before, from %s",
-			l.number("targets"), l.number("leaving"), l.number("lapsed"), ageText(at.Sub(l.Time)), l.text("from")))
+			l.Number("targets"), l.Number("leaving"), l.Number("lapsed"), ageText(at.Sub(l.Time)), l.Text("from")))
 	}
 	lost := t.lastBefore("store lost", router, at, nil)
 	if regained := t.lastBefore("store regained", router, at, nil); lost.Message != "" && regained.Time.Before(lost.Time) {
@@ -228,15 +253,15 @@
 func describe(l Line) string {
 	switch l.Message {
 	case msgRequest:
-		outcome := fmt.Sprintf("%s, status %.0f", l.text("outcome"), l.number("status"))
-		if reason := l.text("reason"); reason != "" {
+		outcome := fmt.Sprintf("%s, status %.0f", l.Text("outcome"), l.Number("status"))
+		if reason := l.Text("reason"); reason != "" {
 			outcome += ", " + reason
 		}
-		return fmt.Sprintf("ends it: %s; waited %.1f ms, %.0f sends, first %.1f ms, took %.1f ms", outcome, l.number("waited_ms"), l.number("sends"), l.number("first_ms"), l.number("took_ms"))
+		return fmt.Sprintf("ends it: %s; waited %.1f ms, %.0f sends, first %.1f ms, took %.1f ms", outcome, l.Number("waited_ms"), l.Number("sends"), l.Number("first_ms"), l.Number("took_ms"))
 	case msgSentAgain:
-		return fmt.Sprintf("leaves target %s: %s (%s) after %.0f events", l.text("target"), l.text("reason"), l.text("cause"), l.number("events"))
+		return fmt.Sprintf("leaves target %s: %s (%s) after %.0f events", l.Text("target"), l.Text("reason"), l.Text("cause"), l.Number("events"))
 	case msgGivenUp:
-		return fmt.Sprintf("gives up at target %s: %s (%s) after %.0f events", l.text("target"), l.text("reason"), l.text("cause"), l.number("events"))
+		return fmt.Sprintf("gives up at target %s: %s (%s) after %.0f events", l.Text("target"), l.Text("reason"), l.Text("cause"), l.Number("events"))
 	}
 	return formatLine(l)
 }
