Explain which requests of a change of the configuration had no whole answer

If requests may be missing it says so.

Where a router of an older version writes no `end`, ingress.EndOf is given what the line has; the report says of how many. That a router starts with a version does not widen the change's window. A log that holds "router believed gone" is not taken for a log of the router named there: that line's key `router` is the other router's.

Memory is bounded: 50,000 changes, 200 requests of each end (--limit), 200,000 lines about routers' state from a minute around the windows, lines about 50,000 requests in progress; what is left out is counted. The logs are looked through for changes without decoding other lines, read once in full, and once more for the times around the requests found.

explain --id: errors of files are reported once, and the last line says how many; a file of which no line can be parsed is named as one that holds no log; a directory is read as its files. Its standard input works as before.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -3,100 +3,80 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
+	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/explain/changes"
 )
 
 // explainCommand is "stepcroft explain".
 type explainCommand struct {
-	ID     string   `help:"The request's id." required:""`
-	Output string   `help:"Output format: text or json." short:"o" enum:"text,json" default:"text"`
-	Files  []string `arg:"" help:"Routers' logs, plain or compressed with gzip; - for standard input. Standard input is read only once, so other requests in it are not counted for comparison."`
+	ID      string        `help:"The request's id." xor:"what" required:""`
+	Change  string        `help:"Explain which requests had no whole answer near a change of the configuration: last, all or its version." xor:"what" required:""`
+	Window  time.Duration `help:"With --change: how long after the change has reached the last router the end of a request counts as near it." default:"3s"`
+	AllEnds bool          `help:"With --change: list refused requests and those whose callers left, too."`
+	Limit   int           `help:"With --change: how many requests of each end are listed." default:"200"`
+	Output  string        `help:"Output format: text or json." short:"o" enum:"text,json" default:"text"`
+	Files   []string      `arg:"" help:"Routers' logs or directories of them, plain or compressed with gzip; - for standard input. Standard input is read only once, so other requests in it are not counted for comparison, and --change cannot read it."`
 }
 
-const (
-	// progressIntervalBytes is how many bytes are read between two lines of progress.
-	progressIntervalBytes = 64 << 20
-	// maxBadLinesShown bounds the number of malformed lines that are reported one by one.
-	maxBadLinesShown = 10
-)
-
-// progressReader is a reader that writes to out how much was read.
-type progressReader struct {
-	io.Reader
-	out                  io.Writer
-	bytesRead, lastShown int64
-}
+// explanation is what the command prints.
+type explanation interface{ Text() []string }
 
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.Reader.Read(b)
-	p.bytesRead += int64(n)
-	if p.bytesRead-p.lastShown >= progressIntervalBytes {
-		p.lastShown = p.bytesRead
-		fmt.Fprintf(p.out, "%d MB read\n", p.bytesRead>>20)
-	}
-	return n, err
-}
-
-// Run explains what happened to a request.
+// Run explains what happened to a request, or to those near a change of the configuration.
 func (c *explainCommand) Run(s streams) error {
-	timeline := explain.New(c.ID)
-	bad := 0
-	failed := c.read(s, timeline.Add, func(b explain.BadLine) {
-		if bad++; bad <= maxBadLinesShown {
-			fmt.Fprintf(s.err, "%s, line %d: %v\n", b.File, b.Number, b.Err)
+	logs := newLogFiles(s, c.Files)
+	var out explanation
+	if c.ID != "" {
+		out = c.explainRequest(logs)
+	} else {
+		report, err := c.explainChange(logs)
+		if err != nil {
+			return err
 		}
-	}, false)
-	if bad > maxBadLinesShown {
-		fmt.Fprintf(s.err, "%d lines could not be parsed\n", bad)
-	}
-	timeline.Sort()
-	// The first pass reported the lines and files that cannot be read.
-	if err := c.read(s, timeline.AddNeighbour, func(explain.BadLine) {}, true); failed == nil {
-		failed = err
+		out = report
 	}
 	if c.Output == "json" {
-		if err := json.NewEncoder(s.out).Encode(timeline.Explain()); err != nil {
+		if err := json.NewEncoder(s.out).Encode(out); err != nil {
 			return errors.Wrap(err, "write explanation")
 		}
-		return failed
+		return logs.failure()
 	}
-	for _, l := range timeline.Explain().Text() {
+	for _, l := range out.Text() {
 		fmt.Fprintln(s.out, l)
 	}
-	return failed
+	return logs.failure()
 }
 
-// read passes the lines of all files to f, and goes on with the next file if one fails. The second
-// pass skips standard input, which can be read only once, and does not report errors again.
-func (c *explainCommand) read(s streams, f func(explain.Line), bad func(explain.BadLine), secondPass bool) error {
-	var failed error
-	for _, name := range c.Files {
-		if name == "-" && secondPass {
-			continue
-		}
-		if err := readFile(s, name, f, bad); err != nil {
-			if !secondPass {
-				fmt.Fprintln(s.err, "stepcroft:", err)
-			}
-			failed = err
-		}
-	}
-	return failed
+func (c *explainCommand) explainRequest(logs *logFiles) explain.Explanation {
+	timeline := explain.New(c.ID)
+	logs.read(timeline.Add)
+	timeline.Sort()
+	logs.readAgain(timeline.AddNeighbour)
+	return timeline.Explain()
 }
 
-func readFile(s streams, name string, f func(explain.Line), bad func(explain.BadLine)) error {
-	if name == "-" {
-		return explain.Read(&progressReader{Reader: os.Stdin, out: s.err}, "standard input", f, bad)
+func (c *explainCommand) explainChange(logs *logFiles) (changes.Report, error) {
+	selection, err := changes.ParseSelection(c.Change)
+	switch {
+	case err != nil:
+		return changes.Report{}, errors.Wrap(errUsage, "--change: "+err.Error())
+	case slices.Contains(logs.names, standardInput):
+		return changes.Report{}, errors.Wrap(errUsage, "--change reads logs more than once, and cannot read standard input")
+	case c.Limit < 1, c.Window < 0:
+		return changes.Report{}, errors.Wrap(errUsage, "--limit must be positive, and --window not negative")
 	}
-	file, err := os.Open(name)
+	var history changes.History
+	logs.readMessage(changes.MessageInForce, history.Add)
+	search, err := changes.New(&history, selection, changes.Options{After: c.Window, All: c.AllEnds, Limit: c.Limit})
 	if err != nil {
-		return errors.Wrap(err, "open log")
+		return changes.Report{}, err
 	}
-	defer file.Close()
-	return explain.Read(&progressReader{Reader: file, out: s.err}, name, f, bad)
+	logs.read(search.Add)
+	search.Sort()
+	logs.readTimes(search.WantsNeighbours, search.AddNeighbour)
+	return search.Report(changes.Unread{BadLines: logs.badLines, Files: len(logs.unread), Others: logs.others}), nil
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -123,7 +123,7 @@
 // request ended, provided that it came soon enough to be related.
 func (t *Timeline) firstAfter(message string, end Line) []Line {
 	for _, l := range t.states.lines {
-		if l.Message == message && l.Router == end.Router && l.Time.After(end.Time) && l.Time.Sub(end.Time) < 5*neighbourWindow {
+		if l.Message == message && l.Router == end.Router && l.Time.After(end.Time) && l.Time.Sub(end.Time) < 5*NeighbourWindow {
 			return []Line{l}
 		}
 	}
--- a/internal/explain/read.go
+++ b/internal/explain/read.go
@@ -69,11 +69,32 @@
 // ReadMessage calls f for each line with a message. It decodes no others, which takes a fraction of the time of Read,
 // and passes over lines that cannot be parsed.
 func ReadMessage(r io.Reader, name, message string, f func(Line)) error {
+	quoted := []byte(`"` + message + `"`)
+	return readSome(r, name, func(text []byte) bool { return bytes.Contains(text, quoted) }, func(l Line) {
+		if l.Message == message {
+			f(l)
+		}
+	})
+}
+
+// ReadTimes calls f for each line of a time that is wanted. It decodes no others, and passes over lines that cannot be
+// parsed or have no time.
+func ReadTimes(r io.Reader, name string, wanted func(time.Time) bool, f func(Line)) error {
+	return readSome(r, name, func(text []byte) bool {
+		_, after, _ := bytes.Cut(text, []byte(`"time":"`))
+		clock, _, _ := bytes.Cut(after, []byte(`"`))
+		at, err := time.Parse(time.RFC3339Nano, string(clock))
+		return err == nil && wanted(at)
+	}, f)
+}
+
+// readSome calls f for those of the lines whose text is wanted.
+func readSome(r io.Reader, name string, wanted func([]byte) bool, f func(Line)) error {
 	return scan(r, name, func(_ int, text []byte) {
-		if !bytes.Contains(text, []byte(message)) {
+		if !wanted(text) {
 			return
 		}
-		if l, err := parseLine(text, Line{}); err == nil && l.Message == message {
+		if l, err := parseLine(text, Line{}); err == nil {
 			f(l)
 		}
 	}, func(BadLine) {})
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// neighbourWindow is how far apart the ends of two neighbouring requests may be.
-	neighbourWindow = 2 * time.Second
+	// NeighbourWindow is how far apart the ends of two neighbouring requests may be.
+	NeighbourWindow = 2 * time.Second
 	// maxStateLines bounds the lines about routers' state that are kept in memory. A fleet of
 	// hundreds of routers writes as many in some hours of normal operation.
 	maxStateLines = 200_000
@@ -17,9 +17,9 @@
 
 // Messages of the lines that routers write about one request.
 const (
-	msgRequest   = "request"
-	msgSentAgain = "sent again"
-	msgGivenUp   = "given up"
+	msgRequest       = "request"
+	MessageSentAgain = "sent again"
+	MessageGivenUp   = "given up"
 )
 
 // stateMessages holds the messages of the lines that report a router's state, such as its
@@ -122,7 +122,7 @@
 	if end.Message == "" || l.Text("id") == t.ID || l.Text("id") == "" {
 		return
 	}
-	if d := l.Time.Sub(end.Time); d > neighbourWindow || d < -neighbourWindow {
+	if d := l.Time.Sub(end.Time); d > NeighbourWindow || d < -NeighbourWindow {
 		return
 	}
 	if target := t.target(); target != "" && l.Text("target") == target && l.Message != msgRequest {
@@ -146,7 +146,7 @@
 // target returns the last target that failed the request, or else the one in its final line.
 func (t *Timeline) target() string {
 	for _, l := range slices.Backward(t.RequestLines) {
-		if l.Message == msgGivenUp || l.Message == msgSentAgain {
+		if l.Message == MessageGivenUp || l.Message == MessageSentAgain {
 			return l.Text("target")
 		}
 	}
@@ -191,7 +191,7 @@
 	cause, because := t.cause()
 	out := Explanation{ID: t.ID, Events: t.events(), Cause: cause, Because: []string{}}
 	for _, l := range because {
-		out.Because = append(out.Because, clockText(l.Time)+"  "+l.Router+" "+formatLine(l))
+		out.Because = append(out.Because, clockText(l.Time)+"  "+l.Router+" "+l.String())
 	}
 	if t.states.truncated {
 		out.Because = append(out.Because, fmt.Sprintf("only the first %d lines of what routers believed were looked at", maxStateLines))
@@ -258,16 +258,16 @@
 			outcome += ", " + reason
 		}
 		return fmt.Sprintf("ends it: %s; waited %.1f ms, %.0f sends, first %.1f ms, took %.1f ms", outcome, l.Number("waited_ms"), l.Number("sends"), l.Number("first_ms"), l.Number("took_ms"))
-	case msgSentAgain:
+	case MessageSentAgain:
 		return fmt.Sprintf("leaves target %s: %s (%s) after %.0f events", l.Text("target"), l.Text("reason"), l.Text("cause"), l.Number("events"))
-	case msgGivenUp:
+	case MessageGivenUp:
 		return fmt.Sprintf("gives up at target %s: %s (%s) after %.0f events", l.Text("target"), l.Text("reason"), l.Text("cause"), l.Number("events"))
 	}
-	return formatLine(l)
+	return l.String()
 }
 
-// formatLine returns a line's message and its fields, sorted by name.
-func formatLine(l Line) string {
+// String returns the line's message and its fields, sorted by name.
+func (l Line) String() string {
 	out := []string{l.Message}
 	for _, name := range sortedNames(l.Fields) {
 		out = append(out, fmt.Sprintf("%s=%v", name, l.Fields[name]))
