Explain names the target that failed before a request found no other

What operators saw: a stream that was cut since its engine fell silent and no other one had room was explained as "no engine had room for it in time", as if it had been sent nowhere.

Cause: the cause was chosen by the line's reason alone, which is that of the last refusal; exchange_end, how the last exchange with a target ended, was not looked at. Both are named now, in their order.

The new case of TestCauses fails on the code before.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -5,6 +5,17 @@
 // cause returns the most likely cause of the request's outcome and the log lines that support it.
 func (t *Timeline) cause() (string, []Line) {
 	end := t.endLine()
+	text, because := t.lastCause(end)
+	reason, exchange := end.Text("reason"), end.Text("exchange_end")
+	if reason != "" && exchange != reason && targetFaults[exchange] != "" {
+		// The request had been sent before it found no other target.
+		text = t.targetFault(exchange) + "; then " + text
+	}
+	return text, because
+}
+
+// lastCause returns what ended the request, whatever had happened to it before.
+func (t *Timeline) lastCause(end Line) (string, []Line) {
 	if end.Message == "" {
 		return "no line says how it ended: it may still run, or its router was lost with it", t.restartLine()
 	}
@@ -83,19 +94,21 @@
 		first, goal, end.Number("unread"), end.Number("miss")), nil
 }
 
+// targetFaults says how a target failed, by the reason that routers log.
+var targetFaults = map[string]string{
+	"target-broken":      "target %s broke off its answer",
+	"target-invalid":     "target %s sent something that is no answer to it",
+	"target-restarted":   "target %s ended and started again",
+	"target-silent":      "target %s showed no sign for too long",
+	"target-unreachable": "no connection to target %s came about",
+	"target-failed":      "target %s answered with a failure of its own",
+	"target-refused":     "target %s said that it did not run it",
+}
+
 // targetFault describes how the target failed and how many other requests failed there at about
 // the same time.
 func (t *Timeline) targetFault(reason string) string {
-	format := map[string]string{
-		"target-broken":      "target %s broke off its answer",
-		"target-invalid":     "target %s sent something that is no answer to it",
-		"target-restarted":   "target %s ended and started again",
-		"target-silent":      "target %s showed no sign for too long",
-		"target-unreachable": "no connection to target %s came about",
-		"target-failed":      "target %s answered with a failure of its own",
-		"target-refused":     "target %s said that it did not run it",
-	}[reason]
-	out := fmt.Sprintf(format, t.target())
+	out := fmt.Sprintf(targetFaults[reason], t.target())
 	if !t.neighbours.counted {
 		return out
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -119,6 +119,9 @@
 		"a target that broke off once": {
 			logs: []string{broken, request(10, `,"outcome":"cut","status":200,"reason":"target-broken","target":"e1"`)}, wantCause: "nothing else failed",
 		},
+		"a target that broke off, and then no room": {
+			logs: []string{broken, request(10, `,"outcome":"cut","status":200,"reason":"queue-full","exchange_end":"target-broken","target":"e1"`)}, wantCause: "broke off its answer; nothing else failed there within two seconds; then no engine had room",
+		},
 		"a suspension": {
 			logs:      []string{line(9, "box was suspended", `,"missed_ms":4000`), request(10, `,"outcome":"refused","status":503,"reason":"not-ready"`)},
 			wantCause: "rely on", wantLine: "missed_ms=4000",
