--- a/internal/explain/changes/compare.go
+++ b/internal/explain/changes/compare.go
@@ -21,10 +21,9 @@
 	Ends     map[lifecycle.End]int `json:"ends"`
 }
 
+func newPeriod() Period { return Period{Ends: map[lifecycle.End]int{}} }
+
 func (p *Period) add(e lifecycle.End) {
-	if p.Ends == nil {
-		p.Ends = map[lifecycle.End]int{}
-	}
 	p.Requests++
 	p.Ends[e]++
 }
@@ -36,6 +35,8 @@
 	Apart      Period `json:"apart"`
 }
 
+func newPeriods() *Periods { return &Periods{newPeriod(), newPeriod(), newPeriod()} }
+
 // base returns what the ends near the change are compared with: those far from all changes, or if there are none those
 // near other changes.
 func (p Periods) base() (Period, string) {
@@ -100,8 +101,8 @@
 	RoutersLeftOut int          `json:"routers_left_out"`
 }
 
-func newComparison(total Periods, byRouter map[string]*Periods) Comparison {
-	out := Comparison{Periods: total, MoreFrequent: total.moreFrequent(), Verdict: total.verdict(), Routers: []RouterCuts{}}
+func newComparison(total *Periods, byRouter map[string]*Periods) Comparison {
+	out := Comparison{Periods: *total, MoreFrequent: total.moreFrequent(), Verdict: total.verdict(), Routers: []RouterCuts{}}
 	for _, name := range slices.Sorted(maps.Keys(byRouter)) {
 		if p := byRouter[name]; p.Near.Ends[lifecycle.Cut] > 0 {
 			out.Routers = append(out.Routers, RouterCuts{name, p.moreFrequent(), *p})
--- a/internal/explain/changes/requests.go
+++ b/internal/explain/changes/requests.go
@@ -30,14 +30,14 @@
 	Reason  string `json:"reason"`
 	Status  int    `json:"status"`
 	// Config is the version that the request was admitted under, and ConfigEnd the one that it ended under, 0 if the
-	// line does not have it. SinceChange is in milliseconds, and -1 if the line does not have it.
-	Config      int64   `json:"config"`
-	ConfigEnd   int64   `json:"config_end"`
-	SinceChange float64 `json:"since_change_ms"`
-	ExchangeEnd string  `json:"exchange_end"`
-	NotRetried  string  `json:"not_retried"`
-	Target      string  `json:"target"`
-	TookMillis  float64 `json:"took_ms"`
+	// line does not have it. SinceChange is the time since that came into force at the router, in milliseconds.
+	Config      int64    `json:"config"`
+	ConfigEnd   int64    `json:"config_end"`
+	SinceChange *float64 `json:"since_change_ms,omitempty"`
+	ExchangeEnd string   `json:"exchange_end"`
+	NotRetried  string   `json:"not_retried"`
+	Target      string   `json:"target"`
+	TookMillis  float64  `json:"took_ms"`
 	// Cause is the most likely cause, Because the log lines that support it.
 	Cause   string   `json:"cause"`
 	Because []string `json:"because"`
@@ -48,12 +48,12 @@
 	end, derived := endOf(l)
 	out := Request{
 		ID: l.Text("id"), Router: l.Router, Time: l.Time, End: end, Derived: derived, Reason: l.Text("reason"), Status: int(l.Number("status")),
-		Config: int64(l.Number("config")), ConfigEnd: int64(l.Number("config_end")), SinceChange: -1,
+		Config: int64(l.Number("config")), ConfigEnd: int64(l.Number("config_end")),
 		ExchangeEnd: l.Text("exchange_end"), NotRetried: l.Text("not_retried"), Target: l.Text("target"), TookMillis: l.Number("took_ms"),
 		Because: []string{},
 	}
 	if ms, known := l.Fields["since_change_ms"].(float64); known {
-		out.SinceChange = ms
+		out.SinceChange = &ms
 	}
 	return out
 }
@@ -88,8 +88,8 @@
 	if r.ConfigEnd != 0 {
 		words = append(words, fmt.Sprintf("ended under %d", r.ConfigEnd))
 	}
-	if r.SinceChange >= 0 {
-		words = append(words, fmt.Sprintf("%.0f ms after it came into force there", r.SinceChange))
+	if r.SinceChange != nil {
+		words = append(words, fmt.Sprintf("%.0f ms after it came into force there", *r.SinceChange))
 	}
 	add("last exchange", r.ExchangeEnd)
 	add("not retried:", r.NotRetried)
--- a/internal/explain/changes/search.go
+++ b/internal/explain/changes/search.go
@@ -29,7 +29,7 @@
 	finds        finds
 	pending      pending
 	states       explain.States
-	total        Periods
+	total        *Periods
 	byRouter     map[string]*Periods
 	logs         routerLogs
 	gaps         Gaps
@@ -45,7 +45,7 @@
 	}
 	out := &Search{
 		selected: selected, near: newWindows(selected, o.After), others: newWindows(others, o.After), options: o,
-		finds: newFinds(o.Limit), byRouter: map[string]*Periods{}, logs: routerLogs{}, gaps: newGaps(),
+		finds: newFinds(o.Limit), total: newPeriods(), byRouter: map[string]*Periods{}, logs: routerLogs{}, gaps: newGaps(),
 		refused: map[string]int{}, callersGone: map[string]int{},
 	}
 	out.gaps.ChangesForgotten = h.leftOut
@@ -78,10 +78,10 @@
 	}
 	p := s.byRouter[l.Router]
 	if p == nil {
-		p = &Periods{}
+		p = newPeriods()
 		s.byRouter[l.Router] = p
 	}
-	for _, p := range []*Periods{&s.total, p} {
+	for _, p := range []*Periods{s.total, p} {
 		switch {
 		case near:
 			p.Near.add(end)
@@ -115,7 +115,7 @@
 			continue
 		}
 		if last := lines[len(lines)-1]; s.near.contains(last.Time, 0) {
-			s.finds.add(Request{ID: id, Router: last.Router, Time: last.Time, End: endUnknown, SinceChange: -1, Because: []string{}}, &s.states, lines...)
+			s.finds.add(Request{ID: id, Router: last.Router, Time: last.Time, End: endUnknown, Because: []string{}}, &s.states, lines...)
 		}
 	}
 	s.gaps.Unmatched = s.pending.leftOut
