--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -63,6 +63,8 @@
 			nonEmpty(t.lastBefore("target asks for a rest", end.Router, end.Time, nil), t.lastBefore("targets left alone that turn requests away", end.Router, end.Time, nil))
 	case "target-broken", "target-invalid", "target-restarted", "target-silent", "target-unreachable", "target-failed", "target-refused":
 		return t.targetFault(reason), t.firstAfter("targets known", end)
+	case "improper-request":
+		return "what its caller sent is no proper HTTP request", nil
 	case "caller-gone":
 		return fmt.Sprintf("the caller left after %.0f ms", end.Number("took_ms")), nil
 	case "router-stopped":
--- a/internal/explain/changes/changes_test.go
+++ b/internal/explain/changes/changes_test.go
@@ -98,6 +98,7 @@
 		"an older router":                     {logs: ended(11, "r", `,"outcome":"cut","status":200,"reason":"router-stopped","first_ms":5`), want: []string{"r  a  cut (derived)", "1 requests' lines are of older routers"}},
 		"an older router's target":            {logs: ended(11, "r", `,"outcome":"refused","status":502,"reason":"target-broken"`), want: []string{"target-failed (derived)"}},
 		"an older router's target that fails": {logs: ended(11, "r", `,"outcome":"refused","status":500,"reason":"target-failed","first_ms":5`), want: []string{"target-failed (derived)"}},
+		"no proper request":                   {logs: ended(11, "", `,"outcome":"refused","end":"incomplete","status":400,"reason":"improper-request"`), want: []string{"without an id  a  incomplete", "no proper HTTP request"}},
 		"too many":                            {logs: ended(11, "r", cut) + ended(11, "s", cut) + ended(11, "t", cut), want: []string{"answer: 3", "not listed: 1 cut"}},
 		"cuts that are more frequent":         {logs: far + ended(60, "far", cut) + ended(11, "r", cut) + ended(11, "s", answered), want: []string{"over 3 times as frequent near the change, 5.0 times: 1 of 2", "1 of 10 far"}, unwanted: []string{"too few"}},
 		"cuts that are as frequent":           {logs: ended(60, "far", cut) + ended(60, "far", answered) + ended(11, "r", cut) + ended(11, "s", answered), want: []string{"not over 3 times as frequent near the change, but 1.0 times", "  a: cuts are not over"}},
@@ -186,3 +187,12 @@
 		t.Errorf("%d changes, %v", n, err)
 	}
 }
+
+func FuzzSearch(f *testing.F) {
+	f.Add(twoRouters + line("a", 10.9, "given up", `,"id":"r","target":"e1"`) + ended(11, "r", cut) + line("a", 30, "requests accounted", `,"ends":{"cut":1}`))
+	f.Fuzz(func(_ *testing.T, logs string) {
+		if report, err := search("all", logs, changes.Options{After: time.Second, All: true, Limit: 1}); err == nil {
+			report.Text()
+		}
+	})
+}
--- a/internal/explain/changes/requests.go
+++ b/internal/explain/changes/requests.go
@@ -74,7 +74,7 @@
 	if r.End == endUnknown {
 		return []string{fmt.Sprintf("%s  %s  %s  no line of its end", clock(r.Time), r.ID, r.Router), "  cause: " + r.Cause}
 	}
-	words := []string{fmt.Sprintf("%s  %s  %s  %s", clock(r.Time), r.ID, r.Router, r.End)}
+	words := []string{fmt.Sprintf("%s  %s  %s  %s", clock(r.Time), cmp.Or(r.ID, "without an id"), r.Router, r.End)}
 	add := func(name, value string) {
 		if value != "" {
 			words = append(words, name+" "+value)
