Explain blames a planned stop only while one is in progress

What operators saw: a request with the reason router-stopped was explained by the router's planned stop, with the line of a stop that it had begun before it was last started, or without any line. A fault that closes connections outside a stop would have looked planned.

The new case of TestCauses fails on the code before.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -55,7 +55,7 @@
 		return "the router had no configuration that it could rely on",
 			nonEmpty(t.lastBefore("box was suspended", end.Router, end.Time, nil), t.lastBefore("router runs", end.Router, end.Time, nil))
 	case "router-leaving":
-		return "the router was stopping, and the request might have outlasted it", nonEmpty(t.lastBefore("planned stop begins", end.Router, end.Time, nil))
+		return "the router was stopping, and the request might have outlasted it", nonEmpty(t.stopLine(end))
 	case "no-target":
 		return "the service had no target", nonEmpty(t.lastBefore("targets known", end.Router, end.Time, nil), t.lastBefore("target says that it leaves", end.Router, end.Time, nil), t.lastBefore("store lost", end.Router, end.Time, nil))
 	case "targets-resting":
@@ -68,7 +68,11 @@
 	case "caller-gone":
 		return fmt.Sprintf("the caller left after %.0f ms", end.Number("took_ms")), nil
 	case "router-stopped":
-		return "the router closed the connection, as the time of its planned stop was over", nonEmpty(t.lastBefore("planned stop begins", end.Router, end.Time, nil))
+		stop := t.stopLine(end)
+		if stop.Message == "" {
+			return "the router closed the connection, and no line says that it was stopping", nil
+		}
+		return "the router closed the connection, as the time of its planned stop was over", nonEmpty(stop)
 	case "router-failed":
 		return "the router failed while it served the request", nil
 	case "caller-stalled":
@@ -145,6 +149,16 @@
 	return nil
 }
 
+// stopLine returns the line by which the router that wrote the request's end began a planned stop, unless it has started
+// again since.
+func (t *Timeline) stopLine(end Line) Line {
+	stop := t.lastBefore("planned stop begins", end.Router, end.Time, nil)
+	if started := t.lastBefore("router runs", end.Router, end.Time, nil); !started.Time.Before(stop.Time) {
+		return Line{}
+	}
+	return stop
+}
+
 // restartLine returns the next start of the router that wrote the request's last line. For a
 // request without a final line it shows that the router crashed.
 func (t *Timeline) restartLine() []Line {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -50,6 +50,10 @@
 			wantCause: "planned stop",
 			wantLine:  "open=1",
 		},
+		"cut without a planned stop": {
+			logs:      []string{line(3, "planned stop begins", ""), line(4, "router runs", ""), request(10, `,"outcome":"cut","status":200,"reason":"router-stopped"`)},
+			wantCause: "no line says that it was stopping",
+		},
 		"handler failed": {
 			logs:      []string{line(9, "handler failed", `,"id":"r"`), request(10, `,"outcome":"refused","status":502,"reason":"router-failed"`)},
 			wantCause: "router failed",
