Alarms about a request's account name the request

'request has no end' had no id, since the account learnt it with the end; the handler now tells it first. An answer whose last bytes could not be written was counted as caller-gone or cut while its line said answered: 'answer not delivered' says so with the id. Refusals that callers did not wait for get no line. TestLinesNameTheRequest, written with the change; go test ./internal/lifecycle ./internal/ingress passed.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -278,6 +278,7 @@
 	arrived := clock.Now()
 	noteServing(r.Context())
 	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
+	tracked(r.Context()).Identify(request.ID)
 	a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -169,6 +169,16 @@
 	element          *list.Element
 }
 
+// Identify tells the request's id, for the log.
+func (r *Request) Identify(id string) {
+	if r == nil {
+		return
+	}
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	r.id = id
+}
+
 // Decide says how the request ends once its answer has been written.
 func (r *Request) Decide(now time.Time, id string, e End) {
 	if r == nil {
@@ -220,6 +230,9 @@
 func (r *Request) finalEnd(otherwise End) End {
 	switch {
 	case r.undelivered != "" && (r.end == Answered || r.end == Refused):
+		if r.end == Answered {
+			r.tracker.log.Info("answer not delivered", "id", r.id, "end", string(r.undelivered))
+		}
 		return r.undelivered
 	case r.end != "":
 		return r.end
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
@@ -59,6 +61,39 @@
 	}
 }
 
+// TestLinesNameTheRequest guards against alarms that operators cannot trace to a request.
+func TestLinesNameTheRequest(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		end  func(*lifecycle.Request)
+		want string
+	}{
+		"whole":     {func(r *lifecycle.Request) { r.Decide(now, "r", lifecycle.Answered); r.Close(now, "") }, ""},
+		"forgotten": {func(r *lifecycle.Request) { r.Identify("r"); r.Close(now, "") }, `"request has no end"`},
+		"two ends":  {func(r *lifecycle.Request) { r.Close(now, lifecycle.Cut); r.Decide(now, "r", lifecycle.Cut) }, `"request has two ends"`},
+		"not delivered": {func(r *lifecycle.Request) {
+			r.Decide(now, "r", lifecycle.Answered)
+			r.NoteUndelivered(lifecycle.Cut)
+			r.Close(now, "")
+		}, `"answer not delivered"`},
+		"caller left": {func(r *lifecycle.Request) {
+			r.Decide(now, "r", lifecycle.Refused)
+			r.NoteUndelivered(lifecycle.CallerGone)
+			r.Close(now, "")
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var lines []string
+			log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+			c.end(lifecycle.New(window, log).Begin(now))
+			got := strings.Join(lines, "\n")
+			if (c.want == "") != (got == "") || !strings.Contains(got, c.want) || c.want != "" && !strings.Contains(got, `"id"="r"`) {
+				t.Errorf("logged %q, want %s of the request", got, c.want)
+			}
+		})
+	}
+}
+
 func BenchmarkAccount(b *testing.B) {
 	now := time.Now()
 	for name, account := range map[string]func(*lifecycle.Tracker){
