A request that follows a stream of a planned stop is refused, not dropped

What callers saw: a stream whose head was sent before a planned stop cannot say that its connection will be closed. A caller that sent its next request on it got the end of the connection, or a reset, and no answer.

Cause: once the HTTP server shuts down it closes a connection right after the answer, without another read, so that the refusal of requests on ended idle connections (refuseLast) never came to it.

Such a connection now stays open for up to 100 ms after its last answer; a request that comes by then gets 503 router-leaving, Connection: close. Shutdown waits for these within its time.

What is left: a request that comes later than 100 ms after such a stream, or crosses the close of a connection that has been idle for longer, is not read, and its caller gets the end of the connection.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,7 +17,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
-	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
@@ -176,6 +175,7 @@
 		c.unanswered.Store(c.aheadRead || c.unread < 0 && c.unread > lengthUnknown/2)
 		c.serving.Store(false)
 		c.markIdle()
+		c.refuseNext()
 	}
 	if state == http.StateActive && c.betweenRequests {
 		c.takeBuffered()
@@ -199,10 +199,11 @@
 	s := c.conns
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.idleSince = clock.Now()
 	if c.evicted.Load() || c.closed || c.idleElement != nil {
 		return
 	}
-	c.idleElement, c.idleSince = s.idle.PushBack(c), clock.Now()
+	c.idleElement = s.idle.PushBack(c)
 	if s.ending.Load() {
 		s.evict(c)
 	} else {
@@ -369,24 +370,6 @@
 	return err
 }
 
-// refuseLast refuses the request that begins with the bytes read, or that has arrived, if there is one, and
-// closes the connection.
-func (c *conn) refuseLast(read []byte, reason forward.Reason, after time.Duration) {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	early := earlyTCPConn{c.Conn}
-	n := copy(buffer[:], read)
-	n += early.ReadNow(buffer[n:])
-	if n == 0 {
-		c.noteClosing(c.conns.ending.Load())
-		// An error means that the caller has disconnected.
-		_ = c.Conn.Close()
-		return
-	}
-	c.unanswered.Store(false)
-	c.server.refuseArrived(early, buffer[:], n, reason, after)
-}
-
 // Read implements net.Conn for the HTTP server, which does not see the requests refused here. If
 // Read ends the connection it returns io.EOF, since the HTTP server answers other errors with
 // 400 Bad Request.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -221,7 +221,9 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.conns.end()
 	s.awaitBeginning(ctx)
+	s.conns.shut.Store(true)
 	err := s.server.Shutdown(ctx)
+	awaitZero(ctx, &s.conns.lasting)
 	if err == nil {
 		s.awaitEnds()
 		return nil
@@ -241,8 +243,8 @@
 const (
 	// maxBeginning is how long a server that shuts down waits for the rest of heads that have begun to arrive.
 	maxBeginning = time.Second
-	// beginningInterval is the interval at which it checks for them.
-	beginningInterval = 2 * time.Millisecond
+	// endingInterval is the interval at which it checks for them, and for ends.
+	endingInterval = 2 * time.Millisecond
 )
 
 // maxEnding is how long a server that has closed all connections waits for the ends of their requests.
@@ -251,7 +253,7 @@
 // awaitEnds waits until all requests have ended.
 func (s *Server) awaitEnds() {
 	for end := clock.Now().Add(maxEnding); s.requests.Sums(clock.Now()).Open > 0 && clock.Now().Before(end); {
-		time.Sleep(beginningInterval)
+		time.Sleep(endingInterval)
 	}
 }
 
@@ -260,8 +262,13 @@
 func (s *Server) awaitBeginning(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxBeginning)
 	defer cancel()
-	for s.conns.beginning.Load() > 0 {
-		if !group.SleepUntil(ctx, clock.Now().Add(beginningInterval)) {
+	awaitZero(ctx, &s.conns.beginning)
+}
+
+// awaitZero waits until n is 0 or ctx ends.
+func awaitZero(ctx context.Context, n *atomic.Int64) {
+	for n.Load() > 0 {
+		if !group.SleepUntil(ctx, clock.Now().Add(endingInterval)) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/ingress/last.go
@@ -0,0 +1,65 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/forward"
+)
+
+// maxUnannouncedWait is how long a connection of a server that shuts down stays open after an answer that did not say
+// that it would be closed, as that of a stream which began before, for a caller that sends the next request at once.
+const maxUnannouncedWait = 100 * time.Millisecond
+
+// refuseLast refuses the request that begins with the bytes read, or that has arrived, if there is one, and
+// closes the connection. markInUse or refuseNext must have set refusing.
+func (c *conn) refuseLast(read []byte, reason forward.Reason, after time.Duration) {
+	c.conns.lasting.Add(1)
+	defer c.conns.lasting.Add(-1)
+	buffer := scratchBuffers.Get().(*[scratchSize]byte)
+	defer scratchBuffers.Put(buffer)
+	early := earlyTCPConn{c.Conn}
+	n := copy(buffer[:], read)
+	n += early.ReadNow(buffer[n:])
+	// The HTTP server may have read the start of a request with the one before.
+	begun := c.unanswered.Load()
+	if n == 0 && !begun && c.conns.ending.Load() {
+		n = c.awaitLast(buffer[:])
+	}
+	if n == 0 && !begun {
+		c.noteClosing(c.conns.ending.Load())
+		// An error means that the caller has disconnected.
+		_ = c.Conn.Close()
+		return
+	}
+	c.unanswered.Store(false)
+	c.server.refuseArrived(early, buffer[:], n, reason, after)
+}
+
+// awaitLast waits for a request that follows the last answer, and returns the number of bytes read.
+func (c *conn) awaitLast(b []byte) int {
+	wait := maxUnannouncedWait - clock.Since(c.idleSince)
+	// An error of either call means that the caller has disconnected, or that no request has arrived.
+	if wait <= 0 || c.Conn.SetReadDeadline(clock.Deadline(wait)) != nil {
+		return 0
+	}
+	n, _ := c.Conn.Read(b)
+	return n
+}
+
+// refuseNext refuses the request that follows the last answer and closes the connection, if the HTTP server, which
+// shuts down, would only close it.
+func (c *conn) refuseNext() {
+	s := c.conns
+	if !s.shut.Load() {
+		return
+	}
+	s.mu.Lock()
+	c.refusing = c.evicted.Load() && !c.closed
+	refusing := c.refusing
+	s.mu.Unlock()
+	if refusing {
+		c.betweenRequests = false
+		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
+	}
+}
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -43,6 +43,10 @@
 	// number of those that began before and whose handlers do not run yet.
 	ending    atomic.Bool
 	beginning atomic.Int64
+	// shut is set once the HTTP server shuts down, which then closes connections without a read, and lasting is the
+	// number of connections on which the last request is awaited or refused.
+	shut    atomic.Bool
+	lasting atomic.Int64
 	// unread holds the accepted connections from which nothing has been read yet.
 	unread backlog.Queue
 	// overloaded reports whether the router is short of CPU time.
