--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -27,9 +27,9 @@
 	promptReaders = 4
 	promptStep    = 100 * time.Millisecond
 	laterStep     = 2 * time.Second
-	// watcherGrace is how long a router that watches the store leaves it to the others to read what its
+	// WatcherGrace is how long a router that watches the store leaves it to the others to read what its
 	// own watch may still bring.
-	watcherGrace = 150 * time.Millisecond
+	WatcherGrace = 150 * time.Millisecond
 )
 
 // SourceStart is the source of a copy that nobody has confirmed since the router started.
@@ -202,7 +202,7 @@
 	c := &t.copies[kind]
 	old := c.confirmedAt.Add(t.limits[kind])
 	if p.Watches {
-		old = old.Add(watcherGrace)
+		old = old.Add(WatcherGrace)
 	}
 	due := old.Add(turn(p.Rank))
 	// Nobody else would tell this router what it read.
