A request that ends within its body says who ended it

What operators saw: a caller that left while it sent its body, and a request whose connection this router closed at the end of a planned stop before its body had arrived, both had the line bad-request (400, refused) and counted among the refusals of what callers do wrong.

A body that could not be read now has the reason router-stopped if this process closed the connection, and caller-gone if it ended early or was reset; what is no proper body stays bad-request. The ends are cut and caller-gone.

TestEndWithinBodyHasItsReason: on the code before 6 of 7 cases fail (reason bad-request; ends refused or unanswered). The tests of ends now wait for the ends before they close the server: in two of five runs 'no chunk', whose answer was being written, ended as unanswered by the test's own close.

go test -race ./internal/ingress: passed; the tests of ends passed ten times.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,7 +50,7 @@
 	if err != nil {
 		// What was read of the body is garbage from here on.
 		reservation.Close()
-		return nil, s.bodyFailed(w, out, err)
+		return nil, s.bodyFailed(w, r, out, err)
 	}
 	if int64(body.Len()) > limit {
 		return reservation, refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
@@ -93,15 +94,20 @@
 }
 
 // bodyFailed returns the result of a request whose body could not be read.
-func (s *Server) bodyFailed(w http.ResponseWriter, out *forward.Request, err error) forward.Result {
+func (s *Server) bodyFailed(w http.ResponseWriter, r *http.Request, out *forward.Request, err error) forward.Result {
 	s.log.Info("request body not read", "id", out.ID, "cause", err.Error())
 	if errors.Is(err, memory.ErrEvicted) {
 		return refused(http.StatusServiceUnavailable, ReasonBodyEvicted, bodyRetryAfter())
 	}
 	w.Header().Set("Connection", "close")
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	switch {
+	case closedServing(r.Context()):
+		return refused(http.StatusServiceUnavailable, ReasonStopped, 0)
+	case errors.As(err, &timeout) && timeout.Timeout():
 		return refused(http.StatusRequestTimeout, ReasonBodyTimeout, 0)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
+		return refused(http.StatusBadRequest, forward.ReasonCallerGone, 0)
 	}
 	return refused(http.StatusBadRequest, ReasonBadRequest, 0)
 }
--- a/internal/ingress/ended_test.go
+++ b/internal/ingress/ended_test.go
@@ -56,7 +56,6 @@
 			case <-time.After(5 * time.Second):
 				t.Error("no result")
 			}
-			_ = s.Close()
 			if got := s.Ends(); !maps.Equal(got, map[lifecycle.End]int64{c.ends: 1}) {
 				t.Errorf("ends %v, want %q", got, c.ends)
 			}
@@ -70,3 +69,48 @@
 	defer cancel()
 	_ = s.Shutdown(ctx)
 }
+
+// TestEndWithinBodyHasItsReason guards against requests whose caller goes, or that the router ends, before their body has
+// arrived, and whose line says that they were improper and refused.
+func TestEndWithinBodyHasItsReason(t *testing.T) {
+	const length, chunks = "Content-Length: 5\r\n\r\nhe", "Transfer-Encoding: chunked\r\n\r\n5\r\nhe"
+	for name, c := range map[string]struct {
+		body string
+		end  func(caller *net.TCPConn, s *ingress.Server)
+		want forward.Reason
+		ends lifecycle.End
+	}{
+		"caller goes":              {length, func(caller *net.TCPConn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, lifecycle.CallerGone},
+		"caller goes, chunks":      {chunks, func(caller *net.TCPConn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, lifecycle.CallerGone},
+		"caller resets":            {length, func(caller *net.TCPConn, _ *ingress.Server) { _ = caller.SetLinger(0); _ = caller.Close() }, forward.ReasonCallerGone, lifecycle.CallerGone},
+		"no chunk":                 {chunks, func(caller *net.TCPConn, _ *ingress.Server) { _, _ = io.WriteString(caller, "hello\r\n") }, ingress.ReasonBadRequest, lifecycle.Refused},
+		"server is closed":         {length, func(_ *net.TCPConn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, lifecycle.Cut},
+		"time for stop over":       {length, func(_ *net.TCPConn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, lifecycle.Cut},
+		"server is closed, chunks": {chunks, func(_ *net.TCPConn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, lifecycle.Cut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			results := make(resultObserver, 1)
+			s, address, _ := newObservedServer(t, results)
+			caller, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			_, _ = io.WriteString(caller, "POST /x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\n"+c.body)
+			time.Sleep(100 * time.Millisecond)
+			c.end(caller.(*net.TCPConn), s)
+			select {
+			case got := <-results:
+				if got.Reason != c.want {
+					t.Errorf("reason %q, want %q", got.Reason, c.want)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("no result")
+			}
+			if got := s.Ends(); !maps.Equal(got, map[lifecycle.End]int64{c.ends: 1}) {
+				t.Errorf("ends %v, want %q", got, c.ends)
+			}
+		})
+	}
+}
--- a/internal/ingress/improper_test.go
+++ b/internal/ingress/improper_test.go
@@ -84,7 +84,6 @@
 			if got, want := <-log, fmt.Sprintf("%q %d %s", c.id, c.status, ingress.ReasonImproper); got != want {
 				t.Errorf("reported %s, want %s", got, want)
 			}
-			_ = s.Close()
 			if got := s.Ends(); !maps.Equal(got, want) {
 				t.Errorf("ends %v, want %v", got, want)
 			}
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -141,6 +141,7 @@
 			if got := s.ClosedUnanswered(); !maps.Equal(got, c.want) {
 				t.Errorf("counted %v, want %v", got, c.want)
 			}
+			s.Ends()
 			_ = s.Close()
 			if got := s.Ends(); !maps.Equal(got, c.ends) {
 				t.Errorf("ends %v, want %v", got, c.ends)
