Requests held back go on trial where they arrive

What callers saw: a request that is held back, as three targets ended under it, was never let on trial if it arrived at other routers than the one that ranks first for it: of 295 routers nearly every request of an organisation with one box.

Now a router at which the request arrives asks it (message Trial: asked, granted or refused, ended); the request waits up to 0.5 s for the answer and is refused as before without one. Questions: one a second for a request and router at most, none before the delay is over, and up to 5 s later if another trial is under way. What is granted counts as under way until the request's time is over and a crash under it would be known, or its end is told by the router and with the number it was granted to. A router that asks again, with a higher number, has no trial: it has missed the answer. A grant that comes too late is returned. A request that starts a trial and is then refused for want of a version ends its trial; until now that kept others waiting until its deadline.

Bounds, in virtual time (TestTrialsOfManyRouters, the request arrives every 1 to 3 s at each router and crashes each target, a fifth of the messages lost, the others up to 0.2 s late, seven minutes): 3 trials each of 2, 60, 295 and 630 routers; 4, 150, 677 and 1592 questions, 320 in the busiest second of 630 at the one that decides; 9, 275, 1226 and 2866 messages; a question for one attribute has 27 bytes (encoded, without sender and head).

Routers of before ignore the message: those that ask them are not answered, as now. Not mended, as before: a router that begins to rank first knows of no trial under way, and may allow a second one beside it; in a partition each side decides for itself.

TestGrantedTrials fails without each of the three guards (time for the crash, numbers, asking again).

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -64,6 +64,8 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_StreamVersions{StreamVersions: encodeStreamVersions(m)}}
 	case message.TargetExits:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_TargetExits{TargetExits: &peerpb.TargetExits{Incarnations: m.Incarnations}}}
+	case message.Trial:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Trial{Trial: encodeTrial(m)}}
 	case message.Ping:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Ping{Ping: encodePing(m)}}
 	}
@@ -140,6 +142,8 @@
 		return decodeStreamVersions(b.StreamVersions)
 	case *peerpb.Envelope_TargetExits:
 		return message.TargetExits{Incarnations: b.TargetExits.GetIncarnations()}
+	case *peerpb.Envelope_Trial:
+		return decodeTrial(b.Trial)
 	case *peerpb.Envelope_Ping:
 		return decodePing(b.Ping)
 	case *peerpb.Envelope_NeedCopy:
--- a/internal/adapter/peer/quarantine.go
+++ b/internal/adapter/peer/quarantine.go
@@ -62,3 +62,28 @@
 	}
 	return out
 }
+
+// encodeTrial encodes a message.
+func encodeTrial(m message.Trial) *peerpb.Trial {
+	out := &peerpb.Trial{Step: uint32(m.Step), Id: m.ID, Ms: ageMillis(m.For), Broke: m.Broke}
+	for _, k := range m.Keys {
+		out.Keys = append(out.Keys, k[:])
+	}
+	return out
+}
+
+// decodeTrial decodes a message. Without its keys it means nothing, so that one with a key of the wrong length
+// has none.
+func decodeTrial(m *peerpb.Trial) message.Trial {
+	out := message.Trial{
+		Step: message.TrialStep(min(m.GetStep(), math.MaxUint8)), ID: m.GetId(), For: time.Duration(m.GetMs()) * time.Millisecond, Broke: m.GetBroke(),
+	}
+	for _, k := range m.GetKeys() {
+		if len(k) != quarantine.KeySize {
+			out.Keys = nil
+			return out
+		}
+		out.Keys = append(out.Keys, quarantine.Key(k))
+	}
+	return out
+}
--- a/internal/adapter/peer/quarantine_test.go
+++ b/internal/adapter/peer/quarantine_test.go
@@ -34,8 +34,14 @@
 	}}
 }
 
+// trialMessage returns a message in which every field is set.
+func trialMessage() message.Trial {
+	keys := []quarantine.Key{quarantine.KeyOf("o", "POST", "/x", nil), quarantine.PartOf("s", "p").Key}
+	return message.Trial{Step: message.TrialEnded, ID: 7, Keys: keys, For: 4 * time.Second, Broke: true}
+}
+
 func TestOnTheWire(t *testing.T) {
-	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage()} {
+	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage(), "trial": trialMessage()} {
 		t.Run(name, func(t *testing.T) {
 			b, err := proto.Marshal(encode(m))
 			if err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -201,14 +201,16 @@
 	defer x.releaseAnswer()
 	defer x.releaseKept()
 	defer x.stopSeconds()
-	if x.refuseQuarantined(timed) || !x.findVersion(timed) {
+	if x.refuseQuarantined(timed) {
+		return x.result
+	}
+	if !x.findVersion(timed) {
+		x.endTrials()
 		return x.result
 	}
 	x.sendUntilDone(timed)
 	x.stopSeconds()
-	for _, k := range x.trials {
-		x.suspects.EndTrial(k, x.mayHaveRun && x.result.Reason != "")
-	}
+	x.endTrials()
 	x.writeKept()
 	x.deliverRest(ctx)
 	return x.result
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -143,6 +143,13 @@
 	return true
 }
 
+// endTrials ends the trials of the request's attributes.
+func (x *inflight) endTrials() {
+	for _, k := range x.trials {
+		x.suspects.EndTrial(k, x.mayHaveRun && x.result.Reason != "")
+	}
+}
+
 // beginTime is how long after its first event an answer counts as just begun.
 const beginTime = 500 * time.Millisecond
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -53,6 +53,8 @@
 			g.mergeCopy(s, now, from, m)
 		case message.Quarantine:
 			g.handleQuarantine(now, from, m)
+		case message.Trial:
+			g.handleTrial(now, from, m)
 		case message.StreamVersions:
 			g.handleStreamVersions(s, now, from, m)
 		case message.TargetExits:
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -86,31 +86,11 @@
 	return crashes
 }
 
-// StartTrial implements forward.Suspects. Of all running routers, only the one that ranks first
-// for the first attribute may send the request as a trial.
-func (g suspects) StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool {
-	allowed, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool {
-		if !g.ranksFirst(now, keys[0]) || !g.quarantine.state.StartTrial(now, until, keys...) {
-			return false
-		}
-		for _, k := range keys {
-			g.Log.Info("request on trial", "content", k.String())
-		}
-		return true
-	})
-	return allowed
-}
-
 // RecordEnd implements forward.Suspects.
 func (g suspects) RecordEnd(attributes []quarantine.Credit) {
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.quarantine.state.RecordEnd(now, attributes) })
 }
 
-// EndTrial implements forward.Suspects.
-func (g suspects) EndTrial(k quarantine.Key, broke bool) {
-	g.loop.Post(func(_ *balance.State, now time.Time) { g.quarantine.state.EndTrial(now, k, broke) })
-}
-
 // RecordExit implements forward.Suspects.
 func (g suspects) RecordExit(t balance.Target) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
@@ -211,11 +191,7 @@
 
 // ranksFirst reports whether this router ranks first for a request among the running routers.
 func (g *Gateway) ranksFirst(now time.Time, k quarantine.Key) bool {
-	rank := member.NewRankCounter(k.String(), g.self.ID, g.self.Zone)
-	for r := range g.runningRouters(now) {
-		rank.Add(r.ID, r.Zone)
-	}
-	return rank.InTop(1)
+	return g.firstFor(now, k).ID == g.self.ID
 }
 
 func (g *Gateway) sendSuspects(to member.Member, list []quarantine.Record) {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -414,6 +414,32 @@
 
 func (TargetExits) message() {}
 
+// Trial is a step of the exchange by which a router gets leave to send a request on trial that is held back,
+// from the one that ranks first for it.
+type Trial struct {
+	Step TrialStep
+	// ID is the number of the question among those of the router that asked.
+	ID   uint64
+	Keys []quarantine.Key
+	// For is how long the trial may take or, in a refusal, the time after which to ask again.
+	For time.Duration
+	// Broke is set if the trial has ended with a broken answer.
+	Broke bool
+}
+
+func (Trial) message() {}
+
+// TrialStep is a step of a Trial.
+type TrialStep uint8
+
+// The steps of a Trial: the question, the two answers, and the end.
+const (
+	TrialAsked TrialStep = iota
+	TrialGranted
+	TrialRefused
+	TrialEnded
+)
+
 func (Ping) message()       {}
 func (ZoneStatus) message() {}
 func (Status) message()     {}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -251,51 +250,6 @@
 	}
 }
 
-// StartTrial reports whether a request with held-back attributes may be sent on trial, and records
-// that it is: the delay of each is over, it is its turn, and no other trial is under way. For each
-// request, only one router of the fleet calls it, so that one trial is under way at a time.
-func (s *State) StartTrial(now, until time.Time, keys ...Key) bool {
-	for _, k := range keys {
-		e := s.entries[k]
-		if e == nil || now.Before(e.trialUntil) {
-			return false
-		}
-		if due := s.rejectedUntil(e); now.Before(due) || now.Before(due.Add(s.turn(k, e))) {
-			return false
-		}
-	}
-	for _, k := range keys {
-		s.entries[k].trialUntil = until
-	}
-	return true
-}
-
-// turn returns how much later than its delay a request's trial may start. Requests that ran at the same
-// crashed targets take turns: of two trials at one target, the cause of the crashes makes the other
-// one fail. All routers with the same records compute the same turns.
-func (s *State) turn(k Key, e *entry) time.Duration {
-	n := 0
-	for other, o := range s.entries {
-		if bytes.Compare(other[:], k[:]) < 0 && o.failedTrials() == e.failedTrials() && HeldBack(s.countedCrashes(o)) && o.crashedBeside(e) {
-			n++
-		}
-	}
-	return time.Duration(min(n, maxTurns)) * turnLength
-}
-
-// EndTrial records that a trial is over. If its answer broke off, there is no other one until it is
-// known whether the target has exited.
-func (s *State) EndTrial(now time.Time, k Key, broke bool) {
-	e := s.entries[k]
-	if e == nil {
-		return
-	}
-	e.trialUntil = time.Time{}
-	if broke {
-		e.trialUntil = now.Add(brokenTTL)
-	}
-}
-
 // Hold holds a request back as if targets had crashed under it in trials, so that it gets no
 // further trial, until it is cleared or has not arrived for a while. operator names who requested
 // that. It returns false if the request has been held too often.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -52,8 +52,12 @@
 	crashes             map[string]Crash
 	crashedBy           map[string]time.Time
 	lastCrash, lastSeen time.Time
-	// trialUntil is the latest time until which a trial that this router started may run.
+	// trialUntil is the latest time until which a trial that this router started or granted may run, grantee
+	// the router to which it granted it.
 	trialUntil time.Time
+	grantee    Grantee
+	// askAfter is when this router may next ask another one for a trial.
+	askAfter time.Time
 	// shared is set once all routers need to know of the request, which was at sharedAt.
 	shared   bool
 	sharedAt time.Time
