Streams keep their version if their process only closed its listener

What callers saw: an engine that closes its listener and finishes its streams was taken for one that had ended, by the router whose connection was refused and by all that it told. Streams that went on there for 100 ms were then of an unknown version, and cut with no-target-of-version when they broke off, though others of their version ran.

Cause: a refused connection proves that nobody listens, and counted as the end of the process; an answer that went on after that was taken to be a later process's.

A connection stays with the process that accepted it. So a stream that arrives on a connection made before this router was refused one is of the entry's process, whatever listens or is listed since; one on a later connection is not. Tickets have the time of their connection, and a refusal that of the attempt, not of its report. Routers tell one another of ends without a time or a reason (the message is as before), so that one that is told tries to connect itself, at once and only if streams run there. Where either process may send a stream (told and not refused here, or an engine that says that it started later), its version now stays unknown also after the later entry is read.

Ruled out: the entry in the store and what it says of leaving (the order of writes and ends is not known); unused connections that are open (their ends may be lost); an engine's status on a kept connection (engines that leave close those, and its answer tells nothing of other connections); telling others the time of the refusal (a router that stood still passes it on too young).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -133,7 +133,7 @@
 	// leaving is the number of listed targets whose entries say that they are leaving.
 	leaving int
 	// exits has when processes are known to have ended, by incarnation, see RecordExit.
-	exits map[string]time.Time
+	exits map[string]exit
 	// replaced holds targets whose process may go on although their entry is that of another one.
 	replaced []replaced
 	services map[string]*service
@@ -214,7 +214,7 @@
 		limits:            limits,
 		random:            random,
 		targets:           map[string]*target{},
-		exits:             map[string]time.Time{},
+		exits:             map[string]exit{},
 		services:          map[string]*service{},
 		versions:          map[string]*versionHistory{},
 		unstored:          map[streamversion.ServiceVersion]time.Time{},
@@ -325,6 +325,7 @@
 	invariant.Check(!to.Closed(now), invariant.LeftInTime)
 	t.target = to
 	t.sentAt = now
+	t.ConnectedAt.Store(0)
 	if t.StreamID != "" && !t.Version.IsSet() {
 		s.versionHistory(to.Service).begun[to.Version] = true
 	}
--- a/internal/balance/exits.go
+++ b/internal/balance/exits.go
@@ -13,23 +13,88 @@
 // no newer entry comes while the store is unavailable.
 const exitTTL = 10 * time.Second
 
-// RecordExit records that the process of a target has ended, and reports whether that is new. Another
-// process, of another version, may listen at its address before the target's entry says so. Until then
-// the target is not sent the rest of any stream, and streams that may be continued begin there only if no other
-// target can take them.
-func (s *State) RecordExit(now time.Time, t Target) bool {
+// exit is what is known of the end of a target's process.
+type exit struct {
+	// at is when this router got to know of it.
+	at time.Time
+	// refusedAt is when it refused a connection of this router, which may only mean that it has closed its listener;
+	// the zero time if the end is known by something else.
+	refusedAt time.Time
+	// told is set if another router has told it and this one has not tried to connect.
+	told bool
+}
+
+// spares reports whether t's answer arrives on a connection that was made before nobody listened at its target's
+// address.
+func (e exit) spares(t *Ticket) bool {
+	connected := t.ConnectedAt.Load()
+	return connected != 0 && t.Arrived.Add(time.Duration(connected)).Before(e.refusedAt)
+}
+
+// RecordExit records that the process of a target has ended, and reports whether that is new. refusedAt is when
+// a connection was attempted that was refused, the zero time if the end is known by something else. Another
+// process, of another version, may listen at the target's address before its entry says so. Which process sends a
+// stream, and so of which version it is, is told by the following, the first that applies:
+//
+//  1. This router was refused a connection, and the stream arrives on one made before: it is that of the process
+//     of the entry, which has only closed its listener if the stream goes on, whatever listens there and whatever entry
+//     is read since. A connection stays with the process that accepted it.
+//  2. The connection was made after the end was known: it is that of a later process, of unknown version until its
+//     entry is read, and of that version then.
+//  3. Another router was refused, or the process says that it started later than its entry tells, and the stream
+//     goes on for exitMargin: either process may send it, and its version stays unknown. As refused connections
+//     are told without a time, this router tries to connect itself at once where streams run; if it is refused,
+//     too, 1 applies to the connections made before it was told.
+//  4. No end is known, and the entry of another process is read: either may send it if it goes on, see
+//     checkReplaced.
+//  5. No end is known: it is that of the process of the entry.
+//
+// Until a newer entry is read, for exitTTL at most, the target is not sent the rest of any stream, as that may reach
+// another process, and streams that may be continued begin there only if no other target can take them. That the
+// target's unused connections are open, or that its entry is listed or says that it is leaving, does not count.
+func (s *State) RecordExit(now time.Time, t Target, refusedAt time.Time) bool {
 	listed := s.targets[t.ID]
 	if listed == nil || listed.Born != t.Born || listed.Version != t.Version || s.inDoubt(now, listed) {
 		return false
 	}
-	s.exits[listed.incarnation] = now
+	s.exits[listed.incarnation] = exit{at: now, refusedAt: refusedAt}
 	return true
 }
 
-// RecordExitOf is RecordExit for an incarnation.
+// RecordExitOf records that another router has told of the end of a process, and reports whether that is new.
 func (s *State) RecordExitOf(now time.Time, incarnation string) bool {
 	t := s.findIncarnation(incarnation)
-	return t != nil && s.RecordExit(now, t.Target)
+	if t == nil || !s.RecordExit(now, t.Target, time.Time{}) {
+		return false
+	}
+	s.exits[incarnation] = exit{at: now, told: true}
+	return true
+}
+
+// StreamsAt returns the target of an incarnation if streams that may be continued run there.
+func (s *State) StreamsAt(incarnation string) (Target, bool) {
+	t := s.findIncarnation(incarnation)
+	if t == nil || t.activity == noActivity {
+		return Target{}, false
+	}
+	for k := range t.running {
+		if k.StreamID != "" {
+			return t.Target, true
+		}
+	}
+	return Target{}, false
+}
+
+// ConfirmRefusal records that a process whose end another router has told refuses connections of this one, too.
+func (s *State) ConfirmRefusal(incarnation string, refusedAt time.Time) {
+	e, ok := s.exits[incarnation]
+	if !ok || !e.told {
+		return
+	}
+	if e.at.Before(refusedAt) {
+		refusedAt = e.at
+	}
+	s.exits[incarnation] = exit{at: e.at, refusedAt: refusedAt}
 }
 
 // inDoubt reports whether a target's process has ended and its entry may not be that of the process that
@@ -38,8 +103,8 @@
 	if len(s.exits) == 0 {
 		return false
 	}
-	at, ended := s.exits[t.incarnation]
-	return ended && now.Sub(at) < exitTTL
+	e, ended := s.exits[t.incarnation]
+	return ended && now.Sub(e.at) < exitTTL
 }
 
 // confirm ends the doubt about a target whose entry was written by a later process. Where entries tell when
@@ -53,9 +118,21 @@
 // exitMargin is how long after a process is known to have ended what it sent may still be read.
 const exitMargin = 100 * time.Millisecond
 
-// runsAfter reports whether a request is known to run at the process after one that ended at a time.
-func (t *Ticket) runsAfter(exit time.Time) bool {
-	return !t.sentAt.Before(exit) || t.Arrived.Add(time.Duration(t.LastReceived.Load())).After(exit.Add(exitMargin))
+// isBefore reports whether a request may run, or runs, at the process after the one that ended.
+func (e exit) isBefore(t *Ticket) bool {
+	if e.spares(t) {
+		return false
+	}
+	return !t.sentAt.Before(e.at) || t.Arrived.Add(time.Duration(t.LastReceived.Load())).After(e.at.Add(exitMargin))
+}
+
+// versionOf returns the version of a request that goes on after the end, if a process of a version is the next one.
+func (e exit) versionOf(t *Ticket, next string) string {
+	connected := t.ConnectedAt.Load()
+	if connected != 0 && t.Arrived.Add(time.Duration(connected)).Before(e.at) && t.target.Version != next {
+		return streamversion.Unknown
+	}
+	return next
 }
 
 // replacedTTL is how long a process that is not known to have ended, and that sent something lately, has to send
@@ -67,26 +144,27 @@
 	*target
 	version string
 	at      time.Time
+	exit    exit
 }
 
 // passRunning handles the requests that were sent to a target whose entry is now that of another process. They are
 // aborted, except those that are known to run there: a stream that began there is of its version. Those whose
 // process may go on are left to checkReplaced.
 func (s *State) passRunning(now time.Time, old *target, next Target) {
-	exit, ended := s.exits[old.incarnation]
+	e, ended := s.exits[old.incarnation]
 	mayGoOn := false
 	for t := range old.running {
 		switch {
-		case ended && t.runsAfter(exit):
-			s.correctVersion(now, t, old, next.Version)
-		case !ended && t.receivedSince(now.Add(-replacedTTL)):
+		case ended && e.isBefore(t):
+			s.correctVersion(now, t, old, e.versionOf(t, next.Version))
+		case (!ended || e.spares(t)) && t.receivedSince(now.Add(-replacedTTL)):
 			mayGoOn = true
 		default:
 			t.abort()
 		}
 	}
 	if mayGoOn {
-		s.replaced = append(s.replaced, replaced{old, next.Version, now})
+		s.replaced = append(s.replaced, replaced{old, next.Version, now, e})
 	}
 }
 
@@ -96,8 +174,8 @@
 	return received > 0 && t.Arrived.Add(received).After(at)
 }
 
-// checkReplaced aborts requests whose process has sent nothing since the entry of another one was read. It is not
-// known which of the two sends the others.
+// checkReplaced aborts requests whose process has sent nothing since the entry of another one was read. Which of the
+// two sends the others is known only if their connections were made before the earlier one refused some.
 func (s *State) checkReplaced(now time.Time) {
 	s.replaced = slices.DeleteFunc(s.replaced, func(r replaced) bool {
 		if now.Sub(r.at) < replacedTTL {
@@ -107,7 +185,7 @@
 			switch {
 			case !t.receivedSince(r.at):
 				t.abort()
-			case r.target.Version != r.version:
+			case r.target.Version != r.version && !r.exit.spares(t):
 				s.correctVersion(now, t, r.target, streamversion.Unknown)
 			}
 		}
@@ -129,18 +207,18 @@
 // checkExits records that the versions of streams are unknown that turn out to run at processes after those that
 // have ended, and forgets exits that no longer matter.
 func (s *State) checkExits(now time.Time) {
-	for name, exit := range s.exits {
+	for name, e := range s.exits {
 		at := s.findIncarnation(name)
 		if at == nil {
 			continue
 		}
 		for t := range at.running {
-			if t.runsAfter(exit) {
+			if e.isBefore(t) {
 				s.correctVersion(now, t, at, streamversion.Unknown)
 			}
 		}
 	}
-	maps.DeleteFunc(s.exits, func(_ string, at time.Time) bool { return now.Sub(at) >= exitTTL })
+	maps.DeleteFunc(s.exits, func(_ string, e exit) bool { return now.Sub(e.at) >= exitTTL })
 }
 
 // InDoubt returns the number of targets whose process is known to have ended and whose entry is not that of a
--- a/internal/balance/exits_test.go
+++ b/internal/balance/exits_test.go
@@ -51,7 +51,7 @@
 			s.OnStreamBegun(func(_ time.Time, b balance.Stream, _ bool) { recorded = b.Version })
 			s.SetTargets(now, c.listed)
 			if c.ended.ID != "" {
-				s.RecordExit(now, c.ended)
+				s.RecordExit(now, c.ended, time.Time{})
 			}
 			now = now.Add(c.after)
 			if c.later != nil {
@@ -89,18 +89,34 @@
 	target := func(version string, born int64) balance.Target {
 		return balance.Target{ID: "a", Service: "llm", Address: "a:1", Zone: "z", Slots: 8, Version: version, Born: born}
 	}
+	const before, end, after, late = 500 * time.Millisecond, 1500 * time.Millisecond, 1600 * time.Millisecond, 2900 * time.Millisecond
 	for name, c := range map[string]struct {
 		// sentAt is when the stream is sent and begins, receivedAt when its last event so far arrives, and
-		// exitAt when the process of the entry is known to have ended, 0 if it never is.
+		// exitAt when the process of the entry is known to have ended, 0 if it never is. A later entry is read at 3 s.
 		sentAt, receivedAt, exitAt time.Duration
-		aborted                    bool
-		version                    string
+		// connectedAt is when the connection was made that the stream arrives on. refused is set if this router was
+		// refused a connection at exitAt, told if another one tells of the end, and confirmed if it is refused, too, then.
+		connectedAt              time.Duration
+		refused, told, confirmed bool
+		// goesOn is set if another event arrives after the later entry has been read.
+		goesOn  bool
+		aborted bool
+		version string
 	}{
 		"nobody saw the end":              {sentAt: time.Second, receivedAt: 2 * time.Second, aborted: true, version: "v1"},
 		"began before the end":            {sentAt: time.Second, receivedAt: 2 * time.Second, exitAt: 2 * time.Second, aborted: true, version: "v1"},
 		"began after the end":             {sentAt: 2 * time.Second, receivedAt: 2 * time.Second, exitAt: time.Second, version: "v2"},
 		"began before the end was seen":   {sentAt: time.Second, receivedAt: 2 * time.Second, exitAt: 1500 * time.Millisecond, version: "v2"},
 		"read a moment after the process": {sentAt: time.Second, receivedAt: 1510 * time.Millisecond, exitAt: 1500 * time.Millisecond, aborted: true, version: "v1"},
+		// It closed its listener, and the process of the later entry listens there.
+		"made before a refusal":      {connectedAt: before, sentAt: time.Second, receivedAt: late, exitAt: end, refused: true, goesOn: true, version: "v1"},
+		"made before, then killed":   {connectedAt: before, sentAt: time.Second, receivedAt: 2 * time.Second, exitAt: end, refused: true, aborted: true, version: "v1"},
+		"made before, sent later":    {connectedAt: before, sentAt: 2 * time.Second, receivedAt: late, exitAt: end, refused: true, goesOn: true, version: "v1"},
+		"made after a refusal":       {connectedAt: after, sentAt: after, receivedAt: late, exitAt: end, refused: true, goesOn: true, version: "v2"},
+		"made before, told":          {connectedAt: before, sentAt: time.Second, receivedAt: late, exitAt: end, told: true, goesOn: true, version: streamversion.Unknown},
+		"made before, told, refused": {connectedAt: before, sentAt: time.Second, receivedAt: late, exitAt: end, told: true, confirmed: true, goesOn: true, version: "v1"},
+		"made after, told, refused":  {connectedAt: after, sentAt: after, receivedAt: late, exitAt: end, told: true, confirmed: true, goesOn: true, version: "v2"},
+		"says that it started later": {connectedAt: before, sentAt: time.Second, receivedAt: late, exitAt: end, confirmed: true, goesOn: true, version: streamversion.Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := balance.New(start, "z", balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
@@ -119,12 +135,27 @@
 			aborted := false
 			k.OnLost(func() { aborted = true })
 			steps := map[time.Duration]func(now time.Time){
-				c.sentAt: func(now time.Time) { s.Arrive(now, k); s.Started(now, k) },
+				c.sentAt: func(now time.Time) {
+					s.Arrive(now, k)
+					k.ConnectedAt.Store(int64(c.connectedAt))
+					s.Started(now, k)
+				},
 			}
 			for at := time.Duration(0); at <= 3*time.Second; at += 10 * time.Millisecond {
 				now := start.Add(at)
 				if at == c.exitAt && at > 0 {
-					s.RecordExit(now, target("v1", 5))
+					var refusedAt time.Time
+					if c.refused {
+						refusedAt = now
+					}
+					if c.told {
+						s.RecordExitOf(now, "a@5")
+					} else {
+						s.RecordExit(now, target("v1", 5), refusedAt)
+					}
+				}
+				if c.confirmed && at == c.exitAt+20*time.Millisecond {
+					s.ConfirmRefusal("a@5", now)
 				}
 				if f := steps[at]; f != nil {
 					f(now)
@@ -135,6 +166,10 @@
 				s.Tick(now)
 			}
 			s.SetTargets(start.Add(3*time.Second), []balance.Target{target("v2", 6)})
+			if c.goesOn {
+				k.LastReceived.Store(int64(3100 * time.Millisecond))
+				s.Tick(start.Add(3500 * time.Millisecond))
+			}
 			if aborted != c.aborted || recorded != c.version || !k.Version.Allows(c.version) {
 				t.Errorf("aborted %v, recorded as of %q; want %v, %q", aborted, recorded, c.aborted, c.version)
 			}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -51,6 +51,9 @@
 	// LastReceived is when the target last sent a part of the answer, in nanoseconds after
 	// Arrived. The request's own goroutine sets it.
 	LastReceived atomic.Int64
+	// ConnectedAt is when the connection was made that the answer arrives on, in nanoseconds after Arrived; 0 if
+	// that is not known. The request's own goroutine sets it, and the State resets it for each send.
+	ConnectedAt atomic.Int64
 	// Sent is when the request was last written to a target, in nanoseconds after Arrived. The request's own goroutine
 	// sets it.
 	Sent atomic.Int64
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -228,7 +228,7 @@
 		return
 	}
 	if !t.Version.IsSet() {
-		t.Version, t.beganAt = OnlyVersion(s.versionAt(now, t.target)), t.target
+		t.Version, t.beganAt = OnlyVersion(s.versionAt(now, t)), t.target
 	}
 	if t.StreamID == "" || s.onStreamBegun == nil {
 		return
@@ -238,12 +238,12 @@
 	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version}, !only || unknown)
 }
 
-// versionAt returns the version of the process that listens at a target's address.
-func (s *State) versionAt(now time.Time, t *target) string {
-	if s.inDoubt(now, t) {
+// versionAt returns the version of the process that runs t.
+func (s *State) versionAt(now time.Time, t *Ticket) string {
+	if s.inDoubt(now, t.target) && !s.exits[t.target.incarnation].spares(t) {
 		return streamversion.Unknown
 	}
-	return t.Version
+	return t.target.Version
 }
 
 // TakeNewlyMixed returns the running streams of services that have got another version since the
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -34,7 +34,9 @@
 	return nil, errors.Wrap(httptarget.ErrBroken, "test")
 }
 
-func (brokenSender) ProcessExited(context.Context, string, string) bool { return false }
+func (brokenSender) ProcessExited(context.Context, string, string) (refusedAt time.Time, exited bool) {
+	return time.Time{}, false
+}
 
 func (brokenSender) CheckUnused(string, string) (open, ended bool) { return false, false }
 
@@ -44,7 +46,7 @@
 func (noSuspects) RecordEnd([]quarantine.Credit) {}
 
 func (noSuspects) View() *quarantine.View                         { return nil }
-func (noSuspects) RecordExit(balance.Target)                      {}
+func (noSuspects) RecordExit(balance.Target, time.Time)           {}
 func (noSuspects) RecordBreak(context.Context, forward.Break) int { return 0 }
 
 // discard implements forward.Caller and forward.Counters and discards everything.
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -38,25 +38,26 @@
 	return &out
 }
 
-// isOtherProcess reports whether an engine says that its process started later than its entry tells. An
-// engine that does not answer is taken for the one of the entry.
-func (x *inflight) isOtherProcess(ctx context.Context, to balance.Target) bool {
+// isOtherProcess reports whether an engine says that its process started later than its entry tells, or refuses a
+// connection, attempted at refusedAt. An engine that does not answer is taken for the one of the entry.
+func (x *inflight) isOtherProcess(ctx context.Context, to balance.Target) (refusedAt time.Time, other bool) {
 	if x.status.Path == "" || to.Born == 0 || !x.ToEngine {
-		return false
+		return time.Time{}, false
 	}
+	began := clock.Now()
 	status, text, err := x.queryStatus(ctx, to)
-	if err != nil {
-		return errors.Is(err, httptarget.ErrConnectionRefused)
+	if errors.Is(err, httptarget.ErrConnectionRefused) {
+		return began, true
 	}
-	if status != http.StatusOK {
-		return false
+	if err != nil || status != http.StatusOK {
+		return time.Time{}, false
 	}
 	var fields map[string]json.RawMessage
 	var born int64
 	if json.Unmarshal(text, &fields) != nil || json.Unmarshal(fields[x.status.Field], &born) != nil {
-		return false
+		return time.Time{}, false
 	}
-	return born > to.Born
+	return time.Time{}, born > to.Born
 }
 
 // isSilent reports whether an engine does not answer at all, if it can be asked.
@@ -92,9 +93,13 @@
 	}
 	open, ended := x.sender.CheckUnused(to.Address, to.Incarnation())
 	justStarted := clock.Since(x.startedAt) < startTime
-	if x.lastEventID == "" && (open || !ended && !justStarted) || !x.isOtherProcess(ctx, to) {
+	if x.lastEventID == "" && (open || !ended && !justStarted) {
+		return nil
+	}
+	refusedAt, other := x.isOtherProcess(ctx, to)
+	if !other {
 		return nil
 	}
-	x.suspects.RecordExit(to)
+	x.suspects.RecordExit(to, refusedAt)
 	return &failure{reason: ReasonUnreachable, result: balance.Refused, cause: errOtherProcess}
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -113,8 +113,9 @@
 // Sender sends requests to targets and receives their answers.
 type Sender interface {
 	Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error)
-	// ProcessExited reports whether the process of a target has exited.
-	ProcessExited(ctx context.Context, address, instance string) bool
+	// ProcessExited reports whether the process of a target has exited, or closed its listener, and since when at the
+	// latest.
+	ProcessExited(ctx context.Context, address, instance string) (refusedAt time.Time, exited bool)
 	// CheckUnused reports whether an unused connection to a target is open, or else whether there were some
 	// and all of them have ended before their time.
 	CheckUnused(address, instance string) (open, ended bool)
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -24,8 +24,9 @@
 	// at until.
 	StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool
 	EndTrial(k quarantine.Key, broke bool)
-	// RecordExit records that the process of a target has exited.
-	RecordExit(t balance.Target)
+	// RecordExit records that the process of a target has exited, or closed its listener if it refused a connection
+	// that was attempted at refusedAt, the zero time if it did not.
+	RecordExit(t balance.Target, refusedAt time.Time)
 	// RecordEnd records that a request with these attributes has ended well.
 	RecordEnd(attributes []quarantine.Credit)
 	// RecordSuccess records that a target has run a request to its end that was sent at a time and has
@@ -41,9 +42,11 @@
 	Attributes   []quarantine.Attribute
 	Organisation string
 	Target       balance.Target
-	// TargetExited is set if the target's process is known to have exited. Trials are the attributes
-	// that were rejected or held back and with which the request was sent nevertheless.
+	// TargetExited is set if the target's process is known to have exited, and RefusedAt if that is known by a refused
+	// connection. Trials are the attributes that were rejected or held back and with which the request was sent
+	// nevertheless.
 	TargetExited bool
+	RefusedAt    time.Time
 	Trials       []quarantine.Key
 }
 
@@ -158,18 +161,20 @@
 // so many targets have exited while running the request that the router must not retry it. A part of
 // a prompt crashes a target as it begins the answer, so that parts are suspected only then.
 func (x *inflight) reportBreak(ctx context.Context, to balance.Target, f *failure) bool {
-	exited := false
+	exited, refusedAt := false, time.Time{}
 	switch f.reason {
 	case ReasonRestarted:
 		exited = true
 	case ReasonBroken:
-		exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()) || x.isOtherProcess(ctx, to)
+		if refusedAt, exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()); !exited {
+			refusedAt, exited = x.isOtherProcess(ctx, to)
+		}
 	case ReasonSilent:
 		// The process may have exited; that is found out later.
 	default:
 		return false
 	}
-	b := Break{Attributes: x.attributes(), Organisation: x.Organisation, Target: to, TargetExited: exited, Trials: x.trials}
+	b := Break{Attributes: x.attributes(), Organisation: x.Organisation, Target: to, TargetExited: exited, RefusedAt: refusedAt, Trials: x.trials}
 	if !x.hasJustBegun() {
 		b.Attributes = b.Attributes[:1]
 	}
--- a/internal/forward/suspects_internal_test.go
+++ b/internal/forward/suspects_internal_test.go
@@ -31,7 +31,9 @@
 	s.State.EndTrial(clock.Now(), k, broke)
 }
 
-func (s stateSuspects) RecordExit(t balance.Target) { s.State.RecordExit(clock.Now(), t.Incarnation()) }
+func (s stateSuspects) RecordExit(t balance.Target, _ time.Time) {
+	s.State.RecordExit(clock.Now(), t.Incarnation())
+}
 
 func (s stateSuspects) RecordEnd(attributes []quarantine.Credit) {
 	s.State.RecordEnd(clock.Now(), attributes)
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -94,10 +94,14 @@
 
 // send sends the request to a target and reads the head of the answer.
 func (x *inflight) send(ctx context.Context, to balance.Target) (*httptarget.Answer, error) {
-	return x.sender.Send(ctx, to.Address, httptarget.Request{
+	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{
 		Method: x.Method, Head: x.requestHead(to, x.deadline), Body: x.Body, Instance: to.Incarnation(),
 		ID: x.ID, IDHeader: x.headers.RequestID, OnSent: x.noteSent,
 	})
+	if err == nil {
+		x.ticket.ConnectedAt.Store(a.ConnectedAt().Sub(x.ticket.Arrived).Nanoseconds())
+	}
+	return a, err
 }
 
 // failureOf returns the failure of an exchange that ended with f: another one if the exchange was cancelled.
@@ -118,7 +122,7 @@
 	if errors.Is(err, httptarget.ErrNotSent) {
 		f := &failure{reason: ReasonUnreachable, result: balance.Unreachable, cause: err}
 		if errors.Is(err, httptarget.ErrConnectionRefused) {
-			x.suspects.RecordExit(to)
+			x.suspects.RecordExit(to, x.sentAt)
 		}
 		if ctx.Err() != nil {
 			f.result = balance.Abandoned
--- a/internal/gateway/exits.go
+++ b/internal/gateway/exits.go
@@ -30,10 +30,10 @@
 
 func (e *exits) idle() bool { return len(e.pending) == 0 && e.prompt == 0 }
 
-// recordExit records that this router has seen that the process of a target has ended, whether that was
-// expected or not.
-func (g *Gateway) recordExit(s *balance.State, now time.Time, t balance.Target) {
-	if !s.RecordExit(now, t) {
+// recordExit records that this router has seen that the process of a target has ended, or refuses connections since
+// refusedAt, whether that was expected or not.
+func (g *Gateway) recordExit(s *balance.State, now time.Time, t balance.Target, refusedAt time.Time) {
+	if !s.RecordExit(now, t, refusedAt) {
 		return
 	}
 	g.Metrics.targetExits.Add("seen", 1)
@@ -41,18 +41,30 @@
 	g.passOnExits(now, t.Incarnation())
 }
 
-// handleTargetExits records what another router tells of processes that have ended, and passes on what is new.
+// handleTargetExits records what another router tells of processes that have ended, and passes on what is new. Where
+// streams run, this router tries to connect itself: others do not tell whether the process only closed its listener.
 func (g *Gateway) handleTargetExits(s *balance.State, now time.Time, m message.TargetExits) {
 	var news []string
 	for _, name := range m.Incarnations {
-		if s.RecordExitOf(now, name) {
-			news = append(news, name)
+		if !s.RecordExitOf(now, name) {
+			continue
+		}
+		news = append(news, name)
+		if t, ok := s.StreamsAt(name); ok {
+			g.group.Go(func() { g.verifyExit(t) })
 		}
 	}
 	g.Metrics.targetExits.Add("told", int64(len(news)))
 	g.passOnExits(now, news...)
 }
 
+// verifyExit tries to connect to a process that is said to have ended.
+func (g *Gateway) verifyExit(t balance.Target) {
+	if at, refused := g.transport.ProcessExited(g.group.Context(), t.Address, t.Incarnation()); refused {
+		g.loop.Post(func(s *balance.State, _ time.Time) { s.ConfirmRefusal(t.Incarnation(), at) })
+	}
+}
+
 // passOnExits tells a few other routers of exits, which do the same: at once, or with the next tick if there
 // are many.
 func (g *Gateway) passOnExits(now time.Time, names ...string) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -66,7 +66,7 @@
 
 func (g *Gateway) recordBreak(s *balance.State, now time.Time, b forward.Break) int {
 	if b.TargetExited {
-		g.recordExit(s, now, b.Target)
+		g.recordExit(s, now, b.Target, b.RefusedAt)
 	}
 	if g.exitExpected(s, b.Target) {
 		return 0
@@ -112,9 +112,9 @@
 }
 
 // RecordExit implements forward.Suspects.
-func (g suspects) RecordExit(t balance.Target) {
+func (g suspects) RecordExit(t balance.Target, refusedAt time.Time) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.recordExit(s, now, t)
+		g.recordExit(s, now, t, refusedAt)
 		if !g.exitExpected(s, t) {
 			g.quarantine.state.RecordExit(now, t.Incarnation())
 			g.publishLocalChanges(now)
--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -121,17 +121,22 @@
 	return c
 }
 
-// ProcessExited reports whether the process of a target has exited: it probes the target with a
-// connection, and a refused one counts as an exit. Concurrent calls for the same process, as
+// ProcessExited reports whether the process of a target has exited, or closed its listener, and since when at the
+// latest: it probes the target with a connection, and a refused one counts. Concurrent calls for the same process, as
 // when a target breaks off many answers at once, share one probe. A connection that is made is
 // kept for reuse.
-func (t *Transport) ProcessExited(ctx context.Context, address, instance string) bool {
+func (t *Transport) ProcessExited(ctx context.Context, address, instance string) (refusedAt time.Time, exited bool) {
 	e := endpoint{address, instance}
-	exited, _, _ := t.probes.Do(address+" "+instance, func() (any, error) {
+	v, _, _ := t.probes.Do(address+" "+instance, func() (any, error) {
+		c := exitCheck{began: clock.Now()}
 		_, err := t.probe(ctx, e)
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		c.exited = errors.Is(err, syscall.ECONNREFUSED)
+		return c, nil
 	})
-	return exited.(bool)
+	if c := v.(exitCheck); c.exited {
+		return c.began, true
+	}
+	return time.Time{}, false
 }
 
 // probe makes a connection to a process, which is kept for reuse.
--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -38,8 +38,9 @@
 		var wait sync.WaitGroup
 		for range 20 {
 			wait.Go(func() {
-				if got := transport.ProcessExited(t.Context(), address, "t"); got != want {
-					t.Errorf("%s exited: %v, want %v", address, got, want)
+				at, got := transport.ProcessExited(t.Context(), address, "t")
+				if got != want || at.IsZero() == want {
+					t.Errorf("%s exited: %v at %v, want %v", address, got, at, want)
 				}
 			})
 		}
@@ -57,7 +58,7 @@
 	transport := httptarget.New(g)
 	defer transport.Close()
 	address := server.Listener.Addr().String()
-	if transport.ProcessExited(t.Context(), address, "t") {
+	if _, exited := transport.ProcessExited(t.Context(), address, "t"); exited {
 		t.Fatal("a running target was reported as exited")
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -475,6 +475,9 @@
 // SetReadDeadline sets the time by which the next byte of the answer must have arrived.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
+// ConnectedAt returns when the connection was made that the answer arrives on.
+func (a *Answer) ConnectedAt() time.Time { return a.conn.madeAt }
+
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
--- a/internal/ingress/gone_test.go
+++ b/internal/ingress/gone_test.go
@@ -25,7 +25,9 @@
 // countingSender is a sender that fails all requests and counts them.
 type countingSender struct{ sends atomic.Int64 }
 
-func (*countingSender) ProcessExited(context.Context, string, string) bool { return false }
+func (*countingSender) ProcessExited(context.Context, string, string) (refusedAt time.Time, exited bool) {
+	return time.Time{}, false
+}
 
 func (*countingSender) CheckUnused(string, string) (open, ended bool) { return false, false }
 
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -42,7 +42,9 @@
 	return nil, errors.Wrap(httptarget.ErrNotSent, "test")
 }
 
-func (unreachableSender) ProcessExited(context.Context, string, string) bool { return false }
+func (unreachableSender) ProcessExited(context.Context, string, string) (refusedAt time.Time, exited bool) {
+	return time.Time{}, false
+}
 
 func (unreachableSender) CheckUnused(string, string) (open, ended bool) { return false, false }
 
@@ -51,7 +53,7 @@
 
 func (noSuspects) RecordEnd([]quarantine.Credit)                  {}
 func (noSuspects) View() *quarantine.View                         { return nil }
-func (noSuspects) RecordExit(balance.Target)                      {}
+func (noSuspects) RecordExit(balance.Target, time.Time)           {}
 func (noSuspects) RecordBreak(context.Context, forward.Break) int { return 0 }
 
 // ignoringObserver is an Observer and a forward.Counters that ignores all calls.
