A request read behind the last one on its connection is accounted for

What callers saw: a request that they had sent behind another one, and that had been read with it, got nothing if the answer before ended the connection: one that announced the close (a stop, the limit of connections, most refusals before the body), or one that was cut. What operators saw: nothing; it was counted neither as read nor in closed_unanswered.

Cause: the account of a request that the HTTP server has read ahead began when the connection became idle, and such a connection never does.

Now it counts as unanswered as the connection closes, and as "behind the last" in closed_unanswered.

Evidence: two cases of TestClosedUnansweredAreCounted ("another one is behind the last", "... an aborted one"); on the code before, the second request of both is counted nowhere.

Not changed: that such a request gets nothing. HTTP wants a server that has announced the close to serve nothing behind that answer, and callers to send it again. A request behind one in chunks is still seen only by its first byte, read ahead.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -43,9 +43,8 @@
 	// unread is the number of bytes of the current request that the HTTP server has not read yet,
 	// or lengthUnknown. It is negative if the server has read the start of the next request.
 	unread int
-	// aheadRead is set if the last byte read was read by itself, as the HTTP server reads the first one of the next
-	// request while it serves one.
-	aheadRead bool
+	// hasNext is set once a part of the request behind the one that is served has been read.
+	hasNext atomic.Bool
 	// head is what is kept of the request that begins. Only the goroutine that serves the connection uses it, and
 	// not the one that reads a single byte ahead.
 	head arrivedHead
@@ -172,7 +171,7 @@
 	if state == http.StateIdle {
 		c.endRequest("")
 		c.betweenRequests = true
-		c.unanswered.Store(c.aheadRead || c.unread < 0 && c.unread > lengthUnknown/2)
+		c.unanswered.Store(c.hasNext.Load())
 		c.serving.Store(false)
 		c.markIdle()
 		c.refuseNext()
@@ -186,10 +185,17 @@
 	}
 }
 
+// setUnread sets unread. ahead is set if the byte read last was read by itself, as the HTTP server reads the first one of
+// the next request while it serves one.
+func (c *conn) setUnread(n int, ahead bool) {
+	c.unread = n
+	c.hasNext.Store(ahead || n < 0 && n > lengthUnknown/2)
+}
+
 // takeBuffered begins a request that the HTTP server had read with the one before.
 func (c *conn) takeBuffered() {
 	c.betweenRequests = false
-	c.unread = lengthUnknown
+	c.setUnread(lengthUnknown, false)
 	c.beginRequest()
 	c.leaveIdle()
 }
@@ -350,7 +356,7 @@
 // has arrived since.
 func (c *conn) resumeRequest(rest []byte) {
 	if c.unread != -1 {
-		c.unread = lengthUnknown
+		c.setUnread(lengthUnknown, false)
 		c.head.keep(rest)
 		return
 	}
@@ -358,7 +364,7 @@
 	whole := append([]byte{'P'}, rest...)
 	c.head.keep(whole)
 	h, size, ok := httphead.Parse(whole, &c.server.headNames)
-	c.unread = requestLength(h, size, ok) - 1 - len(rest)
+	c.setUnread(requestLength(h, size, ok)-1-len(rest), false)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -383,11 +389,10 @@
 	for {
 		n, err := c.readInput(b)
 		if !c.betweenRequests || (n == 0 || err != nil) && !c.evicted.Load() {
-			c.unread -= n
+			c.setUnread(c.unread-n, n == 1 && len(b) == 1)
 			if len(b) > 1 {
 				c.head.add(b[:n])
 			}
-			c.aheadRead = n == 1 && len(b) == 1
 			return n, err
 		}
 		c.betweenRequests = false
@@ -411,7 +416,7 @@
 		}
 		if !refused {
 			c.beginRequest()
-			c.unread = length - n
+			c.setUnread(length-n, false)
 			return n, nil
 		}
 		c.begun()
--- a/internal/ingress/end.go
+++ b/internal/ingress/end.go
@@ -60,6 +60,9 @@
 	if end := c.closedAs.Load(); end != nil {
 		closedAs = *end
 	}
+	if c.serving.Load() && c.hasNext.Load() {
+		c.server.countNext(closedAs)
+	}
 	switch unanswered := c.unanswered.Load(); {
 	case c.request.Load() == nil && unanswered:
 		// The HTTP server had read the first byte of it with the request before.
@@ -74,6 +77,14 @@
 	}
 }
 
+// countNext counts a request that arrived behind one whose answer was the last on its connection.
+func (s *Server) countNext(e lifecycle.End) {
+	s.requests.Count(clock.Now(), e)
+	if e == lifecycle.Unanswered {
+		s.countUnanswered(closedBehind)
+	}
+}
+
 // endRefused ends the account of a request whose refusal was written before the HTTP server got it. A request that
 // arrived whole needs none until then.
 func (c *conn) endRefused(now time.Time, err error) {
--- a/internal/ingress/unanswered.go
+++ b/internal/ingress/unanswered.go
@@ -12,11 +12,12 @@
 // Reasons for which this process closes a caller's connection with a request that has no answer.
 const (
 	// closedStopping means that the server shut down, closedTimeout that the rest of the request did not
-	// arrive in time, closedLost that the process had no descriptor for the connection, and closedAborted
-	// anything else.
+	// arrive in time, closedLost that the process had no descriptor for the connection, closedBehind that the answer to
+	// the request before was the last on its connection, and closedAborted anything else.
 	closedStopping = "stopping"
 	closedTimeout  = "timeout"
 	closedLost     = "lost"
+	closedBehind   = "behind the last"
 	closedAborted  = "aborted"
 	// unreadSuffix marks requests of which nothing had been read.
 	unreadSuffix = " unread"
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -113,6 +113,16 @@
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.CallerGone: 1},
 		},
+		"another one is behind the last": {
+			strings.Replace(wholeRequest, "GET", "PUT", 1) + wholeRequest, waitEnd,
+			map[string]int64{closedBehind: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
+		},
+		"another one is behind an aborted one": {
+			strings.Replace(wholeRequest, "GET", "DELETE", 1) + wholeRequest, waitEnd,
+			map[string]int64{closedAborted: 1, closedBehind: 1},
+			ends{lifecycle.Unanswered: 2},
+		},
 		"no HTTP":                     {"hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Incomplete: 1}},
 		"no HTTP after a request":     {wholeRequest + "hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1}},
 		"no HTTP after chunks":        {text(chunked, chunkedBody) + "hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1}},
@@ -128,6 +138,8 @@
 				switch r.Method {
 				case http.MethodDelete:
 					panic(http.ErrAbortHandler)
+				case http.MethodPut:
+					w.Header().Set("Connection", "close")
 				case http.MethodPatch:
 					_, _ = io.Copy(io.Discard, r.Body)
 					time.Sleep(80 * time.Millisecond)
