A request that this router leaves without an answer has a line with its id

What operators saw: the end unanswered counted in the figures, and a line a second that told of them by reason, but no line that named the request.

'request left unanswered' has its id, as far as that had arrived: of a head that had been read in part from what is kept of it, of others from the handler. An answer whose last bytes were not written keeps 'answer not delivered'. The id is empty where the request had been read with the one before, and there is no line where the process had no descriptor for its connection ('accepted connection lost').

TestUnansweredRequestIsNamed and two cases of TestLinesNameTheRequest: no line on the code before. go test -race ./internal/ingress ./internal/lifecycle: passed.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -181,8 +181,8 @@
 		c.takeBuffered()
 	}
 	if state == http.StateClosed {
-		c.head.drop()
 		c.endClosed()
+		c.head.drop()
 	}
 }
 
--- a/internal/ingress/end.go
+++ b/internal/ingress/end.go
@@ -65,6 +65,9 @@
 		// The HTTP server had read the first byte of it with the request before.
 		c.server.requests.Count(clock.Now(), closedAs)
 	case !c.serving.Load():
+		if closedAs == lifecycle.Unanswered {
+			c.request.Load().Identify(c.head.requestID(c.server.headerNames.RequestID))
+		}
 		c.endRequest(closedAs)
 	case unanswered:
 		c.request.Load().NoteUndelivered(closedAs)
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/forward"
@@ -156,6 +157,25 @@
 // waitEnd waits until a caller's request has ended by itself.
 func waitEnd(*Server, net.Conn) {}
 
+// TestUnansweredRequestIsNamed guards against requests that get no answer and of which no line tells.
+func TestUnansweredRequestIsNamed(t *testing.T) {
+	s := newTestServer(anyResult{}, false)
+	lines := make(chan string, 10)
+	s.requests = lifecycle.New(time.Second, funcr.New(func(_, args string) { lines <- args }, funcr.Options{}))
+	dialServer(t, startTestServer(t, s), "GET / HTTP/1.1\r\nX-Id: 1\r\nHost")
+	time.Sleep(50 * time.Millisecond)
+	_ = s.Close()
+	s.Ends()
+	select {
+	case got := <-lines:
+		if !strings.Contains(got, `"request left unanswered" "id"="1"`) {
+			t.Error("logged ", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no line")
+	}
+}
+
 // TestUnwrittenRefusalIsNotCounted guards against refusals that count as such although the server was closed before
 // they were written.
 func TestUnwrittenRefusalIsNotCounted(t *testing.T) {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -223,7 +223,11 @@
 	if r.end != "" {
 		now = r.decidedAt
 	}
-	t.count(now, r.finalEnd(otherwise))
+	end := r.finalEnd(otherwise)
+	if end == Unanswered && r.end != Answered {
+		t.log.Info("request left unanswered", "id", r.id, "began", r.began)
+	}
+	t.count(now, end)
 }
 
 // finalEnd returns how the request ended; mu must be held.
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -76,6 +76,12 @@
 			r.NoteUndelivered(lifecycle.Cut)
 			r.Close(now, "")
 		}, `"answer not delivered"`},
+		"unanswered": {func(r *lifecycle.Request) { r.Identify("r"); r.Close(now, lifecycle.Unanswered) }, `"request left unanswered"`},
+		"refusal not delivered": {func(r *lifecycle.Request) {
+			r.Decide(now, "r", lifecycle.Refused)
+			r.NoteUndelivered(lifecycle.Unanswered)
+			r.Close(now, "")
+		}, `"request left unanswered"`},
 		"caller left": {func(r *lifecycle.Request) {
 			r.Decide(now, "r", lifecycle.Refused)
 			r.NoteUndelivered(lifecycle.CallerGone)
