--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -154,7 +154,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, now, ticket := newFullState(t, forecastsOn)
-			s.limits.RetrySlack = 10
+			l := s.limits
+			l.RetrySlack = 10
+			s.SetLimits(l)
 			for range 40 {
 				s.forecasts.forecast.Record(now, s.classIfQueued(now, ticket("o", time.Second)), false)
 			}
