The account is compared with what callers saw around planned stops

Sixteen callers send requests of six forms, proper and improper, each in two pieces, until the server has stopped: as many refusals and improper ends must be counted as they got, and none unanswered.

--- a/internal/ingress/lasting_internal_test.go
+++ b/internal/ingress/lasting_internal_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -102,3 +103,68 @@
 		}
 	}
 }
+
+// TestAccountIsWhatCallersSaw guards against ends other than those that callers saw, for requests of all forms around
+// a planned stop.
+func TestAccountIsWhatCallersSaw(t *testing.T) {
+	requests := []string{
+		wholeRequest, text("X-Id: 1\r\nContent-Length: 5\r\n", "hello"), text("X-Id: 1\r\n"+chunked, chunkedBody),
+		"GET / HTTP/1.0\r\nX-Id: 1\r\n\r\n", "GET / HTTP/1.1\r\nX-Id: 1\r\n\r\n", "hello\r\n\r\n",
+	}
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newTestServer(anyResult{}, false)
+			address := startTestServer(t, s)
+			var refused, improper atomic.Int64
+			var stopped atomic.Bool
+			var wait sync.WaitGroup
+			for i := range uint64(16) {
+				random := rand.New(rand.NewPCG(seed, i))
+				wait.Go(func() {
+					for !stopped.Load() {
+						c, err := net.Dial("tcp", address.String())
+						if err != nil {
+							return
+						}
+						_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+						answers := bufio.NewReader(c)
+						for range 4 {
+							request := requests[random.IntN(len(requests))]
+							cut := random.IntN(len(request))
+							fmt.Fprint(c, request[:cut])
+							time.Sleep(time.Duration(random.IntN(2000)) * time.Microsecond)
+							fmt.Fprint(c, request[cut:])
+							res, err := http.ReadResponse(answers, nil)
+							if err != nil {
+								break
+							}
+							_, _ = io.Copy(io.Discard, res.Body)
+							if res.StatusCode == http.StatusServiceUnavailable {
+								refused.Add(1)
+							} else {
+								improper.Add(1)
+							}
+							if res.Close {
+								break
+							}
+						}
+						_ = c.Close()
+					}
+				})
+			}
+			time.Sleep(time.Duration(20+5*seed) * time.Millisecond)
+			if seed%2 == 0 {
+				s.Leave()
+			}
+			if err := s.Shutdown(context.Background()); err != nil {
+				t.Error(err)
+			}
+			stopped.Store(true)
+			wait.Wait()
+			got := s.Ends()
+			if got[lifecycle.Refused] != refused.Load() || got[lifecycle.Incomplete] != improper.Load() || got[lifecycle.Unanswered] > 0 {
+				t.Errorf("callers saw %d refused, %d improper; ends %v, closed %v", refused.Load(), improper.Load(), got, s.ClosedUnanswered())
+			}
+		})
+	}
+}
