An engine that does not say when its process started gets no rest of a stream

What callers saw: streams with events of two versions (ORDER), where an engine starts again at once under its id and address with another version, no connection is refused, and it is busy.

Cause: the engine is asked when its process started before the rest of a stream is sent there, and before a stream after connections to it have ended; without an answer within 200 ms it was taken for the process of its entry.

Now it has 0.6 s, the time after which a target counts as silent; without an answer the stream is sent elsewhere. Not for a new stream at a router that has merely just started: that nothing is known yet must not keep a fleet that starts from serving. Where requests are not held back for the answer (broken answers, second sends) the bound is 200 ms as before.

The pages of the users' platform give entries no start time; nothing is asked there.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -20,16 +20,22 @@
 type StatusQuery struct{ Path, Field string }
 
 const (
-	// statusTimeout bounds the time to ask an engine, which answers without a slot within a round trip.
-	statusTimeout = 200 * time.Millisecond
+	// statusTimeout bounds the time to ask an engine, which answers without a slot within a round trip, and
+	// processTimeout where it is not sent the request before it has answered: a busy one takes longer.
+	statusTimeout  = 200 * time.Millisecond
+	processTimeout = minSilence
 	// startTime is how long after its start a router may lack what others know of processes that have ended.
 	startTime = 10 * time.Second
 	// maxStatusBytes bounds the part of its answer that is read.
 	maxStatusBytes = 256 << 10
 )
 
-// errOtherProcess means that another process listens at a target's address than its entry describes.
-var errOtherProcess = errors.New("another process listens at the target's address")
+var (
+	// errOtherProcess means that another process listens at a target's address than its entry describes.
+	errOtherProcess = errors.New("another process listens at the target's address")
+	// errNoStatus means that an engine does not say when its process started.
+	errNoStatus = errors.New("target does not say when its process started")
+)
 
 // WithStatusQuery returns a forwarder that asks engines when their processes started, where that matters.
 func (f *Forwarder) WithStatusQuery(q StatusQuery) *Forwarder {
@@ -39,25 +45,26 @@
 }
 
 // isOtherProcess reports whether an engine says that its process started later than its entry tells, or refuses a
-// connection, attempted at refusedAt. An engine that does not answer is taken for the one of the entry.
-func (x *inflight) isOtherProcess(ctx context.Context, to balance.Target) (refusedAt time.Time, other bool) {
+// connection, attempted at refusedAt. One that answers something else is taken for that of the entry. The error says
+// that it does not answer.
+func (x *inflight) isOtherProcess(ctx context.Context, to balance.Target, timeout time.Duration) (refusedAt time.Time, other bool, err error) {
 	if x.status.Path == "" || to.Born == 0 || !x.ToEngine {
-		return time.Time{}, false
+		return time.Time{}, false, nil
 	}
 	began := clock.Now()
-	status, text, err := x.queryStatus(ctx, to)
+	status, text, err := x.queryStatus(ctx, to, timeout)
 	if errors.Is(err, httptarget.ErrConnectionRefused) {
-		return began, true
+		return began, true, nil
 	}
 	if err != nil || status != http.StatusOK {
-		return time.Time{}, false
+		return time.Time{}, false, err
 	}
 	var fields map[string]json.RawMessage
 	var born int64
 	if json.Unmarshal(text, &fields) != nil || json.Unmarshal(fields[x.status.Field], &born) != nil {
-		return time.Time{}, false
+		return time.Time{}, false, nil
 	}
-	return time.Time{}, born > to.Born
+	return time.Time{}, born > to.Born, nil
 }
 
 // isSilent reports whether an engine does not answer at all, if it can be asked.
@@ -65,13 +72,13 @@
 	if x.status.Path == "" || !x.ToEngine {
 		return false
 	}
-	_, _, err := x.queryStatus(ctx, to)
+	_, _, err := x.queryStatus(ctx, to, statusTimeout)
 	return err != nil
 }
 
 // queryStatus asks an engine for its status, which takes no slot there.
-func (x *inflight) queryStatus(ctx context.Context, to balance.Target) (status int, text []byte, err error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+func (x *inflight) queryStatus(ctx context.Context, to balance.Target, timeout time.Duration) (status int, text []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.status.Path, to.Address)
 	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation()})
@@ -86,7 +93,8 @@
 // checkProcess returns an error if another process than the entry describes listens at a target's address, of
 // which the version is not known. It looks only before the rest of a stream is sent there, and before a
 // stream that may be continued if all unused connections to the target have ended, or if there are none
-// and this router has just started, so that it may know of no process's end.
+// and this router has just started, so that it may know of no process's end. An engine that does not say is not sent
+// the rest of a stream, nor a stream if connections to it have ended.
 func (x *inflight) checkProcess(ctx context.Context, to balance.Target) *failure {
 	if x.status.Path == "" || to.Born == 0 || x.ticket.StreamID == "" || x.inDoubt {
 		return nil
@@ -96,7 +104,10 @@
 	if x.lastEventID == "" && (open || !ended && !justStarted) {
 		return nil
 	}
-	refusedAt, other := x.isOtherProcess(ctx, to)
+	refusedAt, other, err := x.isOtherProcess(ctx, to, processTimeout)
+	if err != nil && (ended || x.lastEventID != "") {
+		return &failure{reason: ReasonUnreachable, result: balance.Unreachable, cause: errors.Wrap(errNoStatus, err.Error())}
+	}
 	if !other {
 		return nil
 	}
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -174,7 +174,7 @@
 		exited = true
 	case ReasonBroken:
 		if refusedAt, exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()); !exited {
-			refusedAt, exited = x.isOtherProcess(ctx, to)
+			refusedAt, exited, _ = x.isOtherProcess(ctx, to, statusTimeout)
 		}
 	case ReasonSilent:
 		// The process may have exited; that is found out later.
