A target that was slow to connect to once is tried again if there is no other

What callers saw: queue-full, after a fifth of the route's goal, from a service with room, if a connection to its only target was not made within 400 ms.

Cause: a request that could not be sent for want of a connection is accepted again without the target, as if it had been sent there. With no other target it waits in vain, whatever the target does meanwhile. It is now sent there once more if no other target is usable: nothing has reached the target, so that no attempt and no retry is spent. Not if the connection was refused, since then the process has ended, and once only for each target, as each try may take 400 ms of the caller's time.

Ruled out: a longer time to connect (a dead target would hold its requests as long); the rig alone (50 callers at once are few).

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -266,7 +266,11 @@
 	if t.isSecond && !c.isResponsive(now) {
 		return false
 	}
-	return s.isOpen(now, t, c) && !c.backingOffOrProbed(now) && !slices.Contains(t.Tried, c.incarnation) && !s.coldLimited(now, c)
+	return s.isReady(now, t, c) && !slices.Contains(t.Tried, c.incarnation)
+}
+
+func (s *State) isReady(now time.Time, t *Ticket, c *target) bool {
+	return s.isOpen(now, t, c) && !c.backingOffOrProbed(now) && !s.coldLimited(now, c)
 }
 
 // leastLoaded returns the target of a plain service with the fewest running requests. Among
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -97,6 +97,22 @@
 // candidates returns the usable targets among which to choose one for t. The list is valid until
 // the next call.
 func (s *State) candidates(now time.Time, t *Ticket) []*target {
+	list := s.untried(now, t)
+	if len(list) > 0 || len(t.Again) == 0 {
+		return list
+	}
+	list = s.good[:0]
+	for _, c := range s.targetsOf(t.Service) {
+		if slices.Contains(t.Again, c.incarnation) && s.isReady(now, t, c) {
+			list = append(list, c)
+		}
+	}
+	s.good = list
+	return s.preferVersion(now, t, list)
+}
+
+// untried returns the usable targets that t was not sent to before.
+func (s *State) untried(now time.Time, t *Ticket) []*target {
 	v := s.services[t.Service]
 	if v == nil {
 		return nil
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -33,6 +33,9 @@
 	Deadline      time.Time
 	// Tried has the incarnations of the targets that the request was sent to before.
 	Tried []string
+	// Again has those of them to which a connection could not be made once, for some reason other than that
+	// the process has ended. The request may be sent there again if there is no other target.
+	Again []string
 	// Resumes is set if the caller already has a part of the answer and the rest is requested.
 	// Such a request waits up to maxResumeWait and overtakes all others.
 	Resumes bool
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 	"hash/maphash"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
@@ -340,6 +342,11 @@
 	cause       error
 }
 
+// isUnconnected reports whether no connection was made although the target may be running.
+func (f *failure) isUnconnected() bool {
+	return f.result == balance.Unreachable && !errors.Is(f.cause, httptarget.ErrConnectionRefused)
+}
+
 func (f *failure) Error() string { return string(f.reason) + ": " + f.cause.Error() }
 
 // handleFailure handles a failed send. It returns true if the request is retried: the control
@@ -360,7 +367,7 @@
 		x.refuse(f.reason, defaultRetryAfter)
 		return false
 	}
-	if x.result.NotRetried = x.mayRetry(f); x.result.NotRetried == "" && !x.retry(ctx, to) {
+	if x.result.NotRetried = x.mayRetry(f); x.result.NotRetried == "" && !x.retry(ctx, to, f) {
 		x.result.NotRetried = NotRetriedBudget
 	}
 	if x.result.NotRetried == "" {
@@ -441,12 +448,17 @@
 
 // retry asks the control goroutine for another target and reports whether the retry budget
 // allows it. It spends no budget as long as no send has reached a target.
-func (x *inflight) retry(ctx context.Context, to balance.Target) bool {
+func (x *inflight) retry(ctx context.Context, to balance.Target, f *failure) bool {
 	t := x.ticket
 	unsent, resumes := x.result.Sends == 0, x.result.HeadSent
 	allowed := false
 	tried := append(x.triedSeconds(), to.Incarnation())
 	answered := x.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
+		name := to.Incarnation()
+		t.Again = slices.DeleteFunc(t.Again, func(again string) bool { return again == name })
+		if f.isUnconnected() && !slices.Contains(t.Tried, name) {
+			t.Again = append(t.Again, name)
+		}
 		t.Tried = append(t.Tried, tried...)
 		t.Resumes = resumes
 		if unsent {
