A refusal in a stop carries no id that may be from the middle of a request

Found by an independent review: as a connection becomes idle during a planned stop, what arrives on it is refused although the HTTP server may have read the start of that request with the one before. The id of the refusal was read from the rest, which may be the middle of a body. It is left out there.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -43,6 +43,9 @@
 	// unread is the number of bytes of the current request that the HTTP server has not read yet,
 	// or lengthUnknown. It is negative if the server has read the start of the next request.
 	unread int
+	// startUnknown is set if the HTTP server may have read more than the first byte of the request that refuseNext
+	// refuses.
+	startUnknown bool
 	// hasNext is set once a part of the request behind the one that is served has been read.
 	hasNext atomic.Bool
 	// head is what is kept of the request that begins. Only the goroutine that serves the connection uses it, and
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -33,6 +33,10 @@
 		return
 	}
 	c.unanswered.Store(false)
+	if c.startUnknown {
+		// An id in the middle of a request may be part of its body.
+		n = max(n, copy(buffer[:], "\r\n\r\n"))
+	}
 	c.server.refuseArrived(early, buffer[:], n, reason, after)
 }
 
@@ -60,6 +64,7 @@
 	s.mu.Unlock()
 	if refusing {
 		c.betweenRequests = false
+		c.startUnknown = c.unread < -1
 		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
 	}
 }
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -164,3 +165,63 @@
 		t.Errorf("%s, header %v", res.Status, res.Header)
 	}
 }
+
+// TestStopRefusesRequestBehindLastAnswer guards against a request that is closed without an answer, since the HTTP server
+// had begun to read it as a planned stop began and the answer before it could not announce that.
+func TestStopRefusesRequestBehindLastAnswer(t *testing.T) {
+	for before, first := range map[string]string{"plain": wholeRequest, "chunks": text("X-Id: 0\r\n"+chunked, chunkedBody)} {
+		for name, c := range map[string]struct{ with, later, id string }{
+			"while the one before is served": {"", wholeRequest, "1"},
+			"its first bytes":                {"", wholeRequest[:20], ""},
+			"with the one before":            {wholeRequest, "", ""},
+			"its first byte with that":       {"G", wholeRequest[1:], ""},
+		} {
+			if before == "chunks" {
+				// Where the next one begins is not known.
+				c.id, c.later, c.with = "", c.with+c.later, ""
+			}
+			t.Run(name+", "+before, func(t *testing.T) {
+				t.Parallel()
+				s := newTestServer(anyResult{}, false)
+				g := group.New(t.Context())
+				defer g.Stop()
+				serving, stopping := make(chan struct{}), make(chan struct{})
+				s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_ = http.NewResponseController(w).Flush()
+					close(serving)
+					<-stopping
+				})
+				caller := dialServer(t, startTestServer(t, s), first+c.with)
+				answers := bufio.NewReader(caller)
+				res, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				<-serving
+				_, _ = io.WriteString(caller, c.later)
+				time.Sleep(10 * time.Millisecond)
+				stopped := make(chan error, 1)
+				g.GoContext(func(ctx context.Context) { stopped <- s.Shutdown(ctx) })
+				time.Sleep(30 * time.Millisecond)
+				close(stopping)
+				if _, err := io.Copy(io.Discard, res.Body); err != nil {
+					t.Fatal(err)
+				}
+				res, err = http.ReadResponse(answers, nil)
+				if err != nil {
+					t.Fatal("no refusal: ", err)
+				}
+				if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("X-Id") != c.id || !res.Close {
+					t.Errorf("%s, %q, want id %q", res.Status, res.Header, c.id)
+				}
+				if err := <-stopped; err != nil {
+					t.Error(err)
+				}
+				if got, want := s.Ends(), (ends{lifecycle.Answered: 1, lifecycle.Refused: 1}); !maps.Equal(got, want) {
+					t.Errorf("ends %v, want %v", got, want)
+				}
+			})
+		}
+	}
+}
