An end decided before a change of the configuration is not counted as near it

What operators could see: in requests.near_change, requests that had ended before the change.

Cause: an end counts with the time at which it was decided, and the check had no lower bound: a request decided just before the change and closed after it is a negative time away from it, which is less than the window. Found by reading; not seen in a run of the fleet.

Evidence: TestEndBeforeChangeIsNotNearIt; on the code before, its case "before" counts 1 instead of 0, the other three cases pass.

Ruled out: to count with the time of the close, which a slow caller puts off.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -139,7 +139,10 @@
 // count counts an end. mu must be held.
 func (t *Tracker) count(now time.Time, e End) {
 	t.ends[e]++
-	if !t.change.At.IsZero() && now.Sub(t.change.At) < t.window {
+	if t.change.At.IsZero() {
+		return
+	}
+	if since := now.Sub(t.change.At); since >= 0 && since < t.window {
 		t.nearChange[e]++
 	}
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -54,6 +54,32 @@
 	}
 }
 
+// TestEndBeforeChangeIsNotNearIt guards against requests that count as ended just after a change though their end had
+// been decided before it.
+func TestEndBeforeChangeIsNotNearIt(t *testing.T) {
+	change := time.Now()
+	for name, c := range map[string]struct {
+		decided time.Duration
+		near    int64
+	}{
+		"before":     {-time.Millisecond, 0},
+		"at once":    {0, 1},
+		"after":      {window - 1, 1},
+		"long after": {window, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := lifecycle.New(window, logr.Discard())
+			r := tracker.Begin(change.Add(-time.Second))
+			r.Decide(change.Add(c.decided), "r", lifecycle.Cut)
+			tracker.NoteChange(lifecycle.Change{Version: 2, At: change})
+			r.Close(change.Add(max(c.decided, 0)+time.Millisecond), "")
+			if got := tracker.Sums(change).NearChange[lifecycle.Cut]; got != c.near {
+				t.Errorf("%d near the change, want %d", got, c.near)
+			}
+		})
+	}
+}
+
 func TestCheckOfUnbalancedSums(t *testing.T) {
 	sums := lifecycle.Sums{Read: 3, Open: 1, Ends: map[lifecycle.End]int64{lifecycle.Answered: 1}}
 	if err := sums.Check(); !errors.Is(err, lifecycle.ErrUnbalanced) {
