The end of reading ahead is not a request that arrives late

What operators could see: a request of which the first bytes had been read on a kept connection, and that this router closed, as incomplete and as timeout, so that the caller was blamed, instead of unanswered and stopping.

Cause: while a handler runs, the HTTP server reads one byte ahead, and ends that with a deadline in the past. conn took this for a read that ended at the deadline of a request, and kept it until the next read returned: on a connection whose next request had been read in part together with the one before, until it was closed.

Evidence: two cases of TestClosedUnansweredAreCounted ("the server is closed after the first byte of a request", "... first bytes ..."); on the code before, both count timeout and incomplete. A third case, a second request whose rest does not come, is timeout and incomplete before and after.

Ruled out: to take the flag back when the connection becomes idle, which works as well; here it is never wrong, whatever uses it.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -392,6 +392,9 @@
 			c.setUnread(c.unread-n, n == 1 && len(b) == 1)
 			if len(b) > 1 {
 				c.head.add(b[:n])
+			} else {
+				// The deadline of reading ahead is the end of the handler, which says nothing about the caller.
+				c.timedOut.Store(false)
 			}
 			return n, err
 		}
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -100,6 +100,21 @@
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
 		},
+		"the server is closed after the first byte of a request": {
+			wholeRequest + "G", func(s *Server, _ net.Conn) { _ = s.Close() },
+			map[string]int64{closedStopping: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
+		},
+		"the server is closed after the first bytes of a request": {
+			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
+			map[string]int64{closedStopping: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
+		},
+		"the rest of a second request does not come": {
+			wholeRequest + "GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) },
+			map[string]int64{closedTimeout: 1},
+			ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1},
+		},
 		"the server stops after the first byte behind chunks": {
 			strings.Replace(text(chunked, chunkedBody), "POST", "PATCH", 1), func(s *Server, caller net.Conn) {
 				fmt.Fprint(caller, "G")
