TestUnansweredRequestIsNamed waits until its request has been read

It closed the server 50 ms after the request was sent; one that had not been read by then has no line, and the test waited 5 s in vain. What it checks is as strict as before.

--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -190,7 +190,9 @@
 	lines := make(chan string, 10)
 	s.requests = lifecycle.New(time.Second, funcr.New(func(_, args string) { lines <- args }, funcr.Options{}))
 	dialServer(t, startTestServer(t, s), "GET / HTTP/1.1\r\nX-Id: 1\r\nHost")
-	time.Sleep(50 * time.Millisecond)
+	for s.requests.Sums(time.Now()).Open == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	_ = s.Close()
 	s.Ends()
 	select {
