Answer buffers: a test's context ends once Append waits

Shown on a scratch copy with a pause of 20 ms before each case: 'test timed out', in 'the context ends'.

--- a/internal/answerbuffer/answerbuffer_test.go
+++ b/internal/answerbuffer/answerbuffer_test.go
@@ -50,16 +50,14 @@
 // TestAppendWithoutRoom guards against an Append that never returns, or that adds a piece after its
 // caller has given up, so that a resumed stream repeats it.
 func TestAppendWithoutRoom(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-	defer cancel()
 	tests := map[string]struct {
-		free func(b *answerbuffer.Buffer)
-		ctx  context.Context
+		// free lets Append return, which waits by then; cancel ends its context.
+		free func(b *answerbuffer.Buffer, cancel func())
 		want error
 	}{
-		"the context ends":      {free: func(*answerbuffer.Buffer) {}, ctx: ctx, want: context.DeadlineExceeded},
-		"the buffer is dropped": {free: (*answerbuffer.Buffer).Discard, ctx: t.Context(), want: answerbuffer.ErrDiscarded},
-		"the caller has read": {ctx: t.Context(), free: func(b *answerbuffer.Buffer) {
+		"the context ends":      {free: func(_ *answerbuffer.Buffer, cancel func()) { cancel() }, want: context.Canceled},
+		"the buffer is dropped": {free: func(b *answerbuffer.Buffer, _ func()) { b.Discard() }, want: answerbuffer.ErrDiscarded},
+		"the caller has read": {free: func(b *answerbuffer.Buffer, _ func()) {
 			// The second call says that the piece of the first has been written.
 			for range 2 {
 				if _, err := b.Next(context.Background()); err != nil {
@@ -71,15 +69,17 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, b := full(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
 			g := group.New(t.Context())
 			defer g.Wait()
 			g.Go(func() {
 				for s.Stats().Waiting == 0 {
 					time.Sleep(time.Millisecond)
 				}
-				test.free(b)
+				test.free(b, cancel)
 			})
-			if err := b.Append(test.ctx, []byte("second")); !errors.Is(err, test.want) {
+			if err := b.Append(ctx, []byte("second")); !errors.Is(err, test.want) {
 				t.Errorf("Append returned %v, want %v", err, test.want)
 			}
 			g.Wait()
