Streams: each join of two runs has a line, each stream's end says how many runs it had

What callers report as order broken could not be followed: a request's line named the last target only, and nothing said behind which event, from and to which process and at which version a stream went on, or how far it got. Now the line 'stream goes on' does, with the evidence for the version and for the process; request lines of streams have runs, events, last_event, process and run_version; the figures stream_joins and stream_join_processes count the joins by evidence. A stream without a join costs five more fields of one line.

No decision is changed.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -58,8 +58,9 @@
 	aborted, cut *expvar.Map
 	// seconds counts the requests sent to a second target while the first one was silent, by what became of it.
 	seconds *expvar.Map
-	// continuations counts streams that were continued at another target.
-	continuations *expvar.Map
+	// continuations counts streams that were continued at another target, joins where runs of streams follow earlier
+	// ones, by how both are known to be of one version, and joinProcesses by how the target's process is known.
+	continuations, joins, joinProcesses *expvar.Map
 	// streamLookups counts the streams taken up by whether the version that began them is known.
 	streamLookups *expvar.Map
 	// suspects counts changes to the records of requests that are suspected of crashing
@@ -96,7 +97,7 @@
 		retries: new(expvar.Map), statuses: new(expvar.Map),
 		ignored: new(expvar.Map), zones: new(expvar.Map), rollouts: new(expvar.Map), copies: new(expvar.Map), cold: new(expvar.Map), coldSkipped: new(expvar.Int), suspects: new(expvar.Map),
 		aborted: new(expvar.Map), cut: new(expvar.Map), seconds: new(expvar.Map),
-		continuations: new(expvar.Map), streamLookups: new(expvar.Map), versionEvidence: new(expvar.Map), targetExits: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
+		continuations: new(expvar.Map), joins: new(expvar.Map), joinProcesses: new(expvar.Map), streamLookups: new(expvar.Map), versionEvidence: new(expvar.Map), targetExits: new(expvar.Map), advice: new(expvar.Map), againstAdvice: new(expvar.Map),
 		refusedByForecast: new(expvar.Map), returns: new(expvar.Map), usageIgnored: new(expvar.Int),
 		suspensions: new(expvar.Int), suspendedMillis: new(expvar.Int),
 		waited:    hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
@@ -119,6 +120,8 @@
 	m.root.Set("answers_cut", m.cut)
 	m.root.Set("second_sends", m.seconds)
 	m.root.Set("streams_continued", m.continuations)
+	m.root.Set("stream_joins", m.joins)
+	m.root.Set("stream_join_processes", m.joinProcesses)
 	m.root.Set("stream_lookups", m.streamLookups)
 	m.root.Set("stream_version_evidence", m.versionEvidence)
 	m.root.Set("target_exits", m.targetExits)
@@ -151,6 +154,12 @@
 // CountContinuation counts a stream that was continued at another target.
 func (m *Registry) CountContinuation(c forward.Continuation) { m.continuations.Add(string(c), 1) }
 
+// CountJoin counts a run of a stream that follows an earlier one.
+func (m *Registry) CountJoin(j forward.Join) {
+	m.joins.Add(string(j.Evidence), 1)
+	m.joinProcesses.Add(string(j.Process), 1)
+}
+
 // CountAborted counts an exchange with a target that this router ended.
 func (m *Registry) CountAborted(why forward.Reason, inAnswer bool) {
 	when := "before answer"
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"hash/maphash"
 	"io"
 	"strconv"
@@ -25,9 +26,10 @@
 	buffer []byte
 	// buffered is the number of bytes in buffer that have been read but not yet returned.
 	buffered int
-	// lastID is the id of the last event returned that has one, batchCount the number of events in the
-	// last batch, and skipped the number of ids that they leave out.
+	// lastID is the id of the last event returned that has one, firstID that of the first one in the last batch,
+	// batchCount the number of events in it, and skipped the number of ids that they leave out.
 	lastID     string
+	firstID    string
 	batchCount int
 	skipped    int64
 	// identified is set if the last batch has an event with an id, and tail has the digests of the events
@@ -62,7 +64,7 @@
 // "". It may return events together with an error; io.EOF means that the stream ended after
 // a whole event.
 func (e *eventReader) next(after string) ([]byte, error) {
-	e.lastID, e.batchCount, e.skipped, e.identified, e.tail, e.names = after, 0, 0, false, nil, nil
+	e.lastID, e.firstID, e.batchCount, e.skipped, e.identified, e.tail, e.names = after, "", 0, 0, false, nil, nil
 	for {
 		if e.buffered == len(e.buffer) {
 			if len(e.buffer) >= maxEventSize {
@@ -231,6 +233,7 @@
 		return false, errors.Wrapf(errEventOrder, "%q after %q", next.id, e.lastID)
 	}
 	e.skipped += skipped
+	e.firstID = cmp.Or(e.firstID, next.id)
 	e.lastID, e.identified, e.tail, e.repeated = next.id, true, nil, nil
 	return false, nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,6 +58,8 @@
 	CountAdvice(a Advice)
 	// CountContinuation counts a stream of which a target sends the rest.
 	CountContinuation(c Continuation)
+	// CountJoin counts a run of a stream that follows an earlier one, by how it is known to be of the same version.
+	CountJoin(j Join)
 	// CountSecond counts a second send by what became of it.
 	CountSecond(r SecondResult)
 	// CountAborted counts an exchange that this router ended, though the target had not broken it off.
@@ -162,6 +164,8 @@
 	unheard bool
 	// begun is the version that began the stream, if it is known.
 	begun balance.VersionLimit
+	// processBy is how the process at target is known, empty if nobody was asked.
+	processBy ProcessEvidence
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
 	// suspectable has what may be suspected of crashing targets; computed when first needed, see
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -58,6 +58,7 @@
 func (discard) StopWriting()                           {}
 func (discard) CountRetry(forward.Reason)              {}
 func (discard) CountContinuation(forward.Continuation) {}
+func (discard) CountJoin(forward.Join)                 {}
 func (discard) CountAborted(forward.Reason, bool)      {}
 func (discard) CountSecond(forward.SecondResult)       {}
 func (discard) CountAdvice(forward.Advice)             {}
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -64,6 +64,9 @@
 	if json.Unmarshal(text, &fields) != nil || json.Unmarshal(fields[x.status.Field], &born) != nil {
 		return time.Time{}, false, nil
 	}
+	if born <= to.Born {
+		x.processBy = ProcessByStatus
+	}
 	return time.Time{}, born > to.Born, nil
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -153,6 +153,11 @@
 	// VersionEvidence is how the version is known that began the stream which the caller takes up; empty if
 	// it takes none up or the version is unknown.
 	VersionEvidence streamversion.Evidence
+	// Runs is the number of runs of a stream that the answer consists of, Events that of their events, and LastEventID
+	// the id of the last one that has one. RunTarget is the target of the last run.
+	Runs, Events int
+	LastEventID  string
+	RunTarget    balance.Target
 	// SkippedIDs is the number of ids that the stream's events left out.
 	SkippedIDs int64
 	// PendingTokens is the number of prompt tokens that the target still had to process when
--- a/internal/forward/second.go
+++ b/internal/forward/second.go
@@ -84,7 +84,7 @@
 	}
 	x.keepAnswer(f.errorAnswer)
 	x.logFailure("sent again", x.target, f)
-	x.ticket, x.target, x.sentAt, x.inDoubt, x.fetchSource = s.ticket, s.target, s.sentAt, s.inDoubt, s.fetchSource
+	x.ticket, x.target, x.sentAt, x.inDoubt, x.fetchSource, x.processBy = s.ticket, s.target, s.sentAt, s.inDoubt, s.fetchSource, s.processBy
 	x.tail, x.names, x.answerStarted = s.tail, s.names, false
 	x.releaseAnswer()
 	x.answerMemory = s.answerMemory
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -55,7 +55,7 @@
 func (x *inflight) sendFirst(ctx context.Context, to balance.Target) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.target, x.sentAt, x.answerStarted = to, clock.Now(), false
+	x.target, x.sentAt, x.answerStarted, x.processBy = to, clock.Now(), false, ""
 	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	return x.exchange(cancel, x.result.Sends+1, func() *failure {
@@ -293,7 +293,7 @@
 		x.startStream(a)
 	}
 	if !x.answerStarted {
-		x.recordVersion()
+		x.beginRun(reader.firstID)
 	}
 	x.recordPiece()
 	x.placeUnknown = reader.lastID == "" && (x.placeUnknown || len(reader.tail) > 0)
@@ -307,6 +307,7 @@
 	x.ticket.Events.Add(int64(reader.batchCount))
 	x.forwardedEvents += reader.batchCount
 	x.lastEventID = reader.lastID
+	x.result.Events, x.result.LastEventID = x.forwardedEvents, x.lastEventID
 	x.noteTail(reader)
 	x.names = append(x.names, reader.names...)
 	x.result.SkippedIDs += reader.skipped
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -68,6 +68,9 @@
 	if v.SkippedIDs > 0 {
 		log = log.WithValues("skipped_ids", v.SkippedIDs)
 	}
+	if v.Runs > 0 {
+		log = log.WithValues("runs", v.Runs, "events", v.Events, "last_event", v.LastEventID, "process", v.RunTarget.Incarnation(), "run_version", v.RunTarget.Version)
+	}
 	if v.ExchangeEnd != "" {
 		log = log.WithValues("exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
 	}
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -62,6 +62,7 @@
 func (ignoringObserver) RequestEnded(forward.Request, forward.Result, time.Duration) {}
 func (ignoringObserver) CountRetry(forward.Reason)                                   {}
 func (ignoringObserver) CountContinuation(forward.Continuation)                      {}
+func (ignoringObserver) CountJoin(forward.Join)                                      {}
 func (ignoringObserver) CountAborted(forward.Reason, bool)                           {}
 func (ignoringObserver) CountSecond(forward.SecondResult)                            {}
 func (ignoringObserver) CountAdvice(forward.Advice)                                  {}
