A stop refuses what has arrived on a connection that it takes for idle

Cause: http.Server notes a connection as idle before its hook tells the router so, and Shutdown closes idle connections. In between, a request that had arrived behind the last answer was dropped with the connection; so it was between the hook and the read that follows, where the connection is evicted and its goroutine would have refused.

While the server shuts down, closing a connection that is in use or evicted is left to the goroutine that serves it, which refuses or closes it at the next change of its state, and Shutdown waits for that. Server.Close and the end of a stop's time close at once, as before. The body of the earlier test is now a function that both use, unchanged.

Ruled out: waiting for all connections before http.Server's Shutdown, which would have to know its states once more.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -75,6 +75,9 @@
 	refusing, closed bool
 	// waits is set while the connection counts in conns.receivedUnread.
 	waits bool
+	// inUse is set while a request is read or served, and leftOpen once a Close was left to the goroutine that serves
+	// the connection.
+	inUse, leftOpen bool
 }
 
 // lengthUnknown is the value of conn.unread if the ends of requests are not known, so that no later
@@ -178,11 +181,13 @@
 		c.serving.Store(false)
 		c.markIdle()
 		c.refuseNext()
+		c.finishClose(false)
 	}
 	if state == http.StateActive && c.betweenRequests {
 		c.takeBuffered()
 	}
 	if state == http.StateClosed {
+		c.finishClose(true)
 		c.endClosed()
 		c.head.drop()
 	}
@@ -208,7 +213,7 @@
 	s := c.conns
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.idleSince = clock.Now()
+	c.idleSince, c.inUse = clock.Now(), false
 	if c.evicted.Load() || c.closed || c.idleElement != nil {
 		return
 	}
@@ -225,6 +230,7 @@
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	c.removeIdle()
+	c.inUse = true
 }
 
 // removeIdle is leaveIdle; mu must be held.
@@ -246,7 +252,8 @@
 	if c.refusing = c.evicted.Load() || s.ending.Load(); c.refusing {
 		c.begun()
 	}
-	return !c.refusing
+	c.inUse = !c.refusing
+	return c.inUse
 }
 
 // begin counts a request that begins.
@@ -264,7 +271,14 @@
 }
 
 // Close implements net.Conn. Only the first call closes the connection; others wait for it.
-func (c *conn) Close() (err error) {
+func (c *conn) Close() error {
+	if c.leaveOpen() {
+		return nil
+	}
+	return c.close()
+}
+
+func (c *conn) close() (err error) {
 	c.closing.Do(func() {
 		c.begun()
 		toClose, stopping := c.release()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -235,6 +235,7 @@
 	}
 	open := s.open.Load()
 	s.answerOpen()
+	s.conns.forceClose()
 	if closeErr := s.server.Close(); closeErr != nil {
 		s.log.Info("HTTP server for callers not closed", "cause", closeErr.Error())
 	}
@@ -293,7 +294,10 @@
 }
 
 // Close closes the server and all its connections at once.
-func (s *Server) Close() error { return errors.Wrap(s.server.Close(), "close HTTP server for callers") }
+func (s *Server) Close() error {
+	s.conns.forceClose()
+	return errors.Wrap(s.server.Close(), "close HTTP server for callers")
+}
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -68,3 +68,56 @@
 		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
 	}
 }
+
+// leaveOpen reports whether a Close is left to the goroutine that serves the connection. http.Server, which shuts down,
+// closes connections that it takes for idle, also if a request has arrived there that this goroutine refuses once it
+// knows of the end of the answer before.
+func (c *conn) leaveOpen() bool {
+	s := c.conns
+	if !s.shut.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.forced || c.closed || c.refusing || !c.inUse && !c.evicted.Load() {
+		return false
+	}
+	if !c.leftOpen {
+		c.leftOpen = true
+		s.lasting.Add(1)
+	}
+	return true
+}
+
+// finishClose closes a connection that was left open, unless it goes on; a request that has arrived behind the last
+// answer is refused. ended is set if the HTTP server is done with the connection.
+func (c *conn) finishClose(ended bool) {
+	s := c.conns
+	if !s.shut.Load() {
+		return
+	}
+	s.mu.Lock()
+	leftOpen := c.leftOpen
+	c.leftOpen = false
+	refuses := ended && leftOpen && !c.inUse && c.evicted.Load() && !c.closed && !c.refusing
+	c.refusing = c.refusing || refuses
+	s.mu.Unlock()
+	if !leftOpen {
+		return
+	}
+	defer s.lasting.Add(-1)
+	if refuses {
+		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
+	}
+	if ended {
+		// An error means that the caller has disconnected.
+		_ = c.close()
+	}
+}
+
+// forceClose makes connections close whatever has arrived there.
+func (s *conns) forceClose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forced = true
+}
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -47,6 +47,8 @@
 	// number of connections on which the last request is awaited or refused.
 	shut    atomic.Bool
 	lasting atomic.Int64
+	// forced is set once all connections are to be closed at once.
+	forced bool
 	// unread holds the accepted connections from which nothing has been read yet.
 	unread backlog.Queue
 	// overloaded reports whether the router is short of CPU time.
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -182,46 +182,73 @@
 			}
 			t.Run(name+", "+before, func(t *testing.T) {
 				t.Parallel()
-				s := newTestServer(anyResult{}, false)
-				g := group.New(t.Context())
-				defer g.Stop()
-				serving, stopping := make(chan struct{}), make(chan struct{})
-				s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_ = http.NewResponseController(w).Flush()
-					close(serving)
-					<-stopping
-				})
-				caller := dialServer(t, startTestServer(t, s), first+c.with)
-				answers := bufio.NewReader(caller)
-				res, err := http.ReadResponse(answers, nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				<-serving
-				_, _ = io.WriteString(caller, c.later)
-				time.Sleep(10 * time.Millisecond)
-				stopped := make(chan error, 1)
-				g.GoContext(func(ctx context.Context) { stopped <- s.Shutdown(ctx) })
-				time.Sleep(30 * time.Millisecond)
-				close(stopping)
-				if _, err := io.Copy(io.Discard, res.Body); err != nil {
-					t.Fatal(err)
-				}
-				res, err = http.ReadResponse(answers, nil)
-				if err != nil {
-					t.Fatal("no refusal: ", err)
-				}
-				if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("X-Id") != c.id || !res.Close {
-					t.Errorf("%s, %q, want id %q", res.Status, res.Header, c.id)
-				}
-				if err := <-stopped; err != nil {
-					t.Error(err)
-				}
-				if got, want := s.Ends(), (ends{lifecycle.Answered: 1, lifecycle.Refused: 1}); !maps.Equal(got, want) {
-					t.Errorf("ends %v, want %v", got, want)
-				}
+				checkRefusalBehindLastAnswer(t, newTestServer(anyResult{}, false), first+c.with, c.later, c.id)
 			})
 		}
 	}
 }
+
+// TestStopRefusesRequestAsConnectionTurnsIdle is the same if the HTTP server takes the connection for idle, and closes it
+// in its stop, before the router knows that the answer is over.
+func TestStopRefusesRequestAsConnectionTurnsIdle(t *testing.T) {
+	for name, c := range map[string]struct{ with, later, id string }{
+		"while the one before is served": {"", wholeRequest, "1"},
+		"with the one before":            {wholeRequest, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestServer(anyResult{}, false)
+			s.server.ConnState = func(raw net.Conn, state http.ConnState) {
+				if state == http.StateIdle {
+					time.Sleep(100 * time.Millisecond)
+				}
+				connState(raw, state)
+			}
+			checkRefusalBehindLastAnswer(t, s, wholeRequest+c.with, c.later, c.id)
+		})
+	}
+}
+
+// checkRefusalBehindLastAnswer stops a server in the middle of an answer, and checks that the request which the caller
+// has sent behind the first one, with it or later, is refused.
+func checkRefusalBehindLastAnswer(t *testing.T, s *Server, sent, later, id string) {
+	t.Helper()
+	g := group.New(t.Context())
+	defer g.Stop()
+	serving, stopping := make(chan struct{}), make(chan struct{})
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = http.NewResponseController(w).Flush()
+		close(serving)
+		<-stopping
+	})
+	caller := dialServer(t, startTestServer(t, s), sent)
+	answers := bufio.NewReader(caller)
+	res, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-serving
+	_, _ = io.WriteString(caller, later)
+	time.Sleep(10 * time.Millisecond)
+	stopped := make(chan error, 1)
+	g.GoContext(func(ctx context.Context) { stopped <- s.Shutdown(ctx) })
+	time.Sleep(30 * time.Millisecond)
+	close(stopping)
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	res, err = http.ReadResponse(answers, nil)
+	if err != nil {
+		t.Fatal("no refusal: ", err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("X-Id") != id || !res.Close {
+		t.Errorf("%s, %q, want id %q", res.Status, res.Header, id)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if got, want := s.Ends(), (ends{lifecycle.Answered: 1, lifecycle.Refused: 1}); !maps.Equal(got, want) {
+		t.Errorf("ends %v, want %v", got, want)
+	}
+}
