Input that this process has not read yet is no silence of a target

Cause: the timer that takes a target for silent looks at what this process has read. After a standstill it waits 200 ms more, in which a box short of processor time may not get to read what has arrived. Now the kernel is asked whether the connection has unread input, when the timer fires and at no other time; as long as it has, no second target is asked, nor a third one while the second one has.

TestUnreadAnswerIsNoSilence: 3 of 3 cases asked a second target before, and the three of a target that is silent still do.

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -116,18 +116,24 @@
 	logged   logged
 	// sendDelay is how long it takes until a request to the first target is sent, in nanoseconds.
 	sendDelay atomic.Int64
+	// unread is set if answers have arrived that this process has no processor time to read.
+	unread atomic.Bool
 }
 
-// slowSender is a sender on a box that takes time to send requests to the first target.
+// slowSender is a sender on a box that takes time to send requests to the first target, or to read answers.
 type slowSender struct {
 	*httptarget.Transport
-	delay *atomic.Int64
+	delay  *atomic.Int64
+	unread *atomic.Bool
 }
 
 func (s slowSender) Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error) {
 	if d := time.Duration(s.delay.Load()); d > 0 && strings.HasPrefix(r.Instance, "e0") {
 		group.SleepUntil(ctx, time.Now().Add(d))
 	}
+	if onSent := r.OnSent; onSent != nil && s.unread.Load() {
+		r.OnSent = func(func() bool) { onSent(s.unread.Load) }
+	}
 	return s.Transport.Send(ctx, address, r)
 }
 
@@ -163,7 +169,7 @@
 	g.GoContext(loop.Run)
 	f := &bufferedForwarder{budget: answerbuffer.New(budget), attempts: len(handlers)}
 	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, LastEventID: "X-Last", Organisation: "X-Organisation"}
-	forwarder := forward.New(names, slowSender{httptarget.New(g), &f.sendDelay}, loop, noSuspects{}, f.logged.logger(), discard{})
+	forwarder := forward.New(names, slowSender{httptarget.New(g), &f.sendDelay, &f.unread}, loop, noSuspects{}, f.logged.logger(), discard{})
 	f.testForwarder = &testForwarder{loop: loop, Forwarder: forwarder.WithBuffers(f.budget, func() bool { return true })}
 	for i, h := range handlers {
 		f.targets = append(f.targets, startTarget(t, fmt.Sprint("e", i), new(atomic.Int64), h))
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -29,6 +29,9 @@
 	// due is when the timer is to fire, and late is set if it fired late in the current silence.
 	due  time.Time
 	late bool
+	// hasInput reports whether something has arrived in the current exchange that has not been read, nil if that is not
+	// known.
+	hasInput func() bool
 	// armed is set while the request waits for a target, and stopped once it has ended.
 	armed, stopped bool
 	// limit is how many second sends the route allows during the current exchange; it may be negative.
@@ -79,11 +82,12 @@
 }
 
 // noteSent lets the silence of a target begin, as the request has only now been sent.
-func (x *inflight) noteSent() {
+func (x *inflight) noteSent(hasInput func() bool) {
 	x.ticket.Sent.Store(clock.Since(x.ticket.Arrived).Nanoseconds())
 	r := &x.race
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.hasInput = hasInput
 	if r.armed && len(r.seconds) == 0 {
 		r.reset(r.silence)
 	}
@@ -108,6 +112,33 @@
 	return true
 }
 
+// setInput sets hasInput.
+func (r *race) setInput(hasInput func() bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hasInput = hasInput
+}
+
+// input returns hasInput.
+func (r *race) input() func() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasInput
+}
+
+// hasUnread reports whether the current target, or the one that was asked last, has sent something that this process,
+// which may be short of processor time, has not read. mu must be held.
+func (r *race) hasUnread() bool {
+	if r.hasInput != nil && r.hasInput() {
+		return true
+	}
+	if n := len(r.seconds); n > 0 {
+		hasInput := r.seconds[n-1].race.input()
+		return hasInput != nil && hasInput()
+	}
+	return false
+}
+
 // stopWatch ends the watch for silence. A second exchange in progress goes on.
 func (x *inflight) stopWatch() {
 	x.race.mu.Lock()
@@ -160,7 +191,7 @@
 	if !r.armed || r.stopped || r.ahead != nil || r.sends >= r.limit || slices.ContainsFunc(r.seconds, waiting) {
 		return
 	}
-	if r.firedLate() {
+	if r.firedLate() || r.hasUnread() {
 		r.reset(secondInterval)
 		return
 	}
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -40,6 +40,7 @@
 func (x *inflight) sendTo(ctx context.Context, to balance.Target) *failure {
 	f := x.sendFirst(ctx, to)
 	for f != nil {
+		x.race.setInput(nil)
 		s := x.awaitSecond()
 		if s == nil {
 			x.addSeconds()
@@ -56,6 +57,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.target, x.sentAt, x.answerStarted, x.processBy = to, clock.Now(), false, ""
+	x.race.setInput(nil)
 	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
 	return x.exchange(cancel, x.result.Sends+1, func() *failure {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -85,8 +85,10 @@
 	// Instance names the process that the request is for. A connection made for another
 	// process at the same address is not reused.
 	Instance string
-	// OnSent, if it is set, is called once there is a connection and the request is written, but for a long body.
-	OnSent func()
+	// OnSent, if it is set, is called once there is a connection and the request is written, but for a long body. Until
+	// the exchange is over, hasInput reports whether something has arrived that this process has not read. It may be
+	// called by any goroutine.
+	OnSent func(hasInput func() bool)
 }
 
 // Stats counts connections and unexpected answers since the start.
@@ -170,7 +172,7 @@
 		return nil, errors.Wrapf(ErrBroken, "write to %s: %v", address, err)
 	}
 	if r.OnSent != nil {
-		r.OnSent()
+		r.OnSent(func() bool { return sockopt.HasInput(c.Conn) })
 	}
 	if err := a.readHead(r); err != nil {
 		a.Close()
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -84,6 +84,13 @@
 	return errors.Is(err, syscall.EAGAIN)
 }
 
+// HasInput reports whether a TCP connection has unread input. Another goroutine may be blocked in Read meanwhile. For
+// connections that are not TCP it returns false.
+func HasInput(c net.Conn) bool {
+	n, _ := peek(c)
+	return n > 0
+}
+
 // RemoteClosed reports whether the remote side of a TCP connection has closed it and all input
 // has been read. Another goroutine may be blocked in Read meanwhile. For connections that are
 // not TCP it returns false.
