Specs of quick refusals wait until their connection is accepted

If the connection is accepted late, its request has arrived whole by then, and the listener refuses it and closes by design, which is not what the spec is about. The checks are unchanged.

--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -151,10 +151,19 @@
 	BeforeEach(func() {
 		g := group.New(context.Background())
 		DeferCleanup(g.Stop)
-		var err error
-		c, err = net.Dial("tcp", newServer(g))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		var server *ingress.Server
+		serveObserved(g, l, ignoringObserver{}, func(s *ingress.Server) { server = s })
+		c, err = net.Dial("tcp", l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
+		// The listener itself refuses a request that has arrived whole by then, and closes its connection.
+		accepted := 0
+		Eventually(func() int {
+			accepted += server.TakeArrivalStats().Accepted
+			return accepted
+		}).WithTimeout(5 * time.Second).Should(Equal(1))
 		answers = bufio.NewReader(c)
 	})
 
