An answer without a length is cut if all connections to its target ended with it

Cause: the end of such an answer counts if a new connection is accepted 20 ms later, and that may be accepted by the next process. What became of the other connections was not looked at.

Now it is: if all other connections to the process, unused or in use, that were open have ended within 30 ms of the answer's own, at least one, the answer is cut, whatever a new connection says. When an end arrived is what the kernel knows (sockopt.RemoteClosedFor), so that nothing has to watch unused connections; those that this router closes as they turn out to have ended are kept for a second. It works as a connection stays with the process that accepted it: one that was made before and is open shows that the process goes on, and connections made since say nothing.

Not counted, on either side: ends that the target had foretold (Connection: close, Keep-Alive), of other answers without a length, which end with their connections anyway, and resets.

Price: a whole answer is cut if its target closes its only other connection in the same 30 ms for a reason of its own. Such a request is asked again, or fails where it can't be; the other error shows a caller a part as the whole.

Ruled out: waiting longer before the new connection (every answer without a length would end that much later), and counting the ends of other answers without a length (engines work in steps, so that two whole ones end together).

--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,8 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	madeAt      time.Time
+	// closes is set if the target closes the connection after the answer on it.
+	closes atomic.Bool
 }
 
 func newConn(c net.Conn, e endpoint) *conn {
--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -32,14 +32,16 @@
 // unframedEnd returns io.EOF if a body without a length that ended with its connection is complete. The kernel
 // closes the connections of a process that was killed as the process itself does at the end of an answer, so that
 // the end counts only if the process goes on and the connection has not been reset. A process that goes on may refuse
-// connections, to finish what it has begun.
+// connections, to finish what it has begun. Another process may accept them at once: if all other connections to
+// the target have ended in the same moment, and nothing foretold that, its process has ended.
 func (a *Answer) unframedEnd() error {
 	if a.cut != nil {
 		return a.cut
 	}
+	ended, plainly := endOf(a.conn)
 	a.transport.unframedAnswers.Add(1)
 	a.cut = a.brokenWrite()
-	if a.cut == nil && a.transport.exits(a.ctx, a.conn.endpoint) {
+	if a.cut == nil && (a.transport.exits(a.ctx, a.conn.endpoint) || plainly && a.transport.endedWithAll(ended)) {
 		a.cut = errProcessExited
 	}
 	if a.cut == nil {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -122,6 +122,8 @@
 	inUse map[*conn]struct{}
 	// brokenAt is when connections in use broke, by process.
 	brokenAt map[endpoint]time.Time
+	// ends has connections that targets closed lately before their time, by process.
+	ends map[endpoint][]end
 
 	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads atomic.Int64
 
@@ -136,6 +138,7 @@
 		inUse: map[*conn]struct{}{},
 
 		brokenAt: map[endpoint]time.Time{},
+		ends:     map[endpoint][]end{},
 		dialer: net.Dialer{
 			Timeout:   dialTimeout,
 			KeepAlive: -1,
@@ -165,19 +168,19 @@
 	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method}
 	a.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(r); err != nil {
+		t.noteBroken(c, err)
 		a.Close()
-		t.noteBroken(c.endpoint, err)
 		return nil, errors.Wrapf(ErrBroken, "write to %s: %v", address, err)
 	}
 	if r.OnSent != nil {
 		r.OnSent()
 	}
 	if err := a.readHead(r); err != nil {
+		t.noteBroken(c, err)
 		a.Close()
 		if errors.Is(err, ErrHeadTooLong) {
 			t.oversizedHeads.Add(1)
 		}
-		t.noteBroken(c.endpoint, err)
 		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", address, err)
 	}
 	return a, nil
@@ -212,6 +215,7 @@
 func (t *Transport) use(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c.idleSince = time.Time{}
 	t.inUse[c] = struct{}{}
 }
 
@@ -243,25 +247,34 @@
 			continue
 		}
 		if !c.quiet() {
-			t.unexpectedBytes.Add(1)
-			_ = c.Close()
+			t.closeEnded(c)
 			continue
 		}
 		return c
 	}
 }
 
+// closeEnded closes an unused connection that was found to have ended, or to have unread bytes.
+func (t *Transport) closeEnded(c *conn) {
+	t.unexpectedBytes.Add(1)
+	t.mu.Lock()
+	t.noteEnd(c)
+	t.mu.Unlock()
+	_ = c.Close()
+}
+
 // brokenTTL is how long a connection that broke counts as a sign that its process has ended.
 const brokenTTL = time.Second
 
 // noteBroken records that a connection in use broke, unless this router closed it.
-func (t *Transport) noteBroken(e endpoint, err error) {
+func (t *Transport) noteBroken(c *conn, err error) {
 	if errors.Is(err, net.ErrClosed) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.brokenAt[e] = clock.Now()
+	t.brokenAt[c.endpoint] = clock.Now()
+	t.noteEnd(c)
 }
 
 // CheckUnused reports whether an unused connection to the process of a target is open, or else whether any
@@ -283,6 +296,7 @@
 			_ = c.Close()
 		case !c.quiet():
 			t.unexpectedBytes.Add(1)
+			t.noteEnd(c)
 			_ = c.Close()
 			if c.idleSince.After(endedAt) {
 				endedAt = c.idleSince
@@ -336,6 +350,7 @@
 			delete(t.idle, e)
 		}
 	}
+	t.forgetEnds(now)
 	maps.DeleteFunc(t.brokenAt, func(_ endpoint, at time.Time) bool { return now.Sub(at) >= brokenTTL })
 }
 
@@ -425,6 +440,7 @@
 			a.response = res
 			a.Status = res.StatusCode
 			a.Header = res.Header
+			a.conn.closes.Store(res.Close || !a.framed())
 			a.Identified = id == r.ID
 			if !a.Identified {
 				a.transport.unidentifiedAnswers.Add(1)
@@ -493,7 +509,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		a.transport.noteBroken(a.conn.endpoint, err)
+		a.transport.noteBroken(a.conn, err)
 		return n, errors.Wrapf(ErrBroken, "read answer of %s: %v", a.conn.address, err)
 	}
 	return n, nil
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -103,6 +103,21 @@
 	return err == nil && closed
 }
 
+// RemoteClosedFor returns how long ago the remote side of a TCP connection closed it, whether what arrived before has been
+// read or not, and false if it did not: it is open, was reset, is closed here or not TCP.
+func RemoteClosedFor(c net.Conn) (time.Duration, bool) {
+	var ago time.Duration
+	closed := false
+	err := withDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if closed = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT; closed {
+			// Nothing but the end arrives on such a connection later.
+			ago = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return ago, err == nil && closed
+}
+
 // Received returns the number of bytes that have arrived on a TCP connection, read or not, and whether it is no longer
 // open in both directions, whether what arrived before has been read or not. For connections that are not
 // TCP it returns 0 and false. Another goroutine may be blocked in Read meanwhile.
--- a/internal/sockopt/sockopt_test.go
+++ b/internal/sockopt/sockopt_test.go
@@ -119,6 +119,35 @@
 	eventually(t, "Closed is still false after a reset", func() bool { return sockopt.Closed(a) })
 }
 
+func TestRemoteClosedFor(t *testing.T) {
+	const wait, margin = 50 * time.Millisecond, 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		end    func(a, b net.Conn)
+		closed bool
+	}{
+		"open":                      {end: func(_, _ net.Conn) {}},
+		"closed":                    {closed: true, end: func(_, b net.Conn) { _ = b.Close() }},
+		"closed behind unread text": {closed: true, end: func(_, b net.Conn) { _, _ = io.WriteString(b, "text"); _ = b.Close() }},
+		"reset":                     {end: func(_, b net.Conn) { _ = b.(*net.TCPConn).SetLinger(0); _ = b.Close() }},
+		"closed here":               {end: func(a, b net.Conn) { _ = b.Close(); _ = a.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := pair(t)
+			time.Sleep(wait)
+			began := time.Now()
+			c.end(a, b)
+			ended := time.Since(began)
+			time.Sleep(wait)
+			ago, closed := sockopt.RemoteClosedFor(a)
+			since := time.Since(began)
+			if closed != c.closed || closed && (ago < since-ended-margin || ago > since+margin) {
+				t.Errorf("closed %v ago: %v; want %v, between %v and %v", ago, closed, c.closed, since-ended, since)
+			}
+		})
+	}
+}
+
 func TestReceived(t *testing.T) {
 	a, b := pair(t)
 	if _, err := a.Write([]byte("xy")); err != nil {
