A stream's record never goes back behind its correction

What callers would see: a stream that broke off goes on with events of another version. A router that finds that a stream's version was wrong (the process at the target was a later one) tells so with a second record. Which of the two counted was the order of arrival:

- records go as datagrams, so that an older one that is late, or comes twice, replaced the correction: v1, unknown, v1 was believed as v1;
- what is to be stored kept the first record of a stream, so that a correction was never stored, and routers that started after all were killed believed v1;
- the same list is handed over to routers that come to store a shard, which went back to v1 without any late message;
- a record read from the store replaced what routers had told;
- two routers that begin a stream of the same id at two versions: the last one;
- a correction whose datagram was lost was never told again.

A record now has the number of corrections before it, which only the router that began the stream raises. Merge is the same in any order: the one with more counts, and two that differ without an order make the version unknown. Holders answer an older record with theirs; a correction is told three times more; a record that only the store has told is used once other routers were asked.

--- a/internal/adapter/peer/streamversion.go
+++ b/internal/adapter/peer/streamversion.go
@@ -9,15 +9,16 @@
 // maxVersionBytes is the longest version that is accepted, in bytes.
 const maxVersionBytes = 256
 
-// encodeStreamVersions encodes a message. Streams of one version are listed together.
+// encodeStreamVersions encodes a message. Streams of which the same is said are listed together.
 func encodeStreamVersions(m message.StreamVersions) *peerpb.StreamVersions {
 	out := &peerpb.StreamVersions{Asked: encodeKeys(m.Asked), Unknown: encodeKeys(m.Unknown)}
-	byVersion := map[string]*peerpb.BegunStreams{}
+	groups := map[streamversion.Record]*peerpb.BegunStreams{}
 	for _, r := range m.Records {
-		b := byVersion[r.Version]
+		same := streamversion.Record{Version: r.Version, Corrections: r.Corrections}
+		b := groups[same]
 		if b == nil {
-			b = &peerpb.BegunStreams{Version: r.Version}
-			byVersion[r.Version] = b
+			b = &peerpb.BegunStreams{Version: r.Version, Corrections: r.Corrections}
+			groups[same] = b
 			out.Begun = append(out.Begun, b)
 		}
 		b.Keys = append(b.Keys, uint64(r.Key))
@@ -36,7 +37,7 @@
 			continue
 		}
 		for _, k := range b.GetKeys() {
-			out.Records = append(out.Records, streamversion.Record{Key: streamversion.Key(k), Version: b.GetVersion()})
+			out.Records = append(out.Records, streamversion.Record{Key: streamversion.Key(k), Version: b.GetVersion(), Corrections: b.GetCorrections()})
 		}
 	}
 	for _, v := range m.GetStored() {
--- a/internal/balance/exits.go
+++ b/internal/balance/exits.go
@@ -200,7 +200,7 @@
 	}
 	t.Version = OnlyVersion(version)
 	if t.StreamID != "" && s.onStreamBegun != nil {
-		s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: version}, true)
+		s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: version, Corrected: true}, true)
 	}
 }
 
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -216,6 +216,8 @@
 // Stream is a stream of which the caller may ask for the rest later, and the version that began it.
 type Stream struct {
 	Service, ID, Version string
+	// Corrected is set if another version was reported for the stream before, which was wrong.
+	Corrected bool
 }
 
 // OnStreamBegun sets a function to be called when a stream has begun, and when the rest of one has.
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -63,7 +63,12 @@
 		return
 	}
 	for _, b := range list {
-		g.streams.Begin(now, streamversion.Record{Key: streamversion.KeyOf(b.Service, b.ID), Version: b.Version}, shared)
+		k := streamversion.KeyOf(b.Service, b.ID)
+		if b.Corrected {
+			g.streams.Correct(now, k, b.Version)
+			continue
+		}
+		g.streams.Begin(now, streamversion.Record{Key: k, Version: b.Version}, shared)
 	}
 	g.sendStreamVersions(g.streams.TakePrompt())
 	g.storeRecords(now)
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -16,6 +16,10 @@
 	lookupTimeout = 300 * time.Millisecond
 	// restoreTimeout is the same for a router that has not restored yet what was stored before it started.
 	restoreTimeout = time.Second
+	// correctionRepeats is how often a correction is told again, since messages may be lost, and repeatInterval the
+	// time between two.
+	correctionRepeats = 3
+	repeatInterval    = 200 * time.Millisecond
 	// maxPrompt is how often TakePrompt returns messages between two ticks, so that a router that
 	// begins many streams sends their records together.
 	maxPrompt = 16
@@ -91,6 +95,8 @@
 	hadPeers bool
 	outbox   map[string]*Message
 	lookups  map[Key]*lookup
+	// repeats has the corrections that are to be told again.
+	repeats []repeat
 	// prompt counts the calls of TakePrompt since the last tick that returned messages.
 	prompt int
 }
@@ -120,11 +126,23 @@
 	}
 }
 
-// Add adds records that other routers keep.
+// Add adds records that the store holds. It may lack corrections.
 func (d *Directory) Add(now time.Time, list []Record) {
 	for _, r := range list {
-		d.records.put(now, r.Key, r.Version)
-		d.stored.add(now, r, false)
+		d.stored.add(now, d.records.put(now, r, true), false)
+	}
+}
+
+// hear adds records that another router keeps, and tells it of those of which this one knows more: it may have been
+// told of a stream by one that had not heard yet that the version was wrong.
+func (d *Directory) hear(now time.Time, from string, list []Record) {
+	for _, r := range list {
+		known := d.records.put(now, r, false)
+		d.stored.add(now, known, false)
+		if known != r {
+			m := d.messageTo(from)
+			m.Records = append(m.Records, known)
+		}
 		d.resolve(r.Key)
 	}
 }
@@ -136,23 +154,60 @@
 
 // Begin records which version began a stream. If it is to be shared, other routers are told.
 func (d *Directory) Begin(now time.Time, r Record, share bool) {
-	d.records.put(now, r.Key, r.Version)
+	r = d.records.put(now, r, false)
 	if !share {
 		return
 	}
 	d.stored.add(now, r, true)
-	list := d.holders(now, r.Key)
-	for _, to := range list {
+	d.tell(now, r)
+}
+
+// tell tells the routers that keep a record of it.
+func (d *Directory) tell(now time.Time, r Record) {
+	for _, to := range d.holders(now, r.Key) {
 		m := d.messageTo(to)
 		m.Records = append(m.Records, r)
 	}
 }
 
+// Correct records another version for a stream that began here, and tells other routers: several times, since one
+// that misses it goes on telling the version before.
+func (d *Directory) Correct(now time.Time, k Key, version string) {
+	known, _, _ := d.records.find(k)
+	d.Begin(now, Record{Key: k, Version: version, Corrections: known.Corrections + 1}, true)
+	d.repeats = append(d.repeats, repeat{key: k, left: correctionRepeats, at: now.Add(repeatInterval)})
+}
+
+// repeat is a correction that is to be told again.
+type repeat struct {
+	key  Key
+	left int
+	at   time.Time
+}
+
+// repeatCorrections tells again of the corrections that are due.
+func (d *Directory) repeatCorrections(now time.Time) {
+	var next []repeat
+	for _, c := range d.repeats {
+		if now.Before(c.at) {
+			next = append(next, c)
+			continue
+		}
+		if r, _, known := d.records.find(c.key); known {
+			d.tell(now, r)
+		}
+		if c.left > 1 {
+			next = append(next, repeat{key: c.key, left: c.left - 1, at: now.Add(repeatInterval)})
+		}
+	}
+	d.repeats = next
+}
+
 // Lookup calls done with the version that began a stream: at once if it is known here, else once
-// other routers have answered or have not answered in time.
+// other routers have answered or have not answered in time. They are asked as well if only the store has told it.
 func (d *Directory) Lookup(now time.Time, k Key, done func(Answer)) {
-	if version, known := d.records.find(k); known {
-		done(Answer{Version: version, Known: true, Evidence: EvidenceRecord})
+	if r, stored, known := d.records.find(k); known && !stored {
+		done(Answer{Version: r.Version, Known: true, Evidence: EvidenceRecord})
 		return
 	}
 	if l := d.lookups[k]; l != nil {
@@ -168,7 +223,7 @@
 
 // Receive handles a message of another router.
 func (d *Directory) Receive(now time.Time, from string, m Message) {
-	d.Add(now, m.Records)
+	d.hear(now, from, m.Records)
 	for _, k := range m.Unknown {
 		if l := d.lookups[k]; l != nil {
 			l.unknown = true
@@ -177,9 +232,9 @@
 		}
 	}
 	for _, k := range m.Asked {
-		if version, known := d.records.find(k); known {
+		if r, _, known := d.records.find(k); known {
 			out := d.messageTo(from)
-			out.Records = append(out.Records, Record{Key: k, Version: version})
+			out.Records = append(out.Records, r)
 			continue
 		}
 		// A router that has just started and could not restore anything does not know what it lacks.
@@ -195,6 +250,7 @@
 func (d *Directory) Tick(now time.Time) {
 	d.prompt = 0
 	d.handOver(now)
+	d.repeatCorrections(now)
 	for k, l := range d.lookups {
 		waited := now.Sub(l.began)
 		switch {
@@ -233,28 +289,32 @@
 
 // Idle reports whether neither Tick nor Take need to be called.
 func (d *Directory) Idle() bool {
-	return len(d.outbox) == 0 && len(d.lookups) == 0 && len(d.stored.list) == 0
+	return len(d.outbox) == 0 && len(d.lookups) == 0 && len(d.stored.list) == 0 && len(d.repeats) == 0
 }
 
 // resolve ends the lookup of a stream that has become known.
 func (d *Directory) resolve(k Key) {
-	if version, known := d.records.find(k); known {
-		d.end(k, Answer{Version: version, Known: true, Evidence: EvidenceRecord})
+	if _, _, known := d.records.find(k); known {
+		d.end(k, Answer{})
 	}
 }
 
 // endIfConfirmed ends a lookup if no router is left that could still know the stream, this one included.
 func (d *Directory) endIfConfirmed(now time.Time, k Key, l *lookup) {
-	if len(l.asked) == 0 && d.complete(now) {
+	if _, _, known := d.records.find(k); len(l.asked) == 0 && (known || d.complete(now)) {
 		d.end(k, Answer{Confirmed: l.unknown || !d.hadPeers})
 	}
 }
 
+// end ends a lookup with what is known of the stream or, if that is nothing, with an answer.
 func (d *Directory) end(k Key, a Answer) {
 	l := d.lookups[k]
 	if l == nil {
 		return
 	}
+	if r, _, known := d.records.find(k); known {
+		a = Answer{Version: r.Version, Known: true, Evidence: EvidenceRecord}
+	}
 	delete(d.lookups, k)
 	for _, done := range l.done {
 		done(a)
--- a/internal/streamversion/records.go
+++ b/internal/streamversion/records.go
@@ -37,29 +37,66 @@
 type Record struct {
 	Key     Key
 	Version string
+	// Corrections is how often the router at which the stream began had corrected the version. Records arrive
+	// late, twice and in any order, from routers and from the store: the one with the most corrections counts.
+	Corrections uint32
+}
+
+// Merge returns what two records of a stream tell together, whichever came first. If neither was written after
+// the other and their versions differ, either may have begun the stream.
+func (r Record) Merge(other Record) Record {
+	switch {
+	case other.Corrections > r.Corrections:
+		return other
+	case other.Corrections == r.Corrections && other.Version != r.Version:
+		r.Version = Unknown
+	}
+	return r
+}
+
+// belief is what is known of a stream.
+type belief struct {
+	version     string
+	corrections uint32
+	// stored is set if only the store has told it, which may lack a correction.
+	stored bool
 }
 
 // records holds the versions of streams for at least TTL, unless there are more than maxRecords.
 type records struct {
-	current, previous map[Key]string
+	current, previous map[Key]unique.Handle[belief]
 	rotatedAt         time.Time
 }
 
 func newRecords(now time.Time) records {
-	return records{current: map[Key]string{}, rotatedAt: now}
+	return records{current: map[Key]unique.Handle[belief]{}, rotatedAt: now}
 }
 
-func (r *records) put(now time.Time, k Key, version string) {
+// put merges a record with what is known of its stream, and returns the result. stored tells whether the store told it.
+func (r *records) put(now time.Time, n Record, stored bool) Record {
+	if known, onlyStored, ok := r.find(n.Key); ok {
+		n = known.Merge(n)
+		if _, current := r.current[n.Key]; current && n == known {
+			return n
+		}
+		stored = stored && onlyStored
+	}
 	if now.Sub(r.rotatedAt) >= TTL || len(r.current) >= maxRecords {
-		r.current, r.previous, r.rotatedAt = map[Key]string{}, r.current, now
+		r.current, r.previous, r.rotatedAt = map[Key]unique.Handle[belief]{}, r.current, now
 	}
-	r.current[k] = unique.Make(version).Value()
+	r.current[n.Key] = unique.Make(belief{n.Version, n.Corrections, stored})
+	return n
 }
 
-func (r *records) find(k Key) (version string, known bool) {
-	if version, known = r.current[k]; known {
-		return version, true
+// find returns what is known of a stream, and whether only the store has told it.
+func (r *records) find(k Key) (found Record, stored, known bool) {
+	h, known := r.current[k]
+	if !known {
+		h, known = r.previous[k]
+	}
+	if !known {
+		return Record{}, false, false
 	}
-	version, known = r.previous[k]
-	return version, known
+	b := h.Value()
+	return Record{Key: k, Version: b.version, Corrections: b.corrections}, b.stored, true
 }
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -81,7 +81,7 @@
 	shards := shardCount(d.fleet.Size(now))
 	current := map[int]string{}
 	for _, e := range d.stored.list {
-		if !e.own {
+		if !e.own || d.stored.known[e.Key] != e.Record {
 			continue
 		}
 		shard := shardOf(e.Key, shards)
@@ -117,10 +117,12 @@
 	GoneFor time.Duration
 }
 
-// ledger has the records of the last seconds in the order in which they came.
+// ledger has the records of the last seconds in the order in which they came. One that says something else of
+// a stream than an earlier one is added to it.
 type ledger struct {
-	list  []ledgerEntry
-	known map[Key]struct{}
+	list []ledgerEntry
+	// known has the last record of each stream.
+	known map[Key]Record
 	// unsaved is the number of records at the end of the list that have come since the last snapshots were
 	// taken.
 	unsaved int
@@ -134,14 +136,14 @@
 }
 
 func (l *ledger) add(now time.Time, r Record, own bool) {
-	if _, known := l.known[r.Key]; known {
+	if last, known := l.known[r.Key]; known && last == r {
 		return
 	}
 	l.expire(now)
 	if l.known == nil {
-		l.known = map[Key]struct{}{}
+		l.known = map[Key]Record{}
 	}
-	l.known[r.Key] = struct{}{}
+	l.known[r.Key] = r
 	l.list = append(l.list, ledgerEntry{r, now, own})
 	l.unsaved++
 }
@@ -150,7 +152,9 @@
 func (l *ledger) expire(now time.Time) {
 	n := 0
 	for n < len(l.list) && (len(l.list)-n >= maxStored || now.Sub(l.list[n].at) > storedFor) {
-		delete(l.known, l.list[n].Key)
+		if r := l.list[n].Record; l.known[r.Key] == r {
+			delete(l.known, r.Key)
+		}
 		n++
 	}
 	l.list = l.list[n:]
