Words of what the store holds of versions are in the order of its revisions

What callers would see: a stream begins at a version that the store holds as one that has left, and goes on at another one after all routers were killed.

The list of versions that the store holds goes from router to router as a datagram, without an order: the one that arrived last counted. A late list made a version count as stored that a newer list no longer had, or held streams back from one that is stored. A list also left the marks of versions that the router does not list at the moment, so that a version that is told as gone, in order, and comes back within ten seconds counted as stored.

Lists now carry the store's revision with its era; an older one is ignored, and what a list lacks is no longer taken for stored.

The test fakes of the router have the new argument; no check was changed.

--- a/internal/adapter/peer/quarantine_test.go
+++ b/internal/adapter/peer/quarantine_test.go
@@ -31,6 +31,7 @@
 	return message.StreamVersions{Message: streamversion.Message{
 		Records: []streamversion.Record{{Key: 1, Version: "v1"}, {Key: math.MaxUint64, Version: "v1"}, {Key: 2, Version: ""}, {Key: 6, Version: "v1", Corrections: 2}},
 		Asked:   []streamversion.Key{3}, Unknown: []streamversion.Key{4, 5},
+		Stored: []streamversion.ServiceVersion{{Service: "s", Version: "v1"}}, StoredAt: 1<<40 | 7,
 	}}
 }
 
--- a/internal/adapter/peer/streamversion.go
+++ b/internal/adapter/peer/streamversion.go
@@ -23,6 +23,7 @@
 		}
 		b.Keys = append(b.Keys, uint64(r.Key))
 	}
+	out.StoredAt = m.StoredAt
 	for _, v := range m.Stored {
 		out.Stored = append(out.Stored, &peerpb.ServiceVersion{Service: v.Service, Version: v.Version})
 	}
@@ -31,7 +32,7 @@
 
 // decodeStreamVersions decodes a message. It skips versions that are too long.
 func decodeStreamVersions(m *peerpb.StreamVersions) message.StreamVersions {
-	out := streamversion.Message{Asked: decodeKeys(m.GetAsked()), Unknown: decodeKeys(m.GetUnknown())}
+	out := streamversion.Message{Asked: decodeKeys(m.GetAsked()), Unknown: decodeKeys(m.GetUnknown()), StoredAt: m.GetStoredAt()}
 	for _, b := range m.GetBegun() {
 		if len(b.GetVersion()) > maxVersionBytes {
 			continue
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -32,11 +33,13 @@
 	}
 	all := true
 	for service, h := range s.versions {
+		maps.DeleteFunc(h.stored, func(version string, _ time.Time) bool {
+			return !stored[streamversion.ServiceVersion{Service: service, Version: version}]
+		})
 		for version := range h.listed {
 			v := streamversion.ServiceVersion{Service: service, Version: version}
 			if _, known := s.unstored[v]; !stored[v] {
 				all = false
-				delete(h.stored, version)
 				if s.requireStored && !known {
 					s.unstored[v] = now
 				}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -77,8 +77,8 @@
 
 // handleStreamVersions handles another router's message about versions of streams.
 func (g *Gateway) handleStreamVersions(s *balance.State, now time.Time, from member.Member, m message.StreamVersions) {
-	if len(m.Stored) > 0 {
-		g.setStoredVersions(s, now, m.Stored)
+	if len(m.Stored) > 0 || m.StoredAt > 0 {
+		g.setStoredVersions(s, now, m.StoredAt, m.Stored)
 	}
 	g.streams.Receive(now, from.Peer, m.Message)
 	if len(m.Asked) > 0 {
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -59,6 +59,8 @@
 	changedAt time.Time
 	// saved is what this router has read or saved last of the versions in service.
 	saved map[streamversion.Served]struct{}
+	// storedAt is the newest revision of the versions in service that the store is known to hold.
+	storedAt int64
 	// readAt is when the stored versions are read if one is not known to be among them, readInterval the
 	// time until the read after that.
 	readAt       time.Time
@@ -95,11 +97,11 @@
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.streams.Add(now, records) })
 }
 
-// VersionsStored records versions that the store holds. If this router has written them, it tells the others,
-// who may not let streams begin at them before.
-func (g *Gateway) VersionsStored(list []streamversion.ServiceVersion, written bool) {
+// VersionsStored records which versions in service the store holds, as of its revision of them; 0 if that is not
+// known. If this router has written them, it tells the others, who may not let streams begin at them before.
+func (g *Gateway) VersionsStored(at int64, list []streamversion.ServiceVersion, written bool) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
-		g.setStoredVersions(s, now, list)
+		g.setStoredVersions(s, now, at, list)
 		if !written {
 			return
 		}
@@ -109,14 +111,18 @@
 				others = append(others, roster.Member(r))
 			}
 		}
-		g.sendAll(others, message.StreamVersions{Message: streamversion.Message{Stored: list}})
+		g.sendAll(others, message.StreamVersions{Message: streamversion.Message{Stored: list, StoredAt: at}})
 	})
 }
 
-// setStoredVersions records which versions the store holds. If it lacks one that is listed here, versions are
-// written again.
-func (g *Gateway) setStoredVersions(s *balance.State, now time.Time, list []streamversion.ServiceVersion) {
+// setStoredVersions records which versions the store holds, unless what was written later is known. If it lacks one
+// that is listed here, versions are written again.
+func (g *Gateway) setStoredVersions(s *balance.State, now time.Time, at int64, list []streamversion.ServiceVersion) {
 	p := &g.streamStore
+	if at != 0 && at < p.storedAt {
+		return
+	}
+	p.storedAt = max(p.storedAt, at)
 	if s.SetStoredVersions(now, list) {
 		return
 	}
--- a/internal/gateway/streamstore_era_internal_test.go
+++ b/internal/gateway/streamstore_era_internal_test.go
@@ -77,8 +77,8 @@
 	g.RestoreStreams(streamversion.Stored{Complete: true})
 	<-saved
 	v1, v2 := streamversion.ServiceVersion{Service: "s", Version: "v1"}, streamversion.ServiceVersion{Service: "s", Version: "v2"}
-	g.VersionsStored([]streamversion.ServiceVersion{v1, v2}, true)
-	g.VersionsStored([]streamversion.ServiceVersion{v1}, false)
+	g.VersionsStored(0, []streamversion.ServiceVersion{v1, v2}, true)
+	g.VersionsStored(0, []streamversion.ServiceVersion{v1}, false)
 	select {
 	case <-saved:
 	case <-time.After(5 * time.Second):
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -42,8 +42,9 @@
 	// for, and Unknown those for which the receiver asked and that the sender does not know.
 	Records        []Record
 	Asked, Unknown []Key
-	// Stored has versions of services that the store holds.
-	Stored []ServiceVersion
+	// Stored has the versions in service that the store holds, as of its revision StoredAt; 0 if that is not known.
+	Stored   []ServiceVersion
+	StoredAt int64
 }
 
 // Outgoing is a message to one router.
