The end of a target's process counts whatever was read or told before

What callers would see: a stream goes on with events of another version, or streams of a sound target are not taken up for ten seconds.

Routers tell one another of ends of processes by datagrams with the name of the incarnation alone, and entries come by other messages or from the store.

- the end of a process whose entry was not read yet was dropped, and the entry, once read, was believed, although another process may listen there;
- where entries do not tell when their process started, that entry also ended the doubt, as it was newer than the one before;
- there, the end of the process before, told late, put its successor in doubt.

A word of an end now has what orders processes of one name: the version, count of writes and store's revision of the entry. An end that comes before its entry waits for it (ten seconds, 1,024 at most, not passed on); only the entry of a later process ends a doubt; the end of an earlier one is ignored. Routers that tell names alone are understood as before.

Whether callers met it is not known.

The words of the two tests that told ends are in the new form; what they check is unchanged.

--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -63,7 +63,7 @@
 	case message.StreamVersions:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_StreamVersions{StreamVersions: encodeStreamVersions(m)}}
 	case message.TargetExits:
-		return &peerpb.Envelope{Body: &peerpb.Envelope_TargetExits{TargetExits: &peerpb.TargetExits{Incarnations: m.Incarnations}}}
+		return &peerpb.Envelope{Body: &peerpb.Envelope_TargetExits{TargetExits: encodeTargetExits(m)}}
 	case message.Trial:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Trial{Trial: encodeTrial(m)}}
 	case message.Ping:
@@ -141,7 +141,7 @@
 	case *peerpb.Envelope_StreamVersions:
 		return decodeStreamVersions(b.StreamVersions)
 	case *peerpb.Envelope_TargetExits:
-		return message.TargetExits{Incarnations: b.TargetExits.GetIncarnations()}
+		return decodeTargetExits(b.TargetExits)
 	case *peerpb.Envelope_Trial:
 		return decodeTrial(b.Trial)
 	case *peerpb.Envelope_Ping:
--- a/internal/adapter/peer/quarantine_test.go
+++ b/internal/adapter/peer/quarantine_test.go
@@ -41,8 +41,13 @@
 	return message.Trial{Step: message.TrialEnded, ID: 7, Keys: keys, For: 4 * time.Second, Broke: true}
 }
 
+// exitsMessage returns a message in which every field is set.
+func exitsMessage() message.TargetExits {
+	return message.TargetExits{Ended: []message.TargetProcess{{Incarnation: "a@5", Version: "v1", Writes: 3, Revision: 1<<40 | 7}, {Incarnation: "b", Version: "v2", Revision: 9}}}
+}
+
 func TestOnTheWire(t *testing.T) {
-	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage(), "trial": trialMessage()} {
+	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage(), "trial": trialMessage(), "ends of processes": exitsMessage()} {
 		t.Run(name, func(t *testing.T) {
 			b, err := proto.Marshal(encode(m))
 			if err != nil {
--- a/internal/balance/exits.go
+++ b/internal/balance/exits.go
@@ -22,6 +22,28 @@
 	refusedAt time.Time
 	// told is set if another router has told it and this one has not tried to connect.
 	told bool
+	// process is the process that has ended.
+	process Process
+}
+
+// Process identifies a target's process by the version, count of writes and revision of an entry that it wrote: where
+// entries do not tell when their process started, an incarnation may be several processes, one after the other.
+type Process struct {
+	Incarnation, Version string
+	Writes, Revision     int64
+}
+
+// Process returns the process that wrote the target's entry.
+func (t Target) Process() Process {
+	return Process{Incarnation: t.Incarnation(), Version: t.Version, Writes: t.Writes, Revision: t.Revision}
+}
+
+// isLater reports whether p is a later process than another one of the same incarnation.
+func (p Process) isLater(than Process) bool {
+	if p.Revision > 0 && than.Revision > 0 && p.Revision <= than.Revision {
+		return false
+	}
+	return p.Version != than.Version || p.Writes < than.Writes
 }
 
 // spares reports whether t's answer arrives on a connection that was made before nobody listened at its target's
@@ -57,20 +79,62 @@
 	if listed == nil || listed.Born != t.Born || listed.Version != t.Version || s.inDoubt(now, listed) {
 		return false
 	}
-	s.exits[listed.incarnation] = exit{at: now, refusedAt: refusedAt}
+	s.exits[listed.incarnation] = exit{at: now, refusedAt: refusedAt, process: listed.Process()}
 	return true
 }
 
-// RecordExitOf records that another router has told of the end of a process, and reports whether that is new.
-func (s *State) RecordExitOf(now time.Time, incarnation string) bool {
-	t := s.findIncarnation(incarnation)
-	if t == nil || !s.RecordExit(now, t.Target, time.Time{}) {
+// maxEarlyExits bounds the processes that have ended before their entries are read.
+const maxEarlyExits = 1024
+
+// RecordExitOf records that another router has told of the end of a process, and reports whether that is new and the
+// process is listed. The word may come before the entry of the process, which is in doubt then, or after that of a
+// later one, which is not.
+func (s *State) RecordExitOf(now time.Time, p Process) bool {
+	t := s.findIncarnation(p.Incarnation)
+	if t == nil {
+		s.recordEarlyExit(now, p)
+		return false
+	}
+	listed := t.Process()
+	if p.Version == "" {
+		p = listed
+	}
+	if p.Revision > 0 && listed.isLater(p) {
 		return false
 	}
-	s.exits[incarnation] = exit{at: now, told: true}
+	e, known := s.exits[p.Incarnation]
+	if known && s.inDoubt(now, t) {
+		if !p.isLater(e.process) {
+			return false
+		}
+		// The process after the one whose end is known has ended, too.
+		e.process = p
+		s.exits[p.Incarnation] = e
+		return true
+	}
+	s.exits[p.Incarnation] = exit{at: now, told: true, process: p}
 	return true
 }
 
+// recordEarlyExit records the end of a process that is not listed, unless a later one is.
+func (s *State) recordEarlyExit(now time.Time, p Process) {
+	if id, born, ok := cutIncarnation(p.Incarnation); ok {
+		if listed := s.targets[id]; listed != nil && listed.Born >= born {
+			return
+		}
+	}
+	if e, known := s.exits[p.Incarnation]; known && now.Sub(e.at) < exitTTL || len(s.exits) >= maxEarlyExits {
+		return
+	}
+	s.exits[p.Incarnation] = exit{at: now, told: true, process: p}
+}
+
+// EndedProcess returns the process of an incarnation that is known to have ended.
+func (s *State) EndedProcess(incarnation string) (Process, bool) {
+	e, known := s.exits[incarnation]
+	return e.process, known
+}
+
 // StreamsAt returns the target of an incarnation if streams that may be continued run there.
 func (s *State) StreamsAt(incarnation string) (Target, bool) {
 	t := s.findIncarnation(incarnation)
@@ -94,7 +158,7 @@
 	if e.at.Before(refusedAt) {
 		refusedAt = e.at
 	}
-	s.exits[incarnation] = exit{at: e.at, refusedAt: refusedAt}
+	s.exits[incarnation] = exit{at: e.at, refusedAt: refusedAt, process: e.process}
 }
 
 // inDoubt reports whether a target's process has ended and its entry may not be that of the process that
@@ -109,8 +173,8 @@
 
 // confirm ends the doubt about a target whose entry was written by a later process. Where entries tell when
 // their process started, that process is another incarnation.
-func (s *State) confirm(old, t Target) {
-	if old.Version != t.Version || t.Writes < old.Writes {
+func (s *State) confirm(t Target) {
+	if e, ended := s.exits[t.Incarnation()]; ended && t.Process().isLater(e.process) {
 		delete(s.exits, t.Incarnation())
 	}
 }
--- a/internal/balance/exits_test.go
+++ b/internal/balance/exits_test.go
@@ -149,7 +149,7 @@
 						refusedAt = now
 					}
 					if c.told {
-						s.RecordExitOf(now, "a@5")
+						s.RecordExitOf(now, balance.Process{Incarnation: "a@5"})
 					} else {
 						s.RecordExit(now, target("v1", 5), refusedAt)
 					}
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -96,8 +96,8 @@
 		s.addVersion(now, t)
 		if old.Target.ID != "" {
 			s.removeVersion(now, old.Target)
-			s.confirm(old.Target, t)
 		}
+		s.confirm(t)
 		old.Target = t
 		s.extendCold(now, old, before)
 	}
@@ -130,11 +130,21 @@
 // CountTargets returns the number of listed targets, and how many of them are leaving.
 func (s *State) CountTargets() (all, leaving int) { return len(s.targets), s.leaving }
 
+// cutIncarnation returns the parts of an incarnation's name, or false if it does not tell when the process started.
+func cutIncarnation(name string) (id string, born int64, ok bool) {
+	at := strings.LastIndexByte(name, incarnationMark)
+	if at < 0 {
+		return "", 0, false
+	}
+	born, err := strconv.ParseInt(name[at+1:], 10, 64)
+	return name[:at], born, err == nil
+}
+
 // findIncarnation returns the listed target with this incarnation name, or nil.
 func (s *State) findIncarnation(name string) *target {
 	t := s.targets[name]
-	if at := strings.LastIndexByte(name, incarnationMark); t == nil && at >= 0 {
-		t = s.targets[name[:at]]
+	if id, _, ok := cutIncarnation(name); t == nil && ok {
+		t = s.targets[id]
 	}
 	if t == nil || t.incarnation != name {
 		return nil
--- a/internal/gateway/exits.go
+++ b/internal/gateway/exits.go
@@ -23,7 +23,7 @@
 // exits holds what is to be passed on about processes of targets that have ended. A router that had no
 // connection to such a process does not see its end, and takes the next one at the address for it.
 type exits struct {
-	pending []string
+	pending []message.TargetProcess
 	// prompt counts the messages sent since the last tick.
 	prompt int
 }
@@ -38,19 +38,21 @@
 	}
 	g.Metrics.CountExits("seen", 1)
 	g.Log.Info("process of target has ended", "target", t.ID, "born", t.Born, "version", t.Version)
-	g.passOnExits(now, t.Incarnation())
+	if ended, known := s.EndedProcess(t.Incarnation()); known {
+		g.passOnExits(now, message.TargetProcess(ended))
+	}
 }
 
 // handleTargetExits records what another router tells of processes that have ended, and passes on what is new. Where
 // streams run, this router tries to connect itself: others do not tell whether the process only closed its listener.
 func (g *Gateway) handleTargetExits(s *balance.State, now time.Time, m message.TargetExits) {
-	var news []string
-	for _, name := range m.Incarnations {
-		if !s.RecordExitOf(now, name) {
+	var news []message.TargetProcess
+	for _, p := range m.Ended {
+		if !s.RecordExitOf(now, balance.Process(p)) {
 			continue
 		}
-		news = append(news, name)
-		if t, ok := s.StreamsAt(name); ok {
+		news = append(news, p)
+		if t, ok := s.StreamsAt(p.Incarnation); ok {
 			g.group.Go(func() { g.verifyExit(t) })
 		}
 	}
@@ -67,11 +69,11 @@
 
 // passOnExits tells a few other routers of exits, which do the same: at once, or with the next tick if there
 // are many.
-func (g *Gateway) passOnExits(now time.Time, names ...string) {
-	if len(names) == 0 {
+func (g *Gateway) passOnExits(now time.Time, ended ...message.TargetProcess) {
+	if len(ended) == 0 {
 		return
 	}
-	g.exits.pending = append(g.exits.pending, names[:min(len(names), maxPendingExits-len(g.exits.pending))]...)
+	g.exits.pending = append(g.exits.pending, ended[:min(len(ended), maxPendingExits-len(g.exits.pending))]...)
 	if g.exits.prompt < maxPromptExits {
 		g.exits.prompt++
 		g.sendExits(now)
@@ -90,7 +92,7 @@
 	}
 	for _, to := range g.roster.RandomPeers(now) {
 		for part := range slices.Chunk(g.exits.pending, maxExitsPerMessage) {
-			g.sendTo(member.Member{Peer: to}, message.TargetExits{Incarnations: part})
+			g.sendTo(member.Member{Peer: to}, message.TargetExits{Ended: part})
 		}
 	}
 	g.exits.pending = nil
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -150,13 +150,29 @@
 				Goal: time.Second, Arrived: now, Deadline: now.Add(time.Second), Decision: make(chan balance.Decision, 1),
 			}
 			s.Arrive(now, k)
-			if len(k.Decision) > 0 {
-				return "sent"
+			select {
+			case d := <-k.Decision:
+				if d.Target.ID != "" {
+					return "sent"
+				}
+			default:
+				s.Withdraw(k)
 			}
-			s.Withdraw(k)
 			return "not sent"
 		}
 	}
+	ended := func(incarnation, version string, writes, revision int64) message.TargetExits {
+		return message.TargetExits{Ended: []message.TargetProcess{{Incarnation: incarnation, Version: version, Writes: writes, Revision: revision}}}
+	}
+	// afterEntry tells what is believed once the entry of v2 is read, if it has not been.
+	afterEntry := func(revision, born, writes int64, b believed) believed {
+		return func(g *Gateway, s *balance.State, now time.Time) string {
+			e := with(func(t *balance.Target) { t.Born, t.Writes, t.Version = born, writes, "v2" })
+			changed := g.catalog.SetTargets(now, revision, []message.StoredObject{storedValue(t, "e", revision, e)})
+			g.targetsChanged(s, now, changed, sourceStore)
+			return b(g, s, now)
+		}
+	}
 	thirdRouter := func(g *Gateway, _ *balance.State, now time.Time) string {
 		for r := range g.roster.Each(now) {
 			if r.ID == "third" {
@@ -186,9 +202,23 @@
 		},
 		"stored versions, of an older era": {older: stored(50, "v1", "v2"), newer: stored(era|3, "v1"), believes: unstored, want: "not stored"},
 		"end of a process, before its next": {
-			base: []message.Message{targets(10, target)}, older: message.TargetExits{Incarnations: []string{"e@5"}},
+			base: []message.Message{targets(10, target)}, older: ended("e@5", "v1", 0, 10),
 			newer: targets(11, with(func(t *balance.Target) { t.Born, t.Version = 6, "v2" })), believes: rest("v2"), want: "sent",
 		},
+		"end of a process that does not tell its start, before its next": {
+			base:  []message.Message{targets(10, with(func(t *balance.Target) { t.Born, t.Writes = 0, 3 }))},
+			older: ended("e", "v1", 3, 10), newer: targets(11, with(func(t *balance.Target) { t.Born, t.Writes, t.Version = 0, 1, "v2" })),
+			believes: rest("v2"), want: "sent",
+		},
+		"entry of a process, before its end": {
+			base: []message.Message{targets(10, target)}, older: targets(11, with(func(t *balance.Target) { t.Born, t.Version = 6, "v2" })),
+			newer: ended("e@6", "v2", 0, 11), believes: afterEntry(11, 6, 0, rest("v2")), want: "not sent",
+		},
+		"entry of a process that does not tell its start, before its end": {
+			base:  []message.Message{targets(10, with(func(t *balance.Target) { t.Born, t.Writes = 0, 3 }))},
+			older: targets(11, with(func(t *balance.Target) { t.Born, t.Writes, t.Version = 0, 1, "v2" })),
+			newer: ended("e", "v2", 1, 11), believes: afterEntry(11, 0, 1, rest("v2")), want: "not sent",
+		},
 		"target, another process": {
 			older: targets(10, target), newer: targets(11, with(func(t *balance.Target) { t.Born, t.Version = 6, "v2" })),
 			believes: rest("v2"), want: "sent",
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -409,8 +409,16 @@
 
 func (StreamVersions) message() {}
 
-// TargetExits names incarnations of targets whose processes have ended.
-type TargetExits struct{ Incarnations []string }
+// TargetExits tells of processes of targets that have ended.
+type TargetExits struct{ Ended []TargetProcess }
+
+// TargetProcess is a process of a target by its entry in the store, as the sender knew it when it saw the end. Where
+// entries do not tell when their process started, the others tell which of two processes is the later one. They are
+// empty if the sender does not tell them.
+type TargetProcess struct {
+	Incarnation, Version string
+	Writes, Revision     int64
+}
 
 func (TargetExits) message() {}
 
