--- a/internal/adapter/peer/quarantine_test.go
+++ b/internal/adapter/peer/quarantine_test.go
@@ -29,8 +29,9 @@
 // streamVersionsMessage returns a message in which every field is set.
 func streamVersionsMessage() message.StreamVersions {
 	return message.StreamVersions{Message: streamversion.Message{
-		Records: []streamversion.Record{{Key: 1, Version: "v1"}, {Key: math.MaxUint64, Version: "v1"}, {Key: 2, Version: ""}},
+		Records: []streamversion.Record{{Key: 1, Version: "v1"}, {Key: math.MaxUint64, Version: "v1"}, {Key: 2, Version: ""}, {Key: 6, Version: "v1", Corrections: 2}},
 		Asked:   []streamversion.Key{3}, Unknown: []streamversion.Key{4, 5},
+		Stored: []streamversion.ServiceVersion{{Service: "s", Version: "v1"}}, StoredAt: 1<<40 | 7,
 	}}
 }
 
@@ -40,8 +41,13 @@
 	return message.Trial{Step: message.TrialEnded, ID: 7, Keys: keys, For: 4 * time.Second, Broke: true}
 }
 
+// exitsMessage returns a message in which every field is set.
+func exitsMessage() message.TargetExits {
+	return message.TargetExits{Ended: []message.TargetProcess{{Incarnation: "a@5", Version: "v1", Writes: 3, Revision: 1<<40 | 7}, {Incarnation: "b", Version: "v2", Revision: 9}}}
+}
+
 func TestOnTheWire(t *testing.T) {
-	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage(), "trial": trialMessage()} {
+	for name, m := range map[string]message.Message{"quarantine": quarantineMessage(), "versions of streams": streamVersionsMessage(), "trial": trialMessage(), "ends of processes": exitsMessage()} {
 		t.Run(name, func(t *testing.T) {
 			b, err := proto.Marshal(encode(m))
 			if err != nil {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -63,7 +63,12 @@
 		return
 	}
 	for _, b := range list {
-		g.streams.Begin(now, streamversion.Record{Key: streamversion.KeyOf(b.Service, b.ID), Version: b.Version}, shared)
+		k := streamversion.KeyOf(b.Service, b.ID)
+		if b.Corrected {
+			g.streams.Correct(now, k, b.Version)
+			continue
+		}
+		g.streams.Begin(now, streamversion.Record{Key: k, Version: b.Version}, shared)
 	}
 	g.sendStreamVersions(g.streams.TakePrompt())
 	g.storeRecords(now)
@@ -72,8 +77,8 @@
 
 // handleStreamVersions handles another router's message about versions of streams.
 func (g *Gateway) handleStreamVersions(s *balance.State, now time.Time, from member.Member, m message.StreamVersions) {
-	if len(m.Stored) > 0 {
-		g.setStoredVersions(s, now, m.Stored)
+	if len(m.Stored) > 0 || m.StoredAt > 0 {
+		g.setStoredVersions(s, now, m.StoredAt, m.Stored)
 	}
 	g.streams.Receive(now, from.Peer, m.Message)
 	if len(m.Asked) > 0 {
