Streams find the few targets of a stored version among many

Of a service with over 256 targets a sample is searched, some 75 targets. Where the store is not known to hold the other version and the hold is over, streams prefer the stored one, but did not look beyond the sample: with 2 of 302 targets of the stored version, 117 of 200 streams began at the other one, and 120 of 200 of a plain service (TestStreamsFindFewStoredTargets), all with room and in time at the two. If all routers are killed then, a caller who takes such a stream up may get the rest from the stored version.

Now all targets are searched if the sample has fewer than 8 of the preferred versions and none of these serves in time.

--- a/internal/balance/prefer_stored_test.go
+++ b/internal/balance/prefer_stored_test.go
@@ -100,3 +100,48 @@
 		})
 	}
 }
+
+// TestStreamsFindFewStoredTargets guards against streams that begin at a version of which there is no trace since, among
+// many targets, the few of the stored version are not in the sample that is searched.
+func TestStreamsFindFewStoredTargets(t *testing.T) {
+	for name, c := range map[string]struct {
+		engine bool
+		after  time.Duration
+	}{
+		"during the hold": {engine: true},
+		"after the hold":  {engine: true, after: time.Minute},
+		"plain service":   {after: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.RequireStoredVersions()
+			list := []balance.Target{versioned("stored-0", "v1"), versioned("stored-1", "v1")}
+			for i := range 300 {
+				list = append(list, versioned(fmt.Sprint("other-", i), "v2"))
+			}
+			for i := range list {
+				list[i].Slots = 64
+			}
+			w.SetTargets(w.now, list)
+			w.SetStoredVersions(w.now, serviceVersions("v1"))
+			w.now = w.now.Add(c.after)
+			missed := 0
+			for i := range 200 {
+				k := w.prompt("o", fmt.Sprint("s", i), 100)
+				k.Stream, k.StreamID, k.Engine = true, fmt.Sprint("s", i), c.engine
+				d := w.arrive(k)
+				if d == nil || d.Refused != "" {
+					t.Fatalf("stream %d: %+v", i, d)
+				}
+				if d.Target.Version != "v1" {
+					missed++
+				}
+				w.complete(k)
+			}
+			if missed > 0 {
+				t.Errorf("%d of 200 streams began at the version that is not stored", missed)
+			}
+		})
+	}
+}
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -14,6 +14,9 @@
 	maxHold = time.Minute
 	// storedMarkTTL is how long a version counts as stored that is not listed here yet.
 	storedMarkTTL = 10 * time.Second
+	// minPreferredSample is the number of targets of some versions in a sample of a service from which they
+	// stand for all.
+	minPreferredSample = 8
 )
 
 // RequireStoredVersions makes streams that callers may take up begin only at versions that the store is known
@@ -142,11 +145,19 @@
 		}
 		return s.preferred
 	}
-	best, ok := s.chooseFrom(now, t, keep(s.candidates(now, t)))
-	if !ok && s.sampled(t.Service) {
-		best, ok = s.chooseFrom(now, t, keep(s.widen(now, t)))
+	inTime := func(list []*target) (placement, bool) {
+		best, ok := s.chooseFrom(now, t, keep(list))
+		return best, ok && !best.late && !best.endsLate
 	}
-	return best, ok && !best.late && !best.endsLate
+	best, ok := inTime(s.candidates(now, t))
+	if ok || !s.sampled(t.Service) {
+		return best, ok
+	}
+	if best, ok = inTime(s.widen(now, t)); ok || len(s.preferred) >= minPreferredSample {
+		return best, ok
+	}
+	// The sample has missed the versions' targets, or the ones with room.
+	return inTime(s.usable(now, t, s.targetsOf(t.Service)))
 }
 
 // openSinceBeforeOthers reports whether a target of a version has taken requests since before the entries of
