A stream without a record is of no stored version whose zone was drained meanwhile

Cause: such a stream is taken for one of the stored version if one of its targets has taken requests since before the entries of all other versions were written, by the revision of its entry. The end of a drain does not change the entry.

The removal of a zone's object stays in the history of the store. One call of a router that starts, where zones are followed and the stored version is listed beside another one that came later; none else.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -196,6 +196,8 @@
 	// listed versions that it is not known to hold, with the times when they were listed first.
 	requireStored bool
 	unstored      map[streamversion.ServiceVersion]time.Time
+	// zoneDrains has the ends of zones' drains; nil if zones are not drained.
+	zoneDrains *ZoneDrains
 	// heldStreams is the number of streams that were kept from such a version.
 	heldStreams       int64
 	onStreamBegun     func(now time.Time, b Stream, shared bool)
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -99,6 +99,7 @@
 			s.confirm(old.Target, t)
 		}
 		old.Target = t
+		s.noteZoneDrain(before, t)
 		s.extendCold(now, old, before)
 	}
 	for service, list := range added {
--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -167,3 +168,54 @@
 		t.Errorf("streams have begun at %s since the start; one without a record is taken for one of %s by %s", d.Target.Version, version, why)
 	}
 }
+
+// TestUnrecordedVersionWhereZoneWasDrained guards against taking a stream for one of the version that was stored
+// although the zone of its targets may have been drained after another one came, which the store refused to hold.
+func TestUnrecordedVersionWhereZoneWasDrained(t *testing.T) {
+	v1, v2 := versioned("a", "v1"), versioned("b", "v2")
+	v1.Revision, v2.Revision = 3, 5
+	elsewhere := v1
+	elsewhere.ID, elsewhere.Zone = "c", "y"
+	drained := v1
+	drained.Drained = true
+	ended := func(zone string, at int64) *balance.ZoneDrains {
+		return &balance.ZoneDrains{Since: 5, Ended: map[string]int64{zone: at}}
+	}
+	for name, c := range map[string]struct {
+		listed, later []balance.Target
+		drains        *balance.ZoneDrains
+		want          string
+		// awaits is set if it may be known later.
+		awaits bool
+	}{
+		"not known yet":                {listed: []balance.Target{v1, v2}, awaits: true},
+		"no drain has ended":           {listed: []balance.Target{v1, v2}, drains: &balance.ZoneDrains{Since: 5}, want: "v1"},
+		"its zone's has":               {listed: []balance.Target{v1, v2}, drains: ended("z", 7)},
+		"another zone's has":           {listed: []balance.Target{v1, v2}, drains: ended("y", 7), want: "v1"},
+		"one of its zones' has":        {listed: []balance.Target{v1, elsewhere, v2}, drains: ended("z", 7), want: "v1"},
+		"known from a later time on":   {listed: []balance.Target{v1, v2}, drains: &balance.ZoneDrains{Since: 6}, awaits: true},
+		"can't be known":               {listed: []balance.Target{v1, v2}, drains: &balance.ZoneDrains{Since: math.MaxInt64}},
+		"ends after the start":         {listed: []balance.Target{drained, v2}, later: []balance.Target{v1, v2}, drains: &balance.ZoneDrains{Since: 5}},
+		"does not matter, one version": {listed: []balance.Target{v1}, want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := balance.New(now, "z", balance.Limits{}, nil)
+			s.RequireZoneDrains()
+			s.RestoreVersions(now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
+			s.SetTargets(now, c.listed)
+			if c.drains != nil {
+				s.SetZoneDrains(*c.drains)
+			}
+			if c.later != nil {
+				s.SetTargets(now, c.later)
+			}
+			if got, _ := s.UnrecordedVersion(now, "llm"); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+			if since, needed := s.NeededZoneDrains(now); needed != c.awaits || needed && since != 5 || needed != s.AwaitsZoneDrains(now, "llm") {
+				t.Errorf("needed %t from %d on, want %t", needed, since, c.awaits)
+			}
+		})
+	}
+}
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -160,20 +160,90 @@
 	return inTime(s.usable(now, t, s.targetsOf(t.Service)))
 }
 
+// ZoneDrains tells which drains of availability zones have ended lately.
+type ZoneDrains struct {
+	// Since is the store's revision after which all are known; math.MaxInt64 if none can be.
+	Since int64
+	// Ended has the zones, and revisions up to which the last drain of each had ended.
+	Ended map[string]int64
+}
+
+// RequireZoneDrains makes a stream without a record belong to a stored version only once it is known whether
+// its targets' zones were drained meanwhile.
+func (s *State) RequireZoneDrains() { s.zoneDrains = &ZoneDrains{Ended: map[string]int64{}} }
+
+// SetZoneDrains records drains that have ended.
+func (s *State) SetZoneDrains(d ZoneDrains) {
+	s.zoneDrains.Since = d.Since
+	for zone, at := range d.Ended {
+		s.zoneDrains.Ended[zone] = max(s.zoneDrains.Ended[zone], at)
+	}
+}
+
+// noteZoneDrain notes the end of a drain that this router has seen itself.
+func (s *State) noteZoneDrain(before, t Target) {
+	if s.zoneDrains != nil && before.Drained && !t.Drained {
+		s.zoneDrains.Ended[t.Zone] = math.MaxInt64
+	}
+}
+
+// NeededZoneDrains returns the revision from which the ends of drains need to be known, or false if they are
+// known or do not matter.
+func (s *State) NeededZoneDrains(now time.Time) (since int64, needed bool) {
+	since = math.MaxInt64
+	for service := range s.versions {
+		if others, awaited := s.awaitedZoneDrains(now, service); awaited {
+			since = min(since, others)
+		}
+	}
+	return since, since < math.MaxInt64
+}
+
+// AwaitsZoneDrains reports whether UnrecordedVersion can tell no version of a service before the ends of drains
+// are known.
+func (s *State) AwaitsZoneDrains(now time.Time, service string) bool {
+	_, awaited := s.awaitedZoneDrains(now, service)
+	return awaited
+}
+
+func (s *State) awaitedZoneDrains(now time.Time, service string) (since int64, awaited bool) {
+	h := s.versions[service]
+	if s.zoneDrains == nil || h == nil || !s.listed || !now.Before(h.earlierUntil) {
+		return 0, false
+	}
+	first, others := s.openSince(now, service, h.earlier)
+	unknown := s.zoneDrains.Since == 0 || s.zoneDrains.Since > others && s.zoneDrains.Since < math.MaxInt64
+	return others, others > 0 && first < others && others < math.MaxInt64 && unknown
+}
+
 // openSinceBeforeOthers reports whether a target of a version has taken requests since before the entries of
 // all listed targets of other versions were written. Until then streams could begin at that version, whatever
 // the store took from routers meanwhile.
 func (s *State) openSinceBeforeOthers(now time.Time, service, version string) bool {
-	first, others := int64(math.MaxInt64), int64(math.MaxInt64)
+	first, others := s.openSince(now, service, version)
+	if others == math.MaxInt64 || others == 0 {
+		return true
+	}
+	return first < others && (s.zoneDrains == nil || s.zoneDrains.Since > 0 && s.zoneDrains.Since <= others)
+}
+
+// openSince returns the first revision since which a target of a version has taken requests, by what is known,
+// and the first one of an entry of another version.
+func (s *State) openSince(now time.Time, service, version string) (first, others int64) {
+	first, others = math.MaxInt64, math.MaxInt64
 	for _, c := range s.targetsOf(service) {
 		switch {
 		case c.Version != version:
 			others = min(others, c.Revision)
 		case !c.Closed(now):
-			first = min(first, c.Revision)
+			since := c.Revision
+			if s.zoneDrains != nil {
+				since = max(since, s.zoneDrains.Ended[c.Zone])
+			}
+			first = min(first, since)
 		}
 	}
-	return others == math.MaxInt64 || others == 0 || first < others
+	return first, others
 }
 
 // mayBeginElsewhere reports whether there is a target of a version that the store holds at which t may begin.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -292,6 +292,9 @@
 		state.RestoreVersions(now, nil, true)
 	} else {
 		state.RequireStoredVersions()
+		if o.CopyLimits[message.StoreZones] > 0 {
+			state.RequireZoneDrains()
+		}
 	}
 	g.coldSenders = coldstart.NewSenders(now, g.roster, self.ID)
 	state.SetColdAllowance(g.coldSenders.SendLimit)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -34,6 +34,7 @@
 		} else if !a.Known && a.Confirmed {
 			a.Version, a.Evidence = s.UnrecordedVersion(now, service)
 			a.Known = a.Evidence != ""
+			a.Confirmed = a.Known || !s.AwaitsZoneDrains(now, service)
 		}
 		g.Metrics.CountStreamLookup(a)
 		answers <- a
@@ -88,6 +89,7 @@
 func (g *Gateway) tickStreams(s *balance.State, now time.Time) {
 	g.streams.Tick(now)
 	g.sendStreamVersions(g.streams.Take())
+	g.readZoneDrains(s, now)
 	g.storeStreams(s, now)
 }
 
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -32,6 +32,8 @@
 	// that a version is. The time until the next one doubles, up to maxVersionsReadInterval.
 	versionsReadInterval    = time.Second
 	maxVersionsReadInterval = 30 * time.Second
+	// zoneDrainsInterval is the time between tries to read the ends of zones' drains.
+	zoneDrainsInterval = 500 * time.Millisecond
 	// maxVersionWriters bounds the routers that write versions while none of them is stored.
 	maxVersionWriters = 8
 )
@@ -44,6 +46,9 @@
 	SaveVersions(v streamversion.Versions) bool
 	// ReadVersions reads which versions are stored and calls Gateway.VersionsStored.
 	ReadVersions()
+	// ReadZoneDrains reads which drains of availability zones have ended after a revision and calls
+	// Gateway.ZoneDrainsRead.
+	ReadZoneDrains(since int64)
 }
 
 // streamStore is what is to be written to the StreamStore.
@@ -63,6 +68,8 @@
 	// time until the read after that.
 	readAt       time.Time
 	readInterval time.Duration
+	// zoneDrainsAt is when the ends of zones' drains may be read again.
+	zoneDrainsAt time.Time
 }
 
 // servedSet returns the versions without their times.
@@ -86,10 +93,28 @@
 		}
 		// They may have changed while what is stored could not be read.
 		g.streamStore.changed, g.streamStore.changedAt = true, now
+		g.readZoneDrains(s, now)
 		g.Log.Info("versions of streams restored", "streams", len(stored.Records), "versions", len(stored.Versions), "complete", stored.Complete)
 	})
 }
 
+// ZoneDrainsRead records which drains of availability zones have ended.
+func (g *Gateway) ZoneDrainsRead(d balance.ZoneDrains) {
+	g.loop.Post(func(s *balance.State, _ time.Time) { s.SetZoneDrains(d) })
+}
+
+// readZoneDrains reads which drains of zones have ended if streams without a record depend on it.
+func (g *Gateway) readZoneDrains(s *balance.State, now time.Time) {
+	p := &g.streamStore
+	if g.StreamStore == nil || now.Before(p.zoneDrainsAt) {
+		return
+	}
+	if since, needed := s.NeededZoneDrains(now); needed {
+		p.zoneDrainsAt = now.Add(zoneDrainsInterval)
+		g.StreamStore.ReadZoneDrains(since)
+	}
+}
+
 // AddStreams adds records that another router has stored.
 func (g *Gateway) AddStreams(records []streamversion.Record) {
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.streams.Add(now, records) })
--- a/internal/gateway/streamstore_internal_test.go
+++ b/internal/gateway/streamstore_internal_test.go
@@ -24,6 +24,8 @@
 
 func (savedVersions) ReadVersions() {}
 
+func (savedVersions) ReadZoneDrains(int64) {}
+
 // TestVersionsAreStoredAfterLateRestore guards against versions that are never stored since they came before
 // what was stored could be read.
 func TestVersionsAreStoredAfterLateRestore(t *testing.T) {
