A stream without a record is of no stored version that was in none of its regions

A stream that may be served in some regions only was taken for one of the stored version if that had been anywhere since before the other version came. In the regions of the stream the other one may have been alone, so that it began there, also if the stored one came there later: then callers got the rest from it. Found by reasoning, and shown with the filter taken out: "elsewhere" and "came there later" of TestUnrecordedVersionOfLimitedStreams were taken for the stored version, and "the other one is elsewhere" was refused.

Only targets in the regions of the stream are compared now. The regions are those that the configuration allows the take-up.

--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -219,3 +219,44 @@
 		})
 	}
 }
+
+// limited returns a configuration with regions that an organisation is limited to.
+func limited(regions ...string) *routing.Table {
+	table, err := routing.New(routing.Spec{
+		Services:      []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 230_000}}},
+		Organisations: []routing.Organisation{{Name: "o", Regions: regions}},
+		Limits:        routing.Limits{TokensPerSecond: tokensPerSecond},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return table
+}
+
+// TestUnrecordedVersionOfLimitedStreams guards against taking a stream for one of the version that was stored although
+// that one was in no region where the stream could begin.
+func TestUnrecordedVersionOfLimitedStreams(t *testing.T) {
+	at := func(id, version, zone string, revision int64) balance.Target {
+		target := versioned(id, version)
+		target.Zone, target.Revision = zone, revision
+		return target
+	}
+	for name, c := range map[string]struct {
+		listed []balance.Target
+		want   string
+	}{
+		"elsewhere":                  {listed: []balance.Target{at("a", "v1", "z", 3), at("b", "v2", "y", 5)}},
+		"came there later":           {listed: []balance.Target{at("a", "v1", "z", 3), at("b", "v2", "y", 5), at("c", "v1", "y", 9)}},
+		"there since before":         {listed: []balance.Target{at("a", "v1", "z", 7), at("b", "v2", "y", 5), at("c", "v1", "y", 3)}, want: "v1"},
+		"the other one is elsewhere": {listed: []balance.Target{at("b", "v2", "z", 5), at("c", "v1", "y", 9)}, want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.SetRegions(map[string]string{"z": "far", "y": "near"})
+			w.RestoreVersions(w.now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
+			w.SetTargets(w.now, c.listed)
+			if got, _ := w.UnrecordedVersionIn(w.now, "llm", limited("near").RegionsOf("r", "o")); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -211,28 +212,29 @@
 	if s.zoneDrains == nil || h == nil || !s.listed || !now.Before(h.earlierUntil) {
 		return 0, false
 	}
-	first, others := s.openSince(now, service, h.earlier)
+	first, others := s.openSince(now, service, h.earlier, routing.Regions{})
 	unknown := s.zoneDrains.Since == 0 || s.zoneDrains.Since > others && s.zoneDrains.Since < math.MaxInt64
 	return others, others > 0 && first < others && others < math.MaxInt64 && unknown
 }
 
 // openSinceBeforeOthers reports whether a target of a version has taken requests since before the entries of
-// all listed targets of other versions were written. Until then streams could begin at that version, whatever
-// the store took from routers meanwhile.
-func (s *State) openSinceBeforeOthers(now time.Time, service, version string) bool {
-	first, others := s.openSince(now, service, version)
+// all listed targets of other versions were written, in the same regions. Until then streams could begin at that
+// version, whatever the store took from routers meanwhile.
+func (s *State) openSinceBeforeOthers(now time.Time, service, version string, regions routing.Regions) bool {
+	first, others := s.openSince(now, service, version, regions)
 	if others == math.MaxInt64 || others == 0 {
 		return true
 	}
 	return first < others && (s.zoneDrains == nil || s.zoneDrains.Since > 0 && s.zoneDrains.Since <= others)
 }
 
-// openSince returns the first revision since which a target of a version has taken requests, by what is known,
-// and the first one of an entry of another version.
-func (s *State) openSince(now time.Time, service, version string) (first, others int64) {
+// openSince returns the first revision since which a target of a version in some regions has taken requests, by
+// what is known, and the first one of an entry of another version there.
+func (s *State) openSince(now time.Time, service, version string, regions routing.Regions) (first, others int64) {
 	first, others = math.MaxInt64, math.MaxInt64
 	for _, c := range s.targetsOf(service) {
 		switch {
+		case !regions.Allow(s.regions[c.Zone]):
 		case c.Version != version:
 			others = min(others, c.Revision)
 		case !c.Closed(now):
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -156,6 +157,11 @@
 // would have to be one if its service had had several versions, and how that is known. The evidence is empty
 // while this router cannot know which versions its service had.
 func (s *State) UnrecordedVersion(now time.Time, service string) (string, streamversion.Evidence) {
+	return s.UnrecordedVersionIn(now, service, routing.Regions{})
+}
+
+// UnrecordedVersionIn is UnrecordedVersion for a stream that may be served in some regions only.
+func (s *State) UnrecordedVersionIn(now time.Time, service string, regions routing.Regions) (string, streamversion.Evidence) {
 	if !s.VersionsKnownSince(now).IsZero() {
 		return "", ""
 	}
@@ -163,7 +169,7 @@
 		return version, streamversion.EvidenceOnlyVersion
 	}
 	h := s.versions[service]
-	if h == nil || !s.listed || !now.Before(h.earlierUntil) || !s.openSinceBeforeOthers(now, service, h.earlier) {
+	if h == nil || !s.listed || !now.Before(h.earlierUntil) || !s.openSinceBeforeOthers(now, service, h.earlier, regions) {
 		return "", ""
 	}
 	return h.earlier, streamversion.EvidenceStoredVersion
--- a/internal/forward/join_test.go
+++ b/internal/forward/join_test.go
@@ -15,7 +15,9 @@
 // knownVersion answers each look-up with one version.
 type knownVersion struct{ answer streamversion.Answer }
 
-func (k knownVersion) Lookup(context.Context, string, string) streamversion.Answer { return k.answer }
+func (k knownVersion) Lookup(context.Context, string, string, routing.Regions) streamversion.Answer {
+	return k.answer
+}
 
 // TestJoinIsLogged guards against runs of a stream whose order and versions can't be told from the lines.
 func TestJoinIsLogged(t *testing.T) {
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -10,9 +10,9 @@
 
 // StreamVersions knows which versions of services began streams.
 type StreamVersions interface {
-	// Lookup returns the version of a service that began the stream of an earlier request. It may
-	// ask other routers.
-	Lookup(ctx context.Context, service, request string) streamversion.Answer
+	// Lookup returns the version of a service that began the stream of an earlier request, which may be
+	// served in some regions only. It may ask other routers.
+	Lookup(ctx context.Context, service, request string, regions routing.Regions) streamversion.Answer
 }
 
 // findVersion finds out which version began the stream that the caller takes up, and refuses the
@@ -21,7 +21,7 @@
 	if x.versions == nil || x.LastEventID == "" || x.Route.Kind != routing.Streaming {
 		return true
 	}
-	a := x.versions.Lookup(ctx, x.Service, x.Resumes)
+	a := x.versions.Lookup(ctx, x.Service, x.Resumes, x.Regions)
 	switch {
 	case a.Known:
 		x.result.VersionEvidence = a.Evidence
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -7,6 +7,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -14,9 +15,9 @@
 type streamVersions struct{ *Gateway }
 
 // Lookup implements forward.StreamVersions.
-func (g streamVersions) Lookup(ctx context.Context, service, request string) streamversion.Answer {
+func (g streamVersions) Lookup(ctx context.Context, service, request string, regions routing.Regions) streamversion.Answer {
 	answers := make(chan streamversion.Answer, 1)
-	g.loop.Post(func(s *balance.State, now time.Time) { g.lookUpStream(s, now, service, request, answers) })
+	g.loop.Post(func(s *balance.State, now time.Time) { g.lookUpStream(s, now, service, request, regions, answers) })
 	select {
 	case a := <-answers:
 		return a
@@ -27,12 +28,12 @@
 
 // lookUpStream sends the version that began a stream to answers, which has room for it. A stream that
 // nobody knows was begun by the only version that its service had.
-func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, answers chan<- streamversion.Answer) {
+func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, regions routing.Regions, answers chan<- streamversion.Answer) {
 	done := func(a streamversion.Answer) {
 		if a.Known && a.Version == streamversion.Unknown {
 			a = streamversion.Answer{Confirmed: true}
 		} else if !a.Known && a.Confirmed {
-			a.Version, a.Evidence = s.UnrecordedVersion(now, service)
+			a.Version, a.Evidence = s.UnrecordedVersionIn(now, service, regions)
 			a.Known = a.Evidence != ""
 			a.Confirmed = a.Known || !s.AwaitsZoneDrains(now, service)
 		}
