explain: what logs do not have is a package of its own

The ends of logs without an account of requests and the counts of what could not be read were part of the report on changes of the configuration; other reports over all logs need them as well. No output changes.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -10,6 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/explain"
 	"github.com/stepcroft/stepcroft/internal/explain/changes"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
 )
 
 // explainCommand is "stepcroft explain".
@@ -78,5 +79,5 @@
 	logs.read(search.Add)
 	search.Sort()
 	logs.readTimes(search.WantsNeighbours, search.AddNeighbour)
-	return search.Report(changes.Unread{BadLines: logs.badLines, Files: len(logs.unread), Others: logs.others}), nil
+	return search.Report(routerlog.Unread{BadLines: logs.badLines, Files: len(logs.unread), Others: logs.others}), nil
 }
--- a/internal/explain/changes/changes_test.go
+++ b/internal/explain/changes/changes_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/explain"
 	"github.com/stepcroft/stepcroft/internal/explain/changes"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
 )
 
 // line returns a log line of a router, written at an offset in seconds.
@@ -51,7 +52,7 @@
 	if err != nil {
 		return changes.Report{}, err
 	}
-	var unread changes.Unread
+	var unread routerlog.Unread
 	if err := explain.Read(strings.NewReader(logs), "log", s.Add, func(explain.BadLine) { unread.BadLines++ }); err != nil {
 		return changes.Report{}, err
 	}
--- a/internal/explain/changes/gaps.go
+++ b/internal/explain/changes/gaps.go
@@ -7,15 +7,12 @@
 	"strings"
 
 	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
-const (
-	msgDropped = "log lines dropped"
-	msgSums    = "requests of an organisation"
-	// maxAlarmLines bounds the lines that are shown of each alarm.
-	maxAlarmLines = 20
-)
+// maxAlarmLines bounds the lines that are shown of each alarm.
+const maxAlarmLines = 20
 
 // alarmMessages are the messages of the lines that tell of a request that may have been lost, without its own line.
 var alarmMessages = []string{"request has no end", "request has two ends", "account of requests is wrong", "callers closed without an answer"}
@@ -42,15 +39,6 @@
 	}
 }
 
-// Unread says what of the logs could not be read.
-type Unread struct {
-	// BadLines is the number of lines that could not be parsed, Files that of files that could not be read to their end,
-	// and Others that of files that hold no line of a log, whose lines are not among BadLines.
-	BadLines int `json:"bad_lines"`
-	Files    int `json:"unread_files"`
-	Others   int `json:"other_files"`
-}
-
 // Gaps says what is missing in the logs, and what they tell of requests that have no line.
 type Gaps struct {
 	// Alarms has the messages that tell of lost requests.
@@ -67,14 +55,14 @@
 	WithoutLineNear int `json:"without_line_near"`
 	// Derived is the number of requests whose lines do not have their end.
 	Derived int `json:"derived_ends"`
-	Unread
+	routerlog.Unread
 	// ChangesForgotten is the number of old changes that were too many to keep, Unmatched that of requests of which some
 	// lines were.
 	ChangesForgotten int `json:"changes_forgotten"`
 	Unmatched        int `json:"unmatched"`
 	// Routers are those whose logs, or parts of them, end without an account of requests.
-	Routers        []RouterEnd `json:"routers"`
-	RoutersLeftOut int         `json:"routers_left_out"`
+	Routers        []routerlog.End `json:"routers"`
+	RoutersLeftOut int             `json:"routers_left_out"`
 	// Incomplete is set if requests may be missing in the list.
 	Incomplete bool `json:"incomplete"`
 }
@@ -96,11 +84,11 @@
 		}
 	}
 	switch l.Message {
-	case msgDropped:
+	case routerlog.MessageDropped:
 		count(&g.Dropped, &g.DroppedNear, int(l.Number("lines")))
-	case msgSums:
+	case routerlog.MessageSums:
 		count(&g.WithoutLine, &g.WithoutLineNear, int(l.Number("without_line")))
-	case msgAccounted:
+	case routerlog.MessageAccounted:
 		g.Accounts++
 		addEnds(g.AccountedEnds, l.Fields["ends"])
 		addEnds(g.AccountedNear, l.Fields["near_change"])
@@ -120,7 +108,7 @@
 }
 
 // finish fills in what is known once all lines have been read.
-func (g *Gaps) finish(logs routerLogs) {
+func (g *Gaps) finish(logs routerlog.Logs) {
 	alarms := 0
 	for i := range g.Alarms {
 		a := &g.Alarms[i]
@@ -128,7 +116,7 @@
 			a.Shown = append(a.Shown, a.other...)
 		}
 	}
-	g.Routers = logs.ends()
+	g.Routers = logs.Ends()
 	crashed := len(g.Routers) > 0 && g.Routers[0].Crash
 	if n := len(g.Routers); n > maxRouters {
 		g.Routers, g.RoutersLeftOut = g.Routers[:maxRouters], n-maxRouters
@@ -151,13 +139,11 @@
 	}
 	say(g.Accounts, "accounts of %d routers that stopped: %s", g.Accounts, endsText(g.AccountedEnds))
 	say(g.Accounts, "  of these near any change: %s", endsText(g.AccountedNear))
-	out = append(out, routersText(g.Routers)...)
+	out = append(out, routerlog.Text(g.Routers)...)
 	say(g.RoutersLeftOut, "%d other logs end without an account of requests, too", g.RoutersLeftOut)
 	say(g.Dropped, "%d log lines were dropped, %d of them near the change", g.Dropped, g.DroppedNear)
 	say(g.WithoutLine, "at least %d requests have no line, %d of them near the change", g.WithoutLine, g.WithoutLineNear)
-	say(g.BadLines, "%d lines could not be parsed", g.BadLines)
-	say(g.Unread.Files, "%d files could not be read to their end", g.Unread.Files)
-	say(g.Others, "%d files hold no line of a log", g.Others)
+	out = append(out, g.Unread.Text()...)
 	say(g.Derived, "%d requests' lines are of older routers and have no end: it was derived from outcome, status and reason", g.Derived)
 	say(g.ChangesForgotten, "%d older changes were too many to keep; requests near them count as far from all", g.ChangesForgotten)
 	say(g.Unmatched, "lines about %d requests were too many to keep; the causes of these may be wrong", g.Unmatched)
--- a/internal/explain/changes/report.go
+++ b/internal/explain/changes/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
@@ -28,7 +29,7 @@
 }
 
 // Report returns the report. Call it after all lines were added.
-func (s *Search) Report(u Unread) Report {
+func (s *Search) Report(u routerlog.Unread) Report {
 	left := max(0, len(s.selected)-maxChangesShown)
 	gaps := s.gaps
 	gaps.Unread = u
--- a/internal/explain/changes/search.go
+++ b/internal/explain/changes/search.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
 
@@ -31,7 +32,7 @@
 	states       explain.States
 	total        *Periods
 	byRouter     map[string]*Periods
-	logs         routerLogs
+	logs         routerlog.Logs
 	gaps         Gaps
 	refused      map[string]int
 	callersGone  map[string]int
@@ -45,7 +46,7 @@
 	}
 	out := &Search{
 		selected: selected, near: newWindows(selected, o.After), others: newWindows(others, o.After), options: o,
-		finds: newFinds(o.Limit), total: newPeriods(), byRouter: map[string]*Periods{}, logs: routerLogs{}, gaps: newGaps(),
+		finds: newFinds(o.Limit), total: newPeriods(), byRouter: map[string]*Periods{}, logs: routerlog.New(), gaps: newGaps(),
 		refused: map[string]int{}, callersGone: map[string]int{},
 	}
 	out.gaps.ChangesForgotten = h.leftOut
@@ -54,7 +55,7 @@
 
 // Add notes a line.
 func (s *Search) Add(l explain.Line) {
-	s.logs.add(l)
+	s.logs.Add(l)
 	if s.near.contains(l.Time, stateMargin) {
 		s.states.Add(l)
 		if l.Message == explain.MessageSentAgain || l.Message == explain.MessageGivenUp {
