--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -84,4 +84,50 @@
 			Entry("nowhere to look", cli.ExitFailed, "/nowhere", "--change", "7", "/nowhere"),
 		)
 	})
+
+	Context("with streams", func() {
+		// logs returns a directory with the logs of two routers, one compressed: stream r was begun at one version by one of
+		// them, and taken up at another version by the other one.
+		logs := func() string {
+			dir := GinkgoT().TempDir()
+			var b bytes.Buffer
+			z := gzip.NewWriter(&b)
+			Expect(z.Write([]byte(`{"time":"2026-01-01T00:00:09Z","msg":"request","router":"b","id":"r","runs":1,"events":5,"last_event":"5","process":"i-1","run_version":"v1","end":"cut"}` + "\n"))).Error().NotTo(HaveOccurred())
+			Expect(z.Close()).To(Succeed())
+			Expect(os.WriteFile(filepath.Join(dir, "b.log.gz"), b.Bytes(), 0o600)).To(Succeed())
+			Expect(os.WriteFile(filepath.Join(dir, "a.log"), []byte(`{"time":"2026-01-01T00:00:10Z","msg":"stream goes on","router":"a","id":"q","stream":"r","after":"5","first":"6","to":"i-2","to_version":"v2","evidence":"unknown","process_by":"entry"}`+"\n"+
+				`{"time":"2026-01-01T00:00:11Z","msg":"request","router":"a","id":"q","resumes":"r","after":"5","runs":1,"events":4,"last_event":"9","process":"i-2","run_version":"v2","end":"answered","took_ms":1500}`+"\n"), 0o600)).To(Succeed())
+			return dir
+		}
+
+		It("lists those out of order over all routers", func() {
+			code, out, errOut := run("explain", "--streams", logs())
+			Expect(code).To(Equal(cli.ExitOK))
+			Expect(out).To(And(ContainSubstring("stream r\n"), ContainSubstring("two-versions: a takes it up behind event 5 at version v2 of i-2 (unknown), while b began it at version v1 of i-1"),
+				ContainSubstring("a  q  took it up behind 5"), Not(ContainSubstring("INCOMPLETE"))))
+			Expect(errOut).To(BeEmpty())
+			_, out, _ = run("explain", "--streams", "-o", "json", logs())
+			Expect(out).To(And(ContainSubstring(`"streams":[{"id":"r","faults":[{"kind":"two-versions"`), ContainSubstring(`"joins_by_evidence":{"unknown":1}`), ContainSubstring(`"incomplete":false`)))
+		})
+
+		It("says that a log is missing", func() {
+			code, out, errOut := run("explain", "--streams", filepath.Join(logs(), "a.log"), "/nowhere.log")
+			Expect(code).To(Equal(cli.ExitFailed))
+			Expect(out).To(And(ContainSubstring("no line shows a stream"), ContainSubstring("r, taken up at a behind event 5"), ContainSubstring("1 files could not be read"), ContainSubstring("INCOMPLETE")))
+			Expect(strings.Count(errOut, "/nowhere.log")).To(Equal(1))
+		})
+
+		DescribeTable(
+			"refuses what it cannot explain", func(want string, args ...string) {
+				code, out, errOut := run(append([]string{"explain", "--streams", logs()}, args...)...)
+				Expect(code).To(Equal(cli.ExitUsage))
+				Expect(out + errOut).To(ContainSubstring(want))
+				Expect(out).NotTo(ContainSubstring("stream r"))
+			},
+			Entry("a request", "can't be used together", "--id", "r"),
+			Entry("a change", "can't be used together", "--change", "last"),
+			Entry("standard input", "standard input", "-"),
+			Entry("nothing to list", "--limit", "--limit", "0"),
+		)
+	})
 })
--- a/internal/cli/logfiles.go
+++ b/internal/cli/logfiles.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
 )
 
 const (
@@ -109,6 +110,11 @@
 	}
 }
 
+// notRead says what could not be read.
+func (l *logFiles) notRead() routerlog.Unread {
+	return routerlog.Unread{BadLines: l.badLines, Files: len(l.unread), Others: l.others}
+}
+
 // failure returns an error if a file could not be read to its end; noteUnread has said why.
 func (l *logFiles) failure() error {
 	if len(l.unread) == 0 {
--- /dev/null
+++ b/internal/explain/streams/lines.go
@@ -0,0 +1,208 @@
+package streams
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/lifecycle"
+)
+
+// Messages of the lines about streams.
+const (
+	// MessageRequest is that of the lines that routers write as requests end.
+	MessageRequest = "request"
+
+	msgJoin        = "stream goes on"
+	msgUndelivered = "answer not delivered"
+)
+
+// Answer is a router's answer to a request for a stream or for the rest of one.
+type Answer struct {
+	ID     string `json:"id"`
+	Router string `json:"router"`
+	// Time is that of its end, or of its last line if there is none of its end, in which case NoLine is set.
+	Time   time.Time `json:"time"`
+	NoLine bool      `json:"no_line,omitempty"`
+	Took   float64   `json:"took_ms"`
+	// After is the last event that the caller has, empty if the answer begins the stream. Resumes is the id of the request
+	// that began it, as the caller names it.
+	After     string `json:"after,omitempty"`
+	Resumes   string `json:"resumes,omitempty"`
+	VersionBy string `json:"version_by,omitempty"`
+	// Runs is the number of runs, 0 if there were no events or the router is of a version that does not write it; Process
+	// and Version are those of the last one.
+	Runs       int    `json:"runs"`
+	Events     int    `json:"events"`
+	LastEvent  string `json:"last_event"`
+	Process    string `json:"process"`
+	Version    string `json:"version"`
+	SkippedIDs int64  `json:"skipped_ids,omitempty"`
+	// Undelivered is set if the last bytes could not be written.
+	End         lifecycle.End `json:"end"`
+	Reason      string        `json:"reason,omitempty"`
+	Undelivered bool          `json:"undelivered,omitempty"`
+	// MoreTries is the number of other requests to take the stream up behind the same event that had no events.
+	MoreTries int    `json:"more_tries,omitempty"`
+	Joins     []Join `json:"joins"`
+	// unclear is set if it may have sent events that its line does not tell of.
+	unclear bool
+}
+
+func newAnswer(l explain.Line) Answer {
+	runs := int(l.Number("runs"))
+	return Answer{
+		ID: l.Text("id"), Router: l.Router, Time: l.Time.UTC(), Took: l.Number("took_ms"),
+		After: l.Text("after"), Resumes: l.Text("resumes"), VersionBy: l.Text("version_by"),
+		Runs: runs, Events: int(l.Number("events")), LastEvent: l.Text("last_event"), Process: l.Text("process"),
+		Version: l.Text("run_version"), SkippedIDs: int64(l.Number("skipped_ids")),
+		End: lifecycle.End(l.Text("end")), Reason: l.Text("reason"), Joins: []Join{}, unclear: runs == 0 && l.Number("first_ms") > 0,
+	}
+}
+
+// stream returns the id of the request that began the stream.
+func (a Answer) stream() string {
+	if a.After != "" {
+		return cmp.Or(a.Resumes, a.ID)
+	}
+	return a.ID
+}
+
+// begins reports whether the answer begins the stream.
+func (a Answer) begins() bool { return a.After == "" }
+
+// whole reports whether the router took the stream for complete at the answer's end.
+func (a Answer) whole() bool { return a.End == lifecycle.Answered && a.Events > 0 && a.LastEvent != "" }
+
+// begun returns when the request arrived, by the router's clock.
+func (a Answer) begun() time.Time {
+	return a.Time.Add(-time.Duration(a.Took*float64(time.Millisecond)) - time.Millisecond)
+}
+
+// missingJoins returns how many joins the answer's line tells of that have no line.
+func (a Answer) missingJoins() int {
+	want := a.Runs
+	if a.begins() {
+		want--
+	}
+	return max(want-len(a.Joins), 0)
+}
+
+// firstVersion returns the version of the first run, and whether it is known. Without the lines of joins it is that of the
+// last run.
+func (a Answer) firstVersion() (string, bool) {
+	switch {
+	case len(a.Joins) > 0 && a.Joins[0].within:
+		return a.Joins[0].FromVersion, true
+	case len(a.Joins) > 0:
+		return a.Joins[0].ToVersion, true
+	}
+	return a.Version, a.Runs > 0
+}
+
+func (a Answer) text() []string {
+	what := "began it"
+	if !a.begins() {
+		what = "took it up behind " + a.After
+	}
+	if a.VersionBy != "" {
+		what += " (version by " + a.VersionBy + ")"
+	}
+	switch {
+	case a.NoLine:
+		what += "; no line of its end"
+	case a.Runs == 0:
+		what += fmt.Sprintf("; no events, %s", a.endText())
+	default:
+		what += fmt.Sprintf("; %d events to %s in %d runs, the last one at %s, version %s; %s",
+			a.Events, orNone(a.LastEvent), a.Runs, a.Process, orNone(a.Version), a.endText())
+	}
+	out := []string{fmt.Sprintf("  %s  %s  %s  %s", clock(a.Time), a.Router, a.ID, what)}
+	for _, j := range a.Joins {
+		out = append(out, "    "+j.text())
+	}
+	return out
+}
+
+func (a Answer) endText() string {
+	out := orNone(string(a.End))
+	if a.Reason != "" {
+		out += ", " + a.Reason
+	}
+	if a.SkippedIDs > 0 {
+		out += fmt.Sprintf(", %d ids left out", a.SkippedIDs)
+	}
+	if a.MoreTries > 0 {
+		out += fmt.Sprintf("; and %d other tries without events", a.MoreTries)
+	}
+	if a.Undelivered {
+		out += ", its last bytes not delivered"
+	}
+	return out
+}
+
+// Join is where a run of a stream follows an earlier one.
+type Join struct {
+	Time   time.Time `json:"time"`
+	Router string    `json:"router"`
+	ID     string    `json:"id"`
+	// After is the last event before the join, First the first one behind it.
+	After string `json:"after"`
+	First string `json:"first"`
+	// From and FromVersion are empty where the caller takes the stream up.
+	From        string                  `json:"from,omitempty"`
+	FromVersion string                  `json:"from_version,omitempty"`
+	To          string                  `json:"to"`
+	ToVersion   string                  `json:"to_version"`
+	Evidence    forward.JoinEvidence    `json:"evidence"`
+	ProcessBy   forward.ProcessEvidence `json:"process_by"`
+	// within is set if the run before is of the same answer.
+	within bool
+}
+
+func newJoin(l explain.Line) Join {
+	_, within := l.Fields["from"]
+	return Join{
+		Time: l.Time.UTC(), Router: l.Router, ID: l.Text("id"), After: l.Text("after"), First: l.Text("first"),
+		From: l.Text("from"), FromVersion: l.Text("from_version"), To: l.Text("to"), ToVersion: l.Text("to_version"),
+		Evidence: forward.JoinEvidence(l.Text("evidence")), ProcessBy: forward.ProcessEvidence(l.Text("process_by")), within: within,
+	}
+}
+
+// skipped returns how many ids are between the events at the join, negative if events come twice, and whether both ids
+// are numbers.
+func (j Join) skipped() (int64, bool) {
+	after, ok := number(j.After)
+	first, firstOK := number(j.First)
+	return first - after - 1, ok && firstOK
+}
+
+func (j Join) text() string {
+	from := ""
+	if j.within {
+		from = fmt.Sprintf("from %s, version %s, ", j.From, orNone(j.FromVersion))
+	}
+	return fmt.Sprintf("%s  behind %s %sat %s, version %s, with %s; %s, process by %s",
+		clock(j.Time), j.After, from, j.To, orNone(j.ToVersion), orNone(j.First), j.Evidence, j.ProcessBy)
+}
+
+// number returns an event's id as a number, if it is one.
+func number(id string) (int64, bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	return n, err == nil
+}
+
+// before reports whether an event is known to come before another one: ids that are no numbers are not compared.
+func before(a, b string) bool {
+	m, ok := number(a)
+	n, bothOK := number(b)
+	return ok && bothOK && m < n
+}
+
+// clock formats a time of day.
+func clock(t time.Time) string { return t.Format("15:04:05.000") }
+
+func orNone(s string) string { return cmp.Or(s, "none") }
--- /dev/null
+++ b/internal/explain/streams/search.go
@@ -0,0 +1,172 @@
+// Package streams finds in routers' logs which streams were out of order: joined from runs of two versions or behind the
+// wrong event, with events that come twice or are missing at a join, or with ends that contradict each other. It follows
+// each stream over all routers by the ids of requests and events, since clocks of boxes differ.
+package streams
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
+	"github.com/stepcroft/stepcroft/internal/forward"
+)
+
+const (
+	// maxLines bounds the lines about streams that are kept in memory, and again those about their beginnings. A stream of
+	// one run takes none.
+	maxLines = 100_000
+	// maxStreamLines bounds those of one stream, whose answers are compared with each other.
+	maxStreamLines = 250
+)
+
+// Counts are those of all streams.
+type Counts struct {
+	// Begun is the number of answers that began a stream, TakeUps that of requests for the rest of one.
+	Begun   int `json:"begun"`
+	TakeUps int `json:"take_ups"`
+	// SeveralRuns is the number of streams of more than one run.
+	SeveralRuns int `json:"several_runs"`
+	// SkippedIDs is the number of answers whose events leave out ids.
+	SkippedIDs int                             `json:"answers_with_skipped_ids"`
+	Joins      int                             `json:"joins"`
+	Evidence   map[forward.JoinEvidence]int    `json:"joins_by_evidence"`
+	ProcessBy  map[forward.ProcessEvidence]int `json:"joins_by_process"`
+}
+
+// answerKey names an answer.
+type answerKey struct{ router, id string }
+
+// Search finds the streams that are out of order. Pass each line to Add, then each line with MessageRequest to
+// AddBeginning, and call Report. Use New to create one.
+type Search struct {
+	limit int
+	// streams holds those of several runs and those that were taken up, by the id of the request that began them, and
+	// lines is the number of lines that are kept of them.
+	streams     map[string]*stream
+	lines       int
+	undelivered map[answerKey]bool
+	counts      Counts
+	gaps        Gaps
+	logs        routerlog.Logs
+}
+
+// New returns a search that lists at most limit streams of each kind of fault.
+func New(limit int) *Search {
+	return &Search{
+		limit: limit, streams: map[string]*stream{}, undelivered: map[answerKey]bool{}, logs: routerlog.New(), gaps: newGaps(),
+		counts: Counts{Evidence: map[forward.JoinEvidence]int{}, ProcessBy: map[forward.ProcessEvidence]int{}},
+	}
+}
+
+// Add notes a line.
+func (s *Search) Add(l explain.Line) {
+	s.logs.Add(l)
+	switch l.Message {
+	case MessageRequest:
+		s.addRequest(newAnswer(l))
+	case msgJoin:
+		j := newJoin(l)
+		s.counts.Joins++
+		s.counts.Evidence[j.Evidence]++
+		s.counts.ProcessBy[j.ProcessBy]++
+		if p := s.keep(l.Text("stream"), 1); p != nil {
+			p.joins = append(p.joins, j)
+		}
+	case msgUndelivered:
+		if len(s.undelivered) < maxLines {
+			s.undelivered[answerKey{l.Router, l.Text("id")}] = true
+		}
+	case routerlog.MessageDropped:
+		s.gaps.Dropped += int(l.Number("lines"))
+	case routerlog.MessageSums:
+		s.gaps.WithoutLine += int(l.Number("without_line"))
+	}
+}
+
+func (s *Search) addRequest(a Answer) {
+	if a.SkippedIDs > 0 {
+		s.counts.SkippedIDs++
+	}
+	if a.begins() {
+		if a.Runs > 0 {
+			s.counts.Begun++
+		}
+		if a.Runs > 1 && s.streams[a.ID] == nil {
+			s.keep(a.ID, 1)
+		}
+		return
+	}
+	s.counts.TakeUps++
+	if a.unclear {
+		s.gaps.Older++
+	}
+	if p := s.streams[a.stream()]; p != nil && p.countTry(a) {
+		return
+	}
+	if p := s.keep(a.stream(), 1); p != nil {
+		p.answers = append(p.answers, a)
+	}
+}
+
+// keep returns the stream to keep a line of, nil if it has no id or there are too many lines, as many as a share times
+// the bounds.
+func (s *Search) keep(id string, share int) *stream {
+	if id == "" {
+		s.gaps.WithoutID++
+		return nil
+	}
+	p := s.streams[id]
+	if s.lines >= share*maxLines || p != nil && p.lines >= share*maxStreamLines {
+		s.gaps.LeftOut++
+		if p != nil {
+			p.truncated = true
+		}
+		return nil
+	}
+	s.lines++
+	if p == nil {
+		p = &stream{}
+		s.streams[id] = p
+	}
+	p.lines++
+	return p
+}
+
+// AddBeginning notes a line about a request that began one of the streams. It needs a second pass over the lines with
+// MessageRequest: most streams are of one run, and nothing is kept of them.
+func (s *Search) AddBeginning(l explain.Line) {
+	id := l.Text("id")
+	if l.Message != MessageRequest || l.Text("after") != "" || s.streams[id] == nil {
+		return
+	}
+	if p := s.keep(id, 2); p != nil {
+		p.answers = append(p.answers, newAnswer(l))
+	}
+}
+
+// merge joins what callers took up by the id of an earlier take-up with the stream that it is of.
+func (s *Search) merge() {
+	of := map[string]string{}
+	ids := slices.Sorted(maps.Keys(s.streams))
+	for _, id := range ids {
+		for _, a := range s.streams[id].answers {
+			if !a.begins() && a.ID != id {
+				of[a.ID] = id
+			}
+		}
+	}
+	for _, id := range ids {
+		p := s.streams[id]
+		root, seen := id, map[string]bool{}
+		for of[root] != "" && !seen[root] {
+			seen[root] = true
+			root = of[root]
+		}
+		if to := s.streams[root]; to != nil && to != p && !slices.ContainsFunc(p.answers, Answer.begins) {
+			to.answers, to.joins = append(to.answers, p.answers...), append(to.joins, p.joins...)
+			to.truncated = to.truncated || p.truncated
+			delete(s.streams, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/explain/streams/streams_test.go
@@ -0,0 +1,264 @@
+package streams_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/explain"
+	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
+	"github.com/stepcroft/stepcroft/internal/explain/streams"
+)
+
+// line returns a log line of a router, written at an offset in seconds.
+func line(router string, second float64, message, fields string) string {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(second * float64(time.Second)))
+	return fmt.Sprintf(`{"time":%q,"msg":%q,"router":%q%s}`+"\n", at.Format(time.RFC3339Nano), message, router, fields)
+}
+
+// answer returns the line of an answer that took a second, of some runs, the last one at target t.
+func answer(router string, second float64, id string, runs int, last, version, more string) string {
+	return line(router, second, streams.MessageRequest, fmt.Sprintf(
+		`,"id":%q,"took_ms":1000,"first_ms":5,"runs":%d,"events":3,"last_event":%q,"process":"t","run_version":%q%s`, id, runs, last, version, more,
+	))
+}
+
+// takesUp returns the fields of a request that takes stream r up.
+func takesUp(after, more string) string {
+	return fmt.Sprintf(`,"resumes":"r","after":%q,"version_by":"record"%s`, after, more)
+}
+
+// join returns the line of a join of stream r to target t, from a target of a version if that is given.
+func join(router string, second float64, id, fromVersion, after, first, version string) string {
+	fields := fmt.Sprintf(`,"id":%q,"stream":"r","after":%q,"first":%q,"to":"t","to_version":%q,"process_by":"entry"`, id, after, first, version)
+	if fromVersion != "" {
+		return line(router, second, "stream goes on", fields+fmt.Sprintf(`,"from":"s","from_version":%q,"evidence":"same-answer"`, fromVersion))
+	}
+	return line(router, second, "stream goes on", fields+`,"evidence":"record"`)
+}
+
+const (
+	whole     = `,"end":"answered"`
+	cut       = `,"end":"cut","reason":"target-broken"`
+	refused   = `,"end":"refused","reason":"unknown-version"`
+	accounted = "requests accounted"
+)
+
+// begun has stream r begun at router a, which has sent events up to 5; goesOn has its rest, from router b.
+var (
+	begun  = answer("a", 10, "r", 1, "5", "v1", cut)
+	goesOn = join("b", 11, "r2", "", "5", "6", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("5", whole))
+)
+
+// report reads logs as the command does.
+func report(logs string, limit int) (streams.Report, error) {
+	s := streams.New(limit)
+	unread := routerlog.Unread{}
+	if err := explain.Read(strings.NewReader(logs), "log", s.Add, func(explain.BadLine) { unread.BadLines++ }); err != nil {
+		return streams.Report{}, err
+	}
+	if err := explain.ReadMessage(strings.NewReader(logs), "log", streams.MessageRequest, s.AddBeginning); err != nil {
+		return streams.Report{}, err
+	}
+	return s.Report(unread), nil
+}
+
+func ExampleSearch() {
+	r, err := report(begun+join("b", 11, "r2", "", "5", "6", "v2")+answer("b", 12, "r2", 1, "9", "v2", takesUp("5", whole)), 10)
+	if err != nil {
+		fmt.Println(err)
+	}
+	for _, s := range r.Streams {
+		fmt.Println(s.ID, s.Faults[0].Kind, s.Faults[0].What)
+	}
+	// Output:
+	// r two-versions b takes it up behind event 5 at version v2 of t (record), while a began it at version v1 of t
+}
+
+const incomplete = "MAY BE INCOMPLETE"
+
+func TestReports(t *testing.T) {
+	within := func(joins string, last, fields string) string {
+		return joins + answer("a", 10, "r", 2, last, "v1", fields)
+	}
+	otherEnd := func(last, end string) string {
+		return join("c", 13, "r3", "", "5", "6", "v1") + answer("c", 14, "r3", 1, last, "v1", takesUp("5", end))
+	}
+	for name, c := range map[string]struct {
+		logs string
+		// faults are the kinds found, those suspected with a question mark; want holds parts of the text, unwanted what must
+		// not be in it.
+		faults         string
+		want, unwanted []string
+	}{
+		"in order": {
+			logs: begun + goesOn, unwanted: []string{incomplete},
+			want: []string{"1 begun, 1 requests to take one up, 1 streams of more", "joins of runs: 1; versions known by: 1 record; processes by: 1 entry", "no line shows"},
+		},
+		"clocks differ, two versions": {
+			logs:   answer("a", 1000, "r", 1, "5", "v1", cut) + strings.ReplaceAll(goesOn, "v1", "v2"),
+			faults: "two-versions", want: []string{"target-broken\n  00:00:12.000  b  r2  took"},
+		},
+		"clocks differ":          {logs: answer("a", 1000, "r", 1, "5", "v1", cut) + goesOn},
+		"lines read twice":       {logs: begun + begun + goesOn + goesOn, unwanted: []string{incomplete}},
+		"one id for all":         {logs: begun + join("a", 11.5, "r", "", "5", "6", "v1") + answer("a", 12, "r", 1, "9", "v1", takesUp("5", whole))},
+		"without name, one id":   {logs: begun + join("a", 11.5, "r", "", "5", "6", "v1") + answer("a", 12, "r", 1, "9", "v1", `,"resumes":"","after":"5"`+whole)},
+		"caller has less":        {logs: begun + join("b", 11, "r2", "", "3", "4", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("3", whole))},
+		"taken up twice":         {logs: begun + goesOn + otherEnd("7", cut)},
+		"no numbers":             {logs: answer("a", 10, "r", 1, "x", "v1", cut) + join("b", 11, "r2", "", "c", "a", "v1") + answer("b", 12, "r2", 1, "b", "v1", takesUp("c", whole))},
+		"not resumable":          {logs: begun + answer("a", 12, "q", 1, "9", "v1", whole), unwanted: []string{incomplete}},
+		"repeated request":       {logs: answer("a", 9, "r", 1, "3", "v0", whole) + begun + goesOn, faults: "ends-differ?"},
+		"caller leaves at join":  {logs: within(join("a", 9.5, "r", "v1", "5", "6", "v1"), "5", cut)},
+		"repeated, not taken up": {logs: answer("b", 8, "r", 1, "5", "v1", whole) + within(join("a", 9.5, "r", "v1", "5", "6", "v1"), "9", whole)},
+		"one id at the same time": {
+			logs: answer("a", 12, "r", 1, "5", "v1", cut) + join("a", 11.4, "r", "", "5", "6", "v1") + strings.Replace(join("a", 11.8, "r", "v1", "7", "8", "v1"), `"from":"s"`, `"from":"t"`, 1) +
+				answer("a", 12.3, "r", 2, "9", "v1", takesUp("5", whole)),
+			unwanted: []string{incomplete},
+		},
+		"one id, another event": {
+			logs:     begun + join("b", 11.5, "r2", "", "3", "4", "v1") + join("b", 11.6, "r2", "", "5", "6", "v1") + answer("b", 12, "r2", 1, "8", "v1", takesUp("5", cut)) + answer("b", 12.1, "r2", 1, "4", "v1", takesUp("3", cut)),
+			unwanted: []string{incomplete},
+		},
+		"refused, then taken up": {logs: begun + line("c", 11, "request", `,"id":"r4"`+takesUp("5", refused)) + goesOn},
+
+		"two versions in an answer":    {logs: within(join("a", 9.5, "r", "v1", "5", "6", "v2"), "9", whole), faults: "two-versions", want: []string{"a joins version v1 of s and version v2 of t behind event 5 in one answer (same-answer)"}},
+		"an entry without a version":   {logs: within(join("a", 9.5, "r", "v1", "5", "6", ""), "9", whole), faults: "two-versions?"},
+		"taken up at no version":       {logs: begun + join("b", 11, "r2", "", "5", "6", "") + answer("b", 12, "r2", 1, "9", "", takesUp("5", whole)), faults: "two-versions?"},
+		"two versions, beginning gone": {logs: goesOn + join("c", 13, "r3", "", "9", "10", "v2") + answer("c", 14, "r3", 1, "12", "v2", takesUp("9", cut)), faults: "two-versions ends-differ", want: []string{"b took it up behind event 5", incomplete}},
+		"two versions, without joins":  {logs: begun + answer("b", 12, "r2", 1, "9", "v2", takesUp("5", whole)), faults: "two-versions", want: []string{"r2 of stream r at b, 1 of 1 runs", incomplete}},
+		"two versions, router killed":  {logs: join("a", 9.5, "r", "v1", "2", "3", "v1") + join("b", 11, "r2", "", "5", "6", "v2") + answer("b", 12, "r2", 1, "9", "v2", takesUp("5", whole)), faults: "two-versions", want: []string{"began it; no line of its end", incomplete}},
+		"taken up by an earlier one":   {logs: begun + goesOn + strings.NewReplacer(`"resumes":"r"`, `"resumes":"r2"`, `"stream":"r"`, `"stream":"r2"`).Replace(join("c", 13, "r3", "", "7", "8", "v2")+answer("c", 14, "r3", 1, "9", "v2", takesUp("7", whole))), faults: "two-versions taken-up-after-end?"},
+		"behind what nobody sent":      {logs: begun + join("b", 11, "r2", "", "7", "8", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("7", whole)), faults: "wrong-event", want: []string{"behind event 7, which no answer has sent: r of a got furthest, to 5"}},
+		"behind what nobody sent, twice": {
+			logs:   begun + goesOn + join("c", 13, "r3", "", "12", "13", "v1") + answer("c", 14, "r3", 1, "15", "v1", takesUp("12", cut)) + join("d", 13, "r4", "", "12", "13", "v1") + answer("d", 14, "r4", 1, "15", "v1", takesUp("12", cut)),
+			faults: "wrong-event wrong-event ends-differ",
+		},
+		"sent later by the same router": {logs: begun + join("b", 11.5, "r2", "", "7", "8", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("7", cut)) + join("b", 13.5, "r3", "", "5", "6", "v1") + answer("b", 14, "r3", 1, "9", "v1", takesUp("5", cut)), faults: "wrong-event"},
+		"may be in dropped lines":       {logs: begun + join("b", 11, "r2", "", "7", "8", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("7", whole)) + `{"msg":"log lines dropped","lines":7}` + "\n", faults: "wrong-event?", want: []string{"7 log lines were dropped", incomplete}},
+		"a run between has no line":     {logs: begun + join("c", 11, "r3", "", "5", "6", "v1") + join("b", 12, "r2", "", "7", "8", "v1") + answer("b", 12.5, "r2", 1, "9", "v1", takesUp("7", whole)), want: []string{"r3 of stream r at c, with 1 joins", incomplete}},
+		"back before the last join":     {logs: join("a", 9.3, "r", "v1", "5", "6", "v1") + strings.Replace(join("a", 9.6, "r", "v1", "4", "5", "v1"), `"from":"s"`, `"from":"t"`, 1) + answer("a", 10, "r", 3, "9", "v1", whole), faults: "wrong-event", want: []string{"behind event 4 at t, though the run before began with 6"}},
+		"from another run":              {logs: join("a", 9.3, "r", "v1", "5", "6", "v1") + join("a", 9.6, "r", "v1", "7", "8", "v1") + answer("a", 10, "r", 3, "9", "v1", whole), faults: "wrong-event", want: []string{"behind event 7 from s, though the run before is that of t"}},
+		"a join between has no line":    {logs: join("a", 9.3, "r", "v1", "5", "6", "v1") + join("a", 9.6, "r", "v1", "7", "8", "v1") + answer("a", 10, "r", 4, "9", "v1", whole), want: []string{"r of stream r at a, 1 of 4 runs"}},
+		"a run without a join":          {logs: within(strings.Replace(join("a", 9.5, "r", "v1", "5", "6", "v1"), `"to":"t"`, `"to":"u"`, 1), "9", whole), faults: "wrong-event", want: []string{"has the last run at t, though the last join is to u"}},
+		"ends before its last join":     {logs: within(join("a", 9.5, "r", "v1", "5", "6", "v1"), "4", cut), faults: "wrong-event"},
+		"a piece twice":                 {logs: within(join("a", 9.5, "r", "v1", "5", "5", "v1"), "9", whole), faults: "repeated"},
+		"a piece missing":               {logs: begun + join("b", 11, "r2", "", "5", "7", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("5", whole)), faults: "skipped", want: []string{"b goes on behind event 5 with 7 at t"}},
+		"ids left out by the engine":    {logs: within(join("a", 9.5, "r", "v1", "5", "7", "v1"), "9", whole+`,"skipped_ids":4`), faults: "skipped?", want: []string{"leave out ids: 1", "4 ids left out"}},
+
+		"two ends":               {logs: begun + goesOn + otherEnd("8", whole), faults: "ends-differ", want: []string{"b ended it whole at event 9, while c ended it whole at 8"}},
+		"two ends, no numbers":   {logs: begun + goesOn + otherEnd("x", whole), faults: "ends-differ"},
+		"goes on behind its end": {logs: begun + goesOn + otherEnd("12", cut), faults: "ends-differ", want: []string{"b ended it whole at event 9, while c has sent events to 12"}},
+		"one end twice":          {logs: begun + goesOn + otherEnd("9", whole)},
+		"taken up after its end": {logs: answer("a", 10, "r", 1, "9", "v1", whole) + goesOn, faults: "taken-up-after-end?", want: []string{"a ended it whole at event 9, and its caller takes it up at b behind event 5"}},
+		"taken up after, one router": {
+			logs:   begun + goesOn + join("b", 13.1, "r3", "", "5", "6", "v1") + answer("b", 14, "r3", 1, "7", "v1", takesUp("5", cut)),
+			faults: "taken-up-after-end?", want: []string{"b ended it whole at event 9, and its caller takes it up at b behind event 5"},
+		},
+		"taken up before, one router": {
+			logs: answer("a", 10, "r", 1, "8", "v1", cut) + line("b", 10.5, "request", `,"id":"r4","took_ms":1`+takesUp("7", refused)) + line("b", 10.6, "request", `,"id":"r5","took_ms":1`+takesUp("7", refused)) + goesOn,
+		},
+		"taken up after, no events": {
+			logs:   answer("a", 10, "r", 1, "9", "v1", whole) + line("b", 11, "request", `,"id":"r2"`+takesUp("9", refused)) + line("c", 12, "request", `,"id":"r3"`+takesUp("5", refused)),
+			faults: "taken-up-after-end?",
+		},
+		"end not delivered":       {logs: answer("a", 10, "r", 1, "9", "v1", whole) + line("a", 10, "answer not delivered", `,"id":"r","end":"caller-gone"`) + goesOn, want: []string{"1 begun"}},
+		"taken up before its end": {logs: begun + line("b", 10.5, "request", `,"id":"r4","took_ms":1`+takesUp("5", refused)) + goesOn},
+		"a repeated request that nobody answered": {
+			logs: line("c", 9, "request", `,"id":"r"`+refused) + begun + join("b", 11, "r2", "", "7", "8", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("7", whole)), faults: "wrong-event?",
+		},
+
+		"beginning gone": {logs: goesOn, want: []string{"there is no line (its router was lost, or lines are missing): 1\n  r, taken up at b behind event 5", incomplete}},
+		"end and join gone": {
+			logs: begun + answer("b", 11, "r2", 1, "8", "v1", takesUp("5", cut)) + join("b", 12.1, "r2", "", "5", "6", "v1"),
+			want: []string{"r2 of stream r at b, 1 of 1 runs", "r2 of stream r at b, with 1 joins", incomplete},
+		},
+		"killed twice, one id": {
+			logs: begun + strings.ReplaceAll(join("b", 10.5, "r2", "", "5", "6", "v1")+join("b", 11.5, "r2", "", "5", "6", "v1"), `"t"`, `"u"`) + join("b", 12.5, "r2", "", "5", "6", "v1") + answer("b", 13, "r2", 1, "9", "v1", takesUp("5", whole)),
+			want: []string{"or their router was lost): 2\n  r2 of stream r at b, with 1 joins"},
+		},
+		"killed twice, then joined": {
+			logs: answer("a", 10, "r", 1, "8", "v1", cut) + join("b", 10.5, "r2", "", "8", "9", "v1") + join("b", 11.5, "r2", "", "3", "4", "v1") + join("b", 11.6, "r2", "v1", "4", "5", "v1"),
+			want: []string{"r2 of stream r at b, with 2 joins, the last one behind event 4"},
+		},
+		"names no stream":       {logs: strings.NewReplacer(`"resumes":"r"`, `"resumes":""`, `"stream":"r"`, `"stream":"r2"`).Replace(goesOn), want: []string{"do not name the request that began them, and not followed: 1", incomplete}},
+		"request without an id": {logs: strings.NewReplacer(`"r2"`, `""`, `"resumes":"r"`, `"resumes":""`, `"stream":"r"`, `"stream":""`).Replace(goesOn), want: []string{"2 lines about streams have no id", incomplete}},
+		"older router":          {logs: begun + line("b", 11, "request", `,"id":"r2","first_ms":5`+takesUp("5", whole)), want: []string{"1 take-ups were answered, and their lines have no runs", incomplete}},
+		"router crashed":        {logs: line("a", 0, "router runs", "") + line("a", 9, "router runs", "") + begun, want: []string{"a crash: a 00:00:09.000", incomplete}},
+		"planned stop":          {logs: begun + line("a", 11, accounted, ""), unwanted: []string{"log ends", incomplete}},
+		"requests by sums":      {logs: line("a", 9, "requests of an organisation", `,"without_line":7`) + begun, want: []string{"at least 7 requests have no line", incomplete}},
+		"a bad line":            {logs: "{\n" + begun, want: []string{"1 lines could not be parsed", incomplete}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := report(c.logs, 10)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var faults []string
+			for _, s := range r.Streams {
+				for _, f := range s.Faults {
+					faults = append(faults, string(f.Kind)+map[bool]string{true: "?"}[f.Suspected])
+				}
+			}
+			text := strings.Join(r.Text(), "\n")
+			if got := strings.Join(faults, " "); got != c.faults {
+				t.Errorf("faults %q, want %q:\n%s", got, c.faults, text)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(text, want) {
+					t.Errorf("%q is not in\n%s", want, text)
+				}
+			}
+			for _, unwanted := range c.unwanted {
+				if strings.Contains(text, unwanted) {
+					t.Errorf("%q is in\n%s", unwanted, text)
+				}
+			}
+		})
+	}
+}
+
+func TestListsAreBounded(t *testing.T) {
+	var logs strings.Builder
+	for _, id := range []string{"x", "y", "z"} {
+		logs.WriteString(strings.ReplaceAll(answer("a", 10, "r", 2, "9", "v1", whole)+join("a", 9.5, "r", "v1", "5", "6", "v2"), `"r"`, `"`+id+`"`))
+	}
+	// Each of 300 take-ups is behind an event that nobody sent. Those of stream r are too many to say so.
+	logs.WriteString(begun + strings.Replace(begun, `"r"`, `"u"`, 1))
+	for i := range 300 {
+		takeUp := answer("b", 20+float64(i), fmt.Sprint("w", i), 1, "99", "v1", takesUp("9", cut))
+		logs.WriteString(takeUp)
+		logs.WriteString(line("b", 20+float64(i), "request", fmt.Sprintf(`,"id":"v%d"`, i)+takesUp("5", refused)))
+		if i < 20 {
+			logs.WriteString(strings.Replace(takeUp, `"resumes":"r"`, `"resumes":"u"`, 1))
+		}
+	}
+	r, err := report(logs.String(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Join(r.Text(), "\n")
+	if k := r.Kinds[0]; len(r.Streams) != 3 || k.Streams != 3 || k.LeftOut != 1 || r.Kinds[1].Streams != 1 || r.Gaps.LeftOut != 51 || !r.Gaps.Incomplete {
+		t.Errorf("%d streams, %+v, %+v\n%s", len(r.Streams), r.Kinds, r.Gaps, text)
+	}
+	for _, want := range []string{"1 not listed", "51 lines about streams were too many to keep", "  and 15 others of these kinds"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in\n%s", want, text)
+		}
+	}
+}
+
+func FuzzSearch(f *testing.F) {
+	f.Add(begun + goesOn + join("a", 9.5, "r", "v1", "5", "6", "v2") + answer("a", 10, "r", 3, "9", "v1", whole))
+	f.Fuzz(func(t *testing.T, logs string) {
+		r, err := report(logs, 1)
+		if err != nil {
+			return
+		}
+		r.Text()
+		if _, err := json.Marshal(r); err != nil {
+			t.Error(err)
+		}
+	})
+}
