--- a/internal/explain/streams/stream.go
+++ b/internal/explain/streams/stream.go
@@ -113,7 +113,7 @@
 	return out
 }
 
-// runs returns the number of runs that the lines tell of.
+// runs returns the number of runs that the lines tell of, at least one before those that were taken up.
 func (s *stream) runs() int {
 	n := 0
 	for _, a := range s.answers {
@@ -122,5 +122,8 @@
 			n++
 		}
 	}
+	if n > 0 && len(s.beginnings()) == 0 {
+		n++
+	}
 	return n
 }
--- a/internal/explain/streams/streams_test.go
+++ b/internal/explain/streams/streams_test.go
@@ -169,7 +169,7 @@
 			logs: line("c", 9, "request", `,"id":"r"`+refused) + begun + join("b", 11, "r2", "", "7", "8", "v1") + answer("b", 12, "r2", 1, "9", "v1", takesUp("7", whole)), faults: "wrong-event?",
 		},
 
-		"beginning gone": {logs: goesOn, want: []string{"there is no line (its router was lost, or lines are missing): 1\n  r, taken up at b behind event 5", incomplete}},
+		"beginning gone": {logs: goesOn, want: []string{"0 begun, 1 requests to take one up, 1 streams of more than one run", "there is no line (its router was lost, or lines are missing): 1\n  r, taken up at b behind event 5", incomplete}},
 		"end and join gone": {
 			logs: begun + answer("b", 11, "r2", 1, "8", "v1", takesUp("5", cut)) + join("b", 12.1, "r2", "", "5", "6", "v1"),
 			want: []string{"r2 of stream r at b, 1 of 1 runs", "r2 of stream r at b, with 1 joins", incomplete},
