A cancelled request does not wait for the check of its answer's end

The check is shared and goes on for others; who is cancelled leaves it, and its answer is not complete.

--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -41,13 +41,18 @@
 	ended, plainly := endOf(a.conn)
 	a.transport.unframedAnswers.Add(1)
 	a.cut = a.brokenWrite()
-	if a.cut == nil && (a.transport.exits(a.ctx, a.conn.endpoint) || plainly && a.transport.endedWithAll(ended)) {
+	if a.cut == nil {
+		a.cut = a.transport.checkExited(a.ctx, a.conn.endpoint)
+	}
+	if a.cut == nil && plainly && a.transport.endedWithAll(ended) {
 		a.cut = errProcessExited
 	}
 	if a.cut == nil {
 		return io.EOF
 	}
-	a.transport.cutUnframedAnswers.Add(1)
+	if a.ctx.Err() == nil {
+		a.transport.cutUnframedAnswers.Add(1)
+	}
 	return a.cut
 }
 
@@ -78,8 +83,8 @@
 	began  time.Time
 }
 
-// exits reports whether the process of a target that has closed a connection has exited or is about to. What counts, the
-// first that is known:
+// checkExited returns errProcessExited if the process of a target that has closed a connection has exited or is about
+// to, or another error if ctx ends before that is known. What counts, the first that is known:
 //
 //  1. It accepts a new connection, once the kernel would have closed the listening socket of a process that was
 //     killed, and keeps it open: it goes on.
@@ -89,13 +94,22 @@
 //
 // That other connections are open tells nothing, used or not, since their ends may have been lost on the way: the kernel
 // repeats them after 200 ms at the earliest, and a reset never. Concurrent calls for the same process share their checks.
-func (t *Transport) exits(ctx context.Context, e endpoint) bool {
+func (t *Transport) checkExited(ctx context.Context, e endpoint) error {
 	called := clock.Now()
 	for {
-		v, _, _ := t.exitChecks.Do(e.address+" "+e.instance, func() (any, error) { return t.checkExit(ctx, e), nil })
-		// That the process ran when an earlier check began tells nothing about this call.
-		if c := v.(exitCheck); c.exited || !c.began.Before(called) {
-			return c.exited
+		checked := t.exitChecks.DoChan(e.address+" "+e.instance, func() (any, error) { return t.checkExit(ctx, e), nil })
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(context.Cause(ctx), "check whether the process has exited")
+		case result := <-checked:
+			c := result.Val.(exitCheck)
+			if c.exited {
+				return errProcessExited
+			}
+			// That the process ran when an earlier check began tells nothing about this call.
+			if !c.began.Before(called) {
+				return nil
+			}
 		}
 	}
 }
