The account of a request begins with what the listener reads of it

The account begins with the first bytes that the listener reads, goes with the connection to the HTTP server, and ends with the refusal; the connections that are handed over to another router get theirs there.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -400,7 +400,7 @@
 	if c.overdue() {
 		buffer := scratchBuffers.Get().(*[scratchSize]byte)
 		defer scratchBuffers.Put(buffer)
-		c.server.reject(earlyTCPConn{c.Conn}, buffer[:], copy(buffer[:], c.readAhead))
+		c.server.reject(earlyTCPConn{c.Conn}, c.request.Swap(nil), buffer[:], copy(buffer[:], c.readAhead))
 		return 0, io.EOF
 	}
 	for {
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -64,7 +64,7 @@
 	a.ahead = slices.Clone(a.ahead)
 	var err error
 	if a.conn, err = a.socket.Conn(); err != nil {
-		a.server.loseConnection(len(a.ahead))
+		a.server.loseConnection(a.server.beginArrived(len(a.ahead)))
 	}
 	return a.conn, err
 }
@@ -95,21 +95,21 @@
 func (a *arrival) ServeLocally() {
 	buffer := scratchBuffers.Get().(*[scratchSize]byte)
 	defer scratchBuffers.Put(buffer)
-	early := earlyTCPConn{a.conn}
+	early, account := earlyTCPConn{a.conn}, a.server.beginArrived(len(a.ahead))
 	if backlog.Overdue(clock.Since(a.accepted), a.conns.overloaded()) {
-		a.server.reject(early, buffer[:], copy(buffer[:], a.ahead))
+		a.server.reject(early, account, buffer[:], copy(buffer[:], a.ahead))
 		return
 	}
 	element := a.conns.enqueue()
 	if element == nil {
-		a.server.reject(early, buffer[:], copy(buffer[:], a.ahead))
+		a.server.reject(early, account, buffer[:], copy(buffer[:], a.ahead))
 		return
 	}
-	if a.server.refusesEarly() && a.server.refuseComplete(early, a.ahead) {
+	if a.server.refusesEarly() && a.server.refuseComplete(early, account, a.ahead) {
 		a.conns.remove(element)
 		return
 	}
-	c, err := a.admit(a.conn, element, a.ahead)
+	c, err := a.admit(a.conn, element, account, a.ahead)
 	if err != nil {
 		return
 	}
@@ -117,7 +117,7 @@
 	single := &singleListener{conn: c}
 	if err := a.server.server.Serve(single); single.conn != nil {
 		a.server.log.V(1).Info("accepted connection not served", "cause", err.Error())
-		a.server.refuseArrived(early, buffer[:], copy(buffer[:], a.ahead), ReasonLeaving, leavingRetryAfter)
+		a.server.refuseArrived(early, account, buffer[:], copy(buffer[:], a.ahead), ReasonLeaving, leavingRetryAfter)
 		_ = c.Close()
 	}
 }
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -37,7 +37,7 @@
 		// An id in the middle of a request may be part of its body.
 		n = max(n, copy(buffer[:], "\r\n\r\n"))
 	}
-	c.server.refuseArrived(early, buffer[:], n, reason, after)
+	c.server.refuseArrived(early, c.request.Swap(nil), buffer[:], n, reason, after)
 }
 
 // awaitLast waits for a request that follows the last answer, and returns the number of bytes read.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -85,10 +85,10 @@
 	}
 	element := l.conns.enqueue()
 	if element == nil {
-		l.server.reject(earlyTCPConn{raw}, l.buffer[:], 0)
+		l.server.reject(earlyTCPConn{raw}, nil, l.buffer[:], 0)
 		return nil, nil
 	}
-	return l.admit(raw, element, nil)
+	return l.admit(raw, element, nil, nil)
 }
 
 // acceptSocket accepts a connection as a plain socket and reads what has arrived on it. It
@@ -104,12 +104,13 @@
 	if handsOver && l.server.handover.Take(&arrival{listener: l, socket: socket, accepted: clock.Now(), ahead: ahead}) {
 		return nil, nil
 	}
+	account := l.server.beginArrived(len(ahead))
 	element := l.conns.enqueue()
 	if element == nil {
-		l.server.reject(socket, l.buffer[:], len(ahead))
+		l.server.reject(socket, account, l.buffer[:], len(ahead))
 		return nil, nil
 	}
-	if l.server.refuseComplete(socket, ahead) {
+	if l.server.refuseComplete(socket, account, ahead) {
 		l.conns.remove(element)
 		return nil, nil
 	}
@@ -117,25 +118,27 @@
 	if err != nil {
 		// Returning the error would stop http.Server.
 		l.conns.remove(element)
-		l.server.loseConnection(len(ahead))
+		l.server.loseConnection(account)
 		l.server.log.Info("accepted connection lost", "cause", err.Error())
 		return nil, nil
 	}
-	return l.admit(raw, element, slices.Clone(ahead))
+	return l.admit(raw, element, account, slices.Clone(ahead))
 }
 
 // admit waits until there is room for a connection and returns it for the HTTP server; ahead
-// holds the bytes already read from it. If the listener closes meanwhile, admit refuses the
-// request and returns net.ErrClosed.
-func (l listener) admit(raw net.Conn, element *list.Element, ahead []byte) (net.Conn, error) {
+// holds the bytes already read from it, of which there is an account. If the listener closes meanwhile, admit refuses
+// the request and returns net.ErrClosed.
+func (l listener) admit(raw net.Conn, element *list.Element, account *lifecycle.Request, ahead []byte) (net.Conn, error) {
 	if !l.conns.reserve() {
 		l.conns.remove(element)
 		buffer := scratchBuffers.Get().(*[scratchSize]byte)
 		defer scratchBuffers.Put(buffer)
-		l.server.refuseArrived(earlyTCPConn{raw}, buffer[:], copy(buffer[:], ahead), ReasonLeaving, leavingRetryAfter)
+		l.server.refuseArrived(earlyTCPConn{raw}, account, buffer[:], copy(buffer[:], ahead), ReasonLeaving, leavingRetryAfter)
 		return nil, net.ErrClosed
 	}
-	return &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}, nil
+	c := &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}
+	c.request.Store(account)
+	return c, nil
 }
 
 const (
@@ -172,7 +175,7 @@
 			break
 		}
 		if n := socket.ReadNow(buffer[:]); n > 0 {
-			l.server.refuseArrived(socket, buffer[:], n, ReasonLeaving, leavingRetryAfter)
+			l.server.refuseArrived(socket, l.server.beginArrived(n), buffer[:], n, ReasonLeaving, leavingRetryAfter)
 		} else {
 			waiting = append(waiting, socket)
 		}
@@ -196,7 +199,7 @@
 			_ = socket.Close()
 			continue
 		}
-		s.refuseArrived(socket, buffer[:], n, ReasonLeaving, leavingRetryAfter)
+		s.refuseArrived(socket, s.beginArrived(n), buffer[:], n, ReasonLeaving, leavingRetryAfter)
 	}
 }
 
@@ -215,7 +218,7 @@
 // refuseComplete refuses a request that has arrived completely, if its organisation's requests
 // are to be refused. It returns false, and has done nothing, if the HTTP server is to serve the
 // connection.
-func (s *Server) refuseComplete(c earlyConn, arrived []byte) bool {
+func (s *Server) refuseComplete(c earlyConn, account *lifecycle.Request, arrived []byte) bool {
 	h, size, ok := httphead.Parse(arrived, &s.headNames)
 	if !ok || h.BodyLength != len(arrived)-size || s.closing.Load() {
 		return false
@@ -225,39 +228,43 @@
 		return false
 	}
 	r.Arrived = clock.Now()
-	s.refuseAndClose(c, r, reason, overloadRetryAfter())
+	s.refuseAndClose(c, account, r, reason, overloadRetryAfter())
 	return true
 }
 
 // reject rejects a connection that waited too long for CPU time; the first n bytes of buffer
 // have been read from it.
-func (s *Server) reject(c earlyConn, buffer []byte, n int) {
+func (s *Server) reject(c earlyConn, account *lifecycle.Request, buffer []byte, n int) {
 	s.countRejection()
-	s.refuseArrived(c, buffer, n, ReasonOverdue, overloadRetryAfter())
+	s.refuseArrived(c, account, buffer, n, ReasonOverdue, overloadRetryAfter())
 }
 
-// refuseArrived refuses a request of which the first n bytes of buffer have been read, and closes the
-// connection. It first reads the rest of what has arrived: the kernel resets a connection that is closed
+// refuseArrived refuses a request of which the first n bytes of buffer have been read, with their account, nil if there
+// is none, and closes the connection. It first reads the rest of what has arrived: the kernel resets a connection that is closed
 // with unread bytes, and the caller could lose the answer.
-func (s *Server) refuseArrived(c earlyConn, buffer []byte, n int, reason forward.Reason, after time.Duration) {
+func (s *Server) refuseArrived(c earlyConn, account *lifecycle.Request, buffer []byte, n int, reason forward.Reason, after time.Duration) {
 	n += c.ReadNow(buffer[n:])
 	r := s.readHead(buffer[:n])
 	for n == len(buffer) {
 		n = c.ReadNow(buffer)
 	}
-	s.refuseAndClose(c, r, reason, after)
+	s.refuseAndClose(c, account, r, reason, after)
 }
 
 // refuseAndClose answers a request that has not run with 503 and a Retry-After, and closes the
 // connection.
-func (s *Server) refuseAndClose(c earlyConn, r forward.Request, reason forward.Reason, after time.Duration) {
+func (s *Server) refuseAndClose(c earlyConn, account *lifecycle.Request, r forward.Request, reason forward.Reason, after time.Duration) {
 	result := refused(http.StatusServiceUnavailable, reason, after)
+	if account == nil {
+		account = s.requests.Begin(clock.Now())
+	}
 	end := lifecycle.Refused
 	if _, err := c.Write(s.formatRefusal(r.ID, result, true)); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
 		end = lifecycle.CallerGone
 	}
-	s.requests.Count(clock.Now(), end)
+	account.Identify(r.ID)
+	account.Close(clock.Now(), end)
 	s.conns.countRefused()
 	// An error means that the caller has disconnected.
 	_ = c.Close()
