--- a/internal/explain/streams/faults.go
+++ b/internal/explain/streams/faults.go
@@ -201,6 +201,9 @@
 
 // maySend reports whether an answer may have sent an event.
 func (a Answer) maySend(event string) bool {
+	if a.placeUnknown() {
+		return true
+	}
 	if !a.begins() && !before(a.After, event) {
 		return false
 	}
@@ -248,7 +251,7 @@
 			if t.Router == w.Router && !t.NoLine {
 				later = t.begun().After(w.Time) || later && t.Time.After(w.Time)
 			}
-			if i != k && !t.begins() && later && before(t.After, w.LastEvent) {
+			if i != k && !t.begins() && !t.placeUnknown() && later && before(t.After, w.LastEvent) {
 				c.add(TakenUpAfterEnd, true, "%s ended it whole at event %s, and its caller takes it up at %s behind event %s", w.Router, w.LastEvent, t.Router, t.After)
 			}
 		}
--- a/internal/explain/streams/lines.go
+++ b/internal/explain/streams/lines.go
@@ -74,6 +74,9 @@
 // begins reports whether the answer begins the stream.
 func (a Answer) begins() bool { return a.After == "" }
 
+// placeUnknown reports whether only joins within the answer have lines, so that it began behind an earlier event.
+func (a Answer) placeUnknown() bool { return a.NoLine && a.Joins[0].within }
+
 // whole reports whether the router took the stream for complete at the answer's end.
 func (a Answer) whole() bool { return a.End == lifecycle.Answered && a.Events > 0 && a.LastEvent != "" }
 
@@ -107,6 +110,9 @@
 	what := "began it"
 	if !a.begins() {
 		what = "took it up behind " + a.After
+		if a.placeUnknown() {
+			what += " or an earlier event"
+		}
 	}
 	if a.VersionBy != "" {
 		what += " (version by " + a.VersionBy + ")"
@@ -159,8 +165,9 @@
 	ToVersion   string                  `json:"to_version"`
 	Evidence    forward.JoinEvidence    `json:"evidence"`
 	ProcessBy   forward.ProcessEvidence `json:"process_by"`
-	// within is set if the run before is of the same answer.
+	// within is set if the run before is of the same answer; stream is the id of the request that began the stream.
 	within bool
+	stream string
 }
 
 func newJoin(l explain.Line) Join {
@@ -168,7 +175,7 @@
 	return Join{
 		Time: l.Time.UTC(), Router: l.Router, ID: l.Text("id"), After: l.Text("after"), First: l.Text("first"),
 		From: l.Text("from"), FromVersion: l.Text("from_version"), To: l.Text("to"), ToVersion: l.Text("to_version"),
-		Evidence: forward.JoinEvidence(l.Text("evidence")), ProcessBy: forward.ProcessEvidence(l.Text("process_by")), within: within,
+		Evidence: forward.JoinEvidence(l.Text("evidence")), ProcessBy: forward.ProcessEvidence(l.Text("process_by")), within: within, stream: l.Text("stream"),
 	}
 }
 
@@ -177,7 +184,10 @@
 func (j Join) skipped() (int64, bool) {
 	after, ok := number(j.After)
 	first, firstOK := number(j.First)
-	return first - after - 1, ok && firstOK
+	if !ok || !firstOK {
+		return 0, false
+	}
+	return first - after - 1, true
 }
 
 func (j Join) text() string {
--- a/internal/explain/streams/search.go
+++ b/internal/explain/streams/search.go
@@ -70,7 +70,7 @@
 		s.counts.Joins++
 		s.counts.Evidence[j.Evidence]++
 		s.counts.ProcessBy[j.ProcessBy]++
-		if p := s.keep(l.Text("stream"), 1); p != nil {
+		if p := s.keep(j.stream, 1); p != nil {
 			p.joins = append(p.joins, j)
 		}
 	case msgUndelivered:
--- a/internal/explain/streams/stream.go
+++ b/internal/explain/streams/stream.go
@@ -49,7 +49,7 @@
 		if a == nil {
 			s.answers = append(s.answers, Answer{ID: j.ID, Router: j.Router, Joins: []Join{}, NoLine: true, unclear: true})
 			a = &s.answers[len(s.answers)-1]
-			if !j.within {
+			if !j.within || j.ID != j.stream {
 				a.After = j.After
 			}
 		}
