A reply that waited for a suspended router confirms nothing

What callers would see: a router that wakes after seconds serves at once by its old copy of the configuration, the targets and the records of streams.

A router that was suspended for a second or longer refuses requests until a reply to a ping shows that nothing newer is known. A reply to a ping sent before the suspension, which waited in the kernel, counted, too: it says what was the case before. So did one that is late or comes twice.

Pings that ask for an answer are numbered, and replies repeat the number. Only answers to pings since the suspension confirm; those of routers that tell no number count as before.

Evidence: without the check of the number, "a reply to an earlier ping" of TestResumeConfirmsConfiguration fails ("ready true after the reply, want false"). Not seen with real processes.

--- a/internal/adapter/peer/ping.go
+++ b/internal/adapter/peer/ping.go
@@ -8,7 +8,7 @@
 func encodePing(m message.Ping) *peerpb.Ping {
 	out := &peerpb.Ping{
 		From: encodeRecord(m.From), Kind: uint32(m.Kind), Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Rollouts: m.Rollouts,
-		Digest: m.RosterDigest, WantAll: m.WantAll, Quarantine: m.QuarantineDigest, Ages: encodeAges(m.Ages),
+		Digest: m.RosterDigest, WantAll: m.WantAll, Quarantine: m.QuarantineDigest, Ages: encodeAges(m.Ages), Number: m.Number,
 	}
 	for _, r := range m.Records {
 		out.Records = append(out.Records, encodeRecord(r))
@@ -21,6 +21,7 @@
 		From: decodeRecord(m.GetFrom()), Kind: message.PingKind(m.GetKind()),
 		Revisions:    message.Revisions{Config: m.GetConfig(), Version: m.GetConfigVersion(), Targets: m.GetTargets(), Zones: m.GetZones(), Rollouts: m.GetRollouts()},
 		Ages:         decodeAges(m.GetAges()),
+		Number:       m.GetNumber(),
 		RosterDigest: m.GetDigest(), WantAll: m.GetWantAll(), QuarantineDigest: m.GetQuarantine(),
 	}
 	for _, r := range m.GetRecords() {
--- a/internal/gateway/awake.go
+++ b/internal/gateway/awake.go
@@ -45,9 +45,9 @@
 }
 
 // confirmByReply takes a reply to a ping as confirmation unless its sender has newer revisions of
-// the store.
+// the store, or sent it before the box was suspended.
 func (g *Gateway) confirmByReply(now time.Time, m message.Ping) {
-	if m.Kind == message.PingReply && !m.NewerThan(g.catalog.Complete()) {
+	if g.roster.AnswersLately(m) && !m.NewerThan(g.catalog.Complete()) {
 		g.confirm(now, string(m.From.ID))
 	}
 }
--- a/internal/gateway/awake_internal_test.go
+++ b/internal/gateway/awake_internal_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -82,6 +83,9 @@
 	}{
 		"a short suspension":           {missed: 300 * time.Millisecond},
 		"a reply with nothing newer":   {missed: 5 * time.Second, paused: true, reply: &message.Ping{Kind: message.PingReply, Revisions: message.Revisions{Config: 7}}},
+		"a reply to a ping since then": {missed: 5 * time.Second, paused: true, reply: &message.Ping{Kind: message.PingReply, Number: 1 << 20, Revisions: message.Revisions{Config: 7}}},
+		// It has waited in the kernel while the box was suspended.
+		"a reply to an earlier ping":   {missed: 5 * time.Second, paused: true, reply: &message.Ping{Kind: message.PingReply, Number: 1, Revisions: message.Revisions{Config: 7}}},
 		"no reply":                     {missed: 5 * time.Second, paused: true},
 		"a reply with newer revisions": {missed: 5 * time.Second, paused: true, reply: &message.Ping{Kind: message.PingReply, Revisions: message.Revisions{Config: 8}}},
 	}
@@ -89,6 +93,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := newConfigured(t)
+			other := message.RouterRecord{ID: "b", Zone: "z", Peer: "127.0.0.1:1", Incarnation: 1, Version: 1}
+			if c.reply != nil && c.reply.Number > 0 {
+				// It asks the first router that it hears from for all that it knows.
+				g.receive(member.Member{ID: "b", Peer: other.Peer}, message.Ping{Kind: message.PingNotice, From: other})
+			}
 			simulateSuspension(g, c.missed)
 			if g.Ready() == c.paused {
 				t.Fatalf("ready %v just after the suspension", g.Ready())
@@ -101,9 +110,9 @@
 				}
 			}
 			if c.reply != nil {
-				c.reply.From = message.RouterRecord{ID: "b", Zone: "z", Peer: "127.0.0.1:1", Incarnation: 1, Version: 1}
+				c.reply.From = other
 				g.loop.PostAndWait(context.Background(), func(_ *balance.State, now time.Time) { g.confirmByReply(now, *c.reply) })
-				if confirmed := c.reply.Config <= 7; g.Ready() != confirmed {
+				if confirmed := c.reply.Config <= 7 && c.reply.Number != 1; g.Ready() != confirmed {
 					t.Errorf("ready %v after the reply, want %v", g.Ready(), confirmed)
 				}
 			}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -383,6 +383,8 @@
 type Ping struct {
 	From RouterRecord
 	Kind PingKind
+	// Number is that of a PingRequest among the sender's, repeated in the PingReply; 0 if the sender does not tell it.
+	Number uint64
 	// Revisions and Ages are the sender's.
 	Revisions
 	Ages Ages
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -134,6 +134,9 @@
 	// lastPing is when the last periodic ping was sent, pingCount their number.
 	lastPing  time.Time
 	pingCount int
+	// pings numbers the pings that ask for an answer, resumedAfter is the number of the last one before the box was
+	// suspended.
+	pings, resumedAfter uint64
 	// near is the group of routers in the local availability zone, far that of all others.
 	near, far group
 	// unanswered holds the routers with an outstanding ping, suspects those that are
@@ -300,6 +303,7 @@
 // missing answer says nothing about the pinged router, and restarts the suspicion timeouts,
 // since refutations could not arrive meanwhile.
 func (r *Roster) Resume(now time.Time) {
+	r.resumedAfter = r.pings
 	for _, id := range r.unanswered {
 		if e := r.peers[id]; e != nil {
 			e.pingedAt, e.missedPings, e.askedAt = time.Time{}, 0, time.Time{}
@@ -313,6 +317,12 @@
 	}
 }
 
+// AnswersLately reports whether a message is the answer to a ping that this router has sent since the box was last
+// suspended. Answers that came before wait for the router to go on.
+func (r *Roster) AnswersLately(m message.Ping) bool {
+	return m.Kind == message.PingReply && (m.Number == 0 || m.Number > r.resumedAfter)
+}
+
 // connected reports whether the record of any other router has arrived.
 func (r *Roster) connected() bool {
 	return slices.ContainsFunc(r.peerList, (*entry).hasRecord)
@@ -334,6 +344,7 @@
 		}
 	}
 	out := []Outgoing{{Peer: m.From.Peer, Ping: r.ping(message.PingReply, false)}}
+	out[0].Ping.Number = m.Number
 	for i, part := range chunks(all) {
 		if i > 0 {
 			out = append(out, Outgoing{Peer: m.From.Peer, Ping: r.ping(message.PingNotice, false)})
@@ -454,8 +465,14 @@
 
 // ping returns a message without records.
 func (r *Roster) ping(kind message.PingKind, all bool) message.Ping {
+	number := uint64(0)
+	if kind == message.PingRequest {
+		r.pings++
+		number = r.pings
+	}
 	return message.Ping{
-		From: r.self, Kind: kind, Revisions: r.revisions, RosterDigest: r.digest, WantAll: all,
+		Number: number,
+		From:   r.self, Kind: kind, Revisions: r.revisions, RosterDigest: r.digest, WantAll: all,
 		QuarantineDigest: r.quarantineDigest,
 	}
 }
