Late reports of routers count until the next

Reports and loads have no order; a table shows that an older one that is late counts until the next report, or until it is too old, and not longer. Also a router that starts again.

--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -130,6 +130,11 @@
 		other := message.RouterRecord{ID: "third", Zone: "z", Peer: "127.0.0.1:2", Incarnation: 9, Version: version, State: state, Leaving: leaving}
 		return message.Ping{Kind: message.PingNotice, Records: []message.RouterRecord{other}, From: message.RouterRecord{ID: "other", Zone: "z", Peer: "127.0.0.1:1", Incarnation: 1, Version: 1}}
 	}
+	restarted := func(incarnation, version uint64, leaving bool) message.Ping {
+		m := router(version, message.Alive, leaving)
+		m.Records[0].Incarnation = incarnation
+		return m
+	}
 	unstored := func(_ *Gateway, s *balance.State, now time.Time) string {
 		s.SetTargets(now, []balance.Target{targetOf("s", "v1"), targetOf("s", "v2")})
 		if first, _ := s.UnstoredSince(); !first.IsZero() {
@@ -262,8 +267,57 @@
 		"router, leaving":               {older: router(1, message.Alive, false), newer: router(2, message.Alive, true), believes: thirdRouter, want: "not listed"},
 		"router, suspicion refuted":     {older: router(1, message.Suspected, false), newer: router(2, message.Alive, false), believes: thirdRouter, want: "alive"},
 		"router, suspected":             {older: router(1, message.Alive, false), newer: router(1, message.Suspected, false), believes: thirdRouter, want: "suspected"},
+		"router, started again":         {older: restarted(9, 5, true), newer: restarted(10, 1, false), believes: thirdRouter, want: "alive"},
 		"router, found gone, then back": {older: router(1, message.Gone, false), newer: router(2, message.Alive, false), believes: thirdRouter, want: "alive"},
 	} {
 		t.Run(name, func(t *testing.T) { inOrders(t, c.base, c.older, c.newer, c.believes, c.want) })
 	}
 }
+
+// TestLateReportIsReplaced guards against what a late report of a router says that stays: reports have no order, so that
+// an older one counts until the next, or until it is too old.
+func TestLateReportIsReplaced(t *testing.T) {
+	status := func(running int) message.Status {
+		return message.Status{
+			Loads:          []message.TargetLoad{{Target: "e", Running: running}},
+			RolloutResults: []rollout.Results{{Service: "s", Version: "v2", New: rollout.Counts{Answers: running}}},
+		}
+	}
+	load := func(running int) message.Loads { return message.Loads{Loads: status(running).Loads} }
+	for name, c := range map[string]struct {
+		list  []message.Message
+		after time.Duration
+		// running is the number of requests that are believed to run, and answered that of answers in a roll-out.
+		running, answered int
+	}{
+		"reports":                  {list: []message.Message{status(7), status(5), status(9)}, running: 9, answered: 9},
+		"twice":                    {list: []message.Message{status(9), status(9)}, running: 9, answered: 9},
+		"loads between reports":    {list: []message.Message{status(7), load(8), load(5), status(9)}, running: 9, answered: 9},
+		"loads of a later report":  {list: []message.Message{load(5), status(9)}, running: 9, answered: 9},
+		"no report for a while":    {list: []message.Message{status(7), status(5)}, after: 2 * time.Second},
+		"an older one, not yet":    {list: []message.Message{status(9), status(7)}, running: 7, answered: 7},
+		"loads of an older report": {list: []message.Message{status(9), load(7)}, running: 7, answered: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newFollower(t)
+			from := member.Member{ID: "other", Zone: "z", Peer: "127.0.0.1:1"}
+			g.receive(from, message.Ping{Kind: message.PingNotice, From: message.RouterRecord{ID: from.ID, Zone: "z", Peer: from.Peer, Incarnation: 1, Version: 1}})
+			for _, m := range c.list {
+				g.receive(from, m)
+			}
+			var sum message.Status
+			g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) { sum = g.zone.Take(now.Add(c.after)) })
+			running, answered := 0, 0
+			for _, l := range sum.Loads {
+				running += l.Running
+			}
+			for _, r := range sum.RolloutResults {
+				answered += r.New.Answers
+			}
+			if running != c.running || answered != c.answered {
+				t.Errorf("%d running, %d answered, want %d and %d", running, answered, c.running, c.answered)
+			}
+		})
+	}
+}
