A router that stood still reads what it was told before it takes up a stream

What callers would see: a stream goes on with events of another version.

While a router's process is frozen, the word that a stream's version was wrong waits in the kernel beside the caller's request for the rest. The router looked the stream up in its own records at once, and took it for one of the version before. Its roster counts nobody as running then, so that it asked nobody.

A router whose tick is over a second late, or whose box was suspended, now waits 0.1 s before it trusts a record, and then asks the routers that keep it, which it knows again by then; one second at most.

Evidence: on the code before, the three cases of TestLookupAfterStandstill with a correction fail ("got Version:v1 Known:true"). Not seen with real processes.

--- a/internal/gateway/awake.go
+++ b/internal/gateway/awake.go
@@ -26,6 +26,7 @@
 	g.Metrics.RecordSuspension(missed)
 	g.roster.Resume(now)
 	g.coldSenders.Join(now)
+	g.streams.Resume(now)
 	g.transport.Close()
 	if missed >= minConfirmSuspension {
 		g.unconfirmedSince = now
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -321,3 +321,62 @@
 		})
 	}
 }
+
+// TestLookupAfterStandstill guards against a stream that goes on at a version that was corrected while this router's
+// process stood still: the word of it waits in the kernel, beside the caller's request.
+func TestLookupAfterStandstill(t *testing.T) {
+	record := func(version string, corrections uint32) message.StreamVersions {
+		r := streamversion.Record{Key: streamversion.KeyOf("s", "k"), Version: version, Corrections: corrections}
+		return message.StreamVersions{Message: streamversion.Message{Records: []streamversion.Record{r}}}
+	}
+	for name, c := range map[string]struct {
+		// stands makes the router have stood still, told is what other routers told meanwhile.
+		stands func(g *Gateway, s *balance.State, now time.Time)
+		told   []message.StreamVersions
+		want   streamversion.Answer
+	}{
+		"corrected meanwhile": {
+			stands: func(g *Gateway, _ *balance.State, now time.Time) { g.nextTick = now.Add(-5 * time.Second) },
+			told:   []message.StreamVersions{record(streamversion.Unknown, 1)}, want: streamversion.Answer{Confirmed: true},
+		},
+		"told once more, then corrected": {
+			stands: func(g *Gateway, _ *balance.State, now time.Time) { g.nextTick = now.Add(-5 * time.Second) },
+			told:   []message.StreamVersions{record("v1", 0), record(streamversion.Unknown, 1)}, want: streamversion.Answer{Confirmed: true},
+		},
+		"corrected while the box was suspended": {
+			stands: func(g *Gateway, s *balance.State, now time.Time) { g.resume(s, now, 500*time.Millisecond) },
+			told:   []message.StreamVersions{record(streamversion.Unknown, 1)}, want: streamversion.Answer{Confirmed: true},
+		},
+		"nothing told": {
+			stands: func(g *Gateway, _ *balance.State, now time.Time) { g.nextTick = now.Add(-5 * time.Second) },
+			want:   streamversion.Answer{Version: "v1", Known: true, Evidence: streamversion.EvidenceRecord},
+		},
+		"did not stand still": {
+			stands: func(*Gateway, *balance.State, time.Time) {},
+			want:   streamversion.Answer{Version: "v1", Known: true, Evidence: streamversion.EvidenceRecord},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newFollower(t)
+			from := member.Member{ID: "other", Zone: "z", Peer: "127.0.0.1:1"}
+			g.receive(from, record("v1", 0))
+			answers := make(chan streamversion.Answer, 1)
+			g.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) {
+				c.stands(g, s, now)
+				g.lookUpStream(s, now, "s", "k", answers)
+			})
+			for _, m := range c.told {
+				g.receive(from, m)
+			}
+			select {
+			case got := <-answers:
+				if got != c.want {
+					t.Errorf("got %+v, want %+v", got, c.want)
+				}
+			case <-time.After(2 * time.Second):
+				t.Error("no answer")
+			}
+		})
+	}
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -42,11 +42,22 @@
 		done(streamversion.Answer{Confirmed: true})
 		return
 	}
+	g.noteStandstill(now)
 	g.streams.Lookup(now, streamversion.KeyOf(service, request), done)
 	g.sendStreamVersions(g.streams.Take())
 	g.tickEarlier(now)
 }
 
+// maxTickDelay is how much later than due a tick may be without this router counting as one that has stood still.
+const maxTickDelay = time.Second
+
+// noteStandstill notes that this router's process has stood still, although its box went on.
+func (g *Gateway) noteStandstill(now time.Time) {
+	if !g.nextTick.IsZero() && now.Sub(g.nextTick) > maxTickDelay {
+		g.streams.Resume(now)
+	}
+}
+
 // streamBegun records which version began a stream.
 func (g *Gateway) streamBegun(now time.Time, b balance.Stream, shared bool) {
 	g.recordStreams(now, []balance.Stream{b}, shared)
@@ -91,6 +102,7 @@
 // tickStreams ends lookups in time, sends what has come together since the last tick, and stores what is
 // to outlive all routers.
 func (g *Gateway) tickStreams(s *balance.State, now time.Time) {
+	g.noteStandstill(now)
 	g.streams.Tick(now)
 	g.sendStreamVersions(g.streams.Take())
 	g.storeStreams(s, now)
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -20,6 +20,8 @@
 	// time between two.
 	correctionRepeats = 3
 	repeatInterval    = 200 * time.Millisecond
+	// resumeDelay is how long a router that has stood still takes at most to read what others have told meanwhile.
+	resumeDelay = 100 * time.Millisecond
 	// maxPrompt is how often TakePrompt returns messages between two ticks, so that a router that
 	// begins many streams sends their records together.
 	maxPrompt = 16
@@ -96,6 +98,8 @@
 	hadPeers bool
 	outbox   map[string]*Message
 	lookups  map[Key]*lookup
+	// trustedFrom is when records are trusted again that a correction may be on its way to.
+	trustedFrom time.Time
 	// repeats has the corrections that are to be told again.
 	repeats []repeat
 	// prompt counts the calls of TakePrompt since the last tick that returned messages.
@@ -106,6 +110,8 @@
 type lookup struct {
 	began time.Time
 	asked []string
+	// waits is set until what other routers have told before has been read.
+	waits bool
 	// unknown is set once a router has answered that it does not know the stream, and wider once
 	// more than the first routers have been asked.
 	unknown, wider bool
@@ -205,9 +211,11 @@
 }
 
 // Lookup calls done with the version that began a stream: at once if it is known here, else once
-// other routers have answered or have not answered in time. They are asked as well if only the store has told it.
+// other routers have answered or have not answered in time. They are asked as well if only the store has told it, or
+// if this router has stood still.
 func (d *Directory) Lookup(now time.Time, k Key, done func(Answer)) {
-	if r, stored, known := d.records.find(k); known && !stored {
+	waits := now.Before(d.trustedFrom)
+	if r, stored, known := d.records.find(k); known && !stored && !waits {
 		done(Answer{Version: r.Version, Known: true, Evidence: EvidenceRecord})
 		return
 	}
@@ -216,12 +224,16 @@
 		return
 	}
 	first := d.holders(now, k)
-	l := &lookup{began: now, done: []func(Answer){done}}
+	l := &lookup{began: now, done: []func(Answer){done}, waits: waits}
 	d.lookups[k] = l
 	d.ask(k, l, first)
 	d.endIfConfirmed(now, k, l)
 }
 
+// Resume must be called after this router has stood still: other routers may have told of corrections meanwhile,
+// which are still to be read. Lookups wait for them.
+func (d *Directory) Resume(now time.Time) { d.trustedFrom = now.Add(resumeDelay) }
+
 // Receive handles a message of another router.
 func (d *Directory) Receive(now time.Time, from string, m Message) {
 	d.hear(now, from, m.Records)
@@ -254,7 +266,14 @@
 	d.repeatCorrections(now)
 	for k, l := range d.lookups {
 		waited := now.Sub(l.began)
+		if l.waits && !now.Before(d.trustedFrom) {
+			// Where this router stood still, it may not have known of the others until now.
+			l.waits = false
+			d.ask(k, l, d.holders(now, k))
+			d.endIfConfirmed(now, k, l)
+		}
 		switch {
+		case l.waits && waited < restoreTimeout:
 		case waited >= restoreTimeout, waited >= lookupTimeout && d.complete(now):
 			d.end(k, Answer{Confirmed: l.unknown && d.complete(now)})
 		case waited >= answerTimeout && !l.wider:
@@ -295,14 +314,20 @@
 
 // resolve ends the lookup of a stream that has become known.
 func (d *Directory) resolve(k Key) {
-	if _, _, known := d.records.find(k); known {
+	if _, _, known := d.records.find(k); known && !d.waits(k) {
 		d.end(k, Answer{})
 	}
 }
 
+// waits reports whether a lookup waits for what other routers have told before.
+func (d *Directory) waits(k Key) bool {
+	l := d.lookups[k]
+	return l != nil && l.waits
+}
+
 // endIfConfirmed ends a lookup if no router is left that could still know the stream, this one included.
 func (d *Directory) endIfConfirmed(now time.Time, k Key, l *lookup) {
-	if _, _, known := d.records.find(k); len(l.asked) == 0 && (known || d.complete(now)) {
+	if _, _, known := d.records.find(k); len(l.asked) == 0 && !l.waits && (known || d.complete(now)) {
 		d.end(k, Answer{Confirmed: l.unknown || !d.hadPeers})
 	}
 }
--- a/internal/streamversion/order_test.go
+++ b/internal/streamversion/order_test.go
@@ -151,3 +151,22 @@
 		t.Error("the router is not idle long after the correction")
 	}
 }
+
+// TestLookupWhereRouterStandsStillAgainAndAgain guards against callers that wait for ever at a router that stands still
+// all the time.
+func TestLookupWhereRouterStandsStillAgainAndAgain(t *testing.T) {
+	f := newFleet(2)
+	f.begin("router-0", "begun", "v1")
+	f.run(100 * time.Millisecond)
+	d := f.routers["router-0"]
+	d.Resume(f.now)
+	var got streamversion.Answer
+	d.Lookup(f.now, streamversion.KeyOf("s", "begun"), func(a streamversion.Answer) { got = a })
+	for range 30 {
+		d.Resume(f.now)
+		f.run(50 * time.Millisecond)
+	}
+	if got.Version != "v1" {
+		t.Errorf("got %+v after 1.5 s", got)
+	}
+}
