A lookup of a stream's version hears all that keep its record

What callers would see: a stream goes on with events of another version.

A router that was cut off while a stream's version was corrected went on telling the version before, and a lookup took the first answer; it also trusted its own copy of the record. Now a lookup waits for all routers that keep the record, 0.1 s at most once it is known, and merges what they tell. Only the router at which a stream began or went on uses its own record at once.

The cost is one more round trip where the caller's request reaches a router that keeps the record of another's stream, and 0.1 s while one of those asked is dead and not yet suspected.

--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -144,16 +144,24 @@
 // told of a stream by one that had not heard yet that the version was wrong.
 func (d *Directory) hear(now time.Time, from string, list []Record) {
 	for _, r := range list {
-		known := d.records.put(now, r, false)
+		known := d.records.put(now, r, true)
 		d.stored.add(now, known, false)
 		if known != r {
 			m := d.messageTo(from)
 			m.Records = append(m.Records, known)
 		}
-		d.resolve(r.Key)
+		if l := d.lookups[r.Key]; l != nil {
+			l.answered(from)
+			d.endIfConfirmed(now, r.Key, l)
+		}
 	}
 }
 
+// answered notes that a router has answered.
+func (l *lookup) answered(from string) {
+	l.asked = slices.DeleteFunc(l.asked, func(to string) bool { return to == from })
+}
+
 // complete reports whether the directory would have to know each stream that it is asked for.
 func (d *Directory) complete(now time.Time) bool {
 	return d.restored || now.Sub(d.startedAt) > TTL
@@ -210,12 +218,12 @@
 	d.repeats = next
 }
 
-// Lookup calls done with the version that began a stream: at once if it is known here, else once
-// other routers have answered or have not answered in time. They are asked as well if only the store has told it, or
-// if this router has stood still.
+// Lookup calls done with the version that began a stream: at once if it began or went on here, else once those that
+// keep its record have answered or have not answered in time. They are asked as well if this router keeps the record,
+// which may have missed a correction, or has stood still.
 func (d *Directory) Lookup(now time.Time, k Key, done func(Answer)) {
 	waits := now.Before(d.trustedFrom)
-	if r, stored, known := d.records.find(k); known && !stored && !waits {
+	if r, told, known := d.records.find(k); known && !told && !waits {
 		done(Answer{Version: r.Version, Known: true, Evidence: EvidenceRecord})
 		return
 	}
@@ -240,7 +248,7 @@
 	for _, k := range m.Unknown {
 		if l := d.lookups[k]; l != nil {
 			l.unknown = true
-			l.asked = slices.DeleteFunc(l.asked, func(to string) bool { return to == from })
+			l.answered(from)
 			d.endIfConfirmed(now, k, l)
 		}
 	}
@@ -276,6 +284,8 @@
 		case l.waits && waited < restoreTimeout:
 		case waited >= restoreTimeout, waited >= lookupTimeout && d.complete(now):
 			d.end(k, Answer{Confirmed: l.unknown && d.complete(now)})
+		case waited >= answerTimeout && d.isKnown(k):
+			d.end(k, Answer{})
 		case waited >= answerTimeout && !l.wider:
 			l.wider = true
 			d.ask(k, l, d.rank(now, k, 2*copies))
@@ -312,26 +322,19 @@
 	return len(d.outbox) == 0 && len(d.lookups) == 0 && len(d.stored.list) == 0 && len(d.repeats) == 0
 }
 
-// resolve ends the lookup of a stream that has become known.
-func (d *Directory) resolve(k Key) {
-	if _, _, known := d.records.find(k); known && !d.waits(k) {
-		d.end(k, Answer{})
-	}
-}
-
-// waits reports whether a lookup waits for what other routers have told before.
-func (d *Directory) waits(k Key) bool {
-	l := d.lookups[k]
-	return l != nil && l.waits
-}
-
-// endIfConfirmed ends a lookup if no router is left that could still know the stream, this one included.
+// endIfConfirmed ends a lookup if all have answered, and no router is left that could still know the stream, this one
+// included, if none of them does. One of them may not have been told of a correction.
 func (d *Directory) endIfConfirmed(now time.Time, k Key, l *lookup) {
-	if _, _, known := d.records.find(k); len(l.asked) == 0 && !l.waits && (known || d.complete(now)) {
+	if len(l.asked) == 0 && !l.waits && (d.isKnown(k) || d.complete(now)) {
 		d.end(k, Answer{Confirmed: l.unknown || !d.hadPeers})
 	}
 }
 
+func (d *Directory) isKnown(k Key) bool {
+	_, _, known := d.records.find(k)
+	return known
+}
+
 // end ends a lookup with what is known of the stream or, if that is nothing, with an answer.
 func (d *Directory) end(k Key, a Answer) {
 	l := d.lookups[k]
--- a/internal/streamversion/order_test.go
+++ b/internal/streamversion/order_test.go
@@ -170,3 +170,40 @@
 		t.Errorf("got %+v after 1.5 s", got)
 	}
 }
+
+// TestLookupWhereOneRouterMissedCorrection guards against a stream that goes on at a version that was corrected, since the
+// first router that answers could not be told so.
+func TestLookupWhereOneRouterMissedCorrection(t *testing.T) {
+	key := streamversion.KeyOf("s", "begun")
+	for missed := range 7 {
+		f := newFleet(8)
+		f.begin("router-0", "begun", "v1")
+		f.run(100 * time.Millisecond)
+		cut := f.known[1+missed]
+		f.down[cut] = true
+		f.routers["router-0"].Correct(f.now, key, streamversion.Unknown)
+		f.run(2 * time.Second)
+		f.down["router-0"], f.down[cut] = true, false
+		for _, id := range f.known[1:] {
+			var got streamversion.Answer
+			f.routers[id].Lookup(f.now, key, func(a streamversion.Answer) { got = a })
+			// The one that missed it answers first.
+			for _, o := range f.routers[id].Take() {
+				if o.To == cut {
+					f.routers[cut].Receive(f.now, id, o.Message)
+					for _, back := range f.routers[cut].Take() {
+						f.routers[id].Receive(f.now, cut, back.Message)
+					}
+					continue
+				}
+				if !f.down[o.To] {
+					f.routers[o.To].Receive(f.now, id, o.Message)
+				}
+			}
+			f.run(time.Second)
+			if got.Version != streamversion.Unknown {
+				t.Errorf("%s, which %s answers first: %+v", id, cut, got)
+			}
+		}
+	}
+}
--- a/internal/streamversion/records.go
+++ b/internal/streamversion/records.go
@@ -58,8 +58,8 @@
 type belief struct {
 	version     string
 	corrections uint32
-	// stored is set if only the store has told it, which may lack a correction.
-	stored bool
+	// told is set if only others have told it, which may have missed a correction: other routers, or the store.
+	told bool
 }
 
 // records holds the versions of streams for at least TTL, unless there are more than maxRecords.
@@ -72,24 +72,24 @@
 	return records{current: map[Key]unique.Handle[belief]{}, rotatedAt: now}
 }
 
-// put merges a record with what is known of its stream, and returns the result. stored tells whether the store told it.
-func (r *records) put(now time.Time, n Record, stored bool) Record {
-	if known, onlyStored, ok := r.find(n.Key); ok {
+// put merges a record with what is known of its stream, and returns the result. told tells whether others told it.
+func (r *records) put(now time.Time, n Record, told bool) Record {
+	if known, onlyTold, ok := r.find(n.Key); ok {
 		n = known.Merge(n)
 		if _, current := r.current[n.Key]; current && n == known {
 			return n
 		}
-		stored = stored && onlyStored
+		told = told && onlyTold
 	}
 	if now.Sub(r.rotatedAt) >= TTL || len(r.current) >= maxRecords {
 		r.current, r.previous, r.rotatedAt = map[Key]unique.Handle[belief]{}, r.current, now
 	}
-	r.current[n.Key] = unique.Make(belief{n.Version, n.Corrections, stored})
+	r.current[n.Key] = unique.Make(belief{n.Version, n.Corrections, told})
 	return n
 }
 
-// find returns what is known of a stream, and whether only the store has told it.
-func (r *records) find(k Key) (found Record, stored, known bool) {
+// find returns what is known of a stream, and whether only others have told it.
+func (r *records) find(k Key) (found Record, told, known bool) {
 	h, known := r.current[k]
 	if !known {
 		h, known = r.previous[k]
@@ -98,5 +98,5 @@
 		return Record{}, false, false
 	}
 	b := h.Value()
-	return Record{Key: k, Version: b.version, Corrections: b.corrections}, b.stored, true
+	return Record{Key: k, Version: b.version, Corrections: b.corrections}, b.told, true
 }
