--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -20,6 +20,8 @@
 	// time between two.
 	correctionRepeats = 3
 	repeatInterval    = 200 * time.Millisecond
+	// resumeDelay is how long a router that has stood still takes at most to read what others have told meanwhile.
+	resumeDelay = 100 * time.Millisecond
 	// maxPrompt is how often TakePrompt returns messages between two ticks, so that a router that
 	// begins many streams sends their records together.
 	maxPrompt = 16
@@ -96,6 +98,8 @@
 	hadPeers bool
 	outbox   map[string]*Message
 	lookups  map[Key]*lookup
+	// trustedFrom is when records are trusted again that a correction may be on its way to.
+	trustedFrom time.Time
 	// repeats has the corrections that are to be told again.
 	repeats []repeat
 	// prompt counts the calls of TakePrompt since the last tick that returned messages.
@@ -106,6 +110,8 @@
 type lookup struct {
 	began time.Time
 	asked []string
+	// waits is set until what other routers have told before has been read.
+	waits bool
 	// unknown is set once a router has answered that it does not know the stream, and wider once
 	// more than the first routers have been asked.
 	unknown, wider bool
@@ -138,16 +144,24 @@
 // told of a stream by one that had not heard yet that the version was wrong.
 func (d *Directory) hear(now time.Time, from string, list []Record) {
 	for _, r := range list {
-		known := d.records.put(now, r, false)
+		known := d.records.put(now, r, true)
 		d.stored.add(now, known, false)
 		if known != r {
 			m := d.messageTo(from)
 			m.Records = append(m.Records, known)
 		}
-		d.resolve(r.Key)
+		if l := d.lookups[r.Key]; l != nil {
+			l.answered(from)
+			d.endIfConfirmed(now, r.Key, l)
+		}
 	}
 }
 
+// answered notes that a router has answered.
+func (l *lookup) answered(from string) {
+	l.asked = slices.DeleteFunc(l.asked, func(to string) bool { return to == from })
+}
+
 // complete reports whether the directory would have to know each stream that it is asked for.
 func (d *Directory) complete(now time.Time) bool {
 	return d.restored || now.Sub(d.startedAt) > TTL
@@ -204,10 +218,12 @@
 	d.repeats = next
 }
 
-// Lookup calls done with the version that began a stream: at once if it is known here, else once
-// other routers have answered or have not answered in time. They are asked as well if only the store has told it.
+// Lookup calls done with the version that began a stream: at once if it began or went on here, else once those that
+// keep its record have answered or have not answered in time. They are asked as well if this router keeps the record,
+// which may have missed a correction, or has stood still.
 func (d *Directory) Lookup(now time.Time, k Key, done func(Answer)) {
-	if r, stored, known := d.records.find(k); known && !stored {
+	waits := now.Before(d.trustedFrom)
+	if r, told, known := d.records.find(k); known && !told && !waits {
 		done(Answer{Version: r.Version, Known: true, Evidence: EvidenceRecord})
 		return
 	}
@@ -216,19 +232,23 @@
 		return
 	}
 	first := d.holders(now, k)
-	l := &lookup{began: now, done: []func(Answer){done}}
+	l := &lookup{began: now, done: []func(Answer){done}, waits: waits}
 	d.lookups[k] = l
 	d.ask(k, l, first)
 	d.endIfConfirmed(now, k, l)
 }
 
+// Resume must be called after this router has stood still: other routers may have told of corrections meanwhile,
+// which are still to be read. Lookups wait for them.
+func (d *Directory) Resume(now time.Time) { d.trustedFrom = now.Add(resumeDelay) }
+
 // Receive handles a message of another router.
 func (d *Directory) Receive(now time.Time, from string, m Message) {
 	d.hear(now, from, m.Records)
 	for _, k := range m.Unknown {
 		if l := d.lookups[k]; l != nil {
 			l.unknown = true
-			l.asked = slices.DeleteFunc(l.asked, func(to string) bool { return to == from })
+			l.answered(from)
 			d.endIfConfirmed(now, k, l)
 		}
 	}
@@ -254,9 +274,18 @@
 	d.repeatCorrections(now)
 	for k, l := range d.lookups {
 		waited := now.Sub(l.began)
+		if l.waits && !now.Before(d.trustedFrom) {
+			// Where this router stood still, it may not have known of the others until now.
+			l.waits = false
+			d.ask(k, l, d.holders(now, k))
+			d.endIfConfirmed(now, k, l)
+		}
 		switch {
+		case l.waits && waited < restoreTimeout:
 		case waited >= restoreTimeout, waited >= lookupTimeout && d.complete(now):
 			d.end(k, Answer{Confirmed: l.unknown && d.complete(now)})
+		case waited >= answerTimeout && d.isKnown(k):
+			d.end(k, Answer{})
 		case waited >= answerTimeout && !l.wider:
 			l.wider = true
 			d.ask(k, l, d.rank(now, k, 2*copies))
@@ -293,20 +322,19 @@
 	return len(d.outbox) == 0 && len(d.lookups) == 0 && len(d.stored.list) == 0 && len(d.repeats) == 0
 }
 
-// resolve ends the lookup of a stream that has become known.
-func (d *Directory) resolve(k Key) {
-	if _, _, known := d.records.find(k); known {
-		d.end(k, Answer{})
-	}
-}
-
-// endIfConfirmed ends a lookup if no router is left that could still know the stream, this one included.
+// endIfConfirmed ends a lookup if all have answered, and no router is left that could still know the stream, this one
+// included, if none of them does. One of them may not have been told of a correction.
 func (d *Directory) endIfConfirmed(now time.Time, k Key, l *lookup) {
-	if _, _, known := d.records.find(k); len(l.asked) == 0 && (known || d.complete(now)) {
+	if len(l.asked) == 0 && !l.waits && (d.isKnown(k) || d.complete(now)) {
 		d.end(k, Answer{Confirmed: l.unknown || !d.hadPeers})
 	}
 }
 
+func (d *Directory) isKnown(k Key) bool {
+	_, _, known := d.records.find(k)
+	return known
+}
+
 // end ends a lookup with what is known of the stream or, if that is nothing, with an answer.
 func (d *Directory) end(k Key, a Answer) {
 	l := d.lookups[k]
