--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -251,6 +251,12 @@
 		w.RecordLeaving(w.now, k)
 		w.complete(k)
 	}},
+	"could not be reached": {prepare: func(w *world, _, _ balance.Target) {
+		k := w.prompt("o", "first", 100)
+		k.Version = balance.OnlyVersion("v1")
+		Expect(w.arrive(k)).NotTo(BeNil())
+		w.Ended(w.now, k, balance.Unreachable)
+	}},
 	"a limit of regions, lifted since": {prepare: func(w *world, _, _ balance.Target) {
 		w.SetRegions(map[string]string{"z": "far", "y": "near"})
 		w.Configure(limited("near"))
