--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -16,6 +16,7 @@
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -364,7 +365,7 @@
 			answers := make(chan streamversion.Answer, 1)
 			g.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) {
 				c.stands(g, s, now)
-				g.lookUpStream(s, now, "s", "k", answers)
+				g.lookUpStream(s, now, "s", "k", routing.Regions{}, answers)
 			})
 			for _, m := range c.told {
 				g.receive(from, m)
