--- a/internal/explain/streams/faults.go
+++ b/internal/explain/streams/faults.go
@@ -56,6 +56,7 @@
 	c.checkVersions()
 	c.checkPlaces()
 	c.checkEnds()
+	c.checkEmpty()
 	c.checkEarlyEnds()
 	return c.faults, c.leftOut
 }
@@ -76,12 +77,6 @@
 
 // checkJoins checks the joins within an answer.
 func (c *checker) checkJoins(a Answer) {
-	// Ids that are left out elsewhere, too, are left out by the engine.
-	skippedAtJoins := int64(0)
-	for _, j := range a.Joins {
-		n, _ := j.skipped()
-		skippedAtJoins += max(n, 0)
-	}
 	for i, j := range a.Joins {
 		if j.within && j.FromVersion != j.ToVersion {
 			c.add(TwoVersions, j.FromVersion == "" || j.ToVersion == "", "%s joins version %s of %s and version %s of %s behind event %s in one answer (%s)",
@@ -90,7 +85,7 @@
 		if n, ok := j.skipped(); ok && n < 0 {
 			c.add(Repeated, false, "%s goes on behind event %s with %s at %s", j.Router, j.After, j.First, j.To)
 		} else if n > 0 {
-			c.add(Skipped, a.SkippedIDs > skippedAtJoins, "%s goes on behind event %s with %s at %s", j.Router, j.After, j.First, j.To)
+			c.add(Skipped, !c.consecutive(), "%s goes on behind event %s with %s at %s", j.Router, j.After, j.First, j.To)
 		}
 		if i > 0 {
 			c.checkFollows(a, a.Joins[i-1], j)
@@ -108,6 +103,23 @@
 	}
 }
 
+// consecutive reports whether the engine is known to number the stream's events without leaving out ids.
+func (c *checker) consecutive() bool {
+	known := false
+	for _, a := range c.answers {
+		atJoins := int64(0)
+		for _, j := range a.Joins {
+			n, _ := j.skipped()
+			atJoins += max(n, 0)
+		}
+		if a.SkippedIDs > atJoins {
+			return false
+		}
+		known = known || a.Events > a.Runs
+	}
+	return known
+}
+
 // checkFollows checks that a join follows the run that began at the join before.
 func (c *checker) checkFollows(a Answer, previous, j Join) {
 	switch {
@@ -239,6 +251,18 @@
 	}
 }
 
+// checkEmpty checks that no answer has ended the stream without events before its end. An engine that sends such an
+// answer may mean something else by it.
+func (c *checker) checkEmpty() {
+	for _, w := range c.answers {
+		i := slices.IndexFunc(c.answers, func(a Answer) bool { return before(w.After, a.LastEvent) })
+		if w.empty() && i >= 0 {
+			a := c.answers[i]
+			c.add(EndsDiffer, true, "%s ended it with status %d and no events behind event %s, while %s has sent events to %s", w.Router, w.Status, w.After, a.Router, a.LastEvent)
+		}
+	}
+}
+
 // checkEarlyEnds checks that no caller takes up what it should have by a whole end. Which answer came first is told by
 // the events that callers name, or by the clock if they are of one router.
 func (c *checker) checkEarlyEnds() {
--- a/internal/explain/streams/gaps.go
+++ b/internal/explain/streams/gaps.go
@@ -38,7 +38,7 @@
 	Dropped     int `json:"lines_dropped"`
 	WithoutLine int `json:"without_line"`
 	LeftOut     int `json:"lines_left_out"`
-	// Older is the number of take-ups that were answered and whose line has no runs.
+	// Older is the number of take-ups that were answered at routers whose lines have no runs.
 	Older int `json:"without_runs"`
 	// WithoutID is the number of lines about streams that name none.
 	WithoutID int `json:"without_id"`
@@ -110,7 +110,7 @@
 	say(g.Dropped, "%d log lines were dropped", g.Dropped)
 	say(g.WithoutLine, "at least %d requests have no line", g.WithoutLine)
 	say(g.LeftOut, "%d lines about streams were too many to keep: some streams were not looked at, or only in part", g.LeftOut)
-	say(g.Older, "%d take-ups were answered, and their lines have no runs: their routers are older, or the answers are no streams", g.Older)
+	say(g.Older, "%d take-ups at routers whose lines have no runs: they are older, and their streams not followed", g.Older)
 	say(g.WithoutID, "%d lines about streams have no id of one", g.WithoutID)
 	out = append(out, g.Unread.Text()...)
 	if g.Incomplete {
--- a/internal/explain/streams/lines.go
+++ b/internal/explain/streams/lines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -43,9 +44,11 @@
 	SkippedIDs int64  `json:"skipped_ids,omitempty"`
 	// Undelivered is set if the last bytes could not be written.
 	End         lifecycle.End `json:"end"`
+	Status      int           `json:"status"`
 	Reason      string        `json:"reason,omitempty"`
 	Undelivered bool          `json:"undelivered,omitempty"`
-	// MoreTries is the number of other requests to take the stream up behind the same event that had no events.
+	// MoreTries is the number of other requests to take the stream up behind the same event that ended alike, with no
+	// events.
 	MoreTries int    `json:"more_tries,omitempty"`
 	Joins     []Join `json:"joins"`
 	// unclear is set if it may have sent events that its line does not tell of.
@@ -53,13 +56,13 @@
 }
 
 func newAnswer(l explain.Line) Answer {
-	runs := int(l.Number("runs"))
+	runs, status := int(l.Number("runs")), int(l.Number("status"))
 	return Answer{
 		ID: l.Text("id"), Router: l.Router, Time: l.Time.UTC(), Took: l.Number("took_ms"),
 		After: l.Text("after"), Resumes: l.Text("resumes"), VersionBy: l.Text("version_by"),
 		Runs: runs, Events: int(l.Number("events")), LastEvent: l.Text("last_event"), Process: l.Text("process"),
 		Version: l.Text("run_version"), SkippedIDs: int64(l.Number("skipped_ids")),
-		End: lifecycle.End(l.Text("end")), Reason: l.Text("reason"), Joins: []Join{}, unclear: runs == 0 && l.Number("first_ms") > 0,
+		End: lifecycle.End(l.Text("end")), Status: status, Reason: l.Text("reason"), Joins: []Join{}, unclear: runs == 0 && status == http.StatusOK && l.Number("first_ms") > 0,
 	}
 }
 
@@ -80,6 +83,11 @@
 // whole reports whether the router took the stream for complete at the answer's end.
 func (a Answer) whole() bool { return a.End == lifecycle.Answered && a.Events > 0 && a.LastEvent != "" }
 
+// empty reports whether the router took the stream for complete behind the event that the caller has.
+func (a Answer) empty() bool {
+	return !a.begins() && a.End == lifecycle.Answered && a.Runs == 0 && (a.Status == http.StatusOK || a.Status == http.StatusNoContent)
+}
+
 // begun returns when the request arrived, by the router's clock.
 func (a Answer) begun() time.Time {
 	return a.Time.Add(-time.Duration(a.Took*float64(time.Millisecond)) - time.Millisecond)
@@ -135,6 +143,9 @@
 
 func (a Answer) endText() string {
 	out := orNone(string(a.End))
+	if a.Runs == 0 && a.Status > 0 {
+		out += fmt.Sprintf(" with status %d", a.Status)
+	}
 	if a.Reason != "" {
 		out += ", " + a.Reason
 	}
--- a/internal/explain/streams/report.go
+++ b/internal/explain/streams/report.go
@@ -66,6 +66,11 @@
 
 // Report returns the report. Call it once, after all lines were added.
 func (s *Search) Report(u routerlog.Unread) Report {
+	for router, n := range s.withoutRuns {
+		if !s.writesRuns[router] {
+			s.gaps.Older += n
+		}
+	}
 	s.gaps.addLogs(s.logs, u)
 	logsIncomplete := s.gaps.Incomplete
 	s.merge()
--- a/internal/explain/streams/search.go
+++ b/internal/explain/streams/search.go
@@ -46,6 +46,10 @@
 	streams     map[string]*stream
 	lines       int
 	undelivered map[answerKey]bool
+	// writesRuns has the routers whose lines have runs, withoutRuns the number of take-ups, by router, whose lines have none
+	// though they may have had events.
+	writesRuns  map[string]bool
+	withoutRuns map[string]int
 	counts      Counts
 	gaps        Gaps
 	logs        routerlog.Logs
@@ -54,7 +58,7 @@
 // New returns a search that lists at most limit streams of each kind of fault.
 func New(limit int) *Search {
 	return &Search{
-		limit: limit, streams: map[string]*stream{}, undelivered: map[answerKey]bool{}, logs: routerlog.New(), gaps: newGaps(),
+		limit: limit, streams: map[string]*stream{}, undelivered: map[answerKey]bool{}, writesRuns: map[string]bool{}, withoutRuns: map[string]int{}, logs: routerlog.New(), gaps: newGaps(),
 		counts: Counts{Evidence: map[forward.JoinEvidence]int{}, ProcessBy: map[forward.ProcessEvidence]int{}},
 	}
 }
@@ -88,6 +92,9 @@
 	if a.SkippedIDs > 0 {
 		s.counts.SkippedIDs++
 	}
+	if a.Runs > 0 {
+		s.writesRuns[a.Router] = true
+	}
 	if a.begins() {
 		if a.Runs > 0 {
 			s.counts.Begun++
@@ -99,7 +106,7 @@
 	}
 	s.counts.TakeUps++
 	if a.unclear {
-		s.gaps.Older++
+		s.withoutRuns[a.Router]++
 	}
 	if p := s.streams[a.stream()]; p != nil && p.countTry(a) {
 		return
--- a/internal/explain/streams/stream.go
+++ b/internal/explain/streams/stream.go
@@ -19,11 +19,11 @@
 // countTry counts a try to take the stream up that got no events with an earlier one behind the same event, if there is
 // any.
 func (s *stream) countTry(a Answer) bool {
-	if a.Runs > 0 || a.unclear {
+	if a.Runs > 0 {
 		return false
 	}
 	for i := range s.answers {
-		if other := &s.answers[i]; other.After == a.After && other.Runs == 0 && !other.unclear {
+		if other := &s.answers[i]; other.After == a.After && other.Runs == 0 && other.End == a.End && other.Status == a.Status {
 			other.MoreTries++
 			return true
 		}
