Split the reading of event streams from forward

The reader of server-sent events becomes a package of its own, whose batches are values; forward no longer looks into the reader. Its random test moves with it, the checks unchanged. No behaviour changes.

--- a/internal/forward/events_internal_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -1,4 +1,4 @@
-package forward
+package eventstream_test
 
 import (
 	"fmt"
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
+
+	"github.com/stepcroft/stepcroft/internal/eventstream"
 )
 
 // errSource is the error of a pieceSource.
@@ -106,17 +108,17 @@
 			want += event
 		}
 		got, lastID, err := "", after, error(nil)
-		reader := newEventReader(source, nil, nil)
+		reader := eventstream.New(source, nil, nil)
 		for err == nil {
-			var batch []byte
-			batch, err = reader.next(lastID)
-			if batch != nil {
-				got, lastID = got+string(batch), reader.lastID
+			var batch eventstream.Batch
+			batch, err = reader.Next(lastID)
+			if batch.Text != nil {
+				got, lastID = got+string(batch.Text), batch.LastID
 			}
 		}
 		complete := err == io.EOF
 		switch {
-		case !ordered && (!errors.Is(err, errEventOrder) || !strings.HasPrefix(want, got)):
+		case !ordered && (!errors.Is(err, eventstream.ErrOrder) || !strings.HasPrefix(want, got)):
 			t.Fatalf("events %q out of order: got %q and %v", text, got, err)
 		case ordered && (got != want || known && lastID != strconv.Itoa(last)):
 			t.Fatalf("got %q up to id %s, want %q up to %d", got, lastID, want, last)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"hash/maphash"
 	"math"
 	"net/http"
 	"slices"
@@ -19,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/eventstream"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
@@ -193,8 +193,8 @@
 func (f *Forwarder) Forward(ctx context.Context, r Request, caller Caller) Result {
 	deadline := r.Expires()
 	x := &inflight{Forwarder: f, Request: r, caller: caller, deadline: deadline, lastEventID: r.LastEventID}
-	if r.LastEventID != "" && !isNumber(r.LastEventID) {
-		x.names = append(x.names, maphash.String(digestSeed, r.LastEventID))
+	if r.LastEventID != "" && !eventstream.IsNumber(r.LastEventID) {
+		x.names = append(x.names, eventstream.Digest(r.LastEventID))
 	}
 	x.ticket = &balance.Ticket{
 		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Route: r.Route.Name, Engine: r.ToEngine, Stream: r.Route.Kind == routing.Streaming,
--- a/internal/forward/second.go
+++ b/internal/forward/second.go
@@ -11,6 +11,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/eventstream"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
@@ -50,8 +51,8 @@
 	cancel context.CancelCauseFunc
 	answer *httptarget.Answer
 	// reader, events and eventsErr are the rest of a stream and what was read of it; the error is io.EOF or nil.
-	reader    *eventReader
-	events    []byte
+	reader    *eventstream.Reader
+	events    eventstream.Batch
 	eventsErr error
 	// buffered is what was read of an answer that is not a stream.
 	buffered bufferedPart
@@ -198,8 +199,8 @@
 		return f
 	}
 	if s.isStream(s.answer) {
-		s.reader = newEventReader(s.answer, s.tail, s.passedNames())
-		s.events, s.eventsErr = s.reader.nextWithData(s.lastEventID)
+		s.reader = eventstream.New(s.answer, s.tail, s.passedNames())
+		s.events, s.eventsErr = s.reader.NextWithData(s.lastEventID)
 		if s.eventsErr != nil && !errors.Is(s.eventsErr, io.EOF) {
 			return brokenAnswer(s.eventsErr)
 		}
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -11,6 +11,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/eventstream"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/routing"
@@ -241,16 +242,16 @@
 
 // forwardStream forwards a stream of events as they arrive.
 func (x *inflight) forwardStream(ctx context.Context, a *httptarget.Answer) *failure {
-	reader := newEventReader(a, x.tail, x.passedNames())
-	batch, err := reader.next(x.lastEventID)
+	reader := eventstream.New(a, x.tail, x.passedNames())
+	batch, err := reader.Next(x.lastEventID)
 	return x.forwardEvents(ctx, a, reader, batch, err)
 }
 
 // forwardEvents forwards a batch of events that was read, with an error, and those that follow.
-func (x *inflight) forwardEvents(ctx context.Context, a *httptarget.Answer, reader *eventReader, batch []byte, err error) *failure {
+func (x *inflight) forwardEvents(ctx context.Context, a *httptarget.Answer, reader *eventstream.Reader, batch eventstream.Batch, err error) *failure {
 	for {
-		if len(batch) > 0 {
-			if f := x.forwardBatch(ctx, a, reader, batch); f != nil {
+		if len(batch.Text) > 0 {
+			if f := x.forwardBatch(ctx, a, batch); f != nil {
 				return f
 			}
 		}
@@ -265,7 +266,7 @@
 			return brokenAnswer(err)
 		}
 		x.coalesce(ctx)
-		batch, err = reader.next(x.lastEventID)
+		batch, err = reader.Next(x.lastEventID)
 	}
 }
 
@@ -286,7 +287,7 @@
 }
 
 // forwardBatch forwards a batch of whole events.
-func (x *inflight) forwardBatch(ctx context.Context, a *httptarget.Answer, reader *eventReader, batch []byte) *failure {
+func (x *inflight) forwardBatch(ctx context.Context, a *httptarget.Answer, batch eventstream.Batch) *failure {
 	// The engine is not silent while its answer is not read, because the caller is slow or there is no room.
 	if !x.proceed() {
 		return overtaken()
@@ -295,24 +296,24 @@
 		x.startStream(a)
 	}
 	if !x.answerStarted {
-		x.beginRun(reader.firstID)
+		x.beginRun(batch.FirstID)
 	}
 	x.recordPiece()
-	x.placeUnknown = reader.lastID == "" && (x.placeUnknown || len(reader.tail) > 0)
+	x.placeUnknown = batch.LastID == "" && (x.placeUnknown || len(batch.Tail) > 0)
 	began := clock.Now()
-	err := x.writeBatch(ctx, batch)
+	err := x.writeBatch(ctx, batch.Text)
 	x.ticket.Writing.Add(clock.Since(began).Nanoseconds())
 	if err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
 	}
 	x.ticket.Pieces.Add(1)
-	x.ticket.Events.Add(int64(reader.batchCount))
-	x.forwardedEvents += reader.batchCount
-	x.lastEventID = reader.lastID
+	x.ticket.Events.Add(int64(batch.Count))
+	x.forwardedEvents += batch.Count
+	x.lastEventID = batch.LastID
 	x.result.Events, x.result.LastEventID = x.forwardedEvents, x.lastEventID
-	x.noteTail(reader)
-	x.names = append(x.names, reader.names...)
-	x.result.SkippedIDs += reader.skipped
+	x.noteTail(batch)
+	x.names = append(x.names, batch.Names...)
+	x.result.SkippedIDs += batch.Skipped
 	x.awaitPiece(max(maxSilentPauses*x.Route.MaxPause, minSilence))
 	return nil
 }
@@ -331,12 +332,12 @@
 }
 
 // noteTail notes the events of a batch which the next target would send again.
-func (x *inflight) noteTail(reader *eventReader) {
-	if reader.identified {
+func (x *inflight) noteTail(batch eventstream.Batch) {
+	if batch.Identified {
 		x.tail = nil
 	}
 	if !x.placeUnknown && x.Route.Resumable {
-		x.tail = append(x.tail, reader.tail...)
+		x.tail = append(x.tail, batch.Tail...)
 	}
 }
 
