A contradicted record of a stream is handed over by the routers that began it

Two routers that had begun a stream of one id at two versions told one another, knew it as unknown, and took that for the record of a stream of others: as the router that stores it was replaced, neither handed it over, and nothing of the stream was stored. After a kill of all routers it counts as a stream of the only stored version. Since the entry of a router's own stream is skipped if more has been told of it since; the later entry now stays its own.

--- a/internal/streamversion/order_test.go
+++ b/internal/streamversion/order_test.go
@@ -207,3 +207,28 @@
 		}
 	}
 }
+
+// TestContradictedRecordIsHandedOver guards against a stream of which nothing is stored, since the routers that began it
+// at two versions take what they have told one another for the record of a stream of others.
+func TestContradictedRecordIsHandedOver(t *testing.T) {
+	key := streamversion.KeyOf("s", "begun")
+	f, s := newFleet(8), stored{}
+	f.begin("router-0", "begun", "v1")
+	f.begin("router-1", "begun", "v2")
+	f.run(time.Second)
+	// All others are replaced, the one that stores the record among them.
+	for _, id := range f.known[2:] {
+		f.down[id] = true
+	}
+	f.known = f.known[:2]
+	for i := range 6 {
+		f.known = append(f.known, fmt.Sprint("new-", i))
+		f.start(fmt.Sprint("new-", i))
+	}
+	f.run(time.Second)
+	s.store(f)
+	want := streamversion.Record{Key: key, Version: streamversion.Unknown}
+	if list := s.records(); !slices.Contains(list, want) {
+		t.Errorf("stored %+v, want %+v", list, want)
+	}
+}
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -81,7 +81,7 @@
 	shards := shardCount(d.fleet.Size(now))
 	current := map[int]string{}
 	for _, e := range d.stored.list {
-		if !e.own || d.stored.known[e.Key] != e.Record {
+		if !e.own || d.stored.known[e.Key].Record != e.Record {
 			continue
 		}
 		shard := shardOf(e.Key, shards)
@@ -121,8 +121,8 @@
 // a stream than an earlier one is added to it.
 type ledger struct {
 	list []ledgerEntry
-	// known has the last record of each stream.
-	known map[Key]Record
+	// known has the last entry of each stream.
+	known map[Key]ledgerEntry
 	// unsaved is the number of records at the end of the list that have come since the last snapshots were
 	// taken.
 	unsaved int
@@ -131,20 +131,22 @@
 type ledgerEntry struct {
 	Record
 	at time.Time
-	// own is set if the stream began at this router.
+	// own is set if the stream began at this router, also if another one has told more of it since.
 	own bool
 }
 
 func (l *ledger) add(now time.Time, r Record, own bool) {
-	if last, known := l.known[r.Key]; known && last == r {
+	last, known := l.known[r.Key]
+	if known && last.Record == r {
 		return
 	}
 	l.expire(now)
 	if l.known == nil {
-		l.known = map[Key]Record{}
+		l.known = map[Key]ledgerEntry{}
 	}
-	l.known[r.Key] = r
-	l.list = append(l.list, ledgerEntry{r, now, own})
+	e := ledgerEntry{r, now, own || last.own}
+	l.known[r.Key] = e
+	l.list = append(l.list, e)
 	l.unsaved++
 }
 
@@ -152,7 +154,7 @@
 func (l *ledger) expire(now time.Time) {
 	n := 0
 	for n < len(l.list) && (len(l.list)-n >= maxStored || now.Sub(l.list[n].at) > storedFor) {
-		if r := l.list[n].Record; l.known[r.Key] == r {
+		if r := l.list[n].Record; l.known[r.Key].Record == r {
 			delete(l.known, r.Key)
 		}
 		n++
