A stop does not wait for the rest of a request's head

A planned stop lasted as long as a caller's head stalled: up to headerTimeout, 10 s, or the stop's limit, where it took 1 s before, and 5 s on a connection without an earlier request. Since then closing a connection is left to its goroutine while a request is in use there, which it was from the first byte of a head on; http.Server still takes the connection for idle until it has read the head. Now it is closed by then, as before: the stop has waited a second for heads that have begun.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -64,8 +64,9 @@
 	// evicted is set, with conns.mu held, if the connection ends while it is idle: to make room for another
 	// one, or since the server shuts down.
 	evicted atomic.Bool
-	// beginning is set from the first byte of a request until its handler runs.
-	beginning atomic.Bool
+	// beginning is set from the first byte of a request until its handler runs, and inHead until the HTTP server has
+	// read its head.
+	beginning, inHead atomic.Bool
 
 	// The fields below are guarded by conns.mu. idleElement is the connection's element in
 	// conns.idle, nil if it is not idle, since idleSince; refusing is set while Read refuses the last request and then
@@ -183,8 +184,11 @@
 		c.refuseNext()
 		c.finishClose(false)
 	}
-	if state == http.StateActive && c.betweenRequests {
-		c.takeBuffered()
+	if state == http.StateActive {
+		if c.betweenRequests {
+			c.takeBuffered()
+		}
+		c.inHead.Store(false)
 	}
 	if state == http.StateClosed {
 		c.finishClose(true)
@@ -439,6 +443,7 @@
 			c.setUnread(length-n, false)
 			return n, nil
 		}
+		c.inHead.Store(false)
 		c.begun()
 		c.betweenRequests = true
 		c.markIdle()
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -71,7 +71,7 @@
 
 // leaveOpen reports whether a Close is left to the goroutine that serves the connection. http.Server, which shuts down,
 // closes connections that it takes for idle, also if a request has arrived there that this goroutine refuses once it
-// knows of the end of the answer before.
+// knows of the end of the answer before. A head of which the rest does not arrive would keep the server from shutting down.
 func (c *conn) leaveOpen() bool {
 	s := c.conns
 	if !s.shut.Load() {
@@ -79,7 +79,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.forced || c.closed || c.refusing || !c.inUse && !c.evicted.Load() {
+	if s.forced || c.closed || c.refusing || !c.evicted.Load() && (!c.inUse || c.inHead.Load()) {
 		return false
 	}
 	if !c.leftOpen {
