A refusal behind the last answer of a stop has no id from a body

A caller could get the refusal of a request that it had not sent, with the id of a head within another request's body: where http.Server had read the start of a request with the one before, and began its stop between the router's note of the end of that one and its own look whether it stops. The path of through finishClose refuses by what is left in the kernel, as refuseNext does, but did not note that the start of the request may be missing there.

--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -107,6 +107,7 @@
 	}
 	defer s.lasting.Add(-1)
 	if refuses {
+		c.startUnknown = c.unread < -1
 		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
 	}
 	if ended {
