Tests: a hand-over's request has reached its engine, and no foreign caller comes

'cuts answers off when the other one ends': an engine got a request after the other router had ended, by the count of those that had begun; one that had been accepted there was not yet at the engine as they were counted. The spec now waits until each request that was sent has begun. Its checks are unchanged.

TestClosedUnansweredAreCounted: two cases had one answered request more than they sent. Only another test's caller can send that, to a port of 127.0.0.1 that was its server's before; suspected, as the request's id was not kept.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -294,9 +294,11 @@
 			streamer(200, 200, 10*time.Millisecond)(w, r)
 		})
 		got := make(chan reply, 1)
+		sent := 0
 		Eventually(func() int64 {
 			before := handoverStats(busy).Accepted
 			background(func() { got <- busy.post("/single/x") })
+			sent++
 			time.Sleep(300 * time.Millisecond)
 			if n := handoverStats(busy).Accepted - before; n > 0 {
 				return n
@@ -304,6 +306,7 @@
 			<-got
 			return 0
 		}).WithTimeout(20 * time.Second).Should(Equal(int64(1)))
+		Eventually(started).WithTimeout(5 * time.Second).Should(HaveLen(sent))
 		began := len(started)
 		other.Stop()
 		Expect(<-got).To(HaveField("Err", Not(BeNil())))
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -32,7 +32,8 @@
 // startTestServer serves a new listener until the test ends, and checks the account of its requests then.
 func startTestServer(t *testing.T, s *Server) net.Addr {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Callers of other tests may still dial ports of 127.0.0.1 that are free again.
+	l, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
