Ends of zones' drains are read for streams that are limited to regions

Callers that take a stream up after a start got a refusal for good: where the other version was elsewhere before the one that is stored came to the regions that the stream is limited to, the ends of drains counted as not needed by the targets of all regions, were never read, and the stream's version could not be told without them. Whether they are needed now depends on the listed versions alone; the revision is that of the other one's first entry anywhere, which is no later than in some regions.

--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -321,3 +321,25 @@
 		})
 	}
 }
+
+// TestZoneDrainsOfLimitedStreams guards against streams that are refused for good since the ends of zones' drains are never
+// read: elsewhere the other version was there before the one that was stored.
+func TestZoneDrainsOfLimitedStreams(t *testing.T) {
+	RegisterTestingT(t)
+	far, stored, other := versioned("a", "v2"), versioned("b", "v1"), versioned("c", "v2")
+	stored.Zone, other.Zone = "y", "y"
+	far.Revision, stored.Revision, other.Revision = 3, 5, 7
+	w := newWorld(0)
+	w.RequireZoneDrains()
+	w.SetRegions(map[string]string{"z": "far", "y": "near"})
+	w.RestoreVersions(w.now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
+	w.SetTargets(w.now, []balance.Target{far, stored, other})
+	since, needed := w.NeededZoneDrains(w.now)
+	if !needed || since > other.Revision || !w.AwaitsZoneDrains(w.now, "llm") {
+		t.Errorf("ends of drains needed %t, from %d on", needed, since)
+	}
+	w.SetZoneDrains(balance.ZoneDrains{Since: since})
+	if got, _ := w.UnrecordedVersionIn(w.now, "llm", limited("near").RegionsOf("r", "o")); got != "v1" {
+		t.Errorf("got %q, want v1", got)
+	}
+}
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -215,9 +215,10 @@
 	if s.zoneDrains == nil || h == nil || !s.listed || !now.Before(h.earlierUntil) {
 		return 0, false
 	}
-	first, others := s.openSince(now, service, h.earlier, routing.Regions{})
+	// In some regions, the stored version may have been there before the others though it was not in all of them.
+	_, others := s.openSince(now, service, h.earlier, routing.Regions{})
 	unknown := s.zoneDrains.Since == 0 || s.zoneDrains.Since > others && s.zoneDrains.Since < math.MaxInt64
-	return others, others > 0 && first < others && others < math.MaxInt64 && unknown
+	return others, others > 0 && others < math.MaxInt64 && unknown
 }
 
 // openSinceBeforeOthers reports whether a target of a version has taken requests since before the entries of
