--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -218,7 +218,7 @@
 	d.repeats = next
 }
 
-// Lookup calls done with the version that began a stream: at once if it began or went on here, else once those that
+// Lookup calls done with the version that began a stream: at once if nobody told this router of it, else once those that
 // keep its record have answered or have not answered in time. They are asked as well if this router keeps the record,
 // which may have missed a correction, or has stood still.
 func (d *Directory) Lookup(now time.Time, k Key, done func(Answer)) {
