Request lines are formatted in one go

The fields of some requests only were added by a logger of their own each. The line has the same fields in the same order.

--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -58,35 +58,40 @@
 	if r.Route != nil {
 		route, goal = r.Route.Name, r.Route.Goal
 	}
-	log := o.log
+	fields := make([]any, 0, maxRequestFields)
 	if v.ContentDigest != "" {
-		log = log.WithValues("content", v.ContentDigest, "part", v.HeldPart)
+		fields = append(fields, "content", v.ContentDigest, "part", v.HeldPart)
 	}
 	if r.LastEventID != "" {
-		log = log.WithValues("resumes", r.Resumes, "after", r.LastEventID, "version_by", string(v.VersionEvidence))
+		fields = append(fields, "resumes", r.Resumes, "after", r.LastEventID, "version_by", string(v.VersionEvidence))
 	}
 	if v.SkippedIDs > 0 {
-		log = log.WithValues("skipped_ids", v.SkippedIDs)
+		fields = append(fields, "skipped_ids", v.SkippedIDs)
 	}
 	if v.Runs > 0 {
-		log = log.WithValues("runs", v.Runs, "events", v.Events, "last_event", v.LastEventID, "process", v.RunTarget.Incarnation(), "run_version", v.RunTarget.Version)
+		fields = append(fields, "runs", v.Runs, "events", v.Events, "last_event", v.LastEventID, "process", v.RunTarget.Incarnation(), "run_version", v.RunTarget.Version)
 	}
 	if v.ExchangeEnd != "" {
-		log = log.WithValues("exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
+		fields = append(fields, "exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
 	}
 	if change := o.lastChange(); !change.At.IsZero() {
-		log = log.WithValues("config_end", change.Version, "since_change_ms", clock.Since(change.At).Milliseconds())
+		fields = append(fields, "config_end", change.Version, "since_change_ms", clock.Since(change.At).Milliseconds())
 	}
-	log.Info("request", "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v), "end", string(ingress.EndOf(v)),
+	o.log.Info("request", append(
+		fields, "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v), "end", string(ingress.EndOf(v)),
 		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
 		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
 		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
 		"goal_ms", milliseconds(goal), "waited_ms", milliseconds(v.QueueTime), "first_ms", milliseconds(v.TimeToFirstByte),
 		"pause_ms", milliseconds(v.LongestPause), "speed", v.Speed,
 		"took_ms", milliseconds(took), "retry_after_ms", v.RetryAfter.Milliseconds(),
-		"config", r.ConfigVersion, "config_age_ms", r.ConfigAge.Milliseconds())
+		"config", r.ConfigVersion, "config_age_ms", r.ConfigAge.Milliseconds(),
+	)...)
 }
 
+// maxRequestFields is the number of keys and values of a request's line, if it has all.
+const maxRequestFields = 88
+
 // outcome returns one word for how a request ended. It is the value of the key outcome in the
 // log.
 func outcome(v forward.Result) string {
