A cancelled check of an answer's end is no sign that its process has ended

Where a caller left within the 20 ms after the end of an answer without a length, the target counted for a second as one whose connections break: engines are asked for their start before streams, and another answer that ended within 30 ms could be cut. Since a cancelled request does not wait for the check and got another error than that of a connection closed here, which is left out.

TestCancelledEndOfAnswer, with a check added, failed in 3 of 3 plays before: "the target counts as one whose process may have ended".

--- a/internal/httptarget/cancelled_end_test.go
+++ b/internal/httptarget/cancelled_end_test.go
@@ -63,4 +63,7 @@
 	if took := time.Since(began); took > 200*time.Millisecond {
 		t.Errorf("the answer ended after %v, %v after it was cancelled", took, took-50*time.Millisecond)
 	}
+	if _, ended := transport.CheckUnused(l.Addr().String(), ""); ended {
+		t.Error("the target counts as one whose process may have ended")
+	}
 }
--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -29,6 +29,9 @@
 // errProcessExited is why an answer that ended with its connection is not complete.
 var errProcessExited = errors.New("connection was closed as the process exited")
 
+// errEndUnknown means that the exchange was cancelled before it was known whether its answer is complete.
+var errEndUnknown = errors.New("not known whether the answer is complete")
+
 // unframedEnd returns io.EOF if a body without a length that ended with its connection is complete. The kernel
 // closes the connections of a process that was killed as the process itself does at the end of an answer, so that
 // the end counts only if the process goes on and the connection has not been reset. A process that goes on may refuse
@@ -84,7 +87,7 @@
 }
 
 // checkExited returns errProcessExited if the process of a target that has closed a connection has exited or is about
-// to, or another error if ctx ends before that is known. What counts, the first that is known:
+// to, or errEndUnknown if ctx ends before that is known. What counts, the first that is known:
 //
 //  1. It accepts a new connection, once the kernel would have closed the listening socket of a process that was
 //     killed, and keeps it open: it goes on.
@@ -100,7 +103,7 @@
 		checked := t.exitChecks.DoChan(e.address+" "+e.instance, func() (any, error) { return t.checkExit(ctx, e), nil })
 		select {
 		case <-ctx.Done():
-			return errors.Wrap(context.Cause(ctx), "check whether the process has exited")
+			return errors.Wrapf(errEndUnknown, "check whether the process has exited: %v", context.Cause(ctx))
 		case result := <-checked:
 			c := result.Val.(exitCheck)
 			if c.exited {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -268,9 +268,9 @@
 // brokenTTL is how long a connection that broke counts as a sign that its process has ended.
 const brokenTTL = time.Second
 
-// noteBroken records that a connection in use broke, unless this router closed it.
+// noteBroken records that a connection in use broke, unless this router closed it or it may have ended as it should.
 func (t *Transport) noteBroken(c *conn, err error) {
-	if errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, errEndUnknown) {
 		return
 	}
 	t.mu.Lock()
