Split the ranking of targets from balance

The list of targets with their rendezvous hashes, of which those that rank first for a key are found, becomes package ranking: type Index, of members of any type, made by New with functions that tell a member's id and hash. Balance keeps which services and availability zones have such an index. Its test of indexes after changes compares the same members and hashes as before. No behaviour changes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -244,16 +244,6 @@
 	s.shares.capacity = t.Limits().TokensPerSecond
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 // Arrive accepts a request. Its decision follows on the ticket's channel: at once, when there
 // is room, or when the request has waited long enough.
 func (s *State) Arrive(now time.Time, t *Ticket) {
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		s.factors = s.factors[:0]
-		for _, t := range v.all.targets {
+		for _, t := range v.all.Members() {
 			if f := s.speeds.Lookup(now, name, t.incarnation); f != 1 && len(s.factors) < maxCompared {
 				s.factors = append(s.factors, f)
 			}
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/prefix"
+	"github.com/stepcroft/stepcroft/internal/ranking"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
 
@@ -18,7 +19,7 @@
 	maxWholeSearch = 256
 	// homeRanks is the number of first-ranked targets among which usable ones are looked for,
 	// and maxHomes the number that become candidates.
-	homeRanks = maxRanks
+	homeRanks = ranking.MaxRanks
 	maxHomes  = 3
 	// nearSamples and farSamples are the numbers of candidates drawn at random from this
 	// router's availability zone and from the whole service.
@@ -118,7 +119,7 @@
 		return nil
 	}
 	if !s.sampled(t.Service) {
-		return s.usable(now, t, v.all.targets)
+		return s.usable(now, t, v.all.Members())
 	}
 	s.sample = s.sample[:0]
 	s.sampleHomes(now, t, v)
@@ -126,7 +127,7 @@
 	if near := v.zones[s.zone]; near != nil {
 		s.sampleRandom(near, nearSamples)
 	}
-	s.sampleRandom(&v.all, farSamples)
+	s.sampleRandom(v.all, farSamples)
 	good := s.usable(now, t, s.sample)
 	if len(good) > 0 && !s.avoids(now, t, good[0]) {
 		return good
@@ -134,19 +135,19 @@
 	if good = s.widen(now, t); len(good) > 0 {
 		return good
 	}
-	return s.usable(now, t, v.all.targets)
+	return s.usable(now, t, v.all.Members())
 }
 
 // widen returns the last candidates of a service that is not searched as a whole, and
 // wideSamples further ones.
 func (s *State) widen(now time.Time, t *Ticket) []*target {
-	s.sampleRandom(&s.services[t.Service].all, wideSamples)
+	s.sampleRandom(s.services[t.Service].all, wideSamples)
 	return s.usable(now, t, s.sample)
 }
 
 // sampleHomes adds the first usable targets by rendezvous hashing.
 func (s *State) sampleHomes(now time.Time, t *Ticket, v *service) {
-	x, key := &v.all, t.affinity()
+	x, key := v.all, t.affinity()
 	if near := v.zones[s.zone]; near != nil && (!t.Engine || t.cachedByZone()) {
 		x = near
 	}
@@ -154,7 +155,7 @@
 		key = t.ID
 	}
 	homes := 0
-	for _, c := range x.first(rendezvous.Hash(key), homeRanks) {
+	for _, c := range x.First(rendezvous.Hash(key), homeRanks) {
 		if homes < maxHomes && s.isUsable(now, t, c) && !s.avoids(now, t, c) {
 			s.sample = append(s.sample, c)
 			homes++
@@ -179,9 +180,9 @@
 }
 
 // sampleRandom adds targets drawn at random.
-func (s *State) sampleRandom(x *index, n int) {
+func (s *State) sampleRandom(x *ranking.Index[*target], n int) {
 	for range n {
-		s.addToSample(x.targets[s.random.IntN(len(x.targets))])
+		s.addToSample(x.Members()[s.random.IntN(len(x.Members()))])
 	}
 }
 
--- a/internal/balance/scale_internal_test.go
+++ b/internal/balance/scale_internal_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/prefix"
+	"github.com/stepcroft/stepcroft/internal/ranking"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -173,19 +174,19 @@
 	for name, service := range want.services {
 		compareIndexes(t, got.services[name].all, service.all)
 		for zone, x := range service.zones {
-			compareIndexes(t, *got.services[name].zones[zone], *x)
+			compareIndexes(t, got.services[name].zones[zone], x)
 		}
 	}
 }
 
-func compareIndexes(t *testing.T, got, want index) {
+func compareIndexes(t *testing.T, got, want *ranking.Index[*target]) {
 	t.Helper()
-	if len(got.targets) != len(want.targets) || len(got.hashes) != len(want.hashes) {
-		t.Fatalf("%d targets and %d hashes, want %d", len(got.targets), len(got.hashes), len(want.targets))
+	if len(got.Members()) != len(want.Members()) || len(got.Hashes()) != len(want.Hashes()) {
+		t.Fatalf("%d targets and %d hashes, want %d", len(got.Members()), len(got.Hashes()), len(want.Members()))
 	}
-	for i := range want.targets {
-		if got.targets[i].Target != want.targets[i].Target || got.hashes[i] != want.hashes[i] {
-			t.Fatalf("target %d is %+v, want %+v", i, got.targets[i].Target, want.targets[i].Target)
+	for i := range want.Members() {
+		if got.Members()[i].Target != want.Members()[i].Target || got.Hashes()[i] != want.Hashes()[i] {
+			t.Fatalf("target %d is %+v, want %+v", i, got.Members()[i].Target, want.Members()[i].Target)
 		}
 	}
 }
