--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -100,12 +100,15 @@
 func (t *Transport) checkExited(ctx context.Context, e endpoint) error {
 	called := clock.Now()
 	for {
-		checked := t.exitChecks.DoChan(e.address+" "+e.instance, func() (any, error) { return t.checkExit(ctx, e), nil })
+		checked := make(chan exitCheck, 1)
+		t.group.Go(func() {
+			v, _, _ := t.exitChecks.Do(e.address+" "+e.instance, func() (any, error) { return t.checkExit(ctx, e), nil })
+			checked <- v.(exitCheck)
+		})
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(errEndUnknown, "check whether the process has exited: %v", context.Cause(ctx))
-		case result := <-checked:
-			c := result.Val.(exitCheck)
+		case c := <-checked:
 			if c.exited {
 				return errProcessExited
 			}
