--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -21,7 +22,11 @@
 			t.Run(name+", "+state, func(t *testing.T) {
 				t.Parallel()
 				var sends atomic.Int64
-				f := silentFirst(t, streamWithSilence(c.after, shortSilence), func(w http.ResponseWriter, r *http.Request) {
+				began, first := make(chan struct{}, 1), streamWithSilence(c.after, shortSilence)
+				f := silentFirst(t, func(w http.ResponseWriter, r *http.Request) {
+					began <- struct{}{}
+					first(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) {
 					sends.Add(1)
 					refuse(w, r)
 				})
@@ -29,7 +34,13 @@
 				route := silentRoute
 				route.Kind = c.kind
 				f.setTargets(t, f.onlyFirst()...)
-				time.AfterFunc(shortSilence/20, func() { f.setTargets(t, f.targets...) })
+				g := group.New(t.Context())
+				defer g.Stop()
+				g.Go(func() {
+					// A target that takes long to connect to is silent.
+					<-began
+					f.setTargets(t, f.targets...)
+				})
 				got, result := f.ask(t.Context(), route, 5*time.Second)
 				if got != eventsFrom(0, silentEvents) || result.Truncated {
 					t.Errorf("got %q; %+v", got, result)
