--- a/internal/balance/exits.go
+++ b/internal/balance/exits.go
@@ -149,16 +149,18 @@
 	return Target{}, false
 }
 
-// ConfirmRefusal records that a process whose end another router has told refuses connections of this one, too.
-func (s *State) ConfirmRefusal(incarnation string, refusedAt time.Time) {
+// ConfirmRefusal records that a process whose end another router has told refuses connections of this one, too. It
+// returns when that was told, and whether this is new.
+func (s *State) ConfirmRefusal(incarnation string, refusedAt time.Time) (told time.Time, isNew bool) {
 	e, ok := s.exits[incarnation]
 	if !ok || !e.told {
-		return
+		return time.Time{}, false
 	}
 	if e.at.Before(refusedAt) {
 		refusedAt = e.at
 	}
 	s.exits[incarnation] = exit{at: e.at, refusedAt: refusedAt, process: e.process}
+	return e.at, true
 }
 
 // inDoubt reports whether a target's process has ended and its entry may not be that of the process that
--- a/internal/gateway/exits.go
+++ b/internal/gateway/exits.go
@@ -62,9 +62,16 @@
 
 // verifyExit tries to connect to a process that is said to have ended.
 func (g *Gateway) verifyExit(t balance.Target) {
-	if at, refused := g.transport.ProcessExited(g.group.Context(), t.Address, t.Incarnation()); refused {
-		g.loop.Post(func(s *balance.State, _ time.Time) { s.ConfirmRefusal(t.Incarnation(), at) })
+	at, refused := g.transport.ProcessExited(g.group.Context(), t.Address, t.Incarnation())
+	if !refused {
+		return
 	}
+	g.loop.Post(func(s *balance.State, now time.Time) {
+		if told, isNew := s.ConfirmRefusal(t.Incarnation(), at); isNew {
+			g.Log.Info("process of target refuses connections", "target", t.ID, "born", t.Born, "version", t.Version,
+				"told_ms", now.Sub(told).Milliseconds())
+		}
+	})
 }
 
 // passOnExits tells a few other routers of exits, which do the same: at once, or with the next tick if there
