A connection that ends at its idle time while it is looked at has not ended before its time

The end of an unused connection counts as a sign that its target's process may have ended, unless it had been unused for so long that the target may close it. Whether it had was decided by a time taken before the lock of the connections, so that a request or a check that waited there, or a pause of the process, took an end at the idle time for one before it: a whole answer without a length that ended in the same 30 ms was then told as cut, and CheckUnused said that connections had ended. The entry was not in doubt by that: both lead to a question to the engine at most, and RecordExit follows only from its answer or a refused connection.

Now the connection is looked at first and the time taken after that, so that an end that is seen as early was.

Ruled out: passing over foretold ends in noteEnd, and keeping idleSince for a connection in use, as a review suggested. A connection whose answer broke off had not ended as it was to end, and one in use has no idle time: with the first a part of an answer looks complete where the target's other answer, the last on its connection, broke off; with both also where a request waited on a connection that had been unused before.

--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -66,6 +66,30 @@
 // would belong to no request.
 func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && sockopt.Idle(c.Conn) }
 
+// unusedState is what becomes of an unused connection.
+type unusedState int
+
+const (
+	unusedOpen unusedState = iota
+	// unusedExpired means that the connection is not to be used again, and its end, if there is one, tells nothing.
+	unusedExpired
+	// unusedEnded means that the target closed the connection before its time, or sent bytes that belong to no request.
+	unusedEnded
+)
+
+// checkUnused returns the state of an unused connection. The time is taken after the look at the connection, so that an
+// end at the target's idle time is not taken for one before it, however long this process pauses.
+func (c *conn) checkUnused() unusedState {
+	quiet := c.quiet()
+	switch {
+	case c.expired(clock.Now(), maxIdleTime):
+		return unusedExpired
+	case !quiet:
+		return unusedEnded
+	}
+	return unusedOpen
+}
+
 // expired reports whether a connection has been unused for limit, or so long that the target
 // may be about to close it.
 func (c *conn) expired(now time.Time, limit time.Duration) bool {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -238,21 +238,19 @@
 
 // takeIdle returns the usable connection that was used last, or nil, and closes unusable ones.
 func (t *Transport) takeIdle(e endpoint) *conn {
-	now := clock.Now()
 	for {
 		c := t.popIdle(e)
 		if c == nil {
 			return nil
 		}
-		if c.expired(now, maxIdleTime) {
+		switch c.checkUnused() {
+		case unusedOpen:
+			return c
+		case unusedExpired:
 			_ = c.Close()
-			continue
-		}
-		if !c.quiet() {
+		case unusedEnded:
 			t.closeEnded(c)
-			continue
 		}
-		return c
 	}
 }
 
@@ -284,27 +282,26 @@
 // its address. An open connection that was made after these were last used may be to that one.
 func (t *Transport) CheckUnused(address, instance string) (open, ended bool) {
 	e := endpoint{address, instance}
-	now := clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var endedAt time.Time
-	if at := t.brokenAt[e]; now.Sub(at) < brokenTTL {
+	if at := t.brokenAt[e]; clock.Since(at) < brokenTTL {
 		endedAt = at
 	}
 	kept := t.idle[e][:0]
 	for _, c := range t.idle[e] {
-		switch {
-		case c.expired(now, maxIdleTime):
+		switch c.checkUnused() {
+		case unusedOpen:
+			kept = append(kept, c)
+		case unusedExpired:
 			_ = c.Close()
-		case !c.quiet():
+		case unusedEnded:
 			t.unexpectedBytes.Add(1)
 			t.noteEnd(c)
 			_ = c.Close()
 			if c.idleSince.After(endedAt) {
 				endedAt = c.idleSince
 			}
-		default:
-			kept = append(kept, c)
 		}
 	}
 	clear(t.idle[e][len(kept):])
