A stop whose time ends while last requests are refused reports so

Server.Shutdown returned nil if its context ended while connections were left on which the request behind the last answer was awaited or refused: http.Server had no connection any more or, if it had, no request was being served. The planned stop then logged nothing about them.

Now it returns the context's error, with the number of requests and of such connections; the gateway, its only caller outside of tests, logs it as `planned stop cut requests short`, as it does other errors there.

Left as it was: such connections are not closed by force. A refusal that is being written ends by itself or with the process, and a wait for a request takes 100 ms at most.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -222,13 +222,18 @@
 }
 
 // Shutdown closes idle connections and waits until the others become idle. If ctx ends first,
-// it closes them too, and returns the error of ctx if requests were still served. Requests that begin from then on are refused.
+// it closes them too, but for those whose last request is awaited or refused, and returns the error of ctx if there were
+// such, or requests were still served. Requests that begin from then on are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.conns.end()
 	s.awaitBeginning(ctx)
 	s.conns.shut.Store(true)
 	err := s.server.Shutdown(ctx)
 	awaitZero(ctx, &s.conns.lasting)
+	lasting := s.conns.lasting.Load()
+	if err == nil && lasting > 0 {
+		err = ctx.Err()
+	}
 	if err == nil {
 		s.awaitEnds()
 		return nil
@@ -240,11 +245,11 @@
 		s.log.Info("HTTP server for callers not closed", "cause", closeErr.Error())
 	}
 	s.awaitEnds()
-	if open == 0 {
+	if open == 0 && lasting == 0 {
 		// Only connections were left, such as of callers that still sent a body that had been refused.
 		return nil
 	}
-	return errors.Wrapf(err, "%d requests cut short", open)
+	return errors.Wrapf(err, "%d requests cut short, %d connections with a last answer in progress", open, lasting)
 }
 
 const (
