httptarget: its tests share one target that they answer and end by hand

Six tests had the listener, the accept loop and the exchange each for itself. They use startTarget and exchange now; what they send, end and expect is unchanged.

--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -151,27 +151,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			g := group.New(t.Context())
-			defer g.Stop()
-			defer l.Close()
+			g := startTarget(t, 1)
 			g.Go(func() {
-				c2, err := l.Accept()
-				if err != nil {
-					return
-				}
-				serveRequests(c2, func(int, *http.Request) bool {
-					_, _ = io.WriteString(c2, unframedBegin)
-					c.end(l.(*net.TCPListener), c2.(*net.TCPConn))
-					return false
-				})
+				c2 := <-g.conns
+				_, _ = io.WriteString(c2, unframedBegin)
+				c.end(g.listener, c2)
 			})
-			transport := httptarget.New(g)
-			defer transport.Close()
-			a, err := transport.Send(t.Context(), l.Addr().String(), request("a", ""))
+			a, err := g.Send(t.Context(), g.address(), request("a", ""))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/httptarget/foretold_test.go
+++ b/internal/httptarget/foretold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g := startTarget(t, 100)
+			g := startTarget(t, math.MaxInt)
 			a, ended := g.exchange(t, unframedBegin)
 			defer a.Close()
 			defer ended.Close()
@@ -94,7 +95,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g := startTarget(t, 100)
+			g := startTarget(t, math.MaxInt)
 			a, ended := g.exchange(t, unframedBegin)
 			defer a.Close()
 			conn, fails := begin(t, g)
--- a/internal/httptarget/leaving_test.go
+++ b/internal/httptarget/leaving_test.go
@@ -1,16 +1,13 @@
 package httptarget_test
 
 import (
-	"bufio"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 )
 
@@ -57,40 +54,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			g := group.New(t.Context())
-			defer g.Stop()
-			transport := httptarget.New(g)
-			defer transport.Close()
-			conns := make(chan *net.TCPConn, 2)
-			g.Go(func() {
-				for range cap(conns) {
-					raw, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if _, err := http.ReadRequest(bufio.NewReader(raw)); err == nil {
-						_, _ = io.WriteString(raw, unframedBegin)
-						conns <- raw.(*net.TCPConn)
-					}
-				}
-			})
-			var answers []*httptarget.Answer
-			for range cap(conns) {
-				a, err := transport.Send(t.Context(), l.Addr().String(), request("a", ""))
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer a.Close()
-				answers = append(answers, a)
-			}
+			g := startTarget(t, 2)
+			first, ended := g.exchange(t, unframedBegin)
+			defer first.Close()
+			second, other := g.exchange(t, unframedBegin)
+			defer second.Close()
 			g.Go(func() {
 				for piece := make([]byte, 64<<10); ; {
-					if _, err := answers[1].Read(piece); err != nil {
+					if _, err := second.Read(piece); err != nil {
 						return
 					}
 					if c.slow {
@@ -98,16 +69,15 @@
 					}
 				}
 			})
-			ended, other := <-conns, <-conns
 			defer ended.Close()
 			defer other.Close()
-			_ = l.Close()
+			_ = g.listener.Close()
 			g.Go(func() {
 				time.Sleep(pause)
 				_, _ = io.WriteString(ended, " end")
 				c.end(ended, other)
 			})
-			text, err := io.ReadAll(answers[0])
+			text, err := io.ReadAll(first)
 			if c.complete != (err == nil) || string(text) != "begin end" {
 				t.Errorf("read %q, %v; complete: want %v", text, err, c.complete)
 			}
--- a/internal/httptarget/together_test.go
+++ b/internal/httptarget/together_test.go
@@ -1,14 +1,12 @@
 package httptarget_test
 
 import (
-	"bufio"
 	"io"
+	"math"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
-	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 )
 
@@ -18,7 +16,6 @@
 func TestWholeAnswerBesideOtherEnds(t *testing.T) {
 	const (
 		empty     = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"
-		keptSoon  = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\nKeep-Alive: timeout=1\r\n\r\n"
 		last      = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\nConnection: close\r\n\r\npart"
 		part      = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\n\r\npart"
 		noAnswer  = ""
@@ -50,49 +47,19 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			g := group.New(t.Context())
-			defer g.Stop()
-			defer l.Close()
-			transport := httptarget.New(g)
-			defer transport.Close()
-			conns := make(chan *net.TCPConn, 1)
-			g.Go(func() {
-				for {
-					raw, err := l.Accept()
-					if err != nil {
-						return
-					}
-					g.Go(func() {
-						if _, err := http.ReadRequest(bufio.NewReader(raw)); err == nil {
-							conns <- raw.(*net.TCPConn)
-						}
-					})
-				}
-			})
+			g := startTarget(t, math.MaxInt)
 			// send sends a request, which gets an answer.
 			send := func(answer string) (*httptarget.Answer, *net.TCPConn) {
 				t.Helper()
 				if answer == noAnswer {
 					g.Go(func() {
-						if a, err := transport.Send(t.Context(), l.Addr().String(), request("a", "")); err == nil {
+						if a, err := g.Send(t.Context(), g.address(), request("a", "")); err == nil {
 							a.Close()
 						}
 					})
-					return nil, <-conns
-				}
-				var target *net.TCPConn
-				answered := make(chan struct{})
-				g.Go(func() { defer close(answered); target = <-conns; _, _ = io.WriteString(target, answer) })
-				a, err := transport.Send(t.Context(), l.Addr().String(), request("a", ""))
-				if err != nil {
-					t.Fatal(err)
+					return nil, <-g.conns
 				}
-				<-answered
-				return a, target
+				return g.exchange(t, answer)
 			}
 			a, ended := send(unframedBegin)
 			defer a.Close()
