Move the sums of outcomes by organisation into a package of their own

internal/gateway has 3,600 lines in one package, of which this part has no tie to the rest but the request and its result. internal/tally now counts outcomes and writes their lines; it also has the word for an outcome, which the lines of single requests use.

Behaviour is unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/tally"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
@@ -214,7 +215,7 @@
 	// loggedBackoffs counts the backoffs that no target asked for, as logged last.
 	loggedBackoffs int64
 	loggedPauses   loggedPauses
-	tally          tally
+	tally          *tally.Tally
 	// loggedArrivalsAt is when waits of new connections were last considered for a log line.
 	loggedArrivalsAt time.Time
 	// answers is the memory for buffered answers.
@@ -266,6 +267,7 @@
 	g := &Gateway{
 		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.TargetDrain, defaultTargetDrain), cmp.Or(o.EntryTTL, defaultEntryTTL)),
 		tickSoon: make(chan struct{}, 1), lastSums: map[string]time.Time{}, directZones: map[message.RouterID]string{},
+		tally: tally.New(),
 	}
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -10,6 +10,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/tally"
 )
 
 // addGauges publishes what is read each time the metrics are.
@@ -37,20 +38,20 @@
 	log     logr.Logger
 	logFull func() bool
 	metrics *counters.Registry
-	tally   *tally
+	tally   *tally.Tally
 	// lastChange returns the last change of the configuration.
 	lastChange func() lifecycle.Change
 }
 
 func (g *Gateway) observer() observer {
-	return observer{log: g.Log, logFull: g.LogFull, metrics: g.Metrics, tally: &g.tally, lastChange: g.requests.LastChange}
+	return observer{log: g.Log, logFull: g.LogFull, metrics: g.Metrics, tally: g.tally, lastChange: g.requests.LastChange}
 }
 
 // RequestEnded implements ingress.Observer.
 func (o observer) RequestEnded(r forward.Request, v forward.Result, took time.Duration) {
 	o.metrics.RecordRequest(v, took)
 	unlogged := o.logFull != nil && o.logFull()
-	o.tally.add(r, v, unlogged)
+	o.tally.Add(r, v, unlogged)
 	if unlogged {
 		return
 	}
@@ -78,7 +79,7 @@
 		fields = append(fields, "config_end", change.Version, "since_change_ms", clock.Since(change.At).Milliseconds())
 	}
 	o.log.Info("request", append(
-		fields, "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", outcome(v), "end", string(ingress.EndOf(v)),
+		fields, "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", string(tally.OutcomeOf(v)), "end", string(ingress.EndOf(v)),
 		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
 		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
 		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
@@ -92,18 +93,6 @@
 // maxRequestFields is the number of keys and values of a request's line, if it has all.
 const maxRequestFields = 88
 
-// outcome returns one word for how a request ended. It is the value of the key outcome in the
-// log.
-func outcome(v forward.Result) string {
-	switch {
-	case v.Truncated:
-		return "cut"
-	case v.Reason != "":
-		return "refused"
-	}
-	return "answered"
-}
-
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func goalOf(r forward.Request) time.Duration {
--- a/internal/gateway/observer_internal_test.go
+++ b/internal/gateway/observer_internal_test.go
@@ -15,6 +15,7 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/logsink"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/tally"
 )
 
 // lineSize is a writer that keeps the size of the last line.
@@ -45,7 +46,7 @@
 			sink := logsink.New(&out, 1, math.MaxInt)
 			log := logr.FromSlogHandler(slog.NewJSONHandler(sink, nil)).WithValues("router", "front-hall-water-3")
 			o := observer{
-				log: log, metrics: counters.New(), tally: &tally{},
+				log: log, metrics: counters.New(), tally: tally.New(),
 				lastChange: func() lifecycle.Change { return lifecycle.Change{} },
 			}
 			b.ReportAllocs()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -89,7 +89,7 @@
 	}
 	g.logThrottles(s.ThrottleNotices())
 	g.logPauses(s, now)
-	g.logTallies(now)
+	g.tally.Log(now, g.Log)
 	g.logArrivals(now)
 	g.logCold(s, now)
 	g.logWaits(s, now)
