Move the meter of processor use out of balance

The meter needs the times of ticks and nothing of the control state, so that internal/cpumeter now returns what it measured and the loop passes it on. Its test moved with it: the cases are the same, and "full use" is read from the result, which the throttle kept as it was.

Behaviour is unchanged.

--- a/internal/balance/box_test.go
+++ b/internal/balance/box_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/backlog"
+	"github.com/stepcroft/stepcroft/internal/cpumeter"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
@@ -225,11 +226,11 @@
 
 // tick simulates what the control loop does at each tick.
 func (b *box) tick(n int, used time.Duration, measuredAt time.Time) {
-	if n%meterTicks == 0 {
+	if n%cpumeter.TicksPerMeasurement == 0 {
 		b.reportRival()
 	}
 	b.Tick(b.now)
-	if n%meterTicks == 0 && n > 0 {
+	if n%cpumeter.TicksPerMeasurement == 0 && n > 0 {
 		b.SetCPUUtilisation(b.now, (b.used-used).Seconds()/(b.now.Sub(measuredAt).Seconds()*b.cores), b.cores)
 		used, measuredAt = b.used, b.now
 	}
--- a/internal/balance/gate_test.go
+++ b/internal/balance/gate_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/cpumeter"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -52,8 +53,8 @@
 			s.Ended(now, k, Answered)
 		}
 		s.Tick(now)
-		if tick%meterTicks == 0 {
-			s.SetCPUUtilisation(now, float64(recent)/meterTicks*cost, 0.2)
+		if tick%cpumeter.TicksPerMeasurement == 0 {
+			s.SetCPUUtilisation(now, float64(recent)/cpumeter.TicksPerMeasurement*cost, 0.2)
 			recent = 0
 		}
 		gates = s.gatesAt(now)
--- a/internal/balance/loop.go
+++ b/internal/balance/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/cpumeter"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
 
@@ -19,11 +20,6 @@
 	// idleTickInterval replaces tickInterval while no request waits for anything: most routers of
 	// a large fleet serve no callers, and each tick wakes the process.
 	idleTickInterval = time.Second
-	// meterTicks is the number of ticks between two measurements of processor use, one if they are
-	// idle ticks. If these ticks come late by more than lateTicks tick intervals together, the
-	// process itself waits for the processor.
-	meterTicks = 5
-	lateTicks  = 3
 )
 
 // Event changes the state.
@@ -39,57 +35,14 @@
 	cpuUtilisation, coalesceLevel atomic.Uint64
 	// ticks counts the calls of Tick.
 	ticks    atomic.Int64
-	meter    meter
+	meter    *cpumeter.Meter
 	onResume func(s *State, now time.Time, missed time.Duration)
 }
 
-// meter measures the fraction of its cores that the router uses.
-type meter struct {
-	// cpuTime returns the processor time used since the start; nil if that is unknown. cores
-	// is the number of cores that the router may use.
-	cpuTime  func() time.Duration
-	cores    float64
-	ticks    int
-	lastAt   time.Time
-	lastUsed time.Duration
-}
-
-// restart begins a new measurement, as the interval of the ticks has changed.
-func (m *meter) restart(now time.Time) {
-	if m.cpuTime != nil {
-		m.ticks, m.lastAt, m.lastUsed = 0, now, m.cpuTime()
-	}
-}
-
-// measure updates the state's processor use once in some ticks that came at an interval. Late ticks
-// count as full use: the process had to wait for the processor, however little time it was charged
-// for.
-func (m *meter) measure(now time.Time, interval time.Duration, s *State) {
-	m.ticks++
-	perMeasurement := 1
-	if interval == tickInterval {
-		perMeasurement = meterTicks
-	}
-	if m.cpuTime == nil || m.cores <= 0 || m.ticks < perMeasurement {
-		return
-	}
-	m.ticks = 0
-	used := m.cpuTime()
-	passed := now.Sub(m.lastAt)
-	switch {
-	case m.lastAt.IsZero() || passed <= 0:
-	case passed > time.Duration(perMeasurement)*interval+lateTicks*tickInterval:
-		s.SetCPUUtilisation(now, 1, m.cores)
-	default:
-		s.SetCPUUtilisation(now, (used-m.lastUsed).Seconds()/(passed.Seconds()*m.cores), m.cores)
-	}
-	m.lastAt, m.lastUsed = now, used
-}
-
 // SetMeter makes the loop measure how much of a number of cores the router uses; cpuTime
 // returns the processor time used since the start. It must be called before Run.
 func (l *Loop) SetMeter(cpuTime func() time.Duration, cores float64) {
-	l.meter.cpuTime, l.meter.cores = cpuTime, cores
+	l.meter = cpumeter.New(cpuTime, cores, tickInterval)
 }
 
 // OnResume sets a function that is called, like an event, when the box resumes after it was
@@ -102,8 +55,7 @@
 	if missed == 0 {
 		return
 	}
-	// The processor time used while the box was suspended says nothing about how busy it is.
-	l.meter.lastAt = time.Time{}
+	l.meter.Discard()
 	if l.onResume != nil {
 		l.onResume(l.state, clock.Now(), missed)
 	}
@@ -111,7 +63,7 @@
 
 // NewLoop returns a loop, to be driven by Run.
 func NewLoop(s *State) *Loop {
-	return &Loop{state: s, events: make(chan Event, eventBuffer)}
+	return &Loop{state: s, events: make(chan Event, eventBuffer), meter: cpumeter.New(nil, 0, tickInterval)}
 }
 
 // Run applies events until ctx ends.
@@ -123,7 +75,7 @@
 		if d != interval {
 			interval = d
 			ticker.Reset(d)
-			l.meter.restart(clock.Now())
+			l.meter.Restart(clock.Now())
 		}
 	}
 	for {
@@ -140,7 +92,9 @@
 			now := clock.Now()
 			l.state.Tick(now)
 			l.ticks.Add(1)
-			l.meter.measure(now, interval, l.state)
+			if utilisation, ok := l.meter.Measure(now, interval); ok {
+				l.state.SetCPUUtilisation(now, utilisation, l.meter.Cores())
+			}
 			if l.state.busy() {
 				setInterval(tickInterval)
 			} else {
--- a/internal/balance/meter_internal_test.go
+++ b/internal/cpumeter/cpumeter_test.go
@@ -1,9 +1,15 @@
-package balance
+package cpumeter_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/cpumeter"
+)
+
+const (
+	tickInterval     = 20 * time.Millisecond
+	idleTickInterval = time.Second
 )
 
 // TestLateTicksCountAsFullUse checks that a router whose ticks come late takes itself to be short of
@@ -28,17 +34,16 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			s := New(now, "z", Limits{QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
-			m := meter{cpuTime: func() time.Duration { return 0 }, cores: 1}
-			m.restart(now)
+			m := cpumeter.New(func() time.Duration { return 0 }, 1, tickInterval)
+			m.Restart(now)
 			full := false
 			for i, gap := range c.gaps {
 				if i > 0 && c.intervals[i] != c.intervals[i-1] {
-					m.restart(now)
+					m.Restart(now)
 				}
 				now = now.Add(gap)
-				m.measure(now, c.intervals[i], s)
-				full = full || s.throttle.CPUUtilisation() == 1
+				utilisation, ok := m.Measure(now, c.intervals[i])
+				full = full || ok && utilisation == 1
 			}
 			if full != c.want {
 				t.Errorf("full use found: %t, want %t", full, c.want)
