Move the engines known to cache a part of a prompt to prefix

What balance knew of which targets cache a part belongs beside the cache of one engine, whose lifetime it uses. prefix.Holders is generic, as targets are a type of balance. A package of its own was ruled out: 60 lines, with the lifetime from prefix.

Behaviour is unchanged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,6 +16,7 @@
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/retrybudget"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routing"
@@ -169,7 +170,9 @@
 	unmetLead lead
 	budget    *retrybudget.Budget
 	throttle  *throttle.Controller
-	holders   holders
+	// holders has the targets known to cache parts of prompts, for services that are not searched as a
+	// whole.
+	holders *prefix.Holders[*target]
 	// sample, good, suspect, near and missing are scratch space for choosing a target.
 	sample, good, suspect, near, preferred []*target
 	missing                                []int
@@ -225,7 +228,7 @@
 		active:            map[*target]struct{}{},
 		cold:              map[*target]struct{}{},
 		releasedAt:        now,
-		holders:           holders{byPart: map[string][]holder{}, prunedAt: now},
+		holders:           prefix.NewHolders[*target](now),
 		paces:             map[string]*pace.Model{},
 		speeds:            enginespeed.New(now),
 		throttle:          throttle.New(tickInterval, maxWaitingPerOrganisation),
@@ -419,7 +422,7 @@
 	s.releaseUnused(now)
 	s.checkExits(now)
 	s.checkReplaced(now)
-	s.holders.prune(now)
+	s.holders.Prune(now)
 	s.speeds.Expire(now)
 	s.compareEngines(now)
 	s.dispatch(now)
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/ranking"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
@@ -27,61 +26,8 @@
 	farSamples  = 2
 	// wideSamples is the number of further candidates drawn if none of the first has room.
 	wideSamples = 64
-	// maxHolders is the number of targets remembered for each part of a prompt.
-	maxHolders = 8
-	// pruneHoldersInterval is the interval at which outdated parts are forgotten.
-	pruneHoldersInterval = prefix.CachedTTL / 3
 )
 
-// holder is a target that caches a part of a prompt.
-type holder struct {
-	*target
-	usedAt time.Time
-}
-
-// holders has the targets known to cache parts of prompts, by part, for services that are not
-// searched as a whole.
-type holders struct {
-	byPart   map[string][]holder
-	prunedAt time.Time
-}
-
-// add records that a target caches a part. Of more than maxHolders targets the one used the
-// longest time ago is forgotten.
-func (h *holders) add(now time.Time, part string, t *target) {
-	list := h.byPart[part]
-	i := slices.IndexFunc(list, func(o holder) bool { return o.target == t })
-	if i < 0 && len(list) < maxHolders {
-		h.byPart[part] = append(list, holder{t, now})
-		return
-	}
-	if i < 0 {
-		i = 0
-		for j := range list {
-			if list[j].usedAt.Before(list[i].usedAt) {
-				i = j
-			}
-		}
-	}
-	list[i] = holder{t, now}
-}
-
-// prune forgets outdated parts.
-func (h *holders) prune(now time.Time) {
-	if now.Sub(h.prunedAt) < pruneHoldersInterval {
-		return
-	}
-	h.prunedAt = now
-	for part, list := range h.byPart {
-		list = slices.DeleteFunc(list, func(o holder) bool { return now.Sub(o.usedAt) > prefix.CachedTTL })
-		if len(list) == 0 {
-			delete(h.byPart, part)
-			continue
-		}
-		h.byPart[part] = list
-	}
-}
-
 // sampled reports whether a service is not searched as a whole.
 func (s *State) sampled(service string) bool { return len(s.targetsOf(service)) > maxWholeSearch }
 
@@ -91,7 +37,7 @@
 		return
 	}
 	for _, part := range parts {
-		s.holders.add(now, part, t)
+		s.holders.Add(now, part, t)
 	}
 }
 
@@ -167,9 +113,9 @@
 func (s *State) sampleHolders(t *Ticket) {
 	for _, p := range slices.Backward(t.Parts) {
 		found := false
-		for _, h := range s.holders.byPart[p.ID] {
-			if h.Service == t.Service && s.targets[h.ID] == h.target {
-				s.addToSample(h.target)
+		for h := range s.holders.Of(p.ID) {
+			if h.Service == t.Service && s.targets[h.ID] == h {
+				s.addToSample(h)
 				found = true
 			}
 		}
--- a/internal/balance/scale_internal_test.go
+++ b/internal/balance/scale_internal_test.go
@@ -193,7 +193,7 @@
 
 // TestCandidatesDoNotGrow checks that a choice looks at a bounded number of targets.
 func TestCandidatesDoNotGrow(t *testing.T) {
-	const maxCandidates = homeRanks + maxHolders + nearSamples + farSamples
+	const maxCandidates = homeRanks + prefix.MaxHolders + nearSamples + farSamples
 	for _, n := range fleetSizes {
 		s, now := fleetState(t, n, 1)
 		for i := range 200 {
