Move the usage of organisations and their fair shares out of balance

What organisations asked for and were served, here and by other routers' reports, and the max-min levels of that need the reports and no other state. internal/fairshare now has them; who must let whom go first, which also looks at the queue, stays (balance/order.go). The level is computed with the quota window that usage decays by, which was the same value from two places.

Behaviour is unchanged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 	"github.com/stepcroft/stepcroft/internal/advice"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
+	"github.com/stepcroft/stepcroft/internal/fairshare"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/invariant"
 	"github.com/stepcroft/stepcroft/internal/pace"
@@ -157,7 +158,8 @@
 	unstarted int
 	// lastDispatch is when the queue was last searched.
 	lastDispatch time.Time
-	shares       shares
+	// shares has what organisations asked for and were served.
+	shares *fairshare.Book
 	// peers is what other routers reported.
 	peers *view.View
 	// runningPeers is the number of other routers believed to be running, servingPeers how
@@ -165,7 +167,6 @@
 	runningPeers, servingPeers int
 	// invalidUsage counts invalid usages in other routers' reports.
 	invalidUsage int64
-	level        level
 	// unmetLead is the last result of maxLead for organisations with unmet demand.
 	unmetLead lead
 	budget    *retrybudget.Budget
@@ -215,6 +216,7 @@
 
 // New returns the state of a router in an availability zone, without any targets.
 func New(now time.Time, zone string, limits Limits, random *rand.Rand) *State {
+	peers := view.New(now, limits.QuotaWindow)
 	return &State{
 		zone:              zone,
 		limits:            limits,
@@ -232,8 +234,8 @@
 		paces:             map[string]*pace.Model{},
 		speeds:            enginespeed.New(now),
 		throttle:          throttle.New(tickInterval, maxWaitingPerOrganisation),
-		shares:            newShares(limits.QuotaWindow),
-		peers:             view.New(now, limits.QuotaWindow),
+		shares:            fairshare.New(limits.QuotaWindow, peers),
+		peers:             peers,
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
 		forecasts:         newForecasts(),
 		returning:         newReturning(),
@@ -244,14 +246,14 @@
 // Configure applies a new configuration.
 func (s *State) Configure(t *routing.Table) {
 	s.table = t
-	s.shares.capacity = t.Limits().TokensPerSecond
+	s.shares.SetCapacity(t.Limits().TokensPerSecond)
 }
 
 // Arrive accepts a request. Its decision follows on the ticket's channel: at once, when there
 // is room, or when the request has waited long enough.
 func (s *State) Arrive(now time.Time, t *Ticket) {
 	s.budget.CountRequest(now, t.Service)
-	s.shares.addDemand(now, t.Organisation, t.tokens())
+	s.shares.AddDemand(now, t.Organisation, t.tokens())
 	s.arrive(now, t)
 }
 
@@ -318,10 +320,10 @@
 	s.countSend(now, to)
 	s.noteSent(now, t, to)
 	if t.Engine {
-		s.addServed(now, t.Organisation, t.tokens())
+		s.shares.AddServed(now, t.Organisation, t.tokens())
 		s.recordBegan(now, t, t.tokens())
 		if s.forecasted(t) {
-			s.shares.recordStart(now, t.Organisation, t.Service)
+			s.shares.RecordStart(now, t.Organisation, t.Service)
 		}
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
@@ -391,7 +393,7 @@
 	}
 	// A second send that the first target overtakes is the router's affair, not its organisation's.
 	if how == Refused || how == Unreachable || t.isSecond && !t.started && how == Abandoned {
-		s.addServed(now, t.Organisation, -t.tokens())
+		s.shares.AddServed(now, t.Organisation, -t.tokens())
 		s.recordBegan(now, t, -t.tokens())
 	}
 	s.dispatch(now)
@@ -451,6 +453,6 @@
 func (s *State) SetLimits(l Limits) {
 	s.budget = s.budget.WithLimits(l.retries())
 	s.limits = l
-	s.shares.window = l.QuotaWindow
+	s.shares.SetWindow(l.QuotaWindow)
 	s.peers.SetWindow(l.QuotaWindow)
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -82,7 +82,7 @@
 		best := s.leastLoaded(now, t, candidates)
 		return placement{target: best}, best != nil
 	}
-	ratio := s.shareRatio(now, t.Organisation)
+	ratio := s.shares.Ratio(now, t.Organisation)
 	over := ratio > shareTolerance && !t.Resumes
 	r := s.room(now, t, ratio)
 	own := ownTokens(t)
--- a/internal/balance/forecast.go
+++ b/internal/balance/forecast.go
@@ -56,7 +56,7 @@
 
 // classIfQueued returns the class of a request that would be queued now.
 func (s *State) classIfQueued(now time.Time, t *Ticket) waiting.Class {
-	return waiting.Class{Service: t.Service, OverShare: s.overAttainedShare(now, t.Organisation), Place: s.placeInQueue(now, t)}
+	return waiting.Class{Service: t.Service, OverShare: s.shares.ExceedsAttained(now, t.Organisation), Place: s.placeInQueue(now, t)}
 }
 
 // recordWait records the end of a request's wait for forecasts.
@@ -79,7 +79,7 @@
 
 // placeInQueue returns how many of the service's waiting requests go before a new one.
 func (s *State) placeInQueue(now time.Time, t *Ticket) int {
-	served := map[string]float64{t.Organisation: s.served(now, t.Organisation)}
+	served := map[string]float64{t.Organisation: s.shares.Served(now, t.Organisation)}
 	s.setOrder(now, t, s.mixed(t)[t.Organisation])
 	n := 0
 	for _, other := range s.queue {
@@ -87,7 +87,7 @@
 			continue
 		}
 		if _, ok := served[other.Organisation]; !ok {
-			served[other.Organisation] = s.served(now, other.Organisation)
+			served[other.Organisation] = s.shares.Served(now, other.Organisation)
 		}
 		if compareOrder(served, other, t) <= 0 {
 			n++
@@ -114,15 +114,15 @@
 // of the requests that were read: an organisation at one small box would otherwise seem to be
 // content with the little that the box reads.
 func (s *State) hasUnmetDemand(now time.Time, organisation string) bool {
-	own, others := s.shares.usageOf(now, organisation), s.peers.Usage(now, organisation)
-	if own.requests <= 0 && own.unread > 0 {
+	own, others := s.shares.Usage(now, organisation), s.peers.Usage(now, organisation)
+	if own.Requests <= 0 && own.Unread > 0 {
 		return true
 	}
-	asked := own.demand + others.Demand
-	if own.requests > 0 {
-		asked += own.demand / own.requests * own.unread
+	asked := own.Demand + others.Demand
+	if own.Requests > 0 {
+		asked += own.Demand / own.Requests * own.Unread
 	}
-	return own.served+others.Started < asked*metPercent/100
+	return own.Served+others.Started < asked*metPercent/100
 }
 
 // neglected returns the organisations that have a request waiting for a service for which this router
@@ -135,7 +135,7 @@
 			continue
 		}
 		here, elsewhere := false, false
-		for service, at := range s.shares.usageOf(now, t.Organisation).startedAt {
+		for service, at := range s.shares.Usage(now, t.Organisation).StartedAt {
 			recent := now.Sub(at) < s.limits.QuotaWindow
 			here = here || recent && service == t.Service
 			elsewhere = elsewhere || recent && service != t.Service
@@ -173,7 +173,7 @@
 	})
 	// What is refused unread may be for any service.
 	filtered := s.allForecasts()
-	for name := range s.shares.usages {
+	for name := range s.shares.Organisations() {
 		if rejected := s.throttle.RejectedLastTick(name); rejected > 0 && (!filtered || counts(name)) {
 			n[name] += rejected
 		}
--- a/internal/balance/forecast_test.go
+++ b/internal/balance/forecast_test.go
@@ -216,7 +216,7 @@
 		t.Errorf("%d requests reported that would have waited, want 0", n)
 	}
 	s.Arrive(now, ticket("met", 600*time.Millisecond))
-	s.addServed(now, "met", 1000)
+	s.shares.AddServed(now, "met", 1000)
 	if n := s.Report(now).Usage["met"].Waiting; n != 0 {
 		t.Errorf("%d requests reported of an organisation whose demand is met, want 0", n)
 	}
@@ -237,13 +237,13 @@
 	s, now, ticket := newFullState(t, forecastsOn)
 	k := ticket("o", time.Second)
 	s.Arrive(now, k)
-	s.addServed(now, "o", 10_000)
+	s.shares.AddServed(now, "o", 10_000)
 	for name, started := range map[string]string{"elsewhere": "second", "here too": "llm"} {
-		s.shares.recordStart(now, "o", started)
+		s.shares.RecordStart(now, "o", started)
 		if n, want := s.Report(now).Usage["o"].Waiting, map[string]int{"second": 1}[started]; n != want {
 			t.Errorf("%s: %d requests reported, want %d", name, n, want)
 		}
-		delete(s.shares.usages["o"].startedAt, started)
+		delete(s.shares.Usage(now, "o").StartedAt, started)
 	}
 }
 
@@ -308,14 +308,14 @@
 	if got := fmt.Sprintf("%s %s %s", s.queue[0].ID, s.queue[1].ID, s.queue[2].ID); got != "t1 t2 t3" {
 		t.Errorf("order %s, want that of arrival", got)
 	}
-	s.addServed(now, "o", 10_000)
+	s.shares.AddServed(now, "o", 10_000)
 	s.throttle.RecordQueueFull("o")
 	gate := s.gatesAt(now)["o"]
 	for range 100 {
 		gate.Admit(throttle.RequestSize{})
 	}
 	s.gatesAt(now)
-	s.shares.usageOf(now, "o").unread = 0
+	s.shares.Usage(now, "o").Unread = 0
 	if n := s.Report(now).Usage["o"].Waiting; n < 90 {
 		t.Errorf("%d requests reported, want those refused unread as well", n)
 	}
--- a/internal/balance/lead_test.go
+++ b/internal/balance/lead_test.go
@@ -17,14 +17,14 @@
 	for i := range 1000 {
 		name := fmt.Sprint("o", i)
 		usage[name] = view.Usage{Demand: 1000, Started: 100, Waiting: 24}
-		s.shares.addDemand(now, name, 1000)
+		s.shares.AddDemand(now, name, 1000)
 		for range maxWaitingPerOrganisation {
 			s.forecasts.refused.Add(name, now.Add(time.Hour), maxWaitingPerOrganisation)
 		}
 	}
 	s.ApplyReport(now, "r", view.Report{Usage: usage})
-	s.shares.addDemand(now, "large", 1e6)
-	s.addServed(now, "large", 1e6)
+	s.shares.AddDemand(now, "large", 1e6)
+	s.shares.AddServed(now, "large", 1e6)
 	return s, now, ticket("large", time.Second)
 }
 
@@ -47,8 +47,8 @@
 		t.Errorf("%.0f allocations for a request, want what was computed before", n)
 	}
 	s, now, ticket := newFullState(t, forecastsOn)
-	s.shares.addDemand(now, "large", 1e6)
-	s.addServed(now, "large", 1e6)
+	s.shares.AddDemand(now, "large", 1e6)
+	s.shares.AddServed(now, "large", 1e6)
 	before := s.mustQueue(now, ticket("large", time.Second))
 	s.Arrive(now, ticket("small", time.Second))
 	if after := s.mustQueue(now, ticket("large", time.Second)); before || !after {
--- a/internal/balance/order.go
+++ b/internal/balance/order.go
@@ -22,7 +22,7 @@
 // mustQueue reports whether a request to an engine must not overtake those waiting, here or at
 // other routers, because its organisation was served more than theirs.
 func (s *State) mustQueue(now time.Time, t *Ticket) bool {
-	return t.Engine && !t.Resumes && s.overAttainedShare(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.recentMaxLead(now, s.forecasted(t)))
+	return t.Engine && !t.Resumes && s.shares.ExceedsAttained(now, t.Organisation) && s.exceedsLead(now, t.Organisation, s.recentMaxLead(now, s.forecasted(t)))
 }
 
 // exceedsLead reports whether an organisation must let others go first, because it was served more
@@ -30,7 +30,29 @@
 // them: in a large fleet some small organisation always has requests waiting somewhere, and all
 // others would wait for it.
 func (s *State) exceedsLead(now time.Time, organisation string, maxLead float64) bool {
-	return s.overAttainedShare(now, organisation) && s.served(now, organisation) > maxLead
+	return s.shares.ExceedsAttained(now, organisation) && s.shares.Served(now, organisation) > maxLead
+}
+
+// Yielding returns the organisations that must let others go first everywhere: they were served more
+// than their share while others wait, or so much more than one of those that they exceed its lead.
+func (s *State) Yielding(now time.Time) map[string]bool {
+	unmetOnly := s.allForecasts()
+	waiting := s.waitingAnywhere(now, unmetOnly)
+	if len(waiting) == 0 {
+		return nil
+	}
+	out, maxLead := map[string]bool{}, s.maxLead(now, unmetOnly)
+	add := func(name string) {
+		othersWait := len(waiting) > 1 || !waiting[name]
+		if othersWait && s.shares.Exceeds(now, name) || s.exceedsLead(now, name, maxLead) {
+			out[name] = true
+		}
+	}
+	for name := range s.shares.Organisations() {
+		add(name)
+	}
+	s.peers.EachOrganisation(now, func(name string, _ view.Usage) { add(name) })
+	return out
 }
 
 // maxLead returns the most that an organisation over its share may have been served without
@@ -96,12 +118,12 @@
 	}
 	for name := range s.waitingByOrganisation(now) {
 		if !unmetOnly || neglected[name] || s.hasUnmetDemand(now, name) {
-			f(s.served(now, name), true)
+			f(s.shares.Served(now, name), true)
 		}
 	}
 	s.peers.EachOrganisation(now, func(name string, u view.Usage) {
 		if u.Waiting > 0 {
-			f(s.shares.usageOf(now, name).served+u.Started, false)
+			f(s.shares.Usage(now, name).Served+u.Started, false)
 		}
 	})
 }
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -60,6 +60,7 @@
 // serve callers.
 func (s *State) SetPeers(running, serving int) {
 	s.runningPeers, s.servingPeers = running, serving
+	s.shares.SetServingPeers(serving)
 	s.assumeBookers()
 }
 
@@ -135,13 +136,13 @@
 	}
 	r.Returns = s.reportReturns(now)
 	waiting := s.reportedWaiting(now)
-	for name := range s.shares.usages {
-		c := s.shares.usageOf(now, name)
-		if c.demand >= 1 || c.served >= 1 || s.anyForecasts() && (c.unread >= 1 || waiting[name] > 0) {
-			r.Usage[name] = view.Usage{Demand: c.demand, Started: c.served, Waiting: waiting[name]}
+	for name := range s.shares.Organisations() {
+		c := s.shares.Usage(now, name)
+		if c.Demand >= 1 || c.Served >= 1 || s.anyForecasts() && (c.Unread >= 1 || waiting[name] > 0) {
+			r.Usage[name] = view.Usage{Demand: c.Demand, Started: c.Served, Waiting: waiting[name]}
 			continue
 		}
-		delete(s.shares.usages, name)
+		s.shares.Forget(name)
 	}
 	if r.Active() { // Other reports may not be sent.
 		r.Speeds = s.speeds.Take(now)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -46,7 +46,7 @@
 	served, mixed := map[string]float64{}, s.mixed(nil)
 	for _, t := range s.queue {
 		if _, ok := served[t.Organisation]; !ok {
-			served[t.Organisation] = s.served(now, t.Organisation)
+			served[t.Organisation] = s.shares.Served(now, t.Organisation)
 		}
 		s.setOrder(now, t, mixed[t.Organisation])
 	}
--- a/internal/balance/refusal.go
+++ b/internal/balance/refusal.go
@@ -114,7 +114,7 @@
 	d := retryAfterFull
 	if s.allDrained(now, t.Service) {
 		d = retryAfterDrained
-	} else if s.overShare(now, t.Organisation) {
+	} else if s.shares.Exceeds(now, t.Organisation) {
 		d = retryAfterOverShare
 	}
 	return d + time.Duration(s.random.Int64N(int64(d)))
--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -86,19 +86,19 @@
 // capacity a slot is full, and more than some multiple comes from a fault and would hide for seconds
 // which slots are the least full.
 func (s *State) maxBooked() float64 {
-	if s.shares.capacity <= 0 {
+	if s.shares.Capacity() <= 0 {
 		return math.Inf(1)
 	}
-	return maxBookedFactor * s.shares.capacity * returns.SlotWidth.Seconds()
+	return maxBookedFactor * s.shares.Capacity() * returns.SlotWidth.Seconds()
 }
 
 // maxBegan returns the most tokens that other routers may have started since a report, by the
 // configured capacity; more comes from a fault and would let all refused callers return at once.
 func (s *State) maxBegan() float64 {
-	if s.shares.capacity <= 0 {
+	if s.shares.Capacity() <= 0 {
 		return math.Inf(1)
 	}
-	return maxBeganFactor * s.shares.capacity * s.limits.QuotaWindow.Seconds()
+	return maxBeganFactor * s.shares.Capacity() * s.limits.QuotaWindow.Seconds()
 }
 
 // anyReturnSlots reports whether the returns of any service's refused callers are planned.
@@ -148,15 +148,15 @@
 // that bound the callers of a sudden burst, of which most is not owed, came back to up to 2.6 times
 // what engines take.
 func (s *State) returnsEarly(now time.Time, t *Ticket) bool {
-	if t.Organisation == "" || s.shares.capacity <= 0 {
+	if t.Organisation == "" || s.shares.Capacity() <= 0 {
 		return false
 	}
-	own, others := s.shares.usageOf(now, t.Organisation), s.peers.Usage(now, t.Organisation)
-	left := s.currentLevel(now).attained - own.served - others.Started
-	if left <= 0 || usedEarly*own.early*(own.demand+others.Demand) > left*own.demand {
+	own, others := s.shares.Usage(now, t.Organisation), s.peers.Usage(now, t.Organisation)
+	left := s.shares.Level(now).Attained - own.Served - others.Started
+	if left <= 0 || usedEarly*own.Early*(own.Demand+others.Demand) > left*own.Demand {
 		return false
 	}
-	own.early += t.tokens()
+	own.Early += t.tokens()
 	return true
 }
 
@@ -168,9 +168,9 @@
 // or 0 if it is within it. A request refused in favour of others counts by the share of what engines
 // actually served, which is less than the configured one while engines are down.
 func (s *State) timeToShare(now time.Time, organisation string, why Reason) time.Duration {
-	ratio := s.shareRatio(now, organisation)
+	ratio := s.shares.Ratio(now, organisation)
 	if why == OverShare {
-		ratio = s.served(now, organisation) / max(s.currentLevel(now).attained, 1)
+		ratio = s.shares.Served(now, organisation) / max(s.shares.Level(now).Attained, 1)
 	}
 	if ratio <= 1 {
 		return 0
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -79,9 +79,9 @@
 		s.returning.plan.Began(now, "llm", 1000)
 		now = now.Add(returns.SlotWidth)
 	}
-	s.shares.addDemand(now, "large", 20_000_000)
-	s.addServed(now, "large", 20_000_000)
-	s.shares.addDemand(now, "small", 1000)
+	s.shares.AddDemand(now, "large", 20_000_000)
+	s.shares.AddServed(now, "large", 20_000_000)
+	s.shares.AddDemand(now, "small", 1000)
 	told := map[time.Duration]bool{}
 	for range 1000 {
 		k := ticket("large", time.Second)
@@ -196,8 +196,8 @@
 	served := func(shares float64) func(s *State, now time.Time) {
 		return func(s *State, now time.Time) {
 			// The decayed capacity of 100,000 tokens a second.
-			s.shares.addDemand(now, "o", 200_000*shares)
-			s.addServed(now, "o", 200_000*shares)
+			s.shares.AddDemand(now, "o", 200_000*shares)
+			s.shares.AddServed(now, "o", 200_000*shares)
 		}
 	}
 	for name, test := range map[string]struct {
--- a/internal/balance/throttling.go
+++ b/internal/balance/throttling.go
@@ -20,7 +20,7 @@
 	gates := s.throttle.Gates(now, s.waitingByOrganisation(now), s.shareStatusAt(now))
 	for name := range gates {
 		if n := s.throttle.RejectedLastTick(name); n > 0 {
-			s.shares.usageOf(now, name).unread += float64(n)
+			s.shares.Usage(now, name).Unread += float64(n)
 		}
 	}
 	return gates
@@ -32,7 +32,7 @@
 		least := math.Inf(1)
 		s.eachWaiting(now, false, func(served float64, _ bool) { least = min(least, served) })
 		return throttle.ShareStatus{
-			Served: s.served(now, organisation), FairShare: s.fairShare(now), MostServed: s.currentLevel(now).mostServed, LeastServedWaiting: least,
+			Served: s.shares.Served(now, organisation), FairShare: s.shares.Level(now).Tokens, MostServed: s.shares.Level(now).MostServed, LeastServedWaiting: least,
 		}
 	}
 }
--- a/internal/balance/wait.go
+++ b/internal/balance/wait.go
@@ -35,9 +35,9 @@
 // behind reports whether an organisation was served much less than its share of what the engines
 // actually served.
 func (s *State) behind(now time.Time, organisation string) bool {
-	if organisation == "" || s.shares.capacity <= 0 {
+	if organisation == "" || s.shares.Capacity() <= 0 {
 		return false
 	}
-	share := s.currentLevel(now).attained
-	return !math.IsInf(share, 1) && s.served(now, organisation)*100 < share*behindPercent
+	share := s.shares.Level(now).Attained
+	return !math.IsInf(share, 1) && s.shares.Served(now, organisation)*100 < share*behindPercent
 }
