Move the log line of each request into a package of its own

internal/gateway wrote the line of a request beside the metrics of its parts. internal/requestlog needs the request, its result, the counters and the tally, and nothing of the gateway; ingress gets it as its observer. goalOf, which nothing called, is gone.

Behaviour is unchanged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
@@ -313,7 +314,7 @@
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
 		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	g.requests = lifecycle.New(changeWindow, o.Log)
-	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
+	g.server = ingress.New(o.Headers, forwarder, requestlog.New(o.Log, o.LogFull, o.Metrics, g.tally, g.requests.LastChange), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, g.memory, g.requests, o.Log)
--- a/internal/gateway/observer.go
+++ b/internal/requestlog/requestlog.go
@@ -1,4 +1,5 @@
-package gateway
+// Package requestlog writes what became of each request: a line in the log as far as there is room for it, and counts.
+package requestlog
 
 import (
 	"time"
@@ -13,45 +14,27 @@
 	"github.com/stepcroft/stepcroft/internal/tally"
 )
 
-// addGauges publishes what is read each time the metrics are.
-func (g *Gateway) addGauges(m *counters.Registry) {
-	m.Set("target_connections", func() any { return g.transport.Stats() })
-	m.Set("peer_messages", func() any { return g.peers.Stats() })
-	m.Set("peer_datagrams", func() any { return g.datagrams.Stats() })
-	m.Set("processor_part", func() any { return g.loop.CPUUtilisation() })
-	m.Set("turned_away", func() any { return g.server.RejectedConnections() })
-	m.Set("closed_unanswered", func() any { return g.server.ClosedUnanswered() })
-	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
-	m.Set("pause_bounded", func() any { bounded, _ := g.loop.PauseCounts(); return bounded })
-	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
-	m.Set("handover", func() any { return g.handover.stats() })
-	m.Set("requests", func() any { return g.requestSums() })
-	m.Set("open_requests", func() any { return g.server.OpenRequests() })
-	m.Set("bodies", func() any { return g.memory.Stats() })
-	m.Set("answer_buffers", func() any { return g.answers.budget.Stats() })
-	m.Set("configuration", g.configStats)
-	m.Set("store_copies", g.copyStats)
-}
-
-// observer logs and counts each request that has ended.
-type observer struct {
-	log     logr.Logger
-	logFull func() bool
-	metrics *counters.Registry
-	tally   *tally.Tally
-	// lastChange returns the last change of the configuration.
+// Observer logs and counts each request that has ended. Use New to make one.
+type Observer struct {
+	log        logr.Logger
+	logFull    func() bool
+	metrics    *counters.Registry
+	sums       *tally.Tally
 	lastChange func() lifecycle.Change
 }
 
-func (g *Gateway) observer() observer {
-	return observer{log: g.Log, logFull: g.LogFull, metrics: g.Metrics, tally: g.tally, lastChange: g.requests.LastChange}
+// New returns an observer that writes to log. It leaves out a request's line if logFull, unless that is nil, reports that
+// the line would be dropped; all requests are counted by metrics and sums. lastChange returns the last change of the
+// configuration.
+func New(log logr.Logger, logFull func() bool, metrics *counters.Registry, sums *tally.Tally, lastChange func() lifecycle.Change) Observer {
+	return Observer{log: log, logFull: logFull, metrics: metrics, sums: sums, lastChange: lastChange}
 }
 
 // RequestEnded implements ingress.Observer.
-func (o observer) RequestEnded(r forward.Request, v forward.Result, took time.Duration) {
+func (o Observer) RequestEnded(r forward.Request, v forward.Result, took time.Duration) {
 	o.metrics.RecordRequest(v, took)
 	unlogged := o.logFull != nil && o.logFull()
-	o.tally.Add(r, v, unlogged)
+	o.sums.Add(r, v, unlogged)
 	if unlogged {
 		return
 	}
@@ -94,10 +77,3 @@
 const maxRequestFields = 88
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
-func goalOf(r forward.Request) time.Duration {
-	if r.Route == nil {
-		return 0
-	}
-	return r.Route.Goal
-}
--- a/internal/gateway/observer_internal_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -1,4 +1,4 @@
-package gateway
+package requestlog_test
 
 import (
 	"log/slog"
@@ -14,6 +14,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/logsink"
+	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/tally"
 )
@@ -45,15 +46,13 @@
 			var out lineSize
 			sink := logsink.New(&out, 1, math.MaxInt)
 			log := logr.FromSlogHandler(slog.NewJSONHandler(sink, nil)).WithValues("router", "front-hall-water-3")
-			o := observer{
-				log: log, metrics: counters.New(), tally: tally.New(),
-				lastChange: func() lifecycle.Change { return lifecycle.Change{} },
-			}
+			noChange := func() lifecycle.Change { return lifecycle.Change{} }
+			o := requestlog.New(log, nil, counters.New(), tally.New(), noChange)
 			b.ReportAllocs()
 			for b.Loop() {
 				o.RequestEnded(r, v, 13*time.Second)
 			}
-			o.log = logr.FromSlogHandler(slog.NewJSONHandler(&out, nil)).WithValues("router", "front-hall-water-3")
+			o = requestlog.New(logr.FromSlogHandler(slog.NewJSONHandler(&out, nil)).WithValues("router", "front-hall-water-3"), nil, counters.New(), tally.New(), noChange)
 			o.RequestEnded(r, v, 13*time.Second)
 			b.ReportMetric(float64(out), "bytes/line")
 		})
