Move log lines about changed counts out of gateway

Eight files of internal/gateway each kept what they had logged last in a field of Gateway and wrote a line if it had changed: throttled organisations, pauses, arrivals, cold targets, waits, advice, speeds, answers without room. internal/countlog has them all, in the order of before; gateway calls it once a tick. It needs the control state, the loop and three sources, none of them a Gateway.

Behaviour is unchanged. TestSpeedsOfZone published by force through a field of Gateway; it now uses a countlog of its own with counters of its own, and checks the same.

Looked at and left: awake.go, freshness.go and watch.go, which each use four to six other parts of Gateway.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/countlog"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/freshness"
@@ -200,25 +201,12 @@
 	unconfirmedSince time.Time
 	quarantineView   atomic.Pointer[quarantine.View]
 	loggedDrained    drainedZones
-	// coldSenders limits the requests sent to cold targets, loggedCold is the count that was
-	// logged last.
+	// coldSenders limits the requests sent to cold targets.
 	coldSenders *coldstart.Senders
-	loggedCold  coldTargets
-	// loggedWaits are the counts of refusals without a wait and of returns as logged last.
-	loggedWaits loggedWaits
-	speeds      speedsPublisher
 	// rollouts follows the roll-outs, loggedRollouts are their states as logged last.
 	rollouts       *rollout.Tracker
 	loggedRollouts map[string]rollout.State
-	// loggedAgainstAdvice counts the requests to targets that were leaving or backing off, as
-	// logged last.
-	loggedAgainstAdvice balance.SentAgainstAdvice
-	// loggedBackoffs counts the backoffs that no target asked for, as logged last.
-	loggedBackoffs int64
-	loggedPauses   loggedPauses
-	tally          *tally.Tally
-	// loggedArrivalsAt is when waits of new connections were last considered for a log line.
-	loggedArrivalsAt time.Time
+	counts         *countlog.Log
 	// answers is the memory for buffered answers.
 	answers answerBuffers
 }
@@ -268,7 +256,6 @@
 	g := &Gateway{
 		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.TargetDrain, defaultTargetDrain), cmp.Or(o.EntryTTL, defaultEntryTTL)),
 		tickSoon: make(chan struct{}, 1), lastSums: map[string]time.Time{}, directZones: map[message.RouterID]string{},
-		tally: tally.New(),
 	}
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
@@ -313,11 +300,13 @@
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
 		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+	sums := tally.New()
 	g.requests = lifecycle.New(changeWindow, o.Log)
-	g.server = ingress.New(o.Headers, forwarder, requestlog.New(o.Log, o.LogFull, o.Metrics, g.tally, g.requests.LastChange), ingress.Limits{
+	g.server = ingress.New(o.Headers, forwarder, requestlog.New(o.Log, o.LogFull, o.Metrics, sums, g.requests.LastChange), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, g.memory, g.requests, o.Log)
+	g.counts = countlog.New(o.Log, o.Metrics, countlog.Sources{Loop: g.loop, Arrivals: g.server.TakeArrivalStats, Answers: g.answers.budget, Requests: sums})
 	g.startHandover()
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
 	"github.com/stepcroft/stepcroft/internal/roster"
-	"github.com/stepcroft/stepcroft/internal/throttle"
 	"github.com/stepcroft/stepcroft/internal/view"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
@@ -87,15 +85,7 @@
 	if slices.ContainsFunc(changes, func(r message.RouterRecord) bool { return r.State == message.Suspected || r.State == message.Gone }) {
 		s.RouterLost()
 	}
-	g.logThrottles(s.ThrottleNotices())
-	g.logPauses(s, now)
-	g.tally.Log(now, g.Log)
-	g.logArrivals(now)
-	g.logCold(s, now)
-	g.logWaits(s, now)
-	g.logAdvice(s)
-	g.publishSpeeds(s, now)
-	g.logAnswersWaiting(now)
+	g.counts.Update(s, now)
 	g.publishLocalChanges(now)
 	g.tickStreams(s, now)
 	g.tickExits(now)
@@ -141,20 +131,6 @@
 	}
 }
 
-// logThrottles logs for which organisations throttling has begun or ended. Throttled requests are
-// rejected before parsing, maybe hundreds a second, and most of them get no log line.
-func (g *Gateway) logThrottles(list []throttle.Notice) {
-	for _, k := range list {
-		what := "organisation throttled"
-		if k.Ended {
-			what = "organisation no longer throttled"
-		}
-		g.Log.Info(what, "organisation", k.Organisation, "busy", k.CPUUtilisation, "coalesce", k.CoalesceLevel, "cores", k.CoreLimit,
-			"had", int(k.Served), "share", int(min(k.FairShare, math.MaxInt32)), "most_served", int(k.MostServed), "least_waiting", int(min(k.LeastServedWaiting, math.MaxInt32)),
-			"waiting", k.Waiting, "crowded", k.RejectedQueueFull, "busied", k.RejectedBusy, "after_ms", k.Duration.Milliseconds())
-	}
-}
-
 // report sends the other serving routers the load that this router's requests put on targets, as
 // long as there is any, and one more report when there is none any longer. In a large fleet it
 // reports to its zone only, and the relay of the zone sends the zone's sum to the other zones. While
--- a/internal/gateway/speeds_internal_test.go
+++ b/internal/gateway/speeds_internal_test.go
@@ -9,10 +9,13 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/countlog"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/tally"
 )
 
 // TestSpeedsOfZone checks that a zone's sum replaces the direct reports of its routers, and that the
@@ -39,15 +42,17 @@
 				{Target: "fast", Service: "s", Sums: enginespeed.Sums{Expected: 900, Actual: 450}},
 				{Target: "slow", Service: "s", Sums: enginespeed.Sums{Expected: 900, Actual: 1350}},
 			}
+			// The router publishes to g.Metrics by itself.
+			metrics := counters.New()
+			publisher := countlog.New(g.Log, metrics, countlog.Sources{Loop: g.loop, Arrivals: g.server.TakeArrivalStats, Answers: g.answers.budget, Requests: tally.New()})
 			g.loop.PostAndWait(context.Background(), func(s *balance.State, now time.Time) {
 				from := member.Member{ID: "far", Zone: "y"}
 				g.handleStatus(s, now, from, message.Status{Speeds: list})
 				g.handleZoneStatus(s, now, from, message.ZoneStatus{Zone: "y", Status: message.Status{Speeds: list}})
-				g.speeds.due = now
-				g.publishSpeeds(s, now)
+				publisher.Update(s, now)
 			})
 			w := httptest.NewRecorder()
-			g.Metrics.ServeHTTP(w, nil)
+			metrics.ServeHTTP(w, nil)
 			var got struct {
 				Speeds  map[string]enginespeed.Summary `json:"engine_speeds"`
 				Ignored int                            `json:"engine_speeds_ignored"`
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -18,13 +17,6 @@
 	since time.Time
 }
 
-// coldTargets holds the number of cold targets by service, and how often one was skipped for
-// being cold since the router started.
-type coldTargets struct {
-	count   map[string]int
-	skipped int64
-}
-
 // SetZones replaces the drained availability zones with the store's complete list.
 func (g *Gateway) SetZones(at int64, list []message.StoredObject) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
@@ -67,16 +59,3 @@
 	g.Metrics.SetZones(drained)
 	g.loggedDrained = drainedZones{zones: drained, since: now}
 }
-
-// logCold logs the number of cold targets by service if it has changed.
-func (g *Gateway) logCold(s *balance.State, now time.Time) {
-	count, skipped := s.ColdTargets(now)
-	if skipped != g.loggedCold.skipped {
-		g.Metrics.SetColdSkipped(skipped)
-	}
-	if !maps.Equal(count, g.loggedCold.count) {
-		g.Log.Info("targets cold", "count", count, "before", g.loggedCold.count, "passed_over", skipped-g.loggedCold.skipped)
-		g.Metrics.SetCold(count)
-		g.loggedCold = coldTargets{count: count, skipped: skipped}
-	}
-}
