Move the operators' calls about suspected requests out of gateway

internal/suspectapi has the HTTP handler and what it shows; the command line reads the same type from there, and no longer imports the gateway for it. What a router can do is a small interface, which Gateway meets. quarantine.Record.CrashedTargets was a function of gateway.

Behaviour is unchanged. Tests of the calls stay in gateway, as they use two routers; their assertions are the same.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/stepcroft/stepcroft/internal/gateway"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/suspectapi"
 )
 
 // quarantineCommand is "stepcroft quarantine".
@@ -37,12 +37,12 @@
 }
 
 // suspects returns the requests that the router suspects.
-func (f routerFlags) suspects(ctx context.Context) ([]gateway.Suspect, error) {
+func (f routerFlags) suspects(ctx context.Context) ([]suspectapi.Suspect, error) {
 	body, err := f.callSuspects(ctx, http.MethodGet, nil)
 	if err != nil {
 		return nil, err
 	}
-	var list []gateway.Suspect
+	var list []suspectapi.Suspect
 	return list, errors.Wrap(json.Unmarshal(body, &list), "parse response")
 }
 
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	var shown []gateway.Suspect
+	var shown []suspectapi.Suspect
 	for _, state := range []string{"held back", "sent away", "suspected", "cleared"} {
 		for _, r := range list {
 			if r.State == state && (c.All || r.Crashes > 1) {
--- a/internal/gateway/operators_internal_test.go
+++ b/internal/gateway/operators_internal_test.go
@@ -10,18 +10,19 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/suspectapi"
 )
 
 // callOperators sends an operator's request to a router.
 func callOperators(g *Gateway, method, query string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	g.ServeSuspects(w, httptest.NewRequest(method, "/suspects?"+query, nil))
+	suspectapi.New(g, g.Log).ServeHTTP(w, httptest.NewRequest(method, "/suspects?"+query, nil))
 	return w
 }
 
-func listSuspects(t *testing.T, g *Gateway) []Suspect {
+func listSuspects(t *testing.T, g *Gateway) []suspectapi.Suspect {
 	t.Helper()
-	var list []Suspect
+	var list []suspectapi.Suspect
 	if err := json.Unmarshal(callOperators(g, http.MethodGet, "").Body.Bytes(), &list); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -221,19 +221,10 @@
 			what = " cleared"
 		}
 		log.Info(subject+what, "content", r.Key.String(), "organisation", r.Organisation, "crashes", uncleared,
-			"targets", crashedTargets(r), "from", from)
+			"targets", r.CrashedTargets(), "from", from)
 	}
 }
 
-// crashedTargets returns the targets that crashed while they ran a request.
-func crashedTargets(r quarantine.Record) []string {
-	list := make([]string, 0, len(r.Crashes))
-	for _, c := range r.Crashes {
-		list = append(list, c.Target)
-	}
-	return list
-}
-
 // handleQuarantine applies another router's records of suspected requests, or sends it all of this
 // router's if it asks for them.
 func (g *Gateway) handleQuarantine(now time.Time, from member.Member, m message.Quarantine) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -43,6 +43,15 @@
 	return n
 }
 
+// CrashedTargets returns the targets that crashed while they ran the request.
+func (r Record) CrashedTargets() []string {
+	list := make([]string, 0, len(r.Crashes))
+	for _, c := range r.Crashes {
+		list = append(list, c.Target)
+	}
+	return list
+}
+
 // entry is what is known of a suspected request.
 type entry struct {
 	// part is the id of a part of prompts, empty for a content.
