Move trials of held-back requests into a package of their own

Which router may send a held-back request on trial is a small protocol: a question, two answers and an end. It needs a quarantine.State, whom to ask and how to send, and nothing else of the gateway. internal/trial has it; the gateway implements three methods for it.

Behaviour is unchanged.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,7 +54,7 @@
 		case message.Quarantine:
 			g.handleQuarantine(now, from, m)
 		case message.Trial:
-			g.handleTrial(now, from, m)
+			g.trials.Handle(now, from, m)
 		case message.StreamVersions:
 			g.handleStreamVersions(s, now, from, m)
 		case message.TargetExits:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/tally"
+	"github.com/stepcroft/stepcroft/internal/trial"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
@@ -194,7 +195,7 @@
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
-	trials     trials
+	trials     *trial.Trials
 	exits      exits
 	// unconfirmedSince is the time since when the router has waited, after the box was suspended,
 	// for a confirmation that its copy of the store is current; zero if it does not wait.
@@ -272,7 +273,7 @@
 		Capacity: o.Capacity,
 	}, o.Seeds, random)
 	g.quarantine.exchange = quarantine.NewExchange(g.quarantine.state, g.roster)
-	g.trials = trials{asked: map[uint64]*trialQuestion{}, granted: map[quarantine.Key]trialGrant{}}
+	g.trials = trial.New(self.ID, g.quarantine.state, trialFleet{g}, o.Log)
 	g.streams = streamversion.New(now, g.roster)
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
 
 const (
@@ -189,6 +190,43 @@
 	}
 }
 
+// StartTrial implements forward.Suspects.
+func (g suspects) StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool {
+	return g.trials.Start(ctx, until, keys)
+}
+
+// EndTrial implements forward.Suspects.
+func (g suspects) EndTrial(k quarantine.Key, broke bool) { g.trials.End(k, broke) }
+
+// trialFleet implements trial.Fleet.
+type trialFleet struct{ *Gateway }
+
+// Post implements trial.Fleet.
+func (g trialFleet) Post(f func(now time.Time)) {
+	g.loop.Post(func(_ *balance.State, now time.Time) { f(now) })
+}
+
+// First implements trial.Fleet.
+func (g trialFleet) First(now time.Time, k quarantine.Key) message.RouterRecord {
+	return g.firstFor(now, k)
+}
+
+// Send implements trial.Fleet.
+func (g trialFleet) Send(to member.Member, m message.Message) { g.sendTo(to, m) }
+
+// firstFor returns the running router that ranks first for a request.
+func (g *Gateway) firstFor(now time.Time, k quarantine.Key) message.RouterRecord {
+	hash := rendezvous.Hash(k.String())
+	first := message.RouterRecord{ID: g.self.ID}
+	weight := rendezvous.WeightFromHashes(hash, rendezvous.Hash(string(g.self.ID)))
+	for r := range g.runningRouters(now) {
+		if w := rendezvous.WeightFromHashes(hash, rendezvous.Hash(string(r.ID))); w > weight {
+			first, weight = r, w
+		}
+	}
+	return first
+}
+
 // ranksFirst reports whether this router ranks first for a request among the running routers.
 func (g *Gateway) ranksFirst(now time.Time, k quarantine.Key) bool {
 	return g.firstFor(now, k).ID == g.self.ID
