--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/countlog"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/freshness"
@@ -38,10 +39,13 @@
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/tally"
+	"github.com/stepcroft/stepcroft/internal/trial"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
@@ -191,32 +195,19 @@
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
-	trials     trials
+	trials     *trial.Trials
 	exits      exits
 	// unconfirmedSince is the time since when the router has waited, after the box was suspended,
 	// for a confirmation that its copy of the store is current; zero if it does not wait.
 	unconfirmedSince time.Time
 	quarantineView   atomic.Pointer[quarantine.View]
 	loggedDrained    drainedZones
-	// coldSenders limits the requests sent to cold targets, loggedCold is the count that was
-	// logged last.
+	// coldSenders limits the requests sent to cold targets.
 	coldSenders *coldstart.Senders
-	loggedCold  coldTargets
-	// loggedWaits are the counts of refusals without a wait and of returns as logged last.
-	loggedWaits loggedWaits
-	speeds      speedsPublisher
 	// rollouts follows the roll-outs, loggedRollouts are their states as logged last.
 	rollouts       *rollout.Tracker
 	loggedRollouts map[string]rollout.State
-	// loggedAgainstAdvice counts the requests to targets that were leaving or backing off, as
-	// logged last.
-	loggedAgainstAdvice balance.SentAgainstAdvice
-	// loggedBackoffs counts the backoffs that no target asked for, as logged last.
-	loggedBackoffs int64
-	loggedPauses   loggedPauses
-	tally          tally
-	// loggedArrivalsAt is when waits of new connections were last considered for a log line.
-	loggedArrivalsAt time.Time
+	counts         *countlog.Log
 	// answers is the memory for buffered answers.
 	answers answerBuffers
 }
@@ -282,7 +273,7 @@
 		Capacity: o.Capacity,
 	}, o.Seeds, random)
 	g.quarantine.exchange = quarantine.NewExchange(g.quarantine.state, g.roster)
-	g.trials = trials{asked: map[uint64]*trialQuestion{}, granted: map[quarantine.Key]trialGrant{}}
+	g.trials = trial.New(self.ID, g.quarantine.state, trialFleet{g}, o.Log)
 	g.streams = streamversion.New(now, g.roster)
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
@@ -310,11 +301,13 @@
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
 		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+	sums := tally.New()
 	g.requests = lifecycle.New(changeWindow, o.Log)
-	g.server = ingress.New(o.Headers, forwarder, g.observer(), ingress.Limits{
+	g.server = ingress.New(o.Headers, forwarder, requestlog.New(o.Log, o.LogFull, o.Metrics, sums, g.requests.LastChange), ingress.Limits{
 		Requests:    cmp.Or(o.CallerLimits.Requests, defaultMaxRequests),
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, g.memory, g.requests, o.Log)
+	g.counts = countlog.New(o.Log, o.Metrics, countlog.Sources{Loop: g.loop, Arrivals: g.server.TakeArrivalStats, Answers: g.answers.budget, Requests: sums})
 	g.startHandover()
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
