Move the delivery of a buffered answer out of forward

internal/forward writes a stream's buffer to its caller in a goroutine of its own and gives up a caller that accepts nothing. internal/delivery now does both and says why as one of two errors; forward starts it and turns the error into the result.

Behaviour is unchanged. TestStallLimit and TestFailedWrite moved with it; what the former checked of the result (truncated, stalled) is checked in forward by TestStalledCallerCutsItsAnswer, for a caller that has gone as well.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/delivery"
 	"github.com/stepcroft/stepcroft/internal/eventstream"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
@@ -144,7 +145,7 @@
 	mayHaveRun bool
 	// delivery writes the stream to the caller if it is buffered, else it is nil. cancel cancels
 	// the exchange with the target.
-	delivery *delivery
+	delivery *delivery.Delivery
 	cancel   context.CancelFunc
 	// lastEventID is the id of the last event that the caller has, or that is in its buffer and
 	// will be delivered. A retry resumes after it.
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -346,7 +346,7 @@
 	if !x.startDelivery() {
 		return x.caller.Write(batch)
 	}
-	return x.delivery.buffer.Append(ctx, batch)
+	return x.delivery.Append(ctx, batch)
 }
 
 // startStream sends the head of a stream to the caller, unless an earlier target's was sent.
