Move what other routers report of returns out of balance

internal/balance applied reports to the plan of returns: bookings with a bound, starts attributed to services, and how many other routers book as much. internal/bookings does that now, around returns.Plan; balance says what runs where and which bounds hold. It could not join internal/returns, which internal/view imports and which would have to import view.

Behaviour is unchanged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/advice"
+	"github.com/stepcroft/stepcroft/internal/bookings"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/fairshare"
@@ -211,7 +212,8 @@
 	// one.
 	backoffs  int64
 	forecasts forecasts
-	returning returning
+	// returning plans when refused callers return.
+	returning *bookings.Book
 }
 
 // New returns the state of a router in an availability zone, without any targets.
@@ -238,7 +240,7 @@
 		peers:             peers,
 		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
 		forecasts:         newForecasts(),
-		returning:         newReturning(),
+		returning:         bookings.New(limits.QuotaWindow),
 		budget:            retrybudget.New(now, limits.retries()),
 	}
 }
@@ -454,5 +456,6 @@
 	s.budget = s.budget.WithLimits(l.retries())
 	s.limits = l
 	s.shares.SetWindow(l.QuotaWindow)
+	s.returning.SetWindow(l.QuotaWindow)
 	s.peers.SetWindow(l.QuotaWindow)
 }
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -61,7 +61,7 @@
 func (s *State) SetPeers(running, serving int) {
 	s.runningPeers, s.servingPeers = running, serving
 	s.shares.SetServingPeers(serving)
-	s.assumeBookers()
+	s.returning.SetServingPeers(serving)
 }
 
 // routers returns the number of routers in the fleet.
@@ -106,7 +106,7 @@
 // ForgetPeer removes everything that another router reported.
 func (s *State) ForgetPeer(now time.Time, router string) {
 	s.peers.Remove(now, router)
-	s.forgetReturns(now, router)
+	s.returning.Forget(now, router)
 	s.speeds.RemovePeer(router)
 }
 
@@ -134,7 +134,7 @@
 			r.SharedParts[t.incarnation] = parts
 		}
 	}
-	r.Returns = s.reportReturns(now)
+	r.Returns = s.returning.Report(now)
 	waiting := s.reportedWaiting(now)
 	for name := range s.shares.Organisations() {
 		c := s.shares.Usage(now, name)
--- a/internal/balance/returning.go
+++ b/internal/balance/returning.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/bookings"
 	"github.com/stepcroft/stepcroft/internal/returns"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
@@ -29,45 +30,14 @@
 	maxTimeToShare = maxReturn - 10*returns.SlotWidth
 	// honouredPart is the part of the time left that a caller waits at most, one in honouredPart.
 	honouredPart = 3
-	// startsTTL is how long a router's last report of started tokens is kept.
-	startsTTL = 10 * time.Second
 	// maxBookedFactor bounds what one report books in a slot, relative to the configured capacity. At
 	// times the load exceeds the capacity several times over, and so do the bookings.
 	maxBookedFactor = 8
 	// maxBeganFactor bounds the starts between two reports, relative to the configured capacity over
 	// a quota window. Engines may take more than is configured, and reports may be lost for some time.
 	maxBeganFactor = 4
-	// bookersTTL is how long a comparison of bookings is used after this router's last one. A burst
-	// after a longer pause may come to all routers.
-	bookersTTL = 10 * time.Second
 )
 
-// returning plans when refused callers return.
-type returning struct {
-	plan *returns.Plan
-	// starts has what other routers last reported as started, by router.
-	starts  map[string]starts
-	bookers bookers
-	// invalid counts the bookings that other routers reported for services unknown here, and the
-	// reports with more starts than engines can take.
-	invalid int64
-}
-
-// bookers compares the tokens that other routers booked with those that this router did, both as
-// reported and decayed over the quota window.
-type bookers struct {
-	own, others float64
-	at          time.Time
-}
-
-// starts is the sum of all organisations' started tokens in a report.
-type starts struct {
-	tokens float64
-	at     time.Time
-}
-
-func newReturning() returning { return returning{plan: returns.New(), starts: map[string]starts{}} }
-
 // returnSlots reports whether the returns of a service's refused callers are planned. They aren't for
 // plain services, whose requests have no size.
 func (s *State) returnSlots(service string) bool {
@@ -107,11 +77,7 @@
 }
 
 // ReturnCounts returns how many returns were booked since the start.
-func (s *State) ReturnCounts() returns.Counts {
-	c := s.returning.plan.Counts()
-	c.Ignored += s.returning.invalid
-	return c
-}
+func (s *State) ReturnCounts() returns.Counts { return s.returning.Counts() }
 
 // bookReturn returns how long a refused caller should wait before it retries, and books its request
 // for then.
@@ -161,7 +127,7 @@
 }
 
 func (s *State) book(now time.Time, t *Ticket, earliest, latest time.Duration) time.Duration {
-	return s.returning.plan.BookUntil(now, t.Service, t.tokens(), earliest, latest, s.random.Float64())
+	return s.returning.BookUntil(now, t.Service, t.tokens(), earliest, latest, s.random.Float64())
 }
 
 // timeToShare returns the time after which what an organisation was served has decayed to its share,
@@ -182,109 +148,21 @@
 // recordBegan records tokens that this router sent, or took back as the engine did not run them.
 func (s *State) recordBegan(now time.Time, t *Ticket, tokens float64) {
 	if t.Engine && s.returnSlots(t.Service) {
-		s.returning.plan.Began(now, t.Service, tokens)
+		s.returning.Began(now, t.Service, tokens)
 	}
 }
 
 // applyReturns applies the bookings of another router's report, and what it has started since the
-// last one. Reports tell the latter by organisation only; it is attributed to services by the
-// requests that the router has running there.
+// last one.
 func (s *State) applyReturns(now time.Time, router string, r view.Report) {
 	if !s.anyReturnSlots() {
 		return
 	}
-	var list []returns.Slots
-	for _, slots := range r.Returns {
-		if s.returnSlots(slots.Service) {
-			list = append(list, slots.Capped(s.maxBooked()))
-			continue
-		}
-		s.returning.invalid++
-	}
-	s.returning.plan.SetPeer(now, router, list)
-	running, total := map[string]int{}, 0
+	running := map[string]int{}
 	for id, l := range r.Loads {
 		if t := s.findIncarnation(id); t != nil && l.Running > 0 && s.isEngineService(t.Service) {
 			running[t.Service] += l.Running
-			total += l.Running
-		}
-	}
-	if _, known := s.returning.starts[router]; known && total == 0 {
-		// What it started meanwhile is attributed when something runs there again.
-		return
-	}
-	began := s.startedSince(now, router, r)
-	if began <= 0 || total == 0 {
-		return
-	}
-	if began > s.maxBegan() {
-		s.returning.invalid++
-		return
-	}
-	for service, n := range running {
-		if !s.returnSlots(service) {
-			continue
 		}
-		s.returning.plan.Began(now, service, began*float64(n)/float64(total))
-	}
-}
-
-// startedSince returns the tokens that a router started since its last report: the difference of the
-// decayed sums. It is 0 for the first report, which may cover any time, and negative if routers left
-// the sum of a zone.
-func (s *State) startedSince(now time.Time, router string, r view.Report) float64 {
-	started := 0.0
-	for _, u := range r.Usage {
-		started += u.Started
-	}
-	last, ok := s.returning.starts[router]
-	s.returning.starts[router] = starts{started, now}
-	if !ok {
-		return 0
-	}
-	return started - last.tokens*view.DecayFactor(now.Sub(last.at), s.limits.QuotaWindow)
-}
-
-// forgetReturns removes the bookings of a router whose reports another one now contains.
-func (s *State) forgetReturns(now time.Time, router string) {
-	s.returning.plan.RemovePeer(now, router)
-	delete(s.returning.starts, router)
-}
-
-// reportReturns returns the bookings of this router to be reported.
-func (s *State) reportReturns(now time.Time) []returns.Slots {
-	for router, last := range s.returning.starts {
-		if now.Sub(last.at) > startsTTL {
-			delete(s.returning.starts, router)
-		}
-	}
-	s.compareBookings(now)
-	return s.returning.plan.Own(now)
-}
-
-// compareBookings compares what other routers have booked with this router's bookings in its last
-// report. By the next one the others have reported, too. Nothing is known where all those have
-// passed, nor some time after the last booking.
-func (s *State) compareBookings(now time.Time) {
-	b := &s.returning.bookers
-	own, others := s.returning.plan.Reported(now)
-	switch {
-	case own > 0:
-		f := view.DecayFactor(now.Sub(b.at), s.limits.QuotaWindow)
-		*b = bookers{b.own*f + own, b.others*f + others, now}
-	case b.own > 0 && now.Sub(b.at) > bookersTTL:
-		*b = bookers{}
-	}
-	s.assumeBookers()
-}
-
-// assumeBookers sets how many other routers are assumed to book as much as this one: all that serve
-// callers until a comparison is known, and then as many as make up what they have booked. A router
-// that refuses alone in a large fleet would otherwise leave its slots almost empty.
-func (s *State) assumeBookers() {
-	n := s.servingPeers
-	if b := s.returning.bookers; b.own > 0 {
-		n = int(math.Ceil(min(b.others/b.own, float64(n))))
 	}
-	s.returning.plan.SetRouters(n)
+	s.returning.ApplyReport(now, router, r, running, bookings.Bounds{Planned: s.returnSlots, Booked: s.maxBooked(), Began: s.maxBegan()})
 }
--- a/internal/balance/returning_test.go
+++ b/internal/balance/returning_test.go
@@ -76,7 +76,7 @@
 func TestReturnsUnderSustainedOverload(t *testing.T) {
 	s, now, ticket := newFullState(t, feature.Set{ReturnSlots: feature.On})
 	for range 20 {
-		s.returning.plan.Began(now, "llm", 1000)
+		s.returning.Began(now, "llm", 1000)
 		now = now.Add(returns.SlotWidth)
 	}
 	s.shares.AddDemand(now, "large", 20_000_000)
@@ -87,7 +87,7 @@
 		k := ticket("large", time.Second)
 		k.Deadline = now.Add(15 * time.Second)
 		told[s.retryAfter(now, k, OverShare).Truncate(returns.SlotWidth)] = true
-		s.returning.plan.Book(now, "llm", 100, minReturn, 0)
+		s.returning.Book(now, "llm", 100, minReturn, 0)
 	}
 	if len(told) < 8 {
 		t.Errorf("callers over their share are told %d different slots, want ten", len(told))
@@ -108,7 +108,7 @@
 	s.SetPeers(629, 629)
 	var last time.Duration
 	for step := range 60 {
-		s.returning.plan.Began(now, "llm", 10_000)
+		s.returning.Began(now, "llm", 10_000)
 		now = now.Add(returns.SlotWidth / 2)
 		if step < 20 {
 			continue
@@ -152,7 +152,7 @@
 	now = now.Add(returns.SlotWidth)
 	var told []time.Duration
 	for range 7 {
-		told = append(told, s.returning.plan.Book(now, "llm", 120, minReturn, 0))
+		told = append(told, s.returning.Book(now, "llm", 120, minReturn, 0))
 	}
 	if told[5] != minReturn || told[6] == minReturn {
 		t.Errorf("callers are told %v, want six of them the first slot", told)
@@ -164,7 +164,7 @@
 func TestBookingsOfFaultyRouter(t *testing.T) {
 	s, now, _ := newFullState(t, feature.Set{ReturnSlots: feature.On})
 	s.ApplyReport(now, "faulty", view.Report{Returns: []returns.Slots{{Service: "llm", Tokens: []float64{1e9, 5}}}})
-	if _, others := s.returning.plan.Reported(now); others != maxBookedFactor*10_000+5 {
+	if _, others := s.returning.Reported(now); others != maxBookedFactor*10_000+5 {
 		t.Errorf("%.0f tokens booked, want some times the capacity of a slot, 10,000", others)
 	}
 }
