Move suspicions of a target out of balance

Moving average, times of suspicion and silence are a small state machine of one target. internal/targethealth has it; balance tells it results and, of the requests that run, who has heard what.

Behaviour is unchanged.

Looked at and left: room.go, estimate.go, choose.go and pauses.go, which need a target, a ticket and the state at once.

--- a/internal/balance/activity.go
+++ b/internal/balance/activity.go
@@ -5,6 +5,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/prefix"
+	"github.com/stepcroft/stepcroft/internal/targethealth"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
@@ -22,7 +23,7 @@
 type activity struct {
 	localLoad view.Load
 	cache     prefix.Cache
-	health
+	health    targethealth.Health
 	// running holds this router's requests that were sent to the target and have not ended.
 	running map[*Ticket]struct{}
 	// unstarted holds this router's requests that the target has not started to answer, oldest
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -355,7 +355,7 @@
 	s.reportStream(now, t)
 	t.target.endProbe(t)
 	t.target.consecutiveRefusals = 0
-	t.target.lastProgress = now
+	t.target.health.RecordProgress(now)
 	if t.Engine && t.Stream {
 		s.observeFirstEvent(now, t)
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -234,7 +234,7 @@
 	if t.isSecond && !c.wasHeard(now) {
 		return true
 	}
-	untried := len(t.Tried) > 0 && c.recovering() || len(c.unstarted) > 0 && c.isUnproven()
+	untried := len(t.Tried) > 0 && c.health.Recovering() || len(c.unstarted) > 0 && c.isUnproven()
 	return c.suspected(now) || untried || t.StreamID != "" && s.inDoubt(now, c)
 }
 
--- a/internal/balance/incarnation_test.go
+++ b/internal/balance/incarnation_test.go
@@ -60,7 +60,7 @@
 	}
 	s.ApplyReport(now, "late", view.Report{Loads: map[string]view.Load{"e@1": {Running: 5}}, SharedParts: map[string][]string{"e@1": {"shared"}}})
 	s.Ended(now, k, Failed)
-	if got := s.loadOf(now, fresh); got != (view.Load{}) || fresh.suspected(now) || fresh.failureRate > 0 {
+	if got := s.loadOf(now, fresh); got != (view.Load{}) || fresh.suspected(now) || fresh.health.FailureRate() > 0 {
 		t.Errorf("load %+v of a new incarnation, suspected %v", got, fresh.suspected(now))
 	}
 	if got := fresh.cache.UncachedTokens(now, k.Parts, k.Input); got != k.Input {
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -90,8 +90,8 @@
 	if len(c.unstarted) > 0 {
 		first := c.unstarted[0]
 		since := first.sentAt
-		if c.lastProgress.After(since) {
-			since = c.lastProgress
+		if c.health.LastProgress().After(since) {
+			since = c.health.LastProgress()
 		}
 		read := now.Sub(since).Seconds() * perSecond * ownShare
 		own -= min(read, float64(first.load.PendingTokens))
