Move the choice of who watches the store out of gateway

Rank among the running routers, the delays after a start and failed calls decide whether a router watches the store. internal/storewatch has them; the gateway gives it the running routers, and whether it lacks a configuration or leaves.

Behaviour is unchanged.

Looked at and left: what a router reads of each kind (freshness.go, storeDuty), which joins this with catalog, copies and roster.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -41,7 +41,7 @@
 	switch {
 	case from == sourceStore:
 		g.newsFrom(now, from)
-	case gained >= minForwardedGain && g.storeRank.running > roster.Fanout+1 && !g.gossipPending && now.Sub(g.lastGossip) >= g.newsInterval():
+	case gained >= minForwardedGain && g.storeWatch.LastRank().Running > roster.Fanout+1 && !g.gossipPending && now.Sub(g.lastGossip) >= g.newsInterval():
 		g.lastGossip = now
 		g.updateSelf()
 		g.sendPings(now, g.roster.ForwardConfirmation(now))
@@ -87,8 +87,8 @@
 		what = "watch of the store ends"
 	}
 	age, source := g.copies.Age(now, message.StoreConfig)
-	g.Log.Info(what, "rank", g.storeRank.live, "rank_reaching", g.storeRank.reaching,
-		"reaches_it", g.reachesStore(now), "routers", g.storeRank.running, "config_age_ms", age.Milliseconds(), "confirmed_by", source)
+	g.Log.Info(what, "rank", g.storeWatch.LastRank().Live, "rank_reaching", g.storeWatch.LastRank().Reaching,
+		"reaches_it", g.storeWatch.Reaches(now), "routers", g.storeWatch.LastRank().Running, "config_age_ms", age.Milliseconds(), "confirmed_by", source)
 }
 
 // configInForce is what delivered the configuration in force, and when.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
+	"github.com/stepcroft/stepcroft/internal/storewatch"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/tally"
 	"github.com/stepcroft/stepcroft/internal/trial"
@@ -151,18 +152,14 @@
 	lastSums    map[string]time.Time
 	directZones map[message.RouterID]string
 	started     time.Time
-	settleDelay time.Duration
-	// startupDraw is a random number from 0 to 1 that decides which routers call the store first
-	// if all have just started.
-	startupDraw float64
 	// copies tracks how old the copies of the store's objects are. loggedCopies are their states and
 	// watching whether this router watches the store as logged last.
 	copies       *freshness.Tracker
 	loggedCopies [message.StoreKindCount]copyState
 	watching     bool
 	inForce      configInForce
-	// storeRank is this router's rank for watching the store, as last computed.
-	storeRank       storeRank
+	// storeWatch decides whether this router watches the store.
+	storeWatch      *storewatch.Watch
 	lastCopyRequest time.Time
 	farSource       farSource
 	// lastGossip is when this router last sent its revisions to some other routers at once,
@@ -183,9 +180,6 @@
 	peers     *peer.Transport
 	datagrams *peer.Datagrams
 	leaving   bool
-	// storeFailedAt is when the last call to the store about each kind failed, zero if calls about it
-	// work.
-	storeFailedAt [message.StoreKindCount]time.Time
 	// persistedEra is the newest era of the store in which the held-back requests were written
 	// again.
 	persistedEra int64
@@ -261,12 +255,13 @@
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
 	g.quarantine.state, g.quarantine.bornByTarget = quarantine.New(), map[string]int64{}
-	g.started, g.settleDelay, g.startupDraw = now, randomSettleDelay(), rand.Float64()
+	g.started = now
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
 		Peer: cmp.Or(o.PeerAdvertise, peerListener.Addr().String()), Incarnation: o.Incarnation,
 	}
 	g.self = self
+	g.storeWatch = storewatch.New(now, self.ID, self.Zone)
 	random := rand.New(rand.NewPCG(o.Incarnation, uint64(now.UnixNano())))
 	g.roster = roster.New(now, message.RouterRecord{
 		ID: self.ID, Zone: self.Zone, Address: self.Address, Peer: self.Peer, Incarnation: self.Incarnation,
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -41,9 +41,9 @@
 	if !theirs.NewerThan(known) {
 		return
 	}
-	if zone := g.roster.Zone(from.ID); zone != "" && zone != g.self.Zone && g.storeRank.near >= minNearSources {
+	if zone := g.roster.Zone(from.ID); zone != "" && zone != g.self.Zone && g.storeWatch.LastRank().Near >= minNearSources {
 		if g.farSource.due.IsZero() {
-			rank := rand.Float64() * float64(g.storeRank.near)
+			rank := rand.Float64() * float64(g.storeWatch.LastRank().Near)
 			delay := min(time.Duration(rank*float64(farCopyStep)), maxFarCopyDelay)
 			g.farSource = farSource{router: from, revisions: theirs, due: now.Add(delay)}
 		}
@@ -93,7 +93,7 @@
 
 // newsInterval returns the least interval between two messages about changed targets.
 func (g *Gateway) newsInterval() time.Duration {
-	return max(tickInterval, min(newsIntervalPerRouter*time.Duration(g.storeRank.running), maxNewsInterval))
+	return max(tickInterval, min(newsIntervalPerRouter*time.Duration(g.storeWatch.LastRank().Running), maxNewsInterval))
 }
 
 // newsFrom passes on news of the store, at most once in newsInterval. What the store itself told
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -259,7 +259,7 @@
 func (g *Gateway) updateSelf() {
 	g.roster.UpdateSelf(message.RouterRecord{
 		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active || g.handsOver(),
-		StoreFailing: !g.reachesStore(clock.Now()), Capacity: g.Capacity, Handover: g.handover.announced(),
+		StoreFailing: !g.storeWatch.Reaches(clock.Now()), Capacity: g.Capacity, Handover: g.handover.announced(),
 	})
 	g.roster.SetRevisions(g.catalog.Newest(), g.quarantine.state.Digest())
 }
