Move what is kept of a head from ingress to httphead

The id or the first bytes of a head that is kept for its refusal need nothing of a connection, and httphead finds the id in them. httphead.Kept has them, with an example.

Behaviour is unchanged. Tests of httphead and ingress pass with -race.

Looked at and left: room.go, arrivals.go and leaving.go, which limit connections: they and the connections (conn.go, listener.go, handover.go) hold each other's state under one lock, so that a package for either would need the other's.

--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -16,3 +16,16 @@
 	// /a 1 5 57 true
 	// false
 }
+
+func ExampleKept() {
+	var head httphead.Kept
+	head.Keep([]byte("POST /a HTTP/1.1\r\nX-Id: 1"))
+	head.Add([]byte("2\r\nContent-Length: -1\r\n\r\n"))
+	fmt.Println(head.RequestID("X-Id"))
+	head.Drop()
+	head.KeepID("34")
+	fmt.Println(head.RequestID("X-Id"))
+	// Output:
+	// 12
+	// 34
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -50,7 +50,7 @@
 	hasNext atomic.Bool
 	// head is what is kept of the request that begins. Only the goroutine that serves the connection uses it, and
 	// not the one that reads a single byte ahead.
-	head arrivedHead
+	head httphead.Kept
 	// unanswered is set while a request of which something has been read has got no answer, serving while
 	// its handler runs, callerEnded once the caller has closed or reset the connection, and timedOut if the
 	// last read ended at its deadline. They decide only what is counted when the connection is closed.
@@ -96,7 +96,7 @@
 // noteServing notes that the handler of a request runs.
 func noteServing(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
-		c.head.drop()
+		c.head.Drop()
 		c.serving.Store(true)
 		c.begun()
 	}
@@ -193,7 +193,7 @@
 	if state == http.StateClosed {
 		c.finishClose(true)
 		c.endClosed()
-		c.head.drop()
+		c.head.Drop()
 	}
 }
 
@@ -378,12 +378,12 @@
 func (c *conn) resumeRequest(rest []byte) {
 	if c.unread != -1 {
 		c.setUnread(lengthUnknown, false)
-		c.head.keep(rest)
+		c.head.Keep(rest)
 		return
 	}
 	// The byte is the first one of the method, which does not affect the length.
 	whole := append([]byte{'P'}, rest...)
-	c.head.keep(whole)
+	c.head.Keep(whole)
 	h, size, ok := httphead.Parse(whole, &c.server.headNames)
 	c.setUnread(requestLength(h, size, ok)-1-len(rest), false)
 }
@@ -412,7 +412,7 @@
 		if !c.betweenRequests || (n == 0 || err != nil) && !c.evicted.Load() {
 			c.setUnread(c.unread-n, n == 1 && len(b) == 1)
 			if len(b) > 1 {
-				c.head.add(b[:n])
+				c.head.Add(b[:n])
 			} else {
 				// The deadline of reading ahead is the end of the handler, which says nothing about the caller.
 				c.timedOut.Store(false)
--- a/internal/ingress/end.go
+++ b/internal/ingress/end.go
@@ -70,7 +70,7 @@
 		c.server.requests.Count(clock.Now(), closedAs)
 	case !c.serving.Load():
 		if closedAs == lifecycle.Unanswered {
-			c.request.Load().Identify(c.head.requestID(c.server.headerNames.RequestID))
+			c.request.Load().Identify(c.head.RequestID(c.server.headerNames.RequestID))
 		}
 		c.endRequest(closedAs)
 	case unanswered:
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -27,12 +27,12 @@
 	h, size, ok := httphead.Parse(first, &s.headNames)
 	length = requestLength(h, size, ok)
 	if length < len(first) || s.closing.Load() {
-		c.head.keep(first)
+		c.head.Keep(first)
 		return false, length, nil
 	}
 	r, reason := s.overloadReason(h)
 	if reason == "" {
-		c.head.id = r.ID
+		c.head.KeepID(r.ID)
 		return false, length, nil
 	}
 	r.Arrived = arrived
