Move the limit of announcements out of balance

How often a router tells the others of a long prompt at once needs the time, the tokens and the number of routers. internal/announcement has the limiter.

Behaviour is unchanged.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/advice"
+	"github.com/stepcroft/stepcroft/internal/announcement"
 	"github.com/stepcroft/stepcroft/internal/bookings"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
@@ -181,7 +182,7 @@
 	// onLongPrompt is called with loads that other routers should learn at once; nil if not
 	// set.
 	onLongPrompt      func(target string, now, added view.Load)
-	longPromptLimiter notifyLimiter
+	longPromptLimiter *announcement.Limiter
 	// coldAllowance returns how many requests this router may send to a cold target in a
 	// second; a nil function allows none. coldSkips counts how often a target was skipped for
 	// that.
@@ -238,7 +239,7 @@
 		throttle:          throttle.New(tickInterval, maxWaitingPerOrganisation),
 		shares:            fairshare.New(limits.QuotaWindow, peers),
 		peers:             peers,
-		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
+		longPromptLimiter: announcement.New(now),
 		forecasts:         newForecasts(),
 		returning:         bookings.New(limits.QuotaWindow),
 		budget:            retrybudget.New(now, limits.retries()),
@@ -329,7 +330,7 @@
 		}
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
-	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
+	if s.onLongPrompt != nil && s.longPromptLimiter.Allow(now, p.uncachedTokens, s.servingPeers+1) {
 		s.onLongPrompt(to.incarnation, to.localLoad, t.load)
 	}
 	d := Decision{Target: to.Target, InDoubt: s.inDoubt(now, to), Unheard: t.isSecond && !to.wasHeard(now), Waited: now.Sub(t.Arrived), PendingTokens: s.loadOf(now, to).PendingTokens, UncachedTokens: p.uncachedTokens}
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -2,56 +2,11 @@
 
 import (
 	"maps"
-	"math"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
-const (
-	// notifyThreshold is the number of tokens to read from which a request is announced to the
-	// other routers at once, rather than with the next report. Such a request keeps an engine
-	// reading for tens of milliseconds, and requests that other routers send there meanwhile
-	// wait behind it. Announcing it cut the 95th percentile of the time to the first event,
-	// beyond what the known pending tokens explain, from 139 to 52 ms under normal and from
-	// 225 to 86 ms under high load (8 routers).
-	notifyThreshold = 1000
-	// maxNotifyRate is the number of such messages a second that a router should receive, from
-	// all routers that serve callers. At about 20 microseconds each they take half a percent
-	// of a core. Beyond, only the longest prompts are announced.
-	maxNotifyRate = 250
-	// minNotifyRate is the number of such messages a second below which a router's part of
-	// maxNotifyRate is too small to be of use: in a large fleet none are sent.
-	minNotifyRate = 2
-	// maxNotifyThreshold is the number of tokens from which a request is still announced once
-	// the router's part of maxNotifyRate is used up.
-	maxNotifyThreshold = 40_000
-)
-
-// notifyLimiter limits the rate of announcements: the threshold rises from notifyThreshold to
-// maxNotifyThreshold as the router's allowance is used up.
-type notifyLimiter struct {
-	// remaining is the unused part of the router's allowance, from 0 to 1. It refills within a
-	// second.
-	remaining float64
-	updatedAt time.Time
-}
-
-// allow reports whether a request that makes a target read this many tokens is to be announced,
-// and counts it if so. routers is the number of routers that announce requests to each other.
-func (n *notifyLimiter) allow(now time.Time, tokens, routers int) bool {
-	n.remaining = min(n.remaining+now.Sub(n.updatedAt).Seconds(), 1)
-	n.updatedAt = now
-	if routers > maxNotifyRate/minNotifyRate {
-		return false
-	}
-	if float64(tokens) < notifyThreshold*math.Pow(maxNotifyThreshold/notifyThreshold, 1-n.remaining) {
-		return false
-	}
-	n.remaining = max(n.remaining-float64(routers)/maxNotifyRate, 0)
-	return true
-}
-
 // OnLongPrompt sets a function that is called at once when a long prompt is sent. It gets the
 // target, this router's load on it and the load that the request added.
 func (s *State) OnLongPrompt(f func(target string, now, added view.Load)) { s.onLongPrompt = f }
