--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/advice"
+	"github.com/stepcroft/stepcroft/internal/announcement"
+	"github.com/stepcroft/stepcroft/internal/bookings"
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
 	"github.com/stepcroft/stepcroft/internal/fairshare"
@@ -180,7 +182,7 @@
 	// onLongPrompt is called with loads that other routers should learn at once; nil if not
 	// set.
 	onLongPrompt      func(target string, now, added view.Load)
-	longPromptLimiter notifyLimiter
+	longPromptLimiter *announcement.Limiter
 	// coldAllowance returns how many requests this router may send to a cold target in a
 	// second; a nil function allows none. coldSkips counts how often a target was skipped for
 	// that.
@@ -211,7 +213,8 @@
 	// one.
 	backoffs  int64
 	forecasts forecasts
-	returning returning
+	// returning plans when refused callers return.
+	returning *bookings.Book
 }
 
 // New returns the state of a router in an availability zone, without any targets.
@@ -236,9 +239,9 @@
 		throttle:          throttle.New(tickInterval, maxWaitingPerOrganisation),
 		shares:            fairshare.New(limits.QuotaWindow, peers),
 		peers:             peers,
-		longPromptLimiter: notifyLimiter{remaining: 1, updatedAt: now},
+		longPromptLimiter: announcement.New(now),
 		forecasts:         newForecasts(),
-		returning:         newReturning(),
+		returning:         bookings.New(limits.QuotaWindow),
 		budget:            retrybudget.New(now, limits.retries()),
 	}
 }
@@ -327,7 +330,7 @@
 		}
 		s.throttle.RecordSent(t.Organisation, t.size())
 	}
-	if s.onLongPrompt != nil && s.longPromptLimiter.allow(now, p.uncachedTokens, s.servingPeers+1) {
+	if s.onLongPrompt != nil && s.longPromptLimiter.Allow(now, p.uncachedTokens, s.servingPeers+1) {
 		s.onLongPrompt(to.incarnation, to.localLoad, t.load)
 	}
 	d := Decision{Target: to.Target, InDoubt: s.inDoubt(now, to), Unheard: t.isSecond && !to.wasHeard(now), Waited: now.Sub(t.Arrived), PendingTokens: s.loadOf(now, to).PendingTokens, UncachedTokens: p.uncachedTokens}
@@ -353,7 +356,7 @@
 	s.reportStream(now, t)
 	t.target.endProbe(t)
 	t.target.consecutiveRefusals = 0
-	t.target.lastProgress = now
+	t.target.health.RecordProgress(now)
 	if t.Engine && t.Stream {
 		s.observeFirstEvent(now, t)
 	}
@@ -454,5 +457,6 @@
 	s.budget = s.budget.WithLimits(l.retries())
 	s.limits = l
 	s.shares.SetWindow(l.QuotaWindow)
+	s.returning.SetWindow(l.QuotaWindow)
 	s.peers.SetWindow(l.QuotaWindow)
 }
