Ingress test: connections of HTTP/1.0 are not handed over

An answer without a length ends for callers of HTTP/1.0 with its connection. It cannot happen for a connection's first request, as a head that is not of HTTP/1.1 has no organisation there and is served by the router itself. No test held that; this one fails in a run with HTTP/1.1 in its place.

--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -93,6 +93,15 @@
 		Expect(t.organisation).To(Equal("loud"))
 	})
 
+	It("are not those of HTTP/1.0, to whose callers an answer would look complete if the router that relays it is killed", func() {
+		t.keep = true
+		serveObserved(g, l, ignoringObserver{}, func(s *ingress.Server) { s.HandOver(t) })
+		_, err := io.ReadAll(dial(l, strings.Replace(request("k1"), "HTTP/1.1", "HTTP/1.0", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		// A connection whose organisation stays unknown is served here.
+		Expect(t.organisation).To(BeEmpty())
+	})
+
 	DescribeTable(
 		"are served like others if no router takes them", func(key, want string) {
 			serveObserved(g, l, ignoringObserver{}, func(s *ingress.Server) { s.HandOver(t) })
