Ends of unused connections tell of the end of a process for a second, whoever saw them first

A stream that begins is preceded by a question to its engine if unused connections to it have ended. The first request that looked closed these, and the next one saw none: while the engine let the first question wait, other streams began at the process behind its address unasked, and counted as of the version of the entry. Breaks of connections in use were kept.

Now the ends of unused connections are kept as these are, also if a request that needs a connection finds them. Both name the time after which a connection may be to the next process, as before.

TestCheckUnused held that the second look sees nothing, which is the fault; it now holds that it sees the end, and nothing a second later.

--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -122,8 +122,8 @@
 	idle map[endpoint][]*conn
 	// inUse has the connections that carry an exchange.
 	inUse map[*conn]struct{}
-	// brokenAt is when connections in use broke, by process.
-	brokenAt map[endpoint]time.Time
+	// broken has the last signs that processes may have ended.
+	broken map[endpoint]breakSign
 	// ends has connections that targets closed lately before their time, by process.
 	ends map[endpoint][]end
 
@@ -139,8 +139,8 @@
 		idle:  map[endpoint][]*conn{},
 		inUse: map[*conn]struct{}{},
 
-		brokenAt: map[endpoint]time.Time{},
-		ends:     map[endpoint][]end{},
+		broken: map[endpoint]breakSign{},
+		ends:   map[endpoint][]end{},
 		dialer: net.Dialer{
 			Timeout:   dialTimeout,
 			KeepAlive: -1,
@@ -261,6 +261,7 @@
 	t.unexpectedBytes.Add(1)
 	t.mu.Lock()
 	t.noteEnd(c)
+	t.noteSign(c.endpoint, breakSign{seen: clock.Now(), used: c.idleSince})
 	t.mu.Unlock()
 	_ = c.Close()
 }
@@ -275,10 +276,23 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.brokenAt[c.endpoint] = clock.Now()
+	now := clock.Now()
+	t.noteSign(c.endpoint, breakSign{seen: now, used: now})
 	t.noteEnd(c)
 }
 
+// breakSign tells that connections to a process ended before their time: when that was seen, and when the last of them
+// was used last.
+type breakSign struct{ seen, used time.Time }
+
+// noteSign adds a sign that a process may have ended, which counts for brokenTTL, whoever saw it. The mutex must be held.
+func (t *Transport) noteSign(e endpoint, s breakSign) {
+	if before, ok := t.broken[e]; ok && s.seen.Sub(before.seen) < brokenTTL && before.used.After(s.used) {
+		s.used = before.used
+	}
+	t.broken[e] = s
+}
+
 // CheckUnused reports whether an unused connection to the process of a target is open, or else whether any
 // connections have ended before their time lately: the process may have ended, and another one may listen at
 // its address. An open connection that was made after these were last used may be to that one.
@@ -288,8 +302,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var endedAt time.Time
-	if at := t.brokenAt[e]; now.Sub(at) < brokenTTL {
-		endedAt = at
+	if s := t.broken[e]; now.Sub(s.seen) < brokenTTL {
+		endedAt = s.used
 	}
 	kept := t.idle[e][:0]
 	for _, c := range t.idle[e] {
@@ -299,6 +313,7 @@
 		case !c.quiet():
 			t.unexpectedBytes.Add(1)
 			t.noteEnd(c)
+			t.noteSign(e, breakSign{seen: now, used: c.idleSince})
 			_ = c.Close()
 			if c.idleSince.After(endedAt) {
 				endedAt = c.idleSince
@@ -353,7 +368,7 @@
 		}
 	}
 	t.forgetEnds(now)
-	maps.DeleteFunc(t.brokenAt, func(_ endpoint, at time.Time) bool { return now.Sub(at) >= brokenTTL })
+	maps.DeleteFunc(t.broken, func(_ endpoint, s breakSign) bool { return now.Sub(s.seen) >= brokenTTL })
 }
 
 // Close closes the unused connections.
--- a/internal/httptarget/unused_test.go
+++ b/internal/httptarget/unused_test.go
@@ -55,6 +55,8 @@
 	if open || !ended {
 		t.Errorf("once it has ended: open %v, ended %v", open, ended)
 	}
+	check("to the next one who looks", false, true)
+	time.Sleep(1100 * time.Millisecond)
 	check("later", false, false)
 	get("/break")
 	check("after an answer broke off", false, true)
