Take no stream for one of a version while another may have begun it and left

What callers saw: streams with events of two versions. The older version's targets drained as a newer one came and the store refused writes about streams; all routers were killed; as they started, the newer one had left and the older one's targets were ready again.

Cause: nothing in the list spoke against the only version, so that a stream without a record was taken for one of it.

Change: within a minute of the start that needs evidence as well (internal/unrecorded): a target that took requests at the start is unchanged since what is stored was written (no call), or for longer than the store's history lasts (one call), or the history since what is stored was written has no other version that came before it was open (one more). The history is read at the first take-up that needs it, which waits for it up to 0.3 s; else the stream is refused before it runs. An object that a router writes in its first minute keeps the revision that it restored (`at`), since it knows no more than that.

Left: a store that forgets its history sooner; drains of zones.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,7 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/throttle"
+	"github.com/stepcroft/stepcroft/internal/unrecorded"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
@@ -196,8 +197,8 @@
 	// listed versions that it is not known to hold, with the times when they were listed first.
 	requireStored bool
 	unstored      map[streamversion.ServiceVersion]time.Time
-	// zoneDrains has the ends of zones' drains; nil if zones are not drained.
-	zoneDrains *ZoneDrains
+	// Evidence tells whether streams without a record may have begun at versions that the store does not hold.
+	unrecorded.Evidence
 	// heldStreams is the number of streams that were kept from such a version.
 	heldStreams       int64
 	onStreamBegun     func(now time.Time, b Stream, shared bool)
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -99,7 +99,9 @@
 		}
 		s.confirm(t)
 		old.Target = t
-		s.noteZoneDrain(before, t)
+		if before.Drained && !t.Drained {
+			s.NoteDrainEnd(t.Zone)
+		}
 		s.extendCold(now, old, before)
 	}
 	for service, list := range added {
@@ -107,7 +109,10 @@
 	}
 	s.advice.Prune(now, func(name string) bool { return s.findIncarnation(name) != nil })
 	s.dispatch(now)
-	s.listed = s.listed || len(changed) > 0
+	if !s.listed && len(changed) > 0 {
+		s.listed = true
+		s.noteOpen(now)
+	}
 }
 
 func count(b bool) int {
--- a/internal/balance/unstored.go
+++ b/internal/balance/unstored.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -8,6 +9,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
 
 const (
@@ -165,31 +167,7 @@
 }
 
 // ZoneDrains tells which drains of availability zones have ended lately.
-type ZoneDrains struct {
-	// Since is the store's revision after which all are known; math.MaxInt64 if none can be.
-	Since int64
-	// Ended has the zones, and revisions up to which the last drain of each had ended.
-	Ended map[string]int64
-}
-
-// RequireZoneDrains makes a stream without a record belong to a stored version only once it is known whether
-// its targets' zones were drained meanwhile.
-func (s *State) RequireZoneDrains() { s.zoneDrains = &ZoneDrains{Ended: map[string]int64{}} }
-
-// SetZoneDrains records drains that have ended.
-func (s *State) SetZoneDrains(d ZoneDrains) {
-	s.zoneDrains.Since = d.Since
-	for zone, at := range d.Ended {
-		s.zoneDrains.Ended[zone] = max(s.zoneDrains.Ended[zone], at)
-	}
-}
-
-// noteZoneDrain notes the end of a drain that this router has seen itself.
-func (s *State) noteZoneDrain(before, t Target) {
-	if s.zoneDrains != nil && before.Drained && !t.Drained {
-		s.zoneDrains.Ended[t.Zone] = math.MaxInt64
-	}
-}
+type ZoneDrains = unrecorded.ZoneDrains
 
 // NeededZoneDrains returns the revision from which the ends of drains need to be known, or false if they are
 // known or do not matter.
@@ -212,44 +190,46 @@
 
 func (s *State) awaitedZoneDrains(now time.Time, service string) (since int64, awaited bool) {
 	h := s.versions[service]
-	if s.zoneDrains == nil || h == nil || !s.listed || !now.Before(h.earlierUntil) {
+	if h == nil || !s.listed || !now.Before(h.earlierUntil) {
 		return 0, false
 	}
 	// In some regions, the stored version may have been there before the others though it was not in all of them.
-	_, others := s.openSince(now, service, h.earlier, routing.Regions{})
-	unknown := s.zoneDrains.Since == 0 || s.zoneDrains.Since > others && s.zoneDrains.Since < math.MaxInt64
-	return others, others > 0 && others < math.MaxInt64 && unknown
+	return s.AwaitedZoneDrains(h.earlier, s.entries(now, service, routing.Regions{}))
 }
 
-// openSinceBeforeOthers reports whether a target of a version has taken requests since before the entries of
-// all listed targets of other versions were written, in the same regions. Until then streams could begin at that
-// version, whatever the store took from routers meanwhile.
-func (s *State) openSinceBeforeOthers(now time.Time, service, version string, regions routing.Regions) bool {
-	first, others := s.openSince(now, service, version, regions)
-	if others == math.MaxInt64 || others == 0 {
-		return true
+// entries returns the entries of a service's targets in some regions.
+func (s *State) entries(now time.Time, service string, regions routing.Regions) iter.Seq[unrecorded.Entry] {
+	return func(yield func(unrecorded.Entry) bool) {
+		for _, c := range s.targetsOf(service) {
+			if regions.Allow(s.regions[c.Zone]) && !yield(unrecorded.Entry{Version: c.Version, Zone: c.Zone, Revision: c.Revision, Open: !c.Closed(now)}) {
+				return
+			}
+		}
 	}
-	return first < others && (s.zoneDrains == nil || s.zoneDrains.Since > 0 && s.zoneDrains.Since <= others)
 }
 
-// openSince returns the first revision since which a target of a version in some regions has taken requests, by
-// what is known, and the first one of an entry of another version there.
-func (s *State) openSince(now time.Time, service, version string, regions routing.Regions) (first, others int64) {
-	first, others = math.MaxInt64, math.MaxInt64
-	for _, c := range s.targetsOf(service) {
-		switch {
-		case !regions.Allow(s.regions[c.Zone]):
-		case c.Version != version:
-			others = min(others, c.Revision)
-		case !c.Closed(now):
-			since := c.Revision
-			if s.zoneDrains != nil {
-				since = max(since, s.zoneDrains.Ended[c.Zone])
-			}
-			first = min(first, since)
-		}
+// RequirePastEntries makes a stream without a record belong to a version only once it is known, of entries that
+// are gone, whether there were any of another one since what is stored was written, at a revision.
+func (s *State) RequirePastEntries(now time.Time, storedAt int64) {
+	s.RequirePast(storedAt, now.Add(streamversion.TTL))
+	if s.listed {
+		s.noteOpen(now)
 	}
-	return first, others
+}
+
+// noteOpen notes since when targets had taken requests as this router started. What happens since, it sees itself.
+func (s *State) noteOpen(now time.Time) {
+	for service := range s.versions {
+		s.NoteOpen(service, s.entries(now, service, routing.Regions{}))
+	}
+}
+
+// NeededPast returns the revision from which the history of entries needs to be known to tell which version
+// began a stream without a record, or false if it is known or does not matter.
+func (s *State) NeededPast(now time.Time, service string, regions routing.Regions) (since int64, needed bool) {
+	version, why, open := s.likelyVersion(now, service, regions)
+	_, known := s.OthersKnown(now, service, version, open)
+	return open, why != "" && !known
 }
 
 // mayBeginElsewhere reports whether there is a target of a version that the store holds at which t may begin.
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -162,17 +162,31 @@
 
 // UnrecordedVersionIn is UnrecordedVersion for a stream that may be served in some regions only.
 func (s *State) UnrecordedVersionIn(now time.Time, service string, regions routing.Regions) (string, streamversion.Evidence) {
-	if !s.VersionsKnownSince(now).IsZero() {
+	version, why, open := s.likelyVersion(now, service, regions)
+	if none, _ := s.OthersKnown(now, service, version, open); why == "" || !none {
 		return "", ""
 	}
+	return version, why
+}
+
+// likelyVersion is UnrecordedVersionIn by what is listed and stored, whatever entries are gone. It returns the first
+// revision since which a target of the version has taken requests as well.
+func (s *State) likelyVersion(now time.Time, service string, regions routing.Regions) (version string, why streamversion.Evidence, open int64) {
+	if !s.VersionsKnownSince(now).IsZero() {
+		return "", "", 0
+	}
 	if version, only := s.OnlyVersion(now, service); only {
-		return version, streamversion.EvidenceOnlyVersion
+		return version, streamversion.EvidenceOnlyVersion, s.OpenAtStart(service, func(zone string) bool { return regions.Allow(s.regions[zone]) })
 	}
 	h := s.versions[service]
-	if h == nil || !s.listed || !now.Before(h.earlierUntil) || !s.openSinceBeforeOthers(now, service, h.earlier, regions) {
-		return "", ""
+	if h == nil || !s.listed || !now.Before(h.earlierUntil) {
+		return "", "", 0
+	}
+	open, before := s.OpenBeforeOthers(h.earlier, s.entries(now, service, regions))
+	if !before {
+		return "", "", 0
 	}
-	return h.earlier, streamversion.EvidenceStoredVersion
+	return h.earlier, streamversion.EvidenceStoredVersion, open
 }
 
 // VersionsKnownSince returns the time from which this router knows all versions that have begun streams, the
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -14,16 +14,52 @@
 // streamVersions implements forward.StreamVersions.
 type streamVersions struct{ *Gateway }
 
-// Lookup implements forward.StreamVersions.
+// Lookup implements forward.StreamVersions. It waits for the history of entries to be read if that matters.
 func (g streamVersions) Lookup(ctx context.Context, service, request string, regions routing.Regions) streamversion.Answer {
+	a, answered := g.ask(ctx, service, request, regions)
+	if answered && !a.Known && !a.Confirmed && g.waitPast(ctx, service, regions) {
+		a, answered = g.ask(ctx, service, request, regions)
+	}
+	if answered {
+		g.Metrics.CountStreamLookup(a)
+	}
+	return a
+}
+
+// ask looks a stream up and returns false if ctx is done before there is an answer.
+func (g streamVersions) ask(ctx context.Context, service, request string, regions routing.Regions) (a streamversion.Answer, answered bool) {
 	answers := make(chan streamversion.Answer, 1)
 	g.loop.Post(func(s *balance.State, now time.Time) { g.lookUpStream(s, now, service, request, regions, answers) })
 	select {
-	case a := <-answers:
-		return a
+	case a = <-answers:
+		return a, true
+	case <-ctx.Done():
+		return a, false
+	}
+}
+
+// maxPastWait bounds the wait for the history of entries. The store answers in milliseconds unless it is slow.
+const maxPastWait = 300 * time.Millisecond
+
+// waitPast waits until the history of entries that matters for a stream of a service is read, and reports whether it is.
+func (g streamVersions) waitPast(ctx context.Context, service string, regions routing.Regions) bool {
+	var read <-chan struct{}
+	if !g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
+		if g.awaitsPast(s, now, service, regions) {
+			read = g.streamStore.pastRead
+		}
+	}) || read == nil {
+		return false
+	}
+	timer := time.NewTimer(maxPastWait)
+	defer timer.Stop()
+	select {
+	case <-read:
+		return true
+	case <-timer.C:
 	case <-ctx.Done():
-		return streamversion.Answer{}
 	}
+	return false
 }
 
 // lookUpStream sends the version that began a stream to answers, which has room for it. A stream that
@@ -35,9 +71,8 @@
 		} else if !a.Known && a.Confirmed {
 			a.Version, a.Evidence = s.UnrecordedVersionIn(now, service, regions)
 			a.Known = a.Evidence != ""
-			a.Confirmed = a.Known || !s.AwaitsZoneDrains(now, service)
+			a.Confirmed = a.Known || !s.AwaitsZoneDrains(now, service) && !g.awaitsPast(s, now, service, regions)
 		}
-		g.Metrics.CountStreamLookup(a)
 		answers <- a
 	}
 	if request == "" {
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -10,7 +10,9 @@
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
 	"github.com/stepcroft/stepcroft/internal/roster"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
 
 const (
@@ -32,8 +34,8 @@
 	// that a version is. The time until the next one doubles, up to maxVersionsReadInterval.
 	versionsReadInterval    = time.Second
 	maxVersionsReadInterval = 30 * time.Second
-	// zoneDrainsInterval is the time between tries to read the ends of zones' drains.
-	zoneDrainsInterval = 500 * time.Millisecond
+	// historyInterval is the time between tries to read the ends of zones' drains, and again the history of entries.
+	historyInterval = 500 * time.Millisecond
 	// maxVersionWriters bounds the routers that write versions while none of them is stored.
 	maxVersionWriters = 8
 )
@@ -49,6 +51,9 @@
 	// ReadZoneDrains reads which drains of availability zones have ended after a revision and calls
 	// Gateway.ZoneDrainsRead.
 	ReadZoneDrains(since int64)
+	// ReadPast reads what the store's history tells of entries that are gone and calls Gateway.PastRead. It needs
+	// to be known since a revision, or better since what is stored was written.
+	ReadPast(since, storedAt int64)
 }
 
 // streamStore is what is to be written to the StreamStore.
@@ -70,8 +75,10 @@
 	// time until the read after that.
 	readAt       time.Time
 	readInterval time.Duration
-	// zoneDrainsAt is when the ends of zones' drains may be read again.
-	zoneDrainsAt time.Time
+	// zoneDrainsAt is when the ends of zones' drains may be read again, and pastAt the history of entries.
+	zoneDrainsAt, pastAt time.Time
+	// pastRead is closed once the history of entries has been read.
+	pastRead chan struct{}
 }
 
 // servedSet returns the versions without their times.
@@ -89,6 +96,7 @@
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		g.streams.Restore(now, stored.Records, stored.Complete)
 		s.RestoreVersions(now, stored.Versions, stored.Complete)
+		s.RequirePastEntries(now, stored.At)
 		g.streamStore.restored, g.streamStore.era = true, stored.Era
 		if stored.Complete {
 			g.streamStore.saved = servedSet(stored.Versions)
@@ -112,11 +120,39 @@
 		return
 	}
 	if since, needed := s.NeededZoneDrains(now); needed {
-		p.zoneDrainsAt = now.Add(zoneDrainsInterval)
+		p.zoneDrainsAt = now.Add(historyInterval)
 		g.StreamStore.ReadZoneDrains(since)
 	}
 }
 
+// awaitsPast reports whether it depends on the history of entries which version began a stream without a record. It is
+// read only once that is so: of most services a target has not changed since what is stored was written.
+func (g *Gateway) awaitsPast(s *balance.State, now time.Time, service string, regions routing.Regions) bool {
+	p := &g.streamStore
+	since, needed := s.NeededPast(now, service, regions)
+	if needed && g.StreamStore != nil && !now.Before(p.pastAt) {
+		p.pastAt = now.Add(historyInterval)
+		if p.pastRead == nil {
+			p.pastRead = make(chan struct{})
+		}
+		g.StreamStore.ReadPast(since, s.StoredAt(now))
+	}
+	return needed
+}
+
+// PastRead records what the store's history tells of entries.
+func (g *Gateway) PastRead(past unrecorded.Past) {
+	g.loop.Post(func(s *balance.State, _ time.Time) {
+		s.SetPast(past)
+		p := &g.streamStore
+		if p.pastRead != nil {
+			close(p.pastRead)
+		}
+		// Another service may need more of it.
+		p.pastRead, p.pastAt = nil, time.Time{}
+	})
+}
+
 // AddStreams adds records that another router has stored.
 func (g *Gateway) AddStreams(records []streamversion.Record) {
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.streams.Add(now, records) })
@@ -200,7 +236,7 @@
 	set := servedSet(list)
 	if writers := min(1+int(now.Sub(p.changedAt)/versionsTakeover), maxVersionWriters); !maps.Equal(set, p.saved) &&
 		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) &&
-		g.StreamStore.SaveVersions(streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now)}) {
+		g.StreamStore.SaveVersions(streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now), At: s.StoredAt(now)}) {
 		p.saved = set
 	}
 	if unstored {
--- a/internal/gateway/streamstore_internal_test.go
+++ b/internal/gateway/streamstore_internal_test.go
@@ -26,6 +26,8 @@
 
 func (savedVersions) ReadZoneDrains(int64) {}
 
+func (savedVersions) ReadPast(int64, int64) {}
+
 // TestVersionsAreStoredAfterLateRestore guards against versions that are never stored since they came before
 // what was stored could be read.
 func TestVersionsAreStoredAfterLateRestore(t *testing.T) {
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -217,6 +217,8 @@
 	// Since is the time from which all versions that have begun streams are among them, the zero time if it is
 	// long ago.
 	Since time.Time
+	// At is the revision of what the writer itself knows them from, 0 if it has seen all streams begin.
+	At int64
 }
 
 // Stored is what the store held when a router started.
@@ -227,6 +229,8 @@
 	Complete bool
 	// Era is the era of the store that it was read in.
 	Era int64
+	// At is the store's revision at which Versions was written, 0 if no streams can have begun before.
+	At int64
 }
 
 // Resave makes TakeSnapshots return all records once more, since the store may have lost them.
