--- a/internal/gateway/exits.go
+++ b/internal/gateway/exits.go
@@ -37,7 +37,7 @@
 		return
 	}
 	g.Metrics.CountExits("seen", 1)
-	g.Log.Info("process of target has ended", "target", t.ID, "born", t.Born, "version", t.Version)
+	g.Log.Info("process of target has ended", "target", t.ID, "born", t.Born, "version", t.Version, "refused", !refusedAt.IsZero())
 	if ended, known := s.EndedProcess(t.Incarnation()); known {
 		g.passOnExits(now, message.TargetProcess(ended))
 	}
