A stream is one of the version that began it, wherever its route leads now

Callers whose route had moved to a service of another version got pieces of both versions in one stream.

Cause: what is known of a stream was filed under the service that the request for its rest was routed to. After a move there was no record under the new service, and a stream without a record was taken for one of that service's only version, though it never ran there. Records were told to other routers only if the service itself had two versions. The class: the identity of something in use was derived from a configuration that may change meanwhile.

Now a stream has one name, the id of the request that began it. The new package routehistory has the services that each route sent streams to within the last minute, by host and path and not by the route's name. A stream without a record is of a known version only if all services at which it may have begun have one and the same; otherwise it is refused as not run. If they differ, records of new and running streams go to their homes, so that a route that does not move sends nothing more than before. What is stored of versions has the routes as well and names the configuration that they are of, so that a router that starts reads only the configurations since, from the store's history, and only if there are any; until then it concludes nothing.

Ruled out: a record for each stream (bytes at 630 routers, and the guess without a record stays); refusing all streams without a record after any change of the configuration (a route that did not move must go on).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -22,6 +22,7 @@
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/retrybudget"
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/throttle"
@@ -191,14 +192,16 @@
 	coldSkips     int64
 	// rollouts decides which requests may go to which version of a service; nil allows all.
 	rollouts *rollout.Tracker
-	// versions has the versions of each service, newlyMixed the services that have got another
-	// one. onStreamBegun is called when a stream begins; nil if not set.
-	versions map[string]*versionHistory
+	// routes has the services that streams were sent to; nil if routes do not change.
+	routes *routehistory.History
+	// versions has the versions of each service. newlyMixed is set if one has got another version, or routes have
+	// changed. onStreamBegun is called when a stream begins; nil if not set.
+	versions   map[string]*versionHistory
+	newlyMixed bool
 	// versionsRestored is set once the versions before startedAt are known, versionsChanged if they have
 	// changed since the last call of VersionsChanged, and listed once targets have been listed.
 	versionsRestored, versionsChanged, listed bool
 	startedAt                                 time.Time
-	newlyMixed                                []string
 	// requireStored is set if streams may begin only at versions that the store holds, and unstored has the
 	// listed versions that it is not known to hold, with the times when they were listed first.
 	requireStored bool
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/rollout"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
@@ -103,9 +104,7 @@
 		}
 	}
 	_, only := h.only(now)
-	if !only && !h.mixed {
-		s.newlyMixed = append(s.newlyMixed, t.Service)
-	}
+	s.newlyMixed = s.newlyMixed || !only && !h.mixed
 	h.mixed = !only
 }
 
@@ -177,6 +176,22 @@
 	return version, why
 }
 
+// UnrecordedVersionAmong is UnrecordedVersionIn for a stream that may have begun at any of some services: the version is
+// known only if it is the same for all of them.
+func (s *State) UnrecordedVersionAmong(now time.Time, services []string, regions routing.Regions) (version string, why streamversion.Evidence) {
+	for i, service := range services {
+		v, evidence := s.UnrecordedVersionIn(now, service, regions)
+		if evidence == "" || i > 0 && v != version {
+			return "", ""
+		}
+		version, why = v, evidence
+	}
+	if len(services) > 1 {
+		why = streamversion.EvidenceSameVersion
+	}
+	return version, why
+}
+
 // likelyVersion is UnrecordedVersionIn by what is listed and stored, whatever entries are gone. It returns the first
 // revision since which a target of the version has taken requests as well.
 func (s *State) likelyVersion(now time.Time, service string, regions routing.Regions) (version string, why streamversion.Evidence, open int64) {
@@ -264,11 +279,34 @@
 	if t.StreamID == "" || s.onStreamBegun == nil {
 		return
 	}
-	_, only := s.OnlyVersion(now, t.Service)
 	unknown := t.Version.version == streamversion.Unknown
-	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version}, !only || unknown)
+	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version}, unknown || s.needsRecord(now, t))
+}
+
+// needsRecord reports whether other routers might take a stream for one of another version if they had no record of it.
+func (s *State) needsRecord(now time.Time, t *Ticket) bool {
+	version, only := s.OnlyVersion(now, t.Service)
+	if !only || s.routes == nil {
+		return !only
+	}
+	if !s.routes.Known(now) {
+		return true
+	}
+	for _, service := range s.routes.Services(now, t.Host, t.Path, t.StreamID, t.Service) {
+		if other, only := s.OnlyVersion(now, service); !only || other != version {
+			return true
+		}
+	}
+	return false
 }
 
+// SetRouteHistory sets the history of the services that streams were sent to. The caller keeps it up to date and calls
+// RoutesChanged.
+func (s *State) SetRouteHistory(h *routehistory.History) { s.routes = h }
+
+// RoutesChanged tells that routes lead to other services than before.
+func (s *State) RoutesChanged() { s.newlyMixed = true }
+
 // versionAt returns the version of the process that runs t.
 func (s *State) versionAt(now time.Time, t *Ticket) string {
 	if s.inDoubt(now, t.target) && !s.exits[t.target.incarnation].spares(t) {
@@ -277,24 +315,21 @@
 	return t.target.Version
 }
 
-// TakeNewlyMixed returns the running streams of services that have got another version since the
-// last call.
-func (s *State) TakeNewlyMixed() []Stream {
-	if len(s.newlyMixed) == 0 {
+// TakeNewlyMixed returns the running streams that need a record if another version has come, or routes have changed, since
+// the last call.
+func (s *State) TakeNewlyMixed(now time.Time) []Stream {
+	if !s.newlyMixed {
 		return nil
 	}
+	s.newlyMixed = false
 	var list []Stream
 	for to := range s.active {
-		if !slices.Contains(s.newlyMixed, to.Service) {
-			continue
-		}
 		for t := range to.running {
-			if t.started && t.StreamID != "" {
+			if t.started && t.StreamID != "" && s.needsRecord(now, t) {
 				list = append(list, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version})
 			}
 		}
 	}
-	s.newlyMixed = nil
 	return list
 }
 
--- a/internal/forward/join_test.go
+++ b/internal/forward/join_test.go
@@ -15,7 +15,7 @@
 // knownVersion answers each look-up with one version.
 type knownVersion struct{ answer streamversion.Answer }
 
-func (k knownVersion) Lookup(context.Context, string, string, routing.Regions) streamversion.Answer {
+func (k knownVersion) Lookup(context.Context, forward.TakeUp) streamversion.Answer {
 	return k.answer
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
@@ -88,6 +89,12 @@
 	return r.ID
 }
 
+// Path returns the path by which the route is chosen.
+func (r Request) Path() string {
+	path, _, _ := strings.Cut(r.URI, "?")
+	return path
+}
+
 // Expires returns when the request is abandoned: at its caller's deadline or its route's
 // timeout, whichever is first.
 func (r Request) Expires() time.Time {
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -10,9 +10,19 @@
 
 // StreamVersions knows which versions of services began streams.
 type StreamVersions interface {
-	// Lookup returns the version of a service that began the stream of an earlier request, which may be
-	// served in some regions only. It may ask other routers.
-	Lookup(ctx context.Context, service, request string, regions routing.Regions) streamversion.Answer
+	// Lookup returns the version that began a stream. It may ask other routers.
+	Lookup(ctx context.Context, t TakeUp) streamversion.Answer
+}
+
+// TakeUp describes a stream that a caller takes up.
+type TakeUp struct {
+	// Stream is the id of the request that began it, empty if the caller does not tell.
+	Stream string
+	// Service is that of the request for the rest, whose host and path have chosen it. The stream may have begun at
+	// another one.
+	Service, Host, Path string
+	// Regions are those in which it may be served.
+	Regions routing.Regions
 }
 
 // findVersion finds out which version began the stream that the caller takes up, and refuses the
@@ -21,7 +31,7 @@
 	if x.versions == nil || x.LastEventID == "" || x.Route.Kind != routing.Streaming {
 		return true
 	}
-	a := x.versions.Lookup(ctx, x.Service, x.Resumes, x.Regions)
+	a := x.versions.Lookup(ctx, TakeUp{Stream: x.Resumes, Service: x.Service, Host: x.Host, Path: x.Path(), Regions: x.Regions})
 	switch {
 	case a.Known:
 		x.result.VersionEvidence = a.Evidence
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
@@ -186,6 +187,8 @@
 	// streams knows which versions began streams.
 	streams     *streamversion.Directory
 	streamStore streamStore
+	// routes knows at which services streams may have begun.
+	routes *routehistory.History
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
@@ -270,12 +273,15 @@
 	g.quarantine.exchange = quarantine.NewExchange(g.quarantine.state, g.roster)
 	g.trials = trial.New(self.ID, g.quarantine.state, trialFleet{g}, o.Log)
 	g.streams = streamversion.New(now, g.roster)
+	g.routes = routehistory.New(now, streamversion.TTL)
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
 	state.OnStreamBegun(g.streamBegun)
+	state.SetRouteHistory(g.routes)
 	if o.StreamStore == nil {
 		g.streams.Restore(now, nil, true)
 		state.RestoreVersions(now, nil, true)
+		g.routes.Restore(now, nil, nil)
 	} else {
 		state.RequireStoredVersions()
 		if o.CopyLimits[message.StoreZones] > 0 {
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/rollout"
-	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -120,7 +120,7 @@
 		return message.StreamVersions{Message: m}
 	}
 	record := func(version string, corrections uint32) message.StreamVersions {
-		r := streamversion.Record{Key: streamversion.KeyOf("s", "k"), Version: version, Corrections: corrections}
+		r := streamversion.Record{Key: streamversion.KeyOf("k"), Version: version, Corrections: corrections}
 		return message.StreamVersions{Message: streamversion.Message{Records: []streamversion.Record{r}}}
 	}
 	crash := func(cleared bool) message.Quarantine {
@@ -145,7 +145,7 @@
 	}
 	version := func(g *Gateway, _ *balance.State, now time.Time) string {
 		got := "nothing"
-		g.streams.Lookup(now, streamversion.KeyOf("s", "k"), func(a streamversion.Answer) { got = a.Version })
+		g.streams.Lookup(now, streamversion.KeyOf("k"), func(a streamversion.Answer) { got = a.Version })
 		return got
 	}
 	// rest tells whether the rest of a stream may be sent to a version.
@@ -327,7 +327,7 @@
 // process stood still: the word of it waits in the kernel, beside the caller's request.
 func TestLookupAfterStandstill(t *testing.T) {
 	record := func(version string, corrections uint32) message.StreamVersions {
-		r := streamversion.Record{Key: streamversion.KeyOf("s", "k"), Version: version, Corrections: corrections}
+		r := streamversion.Record{Key: streamversion.KeyOf("k"), Version: version, Corrections: corrections}
 		return message.StreamVersions{Message: streamversion.Message{Records: []streamversion.Record{r}}}
 	}
 	for name, c := range map[string]struct {
@@ -365,7 +365,7 @@
 			answers := make(chan streamversion.Answer, 1)
 			g.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) {
 				c.stands(g, s, now)
-				g.lookUpStream(s, now, "s", "k", routing.Regions{}, answers)
+				g.lookUpStream(s, now, forward.TakeUp{Service: "s", Stream: "k"}, answers)
 			})
 			for _, m := range c.told {
 				g.receive(from, m)
--- a/internal/gateway/past_internal_test.go
+++ b/internal/gateway/past_internal_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
-	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
@@ -38,9 +38,9 @@
 	early, late := targetOf("early", "v1"), targetOf("late", "v1")
 	early.Revision, late.Revision = 3, 9
 	setTargets(t, g, early, late)
-	g.RestoreStreams(streamversion.Stored{Complete: true, At: 5})
+	g.RestoreStreams(streamversion.Stored{Complete: true, At: 5, ConfigAt: streamversion.NoStreams})
 	lookUp := func(service string) streamversion.Answer {
-		return streamVersions{g}.Lookup(t.Context(), service, "r", routing.Regions{})
+		return streamVersions{g}.Lookup(t.Context(), forward.TakeUp{Service: service, Stream: "r"})
 	}
 	if a := lookUp("early"); a.Version != "v1" || len(store.reads) > 0 {
 		t.Errorf("not changed since what is stored was written: %+v, %d reads", a, len(store.reads))
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
-	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -15,10 +16,10 @@
 type streamVersions struct{ *Gateway }
 
 // Lookup implements forward.StreamVersions. It waits for the history of entries to be read if that matters.
-func (g streamVersions) Lookup(ctx context.Context, service, request string, regions routing.Regions) streamversion.Answer {
-	a, answered := g.ask(ctx, service, request, regions)
-	if answered && !a.Known && !a.Confirmed && g.waitPast(ctx, service, regions) {
-		a, answered = g.ask(ctx, service, request, regions)
+func (g streamVersions) Lookup(ctx context.Context, t forward.TakeUp) streamversion.Answer {
+	a, answered := g.ask(ctx, t)
+	if answered && !a.Known && !a.Confirmed && g.waitPast(ctx, t) {
+		a, answered = g.ask(ctx, t)
 	}
 	if answered {
 		g.Metrics.CountStreamLookup(a)
@@ -27,9 +28,9 @@
 }
 
 // ask looks a stream up and returns false if ctx is done before there is an answer.
-func (g streamVersions) ask(ctx context.Context, service, request string, regions routing.Regions) (a streamversion.Answer, answered bool) {
+func (g streamVersions) ask(ctx context.Context, t forward.TakeUp) (a streamversion.Answer, answered bool) {
 	answers := make(chan streamversion.Answer, 1)
-	g.loop.Post(func(s *balance.State, now time.Time) { g.lookUpStream(s, now, service, request, regions, answers) })
+	g.loop.Post(func(s *balance.State, now time.Time) { g.lookUpStream(s, now, t, answers) })
 	select {
 	case a = <-answers:
 		return a, true
@@ -41,11 +42,12 @@
 // maxPastWait bounds the wait for the history of entries. The store answers in milliseconds unless it is slow.
 const maxPastWait = 300 * time.Millisecond
 
-// waitPast waits until the history of entries that matters for a stream of a service is read, and reports whether it is.
-func (g streamVersions) waitPast(ctx context.Context, service string, regions routing.Regions) bool {
+// waitPast waits until the history of entries or configurations that matters for a stream is read, and reports whether it
+// is.
+func (g streamVersions) waitPast(ctx context.Context, t forward.TakeUp) bool {
 	var read <-chan struct{}
 	if !g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
-		if g.awaitsPast(s, now, service, regions) {
+		if g.awaitsPast(s, now, t) {
 			read = g.streamStore.pastRead
 		}
 	}) || read == nil {
@@ -63,24 +65,26 @@
 }
 
 // lookUpStream sends the version that began a stream to answers, which has room for it. A stream that
-// nobody knows was begun by the only version that its service had.
-func (g *Gateway) lookUpStream(s *balance.State, now time.Time, service, request string, regions routing.Regions, answers chan<- streamversion.Answer) {
+// nobody knows was begun by the only version that the services had at which it may have begun.
+func (g *Gateway) lookUpStream(s *balance.State, now time.Time, t forward.TakeUp, answers chan<- streamversion.Answer) {
 	done := func(a streamversion.Answer) {
 		if a.Known && a.Version == streamversion.Unknown {
 			a = streamversion.Answer{Confirmed: true}
 		} else if !a.Known && a.Confirmed {
-			a.Version, a.Evidence = s.UnrecordedVersionIn(now, service, regions)
+			if g.routes.Known(now) {
+				a.Version, a.Evidence = s.UnrecordedVersionAmong(now, g.servicesOf(now, t), t.Regions)
+			}
 			a.Known = a.Evidence != ""
-			a.Confirmed = a.Known || !s.AwaitsZoneDrains(now, service) && !g.awaitsPast(s, now, service, regions)
+			a.Confirmed = a.Known || !g.awaitsZoneDrains(s, now, t) && !g.awaitsPast(s, now, t)
 		}
 		answers <- a
 	}
-	if request == "" {
+	if t.Stream == "" {
 		done(streamversion.Answer{Confirmed: true})
 		return
 	}
 	g.noteStandstill(now)
-	g.streams.Lookup(now, streamversion.KeyOf(service, request), done)
+	g.streams.Lookup(now, streamversion.KeyOf(t.Stream), done)
 	g.sendStreamVersions(g.streams.Take())
 	g.tickEarlier(now)
 }
@@ -100,10 +104,23 @@
 	g.recordStreams(now, []balance.Stream{b}, shared)
 }
 
-// shareStreams tells other routers of the running streams of services that have just got a second
-// version.
-func (g *Gateway) shareStreams(s *balance.State, now time.Time) {
-	g.recordStreams(now, s.TakeNewlyMixed(), true)
+// servicesOf returns the services at which a stream may have begun.
+func (g *Gateway) servicesOf(now time.Time, t forward.TakeUp) []string {
+	return g.routes.Services(now, t.Host, t.Path, t.Stream, t.Service)
+}
+
+// awaitsZoneDrains reports whether the version of a stream without a record may be told once the ends of zones' drains
+// are known.
+func (g *Gateway) awaitsZoneDrains(s *balance.State, now time.Time, t forward.TakeUp) bool {
+	return slices.ContainsFunc(g.servicesOf(now, t), func(service string) bool { return s.AwaitsZoneDrains(now, service) })
+}
+
+// shareStreams tells other routers of the running streams that need records since a service has got another version, or
+// routes have changed, and returns their number.
+func (g *Gateway) shareStreams(s *balance.State, now time.Time) int {
+	list := s.TakeNewlyMixed(now)
+	g.recordStreams(now, list, true)
+	return len(list)
 }
 
 func (g *Gateway) recordStreams(now time.Time, list []balance.Stream, shared bool) {
@@ -111,7 +128,7 @@
 		return
 	}
 	for _, b := range list {
-		k := streamversion.KeyOf(b.Service, b.ID)
+		k := streamversion.KeyOf(b.ID)
 		if b.Corrected {
 			g.streams.Correct(now, k, b.Version)
 			continue
@@ -143,6 +160,7 @@
 	g.streams.Tick(now)
 	g.sendStreamVersions(g.streams.Take())
 	g.readZoneDrains(s, now)
+	g.restoreRoutes(now)
 	g.storeStreams(s, now)
 }
 
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
 	"github.com/stepcroft/stepcroft/internal/roster"
-	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
@@ -54,6 +54,8 @@
 	// ReadPast reads what the store's history tells of entries that are gone and calls Gateway.PastRead. It needs
 	// to be known since a revision, or better since what is stored was written.
 	ReadPast(since, storedAt int64)
+	// ReadConfigs reads the configurations after a revision and calls Gateway.ConfigsRead.
+	ReadConfigs(since int64)
 }
 
 // streamStore is what is to be written to the StreamStore.
@@ -77,8 +79,12 @@
 	readInterval time.Duration
 	// zoneDrainsAt is when the ends of zones' drains may be read again, and pastAt the history of entries.
 	zoneDrainsAt, pastAt time.Time
-	// pastRead is closed once the history of entries has been read.
+	// pastRead is closed once the history of entries, or of configurations, has been read.
 	pastRead chan struct{}
+	// routes is what was stored of routes, nil once the history of routes is restored, or if it can't be. savedConfig is the
+	// revision of the newest configuration whose routes this router has saved.
+	routes      *storedRoutes
+	savedConfig int64
 }
 
 // servedSet returns the versions without their times.
@@ -101,6 +107,13 @@
 		if stored.Complete {
 			g.streamStore.saved = servedSet(stored.Versions)
 		}
+		if !stored.RoutesUnknown {
+			g.streamStore.routes = &storedRoutes{uses: stored.Routes, configAt: stored.ConfigAt}
+			if stored.ConfigAt < streamversion.NoStreams {
+				g.streamStore.savedConfig = stored.ConfigAt
+			}
+			g.restoreRoutes(now)
+		}
 		// They may have changed while what is stored could not be read.
 		g.streamStore.changed, g.streamStore.changedAt = true, now
 		g.readZoneDrains(s, now)
@@ -125,17 +138,22 @@
 	}
 }
 
-// awaitsPast reports whether it depends on the history of entries which version began a stream without a record. It is
-// read only once that is so: of most services a target has not changed since what is stored was written.
-func (g *Gateway) awaitsPast(s *balance.State, now time.Time, service string, regions routing.Regions) bool {
+// awaitsPast reports whether it depends on the history of configurations or entries which version began a stream without
+// a record. That of entries is read only once that is so: of most services a target has not changed since what is stored
+// was written.
+func (g *Gateway) awaitsPast(s *balance.State, now time.Time, t forward.TakeUp) bool {
 	p := &g.streamStore
-	since, needed := s.NeededPast(now, service, regions)
-	if needed && g.StreamStore != nil && !now.Before(p.pastAt) {
-		p.pastAt = now.Add(historyInterval)
-		if p.pastRead == nil {
-			p.pastRead = make(chan struct{})
+	needed := p.routes != nil
+	for _, service := range g.servicesOf(now, t) {
+		since, neededHere := s.NeededPast(now, service, t.Regions)
+		needed = needed || neededHere
+		if neededHere && g.StreamStore != nil && !now.Before(p.pastAt) {
+			p.pastAt = now.Add(historyInterval)
+			g.StreamStore.ReadPast(since, s.StoredAt(now))
 		}
-		g.StreamStore.ReadPast(since, s.StoredAt(now))
+	}
+	if needed && p.pastRead == nil {
+		p.pastRead = make(chan struct{})
 	}
 	return needed
 }
@@ -144,12 +162,9 @@
 func (g *Gateway) PastRead(past unrecorded.Past) {
 	g.loop.Post(func(s *balance.State, _ time.Time) {
 		s.SetPast(past)
-		p := &g.streamStore
-		if p.pastRead != nil {
-			close(p.pastRead)
-		}
+		g.endPastRead()
 		// Another service may need more of it.
-		p.pastRead, p.pastAt = nil, time.Time{}
+		g.streamStore.pastAt = time.Time{}
 	})
 }
 
@@ -196,7 +211,8 @@
 
 // streamStoreIdle reports whether storeStreams need not be called.
 func (g *Gateway) streamStoreIdle() bool {
-	return g.StreamStore == nil || !g.streams.Unsaved() && !g.streamStore.changed && g.storeEra() <= g.streamStore.era
+	return g.StreamStore == nil ||
+		!g.streams.Unsaved() && !g.streamStore.changed && g.streamStore.routes == nil && g.storeEra() <= g.streamStore.era
 }
 
 // storeEra returns the era of the store as far as this router knows.
@@ -234,17 +250,21 @@
 	}
 	list := s.ServedVersions(now)
 	set := servedSet(list)
-	if writers := min(1+int(now.Sub(p.changedAt)/versionsTakeover), maxVersionWriters); !maps.Equal(set, p.saved) &&
-		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) &&
-		g.StreamStore.SaveVersions(streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now), At: s.StoredAt(now)}) {
-		p.saved = set
+	isSaved := func() bool { return maps.Equal(set, p.saved) && g.catalog.Complete().Config <= p.savedConfig }
+	if writers := min(1+int(now.Sub(p.changedAt)/versionsTakeover), maxVersionWriters); !isSaved() &&
+		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) {
+		v := streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now), At: s.StoredAt(now)}
+		v.Routes, v.ConfigAt = g.routesToStore(now)
+		if g.StreamStore.SaveVersions(v) {
+			p.saved, p.savedConfig = set, max(p.savedConfig, v.ConfigAt)
+		}
 	}
 	if unstored {
 		g.readVersions(now, first)
 		return
 	}
 	p.readAt = time.Time{}
-	p.changed = !maps.Equal(set, p.saved) && now.Sub(p.changedAt) <= versionsTakeover
+	p.changed = !isSaved() && now.Sub(p.changedAt) <= versionsTakeover
 }
 
 // readVersions reads what is stored some time after a version has come, and again and again. Routers that
--- a/internal/gateway/streamstore_internal_test.go
+++ b/internal/gateway/streamstore_internal_test.go
@@ -28,6 +28,8 @@
 
 func (savedVersions) ReadPast(int64, int64) {}
 
+func (savedVersions) ReadConfigs(int64) {}
+
 // TestVersionsAreStoredAfterLateRestore guards against versions that are never stored since they came before
 // what was stored could be read.
 func TestVersionsAreStoredAfterLateRestore(t *testing.T) {
--- a/internal/gateway/zone_drains_internal_test.go
+++ b/internal/gateway/zone_drains_internal_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/freshness"
 	"github.com/stepcroft/stepcroft/internal/message"
-	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -40,9 +40,12 @@
 	v1.Revision, v2.Revision = 3, 5
 	setTargets(t, g, v1, v2)
 	g.RestoreStreams(streamversion.Stored{
+		ConfigAt: streamversion.NoStreams,
 		Versions: []streamversion.Served{{ServiceVersion: streamversion.ServiceVersion{Service: "s", Version: "v1"}}}, Complete: true,
 	})
-	lookUp := func() streamversion.Answer { return streamVersions{g}.Lookup(t.Context(), "s", "r", routing.Regions{}) }
+	lookUp := func() streamversion.Answer {
+		return streamVersions{g}.Lookup(t.Context(), forward.TakeUp{Service: "s", Stream: "r"})
+	}
 	if a := lookUp(); a.Known || a.Confirmed {
 		t.Errorf("before they are read: %+v", a)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -449,8 +449,7 @@
 // identify sets a request's route, organisation, regions and service. If it returns a result with a
 // status, the request is refused.
 func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Result {
-	path, _, _ := strings.Cut(out.URI, "?")
-	route, ok := t.Lookup(out.Host, path)
+	route, ok := t.Lookup(out.Host, out.Path())
 	if !ok {
 		return refused(http.StatusNotFound, ReasonNoRoute, 0)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,7 @@
 
 import (
 	"hash/fnv"
+	"iter"
 	"net"
 	"strings"
 	"time"
@@ -245,6 +246,19 @@
 	return nil, false
 }
 
+// Routes returns all routes, in no order.
+func (t *Table) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, routes := range t.routes {
+			for _, r := range routes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Service returns the service with a name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/internal/streamversion/directory.go
+++ b/internal/streamversion/directory.go
@@ -59,11 +59,13 @@
 type Evidence string
 
 // The kinds of evidence: a record of the stream, that its service has and had no other version while this
-// router watched, or that no other one was in service before this router started, by what was stored.
+// router watched, that no other one was in service before this router started, by what was stored, or that several
+// services at which it may have begun all had the same one.
 const (
 	EvidenceRecord        Evidence = "record"
 	EvidenceOnlyVersion   Evidence = "only-version"
 	EvidenceStoredVersion Evidence = "stored-version"
+	EvidenceSameVersion   Evidence = "same-version"
 )
 
 // Answer is the result of a lookup.
--- a/internal/streamversion/directory_test.go
+++ b/internal/streamversion/directory_test.go
@@ -80,13 +80,13 @@
 func (f *fleet) lookup(router, request string) (streamversion.Answer, bool) {
 	var got streamversion.Answer
 	answered := false
-	f.routers[router].Lookup(f.now, streamversion.KeyOf("s", request), func(a streamversion.Answer) { got, answered = a, true })
+	f.routers[router].Lookup(f.now, streamversion.KeyOf(request), func(a streamversion.Answer) { got, answered = a, true })
 	f.run(time.Second)
 	return got, answered
 }
 
 func (f *fleet) begin(router, request, version string) {
-	f.routers[router].Begin(f.now, streamversion.Record{Key: streamversion.KeyOf("s", request), Version: version}, true)
+	f.routers[router].Begin(f.now, streamversion.Record{Key: streamversion.KeyOf(request), Version: version}, true)
 }
 
 func TestLookup(t *testing.T) {
@@ -352,18 +352,18 @@
 	for _, id := range f.known {
 		f.routers[id] = streamversion.New(f.now, view{f, id})
 	}
-	f.routers["router-1"].Lookup(f.now, streamversion.KeyOf("s", "begun"), func(a streamversion.Answer) {
+	f.routers["router-1"].Lookup(f.now, streamversion.KeyOf("begun"), func(a streamversion.Answer) {
 		if a.Confirmed || a.Known {
 			t.Errorf("got %+v", a)
 		}
 	})
 	f.run(2 * time.Second)
-	f.routers["router-1"].Lookup(f.now, streamversion.KeyOf("s", "begun"), func(a streamversion.Answer) {
+	f.routers["router-1"].Lookup(f.now, streamversion.KeyOf("begun"), func(a streamversion.Answer) {
 		if a.Version != "v1" {
 			t.Errorf("got %+v after what was stored has been restored meanwhile", a)
 		}
 	})
 	f.run(100 * time.Millisecond)
-	f.routers["router-1"].Restore(f.now, []streamversion.Record{{Key: streamversion.KeyOf("s", "begun"), Version: "v1"}}, true)
+	f.routers["router-1"].Restore(f.now, []streamversion.Record{{Key: streamversion.KeyOf("begun"), Version: "v1"}}, true)
 	f.run(time.Second)
 }
--- a/internal/streamversion/order_test.go
+++ b/internal/streamversion/order_test.go
@@ -72,7 +72,7 @@
 // begins a stream tells of both, as it hands records over, as another one has taken the stream up by an older belief, or
 // as what is stored is read.
 func TestCorrectionReachesAll(t *testing.T) {
-	key := streamversion.KeyOf("s", "begun")
+	key := streamversion.KeyOf("begun")
 	for name, play := range map[string]func(f *fleet, s stored){
 		"told": func(*fleet, stored) {},
 		"handed over": func(f *fleet, _ stored) {
@@ -135,7 +135,7 @@
 	f.begin("router-0", "begun", "v1")
 	f.run(time.Second)
 	d := f.routers["router-0"]
-	d.Correct(f.now, streamversion.KeyOf("s", "begun"), streamversion.Unknown)
+	d.Correct(f.now, streamversion.KeyOf("begun"), streamversion.Unknown)
 	if len(d.Take()) == 0 {
 		t.Fatal("no other router is told")
 	}
@@ -161,7 +161,7 @@
 	d := f.routers["router-0"]
 	d.Resume(f.now)
 	var got streamversion.Answer
-	d.Lookup(f.now, streamversion.KeyOf("s", "begun"), func(a streamversion.Answer) { got = a })
+	d.Lookup(f.now, streamversion.KeyOf("begun"), func(a streamversion.Answer) { got = a })
 	for range 30 {
 		d.Resume(f.now)
 		f.run(50 * time.Millisecond)
@@ -174,7 +174,7 @@
 // TestLookupWhereOneRouterMissedCorrection guards against a stream that goes on at a version that was corrected, since the
 // first router that answers could not be told so.
 func TestLookupWhereOneRouterMissedCorrection(t *testing.T) {
-	key := streamversion.KeyOf("s", "begun")
+	key := streamversion.KeyOf("begun")
 	for missed := range 7 {
 		f := newFleet(8)
 		f.begin("router-0", "begun", "v1")
@@ -211,7 +211,7 @@
 // TestContradictedRecordIsHandedOver guards against a stream of which nothing is stored, since the routers that began it
 // at two versions take what they have told one another for the record of a stream of others.
 func TestContradictedRecordIsHandedOver(t *testing.T) {
-	key := streamversion.KeyOf("s", "begun")
+	key := streamversion.KeyOf("begun")
 	f, s := newFleet(8), stored{}
 	f.begin("router-0", "begun", "v1")
 	f.begin("router-1", "begun", "v2")
--- a/internal/streamversion/records.go
+++ b/internal/streamversion/records.go
@@ -30,8 +30,9 @@
 // Key identifies a stream.
 type Key uint64
 
-// KeyOf returns the key of the stream that a request to a service began.
-func KeyOf(service, request string) Key { return Key(rendezvous.Hash(service + "\x00" + request)) }
+// KeyOf returns the key of the stream that a request began. It does not depend on the service, which the configuration
+// may change before the rest is asked for.
+func KeyOf(request string) Key { return Key(rendezvous.Hash(request)) }
 
 // Record tells which version began a stream.
 type Record struct {
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -1,9 +1,12 @@
 package streamversion
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 )
 
 const (
@@ -219,8 +222,15 @@
 	Since time.Time
 	// At is the revision of what the writer itself knows them from, 0 if it has seen all streams begin.
 	At int64
+	// Routes are the services that streams were sent to, up to the configuration of revision ConfigAt; 0 if the writer
+	// does not know them all.
+	Routes   []routehistory.Use
+	ConfigAt int64
 }
 
+// NoStreams is a ConfigAt where no streams began before this router started.
+const NoStreams = math.MaxInt64
+
 // Stored is what the store held when a router started.
 type Stored struct {
 	Records  []Record
@@ -231,6 +241,10 @@
 	Era int64
 	// At is the store's revision at which Versions was written, 0 if no streams can have begun before.
 	At int64
+	// Routes and ConfigAt are as in Versions. RoutesUnknown is set if the store does not tell them.
+	Routes        []routehistory.Use
+	ConfigAt      int64
+	RoutesUnknown bool
 }
 
 // Resave makes TakeSnapshots return all records once more, since the store may have lost them.
