Lines of streams name the service of each run

A stream's lines named targets and versions only, so that a rest that comes from the service to which the route has moved looked like one from an engine of another version.

--- a/internal/forward/join.go
+++ b/internal/forward/join.go
@@ -75,5 +75,5 @@
 		log = log.WithValues("from", j.From.Incarnation(), "from_version", j.From.Version)
 	}
 	log.Info("stream goes on", "id", j.ID, "stream", j.Stream, "after", j.After, "first", j.First,
-		"to", j.To.Incarnation(), "to_version", j.To.Version, "evidence", string(j.Evidence), "process_by", string(j.Process))
+		"to", j.To.Incarnation(), "to_version", j.To.Version, "to_service", j.To.Service, "evidence", string(j.Evidence), "process_by", string(j.Process))
 }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -53,7 +53,7 @@
 		fields = append(fields, "skipped_ids", v.SkippedIDs)
 	}
 	if v.Runs > 0 {
-		fields = append(fields, "runs", v.Runs, "events", v.Events, "last_event", v.LastEventID, "process", v.RunTarget.Incarnation(), "run_version", v.RunTarget.Version)
+		fields = append(fields, "runs", v.Runs, "events", v.Events, "last_event", v.LastEventID, "process", v.RunTarget.Incarnation(), "run_version", v.RunTarget.Version, "run_service", v.RunTarget.Service)
 	}
 	if v.ExchangeEnd != "" {
 		fields = append(fields, "exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
@@ -74,6 +74,6 @@
 }
 
 // maxRequestFields is the number of keys and values of a request's line, if it has all.
-const maxRequestFields = 88
+const maxRequestFields = 90
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
