routehistory: a bound on the routes that are kept

A storm of configurations that add and remove routes would be kept for a minute. Beyond 32,768 uses what is gone is forgotten, and the rest of streams without a record is refused until the history is known again.

--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -14,6 +14,10 @@
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
+// maxUses bounds the uses that are kept. A history that would have more forgets those that are gone, and is known again
+// once it has its length.
+const maxUses = 1 << 15
+
 // Key identifies a route by its host and path prefix. Names of routes may change while streams run.
 type Key uint64
 
@@ -100,6 +104,7 @@
 			changed = true
 		}
 	}
+	h.bound(now)
 	if changed && !first {
 		h.changedAt = now
 	}
@@ -144,6 +149,24 @@
 	}
 }
 
+// bound forgets what is gone if there is too much of it.
+func (h *History) bound(now time.Time) {
+	n := 0
+	for _, r := range h.routes {
+		n += len(r.uses)
+	}
+	if n <= maxUses {
+		return
+	}
+	for k, r := range h.routes {
+		r.uses = slices.DeleteFunc(r.uses, func(u use) bool { return !u.until.IsZero() })
+		if len(r.uses) == 0 {
+			delete(h.routes, k)
+		}
+	}
+	h.startedAt, h.restored = now, false
+}
+
 // Known reports whether the history has all configurations that were in force within its length.
 func (h *History) Known(now time.Time) bool { return h.restored || now.Sub(h.startedAt) > h.keep }
 
--- a/internal/routehistory/routehistory_test.go
+++ b/internal/routehistory/routehistory_test.go
@@ -76,6 +76,33 @@
 	}
 }
 
+// Guards against memory that grows with the number of configurations.
+func TestManyRoutes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := routehistory.New(now, keep)
+	h.Restore(now, nil, nil)
+	const perTable, tables = 1000, 40
+	forgotten := false
+	for i := range tables {
+		now = now.Add(100 * time.Millisecond)
+		var list []routing.Route
+		for k := range perTable {
+			list = append(list, stream(fmt.Sprintf("/%d/%d/", i, k), only("x")))
+		}
+		h.Set(now, tableOf(t, list...))
+		if n := len(h.Uses(now)); n > 1<<15 {
+			t.Fatalf("%d uses after %d configurations", n, i+1)
+		}
+		forgotten = forgotten || !h.Known(now)
+	}
+	if !forgotten {
+		t.Error("nothing was forgotten: the test shows nothing")
+	}
+	if now = now.Add(keep + time.Second); !h.Known(now) {
+		t.Error("not known again")
+	}
+}
+
 // Guards against streams that are taken for ones of the service to which their route has moved, also after a restart of
 // all routers: each service that a configuration of the last minute chose must be among those that the history tells.
 func TestServicesAgainstAllConfigurations(t *testing.T) {
