Streams go on where the service before has lost all its targets

A stream whose route has moved from a service that was then taken down, of the same version, was refused where it had no record: a service without targets counted as one of unknown version. Its last version counts now as long as callers may take its streams up, and a service that has had no targets for as long could begin no stream. Before targets have been listed after a start nothing is concluded, as before (TestUnrecordedVersionWhereStoredOneWasClosed).

TestUnrecordedVersionAmong: "all targets of one have left" and "one has no targets" failed before.

--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -76,12 +76,17 @@
 	return stored
 }
 
-// only reports whether a version is and was the only one.
+// only reports whether a version is and was the only one, or was until all targets left.
 func (h *versionHistory) only(now time.Time) (string, bool) {
 	h.expire(now)
-	if len(h.listed) != 1 || len(h.goneAt) > 1 {
+	if len(h.listed) > 1 || len(h.goneAt) > 1 {
 		return "", false
 	}
+	if len(h.listed) == 0 {
+		for version := range h.goneAt {
+			return version, true
+		}
+	}
 	for version := range h.listed {
 		_, back := h.goneAt[version]
 		return version, back || len(h.goneAt) == 0
@@ -179,26 +184,42 @@
 // UnrecordedVersionAmong is UnrecordedVersionIn for a stream that may have begun at any of some services: the version is
 // known only if it is the same for all of them.
 func (s *State) UnrecordedVersionAmong(now time.Time, services []string, regions routing.Regions) (version string, why streamversion.Evidence) {
-	for i, service := range services {
+	for _, service := range services {
+		if s.hadNoTargets(now, service) {
+			continue
+		}
 		v, evidence := s.UnrecordedVersionIn(now, service, regions)
-		if evidence == "" || i > 0 && v != version {
+		switch {
+		case evidence == "" || why != "" && v != version:
 			return "", ""
+		case why != "":
+			evidence = streamversion.EvidenceSameVersion
 		}
 		version, why = v, evidence
 	}
-	if len(services) > 1 {
-		why = streamversion.EvidenceSameVersion
-	}
 	return version, why
 }
 
+// hadNoTargets reports whether a service is known to have had no targets for as long as matters.
+func (s *State) hadNoTargets(now time.Time, service string) bool {
+	if now.Sub(s.startedAt) <= streamversion.TTL {
+		return false
+	}
+	h := s.versions[service]
+	if h == nil {
+		return true
+	}
+	h.expire(now)
+	return len(h.listed)+len(h.goneAt) == 0
+}
+
 // likelyVersion is UnrecordedVersionIn by what is listed and stored, whatever entries are gone. It returns the first
 // revision since which a target of the version has taken requests as well.
 func (s *State) likelyVersion(now time.Time, service string, regions routing.Regions) (version string, why streamversion.Evidence, open int64) {
 	if !s.VersionsKnownSince(now).IsZero() {
 		return "", "", 0
 	}
-	if version, only := s.OnlyVersion(now, service); only {
+	if version, only := s.OnlyVersion(now, service); only && s.listed {
 		return version, streamversion.EvidenceOnlyVersion, s.OpenAtStart(service, func(zone string) bool { return regions.Allow(s.regions[zone]) })
 	}
 	h := s.versions[service]
@@ -292,12 +313,10 @@
 	if !s.routes.Known(now) {
 		return true
 	}
-	for _, service := range s.routes.Services(now, t.Host, t.Path, t.StreamID, t.Service) {
-		if other, only := s.OnlyVersion(now, service); !only || other != version {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.routes.Services(now, t.Host, t.Path, t.StreamID, t.Service), func(service string) bool {
+		other, only := s.OnlyVersion(now, service)
+		return !s.hadNoTargets(now, service) && (!only || other != version)
+	})
 }
 
 // SetRouteHistory sets the history of the services that streams were sent to. The caller keeps it up to date and calls
