Streams begin unasked at the process after the one of the entry

Now a connection knows whether others to its process had ended by the time it was made, read or not. If the answer to a stream that was begun unasked arrives over a connection that was made after the look and after such an end, the engine is asked before anything is sent to the caller. A connection that is made since another request has taken the unused one costs no question.

Ruled out: to ask wherever the answer comes over a later connection, as each burst of streams at an engine with one unused connection would ask.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -103,9 +103,11 @@
 	if x.status.Path == "" || to.Born == 0 || x.ticket.StreamID == "" || x.inDoubt {
 		return nil
 	}
+	lookedAt := clock.Now()
 	open, ended := x.sender.CheckUnused(to.Address, to.Incarnation())
 	justStarted := clock.Since(x.startedAt) < startTime
 	if x.lastEventID == "" && (open || !ended && !justStarted) {
+		x.unaskedAt = lookedAt
 		return nil
 	}
 	refusedAt, other, err := x.isOtherProcess(ctx, to, processTimeout)
@@ -119,11 +121,23 @@
 	return &failure{reason: ReasonUnreachable, result: balance.Refused, cause: errOtherProcess}
 }
 
-// confirmProcess asks an engine once more if its answer arrives on a connection that was made after the one on which it
-// said when its process started: the next process may have accepted it. It returns an error if that is so, or if the
-// engine does not say.
+// needsConfirmation reports whether the process after the one of the entry may have accepted the connection on which an
+// answer arrives: it was made after the one on which the engine said when its process started, or, if the engine was not
+// asked, after the look at the unused ones, and others had ended by then.
+func (x *inflight) needsConfirmation(a *httptarget.Answer) bool {
+	switch {
+	case !x.askedOn.IsZero():
+		return a.ConnectedAt().After(x.askedOn)
+	case !x.unaskedAt.IsZero():
+		return a.ConnectedAt().After(x.unaskedAt) && a.ConnectedAfterEnd()
+	}
+	return false
+}
+
+// confirmProcess asks an engine when its process started if that was not known as its answer's connection was made. It
+// returns an error if another process has accepted it, or if the engine does not say.
 func (x *inflight) confirmProcess(ctx context.Context, to balance.Target, a *httptarget.Answer) *failure {
-	if x.askedOn.IsZero() || !a.ConnectedAt().After(x.askedOn) {
+	if !x.needsConfirmation(a) {
 		return nil
 	}
 	refusedAt, other, err := x.isOtherProcess(ctx, to, processTimeout)
--- /dev/null
+++ b/internal/forward/replaced_unasked_test.go
@@ -0,0 +1,151 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// lookSender is a sender that calls a function once after it has looked at the unused connections to a target.
+type lookSender struct {
+	*httptarget.Transport
+	afterLook atomic.Pointer[func()]
+}
+
+func (s *lookSender) CheckUnused(address, instance string) (open, ended bool) {
+	open, ended = s.Transport.CheckUnused(address, instance)
+	if f := s.afterLook.Swap(nil); f != nil {
+		(*f)()
+	}
+	return open, ended
+}
+
+// processes runs one process after the other at an address, each of which says when it started.
+type processes struct {
+	address string
+	born    int64
+	// asked counts the requests for the status, and slow is closed when requests to /slow may be answered.
+	asked  atomic.Int64
+	slow   chan struct{}
+	server *http.Server
+	wait   sync.WaitGroup
+}
+
+// replace ends the process that runs, if there is one, and starts the next one, which accepts connections at once.
+func (p *processes) replace(t *testing.T) {
+	t.Helper()
+	if p.server != nil {
+		_ = p.server.Close()
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	p.address = l.Addr().String()
+	p.born++
+	born := p.born
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/status":
+			p.asked.Add(1)
+			fmt.Fprintf(w, `{"born":%d}`, born)
+			return
+		case "/slow":
+			<-p.slow
+		}
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set(headerSeal, "s")
+		fmt.Fprintf(w, "id: 1\ndata: %d\n\n", born)
+	})}
+	p.server = server
+	p.wait.Go(func() { _ = server.Serve(l) })
+}
+
+// TestEngineReplacedAfterTheLook guards against streams that begin at the process after the one of the entry, without a
+// question when it started, as the unused connection that was open when the router looked ends before the request is
+// sent.
+func TestEngineReplacedAfterTheLook(t *testing.T) {
+	for name, c := range map[string]struct {
+		replaced bool
+		text     string
+		asked    int64
+	}{
+		"the process is replaced":  {replaced: true, asked: 1},
+		"another request takes it": {text: "id: 1\ndata: 1\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := &processes{address: "127.0.0.1:0", slow: make(chan struct{})}
+			p.replace(t)
+			t.Cleanup(func() {
+				_ = p.server.Close()
+				p.wait.Wait()
+			})
+			g := group.New(context.Background())
+			t.Cleanup(g.Stop)
+			sender := &lookSender{Transport: httptarget.New(g)}
+			limits := balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second, QuotaWindow: time.Second}
+			loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
+			g.GoContext(loop.Run)
+			names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, Seal: headerSeal, Leaving: headerLeaving, LastEventID: "X-Last", Organisation: "X-Organisation"}
+			f := &testForwarder{loop: loop, Forwarder: forward.New(names, sender, loop, noSuspects{}, logr.Discard(), discard{}).
+				WithStatusQuery(forward.StatusQuery{Path: "/status", Field: "born"})}
+			to := balance.Target{ID: "e", Service: "s", Zone: "z", Slots: 4, Address: p.address, Born: p.born}
+			table, err := routing.New(routing.Spec{Version: 1, Services: []routing.Service{{Name: "s"}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			loop.PostAndWait(t.Context(), func(s *balance.State, _ time.Time) { s.Configure(table) })
+			f.setTargets(t, to)
+			ask := func(id string) string {
+				caller, now := &textCaller{}, time.Now()
+				f.Forward(t.Context(), forward.Request{
+					ID: id, Method: http.MethodPost, URI: "/", Host: "h", Service: "s", Organisation: "o", ToEngine: true,
+					Arrived: now, Deadline: now.Add(500 * time.Millisecond),
+					Route: &routing.Route{Kind: routing.Streaming, Goal: time.Second, MaxPause: 400 * time.Millisecond, MaxAttempts: 1, Resumable: true},
+				}, caller)
+				return caller.text.String()
+			}
+			if got := ask("first"); got != "id: 1\ndata: 1\n\n" {
+				t.Fatalf("the first caller got %q", got)
+			}
+			p.asked.Store(0)
+			afterLook := func() { p.replace(t) }
+			if !c.replaced {
+				afterLook = func() {
+					taken := make(chan struct{})
+					g.Go(func() {
+						a, err := sender.Send(t.Context(), to.Address, httptarget.Request{
+							Method: http.MethodGet, Head: []byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"), Instance: to.Incarnation(),
+							OnSent: func(func() bool) { close(taken) },
+						})
+						if err == nil {
+							a.Close()
+						}
+					})
+					<-taken
+					t.Cleanup(func() { close(p.slow) })
+				}
+			}
+			sender.afterLook.Store(&afterLook)
+			if got, asked := ask("second"), p.asked.Load(); got != c.text || asked != c.asked {
+				t.Errorf("the second caller got %q, the engine was asked %d times; want %q, %d", got, asked, c.text, c.asked)
+			}
+		})
+	}
+}
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -57,7 +57,7 @@
 func (x *inflight) sendFirst(ctx context.Context, to balance.Target) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.target, x.sentAt, x.answerStarted, x.processBy, x.askedOn = to, clock.Now(), false, "", time.Time{}
+	x.target, x.sentAt, x.answerStarted, x.processBy, x.askedOn, x.unaskedAt = to, clock.Now(), false, "", time.Time{}, time.Time{}
 	x.race.setInput(nil)
 	x.ticket.ServerError.Store(false)
 	x.ticket.OnLost(func() { cancel(errRestarted) })
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -32,6 +32,8 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	madeAt      time.Time
+	// afterEnd is set if others to the process had ended lately when it was made: another process may have accepted it.
+	afterEnd bool
 	// closes is set if the target closes the connection after the answer on it.
 	closes atomic.Bool
 }
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -209,10 +209,21 @@
 	}
 	t.dialled.Add(1)
 	c := newConn(raw, e)
+	c.afterEnd = t.endedLately(e)
 	t.use(c)
 	return c, nil
 }
 
+// endedLately reports whether any connection to a process has ended lately, whether that was seen or not.
+func (t *Transport) endedLately(e endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return clock.Since(t.broken[e].seen) < brokenTTL || slices.ContainsFunc(t.connsTo(e), func(c *conn) bool {
+		_, ended := sockopt.Received(c.Conn)
+		return ended
+	})
+}
+
 // use records that a connection carries an exchange.
 func (t *Transport) use(c *conn) {
 	t.mu.Lock()
@@ -508,6 +519,10 @@
 // ConnectedAt returns when the connection was made that the answer arrives on.
 func (a *Answer) ConnectedAt() time.Time { return a.conn.madeAt }
 
+// ConnectedAfterEnd reports whether other connections to the target had ended lately when that connection was made, so
+// that another process may have accepted it.
+func (a *Answer) ConnectedAfterEnd() bool { return a.conn.afterEnd }
+
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
