Regions of a request are those of its route, not of the route's name

A request that waited for a target, or for another one, was sent outside its regions where a newer configuration gave its route's name to another route, or renamed and narrowed its route. Where a configuration gave two routes one name, requests on one got the regions of the other, and were sent outside their own or refused though a target was free.

Cause: regions were filed under the name of the route, which operators may change while requests wait, and which need not be unique. A route that has taken the place of a removed one, wider or narrower, restricts the requests admitted before as well.

Tickets of three tests in balance named a route and now give the path, and those of reconfigure_test.go have the regions of their admission, as the server sets them; what they check is as before.

Organisations are still told by their names: that is what engines and the account are told, and no other identity of theirs outlives a change of keys.

--- a/internal/balance/reconfigure_test.go
+++ b/internal/balance/reconfigure_test.go
@@ -64,8 +64,11 @@
 }
 
 func (w *world) admitted(tokens int) *balance.Ticket {
+	table, err := routing.New(admittedUnder())
+	Expect(err).NotTo(HaveOccurred())
+	route, _ := table.Lookup("", "/")
 	t := w.unshared("o", tokens)
-	t.Route, t.Stream, t.Goal = "r", true, 5*time.Second
+	t.Path, t.Regions, t.Stream, t.Goal = "/", table.RegionsOf(route, "o"), true, 5*time.Second
 	return t
 }
 
--- a/internal/balance/regions_test.go
+++ b/internal/balance/regions_test.go
@@ -49,7 +49,7 @@
 					return (len(route) == 0 || slices.Contains(route, region)) && (len(organisation) == 0 || slices.Contains(organisation, region))
 				}
 				k := w.prompt("o", fmt.Sprint("s", i%40), 100)
-				k.Route = "r"
+				k.Path = "/"
 				d := w.arrive(k)
 				Expect(d).NotTo(BeNil())
 				if !slices.ContainsFunc(zones, allowed) {
--- a/internal/balance/second.go
+++ b/internal/balance/second.go
@@ -44,7 +44,7 @@
 // second returns a ticket for the same request at another target.
 func (t *Ticket) second(tried []string, resumes bool) *Ticket {
 	k := &Ticket{
-		ID: t.ID, Service: t.Service, Organisation: t.Organisation, Route: t.Route, Host: t.Host, Path: t.Path, Engine: t.Engine, Stream: t.Stream,
+		ID: t.ID, Service: t.Service, Organisation: t.Organisation, Host: t.Host, Path: t.Path, Engine: t.Engine, Stream: t.Stream,
 		Parts: t.Parts, Input: t.Input, Output: t.Output, Goal: t.Goal, Arrived: t.Arrived, Deadline: t.Deadline,
 		Tried: slices.Concat(t.Tried, tried), Resumes: resumes, StreamID: t.StreamID, Version: t.Version, Continues: t.Continues,
 		Decision: make(chan Decision, 1), beganAt: t.beganAt, again: true, isSecond: true,
--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -315,7 +315,7 @@
 			w.SetRegions(map[string]string{"z": "far", "y": "near"})
 			w.RestoreVersions(w.now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
 			w.SetTargets(w.now, c.listed)
-			if got, _ := w.UnrecordedVersionIn(w.now, "llm", limited("near").RegionsOf("r", "o")); got != c.want {
+			if got, _ := w.UnrecordedVersionIn(w.now, "llm", limited("near").RegionsOf(&routing.Route{}, "o")); got != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
 		})
@@ -339,7 +339,7 @@
 		t.Errorf("ends of drains needed %t, from %d on", needed, since)
 	}
 	w.SetZoneDrains(balance.ZoneDrains{Since: since})
-	if got, _ := w.UnrecordedVersionIn(w.now, "llm", limited("near").RegionsOf("r", "o")); got != "v1" {
+	if got, _ := w.UnrecordedVersionIn(w.now, "llm", limited("near").RegionsOf(&routing.Route{}, "o")); got != "v1" {
 		t.Errorf("got %q, want v1", got)
 	}
 }
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -18,8 +18,8 @@
 	ID           string
 	Service      string
 	Organisation string
-	// Route is the name of the request's route, Host and Path what it was chosen by.
-	Route, Host, Path string
+	// Host and Path are what the request's route was chosen by.
+	Host, Path string
 	// Engine is set for requests to model engines, Stream if the answer is streamed as events.
 	Engine, Stream bool
 	// Parts are the parts of the prompt in order. The last one belongs to this request or its
--- a/internal/balance/unrecorded_test.go
+++ b/internal/balance/unrecorded_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
@@ -55,7 +56,7 @@
 			if c.later != nil {
 				w.SetTargets(w.now, c.later)
 			}
-			regions := limited("near").RegionsOf("r", "o")
+			regions := limited("near").RegionsOf(&routing.Route{}, "o")
 			if since, needed := w.NeededPast(w.now, "llm", regions); c.past == nil && (needed != (c.needed > 0) || needed && since != c.needed) {
 				t.Errorf("history needed %t, from %d on, want %d", needed, since, c.needed)
 			}
--- a/internal/balance/unstored_test.go
+++ b/internal/balance/unstored_test.go
@@ -114,7 +114,7 @@
 			w.Configure(table)
 			w.SetRegions(map[string]string{"z": "older", "y": "newer"})
 			k := w.prompt("o", "s", 100)
-			k.Route = "r"
+			k.Path = "/"
 			return k
 		},
 	} {
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -363,7 +363,7 @@
 		return true
 	}
 	if t.regionsBy != s.table {
-		t.Regions, t.regionsBy = t.Regions.With(s.table, t.Route, t.Organisation), s.table
+		t.Regions, t.regionsBy = t.Regions.With(s.table, t.Host, t.Path, t.Organisation), s.table
 	}
 	return t.Regions.Allow(s.regions[c.Zone])
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -200,7 +200,7 @@
 		x.names = append(x.names, eventstream.Digest(r.LastEventID))
 	}
 	x.ticket = &balance.Ticket{
-		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Route: r.Route.Name, Host: r.Host, Path: r.Path(), Engine: r.ToEngine, Stream: r.Route.Kind == routing.Streaming,
+		ID: r.ID, Service: r.Service, Organisation: r.Organisation, Host: r.Host, Path: r.Path(), Engine: r.ToEngine, Stream: r.Route.Kind == routing.Streaming,
 		Continues: r.LastEventID != "", Parts: r.Parts, Input: r.Input, Output: r.Output, Goal: r.Route.Goal,
 		StreamID: r.streamID(), Regions: r.Regions, Arrived: r.Arrived, Deadline: deadline, Decision: make(chan balance.Decision, 1),
 	}
--- a/internal/gateway/reconfigure_test.go
+++ b/internal/gateway/reconfigure_test.go
@@ -124,6 +124,14 @@
 	return out
 }
 
+func renameRoutes(c *routing.Spec) { eachRoute(c, func(r *routing.Route) { r.Name += " renamed" }) }
+
+// passName gives another route the name of that of /many/, and its own regions.
+func passName(c *routing.Spec, regions []string) {
+	renameRoutes(c)
+	c.Routes[0].Name, c.Routes[0].Regions = "many", regions
+}
+
 // These guard against requests that lose the regions of their route or organisation if that is removed before a target
 // is chosen for them.
 var _ = Describe("A request beside a newer configuration", func() {
@@ -136,24 +144,41 @@
 		change              func(c *routing.Spec)
 		served              bool
 	}{
-		"route removed":                       {elsewhere, nil, laterChanges["routes removed"], false},
-		"route removed, region allowed":       {here, here, laterChanges["routes removed"], true},
-		"organisation removed":                {nil, elsewhere, laterChanges["organisation removed"], false},
-		"organisation removed, allowed":       {here, here, laterChanges["organisation removed"], true},
-		"all removed, by the route":           {elsewhere, here, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, false},
-		"all removed, by the organisation":    {here, elsewhere, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, false},
-		"all removed, region allowed":         {here, here, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, true},
-		"key revoked":                         {nil, elsewhere, laterChanges["keys"], false},
-		"key revoked, region allowed":         {here, here, laterChanges["keys"], true},
-		"service changed":                     {elsewhere, nil, laterChanges["service of the routes"], false},
-		"service changed, region allowed":     {here, here, laterChanges["service of the routes"], true},
-		"limits lowered":                      {elsewhere, nil, laterChanges["size of bodies"], false},
-		"limits lowered, region allowed":      {here, here, laterChanges["size of bodies"], true},
-		"route narrowed":                      {here, here, func(c *routing.Spec) { routeRegions(c, elsewhere) }, false},
-		"organisation narrowed":               {here, here, func(c *routing.Spec) { c.Organisations[0].Regions = elsewhere }, false},
-		"route restricted for the first time": {nil, nil, func(c *routing.Spec) { routeRegions(c, elsewhere) }, false},
-		"route allows all":                    {elsewhere, nil, func(c *routing.Spec) { routeRegions(c, nil) }, true},
-		"organisation allows all":             {nil, elsewhere, func(c *routing.Spec) { c.Organisations[0].Regions = nil }, true},
+		"route removed":                              {elsewhere, nil, laterChanges["routes removed"], false},
+		"route removed, region allowed":              {here, here, laterChanges["routes removed"], true},
+		"organisation removed":                       {nil, elsewhere, laterChanges["organisation removed"], false},
+		"organisation removed, allowed":              {here, here, laterChanges["organisation removed"], true},
+		"all removed, by the route":                  {elsewhere, here, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, false},
+		"all removed, by the organisation":           {here, elsewhere, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, false},
+		"all removed, region allowed":                {here, here, func(c *routing.Spec) { *c = routing.Spec{Version: c.Version} }, true},
+		"key revoked":                                {nil, elsewhere, laterChanges["keys"], false},
+		"key revoked, region allowed":                {here, here, laterChanges["keys"], true},
+		"service changed":                            {elsewhere, nil, laterChanges["service of the routes"], false},
+		"service changed, region allowed":            {here, here, laterChanges["service of the routes"], true},
+		"limits lowered":                             {elsewhere, nil, laterChanges["size of bodies"], false},
+		"limits lowered, region allowed":             {here, here, laterChanges["size of bodies"], true},
+		"route narrowed":                             {here, here, func(c *routing.Spec) { routeRegions(c, elsewhere) }, false},
+		"organisation narrowed":                      {here, here, func(c *routing.Spec) { c.Organisations[0].Regions = elsewhere }, false},
+		"route restricted for the first time":        {nil, nil, func(c *routing.Spec) { routeRegions(c, elsewhere) }, false},
+		"route allows all":                           {elsewhere, nil, func(c *routing.Spec) { routeRegions(c, nil) }, true},
+		"organisation allows all":                    {nil, elsewhere, func(c *routing.Spec) { c.Organisations[0].Regions = nil }, true},
+		"name goes to another route":                 {elsewhere, nil, func(c *routing.Spec) { passName(c, nil) }, false},
+		"name goes to another route that is limited": {nil, nil, func(c *routing.Spec) { passName(c, elsewhere) }, true},
+		"route renamed":                              {elsewhere, nil, renameRoutes, false},
+		"route renamed and narrowed": {here, nil, func(c *routing.Spec) {
+			renameRoutes(c)
+			routeRegions(c, elsewhere)
+		}, false},
+		"route renamed, allows all": {elsewhere, nil, func(c *routing.Spec) {
+			renameRoutes(c)
+			routeRegions(c, nil)
+		}, true},
+		"route replaced by a wider one": {elsewhere, nil, func(c *routing.Spec) {
+			c.Routes = []routing.Route{{Name: "all", Host: "h", Prefix: "/", Shares: c.Routes[0].Shares}}
+		}, false},
+		"narrower route within it": {here, nil, func(c *routing.Spec) {
+			c.Routes = append(c.Routes, routing.Route{Name: "x", Host: "h", Prefix: "/many/x", Shares: c.Routes[0].Shares, Regions: elsewhere})
+		}, false},
 		"route removed, organisation narrowed": {here, here, func(c *routing.Spec) {
 			c.Organisations[0].Regions = elsewhere
 			laterChanges["routes removed"](c)
@@ -210,3 +235,31 @@
 		})
 	}
 })
+
+// This guards against requests that get the regions of another route with the same name.
+var _ = Describe("Two routes of one name", func() {
+	for name, regions := range map[string][2][]string{
+		"limits the first":     {{"elsewhere"}, nil},
+		"limits the last":      {nil, {"elsewhere"}},
+		"limits both":          {{"elsewhere"}, {"here"}},
+		"limits both, swapped": {{"here"}, {"elsewhere"}},
+	} {
+		It("have regions of their own: "+name, func() {
+			r := newRigWithOptions(gateway.Options{Regions: map[string]string{"z": "here"}})
+			c := spec(1)
+			c.Routes = c.Routes[:2]
+			for i := range c.Routes {
+				c.Routes[i].Name, c.Routes[i].Regions = "one", regions[i]
+			}
+			r.configure(c)
+			r.serve("a", answer)
+			for i, route := range c.Routes {
+				status := http.StatusOK
+				if slices.Contains(regions[i], "elsewhere") {
+					status = http.StatusServiceUnavailable
+				}
+				Expect(r.post(route.Prefix+"x")).To(HaveField("Status", status), route.Prefix)
+			}
+		})
+	}
+})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -459,7 +459,7 @@
 			return refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
 		}
 	}
-	out.Regions = t.RegionsOf(route.Name, out.Organisation)
+	out.Regions = t.RegionsOf(route, out.Organisation)
 	out.Service = route.Service(out.FirstID())
 	service, _ := t.Service(out.Service)
 	out.ToEngine = service.Engine != nil
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -161,30 +161,30 @@
 	// pauses maps each service to the shortest MaxPause of its streaming routes; 0 if one of them
 	// states none.
 	pauses map[string]time.Duration
-	// routeRegions and organisationRegions have the regions of the routes and organisations, by name; those of
-	// unrestricted ones are empty. restricted is set if any is restricted.
-	routeRegions, organisationRegions map[string][]string
-	restricted                        bool
+	// organisationRegions has the regions of the organisations, by name; those of unrestricted ones are empty.
+	// restricted is set if any organisation or route is restricted.
+	organisationRegions map[string][]string
+	restricted          bool
 }
 
 // New checks s and returns its table.
 func New(s Spec) (*Table, error) {
 	t := &Table{
-		version:       s.Version,
-		routes:        map[string]map[string]*Route{},
-		services:      make(map[string]Service, len(s.Services)),
-		keys:          map[string]string{},
-		organisations: len(s.Organisations),
-		limits:        s.Limits,
-		goals:         map[string]time.Duration{},
-		pauses:        map[string]time.Duration{},
-		routeRegions:  map[string][]string{}, organisationRegions: map[string][]string{},
+		version:             s.Version,
+		routes:              map[string]map[string]*Route{},
+		services:            make(map[string]Service, len(s.Services)),
+		keys:                map[string]string{},
+		organisations:       len(s.Organisations),
+		limits:              s.Limits,
+		goals:               map[string]time.Duration{},
+		pauses:              map[string]time.Duration{},
+		organisationRegions: map[string][]string{},
 	}
 	for _, service := range s.Services {
 		t.services[service.Name] = service
 	}
 	for _, o := range s.Organisations {
-		t.addRegions(t.organisationRegions, o.Name, o.Regions)
+		t.addRegions(o.Name, o.Regions)
 		for _, k := range o.Keys {
 			t.keys[k] = o.Name
 		}
@@ -209,7 +209,7 @@
 		t.routes[host] = map[string]*Route{}
 	}
 	t.routes[host][r.Prefix] = r
-	t.addRegions(t.routeRegions, r.Name, r.Regions)
+	t.restricted = t.restricted || len(r.Regions) > 0
 	for _, share := range r.Shares {
 		if old, ok := t.goals[share.Service]; r.Goal > 0 && (!ok || r.Goal < old) {
 			t.goals[share.Service] = r.Goal
