A request that ends engines is known by what its caller sent alone

A request that was held back ended engines again once its organisation was renamed, or its key moved to another organisation: its content had another name then, and nothing was known of that. The class: the identity of something in use was derived from a configuration that may change meanwhile.

The content of a request is its host, method, path and body now, without the organisation, which routers add from the configuration. Host and path say which route it takes, so that what ends well elsewhere speaks for nothing here; the same request of another organisation ends the same engines. Without the host, one such as "GET /" would be the same at all services.

TestContentOutlivesConfiguration failed before for "organisation" and "another host".

In TestKeyDistinguishesRequests the first argument of a key is the host; that keys differ if it does is checked as before.

--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
@@ -54,7 +56,7 @@
 // with other ids are recognised, and the parts of its prompt that other requests share.
 func (x *inflight) attributes() []quarantine.Attribute {
 	if x.suspectable == nil {
-		x.suspectable = append(x.suspectable, quarantine.ContentOf(x.Organisation, x.Method, x.URI, x.Body.Chunks()...))
+		x.suspectable = append(x.suspectable, quarantine.ContentOf(contentHost(x.Host), x.Method, x.URI, x.Body.Chunks()...))
 		for _, p := range sharedParts(x.Parts) {
 			x.suspectable = append(x.suspectable, quarantine.PartOf(x.Service, p.ID))
 		}
@@ -62,11 +64,21 @@
 	return x.suspectable
 }
 
+// contentHost returns what all forms of a host that lead to the same route have in common.
+func contentHost(host string) string {
+	if strings.Contains(host, ":") {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+	}
+	return strings.ToLower(host)
+}
+
 // credits returns the request's attributes for RecordEnd.
 func (x *inflight) credits() []quarantine.Credit {
 	shared := sharedParts(x.Parts)
 	list := make([]quarantine.Credit, 0, 1+len(shared))
-	list = append(list, quarantine.ContentCredit(x.Organisation, x.Method, x.URI, x.Body.Chunks()...))
+	list = append(list, quarantine.ContentCredit(contentHost(x.Host), x.Method, x.URI, x.Body.Chunks()...))
 	for _, p := range shared {
 		list = append(list, quarantine.PartOf(x.Service, p.ID).Credit)
 	}
--- a/internal/forward/suspects_internal_test.go
+++ b/internal/forward/suspects_internal_test.go
@@ -68,3 +68,29 @@
 		t.Errorf("held back for %v, want 3s: no trial has failed", x.result.RetryAfter)
 	}
 }
+
+// TestContentOutlivesConfiguration guards against requests that get further targets once their organisation is told by
+// another name, or their route leads to another service.
+func TestContentOutlivesConfiguration(t *testing.T) {
+	admitted := Request{Host: "h", Organisation: "o", Service: "s", Method: "POST", URI: "/x", Body: memory.Of([]byte("question"))}
+	attribute := func(change func(r *Request)) quarantine.Attribute {
+		r := admitted
+		change(&r)
+		return (&inflight{Request: r}).attributes()[0]
+	}
+	same := attribute(func(*Request) {})
+	for name, c := range map[string]struct {
+		change func(r *Request)
+		other  bool
+	}{
+		"organisation":    {change: func(r *Request) { r.Organisation = "p" }},
+		"service":         {change: func(r *Request) { r.Service = "t" }},
+		"form of host":    {change: func(r *Request) { r.Host = "H:8080" }},
+		"another host":    {change: func(r *Request) { r.Host = "i" }, other: true},
+		"another request": {change: func(r *Request) { r.URI = "/y" }, other: true},
+	} {
+		if got := attribute(c.change); (got.Key != same.Key) != c.other || (got.Credit != same.Credit) != c.other {
+			t.Errorf("%s: another content %t, want %t", name, got.Key != same.Key, c.other)
+		}
+	}
+}
--- a/internal/quarantine/attribute.go
+++ b/internal/quarantine/attribute.go
@@ -27,17 +27,17 @@
 const maxPartBytes = 64
 
 // ContentOf returns the attribute of all requests with the same content. The body may be in pieces.
-func ContentOf(organisation, method, target string, body ...[]byte) Attribute {
-	return Attribute{Key: KeyOf(organisation, method, target, body...), Credit: ContentCredit(organisation, method, target, body...)}
+func ContentOf(host, method, target string, body ...[]byte) Attribute {
+	return Attribute{Key: KeyOf(host, method, target, body...), Credit: ContentCredit(host, method, target, body...)}
 }
 
 var localSeed = maphash.MakeSeed()
 
 // ContentCredit returns the Credit of a request's content. The body may be in pieces.
-func ContentCredit(organisation, method, target string, body ...[]byte) Credit {
+func ContentCredit(host, method, target string, body ...[]byte) Credit {
 	var h maphash.Hash
 	h.SetSeed(localSeed)
-	writeSized(&h, organisation, method, target)
+	writeSized(&h, host, method, target)
 	for _, piece := range body {
 		_, _ = h.Write(piece)
 	}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -20,14 +20,15 @@
 const KeySize = 16
 
 // Key identifies a request by its content: two requests have the same key if their
-// organisation, method, path with query, and body are equal, whatever their ids and other
-// headers. All routers compute the same key for a request.
+// host, method, path with query, and body are equal, whatever their ids and other
+// headers. All routers compute the same key for a request, under any configuration: an
+// organisation may be renamed, and a key may move to another one, while requests crash targets.
 type Key [KeySize]byte
 
 // KeyOf returns the key of a request.
-func KeyOf(organisation, method, target string, body ...[]byte) Key {
+func KeyOf(host, method, target string, body ...[]byte) Key {
 	h := sha256.New()
-	writeSized(h, organisation, method, target)
+	writeSized(h, host, method, target)
 	for _, piece := range body {
 		h.Write(piece)
 	}
--- a/internal/quarantine/key_test.go
+++ b/internal/quarantine/key_test.go
@@ -17,7 +17,7 @@
 func TestKeyDistinguishesRequests(t *testing.T) {
 	same := quarantine.KeyOf("o", "POST", "/ask", []byte("question"))
 	others := map[string]quarantine.Key{
-		"organisation":           quarantine.KeyOf("p", "POST", "/ask", []byte("question")),
+		"host":                   quarantine.KeyOf("p", "POST", "/ask", []byte("question")),
 		"method":                 quarantine.KeyOf("o", "PUT", "/ask", []byte("question")),
 		"path":                   quarantine.KeyOf("o", "POST", "/ask/", []byte("question")),
 		"body":                   quarantine.KeyOf("o", "POST", "/ask", []byte("questiom")),
@@ -37,6 +37,6 @@
 	b.SetBytes(int64(len(body)))
 	b.ReportAllocs()
 	for b.Loop() {
-		quarantine.KeyOf("organisation", "POST", "/some/path/", body)
+		quarantine.KeyOf("some.host", "POST", "/some/path/", body)
 	}
 }
