--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,9 +24,8 @@
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
-	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/servedversion"
 	"github.com/stepcroft/stepcroft/internal/throttle"
-	"github.com/stepcroft/stepcroft/internal/unrecorded"
 	"github.com/stepcroft/stepcroft/internal/view"
 )
 
@@ -194,20 +193,10 @@
 	rollouts *rollout.Tracker
 	// routes has the services that streams were sent to; nil if routes do not change.
 	routes *routehistory.History
-	// versions has the versions of each service. newlyMixed is set if one has got another version, or routes have
-	// changed. onStreamBegun is called when a stream begins; nil if not set.
-	versions   map[string]*versionHistory
-	newlyMixed bool
-	// versionsRestored is set once the versions before startedAt are known, versionsChanged if they have
-	// changed since the last call of VersionsChanged, and listed once targets have been listed.
-	versionsRestored, versionsChanged, listed bool
-	startedAt                                 time.Time
-	// requireStored is set if streams may begin only at versions that the store holds, and unstored has the
-	// listed versions that it is not known to hold, with the times when they were listed first.
-	requireStored bool
-	unstored      map[streamversion.ServiceVersion]time.Time
-	// Evidence tells whether streams without a record may have begun at versions that the store does not hold.
-	unrecorded.Evidence
+	// Book has the versions of each service. routesChanged is set if routes have changed since the last call of
+	// TakeNewlyMixed. onStreamBegun is called when a stream begins; nil if not set.
+	*servedversion.Book
+	routesChanged bool
 	// heldStreams is the number of streams that were kept from such a version.
 	heldStreams       int64
 	onStreamBegun     func(now time.Time, b Stream, shared bool)
@@ -224,16 +213,13 @@
 // New returns the state of a router in an availability zone, without any targets.
 func New(now time.Time, zone string, limits Limits, random *rand.Rand) *State {
 	peers := view.New(now, limits.QuotaWindow)
-	return &State{
+	s := &State{
 		zone:              zone,
 		limits:            limits,
 		random:            random,
 		targets:           map[string]*target{},
 		exits:             map[string]exit{},
 		services:          map[string]*service{},
-		versions:          map[string]*versionHistory{},
-		unstored:          map[streamversion.ServiceVersion]time.Time{},
-		startedAt:         now,
 		active:            map[*target]struct{}{},
 		cold:              map[*target]struct{}{},
 		releasedAt:        now,
@@ -248,6 +234,8 @@
 		returning:         bookings.New(limits.QuotaWindow),
 		budget:            retrybudget.New(now, limits.retries()),
 	}
+	s.Book = servedversion.New(now, listedTargets{s})
+	return s
 }
 
 // Configure applies a new configuration.
@@ -309,7 +297,7 @@
 	t.sentAt = now
 	t.ConnectedAt.Store(0)
 	if t.StreamID != "" && !t.Version.IsSet() {
-		s.versionHistory(to.Service).begun[to.Version] = true
+		s.NoteBegun(to.serviceVersion())
 	}
 	t.foundFreeSlot = !t.Engine && s.loadOf(now, to).Running < to.Slots
 	t.load = view.Load{PendingTokens: p.uncachedTokens, Running: 1, MemoryTokens: t.unsharedTokens()}
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -93,9 +93,9 @@
 			added[t.Service] = append(added[t.Service], old)
 		}
 		s.leaving += count(t.Leaving) - count(old.Target.Leaving)
-		s.addVersion(now, t)
+		s.AddTarget(now, t.serviceVersion())
 		if old.Target.ID != "" {
-			s.removeVersion(now, old.Target)
+			s.RemoveTarget(now, old.Target.serviceVersion())
 		}
 		s.confirm(t)
 		old.Target = t
@@ -109,9 +109,8 @@
 	}
 	s.advice.Prune(now, func(name string) bool { return s.findIncarnation(name) != nil })
 	s.dispatch(now)
-	if !s.listed && len(changed) > 0 {
-		s.listed = true
-		s.noteOpen(now)
+	if len(changed) > 0 {
+		s.SetListed(now)
 	}
 }
 
@@ -124,7 +123,7 @@
 
 // unlist removes a target from the list.
 func (s *State) unlist(now time.Time, t *target) {
-	s.removeVersion(now, t.Target)
+	s.RemoveTarget(now, t.serviceVersion())
 	s.leaving -= count(t.Target.Leaving)
 	delete(s.targets, t.ID)
 	delete(s.active, t)
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -1,13 +1,11 @@
 package balance
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
-	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -46,237 +44,6 @@
 // Allows reports whether the limit allows a version.
 func (l VersionLimit) Allows(version string) bool { return !l.set || l.version == version }
 
-// versionHistory tells which versions of a service there are, and were a short time ago.
-type versionHistory struct {
-	// listed counts the listed targets by version, goneAt is when the last one of a version was
-	// removed.
-	listed map[string]int
-	goneAt map[string]time.Time
-	// stored has the versions that the store is known to hold as being in service, and when it was said so
-	// last, and begun those to whose targets streams were sent.
-	stored map[string]time.Time
-	begun  map[string]bool
-	// mixed is set while there are several versions, or were within streamversion.TTL.
-	mixed bool
-	// earlier is the only version that began streams before this process started, if another one came
-	// while no router ran; valid until earlierUntil.
-	earlier      string
-	earlierUntil time.Time
-}
-
-// expire forgets versions that left long ago.
-func (h *versionHistory) expire(now time.Time) {
-	maps.DeleteFunc(h.goneAt, func(_ string, at time.Time) bool { return now.Sub(at) > streamversion.TTL })
-	maps.DeleteFunc(h.stored, func(version string, at time.Time) bool { return h.listed[version] == 0 && now.Sub(at) > storedMarkTTL })
-}
-
-// isStored reports whether the store is known to hold a version.
-func (h *versionHistory) isStored(version string) bool {
-	_, stored := h.stored[version]
-	return stored
-}
-
-// only reports whether a version is and was the only one, or was until all targets left.
-func (h *versionHistory) only(now time.Time) (string, bool) {
-	h.expire(now)
-	if len(h.listed) > 1 || len(h.goneAt) > 1 {
-		return "", false
-	}
-	if len(h.listed) == 0 {
-		for version := range h.goneAt {
-			return version, true
-		}
-	}
-	for version := range h.listed {
-		_, back := h.goneAt[version]
-		return version, back || len(h.goneAt) == 0
-	}
-	return "", false
-}
-
-// addVersion counts a target that is listed, and notes services that get another version.
-func (s *State) addVersion(now time.Time, t Target) {
-	h := s.versionHistory(t.Service)
-	h.expire(now)
-	if h.listed[t.Version]++; h.listed[t.Version] == 1 {
-		s.versionsChanged = true
-		if s.requireStored && !h.isStored(t.Version) {
-			s.unstored[streamversion.ServiceVersion{Service: t.Service, Version: t.Version}] = now
-		}
-		if s.listed {
-			// Streams may begin at it that are in no record yet.
-			h.earlierUntil = time.Time{}
-		}
-	}
-	_, only := h.only(now)
-	s.newlyMixed = s.newlyMixed || !only && !h.mixed
-	h.mixed = !only
-}
-
-// removeVersion counts a target that is no longer listed.
-func (s *State) removeVersion(now time.Time, t Target) {
-	h := s.versions[t.Service]
-	if h.listed[t.Version]--; h.listed[t.Version] == 0 {
-		delete(h.listed, t.Version)
-		// If it comes back, the store must hold that it is in service again.
-		delete(h.stored, t.Version)
-		delete(s.unstored, streamversion.ServiceVersion{Service: t.Service, Version: t.Version})
-		h.goneAt[t.Version] = now
-		s.versionsChanged = true
-	}
-}
-
-func (s *State) versionHistory(service string) *versionHistory {
-	h := s.versions[service]
-	if h == nil {
-		h = &versionHistory{listed: map[string]int{}, goneAt: map[string]time.Time{}, stored: map[string]time.Time{}, begun: map[string]bool{}}
-		s.versions[service] = h
-	}
-	return h
-}
-
-// RestoreVersions adds the versions that were in service before this process started, as far as they were
-// stored. If complete is set, these are all: a service that has none of them is taken for one that was not in
-// service.
-func (s *State) RestoreVersions(now time.Time, list []streamversion.Served, complete bool) {
-	s.versionsRestored = complete
-	earlier := map[string][]string{}
-	stored := make([]streamversion.ServiceVersion, 0, len(list))
-	for _, v := range list {
-		if v.GoneFor > streamversion.TTL {
-			continue
-		}
-		earlier[v.Service] = append(earlier[v.Service], v.Version)
-		if !v.Gone {
-			stored = append(stored, v.ServiceVersion)
-		}
-		h := s.versionHistory(v.Service)
-		if at := now.Add(-v.GoneFor); h.listed[v.Version] == 0 && at.After(h.goneAt[v.Version]) {
-			h.goneAt[v.Version] = at
-		}
-	}
-	for service, versions := range earlier {
-		h := s.versionHistory(service)
-		delete(h.begun, versions[0])
-		if len(versions) == 1 && len(h.begun) == 0 {
-			h.earlier, h.earlierUntil = versions[0], now.Add(streamversion.TTL)
-		}
-	}
-	s.SetStoredVersions(now, stored)
-}
-
-// UnrecordedVersion returns the version that began a stream of which there is no record although there
-// would have to be one if its service had had several versions, and how that is known. The evidence is empty
-// while this router cannot know which versions its service had.
-func (s *State) UnrecordedVersion(now time.Time, service string) (string, streamversion.Evidence) {
-	return s.UnrecordedVersionIn(now, service, routing.Regions{})
-}
-
-// UnrecordedVersionIn is UnrecordedVersion for a stream that may be served in some regions only.
-func (s *State) UnrecordedVersionIn(now time.Time, service string, regions routing.Regions) (string, streamversion.Evidence) {
-	version, why, open := s.likelyVersion(now, service, regions)
-	if none, _ := s.OthersKnown(now, service, version, open); why == "" || !none {
-		return "", ""
-	}
-	return version, why
-}
-
-// UnrecordedVersionAmong is UnrecordedVersionIn for a stream that may have begun at any of some services: the version is
-// known only if it is the same for all of them.
-func (s *State) UnrecordedVersionAmong(now time.Time, services []string, regions routing.Regions) (version string, why streamversion.Evidence) {
-	for _, service := range services {
-		if s.hadNoTargets(now, service) {
-			continue
-		}
-		v, evidence := s.UnrecordedVersionIn(now, service, regions)
-		switch {
-		case evidence == "" || why != "" && v != version:
-			return "", ""
-		case why != "":
-			evidence = streamversion.EvidenceSameVersion
-		}
-		version, why = v, evidence
-	}
-	return version, why
-}
-
-// hadNoTargets reports whether a service is known to have had no targets for as long as matters.
-func (s *State) hadNoTargets(now time.Time, service string) bool {
-	if now.Sub(s.startedAt) <= streamversion.TTL {
-		return false
-	}
-	h := s.versions[service]
-	if h == nil {
-		return true
-	}
-	h.expire(now)
-	return len(h.listed)+len(h.goneAt) == 0
-}
-
-// likelyVersion is UnrecordedVersionIn by what is listed and stored, whatever entries are gone. It returns the first
-// revision since which a target of the version has taken requests as well.
-func (s *State) likelyVersion(now time.Time, service string, regions routing.Regions) (version string, why streamversion.Evidence, open int64) {
-	if !s.VersionsKnownSince(now).IsZero() {
-		return "", "", 0
-	}
-	if version, only := s.OnlyVersion(now, service); only && s.listed {
-		return version, streamversion.EvidenceOnlyVersion, s.OpenAtStart(service, func(zone string) bool { return regions.Allow(s.regions[zone]) })
-	}
-	h := s.versions[service]
-	if h == nil || !s.listed || !now.Before(h.earlierUntil) {
-		return "", "", 0
-	}
-	open, before := s.OpenBeforeOthers(h.earlier, s.entries(now, service, regions))
-	if !before {
-		return "", "", 0
-	}
-	return h.earlier, streamversion.EvidenceStoredVersion, open
-}
-
-// VersionsKnownSince returns the time from which this router knows all versions that have begun streams, the
-// zero time if that is longer than callers wait.
-func (s *State) VersionsKnownSince(now time.Time) time.Time {
-	if s.versionsRestored || now.Sub(s.startedAt) > streamversion.TTL {
-		return time.Time{}
-	}
-	return s.startedAt
-}
-
-// ServedVersions returns the versions of each service that are listed or were within streamversion.TTL.
-func (s *State) ServedVersions(now time.Time) []streamversion.Served {
-	var list []streamversion.Served
-	for service, h := range s.versions {
-		for version := range h.listed {
-			list = append(list, streamversion.Served{ServiceVersion: streamversion.ServiceVersion{Service: service, Version: version}})
-		}
-		for version, at := range h.goneAt {
-			if since := now.Sub(at); h.listed[version] == 0 && since <= streamversion.TTL {
-				list = append(list, streamversion.Served{ServiceVersion: streamversion.ServiceVersion{Service: service, Version: version}, Gone: true, GoneFor: since})
-			}
-		}
-	}
-	return list
-}
-
-// VersionsChanged reports whether a version has come into service or left it since the last call.
-func (s *State) VersionsChanged() bool {
-	changed := s.versionsChanged
-	s.versionsChanged = false
-	return changed
-}
-
-// OnlyVersion returns the version of all targets of a service, or false if there are several versions
-// or were within streamversion.TTL.
-func (s *State) OnlyVersion(now time.Time, service string) (string, bool) {
-	h := s.versions[service]
-	if h == nil {
-		return "", false
-	}
-	version, only := h.only(now)
-	h.mixed = !only
-	return version, only
-}
-
 // Stream is a stream of which the caller may ask for the rest later, and the version that began it.
 type Stream struct {
 	Service, ID, Version string
@@ -315,7 +82,7 @@
 	}
 	return slices.ContainsFunc(s.routes.Services(now, t.Host, t.Path, t.StreamID, t.Service), func(service string) bool {
 		other, only := s.OnlyVersion(now, service)
-		return !s.hadNoTargets(now, service) && (!only || other != version)
+		return !s.HadNoTargets(now, service) && (!only || other != version)
 	})
 }
 
@@ -324,7 +91,7 @@
 func (s *State) SetRouteHistory(h *routehistory.History) { s.routes = h }
 
 // RoutesChanged tells that routes lead to other services than before.
-func (s *State) RoutesChanged() { s.newlyMixed = true }
+func (s *State) RoutesChanged() { s.routesChanged = true }
 
 // versionAt returns the version of the process that runs t.
 func (s *State) versionAt(now time.Time, t *Ticket) string {
@@ -337,10 +104,10 @@
 // TakeNewlyMixed returns the running streams that need a record if another version has come, or routes have changed, since
 // the last call.
 func (s *State) TakeNewlyMixed(now time.Time) []Stream {
-	if !s.newlyMixed {
+	if mixed := s.BecameMixed(); !mixed && !s.routesChanged {
 		return nil
 	}
-	s.newlyMixed = false
+	s.routesChanged = false
 	var list []Stream
 	for to := range s.active {
 		for t := range to.running {
