--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -63,6 +63,9 @@
 func (c *explainCommand) explainRequest(logs *logFiles) explain.Explanation {
 	timeline := explain.New(c.ID)
 	logs.read(timeline.Add)
+	if text := logs.notRead.OthersText(); text != "" {
+		fmt.Fprintln(logs.err, text)
+	}
 	timeline.Sort()
 	logs.readAgain(timeline.AddNeighbour)
 	return timeline.Explain()
@@ -87,7 +90,7 @@
 	logs.read(search.Add)
 	search.Sort()
 	logs.readTimes(search.WantsNeighbours, search.AddNeighbour)
-	return search.Report(logs.notRead()), nil
+	return search.Report(logs.reportUnread()), nil
 }
 
 func (c *explainCommand) explainStreams(logs *logFiles) (explainstreams.Report, error) {
@@ -100,5 +103,5 @@
 	search := explainstreams.New(c.Limit)
 	logs.read(search.Add)
 	logs.readMessage(explainstreams.MessageRequest, search.AddBeginning)
-	return search.Report(logs.notRead()), nil
+	return search.Report(logs.reportUnread()), nil
 }
--- a/internal/cli/logfiles.go
+++ b/internal/cli/logfiles.go
@@ -44,15 +44,14 @@
 type logFiles struct {
 	streams
 	names []string
-	// badLines is the number of lines that could not be parsed, others that of files that hold no line of a log.
-	badLines, others int
-	// unread holds the files that could not be read to their end.
-	unread map[string]bool
+	// unread holds the files that could not be read to their end, and notRead says what else could not be read.
+	unread  map[string]bool
+	notRead routerlog.Unread
 }
 
 // newLogFiles returns the logs with these names, and those in directories with these names, each once.
 func newLogFiles(s streams, names []string) *logFiles {
-	out := &logFiles{streams: s, unread: map[string]bool{}}
+	out := &logFiles{streams: s, unread: map[string]bool{}, notRead: routerlog.Unread{OtherNames: []string{}}}
 	for _, name := range names {
 		files, err := filesOf(name)
 		if err != nil {
@@ -105,14 +104,16 @@
 		l.noteBadLines(name, good, bad, first)
 		return err
 	})
-	if l.badLines > maxBadLinesShown {
-		fmt.Fprintf(l.err, "%d lines could not be parsed\n", l.badLines)
+	if l.notRead.BadLines > maxBadLinesShown {
+		fmt.Fprintf(l.err, "%d lines could not be parsed\n", l.notRead.BadLines)
 	}
 }
 
-// notRead says what could not be read.
-func (l *logFiles) notRead() routerlog.Unread {
-	return routerlog.Unread{BadLines: l.badLines, Files: len(l.unread), Others: l.others}
+// reportUnread returns what could not be read.
+func (l *logFiles) reportUnread() routerlog.Unread {
+	out := l.notRead
+	out.Files = len(l.unread)
+	return out
 }
 
 // failure returns an error if a file could not be read to its end; noteUnread has said why.
@@ -123,19 +124,19 @@
 	return errors.Errorf("%d of the logs could not be read to their end", len(l.unread))
 }
 
-// noteBadLines reports the first lines of a file that could not be parsed.
+// noteBadLines reports the first lines of a file that could not be parsed. A file of which no line could be is no log,
+// and its lines are not reported.
 func (l *logFiles) noteBadLines(name string, good, bad int, first []explain.BadLine) {
+	if good == 0 && bad > 0 {
+		l.notRead.AddOther(name)
+		return
+	}
 	for i, b := range first {
-		if l.badLines+i < maxBadLinesShown {
+		if l.notRead.BadLines+i < maxBadLinesShown {
 			fmt.Fprintf(l.err, "%s, line %d: %v\n", b.File, b.Number, b.Err)
 		}
 	}
-	if good == 0 && bad > 0 {
-		fmt.Fprintf(l.err, "%s holds no line of a log\n", name)
-		l.others++
-		return
-	}
-	l.badLines += bad
+	l.notRead.BadLines += bad
 }
 
 // readAgain passes the lines of all files but standard input, which can be read only once, to f.
--- a/internal/explain/routerlog/routerlog.go
+++ b/internal/explain/routerlog/routerlog.go
@@ -43,6 +43,30 @@
 	BadLines int `json:"bad_lines"`
 	Files    int `json:"unread_files"`
 	Others   int `json:"other_files"`
+	// OtherNames has the names of the first maxNamed of Others.
+	OtherNames []string `json:"other_file_names"`
+}
+
+// maxNamed bounds the files without a line of a log that are named.
+const maxNamed = 5
+
+// AddOther notes a file that holds no line of a log.
+func (u *Unread) AddOther(name string) {
+	if u.Others++; len(u.OtherNames) < maxNamed {
+		u.OtherNames = append(u.OtherNames, name)
+	}
+}
+
+// OthersText names the files that hold no line of a log, and is empty if there are none.
+func (u Unread) OthersText() string {
+	if u.Others == 0 {
+		return ""
+	}
+	out := fmt.Sprintf("%d files hold no line of a log: %s", u.Others, strings.Join(u.OtherNames, ", "))
+	if n := u.Others - len(u.OtherNames); n > 0 {
+		out += fmt.Sprintf(" and %d others", n)
+	}
+	return out
 }
 
 // Text says it in words, nothing if all was read.
@@ -55,7 +79,9 @@
 	}
 	say(u.BadLines, "%d lines could not be parsed")
 	say(u.Files, "%d files could not be read to their end")
-	say(u.Others, "%d files hold no line of a log")
+	if u.Others > 0 {
+		out = append(out, u.OthersText())
+	}
 	return out
 }
 
