A line as a stream begins that needs a record

After a router was killed, nothing in the logs told at which version the streams had begun that it served: the only line about a stream's beginning is that of the answer's end.

New: "stream began", written at once, but only for streams of which other routers have to be told, that is while the service has several versions or the route's services differ, and for those that come to need it while they run; each once, and once more if the version turns out to be another. Where nothing is mixed there is no such line. It counts among the lines about requests that a full log leaves out.

--- a/internal/balance/exits.go
+++ b/internal/balance/exits.go
@@ -266,7 +266,7 @@
 	}
 	t.setVersion(version)
 	if t.StreamID != "" && s.onStreamBegun != nil {
-		s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: version, Corrected: true}, true)
+		s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: version, Corrected: true, Begins: !t.Continues}, true)
 	}
 }
 
--- a/internal/balance/second.go
+++ b/internal/balance/second.go
@@ -47,7 +47,7 @@
 		ID: t.ID, Service: t.Service, Organisation: t.Organisation, Route: t.Route, Host: t.Host, Path: t.Path, Engine: t.Engine, Stream: t.Stream,
 		Parts: t.Parts, Input: t.Input, Output: t.Output, Goal: t.Goal, Arrived: t.Arrived, Deadline: t.Deadline,
 		Tried: slices.Concat(t.Tried, tried), Resumes: resumes, StreamID: t.StreamID, Version: t.Version, Continues: t.Continues,
-		Decision: make(chan Decision, 1), beganAt: t.beganAt, again: true, isSecond: true,
+		Decision: make(chan Decision, 1), beganAt: t.beganAt, beginningTaken: t.beginningTaken, again: true, isSecond: true,
 		Regions: t.Regions, regionsBy: t.regionsBy,
 	}
 	k.LastReceived.Store(t.LastReceived.Load())
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -85,8 +85,10 @@
 	started bool
 	// beganAt is the target that sent the stream's first event, and corrected the version at which it began, unless that
 	// is the one of the target's entry.
-	beganAt   *target
-	corrected atomic.Pointer[VersionLimit]
+	beganAt *target
+	// beginningTaken is set once takeBeginning has returned true.
+	beginningTaken bool
+	corrected      atomic.Pointer[VersionLimit]
 	// regionsBy is the newest configuration that Regions takes into account.
 	regionsBy *routing.Table
 	// held is set once the request was kept from a version that is not stored.
@@ -234,6 +236,13 @@
 	}
 }
 
+// takeBeginning reports, once, whether t's answer began its stream.
+func (t *Ticket) takeBeginning() bool {
+	begins := t.beganAt != nil && !t.Continues && !t.beginningTaken
+	t.beginningTaken = t.beginningTaken || begins
+	return begins
+}
+
 // setVersion sets the version that began the stream at beganAt.
 func (t *Ticket) setVersion(version string) {
 	t.Version = OnlyVersion(version)
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -261,6 +261,8 @@
 	Service, ID, Version string
 	// Corrected is set if another version was reported for the stream before, which was wrong.
 	Corrected bool
+	// Begins is set the first time that a stream needs a record which an answer of this router began.
+	Begins bool
 }
 
 // OnStreamBegun sets a function to be called when a stream has begun, and when the rest of one has.
@@ -279,8 +281,8 @@
 	if t.StreamID == "" || s.onStreamBegun == nil {
 		return
 	}
-	unknown := t.Version.version == streamversion.Unknown
-	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version}, unknown || s.needsRecord(now, t))
+	shared := t.Version.version == streamversion.Unknown || s.needsRecord(now, t)
+	s.onStreamBegun(now, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version, Begins: shared && t.takeBeginning()}, shared)
 }
 
 // needsRecord reports whether other routers might take a stream for one of another version if they had no record of it.
@@ -326,7 +328,7 @@
 	for to := range s.active {
 		for t := range to.running {
 			if t.started && t.StreamID != "" && s.needsRecord(now, t) {
-				list = append(list, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version})
+				list = append(list, Stream{Service: t.Service, ID: t.StreamID, Version: t.Version.version, Begins: t.takeBeginning()})
 			}
 		}
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -128,6 +128,7 @@
 		return
 	}
 	for _, b := range list {
+		g.logBeginning(b)
 		k := streamversion.KeyOf(b.ID)
 		if b.Corrected {
 			g.streams.Correct(now, k, b.Version)
@@ -140,6 +141,19 @@
 	g.tickEarlier(now)
 }
 
+// logBeginning writes a line of a stream that has begun here and needs a record. That of its answer comes too late if this
+// router is lost.
+func (g *Gateway) logBeginning(b balance.Stream) {
+	if !b.Begins || g.LogFull != nil && g.LogFull() {
+		return
+	}
+	version := b.Version
+	if version == streamversion.Unknown {
+		version = ""
+	}
+	g.Log.Info("stream began", "id", b.ID, "version", version, "service", b.Service)
+}
+
 // handleStreamVersions handles another router's message about versions of streams.
 func (g *Gateway) handleStreamVersions(s *balance.State, now time.Time, from member.Member, m message.StreamVersions) {
 	if len(m.Stored) > 0 || m.StoredAt > 0 {
