--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -103,5 +103,6 @@
 	search := explainstreams.New(c.Limit)
 	logs.read(search.Add)
 	logs.readMessage(explainstreams.MessageRequest, search.AddBeginning)
+	logs.readMessage(explainstreams.MessageBegan, search.AddBeginning)
 	return search.Report(logs.reportUnread()), nil
 }
--- a/internal/explain/streams/faults.go
+++ b/internal/explain/streams/faults.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
 // Kind is a way in which a stream is out of order.
@@ -43,13 +46,16 @@
 	*stream
 	// incomplete is set if answers may be missing in the logs.
 	incomplete bool
-	faults     []Fault
-	leftOut    int
+	seen       *sightings
+	// services is set if runs are of different services.
+	services bool
+	faults   []Fault
+	leftOut  int
 }
 
 // check returns the stream's faults, and the number of others that are left out.
-func (s *stream) check(incomplete bool) ([]Fault, int) {
-	c := checker{stream: s, incomplete: incomplete}
+func (s *stream) check(incomplete bool, seen *sightings) ([]Fault, int) {
+	c := checker{stream: s, incomplete: incomplete, seen: seen, services: ofServices(s.answers)}
 	for _, a := range s.answers {
 		c.checkJoins(a)
 	}
@@ -80,7 +86,7 @@
 	for i, j := range a.Joins {
 		if j.within && j.FromVersion != j.ToVersion {
 			c.add(TwoVersions, j.FromVersion == "" || j.ToVersion == "", "%s joins version %s of %s and version %s of %s behind event %s in one answer (%s)",
-				j.Router, orNone(j.FromVersion), j.From, orNone(j.ToVersion), j.To, j.After, j.Evidence)
+				j.Router, orNone(j.FromVersion), j.From, runText(j.ToVersion, j.ToService, c.services), j.To, j.After, j.Evidence)
 		}
 		if n, ok := j.skipped(); ok && n < 0 {
 			c.add(Repeated, false, "%s goes on behind event %s with %s at %s", j.Router, j.After, j.First, j.To)
@@ -153,23 +159,36 @@
 		}
 		if len(known) == 0 {
 			known, versions = []Answer{a}, append(versions, v)
+			c.checkConcluded(a, v)
 			continue
 		}
 		if slices.Contains(versions, v) {
 			continue
 		}
 		first := known[0]
-		began, how := first.firstVersionText(), "began it"
+		began, how := c.firstVersionText(first), "began it"
 		if !first.begins() {
 			how = "took it up behind event " + first.After
 		}
 		c.add(TwoVersions, v == "" || slices.Contains(versions, ""), "%s takes it up behind event %s at %s, while %s %s at %s",
-			a.Router, a.After, a.firstVersionText(), first.Router, how, began)
+			a.Router, a.After, c.firstVersionText(a), first.Router, how, began)
 	}
 }
 
-// firstVersionText names the version and the target of the first run, and the evidence if it was taken up.
-func (a Answer) firstVersionText() string {
+// checkConcluded checks an answer that took the stream up at a version that its router had concluded without a record, while
+// no line tells at which version the stream began. The conclusion is wrong if it was one of the others.
+func (c *checker) checkConcluded(a Answer, version string) {
+	if a.evidence() == forward.JoinEvidence(streamversion.EvidenceRecord) {
+		return
+	}
+	if others := c.seen.others(a.route, a.firstService(), version, a.firstEvent()); len(others) > 0 {
+		c.add(TwoVersions, true, "%s takes it up behind event %s at %s, while no line tells the version that began it, and others of its route or service began at version %s",
+			a.Router, a.After, c.firstVersionText(a), strings.Join(others, ", "))
+	}
+}
+
+// firstVersionText names the version and the target of an answer's first run, and the evidence if it was taken up.
+func (c *checker) firstVersionText(a Answer) string {
 	v, _ := a.firstVersion()
 	process, evidence := a.Process, ""
 	if len(a.Joins) > 0 {
@@ -180,7 +199,11 @@
 			evidence = " (" + string(j.Evidence) + ")"
 		}
 	}
-	return fmt.Sprintf("version %s of %s%s", orNone(v), process, evidence)
+	text := "version " + runText(v, a.firstService(), c.services)
+	if process != "" {
+		text += " of " + process
+	}
+	return text + evidence
 }
 
 // checkPlaces checks that each event behind which the stream was taken up has been sent.
--- a/internal/explain/streams/gaps.go
+++ b/internal/explain/streams/gaps.go
@@ -7,19 +7,21 @@
 )
 
 const (
-	// maxRouters bounds the number of routers that a report names, maxShown that of streams in a list of what is missing.
+	// maxRouters bounds the number of routers that a report names, maxShown that of lines of text in a list of what is missing.
 	maxRouters = 20
 	maxShown   = 20
 )
 
 // Missing is what lacks a line that others tell of.
 type Missing struct {
-	Count int      `json:"count"`
+	Count int `json:"count"`
+	// Shown has the first of them, and limit bounds their number.
 	Shown []string `json:"shown"`
+	limit int
 }
 
 func (m *Missing) add(format string, args ...any) {
-	if m.Count++; len(m.Shown) < maxShown {
+	if m.Count++; len(m.Shown) < m.limit {
 		m.Shown = append(m.Shown, fmt.Sprintf(format, args...))
 	}
 }
@@ -27,7 +29,7 @@
 // Gaps says what is missing in the logs.
 type Gaps struct {
 	// WithoutBeginning are streams that were taken up though no answer that began them has a line, WithoutEnd answers that
-	// have joins and no line of their end, and WithoutJoins answers whose line tells of more joins than have lines.
+	// have other lines and none of their end, and WithoutJoins answers whose line tells of more joins than have lines.
 	WithoutBeginning Missing `json:"without_beginning"`
 	WithoutEnd       Missing `json:"without_end"`
 	WithoutJoins     Missing `json:"without_joins"`
@@ -50,8 +52,8 @@
 	Incomplete bool `json:"incomplete"`
 }
 
-func newGaps() Gaps {
-	none := Missing{Shown: []string{}}
+func newGaps(limit int) Gaps {
+	none := Missing{Shown: []string{}, limit: max(limit, maxShown)}
 	return Gaps{WithoutBeginning: none, WithoutEnd: none, WithoutJoins: none, Unnamed: none}
 }
 
@@ -78,7 +80,9 @@
 		}
 	}
 	for _, a := range p.answers {
-		if a.NoLine {
+		if a.NoLine && len(a.Joins) == 0 {
+			g.WithoutEnd.add("%s of stream %s at %s, which began it", a.ID, id, a.Router)
+		} else if a.NoLine {
 			g.WithoutEnd.add("%s of stream %s at %s, with %d joins, the last one behind event %s", a.ID, id, a.Router, len(a.Joins), a.Joins[len(a.Joins)-1].After)
 		} else if n := a.missingJoins(); n > 0 {
 			g.WithoutJoins.add("%s of stream %s at %s, %d of %d runs", a.ID, id, a.Router, n, a.Runs)
@@ -96,13 +100,14 @@
 	}
 	list := func(m Missing, format string) {
 		say(m.Count, format, m.Count)
-		for _, s := range m.Shown {
+		shown := m.Shown[:min(len(m.Shown), maxShown)]
+		for _, s := range shown {
 			out = append(out, "  "+s)
 		}
-		say(m.Count-len(m.Shown), "  and %d others", m.Count-len(m.Shown))
+		say(m.Count-len(shown), "  and %d others", m.Count-len(shown))
 	}
 	list(g.WithoutBeginning, "streams taken up of whose beginning there is no line (its router was lost, or lines are missing): %d")
-	list(g.WithoutEnd, "answers with joins of whose end there is no line (they still run, or their router was lost): %d")
+	list(g.WithoutEnd, "answers of whose end there is no line (they still run, or their router was lost): %d")
 	list(g.WithoutJoins, "answers with runs whose joins have no line: %d")
 	list(g.Unnamed, "streams taken up by callers that do not name the request that began them, and not followed: %d")
 	out = append(out, routerlog.Text(g.Routers)...)
--- a/internal/explain/streams/lines.go
+++ b/internal/explain/streams/lines.go
@@ -16,6 +16,8 @@
 const (
 	// MessageRequest is that of the lines that routers write as requests end.
 	MessageRequest = "request"
+	// MessageBegan is that of the lines that routers write as soon as a stream has begun that needs a record.
+	MessageBegan = "stream began"
 
 	msgJoin        = "stream goes on"
 	msgUndelivered = "answer not delivered"
@@ -34,14 +36,17 @@
 	After     string `json:"after,omitempty"`
 	Resumes   string `json:"resumes,omitempty"`
 	VersionBy string `json:"version_by,omitempty"`
-	// Runs is the number of runs, 0 if there were no events or the router is of a version that does not write it; Process
-	// and Version are those of the last one.
+	// Runs is the number of runs, 0 if there were no events or the router is of a version that does not write it; Process,
+	// Version and Service are those of the last one.
 	Runs       int    `json:"runs"`
 	Events     int    `json:"events"`
 	LastEvent  string `json:"last_event"`
 	Process    string `json:"process"`
 	Version    string `json:"version"`
+	Service    string `json:"service,omitempty"`
 	SkippedIDs int64  `json:"skipped_ids,omitempty"`
+	// Beginning is set if it began the stream and has a line of that.
+	Beginning *Beginning `json:"beginning,omitempty"`
 	// Undelivered is set if the last bytes could not be written.
 	End         lifecycle.End `json:"end"`
 	Status      int           `json:"status"`
@@ -53,6 +58,21 @@
 	Joins     []Join `json:"joins"`
 	// unclear is set if it may have sent events that its line does not tell of.
 	unclear bool
+	route   string
+}
+
+// Beginning is the beginning of a stream, as its router told it at once.
+type Beginning struct {
+	Time time.Time `json:"time"`
+	// Version is empty if it is not known which process began the stream.
+	Version string `json:"version"`
+	Service string `json:"service"`
+	// id is that of the request.
+	router, id string
+}
+
+func newBeginning(l explain.Line) Beginning {
+	return Beginning{Time: l.Time.UTC(), Version: l.Text("version"), Service: l.Text("service"), router: l.Router, id: l.Text("id")}
 }
 
 func newAnswer(l explain.Line) Answer {
@@ -61,7 +81,7 @@
 		ID: l.Text("id"), Router: l.Router, Time: l.Time.UTC(), Took: l.Number("took_ms"),
 		After: l.Text("after"), Resumes: l.Text("resumes"), VersionBy: l.Text("version_by"),
 		Runs: runs, Events: int(l.Number("events")), LastEvent: l.Text("last_event"), Process: l.Text("process"),
-		Version: l.Text("run_version"), SkippedIDs: int64(l.Number("skipped_ids")),
+		Version: l.Text("run_version"), Service: l.Text("run_service"), route: l.Text("route"), SkippedIDs: int64(l.Number("skipped_ids")),
 		End: lifecycle.End(l.Text("end")), Status: status, Reason: l.Text("reason"), Joins: []Join{}, unclear: runs == 0 && status == http.StatusOK && l.Number("first_ms") > 0,
 	}
 }
@@ -78,7 +98,7 @@
 func (a Answer) begins() bool { return a.After == "" }
 
 // placeUnknown reports whether only joins within the answer have lines, so that it began behind an earlier event.
-func (a Answer) placeUnknown() bool { return a.NoLine && a.Joins[0].within }
+func (a Answer) placeUnknown() bool { return a.NoLine && a.Beginning == nil && a.Joins[0].within }
 
 // whole reports whether the router took the stream for complete at the answer's end.
 func (a Answer) whole() bool { return a.End == lifecycle.Answered && a.Events > 0 && a.LastEvent != "" }
@@ -106,6 +126,8 @@
 // last run.
 func (a Answer) firstVersion() (string, bool) {
 	switch {
+	case a.Beginning != nil:
+		return a.Beginning.Version, true
 	case len(a.Joins) > 0 && a.Joins[0].within:
 		return a.Joins[0].FromVersion, true
 	case len(a.Joins) > 0:
@@ -114,7 +136,35 @@
 	return a.Version, a.Runs > 0
 }
 
-func (a Answer) text() []string {
+// firstService returns the service of the first run, empty if it is not known.
+func (a Answer) firstService() string {
+	switch {
+	case a.Beginning != nil:
+		return a.Beginning.Service
+	case len(a.Joins) > 0:
+		return cmp.Or(a.Joins[0].ToService, a.Service)
+	}
+	return a.Service
+}
+
+// firstEvent returns when the first run began, as far as it is known.
+func (a Answer) firstEvent() time.Time {
+	if len(a.Joins) > 0 && !a.Joins[0].within {
+		return a.Joins[0].Time
+	}
+	return a.begun()
+}
+
+// evidence returns how the version was known at which the answer took the stream up.
+func (a Answer) evidence() forward.JoinEvidence {
+	if len(a.Joins) > 0 && !a.Joins[0].within {
+		return a.Joins[0].Evidence
+	}
+	return forward.JoinEvidence(cmp.Or(a.VersionBy, string(forward.JoinedUnknown)))
+}
+
+// text returns the answer as lines of text, with the services of its runs if these are wanted.
+func (a Answer) text(services bool) []string {
 	what := "began it"
 	if !a.begins() {
 		what = "took it up behind " + a.After
@@ -126,17 +176,19 @@
 		what += " (version by " + a.VersionBy + ")"
 	}
 	switch {
+	case a.NoLine && a.Beginning != nil:
+		what += fmt.Sprintf(" at version %s; no line of its end", runText(a.Beginning.Version, a.Beginning.Service, services))
 	case a.NoLine:
 		what += "; no line of its end"
 	case a.Runs == 0:
 		what += fmt.Sprintf("; no events, %s", a.endText())
 	default:
 		what += fmt.Sprintf("; %d events to %s in %d runs, the last one at %s, version %s; %s",
-			a.Events, orNone(a.LastEvent), a.Runs, a.Process, orNone(a.Version), a.endText())
+			a.Events, orNone(a.LastEvent), a.Runs, a.Process, runText(a.Version, a.Service, services), a.endText())
 	}
 	out := []string{fmt.Sprintf("  %s  %s  %s  %s", clock(a.Time), a.Router, a.ID, what)}
 	for _, j := range a.Joins {
-		out = append(out, "    "+j.text())
+		out = append(out, "    "+j.text(services))
 	}
 	return out
 }
@@ -174,6 +226,7 @@
 	FromVersion string                  `json:"from_version,omitempty"`
 	To          string                  `json:"to"`
 	ToVersion   string                  `json:"to_version"`
+	ToService   string                  `json:"to_service,omitempty"`
 	Evidence    forward.JoinEvidence    `json:"evidence"`
 	ProcessBy   forward.ProcessEvidence `json:"process_by"`
 	// within is set if the run before is of the same answer; stream is the id of the request that began the stream.
@@ -185,7 +238,7 @@
 	_, within := l.Fields["from"]
 	return Join{
 		Time: l.Time.UTC(), Router: l.Router, ID: l.Text("id"), After: l.Text("after"), First: l.Text("first"),
-		From: l.Text("from"), FromVersion: l.Text("from_version"), To: l.Text("to"), ToVersion: l.Text("to_version"),
+		From: l.Text("from"), FromVersion: l.Text("from_version"), To: l.Text("to"), ToVersion: l.Text("to_version"), ToService: l.Text("to_service"),
 		Evidence: forward.JoinEvidence(l.Text("evidence")), ProcessBy: forward.ProcessEvidence(l.Text("process_by")), within: within, stream: l.Text("stream"),
 	}
 }
@@ -201,13 +254,13 @@
 	return first - after - 1, true
 }
 
-func (j Join) text() string {
+func (j Join) text(services bool) string {
 	from := ""
 	if j.within {
 		from = fmt.Sprintf("from %s, version %s, ", j.From, orNone(j.FromVersion))
 	}
 	return fmt.Sprintf("%s  behind %s %sat %s, version %s, with %s; %s, process by %s",
-		clock(j.Time), j.After, from, j.To, orNone(j.ToVersion), orNone(j.First), j.Evidence, j.ProcessBy)
+		clock(j.Time), j.After, from, j.To, runText(j.ToVersion, j.ToService, services), orNone(j.First), j.Evidence, j.ProcessBy)
 }
 
 // number returns an event's id as a number, if it is one.
@@ -227,3 +280,11 @@
 func clock(t time.Time) string { return t.Format("15:04:05.000") }
 
 func orNone(s string) string { return cmp.Or(s, "none") }
+
+// runText names the version of a run, and its service if that is known and wanted.
+func runText(version, service string, services bool) string {
+	if !services || service == "" {
+		return orNone(version)
+	}
+	return orNone(version) + " of service " + service
+}
--- a/internal/explain/streams/report.go
+++ b/internal/explain/streams/report.go
@@ -40,8 +40,9 @@
 	if s.LeftOut > 0 {
 		out = append(out, fmt.Sprintf("  and %d others of these kinds", s.LeftOut))
 	}
+	services := ofServices(s.Answers)
 	for _, a := range s.Answers {
-		out = append(out, a.text()...)
+		out = append(out, a.text(services)...)
 	}
 	return out
 }
@@ -91,7 +92,7 @@
 	var faulty []Stream
 	for _, id := range ids {
 		p := s.streams[id]
-		if faults, leftOut := p.check(logsIncomplete); len(faults) > 0 {
+		if faults, leftOut := p.check(logsIncomplete, s.seen); len(faults) > 0 {
 			faulty = append(faulty, Stream{id, faults, leftOut, p.answers})
 		}
 	}
--- a/internal/explain/streams/search.go
+++ b/internal/explain/streams/search.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/stepcroft/stepcroft/internal/explain"
 	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
@@ -37,8 +38,8 @@
 // answerKey names an answer.
 type answerKey struct{ router, id string }
 
-// Search finds the streams that are out of order. Pass each line to Add, then each line with MessageRequest to
-// AddBeginning, and call Report. Use New to create one.
+// Search finds the streams that are out of order. Pass each line to Add, then each line with MessageRequest or
+// MessageBegan to AddBeginning, and call Report. Use New to create one.
 type Search struct {
 	limit int
 	// streams holds those of several runs and those that were taken up, by the id of the request that began them, and
@@ -53,12 +54,13 @@
 	counts      Counts
 	gaps        Gaps
 	logs        routerlog.Logs
+	seen        *sightings
 }
 
 // New returns a search that lists at most limit streams of each kind of fault.
 func New(limit int) *Search {
 	return &Search{
-		limit: limit, streams: map[string]*stream{}, undelivered: map[answerKey]bool{}, writesRuns: map[string]bool{}, withoutRuns: map[string]int{}, logs: routerlog.New(), gaps: newGaps(),
+		limit: limit, streams: map[string]*stream{}, undelivered: map[answerKey]bool{}, writesRuns: map[string]bool{}, withoutRuns: map[string]int{}, logs: routerlog.New(), gaps: newGaps(limit), seen: newSightings(),
 		counts: Counts{Evidence: map[forward.JoinEvidence]int{}, ProcessBy: map[forward.ProcessEvidence]int{}},
 	}
 }
@@ -77,6 +79,9 @@
 		if p := s.keep(j.stream, 1); p != nil {
 			p.joins = append(p.joins, j)
 		}
+	case MessageBegan:
+		b := newBeginning(l)
+		s.noteSeen("", b.Service, b.Version, b.Time)
 	case msgUndelivered:
 		if len(s.undelivered) < maxLines {
 			s.undelivered[answerKey{l.Router, l.Text("id")}] = true
@@ -98,6 +103,7 @@
 	if a.begins() {
 		if a.Runs > 0 {
 			s.counts.Begun++
+			s.noteSeen(a.route, a.Service, a.Version, a.begun())
 		}
 		if a.Runs > 1 && s.streams[a.ID] == nil {
 			s.keep(a.ID, 1)
@@ -116,6 +122,12 @@
 	}
 }
 
+func (s *Search) noteSeen(route, service, version string, at time.Time) {
+	if !s.seen.add(route, service, version, at) {
+		s.gaps.LeftOut++
+	}
+}
+
 // keep returns the stream to keep a line of, nil if it has no id or there are too many lines, as many as a share times
 // the bounds.
 func (s *Search) keep(id string, share int) *stream {
@@ -141,14 +153,21 @@
 }
 
 // AddBeginning notes a line about a request that began one of the streams. It needs a second pass over the lines with
-// MessageRequest: most streams are of one run, and nothing is kept of them.
+// MessageRequest and MessageBegan: most streams are of one run, and nothing is kept of them.
 func (s *Search) AddBeginning(l explain.Line) {
 	id := l.Text("id")
-	if l.Message != MessageRequest || l.Text("after") != "" || s.streams[id] == nil {
+	if l.Text("after") != "" || s.streams[id] == nil {
 		return
 	}
-	if p := s.keep(id, 2); p != nil {
-		p.answers = append(p.answers, newAnswer(l))
+	switch l.Message {
+	case MessageRequest:
+		if p := s.keep(id, 2); p != nil {
+			p.answers = append(p.answers, newAnswer(l))
+		}
+	case MessageBegan:
+		if p := s.keep(id, 2); p != nil {
+			p.began = append(p.began, newBeginning(l))
+		}
 	}
 }
 
@@ -170,7 +189,7 @@
 			seen[root] = true
 			root = of[root]
 		}
-		if to := s.streams[root]; to != nil && to != p && !slices.ContainsFunc(p.answers, Answer.begins) {
+		if to := s.streams[root]; to != nil && to != p && len(p.began) == 0 && !slices.ContainsFunc(p.answers, Answer.begins) {
 			to.answers, to.joins = append(to.answers, p.answers...), append(to.joins, p.joins...)
 			to.truncated = to.truncated || p.truncated
 			delete(s.streams, id)
--- a/internal/explain/streams/stream.go
+++ b/internal/explain/streams/stream.go
@@ -9,6 +9,7 @@
 type stream struct {
 	answers []Answer
 	joins   []Join
+	began   []Beginning
 	// lines is the number of lines that are kept.
 	lines int
 	// truncated is set if there are more lines than are kept, entangled if answers with the same id ran at the same time
@@ -44,6 +45,7 @@
 	s.answers = slices.CompactFunc(s.answers, func(a, b Answer) bool {
 		return a.Time.Equal(b.Time) && a.Router == b.Router && a.ID == b.ID
 	})
+	s.assembleBeginnings()
 	for _, j := range s.joins {
 		a := s.answerOf(j)
 		if a == nil {
@@ -53,7 +55,7 @@
 				a.After = j.After
 			}
 		}
-		if a.NoLine {
+		if a.NoLine && j.Time.After(a.Time) {
 			a.Time = j.Time
 		}
 		a.Joins = append(a.Joins, j)
@@ -62,6 +64,35 @@
 	slices.SortStableFunc(s.answers, compareAnswers)
 }
 
+// assembleBeginnings gives the answers the lines of their beginnings, the last one if there are several, and adds those that
+// have no other line.
+func (s *stream) assembleBeginnings() {
+	slices.SortStableFunc(s.began, func(a, b Beginning) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.router, b.router)) })
+	for _, b := range s.began {
+		i := slices.IndexFunc(s.answers, func(a Answer) bool {
+			return a.begins() && a.ID == b.id && a.Router == b.router && (a.NoLine || !a.begun().After(b.Time) && !a.Time.Before(b.Time))
+		})
+		if i < 0 {
+			s.answers = append(s.answers, Answer{ID: b.id, Router: b.router, Joins: []Join{}, NoLine: true, unclear: true, Time: b.Time})
+			i = len(s.answers) - 1
+		}
+		s.answers[i].Beginning = &b
+	}
+	s.began = nil
+}
+
+// ofServices reports whether runs of the answers are of different services.
+func ofServices(answers []Answer) bool {
+	first := ""
+	differs := func(service string) bool {
+		first = cmp.Or(first, service)
+		return service != "" && service != first
+	}
+	return slices.ContainsFunc(answers, func(a Answer) bool {
+		return differs(a.firstService()) || differs(a.Service) || slices.ContainsFunc(a.Joins, func(j Join) bool { return differs(j.ToService) })
+	})
+}
+
 // answerOf returns the answer that a join is in, nil if it is in none that is known. It compares times of one router only.
 func (s *stream) answerOf(j Join) *Answer {
 	var out *Answer
--- a/internal/explain/streams/streams_test.go
+++ b/internal/explain/streams/streams_test.go
@@ -59,8 +59,10 @@
 	if err := explain.Read(strings.NewReader(logs), "log", s.Add, func(explain.BadLine) { unread.BadLines++ }); err != nil {
 		return streams.Report{}, err
 	}
-	if err := explain.ReadMessage(strings.NewReader(logs), "log", streams.MessageRequest, s.AddBeginning); err != nil {
-		return streams.Report{}, err
+	for _, message := range []string{streams.MessageRequest, streams.MessageBegan} {
+		if err := explain.ReadMessage(strings.NewReader(logs), "log", message, s.AddBeginning); err != nil {
+			return streams.Report{}, err
+		}
 	}
 	return s.Report(unread), nil
 }
@@ -206,30 +208,126 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var faults []string
-			for _, s := range r.Streams {
-				for _, f := range s.Faults {
-					faults = append(faults, string(f.Kind)+map[bool]string{true: "?"}[f.Suspected])
-				}
+			text := strings.Join(r.Text(), "\n")
+			if got := faultsOf(r); got != c.faults {
+				t.Errorf("faults %q, want %q:\n%s", got, c.faults, text)
+			}
+			checkText(t, text, c.want, c.unwanted)
+		})
+	}
+}
+
+// began returns the line that router a writes as stream r has begun.
+func began(second float64, version, service string) string {
+	return line("a", second, streams.MessageBegan, fmt.Sprintf(`,"id":"r","version":%q,"service":%q`, version, service))
+}
+
+// TestBeginningWithoutEnd guards against streams of two versions that are not listed as the router is lost that began them.
+// It has told of their beginnings only if they needed a record, and the version is suspected if others took part.
+func TestBeginningWithoutEnd(t *testing.T) {
+	// concluded is a take-up at version v2, which is concluded without a record.
+	concluded := strings.ReplaceAll(join("b", 80, "r2", "", "5", "6", "v2")+answer("b", 81, "r2", 1, "9", "v2", takesUp("5", whole+`,"route":"x","run_service":"two"`)), `"record"`, `"only-version"`)
+	recorded := strings.ReplaceAll(concluded, `"only-version"`, `"record"`)
+	other := func(second float64, version, more string) string {
+		return answer("c", second, "q", 1, "9", version, whole+more)
+	}
+	for name, c := range map[string]struct {
+		logs, faults   string
+		want, unwanted []string
+	}{
+		"told":                    {logs: began(9, "v1", "one") + recorded, faults: "two-versions", want: []string{"while a began it at version v1", "r of stream r at a, which began it", "began it at version v1 of service one; no line of its end", "at version v2 of service two of t"}, unwanted: []string{"there is no line (its router was lost, or lines are missing)"}},
+		"told, by a conclusion":   {logs: began(9, "v1", "") + concluded, faults: "two-versions"},
+		"told, one version":       {logs: began(9, "v2", "two") + concluded + other(79, "v1", `,"route":"x"`), unwanted: []string{"of service"}},
+		"told, services differ":   {logs: began(9, "v2", "one") + recorded, want: []string{"no line shows"}},
+		"told as unknown":         {logs: began(9, "v1", "") + began(9.5, "", "") + recorded, faults: "two-versions?"},
+		"told later than another": {logs: began(9, "v2", "") + began(9.5, "v1", "") + recorded, faults: "two-versions"},
+		"told, with its end":      {logs: began(9.5, "v1", "one") + begun + recorded, faults: "two-versions", unwanted: []string{"which began it"}},
+		"told, with a join":       {logs: began(9, "v1", "one") + join("a", 9.5, "r", "v1", "2", "3", "v1") + recorded, faults: "two-versions", want: []string{"r of stream r at a, with 1 joins"}},
+		"told, not taken up":      {logs: began(9, "v1", "one") + other(79, "v2", ""), want: []string{"0 streams of more than one run"}},
+		"told of a take-up's id":  {logs: strings.ReplaceAll(began(9, "v1", "one"), `"r"`, `"r2"`) + recorded},
+
+		"not told, another version":     {logs: other(79, "v1", `,"route":"x"`) + concluded, faults: "two-versions?", want: []string{"b takes it up behind event 5 at version v2 of t (only-version), while no line tells the version that began it, and others of its route or service began at version v1"}},
+		"not told, of the service":      {logs: other(79, "v1", `,"run_service":"two"`) + concluded, faults: "two-versions?"},
+		"not told, another one was":     {logs: line("c", 79, streams.MessageBegan, `,"id":"u","version":"v1","service":"two"`) + concluded, faults: "two-versions?"},
+		"not told, nobody knew":         {logs: other(79, "v1", `,"route":"x"`) + strings.ReplaceAll(concluded, "only-version", "unknown"), faults: "two-versions?"},
+		"not told, several runs":        {logs: other(79, "v1", `,"route":"x"`) + strings.ReplaceAll(concluded, `"runs":1`, `"runs":2`), faults: "two-versions?"},
+		"not told, no line of the join": {logs: other(79, "v1", `,"route":"x"`) + concluded[strings.Index(concluded, "\n")+1:], faults: "two-versions?"},
+		"not told, a record":            {logs: other(79, "v1", `,"route":"x"`) + recorded},
+		"not told, one version":         {logs: other(79, "v2", `,"route":"x"`) + concluded},
+		"not told, of another route":    {logs: other(79, "v1", `,"route":"y","run_service":"one"`) + concluded},
+		"not told, long before":         {logs: other(10, "v1", `,"route":"x"`) + strings.NewReplacer("00:01:20", "00:03:20", "00:01:21", "00:03:21").Replace(concluded)},
+		"not told, later":               {logs: other(95, "v1", `,"route":"x"`) + concluded},
+		"not told, its version unknown": {logs: other(79, "", `,"route":"x"`) + concluded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := report(c.logs, 10)
+			if err != nil {
+				t.Fatal(err)
 			}
 			text := strings.Join(r.Text(), "\n")
-			if got := strings.Join(faults, " "); got != c.faults {
+			if got := faultsOf(r); got != c.faults {
 				t.Errorf("faults %q, want %q:\n%s", got, c.faults, text)
 			}
-			for _, want := range c.want {
-				if !strings.Contains(text, want) {
-					t.Errorf("%q is not in\n%s", want, text)
-				}
+			checkText(t, text, c.want, c.unwanted)
+		})
+	}
+}
+
+// TestServicesAreNamed guards against runs of different services that look like those of one.
+func TestServicesAreNamed(t *testing.T) {
+	of := func(service, text string) string {
+		return strings.NewReplacer(`"to_version"`, `"to_service":"`+service+`","to_version"`, `"run_version"`, `"run_service":"`+service+`","run_version"`).Replace(text)
+	}
+	moved := strings.ReplaceAll(goesOn, "v1", "v2")
+	for name, c := range map[string]struct {
+		logs           string
+		want, unwanted []string
+	}{
+		"of two": {
+			logs: of("one", begun) + of("two", moved),
+			want: []string{"at version v2 of service two of t (record), while a began it at version v1 of service one of t", "the last one at t, version v1 of service one; cut", "at t, version v2 of service two, with 6"},
+		},
+		"of one":    {logs: of("one", begun) + of("one", moved), unwanted: []string{"service"}},
+		"not named": {logs: begun + moved, unwanted: []string{"service"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := report(c.logs, 10)
+			if err != nil {
+				t.Fatal(err)
 			}
-			for _, unwanted := range c.unwanted {
-				if strings.Contains(text, unwanted) {
-					t.Errorf("%q is in\n%s", unwanted, text)
-				}
+			if got := faultsOf(r); got != "two-versions" {
+				t.Errorf("faults %q", got)
 			}
+			checkText(t, strings.Join(r.Text(), "\n"), c.want, c.unwanted)
 		})
 	}
 }
 
+// faultsOf returns the kinds of a report's faults, those suspected with a question mark.
+func faultsOf(r streams.Report) string {
+	var faults []string
+	for _, s := range r.Streams {
+		for _, f := range s.Faults {
+			faults = append(faults, string(f.Kind)+map[bool]string{true: "?"}[f.Suspected])
+		}
+	}
+	return strings.Join(faults, " ")
+}
+
+func checkText(t *testing.T, text string, wanted, unwanted []string) {
+	t.Helper()
+	for _, want := range wanted {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in\n%s", want, text)
+		}
+	}
+	for _, u := range unwanted {
+		if strings.Contains(text, u) {
+			t.Errorf("%q is in\n%s", u, text)
+		}
+	}
+}
+
 func TestListsAreBounded(t *testing.T) {
 	var logs strings.Builder
 	for _, id := range []string{"x", "y", "z"} {
