Routes are stored once they are known

Callers of services of one version got 503 for the rest of their streams for a minute after each start of all routers, if what was stored had no routes: written by an earlier release, or gone with the store's era. Routers that start with such an object know their routes after a minute, but wrote them only with the next change of the configuration or of a version, so that the next start found none either. Meanwhile the first router wrote versions at each tick for 3 s after a change, as what it had saved named no configuration.

Ruled out: to leave it to the next change, which may be weeks away.

Beside it tests of what was there: a router that has just started refuses until the configurations since are read, reads none if there are none, reads again after a failure each 0.5 s at most, and refuses for good where the store has no history left.

--- /dev/null
+++ b/internal/gateway/routes_internal_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/streamversion"
+)
+
+// routeStore is a StreamStore that records what is saved, and from which revisions on configurations are read.
+type routeStore struct {
+	savedVersions
+	saved chan streamversion.Versions
+	reads chan int64
+}
+
+func newRouteStore() routeStore {
+	return routeStore{saved: make(chan streamversion.Versions, 1000), reads: make(chan int64, 1000)}
+}
+
+func (s routeStore) SaveVersions(v streamversion.Versions) bool {
+	s.saved <- v
+	return true
+}
+
+func (s routeStore) ReadConfigs(since int64) { s.reads <- since }
+
+// newRouteGateway returns a router that is alone, with services x and y of versions v1 and v2.
+func newRouteGateway(t *testing.T, store StreamStore) *Gateway {
+	t.Helper()
+	g, err := New(context.Background(), Options{
+		ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", StreamStore: store, Codec: jsonCodec{}, Log: logr.Discard(),
+		Metrics: counters.New(), Limits: balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Stop)
+	setTargets(t, g, targetOf("x", "v1"), targetOf("y", "v2"))
+	return g
+}
+
+// routeTo returns a configuration of a version that sends all to a service.
+func routeTo(t *testing.T, version int64, service string) []byte {
+	t.Helper()
+	b, err := json.Marshal(routing.Spec{Version: version, Routes: []routing.Route{
+		{Name: "r", Host: "h", Prefix: "/", Kind: routing.Streaming, Resumable: true, Shares: []routing.Share{{Service: service, Weight: 1}}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func tableTo(t *testing.T, version int64, service string) *routing.Table {
+	t.Helper()
+	table, err := jsonCodec{}.Table(routeTo(t, version, service))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func takeUpAt(t *testing.T, g *Gateway, service string) streamversion.Answer {
+	t.Helper()
+	return streamVersions{g}.Lookup(t.Context(), forward.TakeUp{Service: service, Host: "h", Path: "/p", Stream: "s"})
+}
+
+// TestTakeUpBeforeRoutesAreRead guards against taking a stream for one of the service to which its route moved while no
+// router ran, against refusing it for good before that is known, and against reads that tell nothing.
+func TestTakeUpBeforeRoutesAreRead(t *testing.T) {
+	before := tableTo(t, 1, "y")
+	for name, c := range map[string]struct {
+		// configAt is the revision of the configuration that is stored, and that in force is of revision 7.
+		configAt int64
+		// read answers a read.
+		read func(g *Gateway)
+		want streamversion.Answer
+	}{
+		"nothing has changed":           {configAt: 7, want: streamversion.Answer{Known: true, Confirmed: true, Version: "v1", Evidence: streamversion.EvidenceOnlyVersion}},
+		"not read yet":                  {configAt: 5},
+		"it did not move":               {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(nil, true) }, want: streamversion.Answer{Known: true, Confirmed: true, Version: "v1", Evidence: streamversion.EvidenceOnlyVersion}},
+		"it led elsewhere meanwhile":    {configAt: 5, read: func(g *Gateway) { g.ConfigsRead([]*routing.Table{before, tableTo(t, 2, "x")}, true) }, want: streamversion.Answer{Confirmed: true}},
+		"the store has no history left": {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(nil, false) }, want: streamversion.Answer{Confirmed: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newRouteStore()
+			g := newRouteGateway(t, store)
+			g.SetConfig(7, routeTo(t, 2, "x"))
+			g.RestoreStreams(streamversion.Stored{Complete: true, ConfigAt: c.configAt})
+			if c.read != nil {
+				c.read(g)
+			}
+			if got := takeUpAt(t, g, "x"); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+			time.Sleep(3 * historyInterval / 2)
+			reads := len(store.reads)
+			if wanted := c.configAt < 7; (reads > 0) != wanted || c.read != nil && reads > 1 || reads > 4 {
+				t.Errorf("%d reads", reads)
+			}
+			if reads > 0 && <-store.reads != c.configAt {
+				t.Error("not read from what is stored on")
+			}
+		})
+	}
+}
+
+// TestRoutesReadAgain guards against a router that never knows the routes before its start since the first read failed,
+// and one that reads at each tick meanwhile.
+func TestRoutesReadAgain(t *testing.T) {
+	store := newRouteStore()
+	g := newRouteGateway(t, store)
+	g.SetConfig(7, routeTo(t, 2, "x"))
+	g.RestoreStreams(streamversion.Stored{Complete: true, ConfigAt: 5})
+	const wait = 4 * historyInterval
+	time.Sleep(wait)
+	if n := len(store.reads); n < 2 || n > int(wait/historyInterval)+1 {
+		t.Errorf("%d reads in %v", n, wait)
+	}
+	g.ConfigsRead(nil, true)
+	if a := takeUpAt(t, g, "x"); a.Version != "v1" {
+		t.Errorf("after it is read: %+v", a)
+	}
+}
+
+// TestRoutesAreStoredOnceKnown guards against routes that are not stored until the next change of the configuration, so
+// that routers which start refuse streams, and against writes at each tick while they are not known.
+func TestRoutesAreStoredOnceKnown(t *testing.T) {
+	store := newRouteStore()
+	g := newRouteGateway(t, store)
+	g.SetConfig(7, routeTo(t, 2, "x"))
+	g.RestoreStreams(streamversion.Stored{Complete: true, RoutesUnknown: true})
+	g.VersionsStored(0, []streamversion.ServiceVersion{{Service: "x", Version: "v1"}, {Service: "y", Version: "v2"}}, true)
+	time.Sleep(versionsTakeover / 2)
+	if n := len(store.saved); n > 2 {
+		t.Errorf("%d writes in %v while the routes are not known", n, versionsTakeover/2)
+	}
+	time.Sleep(versionsTakeover)
+	for len(store.saved) > 0 {
+		if v := <-store.saved; v.ConfigAt != 0 {
+			t.Errorf("stored as routes of configuration %d, though they are not known", v.ConfigAt)
+		}
+	}
+	// That a minute has passed makes them known as well.
+	g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) { g.routes.Restore(now, nil, nil) })
+	select {
+	case v := <-store.saved:
+		if v.ConfigAt != 7 || len(v.Routes) != 1 {
+			t.Errorf("stored %+v", v)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("not stored")
+	}
+}
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -85,6 +85,8 @@
 	// revision of the newest configuration whose routes this router has saved.
 	routes      *storedRoutes
 	savedConfig int64
+	// routesKnown is set once the history of routes is known, so that it can be stored.
+	routesKnown bool
 }
 
 // servedSet returns the versions without their times.
@@ -232,6 +234,10 @@
 		p.era, p.saved, p.changed, p.changedAt = era, nil, true, now
 		g.streams.Resave()
 	}
+	if known := g.routes.Known(now); known != p.routesKnown {
+		p.routesKnown = known
+		p.changed, p.changedAt = true, now
+	}
 	if p.changed && now.Sub(g.started) >= versionsDelay {
 		g.storeVersions(s, now)
 	}
@@ -250,7 +256,9 @@
 	}
 	list := s.ServedVersions(now)
 	set := servedSet(list)
-	isSaved := func() bool { return maps.Equal(set, p.saved) && g.catalog.Complete().Config <= p.savedConfig }
+	isSaved := func() bool {
+		return maps.Equal(set, p.saved) && (!p.routesKnown || g.catalog.Complete().Config <= p.savedConfig)
+	}
 	if writers := min(1+int(now.Sub(p.changedAt)/versionsTakeover), maxVersionWriters); !isSaved() &&
 		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) {
 		v := streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now), At: s.StoredAt(now)}
