A history of routes is complete a minute after its first configuration

A router that was started a minute ago, but was cut off from the store and from all others until now, took its first configuration for the only one of that minute, and streams without a record for ones of its services' only version. By reading, not seen with callers.

TestKnownOnceConfigurationIsOldEnough failed before.

--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -72,7 +72,7 @@
 	changedAt time.Time
 	// table is the configuration in force.
 	table *routing.Table
-	// startedAt is from when the history is known unless it was restored.
+	// startedAt is from when the history is known unless it was restored, once a configuration is.
 	startedAt time.Time
 	restored  bool
 }
@@ -85,6 +85,9 @@
 // Set puts a configuration in force, and reports whether the services of any route have changed.
 func (h *History) Set(now time.Time, t *routing.Table) bool {
 	first := h.table == nil && len(h.routes) == 0
+	if h.table == nil {
+		h.startedAt = now
+	}
 	h.table = t
 	h.expire(now)
 	changed := false
@@ -145,7 +148,9 @@
 }
 
 // Known reports whether the history has all configurations that were in force within its length.
-func (h *History) Known(now time.Time) bool { return h.restored || now.Sub(h.startedAt) > h.keep }
+func (h *History) Known(now time.Time) bool {
+	return h.restored || h.table != nil && now.Sub(h.startedAt) > h.keep
+}
 
 // Forget makes the history unknown until it is restored or as long as its length has passed: configurations may have been
 // in force that it lacks.
--- a/internal/routehistory/routehistory_test.go
+++ b/internal/routehistory/routehistory_test.go
@@ -76,6 +76,21 @@
 	}
 }
 
+// TestKnownOnceConfigurationIsOldEnough guards against a router that takes its history for complete as it was started a
+// minute ago, but had no configuration until now.
+func TestKnownOnceConfigurationIsOldEnough(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := routehistory.New(start, keep)
+	came := start.Add(2 * keep)
+	if h.Known(came) {
+		t.Error("known without a configuration")
+	}
+	h.Set(came, tableOf(t, stream("/", only("x"))))
+	if h.Known(came.Add(keep)) || !h.Known(came.Add(keep+1)) {
+		t.Error("not known from a minute after the first configuration on")
+	}
+}
+
 // Guards against streams that are taken for ones of the service to which their route has moved, also after a restart of
 // all routers: each service that a configuration of the last minute chose must be among those that the history tells.
 func TestServicesAgainstAllConfigurations(t *testing.T) {
