--- a/internal/router/invalid_answer_test.go
+++ b/internal/router/invalid_answer_test.go
@@ -42,6 +42,9 @@
 	return line + "\r\nContent-Length: 4\r\n" + strings.Join(headers, "") + "\r\nbody"
 }
 
+// closing says that the connection ends after the answer, as it does.
+const closing = "Connection: close\r\n"
+
 // interim is an answer before the final one.
 const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
@@ -140,8 +143,9 @@
 	})
 
 	for name, sent := range map[string]string{
-		"HTTP/1.1 200 ": text("HTTP/1.1 200"), "HTTP/1.1 404 ": interim + text("HTTP/1.0 404 "),
-		"HTTP/1.1 201 ": text("HTTP/1.2 201 x", "Content-Length: 4\r\n"),
+		"HTTP/1.1 200 ": text("HTTP/1.1 200", closing), "HTTP/1.1 404 ": interim + text("HTTP/1.0 404 ", closing),
+		"HTTP/1.1 599 ": interim + text("HTTP/1.1 599 x", closing), "HTTP/1.1 299 ": text("HTTP/1.1 299 ", closing),
+		"HTTP/1.1 201 ": text("HTTP/1.2 201 x", closing, "Content-Length: 4\r\n"),
 	} {
 		It("is not an unusual answer: "+name, func() {
 			target.text.Store(&sent)
