A part of prompts stays held back as its route moves to another service

A part that was held back ended eight engines more once the route of its requests had moved to another service: what is known of a part counts for a service, and the service is chosen by the configuration of the moment.

Evidence stays by service: of two that run at the same time, one may run well what ends the other's engines, and its good ends must clear nothing there. Failed trials do not count: whether it ends engines there is tried out at once, by one request in the fleet, and then it is free.

TestPartAfterMove fails without the new call ("sent beside the trial").

Ruled out: a part without a service (good ends of another service would clear it); a second record of each part by its route (twice the records, and a trial of two waits for 5 s more). A router that starts after the move knows of it only what the others, or the store, hold of the part at the new service. What an operator holds by hand goes on trial at the other service.

--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -36,6 +36,10 @@
 	RecordSuccess(k quarantine.Key, sent time.Time)
 	// RecordSeen records that a request with a quarantined attribute has been received again.
 	RecordSeen(k quarantine.Key)
+	// EarlierServices returns the other services that requests such as r went to before their route moved.
+	EarlierServices(r Request) []string
+	// Inherit records that what is known of an attribute counts for another one of which nothing is known.
+	Inherit(ctx context.Context, from quarantine.Key, to quarantine.Attribute)
 }
 
 // Break describes an answer that a target broke off.
@@ -103,6 +107,9 @@
 		return false
 	}
 	now := clock.Now()
+	if x.inheritParts(ctx, now, v) {
+		v = x.suspects.View()
+	}
 	var held []quarantine.Attribute
 	for _, a := range x.attributes() {
 		switch {
@@ -123,6 +130,26 @@
 	return true
 }
 
+// inheritParts makes what is known of parts of the prompt at services that the request's route led to before count at
+// its service, of which nothing may be known, and reports whether there were such parts. Else each service that the route
+// moves to would lose targets until the part is known there.
+func (x *inflight) inheritParts(ctx context.Context, now time.Time, v *quarantine.View) (inherited bool) {
+	shared := sharedParts(x.Parts)
+	if len(shared) == 0 {
+		return false
+	}
+	for _, service := range x.suspects.EarlierServices(x.Request) {
+		for _, p := range shared {
+			from, to := quarantine.PartOf(service, p.ID), quarantine.PartOf(x.Service, p.ID)
+			if v.HoldsBack(now, from.Key) && !v.Knows(to.Key) {
+				x.suspects.Inherit(ctx, from.Key, to)
+				inherited = true
+			}
+		}
+	}
+	return inherited
+}
+
 // refuseSuspect refuses the request because of a quarantined attribute.
 func (x *inflight) refuseSuspect(now time.Time, v *quarantine.View, a quarantine.Attribute, left time.Duration) {
 	if v.LastSeenStale(now, a.Key) {
--- a/internal/forward/suspects_internal_test.go
+++ b/internal/forward/suspects_internal_test.go
@@ -9,11 +9,16 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 )
 
 // stateSuspects implements Suspects with the state of one router.
-type stateSuspects struct{ *quarantine.State }
+type stateSuspects struct {
+	*quarantine.State
+	// earlier has the services that requests went to before.
+	earlier []string
+}
 
 func (s stateSuspects) RecordBreak(_ context.Context, b Break) int {
 	if b.TargetExited {
@@ -39,12 +44,17 @@
 	s.State.RecordEnd(clock.Now(), attributes)
 }
 func (s stateSuspects) RecordSuccess(k quarantine.Key, sent time.Time) { s.ClearBefore(k, sent) }
-func (s stateSuspects) RecordSeen(k quarantine.Key)                    { s.State.RecordSeen(clock.Now(), k) }
+func (s stateSuspects) EarlierServices(Request) []string               { return s.earlier }
+func (s stateSuspects) Inherit(_ context.Context, from quarantine.Key, to quarantine.Attribute) {
+	s.State.Inherit(clock.Now(), from, to)
+}
+
+func (s stateSuspects) RecordSeen(k quarantine.Key) { s.State.RecordSeen(clock.Now(), k) }
 
 // Guards against a request that many callers send in the same words and that is held back for 30 s, as
 // if a trial had failed, when the targets that run it crash in quick succession under another one.
 func TestNoTrialBeforeAccusation(t *testing.T) {
-	suspects := stateSuspects{quarantine.New()}
+	suspects := stateSuspects{State: quarantine.New()}
 	send := func() *inflight {
 		return &inflight{Forwarder: &Forwarder{suspects: suspects}, Request: Request{Organisation: "o", Method: "POST", URI: "/x", Body: memory.Of([]byte("question"))}}
 	}
@@ -94,3 +104,40 @@
 		}
 	}
 }
+
+// TestPartAfterMove guards against a part of prompts that crashes targets of one service after the other as a route moves,
+// and against holding it back for long at one whose targets it does not crash.
+func TestPartAfterMove(t *testing.T) {
+	suspects := stateSuspects{State: quarantine.New()}
+	send := func(service string) *inflight {
+		return &inflight{Forwarder: &Forwarder{suspects: suspects}, deadline: clock.Now().Add(time.Minute), Request: Request{
+			Service: service, Method: "POST", URI: "/x", Parts: []prefix.Part{{ID: "p"}, {ID: "own"}},
+		}}
+	}
+	refused := func(service string) bool { return send(service).refuseQuarantined(context.Background()) }
+	now := clock.Now().Add(-time.Minute)
+	for _, target := range []string{"a", "b", "c"} {
+		suspects.RecordAttributeBreak(now, quarantine.PartOf("s", "p"), "o", target, false)
+		suspects.State.RecordExit(now, target)
+		now = now.Add(time.Second)
+	}
+	suspects.Updates(now)
+	suspects.Shared(quarantine.PartOf("s", "p").Key)
+	if refused("t") {
+		t.Error("refused at a service of other requests")
+	}
+	suspects.earlier = []string{"s"}
+	if refused("t") {
+		t.Error("the first one is not sent on trial")
+	}
+	if !refused("t") {
+		t.Error("sent beside the trial")
+	}
+	suspects.RecordSuccess(quarantine.PartOf("t", "p").Key, clock.Now())
+	if refused("t") {
+		t.Error("refused after one has ended well")
+	}
+	if suspects.View().Crashes(quarantine.PartOf("s", "p").Key) == 0 {
+		t.Error("not suspected any more at the service before")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
@@ -189,6 +190,11 @@
 	streamStore streamStore
 	// routes knows at which services streams may have begun.
 	routes *routehistory.History
+	// moves tells to which services routes led before, for requests whose prompts have parts that were held back there;
+	// nil if no route has moved.
+	moves atomic.Pointer[routing.Moves]
+	// routedBy is the configuration that routes are known by, nil if there is none yet.
+	routedBy *routing.Table
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -119,6 +119,25 @@
 	})
 }
 
+// EarlierServices implements forward.Suspects.
+func (g suspects) EarlierServices(r forward.Request) []string {
+	moves := g.moves.Load()
+	if moves == nil {
+		return nil
+	}
+	return moves.Services(r.Host, r.Path(), r.FirstID(), r.Service)
+}
+
+// Inherit implements forward.Suspects.
+func (g suspects) Inherit(ctx context.Context, from quarantine.Key, to quarantine.Attribute) {
+	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
+		if g.quarantine.state.Inherit(now, from, to) {
+			g.Log.Info("part suspected before its route moved", "part", to.Part, "content", to.Key.String(), "before", from.String())
+			g.publishLocalChanges(now)
+		}
+	})
+}
+
 // exitExpected reports whether a target's exit was expected: the target had announced that it is
 // leaving, in a response or in its entry, or its entry was already gone. A lapsed entry shows
 // neither. If the entry names another process, the target has restarted, and the entry tells
--- a/internal/quarantine/attribute.go
+++ b/internal/quarantine/attribute.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"hash/maphash"
+	"time"
 )
 
 // Attribute is what requests that crash targets may have in common: their whole content, or a part of
@@ -44,6 +45,24 @@
 	return Credit{content: h.Sum64()}
 }
 
+// Inherit records that the crashes under an attribute count against another one, as if it had been that of the requests, and
+// reports whether they do: not if something is known of the other one. Whether that one crashes targets as well is tried
+// out, whatever trials there were before.
+func (s *State) Inherit(now time.Time, from Key, to Attribute) bool {
+	s.expireBroken(now)
+	e := s.entries[from]
+	if e == nil || s.entries[to.Key] != nil || s.credits.has(now, to.Credit) {
+		return false
+	}
+	r := e.record(now, from)
+	r.Key, r.Part = to.Key, to.Part
+	for i := range r.Crashes {
+		r.Crashes[i].Trial = false
+	}
+	s.merge(now, r)
+	return s.entries[to.Key] != nil
+}
+
 // PartOf returns the attribute of all requests to a service whose prompts have a part, whichever
 // organisation sends them.
 func PartOf(service, id string) Attribute {
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -188,3 +188,64 @@
 		}
 	}
 }
+
+// TestInherit shows what is known of a part at a service that its requests did not go to before.
+func TestInherit(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	from, to := quarantine.PartOf("before", "p"), part("p")
+	crash := func(s *quarantine.State, now time.Time, a quarantine.Attribute, trial bool, targets ...string) {
+		for _, target := range targets {
+			s.RecordAttributeBreak(now, a, "o", target, trial)
+			s.RecordExit(now, target)
+		}
+		s.Updates(now.Add(time.Second))
+		s.Shared(a.Key)
+	}
+	for name, c := range map[string]struct {
+		do func(s *quarantine.State)
+		// inherits is set if the part is held back as it is inherited at second 20, and trial if it may be sent on trial then.
+		inherits, trial bool
+	}{
+		"nothing is known": {do: func(*quarantine.State) {}},
+		"held back":        {inherits: true, trial: true, do: func(s *quarantine.State) { crash(s, at(10), from, false, "a", "b", "c") }},
+		"held back a moment ago": {inherits: true, do: func(s *quarantine.State) {
+			crash(s, at(17), from, false, "a", "b")
+			crash(s, at(18.5), from, false, "c")
+		}},
+		"trials failed there": {inherits: true, trial: true, do: func(s *quarantine.State) {
+			crash(s, at(1), from, false, "a", "b", "c")
+			crash(s, at(5), from, true, "d")
+			crash(s, at(10), from, true, "e")
+			crash(s, at(15), from, true, "f")
+		}},
+		"ended well here": {do: func(s *quarantine.State) {
+			crash(s, at(10), from, false, "a", "b", "c")
+			endWell(s, at(19.5), "p")
+		}},
+		"cleared here": {trial: true, do: func(s *quarantine.State) {
+			crash(s, at(10), from, false, "a", "b", "c")
+			s.Inherit(at(15), from.Key, to)
+			s.ClearBefore(to.Key, at(16))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := quarantine.New()
+			c.do(s)
+			s.Updates(at(20))
+			if got := s.Inherit(at(20), from.Key, to); got != c.inherits {
+				t.Errorf("inherits %t, want %t", got, c.inherits)
+			}
+			if v := s.View(); v.HoldsBack(at(20), to.Key) != c.inherits {
+				t.Errorf("held back %t, want %t", v.HoldsBack(at(20), to.Key), c.inherits)
+			}
+			told := quarantine.New()
+			told.Merge(at(20), s.Updates(at(20)))
+			if told.View().HoldsBack(at(20), to.Key) != c.inherits {
+				t.Errorf("other routers are not told")
+			}
+			if got := s.StartTrial(at(20), at(30), to.Key); got != c.trial {
+				t.Errorf("on trial %t, want %t", got, c.trial)
+			}
+		})
+	}
+}
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -10,6 +10,8 @@
 // suspects nothing.
 type View struct {
 	marks map[Key]mark
+	// cleared has the attributes of which nothing counts any more.
+	cleared map[Key]struct{}
 }
 
 // mark tells how to treat a suspected request.
@@ -23,10 +25,12 @@
 // View returns the suspected requests, nil if there are none.
 func (s *State) View() *View {
 	if s.view == nil {
-		s.view = &View{marks: make(map[Key]mark, len(s.entries))}
+		s.view = &View{marks: make(map[Key]mark, len(s.entries)), cleared: map[Key]struct{}{}}
 		for k, e := range s.entries {
 			if n := s.countedCrashes(e); n > 0 {
 				s.view.marks[k] = mark{heldFrom: s.heldFrom(e), rejectedUntil: s.rejectedUntil(e), lastSeen: e.lastSeen, crashes: n}
+			} else {
+				s.view.cleared[k] = struct{}{}
 			}
 		}
 	}
@@ -36,6 +40,16 @@
 	return s.view
 }
 
+// Knows reports whether there is a record of an attribute.
+func (v *View) Knows(k Key) bool {
+	if v == nil {
+		return false
+	}
+	_, marked := v.marks[k]
+	_, cleared := v.cleared[k]
+	return marked || cleared
+}
+
 // RejectedFor returns how much longer a request must not be sent, 0 if it may be.
 func (v *View) RejectedFor(now time.Time, k Key) time.Duration {
 	if v == nil || now.Before(v.marks[k].heldFrom) {
