Routes that move to and fro are remembered once for each set of services

A router remembered each time for which a route led somewhere: after a minute of 10 configurations a second that each move 5,000 routes to and fro 3,010,000 uses and 162 MB, and 45 ms of the control loop for each configuration. The stored form was put together in that loop by comparing each use with each group: 255 ms for 5,000 routes with a service each, 2.7 s with 30,000 uses besides. Requests wait meanwhile.

What callers saw was not played.

--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -41,7 +41,7 @@
 	until  time.Time
 }
 
-// route has the uses of a route, the newest one last.
+// route has the uses of a route, one for each set of services, the newest one last.
 type route struct {
 	uses []use
 	// since is when there was no such route last, the zero time if that is longer ago than matters.
@@ -125,7 +125,7 @@
 	case !isOld:
 		r.since = now
 	}
-	r.uses = append(r.uses, use{shares: shares})
+	r.insert(use{shares: shares})
 	return true
 }
 
@@ -280,8 +280,15 @@
 	return b
 }
 
-// insert adds a use in front of the one that lasts.
+// insert adds a use in front of the one that lasts. Of several with the same services, the last one tells all.
 func (r *route) insert(u use) {
+	if i := slices.IndexFunc(r.uses, func(o use) bool { return slices.Equal(o.shares, u.shares) }); i >= 0 {
+		old := r.uses[i]
+		if old.until.IsZero() || !u.until.IsZero() && !u.until.After(old.until) {
+			return
+		}
+		r.uses = slices.Delete(r.uses, i, i+1)
+	}
 	at := len(r.uses)
 	if r.current() != nil && !u.until.IsZero() {
 		at--
