Streams go on after the targets of the service before have left

Callers whose route had moved from one service to another of the same version got 503 for the rest of their streams for a minute, if the targets of the service before left after the move and the router that began the stream had gone: a service without targets counted as one of an unknown version.

Now a service all of whose targets have left, and that had one version within a minute, is one of that version, unless it is the one that the rest would be sent to.

TestStreamsOfServiceThatLeft failed before (of the same version).

--- a/internal/balance/streamversion_test.go
+++ b/internal/balance/streamversion_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -139,3 +140,39 @@
 		})
 	}
 }
+
+// TestStreamsOfServiceThatLeft guards against refusing the rest of streams whose route has moved to a service of the same
+// version, since the targets of the one before have left.
+func TestStreamsOfServiceThatLeft(t *testing.T) {
+	of := func(service, version string) balance.Target {
+		target := versioned(service+version, version)
+		target.Service = service
+		return target
+	}
+	y := of("y", "v1")
+	for name, c := range map[string]struct {
+		before, left []balance.Target
+		after        time.Duration
+		want         string
+	}{
+		"of the same version":            {before: []balance.Target{of("x", "v1"), y}, left: []balance.Target{y}, want: "v1"},
+		"of another version":             {before: []balance.Target{of("x", "v2"), y}, left: []balance.Target{y}},
+		"of two versions":                {before: []balance.Target{of("x", "v1"), of("x", "v2"), y}, left: []balance.Target{y}},
+		"there never was one":            {before: []balance.Target{y}, left: []balance.Target{y}},
+		"it left long ago":               {before: []balance.Target{of("x", "v1"), y}, left: []balance.Target{y}, after: 2 * streamversion.TTL},
+		"that of the moment left itself": {before: []balance.Target{of("x", "v1"), y}, left: []balance.Target{of("x", "v1")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := balance.New(now, "z", balance.Limits{}, nil)
+			s.RestoreVersions(now, nil, true)
+			s.SetTargets(now, c.before)
+			now = now.Add(time.Second)
+			s.SetTargets(now, c.left)
+			got, evidence := s.UnrecordedVersionAmong(now.Add(c.after), []string{"y", "x"}, routing.Regions{})
+			if got != c.want || (evidence != "") != (c.want != "") {
+				t.Errorf("got %q by %q, want %q", got, evidence, c.want)
+			}
+		})
+	}
+}
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -177,10 +177,13 @@
 }
 
 // UnrecordedVersionAmong is UnrecordedVersionIn for a stream that may have begun at any of some services: the version is
-// known only if it is the same for all of them.
+// known only if it is the same for all of them. The first one is that of the request for the rest.
 func (s *State) UnrecordedVersionAmong(now time.Time, services []string, regions routing.Regions) (version string, why streamversion.Evidence) {
 	for i, service := range services {
 		v, evidence := s.UnrecordedVersionIn(now, service, regions)
+		if evidence == "" && i > 0 {
+			v, evidence = s.leftVersion(now, service, regions)
+		}
 		if evidence == "" || i > 0 && v != version {
 			return "", ""
 		}
@@ -192,6 +195,25 @@
 	return version, why
 }
 
+// leftVersion is UnrecordedVersionIn for a service all of whose targets have left.
+func (s *State) leftVersion(now time.Time, service string, regions routing.Regions) (string, streamversion.Evidence) {
+	h := s.versions[service]
+	if h == nil || !s.listed || !s.VersionsKnownSince(now).IsZero() {
+		return "", ""
+	}
+	h.expire(now)
+	if len(h.listed) > 0 || len(h.goneAt) != 1 {
+		return "", ""
+	}
+	for version := range h.goneAt {
+		open := s.OpenAtStart(service, func(zone string) bool { return regions.Allow(s.regions[zone]) })
+		if none, _ := s.OthersKnown(now, service, version, open); none {
+			return version, streamversion.EvidenceOnlyVersion
+		}
+	}
+	return "", ""
+}
+
 // likelyVersion is UnrecordedVersionIn by what is listed and stored, whatever entries are gone. It returns the first
 // revision since which a target of the version has taken requests as well.
 func (s *State) likelyVersion(now time.Time, service string, regions routing.Regions) (version string, why streamversion.Evidence, open int64) {
