Test: no records of streams are told where no route moves

Of 10 streams none is told to others where no route moves, another one does, one moves to a service of the same version, or did long ago; all are where their route moved to another version within a minute. Where the routes before a start are not known (written by an earlier release, history gone), all are for a minute, which is measured here and left: a router that knows less may take them for others.

--- a/internal/balance/streamversion_test.go
+++ b/internal/balance/streamversion_test.go
@@ -1,10 +1,13 @@
 package balance_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
@@ -176,3 +179,79 @@
 		})
 	}
 }
+
+// TestRecordsWhereNoRouteMoves guards against messages about streams whose version nobody can mistake: routers would send
+// some for each stream.
+func TestRecordsWhereNoRouteMoves(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tableTo := func(paths map[string]string) *routing.Table {
+		var spec routing.Spec
+		for path, service := range paths {
+			spec.Routes = append(spec.Routes, routing.Route{Name: path, Host: "h", Prefix: path, Kind: routing.Streaming, Resumable: true, Shares: []routing.Share{{Service: service, Weight: 1}}})
+		}
+		table, err := routing.New(spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return table
+	}
+	before := tableTo(map[string]string{"/a/": "x", "/b/": "x"})
+	for name, c := range map[string]struct {
+		// unknown is set if what was stored does not tell the routes.
+		unknown bool
+		later   *routing.Table
+		after   time.Duration
+		shared  int
+	}{
+		"none":                              {},
+		"another route moves":               {later: tableTo(map[string]string{"/a/": "x", "/b/": "y"})},
+		"it moves, same version":            {later: tableTo(map[string]string{"/a/": "z", "/b/": "x"})},
+		"it moves":                          {later: tableTo(map[string]string{"/a/": "y", "/b/": "x"}), shared: 10},
+		"it moved long ago":                 {later: tableTo(map[string]string{"/a/": "y", "/b/": "x"}), after: 2 * streamversion.TTL},
+		"routes are not known":              {unknown: true, shared: 10},
+		"routes were not known a while ago": {unknown: true, after: 2 * streamversion.TTL},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now, shared := start, 0
+			s := balance.New(now, "z", balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
+			h := routehistory.New(now, streamversion.TTL)
+			s.SetRouteHistory(h)
+			s.OnStreamBegun(func(_ time.Time, _ balance.Stream, share bool) {
+				if share {
+					shared++
+				}
+			})
+			s.RestoreVersions(now, nil, true)
+			var targets []balance.Target
+			for service, version := range map[string]string{"x": "v1", "y": "v2", "z": "v1"} {
+				target := versioned(service, version)
+				target.Service, target.Slots = service, 100
+				targets = append(targets, target)
+			}
+			s.SetTargets(now, targets)
+			if !c.unknown {
+				h.Restore(now, nil, nil)
+			}
+			table := before
+			h.Set(now, table)
+			if c.later != nil {
+				now, table = now.Add(time.Second), c.later
+				h.Set(now, table)
+			}
+			now = now.Add(c.after)
+			for i := range 10 {
+				id := fmt.Sprint("s", i)
+				r, _ := table.Lookup("h", "/a/b")
+				k := &balance.Ticket{
+					ID: id, Service: r.Service(id), Organisation: "o", Host: "h", Path: "/a/b", Stream: true, StreamID: id,
+					Goal: time.Second, Arrived: now, Deadline: now.Add(time.Second), Decision: make(chan balance.Decision, 1),
+				}
+				s.Arrive(now, k)
+				s.Started(now, k)
+			}
+			if shared != c.shared {
+				t.Errorf("%d of 10 streams were told to other routers, want %d", shared, c.shared)
+			}
+		})
+	}
+}
