Known red: a router that stood still misses a version that came and left

The class of the fault in routes, looked for in what else is kept of the last minute: which versions a service had counts as known though this router read no list of targets meanwhile. Streams of the other version have no records if it was alone for a minute. Ruled out: to know nothing for a minute after a copy was too old, which would refuse all streams without a record after each outage of the store.

--- a/internal/gateway/routes_internal_test.go
+++ b/internal/gateway/routes_internal_test.go
@@ -213,3 +213,33 @@
 		t.Error("not stored")
 	}
 }
+
+// TestTakeUpAfterMissedVersion guards against taking a stream for one of the only version that a router knows of, though
+// its process stood still, or was cut off, while the service had another one.
+func TestTakeUpAfterMissedVersion(t *testing.T) {
+	g, err := New(context.Background(), Options{
+		ID: "r", Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", StreamStore: newRouteStore(), Codec: jsonCodec{}, Log: logr.Discard(),
+		Metrics: counters.New(), Limits: balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second},
+		CopyLimits: freshness.Limits{message.StoreConfig: time.Hour, message.StoreTargets: maxConfigAge},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Stop)
+	g.SetConfig(5, routeTo(t, 1, "x"))
+	list := func(revision int64, target balance.Target) {
+		g.SetTargets(revision, []message.StoredObject{storedValue(t, target.ID, revision, target)})
+		g.StoreConfirmed(message.StoreTargets, clock.Now())
+	}
+	g.RestoreStreams(streamversion.Stored{Complete: true, ConfigAt: streamversion.NoStreams})
+	list(7, targetOf("x", "v1"))
+	if a := takeUpAt(t, g, "x"); a.Version != "v1" {
+		t.Fatalf("before it was cut off: %+v", a)
+	}
+	// Meanwhile v2 takes the place of v1 at revision 8, and streams begin at it; at 9 v1 is back.
+	time.Sleep(2 * maxConfigAge)
+	list(9, targetOf("x", "v1"))
+	if a := takeUpAt(t, g, "x"); a.Known {
+		t.Errorf("after it was cut off: %+v", a)
+	}
+}
