--- a/internal/balance/streamversion_test.go
+++ b/internal/balance/streamversion_test.go
@@ -1,10 +1,14 @@
 package balance_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -139,3 +143,115 @@
 		})
 	}
 }
+
+// TestStreamsOfServiceThatLeft guards against refusing the rest of streams whose route has moved to a service of the same
+// version, since the targets of the one before have left.
+func TestStreamsOfServiceThatLeft(t *testing.T) {
+	of := func(service, version string) balance.Target {
+		target := versioned(service+version, version)
+		target.Service = service
+		return target
+	}
+	y := of("y", "v1")
+	for name, c := range map[string]struct {
+		before, left []balance.Target
+		after        time.Duration
+		want         string
+	}{
+		"of the same version":            {before: []balance.Target{of("x", "v1"), y}, left: []balance.Target{y}, want: "v1"},
+		"of another version":             {before: []balance.Target{of("x", "v2"), y}, left: []balance.Target{y}},
+		"of two versions":                {before: []balance.Target{of("x", "v1"), of("x", "v2"), y}, left: []balance.Target{y}},
+		"there never was one":            {before: []balance.Target{y}, left: []balance.Target{y}},
+		"it left long ago":               {before: []balance.Target{of("x", "v2"), y}, left: []balance.Target{y}, after: 2 * streamversion.TTL, want: "v1"},
+		"that of the moment left itself": {before: []balance.Target{of("x", "v1"), y}, left: []balance.Target{of("x", "v1")}, want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := balance.New(now, "z", balance.Limits{}, nil)
+			s.RestoreVersions(now, nil, true)
+			s.SetTargets(now, c.before)
+			now = now.Add(time.Second)
+			s.SetTargets(now, c.left)
+			got, evidence := s.UnrecordedVersionAmong(now.Add(c.after), []string{"y", "x"}, routing.Regions{})
+			if got != c.want || (evidence != "") != (c.want != "") {
+				t.Errorf("got %q by %q, want %q", got, evidence, c.want)
+			}
+		})
+	}
+}
+
+// TestRecordsWhereNoRouteMoves guards against messages about streams whose version nobody can mistake: routers would send
+// some for each stream.
+func TestRecordsWhereNoRouteMoves(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tableTo := func(paths map[string]string) *routing.Table {
+		var spec routing.Spec
+		for path, service := range paths {
+			spec.Routes = append(spec.Routes, routing.Route{Name: path, Host: "h", Prefix: path, Kind: routing.Streaming, Resumable: true, Shares: []routing.Share{{Service: service, Weight: 1}}})
+		}
+		table, err := routing.New(spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return table
+	}
+	before := tableTo(map[string]string{"/a/": "x", "/b/": "x"})
+	for name, c := range map[string]struct {
+		// unknown is set if what was stored does not tell the routes.
+		unknown bool
+		later   *routing.Table
+		after   time.Duration
+		shared  int
+	}{
+		"none":                              {},
+		"another route moves":               {later: tableTo(map[string]string{"/a/": "x", "/b/": "y"})},
+		"it moves, same version":            {later: tableTo(map[string]string{"/a/": "z", "/b/": "x"})},
+		"it moves":                          {later: tableTo(map[string]string{"/a/": "y", "/b/": "x"}), shared: 10},
+		"it moved long ago":                 {later: tableTo(map[string]string{"/a/": "y", "/b/": "x"}), after: 2 * streamversion.TTL},
+		"routes are not known":              {unknown: true, shared: 10},
+		"routes were not known a while ago": {unknown: true, after: 2 * streamversion.TTL},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now, shared := start, 0
+			s := balance.New(now, "z", balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
+			h := routehistory.New(now, streamversion.TTL)
+			s.SetRouteHistory(h)
+			s.OnStreamBegun(func(_ time.Time, _ balance.Stream, share bool) {
+				if share {
+					shared++
+				}
+			})
+			s.RestoreVersions(now, nil, true)
+			var targets []balance.Target
+			for service, version := range map[string]string{"x": "v1", "y": "v2", "z": "v1"} {
+				target := versioned(service, version)
+				target.Service, target.Slots = service, 100
+				targets = append(targets, target)
+			}
+			s.SetTargets(now, targets)
+			if !c.unknown {
+				h.Restore(now, nil, nil)
+			}
+			table := before
+			h.Set(now, table)
+			if c.later != nil {
+				now, table = now.Add(time.Second), c.later
+				h.Set(now, table)
+			}
+			now = now.Add(c.after)
+			for i := range 10 {
+				id := fmt.Sprint("s", i)
+				r, _ := table.Lookup("h", "/a/b")
+				k := &balance.Ticket{
+					ID: id, Service: r.Service(id), Organisation: "o", Host: "h", Path: "/a/b", Stream: true, StreamID: id,
+					Goal: time.Second, Arrived: now, Deadline: now.Add(time.Second), Decision: make(chan balance.Decision, 1),
+				}
+				s.Arrive(now, k)
+				s.Started(now, k)
+			}
+			if shared != c.shared {
+				t.Errorf("%d of 10 streams were told to other routers, want %d", shared, c.shared)
+			}
+		})
+	}
+}
