A head that HTTP does not have is no answer

Callers got answers of a target with status 600 or 999 as they were, and one of HTTP/9.9 or HTTP/2.0 with status 200 as a success, if it carried the request's id (and the seal). With status 600 and the header that says that it was not run, the request counted as not run: it was sent to another target, or its caller got 503 queue-full, though it may have run.

Cause: http.ReadResponse takes any three-digit number that is not negative for a status and any digits for the version; only statuses below 100 and 101 were looked at, in httptarget.

The new package httpanswer knows what an answer is: HTTP/1, status 100 to 599 (RFC 9110, section 15), 101 only if asked for. Anything else is a broken answer: 502 target-broken, or another target's answer if the request may be repeated, and never one that was not run. target_connections counts them in invalid_heads, with heads that cannot be parsed; the line of the failed send names the status or version. Lawful as before: 200 without a reason, unknown codes such as 599, minor versions above 1, equal lengths.

TestHeadThatIsNotOfHTTP (21 forms, two kinds of route) failed for 600, 999, 600 in chunks, after an interim answer and as not run, versions 9.9 and 2.0; it replaces TestStatusThatIsNotOfHTTP and has its forms. TestRequestIsRetriedAfterBytesThatAreNoAnswer has a case for the retry.

--- a/internal/forward/invalid_answer_test.go
+++ b/internal/forward/invalid_answer_test.go
@@ -114,21 +114,28 @@
 
 // Guards against losing a request that may be repeated when a target sends bytes that are no answer.
 func TestRequestIsRetriedAfterBytesThatAreNoAnswer(t *testing.T) {
-	f := newTestForwarder(t)
-	var faulty, sound atomic.Int64
-	f.setTargets(
-		t,
-		startRawTarget(t, "a", func(string, int) string { faulty.Add(1); return spoiled(200, "X-Other: 1") }),
-		startRawTarget(t, "b", func(id string, _ int) string { sound.Add(1); return whole(id) }),
-	)
-	const requests = 8
-	for range requests {
-		if v := f.send(routing.Idempotent); v.Status != http.StatusOK {
-			t.Errorf("status %d, reason %q", v.Status, v.Reason)
-		}
-	}
-	if faulty.Load() == 0 || sound.Load() != requests {
-		t.Errorf("%d at the faulty target, %d at the sound one", faulty.Load(), sound.Load())
+	for name, answer := range map[string]func(id string) string{
+		"without an id":         func(string) string { return spoiled(200, "X-Other: 1") },
+		"status that is no one": func(id string) string { return spoiled(600, "X-Id: "+id, headerSeal+": s") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			var faulty, sound atomic.Int64
+			f.setTargets(
+				t,
+				startRawTarget(t, "a", func(id string, _ int) string { faulty.Add(1); return answer(id) }),
+				startRawTarget(t, "b", func(id string, _ int) string { sound.Add(1); return whole(id) }),
+			)
+			const requests = 8
+			for range requests {
+				if v := f.send(routing.Idempotent); v.Status != http.StatusOK {
+					t.Errorf("status %d, reason %q", v.Status, v.Reason)
+				}
+			}
+			if faulty.Load() == 0 || sound.Load() != requests {
+				t.Errorf("%d at the faulty target, %d at the sound one", faulty.Load(), sound.Load())
+			}
+		})
 	}
 }
 
@@ -163,18 +170,37 @@
 	}
 }
 
-// Guards against a status that HTTP does not have and that makes net/http panic when it is passed on.
-func TestStatusThatIsNotOfHTTP(t *testing.T) {
-	for _, status := range []string{"000", "001", "099"} {
-		t.Run(status, func(t *testing.T) {
-			f := newTestForwarder(t)
-			f.setTargets(t, startRawTarget(t, "a", func(id string, _ int) string {
-				return fmt.Sprintf("HTTP/1.1 %s x\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id)
-			}))
-			v := f.send(routing.NonIdempotent)
-			if v.Status != http.StatusBadGateway || v.HeadSent || v.Reason != forward.ReasonBroken {
-				t.Errorf("status %d, reason %q, head sent %v", v.Status, v.Reason, v.HeadSent)
-			}
-		})
+// Guards against passing on a head that HTTP does not have as that of an answer, though it carries the request's id and
+// seal, or taking it for one that the request was not run. A status below 100 makes net/http panic.
+func TestHeadThatIsNotOfHTTP(t *testing.T) {
+	const interim = "HTTP/1.1 103 x\r\n\r\n"
+	const length, chunks = "Content-Length: 1\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+	cases := map[string]struct{ before, line, after string }{
+		"000": {"", "HTTP/1.1 000 x", length}, "001": {"", "HTTP/1.1 001 x", length}, "099": {"", "HTTP/1.1 099 x", length},
+		"-00": {"", "HTTP/1.1 -00 x", length}, "+200": {"", "HTTP/1.1 +200 x", length}, "20": {"", "HTTP/1.1 20 x", length},
+		"2000": {"", "HTTP/1.1 2000 x", length}, "600": {"", "HTTP/1.1 600 x", length}, "999": {"", "HTTP/1.1 999 x", length},
+		"101": {"", "HTTP/1.1 101 x", length}, "000, chunks": {"", "HTTP/1.1 000 x", chunks}, "600, chunks": {"", "HTTP/1.1 600 x", chunks},
+		"000, no content":   {"", "HTTP/1.1 000 x", "Content-Length: 0\r\n\r\n"},
+		"600, not run":      {"", "HTTP/1.1 600 x", headerNotRun + ": 1\r\n" + length},
+		"000 after interim": {interim, "HTTP/1.1 000 x", length}, "600 after interim": {interim, "HTTP/1.1 600 x", length},
+		"version 9.9": {"", "HTTP/9.9 200 x", length}, "version 2.0": {"", "HTTP/2.0 200 x", length},
+		"two lengths":        {"", "HTTP/1.1 200 x", "Content-Length: 2\r\n" + length},
+		"negative length":    {"", "HTTP/1.1 200 x", "Content-Length: -1\r\n\r\nx"},
+		"line without colon": {"", "HTTP/1.1 200 x", "x\r\n" + length},
+	}
+	for name, c := range cases {
+		for _, kind := range []routing.Kind{routing.NonIdempotent, routing.Streaming} {
+			t.Run(fmt.Sprint(name, "/", kind), func(t *testing.T) {
+				f := newTestForwarder(t)
+				f.setTargets(t, startRawTarget(t, "a", func(id string, _ int) string {
+					return c.before + c.line + "\r\nX-Id: " + id + "\r\n" + headerSeal + ": s\r\n" + c.after
+				}))
+				caller := &recordingCaller{}
+				v := f.sendTo(kind, caller)
+				if v.Status != http.StatusBadGateway || v.HeadSent || len(caller.list) > 0 || v.Reason != forward.ReasonBroken {
+					t.Errorf("status %d, reason %q, head sent %v, the caller got %.60q", v.Status, v.Reason, v.HeadSent, caller.list)
+				}
+			})
+		}
 	}
 }
--- /dev/null
+++ b/internal/httpanswer/httpanswer.go
@@ -0,0 +1,46 @@
+// Package httpanswer tells the answers of HTTP/1 from other bytes that a server sends in their place, which the standard
+// library returns as answers.
+package httpanswer
+
+import (
+	"bufio"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid means that what a server sent is no final answer of HTTP/1.
+var ErrInvalid = errors.New("no answer of HTTP")
+
+// maxStatus is the highest status (RFC 9110, section 15).
+const maxStatus = 599
+
+// check returns an error unless a head is that of an answer to a request that does not ask for another protocol. Minor
+// versions above 1 are lawful (RFC 9110, section 2.5).
+func check(res *http.Response) error {
+	switch {
+	case res.ProtoMajor != 1:
+		return errors.Wrapf(ErrInvalid, "version %s", res.Proto)
+	case res.StatusCode < http.StatusContinue || res.StatusCode > maxStatus:
+		return errors.Wrapf(ErrInvalid, "status %03d", res.StatusCode)
+	case res.StatusCode == http.StatusSwitchingProtocols:
+		return errors.Wrapf(ErrInvalid, "status %d without a request for it", res.StatusCode)
+	}
+	return nil
+}
+
+// Read reads the head of the final answer to a request with a method. It skips interim (1xx) answers.
+func Read(r *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if err := check(res); err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpanswer/httpanswer_test.go
@@ -0,0 +1,49 @@
+package httpanswer_test
+
+import (
+	"bufio"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stepcroft/stepcroft/internal/httpanswer"
+)
+
+// statusLine matches the status lines of final answers, with the spaces that recipients may accept.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +([2-5][0-9][0-9])( .*)?$`)
+
+// FuzzRead guards against returning anything as a final answer that is none.
+func FuzzRead(f *testing.F) {
+	for _, line := range []string{
+		"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.0 599 x", "HTTP/1.9 299 ", "HTTP/1.1  404 x", "HTTP/1.1 000 x", "HTTP/1.1 -00 x",
+		"HTTP/1.1 099 x", "HTTP/1.1 +99 x", "HTTP/1.1 +200 x", "HTTP/1.1 20 x", "HTTP/1.1 2000 x", "HTTP/1.1 600 x", "HTTP/1.1 999 x",
+		"HTTP/1.1 100 x", "HTTP/1.1 101 x", "HTTP/1.1 199 x", "HTTP/9.9 200 x", "HTTP/0.9 200 x", "HTTP/2.0 200 x", "HTTP/1.10 200 x",
+	} {
+		for _, headers := range []string{"Content-Length: 1\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: 1\r\nContent-Length: 2\r\n", "x\r\n", ""} {
+			f.Add(line + "\r\n" + headers + "\r\n1\r\nx\r\n0\r\n\r\n")
+			f.Add("HTTP/1.1 103 x\r\n\r\n" + line + "\r\n" + headers + "\r\n")
+		}
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		res, err := httpanswer.Read(bufio.NewReader(strings.NewReader(text)), http.MethodPost)
+		if err != nil {
+			return
+		}
+		if !statusLine.MatchString(res.Proto+" "+res.Status) || res.StatusCode < 200 || res.StatusCode > 599 {
+			t.Errorf("%q is returned as status %d, %q", text, res.StatusCode, res.Status)
+		}
+	})
+}
+
+// Guards against refusing what is lawful though unusual.
+func TestUnusualAnswers(t *testing.T) {
+	for text, want := range map[string]int{
+		"HTTP/1.1 200\r\n\r\n": 200, "HTTP/1.1 599 \r\n\r\n": 599, "HTTP/1.2 299 x\r\n\r\n": 299, "HTTP/1.0 404 x\r\n\r\n": 404,
+		"HTTP/1.1 199 x\r\n\r\nHTTP/1.1 204 x\r\n\r\n": 204, "HTTP/1.1 200 x\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n": 200,
+	} {
+		if res, err := httpanswer.Read(bufio.NewReader(strings.NewReader(text)), http.MethodPost); err != nil || res.StatusCode != want {
+			t.Errorf("%q: %v, want status %d", text, err, want)
+		}
+	}
+}
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -45,12 +45,20 @@
 type headLimit struct {
 	source io.Reader
 	left   int
+	// failed is why the last read failed, or nil.
+	failed error
 }
 
 // unlimited is the number of bytes left that is not counted.
 const unlimited = math.MaxInt
 
 func (l *headLimit) Read(b []byte) (int, error) {
+	n, err := l.read(b)
+	l.failed = err
+	return n, err
+}
+
+func (l *headLimit) read(b []byte) (int, error) {
 	if l.left == unlimited {
 		return l.source.Read(b)
 	}
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -5,7 +5,6 @@
 package httptarget
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"maps"
@@ -22,6 +21,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
+	"github.com/stepcroft/stepcroft/internal/httpanswer"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
@@ -104,6 +104,8 @@
 	UnexpectedBytes int64 `json:"unexpected_bytes"`
 	// OversizedHeads counts answers that were given up because their head had no end.
 	OversizedHeads int64 `json:"oversized_heads"`
+	// InvalidHeads counts answers that were given up because their head is none of HTTP.
+	InvalidHeads int64 `json:"invalid_heads"`
 	// UnframedAnswers counts answers with neither a length nor chunks that ended with their connection, and
 	// CutUnframedAnswers those of them that were not complete, as their target's process exited or the connection was reset.
 	UnframedAnswers    int64 `json:"unframed_answers"`
@@ -127,7 +129,7 @@
 	// ends has connections that targets closed lately before their time, by process.
 	ends map[endpoint][]end
 
-	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads atomic.Int64
+	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads, invalidHeads atomic.Int64
 
 	unframedAnswers, cutUnframedAnswers atomic.Int64
 }
@@ -154,7 +156,7 @@
 	return Stats{
 		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
 		StrayAnswers: t.strayAnswers.Load(), UnidentifiedAnswers: t.unidentifiedAnswers.Load(),
-		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(),
+		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(), InvalidHeads: t.invalidHeads.Load(),
 		UnframedAnswers: t.unframedAnswers.Load(), CutUnframedAnswers: t.cutUnframedAnswers.Load(),
 	}
 }
@@ -445,8 +447,11 @@
 	a.conn.head.left = maxHeadBytes
 	defer func() { a.conn.head.left = unlimited }()
 	for range maxStrayAnswers + 1 {
-		res, err := readResponse(a.conn.reader, r.Method)
+		res, err := httpanswer.Read(a.conn.reader, r.Method)
 		if err != nil {
+			if a.conn.head.failed == nil {
+				a.transport.invalidHeads.Add(1)
+			}
 			return err
 		}
 		id := answerID(res, r)
@@ -484,24 +489,6 @@
 	return ids[0]
 }
 
-func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		switch {
-		case res.StatusCode < http.StatusContinue:
-			return nil, errors.Errorf("status %03d is not of HTTP", res.StatusCode)
-		case res.StatusCode >= http.StatusOK:
-			return res, nil
-		}
-		if res.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("target switches protocols without a request to do so")
-		}
-	}
-}
-
 // SetReadDeadline sets the time by which the next byte of the answer must have arrived.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
