What HTTP does not have as an answer no longer counts as a completed call

Callers of plain services through the project's own interface got 200 OK, outcome completed, where the service had sent status 000, -00, 099, 600 or 999, whole, in chunks, without a length or after an interim answer, and where its version was 9.9 or 2.0. A 101 nobody asked for reached the caller as 101. With the header X-Not-Run such a message counted as not run, for completions too, and the request was sent again or refused with 503 or 504 as not run, though it may have run.

httpanswer has a transport for clients of the standard library now that fails with ErrInvalid instead. The client for engines and services uses it for all its calls: load, cache events, orders and KV caches too. Such a request may have run, so that its caller gets 502 target-failed with outcome unknown, or another instance is asked if it may be repeated. targets: invalid_answers counts them, and a failed attempt at a service has the line that one at an engine has. The unused connections are closed then, since the transport keeps one on which a message without content came: the true answer could follow on it and be taken for that of the next request (TestAnswerAfterAnInvalidOneIsNotTakenForTheNextRequests gets "late" without that).

--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/httpanswer"
 	"github.com/stepcroft/stepcroft/internal/port"
 )
 
@@ -65,7 +66,14 @@
 
 // Client sends requests to targets. Create one with New. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http    *http.Client
+	answers *httpanswer.Transport
+}
+
+// Stats counts what targets sent since the start.
+type Stats struct {
+	// InvalidAnswers counts answers that were given up because HTTP does not have them.
+	InvalidAnswers int64 `json:"invalid_answers"`
 }
 
 // New returns a client with its own connection pool.
@@ -82,9 +90,13 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: dontFollowRedirects}}
+	answers := httpanswer.New(transport)
+	return &Client{http: &http.Client{Transport: answers, CheckRedirect: dontFollowRedirects}, answers: answers}
 }
 
+// Stats returns the counts since the start.
+func (c *Client) Stats() Stats { return Stats{InvalidAnswers: c.answers.Invalid()} }
+
 // dontFollowRedirects makes the client return a redirect as the response, which goes to the
 // caller: a target must not decide where the router sends a request.
 func dontFollowRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/adapter/httpcaller/service.go
+++ b/internal/adapter/httpcaller/service.go
@@ -134,6 +134,7 @@
 		if err == nil {
 			return record
 		}
+		c.handler.Log.V(1).Info("attempt failed", "request", c.job.id.String(), "cause", err.Error())
 		notRun := errors.Is(err, port.ErrNotSent) || errors.Is(err, port.ErrRefused)
 		c.mayHaveRun = c.mayHaveRun || !notRun
 		if c.job.ctx.Err() != nil {
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -44,3 +45,39 @@
 		}
 	}
 }
+
+// Transport is an http.RoundTripper that fails instead of returning what is no answer. Use New to create one. It is safe
+// for concurrent use.
+type Transport struct {
+	next    http.RoundTripper
+	invalid atomic.Int64
+}
+
+// New returns a transport whose answers are those of next.
+func New(next http.RoundTripper) *Transport { return &Transport{next: next} }
+
+// Invalid returns the number of answers that were invalid.
+func (t *Transport) Invalid() int64 { return t.invalid.Load() }
+
+// RoundTrip implements http.RoundTripper. Its error wraps ErrInvalid if the answer was invalid.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(res); err != nil {
+		t.invalid.Add(1)
+		_ = res.Body.Close()
+		// Without content, the connection is kept already, and the true answer may follow on it.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return res, nil
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
--- a/internal/httpanswer/httpanswer_test.go
+++ b/internal/httpanswer/httpanswer_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/stepcroft/stepcroft/internal/httpanswer"
 )
 
@@ -47,3 +51,38 @@
 		}
 	}
 }
+
+// Guards against taking the answer that follows bytes in its place for that of the next request on the connection.
+func TestAnswerAfterAnInvalidOneIsNotTakenForTheNextRequests(t *testing.T) {
+	var requests int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests++; requests > 1 {
+			_, _ = io.WriteString(w, "own")
+			return
+		}
+		c, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 600 x\r\nContent-Length: 0\r\n\r\n")
+		if _, err := http.ReadRequest(buffered.Reader); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		}
+	}))
+	defer server.Close()
+	transport := httpanswer.New(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	client := http.Client{Transport: transport}
+	if _, err := client.Get(server.URL); !errors.Is(err, httpanswer.ErrInvalid) || transport.Invalid() != 1 {
+		t.Fatalf("%v, %d invalid", err, transport.Invalid())
+	}
+	res, err := client.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if text, err := io.ReadAll(res.Body); err != nil || string(text) != "own" {
+		t.Errorf("%q, %v", text, err)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -242,6 +242,7 @@
 func (r *Router) publishMetrics() {
 	r.metrics.SetFunc("control", func() any { return r.Status() })
 	r.metrics.SetFunc("peers", func() any { return r.peers.Stats() })
+	r.metrics.SetFunc("targets", func() any { return r.engines.Stats() })
 	r.metrics.SetFunc("config", func() any { return r.syncer.Stats() })
 	r.metrics.SetFunc("violations", func() any { return json.RawMessage(invariant.Violations().String()) })
 	r.metrics.SetFunc("process", func() any { return metrics.ReadProcess() })
