Refusals no longer quote what a target sent

A caller of the project's own interface whose target sent bytes that are no answer got them back in the text of its refusal: "malformed HTTP response" and the first line, which may be a piece of another request's answer, and with it the target's address.

Cause: the refusal's text was that of the error. It is one of three now: not reached, refused, broke off; the line of the failed attempt has the error. After a deadline or a cancellation it is the reason, as where no target was asked.

The case "bytes without lines" failed before, for services and for engines. Callers of the other interface never got more than the reason.

--- a/internal/adapter/httpcaller/chat.go
+++ b/internal/adapter/httpcaller/chat.go
@@ -220,14 +220,24 @@
 	x.handler.Core.Finish(x.ticket, request.RunEnd{Cost: x.servedCost(), Partial: x.mayHaveRun, Failed: true})
 	switch {
 	case retryable:
-		return "", x.refuse(request.ReasonRetryBudget, err.Error(), 0)
+		return "", x.refuse(request.ReasonRetryBudget, failureText(err), 0)
 	case errors.Is(err, port.ErrRefused):
-		return "", x.refuse(request.ReasonTargetRefused, err.Error(), 0)
+		return "", x.refuse(request.ReasonTargetRefused, failureText(err), 0)
 	default:
-		return "", x.refuse(request.ReasonTargetFailed, err.Error(), 0)
+		return "", x.refuse(request.ReasonTargetFailed, failureText(err), 0)
 	}
 }
 
+// failureText returns what callers are told of a failed attempt. The error may quote bytes that a target sent.
+func failureText(err error) string {
+	for _, known := range []error{port.ErrNotSent, port.ErrRefused} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return port.ErrBroken.Error()
+}
+
 // retryReason returns the reason under which a retry after err is counted.
 func retryReason(err error) request.Reason {
 	switch {
--- a/internal/adapter/httpcaller/service.go
+++ b/internal/adapter/httpcaller/service.go
@@ -138,17 +138,17 @@
 		notRun := errors.Is(err, port.ErrNotSent) || errors.Is(err, port.ErrRefused)
 		c.mayHaveRun = c.mayHaveRun || !notRun
 		if c.job.ctx.Err() != nil {
-			return c.refuse(endReason(c.job.ctx), err)
+			return c.refuse(endReason(c.job.ctx), "")
 		}
 		if !notRun && !c.job.options.repeatable {
-			return c.refuse(request.ReasonTargetFailed, err)
+			return c.refuse(request.ReasonTargetFailed, failureText(err))
 		}
 		c.boxes = without(c.boxes, box)
 		if try == maxServiceAttempts || len(c.boxes) == 0 {
-			return c.refuse(request.ReasonTargetRefused, err)
+			return c.refuse(request.ReasonTargetRefused, failureText(err))
 		}
 		if !c.handler.Budget.Spend() {
-			return c.refuse(request.ReasonRetryBudget, err)
+			return c.refuse(request.ReasonRetryBudget, failureText(err))
 		}
 		c.handler.Metrics.CountRetry(retryReason(err))
 	}
@@ -202,8 +202,8 @@
 }
 
 // refuse ends the call with an error and returns the record of the request.
-func (c *serviceCall) refuse(reason request.Reason, err error) request.Record {
-	f := refusal{reason: reason, outcome: request.NotRun, detail: err.Error()}
+func (c *serviceCall) refuse(reason request.Reason, detail string) request.Record {
+	f := refusal{reason: reason, outcome: request.NotRun, detail: detail}
 	if c.mayHaveRun {
 		f.outcome = request.Unknown
 	}
--- a/internal/router/invalid_answer_test.go
+++ b/internal/router/invalid_answer_test.go
@@ -115,6 +115,7 @@
 				Expect(got).To(HavePrefix("HTTP/1.1 502 "))
 				Expect(got).To(ContainSubstring(httpcaller.HeaderOutcome + ": " + string(request.Unknown)))
 				Expect(got).To(ContainSubstring(httpcaller.HeaderReason + ": " + string(request.ReasonTargetFailed)))
+				Expect(got).NotTo(ContainSubstring("spoiled"))
 			})
 		}
 	}
