Specs of invalid answers wait for no engine and reuse no connection

Each failure leaves its engine alone for a second, so that the 25 forms sent by one engine took 25 s.

One of 20 runs failed: the target closed a connection after a lawful answer that did not say so, and the next request was lost on it (502).

--- a/internal/router/invalid_answer_test.go
+++ b/internal/router/invalid_answer_test.go
@@ -42,6 +42,9 @@
 	return line + "\r\nContent-Length: 4\r\n" + strings.Join(headers, "") + "\r\nbody"
 }
 
+// closing says that the connection ends after the answer, as it does.
+const closing = "Connection: close\r\n"
+
 // interim is an answer before the final one.
 const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
@@ -99,7 +102,11 @@
 		DeferCleanup(server.Close)
 		address := server.Listener.Addr().String()
 		s.seed(config.KindPool, "raw", config.Pool{Name: "raw", Policy: "share"})
-		s.seed(config.KindBox, "raw-engine", config.Box{Name: "raw-engine", Role: config.RoleEngine, Address: address, Pool: "raw", Slots: 2})
+		// An engine is left alone for a while after a failure.
+		for n := range 2 * len(noAnswers) {
+			name := fmt.Sprint("raw-engine-", n)
+			s.seed(config.KindBox, name, config.Box{Name: name, Role: config.RoleEngine, Address: address, Pool: "raw", Slots: 2})
+		}
 		s.seed(config.KindBox, "raw-service", config.Box{Name: "raw-service", Role: config.RoleService, Address: address, Pool: "raw"})
 		for path, body := range paths {
 			Eventually(func() string { return exchange(s.routers[0].Address(), path, body) }, "10s").Should(ContainSubstring(string(request.ReasonTargetFailed)))
@@ -136,8 +143,8 @@
 	})
 
 	for name, sent := range map[string]string{
-		"HTTP/1.1 200 ": text("HTTP/1.1 200"), "HTTP/1.1 404 ": interim + text("HTTP/1.0 404 "),
-		"HTTP/1.1 201 ": text("HTTP/1.2 201 x", "Content-Length: 4\r\n"),
+		"HTTP/1.1 200 ": text("HTTP/1.1 200", closing), "HTTP/1.1 404 ": interim + text("HTTP/1.0 404 ", closing),
+		"HTTP/1.1 201 ": text("HTTP/1.2 201 x", closing, "Content-Length: 4\r\n"),
 	} {
 		It("is not an unusual answer: "+name, func() {
 			target.text.Store(&sent)
