Answers keep a status that has no reason phrase

Callers of the project's own interface got 200 OK in place of each status that the standard library has no phrase for: a service's 599, 450 or 299, and the router's own 499 of a request cancelled by its id, whose refusal looked like a success.

Cause: nbhttp's WriteHeader ignores a status for which http.StatusText returns nothing, and 200 is written with the body. It has no other way to set one, so that the head of such an answer is written past it, on the connection, which is kept if the answer has a Content-Length.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -79,7 +79,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:            "tcp",
 		Addrs:              []string{address},
-		Handler:            busyHandler{connectionLimiter{handler, o.rejectHandler(), &s.open, int64(o.MaxConnections)}, s.idle},
+		Handler:            busyHandler{connectionLimiter{statusHandler{handler}, o.rejectHandler(), &s.open, int64(o.MaxConnections)}, s.idle},
 		MaxLoad:            o.MaxConnections + o.MaxConnections/spareConnectionsDivisor,
 		NPoller:            o.Pollers,
 		ReadBufferSize:     readBufferSize,
@@ -174,11 +174,11 @@
 
 // CallerDisconnected reports whether the caller's connection, to which w writes, is closed.
 func CallerDisconnected(w http.ResponseWriter) bool {
-	res, ok := w.(*nbhttp.Response)
-	if !ok || res.Parser == nil {
+	res, ok := w.(*response)
+	if !ok || res.library.Parser == nil {
 		return false
 	}
-	raw := rawConn(res.Parser.Conn)
+	raw := rawConn(res.library.Parser.Conn)
 	if raw == nil {
 		return false
 	}
--- a/internal/router/invalid_answer_test.go
+++ b/internal/router/invalid_answer_test.go
@@ -144,6 +144,7 @@
 
 	for name, sent := range map[string]string{
 		"HTTP/1.1 200 ": text("HTTP/1.1 200", closing), "HTTP/1.1 404 ": interim + text("HTTP/1.0 404 ", closing),
+		"HTTP/1.1 599 ": interim + text("HTTP/1.1 599 x", closing), "HTTP/1.1 299 ": text("HTTP/1.1 299 ", closing),
 		"HTTP/1.1 201 ": text("HTTP/1.2 201 x", closing, "Content-Length: 4\r\n"),
 	} {
 		It("is not an unusual answer: "+name, func() {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -339,6 +339,7 @@
 		var a answer
 		Eventually(ended, "5s").Should(Receive(&a))
 		Expect(a.reason).To(Equal(request.ReasonCancelled))
+		Expect(a.status).To(Equal(a.reason.Status()))
 		Expect(a.outcome).To(Equal(request.Unknown))
 		g.Wait()
 	})
