The store's answers are those that HTTP has

A write counted as done, and its writer went on, where the store or what stands before it had sent status 000, -00, 099 or 101, or HTTP/9.9: only statuses from 300 were failures, and a write does not look at the content. A list with such a status was believed. The era of the store was taken from any head, also with status 600 or 999; by reading, a higher era makes a router take what it knows for that of a copy before.

Both clients of stores fail with their error for a failed call now (httpanswer): it is counted and made again like any other. The older platform's client took 200 only and was safe before, by reading.

Of 8 entries "fails where the answer is none of HTTP" 7 failed before: five since Put returned no error, two since the era was 7. +200 did not.

--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/platform/platform.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/httpanswer"
 	"github.com/stepcroft/stepcroft/internal/port"
 )
 
@@ -39,7 +40,7 @@
 
 // New returns a client of the object API at address, given as host:port.
 func New(address string) *Client {
-	return &Client{base: "http://" + address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: httpanswer.New(&http.Transport{MaxResponseHeaderBytes: maxHeadBytes})}}
 }
 
 // Calls returns the number of calls made since the start.
