--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -42,7 +42,7 @@
 	const rest = "Content-Length: 1\r\n\r\nx"
 	const id = headerSeal + ": s\r\nX-Id: {id}\r\n"
 	for name, head := range map[string]string{
-		"000": "HTTP/1.1 000 x\r\n", "-00": "HTTP/1.1 -00 x\r\n", "099": "HTTP/1.1 099 x\r\n", "+200": "HTTP/1.1 +200 x\r\n",
+		"000": "HTTP/1.1 000 x\r\n", "-00": "HTTP/1.1 -00 x\r\n", "099": "HTTP/1.1 099 x\r\n", "+99": "HTTP/1.1 +99 x\r\n", "+200": "HTTP/1.1 +200 x\r\n",
 		"20": "HTTP/1.1 20 x\r\n", "2000": "HTTP/1.1 2000 x\r\n", "600": "HTTP/1.1 600 x\r\n", "999": "HTTP/1.1 999 x\r\n",
 		"101": "HTTP/1.1 101 x\r\n", "600 after 103": "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 600 x\r\n", "version 9.9": "HTTP/9.9 200 x\r\n",
 		"600, not run": "HTTP/1.1 600 x\r\nX-Not-Run: 1\r\n",
@@ -63,13 +63,19 @@
 		}
 	}
 
-	It("is not an interim answer without a final one", func() {
-		r := newRig()
-		r.configure(spec(1))
-		r.serve("t", sendRaw("HTTP/1.1 199 x\r\n"+id+"\r\n"))
-		Expect(r.post("/once/x").Status).To(Equal(http.StatusBadGateway))
-		Expect(r.invalidHeads()).To(BeZero())
-	})
+	for name, text := range map[string]string{
+		"199": "HTTP/1.1 199 x\r\n" + id + "\r\n", "100": "HTTP/1.1 100 x\r\n\r\n", "bytes without lines": "spoiled",
+	} {
+		It("is not the beginning of an answer: "+name, func() {
+			r := newRig()
+			r.configure(spec(1))
+			r.serve("t", sendRaw(text))
+			got := r.post("/once/x")
+			Expect(got.Status).To(Equal(http.StatusBadGateway))
+			Expect(got.Body).To(Equal("target-broken\n"))
+			Expect(r.invalidHeads()).To(BeZero())
+		})
+	}
 
 	It("is not an unusual status", func() {
 		r := newRig()
