Chunks in an answer of HTTP/1.0 are no content

A caller got "5\r\nhello\r\n0\r\n\r\n" with status 200 as the content of an answer of HTTP/1.0 with Transfer-Encoding: chunked.

Cause: http.ReadResponse drops the header in HTTP/1.0 and reads until the connection closes. RFC 9112, 6.1 has such a message treated as one whose framing is faulty. httpanswer.Read looks for the header before the standard library reads the head, in HTTP/1.0 only and as far as the reader's buffer holds the head (4 KB for targets). The standard library's own client doesn't show such heads, so that the project's own interface still passes them on.

TestChunksOfOldVersion failed for its four faulty forms, at once and byte by byte; the gateway's spec got 200.

--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -77,6 +77,14 @@
 		})
 	}
 
+	It("is not one with chunks in HTTP/1.0", func() {
+		r := newRig()
+		r.configure(spec(1))
+		r.serve("t", sendRaw("HTTP/1.0 200 x\r\n"+id+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"))
+		Expect(r.post("/once/x").Status).To(Equal(http.StatusBadGateway))
+		Expect(r.invalidHeads()).To(Equal(int64(1)))
+	})
+
 	It("is not an unusual status", func() {
 		r := newRig()
 		r.configure(spec(1))
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net/http"
 	"sync/atomic"
 
@@ -30,9 +31,40 @@
 	return nil
 }
 
+var (
+	oldVersion       = []byte("HTTP/1.0 ")
+	transferEncoding = []byte("transfer-encoding:")
+)
+
+// hasFaultyFraming reports whether an answer of HTTP/1.0 has a Transfer-Encoding (RFC 9112, section 6.1), which
+// http.ReadResponse drops. It sees no more of the head than the reader's buffer holds.
+func hasFaultyFraming(r *bufio.Reader) bool {
+	if b, _ := r.Peek(len(oldVersion)); !bytes.Equal(b, oldVersion) {
+		return false
+	}
+	for {
+		b, _ := r.Peek(r.Buffered())
+		for line := range bytes.Lines(b) {
+			line = bytes.TrimRight(line, "\r\n")
+			if len(line) == 0 {
+				return false
+			}
+			if len(line) >= len(transferEncoding) && bytes.EqualFold(line[:len(transferEncoding)], transferEncoding) {
+				return true
+			}
+		}
+		if _, err := r.Peek(len(b) + 1); err != nil {
+			return false
+		}
+	}
+}
+
 // Read reads the head of the final answer to a request with a method. It skips interim (1xx) answers.
 func Read(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
+		if hasFaultyFraming(r) {
+			return nil, errors.Wrap(ErrInvalid, "HTTP/1.0 with a Transfer-Encoding")
+		}
 		res, err := http.ReadResponse(r, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
--- a/internal/httpanswer/httpanswer_test.go
+++ b/internal/httpanswer/httpanswer_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/pkg/errors"
 
@@ -52,6 +53,22 @@
 	}
 }
 
+// Guards against returning the signs of chunks as content.
+func TestChunksOfOldVersion(t *testing.T) {
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+	for text, want := range map[string]bool{
+		"HTTP/1.0 200 x\r\n" + chunks: false, "HTTP/1.0 200 x\r\nContent-Length: 1\r\n" + strings.ToLower(chunks): false,
+		"HTTP/1.1 103 x\r\n\r\nHTTP/1.0 200 x\r\n" + chunks: false, "HTTP/1.0 200 x\nA: b\nTRANSFER-ENCODING:identity\n\nx": false,
+		"HTTP/1.1 200 x\r\n" + chunks: true, "HTTP/1.0 200 x\r\nA: b\r\n\r\n" + chunks: true,
+	} {
+		for name, source := range map[string]io.Reader{"at once": strings.NewReader(text), "by bytes": iotest.OneByteReader(strings.NewReader(text))} {
+			if _, err := httpanswer.Read(bufio.NewReader(source), http.MethodPost); (err == nil) != want {
+				t.Errorf("%q, %s: %v", text, name, err)
+			}
+		}
+	}
+}
+
 // Guards against taking the answer that follows bytes in its place for that of the next request on the connection.
 func TestAnswerAfterAnInvalidOneIsNotTakenForTheNextRequests(t *testing.T) {
 	var requests int
