--- a/internal/forward/invalid_answer_test.go
+++ b/internal/forward/invalid_answer_test.go
@@ -180,6 +180,7 @@
 		"-00": {"", "HTTP/1.1 -00 x", length}, "+200": {"", "HTTP/1.1 +200 x", length}, "20": {"", "HTTP/1.1 20 x", length},
 		"2000": {"", "HTTP/1.1 2000 x", length}, "600": {"", "HTTP/1.1 600 x", length}, "999": {"", "HTTP/1.1 999 x", length},
 		"101": {"", "HTTP/1.1 101 x", length}, "000, chunks": {"", "HTTP/1.1 000 x", chunks}, "600, chunks": {"", "HTTP/1.1 600 x", chunks},
+		"000, no content":   {"", "HTTP/1.1 000 x", "Content-Length: 0\r\n\r\n"},
 		"600, not run":      {"", "HTTP/1.1 600 x", headerNotRun + ": 1\r\n" + length},
 		"000 after interim": {interim, "HTTP/1.1 000 x", length}, "600 after interim": {interim, "HTTP/1.1 600 x", length},
 		"version 9.9": {"", "HTTP/9.9 200 x", length}, "version 2.0": {"", "HTTP/2.0 200 x", length},
