--- a/internal/explain/streams/faults.go
+++ b/internal/explain/streams/faults.go
@@ -181,7 +181,7 @@
 	if a.evidence() == forward.JoinEvidence(streamversion.EvidenceRecord) {
 		return
 	}
-	if others := c.seen.others(a.route, a.firstService(), version, a.firstEvent()); len(others) > 0 {
+	if others := c.seen.others(begun{a.route, a.firstService(), version, a.config, a.firstEvent()}); len(others) > 0 {
 		c.add(TwoVersions, true, "%s takes it up behind event %s at %s, while no line tells the version that began it, and others of its route or service began at version %s",
 			a.Router, a.After, c.firstVersionText(a), strings.Join(others, ", "))
 	}
--- a/internal/explain/streams/lines.go
+++ b/internal/explain/streams/lines.go
@@ -58,7 +58,9 @@
 	Joins     []Join `json:"joins"`
 	// unclear is set if it may have sent events that its line does not tell of.
 	unclear bool
-	route   string
+	// config is the version of the configuration by which the request was routed, 0 if it is not known.
+	route  string
+	config int64
 }
 
 // Beginning is the beginning of a stream, as its router told it at once.
@@ -81,7 +83,7 @@
 		ID: l.Text("id"), Router: l.Router, Time: l.Time.UTC(), Took: l.Number("took_ms"),
 		After: l.Text("after"), Resumes: l.Text("resumes"), VersionBy: l.Text("version_by"),
 		Runs: runs, Events: int(l.Number("events")), LastEvent: l.Text("last_event"), Process: l.Text("process"),
-		Version: l.Text("run_version"), Service: l.Text("run_service"), route: l.Text("route"), SkippedIDs: int64(l.Number("skipped_ids")),
+		Version: l.Text("run_version"), Service: l.Text("run_service"), route: l.Text("route"), config: int64(l.Number("config")), SkippedIDs: int64(l.Number("skipped_ids")),
 		End: lifecycle.End(l.Text("end")), Status: status, Reason: l.Text("reason"), Joins: []Join{}, unclear: runs == 0 && status == http.StatusOK && l.Number("first_ms") > 0,
 	}
 }
--- a/internal/explain/streams/search.go
+++ b/internal/explain/streams/search.go
@@ -6,7 +6,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/stepcroft/stepcroft/internal/explain"
 	"github.com/stepcroft/stepcroft/internal/explain/routerlog"
@@ -81,7 +80,7 @@
 		}
 	case MessageBegan:
 		b := newBeginning(l)
-		s.noteSeen("", b.Service, b.Version, b.Time)
+		s.noteSeen(begun{service: b.Service, version: b.Version, at: b.Time})
 	case msgUndelivered:
 		if len(s.undelivered) < maxLines {
 			s.undelivered[answerKey{l.Router, l.Text("id")}] = true
@@ -103,7 +102,7 @@
 	if a.begins() {
 		if a.Runs > 0 {
 			s.counts.Begun++
-			s.noteSeen(a.route, a.Service, a.Version, a.begun())
+			s.noteSeen(begun{a.route, a.Service, a.Version, a.config, a.begun()})
 		}
 		if a.Runs > 1 && s.streams[a.ID] == nil {
 			s.keep(a.ID, 1)
@@ -122,8 +121,8 @@
 	}
 }
 
-func (s *Search) noteSeen(route, service, version string, at time.Time) {
-	if !s.seen.add(route, service, version, at) {
+func (s *Search) noteSeen(b begun) {
+	if !s.seen.add(b) {
 		s.gaps.LeftOut++
 	}
 }
--- a/internal/explain/streams/sightings.go
+++ b/internal/explain/streams/sightings.go
@@ -23,55 +23,77 @@
 
 // sightings has when streams began at each version, by their routes and services.
 type sightings struct {
-	// byPlace holds the first time in each minute.
-	byPlace map[place]map[string]map[int64]time.Time
+	byPlace map[place]map[string]map[int64]sighting
 	count   int
 }
 
-func newSightings() *sightings {
-	return &sightings{byPlace: map[place]map[string]map[int64]time.Time{}}
+// sighting is what is known of a minute.
+type sighting struct {
+	// first is the first time in it, config the version of the configuration by which requests were routed, and several is
+	// set if there were several.
+	first   time.Time
+	config  int64
+	several bool
 }
 
-// add notes that a stream of a route and a service began at a version. It returns false if there is no more room.
-func (s *sightings) add(route, service, version string, at time.Time) bool {
-	if version == "" || at.IsZero() {
+func newSightings() *sightings { return &sightings{byPlace: map[place]map[string]map[int64]sighting{}} }
+
+// begun is a stream that has begun: its route and its service, either empty if it is not known, and the version of the
+// configuration by which its request was routed, 0 if that is not known.
+type begun struct {
+	route, service, version string
+	config                  int64
+	at                      time.Time
+}
+
+func (b begun) places() []place {
+	return slices.DeleteFunc([]place{{name: b.route}, {service: true, name: b.service}}, func(p place) bool { return p.name == "" })
+}
+
+// add notes that a stream began. It returns false if there is no more room.
+func (s *sightings) add(b begun) bool {
+	if b.version == "" || b.at.IsZero() {
 		return true
 	}
 	ok := true
-	for _, p := range []place{{name: route}, {service: true, name: service}} {
-		if p.name == "" {
-			continue
-		}
+	for _, p := range b.places() {
 		if s.byPlace[p] == nil {
-			s.byPlace[p] = map[string]map[int64]time.Time{}
+			s.byPlace[p] = map[string]map[int64]sighting{}
 		}
-		if s.byPlace[p][version] == nil {
-			s.byPlace[p][version] = map[int64]time.Time{}
+		if s.byPlace[p][b.version] == nil {
+			s.byPlace[p][b.version] = map[int64]sighting{}
 		}
-		minutes, minute := s.byPlace[p][version], at.Unix()/60
-		switch first, seen := minutes[minute]; {
-		case seen && !at.Before(first):
-		case !seen && s.count >= maxSightings:
+		minutes, minute := s.byPlace[p][b.version], b.at.Unix()/60
+		of, seen := minutes[minute]
+		if !seen && s.count >= maxSightings {
 			ok = false
-		default:
-			if !seen {
-				s.count++
-			}
-			minutes[minute] = at
+			continue
+		}
+		if !seen {
+			s.count++
+			of = sighting{first: b.at, config: b.config}
+		}
+		if b.at.Before(of.first) {
+			of.first = b.at
 		}
+		of.several = of.several || b.config != of.config
+		minutes[minute] = of
 	}
 	return ok
 }
 
-// others returns the versions but one at which streams of a route or a service began within the time before another
-// time for which callers may take one up.
-func (s *sightings) others(route, service, version string, at time.Time) []string {
+// others returns the versions but that of a stream at which other streams of its service began within the time for which
+// callers may take one up, or others of its route by another configuration: by one configuration the route leads the requests
+// for a stream to one service.
+func (s *sightings) others(b begun) []string {
 	found := map[string]bool{}
-	from, to := at.Add(-streamversion.TTL-clockTolerance), at.Add(clockTolerance)
-	for _, p := range []place{{name: route}, {service: true, name: service}} {
+	from, to := b.at.Add(-streamversion.TTL-clockTolerance), b.at.Add(clockTolerance)
+	for _, p := range b.places() {
 		for other, minutes := range s.byPlace[p] {
 			for minute := from.Unix() / 60; minute <= to.Unix()/60; minute++ {
-				if first, seen := minutes[minute]; seen && other != version && !first.After(to) {
+				of, seen := minutes[minute]
+				mayDiffer := p.service || of.several || of.config == 0 || of.config != b.config
+				if seen && other != b.version && mayDiffer && !of.first.After(to) {
 					found[other] = true
 				}
 			}
