An answer about earlier configurations does not end a later read

A late answer to a read of the configurations since one could count as that of a read since a later one, which a router that stood still meanwhile had asked for. By reading, not seen with callers. The check in TestTakeUpAfterMissedConfigurations failed before.

--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -70,12 +70,13 @@
 	g.endPastRead()
 }
 
-// ConfigsRead records the configurations that have come into force since what was stored of routes; known is false if the
-// store does not have them all any more.
-func (g *Gateway) ConfigsRead(later []*routing.Table, known bool) {
+// ConfigsRead records the configurations that have come into force since one of a revision; known is false if the store does
+// not have them all any more.
+func (g *Gateway) ConfigsRead(since int64, later []*routing.Table, known bool) {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		switch {
-		case g.streamStore.routes == nil:
+		case g.streamStore.routes == nil || g.streamStore.routes.configAt != since:
+			// It answers an earlier read.
 		case known:
 			g.endRestoreRoutes(now, later)
 		default:
--- a/internal/gateway/routes_internal_test.go
+++ b/internal/gateway/routes_internal_test.go
@@ -94,9 +94,9 @@
 	}{
 		"nothing has changed":           {configAt: 7, want: streamversion.Answer{Known: true, Confirmed: true, Version: "v1", Evidence: streamversion.EvidenceOnlyVersion}},
 		"not read yet":                  {configAt: 5},
-		"it did not move":               {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(nil, true) }, want: streamversion.Answer{Known: true, Confirmed: true, Version: "v1", Evidence: streamversion.EvidenceOnlyVersion}},
-		"it led elsewhere meanwhile":    {configAt: 5, read: func(g *Gateway) { g.ConfigsRead([]*routing.Table{before, tableTo(t, 2, "x")}, true) }, want: streamversion.Answer{Confirmed: true}},
-		"the store has no history left": {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(nil, false) }, want: streamversion.Answer{Confirmed: true}},
+		"it did not move":               {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(5, nil, true) }, want: streamversion.Answer{Known: true, Confirmed: true, Version: "v1", Evidence: streamversion.EvidenceOnlyVersion}},
+		"it led elsewhere meanwhile":    {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(5, []*routing.Table{before, tableTo(t, 2, "x")}, true) }, want: streamversion.Answer{Confirmed: true}},
+		"the store has no history left": {configAt: 5, read: func(g *Gateway) { g.ConfigsRead(5, nil, false) }, want: streamversion.Answer{Confirmed: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -154,7 +154,12 @@
 				if len(store.reads) == 0 || <-store.reads != 7 {
 					t.Error("not read from the configuration before on")
 				}
-				g.ConfigsRead(c.later, true)
+				// That answers an earlier read.
+				g.ConfigsRead(5, nil, true)
+				if got := takeUpAt(t, g, "z"); got != (streamversion.Answer{}) {
+					t.Errorf("after an earlier read: %+v", got)
+				}
+				g.ConfigsRead(7, c.later, true)
 			}
 			if got := takeUpAt(t, g, "z"); got != c.want {
 				t.Errorf("got %+v, want %+v", got, c.want)
@@ -178,7 +183,7 @@
 	if n := len(store.reads); n < 2 || n > int(wait/historyInterval)+1 {
 		t.Errorf("%d reads in %v", n, wait)
 	}
-	g.ConfigsRead(nil, true)
+	g.ConfigsRead(5, nil, true)
 	if a := takeUpAt(t, g, "x"); a.Version != "v1" {
 		t.Errorf("after it is read: %+v", a)
 	}
