What a target took for one service is not counted for another

A target whose entry names another service than before counted there by what was learnt of it for the service before: a plain one might get four times its slots at once (16 where 6 may run), and the speed of an engine was not learnt for its new service while its old times stayed in the mean of the service before. By reading, the first lasts for some twenty answers (each counts for a twentieth of the mean), the second for 30 s at most (the time to live of sums).

Both are forgotten now as the entry changes. A report of a router that has not read the entry no longer keeps an engine from being compared at its own service.

Health, backoff, caches and requests that run stay with the process, which is the same. No play of a fleet was made; what it costs was not measured.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -85,7 +85,7 @@
 		factor = s.factor(now, t.target)
 	}
 	// An engine that fails answers at once. Taken for speed, that would attract all requests.
-	if s.comparesSpeeds(t.Service) && !t.ServerError.Load() {
+	if t.target.Service == t.Service && s.comparesSpeeds(t.Service) && !t.ServerError.Load() {
 		own := pace.Reference(pace.Work{Uncached: t.work.Uncached})
 		part := float64(own) / float64(pace.Reference(t.work))
 		s.speeds.Observe(now, t.Service, t.target.incarnation, own, time.Duration(part*float64(took)))
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -83,6 +83,9 @@
 			s.unlist(now, old)
 			old = nil
 		case old.Service != t.Service || old.Zone != t.Zone:
+			if old.Service != t.Service {
+				s.forgetService(old)
+			}
 			s.removeFromService(old)
 			added[t.Service] = append(added[t.Service], old)
 		}
@@ -115,6 +118,14 @@
 	}
 }
 
+// forgetService forgets what a target took for requests to its service, which says nothing about another one.
+func (s *State) forgetService(t *target) {
+	s.speeds.Discard(t.incarnation)
+	if t.activity != noActivity {
+		t.serviceTime = 0
+	}
+}
+
 func count(b bool) int {
 	if b {
 		return 1
--- a/internal/enginespeed/bounds_test.go
+++ b/internal/enginespeed/bounds_test.go
@@ -154,3 +154,24 @@
 		t.Errorf("totals after a removal are %v, want those of the other router", list)
 	}
 }
+
+// TestLateReportOfAnotherService guards against an engine that counts for the service that its entry named before, since a
+// router that has not read its entry reports it, and not for its own.
+func TestLateReportOfAnotherService(t *testing.T) {
+	now := start
+	late, b := enginespeed.New(now), enginespeed.New(now)
+	for range 20 {
+		late.Observe(now, "before", "moves", 100*ms, 70*ms)
+		b.Observe(now, "after", "other", 100*ms, 100*ms)
+	}
+	b.SetPeer(now, "late", late.Take(now.Add(time.Second)))
+	for range 20 {
+		b.Observe(now, "after", "moves", 100*ms, 200*ms)
+	}
+	if got := b.Lookup(now, "after", "moves"); got < 1.2 {
+		t.Errorf("factor %.2f, want over 1.2", got)
+	}
+	if all := b.Summaries(now); all["before"].Engines != 0 {
+		t.Errorf("engines of the service before: %+v", all)
+	}
+}
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -154,6 +154,10 @@
 	if !seen.valid() {
 		return
 	}
+	if e := b.engines[target]; e != nil && e.name != service {
+		// Peers may not know yet that it belongs to another service.
+		b.Discard(target)
+	}
 	e := b.engine(service, target)
 	if e == nil {
 		return
