Tests: requests keep organisation and service as the configuration changes

Places where what is in use might have been named by the configuration of the moment, and is not: the service of a request that waits, is sent again or goes on, as a split route gets other weights; the organisation that targets are told as it is renamed, its key moves, or it goes and comes back; roll-outs of targets whose entry names another service.

--- a/internal/balance/moved_internal_test.go
+++ b/internal/balance/moved_internal_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/feature"
+	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -64,3 +65,39 @@
 		}
 	}
 }
+
+// TestRolloutOfMovedTarget shows that roll-outs are those of the service that a target's entry names now, and requests
+// those of the service that they were admitted for.
+func TestRolloutOfMovedTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		ordered string
+		refused Reason
+	}{
+		"rolled back at its service":         {ordered: "after", refused: NoAllowedTarget},
+		"rolled back at the one before":      {ordered: "before"},
+		"rolled back at a service of others": {ordered: "other"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(now, "z", Limits{RetryWindow: time.Second, QuotaWindow: 4 * time.Second}, rand.New(rand.NewPCG(1, 2)))
+			tracker := rollout.New(0.1, func() float64 { return 0 })
+			tracker.SetOrders(now, []rollout.Order{{Service: c.ordered, Version: "v2", Duration: time.Minute, State: rollout.RolledBack}})
+			s.SetRollouts(tracker)
+			entry := Target{ID: "moves", Service: "before", Zone: "z", Slots: 4, Born: 1, Version: "v2"}
+			s.SetTargets(now, []Target{entry})
+			entry.Service = "after"
+			s.ChangeTargets(now, []Target{entry}, nil)
+			k := &Ticket{ID: "t", Service: "after", Goal: time.Second, Arrived: now, Deadline: now.Add(time.Minute), Decision: make(chan Decision, 1)}
+			s.Arrive(now, k)
+			if d := <-k.Decision; d.Refused != c.refused {
+				t.Errorf("refused %q, want %q", d.Refused, c.refused)
+			}
+			old := &Ticket{ID: "o", Service: "before", Goal: time.Second, Arrived: now, Deadline: now.Add(time.Minute), Decision: make(chan Decision, 1)}
+			s.Arrive(now, old)
+			s.Tick(now.Add(2 * time.Second))
+			if d := <-old.Decision; d.Refused == "" {
+				t.Errorf("a request to the service before was sent to %s", d.Target.ID)
+			}
+		})
+	}
+}
--- a/internal/gateway/reconfigure_test.go
+++ b/internal/gateway/reconfigure_test.go
@@ -22,6 +22,11 @@
 	"service of the routes": func(c *routing.Spec) {
 		eachRoute(c, func(r *routing.Route) { r.Shares = []routing.Share{{Service: "other"}} })
 	},
+	"weights": func(c *routing.Spec) {
+		eachRoute(c, func(r *routing.Route) {
+			r.Shares = []routing.Share{{Service: "other", Weight: 99}, {Service: "s", Weight: 1}}
+		})
+	},
 	"attempts":             func(c *routing.Spec) { eachRoute(c, func(r *routing.Route) { r.MaxAttempts = 1 }) },
 	"resumable":            func(c *routing.Spec) { eachRoute(c, func(r *routing.Route) { r.Resumable = false }) },
 	"keys":                 func(c *routing.Spec) { c.Organisations[0].Keys = []string{"other"} },
@@ -263,3 +268,52 @@
 		})
 	}
 })
+
+// This guards against targets that are told another organisation than that of the key by which the request was admitted.
+var _ = Describe("The organisation that targets are told", func() {
+	for name, change := range map[string]func(c *routing.Spec){
+		"renamed": func(c *routing.Spec) { c.Organisations = []routing.Organisation{{Name: "p", Keys: []string{"key"}}} },
+		"key moves": func(c *routing.Spec) {
+			c.Organisations = []routing.Organisation{{Name: "o", Keys: []string{"other"}}, {Name: "p", Keys: []string{"key"}}}
+		},
+		"goes and comes back": func(c *routing.Spec) {
+			c.Organisations = []routing.Organisation{{Name: "p", Keys: []string{"key"}}, {Name: "o", Keys: []string{"other"}}}
+		},
+	} {
+		It("is that of the request's key at its admission: "+name, func() {
+			r := newRig()
+			r.configure(admitting(1))
+			told := make(chan string, 4)
+			var sends atomic.Int64
+			handler := func(w http.ResponseWriter, q *http.Request) {
+				told <- q.Header.Get(headerNames.Organisation)
+				if sends.Add(1) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				answer(w, q)
+			}
+			first, second := make(chan reply, 1), make(chan reply, 1)
+			background(func() { first <- r.post("/many/x") })
+			time.Sleep(50 * time.Millisecond)
+			c := admitting(2)
+			change(&c)
+			r.configure(c)
+			r.Addresses(GinkgoT().Context(), "z")
+			background(func() { second <- r.post("/many/x") })
+			time.Sleep(50 * time.Millisecond)
+			c = admitting(3)
+			r.configure(c)
+			r.serve("a", handler)
+			r.serve("b", handler)
+			Eventually(first, 5*time.Second).Should(Receive(HaveField("Status", http.StatusOK)))
+			Eventually(second, 5*time.Second).Should(Receive(HaveField("Status", http.StatusOK)))
+			Expect(r.post("/many/x")).To(HaveField("Status", http.StatusOK))
+			close(told)
+			count := map[string]int{}
+			for organisation := range told {
+				count[organisation]++
+			}
+			Expect(count).To(Or(Equal(map[string]int{"o": 3, "p": 1}), Equal(map[string]int{"o": 2, "p": 2})), "one of them was sent twice")
+		})
+	}
+})
