--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -343,3 +343,32 @@
 		t.Errorf("got %q, want v1", got)
 	}
 }
+
+// TestUnrecordedVersionOfStreamsBeforeLimit guards against taking a stream for one of a version that is the only one in the
+// regions where its rest may be served, though it began before they were limited.
+func TestUnrecordedVersionOfStreamsBeforeLimit(t *testing.T) {
+	RegisterTestingT(t)
+	stored, other := versioned("a", "v1"), versioned("b", "v2")
+	stored.Zone, stored.Revision, stored.Leaving, other.Revision = "y", 3, true, 5
+	w := newWorld(0)
+	w.SetRegions(map[string]string{"z": "far", "y": "near"})
+	w.RequireStoredVersions()
+	w.SetTargets(w.now, []balance.Target{stored, other})
+	w.SetStoredVersions(w.now, serviceVersions("v1"))
+	k := w.prompt("o", "s", 100)
+	k.Stream, k.StreamID = true, "s"
+	if d := w.arrive(k); d == nil || d.Target.ID != "b" {
+		t.Fatalf("the stream did not begin at the other version: %+v", d)
+	}
+	stored.Leaving, stored.Revision = false, 9
+	started := newWorld(0)
+	started.SetRegions(map[string]string{"z": "far", "y": "near"})
+	started.RestoreVersions(started.now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
+	started.SetTargets(started.now, []balance.Target{stored, other})
+	if version, _ := started.UnrecordedVersion(started.now, "llm"); version != "" {
+		t.Errorf("without a limit, the stream is taken for one of %s", version)
+	}
+	if version, why := started.UnrecordedVersionIn(started.now, "llm", limited("near").RegionsOf(&routing.Route{}, "o")); version != "" {
+		t.Errorf("a stream that began at v2 before the limit is taken for one of %s by %s", version, why)
+	}
+}
