Unknown routes cost no records for a minute

A record is needed only while another router may still have a configuration that this one lacks: for 6 s after one has come into force here. Later on all have the services in their histories to which this one's routes lead. Configurations that were missed are read once a stream without a record is taken up, not by each router as it notices.

--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -15,7 +15,8 @@
 type storedRoutes struct {
 	uses     []routehistory.Use
 	configAt int64
-	// readAt is when the configurations may be read again.
+	// wanted is set if the configurations since are to be read, and readAt is when they may be read again.
+	wanted bool
 	readAt time.Time
 }
 
@@ -72,7 +73,7 @@
 		g.endRestoreRoutes(now, nil)
 	case g.routes.Known(now):
 		g.streamStore.routes = nil
-	case !now.Before(stored.readAt):
+	case stored.wanted && !now.Before(stored.readAt):
 		stored.readAt = now.Add(historyInterval)
 		g.StreamStore.ReadConfigs(stored.configAt)
 	}
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -110,7 +110,7 @@
 			g.streamStore.saved = servedSet(stored.Versions)
 		}
 		if !stored.RoutesUnknown {
-			g.streamStore.routes = &storedRoutes{uses: stored.Routes, configAt: stored.ConfigAt}
+			g.streamStore.routes = &storedRoutes{uses: stored.Routes, configAt: stored.ConfigAt, wanted: true}
 			if stored.ConfigAt < streamversion.NoStreams {
 				g.streamStore.savedConfig = stored.ConfigAt
 			}
@@ -146,6 +146,10 @@
 func (g *Gateway) awaitsPast(s *balance.State, now time.Time, t forward.TakeUp) bool {
 	p := &g.streamStore
 	needed := p.routes != nil
+	if needed {
+		p.routes.wanted = true
+		g.restoreRoutes(now)
+	}
 	for _, service := range g.servicesOf(now, t) {
 		since, neededHere := s.NeededPast(now, service, t.Regions)
 		needed = needed || neededHere
@@ -214,7 +218,7 @@
 // streamStoreIdle reports whether storeStreams need not be called.
 func (g *Gateway) streamStoreIdle() bool {
 	return g.StreamStore == nil ||
-		!g.streams.Unsaved() && !g.streamStore.changed && g.streamStore.routes == nil && g.storeEra() <= g.streamStore.era
+		!g.streams.Unsaved() && !g.streamStore.changed && (g.streamStore.routes == nil || !g.streamStore.routes.wanted) && g.storeEra() <= g.streamStore.era
 }
 
 // storeEra returns the era of the store as far as this router knows.
--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -18,6 +18,9 @@
 // once it has its length.
 const maxUses = 1 << 15
 
+// maxDelay is how long other routers may take to put a configuration in force after this one.
+const maxDelay = 6 * time.Second
+
 // Key identifies a route by its host and path prefix. Names of routes may change while streams run.
 type Key uint64
 
@@ -74,8 +77,9 @@
 	routes map[Key]*route
 	// changedAt is when a route's services changed last.
 	changedAt time.Time
-	// table is the configuration in force.
+	// table is the configuration in force, since setAt.
 	table *routing.Table
+	setAt time.Time
 	// startedAt is from when the history is known unless it was restored, once a configuration is.
 	startedAt time.Time
 	restored  bool
@@ -92,7 +96,7 @@
 	if h.table == nil {
 		h.startedAt = now
 	}
-	h.table = t
+	h.table, h.setAt = t, now
 	h.expire(now)
 	changed := false
 	present := make(map[Key]bool, len(h.routes))
@@ -179,6 +183,9 @@
 // in force that it lacks.
 func (h *History) Forget(now time.Time) { h.startedAt, h.restored = now, false }
 
+// IsAhead reports whether other routers may not have the configuration in force yet.
+func (h *History) IsAhead(now time.Time) bool { return h.table == nil || now.Sub(h.setAt) <= maxDelay }
+
 // HasChanged reports whether the services of any route have changed within the history's length.
 func (h *History) HasChanged(now time.Time) bool {
 	return !h.changedAt.IsZero() && now.Sub(h.changedAt) <= h.keep
@@ -291,7 +298,7 @@
 		restored.Set(now, h.table)
 	}
 	restored.changedAt = latest(restored.changedAt, h.changedAt)
-	restored.startedAt, restored.restored = h.startedAt, true
+	restored.startedAt, restored.setAt, restored.restored = h.startedAt, h.setAt, true
 	*h = *restored
 }
 
