Missed configurations cost records only where all others may differ

What a router lacks by an outage of the store lies in the histories of the others beside the configuration that it had before, so that none of them takes a stream for one of a version that this router's routes never led to. Records are needed only from one whose history may have nothing in common with theirs: it has just started and could not restore, or was cut off for a minute.

--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -79,8 +79,7 @@
 	if !only || s.routes == nil {
 		return !only
 	}
-	// Of others that still have a configuration which this router has missed, each may take the stream for one of its service.
-	if !s.routes.Known(now) && s.routes.IsAhead(now) {
+	if s.routes.MayContradict(now) {
 		return true
 	}
 	return slices.ContainsFunc(s.routes.Services(now, t.Host, t.Path, t.StreamID, t.Service), func(service string) bool {
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -43,7 +43,7 @@
 	if g.routes.Known(now) {
 		g.streamStore.routes = &storedRoutes{uses: g.routes.Uses(now), configAt: config}
 	}
-	g.routes.Forget(now)
+	g.routes.Forget(now, age)
 }
 
 // moveTTL is how long it is remembered to which services routes led, as long as parts of prompts are held back.
--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -83,11 +83,13 @@
 	// startedAt is from when the history is known unless it was restored, once a configuration is.
 	startedAt time.Time
 	restored  bool
+	// blind is set if, while the history is not known, it may lack all that others have of the same time.
+	blind bool
 }
 
 // New returns a history of the last time of a length.
 func New(now time.Time, keep time.Duration) *History {
-	return &History{keep: keep, routes: map[Key]*route{}, startedAt: now}
+	return &History{keep: keep, routes: map[Key]*route{}, startedAt: now, blind: true}
 }
 
 // Set puts a configuration in force, and reports whether the services of any route have changed.
@@ -171,7 +173,7 @@
 			delete(h.routes, k)
 		}
 	}
-	h.startedAt, h.restored = now, false
+	h.startedAt, h.restored, h.blind = now, false, true
 }
 
 // Known reports whether the history has all configurations that were in force within its length.
@@ -180,11 +182,17 @@
 }
 
 // Forget makes the history unknown until it is restored or as long as its length has passed: configurations may have been
-// in force that it lacks.
-func (h *History) Forget(now time.Time) { h.startedAt, h.restored = now, false }
+// in force that it lacks, for a time.
+func (h *History) Forget(now time.Time, missed time.Duration) {
+	h.blind = !h.Known(now) && h.blind || missed > h.keep
+	h.startedAt, h.restored = now, false
+}
 
-// IsAhead reports whether other routers may not have the configuration in force yet.
-func (h *History) IsAhead(now time.Time) bool { return h.table == nil || now.Sub(h.setAt) <= maxDelay }
+// MayContradict reports whether other routers may have none of the services of this history in theirs: they may not have
+// the configuration in force yet, and none of those before is known here.
+func (h *History) MayContradict(now time.Time) bool {
+	return !h.Known(now) && h.blind && (h.table == nil || now.Sub(h.setAt) <= maxDelay)
+}
 
 // HasChanged reports whether the services of any route have changed within the history's length.
 func (h *History) HasChanged(now time.Time) bool {
