Lines of requests say how the end of an answer was marked

Now each line of a whole answer has framing, one without a length or chunks also complete_by, and unframed_ends counts both ends by evidence. No logic changes.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -97,6 +97,7 @@
 	if part.whole == nil {
 		return x.forwardUnbuffered(a, part.begin)
 	}
+	x.noteEnd(a)
 	x.writeAnswer(part.whole)
 	return nil
 }
@@ -189,6 +190,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			x.noteEnd(a)
 			return nil
 		}
 		if err != nil {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -154,6 +154,10 @@
 	// request was not sent again then; both are empty for others.
 	ExchangeEnd Reason
 	NotRetried  NotRetried
+	// Framing is what marked the end of the answer, and CompleteBy what showed that it was complete; both are empty if
+	// no whole answer was forwarded.
+	Framing    httptarget.Framing
+	CompleteBy httptarget.Evidence
 	// TargetID is the id of the last target that was chosen, TargetVersion the version of its
 	// software.
 	TargetID, TargetVersion string
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -263,6 +263,7 @@
 				return overtaken()
 			}
 			x.startStream(a)
+			x.noteEnd(a)
 			return nil
 		}
 		if err != nil {
@@ -273,6 +274,11 @@
 	}
 }
 
+// noteEnd notes how the end of a whole answer was marked.
+func (x *inflight) noteEnd(a *httptarget.Answer) {
+	x.result.Framing, x.result.CompleteBy = a.Framing(), a.CompleteBy()
+}
+
 // maxCoalescePercent is the longest time, in percent of the route's maximum pause, for which a
 // router that is short of processor time collects events before it forwards them together.
 // The rest of the pause is left to the engine and to the router's own queue. For a stream of
--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -43,13 +43,14 @@
 	}
 	ended, plainly := endOf(a.conn)
 	a.transport.unframedAnswers.Add(1)
-	a.cut = a.brokenWrite()
+	a.evidence, a.cut = ByReset, a.brokenWrite()
 	if a.cut == nil {
-		a.cut = a.transport.checkExited(a.ctx, a.conn.endpoint)
+		a.evidence, a.cut = a.transport.checkExited(a.ctx, a.conn.endpoint)
 	}
 	if a.cut == nil && plainly && a.transport.endedWithAll(ended) {
-		a.cut = errProcessExited
+		a.evidence, a.cut = ByOtherEnds, errProcessExited
 	}
+	a.transport.countEnd(a.evidence)
 	if a.cut == nil {
 		return io.EOF
 	}
@@ -82,8 +83,9 @@
 
 // exitCheck is a check that began at a time.
 type exitCheck struct {
-	exited bool
-	began  time.Time
+	exited   bool
+	evidence Evidence
+	began    time.Time
 }
 
 // checkExited returns errProcessExited if the process of a target that has closed a connection has exited or is about
@@ -97,7 +99,7 @@
 //
 // That other connections are open tells nothing, used or not, since their ends may have been lost on the way: the kernel
 // repeats them after 200 ms at the earliest, and a reset never. Concurrent calls for the same process share their checks.
-func (t *Transport) checkExited(ctx context.Context, e endpoint) error {
+func (t *Transport) checkExited(ctx context.Context, e endpoint) (Evidence, error) {
 	called := clock.Now()
 	for {
 		checked := make(chan exitCheck, 1)
@@ -107,14 +109,14 @@
 		})
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(errEndUnknown, "check whether the process has exited: %v", context.Cause(ctx))
+			return ByNothing, errors.Wrapf(errEndUnknown, "check whether the process has exited: %v", context.Cause(ctx))
 		case c := <-checked:
 			if c.exited {
-				return errProcessExited
+				return c.evidence, errProcessExited
 			}
 			// That the process ran when an earlier check began tells nothing about this call.
 			if !c.began.Before(called) {
-				return nil
+				return c.evidence, nil
 			}
 		}
 	}
@@ -122,14 +124,16 @@
 
 func (t *Transport) checkExit(ctx context.Context, e endpoint) exitCheck {
 	ctx = context.WithoutCancel(ctx)
-	c := exitCheck{began: clock.Now()}
+	c := exitCheck{began: clock.Now(), evidence: ByNothing}
 	for range exitChecks {
 		group.SleepUntil(ctx, clock.Now().Add(exitCheckInterval))
 	}
 	for range maxExitProbes {
 		made, err := t.probe(ctx, e)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.exited = !t.delivers(ctx, e)
+			if c.evidence = ByBytes; !t.delivers(ctx, e) {
+				c.exited, c.evidence = true, ByRefusal
+			}
 			break
 		}
 		if err != nil {
@@ -137,6 +141,7 @@
 		}
 		group.SleepUntil(ctx, clock.Now().Add(exitCheckInterval))
 		if !sockopt.RemoteClosed(made.Conn) {
+			c.evidence = ByConnection
 			break
 		}
 	}
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -110,6 +110,8 @@
 	// CutUnframedAnswers those of them that were not complete, as their target's process exited or the connection was reset.
 	UnframedAnswers    int64 `json:"unframed_answers"`
 	CutUnframedAnswers int64 `json:"cut_unframed_answers"`
+	// UnframedEnds counts the answers of UnframedAnswers by what showed that they were complete or cut.
+	UnframedEnds map[Evidence]int64 `json:"unframed_ends"`
 }
 
 // Transport holds the connections to targets. Use New to make one. It is safe for concurrent
@@ -132,6 +134,8 @@
 	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads, invalidHeads atomic.Int64
 
 	unframedAnswers, cutUnframedAnswers atomic.Int64
+	// unframedEnds is guarded by mu.
+	unframedEnds map[Evidence]int64
 }
 
 // New returns a transport that runs its goroutines in g.
@@ -143,6 +147,8 @@
 
 		broken: map[endpoint]breakSign{},
 		ends:   map[endpoint][]end{},
+
+		unframedEnds: map[Evidence]int64{},
 		dialer: net.Dialer{
 			Timeout:   dialTimeout,
 			KeepAlive: -1,
@@ -157,7 +163,7 @@
 		Dialled: t.dialled.Load(), DialFailed: t.dialFailed.Load(), Reused: t.reused.Load(),
 		StrayAnswers: t.strayAnswers.Load(), UnidentifiedAnswers: t.unidentifiedAnswers.Load(),
 		UnexpectedBytes: t.unexpectedBytes.Load(), OversizedHeads: t.oversizedHeads.Load(), InvalidHeads: t.invalidHeads.Load(),
-		UnframedAnswers: t.unframedAnswers.Load(), CutUnframedAnswers: t.cutUnframedAnswers.Load(),
+		UnframedAnswers: t.unframedAnswers.Load(), CutUnframedAnswers: t.cutUnframedAnswers.Load(), UnframedEnds: t.endsByEvidence(),
 	}
 }
 
@@ -414,8 +420,9 @@
 	bodyWritten chan struct{}
 	writeErr    error
 	complete    bool
-	// cut is why an answer that ended with its connection is not complete.
-	cut error
+	// cut is why an answer that ended with its connection is not complete, evidence what showed whether it is.
+	cut      error
+	evidence Evidence
 	// slowReading is set if the target may take its time to read the request.
 	slowReading bool
 }
@@ -556,11 +563,6 @@
 	return a.conn.SetDeadline(time.Time{}) == nil
 }
 
-// framed reports whether the end of the body can be told from that of the connection.
-func (a *Answer) framed() bool {
-	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
-}
-
 // requestWritten reports whether the whole request has been written.
 func (a *Answer) requestWritten() bool {
 	if a.bodyWritten == nil {
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -9,6 +9,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/tally"
@@ -55,6 +56,11 @@
 	if v.Runs > 0 {
 		fields = append(fields, "runs", v.Runs, "events", v.Events, "last_event", v.LastEventID, "process", v.RunTarget.Incarnation(), "run_version", v.RunTarget.Version, "run_service", v.RunTarget.Service)
 	}
+	if v.Framing == httptarget.Unframed {
+		fields = append(fields, "framing", string(v.Framing), "complete_by", string(v.CompleteBy))
+	} else if v.Framing != "" {
+		fields = append(fields, "framing", string(v.Framing))
+	}
 	if v.ExchangeEnd != "" {
 		fields = append(fields, "exchange_end", string(v.ExchangeEnd), "not_retried", string(v.NotRetried))
 	}
