A reset is no plain end, whoever looked at the connection first

Callers could get a cut answer without a length as a whole one: the kernel reports a reset to one call, and an end of input to all later ones, and looks at a connection in use by MSG_PEEK (is there unread input, is it idle, has it ended) could be that call. Now looks ask for the state and the number of unread bytes, which take nothing.

--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -80,23 +80,23 @@
 // Idle reports whether a TCP connection is open and has no unread input. Another goroutine may
 // be blocked in Read meanwhile. For connections that are not TCP it returns true.
 func Idle(c net.Conn) bool {
-	_, err := peek(c)
-	return errors.Is(err, syscall.EAGAIN)
+	l, err := lookAt(c)
+	return errors.Is(err, syscall.EAGAIN) || err == nil && l.open() && l.unread == 0
 }
 
 // HasInput reports whether a TCP connection has unread input. Another goroutine may be blocked in Read meanwhile. For
 // connections that are not TCP it returns false.
 func HasInput(c net.Conn) bool {
-	n, _ := peek(c)
-	return n > 0
+	l, err := lookAt(c)
+	return err == nil && l.unread > 0
 }
 
 // RemoteClosed reports whether the remote side of a TCP connection has closed it and all input
 // has been read. Another goroutine may be blocked in Read meanwhile. For connections that are
 // not TCP it returns false.
 func RemoteClosed(c net.Conn) bool {
-	n, err := peek(c)
-	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
+	l, err := lookAt(c)
+	return !errors.Is(err, syscall.EAGAIN) && (err != nil || !l.open() && l.unread == 0)
 }
 
 // Closed reports whether a TCP connection is closed in both directions, as after a reset: reads and writes no
@@ -178,18 +178,53 @@
 	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
-// peek checks for unread input on a TCP connection. It returns 1 if there is some, 0 and no error
-// if the remote side has closed the connection, and EAGAIN if there is none or the connection is
-// not TCP.
-func peek(c net.Conn) (int, error) {
-	n := 0
+// look is what the kernel tells of a TCP connection without taking anything from it. In particular its pending error
+// stays: the kernel reports a reset to one call only, and an end of input to all later ones.
+type look struct {
+	state  uint8
+	unread int
+}
+
+// open reports whether the remote side may send more.
+func (l look) open() bool {
+	switch l.state {
+	case unix.BPF_TCP_ESTABLISHED, unix.BPF_TCP_FIN_WAIT1, unix.BPF_TCP_FIN_WAIT2:
+		return true
+	}
+	return false
+}
+
+// lookAt returns EAGAIN for connections that are not TCP.
+func lookAt(c net.Conn) (look, error) {
+	var l look
 	var callErr error
 	err := withDescriptor(c, func(fd int) {
-		var one [1]byte
-		n, _, callErr = syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		var info *unix.TCPInfo
+		// The state comes first: nothing arrives once the remote side has closed the connection.
+		if info, callErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); callErr != nil {
+			return
+		}
+		l.state = info.State
+		l.unread, callErr = unix.IoctlGetInt(fd, unix.TIOCINQ)
 	})
 	if err != nil {
-		return 0, err
+		return look{}, err
 	}
-	return n, callErr
+	return l, callErr
+}
+
+// WasReset reports whether the remote side reset a TCP connection, also if the error that tells so has been reported
+// already. One that was closed by the remote side before, and reset then, counts as closed. It takes the pending error.
+func WasReset(c net.Conn) bool {
+	reset := false
+	err := withDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.State != unix.BPF_TCP_CLOSE {
+			return
+		}
+		// The kernel reports EPIPE for a reset after an end of input.
+		pending, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		reset = err == nil && syscall.Errno(pending) != syscall.EPIPE
+	})
+	return err == nil && reset
 }
