--- a/test.sh
+++ b/test.sh
@@ -11,5 +11,10 @@
 fi
 # Random tests draw the same cases each time.
 export RAPID_SEED=1
+# The lines of routers in failed runs of the soak stay for whoever traces them.
+export SOAK_KEEP=${SOAK_KEEP:-${TMPDIR:-/tmp}/stepcroft-soak-$$}
 # Go would take results of the soak from its cache: it cannot know which program the test builds.
-CGO_ENABLED=1 go test -race -count=1 -timeout 25m "${skip[@]}" ./...
+if ! CGO_ENABLED=1 go test -race -count=1 -timeout 25m "${skip[@]}" ./...; then
+	[ ! -d "$SOAK_KEEP" ] || echo "lines of failed soak runs: $SOAK_KEEP"
+	exit 1
+fi
