Why and how requests are refused is a package of its own

The reasons, the times to return, the bytes of a refusal and the end that a result counts as were spread over five files of internal/ingress, and the tools that read logs linked all of it for EndOf. They are internal/refusal now. Only moves; Reason... of ingress lose that prefix, the words on the wire stay. The alias for the reason of a full queue is forward's own.

go vet; tests of refusal, ingress, requestlog and explain/changes with -race.

--- a/internal/explain/changes/requests.go
+++ b/internal/explain/changes/requests.go
@@ -9,8 +9,8 @@
 
 	"github.com/stepcroft/stepcroft/internal/explain"
 	"github.com/stepcroft/stepcroft/internal/forward"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // msgRequest is the message of the lines that routers write as requests end.
@@ -64,7 +64,7 @@
 	if end := l.Text("end"); end != "" {
 		return lifecycle.End(end), false
 	}
-	return ingress.EndOf(forward.Result{
+	return refusal.EndOf(forward.Result{
 		Status: int(l.Number("status")), HeadSent: l.Number("first_ms") > 0, Truncated: l.Text("outcome") == "cut",
 		Reason: forward.Reason(l.Text("reason")), ExchangeEnd: forward.Reason(l.Text("exchange_end")),
 	}), true
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"syscall"
@@ -14,13 +13,10 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
-// bodyRetryAfter returns a random Retry-After for a refusal for want of memory, so that the bodies refused
-// together do not come back together.
-func bodyRetryAfter() time.Duration { return notReadyRetryAfter + rand.N(notReadyRetryAfter) }
-
 // receiveBody reads the request's body, up to the configured limit. If it returns a result with
 // a status, the request is refused.
 func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, t *routing.Table, out *forward.Request) (*memory.Reservation, forward.Result) {
@@ -29,7 +25,7 @@
 		limit = defaultMaxBodyBytes
 	}
 	if r.ContentLength > limit {
-		return nil, refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
+		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.TooLarge, 0)
 	}
 	if r.ContentLength == 0 {
 		return nil, forward.Result{}
@@ -53,7 +49,7 @@
 		return nil, s.bodyFailed(w, r, out, err)
 	}
 	if int64(body.Len()) > limit {
-		return reservation, refused(http.StatusRequestEntityTooLarge, ReasonTooLarge, 0)
+		return reservation, refusal.New(http.StatusRequestEntityTooLarge, refusal.TooLarge, 0)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		s.log.V(1).Info("read deadline not cleared", "id", out.ID, "cause", err.Error())
@@ -97,17 +93,17 @@
 func (s *Server) bodyFailed(w http.ResponseWriter, r *http.Request, out *forward.Request, err error) forward.Result {
 	s.log.Info("request body not read", "id", out.ID, "cause", err.Error())
 	if errors.Is(err, memory.ErrEvicted) {
-		return refused(http.StatusServiceUnavailable, ReasonBodyEvicted, bodyRetryAfter())
+		return refusal.New(http.StatusServiceUnavailable, refusal.BodyEvicted, refusal.BodyRetryAfter())
 	}
 	w.Header().Set("Connection", "close")
 	var timeout net.Error
 	switch {
 	case closedServing(r.Context()):
-		return refused(http.StatusServiceUnavailable, ReasonStopped, 0)
+		return refusal.New(http.StatusServiceUnavailable, refusal.Stopped, 0)
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return refused(http.StatusRequestTimeout, ReasonBodyTimeout, 0)
+		return refusal.New(http.StatusRequestTimeout, refusal.BodyTimeout, 0)
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
-		return refused(http.StatusBadRequest, forward.ReasonCallerGone, 0)
+		return refusal.New(http.StatusBadRequest, forward.ReasonCallerGone, 0)
 	}
-	return refused(http.StatusBadRequest, ReasonBadRequest, 0)
+	return refusal.New(http.StatusBadRequest, refusal.BadRequest, 0)
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -19,6 +19,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -421,9 +422,9 @@
 		}
 		c.betweenRequests = false
 		if !c.markInUse() {
-			reason, after := ReasonProcessFull, notReadyRetryAfter
+			reason, after := refusal.ProcessFull, refusal.NotReadyRetryAfter
 			if c.conns.ending.Load() || c.routerLeaves() {
-				reason, after = ReasonLeaving, leavingRetryAfter
+				reason, after = refusal.Leaving, refusal.LeavingRetryAfter
 			}
 			c.refuseLast(b[:n], reason, after)
 			return 0, io.EOF
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -22,6 +22,7 @@
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -157,7 +158,7 @@
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
-	if answer.StatusCode != http.StatusGatewayTimeout || string(text) != string(ingress.ReasonStopped)+"\n" || err != nil {
+	if answer.StatusCode != http.StatusGatewayTimeout || string(text) != string(refusal.Stopped)+"\n" || err != nil {
 		t.Errorf("status %d, %q, %v", answer.StatusCode, text, err)
 	}
 }
--- a/internal/ingress/ended_test.go
+++ b/internal/ingress/ended_test.go
@@ -11,6 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // resultObserver is an observer that passes on the results of the request "r".
@@ -36,9 +37,9 @@
 		"whole":                  {head + event, func(_, target net.Conn, _ *ingress.Server) { _, _ = io.WriteString(target, "0\r\n\r\n") }, "", 200, lifecycle.Answered},
 		"caller goes":            {head + event, func(caller, _ net.Conn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, 200, lifecycle.CallerGone},
 		"target breaks off":      {head + event, func(_, target net.Conn, _ *ingress.Server) { _ = target.Close() }, forward.ReasonBroken, 200, lifecycle.TargetFailed},
-		"server is closed":       {head + event, func(_, _ net.Conn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, 200, lifecycle.Cut},
-		"time for stop over":     {head + event, func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 200, lifecycle.Cut},
-		"stop before the answer": {"", func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, 504, lifecycle.Cut},
+		"server is closed":       {head + event, func(_, _ net.Conn, s *ingress.Server) { _ = s.Close() }, refusal.Stopped, 200, lifecycle.Cut},
+		"time for stop over":     {head + event, func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, refusal.Stopped, 200, lifecycle.Cut},
+		"stop before the answer": {"", func(_, _ net.Conn, s *ingress.Server) { shutDown(s) }, refusal.Stopped, 504, lifecycle.Cut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -83,10 +84,10 @@
 		"caller goes":              {length, func(caller *net.TCPConn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, lifecycle.CallerGone},
 		"caller goes, chunks":      {chunks, func(caller *net.TCPConn, _ *ingress.Server) { _ = caller.Close() }, forward.ReasonCallerGone, lifecycle.CallerGone},
 		"caller resets":            {length, func(caller *net.TCPConn, _ *ingress.Server) { _ = caller.SetLinger(0); _ = caller.Close() }, forward.ReasonCallerGone, lifecycle.CallerGone},
-		"no chunk":                 {chunks, func(caller *net.TCPConn, _ *ingress.Server) { _, _ = io.WriteString(caller, "hello\r\n") }, ingress.ReasonBadRequest, lifecycle.Refused},
-		"server is closed":         {length, func(_ *net.TCPConn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, lifecycle.Cut},
-		"time for stop over":       {length, func(_ *net.TCPConn, s *ingress.Server) { shutDown(s) }, ingress.ReasonStopped, lifecycle.Cut},
-		"server is closed, chunks": {chunks, func(_ *net.TCPConn, s *ingress.Server) { _ = s.Close() }, ingress.ReasonStopped, lifecycle.Cut},
+		"no chunk":                 {chunks, func(caller *net.TCPConn, _ *ingress.Server) { _, _ = io.WriteString(caller, "hello\r\n") }, refusal.BadRequest, lifecycle.Refused},
+		"server is closed":         {length, func(_ *net.TCPConn, s *ingress.Server) { _ = s.Close() }, refusal.Stopped, lifecycle.Cut},
+		"time for stop over":       {length, func(_ *net.TCPConn, s *ingress.Server) { shutDown(s) }, refusal.Stopped, lifecycle.Cut},
+		"server is closed, chunks": {chunks, func(_ *net.TCPConn, s *ingress.Server) { _ = s.Close() }, refusal.Stopped, lifecycle.Cut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -14,6 +14,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/httphead"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -117,7 +118,7 @@
 	single := &singleListener{conn: c}
 	if err := a.server.server.Serve(single); single.conn != nil {
 		a.server.log.V(1).Info("accepted connection not served", "cause", err.Error())
-		a.server.refuseArrived(early, account, buffer[:], copy(buffer[:], a.ahead), ReasonLeaving, leavingRetryAfter)
+		a.server.refuseArrived(early, account, buffer[:], copy(buffer[:], a.ahead), refusal.Leaving, refusal.LeavingRetryAfter)
 		_ = c.Close()
 	}
 }
--- a/internal/ingress/handover_internal_test.go
+++ b/internal/ingress/handover_internal_test.go
@@ -11,6 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/handover"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // TestReceivedBacklog guards against senders that together hand over more than a router has CPU time
@@ -109,7 +110,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if n := s.RejectedConnections(); n != c.rejected || strings.Contains(string(got), string(ReasonOverdue)) != (n > 0) {
+			if n := s.RejectedConnections(); n != c.rejected || strings.Contains(string(got), string(refusal.Overdue)) != (n > 0) {
 				t.Errorf("%d rejected, want %d: %s", n, c.rejected, got)
 			}
 		})
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -14,9 +14,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/ingress"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // taker is an ingress.Handover that takes all connections; those that it is not to keep are given
@@ -110,7 +112,7 @@
 			}
 			Expect(t.taken.Load()).To(Equal(int64(20)))
 		},
-		Entry("those of an organisation with too many requests", "k1", string(ingress.ReasonOrganisationQueueFull)),
+		Entry("those of an organisation with too many requests", "k1", string(forward.ReasonOrganisationQueueFull)),
 		Entry("those of another one", "k2", "no-target"),
 	)
 
@@ -148,7 +150,7 @@
 		It("are closed when their request is refused", func() {
 			Expect(s.ReserveReceived()).To(BeTrue())
 			in := bufio.NewReader(dial(received, request("k1")))
-			Expect(reason(in)).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+			Expect(reason(in)).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 			_, err := in.ReadByte()
 			Expect(err).To(MatchError(io.EOF))
 		})
@@ -164,7 +166,7 @@
 				Expect(s.ReserveReceived()).To(BeTrue())
 				c = dial(received, none)
 				in = bufio.NewReader(c)
-				Expect(reason(in)).To(Equal(string(ingress.ReasonNoRoute)))
+				Expect(reason(in)).To(Equal(string(refusal.NoRoute)))
 			})
 
 			DescribeTable(
@@ -181,11 +183,11 @@
 				s.EndReceived(map[netip.Addr]bool{self: true})
 				_, err := io.WriteString(c, none)
 				Expect(err).NotTo(HaveOccurred())
-				Expect(reason(in)).To(Equal(string(ingress.ReasonNoRoute)))
+				Expect(reason(in)).To(Equal(string(refusal.NoRoute)))
 				s.EndReceived(nil)
 				_, err = io.WriteString(c, none)
 				Expect(err).NotTo(HaveOccurred())
-				Expect(reason(in)).To(Equal(string(ingress.ReasonNoRoute)))
+				Expect(reason(in)).To(Equal(string(refusal.NoRoute)))
 			})
 
 			It("answer a request that has begun, and are closed after it", func() {
@@ -210,7 +212,7 @@
 				_, err := io.WriteString(c, none)
 				Expect(err).NotTo(HaveOccurred())
 				s.EndReceived(map[netip.Addr]bool{})
-				Expect(reason(in)).To(BeElementOf(string(ingress.ReasonNoRoute), string(ingress.ReasonLeaving)))
+				Expect(reason(in)).To(BeElementOf(string(refusal.NoRoute), string(refusal.Leaving)))
 				_, err = in.ReadByte()
 				Expect(err).To(MatchError(io.EOF))
 			})
@@ -233,7 +235,7 @@
 				Expect(s.ReserveReceived()).To(BeTrue())
 				// Unlike other refusals, this one leaves the connection open.
 				c := dial(received, head("/none", "k2", "r", 4, "")+"body")
-				Expect(reason(bufio.NewReader(c))).To(Equal(string(ingress.ReasonNoRoute)))
+				Expect(reason(bufio.NewReader(c))).To(Equal(string(refusal.NoRoute)))
 				open = append(open, c)
 			}
 			Eventually(s.ReserveReceived).Should(BeTrue())
--- a/internal/ingress/improper_test.go
+++ b/internal/ingress/improper_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/forward"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // endLog is an observer that passes on a line for each request.
@@ -81,7 +81,7 @@
 			if res := readAnswer(t, answers); res.StatusCode != c.status || res.Header.Get("X-Id") != c.id || !res.Close || len(res.Header) > 3 {
 				t.Errorf("%s, header %q, want id %q", res.Status, res.Header, c.id)
 			}
-			if got, want := <-log, fmt.Sprintf("%q %d %s", c.id, c.status, ingress.ReasonImproper); got != want {
+			if got, want := <-log, fmt.Sprintf("%q %d %s", c.id, c.status, refusal.Improper); got != want {
 				t.Errorf("reported %s, want %s", got, want)
 			}
 			if got := s.Ends(); !maps.Equal(got, want) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,10 +9,7 @@
 
 import (
 	"context"
-	"io"
 	"log"
-	"math"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -30,6 +27,7 @@
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -50,48 +48,8 @@
 	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes is the maximum size of a request's body if none is configured.
 	defaultMaxBodyBytes = 4 << 20
-	// notReadyRetryAfter is the Retry-After of a router that has no configuration yet, or has too
-	// many requests in memory, and the least of one that has too many bodies.
-	notReadyRetryAfter = 500 * time.Millisecond
-	// leavingRetryAfter is the Retry-After of a router that shuts down. It is short because the
-	// caller can go to another router at once.
-	leavingRetryAfter = 50 * time.Millisecond
 )
 
-// Reasons for refusing a request before it reaches the forwarder.
-const (
-	ReasonBadRequest            forward.Reason = "bad-request"
-	ReasonNoRoute               forward.Reason = "no-route"
-	ReasonUnauthorized          forward.Reason = "unknown-key"
-	ReasonTooLarge              forward.Reason = "body-too-large"
-	ReasonBodyTimeout           forward.Reason = "body-timeout"
-	ReasonNotReady              forward.Reason = "not-ready"
-	ReasonLeaving               forward.Reason = "router-leaving"
-	ReasonProcessFull           forward.Reason = "process-full"
-	ReasonBodyEvicted           forward.Reason = "bodies-full"
-	ReasonOrganisationQueueFull forward.Reason = forward.ReasonOrganisationQueueFull
-)
-
-// ReasonStopped means that the server was closed while it served the request.
-const ReasonStopped forward.Reason = "router-stopped"
-
-// ReasonPanic means that the handler of the request panicked.
-const ReasonPanic forward.Reason = "router-failed"
-
-const (
-	// minOverloadRetryAfter and overloadRetryAfterSpread are the minimum and the random part of
-	// the Retry-After when an organisation has too many waiting requests or the router is
-	// short of CPU time. The organisation sends several times its share, so an earlier retry
-	// would fail too.
-	minOverloadRetryAfter    = time.Second
-	overloadRetryAfterSpread = time.Second
-)
-
-// overloadRetryAfter returns a random Retry-After for a refusal under overload.
-func overloadRetryAfter() time.Duration {
-	return minOverloadRetryAfter + rand.N(overloadRetryAfterSpread)
-}
-
 // Observer receives the result of each request, also of refused ones.
 type Observer interface {
 	RequestEnded(r forward.Request, result forward.Result, took time.Duration)
@@ -330,13 +288,13 @@
 			a.complete()
 		}
 		if result.Reason == forward.ReasonCallerGone && (closedServing(r.Context()) || errors.Is(context.Cause(r.Context()), errStopped)) {
-			result.Reason = ReasonStopped
+			result.Reason = refusal.Stopped
 		}
 	}
 	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
 		w.Header().Set("Connection", "close")
 	}
-	if result.Reason == ReasonBodyEvicted {
+	if result.Reason == refusal.BodyEvicted {
 		defer s.discardBody(w, r, request)()
 	}
 	s.finish(w, r, request, result, arrived)
@@ -353,14 +311,14 @@
 		clear(a.w.Header())
 		a.w.Header().Set("Connection", "close")
 	}
-	result := forward.Result{Status: http.StatusBadGateway, Reason: ReasonPanic, HeadSent: a.headSent, Truncated: a.headSent}
+	result := forward.Result{Status: http.StatusBadGateway, Reason: refusal.Panic, HeadSent: a.headSent, Truncated: a.headSent}
 	s.finish(a.w, a.request, r, result, r.Arrived)
 }
 
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
 func (s *Server) finish(w http.ResponseWriter, served *http.Request, r forward.Request, result forward.Result, arrived time.Time) {
-	tracked(served.Context()).Decide(clock.Now(), r.ID, EndOf(result))
+	tracked(served.Context()).Decide(clock.Now(), r.ID, refusal.EndOf(result))
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
 	if result.Truncated {
 		panic(http.ErrAbortHandler)
@@ -368,33 +326,11 @@
 	if result.HeadSent {
 		return
 	}
-	h := w.Header()
-	if r.ID != "" {
-		h.Set(s.headerNames.RequestID, r.ID)
-	}
-	if result.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfter(result.RetryAfter))
-	}
-	text := string(result.Reason) + "\n"
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(result.Status)
-	if _, err := io.WriteString(w, text); err != nil {
+	if err := refusal.Write(w, s.headerNames.RequestID, r.ID, result); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
 	}
 }
 
-// retryAfter formats the value of a Retry-After header: in seconds, rounded up to whole
-// milliseconds.
-func retryAfter(d time.Duration) string {
-	return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
-}
-
-// refused returns the result of a refused request.
-func refused(status int, reason forward.Reason, after time.Duration) forward.Result {
-	return forward.Result{Status: status, Reason: reason, RetryAfter: after}
-}
-
 // prepare parses and checks a request and reads its body. If it returns a result with a status,
 // the request is refused. The caller must close the reservation of the body unless it is nil.
 func (s *Server) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, *memory.Reservation, forward.Result) {
@@ -404,7 +340,7 @@
 	}
 	t := s.table.Load()
 	if t == nil || s.paused.Load() {
-		return out, nil, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyRetryAfter)
+		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.NotReady, refusal.NotReadyRetryAfter)
 	}
 	out.ConfigVersion = t.Version()
 	if at := s.confirmed.Load(); at != nil {
@@ -417,17 +353,17 @@
 	if reason := s.admit(out); reason != "" {
 		// The body stays unread, so the connection cannot be reused.
 		w.Header().Set("Connection", "close")
-		return out, nil, refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
+		return out, nil, refusal.New(http.StatusServiceUnavailable, reason, refusal.OverloadRetryAfter())
 	}
 	if s.open.Load() > s.maxOpen {
-		return out, nil, refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyRetryAfter)
+		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.ProcessFull, refusal.NotReadyRetryAfter)
 	}
 	if err := s.applyHeaders(&out, r); err != nil {
 		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
-		return out, nil, refused(http.StatusBadRequest, ReasonBadRequest, 0)
+		return out, nil, refusal.New(http.StatusBadRequest, refusal.BadRequest, 0)
 	}
 	if s.mayOutlast(out) {
-		return out, nil, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingRetryAfter)
+		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
 	body, result := s.receiveBody(w, r, t, &out)
 	return out, body, result
@@ -451,12 +387,12 @@
 func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Result {
 	route, ok := t.Lookup(out.Host, out.Path())
 	if !ok {
-		return refused(http.StatusNotFound, ReasonNoRoute, 0)
+		return refusal.New(http.StatusNotFound, refusal.NoRoute, 0)
 	}
 	out.Route = route
 	if t.NeedsKey(route) {
 		if out.Organisation, ok = t.OrganisationOf(bearer(authorization)); !ok {
-			return refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
+			return refusal.New(http.StatusUnauthorized, refusal.Unauthorized, 0)
 		}
 	}
 	out.Regions = t.RegionsOf(route, out.Organisation)
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -5,6 +5,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // maxUnannouncedWait is how long a connection of a server that shuts down stays open after an answer that did not say
@@ -65,7 +66,7 @@
 	if refusing {
 		c.betweenRequests = false
 		c.startUnknown = c.unread < -1
-		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
+		c.refuseLast(nil, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
 }
 
@@ -108,7 +109,7 @@
 	defer s.lasting.Add(-1)
 	if refuses {
 		c.startUnknown = c.unread < -1
-		c.refuseLast(nil, ReasonLeaving, leavingRetryAfter)
+		c.refuseLast(nil, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
 	if ended {
 		// An error means that the caller has disconnected.
--- a/internal/ingress/last_cut_internal_test.go
+++ b/internal/ingress/last_cut_internal_test.go
@@ -11,13 +11,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // heldRefusal is an observer that holds the refusal of a last request until it is released.
 type heldRefusal struct{ held, release chan struct{} }
 
 func (o heldRefusal) RequestEnded(_ forward.Request, v forward.Result, _ time.Duration) {
-	if v.Reason == ReasonLeaving {
+	if v.Reason == refusal.Leaving {
 		close(o.held)
 		<-o.release
 	}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -15,12 +15,10 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
-// ReasonOverdue is the reason for rejecting a connection that waited too long for CPU time.
-const ReasonOverdue forward.Reason = "router-overdue"
-
 // maxEarlyBytes bounds what is read from a new connection before the HTTP server gets it. Few
 // requests are larger.
 const maxEarlyBytes = 64 << 10
@@ -133,7 +131,7 @@
 		l.conns.remove(element)
 		buffer := scratchBuffers.Get().(*[scratchSize]byte)
 		defer scratchBuffers.Put(buffer)
-		l.server.refuseArrived(earlyTCPConn{raw}, account, buffer[:], copy(buffer[:], ahead), ReasonLeaving, leavingRetryAfter)
+		l.server.refuseArrived(earlyTCPConn{raw}, account, buffer[:], copy(buffer[:], ahead), refusal.Leaving, refusal.LeavingRetryAfter)
 		return nil, net.ErrClosed
 	}
 	c := &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}
@@ -175,7 +173,7 @@
 			break
 		}
 		if n := socket.ReadNow(buffer[:]); n > 0 {
-			l.server.refuseArrived(socket, l.server.beginArrived(n), buffer[:], n, ReasonLeaving, leavingRetryAfter)
+			l.server.refuseArrived(socket, l.server.beginArrived(n), buffer[:], n, refusal.Leaving, refusal.LeavingRetryAfter)
 		} else {
 			waiting = append(waiting, socket)
 		}
@@ -199,7 +197,7 @@
 			_ = socket.Close()
 			continue
 		}
-		s.refuseArrived(socket, s.beginArrived(n), buffer[:], n, ReasonLeaving, leavingRetryAfter)
+		s.refuseArrived(socket, s.beginArrived(n), buffer[:], n, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
 }
 
@@ -228,7 +226,7 @@
 		return false
 	}
 	r.Arrived = clock.Now()
-	s.refuseAndClose(c, account, r, reason, overloadRetryAfter())
+	s.refuseAndClose(c, account, r, reason, refusal.OverloadRetryAfter())
 	return true
 }
 
@@ -236,7 +234,7 @@
 // have been read from it.
 func (s *Server) reject(c earlyConn, account *lifecycle.Request, buffer []byte, n int) {
 	s.countRejection()
-	s.refuseArrived(c, account, buffer, n, ReasonOverdue, overloadRetryAfter())
+	s.refuseArrived(c, account, buffer, n, refusal.Overdue, refusal.OverloadRetryAfter())
 }
 
 // refuseArrived refuses a request of which the first n bytes of buffer have been read, with their account, nil if there
@@ -254,12 +252,12 @@
 // refuseAndClose answers a request that has not run with 503 and a Retry-After, and closes the
 // connection.
 func (s *Server) refuseAndClose(c earlyConn, account *lifecycle.Request, r forward.Request, reason forward.Reason, after time.Duration) {
-	result := refused(http.StatusServiceUnavailable, reason, after)
+	result := refusal.New(http.StatusServiceUnavailable, reason, after)
 	if account == nil {
 		account = s.requests.Begin(clock.Now())
 	}
 	end := lifecycle.Refused
-	if _, err := c.Write(s.formatRefusal(r.ID, result, true)); err != nil {
+	if _, err := c.Write(refusal.Format(s.headerNames.RequestID, r.ID, result, true)); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
 		end = lifecycle.CallerGone
 	}
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 )
 
 var _ = Describe("Requests that have arrived before their connection is accepted", func() {
@@ -60,7 +60,7 @@
 		serve(g, l)
 		res, reason := outcome(answers)
 		Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
-		Expect(reason).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+		Expect(reason).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 		Expect(res.Header.Get("X-Id")).To(Equal("r"))
 		Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
 		Expect(res.Close).To(BeTrue())
@@ -85,7 +85,7 @@
 		time.Sleep(20 * time.Millisecond)
 		fmt.Fprint(c, text[large/2:])
 		_, reason := outcome(answers)
-		Expect(reason).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+		Expect(reason).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 		fmt.Fprint(c, request("k2"))
 		_, reason = outcome(answers)
 		Expect(reason).To(Equal("no-target"))
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -11,6 +10,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httphead"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // An organisation that sends many times its share can keep a small box busy with refusals
@@ -42,9 +42,9 @@
 			return false, length, err
 		}
 	}
-	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
+	result := refusal.New(http.StatusServiceUnavailable, reason, refusal.OverloadRetryAfter())
 	last := c.received || c.conns.announceClose(false)
-	_, err = c.writeAnswer(s.formatRefusal(r.ID, result, last))
+	_, err = c.writeAnswer(refusal.Format(s.headerNames.RequestID, r.ID, result, last))
 	took := clock.Since(arrived)
 	c.endRefused(arrived.Add(took), err)
 	s.observer.RequestEnded(r, result, took)
@@ -96,23 +96,6 @@
 	return out, s.forwarder.ShedReason(out.Organisation, requestSize(out))
 }
 
-// formatRefusal returns the bytes of a refusal; if last is set, its header says that the
-// connection is closed.
-func (s *Server) formatRefusal(id string, result forward.Result, last bool) []byte {
-	b := make([]byte, 0, 256)
-	b = append(b, "HTTP/1.1 503 Service Unavailable\r\n"...)
-	if id != "" {
-		b = append(b, s.headerNames.RequestID+": "+id+"\r\n"...)
-	}
-	if last {
-		b = append(b, "Connection: close\r\n"...)
-	}
-	b = append(b, "Retry-After: "+retryAfter(result.RetryAfter)+"\r\n"...)
-	b = append(b, "Content-Type: text/plain; charset=utf-8\r\n"...)
-	b = append(b, "Content-Length: "+strconv.Itoa(len(result.Reason)+1)+"\r\n\r\n"...)
-	return append(b, string(result.Reason)+"\n"...)
-}
-
 // scratchSize is the size, in bytes, of a buffer for input that is discarded.
 const scratchSize = 16 << 10
 
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -24,6 +24,7 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -191,7 +192,7 @@
 			id := fmt.Sprint("r", i)
 			res := ask(head("/engine/a?b", "k1", id, len(body), ""), body)
 			Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
-			Expect(res.Status).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+			Expect(res.Status).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 			Expect(res.Header.Get("X-Id")).To(Equal(id))
 			Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
 			Expect(res.Close).To(BeFalse())
@@ -199,30 +200,30 @@
 		res := ask(head("/plain/a", "k1", "p", 3, ""), "abc")
 		Expect(res.Status).To(Equal(string(balance.NoTarget)))
 		res = ask(head("/engine/a", "k1", "q", 3, "")+"ab", "c")
-		Expect(res.Status).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+		Expect(res.Status).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 	})
 
 	DescribeTable(
 		"does not affect other requests",
 		func(request, status string) {
 			Expect(ask(request).Status).To(Equal(status))
-			Expect(ask(head("/engine/a", "k1", "q", 3, "") + "abc").Status).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+			Expect(ask(head("/engine/a", "k1", "q", 3, "") + "abc").Status).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 		},
 		Entry("another organisation", head("/engine/a", "k2", "r", 1, "")+"x", string(balance.NoTarget)),
 		Entry("another service", head("/plain/a", "k1", "r", 1, "")+"x", string(balance.NoTarget)),
-		Entry("an unknown key", head("/engine/a", "k3", "r", 1, "")+"x", string(ingress.ReasonUnauthorized)),
-		Entry("an unknown route", head("/nowhere/", "k1", "r", 1, "")+"x", string(ingress.ReasonNoRoute)),
+		Entry("an unknown key", head("/engine/a", "k3", "r", 1, "")+"x", string(refusal.Unauthorized)),
+		Entry("an unknown route", head("/nowhere/", "k1", "r", 1, "")+"x", string(refusal.NoRoute)),
 		Entry("a request without a body", head("/plain/a", "k1", "r", 0, ""), string(balance.NoTarget)),
 	)
 
 	It("is refused if its request has an unusual form", func() {
 		res := ask("POST /engine/a HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nAuthorization: Bearer k1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
-		Expect(res.Status).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+		Expect(res.Status).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 	})
 
 	It("is refused when the head comes in pieces", func() {
 		h := head("/engine/a", "k1", "r", 3, "")
-		Expect(ask(h[:30], h[30:], "abc").Status).To(Equal(string(ingress.ReasonOrganisationQueueFull)))
+		Expect(ask(h[:30], h[30:], "abc").Status).To(Equal(string(forward.ReasonOrganisationQueueFull)))
 	})
 
 	It("cannot smuggle a request with a second Content-Length", func() {
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -21,6 +21,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 )
 
 // overdueListener is a listener whose connections have waited for a second before their first
@@ -40,7 +41,7 @@
 type rejectedOnly struct{ t *testing.T }
 
 func (o rejectedOnly) RequestEnded(r forward.Request, result forward.Result, _ time.Duration) {
-	if result.Reason != ReasonOverdue || result.Status != http.StatusServiceUnavailable {
+	if result.Reason != refusal.Overdue || result.Status != http.StatusServiceUnavailable {
 		o.t.Errorf("request %q: %+v", r.ID, result)
 	}
 }
@@ -97,7 +98,7 @@
 type leavingOnly struct{ t *testing.T }
 
 func (o leavingOnly) RequestEnded(r forward.Request, result forward.Result, _ time.Duration) {
-	if result.Reason != ReasonLeaving || r.ID != "1" {
+	if result.Reason != refusal.Leaving || r.ID != "1" {
 		o.t.Errorf("request %q: %+v", r.ID, result)
 	}
 }
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -19,6 +19,7 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -315,7 +316,7 @@
 type panicOnly struct{ t *testing.T }
 
 func (o panicOnly) RequestEnded(r forward.Request, result forward.Result, _ time.Duration) {
-	if r.ID != "1" || result.Reason != ReasonPanic {
+	if r.ID != "1" || result.Reason != refusal.Panic {
 		o.t.Errorf("request %q: %+v", r.ID, result)
 	}
 }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -10,8 +10,8 @@
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/tally"
 )
 
@@ -68,7 +68,7 @@
 		fields = append(fields, "config_end", change.Version, "since_change_ms", clock.Since(change.At).Milliseconds())
 	}
 	o.log.Info("request", append(
-		fields, "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", string(tally.OutcomeOf(v)), "end", string(ingress.EndOf(v)),
+		fields, "id", r.ID, "route", route, "organisation", r.Organisation, "outcome", string(tally.OutcomeOf(v)), "end", string(refusal.EndOf(v)),
 		"status", v.Status, "reason", string(v.Reason), "target", v.TargetID, "version", v.TargetVersion,
 		"lapsed_ms", v.LapsedFor.Milliseconds(), "sends", v.Sends,
 		"unread", v.PendingTokens, "miss", v.UncachedTokens, "fetched", v.FetchableTokens, "input", r.Input, "output", r.Output,
