What a caller asks for is found out by a package of its own

internal/classify reads the heads of requests, those that the HTTP server has parsed and those before, and names route, service, organisation, sizes and deadline by the routing table in force. Moved from internal/ingress, without a change of what is done; the sizes' test goes with it.

--- a/internal/ingress/headers.go
+++ b/internal/classify/headers.go
@@ -1,4 +1,4 @@
-package ingress
+package classify
 
 import (
 	"math"
@@ -23,30 +23,34 @@
 	return strings.TrimSpace(key)
 }
 
-// applyHeaders sets the fields of a request that come from its headers.
-func (s *Server) applyHeaders(out *forward.Request, r *http.Request) error {
+// defaultTimeout is the time to the deadline of a request that has no deadline header.
+const defaultTimeout = 30 * time.Second
+
+// ApplyHeaders sets the fields of a request that come from its other headers: its deadline, the parts of its prompt and
+// what is forwarded to the target.
+func (c *Classifier) ApplyHeaders(out *forward.Request, r *http.Request) error {
 	if out.ID == "" {
-		return errors.Errorf("header %s is missing", s.headerNames.RequestID)
+		return errors.Errorf("header %s is missing", c.names.RequestID)
 	}
 	timeout := defaultTimeout
-	if text := r.Header.Get(s.headerNames.Deadline); text != "" {
+	if text := r.Header.Get(c.names.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms < 0 || ms > math.MaxInt32 {
-			return errors.Errorf("header %s is not a number of milliseconds: %q", s.headerNames.Deadline, text)
+			return errors.Errorf("header %s is not a number of milliseconds: %q", c.names.Deadline, text)
 		}
 		timeout = time.Duration(ms * float64(time.Millisecond))
 	}
 	out.Deadline = out.Arrived.Add(timeout)
-	out.Header = s.forwardedHeaders(r.Header)
-	out.Parts = parsePromptParts(r.Header.Get(s.headerNames.PromptParts))
+	out.Header = c.forwardedHeaders(r.Header)
+	out.Parts = parsePromptParts(r.Header.Get(c.names.PromptParts))
 	return nil
 }
 
 // forwardedHeaders returns the caller's headers that are forwarded to the target unchanged.
-func (s *Server) forwardedHeaders(h http.Header) http.Header {
+func (c *Classifier) forwardedHeaders(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for name, values := range h {
-		if forward.HopByHop(name, h["Connection"]) || s.withheld(name) {
+		if forward.HopByHop(name, h["Connection"]) || c.withheld(name) {
 			continue
 		}
 		out[name] = values
@@ -57,12 +61,12 @@
 // withheld reports whether a caller's header is not forwarded: it is addressed to the router,
 // the router sets it itself, or only routers may set it. With some of the last kind, a caller
 // could make an engine reserve or move cache memory.
-func (s *Server) withheld(name string) bool {
+func (c *Classifier) withheld(name string) bool {
 	switch name {
-	case s.headerNames.RequestID, s.headerNames.Deadline, s.headerNames.LastEventID, "Authorization", "Expect":
+	case c.names.RequestID, c.names.Deadline, c.names.LastEventID, "Authorization", "Expect":
 		return true
 	}
-	return slices.Contains(s.headerNames.Reserved, name)
+	return slices.Contains(c.names.Reserved, name)
 }
 
 // parseSizes parses "INPUT TOKENS,MAXIMUM OUTPUT TOKENS" and the expected number of output
--- a/internal/ingress/headers_test.go
+++ b/internal/classify/headers_test.go
@@ -1,4 +1,4 @@
-package ingress
+package classify
 
 import "testing"
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -385,7 +385,7 @@
 	// The byte is the first one of the method, which does not affect the length.
 	whole := append([]byte{'P'}, rest...)
 	c.head.Keep(whole)
-	h, size, ok := httphead.Parse(whole, &c.server.headNames)
+	h, size, ok := c.server.classifier.Parse(whole)
 	c.setUnread(requestLength(h, size, ok)-1-len(rest), false)
 }
 
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -53,10 +53,10 @@
 
 // Organisation implements handover.Arrival.
 func (a *arrival) Organisation() (name string, ok bool) {
-	if _, _, ok := httphead.Parse(a.ahead, &a.server.headNames); !ok {
+	if _, _, ok := a.server.classifier.Parse(a.ahead); !ok {
 		return "", false
 	}
-	return a.server.readHead(a.ahead).Organisation, true
+	return a.server.classifier.ReadHead(a.ahead).Organisation, true
 }
 
 // Open implements handover.Arrival.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,10 +21,10 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/classify"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
-	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
@@ -44,8 +44,6 @@
 	maxHeaderBytes = 64 << 10
 	// bodyTimeout bounds the time that reading a request's body takes.
 	bodyTimeout = 10 * time.Second
-	// defaultTimeout is the time to the deadline of a request that has no deadline header.
-	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes is the maximum size of a request's body if none is configured.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -58,12 +56,10 @@
 // Server serves a router's callers. Use New to create one.
 type Server struct {
 	headerNames forward.HeaderNames
-	// headNames are those of them that are read before the HTTP server gets a request.
-	headNames httphead.Names
-	forwarder *forward.Forwarder
-	observer  Observer
-	log       logr.Logger
-	table     atomic.Pointer[routing.Table]
+	classifier  *classify.Classifier
+	forwarder   *forward.Forwarder
+	observer    Observer
+	log         logr.Logger
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
@@ -103,7 +99,7 @@
 // the budget b and keeps account of all requests in t.
 func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, t *lifecycle.Tracker, l logr.Logger) *Server {
 	s := &Server{
-		headerNames: names, headNames: httphead.Names{ID: names.RequestID, PromptSize: names.PromptSize, OutputHint: names.OutputHint},
+		headerNames: names, classifier: classify.New(names),
 		forwarder: f, observer: o, memory: b, requests: t, log: l,
 		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
 	}
@@ -134,7 +130,7 @@
 
 // Configure puts a new routing table in force, which applies to requests that arrive from then
 // on.
-func (s *Server) Configure(t *routing.Table) { s.table.Store(t) }
+func (s *Server) Configure(t *routing.Table) { s.classifier.Configure(t) }
 
 // Confirm notes the latest time at which the store is known to have held no newer configuration.
 func (s *Server) Confirm(at time.Time) { s.confirmed.Store(&at) }
@@ -145,7 +141,7 @@
 
 // Ready reports whether the server has a configuration, is not paused, and is not shutting down.
 func (s *Server) Ready() bool {
-	return s.table.Load() != nil && !s.closing.Load() && !s.paused.Load()
+	return s.classifier.Table() != nil && !s.closing.Load() && !s.paused.Load()
 }
 
 // OpenRequests returns the number of requests being served.
@@ -334,11 +330,8 @@
 // prepare parses and checks a request and reads its body. If it returns a result with a status,
 // the request is refused. The caller must close the reservation of the body unless it is nil.
 func (s *Server) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, *memory.Reservation, forward.Result) {
-	out := forward.Request{
-		ID: r.Header.Get(s.headerNames.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Arrived: arrived,
-		LastEventID: r.Header.Get(s.headerNames.LastEventID), Resumes: r.Header.Get(s.headerNames.Resumes),
-	}
-	t := s.table.Load()
+	out := s.classifier.Request(r, arrived)
+	t := s.classifier.Table()
 	if t == nil || s.paused.Load() {
 		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.NotReady, refusal.NotReadyRetryAfter)
 	}
@@ -346,10 +339,9 @@
 	if at := s.confirmed.Load(); at != nil {
 		out.ConfigAge = arrived.Sub(*at)
 	}
-	if result := s.identify(t, &out, r.Header.Get("Authorization")); result.Status != 0 {
+	if result := s.classifier.Identify(t, &out, r.Header); result.Status != 0 {
 		return out, nil, result
 	}
-	out.Input, out.Output = parseSizes(r.Header.Get(s.headerNames.PromptSize), r.Header.Get(s.headerNames.OutputHint))
 	if reason := s.admit(out); reason != "" {
 		// The body stays unread, so the connection cannot be reused.
 		w.Header().Set("Connection", "close")
@@ -358,7 +350,7 @@
 	if s.open.Load() > s.maxOpen {
 		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.ProcessFull, refusal.NotReadyRetryAfter)
 	}
-	if err := s.applyHeaders(&out, r); err != nil {
+	if err := s.classifier.ApplyHeaders(&out, r); err != nil {
 		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
 		return out, nil, refusal.New(http.StatusBadRequest, refusal.BadRequest, 0)
 	}
@@ -382,26 +374,6 @@
 	return throttle.RequestSize{Input: r.Input, Output: r.Output}
 }
 
-// identify sets a request's route, organisation, regions and service. If it returns a result with a
-// status, the request is refused.
-func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Result {
-	route, ok := t.Lookup(out.Host, out.Path())
-	if !ok {
-		return refusal.New(http.StatusNotFound, refusal.NoRoute, 0)
-	}
-	out.Route = route
-	if t.NeedsKey(route) {
-		if out.Organisation, ok = t.OrganisationOf(bearer(authorization)); !ok {
-			return refusal.New(http.StatusUnauthorized, refusal.Unauthorized, 0)
-		}
-	}
-	out.Regions = t.RegionsOf(route, out.Organisation)
-	out.Service = route.Service(out.FirstID())
-	service, _ := t.Service(out.Service)
-	out.ToEngine, out.HealthPath = service.Engine != nil, service.HealthPath
-	return forward.Result{}
-}
-
 // answer writes a target's answer to the caller.
 type answer struct {
 	server  *Server
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -13,7 +13,6 @@
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
-	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
@@ -217,7 +216,7 @@
 // are to be refused. It returns false, and has done nothing, if the HTTP server is to serve the
 // connection.
 func (s *Server) refuseComplete(c earlyConn, account *lifecycle.Request, arrived []byte) bool {
-	h, size, ok := httphead.Parse(arrived, &s.headNames)
+	h, size, ok := s.classifier.Parse(arrived)
 	if !ok || h.BodyLength != len(arrived)-size || s.closing.Load() {
 		return false
 	}
@@ -242,7 +241,7 @@
 // with unread bytes, and the caller could lose the answer.
 func (s *Server) refuseArrived(c earlyConn, account *lifecycle.Request, buffer []byte, n int, reason forward.Reason, after time.Duration) {
 	n += c.ReadNow(buffer[n:])
-	r := s.readHead(buffer[:n])
+	r := s.classifier.ReadHead(buffer[:n])
 	for n == len(buffer) {
 		n = c.ReadNow(buffer)
 	}
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -24,7 +24,7 @@
 // length is the request's length in bytes, or lengthUnknown.
 func (s *Server) refuseQuickly(c *conn, first []byte) (refuse bool, length int, err error) {
 	arrived := clock.Now()
-	h, size, ok := httphead.Parse(first, &s.headNames)
+	h, size, ok := s.classifier.Parse(first)
 	length = requestLength(h, size, ok)
 	if length < len(first) || s.closing.Load() {
 		c.head.Keep(first)
@@ -54,43 +54,11 @@
 	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
 }
 
-// requestOf converts a request's head to a request without route and organisation.
-func requestOf(h httphead.Head) forward.Request {
-	out := forward.Request{ID: string(h.ID), Method: string(h.Method), URI: string(h.Target), Host: string(h.Host)}
-	out.Input, out.Output = parseSizes(string(h.PromptSize), string(h.OutputHint))
-	return out
-}
-
-// readHead returns the request at the start of b, with its organisation if that is known. If b does not
-// hold a complete head of the usual form, it returns a request that has at most an id.
-func (s *Server) readHead(b []byte) forward.Request {
-	h, _, ok := httphead.Parse(b, &s.headNames)
-	if !ok {
-		return forward.Request{ID: httphead.ID(b, s.headerNames.RequestID)}
-	}
-	out := requestOf(h)
-	if t := s.table.Load(); t != nil {
-		s.identify(t, &out, string(h.Authorization))
-	}
-	return out
-}
-
 // overloadReason returns the request of a head and the reason to refuse it because of its
 // organisation's load, or "".
 func (s *Server) overloadReason(h httphead.Head) (forward.Request, forward.Reason) {
-	out := requestOf(h)
-	t := s.table.Load()
-	if t == nil || out.ID == "" {
-		return out, ""
-	}
-	limit := t.Limits().BodyBytes
-	if limit > 0 && h.BodyLength > limit {
-		return out, ""
-	}
-	if result := s.identify(t, &out, string(h.Authorization)); result.Status != 0 {
-		return out, ""
-	}
-	if !out.ToEngine {
+	out, ok := s.classifier.ForEngine(h)
+	if !ok {
 		return out, ""
 	}
 	return out, s.forwarder.ShedReason(out.Organisation, requestSize(out))
