New connections are followed to their first read by a package of its own

internal/arrivals has the accept queue's length, the connections that wait for their first read and the statistics that countlog logs, with a lock of its own; the room for connections in internal/ingress keeps its. ArrivalStats of ingress is arrivals.Stats. Nothing else changes.

--- a/internal/countlog/countlog.go
+++ b/internal/countlog/countlog.go
@@ -9,9 +9,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
+	"github.com/stepcroft/stepcroft/internal/arrivals"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/tally"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -30,7 +30,7 @@
 type Sources struct {
 	Loop *balance.Loop
 	// Arrivals returns the statistics of new connections since its last call.
-	Arrivals func() ingress.ArrivalStats
+	Arrivals func() arrivals.Stats
 	Answers  *answerbuffer.Budget
 	Requests *tally.Tally
 }
--- a/internal/countlog/countlog_test.go
+++ b/internal/countlog/countlog_test.go
@@ -9,10 +9,10 @@
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
+	"github.com/stepcroft/stepcroft/internal/arrivals"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/countlog"
-	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/tally"
 )
 
@@ -25,7 +25,7 @@
 	waited := time.Duration(0)
 	counts := countlog.New(log, counters.New(), countlog.Sources{
 		Loop: balance.NewLoop(s), Answers: answerbuffer.New(1 << 20), Requests: tally.New(),
-		Arrivals: func() ingress.ArrivalStats { return ingress.ArrivalStats{RoomWait: waited} },
+		Arrivals: func() arrivals.Stats { return arrivals.Stats{RoomWait: waited} },
 	})
 	steps := []struct {
 		name   string
--- a/internal/ingress/arrived_id_internal_test.go
+++ b/internal/ingress/arrived_id_internal_test.go
@@ -74,7 +74,7 @@
 			g := group.New(t.Context())
 			defer g.Stop()
 			defer checkAccount(t, s)
-			s.conns.unread.Enqueue(clock.Now().Add(-time.Second), true)
+			s.conns.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
 			caller := dialServer(t, l.Addr(), c.text)
 			time.Sleep(20 * time.Millisecond)
 			g.Go(func() { _ = s.Serve(l) })
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -34,7 +34,7 @@
 	// betweenRequests is set while no request is being read or served, when the next bytes
 	// start a new one. It needs no lock: only one goroutine of the HTTP server reads then.
 	betweenRequests bool
-	// unreadElement is the connection's element in conns.unread. The first read removes it from
+	// unreadElement is the connection's element in conns.arrivals. The first read removes it from
 	// there and sets firstReadDone.
 	unreadElement *list.Element
 	firstReadDone bool
@@ -308,7 +308,7 @@
 		return toClose, s.closed
 	}
 	c.closed = true
-	s.unread.Remove(c.unreadElement)
+	s.arrivals.Remove(c.unreadElement)
 	c.removeIdle()
 	s.countClosed(c)
 	s.changed.Signal()
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -107,7 +107,7 @@
 		return
 	}
 	if a.server.refusesEarly() && a.server.refuseComplete(early, account, a.ahead) {
-		a.conns.remove(element)
+		a.conns.arrivals.Remove(element)
 		return
 	}
 	c, err := a.admit(a.conn, element, account, a.ahead)
@@ -165,7 +165,7 @@
 
 // receivesLate is ReceivesLate; mu must be held.
 func (s *conns) receivesLate() bool {
-	return s.receivedUnread >= maxUnreadReceived || s.unread.Late(clock.Now(), s.overloaded())
+	return s.receivedUnread >= maxUnreadReceived || s.arrivals.Late(clock.Now(), s.overloaded())
 }
 
 // ReserveReceived counts a connection of another router as open, without blocking. It returns false
@@ -181,7 +181,7 @@
 	s.conns.received--
 	s.conns.receivedUnread--
 	last := len(s.conns.reserved) - 1
-	s.conns.unread.Remove(s.conns.reserved[last])
+	s.conns.arrivals.Remove(s.conns.reserved[last])
 	s.conns.reserved = s.conns.reserved[:last]
 	s.conns.changed.Signal()
 }
@@ -197,7 +197,7 @@
 	if s.open >= s.max && !s.evictOldest() {
 		return false
 	}
-	element := s.unread.Enqueue(clock.Now(), s.overloaded())
+	element := s.arrivals.Enqueue(clock.Now(), s.overloaded())
 	if element == nil {
 		return false
 	}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -45,7 +45,7 @@
 		return out
 	}
 	var err error
-	s.conns.watchQueue(tcp)
+	s.conns.arrivals.Watch(tcp)
 	if out.acceptor, err = sockopt.NewAcceptor(tcp); err != nil {
 		s.log.Info("early refusal of requests not available", "cause", err.Error())
 	}
@@ -57,7 +57,7 @@
 	for {
 		early, handsOver := l.server.refusesEarly(), l.server.handsOver()
 		if l.batch.Next(early) {
-			l.conns.sampleQueue()
+			l.conns.arrivals.Sample()
 			runtime.Gosched()
 		}
 		accept := l.accept
@@ -108,13 +108,13 @@
 		return nil, nil
 	}
 	if l.server.refuseComplete(socket, account, ahead) {
-		l.conns.remove(element)
+		l.conns.arrivals.Remove(element)
 		return nil, nil
 	}
 	raw, err := socket.Conn()
 	if err != nil {
 		// Returning the error would stop http.Server.
-		l.conns.remove(element)
+		l.conns.arrivals.Remove(element)
 		l.server.loseConnection(account)
 		l.server.log.Info("accepted connection lost", "cause", err.Error())
 		return nil, nil
@@ -127,7 +127,7 @@
 // the request and returns net.ErrClosed.
 func (l listener) admit(raw net.Conn, element *list.Element, account *lifecycle.Request, ahead []byte) (net.Conn, error) {
 	if !l.conns.reserve() {
-		l.conns.remove(element)
+		l.conns.arrivals.Remove(element)
 		buffer := scratchBuffers.Get().(*[scratchSize]byte)
 		defer scratchBuffers.Put(buffer)
 		l.server.refuseArrived(earlyTCPConn{raw}, account, buffer[:], copy(buffer[:], ahead), refusal.Leaving, refusal.LeavingRetryAfter)
@@ -262,7 +262,7 @@
 	}
 	account.Identify(r.ID)
 	account.Close(clock.Now(), end)
-	s.conns.countRefused()
+	s.conns.arrivals.CountRefused()
 	// An error means that the caller has disconnected.
 	_ = c.Close()
 	s.observer.RequestEnded(r, result, 0)
@@ -282,6 +282,6 @@
 	if s.rejections.lastLogged.Swap(second) == second {
 		return
 	}
-	accepted, longestWait := s.conns.takeArrivalStats()
+	accepted, longestWait := s.conns.arrivals.TakeAccepted()
 	s.log.Info("callers turned away", "count", total, "accepted", accepted, "longest_ms", longestWait.Milliseconds())
 }
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -2,13 +2,12 @@
 
 import (
 	"container/list"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/stepcroft/stepcroft/internal/backlog"
+	"github.com/stepcroft/stepcroft/internal/arrivals"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
@@ -32,7 +31,7 @@
 	// received is the number of open connections that other routers handed over.
 	received int
 	// receivedUnread is the number of those that have not been read yet, and reserved holds the
-	// elements in unread of those that reserveReceived counted and receivedListener has not accepted.
+	// elements in arrivals of those that reserveReceived counted and receivedListener has not accepted.
 	receivedUnread int
 	reserved       []*list.Element
 	// staying is what EndReceived set.
@@ -49,24 +48,16 @@
 	lasting atomic.Int64
 	// forced is set once all connections are to be closed at once.
 	forced bool
-	// unread holds the accepted connections from which nothing has been read yet.
-	unread backlog.Queue
 	// overloaded reports whether the router is short of CPU time.
 	overloaded func() bool
-	// accepted is the number of connections accepted since rejections were last logged, and
-	// longestWait the longest time that one of them waited for its first read.
-	accepted    int
-	longestWait time.Duration
-	// arrivals holds the statistics since the last call of TakeArrivalStats, and listener the one
-	// whose accept queue is observed; nil if there is none.
-	arrivals ArrivalStats
-	listener *net.TCPListener
+	// arrivals has the connections that wait for their first read.
+	arrivals *arrivals.Queue
 	// changed is signalled when a connection is closed.
 	changed sync.Cond
 }
 
 func newConns(limit int, overloaded func() bool) *conns {
-	c := &conns{max: limit, overloaded: overloaded}
+	c := &conns{max: limit, overloaded: overloaded, arrivals: arrivals.New()}
 	c.changed.L = &c.mu
 	return c
 }
@@ -99,7 +90,7 @@
 func (s *conns) awaitRoom() {
 	began := clock.Now()
 	s.countWaiting(1)
-	s.queued = s.queueLength()
+	s.queued = s.arrivals.Unaccepted()
 	wait, minIdle := announceTime, stayIdleTime
 	if s.overloaded() {
 		wait = overloadedAnnounceTime
@@ -109,7 +100,7 @@
 	}
 	for round := began; s.open >= s.max && !s.closed; {
 		if clock.Since(round) >= wait {
-			s.announced, s.queued, round, minIdle = 0, s.queueLength(), clock.Now(), wait
+			s.announced, s.queued, round, minIdle = 0, s.arrivals.Unaccepted(), clock.Now(), wait
 			s.late = 1 + s.queued
 		}
 		if !s.evictIdle(minIdle) {
@@ -119,7 +110,7 @@
 		}
 	}
 	s.countWaiting(-1)
-	s.arrivals.RoomWait = max(s.arrivals.RoomWait, clock.Since(began))
+	s.arrivals.NoteRoomWait(clock.Since(began))
 }
 
 // countWaiting adds n to the number of connections that wait for room. mu must be held.
@@ -223,25 +214,8 @@
 func (s *conns) enqueue() *list.Element {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.accepted++
-	s.arrivals.Accepted++
 	s.late = max(s.late-1, 0)
-	return s.unread.Enqueue(clock.Now(), s.overloaded())
-}
-
-// countRefused counts a connection whose request was refused, or that was rejected, before the HTTP
-// server got it.
-func (s *conns) countRefused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.arrivals.Refused++
-}
-
-// remove removes a connection that was refused, or failed, before its first read.
-func (s *conns) remove(element *list.Element) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unread.Remove(element)
+	return s.arrivals.Accept(clock.Now(), s.overloaded())
 }
 
 // dequeue removes a connection that is read for the first time, and reports whether it is to be
@@ -249,24 +223,15 @@
 func (s *conns) dequeue(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, element := clock.Now(), c.unreadElement
 	s.countRead(c)
-	waited := now.Sub(element.Value.(time.Time))
-	s.longestWait = max(s.longestWait, waited)
-	if c.received {
-		s.arrivals.ReceivedReadWait = max(s.arrivals.ReceivedReadWait, waited)
-	} else {
-		s.arrivals.ReadWait = max(s.arrivals.ReadWait, waited)
-	}
-	return s.unread.Dequeue(now, element, s.overloaded())
+	return s.arrivals.Dequeue(clock.Now(), c.unreadElement, s.overloaded(), c.received)
 }
 
-// takeArrivalStats returns the number of connections accepted since the last call and the
-// longest time that one waited for its first read, and resets both.
-func (s *conns) takeArrivalStats() (accepted int, longestWait time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	accepted, longestWait = s.accepted, s.longestWait
-	s.accepted, s.longestWait = 0, 0
-	return accepted, longestWait
+// TakeArrivalStats returns the statistics of new connections of the time since the last call.
+func (s *Server) TakeArrivalStats() arrivals.Stats {
+	out := s.conns.arrivals.TakeStats()
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	out.Open, out.Received = s.conns.open, s.conns.received
+	return out
 }
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -70,7 +70,7 @@
 			defer g.Stop()
 			defer checkAccount(t, s)
 			if !overdue {
-				s.conns.unread.Enqueue(clock.Now().Add(-time.Second), true)
+				s.conns.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
 			}
 			g.Go(func() { _ = s.server.Serve(overdueListener{newListener(l, s)}) })
 			c, err := net.Dial("tcp", l.Addr().String())
