Refusals before the HTTP server are a package of their own

internal/earlyrefusal refuses requests on connections that the HTTP server does not have: those above an organisation's queue, those that waited too long and those that arrive at a stop. It needs the classifier, what sheds, the arrivals and the account, and nothing of the server; its test runs without sockets. The buffers that it and the connections share are internal/scratch. Whether the server shuts down is asked by the listener, as before for the others.

--- a/internal/ingress/account.go
+++ b/internal/ingress/account.go
@@ -90,15 +90,6 @@
 	return lifecycle.Cut
 }
 
-// beginArrived begins the account of a request of which n bytes have been read before the HTTP server gets its connection.
-// It returns nil if there are none.
-func (s *Server) beginArrived(n int) *lifecycle.Request {
-	if n == 0 {
-		return nil
-	}
-	return s.requests.Begin(clock.Now())
-}
-
 // loseConnection counts a connection that the process has no descriptor for, and ends the account of what was read of it.
 func (s *Server) loseConnection(account *lifecycle.Request) {
 	if account == nil {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/refusal"
@@ -403,9 +404,7 @@
 // 400 Bad Request.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.overdue() {
-		buffer := scratchBuffers.Get().(*[scratchSize]byte)
-		defer scratchBuffers.Put(buffer)
-		c.server.reject(earlyTCPConn{c.Conn}, c.request.Swap(nil), buffer[:], copy(buffer[:], c.readAhead))
+		c.server.early.RejectRead(earlyrefusal.TCP(c.Conn), c.request.Swap(nil), c.readAhead)
 		return 0, io.EOF
 	}
 	for {
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -12,9 +12,11 @@
 
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/scratch"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -65,15 +67,15 @@
 	a.ahead = slices.Clone(a.ahead)
 	var err error
 	if a.conn, err = a.socket.Conn(); err != nil {
-		a.server.loseConnection(a.server.beginArrived(len(a.ahead)))
+		a.server.loseConnection(a.server.early.Begin(len(a.ahead)))
 	}
 	return a.conn, err
 }
 
 // AwaitOrganisation implements handover.Arrival.
 func (a *arrival) AwaitOrganisation() (name string, ok bool) {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
+	buffer := scratch.Get()
+	defer buffer.Put()
 	if a.conn.SetReadDeadline(clock.Deadline(maxHeadWait)) != nil {
 		return "", false
 	}
@@ -94,19 +96,17 @@
 
 // ServeLocally implements handover.Arrival. The connection is rejected if it has waited for too long.
 func (a *arrival) ServeLocally() {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	early, account := earlyTCPConn{a.conn}, a.server.beginArrived(len(a.ahead))
+	early, account := earlyrefusal.TCP(a.conn), a.server.early.Begin(len(a.ahead))
 	if backlog.Overdue(clock.Since(a.accepted), a.conns.overloaded()) {
-		a.server.reject(early, account, buffer[:], copy(buffer[:], a.ahead))
+		a.server.early.RejectRead(early, account, a.ahead)
 		return
 	}
 	element := a.conns.enqueue()
 	if element == nil {
-		a.server.reject(early, account, buffer[:], copy(buffer[:], a.ahead))
+		a.server.early.RejectRead(early, account, a.ahead)
 		return
 	}
-	if a.server.refusesEarly() && a.server.refuseComplete(early, account, a.ahead) {
+	if a.server.refusesEarly() && a.server.refuseOverload(early, account, a.ahead) {
 		a.conns.arrivals.Remove(element)
 		return
 	}
@@ -118,7 +118,7 @@
 	single := &singleListener{conn: c}
 	if err := a.server.server.Serve(single); single.conn != nil {
 		a.server.log.V(1).Info("accepted connection not served", "cause", err.Error())
-		a.server.refuseArrived(early, account, buffer[:], copy(buffer[:], a.ahead), refusal.Leaving, refusal.LeavingRetryAfter)
+		a.server.early.Refuse(early, account, a.ahead, refusal.Leaving, refusal.LeavingRetryAfter)
 		_ = c.Close()
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -23,6 +23,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/classify"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
@@ -57,9 +58,11 @@
 type Server struct {
 	headerNames forward.HeaderNames
 	classifier  *classify.Classifier
-	forwarder   *forward.Forwarder
-	observer    Observer
-	log         logr.Logger
+	// early refuses requests on connections that the HTTP server does not have.
+	early     *earlyrefusal.Refuser
+	forwarder *forward.Forwarder
+	observer  Observer
+	log       logr.Logger
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
@@ -69,7 +72,6 @@
 	requests *lifecycle.Tracker
 	// cutRequests ends all requests that are served.
 	cutRequests func()
-	rejections  rejectionCounter
 	unanswered  unansweredCounter
 	// handover takes new connections to other routers; nil if there is none.
 	handover Handover
@@ -103,6 +105,7 @@
 		forwarder: f, observer: o, memory: b, requests: t, log: l,
 		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
 	}
+	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.conns.arrivals, t, o, l)
 	served, cut := context.WithCancelCause(context.Background())
 	s.cutRequests = func() { cut(errStopped) }
 	s.server = &http.Server{
@@ -149,7 +152,7 @@
 
 // RejectedConnections returns the number of connections rejected since the start because they
 // waited too long for CPU time.
-func (s *Server) RejectedConnections() int64 { return s.rejections.total.Load() }
+func (s *Server) RejectedConnections() int64 { return s.early.Rejected() }
 
 // TotalRequests returns the number of requests that reached the HTTP server since the start.
 func (s *Server) TotalRequests() int64 { return s.started.Load() }
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/scratch"
 )
 
 // maxUnannouncedWait is how long a connection of a server that shuts down stays open after an answer that did not say
@@ -17,9 +19,9 @@
 func (c *conn) refuseLast(read []byte, reason forward.Reason, after time.Duration) {
 	c.conns.lasting.Add(1)
 	defer c.conns.lasting.Add(-1)
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	early := earlyTCPConn{c.Conn}
+	buffer := scratch.Get()
+	defer buffer.Put()
+	early := earlyrefusal.TCP(c.Conn)
 	n := copy(buffer[:], read)
 	n += early.ReadNow(buffer[n:])
 	// The HTTP server may have read the start of a request with the one before.
@@ -38,7 +40,7 @@
 		// An id in the middle of a request may be part of its body.
 		n = max(n, copy(buffer[:], "\r\n\r\n"))
 	}
-	c.server.refuseArrived(early, c.request.Swap(nil), buffer[:], n, reason, after)
+	c.server.early.RefuseArrived(early, c.request.Swap(nil), buffer[:], n, reason, after)
 }
 
 // awaitLast waits for a request that follows the last answer, and returns the number of bytes read.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -2,17 +2,13 @@
 
 import (
 	"container/list"
-	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"slices"
-	"sync/atomic"
-	"time"
 
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
-	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
@@ -74,6 +70,11 @@
 // server gets their connections.
 func (s *Server) refusesEarly() bool { return s.forwarder.Throttling() || s.conns.overloaded() }
 
+// refuseOverload is earlyrefusal's, but leaves requests to the HTTP server once the router shuts down.
+func (s *Server) refuseOverload(c earlyrefusal.Conn, account *lifecycle.Request, arrived []byte) bool {
+	return !s.closing.Load() && s.early.RefuseOverload(c, account, arrived)
+}
+
 // accept accepts a connection. It returns nil if the connection was rejected.
 func (l listener) accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
@@ -82,7 +83,7 @@
 	}
 	element := l.conns.enqueue()
 	if element == nil {
-		l.server.reject(earlyTCPConn{raw}, nil, l.buffer[:], 0)
+		l.server.early.Reject(earlyrefusal.TCP(raw), nil, l.buffer[:], 0)
 		return nil, nil
 	}
 	return l.admit(raw, element, nil, nil)
@@ -101,13 +102,13 @@
 	if handsOver && l.server.handover.Take(&arrival{listener: l, socket: socket, accepted: clock.Now(), ahead: ahead}) {
 		return nil, nil
 	}
-	account := l.server.beginArrived(len(ahead))
+	account := l.server.early.Begin(len(ahead))
 	element := l.conns.enqueue()
 	if element == nil {
-		l.server.reject(socket, account, l.buffer[:], len(ahead))
+		l.server.early.Reject(socket, account, l.buffer[:], len(ahead))
 		return nil, nil
 	}
-	if l.server.refuseComplete(socket, account, ahead) {
+	if l.server.refuseOverload(socket, account, ahead) {
 		l.conns.arrivals.Remove(element)
 		return nil, nil
 	}
@@ -128,9 +129,7 @@
 func (l listener) admit(raw net.Conn, element *list.Element, account *lifecycle.Request, ahead []byte) (net.Conn, error) {
 	if !l.conns.reserve() {
 		l.conns.arrivals.Remove(element)
-		buffer := scratchBuffers.Get().(*[scratchSize]byte)
-		defer scratchBuffers.Put(buffer)
-		l.server.refuseArrived(earlyTCPConn{raw}, account, buffer[:], copy(buffer[:], ahead), refusal.Leaving, refusal.LeavingRetryAfter)
+		l.server.early.Refuse(earlyrefusal.TCP(raw), account, ahead, refusal.Leaving, refusal.LeavingRetryAfter)
 		return nil, net.ErrClosed
 	}
 	c := &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}
@@ -138,150 +137,18 @@
 	return c, nil
 }
 
-const (
-	// maxLastWait is how long a listener that closes waits for the requests of the connections that it still accepts.
-	maxLastWait = 20 * time.Millisecond
-	// maxLastAccepts is how long it accepts connections while callers keep connecting.
-	maxLastAccepts = 100 * time.Millisecond
-)
-
 // Close implements net.Listener. It refuses the requests on connections that nobody has accepted, which the kernel
 // would reset.
 func (l listener) Close() error {
 	l.conns.close()
 	var waiting []sockopt.Socket
 	if l.acceptor != nil {
-		waiting = l.refuseQueued()
+		waiting = l.server.early.RefuseQueued(l.acceptor)
 		if err := l.acceptor.Close(); err != nil {
 			l.server.log.Info("listening socket not closed", "cause", err.Error())
 		}
 	}
 	err := l.Listener.Close()
-	l.server.refuseAwaited(waiting)
+	l.server.early.RefuseAwaited(waiting)
 	return err
 }
-
-// refuseQueued accepts the connections that nobody has accepted, and refuses the requests that have arrived. It returns
-// the connections without one. The others are closed one by one, since there may be more than the process may open.
-func (l listener) refuseQueued() (waiting []sockopt.Socket) {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	for end := clock.Now().Add(maxLastAccepts); clock.Now().Before(end); {
-		socket, ok := l.acceptor.AcceptNow()
-		if !ok {
-			break
-		}
-		if n := socket.ReadNow(buffer[:]); n > 0 {
-			l.server.refuseArrived(socket, l.server.beginArrived(n), buffer[:], n, refusal.Leaving, refusal.LeavingRetryAfter)
-		} else {
-			waiting = append(waiting, socket)
-		}
-	}
-	return waiting
-}
-
-// refuseAwaited waits for the requests on connections that were accepted as the listener closed, and refuses them.
-func (s *Server) refuseAwaited(waiting []sockopt.Socket) {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	end := clock.Now().Add(maxLastWait)
-	for _, socket := range waiting {
-		n := socket.ReadNow(buffer[:])
-		for n == 0 && clock.Now().Before(end) {
-			time.Sleep(time.Millisecond)
-			n = socket.ReadNow(buffer[:])
-		}
-		if n == 0 {
-			// An error means that the caller has disconnected.
-			_ = socket.Close()
-			continue
-		}
-		s.refuseArrived(socket, s.beginArrived(n), buffer[:], n, refusal.Leaving, refusal.LeavingRetryAfter)
-	}
-}
-
-// earlyConn is a new connection on which a request can be refused without blocking.
-type earlyConn interface {
-	// ReadNow reads what has arrived, without blocking, and returns the number of bytes.
-	ReadNow(b []byte) int
-	io.WriteCloser
-}
-
-// earlyTCPConn implements earlyConn for a net.Conn.
-type earlyTCPConn struct{ net.Conn }
-
-func (c earlyTCPConn) ReadNow(b []byte) int { return sockopt.ReadNow(c.Conn, b) }
-
-// refuseComplete refuses a request that has arrived completely, if its organisation's requests
-// are to be refused. It returns false, and has done nothing, if the HTTP server is to serve the
-// connection.
-func (s *Server) refuseComplete(c earlyConn, account *lifecycle.Request, arrived []byte) bool {
-	h, size, ok := s.classifier.Parse(arrived)
-	if !ok || h.BodyLength != len(arrived)-size || s.closing.Load() {
-		return false
-	}
-	r, reason := s.overloadReason(h)
-	if reason == "" {
-		return false
-	}
-	r.Arrived = clock.Now()
-	s.refuseAndClose(c, account, r, reason, refusal.OverloadRetryAfter())
-	return true
-}
-
-// reject rejects a connection that waited too long for CPU time; the first n bytes of buffer
-// have been read from it.
-func (s *Server) reject(c earlyConn, account *lifecycle.Request, buffer []byte, n int) {
-	s.countRejection()
-	s.refuseArrived(c, account, buffer, n, refusal.Overdue, refusal.OverloadRetryAfter())
-}
-
-// refuseArrived refuses a request of which the first n bytes of buffer have been read, with their account, nil if there
-// is none, and closes the connection. It first reads the rest of what has arrived: the kernel resets a connection that is closed
-// with unread bytes, and the caller could lose the answer.
-func (s *Server) refuseArrived(c earlyConn, account *lifecycle.Request, buffer []byte, n int, reason forward.Reason, after time.Duration) {
-	n += c.ReadNow(buffer[n:])
-	r := s.classifier.ReadHead(buffer[:n])
-	for n == len(buffer) {
-		n = c.ReadNow(buffer)
-	}
-	s.refuseAndClose(c, account, r, reason, after)
-}
-
-// refuseAndClose answers a request that has not run with 503 and a Retry-After, and closes the
-// connection.
-func (s *Server) refuseAndClose(c earlyConn, account *lifecycle.Request, r forward.Request, reason forward.Reason, after time.Duration) {
-	result := refusal.New(http.StatusServiceUnavailable, reason, after)
-	if account == nil {
-		account = s.requests.Begin(clock.Now())
-	}
-	end := lifecycle.Refused
-	if _, err := c.Write(refusal.Format(s.headerNames.RequestID, r.ID, result, true)); err != nil {
-		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
-		end = lifecycle.CallerGone
-	}
-	account.Identify(r.ID)
-	account.Close(clock.Now(), end)
-	s.conns.arrivals.CountRefused()
-	// An error means that the caller has disconnected.
-	_ = c.Close()
-	s.observer.RequestEnded(r, result, 0)
-}
-
-// rejectionCounter counts rejected connections. lastLogged is the Unix time, in seconds, at
-// which they were last logged.
-type rejectionCounter struct {
-	total      atomic.Int64
-	lastLogged atomic.Int64
-}
-
-// countRejection counts a rejected connection. It logs the total at most once a second, since
-// there may be thousands.
-func (s *Server) countRejection() {
-	total, second := s.rejections.total.Add(1), clock.Wall().Unix()
-	if s.rejections.lastLogged.Swap(second) == second {
-		return
-	}
-	accepted, longestWait := s.conns.arrivals.TakeAccepted()
-	s.log.Info("callers turned away", "count", total, "accepted", accepted, "longest_ms", longestWait.Milliseconds())
-}
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -3,14 +3,13 @@
 import (
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
-	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/scratch"
 )
 
 // An organisation that sends many times its share can keep a small box busy with refusals
@@ -30,7 +29,7 @@
 		c.head.Keep(first)
 		return false, length, nil
 	}
-	r, reason := s.overloadReason(h)
+	r, reason := s.early.OverloadReason(h)
 	if reason == "" {
 		c.head.KeepID(r.ID)
 		return false, length, nil
@@ -54,29 +53,13 @@
 	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
 }
 
-// overloadReason returns the request of a head and the reason to refuse it because of its
-// organisation's load, or "".
-func (s *Server) overloadReason(h httphead.Head) (forward.Request, forward.Reason) {
-	out, ok := s.classifier.ForEngine(h)
-	if !ok {
-		return out, ""
-	}
-	return out, s.forwarder.ShedReason(out.Organisation, requestSize(out))
-}
-
-// scratchSize is the size, in bytes, of a buffer for input that is discarded.
-const scratchSize = 16 << 10
-
-// scratchBuffers holds buffers for input that is discarded.
-var scratchBuffers = sync.Pool{New: func() any { return new([scratchSize]byte) }}
-
 // discard reads n bytes of a request's body and drops them.
 func discard(c *conn, n int) error {
 	if err := c.SetReadDeadline(clock.Deadline(bodyTimeout)); err != nil {
 		return errors.Wrap(err, "discard body")
 	}
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
+	buffer := scratch.Get()
+	defer buffer.Put()
 	for n > 0 {
 		got, err := c.readInput(buffer[:min(n, len(buffer))])
 		n -= got
