Whether a request is suspected is decided by a package of its own

internal/suspicion has the interface of those who keep account of suspected requests and, for one request, what of it is suspected, refused, on trial and cleared. internal/forward keeps what needs targets: whether one has exited. EarlierServices is asked for a host, a path, an id and a service instead of a whole request, in that order as routing.Moves has them. The tests of suspects_internal_test.go go with it: same cases and checks, on a check instead of a request in flight; crashes are recorded by RecordBreak of the check.

go vet; tests of suspicion and forward with -race, those of gateway about quarantine, trials and exits without.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,8 +23,8 @@
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
-	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/suspicion"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
 
@@ -33,7 +33,7 @@
 	headers  HeaderNames
 	sender   Sender
 	loop     *balance.Loop
-	suspects Suspects
+	suspects suspicion.Suspects
 	// versions knows which versions began streams; nil if streams may be taken up anywhere.
 	versions StreamVersions
 	log      logr.Logger
@@ -68,7 +68,7 @@
 }
 
 // New returns a forwarder that sends requests with s to the targets that l chooses.
-func New(h HeaderNames, s Sender, l *balance.Loop, q Suspects, log logr.Logger, c Counters) *Forwarder {
+func New(h HeaderNames, s Sender, l *balance.Loop, q suspicion.Suspects, log logr.Logger, c Counters) *Forwarder {
 	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, startedAt: clock.Now(), maxStall: DefaultMaxStall, memory: memory.New(math.MaxInt64)}
 }
 
@@ -173,12 +173,8 @@
 	unaskedAt time.Time
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
-	// suspectable has what may be suspected of crashing targets; computed when first needed, see
-	// attributes.
-	suspectable []quarantine.Attribute
-	// trials has the attributes that were rejected or held back and with which the request is sent
-	// nevertheless.
-	trials []quarantine.Key
+	// check is what is known of the suspicion that the request crashes targets.
+	check *suspicion.Check
 	// sentAt is when the current send began.
 	sentAt time.Time
 	// race decides whether a second target goes on with the answer while the current one is silent.
@@ -197,7 +193,7 @@
 // complete or the request is abandoned. ctx must end when the caller disconnects.
 func (f *Forwarder) Forward(ctx context.Context, r Request, caller Caller) Result {
 	deadline := r.Expires()
-	x := &inflight{Forwarder: f, Request: r, caller: caller, deadline: deadline, lastEventID: r.LastEventID}
+	x := &inflight{Forwarder: f, Request: r, caller: caller, deadline: deadline, check: f.newCheck(r), lastEventID: r.LastEventID}
 	if r.LastEventID != "" && !eventstream.IsNumber(r.LastEventID) {
 		x.names = append(x.names, eventstream.Digest(r.LastEventID))
 	}
@@ -419,7 +415,7 @@
 func (x *inflight) logFailure(what string, to balance.Target, f *failure) {
 	log := x.log
 	if f.reason == ReasonBroken || f.reason == ReasonRestarted {
-		log = log.WithValues("content", x.attributes()[0].Key.String(), "organisation", x.Organisation, "parts", partIDs(sharedParts(x.Parts)))
+		log = log.WithValues("content", x.check.Attributes()[0].Key.String(), "organisation", x.Organisation, "parts", partIDs(x.check.SharedParts()))
 	}
 	if x.placeUnknown {
 		log = log.WithValues("place", "unknown")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/suspicion"
 )
 
 func TestForward(t *testing.T) {
@@ -40,14 +41,14 @@
 
 func (brokenSender) CheckUnused(string, string) (open, ended bool) { return false, false }
 
-// noSuspects implements forward.Suspects and suspects no request.
-type noSuspects struct{ forward.Suspects }
+// noSuspects implements suspicion.Suspects and suspects no request.
+type noSuspects struct{ suspicion.Suspects }
 
 func (noSuspects) RecordEnd([]quarantine.Credit) {}
 
-func (noSuspects) View() *quarantine.View                         { return nil }
-func (noSuspects) RecordExit(balance.Target, time.Time)           {}
-func (noSuspects) RecordBreak(context.Context, forward.Break) int { return 0 }
+func (noSuspects) View() *quarantine.View                           { return nil }
+func (noSuspects) RecordExit(balance.Target, time.Time)             {}
+func (noSuspects) RecordBreak(context.Context, suspicion.Break) int { return 0 }
 
 // discard implements forward.Caller and forward.Counters and discards everything.
 type discard struct{}
--- a/internal/forward/second.go
+++ b/internal/forward/second.go
@@ -14,7 +14,6 @@
 	"github.com/stepcroft/stepcroft/internal/eventstream"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
-	"github.com/stepcroft/stepcroft/internal/quarantine"
 )
 
 var (
@@ -68,7 +67,7 @@
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	s.inflight = &inflight{
 		Forwarder: x.Forwarder, Request: x.Request, deadline: x.deadline, answerStarted: x.answerStarted, lastEventID: x.lastEventID,
-		tail: slices.Clone(x.tail), names: slices.Clone(x.names), begun: x.begun, forwardedEvents: x.forwardedEvents, trials: slices.Clone(x.trials),
+		tail: slices.Clone(x.tail), names: slices.Clone(x.names), begun: x.begun, forwardedEvents: x.forwardedEvents, check: x.check.Fork(),
 		result: Result{HeadSent: x.result.HeadSent},
 	}
 	return s
@@ -120,7 +119,7 @@
 		s.keepBudget()
 		return &failure{reason: s.result.Reason, result: balance.Abandoned, cause: errors.New("no other target")}
 	}
-	if s.isGone() || s.reportBreak(s.ctx, silent, &failure{reason: ReasonSilent}) || s.isQuarantined() {
+	if s.isGone() || s.reportBreak(s.ctx, silent, &failure{reason: ReasonSilent}) || s.check.IsQuarantined() {
 		s.endSend(balance.Abandoned)
 		s.keepBudget()
 		return &failure{reason: ReasonQuarantined, result: balance.Abandoned, cause: errQuarantined}
@@ -258,15 +257,3 @@
 		s.ticket.OnLost(nil)
 	}
 }
-
-// isQuarantined reports whether the request must not be sent to another target now, as it may end it.
-func (x *inflight) isQuarantined() bool {
-	v := x.suspects.View()
-	if v == nil {
-		return false
-	}
-	now := clock.Now()
-	return slices.ContainsFunc(x.attributes(), func(a quarantine.Attribute) bool {
-		return v.RejectedFor(now, a.Key) > 0 || v.HoldsBack(now, a.Key) && !slices.Contains(x.trials, a.Key)
-	})
-}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
-	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/rendezvous"
+	"github.com/stepcroft/stepcroft/internal/suspicion"
 )
 
 const (
@@ -53,19 +53,19 @@
 	})
 }
 
-// suspects implements forward.Suspects.
+// suspects implements suspicion.Suspects.
 type suspects struct{ *Gateway }
 
-// View implements forward.Suspects.
+// View implements suspicion.Suspects.
 func (g suspects) View() *quarantine.View { return g.quarantineView.Load() }
 
-// RecordBreak implements forward.Suspects.
-func (g suspects) RecordBreak(ctx context.Context, b forward.Break) int {
+// RecordBreak implements suspicion.Suspects.
+func (g suspects) RecordBreak(ctx context.Context, b suspicion.Break) int {
 	crashes, _ := balance.Call(ctx, g.loop, func(s *balance.State, now time.Time) int { return g.recordBreak(s, now, b) })
 	return crashes
 }
 
-func (g *Gateway) recordBreak(s *balance.State, now time.Time, b forward.Break) int {
+func (g *Gateway) recordBreak(s *balance.State, now time.Time, b suspicion.Break) int {
 	if b.TargetExited {
 		g.recordExit(s, now, b.Target, b.RefusedAt)
 	}
@@ -87,12 +87,12 @@
 	return crashes
 }
 
-// RecordEnd implements forward.Suspects.
+// RecordEnd implements suspicion.Suspects.
 func (g suspects) RecordEnd(attributes []quarantine.Credit) {
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.quarantine.state.RecordEnd(now, attributes) })
 }
 
-// RecordExit implements forward.Suspects.
+// RecordExit implements suspicion.Suspects.
 func (g suspects) RecordExit(t balance.Target, refusedAt time.Time) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
 		g.recordExit(s, now, t, refusedAt)
@@ -103,7 +103,7 @@
 	})
 }
 
-// RecordSuccess implements forward.Suspects.
+// RecordSuccess implements suspicion.Suspects.
 func (g suspects) RecordSuccess(k quarantine.Key, sent time.Time) {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.quarantine.state.ClearBefore(k, sent)
@@ -111,7 +111,7 @@
 	})
 }
 
-// RecordSeen implements forward.Suspects.
+// RecordSeen implements suspicion.Suspects.
 func (g suspects) RecordSeen(k quarantine.Key) {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.quarantine.state.RecordSeen(now, k)
@@ -119,16 +119,16 @@
 	})
 }
 
-// EarlierServices implements forward.Suspects.
-func (g suspects) EarlierServices(r forward.Request) []string {
+// EarlierServices implements suspicion.Suspects.
+func (g suspects) EarlierServices(host, path, id, but string) []string {
 	moves := g.moves.Load()
 	if moves == nil {
 		return nil
 	}
-	return moves.Services(r.Host, r.Path(), r.FirstID(), r.Service)
+	return moves.Services(host, path, id, but)
 }
 
-// Inherit implements forward.Suspects.
+// Inherit implements suspicion.Suspects.
 func (g suspects) Inherit(ctx context.Context, from quarantine.Key, to quarantine.Attribute) {
 	g.loop.PostAndWait(ctx, func(_ *balance.State, now time.Time) {
 		if g.quarantine.state.Inherit(now, from, to) {
@@ -209,12 +209,12 @@
 	}
 }
 
-// StartTrial implements forward.Suspects.
+// StartTrial implements suspicion.Suspects.
 func (g suspects) StartTrial(ctx context.Context, until time.Time, keys []quarantine.Key) bool {
 	return g.trials.Start(ctx, until, keys)
 }
 
-// EndTrial implements forward.Suspects.
+// EndTrial implements suspicion.Suspects.
 func (g suspects) EndTrial(k quarantine.Key, broke bool) { g.trials.End(k, broke) }
 
 // trialFleet implements trial.Fleet.
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
-	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
+	"github.com/stepcroft/stepcroft/internal/suspicion"
 )
 
 // targetEntry returns a target's entry in the store.
@@ -32,7 +32,7 @@
 	target := balance.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
 	g.SetTargets(8, []message.StoredObject{targetEntry(t, 8, target)})
 	k := quarantine.KeyOf("o", "POST", "/x", nil)
-	if n := (suspects{g}).RecordBreak(context.Background(), forward.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target}); n != 0 {
+	if n := (suspects{g}).RecordBreak(context.Background(), suspicion.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target}); n != 0 {
 		t.Fatalf("%d crashes counted before the restart, want 0", n)
 	}
 	target.Born = 6
@@ -85,7 +85,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			k := quarantine.KeyOf("o", "POST", "/x", nil)
-			if got := (suspects{g}).RecordBreak(ctx, forward.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target, TargetExited: c.ended}); got != c.want {
+			if got := (suspects{g}).RecordBreak(ctx, suspicion.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target, TargetExited: c.ended}); got != c.want {
 				t.Errorf("%d crashes counted, want %d", got, c.want)
 			}
 		})
@@ -118,7 +118,7 @@
 	for i := range 3 {
 		target := balance.Target{ID: fmt.Sprint("t", i), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
 		g.SetTargets(int64(8+i), []message.StoredObject{targetEntry(t, int64(8+i), target)})
-		(suspects{g}).RecordBreak(context.Background(), forward.Break{Attributes: []quarantine.Attribute{{Key: key}}, Organisation: "o", Target: target, TargetExited: true})
+		(suspects{g}).RecordBreak(context.Background(), suspicion.Break{Attributes: []quarantine.Attribute{{Key: key}}, Organisation: "o", Target: target, TargetExited: true})
 	}
 	count := func() int {
 		store.mu.Lock()
--- a/internal/ingress/quick_test.go
+++ b/internal/ingress/quick_test.go
@@ -26,6 +26,7 @@
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/suspicion"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
 
@@ -49,13 +50,13 @@
 
 func (unreachableSender) CheckUnused(string, string) (open, ended bool) { return false, false }
 
-// noSuspects is a forward.Suspects that suspects no request.
-type noSuspects struct{ forward.Suspects }
+// noSuspects is a suspicion.Suspects that suspects no request.
+type noSuspects struct{ suspicion.Suspects }
 
-func (noSuspects) RecordEnd([]quarantine.Credit)                  {}
-func (noSuspects) View() *quarantine.View                         { return nil }
-func (noSuspects) RecordExit(balance.Target, time.Time)           {}
-func (noSuspects) RecordBreak(context.Context, forward.Break) int { return 0 }
+func (noSuspects) RecordEnd([]quarantine.Credit)                    {}
+func (noSuspects) View() *quarantine.View                           { return nil }
+func (noSuspects) RecordExit(balance.Target, time.Time)             {}
+func (noSuspects) RecordBreak(context.Context, suspicion.Break) int { return 0 }
 
 // ignoringObserver is an Observer and a forward.Counters that ignores all calls.
 type ignoringObserver struct{}
--- a/internal/forward/suspects_internal_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -1,4 +1,4 @@
-package forward
+package suspicion
 
 import (
 	"context"
@@ -44,7 +44,7 @@
 	s.State.RecordEnd(clock.Now(), attributes)
 }
 func (s stateSuspects) RecordSuccess(k quarantine.Key, sent time.Time) { s.ClearBefore(k, sent) }
-func (s stateSuspects) EarlierServices(Request) []string               { return s.earlier }
+func (s stateSuspects) EarlierServices(_, _, _, _ string) []string     { return s.earlier }
 func (s stateSuspects) Inherit(_ context.Context, from quarantine.Key, to quarantine.Attribute) {
 	s.State.Inherit(clock.Now(), from, to)
 }
@@ -55,27 +55,22 @@
 // if a trial had failed, when the targets that run it crash in quick succession under another one.
 func TestNoTrialBeforeAccusation(t *testing.T) {
 	suspects := stateSuspects{State: quarantine.New()}
-	send := func() *inflight {
-		return &inflight{Forwarder: &Forwarder{suspects: suspects}, Request: Request{Organisation: "o", Method: "POST", URI: "/x", Body: memory.Of([]byte("question"))}}
-	}
-	crash := func(x *inflight, target string) {
-		suspects.RecordBreak(context.Background(), Break{
-			Attributes: x.attributes(), Organisation: "o", Target: balance.Target{ID: target}, TargetExited: true, Trials: x.trials,
-		})
+	send := func() *Check {
+		return New(suspects, Request{Organisation: "o", Method: "POST", URI: "/x", Body: memory.Of([]byte("question"))})
 	}
 	for _, target := range []string{"a", "b", "c"} {
-		x := send()
-		if x.refuseQuarantined(context.Background()) {
+		c := send()
+		if _, refused := c.Refuse(context.Background()); refused {
 			t.Fatalf("refused before target %s crashed", target)
 		}
-		crash(x, target)
+		c.RecordBreak(context.Background(), balance.Target{ID: target}, true, time.Time{}, true)
 	}
-	x := send()
-	if !x.refuseQuarantined(context.Background()) {
+	r, refused := send().Refuse(context.Background())
+	if !refused {
 		t.Fatal("sent after three crashes")
 	}
-	if x.result.RetryAfter > 3*time.Second {
-		t.Errorf("held back for %v, want 3s: no trial has failed", x.result.RetryAfter)
+	if r.RetryAfter > 3*time.Second {
+		t.Errorf("held back for %v, want 3s: no trial has failed", r.RetryAfter)
 	}
 }
 
@@ -86,7 +81,7 @@
 	attribute := func(change func(r *Request)) quarantine.Attribute {
 		r := admitted
 		change(&r)
-		return (&inflight{Request: r}).attributes()[0]
+		return New(nil, r).Attributes()[0]
 	}
 	same := attribute(func(*Request) {})
 	for name, c := range map[string]struct {
@@ -109,12 +104,12 @@
 // and against holding it back for long at one whose targets it does not crash.
 func TestPartAfterMove(t *testing.T) {
 	suspects := stateSuspects{State: quarantine.New()}
-	send := func(service string) *inflight {
-		return &inflight{Forwarder: &Forwarder{suspects: suspects}, deadline: clock.Now().Add(time.Minute), Request: Request{
-			Service: service, Method: "POST", URI: "/x", Parts: []prefix.Part{{ID: "p"}, {ID: "own"}},
-		}}
+	refused := func(service string) bool {
+		_, refused := New(suspects, Request{
+			Service: service, Method: "POST", URI: "/x", Parts: []prefix.Part{{ID: "p"}, {ID: "own"}}, Deadline: clock.Now().Add(time.Minute),
+		}).Refuse(context.Background())
+		return refused
 	}
-	refused := func(service string) bool { return send(service).refuseQuarantined(context.Background()) }
 	now := clock.Now().Add(-time.Minute)
 	for _, target := range []string{"a", "b", "c"} {
 		suspects.RecordAttributeBreak(now, quarantine.PartOf("s", "p"), "o", target, false)
