One mechanism knows where routes led

routing.Moves, for prompts held back where a route led before, and routehistory.History, for the versions of streams, each compared all routes of each configuration with those before. The history does it once now, and hands out Moves, which request goroutines ask; it is replaced as a whole and they never wait: TestMovesAreReadBesideChanges (race detector), BenchmarkMoves, and TestEarlierServicesDoNotWaitForControl, which holds the control goroutine.

What is kept is as before: an hour, eight moves a route, 4096 routes, all kinds, for Moves; a minute of streams, stored and restored, for the history. Moves finds routes by the history's key. The tests of Moves go with it, same cases and checks, on configurations put in force one after the other; TestMoves also looks half an hour later, TestMovesOutliveRestore is new.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,6 @@
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
-	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
@@ -190,11 +189,8 @@
 	streamStore streamStore
 	// routes knows at which services streams may have begun.
 	routes *routehistory.History
-	// moves tells to which services routes led before, for requests whose prompts have parts that were held back there;
-	// nil if no route has moved.
-	moves atomic.Pointer[routing.Moves]
-	// routedBy is the configuration that routes are known by, nil if there is none yet.
-	routedBy *routing.Table
+	// moves tells to which services routes led before, for requests whose prompts have parts that were held back there.
+	moves *routehistory.Moves
 	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
 	// requests are checked against.
 	quarantine quarantineState
@@ -280,6 +276,7 @@
 	g.trials = trial.New(self.ID, g.quarantine.state, trialFleet{g}, o.Log)
 	g.streams = streamversion.New(now, g.roster)
 	g.routes = routehistory.New(now, streamversion.TTL)
+	g.moves = g.routes.Moves()
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
 	state.OnStreamBegun(g.streamBegun)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -121,11 +121,7 @@
 
 // EarlierServices implements suspicion.Suspects.
 func (g suspects) EarlierServices(host, path, id, but string) []string {
-	moves := g.moves.Load()
-	if moves == nil {
-		return nil
-	}
-	return moves.Services(host, path, id, but)
+	return g.moves.Services(host, path, id, but)
 }
 
 // Inherit implements suspicion.Suspects.
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -164,3 +165,28 @@
 		t.Errorf("%d of %d requests written again", len(store.count), requests)
 	}
 }
+
+// TestEarlierServicesDoNotWaitForControl guards against requests that wait for the control goroutine as they are checked
+// for parts of prompts that were held back where their route led before.
+func TestEarlierServicesDoNotWaitForControl(t *testing.T) {
+	g := newRouteGateway(t, nil)
+	g.SetConfig(7, routeTo(t, 1, "x"))
+	g.SetConfig(9, routeTo(t, 2, "y"))
+	held, release := make(chan struct{}), make(chan struct{})
+	g.loop.Post(func(*balance.State, time.Time) {
+		close(held)
+		<-release
+	})
+	defer close(release)
+	<-held
+	got := make(chan []string, 1)
+	g.group.Go(func() { got <- suspects{g}.EarlierServices("h", "/p", "id", "y") })
+	select {
+	case list := <-got:
+		if !slices.Equal(list, []string{"x"}) {
+			t.Errorf("got %v, want x", list)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("waits for the control goroutine")
+	}
+}
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -29,7 +29,6 @@
 		s.RoutesChanged()
 		g.Log.Info("routes lead to other services", "version", t.Version(), "streams_shared", g.shareStreams(s, now))
 	}
-	g.noteMoves(now, t)
 	g.restoreRoutes(now)
 }
 
@@ -46,22 +45,6 @@
 	g.routes.Forget(now, age)
 }
 
-// moveTTL is how long it is remembered to which services routes led, as long as parts of prompts are held back.
-const moveTTL = time.Hour
-
-// noteMoves notes to which services the routes led that lead elsewhere now.
-func (g *Gateway) noteMoves(now time.Time, t *routing.Table) {
-	if g.routedBy != nil {
-		var moves routing.Moves
-		if before := g.moves.Load(); before != nil {
-			moves = *before
-		}
-		moves = moves.With(now, g.routedBy, t, now.Add(-moveTTL))
-		g.moves.Store(&moves)
-	}
-	g.routedBy = t
-}
-
 // restoreRoutes completes the history of routes once what was stored and a configuration are known. If that is newer than
 // what was stored, the configurations in between are read first.
 func (g *Gateway) restoreRoutes(now time.Time) {
--- a/internal/routehistory/bench_test.go
+++ b/internal/routehistory/bench_test.go
@@ -1,11 +1,13 @@
 package routehistory_test
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
@@ -74,3 +76,35 @@
 		h.Services(now, "h", "/7/a/b/c", "id", "service-7")
 	}
 }
+
+// BenchmarkMoves asks for moves in all goroutines, alone and while another one puts ten configurations a second in force.
+func BenchmarkMoves(b *testing.B) {
+	for name, interval := range map[string]time.Duration{"alone": 0, "beside changes": 100 * time.Millisecond} {
+		b.Run(name, func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			h := routehistory.New(now, keep)
+			tables := []*routing.Table{manyRoutes(b, 50, 0), manyRoutes(b, 50, 1)}
+			change := func(i int) {
+				now = now.Add(100 * time.Millisecond)
+				h.Set(now, tables[i%2])
+			}
+			for i := range 3 {
+				change(i)
+			}
+			m, g := h.Moves(), group.New(b.Context())
+			if interval > 0 {
+				g.GoContext(func(ctx context.Context) {
+					for i := 3; group.SleepUntil(ctx, time.Now().Add(interval)); i++ {
+						change(i)
+					}
+				})
+			}
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					m.Services("h", "/7/a/b/c", "id", "service-7")
+				}
+			})
+			g.Stop()
+		})
+	}
+}
--- a/internal/routing/moves_test.go
+++ b/internal/routehistory/moves_test.go
@@ -1,11 +1,14 @@
-package routing_test
+package routehistory_test
 
 import (
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -38,10 +41,11 @@
 		"twice":                     {tables: []*routing.Table{movedTo(t, "r", "/a/", "s"), movedTo(t, "r", "/a/", "u"), movedTo(t, "r", "/a/", "t")}, want: []string{"s", "u"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var m routing.Moves
 			now := time.Unix(1000, 0)
-			for i, table := range c.tables[1:] {
-				m = m.With(now, c.tables[i], table, now.Add(-time.Minute))
+			h := routehistory.New(now, keep)
+			m := h.Moves()
+			for _, table := range c.tables {
+				h.Set(now, table)
 				now = now.Add(time.Second)
 			}
 			for _, host := range []string{"h", "H:80"} {
@@ -50,7 +54,12 @@
 				}
 			}
 			last := c.tables[len(c.tables)-1]
-			if got := m.With(now, last, last, now).Services("h", "/a/x", "id", "t"); got != nil {
+			h.Set(now.Add(time.Hour/2), last)
+			if got := m.Services("h", "/a/x", "id", "t"); !slices.Equal(got, c.want) {
+				t.Errorf("got %v half an hour after, want %v", got, c.want)
+			}
+			h.Set(now.Add(time.Hour), last)
+			if got := m.Services("h", "/a/x", "id", "t"); got != nil {
 				t.Errorf("got %v long after", got)
 			}
 		})
@@ -60,7 +69,10 @@
 // TestMovesOfSplitRoute guards against taking each service of a split route for one that all of its requests went to.
 func TestMovesOfSplitRoute(t *testing.T) {
 	split, now := movedTo(t, "r", "/", "s", "t"), time.Unix(1000, 0)
-	m := routing.Moves{}.With(now, split, movedTo(t, "r", "/", "u"), now)
+	h := routehistory.New(now, keep)
+	h.Set(now, split)
+	h.Set(now, movedTo(t, "r", "/", "u"))
+	m := h.Moves()
 	route, _ := split.Lookup("h", "/")
 	for i := range 20 {
 		id := fmt.Sprint(i)
@@ -73,11 +85,11 @@
 // TestMovesAreBounded guards against routes that move again and again and take ever more memory and time.
 func TestMovesAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var m routing.Moves
-	for i := range 100 {
-		m = m.With(now, movedTo(t, "r", "/", fmt.Sprint("s", i)), movedTo(t, "r", "/", fmt.Sprint("s", i+1)), now)
+	h := routehistory.New(now, keep)
+	for i := range 101 {
+		h.Set(now, movedTo(t, "r", "/", fmt.Sprint("s", i)))
 	}
-	if got := m.Services("h", "/", "id", ""); len(got) != 8 || got[7] != "s99" {
+	if got := h.Moves().Services("h", "/", "id", ""); len(got) != 8 || got[7] != "s99" {
 		t.Errorf("got %v, want the last 8", got)
 	}
 	const routes = 3000
@@ -92,8 +104,11 @@
 		}
 		return table
 	}
-	none, first, second := movedTo(t, "r", "/", "s"), wave("first"), wave("second")
-	m = m.With(now.Add(time.Second), first, none, now).With(now.Add(2*time.Second), second, none, now)
+	h = routehistory.New(now, keep)
+	for i, table := range []*routing.Table{wave("first"), tableOf(t), wave("second"), tableOf(t)} {
+		h.Set(now.Add(time.Duration(i)*time.Second), table)
+	}
+	m := h.Moves()
 	kept := map[string]int{}
 	for i := range routes {
 		for _, host := range []string{"first", "second"} {
@@ -104,3 +119,51 @@
 		t.Errorf("%v routes are remembered, want the later ones first", kept)
 	}
 }
+
+// TestMovesOutliveRestore guards against moves that are forgotten, or not followed any more, once the routes of the time
+// before the start are known.
+func TestMovesOutliveRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := routehistory.New(now, keep)
+	m := h.Moves()
+	h.Set(now, movedTo(t, "r", "/", "s"))
+	h.Set(now, movedTo(t, "r", "/", "t"))
+	h.Restore(now, h.Uses(now), []*routing.Table{movedTo(t, "r", "/", "v")})
+	if got := m.Services("h", "/", "id", "t"); !slices.Equal(got, []string{"s"}) {
+		t.Errorf("got %v, want s", got)
+	}
+	h.Set(now, movedTo(t, "r", "/", "u"))
+	if got := m.Services("h", "/", "id", "u"); !slices.Equal(got, []string{"s", "t"}) {
+		t.Errorf("got %v, want s and t", got)
+	}
+}
+
+// TestMovesAreReadBesideChanges guards against requests that wait for the goroutine of the history, or see half of a change.
+func TestMovesAreReadBesideChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := routehistory.New(now, keep)
+	m := h.Moves()
+	tables := []*routing.Table{movedTo(t, "r", "/", "s"), movedTo(t, "r", "/", "t"), movedTo(t, "r", "/", "u")}
+	for _, table := range tables {
+		h.Set(now, table)
+	}
+	var stopped atomic.Bool
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			for !stopped.Load() {
+				// Of three services in turn two are known at least, whatever is in force.
+				if got := m.Services("h", "/", "id", ""); len(got) < 2 {
+					t.Errorf("got %v", got)
+					return
+				}
+			}
+		})
+	}
+	for i := range 3000 {
+		now = now.Add(time.Second)
+		h.Set(now, tables[i%len(tables)])
+	}
+	stopped.Store(true)
+	readers.Wait()
+}
--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -1,6 +1,8 @@
-// Package routehistory remembers to which services streams were sent. The rest of a stream is routed anew, perhaps by
+// Package routehistory remembers to which services routes led. The rest of a stream is routed anew, perhaps by
 // another configuration than its beginning, so that what is known of the service of the moment says nothing about a
-// stream that began at another one.
+// stream that began at another one: a History knows where streams went within its length, and whether it knows all of
+// that. What is held back of prompts at a service must be held back where their route moves: Moves tells requests of any
+// kind where their routes led.
 package routehistory
 
 import (
@@ -53,6 +55,8 @@
 	uses []use
 	// since is when there was no such route last, the zero time if that is longer ago than matters.
 	since time.Time
+	// leads is what the route leads to by the configuration in force, nil if that has no such route.
+	leads []routing.Share
 }
 
 // current returns the use that lasts, or nil.
@@ -75,6 +79,8 @@
 type History struct {
 	keep   time.Duration
 	routes map[Key]*route
+	// moves has what routes led to, for other goroutines.
+	moves *Moves
 	// changedAt is when a route's services changed last.
 	changedAt time.Time
 	// table is the configuration in force, since setAt.
@@ -89,9 +95,12 @@
 
 // New returns a history of the last time of a length.
 func New(now time.Time, keep time.Duration) *History {
-	return &History{keep: keep, routes: map[Key]*route{}, startedAt: now, blind: true}
+	return &History{keep: keep, routes: map[Key]*route{}, moves: &Moves{}, startedAt: now, blind: true}
 }
 
+// Moves tells where routes led. It stays the same, and follows all configurations that are put in force.
+func (h *History) Moves() *Moves { return h.moves }
+
 // Set puts a configuration in force, and reports whether the services of any route have changed.
 func (h *History) Set(now time.Time, t *routing.Table) bool {
 	first := h.table == nil && len(h.routes) == 0
@@ -101,18 +110,30 @@
 	h.table, h.setAt = t, now
 	h.expire(now)
 	changed := false
+	var ended []lead
 	present := make(map[Key]bool, len(h.routes))
 	for r := range t.Routes() {
 		k := keyOf(r.Host, r.Prefix)
 		present[k] = true
 		changed = h.set(now, k, sharesOf(r), first) || changed
+		if v := h.routes[k]; !slices.Equal(v.leads, r.Shares) {
+			if v.leads != nil {
+				ended = append(ended, lead{k, v.leads})
+			}
+			v.leads = r.Shares
+		}
 	}
 	for k, r := range h.routes {
 		if !present[k] && r.current() != nil {
 			r.end(now)
 			changed = true
+			if r.leads != nil {
+				ended = append(ended, lead{k, r.leads})
+				r.leads = nil
+			}
 		}
 	}
+	h.moves.end(now, ended)
 	h.bound(now)
 	if changed && !first {
 		h.changedAt = now
@@ -306,7 +327,7 @@
 		restored.Set(now, h.table)
 	}
 	restored.changedAt = latest(restored.changedAt, h.changedAt)
-	restored.startedAt, restored.setAt, restored.restored = h.startedAt, h.setAt, true
+	restored.startedAt, restored.setAt, restored.restored, restored.moves = h.startedAt, h.setAt, true, h.moves
 	*h = *restored
 }
 
