A router's account of suspected requests is a package of its own

internal/suspects records exits and what ran there, exchanges records with other routers, persists and expires them, has trials held and lets operators look; it was internal/gateway's quarantine.go and operators.go. It gets the control loop, the fleet, the listed targets, the store, the moves and what records an exit; the gateway keeps which router ranks first and four methods that pass on.

Tests: newWithStore gives a gateway its store for held-back requests from the start, where tests set a field before, and TestAllHeldBackRequestsAfterStoreCameBackOlder forgets what was written until then, so that it counts the same writes. A case of the orders of messages looks at the published view instead of the state behind it.

--- a/internal/gateway/awake_internal_test.go
+++ b/internal/gateway/awake_internal_test.go
@@ -18,6 +18,7 @@
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/suspects"
 )
 
 // jsonCodec reads a routing.Spec and a balance.Target as JSON.
@@ -41,11 +42,17 @@
 
 // newConfigured returns a configured router for the internal tests.
 func newConfigured(t *testing.T, seeds ...string) *Gateway {
+	t.Helper()
+	return newWithStore(t, nil, seeds...)
+}
+
+// newWithStore is newConfigured with a store for held-back requests.
+func newWithStore(t *testing.T, store suspects.Store, seeds ...string) *Gateway {
 	t.Helper()
 	n := started.Add(1)
 	g, err := New(context.Background(), Options{
 		ID: fmt.Sprint("a", n), Zone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", Seeds: seeds, Incarnation: n,
-		Codec: jsonCodec{}, Log: logr.Discard(), Metrics: counters.New(),
+		Codec: jsonCodec{}, Log: logr.Discard(), Metrics: counters.New(), QuarantineStore: store,
 		Limits: balance.Limits{RetryWindow: 10 * time.Second, QuotaWindow: 4 * time.Second},
 	})
 	if err != nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -33,7 +33,7 @@
 			g.sendPings(now, g.roster.Receive(now, m))
 			g.hearAges(now, from, m.Revisions, m.Ages)
 			g.requestNewer(now, from, m.Revisions)
-			g.compareSuspects(now, from, m.QuarantineDigest)
+			g.suspects.Compare(now, from, m.QuarantineDigest)
 			g.confirmByReply(now, m)
 			return
 		case message.Status:
@@ -46,15 +46,15 @@
 			if m.Config == 0 {
 				// The sender has no configuration, so it has just started: it must know
 				// the suspected requests before it serves its first one.
-				g.sendSuspects(from, g.quarantine.exchange.All(now))
+				g.suspects.SendAll(now, from)
 			}
 			g.sendCopy(now, from, m)
 		case message.Copy:
 			g.mergeCopy(s, now, from, m)
 		case message.Quarantine:
-			g.handleQuarantine(now, from, m)
+			g.suspects.Handle(now, from, m)
 		case message.Trial:
-			g.trials.Handle(now, from, m)
+			g.suspects.HandleTrial(now, from, m)
 		case message.StreamVersions:
 			g.handleStreamVersions(s, now, from, m)
 		case message.TargetExits:
@@ -224,7 +224,7 @@
 	c := g.catalog.TakeChanges()
 	s.ChangeTargets(now, c.Changed, c.Removed)
 	g.shareStreams(s, now)
-	g.recordRestarts(now, c.Changed)
+	g.suspects.RecordRestarts(now, c.Changed)
 }
 
 // logIgnored logs and counts the store entries that could not be used as targets.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,6 @@
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
-	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
@@ -46,8 +45,8 @@
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/suspects"
 	"github.com/stepcroft/stepcroft/internal/tally"
-	"github.com/stepcroft/stepcroft/internal/trial"
 	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
@@ -122,7 +121,7 @@
 	CopyLimits freshness.Limits
 	// QuarantineStore persists the requests that are held back, so that they survive a restart of
 	// all routers; nil if they are not persisted.
-	QuarantineStore QuarantineStore
+	QuarantineStore suspects.Store
 	// StreamStore persists which versions of services began streams; nil if nothing preceded this
 	// process.
 	StreamStore StreamStore
@@ -189,17 +188,12 @@
 	streamStore streamStore
 	// routes knows at which services streams may have begun.
 	routes *routehistory.History
-	// moves tells to which services routes led before, for requests whose prompts have parts that were held back there.
-	moves *routehistory.Moves
-	// quarantine holds the suspected requests; quarantineView is the snapshot of them that new
-	// requests are checked against.
-	quarantine quarantineState
-	trials     *trial.Trials
-	exits      exits
+	// suspects has the requests that are suspected of crashing targets.
+	suspects *suspects.Account
+	exits    exits
 	// unconfirmedSince is the time since when the router has waited, after the box was suspended,
 	// for a confirmation that its copy of the store is current; zero if it does not wait.
 	unconfirmedSince time.Time
-	quarantineView   atomic.Pointer[quarantine.View]
 	loggedDrained    drainedZones
 	// coldSenders limits the requests sent to cold targets.
 	coldSenders *coldstart.Senders
@@ -259,7 +253,6 @@
 	}
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
-	g.quarantine.state, g.quarantine.bornByTarget = quarantine.New(), map[string]int64{}
 	g.started = now
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
@@ -272,11 +265,8 @@
 		ID: self.ID, Zone: self.Zone, Address: self.Address, Peer: self.Peer, Incarnation: self.Incarnation,
 		Capacity: o.Capacity,
 	}, o.Seeds, random)
-	g.quarantine.exchange = quarantine.NewExchange(g.quarantine.state, g.roster)
-	g.trials = trial.New(self.ID, g.quarantine.state, trialFleet{g}, o.Log)
 	g.streams = streamversion.New(now, g.roster)
 	g.routes = routehistory.New(now, streamversion.TTL)
-	g.moves = g.routes.Moves()
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnLongPrompt(g.sendLoad)
 	state.OnStreamBegun(g.streamBegun)
@@ -300,10 +290,14 @@
 	g.loop = balance.NewLoop(state)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
+	g.suspects = suspects.New(suspects.Options{
+		Self: self.ID, Loop: g.loop, Fleet: suspectFleet{g.roster, g}, Targets: g.catalog, Store: o.QuarantineStore, Moves: g.routes.Moves(),
+		RecordExit: g.recordExit, Counters: o.Metrics, Log: o.Log,
+	})
 	g.transport = httptarget.New(g.group)
 	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
-	forwarder := forward.New(o.Headers, g.transport, g.loop, suspects{g}, o.Log, o.Metrics).
+	forwarder := forward.New(o.Headers, g.transport, g.loop, g.suspects, o.Log, o.Metrics).
 		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	sums := tally.New()
 	g.requests = lifecycle.New(changeWindow, o.Log)
--- a/internal/gateway/operators_internal_test.go
+++ b/internal/gateway/operators_internal_test.go
@@ -56,7 +56,7 @@
 func waitHeld(t *testing.T, g *Gateway, k quarantine.Key, want bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		v := suspects{g}.View()
+		v := g.suspects.View()
 		if held := quarantine.HeldBack(v.Crashes(k)); held == want {
 			return
 		}
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -262,7 +262,7 @@
 		"request held back, cleared of a crash": {
 			older: crash(false), newer: crash(true), want: "1",
 			believes: func(g *Gateway, _ *balance.State, _ time.Time) string {
-				return fmt.Sprint(g.quarantine.state.View().Crashes(quarantine.KeyOf("o", "POST", "/x", nil)))
+				return fmt.Sprint(g.suspects.View().Crashes(quarantine.KeyOf("o", "POST", "/x", nil)))
 			},
 		},
 		"router, leaving":               {older: router(1, message.Alive, false), newer: router(2, message.Alive, true), believes: thirdRouter, want: "not listed"},
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -33,14 +33,14 @@
 	target := balance.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
 	g.SetTargets(8, []message.StoredObject{targetEntry(t, 8, target)})
 	k := quarantine.KeyOf("o", "POST", "/x", nil)
-	if n := (suspects{g}).RecordBreak(context.Background(), suspicion.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target}); n != 0 {
+	if n := g.suspects.RecordBreak(context.Background(), suspicion.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target}); n != 0 {
 		t.Fatalf("%d crashes counted before the restart, want 0", n)
 	}
 	target.Born = 6
 	g.SetTargets(9, []message.StoredObject{targetEntry(t, 9, target)})
 	g.SetTargets(10, []message.StoredObject{targetEntry(t, 10, target)})
-	if n := len(g.Suspects(context.Background())); n != 1 || (suspects{g}).View().Crashes(k) != 1 {
-		t.Errorf("%d suspected, %d crashes counted after the restart, want 1 and 1", n, (suspects{g}).View().Crashes(k))
+	if n := len(g.Suspects(context.Background())); n != 1 || g.suspects.View().Crashes(k) != 1 {
+		t.Errorf("%d suspected, %d crashes counted after the restart, want 1 and 1", n, g.suspects.View().Crashes(k))
 	}
 }
 
@@ -86,14 +86,14 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			k := quarantine.KeyOf("o", "POST", "/x", nil)
-			if got := (suspects{g}).RecordBreak(ctx, suspicion.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target, TargetExited: c.ended}); got != c.want {
+			if got := g.suspects.RecordBreak(ctx, suspicion.Break{Attributes: []quarantine.Attribute{{Key: k}}, Organisation: "o", Target: target, TargetExited: c.ended}); got != c.want {
 				t.Errorf("%d crashes counted, want %d", got, c.want)
 			}
 		})
 	}
 }
 
-// countingStore is a QuarantineStore that counts the calls of Save by key.
+// countingStore is a suspects.Store that counts the calls of Save by key.
 type countingStore struct {
 	mu    sync.Mutex
 	count map[quarantine.Key]int
@@ -106,20 +106,26 @@
 	return true
 }
 
+// reset forgets the calls so far.
+func (k *countingStore) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	clear(k.count)
+}
+
 func (k *countingStore) Delete(quarantine.Key) bool { return true }
 
 // TestHeldBackRequestsAfterStoreCameBackOlder guards against losing held-back requests: a store
 // that came back from an older copy may lack them, and they would be lost if all routers were
 // killed without having written them again.
 func TestHeldBackRequestsAfterStoreCameBackOlder(t *testing.T) {
-	g := newConfigured(t)
 	store := &countingStore{count: map[quarantine.Key]int{}}
+	g := newWithStore(t, store)
 	key := quarantine.KeyOf("o", "POST", "/x", nil)
-	g.loop.PostAndWait(context.Background(), func(*balance.State, time.Time) { g.QuarantineStore = store })
 	for i := range 3 {
 		target := balance.Target{ID: fmt.Sprint("t", i), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1, Born: 5}
 		g.SetTargets(int64(8+i), []message.StoredObject{targetEntry(t, int64(8+i), target)})
-		(suspects{g}).RecordBreak(context.Background(), suspicion.Break{Attributes: []quarantine.Attribute{{Key: key}}, Organisation: "o", Target: target, TargetExited: true})
+		g.suspects.RecordBreak(context.Background(), suspicion.Break{Attributes: []quarantine.Attribute{{Key: key}}, Organisation: "o", Target: target, TargetExited: true})
 	}
 	count := func() int {
 		store.mu.Lock()
@@ -143,8 +149,8 @@
 // TestAllHeldBackRequestsAfterStoreCameBackOlder guards against storing only some of the held-back requests
 // again: the limit on what is sent to other routers applied to the store, too.
 func TestAllHeldBackRequestsAfterStoreCameBackOlder(t *testing.T) {
-	g := newConfigured(t)
 	store := &countingStore{count: map[quarantine.Key]int{}}
+	g := newWithStore(t, store)
 	const requests = 120
 	var list []quarantine.Record
 	for i := range requests {
@@ -155,7 +161,8 @@
 	}
 	g.Restore(list)
 	g.loop.PostAndWait(context.Background(), func(*balance.State, time.Time) {
-		g.QuarantineStore = store
+		// Only what is written from here on counts.
+		store.reset()
 	})
 	g.StoreCameBackOlder(1)
 	g.loop.PostAndWait(context.Background(), func(*balance.State, time.Time) {})
@@ -180,7 +187,7 @@
 	defer close(release)
 	<-held
 	got := make(chan []string, 1)
-	g.group.Go(func() { got <- suspects{g}.EarlierServices("h", "/p", "id", "y") })
+	g.group.Go(func() { got <- g.suspects.EarlierServices("h", "/p", "id", "y") })
 	select {
 	case list := <-got:
 		if !slices.Equal(list, []string{"x"}) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -86,10 +86,10 @@
 		s.RouterLost()
 	}
 	g.counts.Update(s, now)
-	g.publishLocalChanges(now)
+	g.suspects.Update(now)
 	g.tickStreams(s, now)
 	g.tickExits(now)
-	g.expireSuspects(now)
+	g.suspects.Expire(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
 	duty := g.storeDuty(now)
@@ -261,7 +261,7 @@
 		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active || g.handsOver(),
 		StoreFailing: !g.storeWatch.Reaches(clock.Now()), Capacity: g.Capacity, Handover: g.handover.announced(),
 	})
-	g.roster.SetRevisions(g.catalog.Newest(), g.quarantine.state.Digest())
+	g.roster.SetRevisions(g.catalog.Newest(), g.suspects.Digest())
 }
 
 // gossip sends this router's current record and revisions to some other routers at once,
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -36,7 +36,7 @@
 		g.catalog.MarkUnstable(now)
 		if era > g.persistedEra {
 			g.persistedEra = era
-			g.persist(g.quarantine.state.All(now))
+			g.suspects.PersistAll(now)
 		}
 	})
 }
