--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,8 +17,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -33,7 +35,7 @@
 	// betweenRequests is set while no request is being read or served, when the next bytes
 	// start a new one. It needs no lock: only one goroutine of the HTTP server reads then.
 	betweenRequests bool
-	// unreadElement is the connection's element in conns.unread. The first read removes it from
+	// unreadElement is the connection's element in conns.arrivals. The first read removes it from
 	// there and sets firstReadDone.
 	unreadElement *list.Element
 	firstReadDone bool
@@ -307,7 +309,7 @@
 		return toClose, s.closed
 	}
 	c.closed = true
-	s.unread.Remove(c.unreadElement)
+	s.arrivals.Remove(c.unreadElement)
 	c.removeIdle()
 	s.countClosed(c)
 	s.changed.Signal()
@@ -384,7 +386,7 @@
 	// The byte is the first one of the method, which does not affect the length.
 	whole := append([]byte{'P'}, rest...)
 	c.head.Keep(whole)
-	h, size, ok := httphead.Parse(whole, &c.server.headNames)
+	h, size, ok := c.server.classifier.Parse(whole)
 	c.setUnread(requestLength(h, size, ok)-1-len(rest), false)
 }
 
@@ -402,9 +404,7 @@
 // 400 Bad Request.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.overdue() {
-		buffer := scratchBuffers.Get().(*[scratchSize]byte)
-		defer scratchBuffers.Put(buffer)
-		c.server.reject(earlyTCPConn{c.Conn}, c.request.Swap(nil), buffer[:], copy(buffer[:], c.readAhead))
+		c.server.early.RejectRead(earlyrefusal.TCP(c.Conn), c.request.Swap(nil), c.readAhead)
 		return 0, io.EOF
 	}
 	for {
@@ -421,9 +421,9 @@
 		}
 		c.betweenRequests = false
 		if !c.markInUse() {
-			reason, after := ReasonProcessFull, notReadyRetryAfter
+			reason, after := refusal.ProcessFull, refusal.NotReadyRetryAfter
 			if c.conns.ending.Load() || c.routerLeaves() {
-				reason, after = ReasonLeaving, leavingRetryAfter
+				reason, after = refusal.Leaving, refusal.LeavingRetryAfter
 			}
 			c.refuseLast(b[:n], reason, after)
 			return 0, io.EOF
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -12,8 +12,11 @@
 
 	"github.com/stepcroft/stepcroft/internal/backlog"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/httphead"
+	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/scratch"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -52,10 +55,10 @@
 
 // Organisation implements handover.Arrival.
 func (a *arrival) Organisation() (name string, ok bool) {
-	if _, _, ok := httphead.Parse(a.ahead, &a.server.headNames); !ok {
+	if _, _, ok := a.server.classifier.Parse(a.ahead); !ok {
 		return "", false
 	}
-	return a.server.readHead(a.ahead).Organisation, true
+	return a.server.classifier.ReadHead(a.ahead).Organisation, true
 }
 
 // Open implements handover.Arrival.
@@ -64,15 +67,15 @@
 	a.ahead = slices.Clone(a.ahead)
 	var err error
 	if a.conn, err = a.socket.Conn(); err != nil {
-		a.server.loseConnection(a.server.beginArrived(len(a.ahead)))
+		a.server.loseConnection(a.server.early.Begin(len(a.ahead)))
 	}
 	return a.conn, err
 }
 
 // AwaitOrganisation implements handover.Arrival.
 func (a *arrival) AwaitOrganisation() (name string, ok bool) {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
+	buffer := scratch.Get()
+	defer buffer.Put()
 	if a.conn.SetReadDeadline(clock.Deadline(maxHeadWait)) != nil {
 		return "", false
 	}
@@ -93,20 +96,18 @@
 
 // ServeLocally implements handover.Arrival. The connection is rejected if it has waited for too long.
 func (a *arrival) ServeLocally() {
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
-	early, account := earlyTCPConn{a.conn}, a.server.beginArrived(len(a.ahead))
+	early, account := earlyrefusal.TCP(a.conn), a.server.early.Begin(len(a.ahead))
 	if backlog.Overdue(clock.Since(a.accepted), a.conns.overloaded()) {
-		a.server.reject(early, account, buffer[:], copy(buffer[:], a.ahead))
+		a.server.early.RejectRead(early, account, a.ahead)
 		return
 	}
 	element := a.conns.enqueue()
 	if element == nil {
-		a.server.reject(early, account, buffer[:], copy(buffer[:], a.ahead))
+		a.server.early.RejectRead(early, account, a.ahead)
 		return
 	}
-	if a.server.refusesEarly() && a.server.refuseComplete(early, account, a.ahead) {
-		a.conns.remove(element)
+	if a.server.refusesEarly() && a.server.refuseOverload(early, account, a.ahead) {
+		a.conns.arrivals.Remove(element)
 		return
 	}
 	c, err := a.admit(a.conn, element, account, a.ahead)
@@ -117,7 +118,7 @@
 	single := &singleListener{conn: c}
 	if err := a.server.server.Serve(single); single.conn != nil {
 		a.server.log.V(1).Info("accepted connection not served", "cause", err.Error())
-		a.server.refuseArrived(early, account, buffer[:], copy(buffer[:], a.ahead), ReasonLeaving, leavingRetryAfter)
+		a.server.early.Refuse(early, account, a.ahead, refusal.Leaving, refusal.LeavingRetryAfter)
 		_ = c.Close()
 	}
 }
@@ -164,7 +165,7 @@
 
 // receivesLate is ReceivesLate; mu must be held.
 func (s *conns) receivesLate() bool {
-	return s.receivedUnread >= maxUnreadReceived || s.unread.Late(clock.Now(), s.overloaded())
+	return s.receivedUnread >= maxUnreadReceived || s.arrivals.Late(clock.Now(), s.overloaded())
 }
 
 // ReserveReceived counts a connection of another router as open, without blocking. It returns false
@@ -180,7 +181,7 @@
 	s.conns.received--
 	s.conns.receivedUnread--
 	last := len(s.conns.reserved) - 1
-	s.conns.unread.Remove(s.conns.reserved[last])
+	s.conns.arrivals.Remove(s.conns.reserved[last])
 	s.conns.reserved = s.conns.reserved[:last]
 	s.conns.changed.Signal()
 }
@@ -196,7 +197,7 @@
 	if s.open >= s.max && !s.evictOldest() {
 		return false
 	}
-	element := s.unread.Enqueue(clock.Now(), s.overloaded())
+	element := s.arrivals.Enqueue(clock.Now(), s.overloaded())
 	if element == nil {
 		return false
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,10 +9,7 @@
 
 import (
 	"context"
-	"io"
 	"log"
-	"math"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -24,12 +21,14 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/classify"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
-	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/refusal"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -46,52 +45,10 @@
 	maxHeaderBytes = 64 << 10
 	// bodyTimeout bounds the time that reading a request's body takes.
 	bodyTimeout = 10 * time.Second
-	// defaultTimeout is the time to the deadline of a request that has no deadline header.
-	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes is the maximum size of a request's body if none is configured.
 	defaultMaxBodyBytes = 4 << 20
-	// notReadyRetryAfter is the Retry-After of a router that has no configuration yet, or has too
-	// many requests in memory, and the least of one that has too many bodies.
-	notReadyRetryAfter = 500 * time.Millisecond
-	// leavingRetryAfter is the Retry-After of a router that shuts down. It is short because the
-	// caller can go to another router at once.
-	leavingRetryAfter = 50 * time.Millisecond
 )
 
-// Reasons for refusing a request before it reaches the forwarder.
-const (
-	ReasonBadRequest            forward.Reason = "bad-request"
-	ReasonNoRoute               forward.Reason = "no-route"
-	ReasonUnauthorized          forward.Reason = "unknown-key"
-	ReasonTooLarge              forward.Reason = "body-too-large"
-	ReasonBodyTimeout           forward.Reason = "body-timeout"
-	ReasonNotReady              forward.Reason = "not-ready"
-	ReasonLeaving               forward.Reason = "router-leaving"
-	ReasonProcessFull           forward.Reason = "process-full"
-	ReasonBodyEvicted           forward.Reason = "bodies-full"
-	ReasonOrganisationQueueFull forward.Reason = forward.ReasonOrganisationQueueFull
-)
-
-// ReasonStopped means that the server was closed while it served the request.
-const ReasonStopped forward.Reason = "router-stopped"
-
-// ReasonPanic means that the handler of the request panicked.
-const ReasonPanic forward.Reason = "router-failed"
-
-const (
-	// minOverloadRetryAfter and overloadRetryAfterSpread are the minimum and the random part of
-	// the Retry-After when an organisation has too many waiting requests or the router is
-	// short of CPU time. The organisation sends several times its share, so an earlier retry
-	// would fail too.
-	minOverloadRetryAfter    = time.Second
-	overloadRetryAfterSpread = time.Second
-)
-
-// overloadRetryAfter returns a random Retry-After for a refusal under overload.
-func overloadRetryAfter() time.Duration {
-	return minOverloadRetryAfter + rand.N(overloadRetryAfterSpread)
-}
-
 // Observer receives the result of each request, also of refused ones.
 type Observer interface {
 	RequestEnded(r forward.Request, result forward.Result, took time.Duration)
@@ -100,12 +57,12 @@
 // Server serves a router's callers. Use New to create one.
 type Server struct {
 	headerNames forward.HeaderNames
-	// headNames are those of them that are read before the HTTP server gets a request.
-	headNames httphead.Names
+	classifier  *classify.Classifier
+	// early refuses requests on connections that the HTTP server does not have.
+	early     *earlyrefusal.Refuser
 	forwarder *forward.Forwarder
 	observer  Observer
 	log       logr.Logger
-	table     atomic.Pointer[routing.Table]
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
@@ -115,7 +72,6 @@
 	requests *lifecycle.Tracker
 	// cutRequests ends all requests that are served.
 	cutRequests func()
-	rejections  rejectionCounter
 	unanswered  unansweredCounter
 	// handover takes new connections to other routers; nil if there is none.
 	handover Handover
@@ -145,10 +101,11 @@
 // the budget b and keeps account of all requests in t.
 func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, t *lifecycle.Tracker, l logr.Logger) *Server {
 	s := &Server{
-		headerNames: names, headNames: httphead.Names{ID: names.RequestID, PromptSize: names.PromptSize, OutputHint: names.OutputHint},
+		headerNames: names, classifier: classify.New(names),
 		forwarder: f, observer: o, memory: b, requests: t, log: l,
 		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
 	}
+	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.conns.arrivals, t, o, l)
 	served, cut := context.WithCancelCause(context.Background())
 	s.cutRequests = func() { cut(errStopped) }
 	s.server = &http.Server{
@@ -176,7 +133,7 @@
 
 // Configure puts a new routing table in force, which applies to requests that arrive from then
 // on.
-func (s *Server) Configure(t *routing.Table) { s.table.Store(t) }
+func (s *Server) Configure(t *routing.Table) { s.classifier.Configure(t) }
 
 // Confirm notes the latest time at which the store is known to have held no newer configuration.
 func (s *Server) Confirm(at time.Time) { s.confirmed.Store(&at) }
@@ -187,7 +144,7 @@
 
 // Ready reports whether the server has a configuration, is not paused, and is not shutting down.
 func (s *Server) Ready() bool {
-	return s.table.Load() != nil && !s.closing.Load() && !s.paused.Load()
+	return s.classifier.Table() != nil && !s.closing.Load() && !s.paused.Load()
 }
 
 // OpenRequests returns the number of requests being served.
@@ -195,7 +152,7 @@
 
 // RejectedConnections returns the number of connections rejected since the start because they
 // waited too long for CPU time.
-func (s *Server) RejectedConnections() int64 { return s.rejections.total.Load() }
+func (s *Server) RejectedConnections() int64 { return s.early.Rejected() }
 
 // TotalRequests returns the number of requests that reached the HTTP server since the start.
 func (s *Server) TotalRequests() int64 { return s.started.Load() }
@@ -330,13 +287,13 @@
 			a.complete()
 		}
 		if result.Reason == forward.ReasonCallerGone && (closedServing(r.Context()) || errors.Is(context.Cause(r.Context()), errStopped)) {
-			result.Reason = ReasonStopped
+			result.Reason = refusal.Stopped
 		}
 	}
 	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
 		w.Header().Set("Connection", "close")
 	}
-	if result.Reason == ReasonBodyEvicted {
+	if result.Reason == refusal.BodyEvicted {
 		defer s.discardBody(w, r, request)()
 	}
 	s.finish(w, r, request, result, arrived)
@@ -353,14 +310,14 @@
 		clear(a.w.Header())
 		a.w.Header().Set("Connection", "close")
 	}
-	result := forward.Result{Status: http.StatusBadGateway, Reason: ReasonPanic, HeadSent: a.headSent, Truncated: a.headSent}
+	result := forward.Result{Status: http.StatusBadGateway, Reason: refusal.Panic, HeadSent: a.headSent, Truncated: a.headSent}
 	s.finish(a.w, a.request, r, result, r.Arrived)
 }
 
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
 func (s *Server) finish(w http.ResponseWriter, served *http.Request, r forward.Request, result forward.Result, arrived time.Time) {
-	tracked(served.Context()).Decide(clock.Now(), r.ID, EndOf(result))
+	tracked(served.Context()).Decide(clock.Now(), r.ID, refusal.EndOf(result))
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
 	if result.Truncated {
 		panic(http.ErrAbortHandler)
@@ -368,66 +325,40 @@
 	if result.HeadSent {
 		return
 	}
-	h := w.Header()
-	if r.ID != "" {
-		h.Set(s.headerNames.RequestID, r.ID)
-	}
-	if result.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfter(result.RetryAfter))
-	}
-	text := string(result.Reason) + "\n"
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(result.Status)
-	if _, err := io.WriteString(w, text); err != nil {
+	if err := refusal.Write(w, s.headerNames.RequestID, r.ID, result); err != nil {
 		s.log.V(1).Info("refusal not delivered", "id", r.ID, "cause", err.Error())
 	}
 }
 
-// retryAfter formats the value of a Retry-After header: in seconds, rounded up to whole
-// milliseconds.
-func retryAfter(d time.Duration) string {
-	return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
-}
-
-// refused returns the result of a refused request.
-func refused(status int, reason forward.Reason, after time.Duration) forward.Result {
-	return forward.Result{Status: status, Reason: reason, RetryAfter: after}
-}
-
 // prepare parses and checks a request and reads its body. If it returns a result with a status,
 // the request is refused. The caller must close the reservation of the body unless it is nil.
 func (s *Server) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, *memory.Reservation, forward.Result) {
-	out := forward.Request{
-		ID: r.Header.Get(s.headerNames.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Arrived: arrived,
-		LastEventID: r.Header.Get(s.headerNames.LastEventID), Resumes: r.Header.Get(s.headerNames.Resumes),
-	}
-	t := s.table.Load()
+	out := s.classifier.Request(r, arrived)
+	t := s.classifier.Table()
 	if t == nil || s.paused.Load() {
-		return out, nil, refused(http.StatusServiceUnavailable, ReasonNotReady, notReadyRetryAfter)
+		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.NotReady, refusal.NotReadyRetryAfter)
 	}
 	out.ConfigVersion = t.Version()
 	if at := s.confirmed.Load(); at != nil {
 		out.ConfigAge = arrived.Sub(*at)
 	}
-	if result := s.identify(t, &out, r.Header.Get("Authorization")); result.Status != 0 {
+	if result := s.classifier.Identify(t, &out, r.Header); result.Status != 0 {
 		return out, nil, result
 	}
-	out.Input, out.Output = parseSizes(r.Header.Get(s.headerNames.PromptSize), r.Header.Get(s.headerNames.OutputHint))
 	if reason := s.admit(out); reason != "" {
 		// The body stays unread, so the connection cannot be reused.
 		w.Header().Set("Connection", "close")
-		return out, nil, refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
+		return out, nil, refusal.New(http.StatusServiceUnavailable, reason, refusal.OverloadRetryAfter())
 	}
 	if s.open.Load() > s.maxOpen {
-		return out, nil, refused(http.StatusServiceUnavailable, ReasonProcessFull, notReadyRetryAfter)
+		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.ProcessFull, refusal.NotReadyRetryAfter)
 	}
-	if err := s.applyHeaders(&out, r); err != nil {
+	if err := s.classifier.ApplyHeaders(&out, r); err != nil {
 		s.log.Info("request refused", "id", out.ID, "cause", err.Error())
-		return out, nil, refused(http.StatusBadRequest, ReasonBadRequest, 0)
+		return out, nil, refusal.New(http.StatusBadRequest, refusal.BadRequest, 0)
 	}
 	if s.mayOutlast(out) {
-		return out, nil, refused(http.StatusServiceUnavailable, ReasonLeaving, leavingRetryAfter)
+		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
 	body, result := s.receiveBody(w, r, t, &out)
 	return out, body, result
@@ -446,26 +377,6 @@
 	return throttle.RequestSize{Input: r.Input, Output: r.Output}
 }
 
-// identify sets a request's route, organisation, regions and service. If it returns a result with a
-// status, the request is refused.
-func (s *Server) identify(t *routing.Table, out *forward.Request, authorization string) forward.Result {
-	route, ok := t.Lookup(out.Host, out.Path())
-	if !ok {
-		return refused(http.StatusNotFound, ReasonNoRoute, 0)
-	}
-	out.Route = route
-	if t.NeedsKey(route) {
-		if out.Organisation, ok = t.OrganisationOf(bearer(authorization)); !ok {
-			return refused(http.StatusUnauthorized, ReasonUnauthorized, 0)
-		}
-	}
-	out.Regions = t.RegionsOf(route, out.Organisation)
-	out.Service = route.Service(out.FirstID())
-	service, _ := t.Service(out.Service)
-	out.ToEngine, out.HealthPath = service.Engine != nil, service.HealthPath
-	return forward.Result{}
-}
-
 // answer writes a target's answer to the caller.
 type answer struct {
 	server  *Server
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -3,14 +3,13 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
-	"sync"
 
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/clock"
-	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/httphead"
+	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/scratch"
 )
 
 // An organisation that sends many times its share can keep a small box busy with refusals
@@ -24,13 +23,13 @@
 // length is the request's length in bytes, or lengthUnknown.
 func (s *Server) refuseQuickly(c *conn, first []byte) (refuse bool, length int, err error) {
 	arrived := clock.Now()
-	h, size, ok := httphead.Parse(first, &s.headNames)
+	h, size, ok := s.classifier.Parse(first)
 	length = requestLength(h, size, ok)
 	if length < len(first) || s.closing.Load() {
 		c.head.Keep(first)
 		return false, length, nil
 	}
-	r, reason := s.overloadReason(h)
+	r, reason := s.early.OverloadReason(h)
 	if reason == "" {
 		c.head.KeepID(r.ID)
 		return false, length, nil
@@ -42,9 +41,9 @@
 			return false, length, err
 		}
 	}
-	result := refused(http.StatusServiceUnavailable, reason, overloadRetryAfter())
+	result := refusal.New(http.StatusServiceUnavailable, reason, refusal.OverloadRetryAfter())
 	last := c.received || c.conns.announceClose(false)
-	_, err = c.writeAnswer(s.formatRefusal(r.ID, result, last))
+	_, err = c.writeAnswer(refusal.Format(s.headerNames.RequestID, r.ID, result, last))
 	took := clock.Since(arrived)
 	c.endRefused(arrived.Add(took), err)
 	s.observer.RequestEnded(r, result, took)
@@ -54,78 +53,13 @@
 	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
 }
 
-// requestOf converts a request's head to a request without route and organisation.
-func requestOf(h httphead.Head) forward.Request {
-	out := forward.Request{ID: string(h.ID), Method: string(h.Method), URI: string(h.Target), Host: string(h.Host)}
-	out.Input, out.Output = parseSizes(string(h.PromptSize), string(h.OutputHint))
-	return out
-}
-
-// readHead returns the request at the start of b, with its organisation if that is known. If b does not
-// hold a complete head of the usual form, it returns a request that has at most an id.
-func (s *Server) readHead(b []byte) forward.Request {
-	h, _, ok := httphead.Parse(b, &s.headNames)
-	if !ok {
-		return forward.Request{ID: httphead.ID(b, s.headerNames.RequestID)}
-	}
-	out := requestOf(h)
-	if t := s.table.Load(); t != nil {
-		s.identify(t, &out, string(h.Authorization))
-	}
-	return out
-}
-
-// overloadReason returns the request of a head and the reason to refuse it because of its
-// organisation's load, or "".
-func (s *Server) overloadReason(h httphead.Head) (forward.Request, forward.Reason) {
-	out := requestOf(h)
-	t := s.table.Load()
-	if t == nil || out.ID == "" {
-		return out, ""
-	}
-	limit := t.Limits().BodyBytes
-	if limit > 0 && h.BodyLength > limit {
-		return out, ""
-	}
-	if result := s.identify(t, &out, string(h.Authorization)); result.Status != 0 {
-		return out, ""
-	}
-	if !out.ToEngine {
-		return out, ""
-	}
-	return out, s.forwarder.ShedReason(out.Organisation, requestSize(out))
-}
-
-// formatRefusal returns the bytes of a refusal; if last is set, its header says that the
-// connection is closed.
-func (s *Server) formatRefusal(id string, result forward.Result, last bool) []byte {
-	b := make([]byte, 0, 256)
-	b = append(b, "HTTP/1.1 503 Service Unavailable\r\n"...)
-	if id != "" {
-		b = append(b, s.headerNames.RequestID+": "+id+"\r\n"...)
-	}
-	if last {
-		b = append(b, "Connection: close\r\n"...)
-	}
-	b = append(b, "Retry-After: "+retryAfter(result.RetryAfter)+"\r\n"...)
-	b = append(b, "Content-Type: text/plain; charset=utf-8\r\n"...)
-	b = append(b, "Content-Length: "+strconv.Itoa(len(result.Reason)+1)+"\r\n\r\n"...)
-	return append(b, string(result.Reason)+"\n"...)
-}
-
-// scratchSize is the size, in bytes, of a buffer for input that is discarded.
-const scratchSize = 16 << 10
-
-// scratchBuffers holds buffers for input that is discarded.
-var scratchBuffers = sync.Pool{New: func() any { return new([scratchSize]byte) }}
-
 // discard reads n bytes of a request's body and drops them.
 func discard(c *conn, n int) error {
 	if err := c.SetReadDeadline(clock.Deadline(bodyTimeout)); err != nil {
 		return errors.Wrap(err, "discard body")
 	}
-	buffer := scratchBuffers.Get().(*[scratchSize]byte)
-	defer scratchBuffers.Put(buffer)
+	buffer := scratch.Get()
+	defer buffer.Put()
 	for n > 0 {
 		got, err := c.readInput(buffer[:min(n, len(buffer))])
 		n -= got
