An answer that can have no body does not end with its connection

Answers to HEAD without a Content-Length counted as answers that end with their connection: the end came 26 ms late, a question was asked for it, and where nobody could be asked the caller got 502 for a whole answer. Their connection stays open, so that nothing about its end applies.

TestAnswerWithoutBody: three of eight cases failed before ("target cannot be asked", 26 ms), none now.

--- a/internal/httptarget/evidence.go
+++ b/internal/httptarget/evidence.go
@@ -1,13 +1,16 @@
 package httptarget
 
-import "maps"
+import (
+	"maps"
+	"net/http"
+)
 
 // Framing is what marks the end of an answer.
 type Framing string
 
 // The framings.
 const (
-	// FramedByLength means that the answer tells its length, FramedByChunks that its last chunk ends it.
+	// FramedByLength means that the answer tells its length or can have no body, FramedByChunks that its last chunk ends it.
 	FramedByLength Framing = "length"
 	FramedByChunks Framing = "chunks"
 	// Unframed means that the answer ends with its connection, so that its end alone does not show that it is complete.
@@ -38,7 +41,7 @@
 // Framing returns what marks the end of the answer.
 func (a *Answer) Framing() Framing {
 	switch {
-	case a.response.ContentLength >= 0:
+	case a.response.ContentLength >= 0, a.response.Body == http.NoBody:
 		return FramedByLength
 	case len(a.response.TransferEncoding) > 0:
 		return FramedByChunks
