Questions to a target need no witness of their own

Whole answers without a length looked cut, 0.5 s late, where a target's answers to questions have no length either: the end of the testimony was itself checked, and joined the very check that waited for it (one check at a time for a process), until both ran out of time. So did the question whether an engine is the process of its entry: 25 ms to 0.2 s for each. Now answers to questions end plainly, do not count among answers that end together, and a status that is cut is told by its JSON.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -35,6 +35,8 @@
 	errOtherProcess = errors.New("another process listens at the target's address")
 	// errNoStatus means that an engine does not say when its process started.
 	errNoStatus = errors.New("target does not say when its process started")
+	// errCutStatus means that a status ended with its connection before it was whole.
+	errCutStatus = errors.New("status is no whole JSON")
 )
 
 // WithStatusQuery returns a forwarder that asks engines when their processes started, where that matters.
@@ -84,15 +86,19 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.status.Path, to.Address)
-	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation()})
+	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation(), PlainEnd: true})
 	if err != nil {
 		return 0, nil, time.Time{}, err
 	}
 	defer a.Close()
 	text, err = io.ReadAll(io.LimitReader(a, maxStatusBytes))
-	if a.Framing() == httptarget.Unframed && json.Valid(text) {
+	if a.Framing() == httptarget.Unframed {
 		// Whole JSON needs no other mark of its end.
-		err = nil
+		if json.Valid(text) {
+			err = nil
+		} else if err == nil && a.Status == http.StatusOK {
+			err = errCutStatus
+		}
 	}
 	return a.Status, text, a.ConnectedAt(), errors.Wrap(err, "read status")
 }
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -61,7 +61,7 @@
 func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, path string) (testimony, error) {
 	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n", path, to.Address)
 	head = append(appendHeader(head, h.ExpectTarget, to.ID), "\r\n"...)
-	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: head, Instance: to.Incarnation()})
+	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: head, Instance: to.Incarnation(), PlainEnd: true})
 	if err != nil {
 		return testimony{}, err
 	}
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -92,6 +92,9 @@
 	// Witness asks whether the process goes on, which must be known where the answer has neither a length nor
 	// chunks; nil if nobody can be asked.
 	Witness Witness
+	// PlainEnd takes an answer with neither a length nor chunks for whole if its connection ends without a reset: its content
+	// tells more, or does not matter.
+	PlainEnd bool
 }
 
 // Stats counts connections and unexpected answers since the start.
@@ -178,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method, witness: r.Witness}
+	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method, witness: r.Witness, plainEnd: r.PlainEnd}
 	a.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(r); err != nil {
 		t.noteBroken(c, err)
@@ -428,8 +431,9 @@
 	evidence Evidence
 	// slowReading is set if the target may take its time to read the request.
 	slowReading bool
-	// witness is that of the request.
-	witness Witness
+	// witness and plainEnd are those of the request.
+	witness  Witness
+	plainEnd bool
 }
 
 func (a *Answer) write(r Request) error {
@@ -482,8 +486,9 @@
 			a.response = res
 			a.Status = res.StatusCode
 			a.Header = res.Header
-			a.conn.closes.Store(res.Close && a.framed())
-			a.conn.unframed.Store(!a.framed())
+			unframed := !a.framed() && !a.plainEnd
+			a.conn.closes.Store(res.Close && !unframed)
+			a.conn.unframed.Store(unframed)
 			a.Identified = id == r.ID
 			if !a.Identified {
 				a.transport.unidentifiedAnswers.Add(1)
@@ -531,7 +536,7 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
 	if errors.Is(err, io.EOF) && !a.complete && !a.framed() {
-		err = a.unframedEnd()
+		err = a.connectionEnd()
 	}
 	if errors.Is(err, io.EOF) {
 		a.complete = true
@@ -544,6 +549,17 @@
 	return n, nil
 }
 
+// connectionEnd returns io.EOF if a body without a length that ended with its connection counts as complete.
+func (a *Answer) connectionEnd() error {
+	if !a.plainEnd {
+		return a.unframedEnd()
+	}
+	if err := a.reset(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. The connection is kept for reuse if the whole request has been
 // written, the answer was read to its end and no bytes follow it.
 func (a *Answer) Close() {
