A rejection's end tells nothing, so nobody is asked about it

A request that a target rejects by an answer without a length waited until it was known whether the target goes on, 0.5 s at a full one, before it was sent to another, and the end of the rejection counted as one of an answer. Its body is dropped and its connection can't be used again, so it is not read.

TestRejectionWithoutLength: 523 ms before, within 200 ms now.

--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -211,6 +211,10 @@
 		return nil
 	}
 	cause := errors.Errorf("status %d", a.Status)
+	if a.Framing() == httptarget.Unframed {
+		// Its connection can't be used again, whatever follows.
+		return &failure{reason: ReasonRefused, result: balance.Refused, cause: cause}
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(a, maxBufferedAnswer)); err != nil {
 		cause = errors.Wrap(err, cause.Error())
 	}
