A witness's connection is older than the end only if that end's time is known

A cut answer without a length could look complete since the next process at the address answered in the place of its own: an answer that names nobody counts if its connection was made before the end, and the end was dated by the last acknowledgement, or as now if a reset had followed it. Where a long body is still written, acknowledgements follow the end; where the end is read late, now is long after it. Such ends are dated by the last data that arrived.

No run of processes showed it; found by reading.

--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -78,13 +78,26 @@
 	if err := a.reset(); err != nil {
 		return ByReset, err
 	}
-	evidence, err := a.transport.findWitness(a.ctx, a.conn.endpoint, a.witness, ended.at)
+	evidence, err := a.transport.findWitness(a.ctx, a.conn.endpoint, a.witness, a.runningAt(ended, plainly))
 	if err == nil && plainly && a.transport.endedTogether(ended) {
 		return ByOtherEnds, errClosedTogether
 	}
 	return evidence, err
 }
 
+// runningAt returns a time, as late as is known, at which the process of an answer that ended had not ended.
+func (a *Answer) runningAt(e end, plainly bool) time.Time {
+	if plainly && a.bodyWritten == nil {
+		return e.at.Add(-maxTick)
+	}
+	// Since the end, a reset may have arrived, or the receipt of more of the body.
+	ago, ok := sockopt.LastDataFor(a.conn.Conn)
+	if !ok {
+		return time.Time{}
+	}
+	return clock.Now().Add(-ago - maxTick)
+}
+
 // reset returns an error if the connection was reset rather than closed. Another goroutine's write of the body may have
 // been told of the reset, as the kernel reports it once, and an end of input from then on. EPIPE only tells
 // that the target had closed the connection before that.
@@ -110,8 +123,8 @@
 	began    time.Time
 }
 
-// findWitness returns an error if the process of a target that has closed a connection at a time is not known to go on, or
-// errEndUnknown if ctx ends before that is known. What shows that it does:
+// findWitness returns an error if the process of a target that has closed a connection after a time is not known to go on,
+// or errEndUnknown if ctx ends before that is known. What shows that it does:
 //
 //  1. It answers, see Witness, once a process that was exiting would have ended.
 //  2. Nobody else answers, and it sends more on another connection in use, see delivers.
@@ -119,13 +132,13 @@
 // That a connection is accepted tells nothing, nor that others are open, used or not: their ends may have been lost on
 // the way, as the kernel repeats them after 200 ms at the earliest, and a reset never. Concurrent calls for the same
 // process share their checks.
-func (t *Transport) findWitness(ctx context.Context, e endpoint, w Witness, endedAt time.Time) (Evidence, error) {
+func (t *Transport) findWitness(ctx context.Context, e endpoint, w Witness, before time.Time) (Evidence, error) {
 	called := clock.Now()
 	for {
 		checked := make(chan exitCheck, 1)
 		t.group.Go(func() {
 			v, _, _ := t.exitChecks.Do(e.address+" "+e.instance, func() (any, error) {
-				return t.checkExit(context.WithoutCancel(ctx), e, w, endedAt.Add(-maxTick)), nil
+				return t.checkExit(context.WithoutCancel(ctx), e, w, before), nil
 			})
 			checked <- v.(exitCheck)
 		})
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -125,6 +125,20 @@
 	return ago, err == nil && closed
 }
 
+// LastDataFor returns how long ago data last arrived on a TCP connection, whatever has become of it since, and false if
+// it is closed here or not TCP.
+func LastDataFor(c net.Conn) (time.Duration, bool) {
+	var ago time.Duration
+	var callErr error
+	err := withDescriptor(c, func(fd int) {
+		var info *unix.TCPInfo
+		if info, callErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); callErr == nil {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return ago, err == nil && callErr == nil
+}
+
 // Received returns the number of bytes that have arrived on a TCP connection, read or not, and whether it is no longer
 // open in both directions, whether what arrived before has been read or not. For connections that are not
 // TCP it returns 0 and false. Another goroutine may be blocked in Read meanwhile.
