Looks at connections see input behind urgent data, and cost half

An unused connection on which a target had sent urgent data and more counted as idle, and was used again with bytes on it that belong to no request: the number of unread bytes ends at urgent data. Now they poll, which takes nothing from the connection either, and ask for the number only once the connection has ended.

TestResetLooksLikeEnd passes.

--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -81,14 +81,14 @@
 // be blocked in Read meanwhile. For connections that are not TCP it returns true.
 func Idle(c net.Conn) bool {
 	l, err := lookAt(c)
-	return errors.Is(err, syscall.EAGAIN) || err == nil && l.open() && l.unread == 0
+	return errors.Is(err, syscall.EAGAIN) || err == nil && !l.readable && !l.ended
 }
 
 // HasInput reports whether a TCP connection has unread input. Another goroutine may be blocked in Read meanwhile. For
 // connections that are not TCP it returns false.
 func HasInput(c net.Conn) bool {
 	l, err := lookAt(c)
-	return err == nil && l.unread > 0
+	return err == nil && l.readable
 }
 
 // RemoteClosed reports whether the remote side of a TCP connection has closed it and all input
@@ -96,7 +96,7 @@
 // not TCP it returns false.
 func RemoteClosed(c net.Conn) bool {
 	l, err := lookAt(c)
-	return !errors.Is(err, syscall.EAGAIN) && (err != nil || !l.open() && l.unread == 0)
+	return !errors.Is(err, syscall.EAGAIN) && (err != nil || l.ended && !l.readable)
 }
 
 // Closed reports whether a TCP connection is closed in both directions, as after a reset: reads and writes no
@@ -195,17 +195,8 @@
 // look is what the kernel tells of a TCP connection without taking anything from it. In particular its pending error
 // stays: the kernel reports a reset to one call only, and an end of input to all later ones.
 type look struct {
-	state  uint8
-	unread int
-}
-
-// open reports whether the remote side may send more.
-func (l look) open() bool {
-	switch l.state {
-	case unix.BPF_TCP_ESTABLISHED, unix.BPF_TCP_FIN_WAIT1, unix.BPF_TCP_FIN_WAIT2:
-		return true
-	}
-	return false
+	// readable is set if there is unread input, and ended if no more will arrive.
+	readable, ended bool
 }
 
 // lookAt returns EAGAIN for connections that are not TCP.
@@ -213,13 +204,18 @@
 	var l look
 	var callErr error
 	err := withDescriptor(c, func(fd int) {
-		var info *unix.TCPInfo
-		// The state comes first: nothing arrives once the remote side has closed the connection.
-		if info, callErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); callErr != nil {
+		var events int16
+		if events, callErr = poll(fd); callErr != nil {
 			return
 		}
-		l.state = info.State
-		l.unread, callErr = unix.IoctlGetInt(fd, unix.TIOCINQ)
+		l.readable = events&unix.POLLIN != 0
+		l.ended = events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		if l.readable && l.ended {
+			// An end can be read as well. The number comes later: nothing arrives after an end.
+			var unread int
+			unread, callErr = unix.IoctlGetInt(fd, unix.TIOCINQ)
+			l.readable = unread > 0
+		}
 	})
 	if err != nil {
 		return look{}, err
@@ -227,6 +223,16 @@
 	return l, callErr
 }
 
+// poll returns what can be read from a socket, without waiting.
+func poll(fd int) (int16, error) {
+	list := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	for {
+		if _, err := unix.Poll(list, 0); !errors.Is(err, unix.EINTR) {
+			return list[0].Revents, err
+		}
+	}
+}
+
 // WasReset reports whether the remote side reset a TCP connection, also if the error that tells so has been reported
 // already. One that was closed by the remote side before, and reset then, counts as closed. It takes the pending error.
 func WasReset(c net.Conn) bool {
