A late answer to another request is no testimony

A cut answer without a length could look complete since a surplus answer arrived late, in the place of that to the question whether its target goes on: answers to questions were not matched by id. Questions have none, so that an answer with one belongs to another request and is skipped.

TestSurplusAnswerIsNoWitness failed before and passes now. No run of processes showed it; found by reading.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -58,10 +58,11 @@
 }
 
 // ask asks the process of a target with a GET of a path. It returns httptarget.ErrOtherProcess if another one answers.
+// An answer with an id of a request is a late one to an earlier request.
 func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, path string) (testimony, error) {
 	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n", path, to.Address)
 	head = append(appendHeader(head, h.ExpectTarget, to.ID), "\r\n"...)
-	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: head, Instance: to.Incarnation(), PlainEnd: true})
+	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: head, Instance: to.Incarnation(), IDHeader: h.RequestID, PlainEnd: true})
 	if err != nil {
 		return testimony{}, err
 	}
