A connection that waited to be accepted may be the next process's

A cut answer without a length looked complete where the next process took over the address with what waited there: an answer that names nobody, such as an engine's status, counted as the ended process's if its connection was made before the end, though another one had accepted it since. So did bytes on such a connection. Now the process must have answered on that connection before: with a success that carries the request's id, or by naming itself.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -38,7 +38,7 @@
 			if t, err = ask(ctx, sender, headers, status, to, path); err != nil {
 				return err
 			}
-			if t.goesOn && (t.named || t.connectedAt.Before(before)) {
+			if t.goesOn && (t.named || t.known && t.connectedAt.Before(before)) {
 				return nil
 			}
 		}
@@ -51,10 +51,10 @@
 }
 
 // testimony is what a target's answer shows: whether it is that of a running target, whether it names the process that
-// was meant, and when the connection was made on which it came.
+// was meant, whether that had answered on the same connection before, and when that was made.
 type testimony struct {
-	goesOn, named bool
-	connectedAt   time.Time
+	goesOn, named, known bool
+	connectedAt          time.Time
 }
 
 // ask asks the process of a target with a GET of a path. It returns httptarget.ErrOtherProcess if another one answers.
@@ -73,7 +73,10 @@
 	if a.Status == http.StatusMisdirectedRequest || name != "" && name != to.ID {
 		return testimony{}, httptarget.ErrOtherProcess
 	}
-	t := testimony{named: name != "", connectedAt: a.ConnectedAt()}
+	t := testimony{named: name != "", known: a.IsConnectionKnown(), connectedAt: a.ConnectedAt()}
+	if t.named {
+		a.SetConnectionKnown()
+	}
 	t.goesOn = t.named || a.Status == http.StatusOK || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && path == q.Path {
 		if born > to.Born {
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -38,6 +38,9 @@
 	// closes is set if the target closes the connection after the answer on it, unframed if the end of the connection
 	// is all that marks the end of that answer.
 	closes, unframed atomic.Bool
+	// known is set once the process that requests on the connection are for has answered one of them. Until then, another
+	// one may have accepted it, or may yet.
+	known atomic.Bool
 }
 
 func newConn(c net.Conn, e endpoint) *conn {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -431,6 +431,8 @@
 	evidence Evidence
 	// slowReading is set if the target may take its time to read the request.
 	slowReading bool
+	// knownBefore is set if the process that the request is for had answered on the connection before.
+	knownBefore bool
 	// witness and plainEnd are those of the request.
 	witness  Witness
 	plainEnd bool
@@ -490,6 +492,10 @@
 			a.conn.closes.Store(res.Close && !unframed)
 			a.conn.unframed.Store(unframed)
 			a.Identified = id == r.ID
+			a.knownBefore = a.conn.known.Load()
+			if id != "" && res.StatusCode/100 == 2 {
+				a.SetConnectionKnown()
+			}
 			if !a.Identified {
 				a.transport.unidentifiedAnswers.Add(1)
 			}
@@ -528,6 +534,12 @@
 // that another process may have accepted it.
 func (a *Answer) ConnectedAfterEnd() bool { return a.conn.afterEnd }
 
+// IsConnectionKnown reports whether the process that the request was for had answered another one on the same connection.
+func (a *Answer) IsConnectionKnown() bool { return a.knownBefore }
+
+// SetConnectionKnown records that the process that the request was for has answered it.
+func (a *Answer) SetConnectionKnown() { a.conn.known.Store(true) }
+
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
--- a/internal/httptarget/leaving.go
+++ b/internal/httptarget/leaving.go
@@ -34,7 +34,7 @@
 	d.open = slices.DeleteFunc(d.open, func(d *delivery) bool {
 		idle := sockopt.Idle(d.Conn)
 		received, ended := sockopt.Received(d.Conn)
-		goesOn = goesOn || !ended && idle && d.goesOn(now, received)
+		goesOn = goesOn || !ended && idle && d.goesOn(now, received) && d.known.Load()
 		return ended
 	})
 	return goesOn, len(d.open) > 0
