Whole answers of a busy target do not count as cut since others end near them

Whole answers without a length looked cut, so that callers got 502, where a target sends many: another one had ended within 5 ms, and those that went on at that time had ended as well until it was looked, 25 ms later or more. Where more than 12 others ended within a second, ends within 5 ms are chance and tell nothing; the process still has to be a witness.

--- a/internal/httptarget/together.go
+++ b/internal/httptarget/together.go
@@ -17,7 +17,10 @@
 	sameInstant = 5 * time.Millisecond
 	// endTTL is how long the end of a connection counts, and maxEnds bounds the ends that are kept for a process.
 	endTTL  = time.Second
-	maxEnds = 16
+	maxEnds = 64
+	// maxEndsApart bounds the answers of a process that end at other times within endTTL: where there are more,
+	// whole ones end together by chance.
+	maxEndsApart = 12
 )
 
 // end is a connection that its target has closed, and when: at is the latest time, and about the kernel's own. answer is
@@ -46,6 +49,12 @@
 	return e.conn != other.conn && e.about.Sub(other.about).Abs() <= sameInstant
 }
 
+// apartFrom reports whether two answers without a length ended near one another, but not in the same instant.
+func (e end) apartFrom(other end) bool {
+	apart := e.about.Sub(other.about).Abs()
+	return e.conn != other.conn && apart > sameInstant && apart < endTTL
+}
+
 // foretold reports whether the target has said that it would close the connection.
 func (e end) foretold() bool {
 	return e.closes.Load() || !e.idleSince.IsZero() && e.expired(e.at, maxIdleTime)
@@ -124,12 +133,15 @@
 func (t *Transport) endedTogether(e end) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	answers, others := false, false
+	answers, others, apart := false, false, 0
 	for _, other := range t.endsOf(e.endpoint) {
 		answers = answers || other.answer && e.withAnswer(other)
 		others = others || !other.answer && e.with(other)
+		if other.answer && e.apartFrom(other) {
+			apart++
+		}
 	}
-	return answers && !t.answersGoOn(e) || others && !t.connectionsGoOn(e)
+	return answers && apart <= maxEndsApart && !t.answersGoOn(e) || others && !t.connectionsGoOn(e)
 }
 
 // connectionsGoOn reports whether another connection to the process of one that has ended goes on. The mutex must be held.
