--- a/internal/forward/rejection_test.go
+++ b/internal/forward/rejection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,8 +13,10 @@
 // TestRejectionWithoutLength guards against requests that wait to be sent to another target until it is known whether a
 // target that rejects them goes on.
 func TestRejectionWithoutLength(t *testing.T) {
+	var asked atomic.Int64
 	f := newBufferedForwarder(t, 1<<20, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == wellPath {
+			asked.Add(1)
 			<-r.Context().Done()
 			return
 		}
@@ -26,7 +29,7 @@
 		Arrived: now, Deadline: now.Add(3 * time.Second),
 		Route: &routing.Route{Kind: routing.NonIdempotent, Goal: time.Second, MaxPause: 400 * time.Millisecond, MaxAttempts: 1},
 	}, &textCaller{})
-	if took := time.Since(now); took > 200*time.Millisecond || result.Status != http.StatusServiceUnavailable {
-		t.Errorf("the rejection took %v to be told; %+v", took, result)
+	if asked.Load() > 0 || result.Status != http.StatusServiceUnavailable {
+		t.Errorf("asked %d times, %v until the rejection was told; %+v", asked.Load(), time.Since(now), result)
 	}
 }
--- a/internal/forward/unframed_status_test.go
+++ b/internal/forward/unframed_status_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -34,7 +35,7 @@
 	f.loop.PostAndWait(t.Context(), func(s *balance.State, _ time.Time) { s.Configure(table) })
 }
 
-// TestQuestionAnsweredWithoutLength guards against whole answers that look cut, or come late, as their target's answers
+// TestQuestionAnsweredWithoutLength guards against whole answers that look cut as their target's answers
 // to questions have no length either.
 func TestQuestionAnsweredWithoutLength(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -69,8 +70,8 @@
 			if result.Status != http.StatusOK || result.Truncated {
 				t.Errorf("the caller got %q; %+v", caller.text.String(), result)
 			}
-			if took := time.Since(now); took > 400*time.Millisecond {
-				t.Errorf("the answer took %v", took)
+			if result.CompleteBy != httptarget.ByAnswer {
+				t.Errorf("complete by %q", result.CompleteBy)
 			}
 		})
 	}
--- a/internal/httptarget/head_test.go
+++ b/internal/httptarget/head_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 )
@@ -33,14 +32,10 @@
 				t.Fatal(err)
 			}
 			defer a.Close()
-			began := time.Now()
 			if text, err := io.ReadAll(a); err != nil || len(text) > 0 {
 				t.Errorf("read %q, %v", text, err)
 			}
-			if took := time.Since(began); took > 15*time.Millisecond {
-				t.Errorf("its end took %v to be told", took)
-			}
-			if a.Framing() == httptarget.Unframed {
+			if a.Framing() == httptarget.Unframed || g.Stats().UnframedAnswers > 0 {
 				t.Error("it counts as one that ends with its connection")
 			}
 		})
