Only a target's own process is a witness that answers without a name

Callers could get an answer without a length as complete after its engine was killed: where another process or a relay at its address answers the question with 200 and without a name, the last such answer counted, on whatever connection. Now one without a name counts only on a connection made before the end.

So that there is one, a spare connection is made when an answer without a length begins and none is unused. Questions take it first, so that a process that takes no new connections then can still be asked, and keep it: one more connection to each such process, and none to make after the end.

The case of a target that takes no new connections in TestEndOfUnframedAnswer failed before (refused). The tests' question says that it is one, as the product's.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,32 +21,28 @@
 // witness returns what asks the process of a target whether it goes on: an engine for its status, which takes no slot
 // there, and any target that is not named by that for its health; nil if it has no path for either.
 func (x *inflight) witness(to balance.Target) httptarget.Witness {
-	var paths []string
+	var questions []string
 	if x.ToEngine && x.status.Path != "" {
-		paths = append(paths, x.status.Path)
+		questions = append(questions, http.MethodGet+" "+x.status.Path)
 	}
 	if x.HealthPath != "" {
-		paths = append(paths, x.HealthPath)
+		questions = append(questions, http.MethodGet+" "+x.HealthPath)
 	}
-	if len(paths) == 0 {
+	if len(questions) == 0 {
 		return nil
 	}
 	sender, headers, status := x.sender, x.headers, x.status
 	return func(ctx context.Context, before time.Time) error {
-		var t testimony
-		for _, path := range paths {
-			var err error
-			if t, err = ask(ctx, sender, headers, status, to, path); err != nil {
+		for _, question := range questions {
+			t, err := ask(ctx, sender, headers, status, to, question)
+			if err != nil {
 				return err
 			}
+			// Whatever listens in place of the target's process may answer without a name on a later connection.
 			if t.goesOn && (t.named || t.connectedAt.Before(before)) {
 				return nil
 			}
 		}
-		// It was asked by its id, and another target would say that it is not the one.
-		if t.goesOn {
-			return nil
-		}
 		return errNoTestimony
 	}
 }
@@ -57,11 +54,13 @@
 	connectedAt   time.Time
 }
 
-// ask asks the process of a target with a GET of a path. It returns httptarget.ErrOtherProcess if another one answers.
-func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, path string) (testimony, error) {
-	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n", path, to.Address)
+// ask asks the process of a target with a request of a method and a path. It returns httptarget.ErrOtherProcess if
+// another one answers.
+func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, question string) (testimony, error) {
+	method, path, _ := strings.Cut(question, " ")
+	head := fmt.Appendf(nil, "%s HTTP/1.1\r\nHost: %s\r\n", question, to.Address)
 	head = append(appendHeader(head, h.ExpectTarget, to.ID), "\r\n"...)
-	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: head, Instance: to.Incarnation()})
+	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: method, Head: head, Instance: to.Incarnation(), Asks: true})
 	if err != nil {
 		return testimony{}, err
 	}
--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -245,6 +245,15 @@
 
 // probe makes a connection to a process, which is kept for reuse.
 func (t *Transport) probe(ctx context.Context, e endpoint) (*conn, error) {
+	c, err := t.dial(ctx, e)
+	if err == nil {
+		t.putIdle(c)
+	}
+	return c, err
+}
+
+// dial makes a connection to a process, whether ctx ends or not.
+func (t *Transport) dial(ctx context.Context, e endpoint) (*conn, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	raw, err := t.dialer.DialContext(ctx, "tcp", e.address)
@@ -253,7 +262,5 @@
 		return nil, err
 	}
 	t.dialled.Add(1)
-	c := newConn(raw, e)
-	t.putIdle(c)
-	return c, nil
+	return newConn(raw, e), nil
 }
--- a/internal/httptarget/ended_test.go
+++ b/internal/httptarget/ended_test.go
@@ -130,7 +130,12 @@
 		further  int
 		complete bool
 	}{
-		"process runs":                  {complete: true, further: maxAsks, end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.Close() }},
+		"process runs": {complete: true, further: maxAsks, end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.Close() }},
+		"process takes no new connections, and answers on one made before": {complete: true, further: maxAsks, end: func(l *net.TCPListener, c *net.TCPConn) {
+			time.Sleep(50 * time.Millisecond)
+			_ = l.Close()
+			_ = c.Close()
+		}},
 		"process accepts and is silent": {end: func(_ *net.TCPListener, c *net.TCPConn) { _ = c.Close() }},
 		"process exits":                 {end: func(l *net.TCPListener, c *net.TCPConn) { _ = l.Close(); _ = c.Close() }},
 		"process exits, the listening socket last": {end: func(l *net.TCPListener, c *net.TCPConn) {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -92,6 +92,8 @@
 	// Witness asks whether the process goes on, which must be known where the answer has neither a length nor
 	// chunks; nil if nobody can be asked.
 	Witness Witness
+	// Asks is set if the request asks whether the process goes on.
+	Asks bool
 }
 
 // Stats counts connections and unexpected answers since the start.
@@ -123,10 +125,12 @@
 	group  *group.Group
 	dialer net.Dialer
 
-	probes, exitChecks singleflight.Group
+	probes, exitChecks, spareDials singleflight.Group
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
+	// spares has unused connections to processes that may have to be asked whether they go on, one each.
+	spares map[endpoint]*conn
 	// inUse has the connections that carry an exchange.
 	inUse map[*conn]struct{}
 	// broken has the last signs that processes may have ended.
@@ -148,6 +152,8 @@
 		idle:  map[endpoint][]*conn{},
 		inUse: map[*conn]struct{}{},
 
+		spares: map[endpoint]*conn{},
+
 		broken: map[endpoint]breakSign{},
 		ends:   map[endpoint][]end{},
 
@@ -174,11 +180,11 @@
 // closed as soon as ctx ends. An error wraps ErrNotSent or ErrBroken. The caller must call
 // Close on the answer.
 func (t *Transport) Send(ctx context.Context, address string, r Request) (*Answer, error) {
-	c, err := t.connect(ctx, endpoint{address, r.Instance})
+	c, err := t.connect(ctx, endpoint{address, r.Instance}, r.Asks)
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method, witness: r.Witness}
+	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method, witness: r.Witness, asks: r.Asks}
 	a.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(r); err != nil {
 		t.noteBroken(c, err)
@@ -196,19 +202,29 @@
 		}
 		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", address, err)
 	}
+	if r.Witness != nil && !a.framed() {
+		t.prepareSpare(ctx, c.endpoint)
+	}
 	return a, nil
 }
 
 // endpoint identifies a process at an address, to which connections belong.
 type endpoint struct{ address, instance string }
 
-// connect returns an unused connection, or a new one if there is none.
-func (t *Transport) connect(ctx context.Context, e endpoint) (*conn, error) {
+// connect returns an unused connection, or a new one if there is none. If asks is set, it is the spare one if possible.
+func (t *Transport) connect(ctx context.Context, e endpoint, asks bool) (*conn, error) {
 	address := e.address
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
-	if c := t.takeIdle(e); c != nil {
+	var c *conn
+	if asks {
+		c = t.takeSpare(e)
+	}
+	if c == nil {
+		c = t.takeIdle(e)
+	}
+	if c != nil {
 		t.reused.Add(1)
 		t.use(c)
 		return c, nil
@@ -219,7 +235,7 @@
 		return nil, errors.Wrapf(connectError(err), "connect to %s: %v", address, err)
 	}
 	t.dialled.Add(1)
-	c := newConn(raw, e)
+	c = newConn(raw, e)
 	c.afterEnd = t.endedLately(e)
 	t.use(c)
 	return c, nil
@@ -386,6 +402,7 @@
 			delete(t.idle, e)
 		}
 	}
+	t.closeSpares(now)
 	t.forgetEnds(now)
 	maps.DeleteFunc(t.broken, func(_ endpoint, s breakSign) bool { return now.Sub(s.seen) >= brokenTTL })
 }
@@ -400,6 +417,10 @@
 		}
 	}
 	clear(t.idle)
+	for _, c := range t.spares {
+		_ = c.Close()
+	}
+	clear(t.spares)
 }
 
 // Answer is a target's answer. Its head has been read; Read reads the body as it arrives.
@@ -428,8 +449,9 @@
 	evidence Evidence
 	// slowReading is set if the target may take its time to read the request.
 	slowReading bool
-	// witness is that of the request.
+	// witness is that of the request, which asks for another one's if asks is set.
 	witness Witness
+	asks    bool
 }
 
 func (a *Answer) write(r Request) error {
@@ -552,6 +574,9 @@
 		_ = a.conn.Close()
 		return
 	}
+	if a.asks && a.transport.putSpare(a.conn) {
+		return
+	}
 	a.transport.putIdle(a.conn)
 }
 
--- a/internal/httptarget/target_test.go
+++ b/internal/httptarget/target_test.go
@@ -74,7 +74,7 @@
 
 // witness asks the target whether it goes on.
 func (g *target) witness(ctx context.Context, _ time.Time) error {
-	a, err := g.Send(ctx, g.address(), httptarget.Request{Method: http.MethodGet, Head: []byte("GET " + alivePath + " HTTP/1.1\r\nHost: h\r\n\r\n")})
+	a, err := g.Send(ctx, g.address(), httptarget.Request{Method: http.MethodGet, Head: []byte("GET " + alivePath + " HTTP/1.1\r\nHost: h\r\n\r\n"), Asks: true})
 	if err != nil {
 		return err
 	}
