Targets without a path for their health are asked for their options

Most whole answers without a length looked cut at a service without a path for its health: nobody could be asked, so that only bytes on another connection counted. Now such a target is asked OPTIONS *, which changes nothing (RFC 9110, 9.3.7), on a connection made before the end.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -19,7 +19,7 @@
 var errNoTestimony = errors.New("no answer of the target's process")
 
 // witness returns what asks the process of a target whether it goes on: an engine for its status, which takes no slot
-// there, and any target that is not named by that for its health; nil if it has no path for either.
+// there, any target that is not named by that for its health, and one that has no path for either for its options.
 func (x *inflight) witness(to balance.Target) httptarget.Witness {
 	var questions []string
 	if x.ToEngine && x.status.Path != "" {
@@ -29,7 +29,7 @@
 		questions = append(questions, http.MethodGet+" "+x.HealthPath)
 	}
 	if len(questions) == 0 {
-		return nil
+		questions = append(questions, serverOptions)
 	}
 	sender, headers, status := x.sender, x.headers, x.status
 	return func(ctx context.Context, before time.Time) error {
@@ -47,6 +47,9 @@
 	}
 }
 
+// serverOptions asks a server for its options (RFC 9110, section 9.3.7), which changes nothing.
+const serverOptions = http.MethodOptions + " *"
+
 // testimony is what a target's answer shows: whether it is that of a running target, whether it names the process that
 // was meant, and when the connection was made on which it came.
 type testimony struct {
@@ -72,7 +75,7 @@
 		return testimony{}, httptarget.ErrOtherProcess
 	}
 	t := testimony{named: name != "", connectedAt: a.ConnectedAt()}
-	t.goesOn = t.named || a.Status == http.StatusOK || a.Header.Get(h.NotRun) != ""
+	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && path == q.Path {
 		if born > to.Born {
 			return testimony{}, httptarget.ErrOtherProcess
