An exchange that ends shortly after an answer shows that its process went on

Whole answers without a length looked cut more often the more of them ran: those that count as ended together are looked at 20 ms or more after the end, and all that had ended by themselves until then counted as ended with it. Now one that went on for more than an instant shows that the process did, whether its connection is closed, unused or still in use by then.

The new case of TestWholeAnswerBesideOtherEnds failed before.

--- a/internal/httptarget/together.go
+++ b/internal/httptarget/together.go
@@ -137,13 +137,13 @@
 	return slices.ContainsFunc(t.connsTo(e.endpoint), func(c *conn) bool { return wasOpen(c, e.at) })
 }
 
-// answersGoOn reports whether an exchange with the process of a connection that has ended goes on, on another one. The
-// mutex must be held.
+// answersGoOn reports whether an exchange with the process of a connection that has ended went on after that, on another
+// one. The mutex must be held.
 func (t *Transport) answersGoOn(e end) bool {
-	for c := range t.inUse {
-		if c.endpoint == e.endpoint && c.usedSince.Before(e.about) && wasOpen(c, e.at) {
-			return true
-		}
-	}
-	return false
+	open := slices.ContainsFunc(t.connsTo(e.endpoint), func(c *conn) bool {
+		return c.usedSince.Before(e.about) && (c.idleSince.IsZero() || c.idleSince.After(e.about)) && wasOpen(c, e.at)
+	})
+	return open || slices.ContainsFunc(t.endsOf(e.endpoint), func(other end) bool {
+		return other.usedSince.Before(e.about) && other.about.Sub(e.about) > sameInstant
+	})
 }
--- a/internal/httptarget/together_test.go
+++ b/internal/httptarget/together_test.go
@@ -20,6 +20,7 @@
 		part      = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\n\r\npart"
 		noAnswer  = ""
 		wellApart = 200 * time.Millisecond
+		shortly   = 25 * time.Millisecond
 	)
 	reset := func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }
 	closed := func(c *net.TCPConn) { _ = c.Close() }
@@ -30,7 +31,8 @@
 		others         []string
 		ends           []func(*net.TCPConn)
 		unused, before time.Duration
-		complete       bool
+		// lastEndsAfter is set if the last of the others ends shortly after the answer.
+		lastEndsAfter, complete bool
 	}{
 		"no other connection":                          {complete: true},
 		"an unused one goes on":                        {others: []string{empty, part}, ends: []func(*net.TCPConn){nil, closed}, complete: true},
@@ -40,6 +42,7 @@
 		"another answer without a length ended before": {others: []string{unframedBegin}, ends: []func(*net.TCPConn){closed}, before: wellApart, complete: true},
 		"another one ends, and one goes on":            {others: []string{unframedBegin, part}, ends: []func(*net.TCPConn){closed, nil}, complete: true},
 		"another one ends, and an unused one goes on":  {others: []string{unframedBegin, empty}, ends: []func(*net.TCPConn){closed, nil}},
+		"another one ends, and one shortly after":      {others: []string{unframedBegin, unframedBegin}, ends: []func(*net.TCPConn){closed, nil}, unused: wellApart, lastEndsAfter: true, complete: true},
 		"another answer without a length ends":         {others: []string{unframedBegin}, ends: []func(*net.TCPConn){closed}},
 		"two others without a length end":              {others: []string{unframedBegin, unframedBegin}, ends: []func(*net.TCPConn){closed, closed}},
 		"one ends after its last answer":               {others: []string{last}, ends: []func(*net.TCPConn){closed}, complete: true},
@@ -93,6 +96,10 @@
 			}
 			time.Sleep(c.before)
 			_ = ended.Close()
+			if c.lastEndsAfter {
+				time.Sleep(shortly)
+				_ = others[len(others)-1].Close()
+			}
 			if text, err := io.ReadAll(a); c.complete != (err == nil) || string(text) != "begin" {
 				t.Errorf("read %q, %v; complete: want %v", text, err, c.complete)
 			}
