--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.status.Path, to.Address)
-	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation(), PlainEnd: true})
+	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation(), Asks: true})
 	if err != nil {
 		return 0, nil, time.Time{}, err
 	}
--- a/internal/httptarget/model_test.go
+++ b/internal/httptarget/model_test.go
@@ -141,7 +141,7 @@
 func (m *model) ask(ctx context.Context, entry int, path string) (status int, at time.Time, known bool, err error) {
 	a, err := m.Send(ctx, m.listener.Addr().String(), httptarget.Request{
 		Method: http.MethodGet, Head: fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: h\r\n%s: %d\r\n\r\n", path, modelExpect, entry),
-		Instance: strconv.Itoa(entry), PlainEnd: true,
+		Instance: strconv.Itoa(entry), Asks: true,
 	})
 	if err != nil {
 		return 0, time.Time{}, false, err
--- /dev/null
+++ b/internal/httptarget/spare.go
@@ -0,0 +1,91 @@
+package httptarget
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/sockopt"
+)
+
+// prepareSpare makes a spare connection to the process that sends an answer and is to be asked after its end. What
+// answers on a connection that the process has answered before is the process itself, and it can be asked even if it
+// takes no new ones then.
+func (t *Transport) prepareSpare(a *Answer) {
+	e, ctx := a.conn.endpoint, context.WithoutCancel(a.ctx)
+	if t.hasKnown(e) {
+		return
+	}
+	t.group.Go(func() {
+		_, _, _ = t.spareDials.Do(e.address+" "+e.instance, func() (any, error) {
+			ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+			defer cancel()
+			// It takes no spare connection, which there is not, and leaves one.
+			_ = a.witness(ctx, time.Time{})
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if _, ended := sockopt.Received(a.conn.Conn); !ended && t.spares[e] != nil {
+				t.spares[e].known.Store(true)
+			}
+			return nil, nil
+		})
+	})
+}
+
+// hasKnown reports whether there is an unused connection on which a process has answered.
+func (t *Transport) hasKnown(e endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.spares[e]
+	return c != nil && c.known.Load() || slices.ContainsFunc(t.idle[e], func(c *conn) bool { return c.known.Load() })
+}
+
+// putSpare keeps an unused connection as the spare one, and reports false if there is one.
+func (t *Transport) putSpare(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.spares[c.endpoint] != nil {
+		return false
+	}
+	c.idleSince = clock.Now()
+	t.spares[c.endpoint] = c
+	return true
+}
+
+// takeToAsk returns a connection to a process that can be asked on it, nil if there is none: if possible an unused one on
+// which that has answered before, else the spare one.
+func (t *Transport) takeToAsk(e endpoint) *conn {
+	for {
+		c := t.popToAsk(e)
+		if c == nil || c.checkUnused() == unusedOpen {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (t *Transport) popToAsk(e endpoint) *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	spare := t.spares[e]
+	if spare == nil || !spare.known.Load() {
+		if i := slices.IndexFunc(t.idle[e], func(c *conn) bool { return c.known.Load() }); i >= 0 {
+			c := t.idle[e][i]
+			t.idle[e] = slices.Delete(t.idle[e], i, i+1)
+			return c
+		}
+	}
+	delete(t.spares, e)
+	return spare
+}
+
+// closeSpares closes the spare connections that have been unused for too long. The mutex must be held.
+func (t *Transport) closeSpares(now time.Time) {
+	for e, c := range t.spares {
+		if c.expired(now, maxIdleTime) {
+			_ = c.Close()
+			delete(t.spares, e)
+		}
+	}
+}
