Whole answers of engines that send no lengths look cut

Callers got streams as cut that were whole: an engine that answers its status without a length as well was no witness of its other answers. The reader of the status waited for the end of that answer, which asked for a witness in turn and joined the check that it was made for, until that gave up after 0.5 s.

A status is read as far as it is JSON, which needs no other mark of its end; the answer to a question for the health is taken by its head alone.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -89,12 +87,10 @@
 		return 0, nil, time.Time{}, err
 	}
 	defer a.Close()
-	text, err = io.ReadAll(io.LimitReader(a, maxStatusBytes))
-	if a.Framing() == httptarget.Unframed && json.Valid(text) {
-		// Whole JSON needs no other mark of its end.
+	if text, err = readStatus(a); a.Status != http.StatusOK {
 		err = nil
 	}
-	return a.Status, text, a.ConnectedAt(), errors.Wrap(err, "read status")
+	return a.Status, text, a.ConnectedAt(), err
 }
 
 // checkProcess returns an error if another process than the entry describes listens at a target's address, of
--- /dev/null
+++ b/internal/forward/unframed_engine_test.go
@@ -0,0 +1,90 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/routing"
+)
+
+// answerUnframed answers with a status of 200 and neither a length nor chunks, calls wait and closes the connection.
+func answerUnframed(w http.ResponseWriter, r *http.Request, text string, wait func()) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s: s\r\n\r\n%s", r.Header.Get("X-Id"), headerSeal, text)
+	wait()
+}
+
+// engineAt returns a forwarder with one engine that runs with a handler and tells its start at /status.
+func engineAt(t *testing.T, h http.HandlerFunc) *bufferedForwarder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = server.Serve(l) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		wait.Wait()
+	})
+	f := newBufferedForwarder(t, 1<<20, refuse)
+	f.Forwarder = f.WithStatusQuery(forward.StatusQuery{Path: "/status", Field: "born"})
+	f.targets[0].Address = l.Addr().String()
+	f.setTargets(t, f.targets...)
+	table, err := routing.New(routing.Spec{Version: 1, Services: []routing.Service{{Name: "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.loop.PostAndWait(t.Context(), func(s *balance.State, _ time.Time) { s.Configure(table) })
+	return f
+}
+
+// askEngine sends a request to an engine and returns what its caller gets.
+func (f *bufferedForwarder) askEngine(t *testing.T, id string, route routing.Route) (string, forward.Result) {
+	now, c := time.Now(), &textCaller{}
+	route.Goal, route.MaxPause = time.Second, 400*time.Millisecond
+	result := f.Forward(t.Context(), forward.Request{
+		ID: id, Method: http.MethodPost, URI: "/" + id, Host: "h", Service: "s", Organisation: "o", ToEngine: true,
+		Arrived: now, Deadline: now.Add(3 * time.Second), Route: &route,
+	}, c)
+	return c.text.String(), result
+}
+
+// TestWholeAnswerOfEngineWithoutLengths guards against whole answers that look cut as the engine's status, which shows
+// that it goes on, ends with its connection too, while another answer pauses.
+func TestWholeAnswerOfEngineWithoutLengths(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	f := engineAt(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/status":
+			answerUnframed(w, r, `{"born":1}`, func() {})
+		case "/pauses":
+			answerUnframed(w, r, eventsFrom(0, 1), func() {
+				close(begun)
+				<-release
+			})
+		default:
+			answerUnframed(w, r, eventsFrom(0, 3), func() { time.Sleep(20 * time.Millisecond) })
+		}
+	})
+	stream := routing.Route{Kind: routing.Streaming, MaxAttempts: 1}
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	defer close(release)
+	wait.Go(func() { f.askEngine(t, "pauses", stream) })
+	<-begun
+	if got, result := f.askEngine(t, "whole", stream); got != eventsFrom(0, 3) || result.Truncated {
+		t.Errorf("the caller got %q; %+v", got, result)
+	}
+}
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -67,7 +67,7 @@
 	}
 	defer a.Close()
 	// The answer's head is evidence enough; what the body lacks is not known.
-	text, _ := io.ReadAll(io.LimitReader(a, maxStatusBytes))
+	text, _ := readStatus(a)
 	name := a.Header.Get(h.ServedBy)
 	if a.Status == http.StatusMisdirectedRequest || name != "" && name != to.ID {
 		return testimony{}, httptarget.ErrOtherProcess
@@ -83,6 +83,19 @@
 	return t, nil
 }
 
+// readStatus reads the status in an answer, as far as it is JSON. It does not wait for the end of an answer that ends with
+// its connection: whether that is whole may be what is asked for, and JSON needs no other mark of its end.
+func readStatus(a *httptarget.Answer) (json.RawMessage, error) {
+	var text json.RawMessage
+	body := io.LimitReader(a, maxStatusBytes)
+	err := json.NewDecoder(body).Decode(&text)
+	if a.Framing() != httptarget.Unframed {
+		// The connection can be reused once its answer has been read to the end.
+		_, _ = io.Copy(io.Discard, body)
+	}
+	return text, errors.Wrap(err, "read status")
+}
+
 // started returns when a process started according to its status, in Unix milliseconds.
 func (q StatusQuery) started(text []byte) (int64, bool) {
 	var fields map[string]json.RawMessage
