The rest of a stream is not sent where a gateway or another engine answers

Callers could get a stream joined from two processes: a router asks an engine when its process started before it sends the rest of a stream there, and took any answer but a later start for that of the engine: status 502 of a gateway, a page of a relay, 404, and 421 or another name, as the question carried no id. By the time the rest was sent the next process could listen.

The question names the target, as those to witnesses do; 421 and another name tell of another process, and anything but its status counts as no answer. An engine that answers a status without its start counts as that of its entry, as before.

TestEngineStartsAgainUnderItsID, TestEngineListensAgainAtOnce and TestBusyEngineListensAgainAtOnce pass (one run each).

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -168,7 +168,7 @@
 	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
 	g.GoContext(loop.Run)
 	f := &bufferedForwarder{budget: answerbuffer.New(budget), attempts: len(handlers)}
-	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, LastEventID: "X-Last", Organisation: "X-Organisation"}
+	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", ServedBy: headerServedBy, NotRun: headerNotRun, LastEventID: "X-Last", Organisation: "X-Organisation"}
 	forwarder := forward.New(names, slowSender{httptarget.New(g), &f.sendDelay, &f.unread}, loop, noSuspects{}, f.logged.logger(), discard{})
 	f.testForwarder = &testForwarder{loop: loop, Forwarder: forwarder.WithBuffers(f.budget, func() bool { return true })}
 	for i, h := range handlers {
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -42,19 +42,21 @@
 	return &out
 }
 
-// isOtherProcess reports whether an engine says that its process started later than its entry tells, or refuses a
-// connection, attempted at refusedAt. One that answers something else is taken for that of the entry. The error says
-// that it does not answer.
+// isOtherProcess reports whether another process than that of an engine's entry listens at its address: it says so, says
+// that it started later, or refuses a connection, attempted at refusedAt. The error says that the engine does not answer: a
+// gateway may answer in its place.
 func (x *inflight) isOtherProcess(ctx context.Context, to balance.Target, timeout time.Duration) (refusedAt time.Time, other bool, err error) {
 	if x.status.Path == "" || to.Born == 0 || !x.ToEngine {
 		return time.Time{}, false, nil
 	}
 	began := clock.Now()
-	status, text, connectedAt, err := x.queryStatus(ctx, to, timeout)
-	if errors.Is(err, httptarget.ErrConnectionRefused) {
+	text, connectedAt, err := x.queryStatus(ctx, to, timeout)
+	switch {
+	case errors.Is(err, httptarget.ErrConnectionRefused):
 		return began, true, nil
-	}
-	if err != nil || status != http.StatusOK {
+	case errors.Is(err, httptarget.ErrOtherProcess):
+		return time.Time{}, true, nil
+	case err != nil:
 		return time.Time{}, false, err
 	}
 	born, ok := x.status.started(text)
@@ -72,25 +74,29 @@
 	if x.status.Path == "" || !x.ToEngine {
 		return false
 	}
-	_, _, _, err := x.queryStatus(ctx, to, statusTimeout)
-	return err != nil
+	_, _, err := x.queryStatus(ctx, to, statusTimeout)
+	return err != nil && !errors.Is(err, errNoStatus)
 }
 
 // queryStatus asks an engine for its status, which takes no slot there. connectedAt is when the connection was made on
-// which it answered.
-func (x *inflight) queryStatus(ctx context.Context, to balance.Target, timeout time.Duration) (status int, text []byte, connectedAt time.Time, err error) {
+// which it answered. The error wraps errNoStatus if the answer is no status.
+func (x *inflight) queryStatus(ctx context.Context, to balance.Target, timeout time.Duration) (text json.RawMessage, connectedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", x.status.Path, to.Address)
-	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: []byte(head), Instance: to.Incarnation()})
+	a, err := question(ctx, x.sender, x.headers, to, x.status.Path)
 	if err != nil {
-		return 0, nil, time.Time{}, err
+		return nil, time.Time{}, err
 	}
 	defer a.Close()
-	if text, err = readStatus(a); a.Status != http.StatusOK {
-		err = nil
+	if a.Status != http.StatusOK {
+		return nil, time.Time{}, errors.Wrapf(errNoStatus, "status %d", a.Status)
+	}
+	text, err = readStatus(a)
+	var noJSON *json.SyntaxError
+	if errors.As(err, &noJSON) {
+		err = errors.Wrap(errNoStatus, err.Error())
 	}
-	return a.Status, text, a.ConnectedAt(), err
+	return text, a.ConnectedAt(), err
 }
 
 // checkProcess returns an error if another process than the entry describes listens at a target's address, of
--- a/internal/forward/unframed_engine_test.go
+++ b/internal/forward/unframed_engine_test.go
@@ -24,8 +24,8 @@
 	wait()
 }
 
-// engineAt returns a forwarder with one engine that runs with a handler and tells its start at /status.
-func engineAt(t *testing.T, h http.HandlerFunc) *bufferedForwarder {
+// startEngine starts a server with a handler and returns its address.
+func startEngine(t *testing.T, h http.HandlerFunc) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,16 +38,28 @@
 		_ = server.Close()
 		wait.Wait()
 	})
+	return l.Addr().String()
+}
+
+// engineAt returns a forwarder with one engine that runs with a handler and tells its start at /status.
+func engineAt(t *testing.T, h http.HandlerFunc) *bufferedForwarder {
+	t.Helper()
 	f := newBufferedForwarder(t, 1<<20, refuse)
 	f.Forwarder = f.WithStatusQuery(forward.StatusQuery{Path: "/status", Field: "born"})
-	f.targets[0].Address = l.Addr().String()
+	f.targets[0].Address = startEngine(t, h)
 	f.setTargets(t, f.targets...)
+	f.configure(t)
+	return f
+}
+
+// configure gives a forwarder a configuration with its service.
+func (f *bufferedForwarder) configure(t *testing.T) {
+	t.Helper()
 	table, err := routing.New(routing.Spec{Version: 1, Services: []routing.Service{{Name: "s"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.loop.PostAndWait(t.Context(), func(s *balance.State, _ time.Time) { s.Configure(table) })
-	return f
 }
 
 // askEngine sends a request to an engine and returns what its caller gets.
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -57,22 +57,31 @@
 	connectedAt   time.Time
 }
 
-// ask asks the process of a target with a GET of a path. It returns httptarget.ErrOtherProcess if another one answers.
-func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, path string) (testimony, error) {
+// question sends a GET of a path to a target. It returns httptarget.ErrOtherProcess if another one answers.
+func question(ctx context.Context, s Sender, h HeaderNames, to balance.Target, path string) (*httptarget.Answer, error) {
 	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n", path, to.Address)
 	head = append(appendHeader(head, h.ExpectTarget, to.ID), "\r\n"...)
 	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: http.MethodGet, Head: head, Instance: to.Incarnation()})
+	if err != nil {
+		return nil, err
+	}
+	if name := a.Header.Get(h.ServedBy); a.Status == http.StatusMisdirectedRequest || name != "" && name != to.ID {
+		a.Close()
+		return nil, httptarget.ErrOtherProcess
+	}
+	return a, nil
+}
+
+// ask asks the process of a target with a GET of a path. It returns httptarget.ErrOtherProcess if another one answers.
+func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, path string) (testimony, error) {
+	a, err := question(ctx, s, h, to, path)
 	if err != nil {
 		return testimony{}, err
 	}
 	defer a.Close()
 	// The answer's head is evidence enough; what the body lacks is not known.
 	text, _ := readStatus(a)
-	name := a.Header.Get(h.ServedBy)
-	if a.Status == http.StatusMisdirectedRequest || name != "" && name != to.ID {
-		return testimony{}, httptarget.ErrOtherProcess
-	}
-	t := testimony{named: name != "", connectedAt: a.ConnectedAt()}
+	t := testimony{named: a.Header.Get(h.ServedBy) != "", connectedAt: a.ConnectedAt()}
 	t.goesOn = t.named || a.Status == http.StatusOK || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && path == q.Path {
 		if born > to.Born {
