A request that crashes engines is suspected though their addresses accept connections

A request that ended one engine after the other was never held back if something went on to accept connections at their addresses, as the next engine does that gets one: after an answer that broke off only a refused connection, or a later start of an engine whose entry tells one, counted as the end of its process.

Where a connection is accepted, an engine is asked for its status by its id. 421, another name and a later start tell that its process has exited. No answer, status 502 of a gateway and a reset tell nothing: full engines reset connections, and a false suspicion refuses proper requests. Plain services are not asked, since that takes a slot there. Answers that break off together share one question.

--- a/internal/forward/delivery_test.go
+++ b/internal/forward/delivery_test.go
@@ -161,6 +161,12 @@
 }
 
 func newBufferedForwarder(t testing.TB, budget int64, handlers ...http.HandlerFunc) *bufferedForwarder {
+	t.Helper()
+	return newSuspectingForwarder(t, noSuspects{}, budget, handlers...)
+}
+
+// newSuspectingForwarder is newBufferedForwarder for a forwarder with suspects.
+func newSuspectingForwarder(t testing.TB, q forward.Suspects, budget int64, handlers ...http.HandlerFunc) *bufferedForwarder {
 	t.Helper()
 	g := group.New(context.Background())
 	t.Cleanup(g.Stop)
@@ -169,7 +175,7 @@
 	g.GoContext(loop.Run)
 	f := &bufferedForwarder{budget: answerbuffer.New(budget), attempts: len(handlers)}
 	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", ServedBy: headerServedBy, NotRun: headerNotRun, LastEventID: "X-Last", Organisation: "X-Organisation"}
-	forwarder := forward.New(names, slowSender{httptarget.New(g), &f.sendDelay, &f.unread}, loop, noSuspects{}, f.logged.logger(), discard{})
+	forwarder := forward.New(names, slowSender{httptarget.New(g), &f.sendDelay, &f.unread}, loop, q, f.logged.logger(), discard{})
 	f.testForwarder = &testForwarder{loop: loop, Forwarder: forwarder.WithBuffers(f.budget, func() bool { return true })}
 	for i, h := range handlers {
 		f.targets = append(f.targets, startTarget(t, fmt.Sprint("e", i), new(atomic.Int64), h))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/stepcroft/stepcroft/internal/answerbuffer"
 	"github.com/stepcroft/stepcroft/internal/balance"
@@ -44,6 +45,8 @@
 	buffered func() bool
 	// status says how engines are asked when their processes started.
 	status StatusQuery
+	// exitQuestions are those to the processes of targets that broke off answers.
+	exitQuestions *singleflight.Group
 	// startedAt is when the forwarder was created.
 	startedAt time.Time
 	// maxStall is how long a caller may accept nothing of the rest of a buffered answer.
@@ -69,7 +72,7 @@
 
 // New returns a forwarder that sends requests with s to the targets that l chooses.
 func New(h HeaderNames, s Sender, l *balance.Loop, q Suspects, log logr.Logger, c Counters) *Forwarder {
-	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, startedAt: clock.Now(), maxStall: DefaultMaxStall, memory: memory.New(math.MaxInt64)}
+	return &Forwarder{headers: h, sender: s, loop: l, suspects: q, log: log, counters: c, exitQuestions: &singleflight.Group{}, startedAt: clock.Now(), maxStall: DefaultMaxStall, memory: memory.New(math.MaxInt64)}
 }
 
 // WithMemory returns a forwarder that buffers answers that are not streams within a budget.
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -7,8 +7,11 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/prefix"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 )
@@ -212,9 +215,7 @@
 	case ReasonRestarted:
 		exited = true
 	case ReasonBroken:
-		if refusedAt, exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()); !exited {
-			refusedAt, exited, _ = x.isOtherProcess(ctx, to, statusTimeout)
-		}
+		refusedAt, exited = x.hasExited(ctx, to)
 	case ReasonSilent:
 		// The process may have exited; that is found out later.
 	default:
@@ -227,6 +228,38 @@
 	return !quarantine.MayRetry(x.suspects.RecordBreak(ctx, b))
 }
 
+// hasExited reports whether the process of a target that broke off an answer has exited, or closed its listener, and since
+// when it refuses connections, if it does: whoever accepts one may be a relay or the next process, so that engines are
+// asked. No answer shows nothing, as full engines reset connections. Concurrent calls for the same process share a question.
+func (x *inflight) hasExited(ctx context.Context, to balance.Target) (refusedAt time.Time, exited bool) {
+	began := clock.Now()
+	if refusedAt, exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()); exited || x.status.Path == "" || !x.ToEngine {
+		return refusedAt, exited
+	}
+	v, _, _ := x.exitQuestions.Do(to.Address+" "+to.Incarnation(), func() (any, error) {
+		// The request waits for both the connection and the answer.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), statusTimeout-clock.Since(began))
+		defer cancel()
+		asked := clock.Now()
+		_, err := ask(ctx, x.sender, x.headers, x.status, to, x.status.Path)
+		switch {
+		case errors.Is(err, httptarget.ErrConnectionRefused):
+			return exit{refusedAt: asked, exited: true}, nil
+		case errors.Is(err, httptarget.ErrOtherProcess):
+			return exit{exited: true}, nil
+		}
+		return exit{}, nil
+	})
+	e := v.(exit)
+	return e.refusedAt, e.exited
+}
+
+// exit says whether a process has exited, and since when it refuses connections if it does.
+type exit struct {
+	refusedAt time.Time
+	exited    bool
+}
+
 // clearSuspicion clears the suspicion against the attributes of a request that a target has run to its
 // end.
 func (x *inflight) clearSuspicion() {
--- a/internal/forward/unframed_engine_test.go
+++ b/internal/forward/unframed_engine_test.go
@@ -42,9 +42,9 @@
 }
 
 // engineAt returns a forwarder with one engine that runs with a handler and tells its start at /status.
-func engineAt(t *testing.T, h http.HandlerFunc) *bufferedForwarder {
+func engineAt(t *testing.T, q forward.Suspects, h http.HandlerFunc) *bufferedForwarder {
 	t.Helper()
-	f := newBufferedForwarder(t, 1<<20, refuse)
+	f := newSuspectingForwarder(t, q, 1<<20, refuse)
 	f.Forwarder = f.WithStatusQuery(forward.StatusQuery{Path: "/status", Field: "born"})
 	f.targets[0].Address = startEngine(t, h)
 	f.setTargets(t, f.targets...)
@@ -77,7 +77,7 @@
 // that it goes on, ends with its connection too, while another answer pauses.
 func TestWholeAnswerOfEngineWithoutLengths(t *testing.T) {
 	begun, release := make(chan struct{}), make(chan struct{})
-	f := engineAt(t, func(w http.ResponseWriter, r *http.Request) {
+	f := engineAt(t, noSuspects{}, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/status":
 			answerUnframed(w, r, `{"born":1}`, func() {})
