A reset of the router that serves a handed-over connection is no end of its answer

A relay between routers passed a reset of the other router on as a plain end, so that a cut answer that ends with its connection looked complete. The kernel reports a reset to one call. If that is the write that passes on what the caller sends, the reader gets an end of input. What writes are told counts now, but for EPIPE, which only tells that the other router had closed the connection.

Only callers of HTTP/1.0 get answers without a length or chunks, and a connection whose first request is one of HTTP/1.0 is not handed over, so that it takes a connection on which a later one is. Shown in the package, not with whole routers.

To reset callers as the relaying router itself is killed, too, loses what is on its way to all of them, for callers that are not handed over.

--- a/internal/handover/relay.go
+++ b/internal/handover/relay.go
@@ -83,6 +83,9 @@
 	// aborted, finishing, finished and peerClosed are set before the deadlines that make reads notice
 	// them. finishing is reset if the relay stays open.
 	aborted, finishing, finished, peerClosed atomic.Bool
+	// toPeer is held while bytes are written to the other router, and guards peerErr, the first error of that.
+	toPeer  sync.Mutex
+	peerErr error
 	// ended is closed when the relay is aborted.
 	ended     chan struct{}
 	endedOnce sync.Once
@@ -124,7 +127,7 @@
 // copyFromCaller passes on what was read ahead, and then copies from the caller.
 func (r *relay) copyFromCaller() (int64, error) {
 	// If the other router does not take them, reading from it ends the relay.
-	if n, _ := r.peer.Write(r.ahead); n > 0 {
+	if n, _ := r.writeToPeer(r.ahead); n > 0 {
 		r.noteMoved()
 	}
 	total, err := r.copy(r.peer, r.caller, false)
@@ -142,6 +145,9 @@
 		n, err := r.copyUntilTimeout(in, to, answer)
 		total += n
 		switch {
+		case err == io.EOF && answer && r.peerBroke():
+			r.abort()
+			return total, errors.Wrap(ErrReset, "pass on what the caller sent")
 		case err == io.EOF:
 			closeWrite(to)
 			return total, nil
@@ -195,7 +201,11 @@
 			r.asked.Add(1)
 		}
 		r.noteMoved()
-		_, err = to.Write(buffer[:n])
+		if answer {
+			_, err = to.Write(buffer[:n])
+		} else {
+			_, err = r.writeToPeer(buffer[:n])
+		}
 		// The write may have waited for a slow reader.
 		r.noteMoved()
 		later := answer && r.answered.Load() == in.asked
@@ -223,6 +233,30 @@
 	}
 }
 
+// writeToPeer writes bytes of the caller to the other router.
+func (r *relay) writeToPeer(b []byte) (int, error) {
+	r.toPeer.Lock()
+	defer r.toPeer.Unlock()
+	n, err := r.peer.Write(b)
+	if r.peerErr == nil {
+		r.peerErr = err
+	}
+	return n, err
+}
+
+// peerBroke reports whether the connection to the other router, from which an end of input was read, broke before: the
+// kernel reports that to one call, here to a write, and an end of input to all later ones. EPIPE only tells that the other
+// router had closed the connection.
+func (r *relay) peerBroke() bool {
+	if !sockopt.Closed(r.peer) {
+		return false
+	}
+	// A write that has been told may not have returned yet, and none blocks any more.
+	r.toPeer.Lock()
+	defer r.toPeer.Unlock()
+	return r.peerErr != nil && !errors.Is(r.peerErr, syscall.EPIPE)
+}
+
 func (r *relay) noteMoved() { r.lastMoved.Store(int64(clock.Since(r.began))) }
 
 // quietFor returns the time since bytes were last read or written.
