Cut responses of services without a length look complete

Callers of the own interface to plain services got a part of an answer with status 200 and the length of that part, and an exported KV cache was imported in part, if the process that sent it ended: a response with neither a length nor chunks counted as complete with the end of its connection, which the kernel closes plainly.

TestCutResponseLooksComplete: the cases without either failed before.

--- a/internal/adapter/engine/control.go
+++ b/internal/adapter/engine/control.go
@@ -65,6 +65,6 @@
 	default:
 		return nil, errors.Wrapf(port.ErrBroken, "%s %s at %s: status %d", method, path, address, res.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxControlBody))
+	data, err := io.ReadAll(io.LimitReader(framedBody(res), maxControlBody))
 	return data, errors.Wrapf(err, "%s %s at %s", method, path, address)
 }
--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -185,7 +185,8 @@
 	return load, errors.Wrapf(err, "load of %s", address)
 }
 
-// Call sends a request to a plain service. Its errors are those of Complete.
+// Call sends a request to a plain service. Its errors are those of Complete. A response without a length or chunks, whose
+// end cannot be told from that of the service, ends with ErrBroken.
 func (c *Client) Call(ctx context.Context, address string, call port.Call) (port.Response, error) {
 	header := call.Header.Clone()
 	header.Set(HeaderRequestID, call.ID)
@@ -197,7 +198,27 @@
 		res.Body.Close()
 		return port.Response{}, errors.Wrapf(port.ErrRefused, "call %s: status %d", address, res.StatusCode)
 	}
-	return port.Response{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+	return port.Response{Status: res.StatusCode, Header: res.Header, Body: framedBody(res)}, nil
+}
+
+// framedBody returns the body of a response, of which a part never looks complete: without a length or chunks, the end of
+// the connection shows nothing, as the kernel closes those of a process that was killed.
+func framedBody(res *http.Response) io.ReadCloser {
+	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody {
+		return res.Body
+	}
+	return unframedBody{res.Body}
+}
+
+// unframedBody is a body that ends with its connection.
+type unframedBody struct{ io.ReadCloser }
+
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errors.Wrap(port.ErrBroken, "response has neither a length nor chunks")
+	}
+	return n, err
 }
 
 // stream implements port.Stream by reading server-sent events.
