A stream without a length that ends before its first event is cut

A caller got a whole stream without any event if an engine that goes on closed the connection after the head: its process is a witness of the end, but of nothing else. A stream whose only mark of its end is that of its connection, and which has no event as its caller has none either, counts as broken off, and is sent again where it may be. A rest may be empty, as the caller may have the last event, and so may a stream whose end is marked.

--- a/internal/forward/second.go
+++ b/internal/forward/second.go
@@ -208,6 +208,9 @@
 		if s.eventsErr != nil && !errors.Is(s.eventsErr, io.EOF) {
 			return brokenAnswer(s.eventsErr)
 		}
+		if s.eventsErr != nil && s.events.Count == 0 && s.lacksEvents(s.answer) {
+			return brokenAnswer(errNoEvents)
+		}
 		return nil
 	}
 	if s.result.HeadSent {
--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -31,6 +31,8 @@
 var (
 	// errSilent is the cancellation cause when a target has sent nothing for too long.
 	errSilent = errors.New("target silent")
+	// errNoEvents means that the connection of a stream was closed before its first event.
+	errNoEvents = errors.New("connection was closed before the first event")
 	// errRestarted is the cancellation cause when the target's process was restarted.
 	errRestarted = errors.New("target restarted")
 )
@@ -260,6 +262,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if x.lacksEvents(a) {
+				return brokenAnswer(errNoEvents)
+			}
 			if !x.proceed() {
 				return overtaken()
 			}
@@ -275,6 +280,12 @@
 	}
 }
 
+// lacksEvents reports whether a stream that ended has no event and nothing but the end of its connection to mark its end,
+// though the caller has none either. A rest may be empty, as the caller may have the last event.
+func (x *inflight) lacksEvents(a *httptarget.Answer) bool {
+	return x.forwardedEvents == 0 && x.lastEventID == "" && a.Framing() == httptarget.Unframed
+}
+
 // noteEnd notes how the end of a whole answer was marked.
 func (x *inflight) noteEnd(a *httptarget.Answer) {
 	x.result.Framing, x.result.CompleteBy = a.Framing(), a.CompleteBy()
--- a/internal/forward/unframed_engine_test.go
+++ b/internal/forward/unframed_engine_test.go
@@ -68,7 +68,7 @@
 	route.Goal, route.MaxPause = time.Second, 400*time.Millisecond
 	result := f.Forward(t.Context(), forward.Request{
 		ID: id, Method: http.MethodPost, URI: "/" + id, Host: "h", Service: "s", Organisation: "o", ToEngine: true,
-		Arrived: now, Deadline: now.Add(3 * time.Second), Route: &route,
+		Arrived: now, Deadline: now.Add(3 * time.Second), Route: &route, HealthPath: healthPath,
 	}, c)
 	return c.text.String(), result
 }
