A caller that has reset its connection is gone, whatever is unread behind its request

Requests were sent to targets for callers that had reset their connection before, if more had arrived behind the request than the HTTP server had read: unread input was taken for a sign that the caller waits. That holds for one that closed, which may wait for answers to all that it has sent, but not for one that reset.

While a target works, the end of such a connection is still noticed at the next write only.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -102,12 +102,13 @@
 	}
 }
 
-// callerDisconnected reports whether the caller of a request has closed its connection. The
-// HTTP server detects that too, with a background read, but too late on a busy box: requests
-// whose callers had disconnected before they were read would still be forwarded.
+// callerDisconnected reports whether the caller of a request has closed its connection, or has reset it, with or without
+// input behind the request: a caller that closed may wait for the answers to all that it has sent. The HTTP server detects
+// the end of a connection too, with a background read, but too late on a busy box: requests whose callers had disconnected
+// before they were read would still be forwarded.
 func callerDisconnected(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && sockopt.RemoteClosed(c.Conn)
+	return ok && (sockopt.RemoteClosed(c.Conn) || sockopt.Closed(c.Conn))
 }
 
 // closedServing reports whether this process has closed the connection of a request that is being served.
