--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -39,7 +39,7 @@
 	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
 	g.GoContext(loop.Run)
 	d := forward.HeaderNames{
-		RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, Seal: headerSeal, Leaving: headerLeaving,
+		RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", ServedBy: headerServedBy, NotRun: headerNotRun, Seal: headerSeal, Leaving: headerLeaving,
 	}
 	return &testForwarder{loop: loop, Forwarder: forward.New(d, httptarget.New(g), loop, noSuspects{}, logr.Discard(), discard{})}
 }
@@ -79,6 +79,7 @@
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == healthPath {
+			w.Header().Set(headerServedBy, id)
 			w.WriteHeader(http.StatusOK)
 			return
 		}
--- a/internal/forward/surplus_test.go
+++ b/internal/forward/surplus_test.go
@@ -22,6 +22,7 @@
 					return
 				}
 				w.Header().Del("X-Id")
+				w.Header().Set(headerServedBy, "e0")
 				if surplus {
 					w.Header().Set("X-Id", "earlier")
 				}
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
+	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/quarantine"
 	"github.com/stepcroft/stepcroft/internal/suspicion"
 )
@@ -57,9 +60,7 @@
 	case ReasonRestarted:
 		exited = true
 	case ReasonBroken:
-		if refusedAt, exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()); !exited {
-			refusedAt, exited, _ = x.isOtherProcess(ctx, to, statusTimeout)
-		}
+		refusedAt, exited = x.hasExited(ctx, to)
 	case ReasonSilent:
 		// The process may have exited; that is found out later.
 	default:
@@ -67,3 +68,35 @@
 	}
 	return x.check.RecordBreak(ctx, to, exited, refusedAt, x.hasJustBegun())
 }
+
+// hasExited reports whether the process of a target that broke off an answer has exited, or closed its listener, and since
+// when it refuses connections, if it does: whoever accepts one may be a relay or the next process, so that engines are
+// asked. No answer shows nothing, as full engines reset connections. Concurrent calls for the same process share a question.
+func (x *inflight) hasExited(ctx context.Context, to balance.Target) (refusedAt time.Time, exited bool) {
+	began := clock.Now()
+	if refusedAt, exited = x.sender.ProcessExited(ctx, to.Address, to.Incarnation()); exited || x.status.Path == "" || !x.ToEngine {
+		return refusedAt, exited
+	}
+	v, _, _ := x.exitQuestions.Do(to.Address+" "+to.Incarnation(), func() (any, error) {
+		// The request waits for both the connection and the answer.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), statusTimeout-clock.Since(began))
+		defer cancel()
+		asked := clock.Now()
+		_, err := ask(ctx, x.sender, x.headers, x.status, to, x.status.question())
+		switch {
+		case errors.Is(err, httptarget.ErrConnectionRefused):
+			return exit{refusedAt: asked, exited: true}, nil
+		case errors.Is(err, httptarget.ErrOtherProcess):
+			return exit{exited: true}, nil
+		}
+		return exit{}, nil
+	})
+	e := v.(exit)
+	return e.refusedAt, e.exited
+}
+
+// exit says whether a process has exited, and since when it refuses connections if it does.
+type exit struct {
+	refusedAt time.Time
+	exited    bool
+}
--- a/internal/forward/unframed_status_test.go
+++ b/internal/forward/unframed_status_test.go
@@ -54,7 +54,7 @@
 				case "/status":
 					answerToEnd(w, http.StatusOK, "", `{"born":1}`)
 				case wellPath:
-					answerToEnd(w, http.StatusOK, "", "well")
+					answerToEnd(w, http.StatusOK, headerServedBy+": e0\r\n", "well")
 				default:
 					answerToEnd(w, http.StatusOK, fmt.Sprintf("X-Id: %s\r\n%s: s\r\n", r.Header.Get("X-Id"), headerSeal), eventsFrom(0, 3))
 				}
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -23,7 +23,7 @@
 func (x *inflight) witness(to balance.Target) httptarget.Witness {
 	var questions []string
 	if x.ToEngine && x.status.Path != "" {
-		questions = append(questions, http.MethodGet+" "+x.status.Path)
+		questions = append(questions, x.status.question())
 	}
 	if x.HealthPath != "" {
 		questions = append(questions, http.MethodGet+" "+x.HealthPath)
@@ -57,29 +57,38 @@
 	connectedAt          time.Time
 }
 
-// ask asks the process of a target with a request of a method and a path. It returns httptarget.ErrOtherProcess if
+// putQuestion asks a target about itself with a request of a method and a path. It returns httptarget.ErrOtherProcess if
 // another one answers. An answer with an id of a request is a late one to an earlier request.
-func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, question string) (testimony, error) {
-	method, path, _ := strings.Cut(question, " ")
+func putQuestion(ctx context.Context, s Sender, h HeaderNames, to balance.Target, question string) (*httptarget.Answer, error) {
+	method, _, _ := strings.Cut(question, " ")
 	head := fmt.Appendf(nil, "%s HTTP/1.1\r\nHost: %s\r\n", question, to.Address)
 	head = append(appendHeader(head, h.ExpectTarget, to.ID), "\r\n"...)
 	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: method, Head: head, Instance: to.Incarnation(), IDHeader: h.RequestID, Asks: true})
+	if err != nil {
+		return nil, err
+	}
+	if name := a.Header.Get(h.ServedBy); a.Status == http.StatusMisdirectedRequest || name != "" && name != to.ID {
+		a.Close()
+		return nil, httptarget.ErrOtherProcess
+	}
+	return a, nil
+}
+
+// ask asks the process of a target a question. It returns httptarget.ErrOtherProcess if another one answers.
+func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, question string) (testimony, error) {
+	a, err := putQuestion(ctx, s, h, to, question)
 	if err != nil {
 		return testimony{}, err
 	}
 	defer a.Close()
 	// The answer's head is evidence enough; what the body lacks is not known.
-	text, _ := io.ReadAll(io.LimitReader(a, maxStatusBytes))
-	name := a.Header.Get(h.ServedBy)
-	if a.Status == http.StatusMisdirectedRequest || name != "" && name != to.ID {
-		return testimony{}, httptarget.ErrOtherProcess
-	}
-	t := testimony{named: name != "", known: a.IsConnectionKnown(), connectedAt: a.ConnectedAt()}
+	text, _ := readStatus(a)
+	t := testimony{named: a.Header.Get(h.ServedBy) != "", known: a.IsConnectionKnown(), connectedAt: a.ConnectedAt()}
 	if t.named {
 		a.SetConnectionKnown()
 	}
 	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions || a.Header.Get(h.NotRun) != ""
-	if born, ok := q.started(text); ok && to.Born != 0 && path == q.Path {
+	if born, ok := q.started(text); ok && to.Born != 0 && question == q.question() {
 		if born > to.Born {
 			return testimony{}, httptarget.ErrOtherProcess
 		}
@@ -88,6 +97,22 @@
 	return t, nil
 }
 
+// readStatus reads the status in an answer, as far as it is JSON. It does not wait for the end of an answer that ends with
+// its connection: whether that is whole may be what is asked for, and JSON needs no other mark of its end.
+func readStatus(a *httptarget.Answer) (json.RawMessage, error) {
+	var text json.RawMessage
+	body := io.LimitReader(a, maxStatusBytes)
+	err := json.NewDecoder(body).Decode(&text)
+	if a.Framing() != httptarget.Unframed {
+		// The connection can be reused once its answer has been read to the end.
+		_, _ = io.Copy(io.Discard, body)
+	}
+	return text, errors.Wrap(err, "read status")
+}
+
+// question returns the question for an engine's status.
+func (q StatusQuery) question() string { return http.MethodGet + " " + q.Path }
+
 // started returns when a process started according to its status, in Unix milliseconds.
 func (q StatusQuery) started(text []byte) (int64, bool) {
 	var fields map[string]json.RawMessage
