--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,11 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/addresses"
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/catalog"
 	"github.com/stepcroft/stepcroft/internal/clock"
@@ -243,75 +242,11 @@
 	g.loop.Post(func(_ *balance.State, now time.Time) { g.roster.SetList(now, list) })
 }
 
-const (
-	// minAddresses is the least number of addresses returned to a caller if there are as many
-	// routers, since one of them may fail.
-	minAddresses = 2
-	// minCapacityPercent is the percentage of the largest router's capacity in a zone below which
-	// a router's address is returned only if there are too few others: a burst that a large
-	// router can reject overloads a small one.
-	minCapacityPercent = 50
-)
-
-// Addresses returns the addresses that callers in an availability zone should connect to: the
-// large routers of that zone that are ready, small ones too if there are fewer than minAddresses
-// large ones, and one router of another zone if this one has a single router. If the zone has
-// none, it returns routers of other zones.
+// Addresses returns the addresses that callers in an availability zone should connect to, of routers that are ready.
 func (g *Gateway) Addresses(ctx context.Context, zone string) []string {
-	zones, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) [2][]message.RouterRecord {
-		var sameZone, otherZones []message.RouterRecord
+	list, _ := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) []string {
 		g.updateSelf()
-		for _, r := range g.roster.Live(now) {
-			if !r.Ready || r.State != message.Alive {
-				continue
-			}
-			if r.Zone == zone {
-				sameZone = append(sameZone, r)
-				continue
-			}
-			otherZones = append(otherZones, r)
-		}
-		return [2][]message.RouterRecord{largeRouters(sameZone), largeRouters(g.nearestZones(zone, otherZones))}
+		return addresses.Choose(zone, g.Regions, g.roster.Live(now))
 	})
-	sameZone, otherZones := zones[0], zones[1]
-	if len(sameZone) == 0 {
-		sameZone, otherZones = otherZones, nil
-	}
-	if len(sameZone) < minAddresses && len(otherZones) > 0 {
-		sameZone = append(sameZone, otherZones[0])
-	}
-	var list []string
-	for _, m := range sameZone {
-		list = append(list, m.Address)
-	}
-	return list
-}
-
-// nearestZones returns the routers of a list that are in the region of an availability zone, or all
-// if none is: callers' requests should not leave the region.
-func (g *Gateway) nearestZones(zone string, list []message.RouterRecord) []message.RouterRecord {
-	region := g.Regions[zone]
-	var near []message.RouterRecord
-	for _, r := range list {
-		if g.Regions[r.Zone] == region {
-			near = append(near, r)
-		}
-	}
-	if len(near) == 0 {
-		return list
-	}
-	return near
-}
-
-// largeRouters returns the routers whose capacity is at least minCapacityPercent percent of the
-// greatest, and smaller ones as long as there are fewer than minAddresses. It sorts the list by
-// capacity.
-func largeRouters(list []message.RouterRecord) []message.RouterRecord {
-	slices.SortStableFunc(list, func(a, b message.RouterRecord) int { return cmp.Compare(b.Capacity, a.Capacity) })
-	for i, r := range list {
-		if i >= minAddresses && r.Capacity*100 < list[0].Capacity*minCapacityPercent {
-			return list[:i]
-		}
-	}
 	return list
 }
