When connections are handed over is decided by a package of its own

internal/relays was internal/gateway's handover.go: the switch, the listener for other routers, whether theirs are taken, which of theirs end as they leave, and the end of relays at a stop. It gets the server, the roster, the switch and addresses; what it does is as before. Its tests need no gateway: what is announced, and which hosts' connections stay.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
+	"github.com/stepcroft/stepcroft/internal/relays"
 	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
@@ -176,7 +177,7 @@
 	memory    *memory.Budget
 	server    *ingress.Server
 	requests  *lifecycle.Tracker
-	handover  handoverState
+	relays    *relays.Relays
 	peers     *peer.Transport
 	datagrams *peer.Datagrams
 	leaving   bool
@@ -306,7 +307,10 @@
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, g.memory, g.requests, o.Log)
 	g.counts = countlog.New(o.Log, o.Metrics, countlog.Sources{Loop: g.loop, Arrivals: g.server.TakeArrivalStats, Answers: g.answers.budget, Requests: sums})
-	g.startHandover()
+	g.relays = relays.New(relays.Options{
+		Group: g.group, Server: g.server, Roster: g.roster, Switch: o.Features.Handover, Listen: o.HandoverListen, PeerListen: o.PeerListen, Peer: self.Peer,
+		MaxRelays: o.MaxRelays, Cores: o.Capacity, Utilisation: g.loop.CPUUtilisation, Log: o.Log,
+	})
 	g.peers = peer.New(g.group.Context(), self, peerListener, g.receive, o.Log)
 	g.datagrams = peer.NewDatagrams(g.group.Context(), self, datagrams, g.receive, o.Log)
 	g.addGauges(o.Metrics)
@@ -314,9 +318,7 @@
 	g.group.GoContext(g.runTicks)
 	g.group.GoContext(g.sweep)
 	g.group.Go(func() { g.serve(callers) })
-	if g.handover.receiver != nil {
-		g.group.Go(g.serveReceived)
-	}
+	g.group.Go(g.relays.Serve)
 	return g, nil
 }
 
@@ -380,11 +382,15 @@
 	if err := g.server.Shutdown(ctx); err != nil {
 		g.Log.Info("planned stop cut requests short", "cause", err.Error())
 	}
-	g.waitRelays(ctx)
+	g.relays.Wait(ctx)
 	g.Log.Info("planned stop is done", "took_ms", clock.Since(began).Milliseconds())
 	g.logRequestSums()
 }
 
+// openRequests returns the number of requests being served and of connections being relayed, each
+// of which counts as a request.
+func (g *Gateway) openRequests() int64 { return g.server.OpenRequests() + g.relays.Open() }
+
 // waitIdle waits until there have been no requests for idleWindow, or until end.
 func (g *Gateway) waitIdle(ctx context.Context, end time.Time) {
 	lastBusy, lastTotal := clock.Now(), g.server.TotalRequests()
@@ -392,7 +398,7 @@
 		if total := g.server.TotalRequests(); g.openRequests() > 0 || total > lastTotal {
 			lastBusy, lastTotal = clock.Now(), total
 		}
-		g.closeQuietRelays(ctx)
+		g.relays.CloseQuiet(ctx)
 		if !group.SleepUntil(ctx, clock.Now().Add(idleCheckInterval)) {
 			return
 		}
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -15,7 +15,7 @@
 	m.Set("ticks", func() any { return map[string]int64{"decisions": g.loop.Ticks(), "exchange": g.ticks.Load()} })
 	m.Set("pause_bounded", func() any { bounded, _ := g.loop.PauseCounts(); return bounded })
 	m.Set("cannot_finish", func() any { _, cannotFinish := g.loop.PauseCounts(); return cannotFinish })
-	m.Set("handover", func() any { return g.handover.stats() })
+	m.Set("handover", func() any { return g.relays.Stats() })
 	m.Set("requests", func() any { return g.requestSums() })
 	m.Set("open_requests", func() any { return g.server.OpenRequests() })
 	m.Set("bodies", func() any { return g.memory.Stats() })
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -77,7 +77,7 @@
 		g.forwardNews(now, true)
 	}
 	g.requestFromFar(now)
-	g.updateHandover(s, now)
+	g.relays.Update(now, g.catalog.Table(), g.leaving, func() map[string]bool { return s.Yielding(now) })
 	g.updateSelf()
 	g.sendPings(now, g.roster.Tick(now))
 	changes := g.roster.Changes()
@@ -258,8 +258,8 @@
 // updateSelf updates this router's own record in the roster.
 func (g *Gateway) updateSelf() {
 	g.roster.UpdateSelf(message.RouterRecord{
-		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active || g.handsOver(),
-		StoreFailing: !g.storeWatch.Reaches(clock.Now()), Capacity: g.Capacity, Handover: g.handover.announced(),
+		Ready: g.server.Ready(), Leaving: g.leaving, Serving: g.reporter.active || g.relays.Active(),
+		StoreFailing: !g.storeWatch.Reaches(clock.Now()), Capacity: g.Capacity, Handover: g.relays.Announced(),
 	})
 	g.roster.SetRevisions(g.catalog.Newest(), g.suspects.Digest())
 }
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -70,7 +70,7 @@
 
 // tickIdle reports whether nothing but the roster needs ticks.
 func (g *Gateway) tickIdle() bool {
-	return !g.reporter.active && !g.handsOver() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
+	return !g.reporter.active && !g.relays.Active() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
 		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStoreIdle() && g.exits.idle()
 }
 
