Answers held until they are whole have a package of their own

internal/heldanswer reads an answer as far as it is held and keeps an error answer beside it, each with its memory. internal/forward had the answer and its memory as separate fields in three places, which had to move together.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -7,38 +7,19 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/heldanswer"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 )
 
 const (
-	// maxBufferedAnswer is the size, in bytes, up to which an answer is buffered until it is
-	// complete. maxUnknownLength is the same for one that does not tell its length: a faulty target may
-	// send bytes without end, which must not reach the caller. It is as much as a request may have if
-	// nothing else is configured.
-	maxBufferedAnswer = 256 << 10
-	maxUnknownLength  = 4 << 20
+	// maxBufferedAnswer and maxUnknownLength are the sizes up to which answers are buffered.
+	maxBufferedAnswer = heldanswer.MaxSize
+	maxUnknownLength  = heldanswer.MaxUnknownLength
 	// unbufferedPieceSize is the size, in bytes, of the pieces in which an answer is forwarded that is not buffered.
 	unbufferedPieceSize = 16 << 10
 )
 
-// errEndless is the cause of a failure when an answer without a length is too long.
-var errEndless = errors.New("answer without Content-Length is too long")
-
-// bufferedAnswer is an answer that has been received completely.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   memory.Buffer
-}
-
-// bufferedPart is what was read of an answer that is not a stream: all of it, or the beginning of one that is too
-// long to be buffered, or for which there is no memory.
-type bufferedPart struct {
-	whole *bufferedAnswer
-	begin memory.Buffer
-}
-
 // forwardBuffered forwards an answer that is not a stream. It buffers the answer first, so
 // that the request can be retried if the answer breaks off, unless it is too long for that or there is
 // no memory for it.
@@ -51,38 +32,24 @@
 }
 
 // bufferAnswer reads an answer that is not a stream as far as it is buffered.
-func (x *inflight) bufferAnswer(a *httptarget.Answer) (bufferedPart, *failure) {
-	limit := int64(maxBufferedAnswer)
-	switch {
-	case a.Length() > limit:
-		return bufferedPart{}, nil
-	case a.Length() < 0:
-		limit = maxUnknownLength
-	}
-	x.releaseAnswer()
-	x.answerMemory = x.memory.Open(x.Organisation, limit, nil)
-	body, err := x.answerMemory.Read(a, memory.UnknownSize, limit)
-	switch {
-	case errors.Is(err, memory.ErrEvicted):
-		return bufferedPart{begin: body}, nil
-	case err != nil:
-		return bufferedPart{}, brokenAnswer(err)
-	case int64(body.Len()) > limit:
-		return bufferedPart{}, brokenAnswer(errEndless)
+func (x *inflight) bufferAnswer(a *httptarget.Answer) (heldanswer.Part, *failure) {
+	part, err := x.held.Read(a, a.Length(), a.Status, func() http.Header { return x.answerHeader(a.Header) })
+	if err != nil {
+		return heldanswer.Part{}, brokenAnswer(err)
 	}
-	return bufferedPart{whole: &bufferedAnswer{status: a.Status, header: x.answerHeader(a.Header), body: body}}, nil
+	return part, nil
 }
 
 // forwardRead forwards an answer of which a part was read.
-func (x *inflight) forwardRead(a *httptarget.Answer, part bufferedPart) *failure {
+func (x *inflight) forwardRead(a *httptarget.Answer, part heldanswer.Part) *failure {
 	failed := a.Status >= http.StatusInternalServerError
-	if part.whole != nil && (failed || x.result.HeadSent) {
+	if part.Whole != nil && (failed || x.result.HeadSent) {
 		x.stopWatch()
 		// This comes before recordPiece, since the control goroutine reads it when it learns that the answer started.
 		x.ticket.ServerError.Store(failed)
 		x.recordPiece()
 		if failed {
-			return serverError(a, part.whole)
+			return serverError(a, part.Whole)
 		}
 		return notResumed(a)
 	}
@@ -94,51 +61,35 @@
 	}
 	x.ticket.ServerError.Store(failed)
 	x.recordPiece()
-	if part.whole == nil {
-		return x.forwardUnbuffered(a, part.begin)
+	if part.Whole == nil {
+		return x.forwardUnbuffered(a, part.Begin)
 	}
 	x.noteEnd(a)
-	x.writeAnswer(part.whole)
+	x.writeAnswer(part.Whole)
 	return nil
 }
 
 // serverError returns the failure of a target that answers with an error status.
-func serverError(a *httptarget.Answer, whole *bufferedAnswer) *failure {
+func serverError(a *httptarget.Answer, whole *heldanswer.Answer) *failure {
 	return &failure{reason: ReasonFailed, result: balance.Answered, mayHaveRun: true, errorAnswer: whole, cause: errors.Errorf("status %d", a.Status)}
 }
 
-// releaseAnswer gives back the memory of a buffered answer.
-func (x *inflight) releaseAnswer() {
-	if x.answerMemory != nil {
-		x.answerMemory.Close()
-		x.answerMemory = nil
-	}
-}
-
-// releaseKept gives back the memory of the answer that was kept.
-func (x *inflight) releaseKept() {
-	if x.keptMemory != nil {
-		x.keptMemory.Close()
-		x.keptMemory = nil
-	}
-}
-
 // keepAnswer keeps a target's error answer for the case that no other target answers.
-func (x *inflight) keepAnswer(a *bufferedAnswer) {
+func (x *inflight) keepAnswer(a *heldanswer.Answer) {
 	if a == nil || x.result.HeadSent {
 		return
 	}
-	x.releaseKept()
-	x.kept, x.keptMemory, x.answerMemory = a, x.answerMemory, nil
+	kept := x.held.Keep(a)
+	x.kept.Replace(&kept)
 }
 
 // writeKept sends the error answer that was kept to the caller, unless the caller has gone or has a part of another one.
 func (x *inflight) writeKept() {
-	if x.kept == nil || x.result.HeadSent || x.result.Reason == ReasonCallerGone {
+	if x.kept.Answer() == nil || x.result.HeadSent || x.result.Reason == ReasonCallerGone {
 		return
 	}
 	x.result.Reason, x.result.RetryAfter, x.result.NotRetried = "", 0, ""
-	x.writeAnswer(x.kept)
+	x.writeAnswer(x.kept.Answer())
 }
 
 // notResumed returns the failure of a target that answers a request to resume a stream with something
@@ -148,11 +99,11 @@
 }
 
 // writeAnswer sends a buffered answer to the caller.
-func (x *inflight) writeAnswer(a *bufferedAnswer) {
+func (x *inflight) writeAnswer(a *heldanswer.Answer) {
 	x.result.HeadSent = true
-	x.result.Status = a.status
-	x.caller.Head(a.status, a.header, int64(a.body.Len()))
-	if err := x.writeBuffer(a.body); err != nil {
+	x.result.Status = a.Status
+	x.caller.Head(a.Status, a.Header, int64(a.Body.Len()))
+	if err := x.writeBuffer(a.Body); err != nil {
 		x.result.Truncated = true
 		x.result.Reason = ReasonCallerGone
 	}
@@ -177,12 +128,12 @@
 	if err := x.writeBuffer(begin); err != nil {
 		return &failure{reason: ReasonCallerGone, result: balance.Abandoned, mayHaveRun: true, cause: err}
 	}
-	x.releaseAnswer()
+	x.held.Release()
 	buffer := make([]byte, unbufferedPieceSize)
 	for sent := begin.Len(); ; {
 		n, err := a.Read(buffer)
 		if sent += n; a.Length() < 0 && sent > maxUnknownLength {
-			return brokenAnswer(errEndless)
+			return brokenAnswer(heldanswer.ErrEndless)
 		}
 		if n > 0 {
 			if writeErr := x.caller.Write(buffer[:n]); writeErr != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/delivery"
 	"github.com/stepcroft/stepcroft/internal/eventstream"
+	"github.com/stepcroft/stepcroft/internal/heldanswer"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/prefix"
@@ -179,11 +180,10 @@
 	sentAt time.Time
 	// race decides whether a second target goes on with the answer while the current one is silent.
 	race race
-	// answerMemory is the memory of the buffered answer, nil if there is none.
-	answerMemory *memory.Reservation
-	// kept is the error answer of a target that is forwarded if no other one answers, nil if there is none.
-	kept       *bufferedAnswer
-	keptMemory *memory.Reservation
+	// held has the memory of the buffered answer.
+	held heldanswer.Holder
+	// kept is the error answer of a target that is forwarded if no other one answers.
+	kept heldanswer.Kept
 	// notStream is set if the head that the caller has is not that of a stream, which another target
 	// could resume.
 	notStream bool
@@ -193,7 +193,7 @@
 // complete or the request is abandoned. ctx must end when the caller disconnects.
 func (f *Forwarder) Forward(ctx context.Context, r Request, caller Caller) Result {
 	deadline := r.Expires()
-	x := &inflight{Forwarder: f, Request: r, caller: caller, deadline: deadline, check: f.newCheck(r), lastEventID: r.LastEventID}
+	x := &inflight{Forwarder: f, Request: r, caller: caller, deadline: deadline, check: f.newCheck(r), held: heldanswer.New(f.memory, r.Organisation), lastEventID: r.LastEventID}
 	if r.LastEventID != "" && !eventstream.IsNumber(r.LastEventID) {
 		x.names = append(x.names, eventstream.Digest(r.LastEventID))
 	}
@@ -205,8 +205,8 @@
 	timed, cancel := context.WithTimeout(ctx, clock.Until(deadline))
 	defer cancel()
 	x.cancel, x.race.ctx = cancel, timed
-	defer x.releaseAnswer()
-	defer x.releaseKept()
+	defer x.held.Release()
+	defer x.kept.Release()
 	defer x.stopSeconds()
 	if x.refuseQuarantined(timed) {
 		return x.result
@@ -344,7 +344,7 @@
 	mayHaveRun bool
 	// errorAnswer is the target's own error answer, to be forwarded if the request is not
 	// retried; nil if there is none.
-	errorAnswer *bufferedAnswer
+	errorAnswer *heldanswer.Answer
 	cause       error
 }
 
--- a/internal/forward/race.go
+++ b/internal/forward/race.go
@@ -11,7 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
-	"github.com/stepcroft/stepcroft/internal/memory"
+	"github.com/stepcroft/stepcroft/internal/heldanswer"
 )
 
 // secondInterval is the interval at which another target is looked for while one stays silent.
@@ -47,9 +47,8 @@
 	sends      int
 	mayHaveRun bool
 	tried      []string
-	// kept is the error answer of a second target, in keptMemory.
-	kept       *bufferedAnswer
-	keptMemory *memory.Reservation
+	// kept is the error answer of a second target.
+	kept heldanswer.Kept
 }
 
 // beginWatch begins to watch the current exchange for silence. sends is the number of sends including the current one.
@@ -252,8 +251,8 @@
 	}
 	r.seconds = slices.Delete(r.seconds, i, i+1)
 	if f != nil && f.errorAnswer != nil {
-		r.releaseKept()
-		r.kept, r.keptMemory, s.answerMemory = f.errorAnswer, s.answerMemory, nil
+		kept := s.held.Keep(f.errorAnswer)
+		r.kept.Replace(&kept)
 	}
 	if f == nil {
 		r.ahead = s
@@ -314,13 +313,6 @@
 	return r.seconds[0], false
 }
 
-func (r *race) releaseKept() {
-	if r.kept != nil {
-		r.keptMemory.Close()
-		r.kept, r.keptMemory = nil, nil
-	}
-}
-
 // addSeconds adds the second sends so far, and the error answer that one of them got, to the result and to the
 // request's state.
 func (x *inflight) addSeconds() {
@@ -330,11 +322,10 @@
 	x.result.Sends += r.sends
 	x.mayHaveRun = x.mayHaveRun || r.mayHaveRun
 	r.sends, r.mayHaveRun = 0, false
-	if r.kept != nil && !x.result.HeadSent {
-		x.releaseKept()
-		x.kept, x.keptMemory, r.kept = r.kept, r.keptMemory, nil
+	if r.kept.Answer() != nil && !x.result.HeadSent {
+		x.kept.Replace(&r.kept)
 	}
-	r.releaseKept()
+	r.kept.Release()
 }
 
 // triedSeconds returns the incarnations of the targets that were asked second since the current one was silent.
--- a/internal/forward/second.go
+++ b/internal/forward/second.go
@@ -12,6 +12,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/eventstream"
+	"github.com/stepcroft/stepcroft/internal/heldanswer"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/memory"
 )
@@ -54,7 +55,7 @@
 	events    eventstream.Batch
 	eventsErr error
 	// buffered is what was read of an answer that is not a stream.
-	buffered bufferedPart
+	buffered heldanswer.Part
 	// onSend is called before the request is sent. sent is set then, and guarded by the race's mutex.
 	onSend func(to balance.Target)
 	sent   bool
@@ -68,6 +69,7 @@
 	s.inflight = &inflight{
 		Forwarder: x.Forwarder, Request: x.Request, deadline: x.deadline, answerStarted: x.answerStarted, lastEventID: x.lastEventID,
 		tail: slices.Clone(x.tail), names: slices.Clone(x.names), begun: x.begun, forwardedEvents: x.forwardedEvents, check: x.check.Fork(),
+		held:   heldanswer.New(x.memory, x.Organisation),
 		result: Result{HeadSent: x.result.HeadSent},
 	}
 	return s
@@ -88,8 +90,7 @@
 	x.ticket, x.target, x.sentAt, x.inDoubt, x.fetchSource, x.processBy = s.ticket, s.target, s.sentAt, s.inDoubt, s.fetchSource, s.processBy
 	x.tail, x.names, x.answerStarted = s.tail, s.names, false
 	x.race.setInput(s.race.input())
-	x.releaseAnswer()
-	x.answerMemory = s.answerMemory
+	x.held.TakeFrom(&s.held)
 	r := &x.result
 	r.TargetID, r.TargetVersion = s.result.TargetID, s.result.TargetVersion
 	r.PendingTokens, r.UncachedTokens, r.FetchableTokens = s.result.PendingTokens, s.result.UncachedTokens, s.result.FetchableTokens
@@ -217,9 +218,9 @@
 		return f
 	}
 	if s.answer.Status >= http.StatusInternalServerError {
-		return serverError(s.answer, s.buffered.whole)
+		return serverError(s.answer, s.buffered.Whole)
 	}
-	if s.buffered.whole == nil && s.buffered.begin.Len() == 0 {
+	if s.buffered.Whole == nil && s.buffered.Begin.Len() == 0 {
 		return s.readBegin()
 	}
 	return nil
@@ -232,7 +233,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		return brokenAnswer(err)
 	}
-	s.buffered.begin = memory.Of(piece[:n])
+	s.buffered.Begin = memory.Of(piece[:n])
 	return nil
 }
 
@@ -252,7 +253,7 @@
 	if f == nil {
 		s.endSend(balance.Abandoned)
 	}
-	s.releaseAnswer()
+	s.held.Release()
 	if s.ticket != nil {
 		s.ticket.OnLost(nil)
 	}
