What Retry-After asks for is read where advice is kept

internal/advice.RetryAfter was parseRetryAfter in internal/forward; the time is an argument, as for the rest of the package. Its test goes with it, same cases.

go vet; tests of advice, and those of forward about advice, with -race.

--- a/internal/forward/advice_internal_test.go
+++ b/internal/advice/retryafter_test.go
@@ -1,12 +1,14 @@
-package forward
+package advice_test
 
 import (
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/advice"
 )
 
-func TestParseRetryAfter(t *testing.T) {
+func TestRetryAfter(t *testing.T) {
 	const date = "Sun, 06 Nov 1994 08:49:37 GMT"
 	cases := map[string]time.Duration{
 		"":                              0,
@@ -23,7 +25,7 @@
 	for value, want := range cases {
 		t.Run(value, func(t *testing.T) {
 			h := http.Header{"Date": {date}, "Retry-After": {value}}
-			if got := parseRetryAfter(h); got != want {
+			if got := advice.RetryAfter(start, h); got != want {
 				t.Errorf("backoff %v, want %v", got, want)
 			}
 		})
--- a/internal/forward/advice.go
+++ b/internal/forward/advice.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,7 +35,7 @@
 		x.reportLeaving(to)
 	}
 	if a.Status == http.StatusServiceUnavailable {
-		x.reportBackoff(to, parseRetryAfter(a.Header))
+		x.reportBackoff(to, advice.RetryAfter(clock.Now(), a.Header))
 	}
 }
 
@@ -68,25 +67,3 @@
 		}
 	})
 }
-
-// parseRetryAfter returns the delay given in Retry-After (RFC 9110, section 10.2.3), or 0 if
-// the header is missing or invalid. The value is a number of seconds, which unlike in the RFC
-// may have a fraction, or a date, which is compared with the answer's own Date header.
-func parseRetryAfter(h http.Header) time.Duration {
-	value := h.Get("Retry-After")
-	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
-		if math.IsNaN(seconds) || seconds <= 0 {
-			return 0
-		}
-		return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
-	}
-	retryAt, err := http.ParseTime(value)
-	if err != nil {
-		return 0
-	}
-	sentAt, err := http.ParseTime(h.Get("Date"))
-	if err != nil {
-		sentAt = clock.Now()
-	}
-	return max(retryAt.Sub(sentAt), 0)
-}
