--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -167,7 +167,7 @@
 	q.ask()
 	for {
 		group.SleepUntil(ctx, clock.Now().Add(endCheckInterval))
-		answer, left := q.check()
+		pending, answer := q.check()
 		sends, open := others.look()
 		switch {
 		case answer == nil:
@@ -176,7 +176,7 @@
 			c.evidence, c.err = ByOtherProcess, answer
 		case sends:
 			c.evidence = ByBytes
-		case ctx.Err() == nil && (left || open):
+		case ctx.Err() == nil && (pending || open):
 			continue
 		case errors.Is(answer, ErrConnectionRefused):
 			c.evidence, c.err = ByRefusal, errors.Wrap(errNoWitness, answer.Error())
@@ -215,14 +215,14 @@
 	q.transport.group.Go(func() { q.answers <- q.witness(q.ctx, q.before) })
 }
 
-// check returns nil if the process has answered, ErrOtherProcess if another one has, or else why not so far and
+// check returns no error if the process has answered, ErrOtherProcess if another one has, or else why not so far and
 // whether one still may. It asks again if the last question has failed, or has not been answered for a time.
-func (q *questions) check() (answer error, left bool) {
+func (q *questions) check() (pending bool, err error) {
 	for {
 		select {
 		case err := <-q.answers:
 			if err == nil || errors.Is(err, ErrOtherProcess) {
-				return err, false
+				return false, err
 			}
 			q.failed, q.last = q.failed+1, err
 			q.refused = q.refused || errors.Is(err, ErrConnectionRefused)
@@ -233,9 +233,9 @@
 			q.ask()
 		}
 		if q.last == nil {
-			return errNotAnswered, true
+			return true, errNotAnswered
 		}
-		return q.last, q.failed < q.asked
+		return q.failed < q.asked, q.last
 	}
 }
 
