A router that missed lists of targets does not guess a stream's version from what it knows

Callers could get the rest of a stream from another version: a router that stood still, or was cut off, while another version took the place of a service's only one and that one came back, took a stream without a record for one of the version that it knew.

Once a list of targets is replaced that was too old, a stream without a record is of the only version only if one of its targets has taken requests by an entry that is older than the list before, or if the store's history of entries since then names no other version. A history that was read before the lists were missed does not count. Entries that were written again with the content that they had count as written anew then. A store that came back older has no such history; as before.

Records of the store on versions need not be read: the entries' history tells the same in one or two calls, and only where an entry has changed.

unrecorded.NewPast has the revision up to which changes were read; tests pass it, and check what they checked.

--- a/internal/balance/unrecorded_test.go
+++ b/internal/balance/unrecorded_test.go
@@ -25,7 +25,7 @@
 	drains.Leaving = true
 	far := at("c", "v1", 3)
 	far.Zone = "y"
-	left := unrecorded.NewPast(storedAt, []unrecorded.Change{
+	left := unrecorded.NewPast(storedAt, storedAt+20, []unrecorded.Change{
 		{Name: "b", Revision: 7, Decoded: true, ServiceVersion: streamversion.ServiceVersion{Service: "llm", Version: "v2"}}, {Name: "b", Revision: 8, Gone: true},
 	})
 	for name, c := range map[string]struct {
--- a/internal/catalog/changes.go
+++ b/internal/catalog/changes.go
@@ -49,6 +49,17 @@
 	return out
 }
 
+// RaiseRevisions raises the revisions of targets whose entries were written after one with the content that they had: they
+// may have been gone, or another's, meanwhile. They count as changed.
+func (c *Catalog) RaiseRevisions(after int64) {
+	for name, e := range c.entries {
+		if written := c.targets.objects[name].Revision; written > after && e.target.Revision <= after {
+			e.target.Revision = written
+			c.mark(name)
+		}
+	}
+}
+
 // mark notes that a target has changed since the last call of TakeChanges.
 func (c *Catalog) mark(name string) { c.changed[name] = struct{}{} }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -127,9 +127,11 @@
 	if len(m.Config) > 0 {
 		g.setConfig(s, m.ConfigRevision, m.Config, string(from.ID))
 	}
+	before := g.catalog.TargetsRevision()
 	changed := g.catalog.Merge(now, m)
 	g.rolloutsChanged(now, m.Rollouts.Revision > 0, string(from.ID))
 	g.targetsChanged(s, now, changed, string(from.ID))
+	g.noteMissedTargets(s, now, before)
 	g.copiesConfirmed(now, g.copies.Received(g.catalog.Complete()), string(from.ID))
 	g.confirm(now, string(from.ID))
 }
@@ -189,19 +191,38 @@
 // SetTargets replaces the targets with the store's complete list.
 func (g *Gateway) SetTargets(at int64, list []message.StoredObject) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
+		before := g.catalog.TargetsRevision()
 		changed := g.catalog.SetTargets(now, at, list)
 		g.targetsChanged(s, now, changed, sourceStore)
+		g.noteMissedTargets(s, now, before)
 	})
 }
 
 // ChangeTargets applies changes to the store's list of targets.
 func (g *Gateway) ChangeTargets(at int64, changes []catalog.Change) {
 	g.loop.Post(func(s *balance.State, now time.Time) {
+		before := g.catalog.TargetsRevision()
 		g.catalog.ApplyTargets(now, at, changes)
 		g.targetsChanged(s, now, len(changes) > 0, sourceStore)
+		g.noteMissedTargets(s, now, before)
 	})
 }
 
+// noteMissedTargets notes, once the list of a revision has been replaced, whether that was too old: this router's process
+// may have stood still, or been cut off, while versions came and left.
+func (g *Gateway) noteMissedTargets(s *balance.State, now time.Time, before int64) {
+	at := g.catalog.TargetsRevision()
+	age, _ := g.copies.Age(now, message.StoreTargets)
+	// Of a store that came back older, no history tells what was missed.
+	if g.StreamStore == nil || before == 0 || at <= before || revision.Era(at) != revision.Era(before) || !g.copies.Follows(message.StoreTargets) || age <= g.copies.Limit(message.StoreTargets) {
+		return
+	}
+	g.catalog.RaiseRevisions(before)
+	g.applyTargets(s, now)
+	s.NoteMissed(now, before, at)
+	g.Log.Info("lists of targets missed", "era", revision.Era(before), "after_revision", revision.Store(before), "revision", revision.Store(at), "age_ms", age.Milliseconds())
+}
+
 // targetsChanged applies the catalog's changes to the list of targets, and gossips the new
 // revision.
 func (g *Gateway) targetsChanged(s *balance.State, now time.Time, changed bool, from string) {
--- a/internal/servedversion/servedversion.go
+++ b/internal/servedversion/servedversion.go
@@ -31,6 +31,8 @@
 	// have been listed.
 	restored, changed, mixed, listed bool
 	startedAt                        time.Time
+	// blindUntil is the last time at which targets may have been listed that this router has not seen.
+	blindUntil time.Time
 	// requireStored is set if streams may begin only at versions that the store holds, and unstored has the
 	// listed versions that it is not known to hold, with the times when they were listed first.
 	requireStored bool
@@ -39,7 +41,7 @@
 
 // New returns a book without versions.
 func New(now time.Time, t Targets) *Book {
-	return &Book{targets: t, startedAt: now, services: map[string]*history{}, unstored: map[streamversion.ServiceVersion]time.Time{}}
+	return &Book{targets: t, startedAt: now, blindUntil: now, services: map[string]*history{}, unstored: map[streamversion.ServiceVersion]time.Time{}}
 }
 
 // history tells which versions of a service there are, and were a short time ago.
--- a/internal/servedversion/unrecorded.go
+++ b/internal/servedversion/unrecorded.go
@@ -45,7 +45,7 @@
 
 // HadNoTargets reports whether a service is known to have had no targets for as long as matters.
 func (b *Book) HadNoTargets(now time.Time, service string) bool {
-	if now.Sub(b.startedAt) <= streamversion.TTL {
+	if now.Sub(b.blindUntil) <= streamversion.TTL {
 		return false
 	}
 	h := b.services[service]
@@ -113,7 +113,17 @@
 	}
 }
 
-// noteOpen notes since when targets had taken requests as this router started. What happens since, it sees itself.
+// NoteMissed notes that lists of targets between two revisions were missed, since this router stood still or was cut off:
+// another version may have taken the place of one and have left again. That of streams without a record is known by
+// the store's history, or by an entry that is older.
+func (b *Book) NoteMissed(now time.Time, from, to int64) {
+	b.blindUntil = now
+	b.RequireMissed(now, from, to, now.Add(streamversion.TTL))
+	b.noteOpen(now)
+}
+
+// noteOpen notes since when targets had taken requests as this router started, or had missed lists. What happens since, it
+// sees itself.
 func (b *Book) noteOpen(now time.Time) {
 	for service := range b.services {
 		b.NoteOpen(service, b.targets.Entries(now, service, routing.Regions{}))
--- a/internal/unrecorded/past.go
+++ b/internal/unrecorded/past.go
@@ -15,6 +15,8 @@
 	// Kept is the revision after which all changes are known: 0 if no history was read, math.MaxInt64 if
 	// none can be.
 	Kept int64
+	// Through is the revision up to which they are known.
+	Through int64
 	// Came has for each version the first revision at which there may have been an entry of it, and Unknown is the
 	// same for entries of which no version is known; 0 if there were none.
 	Came    map[streamversion.ServiceVersion]int64
@@ -31,9 +33,9 @@
 	Gone    bool
 }
 
-// NewPast returns what all changes after a revision tell, which are in order.
-func NewPast(since int64, changes []Change) Past {
-	p := Past{Kept: since, Came: map[streamversion.ServiceVersion]int64{}}
+// NewPast returns what all changes after a revision, up to another one, tell, which are in order.
+func NewPast(since, through int64, changes []Change) Past {
+	p := Past{Kept: since, Through: through, Came: map[streamversion.ServiceVersion]int64{}}
 	seen := map[string]bool{}
 	for _, c := range changes {
 		at := c.Revision
--- a/internal/unrecorded/past_test.go
+++ b/internal/unrecorded/past_test.go
@@ -22,7 +22,7 @@
 func TestOtherVersionThatLeft(t *testing.T) {
 	const storedAt = 10
 	kept := func(changes ...unrecorded.Change) []unrecorded.Past {
-		return []unrecorded.Past{unrecorded.NewPast(storedAt, changes)}
+		return []unrecorded.Past{unrecorded.NewPast(storedAt, storedAt+20, changes)}
 	}
 	goneTells := gone("b", 21)
 	goneTells.Decoded, goneTells.ServiceVersion = true, streamversion.ServiceVersion{Service: "s", Version: "v2"}
--- a/internal/unrecorded/unrecorded.go
+++ b/internal/unrecorded/unrecorded.go
@@ -30,13 +30,15 @@
 type Evidence struct {
 	// drains has the ends of zones' drains; nil if zones are not drained.
 	drains *ZoneDrains
-	// storedAt is the revision at which what is stored of versions was written, 0 if entries that are gone do not
-	// matter; they do until a time.
+	// storedAt is the revision at which what is stored of versions was written, or of the last list before one was missed;
+	// 0 if entries that are gone do not matter. They do until a time.
 	storedAt int64
 	until    time.Time
 	past     Past
+	// missedUpTo is the revision of the first list after some were missed. What was read up to an earlier one is not all.
+	missedUpTo int64
 	// open has, for each service and zone, the first revision since which a target had taken requests as the
-	// router started.
+	// router started, or had missed lists.
 	open map[string]map[string]int64
 }
 
@@ -104,7 +106,18 @@
 // entry of another one has gone at whose target it may have begun. storedAt is the revision at which what is stored
 // of versions was written.
 func (e *Evidence) RequirePast(storedAt int64, until time.Time) {
-	e.storedAt, e.until = storedAt, until
+	if e.storedAt == 0 || storedAt != 0 && storedAt < e.storedAt {
+		e.storedAt = storedAt
+	}
+	e.until = until
+}
+
+// RequireMissed is RequirePast after lists of entries were missed between two revisions. What has been read is not all then,
+// and what NoteOpen is told next counts.
+func (e *Evidence) RequireMissed(now time.Time, from, to int64, until time.Time) {
+	e.storedAt = e.StoredAt(now)
+	e.RequirePast(from, until)
+	e.past, e.missedUpTo, e.open = Past{}, to, nil
 }
 
 // NoteOpen notes the entries of a service that had targets as the router started, or a stored version. The first call
@@ -126,7 +139,7 @@
 }
 
 // OpenAtStart returns since which revision a target of a service, in zones that are allowed, had taken requests
-// as the router started: math.MaxInt64 if none did, 0 if the service has come since.
+// as the router started, or had missed lists: math.MaxInt64 if none did, 0 if the service has come since.
 func (e *Evidence) OpenAtStart(service string, allowed func(zone string) bool) int64 {
 	zones, known := e.open[service]
 	if !known {
@@ -142,7 +155,12 @@
 }
 
 // SetPast adds what the store's history tells.
-func (e *Evidence) SetPast(p Past) { e.past = e.past.merge(p) }
+func (e *Evidence) SetPast(p Past) {
+	if p.Kept != 0 && p.Through < e.missedUpTo {
+		p = Past{Gone: p.Gone}
+	}
+	e.past = e.past.merge(p)
+}
 
 // StoredAt returns the revision at which what is stored of versions was written, 0 if it does not matter any longer.
 func (e *Evidence) StoredAt(now time.Time) int64 {
@@ -156,7 +174,7 @@
 // which are gone, and if so, whether none did. A target of the version has taken requests since a revision, open.
 func (e *Evidence) OthersKnown(now time.Time, service, version string, open int64) (none, known bool) {
 	at := e.StoredAt(now)
-	if open < at || at == 0 {
+	if open <= at || at == 0 {
 		// What was stored later names no other version.
 		return true, true
 	}
