A process whose clock was set back is known once it alone has written its entry for a TTL

Callers could get the rest of a stream from another version: a target's process that starts under the id of an earlier one, after its clock was set back by more than the other ran, was taken for that one's late write as long as it ran, so that streams there counted as of the earlier's version.

A late write comes once, or as often as the earlier process still writes. If writes of the earlier start alone have come for the TTL of entries, the later one's entry would be gone unless nobody wrote it: the process that writes runs.

TestProcessAfterClockWasSetBack failed before (a@5000 after 27 s) and passes; TestLateWritesOfEarlierProcess has the cases in which a late write stays one. Ruled out: to take the store's order alone, as a late write of a process that has ended comes later too; to take an entry that is still there after a TTL without a second write, as a store that is away removes none.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,6 +106,8 @@
 	unstableUntil time.Time
 	// departed holds the last versions of the entries of targets that have departed, by name.
 	departed map[string]Version
+	// older holds when writes of earlier processes than the known ones began to come, by name.
+	older map[string]olderWrites
 	// retainedZones holds the zones whose objects disappeared while the store was in trouble.
 	// They count as drained until the time given.
 	retainedZones map[string]time.Time
@@ -122,7 +124,7 @@
 	c := &Catalog{
 		codec: codec, maxLapse: max(min(storeRecoveryTime, drain-drainReserve), 0), entryTTL: entryTTL,
 		targets: newReplica(), zones: newReplica(), rollouts: newReplica(), entries: map[string]*entry{}, ignoredByField: map[string]int{},
-		departed: map[string]Version{}, retainedZones: map[string]time.Time{},
+		departed: map[string]Version{}, older: map[string]olderWrites{}, retainedZones: map[string]time.Time{},
 		lapsed: map[string]struct{}{}, unconfirmed: map[string]struct{}{}, changed: map[string]struct{}{}, lapseEndsFixed: true,
 	}
 	c.targets.outdated = c.outdated
@@ -210,12 +212,14 @@
 	changes, newer := c.targets.replace(revision, list)
 	c.restartUnconfirmed(now, before)
 	c.updateEntries(now, changes)
+	c.updateOlder(now)
 	return newer
 }
 
 // ApplyTargets applies changes to the list of targets, which are complete up to revision.
 func (c *Catalog) ApplyTargets(now time.Time, revision int64, changes []Change) {
 	c.updateEntries(now, c.targets.apply(revision, changes))
+	c.updateOlder(now)
 }
 
 // updateEntries applies changes to the entries. An invalid entry replaces a valid one: the
@@ -252,7 +256,7 @@
 		e.invalid = true
 		c.ignore(t.Name, t.Revision, err)
 		return e
-	case known.Newer(Version{Born: version.Born, Revision: version.Revision}):
+	case known.Newer(Version{Born: version.Born, Revision: version.Revision}) && !c.goesOn(now, t, version.Born):
 		// A late write of an earlier process. The replica still holds it and forwards it
 		// unchanged; other routers decide by what they know.
 		c.ignore(t.Name, t.Revision, NewEntryError(FieldBorn, strconv.FormatInt(version.Born, 10)))
@@ -269,6 +273,7 @@
 			e.own().unconfirmedUntil = now.Add(c.entryTTL)
 		}
 		delete(c.departed, t.Name)
+		delete(c.older, t.Name)
 		c.checkService(t, e.target.Service)
 	}
 	return e
@@ -288,6 +293,7 @@
 // remove handles the removal of an entry from the store: the entry lapses in the unstable
 // period, and else is dropped.
 func (c *Catalog) remove(now time.Time, name string) {
+	delete(c.older, name)
 	e := c.entries[name]
 	if e == nil || !e.lapsedAt.IsZero() {
 		return
@@ -389,5 +395,6 @@
 	changes, newer := c.targets.merge(m.Targets)
 	c.restartUnconfirmed(now, before)
 	c.updateEntries(now, changes)
+	c.updateOlder(now)
 	return newer || len(drained) > 0
 }
--- a/internal/catalog/left.go
+++ b/internal/catalog/left.go
@@ -19,6 +19,39 @@
 	c.departed[name] = Version{Born: e.target.Born, Writes: e.target.Writes}
 }
 
+// olderWrites are writes of a process that seems to have started before another one that is known: the time of the first and
+// the revision of the last one.
+type olderWrites struct {
+	born, last int64
+	since      time.Time
+}
+
+// goesOn notes a write of a process that seems to have started before the known one, and reports whether such writes alone
+// have come for entryTTL. The store would have removed the entry of a process that ended before that, so this one runs, and
+// started by a clock that was set back.
+func (c *Catalog) goesOn(now time.Time, o message.StoredObject, born int64) bool {
+	w, known := c.older[o.Name]
+	if !known || w.born != born || revision.Era(w.last) != revision.Era(o.Revision) {
+		if len(c.older) >= maxDeparted {
+			clear(c.older)
+		}
+		w = olderWrites{born: born, since: now}
+	}
+	w.last = o.Revision
+	c.older[o.Name] = w
+	return now.Sub(w.since) >= c.entryTTL
+}
+
+// updateOlder looks at the targets of which an earlier process seems to write the entry, if that was written again. What is
+// written need not have changed.
+func (c *Catalog) updateOlder(now time.Time) {
+	for name, w := range c.older {
+		if o := c.targets.objects[name]; o.Revision > w.last {
+			c.updateEntries(now, []Change{{StoredObject: o}})
+		}
+	}
+}
+
 // maxDeparted bounds the targets that are remembered as departed. It suffices for some hours in
 // a large fleet that replaces all its targets each day, and takes about a megabyte.
 const maxDeparted = 8192
