Limits of regions that have changed within a minute say nothing of where a stream began

Callers could get the rest of a stream from another version: all routers are killed, the route or organisation of a stream has been limited to other regions, or the limit lifted, since it began, and the regions of the moment told which targets it may have begun at.

Now what is stored with the routes has a number for the limits of its configuration and the time since there were others, and a router that starts compares the configurations since. For a minute after a change, a stream is of the stored version only if that one's targets took requests before those of others in each region, and of the only version only if the history of entries names no other. Fleets without limits, or where they don't change, store a number that stays and conclude as before; a restored router reads no more than it did.

Tests: TestUnrecordedVersionOfStreamsBeforeLimit failed before and passes. Its router that starts is now told, as a real one is, that the limit has come a second ago: without that its state is the same as that of the fourth case of TestUnrecordedVersionOfLimitedStreams, which wants the stream to go on, so that no code could pass both. What it checks is unchanged. The case 'a limit of regions, lifted since' of TestUnrecordedVersionOfStreamsWithoutTrace, red so far, is the first one of TestUnrecordedVersionAfterLimit, for the same reason; its three others stay red.

--- a/internal/balance/stored_mark_test.go
+++ b/internal/balance/stored_mark_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 
@@ -257,10 +258,6 @@
 		Expect(w.arrive(k)).NotTo(BeNil())
 		w.Ended(w.now, k, balance.Unreachable)
 	}},
-	"a limit of regions, lifted since": {prepare: func(w *world, _, _ balance.Target) {
-		w.SetRegions(map[string]string{"z": "far", "y": "near"})
-		w.Configure(limited("near"))
-	}},
 }
 
 // TestUnrecordedVersionOfStreamsWithoutTrace guards against taking a stream for one of the version that was stored
@@ -344,6 +341,52 @@
 	}
 }
 
+// afterLimits returns the history of a router that has started and read a configuration, before which there was another one.
+func afterLimits(w *world, before, now *routing.Table, ago time.Duration) *routehistory.History {
+	h := routehistory.New(w.now, streamversion.TTL)
+	h.Set(w.now.Add(-time.Hour), before)
+	h.Set(w.now.Add(-ago), now)
+	started := routehistory.New(w.now, streamversion.TTL)
+	started.Set(w.now, now)
+	started.RestoreLimits(w.now, h.Limits(w.now), nil)
+	return started
+}
+
+// TestUnrecordedVersionAfterLimit guards against taking a stream for one of the version that was stored although it began
+// under a limit of regions where that one was not, and against refusing one that can be of no other version.
+func TestUnrecordedVersionAfterLimit(t *testing.T) {
+	at := func(id, version, zone string, revision int64) balance.Target {
+		target := versioned(id, version)
+		target.Zone, target.Revision = zone, revision
+		return target
+	}
+	for name, c := range map[string]struct {
+		listed      []balance.Target
+		before, now []string
+		ago         time.Duration
+		want        string
+	}{
+		"lifted, it was elsewhere":        {listed: []balance.Target{at("a", "v1", "z", 3), at("b", "v2", "y", 5)}, before: []string{"near"}},
+		"lifted long ago":                 {listed: []balance.Target{at("a", "v1", "z", 3), at("b", "v2", "y", 5)}, before: []string{"near"}, ago: 2 * streamversion.TTL, want: "v1"},
+		"it has not changed":              {listed: []balance.Target{at("a", "v1", "z", 3), at("b", "v2", "y", 5)}, want: "v1"},
+		"lifted, it was there before":     {listed: []balance.Target{at("a", "v1", "z", 9), at("c", "v1", "y", 3), at("b", "v2", "y", 5)}, before: []string{"near"}, want: "v1"},
+		"came, the other one was outside": {listed: []balance.Target{at("b", "v2", "z", 5), at("c", "v1", "y", 9)}, now: []string{"near"}},
+		"moved to another region":         {listed: []balance.Target{at("a", "v1", "z", 3), at("b", "v2", "y", 5)}, before: []string{"near"}, now: []string{"far"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			w := newWorld(0)
+			w.SetRegions(map[string]string{"z": "far", "y": "near"})
+			w.SetRouteHistory(afterLimits(w, limited(c.before...), limited(c.now...), c.ago))
+			w.RestoreVersions(w.now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
+			w.SetTargets(w.now, c.listed)
+			if got, why := w.UnrecordedVersionIn(w.now, "llm", limited(c.now...).RegionsOf(&routing.Route{}, "o")); got != c.want {
+				t.Errorf("got %q by %s, want %q", got, why, c.want)
+			}
+		})
+	}
+}
+
 // TestUnrecordedVersionOfStreamsBeforeLimit guards against taking a stream for one of a version that is the only one in the
 // regions where its rest may be served, though it began before they were limited.
 func TestUnrecordedVersionOfStreamsBeforeLimit(t *testing.T) {
@@ -362,6 +405,7 @@
 	}
 	stored.Leaving, stored.Revision = false, 9
 	started := newWorld(0)
+	started.SetRouteHistory(afterLimits(started, limited(), limited("near"), time.Second))
 	started.SetRegions(map[string]string{"z": "far", "y": "near"})
 	started.RestoreVersions(started.now, []streamversion.Served{{ServiceVersion: serviceVersions("v1")[0]}}, true)
 	started.SetTargets(started.now, []balance.Target{stored, other})
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -90,7 +90,10 @@
 
 // SetRouteHistory sets the history of the services that streams were sent to. The caller keeps it up to date and calls
 // RoutesChanged.
-func (s *State) SetRouteHistory(h *routehistory.History) { s.routes = h }
+func (s *State) SetRouteHistory(h *routehistory.History) {
+	s.routes = h
+	s.OnLimits(h.LimitsChanged)
+}
 
 // RoutesChanged tells that routes lead to other services than before.
 func (s *State) RoutesChanged() { s.routesChanged = true }
--- a/internal/gateway/missed_internal_test.go
+++ b/internal/gateway/missed_internal_test.go
@@ -12,6 +12,8 @@
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/freshness"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/routehistory"
+	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
@@ -88,3 +90,49 @@
 		})
 	}
 }
+
+// TestLimitsAreRestored guards against limits of regions that count as those under which all streams have begun, though the
+// store told of others, or held a configuration with others since.
+func TestLimitsAreRestored(t *testing.T) {
+	limited, err := routing.New(routing.Spec{Organisations: []routing.Organisation{{Name: "o", Regions: []string{"near"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		stored streamversion.Stored
+		later  []*routing.Table
+		want   bool
+	}{
+		"nothing stored before the first start": {stored: streamversion.Stored{ConfigAt: streamversion.NoStreams, Limits: routehistory.Limits{Of: 5}}},
+		"none":                                  {stored: streamversion.Stored{ConfigAt: 7}},
+		"changed":                               {stored: streamversion.Stored{ConfigAt: 7, Limits: routehistory.Limits{Changed: true}}, want: true},
+		"others":                                {stored: streamversion.Stored{ConfigAt: 7, Limits: routehistory.Limits{Of: 5}}, want: true},
+		"others since":                          {stored: streamversion.Stored{ConfigAt: 5}, later: []*routing.Table{limited}, want: true},
+		"none since":                            {stored: streamversion.Stored{ConfigAt: 5}, later: []*routing.Table{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newRouteStore()
+			g := newRouteGateway(t, store)
+			g.SetConfig(7, routeTo(t, 2, "x"))
+			c.stored.Complete = true
+			g.RestoreStreams(c.stored)
+			if c.later != nil {
+				g.ConfigsRead(5, c.later, true)
+			}
+			g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) {
+				if got := g.routes.LimitsChanged(now); got != c.want || !g.routes.Known(now) {
+					t.Errorf("changed %t, want %t", got, c.want)
+				}
+			})
+			select {
+			case v := <-store.saved:
+				if v.Limits.Changed != c.want {
+					t.Errorf("stored %+v", v.Limits)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("not stored")
+			}
+		})
+	}
+}
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -14,6 +14,7 @@
 // missed some, until the configurations since are known.
 type storedRoutes struct {
 	uses     []routehistory.Use
+	limits   routehistory.Limits
 	configAt int64
 	// wanted is set if the configurations since are to be read, and readAt is when they may be read again.
 	wanted bool
@@ -41,7 +42,7 @@
 		return
 	}
 	if g.routes.Known(now) {
-		g.streamStore.routes = &storedRoutes{uses: g.routes.Uses(now), configAt: config}
+		g.streamStore.routes = &storedRoutes{uses: g.routes.Uses(now), limits: g.routes.Limits(now), configAt: config}
 	}
 	g.routes.Forget(now, age)
 }
@@ -83,6 +84,9 @@
 func (g *Gateway) endRestoreRoutes(now time.Time, later []*routing.Table) {
 	stored := g.streamStore.routes
 	g.streamStore.routes = nil
+	if stored.configAt != streamversion.NoStreams {
+		g.routes.RestoreLimits(now, stored.limits, later)
+	}
 	g.routes.Restore(now, stored.uses, later)
 	g.Log.Info("routes restored", "uses", len(stored.uses), "configurations", len(later))
 	g.endPastRead()
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -110,7 +110,7 @@
 			g.streamStore.saved = servedSet(stored.Versions)
 		}
 		if !stored.RoutesUnknown {
-			g.streamStore.routes = &storedRoutes{uses: stored.Routes, configAt: stored.ConfigAt, wanted: true}
+			g.streamStore.routes = &storedRoutes{uses: stored.Routes, limits: stored.Limits, configAt: stored.ConfigAt, wanted: true}
 			if stored.ConfigAt < streamversion.NoStreams {
 				g.streamStore.savedConfig = stored.ConfigAt
 			}
@@ -267,6 +267,7 @@
 		(g.streams.LeadsFleet(now) || unstored && g.streams.RanksAmong(now, writers)) {
 		v := streamversion.Versions{Served: list, Era: p.era, Since: s.VersionsKnownSince(now), At: s.StoredAt(now)}
 		v.Routes, v.ConfigAt = g.routesToStore(now)
+		v.Limits = g.routes.Limits(now)
 		if g.StreamStore.SaveVersions(v) {
 			p.saved, p.savedConfig = set, max(p.savedConfig, v.ConfigAt)
 		}
--- a/internal/routehistory/routehistory.go
+++ b/internal/routehistory/routehistory.go
@@ -75,8 +75,8 @@
 type History struct {
 	keep   time.Duration
 	routes map[Key]*route
-	// changedAt is when a route's services changed last.
-	changedAt time.Time
+	// changedAt is when a route's services changed last, limitsChangedAt when requests were limited to other regions last.
+	changedAt, limitsChangedAt time.Time
 	// table is the configuration in force, since setAt.
 	table *routing.Table
 	setAt time.Time
@@ -98,6 +98,9 @@
 	if h.table == nil {
 		h.startedAt = now
 	}
+	if h.table != nil && h.table.RegionLimits() != t.RegionLimits() {
+		h.limitsChangedAt = now
+	}
 	h.table, h.setAt = t, now
 	h.expire(now)
 	changed := false
@@ -305,11 +308,49 @@
 	if h.table != nil {
 		restored.Set(now, h.table)
 	}
-	restored.changedAt = latest(restored.changedAt, h.changedAt)
+	restored.changedAt, restored.limitsChangedAt = latest(restored.changedAt, h.changedAt), h.limitsChangedAt
 	restored.startedAt, restored.setAt, restored.restored = h.startedAt, h.setAt, true
 	*h = *restored
 }
 
+// Limits tells which limits of regions there are, and whether they have changed within the history's length, and how long
+// ago.
+type Limits struct {
+	Of         uint64
+	Changed    bool
+	ChangedFor time.Duration
+}
+
+// Limits returns the limits of regions of the configuration in force.
+func (h *History) Limits(now time.Time) Limits {
+	var l Limits
+	if h.table != nil {
+		l.Of = h.table.RegionLimits()
+	}
+	if h.LimitsChanged(now) {
+		l.Changed, l.ChangedFor = true, now.Sub(h.limitsChangedAt)
+	}
+	return l
+}
+
+// LimitsChanged reports whether requests were limited to other regions within the history's length.
+func (h *History) LimitsChanged(now time.Time) bool {
+	return !h.limitsChangedAt.IsZero() && now.Sub(h.limitsChangedAt) <= h.keep
+}
+
+// RestoreLimits is Restore for limits of regions. Call it first.
+func (h *History) RestoreLimits(now time.Time, l Limits, later []*routing.Table) {
+	if l.Changed {
+		h.limitsChangedAt = latest(h.limitsChangedAt, now.Add(-l.ChangedFor))
+	}
+	of := l.Of
+	for _, t := range append(slices.Clone(later), h.table) {
+		if t != nil && t.RegionLimits() != of {
+			h.limitsChangedAt, of = now, t.RegionLimits()
+		}
+	}
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/routing/regions.go
+++ b/internal/routing/regions.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/stepcroft/stepcroft/internal/rendezvous"
 )
 
 // Regions are the regions in which a request may be served: those that both its route and its organisation allow.
@@ -70,6 +72,28 @@
 	return Regions{of: keyOf(route)}.with(t, route, organisation)
 }
 
+// RegionLimits returns a number that differs for tables which limit requests to other regions, 0 if none are.
+func (t *Table) RegionLimits() uint64 {
+	if !t.restricted {
+		return 0
+	}
+	var sum uint64
+	add := func(kind, host, name string, regions []string) {
+		if len(regions) == 0 {
+			return
+		}
+		sorted := slices.Sorted(slices.Values(regions))
+		sum += rendezvous.Hash(strings.Join(append([]string{kind, host, name}, sorted...), "\x00"))
+	}
+	for route := range t.Routes() {
+		add("route", strings.ToLower(route.Host), route.Prefix, route.Regions)
+	}
+	for name, list := range t.organisationRegions {
+		add("organisation", "", name, list)
+	}
+	return max(sum, 1)
+}
+
 // addRegions adds the regions that an organisation allows. Of several with the same name, the last one with a restriction
 // counts.
 func (t *Table) addRegions(name string, list []string) {
--- a/internal/servedversion/servedversion.go
+++ b/internal/servedversion/servedversion.go
@@ -36,6 +36,8 @@
 	// requireStored is set if streams may begin only at versions that the store holds, and unstored has the
 	// listed versions that it is not known to hold, with the times when they were listed first.
 	requireStored bool
+	// limitsChanged reports whether streams may have begun under other limits of regions; nil if there are none.
+	limitsChanged func(now time.Time) bool
 	unstored      map[streamversion.ServiceVersion]time.Time
 }
 
--- a/internal/servedversion/unrecorded.go
+++ b/internal/servedversion/unrecorded.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
+	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
 
 // UnrecordedVersion returns the version that began a stream of which there is no record although there
@@ -62,7 +64,11 @@
 	if !b.VersionsKnownSince(now).IsZero() {
 		return "", "", 0
 	}
+	changed := b.limitsChanged != nil && b.limitsChanged(now)
 	if version, only := b.OnlyVersion(now, service); only && b.listed {
+		if changed {
+			return version, streamversion.EvidenceOnlyVersion, math.MaxInt64
+		}
 		return version, streamversion.EvidenceOnlyVersion, b.OpenAtStart(service, func(zone string) bool { return regions.Allow(b.targets.Region(zone)) })
 	}
 	h := b.services[service]
@@ -70,12 +76,35 @@
 		return "", "", 0
 	}
 	open, before := b.OpenBeforeOthers(h.earlier, b.targets.Entries(now, service, regions))
+	if changed {
+		open, before = math.MaxInt64, b.openBeforeOthers(now, service, h.earlier)
+	}
 	if !before {
 		return "", "", 0
 	}
 	return h.earlier, streamversion.EvidenceStoredVersion, open
 }
 
+// OnLimits sets a function that reports whether a stream without a record may have begun under other limits of regions than
+// those of the moment.
+func (b *Book) OnLimits(changed func(now time.Time) bool) { b.limitsChanged = changed }
+
+// openBeforeOthers reports whether a version's targets have taken requests since before those of others in each region, so
+// that streams could begin there whatever regions they were limited to.
+func (b *Book) openBeforeOthers(now time.Time, service, version string) bool {
+	byRegion := map[string][]unrecorded.Entry{}
+	for e := range b.targets.Entries(now, service, routing.Regions{}) {
+		region := b.targets.Region(e.Zone)
+		byRegion[region] = append(byRegion[region], e)
+	}
+	for _, list := range byRegion {
+		if _, before := b.OpenBeforeOthers(version, slices.Values(list)); !before {
+			return false
+		}
+	}
+	return true
+}
+
 // NeededZoneDrains returns the revision from which the ends of drains need to be known, or false if they are
 // known or do not matter.
 func (b *Book) NeededZoneDrains(now time.Time) (since int64, needed bool) {
--- a/internal/streamversion/stored.go
+++ b/internal/streamversion/stored.go
@@ -223,9 +223,10 @@
 	// At is the revision of what the writer itself knows them from, 0 if it has seen all streams begin.
 	At int64
 	// Routes are the services that streams were sent to, up to the configuration of revision ConfigAt; 0 if the writer
-	// does not know them all.
+	// does not know them all. Limits are the limits of regions, known as long as Routes are.
 	Routes   []routehistory.Use
 	ConfigAt int64
+	Limits   routehistory.Limits
 }
 
 // NoStreams is a ConfigAt where no streams began before this router started.
@@ -241,9 +242,10 @@
 	Era int64
 	// At is the store's revision at which Versions was written, 0 if no streams can have begun before.
 	At int64
-	// Routes and ConfigAt are as in Versions. RoutesUnknown is set if the store does not tell them.
+	// Routes, ConfigAt and Limits are as in Versions. RoutesUnknown is set if the store does not tell them.
 	Routes        []routehistory.Use
 	ConfigAt      int64
+	Limits        routehistory.Limits
 	RoutesUnknown bool
 }
 
