Plain targets that do not name themselves may be asked on a new connection

Engines name themselves; other targets are asked by their ids again, and count if no other says that it is not meant.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -31,18 +31,23 @@
 	if len(questions) == 0 {
 		questions = append(questions, serverOptions)
 	}
-	sender, headers, status := x.sender, x.headers, x.status
+	sender, headers, status, engine := x.sender, x.headers, x.status, x.ToEngine
 	return func(ctx context.Context, before time.Time) error {
+		var t testimony
 		for _, question := range questions {
-			t, err := ask(ctx, sender, headers, status, to, question)
+			var err error
+			t, err = ask(ctx, sender, headers, status, to, question)
 			if err != nil {
 				return err
 			}
-			// Whatever listens in place of the target's process may answer without a name on a later connection.
 			if t.goesOn && (t.named || t.connectedAt.Before(before)) {
 				return nil
 			}
 		}
+		// Engines name themselves. Other targets were asked by their ids, and another one would say that it is not meant.
+		if t.goesOn && !engine {
+			return nil
+		}
 		return errNoTestimony
 	}
 }
