--- a/internal/explain/streams/report.go
+++ b/internal/explain/streams/report.go
@@ -62,7 +62,10 @@
 	Kinds  []KindCount `json:"kinds"`
 	// Streams are those with faults, those that are suspected only last.
 	Streams []Stream `json:"streams"`
-	Gaps    Gaps     `json:"gaps"`
+	// Together has answers without a length that ended together, TogetherCount how often such did.
+	Together      []EndedTogether `json:"ended_together"`
+	TogetherCount int             `json:"ended_together_count"`
+	Gaps          Gaps            `json:"gaps"`
 }
 
 // Report returns the report. Call it once, after all lines were added.
@@ -104,6 +107,8 @@
 	})
 	out := Report{Counts: s.counts, Gaps: s.gaps}
 	out.Kinds, out.Streams = selectStreams(faulty, s.limit)
+	together := endedTogether(s.unframedEnds)
+	out.Together, out.TogetherCount = together[:min(len(together), s.limit)], len(together)
 	return out
 }
 
@@ -162,6 +167,7 @@
 	for _, s := range r.Streams {
 		out = append(out, s.text()...)
 	}
+	out = append(out, togetherText(r.Together, r.TogetherCount)...)
 	return append(out, r.Gaps.text()...)
 }
 
--- a/internal/explain/streams/search.go
+++ b/internal/explain/streams/search.go
@@ -46,6 +46,8 @@
 	streams     map[string]*stream
 	lines       int
 	undelivered map[answerKey]bool
+	// unframedEnds has the answers that ended with their connections and count as whole.
+	unframedEnds []UnframedEnd
 	// writesRuns has the routers whose lines have runs, withoutRuns the number of take-ups, by router, whose lines have none
 	// though they may have had events.
 	writesRuns  map[string]bool
@@ -70,6 +72,7 @@
 	switch l.Message {
 	case MessageRequest:
 		s.addRequest(newAnswer(l))
+		s.addUnframedEnd(l)
 	case msgJoin:
 		j := newJoin(l)
 		s.counts.Joins++
@@ -121,6 +124,18 @@
 	}
 }
 
+// addUnframedEnd notes a line of an answer that ended with its connection.
+func (s *Search) addUnframedEnd(l explain.Line) {
+	e, ok := newUnframedEnd(l)
+	switch {
+	case !ok:
+	case len(s.unframedEnds) >= maxLines:
+		s.gaps.LeftOut++
+	default:
+		s.unframedEnds = append(s.unframedEnds, e)
+	}
+}
+
 func (s *Search) noteSeen(b begun) {
 	if !s.seen.add(b) {
 		s.gaps.LeftOut++
