--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -154,7 +154,7 @@
 	q.ask()
 	for {
 		group.SleepUntil(ctx, clock.Now().Add(endCheckInterval))
-		answer, left := q.check()
+		left, answer := q.check()
 		sends, open := others.look()
 		switch {
 		case answer == nil:
@@ -202,14 +202,14 @@
 	q.transport.group.Go(func() { q.answers <- q.witness(q.ctx, q.before) })
 }
 
-// check returns nil if the process has answered, ErrOtherProcess if another one has, or else why not so far and
+// check returns nil if the process has answered, ErrOtherProcess if another one has, or else why not so far, and
 // whether one still may. It asks again if the last question has failed, or has not been answered for a time.
-func (q *questions) check() (answer error, left bool) {
+func (q *questions) check() (left bool, answer error) {
 	for {
 		select {
 		case err := <-q.answers:
 			if err == nil || errors.Is(err, ErrOtherProcess) {
-				return err, false
+				return false, err
 			}
 			q.failed, q.last = q.failed+1, err
 			q.refused = q.refused || errors.Is(err, ErrConnectionRefused)
@@ -220,9 +220,9 @@
 			q.ask()
 		}
 		if q.last == nil {
-			return errNotAnswered, true
+			return true, errNotAnswered
 		}
-		return q.last, q.failed < q.asked
+		return q.failed < q.asked, q.last
 	}
 }
 
