Answers that end in the same instant are told by the ticks of one clock

Answers without a length that ended together could look whole now and then: each end was dated by the time of the look less its age in ticks of 4 ms, up to 8 ms apart for ends in the same instant. They are dated by the kernel's clock, in whose ticks the age is told (TestClosedTogetherLooksApart).

--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -282,17 +282,25 @@
 		if c == nil {
 			return nil
 		}
-		switch c.checkUnused() {
-		case unusedOpen:
+		if t.usable(c) {
 			return c
-		case unusedExpired:
-			_ = c.Close()
-		case unusedEnded:
-			t.closeEnded(c)
 		}
 	}
 }
 
+// usable reports whether an unused connection can be used again, and closes it if not.
+func (t *Transport) usable(c *conn) bool {
+	switch c.checkUnused() {
+	case unusedOpen:
+		return true
+	case unusedExpired:
+		_ = c.Close()
+	case unusedEnded:
+		t.closeEnded(c)
+	}
+	return false
+}
+
 // closeEnded closes an unused connection that was found to have ended, or to have unread bytes.
 func (t *Transport) closeEnded(c *conn) {
 	t.unexpectedBytes.Add(1)
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -58,10 +58,9 @@
 func (t *Transport) takeToAsk(e endpoint) *conn {
 	for {
 		c := t.popToAsk(e)
-		if c == nil || c.checkUnused() == unusedOpen {
+		if c == nil || t.usable(c) {
 			return c
 		}
-		_ = c.Close()
 	}
 }
 
--- a/internal/httptarget/together.go
+++ b/internal/httptarget/together.go
@@ -23,11 +23,12 @@
 	maxEndsApart = 12
 )
 
-// end is a connection that its target has closed, and when: at is the latest time, and about the kernel's own. answer is
-// set if the connection carried an answer without a length.
+// end is a connection that its target has closed, and when: at is the latest time, about the kernel's own, and tick that of
+// its clock. answer is set if the connection carried an answer without a length.
 type end struct {
 	*conn
 	at, about time.Time
+	tick      time.Duration
 	answer    bool
 }
 
@@ -36,7 +37,11 @@
 func endOf(c *conn) (end, bool) {
 	ago, ok := sockopt.RemoteClosedFor(c.Conn)
 	now := clock.Now()
-	return end{conn: c, at: now.Add(-max(ago-maxTick, 0)), about: now.Add(-ago)}, ok
+	e := end{conn: c, at: now.Add(-max(ago-maxTick, 0)), about: now.Add(-ago)}
+	if ok {
+		e.tick, ok = sockopt.RemoteClosedTick(c.Conn)
+	}
+	return e, ok
 }
 
 // with reports whether two connections ended in the same moment.
@@ -46,12 +51,12 @@
 
 // withAnswer reports whether two answers without a length ended in the same instant.
 func (e end) withAnswer(other end) bool {
-	return e.conn != other.conn && e.about.Sub(other.about).Abs() <= sameInstant
+	return e.conn != other.conn && (e.tick-other.tick).Abs() <= sameInstant
 }
 
 // apartFrom reports whether two answers without a length ended near one another, but not in the same instant.
 func (e end) apartFrom(other end) bool {
-	apart := e.about.Sub(other.about).Abs()
+	apart := (e.tick - other.tick).Abs()
 	return e.conn != other.conn && apart > sameInstant && apart < endTTL
 }
 
@@ -156,6 +161,6 @@
 		return c.usedSince.Before(e.about) && (c.idleSince.IsZero() || c.idleSince.After(e.about)) && wasOpen(c, e.at)
 	})
 	return open || slices.ContainsFunc(t.endsOf(e.endpoint), func(other end) bool {
-		return other.usedSince.Before(e.about) && other.about.Sub(e.about) > sameInstant
+		return other.usedSince.Before(e.about) && other.tick-e.tick > sameInstant
 	})
 }
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -125,6 +125,29 @@
 	return ago, err == nil && closed
 }
 
+// RemoteClosedTick returns the tick of the kernel's clock at which the remote side of a TCP connection closed it, as the
+// time from the start of that clock, and false where RemoteClosedFor does. The ticks of two connections that were closed
+// in the same instant are the same or follow one another, whenever they are asked for.
+func RemoteClosedTick(c net.Conn) (time.Duration, bool) {
+	for {
+		before, err := coarseNow()
+		if err != nil {
+			return 0, false
+		}
+		ago, closed := RemoteClosedFor(c)
+		if after, err := coarseNow(); err != nil || after == before {
+			return before - ago, closed && err == nil
+		}
+	}
+}
+
+// coarseNow returns the time of the kernel's last tick.
+func coarseNow() (time.Duration, error) {
+	var t unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_MONOTONIC_COARSE, &t)
+	return time.Duration(t.Nano()), err
+}
+
 // LastDataFor returns how long ago data last arrived on a TCP connection, whatever has become of it since, and false if
 // it is closed here or not TCP.
 func LastDataFor(c net.Conn) (time.Duration, bool) {
