Looks at ends of connections never wait for a clock

Routers stood still once a connection to an engine broke where the kernel's clock goes on between any two looks at it, as on a clock without ticks: the look at the tick of an end was repeated until two were the same. Now there are three looks at most.

--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -129,18 +129,28 @@
 // time from the start of that clock, and false where RemoteClosedFor does. The ticks of two connections that were closed
 // in the same instant are the same or follow one another, whenever they are asked for.
 func RemoteClosedTick(c net.Conn) (time.Duration, bool) {
-	for {
+	var tick time.Duration
+	for range maxTickLooks {
 		before, err := coarseNow()
 		if err != nil {
 			return 0, false
 		}
 		ago, closed := RemoteClosedFor(c)
+		if !closed {
+			return 0, false
+		}
+		tick = before - ago
 		if after, err := coarseNow(); err != nil || after == before {
-			return before - ago, closed && err == nil
+			break
 		}
 	}
+	return tick, true
 }
 
+// maxTickLooks bounds the looks at a connection between two of which the kernel's clock goes on. On a clock without ticks
+// it goes on between any two.
+const maxTickLooks = 3
+
 // coarseNow returns the time of the kernel's last tick.
 func coarseNow() (time.Duration, error) {
 	var t unix.Timespec
