A spare connection that another process answers on is not the target's

It counted as known to be the target's process if that had not ended, although the question on it had told of another one, so that a whole answer was cut by the next question.

--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -127,7 +127,7 @@
 // or errEndUnknown if ctx ends before that is known. What shows that it does:
 //
 //  1. It answers, see Witness, once a process that was exiting would have ended.
-//  2. Nobody else answers, and it sends more on another connection in use, see delivers.
+//  2. Nobody else answers, and it sends more on another connection in use, see deliveries.
 //
 // That a connection is accepted tells nothing, nor that others are open, used or not: their ends may have been lost on
 // the way, as the kernel repeats them after 200 ms at the earliest, and a reset never. Concurrent calls for the same
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
@@ -22,7 +24,9 @@
 			ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 			defer cancel()
 			// It takes no spare connection, which there is not, and leaves one.
-			_ = a.witness(ctx, time.Time{})
+			if errors.Is(a.witness(ctx, time.Time{}), ErrOtherProcess) {
+				return nil, nil
+			}
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			if _, ended := sockopt.Received(a.conn.Conn); !ended && t.spares[e] != nil {
