A question to an engine hides neither its end nor its connection

Callers of a router that has just started waited twice as long for a stream as before the witnesses of answers came: an engine that takes 400 ms to report was asked twice before the first event. And a router could take the next process at an engine's address for the one of the entry, and begin a stream there as one of the earlier version.

The stream that followed it was sent over another one, on which nothing told which process had accepted it, so that the engine was asked again. The end of a spare connection counted for nothing: CheckUnused and ConnectedAfterEnd look at the other ones only, so that a process whose last connection had carried a question ended unseen.

Now the connection of the question which process listens carries the request that follows, as it did before. The spare one stays for questions after the end of an answer, and its end counts as that of any unused one.

Judgements of answers that ended together are unchanged: they still leave the spare connection out.

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -83,7 +83,9 @@
 func (x *inflight) queryStatus(ctx context.Context, to balance.Target, timeout time.Duration) (text json.RawMessage, connectedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, err := putQuestion(ctx, x.sender, x.headers, to, x.status.question())
+	question := newQuestion(x.headers, to, x.status.question())
+	question.Precedes = true
+	a, err := putQuestion(ctx, x.sender, x.headers, to, question)
 	if err != nil {
 		return nil, time.Time{}, err
 	}
--- a/internal/forward/replaced_unasked_test.go
+++ b/internal/forward/replaced_unasked_test.go
@@ -39,12 +39,63 @@
 	address string
 	born    int64
 	// asked counts the requests for the status, and slow is closed when requests to /slow may be answered.
-	asked  atomic.Int64
-	slow   chan struct{}
+	asked atomic.Int64
+	slow  chan struct{}
+	// silent is set if processes that start do not answer requests for the status.
+	silent bool
 	server *http.Server
 	wait   sync.WaitGroup
 }
 
+// newProcesses returns a process, and a forwarder that has it as its only target.
+func newProcesses(t *testing.T, silent bool) *processForwarder {
+	t.Helper()
+	p := &processes{address: "127.0.0.1:0", slow: make(chan struct{}), silent: silent}
+	p.replace(t)
+	p.silent = false
+	t.Cleanup(func() {
+		_ = p.server.Close()
+		p.wait.Wait()
+	})
+	g := group.New(context.Background())
+	t.Cleanup(g.Stop)
+	sender := &lookSender{Transport: httptarget.New(g)}
+	limits := balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second, QuotaWindow: time.Second}
+	loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
+	g.GoContext(loop.Run)
+	names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, Seal: headerSeal, Leaving: headerLeaving, LastEventID: "X-Last", Organisation: "X-Organisation"}
+	f := &processForwarder{
+		testForwarder: &testForwarder{loop: loop, Forwarder: forward.New(names, sender, loop, noSuspects{}, logr.Discard(), discard{}).
+			WithStatusQuery(forward.StatusQuery{Path: "/status", Field: "born"})},
+		processes: p, group: g, sender: sender,
+		to: balance.Target{ID: "e", Service: "s", Zone: "z", Slots: 4, Address: p.address, Born: p.born},
+	}
+	f.configure(t)
+	f.setTargets(t, f.to)
+	return f
+}
+
+// processForwarder is a forwarder to processes.
+type processForwarder struct {
+	*testForwarder
+	*processes
+	group  *group.Group
+	sender *lookSender
+	to     balance.Target
+}
+
+// ask asks for a stream that may be taken up, and returns what the caller gets.
+func (f *processForwarder) ask(t *testing.T, id string) string {
+	t.Helper()
+	caller, now := &textCaller{}, time.Now()
+	f.Forward(t.Context(), forward.Request{
+		ID: id, Method: http.MethodPost, URI: "/", Host: "h", Service: "s", Organisation: "o", ToEngine: true,
+		Arrived: now, Deadline: now.Add(500 * time.Millisecond),
+		Route: &routing.Route{Kind: routing.Streaming, Goal: time.Second, MaxPause: 400 * time.Millisecond, MaxAttempts: 1, Resumable: true},
+	}, caller)
+	return caller.text.String()
+}
+
 // replace ends the process that runs, if there is one, and starts the next one, which accepts connections at once.
 func (p *processes) replace(t *testing.T) {
 	t.Helper()
@@ -58,11 +109,15 @@
 	}
 	p.address = l.Addr().String()
 	p.born++
-	born := p.born
+	born, silent := p.born, p.silent
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/status":
 			p.asked.Add(1)
+			if silent {
+				<-r.Context().Done()
+				return
+			}
 			fmt.Fprintf(w, `{"born":%d}`, born)
 			return
 		case "/slow":
@@ -90,48 +145,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := &processes{address: "127.0.0.1:0", slow: make(chan struct{})}
-			p.replace(t)
-			t.Cleanup(func() {
-				_ = p.server.Close()
-				p.wait.Wait()
-			})
-			g := group.New(context.Background())
-			t.Cleanup(g.Stop)
-			sender := &lookSender{Transport: httptarget.New(g)}
-			limits := balance.Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second, QuotaWindow: time.Second}
-			loop := balance.NewLoop(balance.New(time.Now(), "z", limits, rand.New(rand.NewPCG(1, 1))))
-			g.GoContext(loop.Run)
-			names := forward.HeaderNames{RequestID: "X-Id", Deadline: "X-Wait-Ms", ExpectTarget: "X-Expect", NotRun: headerNotRun, Seal: headerSeal, Leaving: headerLeaving, LastEventID: "X-Last", Organisation: "X-Organisation"}
-			f := &testForwarder{loop: loop, Forwarder: forward.New(names, sender, loop, noSuspects{}, logr.Discard(), discard{}).
-				WithStatusQuery(forward.StatusQuery{Path: "/status", Field: "born"})}
-			to := balance.Target{ID: "e", Service: "s", Zone: "z", Slots: 4, Address: p.address, Born: p.born}
-			table, err := routing.New(routing.Spec{Version: 1, Services: []routing.Service{{Name: "s"}}})
-			if err != nil {
-				t.Fatal(err)
-			}
-			loop.PostAndWait(t.Context(), func(s *balance.State, _ time.Time) { s.Configure(table) })
-			f.setTargets(t, to)
-			ask := func(id string) string {
-				caller, now := &textCaller{}, time.Now()
-				f.Forward(t.Context(), forward.Request{
-					ID: id, Method: http.MethodPost, URI: "/", Host: "h", Service: "s", Organisation: "o", ToEngine: true,
-					Arrived: now, Deadline: now.Add(500 * time.Millisecond),
-					Route: &routing.Route{Kind: routing.Streaming, Goal: time.Second, MaxPause: 400 * time.Millisecond, MaxAttempts: 1, Resumable: true},
-				}, caller)
-				return caller.text.String()
-			}
-			if got := ask("first"); got != "id: 1\ndata: 1\n\n" {
+			p := newProcesses(t, false)
+			if got := p.ask(t, "first"); got != "id: 1\ndata: 1\n\n" {
 				t.Fatalf("the first caller got %q", got)
 			}
-			p.asked.Store(0)
+			if asked := p.asked.Swap(0); asked != 1 {
+				t.Errorf("the engine was asked %d times before the first stream", asked)
+			}
 			afterLook := func() { p.replace(t) }
 			if !c.replaced {
 				afterLook = func() {
 					taken := make(chan struct{})
-					g.Go(func() {
-						a, err := sender.Send(t.Context(), to.Address, httptarget.Request{
-							Method: http.MethodGet, Head: []byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"), Instance: to.Incarnation(),
+					p.group.Go(func() {
+						a, err := p.sender.Send(t.Context(), p.to.Address, httptarget.Request{
+							Method: http.MethodGet, Head: []byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"), Instance: p.to.Incarnation(),
 							OnSent: func(func() bool) { close(taken) },
 						})
 						if err == nil {
@@ -142,8 +169,8 @@
 					t.Cleanup(func() { close(p.slow) })
 				}
 			}
-			sender.afterLook.Store(&afterLook)
-			if got, asked := ask("second"), p.asked.Load(); got != c.text || asked != c.asked {
+			p.sender.afterLook.Store(&afterLook)
+			if got, asked := p.ask(t, "second"), p.asked.Load(); got != c.text || asked != c.asked {
 				t.Errorf("the second caller got %q, the engine was asked %d times; want %q, %d", got, asked, c.text, c.asked)
 			}
 		})
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -57,13 +57,18 @@
 	connectedAt          time.Time
 }
 
-// putQuestion asks a target about itself with a request of a method and a path. It returns httptarget.ErrOtherProcess if
-// another one answers. An answer with an id of a request is a late one to an earlier request.
-func putQuestion(ctx context.Context, s Sender, h HeaderNames, to balance.Target, question string) (*httptarget.Answer, error) {
+// newQuestion returns a question to a target about itself, of a method and a path. An answer with an id of a request is a
+// late one to an earlier request.
+func newQuestion(h HeaderNames, to balance.Target, question string) httptarget.Request {
 	method, _, _ := strings.Cut(question, " ")
 	head := fmt.Appendf(nil, "%s HTTP/1.1\r\nHost: %s\r\n", question, to.Address)
 	head = append(appendHeader(head, h.ExpectTarget, to.ID), "\r\n"...)
-	a, err := s.Send(ctx, to.Address, httptarget.Request{Method: method, Head: head, Instance: to.Incarnation(), IDHeader: h.RequestID, Asks: true})
+	return httptarget.Request{Method: method, Head: head, Instance: to.Incarnation(), IDHeader: h.RequestID, Asks: true}
+}
+
+// putQuestion asks a target a question. It returns httptarget.ErrOtherProcess if another one answers.
+func putQuestion(ctx context.Context, s Sender, h HeaderNames, to balance.Target, question httptarget.Request) (*httptarget.Answer, error) {
+	a, err := s.Send(ctx, to.Address, question)
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +81,7 @@
 
 // ask asks the process of a target a question. It returns httptarget.ErrOtherProcess if another one answers.
 func ask(ctx context.Context, s Sender, h HeaderNames, q StatusQuery, to balance.Target, question string) (testimony, error) {
-	a, err := putQuestion(ctx, s, h, to, question)
+	a, err := putQuestion(ctx, s, h, to, newQuestion(h, to, question))
 	if err != nil {
 		return testimony{}, err
 	}
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -95,6 +95,9 @@
 	// Asks is set if the request asks the target about itself. If its answer has neither a length nor chunks, it counts
 	// as whole if its connection ends without a reset: its content tells more, or does not matter.
 	Asks bool
+	// Precedes is set if the question is which process listens, and another request follows it: its connection, on which
+	// that process has answered, is not the spare one.
+	Precedes bool
 }
 
 // Stats counts connections and unexpected answers since the start.
@@ -181,11 +184,11 @@
 // closed as soon as ctx ends. An error wraps ErrNotSent or ErrBroken. The caller must call
 // Close on the answer.
 func (t *Transport) Send(ctx context.Context, address string, r Request) (*Answer, error) {
-	c, err := t.connect(ctx, endpoint{address, r.Instance}, r.Asks)
+	c, err := t.connect(ctx, endpoint{address, r.Instance}, r)
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method, witness: r.Witness, asks: r.Asks}
+	a := &Answer{ctx: ctx, transport: t, conn: c, method: r.Method, witness: r.Witness, asks: r.Asks, spare: r.Asks && !r.Precedes}
 	a.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(r); err != nil {
 		t.noteBroken(c, err)
@@ -212,19 +215,23 @@
 // endpoint identifies a process at an address, to which connections belong.
 type endpoint struct{ address, instance string }
 
-// connect returns an unused connection, or a new one if there is none. If asks is set, it is the spare one if possible.
-func (t *Transport) connect(ctx context.Context, e endpoint, asks bool) (*conn, error) {
+// connect returns an unused connection for a request, or a new one if there is none. For a question it is the spare one if
+// possible, and before another request if there is no other.
+func (t *Transport) connect(ctx context.Context, e endpoint, r Request) (*conn, error) {
 	address := e.address
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
 	var c *conn
-	if asks {
+	if r.Asks && !r.Precedes {
 		c = t.takeToAsk(e)
 	}
 	if c == nil {
 		c = t.takeIdle(e)
 	}
+	if c == nil && r.Precedes {
+		c = t.takeToAsk(e)
+	}
 	if c != nil {
 		t.reused.Add(1)
 		t.use(c)
@@ -246,7 +253,11 @@
 func (t *Transport) endedLately(e endpoint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return clock.Since(t.broken[e].seen) < brokenTTL || slices.ContainsFunc(t.connsTo(e), func(c *conn) bool {
+	list := t.connsTo(e)
+	if spare := t.spares[e]; spare != nil {
+		list = append(list, spare)
+	}
+	return clock.Since(t.broken[e].seen) < brokenTTL || slices.ContainsFunc(list, func(c *conn) bool {
 		_, ended := sockopt.Received(c.Conn)
 		return ended
 	})
@@ -303,11 +314,16 @@
 
 // closeEnded closes an unused connection that was found to have ended, or to have unread bytes.
 func (t *Transport) closeEnded(c *conn) {
-	t.unexpectedBytes.Add(1)
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropEnded(c)
+}
+
+// dropEnded is closeEnded with the mutex held.
+func (t *Transport) dropEnded(c *conn) {
+	t.unexpectedBytes.Add(1)
 	t.noteEnd(c)
 	t.noteSign(c.endpoint, breakSign{seen: clock.Now(), used: c.idleSince})
-	t.mu.Unlock()
 	_ = c.Close()
 }
 
@@ -345,10 +361,7 @@
 	e := endpoint{address, instance}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var endedAt time.Time
-	if s := t.broken[e]; clock.Since(s.seen) < brokenTTL {
-		endedAt = s.used
-	}
+	t.checkSpare(e)
 	kept := t.idle[e][:0]
 	for _, c := range t.idle[e] {
 		switch c.checkUnused() {
@@ -357,17 +370,15 @@
 		case unusedExpired:
 			_ = c.Close()
 		case unusedEnded:
-			t.unexpectedBytes.Add(1)
-			t.noteEnd(c)
-			t.noteSign(e, breakSign{seen: clock.Now(), used: c.idleSince})
-			_ = c.Close()
-			if c.idleSince.After(endedAt) {
-				endedAt = c.idleSince
-			}
+			t.dropEnded(c)
 		}
 	}
 	clear(t.idle[e][len(kept):])
 	t.idle[e] = kept
+	var endedAt time.Time
+	if s := t.broken[e]; clock.Since(s.seen) < brokenTTL {
+		endedAt = s.used
+	}
 	open = slices.ContainsFunc(kept, func(c *conn) bool { return endedAt.IsZero() || c.madeAt.Before(endedAt) })
 	return open, !open && !endedAt.IsZero()
 }
@@ -460,9 +471,9 @@
 	slowReading bool
 	// knownBefore is set if the process that the request is for had answered on the connection before.
 	knownBefore bool
-	// witness and asks are those of the request.
-	witness Witness
-	asks    bool
+	// witness and asks are those of the request. spare is set if its connection may be kept for questions.
+	witness     Witness
+	asks, spare bool
 }
 
 func (a *Answer) write(r Request) error {
@@ -607,7 +618,7 @@
 		_ = a.conn.Close()
 		return
 	}
-	if a.asks && a.transport.putSpare(a.conn) {
+	if a.spare && a.transport.putSpare(a.conn) {
 		return
 	}
 	a.transport.putIdle(a.conn)
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -83,6 +83,23 @@
 	return spare
 }
 
+// checkSpare drops the spare connection to a process if it is not to be used again. The mutex must be held.
+func (t *Transport) checkSpare(e endpoint) {
+	c := t.spares[e]
+	if c == nil {
+		return
+	}
+	switch c.checkUnused() {
+	case unusedOpen:
+		return
+	case unusedExpired:
+		_ = c.Close()
+	case unusedEnded:
+		t.dropEnded(c)
+	}
+	delete(t.spares, e)
+}
+
 // closeSpares closes the spare connections that have been unused for too long. The mutex must be held.
 func (t *Transport) closeSpares(now time.Time) {
 	for e, c := range t.spares {
--- a/internal/httptarget/unused_test.go
+++ b/internal/httptarget/unused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -63,3 +64,38 @@
 	get("/")
 	check("with a connection made since", false, true)
 }
+
+// TestEndOfSpareConnection guards against the end of a process that nobody sees, as a question has taken the only
+// connection to it.
+func TestEndOfSpareConnection(t *testing.T) {
+	g := startTarget(t, math.MaxInt)
+	if err := g.witness(t.Context(), time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	g.closeListener()
+	time.Sleep(50 * time.Millisecond)
+	if open, ended := g.CheckUnused(g.address(), ""); open || !ended {
+		t.Errorf("open %v, ended %v", open, ended)
+	}
+}
+
+// TestConnectedAfterEndOfSpare guards against a connection that the next process may have accepted and that counts as one
+// to the earlier process, whose only other one has been kept for questions.
+func TestConnectedAfterEndOfSpare(t *testing.T) {
+	g := startTarget(t, math.MaxInt)
+	if err := g.witness(t.Context(), time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	g.mu.Lock()
+	for c := range g.unused {
+		_ = c.Close()
+	}
+	g.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	a, conn := g.exchange(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n")
+	defer conn.Close()
+	defer a.Close()
+	if !a.ConnectedAfterEnd() {
+		t.Error("the connection does not count as made after the end")
+	}
+}
