A connection made between an end and its notice is not the earlier process's

A stream could begin at the next process at an engine's address, as one of the version of the entry, without a question when the process started: of two answers that broke off at a router, the first led to a connection, kept for reuse, and the second one was noticed after that was made.

Cause: an unused connection counts as one to the earlier process if it was made before the ended ones were used last. For one in use that was when this router noticed its end, and for an unused one when its answer was read to the end, both later than the process's own end, by as much as the machine is busy.

Now it is when something last arrived on the ended connection by the kernel's clock, less one tick of it, and when it was made where the kernel does not tell.

The mend only asks engines more often, of which an ended connection tells; those that answer are sent as many streams as before.

--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -105,6 +105,15 @@
 	return unusedOpen
 }
 
+// lastUsed returns a time, as late as is known, at which the process that the connection leads to had not ended: when
+// something arrived last, if the kernel tells. The mutex of its transport must be held.
+func (c *conn) lastUsed() time.Time {
+	if ago, ok := sockopt.LastDataFor(c.Conn); ok {
+		return clock.Now().Add(-ago - maxTick)
+	}
+	return c.madeAt
+}
+
 // expired reports whether a connection has been unused for limit, or so long that the target
 // may be about to close it.
 func (c *conn) expired(now time.Time, limit time.Duration) bool {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -323,7 +323,7 @@
 func (t *Transport) dropEnded(c *conn) {
 	t.unexpectedBytes.Add(1)
 	t.noteEnd(c)
-	t.noteSign(c.endpoint, breakSign{seen: clock.Now(), used: c.idleSince})
+	t.noteSign(c.endpoint, breakSign{seen: clock.Now(), used: c.lastUsed()})
 	_ = c.Close()
 }
 
@@ -337,13 +337,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := clock.Now()
-	t.noteSign(c.endpoint, breakSign{seen: now, used: now})
+	t.noteSign(c.endpoint, breakSign{seen: clock.Now(), used: c.lastUsed()})
 	t.noteEnd(c)
 }
 
-// breakSign tells that connections to a process ended before their time: when that was seen, and when the last of them
-// was used last.
+// breakSign tells that connections to a process ended before their time: when that was seen, and when one of them brought
+// something last. Connections that were made later may be to the next process, however late the ends are seen.
 type breakSign struct{ seen, used time.Time }
 
 // noteSign adds a sign that a process may have ended, which counts for brokenTTL, whoever saw it. The mutex must be held.
--- a/internal/httptarget/unused_test.go
+++ b/internal/httptarget/unused_test.go
@@ -65,6 +65,31 @@
 	check("with a connection made since", false, true)
 }
 
+// TestConnectionOfNextProcessLooksOpen guards against an unused connection that the next process has accepted and that
+// counts as one to the earlier process, as the end of another one is read later.
+func TestConnectionOfNextProcessLooksOpen(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\n\r\npart"
+	g := startTarget(t, math.MaxInt)
+	first, ended := g.exchange(t, part)
+	defer first.Close()
+	second, alsoEnded := g.exchange(t, part)
+	defer second.Close()
+	time.Sleep(50 * time.Millisecond)
+	_, _ = ended.Close(), alsoEnded.Close()
+	if _, err := io.ReadAll(first); err == nil {
+		t.Fatal("the first answer is whole")
+	}
+	if _, exited := g.ProcessExited(t.Context(), g.address(), ""); exited {
+		t.Fatal("the connection was refused")
+	}
+	if _, err := io.ReadAll(second); err == nil {
+		t.Fatal("the second answer is whole")
+	}
+	if open, ended := g.CheckUnused(g.address(), ""); open || !ended {
+		t.Errorf("open %v, ended %v", open, ended)
+	}
+}
+
 // TestEndOfSpareConnection guards against the end of a process that nobody sees, as a question has taken the only
 // connection to it.
 func TestEndOfSpareConnection(t *testing.T) {
