--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -83,7 +83,9 @@
 func (x *inflight) queryStatus(ctx context.Context, to balance.Target, timeout time.Duration) (text json.RawMessage, connectedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, err := putQuestion(ctx, x.sender, x.headers, to, x.status.question())
+	question := newQuestion(x.headers, to, x.status.question())
+	question.Precedes = true
+	a, err := putQuestion(ctx, x.sender, x.headers, to, question)
 	if err != nil {
 		return nil, time.Time{}, err
 	}
@@ -116,6 +118,12 @@
 		return nil
 	}
 	refusedAt, other, err := x.isOtherProcess(ctx, to, processTimeout)
+	if err != nil && !ended && !errors.Is(err, errNoStatus) {
+		// It may have ended while it was asked.
+		if _, ended = x.sender.CheckUnused(to.Address, to.Incarnation()); ended {
+			refusedAt, other, err = x.isOtherProcess(ctx, to, processTimeout)
+		}
+	}
 	if err != nil && (ended || x.lastEventID != "") {
 		return &failure{reason: ReasonUnreachable, result: balance.Unreachable, cause: errors.Wrap(errNoStatus, err.Error())}
 	}
--- a/internal/httptarget/unused_test.go
+++ b/internal/httptarget/unused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -63,3 +64,63 @@
 	get("/")
 	check("with a connection made since", false, true)
 }
+
+// TestConnectionOfNextProcessLooksOpen guards against an unused connection that the next process has accepted and that
+// counts as one to the earlier process, as the end of another one is read later.
+func TestConnectionOfNextProcessLooksOpen(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\n\r\npart"
+	g := startTarget(t, math.MaxInt)
+	first, ended := g.exchange(t, part)
+	defer first.Close()
+	second, alsoEnded := g.exchange(t, part)
+	defer second.Close()
+	time.Sleep(50 * time.Millisecond)
+	_, _ = ended.Close(), alsoEnded.Close()
+	if _, err := io.ReadAll(first); err == nil {
+		t.Fatal("the first answer is whole")
+	}
+	if _, exited := g.ProcessExited(t.Context(), g.address(), ""); exited {
+		t.Fatal("the connection was refused")
+	}
+	if _, err := io.ReadAll(second); err == nil {
+		t.Fatal("the second answer is whole")
+	}
+	if open, ended := g.CheckUnused(g.address(), ""); open || !ended {
+		t.Errorf("open %v, ended %v", open, ended)
+	}
+}
+
+// TestEndOfSpareConnection guards against the end of a process that nobody sees, as a question has taken the only
+// connection to it.
+func TestEndOfSpareConnection(t *testing.T) {
+	g := startTarget(t, math.MaxInt)
+	if err := g.witness(t.Context(), time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	g.closeListener()
+	time.Sleep(50 * time.Millisecond)
+	if open, ended := g.CheckUnused(g.address(), ""); open || !ended {
+		t.Errorf("open %v, ended %v", open, ended)
+	}
+}
+
+// TestConnectedAfterEndOfSpare guards against a connection that the next process may have accepted and that counts as one
+// to the earlier process, whose only other one has been kept for questions.
+func TestConnectedAfterEndOfSpare(t *testing.T) {
+	g := startTarget(t, math.MaxInt)
+	if err := g.witness(t.Context(), time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	g.mu.Lock()
+	for c := range g.unused {
+		_ = c.Close()
+	}
+	g.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	a, conn := g.exchange(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n")
+	defer conn.Close()
+	defer a.Close()
+	if !a.ConnectedAfterEnd() {
+		t.Error("the connection does not count as made after the end")
+	}
+}
