Whole answers of targets that know no question count as whole

Cause: an answer to a question that names nobody counted only if its status was 200, or with any status if the question was OPTIONS. Whole answers without a length of an engine that does not name itself and answers 404 or 405 to the question for its status, or of a service whose health is a 204, always looked cut, 3 of 3 in each of five shapes of a trial, after up to six questions each. A gateway's 502 to OPTIONS in the place of a target that had ended counted as the target's: cut answers looked complete.

Change: any status but 502, 503 and 504 counts for all questions, still only on a connection on which the process had answered, made before the end.

Ruled out: to count any status on a later connection, which the next process or a relay may have accepted. Left: a gateway that answers anything else for its target on a connection that it keeps.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -87,7 +87,7 @@
 	if t.named {
 		a.SetConnectionKnown()
 	}
-	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions || a.Header.Get(h.NotRun) != ""
+	t.goesOn = t.named || !isGatewayError(a.Status) || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && question == q.question() {
 		if born > to.Born {
 			return testimony{}, httptarget.ErrOtherProcess
@@ -97,6 +97,12 @@
 	return t, nil
 }
 
+// isGatewayError reports whether a status is one by which a gateway answers for a target that it cannot reach. Any other
+// one is the target's: it may not know the question.
+func isGatewayError(status int) bool {
+	return status >= http.StatusBadGateway && status <= http.StatusGatewayTimeout
+}
+
 // readStatus reads the status in an answer, as far as it is JSON. It does not wait for the end of an answer that ends with
 // its connection: whether that is whole may be what is asked for, and JSON needs no other mark of its end.
 func readStatus(a *httptarget.Answer) (json.RawMessage, error) {
