The end of an answer looks at its own process's connections only

Cause: all connections in use were in one set. The end of an answer without a length went through all of them up to four times, and a new connection once, with the mutex held that each exchange of the router takes.

Change: connections in use are kept by process.

Ruled out: to drop a process's set with its last connection in use, as each next exchange then makes a set anew (535 ns, two allocations); CloseExpired drops it.

--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -132,8 +132,8 @@
 	idle map[endpoint][]*conn
 	// spares has unused connections to processes that may have to be asked whether they go on, one each.
 	spares map[endpoint]*conn
-	// inUse has the connections that carry an exchange.
-	inUse map[*conn]struct{}
+	// inUse has the connections that carry an exchange, by process.
+	inUse map[endpoint]map[*conn]struct{}
 	// broken has the last signs that processes may have ended.
 	broken map[endpoint]breakSign
 	// ends has connections that targets closed lately before their time, by process.
@@ -151,7 +151,7 @@
 	return &Transport{
 		group: g,
 		idle:  map[endpoint][]*conn{},
-		inUse: map[*conn]struct{}{},
+		inUse: map[endpoint]map[*conn]struct{}{},
 
 		spares: map[endpoint]*conn{},
 
@@ -257,14 +257,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.idleSince, c.usedSince = time.Time{}, clock.Now()
-	t.inUse[c] = struct{}{}
+	if t.inUse[c.endpoint] == nil {
+		t.inUse[c.endpoint] = map[*conn]struct{}{}
+	}
+	t.inUse[c.endpoint][c] = struct{}{}
 }
 
 // release records that a connection no longer carries an exchange.
 func (t *Transport) release(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.inUse, c)
+	delete(t.inUse[c.endpoint], c)
 }
 
 // connectError returns the exported error for a failure to connect.
@@ -392,7 +395,7 @@
 	t.idle[c.endpoint] = append(t.idle[c.endpoint], c)
 }
 
-// CloseExpired closes expired unused connections. Call it periodically.
+// CloseExpired closes expired unused connections and forgets processes without any. Call it periodically.
 func (t *Transport) CloseExpired(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -413,6 +416,7 @@
 	}
 	t.closeSpares(now)
 	t.forgetEnds(now)
+	maps.DeleteFunc(t.inUse, func(_ endpoint, conns map[*conn]struct{}) bool { return len(conns) == 0 })
 	maps.DeleteFunc(t.broken, func(_ endpoint, s breakSign) bool { return now.Sub(s.seen) >= brokenTTL })
 }
 
--- a/internal/httptarget/leaving.go
+++ b/internal/httptarget/leaving.go
@@ -56,8 +56,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := &deliveries{}
-	for c := range t.inUse {
-		if c.endpoint == e && c.madeAt.Before(by) {
+	for c := range t.inUse[e] {
+		if c.madeAt.Before(by) {
 			d.open = append(d.open, &delivery{conn: c})
 		}
 	}
--- a/internal/httptarget/together.go
+++ b/internal/httptarget/together.go
@@ -1,6 +1,7 @@
 package httptarget
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -103,13 +104,7 @@
 
 // connsTo returns the connections to a process, unused or in use. The mutex must be held.
 func (t *Transport) connsTo(e endpoint) []*conn {
-	list := slices.Clone(t.idle[e])
-	for c := range t.inUse {
-		if c.endpoint == e {
-			list = append(list, c)
-		}
-	}
-	return list
+	return slices.AppendSeq(slices.Clone(t.idle[e]), maps.Keys(t.inUse[e]))
 }
 
 // endsOf returns the ends of connections to a process that nothing had foretold. The mutex must be held.
