A slowly reporting engine has time to be known before its answer ends

Cause: as an answer without a length begins, its engine is asked for its status and, if that names nobody, for its health, so that it is known on a connection. Both together had half a second. An engine that takes 400 ms for each never was known, was asked both again after the end, with half a second again, and its whole answers looked cut.

Change: a second as the answer begins, when nobody waits for it; less if the router ends.

--- a/internal/forward/unframed_engine_test.go
+++ b/internal/forward/unframed_engine_test.go
@@ -90,3 +90,24 @@
 		t.Errorf("the caller got %q; %+v", got, result)
 	}
 }
+
+// TestWholeAnswerOfSlowlyReportingEngine guards against whole answers that look cut as their engine, which does not name
+// itself in its status, takes longer than the wait for a witness to tell that and its health as the answer begins.
+func TestWholeAnswerOfSlowlyReportingEngine(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	f := engineAt(t, noSuspects{}, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/status":
+			time.Sleep(delay)
+			fmt.Fprint(w, "{}")
+		case healthPath:
+			time.Sleep(delay)
+			w.Header().Set(headerServedBy, "e0")
+		default:
+			answerUnframed(w, r, eventsFrom(0, 3), func() { time.Sleep(3 * delay) })
+		}
+	})
+	if got, result := f.askEngine(t, "slow", routing.Route{Kind: routing.NonIdempotent, MaxAttempts: 1}); got != eventsFrom(0, 3) || result.Truncated {
+		t.Errorf("the caller got %q; %+v", got, result)
+	}
+}
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -11,6 +11,10 @@
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
+// spareTimeout bounds the time for which a process is asked on a spare connection. It may be asked two questions, each of
+// which may take witnessTimeout if it is asked alone after the end, and nobody waits for this one.
+const spareTimeout = 2 * witnessTimeout
+
 // prepareSpare makes a spare connection to the process that sends an answer and is to be asked after its end. What
 // answers on a connection that the process has answered before is the process itself, and it can be asked even if it
 // takes no new ones then.
@@ -21,8 +25,9 @@
 	}
 	t.group.Go(func() {
 		_, _, _ = t.spareDials.Do(e.address+" "+e.instance, func() (any, error) {
-			ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+			ctx, cancel := context.WithTimeout(ctx, spareTimeout)
 			defer cancel()
+			defer context.AfterFunc(t.group.Context(), cancel)()
 			// It takes no spare connection, which there is not, and leaves one.
 			if errors.Is(a.witness(ctx, time.Time{}), ErrOtherProcess) {
 				return nil, nil
