--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -21,20 +21,11 @@
 // witness returns what asks the process of a target whether it goes on: an engine for its status, which takes no slot
 // there, any target that is not named by that for its health, and one that has no path for either for its options.
 func (x *inflight) witness(to balance.Target) httptarget.Witness {
-	var questions []string
-	if x.ToEngine && x.status.Path != "" {
-		questions = append(questions, x.status.question())
-	}
-	if x.HealthPath != "" {
-		questions = append(questions, http.MethodGet+" "+x.HealthPath)
-	}
-	if len(questions) == 0 {
-		questions = append(questions, serverOptions)
-	}
-	sender, headers, status := x.sender, x.headers, x.status
+	// A question may outlast the request, whose body must not be kept for it.
+	f, toEngine, healthPath := x.Forwarder, x.ToEngine, x.HealthPath
 	return func(ctx context.Context, before time.Time) error {
-		for _, question := range questions {
-			t, err := ask(ctx, sender, headers, status, to, question)
+		for _, question := range f.questions(toEngine, healthPath) {
+			t, err := ask(ctx, f.sender, f.headers, f.status, to, question)
 			if err != nil {
 				return err
 			}
@@ -47,6 +38,21 @@
 	}
 }
 
+// questions returns what a target can be asked about itself.
+func (f *Forwarder) questions(toEngine bool, healthPath string) []string {
+	var questions []string
+	if toEngine && f.status.Path != "" {
+		questions = append(questions, f.status.question())
+	}
+	if healthPath != "" {
+		questions = append(questions, http.MethodGet+" "+healthPath)
+	}
+	if len(questions) == 0 {
+		questions = append(questions, serverOptions)
+	}
+	return questions
+}
+
 // serverOptions asks a server for its options (RFC 9110, section 9.3.7), which changes nothing.
 const serverOptions = http.MethodOptions + " *"
 
@@ -92,7 +98,7 @@
 	if t.named {
 		a.SetConnectionKnown()
 	}
-	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions || a.Header.Get(h.NotRun) != ""
+	t.goesOn = t.named || !isGatewayError(a.Status) || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && question == q.question() {
 		if born > to.Born {
 			return testimony{}, httptarget.ErrOtherProcess
@@ -102,6 +108,12 @@
 	return t, nil
 }
 
+// isGatewayError reports whether a status is one by which a gateway answers for a target that it cannot reach. Any other
+// one is the target's: it may not know the question.
+func isGatewayError(status int) bool {
+	return status >= http.StatusBadGateway && status <= http.StatusGatewayTimeout
+}
+
 // readStatus reads the status in an answer, as far as it is JSON. It does not wait for the end of an answer that ends with
 // its connection: whether that is whole may be what is asked for, and JSON needs no other mark of its end.
 func readStatus(a *httptarget.Answer) (json.RawMessage, error) {
