A closed transport keeps no connection

Cause: an exchange or a question that ended after the transport was closed left its connection for reuse, where nobody closes it. A question as an answer begins goes on without the request, so that it may end at any time.

Change: a closed transport closes such connections. After a suspension of the box the unused ones are closed as before, by CloseUnused.

Ruled out: that it explains TestSilentTargetIsKeptToDeadline, whose transport is not closed.

--- a/internal/gateway/awake.go
+++ b/internal/gateway/awake.go
@@ -27,7 +27,7 @@
 	g.roster.Resume(now)
 	g.coldSenders.Join(now)
 	g.streams.Resume(now)
-	g.transport.Close()
+	g.transport.CloseUnused()
 	if missed >= minConfirmSuspension {
 		g.unconfirmedSince = now
 		g.server.Pause(true)
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -132,6 +132,8 @@
 	idle map[endpoint][]*conn
 	// spares has unused connections to processes that may have to be asked whether they go on, one each.
 	spares map[endpoint]*conn
+	// closed is set once unused connections are no longer kept.
+	closed bool
 	// inUse has the connections that carry an exchange, by process.
 	inUse map[endpoint]map[*conn]struct{}
 	// broken has the last signs that processes may have ended.
@@ -392,6 +394,10 @@
 	c.idleSince = clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closed {
+		_ = c.Close()
+		return
+	}
 	t.idle[c.endpoint] = append(t.idle[c.endpoint], c)
 }
 
@@ -420,10 +426,23 @@
 	maps.DeleteFunc(t.broken, func(_ endpoint, s breakSign) bool { return now.Sub(s.seen) >= brokenTTL })
 }
 
-// Close closes the unused connections.
+// Close closes the unused connections, and those in use once their exchanges end.
 func (t *Transport) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closed = true
+	t.closeUnused()
+}
+
+// CloseUnused closes the unused connections.
+func (t *Transport) CloseUnused() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closeUnused()
+}
+
+// closeUnused is CloseUnused for callers that hold the mutex.
+func (t *Transport) closeUnused() {
 	for _, list := range t.idle {
 		for _, c := range list {
 			_ = c.Close()
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -54,7 +54,7 @@
 func (t *Transport) putSpare(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.spares[c.endpoint] != nil {
+	if t.closed || t.spares[c.endpoint] != nil {
 		return false
 	}
 	c.idleSince = clock.Now()
