A test's second target is listed once the first one has the request

Cause: TestSilentTargetIsKeptToDeadline listed its second target 50 ms after the first. Where the request took longer to be sent, it went to the second one at once: "status 200 after 77 ms and 1 sends, want 504 and 1", once in 228 processes that ran it four or six times each, 6 to 14 at once, at a load of 8 to 32. 18 others failed in it or in TestOwnDelayIsNotSilenceOfTarget, nearly all by answers that came late, five of them on two cores; that is not mended.

Change: the first target's handler lists the second one. What is checked is the same.

--- a/internal/forward/kept_silent_test.go
+++ b/internal/forward/kept_silent_test.go
@@ -36,11 +36,14 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := silentFirst(t, c.first, c.second)
+			var f *bufferedForwarder
+			f = silentFirst(t, func(w http.ResponseWriter, r *http.Request) {
+				f.setTargets(t, f.targets...)
+				c.first(w, r)
+			}, c.second)
 			f.setRetries(t, 0)
 			time.AfterFunc(c.budgetAfter, func() { f.setRetries(t, 100) })
 			f.setTargets(t, f.onlyFirst()...)
-			time.AfterFunc(50*time.Millisecond, func() { f.setTargets(t, f.targets...) })
 			began := time.Now()
 			got, result := f.ask(t.Context(), silentRoute, timeout)
 			took := time.Since(began)
