--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -135,14 +135,14 @@
 	idle map[endpoint][]*conn
 	// spares has unused connections to processes that may have to be asked whether they go on, one each.
 	spares map[endpoint]*conn
+	// closed is set once unused connections are no longer kept.
+	closed bool
 	// inUse has the connections that carry an exchange, by process.
 	inUse map[endpoint]map[*conn]struct{}
 	// broken has the last signs that processes may have ended.
 	broken map[endpoint]breakSign
 	// ends has connections that targets closed lately before their time, by process.
 	ends map[endpoint][]end
-	// closed is set once no connection is kept any more.
-	closed bool
 
 	dialled, dialFailed, reused, strayAnswers, unidentifiedAnswers, unexpectedBytes, oversizedHeads, invalidHeads atomic.Int64
 
@@ -439,15 +439,20 @@
 // Close closes the unused connections, and others as soon as they are unused.
 func (t *Transport) Close() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.closed = true
-	t.mu.Unlock()
-	t.CloseUnused()
+	t.closeUnused()
 }
 
 // CloseUnused closes the unused connections.
 func (t *Transport) CloseUnused() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closeUnused()
+}
+
+// closeUnused is CloseUnused with the mutex held.
+func (t *Transport) closeUnused() {
 	for _, list := range t.idle {
 		for _, c := range list {
 			_ = c.Close()
