Questions to a target change nothing of what its other connections tell

- The question for a spare connection, if it was late, took an unused connection that the target had answered a request on.
That became the spare one, which does not count as open, so that a whole answer looked cut ("an unused one goes on"); and its Keep-Alive was forgotten, as the answer to the question has none, so that the end that the target had foretold counted ("the target closed it as it had foretold").
- A question that was not answered yet counted as an exchange that goes on, and its new connection as one that is open, so that a cut answer looked complete ("an unused one ends").
- The test was at fault in three other cases.
Its own goroutine was interrupted for 8 to 12 ms between two ends that should come in one instant ("another answer without a length ends", "two others without a length end", "another one ends, and an unused one goes on").
In "another one ends, and one goes on" that one began within a step of the kernel's clock before the end, which the router cannot tell from one that began after it, and takes for cut.

Change: a question leaves a connection that has carried requests as it was: unused since, with its Keep-Alive, unless the answer's is shorter. The question for a spare connection is asked apart from these. What has carried nothing but questions does not count as going on. An answer to a question that ends with its connection foretells that end. A connection is no longer neither in use nor unused for a moment as an exchange ends. Where no connection is made in 400 ms, the targets' exchanges try again.

Ruled out: that the answer's own check takes the spare connection's end for another's, or the other way round, as it notes the end of any that it finds closed.

--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -33,6 +33,10 @@
 	}
 	sender, headers, status := x.sender, x.headers, x.status
 	return func(ctx context.Context, before time.Time) error {
+		sender := sender
+		if before.IsZero() {
+			sender = apart{sender}
+		}
 		for _, question := range questions {
 			t, err := ask(ctx, sender, headers, status, to, question)
 			if err != nil {
@@ -47,6 +51,15 @@
 	}
 }
 
+// apart is a sender of questions on connections that carry no other requests.
+type apart struct{ Sender }
+
+// Send sends a question.
+func (s apart) Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error) {
+	r.Apart = true
+	return s.Sender.Send(ctx, address, r)
+}
+
 // serverOptions asks a server for its options (RFC 9110, section 9.3.7), which changes nothing.
 const serverOptions = http.MethodOptions + " *"
 
--- a/internal/httptarget/busy_test.go
+++ b/internal/httptarget/busy_test.go
@@ -51,8 +51,8 @@
 						r := request(fmt.Sprint(caller, "-", n), "")
 						plan := c.shortest + time.Duration(random.Int64N(int64(c.shortest)*3))
 						r.Head = []byte(strings.Replace(string(r.Head), "\r\n\r\n", fmt.Sprintf("\r\n%s: 1\r\n%s: %v\r\n\r\n", modelExpect, modelPlan, plan), 1))
-						r.Instance, r.Witness = "1", func(ctx context.Context, _ time.Time) error {
-							_, _, _, err := m.ask(ctx, 1, statusPath)
+						r.Instance, r.Witness = "1", func(ctx context.Context, before time.Time) error {
+							_, _, _, err := m.ask(ctx, 1, statusPath, before.IsZero())
 							return err
 						}
 						a, err := m.Send(t.Context(), l.Addr().String(), r)
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -33,6 +33,8 @@
 	// idleSince is since when it is unused, usedSince since when it carries an exchange.
 	idleSince, usedSince time.Time
 	madeAt               time.Time
+	// carried is set once it has carried a request that is no question.
+	carried bool
 	// afterEnd is set if others to the process had ended lately when it was made: another process may have accepted it.
 	afterEnd bool
 	// closes is set if the target closes the connection after the answer on it, unframed if the end of the connection
--- a/internal/httptarget/ended.go
+++ b/internal/httptarget/ended.go
@@ -46,7 +46,8 @@
 
 // Witness asks the process that a request was sent to whether it goes on. It returns nil if that process has answered,
 // ErrOtherProcess if another one has, and another error if nobody has. An answer need not name the process
-// if it came on a connection that was made before a time and on which the process had answered, see IsConnectionKnown.
+// if it came on a connection that was made before a time and on which the process had answered, see IsConnectionKnown. If
+// that time is zero, the answer is for later ones on its connection, and the question has to be apart.
 type Witness func(ctx context.Context, before time.Time) error
 
 // unframedEnd returns io.EOF if a body without a length that ended with its connection is complete. The kernel closes
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -95,6 +95,8 @@
 	// Asks is set if the request asks the target about itself. If its answer has neither a length nor chunks, it counts
 	// as whole if its connection ends without a reset: its content tells more, or does not matter.
 	Asks bool
+	// Apart is set if the target is asked on no connection that has carried other requests.
+	Apart bool
 }
 
 // Stats counts connections and unexpected answers since the start.
@@ -183,7 +185,7 @@
 // closed as soon as ctx ends. An error wraps ErrNotSent or ErrBroken. The caller must call
 // Close on the answer.
 func (t *Transport) Send(ctx context.Context, address string, r Request) (*Answer, error) {
-	c, err := t.connect(ctx, endpoint{address, r.Instance}, r.Asks)
+	c, err := t.connect(ctx, endpoint{address, r.Instance}, r)
 	if err != nil {
 		return nil, err
 	}
@@ -214,22 +216,15 @@
 // endpoint identifies a process at an address, to which connections belong.
 type endpoint struct{ address, instance string }
 
-// connect returns an unused connection, or a new one if there is none. If asks is set, it is the spare one if possible.
-func (t *Transport) connect(ctx context.Context, e endpoint, asks bool) (*conn, error) {
+// connect returns an unused connection for a request, or a new one if there is none.
+func (t *Transport) connect(ctx context.Context, e endpoint, r Request) (*conn, error) {
 	address := e.address
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
-	var c *conn
-	if asks {
-		c = t.takeToAsk(e)
-	}
-	if c == nil {
-		c = t.takeIdle(e)
-	}
-	if c != nil {
+	if c := t.take(e, r); c != nil {
 		t.reused.Add(1)
-		t.use(c)
+		t.use(c, r.Asks)
 		return c, nil
 	}
 	raw, err := t.dialer.DialContext(ctx, "tcp", address)
@@ -238,12 +233,22 @@
 		return nil, errors.Wrapf(connectError(err), "connect to %s: %v", address, err)
 	}
 	t.dialled.Add(1)
-	c = newConn(raw, e)
+	c := newConn(raw, e)
 	c.afterEnd = t.endedLately(e)
-	t.use(c)
+	t.use(c, r.Asks)
 	return c, nil
 }
 
+// take returns an unused connection for a request, or nil. A question is asked on the spare one if possible.
+func (t *Transport) take(e endpoint, r Request) *conn {
+	if r.Asks {
+		if c := t.takeToAsk(e, r.Apart); c != nil || r.Apart {
+			return c
+		}
+	}
+	return t.takeIdle(e)
+}
+
 // endedLately reports whether any connection to a process has ended lately, whether that was seen or not.
 func (t *Transport) endedLately(e endpoint) bool {
 	t.mu.Lock()
@@ -254,19 +259,47 @@
 	})
 }
 
-// use records that a connection carries an exchange.
-func (t *Transport) use(c *conn) {
+// use records that a connection carries an exchange. A question leaves one that has carried others as it was.
+func (t *Transport) use(c *conn, asks bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.idleSince, c.usedSince = time.Time{}, clock.Now()
 	t.inUse[c] = struct{}{}
+	if asks && c.carried {
+		return
+	}
+	c.idleSince, c.usedSince, c.carried = time.Time{}, clock.Now(), !asks
 }
 
-// release records that a connection no longer carries an exchange.
+// release closes a connection that no longer carries an exchange.
 func (t *Transport) release(c *conn) {
+	t.mu.Lock()
+	delete(t.inUse, c)
+	t.mu.Unlock()
+	_ = c.Close()
+}
+
+// keep keeps a connection that no longer carries an exchange for the next one. idleTimeout is that of the answer.
+func (t *Transport) keep(c *conn, asked bool, idleTimeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.inUse, c)
+	if t.closed {
+		_ = c.Close()
+		return
+	}
+	if asked && c.carried {
+		if idleTimeout > 0 && (c.idleTimeout == 0 || idleTimeout < c.idleTimeout) {
+			c.idleTimeout = idleTimeout
+		}
+		t.idle[c.endpoint] = slices.Insert(t.idle[c.endpoint], 0, c)
+		return
+	}
+	c.idleSince, c.idleTimeout = clock.Now(), idleTimeout
+	if asked && t.spares[c.endpoint] == nil {
+		t.spares[c.endpoint] = c
+		return
+	}
+	t.idle[c.endpoint] = append(t.idle[c.endpoint], c)
 }
 
 // connectError returns the exported error for a failure to connect.
@@ -530,7 +563,7 @@
 			a.Status = res.StatusCode
 			a.Header = res.Header
 			unframed := !a.framed() && !a.asks
-			a.conn.closes.Store(res.Close && !unframed)
+			a.conn.closes.Store(!unframed && (res.Close || !a.framed()))
 			a.conn.unframed.Store(unframed)
 			a.Identified = id == r.ID
 			a.knownBefore = a.conn.known.Load()
@@ -616,15 +649,11 @@
 // Close ends the exchange. The connection is kept for reuse if the whole request has been
 // written, the answer was read to its end and no bytes follow it.
 func (a *Answer) Close() {
-	a.transport.release(a.conn)
 	if !a.stopCloseOnCancel() || !a.reusable() {
-		_ = a.conn.Close()
-		return
-	}
-	if a.asks && a.transport.putSpare(a.conn) {
+		a.transport.release(a.conn)
 		return
 	}
-	a.transport.putIdle(a.conn)
+	a.transport.keep(a.conn, a.asks, keepAliveTimeout(a.Header.Get("Keep-Alive")))
 }
 
 func (a *Answer) reusable() bool {
@@ -637,7 +666,6 @@
 	if a.slowReading && sockopt.SetUserTimeout(a.conn.Conn, unackedTimeout) != nil {
 		return false
 	}
-	a.conn.idleTimeout = keepAliveTimeout(a.Header.Get("Keep-Alive"))
 	return a.conn.SetDeadline(time.Time{}) == nil
 }
 
--- a/internal/httptarget/model_test.go
+++ b/internal/httptarget/model_test.go
@@ -138,10 +138,10 @@
 }
 
 // ask asks the process of an entry on a path.
-func (m *model) ask(ctx context.Context, entry int, path string) (status int, at time.Time, known bool, err error) {
+func (m *model) ask(ctx context.Context, entry int, path string, apart bool) (status int, at time.Time, known bool, err error) {
 	a, err := m.Send(ctx, m.listener.Addr().String(), httptarget.Request{
 		Method: http.MethodGet, Head: fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: h\r\n%s: %d\r\n\r\n", path, modelExpect, entry),
-		Instance: strconv.Itoa(entry), Asks: true,
+		Instance: strconv.Itoa(entry), Asks: true, Apart: apart,
 	})
 	if err != nil {
 		return 0, time.Time{}, false, err
@@ -157,10 +157,10 @@
 // witness asks as a router asks an engine: for its status, which names nobody, and if that may be another's for more.
 func (m *model) witness(entry int) httptarget.Witness {
 	return func(ctx context.Context, before time.Time) error {
-		if _, at, known, err := m.ask(ctx, entry, statusPath); err != nil || known && at.Before(before) {
+		if _, at, known, err := m.ask(ctx, entry, statusPath, before.IsZero()); err != nil || known && at.Before(before) {
 			return err
 		}
-		status, _, _, err := m.ask(ctx, entry, namedPath)
+		status, _, _, err := m.ask(ctx, entry, namedPath, before.IsZero())
 		if err == nil && status == http.StatusMisdirectedRequest {
 			return httptarget.ErrOtherProcess
 		}
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -45,34 +44,22 @@
 	return c != nil && c.known.Load() || slices.ContainsFunc(t.idle[e], func(c *conn) bool { return c.known.Load() })
 }
 
-// putSpare keeps an unused connection as the spare one, and reports false if there is one.
-func (t *Transport) putSpare(c *conn) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed || t.spares[c.endpoint] != nil {
-		return false
-	}
-	c.idleSince = clock.Now()
-	t.spares[c.endpoint] = c
-	return true
-}
-
 // takeToAsk returns a connection to a process that can be asked on it, nil if there is none: if possible an unused one on
-// which that has answered before, else the spare one.
-func (t *Transport) takeToAsk(e endpoint) *conn {
+// which that has answered before, unless apart is set, else the spare one.
+func (t *Transport) takeToAsk(e endpoint, apart bool) *conn {
 	for {
-		c := t.popToAsk(e)
+		c := t.popToAsk(e, apart)
 		if c == nil || t.usable(c) {
 			return c
 		}
 	}
 }
 
-func (t *Transport) popToAsk(e endpoint) *conn {
+func (t *Transport) popToAsk(e endpoint, apart bool) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	spare := t.spares[e]
-	if spare == nil || !spare.known.Load() {
+	if !apart && (spare == nil || !spare.known.Load()) {
 		if i := slices.IndexFunc(t.idle[e], func(c *conn) bool { return c.known.Load() }); i >= 0 {
 			c := t.idle[e][i]
 			t.idle[e] = slices.Delete(t.idle[e], i, i+1)
--- a/internal/httptarget/target_test.go
+++ b/internal/httptarget/target_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 )
@@ -26,6 +28,8 @@
 	// unused has the connections on which nothing but questions have arrived. It is guarded by mu.
 	mu     sync.Mutex
 	unused map[*net.TCPConn]bool
+	// onSpare is what comes of the question for a spare connection, in place of an answer.
+	onSpare func(*target, context.Context) error
 	// killed is set if the target no longer reads what arrives.
 	killed atomic.Bool
 }
@@ -56,8 +60,8 @@
 	return out
 }
 
-// alivePath is where targets say that they go on.
-const alivePath = "/alive"
+// alivePath is where targets say that they go on, and silentPath one on which they answer nothing.
+const alivePath, silentPath = "/alive", "/silent"
 
 // receive reads a request, and answers those before it that ask whether the target goes on.
 func (g *target) receive(c *net.TCPConn) {
@@ -69,6 +73,9 @@
 		if g.killed.Load() {
 			return
 		}
+		if r.URL.Path == silentPath {
+			continue
+		}
 		if r.URL.Path != alivePath {
 			g.setUnused(c, false)
 			select {
@@ -113,8 +120,16 @@
 }
 
 // witness asks the target whether it goes on.
-func (g *target) witness(ctx context.Context, _ time.Time) error {
-	a, err := g.Send(ctx, g.address(), httptarget.Request{Method: http.MethodGet, Head: []byte("GET " + alivePath + " HTTP/1.1\r\nHost: h\r\n\r\n"), Asks: true})
+func (g *target) witness(ctx context.Context, before time.Time) error {
+	if before.IsZero() && g.onSpare != nil {
+		return g.onSpare(g, ctx)
+	}
+	return g.ask(ctx, alivePath, before.IsZero())
+}
+
+// ask asks the target on a path.
+func (g *target) ask(ctx context.Context, path string, apart bool) error {
+	a, err := g.Send(ctx, g.address(), httptarget.Request{Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"), Asks: true, Apart: apart})
 	if err != nil {
 		return err
 	}
@@ -132,6 +147,9 @@
 
 func (g *target) address() string { return g.listener.Addr().String() }
 
+// maxDials bounds the attempts to connect to a target.
+const maxDials = 5
+
 // exchange sends a request and returns its answer, of which the target sends a text, and the target's connection.
 func (g *target) exchange(t *testing.T, answer string) (*httptarget.Answer, *net.TCPConn) {
 	t.Helper()
@@ -144,6 +162,10 @@
 		g.Go(func() { g.receive(conn) })
 	})
 	a, err := g.Send(t.Context(), g.address(), g.request())
+	// On a busy machine, no connection may be made in time.
+	for tries := 1; errors.Is(err, httptarget.ErrNotSent) && tries < maxDials; tries++ {
+		a, err = g.Send(t.Context(), g.address(), g.request())
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httptarget/together.go
+++ b/internal/httptarget/together.go
@@ -149,18 +149,19 @@
 	return answers && apart <= maxEndsApart && !t.answersGoOn(e) || others && !t.connectionsGoOn(e)
 }
 
-// connectionsGoOn reports whether another connection to the process of one that has ended goes on. The mutex must be held.
+// connectionsGoOn reports whether another connection to the process of one that has ended goes on. Those that have carried
+// nothing but questions do not count, as spare ones do not. The mutex must be held.
 func (t *Transport) connectionsGoOn(e end) bool {
-	return slices.ContainsFunc(t.connsTo(e.endpoint), func(c *conn) bool { return wasOpen(c, e.at) })
+	return slices.ContainsFunc(t.connsTo(e.endpoint), func(c *conn) bool { return c.carried && wasOpen(c, e.at) })
 }
 
 // answersGoOn reports whether an exchange with the process of a connection that has ended went on after that, on another
-// one. The mutex must be held.
+// one; questions do not count. The mutex must be held.
 func (t *Transport) answersGoOn(e end) bool {
 	open := slices.ContainsFunc(t.connsTo(e.endpoint), func(c *conn) bool {
-		return c.usedSince.Before(e.about) && (c.idleSince.IsZero() || c.idleSince.After(e.about)) && wasOpen(c, e.at)
+		return c.carried && c.usedSince.Before(e.about) && (c.idleSince.IsZero() || c.idleSince.After(e.about)) && wasOpen(c, e.at)
 	})
 	return open || slices.ContainsFunc(t.endsOf(e.endpoint), func(other end) bool {
-		return other.usedSince.Before(e.about) && other.tick-e.tick > sameInstant
+		return other.carried && other.usedSince.Before(e.about) && other.tick-e.tick > sameInstant
 	})
 }
