A spare connection is the process's only if that has answered on it

Cause: once the witness had returned, prepareSpare marked the spare connection as one on which the target's process had answered, whatever the witness had found: also after a relay's 502 in its place (no testimony), a question that failed, or an answer on another connection. What answers there later without a name then counted as the process, so that a cut answer looked complete. By reading: a connection was marked before the start in the status was compared, which may tell of a later process.

Change: who judges the answer to a question tells on which connection somebody answered as the process would (SetConnectionAnswered), and only these become known, if the answer that the spare one is for still goes on then. A start in the status that is the entry's marks the connection at once, a later one no longer.

The mark itself is needed: targets that do not name themselves have no other witness ("the process says that it is well"). The order of mark and start has no test.

--- a/internal/forward/unframed_engine_test.go
+++ b/internal/forward/unframed_engine_test.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: h}
+	server := &http.Server{Handler: h, DisableGeneralOptionsHandler: true}
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = server.Serve(l) })
 	t.Cleanup(func() {
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -97,9 +97,6 @@
 	// The answer's head is evidence enough; what the body lacks is not known.
 	text, _ := readStatus(a)
 	t := testimony{named: a.Header.Get(h.ServedBy) != "", known: a.IsConnectionKnown(), connectedAt: a.ConnectedAt()}
-	if t.named {
-		a.SetConnectionKnown()
-	}
 	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && question == q.question() {
 		if born > to.Born {
@@ -107,6 +104,12 @@
 		}
 		t.named = true
 	}
+	switch {
+	case t.named:
+		a.SetConnectionKnown()
+	case t.goesOn:
+		a.SetConnectionAnswered()
+	}
 	return t, nil
 }
 
--- a/internal/httptarget/conn.go
+++ b/internal/httptarget/conn.go
@@ -43,6 +43,8 @@
 	// known is set once the process that requests on the connection are for has answered one of them. Until then, another
 	// one may have accepted it, or may yet.
 	known atomic.Bool
+	// answeredAt is when somebody last answered a question on it as the process would, maybe without a name.
+	answeredAt time.Time
 }
 
 func newConn(c net.Conn, e endpoint) *conn {
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -614,6 +614,14 @@
 // SetConnectionKnown records that the process that the request was for has answered it.
 func (a *Answer) SetConnectionKnown() { a.conn.known.Store(true) }
 
+// SetConnectionAnswered records that somebody has answered a question as the process that it was for would, but without a
+// name. If that process is seen alive afterwards, it was that.
+func (a *Answer) SetConnectionAnswered() {
+	a.transport.mu.Lock()
+	defer a.transport.mu.Unlock()
+	a.conn.answeredAt = clock.Now()
+}
+
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
--- a/internal/httptarget/model_test.go
+++ b/internal/httptarget/model_test.go
@@ -151,6 +151,9 @@
 	if a.Header.Get(modelServed) == strconv.Itoa(entry) {
 		a.SetConnectionKnown()
 	}
+	if a.Status == http.StatusOK {
+		a.SetConnectionAnswered()
+	}
 	return a.Status, a.ConnectedAt(), a.IsConnectionKnown(), nil
 }
 
--- a/internal/httptarget/spare.go
+++ b/internal/httptarget/spare.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -22,14 +23,24 @@
 		_, _, _ = t.spareDials.Do(e.address+" "+e.instance, func() (any, error) {
 			ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 			defer cancel()
-			// It takes no spare connection, which there is not, and leaves one.
+			began := clock.Now()
 			if errors.Is(a.witness(ctx, time.Time{}), ErrOtherProcess) {
 				return nil, nil
 			}
 			t.mu.Lock()
 			defer t.mu.Unlock()
-			if _, ended := sockopt.Received(a.conn.Conn); !ended && t.spares[e] != nil {
-				t.spares[e].known.Store(true)
+			if _, ended := sockopt.Received(a.conn.Conn); ended {
+				return nil, nil
+			}
+			list := t.connsTo(e)
+			if spare := t.spares[e]; spare != nil {
+				list = append(list, spare)
+			}
+			for _, c := range list {
+				// On the others, a relay may have answered in place of the process.
+				if c.answeredAt.After(began) {
+					c.known.Store(true)
+				}
 			}
 			return nil, nil
 		})
