--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -24,8 +24,12 @@
 	// A question may outlast the request, whose body must not be kept for it.
 	f, toEngine, healthPath := x.Forwarder, x.ToEngine, x.HealthPath
 	return func(ctx context.Context, before time.Time) error {
+		sender := f.sender
+		if before.IsZero() {
+			sender = apart{sender}
+		}
 		for _, question := range f.questions(toEngine, healthPath) {
-			t, err := ask(ctx, f.sender, f.headers, f.status, to, question)
+			t, err := ask(ctx, sender, f.headers, f.status, to, question)
 			if err != nil {
 				return err
 			}
@@ -53,6 +57,15 @@
 	return questions
 }
 
+// apart is a sender of questions on connections that carry no other requests.
+type apart struct{ Sender }
+
+// Send sends a question.
+func (s apart) Send(ctx context.Context, address string, r httptarget.Request) (*httptarget.Answer, error) {
+	r.Apart = true
+	return s.Sender.Send(ctx, address, r)
+}
+
 // serverOptions asks a server for its options (RFC 9110, section 9.3.7), which changes nothing.
 const serverOptions = http.MethodOptions + " *"
 
@@ -95,9 +108,6 @@
 	// The answer's head is evidence enough; what the body lacks is not known.
 	text, _ := readStatus(a)
 	t := testimony{named: a.Header.Get(h.ServedBy) != "", known: a.IsConnectionKnown(), connectedAt: a.ConnectedAt()}
-	if t.named {
-		a.SetConnectionKnown()
-	}
 	t.goesOn = t.named || !isGatewayError(a.Status) || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && question == q.question() {
 		if born > to.Born {
@@ -105,6 +115,12 @@
 		}
 		t.named = true
 	}
+	switch {
+	case t.named:
+		a.SetConnectionKnown()
+	case t.goesOn:
+		a.SetConnectionAnswered()
+	}
 	return t, nil
 }
 
--- a/internal/httptarget/together_bench_test.go
+++ b/internal/httptarget/together_bench_test.go
@@ -12,7 +12,7 @@
 func BenchmarkEndOfAnswer(b *testing.B) {
 	t := New(group.New(b.Context()))
 	for range 5000 {
-		t.use(&conn{endpoint: endpoint{"127.0.0.1:1", "other"}})
+		t.use(&conn{endpoint: endpoint{"127.0.0.1:1", "other"}}, false)
 	}
 	e := end{conn: &conn{endpoint: endpoint{"127.0.0.1:2", "one"}}, at: time.Now(), about: time.Now()}
 	for b.Loop() {
@@ -26,7 +26,7 @@
 	c := &conn{endpoint: endpoint{"127.0.0.1:1", "one"}}
 	b.ReportAllocs()
 	for b.Loop() {
-		t.use(c)
+		t.use(c, false)
 		t.release(c)
 	}
 }
