--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -53,6 +53,7 @@
 	case message.NeedCopy:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_NeedCopy{NeedCopy: &peerpb.NeedCopy{
 			Config: m.Config, ConfigVersion: m.Version, Targets: m.Targets, Zones: m.Zones, Rollouts: m.Rollouts, Packed: m.Packed,
+			DropsUnlisted: m.DropsUnlisted,
 		}}}
 	case message.ZoneStatus:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_ZoneStatus{ZoneStatus: &peerpb.ZoneStatus{
@@ -152,7 +153,7 @@
 				Config: b.NeedCopy.GetConfig(), Version: b.NeedCopy.GetConfigVersion(),
 				Targets: b.NeedCopy.GetTargets(), Zones: b.NeedCopy.GetZones(), Rollouts: b.NeedCopy.GetRollouts(),
 			},
-			Packed: b.NeedCopy.GetPacked(),
+			Packed: b.NeedCopy.GetPacked(), DropsUnlisted: b.NeedCopy.GetDropsUnlisted(),
 		}
 	}
 	return nil
--- a/internal/adapter/peer/pack_test.go
+++ b/internal/adapter/peer/pack_test.go
@@ -46,6 +46,26 @@
 	}
 }
 
+// TestGapsArrive checks that routers learn of one another's gaps, of all kinds, and of how to treat them.
+func TestGapsArrive(t *testing.T) {
+	objects := message.StoredObjects{Revision: 9, Since: 3, Gaps: []message.Gap{{After: 4, Before: 6}, {After: 6, Before: 9}}}
+	for _, m := range []message.Message{
+		message.Copy{Targets: objects, Zones: objects, Rollouts: objects}, message.NeedCopy{Packed: true}, message.NeedCopy{DropsUnlisted: true},
+	} {
+		b, err := proto.Marshal(encode(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := new(peerpb.Envelope)
+		if err := proto.Unmarshal(b, e); err != nil {
+			t.Fatal(err)
+		}
+		if got := decode(e, member.Member{}); !reflect.DeepEqual(got, m) {
+			t.Errorf("%+v has become %+v", m, got)
+		}
+	}
+}
+
 // TestListOfWholeFleetFitsIntoMessage checks that the list of 20,000 targets, twice the largest
 // known fleet, fits into one message with room for twice as many.
 func TestListOfWholeFleetFitsIntoMessage(t *testing.T) {
--- a/internal/adapter/peer/status.go
+++ b/internal/adapter/peer/status.go
@@ -103,7 +103,7 @@
 	out := &peerpb.Copy{
 		ConfigRevision: m.ConfigRevision, Config: m.Config, TargetsRevision: m.Targets.Revision,
 		Since: m.Targets.Since, Targets: encodeObjects(m.Targets.List), Gone: encodeObjects(m.Targets.Removed),
-		UnstableMs: uint32(m.UnstableFor.Milliseconds()),
+		Gaps: encodeGaps(m.Targets.Gaps), UnstableMs: uint32(m.UnstableFor.Milliseconds()),
 	}
 	out.Zones, out.Rollouts = encodeStored(m.Zones), encodeStored(m.Rollouts)
 	return out
@@ -113,15 +113,34 @@
 	if m.Revision == 0 {
 		return nil
 	}
-	return &peerpb.StoredObjects{Revision: m.Revision, Since: m.Since, List: encodeObjects(m.List), Gone: encodeObjects(m.Removed)}
+	return &peerpb.StoredObjects{
+		Revision: m.Revision, Since: m.Since, List: encodeObjects(m.List), Gone: encodeObjects(m.Removed), Gaps: encodeGaps(m.Gaps),
+	}
 }
 
 func decodeStored(m *peerpb.StoredObjects) message.StoredObjects {
 	return message.StoredObjects{
 		Revision: m.GetRevision(), Since: m.GetSince(), List: decodeObjects(m.GetList()), Removed: decodeObjects(m.GetGone()),
+		Gaps: decodeGaps(m.GetGaps()),
 	}
 }
 
+func encodeGaps(list []message.Gap) []*peerpb.Gap {
+	var out []*peerpb.Gap
+	for _, g := range list {
+		out = append(out, &peerpb.Gap{After: g.After, Before: g.Before})
+	}
+	return out
+}
+
+func decodeGaps(list []*peerpb.Gap) []message.Gap {
+	var out []message.Gap
+	for _, g := range list {
+		out = append(out, message.Gap{After: g.GetAfter(), Before: g.GetBefore()})
+	}
+	return out
+}
+
 func encodeObjects(list []message.StoredObject) []*peerpb.StoredObject {
 	var out []*peerpb.StoredObject
 	for _, t := range list {
@@ -135,6 +154,7 @@
 		ConfigRevision: m.GetConfigRevision(), Config: m.GetConfig(),
 		Targets: message.StoredObjects{
 			Revision: m.GetTargetsRevision(), Since: m.GetSince(), List: decodeObjects(m.GetTargets()), Removed: decodeObjects(m.GetGone()),
+			Gaps: decodeGaps(m.GetGaps()),
 		},
 		Zones: decodeStored(m.GetZones()), Rollouts: decodeStored(m.GetRollouts()),
 		UnstableFor: time.Duration(m.GetUnstableMs()) * time.Millisecond,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -372,7 +372,8 @@
 
 // Copy returns what a router lacks that has the revisions in need.
 func (c *Catalog) Copy(now time.Time, need message.NeedCopy) message.Copy {
-	out := message.Copy{Packed: need.Packed, Targets: c.targets.since(need.Targets), Zones: c.zones.since(need.Zones), Rollouts: c.rollouts.since(need.Rollouts)}
+	out := message.Copy{Packed: need.Packed, Rollouts: c.rollouts.since(need.Rollouts, need.DropsUnlisted)}
+	out.Targets, out.Zones = c.targets.since(need.Targets, need.DropsUnlisted), c.zones.since(need.Zones, need.DropsUnlisted)
 	if c.table != nil && c.Newest().ConfigNewerThan(need.Revisions) {
 		out.ConfigRevision, out.Config = c.configRevision, c.config
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -72,7 +72,7 @@
 	return slices.Collect(maps.Values(h.at(revision)))
 }
 
-// TestCopies updates the catalogs of two routers from a store, with delayed, partial and
+// TestCopies updates the catalogs of three routers from a store, with delayed, partial and
 // repeated lists and changes, and from each other. It compares their targets with those of the
 // store as of the revision that the catalog returns.
 func TestCopies(t *testing.T) {
@@ -80,8 +80,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		h := &history{}
-		pair := []*catalog.Catalog{catalog.New(codec{}, drainPeriod, entryTTL), catalog.New(codec{}, drainPeriod, entryTTL)}
-		which := func() *catalog.Catalog { return pair[rapid.IntRange(0, 1).Draw(t, "router")] }
+		routers := make([]*catalog.Catalog, 3)
+		for i := range routers {
+			routers[i] = catalog.New(codec{}, drainPeriod, entryTTL)
+		}
+		which := func() *catalog.Catalog { return routers[rapid.IntRange(0, 2).Draw(t, "router")] }
 		revision := func() int64 { return int64(rapid.IntRange(0, len(h.events)).Draw(t, "revision")) }
 		configs := map[*catalog.Catalog]int64{}
 		t.Repeat(map[string]func(*rapid.T){
@@ -107,9 +110,11 @@
 				noneIgnored(t, c)
 			},
 			"copy": func(t *rapid.T) {
-				i := rapid.IntRange(0, 1).Draw(t, "to")
-				to, from := pair[i], pair[1-i]
-				m := from.Copy(now, message.NeedCopy{Revisions: message.Revisions{Config: to.ConfigRevision(), Targets: to.TargetsRevision()}})
+				i := rapid.IntRange(0, 2).Draw(t, "to")
+				to, from := routers[i], routers[(i+rapid.IntRange(1, 2).Draw(t, "from"))%3]
+				m := from.Copy(now, message.NeedCopy{
+					Revisions: message.Revisions{Config: to.ConfigRevision(), Targets: to.TargetsRevision()}, DropsUnlisted: rapid.Bool().Draw(t, "drops"),
+				})
 				to.Merge(now, m)
 				noneIgnored(t, to)
 				if to.TargetsRevision() < from.TargetsChanged() {
@@ -128,7 +133,7 @@
 				}
 			},
 			"": func(t *rapid.T) {
-				for _, c := range pair {
+				for _, c := range routers {
 					if c.ConfigRevision() < configs[c] {
 						t.Fatalf("configuration went back to revision %d", c.ConfigRevision())
 					}
--- a/internal/catalog/eras_test.go
+++ b/internal/catalog/eras_test.go
@@ -211,9 +211,9 @@
 			},
 			"read":    func(*rapid.T) { which("router").read(s, fmt.Sprint(stored), false) },
 			"receive": func(t *rapid.T) { which("router").receive(t, now) },
-			"send copy": func(*rapid.T) {
+			"send copy": func(t *rapid.T) {
 				from, to := which("from"), which("to")
-				copies = append(copies, eraCopy{to, from.Copy(now, message.NeedCopy{Revisions: to.Complete()})})
+				copies = append(copies, eraCopy{to, from.Copy(now, message.NeedCopy{Revisions: to.Complete(), DropsUnlisted: rapid.Bool().Draw(t, "drops")})})
 			},
 			"receive copy": func(t *rapid.T) {
 				if len(copies) == 0 {
--- a/internal/catalog/gap_copy_test.go
+++ b/internal/catalog/gap_copy_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -30,3 +31,44 @@
 		t.Errorf("%q in use as of %d", got, routers[2].TargetsRevision())
 	}
 }
+
+// TestChangesInGap guards against whole lists for all routers whose own list is as of a revision in the gap of another one,
+// when the store has dropped its history.
+func TestChangesInGap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, n := range fleetSizes {
+		for name, drops := range map[string]bool{"of this release": true, "of an earlier one": false} {
+			reader, third, inGap := fleetCatalog(now, n), fleetCatalog(now, n), fleetCatalog(now, n)
+			at := int64(n)
+			inGap.ApplyTargets(now, at+2, []catalog.Change{{StoredObject: fleetEntry(n, at+1)}, {StoredObject: fleetEntry(0, at+2)}})
+			var list []message.StoredObject
+			for i := 1; i < n; i++ {
+				list = append(list, fleetEntry(i, int64(i+1)))
+			}
+			list[0].Revision = at + 4
+			reader.SetTargets(now, at+5, list)
+			third.Merge(now, reader.Copy(now, message.NeedCopy{Revisions: third.Complete(), DropsUnlisted: true}))
+			m := third.Copy(now, message.NeedCopy{Revisions: inGap.Complete(), DropsUnlisted: drops})
+			if want := map[bool]int{true: 1, false: n - 1}[drops]; len(m.Targets.List) != want {
+				t.Errorf("%d targets, a router %s: copy with %d of them, want %d", n, name, len(m.Targets.List), want)
+			}
+			inGap.Merge(now, m)
+			if !slices.Equal(third.Targets(), inGap.Targets()) || inGap.TargetsRevision() != third.TargetsRevision() {
+				t.Errorf("%d targets, a router %s: lists differ after the copy", n, name)
+			}
+		}
+	}
+}
+
+// TestChangesWithoutGaps guards against a list that counts as complete though a router of an earlier release, which
+// doesn't tell its gaps, chose its changes for an older one, and against the removal of what is newer than they are.
+func TestChangesWithoutGaps(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := catalog.New(bornCodec{}, drainPeriod, entryTTL)
+	// The entry ahead was written while the list was read.
+	c.SetTargets(now, 2, []message.StoredObject{entryOf("gone", 2, "1"), entryOf("ahead", 9, "1")})
+	c.Merge(now, message.Copy{Targets: message.StoredObjects{Revision: 4, Since: 1, List: []message.StoredObject{entryOf("a", 3, "1")}}})
+	if got := inUse(c); got != "a@1 ahead@1" || c.TargetsRevision() != 2 {
+		t.Errorf("%q in use as of %d, want a and the one ahead as of 2", got, c.TargetsRevision())
+	}
+}
--- a/internal/catalog/incarnation_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -236,7 +236,9 @@
 			},
 			"copy": func(t *rapid.T) {
 				from, to := known[router.Draw(t, "from")], known[router.Draw(t, "to")]
-				to.Merge(now, from.Copy(now, message.NeedCopy{Revisions: message.Revisions{Targets: to.TargetsRevision()}}))
+				to.Merge(now, from.Copy(now, message.NeedCopy{
+					Revisions: message.Revisions{Targets: to.TargetsRevision()}, DropsUnlisted: rapid.Bool().Draw(t, "drops"),
+				}))
 			},
 			"": func(*rapid.T) {
 				for i := range known {
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -36,8 +36,9 @@
 	// after the revision goneSince.
 	gone      map[string]int64
 	goneSince int64
-	// gaps are the spans between two revisions of which nothing is known here but their ends.
-	gaps []gap
+	// gaps are the spans between two revisions of which nothing is known here but their ends, in
+	// order.
+	gaps []message.Gap
 	// recent has the latest changes and removals, ordered by revision: all that were made after
 	// the revision recentSince.
 	recent      []recentChange
@@ -47,11 +48,6 @@
 	outdated func(known, received message.StoredObject) bool
 }
 
-// gap is the span after one revision and before another. Objects may have been added and removed
-// within it that were never known here, but may be known to a router whose list is as of a revision
-// within it.
-type gap struct{ after, before int64 }
-
 // maxGaps bounds the gaps that are remembered.
 const maxGaps = 8
 
@@ -107,30 +103,26 @@
 	return changes, true
 }
 
-// addGap notes that a list as of one revision was replaced by one as of a later one.
+// addGap notes that a list as of one revision was replaced by one as of a later one, here or at a
+// router whose changes are merged.
 func (r *replica) addGap(after, before int64) {
-	r.gaps = append(r.gaps, gap{after, before})
+	r.gaps = append(r.gaps, message.Gap{After: after, Before: before})
 	if len(r.gaps) > maxGaps {
 		// Whoever is as far behind as the oldest gap gets the whole list.
-		r.goneSince = max(r.goneSince, r.gaps[0].before)
+		r.goneSince = max(r.goneSince, r.gaps[0].Before)
 		r.gaps = slices.Delete(r.gaps, 0, 1)
 	}
 }
 
-// inGap reports whether a revision lies in a gap.
-func (r *replica) inGap(revision int64) bool {
-	return slices.ContainsFunc(r.gaps, func(g gap) bool { return g.after < revision && revision < g.before })
-}
-
 // hear takes note of the newest change that another router knows. It reports whether this router now has news for
 // others: a change that lies in a gap was never known here, so that whoever knows it lacks the list after the gap, even if
 // that showed no change here.
 func (r *replica) hear(changed int64) bool {
-	i := slices.IndexFunc(r.gaps, func(g gap) bool { return g.after < changed && changed < g.before })
-	if i < 0 || r.changed >= r.gaps[i].before {
+	gap, found := message.GapAt(r.gaps, changed)
+	if !found || r.changed >= gap.Before {
 		return false
 	}
-	r.changed = r.gaps[i].before
+	r.changed = gap.Before
 	return true
 }
 
@@ -258,18 +250,32 @@
 	}
 }
 
-// since returns what a router lacks whose list is complete as of the revision known.
-func (r *replica) since(known int64) message.StoredObjects {
+// since returns what a router lacks whose list is complete as of the revision known. If that lies in a gap, it gets the
+// changes since the beginning of the gap, and finds out itself what has gone, if it drops what is not listed. Others get the
+// complete list.
+func (r *replica) since(known int64, dropsUnlisted bool) message.StoredObjects {
 	if r.changed <= known {
 		return message.StoredObjects{}
 	}
 	out := message.StoredObjects{Revision: r.revision}
-	if known > 0 && known >= r.goneSince && !r.inGap(known) {
+	if gap, found := message.GapAt(r.gaps, known); found {
+		known = 0
+		if dropsUnlisted {
+			known = gap.After
+		}
+	}
+	if known >= r.goneSince {
 		out.Since = known
 	}
 	out.List, out.Removed = r.changesAfter(out.Since)
 	if out.Since == 0 {
 		out.Removed = nil
+		return out
+	}
+	for _, g := range r.gaps {
+		if g.Before > out.Since {
+			out.Gaps = append(out.Gaps, g)
+		}
 	}
 	return out
 }
@@ -281,9 +287,11 @@
 }
 
 // merge merges another router's objects and returns the changes. It returns false if nothing is
-// new, or if accepts rejects them. The copy is complete afterwards only if it still is as of the revision for
-// which the other router chose the changes: what became known meanwhile may have been removed in a gap of the
-// other one, which does not know it then.
+// new, or if accepts rejects them. What was changed here after the revision since which the other router tells the changes,
+// and is not listed, has been removed, perhaps in a gap of that one, which never knew it then.
+//
+// The copy is complete afterwards only if it still is as of the revision for which the other router chose the changes. An
+// earlier release doesn't tell its gaps, so that those after that revision would not be known here.
 func (r *replica) merge(m message.StoredObjects) ([]Change, bool) {
 	if !r.accepts(m) {
 		return nil, false
@@ -292,15 +300,30 @@
 		return r.replace(m.Revision, m.List)
 	}
 	changes := make([]Change, 0, len(m.List)+len(m.Removed))
+	told := make(map[string]bool, cap(changes))
 	for _, o := range m.List {
+		told[o.Name] = true
 		changes = append(changes, Change{StoredObject: o})
 	}
+	own, _ := r.changesAfter(m.Since)
+	for _, o := range own {
+		if !told[o.Name] && o.Revision <= m.Revision {
+			told[o.Name] = true
+			changes = append(changes, Change{StoredObject: message.StoredObject{Name: o.Name, Revision: m.Revision}, Gone: true})
+		}
+	}
 	for _, o := range m.Removed {
-		changes = append(changes, Change{StoredObject: o, Gone: true})
+		if !told[o.Name] {
+			changes = append(changes, Change{StoredObject: o, Gone: true})
+		}
+	}
+	if _, found := message.GapAt(m.Gaps, r.revision); m.Since != r.revision && !found {
+		return r.apply(r.revision, changes), len(changes) > 0
 	}
-	complete := m.Revision
-	if m.Since != r.revision {
-		complete = r.revision
+	for _, g := range m.Gaps {
+		if g.Before > r.revision {
+			r.addGap(max(g.After, r.revision), g.Before)
+		}
 	}
-	return r.apply(complete, changes), len(changes) > 0
+	return r.apply(m.Revision, changes), len(changes) > 0
 }
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -56,7 +56,7 @@
 func (g *Gateway) requestCopy(now time.Time, from member.Member, known message.Revisions) {
 	if now.Sub(g.lastCopyRequest) >= max(copyRequestInterval, g.newsInterval()/2) {
 		g.lastCopyRequest = now
-		g.sendTo(from, message.NeedCopy{Revisions: known, Packed: true})
+		g.sendTo(from, message.NeedCopy{Revisions: known, Packed: true, DropsUnlisted: true})
 	}
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/enginespeed"
@@ -300,6 +301,25 @@
 	// after it, without values.
 	Since         int64
 	List, Removed []StoredObject
+	// Gaps are the sender's gaps that end after Since. Senders of earlier releases name none.
+	Gaps []Gap
+}
+
+// Gap is the span after one revision and before another. Objects may have been added and removed
+// within it that a router never knew, but that are known to others whose list is as of a revision
+// within it.
+type Gap struct{ After, Before int64 }
+
+// Contains reports whether a revision lies within the gap.
+func (g Gap) Contains(revision int64) bool { return g.After < revision && revision < g.Before }
+
+// GapAt returns the first of some gaps in which a revision lies, or false if there is none.
+func GapAt(gaps []Gap, revision int64) (Gap, bool) {
+	i := slices.IndexFunc(gaps, func(g Gap) bool { return g.Contains(revision) })
+	if i < 0 {
+		return Gap{}, false
+	}
+	return gaps[i], true
 }
 
 // StoredObject is an object in the store.
@@ -314,6 +334,9 @@
 	Revisions
 	// Packed is set if the sender accepts a compressed Copy, and one in fragments.
 	Packed bool
+	// DropsUnlisted is set if the sender takes objects that it knows as changed after Since, and
+	// that the List lacks, for removed. Then Since may be before its revision.
+	DropsUnlisted bool
 }
 
 // RouterState tells whether a router is believed to be running.
