A relay's status tells nothing of the options of the server behind it

Cause: a target without a path for its status or health is asked for its options, and any status counted, also the 502, 503 or 504 by which a relay says that it gets no answer from its server: on the spare connection, which the relay keeps, a cut answer looked complete. Found by reading.

Change: these three count as no testimony. A target that answers so itself, without a name and without saying that it did not run the request, has no witness but bytes on another connection.

Result: three new cases of TestRelayAnswersInPlaceOfProcess fail before and pass since; forward passes with -race.

--- a/internal/forward/relay_witness_test.go
+++ b/internal/forward/relay_witness_test.go
@@ -25,6 +25,9 @@
 		"a relay answers first":            {healthPath: wellPath, before: http.StatusBadGateway, after: http.StatusOK},
 		"a relay answers last":             {healthPath: wellPath, before: http.StatusOK, after: http.StatusBadGateway},
 		"the process tells its options":    {before: http.StatusNotFound, after: http.StatusNotFound, complete: true},
+		"a relay tells none first":         {before: http.StatusGatewayTimeout, after: http.StatusNotFound},
+		"a relay tells none last":          {before: http.StatusNotFound, after: http.StatusBadGateway},
+		"a relay is without a server":      {before: http.StatusNotFound, after: http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/forward/witness.go
+++ b/internal/forward/witness.go
@@ -97,7 +97,7 @@
 	// The answer's head is evidence enough; what the body lacks is not known.
 	text, _ := readStatus(a)
 	t := testimony{named: a.Header.Get(h.ServedBy) != "", known: a.IsConnectionKnown(), connectedAt: a.ConnectedAt()}
-	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions || a.Header.Get(h.NotRun) != ""
+	t.goesOn = t.named || a.Status == http.StatusOK || question == serverOptions && !ofRelay(a.Status) || a.Header.Get(h.NotRun) != ""
 	if born, ok := q.started(text); ok && to.Born != 0 && question == q.question() {
 		if born > to.Born {
 			return testimony{}, httptarget.ErrOtherProcess
@@ -113,6 +113,11 @@
 	return t, nil
 }
 
+// ofRelay reports whether a relay answers with a status in place of a server that it gets no answer from.
+func ofRelay(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
 // readStatus reads the status in an answer, as far as it is JSON. It does not wait for the end of an answer that ends with
 // its connection: whether that is whole may be what is asked for, and JSON needs no other mark of its end.
 func readStatus(a *httptarget.Answer) (json.RawMessage, error) {
