--- a/internal/httptarget/together.go
+++ b/internal/httptarget/together.go
@@ -135,6 +135,10 @@
 // endedTogether reports whether all other exchanges with the process of an answer that ended with its connection, or all
 // other connections to it, at least one, have ended in the same moment. Whole answers without a length rarely do so by
 // chance, and a caller that takes a cut one for whole is worse off than one that asks again.
+//
+// At busy processes they do, and each of two rules excepts what the other one does not. Where answers take long, others go
+// on then (answersGoOn), however few have ended lately. Where they are short, it may be that none does, but many have
+// ended at other times (maxEndsApart).
 func (t *Transport) endedTogether(e end) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
