How many connections callers may have open is decided by a package of its own

internal/room was the state of internal/ingress behind conns.mu, spread over room.go, leaving.go, handover.go, last.go and conn.go: room for new connections, those of other routers, which idle one is closed, and what a stop waits for. A connection holds a room.Place; the HTTP server's side stays in ingress.

Tests of ingress took conns.mu themselves to have an idle connection evicted before the request that was read there could be marked. They now fill the room and have it make room for a connection of another router, with the lock held by the room meanwhile.

--- a/internal/ingress/account.go
+++ b/internal/ingress/account.go
@@ -20,7 +20,7 @@
 // beginRequest begins the account of a request of which the first bytes have been read.
 func (c *conn) beginRequest() {
 	c.unanswered.Store(true)
-	c.inHead.Store(true)
+	c.place.BeginHead()
 	if c.request.Load() == nil {
 		c.request.Store(c.server.requests.Begin(clock.Now()))
 	}
--- a/internal/ingress/arrived_id_internal_test.go
+++ b/internal/ingress/arrived_id_internal_test.go
@@ -74,7 +74,7 @@
 			g := group.New(t.Context())
 			defer g.Stop()
 			defer checkAccount(t, s)
-			s.conns.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
+			s.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
 			caller := dialServer(t, l.Addr(), c.text)
 			time.Sleep(20 * time.Millisecond)
 			g.Go(func() { _ = s.Serve(l) })
@@ -109,18 +109,16 @@
 		for name, c := range arrivedRequests {
 			t.Run(name+" after "+before, func(t *testing.T) {
 				s := newTestServer(anyResult{}, false)
+				evictOldest, idle := fillRoom(s), noteIdle(s)
 				caller := dialServer(t, startTestServer(t, s), first)
 				if got := status(caller); got != http.StatusServiceUnavailable {
 					t.Fatal("status", got)
 				}
-				for s.idleConns() == 0 {
-					time.Sleep(time.Millisecond)
-				}
-				s.conns.mu.Lock()
-				fmt.Fprint(caller, c.text)
-				time.Sleep(20 * time.Millisecond)
-				s.conns.evictOldest()
-				s.conns.mu.Unlock()
+				<-idle
+				evictOldest(func() {
+					fmt.Fprint(caller, c.text)
+					time.Sleep(20 * time.Millisecond)
+				})
 				checkRefused(t, caller, c.id)
 			})
 		}
--- a/internal/ingress/arrived_internal_test.go
+++ b/internal/ingress/arrived_internal_test.go
@@ -20,12 +20,12 @@
 		want   ends
 	}{
 		"it is served":  {func(*Server) {}, ends{lifecycle.Answered: 2}},
-		"it is refused": {func(s *Server) { s.conns.close() }, ends{lifecycle.Answered: 1, lifecycle.Refused: 1}},
+		"it is refused": {func(s *Server) { s.room.Close() }, ends{lifecycle.Answered: 1, lifecycle.Refused: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newTestServer(anyResult{}, true)
-			s.conns.max = 1
+			s.limitConnections(1)
 			serving, release := make(chan struct{}, 2), make(chan struct{})
 			s.server.Handler = s.accounted(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				serving <- struct{}{}
--- a/internal/ingress/buffered_internal_test.go
+++ b/internal/ingress/buffered_internal_test.go
@@ -22,19 +22,16 @@
 		"a head in its body":      {text(fmt.Sprintf("X-Id: 1\r\nContent-Length: %d\r\n", len(otherHead)+1), "x"), otherHead},
 		"a part of it, in chunks": {text("X-Id: 1\r\n"+chunked, chunkedBody[:6]), chunkedBody[6:]},
 	}
-	ends := map[string]func(s *Server){
-		"evicted": func(s *Server) {
-			s.conns.mu.Lock()
-			defer s.conns.mu.Unlock()
-			s.conns.evictOldest()
-		},
-		"idle ones ended": func(s *Server) { s.conns.end() },
+	ends := map[string]func(s *Server, evictOldest func(func()) bool){
+		"evicted":         func(_ *Server, evictOldest func(func()) bool) { evictOldest(func() {}) },
+		"idle ones ended": func(s *Server, _ func(func()) bool) { s.room.End() },
 	}
 	for before, first := range befores {
 		for name, c := range requests {
 			for how, end := range ends {
 				t.Run(name+" after "+before+", "+how, func(t *testing.T) {
 					s := newTestServer(anyResult{}, false)
+					evictOldest := fillRoom(s)
 					serving, ended := make(chan context.Context, 2), make(chan struct{})
 					s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 						noteServing(r.Context())
@@ -52,7 +49,7 @@
 					caller := dialServer(t, startTestServer(t, s), first+c.now)
 					<-serving
 					time.Sleep(10 * time.Millisecond)
-					end(s)
+					end(s, evictOldest)
 					time.Sleep(10 * time.Millisecond)
 					wait.Go(func() {
 						time.Sleep(10 * time.Millisecond)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -2,13 +2,11 @@
 
 import (
 	"bytes"
-	"container/list"
 	"context"
 	"io"
 	"math"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -16,11 +14,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
 	"github.com/stepcroft/stepcroft/internal/httphead"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 )
 
@@ -28,16 +26,12 @@
 type conn struct {
 	net.Conn
 	server *Server
-	conns  *conns
-	// received is set if another router handed the connection over, which runs at host.
-	received bool
-	host     netip.Addr
+	// place is its place among the open connections.
+	place room.Place
 	// betweenRequests is set while no request is being read or served, when the next bytes
 	// start a new one. It needs no lock: only one goroutine of the HTTP server reads then.
 	betweenRequests bool
-	// unreadElement is the connection's element in conns.arrivals. The first read removes it from
-	// there and sets firstReadDone.
-	unreadElement *list.Element
+	// firstReadDone is set by the first read, which removes the connection from the arrivals.
 	firstReadDone bool
 	// readAhead holds the bytes that the listener read in advance and the HTTP server has not
 	// read yet.
@@ -62,25 +56,6 @@
 	// closedAs is how a request without an answer ends as the connection was closed, nil before.
 	closedAs atomic.Pointer[lifecycle.End]
 	closing  sync.Once
-
-	// evicted is set, with conns.mu held, if the connection ends while it is idle: to make room for another
-	// one, or since the server shuts down.
-	evicted atomic.Bool
-	// beginning is set from the first byte of a request until its handler runs, and inHead until the HTTP server has
-	// read its head.
-	beginning, inHead atomic.Bool
-
-	// The fields below are guarded by conns.mu. idleElement is the connection's element in
-	// conns.idle, nil if it is not idle, since idleSince; refusing is set while Read refuses the last request and then
-	// closes the connection.
-	idleElement      *list.Element
-	idleSince        time.Time
-	refusing, closed bool
-	// waits is set while the connection counts in conns.receivedUnread.
-	waits bool
-	// inUse is set while a request is read or served, and leftOpen once a Close was left to the goroutine that serves
-	// the connection.
-	inUse, leftOpen bool
 }
 
 // lengthUnknown is the value of conn.unread if the ends of requests are not known, so that no later
@@ -100,7 +75,7 @@
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
 		c.head.Drop()
 		c.serving.Store(true)
-		c.begun()
+		c.place.Begun()
 	}
 }
 
@@ -129,7 +104,7 @@
 // close such connections, so that the router that its caller uses decides again which one serves it.
 func wasReceived(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.received
+	return ok && c.place.Received()
 }
 
 // endsConnection reports whether the answer to a request, which begins now, is to be the last one on its
@@ -138,8 +113,8 @@
 	if s.closing.Load() || routerLeaves(ctx) {
 		return true
 	}
-	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.conns.announceClose(long)
+	_, ok := ctx.Value(connKey{}).(*conn)
+	return ok && s.room.AnnounceClose(long)
 }
 
 // unacknowledged returns the number of bytes sent to the caller of a request that its host has not
@@ -183,7 +158,7 @@
 		c.betweenRequests = true
 		c.unanswered.Store(c.hasNext.Load())
 		c.serving.Store(false)
-		c.markIdle()
+		c.place.MarkIdle()
 		c.refuseNext()
 		c.finishClose(false)
 	}
@@ -191,7 +166,7 @@
 		if c.betweenRequests {
 			c.takeBuffered()
 		}
-		c.inHead.Store(false)
+		c.place.EndHead()
 	}
 	if state == http.StateClosed {
 		c.finishClose(true)
@@ -212,74 +187,12 @@
 	c.betweenRequests = false
 	c.setUnread(lengthUnknown, false)
 	c.beginRequest()
-	c.leaveIdle()
-}
-
-// markIdle marks the connection as idle.
-func (c *conn) markIdle() {
-	s := c.conns
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.idleSince, c.inUse = clock.Now(), false
-	if c.evicted.Load() || c.closed || c.idleElement != nil {
-		return
-	}
-	c.idleElement = s.idle.PushBack(c)
-	if s.ending.Load() {
-		s.evict(c)
-	} else {
-		s.evictIfRouterLeaves(c)
-	}
-}
-
-// leaveIdle marks the connection as not idle.
-func (c *conn) leaveIdle() {
-	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	c.removeIdle()
-	c.inUse = true
-}
-
-// removeIdle is leaveIdle; mu must be held.
-func (c *conn) removeIdle() {
-	if c.idleElement != nil {
-		c.conns.idle.Remove(c.idleElement)
-		c.idleElement = nil
-	}
-}
-
-// markInUse marks the connection as in use, with a request that begins. It returns false if the connection
-// is to end; Read must then close it.
-func (c *conn) markInUse() bool {
-	s := c.conns
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.removeIdle()
-	c.begin()
-	if c.refusing = c.evicted.Load() || s.ending.Load(); c.refusing {
-		c.begun()
-	}
-	c.inUse = !c.refusing
-	return c.inUse
-}
-
-// begin counts a request that begins.
-func (c *conn) begin() {
-	if !c.beginning.Swap(true) {
-		c.conns.beginning.Add(1)
-	}
-}
-
-// begun undoes begin, if it was called, when the handler of the request runs or the connection ends.
-func (c *conn) begun() {
-	if c.beginning.Swap(false) {
-		c.conns.beginning.Add(-1)
-	}
+	c.place.LeaveIdle()
 }
 
 // Close implements net.Conn. Only the first call closes the connection; others wait for it.
 func (c *conn) Close() error {
-	if c.leaveOpen() {
+	if c.place.LeaveOpen() {
 		return nil
 	}
 	return c.close()
@@ -287,8 +200,8 @@
 
 func (c *conn) close() (err error) {
 	c.closing.Do(func() {
-		c.begun()
-		toClose, stopping := c.release()
+		c.place.Begun()
+		toClose, stopping := c.place.Release()
 		if !toClose {
 			return
 		}
@@ -298,25 +211,6 @@
 	return err
 }
 
-// release removes the connection from conns. It returns false if it is closed already, or by Read. stopping
-// is set if the listener is closed.
-func (c *conn) release() (toClose, stopping bool) {
-	s := c.conns
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	toClose = !c.closed && !c.refusing
-	if c.evicted.Load() || c.closed {
-		c.closed = true
-		return toClose, s.closed
-	}
-	c.closed = true
-	s.arrivals.Remove(c.unreadElement)
-	c.removeIdle()
-	s.countClosed(c)
-	s.changed.Signal()
-	return toClose, s.closed
-}
-
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if !c.serving.Load() && (c.betweenRequests || c.unanswered.Load()) {
@@ -356,7 +250,7 @@
 		return false
 	}
 	c.firstReadDone = true
-	return c.conns.dequeue(c)
+	return c.place.Dequeue()
 }
 
 // readInput returns the bytes that the listener read in advance, then reads from the connection.
@@ -391,10 +285,13 @@
 	c.setUnread(requestLength(h, size, ok)-1-len(rest), false)
 }
 
+// past is a deadline that ends reads at once.
+var past = time.Unix(1, 0)
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
-	if c.evicted.Load() {
+	if c.place.Evicted() {
 		err = c.Conn.SetReadDeadline(past)
 	}
 	return err
@@ -410,7 +307,7 @@
 	}
 	for {
 		n, err := c.readInput(b)
-		if !c.betweenRequests || (n == 0 || err != nil) && !c.evicted.Load() {
+		if !c.betweenRequests || (n == 0 || err != nil) && !c.place.Evicted() {
 			c.setUnread(c.unread-n, n == 1 && len(b) == 1)
 			if len(b) > 1 {
 				c.head.Add(b[:n])
@@ -421,9 +318,9 @@
 			return n, err
 		}
 		c.betweenRequests = false
-		if !c.markInUse() {
+		if !c.place.MarkInUse() {
 			reason, after := refusal.ProcessFull, refusal.NotReadyRetryAfter
-			if c.conns.ending.Load() || c.routerLeaves() {
+			if c.server.room.Ending() || c.place.RouterLeaves() {
 				reason, after = refusal.Leaving, refusal.LeavingRetryAfter
 			}
 			c.refuseLast(b[:n], reason, after)
@@ -444,9 +341,9 @@
 			c.setUnread(length-n, false)
 			return n, nil
 		}
-		c.inHead.Store(false)
-		c.begun()
+		c.place.EndHead()
+		c.place.Begun()
 		c.betweenRequests = true
-		c.markIdle()
+		c.place.MarkIdle()
 	}
 }
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -62,6 +62,7 @@
 
 // ReadAll reads from a connection to its end, as the HTTP server does, which gets no request that is refused quickly.
 func (s *Server) ReadAll(raw net.Conn) {
-	c := &conn{Conn: raw, server: s, conns: s.conns, betweenRequests: true, firstReadDone: true}
+	c := &conn{Conn: raw, server: s, betweenRequests: true, firstReadDone: true}
+	s.room.Admit(&c.place, raw, nil)
 	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c})
 }
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -1,10 +1,11 @@
 package ingress
 
 import (
-	"container/list"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -97,17 +98,17 @@
 // ServeLocally implements handover.Arrival. The connection is rejected if it has waited for too long.
 func (a *arrival) ServeLocally() {
 	early, account := earlyrefusal.TCP(a.conn), a.server.early.Begin(len(a.ahead))
-	if backlog.Overdue(clock.Since(a.accepted), a.conns.overloaded()) {
+	if backlog.Overdue(clock.Since(a.accepted), a.server.overloaded()) {
 		a.server.early.RejectRead(early, account, a.ahead)
 		return
 	}
-	element := a.conns.enqueue()
+	element := a.server.room.Accept()
 	if element == nil {
 		a.server.early.RejectRead(early, account, a.ahead)
 		return
 	}
 	if a.server.refusesEarly() && a.server.refuseOverload(early, account, a.ahead) {
-		a.conns.arrivals.Remove(element)
+		a.server.arrivals.Remove(element)
 		return
 	}
 	c, err := a.admit(a.conn, element, account, a.ahead)
@@ -152,82 +153,24 @@
 	return errors.Wrap(err, "serve handed-over connections")
 }
 
-// maxUnreadReceived is the number of handed-over connections that may wait for their first read. The
-// CPU utilisation is up to a second old, in which many senders can offer more than a router can serve.
-const maxUnreadReceived = 8
-
 // ReceivesLate reports whether connections that are handed over now would wait too long for CPU time.
-func (s *Server) ReceivesLate() bool {
-	s.conns.mu.Lock()
-	defer s.conns.mu.Unlock()
-	return s.conns.receivesLate()
-}
-
-// receivesLate is ReceivesLate; mu must be held.
-func (s *conns) receivesLate() bool {
-	return s.receivedUnread >= maxUnreadReceived || s.arrivals.Late(clock.Now(), s.overloaded())
-}
+func (s *Server) ReceivesLate() bool { return s.room.ReceivesLate() }
 
 // ReserveReceived counts a connection of another router as open, without blocking. It returns false
 // if the server is not ready, if ReceivesLate, if half of its callers' connections are handed-over ones,
 // or if there is no room for another connection.
-func (s *Server) ReserveReceived() bool { return s.Ready() && s.conns.reserveReceived() }
+func (s *Server) ReserveReceived() bool { return s.Ready() && s.room.ReserveReceived() }
 
 // ReleaseReceived undoes a call of ReserveReceived if the connection was lost.
-func (s *Server) ReleaseReceived() {
-	s.conns.mu.Lock()
-	defer s.conns.mu.Unlock()
-	s.conns.open--
-	s.conns.received--
-	s.conns.receivedUnread--
-	last := len(s.conns.reserved) - 1
-	s.conns.arrivals.Remove(s.conns.reserved[last])
-	s.conns.reserved = s.conns.reserved[:last]
-	s.conns.changed.Signal()
-}
+func (s *Server) ReleaseReceived() { s.room.ReleaseReceived() }
 
-// reserveReceived is reserve for a connection of another router. It returns false instead of
-// waiting.
-func (s *conns) reserveReceived() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || s.receivesLate() || s.received >= s.max/2 && !s.evictOldestReceived() {
-		return false
-	}
-	if s.open >= s.max && !s.evictOldest() {
-		return false
-	}
-	element := s.arrivals.Enqueue(clock.Now(), s.overloaded())
-	if element == nil {
-		return false
-	}
-	s.reserved = append(s.reserved, element)
-	s.open++
-	s.received++
-	s.receivedUnread++
-	return true
-}
+// EndReceived makes the server end the connections that leaving routers handed over, as room.Room.EndReceived does.
+func (s *Server) EndReceived(staying map[netip.Addr]bool) { s.room.EndReceived(staying) }
 
-// takeReserved returns the element of the reservation that is the oldest.
-func (s *conns) takeReserved() *list.Element {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	element := s.reserved[0]
-	s.reserved = s.reserved[1:]
-	return element
-}
-
-// evictOldestReceived closes the handed-over connection that has been idle for the longest, and
-// returns false if there is none. Otherwise the callers of another router could fill the limit with
-// connections that they only keep open. mu must be held.
-func (s *conns) evictOldestReceived() bool {
-	for e := s.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); c.received && sockopt.Idle(c.Conn) {
-			s.evict(c)
-			return true
-		}
-	}
-	return false
+// routerLeaves reports whether the connection of a request was handed over by a router that is leaving.
+func routerLeaves(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.place.RouterLeaves()
 }
 
 // receivedListener accepts the connections that other routers hand over.
@@ -242,9 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := l.server.conns
-	return &conn{
-		Conn: raw, server: l.server, conns: s, received: true, host: remoteHost(raw), waits: true, betweenRequests: true,
-		unreadElement: s.takeReserved(),
-	}, nil
+	c := &conn{Conn: raw, server: l.server, betweenRequests: true}
+	l.server.room.AdmitReceived(&c.place, raw)
+	return c, nil
 }
--- a/internal/ingress/handover_internal_test.go
+++ b/internal/ingress/handover_internal_test.go
@@ -12,6 +12,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/handover"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 )
 
 // TestReceivedBacklog guards against senders that together hand over more than a router has CPU time
@@ -25,7 +26,7 @@
 	in := receivedListener{l, s}
 	defer in.Close()
 	var accepted []net.Conn
-	for s.conns.reserveReceived() {
+	for s.room.ReserveReceived() {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -38,8 +39,8 @@
 		}
 		accepted = append(accepted, a)
 	}
-	if len(accepted) != maxUnreadReceived || !s.ReceivesLate() {
-		t.Fatalf("%d accepted, want %d; late: %v", len(accepted), maxUnreadReceived, s.ReceivesLate())
+	if len(accepted) != room.MaxUnreadReceived || !s.ReceivesLate() {
+		t.Fatalf("%d accepted, want %d; late: %v", len(accepted), room.MaxUnreadReceived, s.ReceivesLate())
 	}
 	// Reading one makes room, and so does closing one.
 	if _, err := accepted[0].Read(make([]byte, 1)); err != nil {
@@ -48,7 +49,7 @@
 	_ = accepted[0].Close()
 	_ = accepted[1].Close()
 	for i, want := range []bool{true, true, false} {
-		if got := s.conns.reserveReceived(); got != want {
+		if got := s.room.ReserveReceived(); got != want {
 			t.Errorf("reservation %d: %v", i, got)
 		}
 	}
--- a/internal/ingress/idle_id_internal_test.go
+++ b/internal/ingress/idle_id_internal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,20 +17,18 @@
 // server has read the head of that one with the request before, and stops before or after the router knows that the answer
 // is over.
 func TestStopRefusesNoIDInBody(t *testing.T) {
-	stopped := func(s *Server) {
-		for !s.conns.shut.Load() {
-			time.Sleep(time.Millisecond)
-		}
+	stopped := func(shut <-chan struct{}) {
+		<-shut
 		time.Sleep(50 * time.Millisecond)
 	}
-	for name, note := range map[string]func(s *Server, raw net.Conn){
-		"before": func(s *Server, raw net.Conn) {
-			stopped(s)
+	for name, note := range map[string]func(shut <-chan struct{}, raw net.Conn){
+		"before": func(shut <-chan struct{}, raw net.Conn) {
+			stopped(shut)
 			connState(raw, http.StateIdle)
 		},
-		"after": func(s *Server, raw net.Conn) {
+		"after": func(shut <-chan struct{}, raw net.Conn) {
 			connState(raw, http.StateIdle)
-			stopped(s)
+			stopped(shut)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -37,14 +36,15 @@
 			s := newTestServer(anyResult{}, false)
 			g := group.New(t.Context())
 			defer g.Stop()
-			idle := make(chan struct{})
+			idle, shut := make(chan struct{}), make(chan struct{})
+			s.server.RegisterOnShutdown(sync.OnceFunc(func() { close(shut) }))
 			s.server.ConnState = func(raw net.Conn, state http.ConnState) {
 				if state != http.StateIdle {
 					connState(raw, state)
 					return
 				}
 				close(idle)
-				note(s, raw)
+				note(shut, raw)
 			}
 			caller := dialServer(t, startTestServer(t, s), wholeRequest+text("Content-Length: 43\r\n", ""))
 			answers := bufio.NewReader(caller)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/arrivals"
 	"github.com/stepcroft/stepcroft/internal/classify"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
@@ -29,6 +30,7 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -67,9 +69,13 @@
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
 	// memory is the budget for request bodies.
-	memory   *memory.Budget
-	conns    *conns
-	requests *lifecycle.Tracker
+	memory *memory.Budget
+	// arrivals has the connections that wait for their first read, room all that are open.
+	arrivals *arrivals.Queue
+	room     *room.Room
+	// overloaded reports whether the router is short of CPU time.
+	overloaded func() bool
+	requests   *lifecycle.Tracker
 	// cutRequests ends all requests that are served.
 	cutRequests func()
 	unanswered  unansweredCounter
@@ -103,9 +109,10 @@
 	s := &Server{
 		headerNames: names, classifier: classify.New(names),
 		forwarder: f, observer: o, memory: b, requests: t, log: l,
-		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
+		arrivals: arrivals.New(), overloaded: f.ShortOfCPU, maxOpen: int64(limits.Requests),
 	}
-	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.conns.arrivals, t, o, l)
+	s.room = room.New(limits.Connections, s.arrivals, s.overloaded)
+	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.arrivals, t, o, l)
 	served, cut := context.WithCancelCause(context.Background())
 	s.cutRequests = func() { cut(errStopped) }
 	s.server = &http.Server{
@@ -147,6 +154,13 @@
 	return s.classifier.Table() != nil && !s.closing.Load() && !s.paused.Load()
 }
 
+// TakeArrivalStats returns the statistics of new connections of the time since the last call.
+func (s *Server) TakeArrivalStats() arrivals.Stats {
+	out := s.arrivals.TakeStats()
+	out.Open, out.Received = s.room.Counts()
+	return out
+}
+
 // OpenRequests returns the number of requests being served.
 func (s *Server) OpenRequests() int64 { return s.open.Load() }
 
@@ -182,12 +196,12 @@
 // it closes them too, but for those whose last request is awaited or refused, and returns the error of ctx if there were
 // such, or requests were still served. Requests that begin from then on are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.conns.end()
+	s.room.End()
 	s.awaitBeginning(ctx)
-	s.conns.shut.Store(true)
+	s.room.Stop()
 	err := s.server.Shutdown(ctx)
-	awaitZero(ctx, &s.conns.lasting)
-	lasting := s.conns.lasting.Load()
+	awaitZero(ctx, s.room.Lasting)
+	lasting := s.room.Lasting()
 	if err == nil && lasting > 0 {
 		err = ctx.Err()
 	}
@@ -197,7 +211,7 @@
 	}
 	open := s.open.Load()
 	s.answerOpen()
-	s.conns.forceClose()
+	s.room.ForceClose()
 	if closeErr := s.server.Close(); closeErr != nil {
 		s.log.Info("HTTP server for callers not closed", "cause", closeErr.Error())
 	}
@@ -243,12 +257,12 @@
 func (s *Server) awaitBeginning(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxBeginning)
 	defer cancel()
-	awaitZero(ctx, &s.conns.beginning)
+	awaitZero(ctx, s.room.Beginning)
 }
 
-// awaitZero waits until n is 0 or ctx ends.
-func awaitZero(ctx context.Context, n *atomic.Int64) {
-	for n.Load() > 0 {
+// awaitZero waits until n returns 0 or ctx ends.
+func awaitZero(ctx context.Context, n func() int64) {
+	for n() > 0 {
 		if !group.SleepUntil(ctx, clock.Now().Add(endingInterval)) {
 			return
 		}
@@ -257,7 +271,7 @@
 
 // Close closes the server and all its connections at once.
 func (s *Server) Close() error {
-	s.conns.forceClose()
+	s.room.ForceClose()
 	return errors.Wrap(s.server.Close(), "close HTTP server for callers")
 }
 
--- a/internal/ingress/last.go
+++ b/internal/ingress/last.go
@@ -15,10 +15,10 @@
 const maxUnannouncedWait = 100 * time.Millisecond
 
 // refuseLast refuses the request that begins with the bytes read, or that has arrived, if there is one, and
-// closes the connection. markInUse or refuseNext must have set refusing.
+// closes the connection. The place must have told that it is to.
 func (c *conn) refuseLast(read []byte, reason forward.Reason, after time.Duration) {
-	c.conns.lasting.Add(1)
-	defer c.conns.lasting.Add(-1)
+	c.place.BeginLast()
+	defer c.place.EndLast()
 	buffer := scratch.Get()
 	defer buffer.Put()
 	early := earlyrefusal.TCP(c.Conn)
@@ -26,11 +26,11 @@
 	n += early.ReadNow(buffer[n:])
 	// The HTTP server may have read the start of a request with the one before.
 	begun := c.unanswered.Load()
-	if n == 0 && !begun && c.conns.ending.Load() {
+	if n == 0 && !begun && c.server.room.Ending() {
 		n = c.awaitLast(buffer[:])
 	}
 	if n == 0 && !begun {
-		c.noteClosing(c.conns.ending.Load())
+		c.noteClosing(c.server.room.Ending())
 		// An error means that the caller has disconnected.
 		_ = c.Conn.Close()
 		return
@@ -45,7 +45,7 @@
 
 // awaitLast waits for a request that follows the last answer, and returns the number of bytes read.
 func (c *conn) awaitLast(b []byte) int {
-	wait := maxUnannouncedWait - clock.Since(c.idleSince)
+	wait := maxUnannouncedWait - clock.Since(c.place.IdleSince())
 	// An error of either call means that the caller has disconnected, or that no request has arrived.
 	if wait <= 0 || c.Conn.SetReadDeadline(clock.Deadline(wait)) != nil {
 		return 0
@@ -57,58 +57,21 @@
 // refuseNext refuses the request that follows the last answer and closes the connection, if the HTTP server, which
 // shuts down, would only close it.
 func (c *conn) refuseNext() {
-	s := c.conns
-	if !s.shut.Load() {
-		return
-	}
-	s.mu.Lock()
-	c.refusing = c.evicted.Load() && !c.closed
-	refusing := c.refusing
-	s.mu.Unlock()
-	if refusing {
+	if c.place.RefuseNext() {
 		c.betweenRequests = false
 		c.startUnknown = c.unread < -1
 		c.refuseLast(nil, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
 }
 
-// leaveOpen reports whether a Close is left to the goroutine that serves the connection. http.Server, which shuts down,
-// closes connections that it takes for idle, also if a request has arrived there that this goroutine refuses once it
-// knows of the end of the answer before. A head of which the rest does not arrive would keep the server from shutting down.
-func (c *conn) leaveOpen() bool {
-	s := c.conns
-	if !s.shut.Load() {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.forced || c.closed || c.refusing || !c.evicted.Load() && (!c.inUse || c.inHead.Load()) {
-		return false
-	}
-	if !c.leftOpen {
-		c.leftOpen = true
-		s.lasting.Add(1)
-	}
-	return true
-}
-
 // finishClose closes a connection that was left open, unless it goes on; a request that has arrived behind the last
 // answer is refused. ended is set if the HTTP server is done with the connection.
 func (c *conn) finishClose(ended bool) {
-	s := c.conns
-	if !s.shut.Load() {
-		return
-	}
-	s.mu.Lock()
-	leftOpen := c.leftOpen
-	c.leftOpen = false
-	refuses := ended && leftOpen && !c.inUse && c.evicted.Load() && !c.closed && !c.refusing
-	c.refusing = c.refusing || refuses
-	s.mu.Unlock()
+	leftOpen, refuses := c.place.FinishClose(ended)
 	if !leftOpen {
 		return
 	}
-	defer s.lasting.Add(-1)
+	defer c.place.EndLast()
 	if refuses {
 		c.startUnknown = c.unread < -1
 		c.refuseLast(nil, refusal.Leaving, refusal.LeavingRetryAfter)
@@ -118,10 +81,3 @@
 		_ = c.close()
 	}
 }
-
-// forceClose makes connections close whatever has arrived there.
-func (s *conns) forceClose() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.forced = true
-}
--- a/internal/ingress/last_cut_internal_test.go
+++ b/internal/ingress/last_cut_internal_test.go
@@ -55,7 +55,7 @@
 			var wait sync.WaitGroup
 			wait.Go(func() {
 				if err := s.Shutdown(ctx); errors.Is(err, context.Canceled) != c.cut || err != nil != c.cut {
-					t.Errorf("reported %v with %d last answers in progress", err, s.conns.lasting.Load())
+					t.Errorf("reported %v with %d last answers in progress", err, s.room.Lasting())
 				}
 			})
 			time.Sleep(50 * time.Millisecond)
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -28,20 +28,19 @@
 	// listener is not a TCP listener or the acceptor could not be created.
 	acceptor *sockopt.Acceptor
 	server   *Server
-	conns    *conns
 	// buffer and batch are used only by the goroutine that calls Accept.
 	buffer *[maxEarlyBytes]byte
 	batch  *backlog.Batch
 }
 
 func newListener(l net.Listener, s *Server) listener {
-	out := listener{l, nil, s, s.conns, new([maxEarlyBytes]byte), new(backlog.Batch)}
+	out := listener{l, nil, s, new([maxEarlyBytes]byte), new(backlog.Batch)}
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return out
 	}
 	var err error
-	s.conns.arrivals.Watch(tcp)
+	s.arrivals.Watch(tcp)
 	if out.acceptor, err = sockopt.NewAcceptor(tcp); err != nil {
 		s.log.Info("early refusal of requests not available", "cause", err.Error())
 	}
@@ -53,7 +52,7 @@
 	for {
 		early, handsOver := l.server.refusesEarly(), l.server.handsOver()
 		if l.batch.Next(early) {
-			l.conns.arrivals.Sample()
+			l.server.arrivals.Sample()
 			runtime.Gosched()
 		}
 		accept := l.accept
@@ -68,7 +67,7 @@
 
 // refusesEarly reports whether requests are to be checked, and may be refused, before the HTTP
 // server gets their connections.
-func (s *Server) refusesEarly() bool { return s.forwarder.Throttling() || s.conns.overloaded() }
+func (s *Server) refusesEarly() bool { return s.forwarder.Throttling() || s.overloaded() }
 
 // refuseOverload is earlyrefusal's, but leaves requests to the HTTP server once the router shuts down.
 func (s *Server) refuseOverload(c earlyrefusal.Conn, account *lifecycle.Request, arrived []byte) bool {
@@ -81,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	element := l.conns.enqueue()
+	element := l.server.room.Accept()
 	if element == nil {
 		l.server.early.Reject(earlyrefusal.TCP(raw), nil, l.buffer[:], 0)
 		return nil, nil
@@ -103,19 +102,19 @@
 		return nil, nil
 	}
 	account := l.server.early.Begin(len(ahead))
-	element := l.conns.enqueue()
+	element := l.server.room.Accept()
 	if element == nil {
 		l.server.early.Reject(socket, account, l.buffer[:], len(ahead))
 		return nil, nil
 	}
 	if l.server.refuseOverload(socket, account, ahead) {
-		l.conns.arrivals.Remove(element)
+		l.server.arrivals.Remove(element)
 		return nil, nil
 	}
 	raw, err := socket.Conn()
 	if err != nil {
 		// Returning the error would stop http.Server.
-		l.conns.arrivals.Remove(element)
+		l.server.arrivals.Remove(element)
 		l.server.loseConnection(account)
 		l.server.log.Info("accepted connection lost", "cause", err.Error())
 		return nil, nil
@@ -127,12 +126,13 @@
 // holds the bytes already read from it, of which there is an account. If the listener closes meanwhile, admit refuses
 // the request and returns net.ErrClosed.
 func (l listener) admit(raw net.Conn, element *list.Element, account *lifecycle.Request, ahead []byte) (net.Conn, error) {
-	if !l.conns.reserve() {
-		l.conns.arrivals.Remove(element)
+	if !l.server.room.Reserve() {
+		l.server.arrivals.Remove(element)
 		l.server.early.Refuse(earlyrefusal.TCP(raw), account, ahead, refusal.Leaving, refusal.LeavingRetryAfter)
 		return nil, net.ErrClosed
 	}
-	c := &conn{Conn: raw, server: l.server, conns: l.conns, betweenRequests: true, unreadElement: element, readAhead: ahead}
+	c := &conn{Conn: raw, server: l.server, betweenRequests: true, readAhead: ahead}
+	l.server.room.Admit(&c.place, raw, element)
 	c.request.Store(account)
 	return c, nil
 }
@@ -140,7 +140,7 @@
 // Close implements net.Listener. It refuses the requests on connections that nobody has accepted, which the kernel
 // would reset.
 func (l listener) Close() error {
-	l.conns.close()
+	l.server.room.Close()
 	var waiting []sockopt.Socket
 	if l.acceptor != nil {
 		waiting = l.server.early.RefuseQueued(l.acceptor)
--- a/internal/ingress/overdue_test.go
+++ b/internal/ingress/overdue_test.go
@@ -68,7 +68,7 @@
 			if served.Load() != wantServed || s.RejectedConnections() != wantRejected {
 				t.Errorf("%d served, %d rejected, want %d and %d", served.Load(), s.RejectedConnections(), wantServed, wantRejected)
 			}
-			if s.conns.arrivals.Enqueue(time.Now().Add(time.Hour), true) == nil {
+			if s.arrivals.Enqueue(time.Now().Add(time.Hour), true) == nil {
 				t.Error("a closed connection still counts as waiting")
 			}
 		})
--- a/internal/ingress/quick.go
+++ b/internal/ingress/quick.go
@@ -42,7 +42,7 @@
 		}
 	}
 	result := refusal.New(http.StatusServiceUnavailable, reason, refusal.OverloadRetryAfter())
-	last := c.received || c.conns.announceClose(false)
+	last := c.place.Received() || s.room.AnnounceClose(false)
 	_, err = c.writeAnswer(refusal.Format(s.headerNames.RequestID, r.ID, result, last))
 	took := clock.Since(arrived)
 	c.endRefused(arrived.Add(took), err)
--- a/internal/ingress/room_internal_test.go
+++ b/internal/ingress/room_internal_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/room"
 )
 
 // TestLateRoomIsMadeForAllThatWait guards against new connections that are admitted one by one, each after a wait, while
@@ -15,7 +17,7 @@
 func TestLateRoomIsMadeForAllThatWait(t *testing.T) {
 	const connections = 12
 	s := newTestServer(anyResult{}, false)
-	s.conns.max = connections
+	s.limitConnections(connections)
 	serving, ended := make(chan struct{}, connections), make(chan struct{})
 	s.server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		noteServing(r.Context())
@@ -44,7 +46,7 @@
 			t.Fatal("not served")
 		}
 	}
-	if took := time.Since(began); took > 6*announceTime {
+	if took := time.Since(began); took > 6*room.AnnounceTime {
 		t.Errorf("%d connections waited %v for room", connections, took)
 	}
 }
@@ -103,7 +105,7 @@
 // long that took.
 func waitForRoom(t *testing.T) (string, time.Duration) {
 	s := newTestServer(anyResult{}, true)
-	s.conns.max = 1
+	s.limitConnections(1)
 	serving, end := make(chan struct{}), make(chan struct{})
 	s.server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		noteServing(r.Context())
@@ -132,18 +134,18 @@
 func TestRoomIsAnnouncedForQueue(t *testing.T) {
 	const queued = 5
 	s := newTestServer(anyResult{}, false)
-	s.conns.max = 1
+	s.limitConnections(1)
 	address := startTestServer(t, s)
 	dialServer(t, address, "")
-	time.Sleep(announceTime / 5)
+	time.Sleep(room.AnnounceTime / 5)
 	for range 1 + queued {
 		dialServer(t, address, wholeRequest)
 		time.Sleep(time.Millisecond)
 	}
-	time.Sleep(announceTime + announceTime/5)
+	time.Sleep(room.AnnounceTime + room.AnnounceTime/5)
 	announced := 0
 	for range 2 * queued {
-		if s.conns.announceClose(false) {
+		if s.room.AnnounceClose(false) {
 			announced++
 		}
 	}
--- a/internal/ingress/stalled_head_internal_test.go
+++ b/internal/ingress/stalled_head_internal_test.go
@@ -30,7 +30,7 @@
 				_ = res.Body.Close()
 			}
 			fmt.Fprint(caller, otherHead[:20])
-			for until := time.Now().Add(5 * time.Second); s.conns.beginning.Load() == 0 && time.Now().Before(until); {
+			for until := time.Now().Add(5 * time.Second); s.room.Beginning() == 0 && time.Now().Before(until); {
 				time.Sleep(time.Millisecond)
 			}
 			// http.Server takes a connection without a request for idle after five seconds.
@@ -38,7 +38,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), limit)
 			defer cancel()
 			if err := s.Shutdown(ctx); err != nil || ctx.Err() != nil {
-				t.Errorf("%v, %v: not done after %v, %d connections left", err, ctx.Err(), limit, s.conns.lasting.Load())
+				t.Errorf("%v, %v: not done after %v, %d connections left", err, ctx.Err(), limit, s.room.Lasting())
 			}
 		})
 	}
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -22,6 +22,7 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 )
 
 // overdueListener is a listener whose connections have waited for a second before their first
@@ -33,8 +34,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c.(*conn).unreadElement.Value = clock.Now().Add(-time.Second)
-	return c, nil
+	accepted := c.(*conn)
+	accepted.place.Release()
+	arrival := a.server.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
+	return a.admit(accepted.Conn, arrival, accepted.request.Load(), accepted.readAhead)
 }
 
 // rejectedOnly is an observer that expects only rejections of overdue connections.
@@ -51,10 +54,14 @@
 	loop := balance.NewLoop(balance.New(clock.Now(), "z", balance.Limits{}, rand.New(rand.NewPCG(1, 1))))
 	d := forward.HeaderNames{RequestID: "X-Id"}
 	s := New(d, forward.New(d, nil, loop, nil, logr.Discard(), nil), o, Limits{Requests: 100, Connections: 100}, memory.New(1<<30), lifecycle.New(time.Second, logr.Discard()), logr.Discard())
-	s.conns.overloaded = func() bool { return short }
+	s.overloaded = func() bool { return short }
+	s.limitConnections(100)
 	return s
 }
 
+// limitConnections makes room for n connections, before the server serves.
+func (s *Server) limitConnections(n int) { s.room = room.New(n, s.arrivals, s.overloaded) }
+
 // A caller whose connection waited too long for CPU time must get 503 with a Retry-After. It
 // used to get no answer, or 400 Bad Request, after which callers do not retry.
 func TestOverdueCallerGetsRetryAfter(t *testing.T) {
@@ -70,7 +77,7 @@
 			defer g.Stop()
 			defer checkAccount(t, s)
 			if !overdue {
-				s.conns.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
+				s.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
 			}
 			g.Go(func() { _ = s.server.Serve(overdueListener{newListener(l, s)}) })
 			c, err := net.Dial("tcp", l.Addr().String())
@@ -121,8 +128,8 @@
 		t.Fatal(err)
 	}
 	s := newTestServer(leavingOnly{t}, readsAhead)
-	s.conns.max = 1
-	s.conns.reserve()
+	s.limitConnections(1)
+	s.room.Reserve()
 	in := newListener(l, s)
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/ingress/unanswered.go
+++ b/internal/ingress/unanswered.go
@@ -57,7 +57,7 @@
 	switch {
 	case c.callerEnded.Load(), sockopt.RemoteClosed(c.Conn):
 		end, reason = lifecycle.CallerGone, ""
-	case c.timedOut.Load() && !c.evicted.Load() && !c.serving.Load():
+	case c.timedOut.Load() && !c.place.Evicted() && !c.serving.Load():
 		end, reason = lifecycle.Incomplete, closedTimeout
 	case stopping:
 		reason = closedStopping
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -93,12 +95,12 @@
 			ends{lifecycle.Unanswered: 1},
 		},
 		"the server stops after the first byte of a request": {
-			wholeRequest + "G", func(s *Server, _ net.Conn) { s.conns.end() },
+			wholeRequest + "G", func(s *Server, _ net.Conn) { s.room.End() },
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
 		},
 		"the server stops after the first bytes of a request": {
-			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { s.conns.end() },
+			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { s.room.End() },
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
 		},
@@ -121,7 +123,7 @@
 			strings.Replace(text(chunked, chunkedBody), "POST", "PATCH", 1), func(s *Server, caller net.Conn) {
 				fmt.Fprint(caller, "G")
 				time.Sleep(60 * time.Millisecond)
-				s.conns.end()
+				s.room.End()
 			},
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
@@ -238,29 +240,50 @@
 // it had been read.
 func TestRequestIsRefusedIfItsConnectionIsEvicted(t *testing.T) {
 	s := newTestServer(anyResult{}, false)
+	evictOldest, idle := fillRoom(s), noteIdle(s)
 	caller := dialServer(t, startTestServer(t, s), wholeRequest)
 	if got := status(caller); got != http.StatusServiceUnavailable {
 		t.Fatal("status", got)
 	}
-	for s.idleConns() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-idle
 	// The reader gets the request, and the connection is evicted before it can be marked as in use.
-	s.conns.mu.Lock()
-	fmt.Fprint(caller, wholeRequest)
-	time.Sleep(50 * time.Millisecond)
-	evicted := s.conns.evictOldest()
-	s.conns.mu.Unlock()
+	evicted := evictOldest(func() {
+		fmt.Fprint(caller, wholeRequest)
+		time.Sleep(50 * time.Millisecond)
+	})
 	if got := status(caller); !evicted || got != http.StatusServiceUnavailable {
 		t.Errorf("evicted %t, status %d, counted %v", evicted, got, s.ClosedUnanswered())
 	}
 }
 
-// idleConns returns the number of connections between two requests.
-func (s *Server) idleConns() int {
-	s.conns.mu.Lock()
-	defer s.conns.mu.Unlock()
-	return s.conns.idle.Len()
+// fillRoom leaves room for one connection. evictOldest makes room for one of another router, in place of one that is
+// idle, and returns false if there is none; no connection can be marked as in use before it returns, nor during f.
+func fillRoom(s *Server) (evictOldest func(f func()) bool) {
+	var during atomic.Pointer[func()]
+	s.room = room.New(2, s.arrivals, func() bool {
+		if f := during.Swap(nil); f != nil {
+			(*f)()
+		}
+		return s.overloaded()
+	})
+	s.room.Reserve()
+	return func(f func()) bool {
+		during.Store(&f)
+		return s.room.ReserveReceived()
+	}
+}
+
+// noteIdle returns a channel that is closed once a connection is between two requests.
+func noteIdle(s *Server) <-chan struct{} {
+	idle := make(chan struct{})
+	var once sync.Once
+	s.server.ConnState = func(raw net.Conn, state http.ConnState) {
+		connState(raw, state)
+		if state == http.StateIdle {
+			once.Do(func() { close(idle) })
+		}
+	}
+	return idle
 }
 
 // A request that arrived whole while the server shut down used to be read, and its connection closed.
