Load reports between routers are a package of its own

internal/loadreport was internal/gateway's report.go and the half of fleet.go that applies others' reports: when this router reports, directly or as a zone's sum, whose reports count beside a sum, and the loads sent in between. It gets the roster, a sender, the roll-outs' results and the copy's revisions. Moves, as before in behaviour; the ages and revisions that come with a report are still heard by the gateway, in the same order.

Its tests need no gateway: a sum replaces reports and the other way round, and who gets sums.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -13,7 +13,6 @@
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
-	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 // All functions in this file run in the control goroutine, except for those that post to it
@@ -40,7 +39,7 @@
 		case message.ZoneStatus:
 			g.handleZoneStatus(s, now, from, m)
 		case message.Loads:
-			g.handleLoads(s, now, from.ID, m)
+			g.reports.ReceiveLoads(s, now, from.ID, m)
 		case message.NeedCopy:
 			if m.Config == 0 {
 				// The sender has no configuration, so it has just started: it must know
@@ -63,63 +62,19 @@
 	})
 }
 
-// handleStatus applies another router's report, unless the router is in another zone whose sum
-// already covers it.
 func (g *Gateway) handleStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
 	g.hearAges(now, from, m.Revisions, m.Ages)
 	g.requestNewer(now, from, m.Revisions)
-	if from.Zone == g.self.Zone {
-		g.zone.UpdateReport(now, from.ID, m)
-	} else {
-		if now.Sub(g.lastSums[from.Zone]) < sumTTL {
-			return
-		}
-		s.ForgetPeer(now, sumPeerName(from.Zone))
-		g.rollouts.RemovePeer(sumPeerName(from.Zone))
-		g.directZones[from.ID] = from.Zone
-	}
-	s.ApplyReport(now, string(from.ID), reportOf(m))
-	g.rollouts.SetPeer(string(from.ID), m.RolloutResults)
+	g.reports.Receive(s, now, from, m)
 }
 
-// handleLoads applies the changes of load that another router sends between reports.
-func (g *Gateway) handleLoads(s *balance.State, now time.Time, from message.RouterID, m message.Loads) {
-	zone := g.roster.Zone(from)
-	if _, direct := g.directZones[from]; !direct && zone != g.self.Zone && !g.lastSums[zone].IsZero() {
-		for _, l := range m.Deltas {
-			s.AddPeerLoad(now, sumPeerName(zone), l.Target, loadOf(l))
-		}
+func (g *Gateway) handleZoneStatus(s *balance.State, now time.Time, from member.Member, m message.ZoneStatus) {
+	if !g.reports.ReceiveSum(s, now, m) {
 		return
 	}
-	for _, l := range m.Loads {
-		s.SetPeerLoad(now, string(from), l.Target, loadOf(l))
-	}
-	if zone == g.self.Zone {
-		g.zone.UpdateLoads(from, m.Loads)
-	}
-}
-
-func reportOf(m message.Status) view.Report {
-	r := view.Report{
-		Loads:       make(map[string]view.Load, len(m.Loads)),
-		Usage:       make(map[string]view.Usage, len(m.Usage)),
-		SharedParts: make(map[string][]string, len(m.SharedParts)),
-		Speeds:      m.Speeds, Returns: m.Returns,
-	}
-	for _, l := range m.Loads {
-		r.Loads[l.Target] = loadOf(l)
-	}
-	for _, k := range m.SharedParts {
-		r.SharedParts[k.Target] = k.Parts
-	}
-	for _, u := range m.Usage {
-		r.Usage[u.Organisation] = view.Usage{Demand: u.Demand, Started: u.Started, Waiting: u.Waiting}
-	}
-	return r
-}
-
-func loadOf(l message.TargetLoad) view.Load {
-	return view.Load{PendingTokens: l.PendingTokens, Running: l.Running, MemoryTokens: l.MemoryTokens}
+	g.hearAges(now, from, m.Status.Revisions, m.Status.Ages)
+	g.requestNewer(now, from, m.Status.Revisions)
+	g.reports.PassOn(now, from, m)
 }
 
 func (g *Gateway) mergeCopy(s *balance.State, now time.Time, from member.Member, m message.Copy) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/loadreport"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
@@ -48,7 +49,6 @@
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/suspects"
 	"github.com/stepcroft/stepcroft/internal/tally"
-	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
 const (
@@ -140,19 +140,14 @@
 // Gateway is a running router. Use New to make one.
 type Gateway struct {
 	Options
-	group    *group.Group
-	self     member.Member
-	loop     *balance.Loop
-	catalog  *catalog.Catalog
-	roster   *roster.Roster
-	reporter reporter
-	// zone adds up the reports of this zone. lastSums has the time of the last sum of each other
-	// zone. directZones has the zones of those routers in other zones whose direct reports are in
-	// use.
-	zone        zonesum.Sum
-	lastSums    map[string]time.Time
-	directZones map[message.RouterID]string
-	started     time.Time
+	group   *group.Group
+	self    member.Member
+	loop    *balance.Loop
+	catalog *catalog.Catalog
+	roster  *roster.Roster
+	// reports tells the other routers the load of this one's requests, and has theirs.
+	reports *loadreport.Exchange
+	started time.Time
 	// copies tracks how old the copies of the store's objects are. loggedCopies are their states and
 	// watching whether this router watches the store as logged last.
 	copies       *freshness.Tracker
@@ -250,7 +245,7 @@
 	}
 	g := &Gateway{
 		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.TargetDrain, defaultTargetDrain), cmp.Or(o.EntryTTL, defaultEntryTTL)),
-		tickSoon: make(chan struct{}, 1), lastSums: map[string]time.Time{}, directZones: map[message.RouterID]string{},
+		tickSoon: make(chan struct{}, 1),
 	}
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
@@ -269,7 +264,6 @@
 	g.streams = streamversion.New(now, g.roster)
 	g.routes = routehistory.New(now, streamversion.TTL)
 	state := balance.New(now, o.Zone, o.Limits, random)
-	state.OnLongPrompt(g.sendLoad)
 	state.OnStreamBegun(g.streamBegun)
 	state.SetRouteHistory(g.routes)
 	if o.StreamStore == nil {
@@ -286,6 +280,8 @@
 	state.SetColdAllowance(g.coldSenders.SendLimit)
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
 	state.SetRollouts(g.rollouts)
+	g.reports = loadreport.New(loadreport.Options{Roster: g.roster, Sender: reportSender{g}, Rollouts: g.rollouts, Copies: reportSender{g}, Log: o.Log})
+	state.OnLongPrompt(g.reports.SendLoad)
 	state.SetRegions(o.Regions)
 	state.SetFeatures(o.Features)
 	g.loop = balance.NewLoop(state)
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -308,7 +308,7 @@
 				g.receive(from, m)
 			}
 			var sum message.Status
-			g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) { sum = g.zone.Take(now.Add(c.after)) })
+			g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) { sum = g.reports.Sum(now.Add(c.after)) })
 			running, answered := 0, 0
 			for _, l := range sum.Loads {
 				running += l.Running
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 const (
@@ -70,7 +72,7 @@
 
 // tickIdle reports whether nothing but the roster needs ticks.
 func (g *Gateway) tickIdle() bool {
-	return !g.reporter.active && !g.relays.Active() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
+	return !g.reports.Active() && !g.relays.Active() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
 		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStoreIdle() && g.exits.idle()
 }
 
@@ -86,3 +88,64 @@
 		// One is on its way.
 	}
 }
+
+// tick does the periodic work of the control goroutine: reports, gossip, logging and expiry.
+func (g *Gateway) tick(s *balance.State, now time.Time) {
+	g.reports.Tick(s, now)
+	if g.gossipPending && now.Sub(g.lastGossip) >= g.newsInterval() {
+		g.forwardNews(now, true)
+	}
+	g.requestFromFar(now)
+	g.relays.Update(now, g.catalog.Table(), g.leaving, func() map[string]bool { return s.Yielding(now) })
+	g.updateSelf()
+	g.sendPings(now, g.roster.Tick(now))
+	changes := g.roster.Changes()
+	g.logStateChanges(changes)
+	if slices.ContainsFunc(changes, func(r message.RouterRecord) bool { return r.State == message.Suspected || r.State == message.Gone }) {
+		s.RouterLost()
+	}
+	g.counts.Update(s, now)
+	g.suspects.Update(now)
+	g.tickStreams(s, now)
+	g.tickExits(now)
+	g.suspects.Expire(now)
+	g.expireConfirmation(now)
+	g.decideRollouts(now)
+	duty := g.storeDuty(now)
+	g.logWatch(now, duty.Watch)
+	g.logCopies(now)
+	if g.OnDuty != nil {
+		g.OnDuty(duty)
+	}
+	if expired := g.catalog.ExpireLapsed(now); len(expired) > 0 {
+		g.Log.Info("lapsed targets given up", "era", revision.Era(g.catalog.TargetsRevision()), "revision", revision.Store(g.catalog.TargetsRevision()), "count", len(expired),
+			"targets", expired[:min(len(expired), maxLoggedTargets)])
+		g.applyTargets(s, now)
+	}
+	if g.catalog.Settle(now) {
+		g.targetsChanged(s, now, true, sourceTimer)
+	}
+}
+
+// maxLoggedTargets is the most targets named in a log line, which stays short that way even if
+// hundreds expire at once.
+const maxLoggedTargets = 8
+
+// maxStateChangeLines is the number of routers up to which each change of state gets a log line
+// of its own. If a whole fleet starts at once, hundreds of them would displace other lines.
+const maxStateChangeLines = 8
+
+// logStateChanges logs the routers that have become alive, suspected or gone.
+func (g *Gateway) logStateChanges(list []message.RouterRecord) {
+	if len(list) > maxStateChangeLines {
+		count := map[string]int{}
+		for _, r := range list {
+			count[r.State.String()]++
+		}
+		g.Log.Info("many routers changed", "count", count)
+		return
+	}
+	for _, r := range list {
+		g.Log.Info("router believed "+r.State.String(), "router", r.ID, "peer", r.Peer, "incarnation", r.Incarnation, "version", r.Version)
+	}
+}
