What is stored of streams is decided by a package of its own

internal/streamstore was internal/gateway's streamstore.go and routes.go: which router writes the versions in service, records and routes, when, and how the store's history completes what was read at the start. It gets the directory of streams, the history of routes, the catalog and the ages of its copy; the gateway's methods for the platform stay and call it in the control goroutine. The name gateway.StreamStore stays for the platform.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -111,7 +111,7 @@
 	}
 	t := g.catalog.Table()
 	s.Configure(t)
-	g.noteMissedConfigs(clock.Now(), configBefore)
+	g.streamStore.NoteMissedConfigs(clock.Now(), configBefore)
 	g.setRoutes(s, clock.Now(), t)
 	g.server.Configure(t)
 	g.answers.enabled.Store(g.Features.AnswerBuffers.Enabled(t.AllTolerate()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
+	"github.com/stepcroft/stepcroft/internal/streamstore"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/suspects"
 	"github.com/stepcroft/stepcroft/internal/tally"
@@ -147,7 +148,6 @@
 	roster  *roster.Roster
 	// reports tells the other routers the load of this one's requests, and has theirs.
 	reports *loadreport.Exchange
-	started time.Time
 	// copies tracks how old the copies of the store's objects are. loggedCopies are their states and
 	// watching whether this router watches the store as logged last.
 	copies       *freshness.Tracker
@@ -181,7 +181,7 @@
 	persistedEra int64
 	// streams knows which versions began streams.
 	streams     *streamversion.Directory
-	streamStore streamStore
+	streamStore *streamstore.Keeper
 	// routes knows at which services streams may have begun.
 	routes *routehistory.History
 	// suspects has the requests that are suspected of crashing targets.
@@ -249,7 +249,6 @@
 	}
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
-	g.started = now
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
 		Peer: cmp.Or(o.PeerAdvertise, peerListener.Addr().String()), Incarnation: o.Incarnation,
@@ -263,6 +262,9 @@
 	}, o.Seeds, random)
 	g.streams = streamversion.New(now, g.roster)
 	g.routes = routehistory.New(now, streamversion.TTL)
+	g.streamStore = streamstore.New(now, streamstore.Options{
+		Store: o.StreamStore, Streams: g.streams, Routes: g.routes, Catalog: g.catalog, Copies: g.copies, Metrics: o.Metrics, Wake: g.tickEarlier, Log: o.Log,
+	})
 	state := balance.New(now, o.Zone, o.Limits, random)
 	state.OnStreamBegun(g.streamBegun)
 	state.SetRouteHistory(g.routes)
--- a/internal/gateway/routes_internal_test.go
+++ b/internal/gateway/routes_internal_test.go
@@ -15,6 +15,7 @@
 	"github.com/stepcroft/stepcroft/internal/freshness"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/routing"
+	"github.com/stepcroft/stepcroft/internal/streamstore"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -110,7 +111,7 @@
 			if got := takeUpAt(t, g, "x"); got != c.want {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
-			time.Sleep(3 * historyInterval / 2)
+			time.Sleep(3 * streamstore.HistoryInterval / 2)
 			reads := len(store.reads)
 			if wanted := c.configAt < 7; (reads > 0) != wanted || c.read != nil && reads > 1 || reads > 4 {
 				t.Errorf("%d reads", reads)
@@ -178,9 +179,9 @@
 	g := newRouteGateway(t, store)
 	g.SetConfig(7, routeTo(t, 2, "x"))
 	g.RestoreStreams(streamversion.Stored{Complete: true, ConfigAt: 5})
-	const wait = 4 * historyInterval
+	const wait = 4 * streamstore.HistoryInterval
 	time.Sleep(wait)
-	if n := len(store.reads); n < 2 || n > int(wait/historyInterval)+1 {
+	if n := len(store.reads); n < 2 || n > int(wait/streamstore.HistoryInterval)+1 {
 		t.Errorf("%d reads in %v", n, wait)
 	}
 	g.ConfigsRead(5, nil, true)
@@ -197,11 +198,11 @@
 	g.SetConfig(7, routeTo(t, 2, "x"))
 	g.RestoreStreams(streamversion.Stored{Complete: true, RoutesUnknown: true})
 	g.VersionsStored(0, []streamversion.ServiceVersion{{Service: "x", Version: "v1"}, {Service: "y", Version: "v2"}, {Service: "z", Version: "v1"}}, true)
-	time.Sleep(versionsTakeover / 2)
+	time.Sleep(streamstore.Takeover / 2)
 	if n := len(store.saved); n > 2 {
-		t.Errorf("%d writes in %v while the routes are not known", n, versionsTakeover/2)
+		t.Errorf("%d writes in %v while the routes are not known", n, streamstore.Takeover/2)
 	}
-	time.Sleep(versionsTakeover)
+	time.Sleep(streamstore.Takeover)
 	for len(store.saved) > 0 {
 		if v := <-store.saved; v.ConfigAt != 0 {
 			t.Errorf("stored as routes of configuration %d, though they are not known", v.ConfigAt)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -47,9 +47,7 @@
 func (g streamVersions) waitPast(ctx context.Context, t forward.TakeUp) bool {
 	var read <-chan struct{}
 	if !g.loop.PostAndWait(ctx, func(s *balance.State, now time.Time) {
-		if g.awaitsPast(s, now, t) {
-			read = g.streamStore.pastRead
-		}
+		read = g.streamStore.AwaitPast(s, now, t)
 	}) || read == nil {
 		return false
 	}
@@ -75,7 +73,7 @@
 				a.Version, a.Evidence = s.UnrecordedVersionAmong(now, g.servicesOf(now, t), t.Regions)
 			}
 			a.Known = a.Evidence != ""
-			a.Confirmed = a.Known || !g.awaitsZoneDrains(s, now, t) && !g.awaitsPast(s, now, t)
+			a.Confirmed = a.Known || !g.awaitsZoneDrains(s, now, t) && g.streamStore.AwaitPast(s, now, t) == nil
 		}
 		answers <- a
 	}
@@ -137,7 +135,7 @@
 		g.streams.Begin(now, streamversion.Record{Key: k, Version: b.Version}, shared)
 	}
 	g.sendStreamVersions(g.streams.TakePrompt())
-	g.storeRecords(now)
+	g.streamStore.StoreRecords(now)
 	g.tickEarlier(now)
 }
 
@@ -157,13 +155,13 @@
 // handleStreamVersions handles another router's message about versions of streams.
 func (g *Gateway) handleStreamVersions(s *balance.State, now time.Time, from member.Member, m message.StreamVersions) {
 	if len(m.Stored) > 0 || m.StoredAt > 0 {
-		g.setStoredVersions(s, now, m.StoredAt, m.Stored)
+		g.streamStore.SetStored(s, now, m.StoredAt, m.Stored)
 	}
 	g.streams.Receive(now, from.Peer, m.Message)
 	if len(m.Asked) > 0 {
 		g.sendStreamVersions(g.streams.Take())
 	}
-	g.storeRecords(now)
+	g.streamStore.StoreRecords(now)
 	g.tickEarlier(now)
 }
 
@@ -173,9 +171,7 @@
 	g.noteStandstill(now)
 	g.streams.Tick(now)
 	g.sendStreamVersions(g.streams.Take())
-	g.readZoneDrains(s, now)
-	g.restoreRoutes(now)
-	g.storeStreams(s, now)
+	g.streamStore.Tick(s, now)
 }
 
 func (g *Gateway) sendStreamVersions(list []streamversion.Outgoing) {
--- a/internal/gateway/streamstore_era_internal_test.go
+++ b/internal/gateway/streamstore_era_internal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/streamstore"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -47,7 +48,7 @@
 	})
 	select {
 	case <-saved:
-	case <-time.After(versionsTakeover + 2*time.Second):
+	case <-time.After(streamstore.Takeover + 2*time.Second):
 		t.Error("the versions in service were not stored for the era")
 	}
 }
@@ -61,10 +62,10 @@
 	for i := range 20 {
 		list = append(list, targetOf(fmt.Sprint("s", i), "v1"))
 		setTargets(t, g, list...)
-		time.Sleep(versionsSettle * 2 / 3)
+		time.Sleep(streamstore.Settle * 2 / 3)
 	}
 	if len(saved) == 0 {
-		t.Errorf("nothing was stored in %v", 20*versionsSettle*2/3)
+		t.Errorf("nothing was stored in %v", 20*streamstore.Settle*2/3)
 	}
 }
 
--- a/internal/gateway/streamstore_internal_test.go
+++ b/internal/gateway/streamstore_internal_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
+	"github.com/stepcroft/stepcroft/internal/streamstore"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 )
 
@@ -44,7 +45,7 @@
 	defer g.Stop()
 	target := balance.Target{ID: "e", Service: "s", Zone: "z", Slots: 1, Address: "127.0.0.1:1", Version: "v1"}
 	g.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) { s.SetTargets(now, []balance.Target{target}) })
-	time.Sleep(versionsTakeover + 500*time.Millisecond)
+	time.Sleep(streamstore.Takeover + 500*time.Millisecond)
 	if len(saved) > 0 {
 		t.Fatal("versions were written before what is stored was read")
 	}
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -73,7 +73,7 @@
 // tickIdle reports whether nothing but the roster needs ticks.
 func (g *Gateway) tickIdle() bool {
 	return !g.reports.Active() && !g.relays.Active() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
-		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStoreIdle() && g.exits.idle()
+		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStore.Idle() && g.exits.idle()
 }
 
 // tickEarlier brings the next tick forward if a message has made one due.
