When routers tell what is new, and ask for it, is decided by a package of its own

internal/news was internal/gateway's news.go, the half of freshness.go that passes on how recent copies are, and gossip: the intervals between messages, copies from other zones, and which pings carry revisions. It gets the roster, the catalog, the ages, this router's rank and a sender.

Its tests need no fleet: messages in turn, copies from other zones, confirmations. Tests of gateway and news with -race passed.

--- a/internal/gateway/awake.go
+++ b/internal/gateway/awake.go
@@ -32,7 +32,7 @@
 		g.unconfirmedSince = now
 		g.server.Pause(true)
 	}
-	g.gossip(now)
+	g.news.Gossip(now)
 }
 
 // confirm ends the wait for a confirmation, if there is one, and serves requests again.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/news"
 	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
@@ -28,9 +29,8 @@
 		}
 		switch m := m.(type) {
 		case message.Ping:
-			g.sendPings(now, g.roster.Receive(now, m))
-			g.hearAges(now, from, m.Revisions, m.Ages)
-			g.requestNewer(now, from, m.Revisions)
+			g.news.SendPings(now, g.roster.Receive(now, m))
+			g.news.Hear(now, from, m.Revisions, m.Ages)
 			g.suspects.Compare(now, from, m.QuarantineDigest)
 			g.confirmByReply(now, m)
 			return
@@ -46,7 +46,7 @@
 				// the suspected requests before it serves its first one.
 				g.suspects.SendAll(now, from)
 			}
-			g.sendCopy(now, from, m)
+			g.news.SendCopy(now, from, m)
 		case message.Copy:
 			g.mergeCopy(s, now, from, m)
 		case message.Quarantine:
@@ -63,8 +63,7 @@
 }
 
 func (g *Gateway) handleStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
-	g.hearAges(now, from, m.Revisions, m.Ages)
-	g.requestNewer(now, from, m.Revisions)
+	g.news.Hear(now, from, m.Revisions, m.Ages)
 	g.reports.Receive(s, now, from, m)
 }
 
@@ -72,8 +71,7 @@
 	if !g.reports.ReceiveSum(s, now, m) {
 		return
 	}
-	g.hearAges(now, from, m.Status.Revisions, m.Status.Ages)
-	g.requestNewer(now, from, m.Status.Revisions)
+	g.news.Hear(now, from, m.Status.Revisions, m.Status.Ages)
 	g.reports.PassOn(now, from, m)
 }
 
@@ -86,13 +84,13 @@
 	g.rolloutsChanged(now, m.Rollouts.Revision > 0, string(from.ID))
 	g.targetsChanged(s, now, changed, string(from.ID))
 	g.noteMissedTargets(s, now, before)
-	g.copiesConfirmed(now, g.copies.Received(g.catalog.Complete()), string(from.ID))
+	g.news.Confirmed(now, g.copies.Received(g.catalog.Complete()), string(from.ID))
 	g.confirm(now, string(from.ID))
 }
 
 // sourceStore is the source, in log lines, of what the store itself delivered. The source of what
 // another router sent is that router's id.
-const sourceStore = "store"
+const sourceStore = news.FromStore
 
 // sourceTimer is the source, in log lines, of changes that take effect because a delay has passed.
 const sourceTimer = "time"
@@ -124,8 +122,7 @@
 		"bytes", len(value), "took_ms", now.Sub(began).Milliseconds(), "version_before", versionBefore, "before_ms", before.duration(now).Milliseconds(),
 		"age_ms", age.Milliseconds(), "confirmed_by", source)
 	// Unlike changes of targets, a configuration is not held up by others before it.
-	g.newsFromStore = g.newsFromStore || from == sourceStore
-	g.forwardNews(clock.Now(), false)
+	g.news.NoteUrgent(clock.Now(), from)
 }
 
 // logConfigNotTaken logs a configuration that was not applied because it differs from the one in
@@ -190,7 +187,7 @@
 	g.Log.Info("targets known", "era", revision.Era(at), "revision", revision.Store(at), "targets", targets,
 		"leaving", leaving, "lapsed", g.catalog.Lapsed(), "from", from)
 	g.logZones(now, from)
-	g.newsFrom(now, from)
+	g.news.Note(now, from)
 }
 
 // applyTargets applies the catalog's changes to the list of targets. The cost follows the number
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -4,10 +4,8 @@
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
-	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/revision"
-	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
 // StoreConfirmed records that the store held nothing newer at a time than what this router has read
@@ -15,39 +13,11 @@
 func (g *Gateway) StoreConfirmed(kind message.StoreKind, at time.Time) {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.copies.ConfirmByStore(at, kind, sourceStore, g.catalog.Complete())
-		g.copiesConfirmed(now, 1, sourceStore)
+		g.news.Confirmed(now, 1, sourceStore)
 		g.tickEarlier(now)
 	})
 }
 
-// hearAges notes what another router tells of its copy of the store. The ages were those when the message was
-// sent: without the time that it took, copies would become more recent as routers tell one another.
-func (g *Gateway) hearAges(now time.Time, from member.Member, theirs message.Revisions, ages message.Ages) {
-	g.copiesConfirmed(now, g.copies.Heard(now, string(from.ID), theirs, ages.Plus(g.roster.RoundTrip()), g.catalog.Complete()), string(from.ID))
-}
-
-// minForwardedGain is the part of a kind's limit by which a copy must have become more recent for this
-// router to tell others at once.
-const minForwardedGain = 0.25
-
-// copiesConfirmed tells the callers' server when the configuration was last confirmed, and some other
-// routers how recent the copies are if they have gained enough.
-func (g *Gateway) copiesConfirmed(now time.Time, gained float64, from string) {
-	if gained <= 0 {
-		return
-	}
-	g.server.Confirm(g.copies.ConfirmedAt(message.StoreConfig))
-	// The sender has told all routers of a small fleet itself.
-	switch {
-	case from == sourceStore:
-		g.newsFrom(now, from)
-	case gained >= minForwardedGain && g.storeWatch.LastRank().Running > roster.Fanout+1 && !g.gossipPending && now.Sub(g.lastGossip) >= g.newsInterval():
-		g.lastGossip = now
-		g.updateSelf()
-		g.sendPings(now, g.roster.ForwardConfirmation(now))
-	}
-}
-
 // copyState is the state of the copy of one kind as logged last.
 type copyState struct {
 	// oldSince is the time since when it has been too old, zero if it is not.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
+	"github.com/stepcroft/stepcroft/internal/news"
 	"github.com/stepcroft/stepcroft/internal/relays"
 	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
@@ -155,14 +156,9 @@
 	watching     bool
 	inForce      configInForce
 	// storeWatch decides whether this router watches the store.
-	storeWatch      *storewatch.Watch
-	lastCopyRequest time.Time
-	farSource       farSource
-	// lastGossip is when this router last sent its revisions to some other routers at once,
-	// gossipPending is set if it is to do so again soon, newsFromStore if the store told them.
-	lastGossip    time.Time
-	gossipPending bool
-	newsFromStore bool
+	storeWatch *storewatch.Watch
+	// news tells other routers what is new in the copy of the store, and asks for what is newer.
+	news *news.Exchange
 	// nextTick is when the next tick is due. tickSoon brings it forward.
 	nextTick  time.Time
 	ticks     atomic.Int64
@@ -282,7 +278,7 @@
 	state.SetColdAllowance(g.coldSenders.SendLimit)
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
 	state.SetRollouts(g.rollouts)
-	g.reports = loadreport.New(loadreport.Options{Roster: g.roster, Sender: reportSender{g}, Rollouts: g.rollouts, Copies: reportSender{g}, Log: o.Log})
+	g.reports = loadreport.New(loadreport.Options{Roster: g.roster, Sender: sender{g}, Rollouts: g.rollouts, Copies: sender{g}, Log: o.Log})
 	state.OnLongPrompt(g.reports.SendLoad)
 	state.SetRegions(o.Regions)
 	state.SetFeatures(o.Features)
@@ -305,6 +301,10 @@
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, g.memory, g.requests, o.Log)
 	g.counts = countlog.New(o.Log, o.Metrics, countlog.Sources{Loop: g.loop, Arrivals: g.server.TakeArrivalStats, Answers: g.answers.budget, Requests: sums})
+	g.news = news.New(news.Options{
+		Zone: self.Zone, Roster: g.roster, Catalog: g.catalog, Copies: g.copies, Rank: g.storeWatch.LastRank, Server: g.server,
+		Metrics: o.Metrics, Sender: sender{g}, UpdateSelf: g.updateSelf, MinInterval: tickInterval,
+	})
 	g.relays = relays.New(relays.Options{
 		Group: g.group, Server: g.server, Roster: g.roster, Switch: o.Features.Handover, Listen: o.HandoverListen, PeerListen: o.PeerListen, Peer: self.Peer,
 		MaxRelays: o.MaxRelays, Cores: o.Capacity, Utilisation: g.loop.CPUUtilisation, Log: o.Log,
@@ -369,7 +369,7 @@
 	g.server.Leave()
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.leaving = true
-		g.gossip(now)
+		g.news.Gossip(now)
 	})
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,7 +26,7 @@
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.rolloutsChanged(now, g.catalog.SetRollouts(at, list), sourceStore)
 		// The revision may have changed even if the list has not.
-		g.gossip(now)
+		g.news.Gossip(now)
 	})
 }
 
@@ -34,7 +34,7 @@
 func (g *Gateway) ChangeRollouts(at int64, changes []catalog.Change) {
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		if g.rolloutsChanged(now, g.catalog.ApplyRollouts(at, changes), sourceStore) {
-			g.gossip(now)
+			g.news.Gossip(now)
 		}
 	})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,26 +7,25 @@
 	"github.com/stepcroft/stepcroft/internal/loadreport"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
-	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
-// reportSender implements loadreport.Sender and loadreport.Copies.
-type reportSender struct{ *Gateway }
+// sender implements loadreport.Sender, loadreport.Copies and news.Sender.
+type sender struct{ *Gateway }
 
 // Send implements loadreport.Sender.
-func (g reportSender) Send(to member.Member, m message.Message) { g.sendTo(to, m) }
+func (g sender) Send(to member.Member, m message.Message) { g.sendTo(to, m) }
 
 // SendOnStream implements loadreport.Sender.
-func (g reportSender) SendOnStream(to member.Member, m message.Message) { g.peers.Send(to, m) }
+func (g sender) SendOnStream(to member.Member, m message.Message) { g.peers.Send(to, m) }
 
 // SendAll implements loadreport.Sender.
-func (g reportSender) SendAll(to []member.Member, m message.Message) { g.sendAll(to, m) }
+func (g sender) SendAll(to []member.Member, m message.Message) { g.sendAll(to, m) }
 
 // Newest implements loadreport.Copies.
-func (g reportSender) Newest() message.Revisions { return g.catalog.Newest() }
+func (g sender) Newest() message.Revisions { return g.catalog.Newest() }
 
 // Ages implements loadreport.Copies.
-func (g reportSender) Ages(now time.Time) message.Ages { return g.copies.Ages(now) }
+func (g sender) Ages(now time.Time) message.Ages { return g.copies.Ages(now) }
 
 // sendAll sends a message to several routers: to a few on streams, which lose none and keep their
 // order, to many as datagrams, since streams to all would take most of a router's memory.
@@ -45,27 +44,6 @@
 	g.roster.SetRevisions(g.catalog.Newest(), g.suspects.Digest())
 }
 
-// gossip sends this router's current record and revisions to some other routers at once,
-// without waiting for the next tick.
-func (g *Gateway) gossip(now time.Time) {
-	g.lastGossip, g.gossipPending, g.newsFromStore = now, false, false
-	g.updateSelf()
-	g.sendPings(now, g.roster.Gossip(now))
-}
-
-// sendPings sends the roster's outgoing pings. Revisions and ages are set together: a router whose
-// copy is as of these revisions is confirmed by these ages.
-func (g *Gateway) sendPings(now time.Time, list []roster.Outgoing) {
-	if len(list) == 0 {
-		return
-	}
-	revisions, ages := g.catalog.Newest(), g.copies.Ages(now)
-	for _, s := range list {
-		s.Ping.Revisions, s.Ping.Ages = revisions, ages
-		g.sendTo(member.Member{Peer: s.Peer}, s.Ping)
-	}
-}
-
 // sendTo sends a message to another router: as a datagram, or on a stream if the message is too
 // large for one.
 func (g *Gateway) sendTo(to member.Member, m message.Message) {
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -72,7 +72,7 @@
 
 // tickIdle reports whether nothing but the roster needs ticks.
 func (g *Gateway) tickIdle() bool {
-	return !g.reports.Active() && !g.relays.Active() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
+	return !g.reports.Active() && !g.relays.Active() && g.news.Idle() && g.unconfirmedSince.IsZero() &&
 		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStore.Idle() && g.exits.idle()
 }
 
@@ -92,13 +92,10 @@
 // tick does the periodic work of the control goroutine: reports, gossip, logging and expiry.
 func (g *Gateway) tick(s *balance.State, now time.Time) {
 	g.reports.Tick(s, now)
-	if g.gossipPending && now.Sub(g.lastGossip) >= g.newsInterval() {
-		g.forwardNews(now, true)
-	}
-	g.requestFromFar(now)
+	g.news.Tick(now)
 	g.relays.Update(now, g.catalog.Table(), g.leaving, func() map[string]bool { return s.Yielding(now) })
 	g.updateSelf()
-	g.sendPings(now, g.roster.Tick(now))
+	g.news.SendPings(now, g.roster.Tick(now))
 	changes := g.roster.Changes()
 	g.logStateChanges(changes)
 	if slices.ContainsFunc(changes, func(r message.RouterRecord) bool { return r.State == message.Suspected || r.State == message.Gone }) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -18,7 +18,7 @@
 		reached := g.storeWatch.Reaches(now)
 		g.storeWatch.Failed(now, kind)
 		if reached {
-			g.gossip(now)
+			g.news.Gossip(now)
 		}
 	})
 }
@@ -53,7 +53,7 @@
 		reached := g.storeWatch.Reaches(now)
 		g.storeWatch.Recovered(kind)
 		if !reached && g.storeWatch.Reaches(now) {
-			g.gossip(now)
+			g.news.Gossip(now)
 		}
 	})
 }
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -25,7 +25,7 @@
 		if !changed {
 			// The revision may have changed even if the list has not, for instance if it
 			// is empty: the other routers need to know that revision.
-			g.gossip(now)
+			g.news.Gossip(now)
 		}
 	})
 }
