A caller's connection is a package of its own

internal/callerconn was conn.go, last.go, account.go, unanswered.go, quick.go and improper.go of internal/ingress: where requests begin and end on a connection, which are refused before the HTTP server sees them, the last answer, and the account of each. It gets the room, the classifier, the refuser, the tracker and the observer; a server opens connections with it and asks for the one of a request with Of.

Tests of ingress that made or looked into connections open them as the server does; the listener of overdue connections takes the steps of its own that the server's one takes, since it cannot set an arrival back any more; a first read that is never overdue still fails its test.

--- a/internal/ingress/last.go
+++ b/internal/callerconn/last.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"time"
@@ -16,7 +16,7 @@
 
 // refuseLast refuses the request that begins with the bytes read, or that has arrived, if there is one, and
 // closes the connection. The place must have told that it is to.
-func (c *conn) refuseLast(read []byte, reason forward.Reason, after time.Duration) {
+func (c *Conn) refuseLast(read []byte, reason forward.Reason, after time.Duration) {
 	c.place.BeginLast()
 	defer c.place.EndLast()
 	buffer := scratch.Get()
@@ -26,11 +26,11 @@
 	n += early.ReadNow(buffer[n:])
 	// The HTTP server may have read the start of a request with the one before.
 	begun := c.unanswered.Load()
-	if n == 0 && !begun && c.server.room.Ending() {
+	if n == 0 && !begun && c.shared.Room.Ending() {
 		n = c.awaitLast(buffer[:])
 	}
 	if n == 0 && !begun {
-		c.noteClosing(c.server.room.Ending())
+		c.noteClosing(c.shared.Room.Ending())
 		// An error means that the caller has disconnected.
 		_ = c.Conn.Close()
 		return
@@ -40,11 +40,11 @@
 		// An id in the middle of a request may be part of its body.
 		n = max(n, copy(buffer[:], "\r\n\r\n"))
 	}
-	c.server.early.RefuseArrived(early, c.request.Swap(nil), buffer[:], n, reason, after)
+	c.shared.Early.RefuseArrived(early, c.request.Swap(nil), buffer[:], n, reason, after)
 }
 
 // awaitLast waits for a request that follows the last answer, and returns the number of bytes read.
-func (c *conn) awaitLast(b []byte) int {
+func (c *Conn) awaitLast(b []byte) int {
 	wait := maxUnannouncedWait - clock.Since(c.place.IdleSince())
 	// An error of either call means that the caller has disconnected, or that no request has arrived.
 	if wait <= 0 || c.Conn.SetReadDeadline(clock.Deadline(wait)) != nil {
@@ -56,7 +56,7 @@
 
 // refuseNext refuses the request that follows the last answer and closes the connection, if the HTTP server, which
 // shuts down, would only close it.
-func (c *conn) refuseNext() {
+func (c *Conn) refuseNext() {
 	if c.place.RefuseNext() {
 		c.betweenRequests = false
 		c.startUnknown = c.unread < -1
@@ -66,7 +66,7 @@
 
 // finishClose closes a connection that was left open, unless it goes on; a request that has arrived behind the last
 // answer is refused. ended is set if the HTTP server is done with the connection.
-func (c *conn) finishClose(ended bool) {
+func (c *Conn) finishClose(ended bool) {
 	leftOpen, refuses := c.place.FinishClose(ended)
 	if !leftOpen {
 		return
--- a/internal/ingress/quick.go
+++ b/internal/callerconn/quick.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"io"
@@ -21,15 +21,16 @@
 // because of its organisation's load. It returns false, and has done nothing, if the HTTP
 // server is to serve the request, and io.EOF if the refusal is the last answer on the connection.
 // length is the request's length in bytes, or lengthUnknown.
-func (s *Server) refuseQuickly(c *conn, first []byte) (refuse bool, length int, err error) {
+func (c *Conn) refuseQuickly(first []byte) (refuse bool, length int, err error) {
+	s := c.shared
 	arrived := clock.Now()
-	h, size, ok := s.classifier.Parse(first)
+	h, size, ok := s.Classifier.Parse(first)
 	length = requestLength(h, size, ok)
-	if length < len(first) || s.closing.Load() {
+	if length < len(first) || s.Leaving() {
 		c.head.Keep(first)
 		return false, length, nil
 	}
-	r, reason := s.early.OverloadReason(h)
+	r, reason := s.Early.OverloadReason(h)
 	if reason == "" {
 		c.head.KeepID(r.ID)
 		return false, length, nil
@@ -37,25 +38,25 @@
 	r.Arrived = arrived
 	if length > len(first) {
 		c.beginRequest()
-		if err := discard(c, length-len(first)); err != nil {
+		if err := c.discard(length - len(first)); err != nil {
 			return false, length, err
 		}
 	}
 	result := refusal.New(http.StatusServiceUnavailable, reason, refusal.OverloadRetryAfter())
-	last := c.place.Received() || s.room.AnnounceClose(false)
-	_, err = c.writeAnswer(refusal.Format(s.headerNames.RequestID, r.ID, result, last))
+	last := c.place.Received() || s.Room.AnnounceClose(false)
+	_, err = c.writeAnswer(refusal.Format(s.RequestID, r.ID, result, last))
 	took := clock.Since(arrived)
 	c.endRefused(arrived.Add(took), err)
-	s.observer.RequestEnded(r, result, took)
+	s.Observer.RequestEnded(r, result, took)
 	if last || err != nil {
 		return true, length, io.EOF
 	}
-	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(idleTimeout)), "wait for the next request")
+	return true, length, errors.Wrap(c.SetReadDeadline(clock.Deadline(s.IdleTimeout)), "wait for the next request")
 }
 
 // discard reads n bytes of a request's body and drops them.
-func discard(c *conn, n int) error {
-	if err := c.SetReadDeadline(clock.Deadline(bodyTimeout)); err != nil {
+func (c *Conn) discard(n int) error {
+	if err := c.SetReadDeadline(clock.Deadline(c.shared.BodyTimeout)); err != nil {
 		return errors.Wrap(err, "discard body")
 	}
 	buffer := scratch.Get()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/memory"
@@ -79,7 +80,7 @@
 			return
 		}
 		var rest io.Reader = r.Body
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && r.ContentLength < 0 {
+		if c := callerconn.Of(r.Context()); c != nil && r.ContentLength < 0 {
 			// The decoder of chunks reads nothing more after it was interrupted. The caller closes the
 			// connection once it has read the refusal.
 			rest = c.Conn
@@ -98,7 +99,7 @@
 	w.Header().Set("Connection", "close")
 	var timeout net.Error
 	switch {
-	case closedServing(r.Context()):
+	case callerconn.Of(r.Context()).ClosedServing():
 		return refusal.New(http.StatusServiceUnavailable, refusal.Stopped, 0)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return refusal.New(http.StatusRequestTimeout, refusal.BodyTimeout, 0)
--- a/internal/ingress/buffered_internal_test.go
+++ b/internal/ingress/buffered_internal_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 )
 
 // TestBufferedRequestIsNotEvicted guards against connections that are closed, or refused by what is in a body, while a
@@ -34,7 +36,7 @@
 					evictOldest := fillRoom(s)
 					serving, ended := make(chan context.Context, 2), make(chan struct{})
 					s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-						noteServing(r.Context())
+						callerconn.Of(r.Context()).NoteServing()
 						w.Header().Set("X-Id", r.Header.Get("X-Id"))
 						if r.URL.Path == "/a" && r.Header.Get("X-Id") == "1" {
 							serving <- r.Context()
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 )
@@ -54,15 +55,14 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.started.Add(1)
-		noteServing(r.Context())
-		defer tracked(r.Context()).Decide(clock.Now(), r.Header.Get("X-Id"), lifecycle.Answered)
+		callerconn.Of(r.Context()).NoteServing()
+		defer callerconn.Of(r.Context()).Account().Decide(clock.Now(), r.Header.Get("X-Id"), lifecycle.Answered)
 		h.ServeHTTP(w, r)
 	})
 }
 
 // ReadAll reads from a connection to its end, as the HTTP server does, which gets no request that is refused quickly.
 func (s *Server) ReadAll(raw net.Conn) {
-	c := &conn{Conn: raw, server: s, betweenRequests: true, firstReadDone: true}
-	s.room.Admit(&c.place, raw, nil)
+	c := s.conns.Open(raw, s.room.Accept(), nil, nil)
 	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c})
 }
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -68,7 +67,7 @@
 	a.ahead = slices.Clone(a.ahead)
 	var err error
 	if a.conn, err = a.socket.Conn(); err != nil {
-		a.server.loseConnection(a.server.early.Begin(len(a.ahead)))
+		a.server.conns.Lose(a.server.early.Begin(len(a.ahead)))
 	}
 	return a.conn, err
 }
@@ -167,12 +166,6 @@
 // EndReceived makes the server end the connections that leaving routers handed over, as room.Room.EndReceived does.
 func (s *Server) EndReceived(staying map[netip.Addr]bool) { s.room.EndReceived(staying) }
 
-// routerLeaves reports whether the connection of a request was handed over by a router that is leaving.
-func routerLeaves(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.place.RouterLeaves()
-}
-
 // receivedListener accepts the connections that other routers hand over.
 type receivedListener struct {
 	net.Listener
@@ -185,7 +178,5 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, server: l.server, betweenRequests: true}
-	l.server.room.AdmitReceived(&c.place, raw)
-	return c, nil
+	return l.server.conns.OpenReceived(raw), nil
 }
--- a/internal/ingress/idle_id_internal_test.go
+++ b/internal/ingress/idle_id_internal_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/group"
 )
 
@@ -24,10 +25,10 @@
 	for name, note := range map[string]func(shut <-chan struct{}, raw net.Conn){
 		"before": func(shut <-chan struct{}, raw net.Conn) {
 			stopped(shut)
-			connState(raw, http.StateIdle)
+			callerconn.State(raw, http.StateIdle)
 		},
 		"after": func(shut <-chan struct{}, raw net.Conn) {
-			connState(raw, http.StateIdle)
+			callerconn.State(raw, http.StateIdle)
 			stopped(shut)
 		},
 	} {
@@ -40,7 +41,7 @@
 			s.server.RegisterOnShutdown(sync.OnceFunc(func() { close(shut) }))
 			s.server.ConnState = func(raw net.Conn, state http.ConnState) {
 				if state != http.StateIdle {
-					connState(raw, state)
+					callerconn.State(raw, state)
 					return
 				}
 				close(idle)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/arrivals"
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/classify"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
@@ -73,12 +74,12 @@
 	// arrivals has the connections that wait for their first read, room all that are open.
 	arrivals *arrivals.Queue
 	room     *room.Room
+	conns    *callerconn.Connections
 	// overloaded reports whether the router is short of CPU time.
 	overloaded func() bool
 	requests   *lifecycle.Tracker
 	// cutRequests ends all requests that are served.
 	cutRequests func()
-	unanswered  unansweredCounter
 	// handover takes new connections to other routers; nil if there is none.
 	handover Handover
 	// maxOpen is the maximum number of requests being served.
@@ -113,6 +114,7 @@
 	}
 	s.room = room.New(limits.Connections, s.arrivals, s.overloaded)
 	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.arrivals, t, o, l)
+	s.conns = s.newConns()
 	served, cut := context.WithCancelCause(context.Background())
 	s.cutRequests = func() { cut(errStopped) }
 	s.server = &http.Server{
@@ -121,14 +123,22 @@
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
-		ConnState:                    connState,
-		ConnContext:                  withConn,
+		ConnState:                    callerconn.State,
+		ConnContext:                  callerconn.WithConn,
 		ErrorLog:                     log.New(serverLog{l}, "", 0),
 		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
 
+// newConns returns what callers' connections are made of.
+func (s *Server) newConns() *callerconn.Connections {
+	return callerconn.New(callerconn.Options{
+		RequestID: s.headerNames.RequestID, Room: s.room, Classifier: s.classifier, Early: s.early, Requests: s.requests, Observer: s.observer,
+		Leaving: s.closing.Load, IdleTimeout: idleTimeout, BodyTimeout: bodyTimeout, Log: s.log,
+	})
+}
+
 // serverLog is an io.Writer that forwards the log lines of http.Server, such as panics of
 // handlers, to log.
 type serverLog struct{ log logr.Logger }
@@ -168,6 +178,11 @@
 // waited too long for CPU time.
 func (s *Server) RejectedConnections() int64 { return s.early.Rejected() }
 
+// ClosedUnanswered returns the number of requests since the start that got neither an answer nor a
+// refusal because this process closed their connections, by reason. Those of callers that had closed the
+// connection before are not counted.
+func (s *Server) ClosedUnanswered() map[string]int64 { return s.conns.Unanswered() }
+
 // TotalRequests returns the number of requests that reached the HTTP server since the start.
 func (s *Server) TotalRequests() int64 { return s.started.Load() }
 
@@ -281,9 +296,10 @@
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	arrived := clock.Now()
-	noteServing(r.Context())
+	c := callerconn.Of(r.Context())
+	c.NoteServing()
 	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
-	tracked(r.Context()).Identify(request.ID)
+	c.Account().Identify(request.ID)
 	a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -295,16 +311,16 @@
 		defer body.Close()
 	}
 	if result.Status == 0 {
-		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
+		request.CallerGone = c.Disconnected
 		result = s.forwarder.Forward(r.Context(), request, a)
 		if !result.Truncated {
 			a.complete()
 		}
-		if result.Reason == forward.ReasonCallerGone && (closedServing(r.Context()) || errors.Is(context.Cause(r.Context()), errStopped)) {
+		if result.Reason == forward.ReasonCallerGone && (c.ClosedServing() || errors.Is(context.Cause(r.Context()), errStopped)) {
 			result.Reason = refusal.Stopped
 		}
 	}
-	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
+	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && c.Received() || s.endsConnection(c, false)) {
 		w.Header().Set("Connection", "close")
 	}
 	if result.Reason == refusal.BodyEvicted {
@@ -331,7 +347,7 @@
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
 func (s *Server) finish(w http.ResponseWriter, served *http.Request, r forward.Request, result forward.Result, arrived time.Time) {
-	tracked(served.Context()).Decide(clock.Now(), r.ID, refusal.EndOf(result))
+	callerconn.Of(served.Context()).Account().Decide(clock.Now(), r.ID, refusal.EndOf(result))
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
 	if result.Truncated {
 		panic(http.ErrAbortHandler)
@@ -386,6 +402,12 @@
 	return s.forwarder.Admit(r.Organisation, requestSize(r))
 }
 
+// endsConnection reports whether the answer to a request, which begins now, is to be the last one on its
+// connection. long is set if it does not tell its length.
+func (s *Server) endsConnection(c *callerconn.Conn, long bool) bool {
+	return s.closing.Load() || c.EndsAfter(long)
+}
+
 // requestSize returns a request's size in tokens.
 func requestSize(r forward.Request) throttle.RequestSize {
 	return throttle.RequestSize{Input: r.Input, Output: r.Output}
@@ -415,13 +437,13 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if a.server.endsConnection(a.request.Context(), length < 0) {
+	if a.server.endsConnection(callerconn.Of(a.request.Context()), length < 0) {
 		h.Set("Connection", "close")
 	}
 	if length < 0 && !a.request.ProtoAtLeast(1, 1) {
 		// Whatever ends the answer early, even if it is the end of this process, must not look like its end.
 		a.endsWithConnection = true
-		setResetOnClose(a.request.Context(), true)
+		callerconn.Of(a.request.Context()).SetResetOnClose(true)
 	}
 	a.w.WriteHeader(status)
 	a.headSent = true
@@ -430,7 +452,7 @@
 // complete marks the answer as written to its end.
 func (a *answer) complete() {
 	if a.endsWithConnection {
-		setResetOnClose(a.request.Context(), false)
+		callerconn.Of(a.request.Context()).SetResetOnClose(false)
 	}
 }
 
@@ -446,7 +468,7 @@
 }
 
 // Unacknowledged implements forward.Caller.
-func (a *answer) Unacknowledged() int { return unacknowledged(a.request.Context()) }
+func (a *answer) Unacknowledged() int { return callerconn.Of(a.request.Context()).Unacknowledged() }
 
 // StopWriting implements forward.Caller.
 func (a *answer) StopWriting() {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		// Returning the error would stop http.Server.
 		l.server.arrivals.Remove(element)
-		l.server.loseConnection(account)
+		l.server.conns.Lose(account)
 		l.server.log.Info("accepted connection lost", "cause", err.Error())
 		return nil, nil
 	}
@@ -131,10 +131,7 @@
 		l.server.early.Refuse(earlyrefusal.TCP(raw), account, ahead, refusal.Leaving, refusal.LeavingRetryAfter)
 		return nil, net.ErrClosed
 	}
-	c := &conn{Conn: raw, server: l.server, betweenRequests: true, readAhead: ahead}
-	l.server.room.Admit(&c.place, raw, element)
-	c.request.Store(account)
-	return c, nil
+	return l.server.conns.Open(raw, element, account, ahead), nil
 }
 
 // Close implements net.Listener. It refuses the requests on connections that nobody has accepted, which the kernel
--- a/internal/ingress/room_internal_test.go
+++ b/internal/ingress/room_internal_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/room"
 )
 
@@ -20,7 +21,7 @@
 	s.limitConnections(connections)
 	serving, ended := make(chan struct{}, connections), make(chan struct{})
 	s.server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		noteServing(r.Context())
+		callerconn.Of(r.Context()).NoteServing()
 		if r.Header.Get("X-Id") == "new" {
 			serving <- struct{}{}
 			<-ended
@@ -108,7 +109,7 @@
 	s.limitConnections(1)
 	serving, end := make(chan struct{}), make(chan struct{})
 	s.server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		noteServing(r.Context())
+		callerconn.Of(r.Context()).NoteServing()
 		if r.Header.Get("X-Id") == "long" {
 			serving <- struct{}{}
 			<-end
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
@@ -30,14 +32,17 @@
 type overdueListener struct{ listener }
 
 func (a overdueListener) Accept() (net.Conn, error) {
-	c, err := a.listener.Accept()
+	socket, err := a.acceptor.Accept()
 	if err != nil {
 		return nil, err
 	}
-	accepted := c.(*conn)
-	accepted.place.Release()
-	arrival := a.server.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
-	return a.admit(accepted.Conn, arrival, accepted.request.Load(), accepted.readAhead)
+	ahead := slices.Clone(a.buffer[:socket.ReadNow(a.buffer[:])])
+	account := a.server.early.Begin(len(ahead))
+	raw, err := socket.Conn()
+	if err != nil {
+		return nil, err
+	}
+	return a.admit(raw, a.server.arrivals.Enqueue(clock.Now().Add(-time.Second), true), account, ahead)
 }
 
 // rejectedOnly is an observer that expects only rejections of overdue connections.
@@ -60,7 +65,10 @@
 }
 
 // limitConnections makes room for n connections, before the server serves.
-func (s *Server) limitConnections(n int) { s.room = room.New(n, s.arrivals, s.overloaded) }
+func (s *Server) limitConnections(n int) {
+	s.room = room.New(n, s.arrivals, s.overloaded)
+	s.conns = s.newConns()
+}
 
 // A caller whose connection waited too long for CPU time must get 503 with a Retry-After. It
 // used to get no answer, or 400 Bad Request, after which callers do not retry.
@@ -76,10 +84,13 @@
 			g := group.New(context.Background())
 			defer g.Stop()
 			defer checkAccount(t, s)
-			if !overdue {
+			var in net.Listener = newListener(l, s)
+			if overdue {
+				in = overdueListener{newListener(l, s)}
+			} else {
 				s.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
 			}
-			g.Go(func() { _ = s.server.Serve(overdueListener{newListener(l, s)}) })
+			g.Go(func() { _ = s.server.Serve(in) })
 			c, err := net.Dial("tcp", l.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -210,7 +221,7 @@
 				if state == http.StateIdle {
 					time.Sleep(100 * time.Millisecond)
 				}
-				connState(raw, state)
+				callerconn.State(raw, state)
 			}
 			checkRefusalBehindLastAnswer(t, s, wholeRequest+c.with, c.later, c.id)
 		})
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
@@ -81,17 +82,17 @@
 		"the caller closed it within a request": {wholeRequest[:20], func(_ *Server, caller net.Conn) { _ = caller.Close() }, nil, ends{lifecycle.CallerGone: 1}},
 		"the server is closed within a request": {
 			wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
-			map[string]int64{closedStopping: 1},
+			map[string]int64{callerconn.Stopping: 1},
 			ends{lifecycle.Unanswered: 1},
 		},
 		"the rest does not come": {
 			"GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) },
-			map[string]int64{closedTimeout: 1},
+			map[string]int64{callerconn.Timeout: 1},
 			ends{lifecycle.Incomplete: 1},
 		},
 		"its answer is aborted": {
 			strings.Replace(wholeRequest, "GET", "DELETE", 1), func(*Server, net.Conn) {},
-			map[string]int64{closedAborted: 1},
+			map[string]int64{callerconn.Aborted: 1},
 			ends{lifecycle.Unanswered: 1},
 		},
 		"the server stops after the first byte of a request": {
@@ -106,17 +107,17 @@
 		},
 		"the server is closed after the first byte of a request": {
 			wholeRequest + "G", func(s *Server, _ net.Conn) { _ = s.Close() },
-			map[string]int64{closedStopping: 1},
+			map[string]int64{callerconn.Stopping: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
 		},
 		"the server is closed after the first bytes of a request": {
 			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
-			map[string]int64{closedStopping: 1},
+			map[string]int64{callerconn.Stopping: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
 		},
 		"the rest of a second request does not come": {
 			wholeRequest + "GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) },
-			map[string]int64{closedTimeout: 1},
+			map[string]int64{callerconn.Timeout: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1},
 		},
 		"the server stops after the first byte behind chunks": {
@@ -135,12 +136,12 @@
 		},
 		"another one is behind the last": {
 			strings.Replace(wholeRequest, "GET", "PUT", 1) + wholeRequest, waitEnd,
-			map[string]int64{closedBehind: 1},
+			map[string]int64{callerconn.Behind: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
 		},
 		"another one is behind an aborted one": {
 			strings.Replace(wholeRequest, "GET", "DELETE", 1) + wholeRequest, waitEnd,
-			map[string]int64{closedAborted: 1, closedBehind: 1},
+			map[string]int64{callerconn.Aborted: 1, callerconn.Behind: 1},
 			ends{lifecycle.Unanswered: 2},
 		},
 		"no HTTP":                     {"hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Incomplete: 1}},
@@ -193,6 +194,7 @@
 	s := newTestServer(anyResult{}, false)
 	lines := make(chan string, 10)
 	s.requests = lifecycle.New(time.Second, funcr.New(func(_, args string) { lines <- args }, funcr.Options{}))
+	s.conns = s.newConns()
 	dialServer(t, startTestServer(t, s), "GET / HTTP/1.1\r\nX-Id: 1\r\nHost")
 	for s.requests.Sums(time.Now()).Open == 0 {
 		time.Sleep(time.Millisecond)
@@ -266,6 +268,7 @@
 		}
 		return s.overloaded()
 	})
+	s.conns = s.newConns()
 	s.room.Reserve()
 	return func(f func()) bool {
 		during.Store(&f)
@@ -278,7 +281,7 @@
 	idle := make(chan struct{})
 	var once sync.Once
 	s.server.ConnState = func(raw net.Conn, state http.ConnState) {
-		connState(raw, state)
+		callerconn.State(raw, state)
 		if state == http.StateIdle {
 			once.Do(func() { close(idle) })
 		}
