What routers tell of ended processes is a package of its own

internal/exits was internal/gateway's exits.go: exits that this router has seen or was told of, how they are passed on, and the connection that it tries itself. Its test has no gateway: what is passed on at once, and what with the next tick.

Tests of exits and gateway with -race passed.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -56,7 +56,7 @@
 		case message.StreamVersions:
 			g.handleStreamVersions(s, now, from, m)
 		case message.TargetExits:
-			g.handleTargetExits(s, now, m)
+			g.exits.Receive(s, now, m)
 		}
 		g.roster.NoteContact(now, from.ID)
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/countlog"
+	"github.com/stepcroft/stepcroft/internal/exits"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/freshness"
@@ -182,7 +183,8 @@
 	routes *routehistory.History
 	// suspects has the requests that are suspected of crashing targets.
 	suspects *suspects.Account
-	exits    exits
+	// exits tells other routers which processes of targets have ended.
+	exits *exits.Exchange
 	// unconfirmedSince is the time since when the router has waited, after the box was suspended,
 	// for a confirmation that its copy of the store is current; zero if it does not wait.
 	unconfirmedSince time.Time
@@ -285,11 +287,14 @@
 	g.loop = balance.NewLoop(state)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
+	g.transport = httptarget.New(g.group)
+	g.exits = exits.New(exits.Options{
+		Group: g.group, Loop: g.loop, Roster: g.roster, Prober: g.transport, Metrics: o.Metrics, Send: g.sendTo, Wake: g.tickEarlier, Log: o.Log,
+	})
 	g.suspects = suspects.New(suspects.Options{
 		Self: self.ID, Loop: g.loop, Fleet: suspectFleet{g.roster, g}, Targets: g.catalog, Store: o.QuarantineStore, Moves: g.routes.Moves(),
-		RecordExit: g.recordExit, Counters: o.Metrics, Log: o.Log,
+		RecordExit: g.exits.Record, Counters: o.Metrics, Log: o.Log,
 	})
-	g.transport = httptarget.New(g.group)
 	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, g.suspects, o.Log, o.Metrics).
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -73,7 +73,7 @@
 // tickIdle reports whether nothing but the roster needs ticks.
 func (g *Gateway) tickIdle() bool {
 	return !g.reports.Active() && !g.relays.Active() && g.news.Idle() && g.unconfirmedSince.IsZero() &&
-		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStore.Idle() && g.exits.idle()
+		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStore.Idle() && g.exits.Idle()
 }
 
 // tickEarlier brings the next tick forward if a message has made one due.
@@ -104,7 +104,7 @@
 	g.counts.Update(s, now)
 	g.suspects.Update(now)
 	g.tickStreams(s, now)
-	g.tickExits(now)
+	g.exits.Tick(now)
 	g.suspects.Expire(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
