Records of which version began a stream are a package of its own

internal/streamrecords was internal/gateway's streams.go: lookups of streams that are taken up, records made, shared and received. It gets the loop, the directory, the history of routes and the store's keeper. Only moves; whether this router's process has stood still is told by the gateway's ticks.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,7 +54,7 @@
 		case message.Trial:
 			g.suspects.HandleTrial(now, from, m)
 		case message.StreamVersions:
-			g.handleStreamVersions(s, now, from, m)
+			g.records.Receive(s, now, from, m)
 		case message.TargetExits:
 			g.exits.Receive(s, now, m)
 		}
@@ -195,7 +195,7 @@
 func (g *Gateway) applyTargets(s *balance.State, now time.Time) {
 	c := g.catalog.TakeChanges()
 	s.ChangeTargets(now, c.Changed, c.Removed)
-	g.shareStreams(s, now)
+	g.records.Share(s, now)
 	g.suspects.RecordRestarts(now, c.Changed)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
+	"github.com/stepcroft/stepcroft/internal/streamrecords"
 	"github.com/stepcroft/stepcroft/internal/streamstore"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/suspects"
@@ -178,6 +179,7 @@
 	persistedEra int64
 	// streams knows which versions began streams.
 	streams     *streamversion.Directory
+	records     *streamrecords.Exchange
 	streamStore *streamstore.Keeper
 	// routes knows at which services streams may have begun.
 	routes *routehistory.History
@@ -264,7 +266,6 @@
 		Store: o.StreamStore, Streams: g.streams, Routes: g.routes, Catalog: g.catalog, Copies: g.copies, Metrics: o.Metrics, Wake: g.tickEarlier, Log: o.Log,
 	})
 	state := balance.New(now, o.Zone, o.Limits, random)
-	state.OnStreamBegun(g.streamBegun)
 	state.SetRouteHistory(g.routes)
 	if o.StreamStore == nil {
 		g.streams.Restore(now, nil, true)
@@ -285,6 +286,11 @@
 	state.SetRegions(o.Regions)
 	state.SetFeatures(o.Features)
 	g.loop = balance.NewLoop(state)
+	g.records = streamrecords.New(streamrecords.Options{
+		Loop: g.loop, Streams: g.streams, Routes: g.routes, Store: g.streamStore, Metrics: o.Metrics, Send: g.sendTo,
+		Wake: g.tickEarlier, StoodStill: g.stoodStill, LogFull: o.LogFull, Log: o.Log,
+	})
+	state.OnStreamBegun(g.records.Begun)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
 	g.transport = httptarget.New(g.group)
@@ -298,7 +304,7 @@
 	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, g.suspects, o.Log, o.Metrics).
-		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(g.records).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	sums := tally.New()
 	g.requests = lifecycle.New(changeWindow, o.Log)
 	g.server = ingress.New(o.Headers, forwarder, requestlog.New(o.Log, o.LogFull, o.Metrics, sums, g.requests.LastChange), ingress.Limits{
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -365,7 +365,7 @@
 			answers := make(chan streamversion.Answer, 1)
 			g.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) {
 				c.stands(g, s, now)
-				g.lookUpStream(s, now, forward.TakeUp{Service: "s", Stream: "k"}, answers)
+				g.records.LookUp(s, now, forward.TakeUp{Service: "s", Stream: "k"}, answers)
 			})
 			for _, m := range c.told {
 				g.receive(from, m)
--- a/internal/gateway/past_internal_test.go
+++ b/internal/gateway/past_internal_test.go
@@ -11,6 +11,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/forward"
+	"github.com/stepcroft/stepcroft/internal/streamrecords"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/unrecorded"
 )
@@ -40,7 +41,7 @@
 	setTargets(t, g, early, late)
 	g.RestoreStreams(streamversion.Stored{Complete: true, At: 5, ConfigAt: streamversion.NoStreams})
 	lookUp := func(service string) streamversion.Answer {
-		return streamVersions{g}.Lookup(t.Context(), forward.TakeUp{Service: service, Stream: "r"})
+		return g.records.Lookup(t.Context(), forward.TakeUp{Service: service, Stream: "r"})
 	}
 	if a := lookUp("early"); a.Version != "v1" || len(store.reads) > 0 {
 		t.Errorf("not changed since what is stored was written: %+v, %d reads", a, len(store.reads))
@@ -60,7 +61,7 @@
 			t.Errorf("while it is read: %+v", a)
 		}
 	})
-	time.Sleep(maxPastWait / 10)
+	time.Sleep(streamrecords.MaxPastWait / 10)
 	g.PastRead(unrecorded.Past{Gone: 9})
 	waiting.Wait()
 	if a := lookUp("late"); a.Version != "v1" || a.Evidence != streamversion.EvidenceOnlyVersion {
--- a/internal/gateway/routes_internal_test.go
+++ b/internal/gateway/routes_internal_test.go
@@ -79,7 +79,7 @@
 
 func takeUpAt(t *testing.T, g *Gateway, service string) streamversion.Answer {
 	t.Helper()
-	return streamVersions{g}.Lookup(t.Context(), forward.TakeUp{Service: service, Host: "h", Path: "/p", Stream: "s"})
+	return g.records.Lookup(t.Context(), forward.TakeUp{Service: service, Host: "h", Path: "/p", Stream: "s"})
 }
 
 // TestTakeUpBeforeRoutesAreRead guards against taking a stream for one of the service to which its route moved while no
--- a/internal/gateway/streamstore.go
+++ b/internal/gateway/streamstore.go
@@ -67,7 +67,7 @@
 	g.tickEarlier(now)
 	if g.routes.Set(now, t) {
 		s.RoutesChanged()
-		g.Log.Info("routes lead to other services", "version", t.Version(), "streams_shared", g.shareStreams(s, now))
+		g.Log.Info("routes lead to other services", "version", t.Version(), "streams_shared", g.records.Share(s, now))
 	}
 	g.streamStore.RestoreRoutes(now)
 }
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// maxTickDelay is how much later than due a tick may be without this router counting as one that has stood still.
+const maxTickDelay = time.Second
+
+// stoodStill reports whether this router's process has stood still, although its box went on.
+func (g *Gateway) stoodStill(now time.Time) bool {
+	return !g.nextTick.IsZero() && now.Sub(g.nextTick) > maxTickDelay
+}
+
 // tick does the periodic work of the control goroutine: reports, gossip, logging and expiry.
 func (g *Gateway) tick(s *balance.State, now time.Time) {
 	g.reports.Tick(s, now)
@@ -103,7 +111,7 @@
 	}
 	g.counts.Update(s, now)
 	g.suspects.Update(now)
-	g.tickStreams(s, now)
+	g.records.Tick(s, now)
 	g.exits.Tick(now)
 	g.suspects.Expire(now)
 	g.expireConfirmation(now)
--- a/internal/gateway/zone_drains_internal_test.go
+++ b/internal/gateway/zone_drains_internal_test.go
@@ -44,7 +44,7 @@
 		Versions: []streamversion.Served{{ServiceVersion: streamversion.ServiceVersion{Service: "s", Version: "v1"}}}, Complete: true,
 	})
 	lookUp := func() streamversion.Answer {
-		return streamVersions{g}.Lookup(t.Context(), forward.TakeUp{Service: "s", Stream: "r"})
+		return g.records.Lookup(t.Context(), forward.TakeUp{Service: "s", Stream: "r"})
 	}
 	if a := lookUp(); a.Known || a.Confirmed {
 		t.Errorf("before they are read: %+v", a)
