What a router should read from the store is told by a package of its own

internal/storeduty was a part of internal/gateway's watch.go and freshness.go: a router's duty, when the next read is due, and how old its copy is in logs and metrics. It gets the catalog, the ages, the watch and the fleet. Its tests have no fleet: duties, lines of changes, the next read.

Tests of storeduty and gateway with -race passed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
+	"github.com/stepcroft/stepcroft/internal/storeduty"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
 	"github.com/stepcroft/stepcroft/internal/streamrecords"
 	"github.com/stepcroft/stepcroft/internal/streamstore"
@@ -151,12 +152,10 @@
 	roster  *roster.Roster
 	// reports tells the other routers the load of this one's requests, and has theirs.
 	reports *loadreport.Exchange
-	// copies tracks how old the copies of the store's objects are. loggedCopies are their states and
-	// watching whether this router watches the store as logged last.
-	copies       *freshness.Tracker
-	loggedCopies [message.StoreKindCount]copyState
-	watching     bool
-	inForce      configInForce
+	// copies tracks how old the copies of the store's objects are, storeDuty what is to be read of them.
+	copies    *freshness.Tracker
+	storeDuty *storeduty.Monitor
+	inForce   configInForce
 	// storeWatch decides whether this router watches the store.
 	storeWatch *storewatch.Watch
 	// news tells other routers what is new in the copy of the store, and asks for what is newer.
@@ -260,6 +259,7 @@
 		ID: self.ID, Zone: self.Zone, Address: self.Address, Peer: self.Peer, Incarnation: self.Incarnation,
 		Capacity: o.Capacity,
 	}, o.Seeds, random)
+	g.storeDuty = storeduty.New(storeduty.Options{Catalog: g.catalog, Copies: g.copies, Watch: g.storeWatch, Fleet: dutyFleet{g.roster, g}, Log: o.Log})
 	g.streams = streamversion.New(now, g.roster)
 	g.routes = routehistory.New(now, streamversion.TTL)
 	g.streamStore = streamstore.New(now, streamstore.Options{
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -58,11 +58,7 @@
 		if latest := now.Add(maxTickInterval); due.After(latest) {
 			due = latest
 		}
-		for kind := range message.StoreKindCount {
-			if read, ok := g.copyReadDue(now, kind, g.watching); ok && read.After(now) && read.Before(due) {
-				due = read
-			}
-		}
+		due = g.storeDuty.NextRead(now, due)
 		if due.After(g.nextTick) {
 			g.nextTick = due
 		}
@@ -116,9 +112,7 @@
 	g.suspects.Expire(now)
 	g.expireConfirmation(now)
 	g.decideRollouts(now)
-	duty := g.storeDuty(now)
-	g.logWatch(now, duty.Watch)
-	g.logCopies(now)
+	duty := g.storeDuty.Tick(now)
 	if g.OnDuty != nil {
 		g.OnDuty(duty)
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -8,7 +8,7 @@
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/freshness"
 	"github.com/stepcroft/stepcroft/internal/message"
-	"github.com/stepcroft/stepcroft/internal/storewatch"
+	"github.com/stepcroft/stepcroft/internal/roster"
 )
 
 // StoreFailed records that a call to the store about a kind failed.
@@ -62,46 +62,17 @@
 // of the running routers, or of those that reach the store. A router that knows no other running
 // one ranks first.
 func (g *Gateway) ShouldWatchStore(ctx context.Context) bool {
-	watches, answered := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool { return g.shouldWatchStore(now) })
+	watches, answered := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) bool { return g.storeDuty.ShouldWatch(now) })
 	return watches || !answered
 }
 
-// shouldWatchStore is ShouldWatchStore for the control goroutine.
-func (g *Gateway) shouldWatchStore(now time.Time) bool {
-	uninformed := g.catalog.Table() == nil || g.catalog.TargetsRevision() == 0
-	return g.storeWatch.Should(now, g.runningRouters(now), uninformed, g.leaving)
-}
-
 // StoreDuty returns what this router should read from the store.
 func (g *Gateway) StoreDuty(ctx context.Context) freshness.Duty {
-	duty, answered := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) freshness.Duty { return g.storeDuty(now) })
+	duty, answered := balance.Call(ctx, g.loop, func(_ *balance.State, now time.Time) freshness.Duty { return g.storeDuty.Duty(now) })
 	duty.Watch = duty.Watch || !answered
 	return duty
 }
 
-// storeDuty is StoreDuty for the control goroutine.
-func (g *Gateway) storeDuty(now time.Time) freshness.Duty {
-	watch := g.shouldWatchStore(now)
-	rank := g.storeWatch.LastRank()
-	duty := freshness.Duty{Watch: watch, Phase: rank.Phase(), Few: rank.Running < storewatch.WatcherCount}
-	if g.catalog.Table() == nil {
-		return duty
-	}
-	for kind := range message.StoreKindCount {
-		due, ok := g.copyReadDue(now, kind, duty.Watch)
-		duty.Read[kind] = ok && !now.Before(due)
-	}
-	return duty
-}
-
-// copyReadDue returns when this router should read a kind from the store unless its copy is confirmed
-// before, or false if it never should.
-func (g *Gateway) copyReadDue(now time.Time, kind message.StoreKind, watches bool) (time.Time, bool) {
-	return g.copies.ReadDue(kind, g.catalog.Complete(), freshness.Position{
-		Rank: g.storeWatch.Rank(now, g.runningRouters(now)).Zone, LastHeard: g.roster.LastHeard(), Watches: watches,
-	})
-}
-
 // OthersReachStore reports whether, as far as known, another running router reaches the store, so
 // that the fleet does not depend on this one.
 func (g *Gateway) OthersReachStore(ctx context.Context) bool {
@@ -115,6 +86,20 @@
 	return found
 }
 
+// dutyFleet implements storeduty.Fleet.
+type dutyFleet struct {
+	*roster.Roster
+	*Gateway
+}
+
+// Running implements storeduty.Fleet.
+func (f dutyFleet) Running(now time.Time) iter.Seq[message.RouterRecord] {
+	return f.runningRouters(now)
+}
+
+// Leaving implements storeduty.Fleet.
+func (f dutyFleet) Leaving() bool { return f.leaving }
+
 // runningRouters returns the routers that are running and not leaving, this one included. A
 // suspected router is left out, so that the next in rank replaces it at once. Waiting until it is
 // certainly gone would take 1.5 s more of the two seconds in which a configuration has to be in
