Bodies of requests are read by a package of its own

internal/requestbody was body.go of internal/ingress: bodies within the memory, why one could not be read, and what callers of refused requests still send. Its tests need no router.

Tests of requestbody, ingress and callerconn with -race passed. Ruled out: a time limit for Discard that refers to the request, which cost each request an allocation and some 470 bytes more.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,6 +31,7 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/requestbody"
 	"github.com/stepcroft/stepcroft/internal/room"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
@@ -46,10 +47,6 @@
 	// maxHeaderBytes bounds the size of a request's headers. It is above the configured limits
 	// in use, as headerTimeout is.
 	maxHeaderBytes = 64 << 10
-	// bodyTimeout bounds the time that reading a request's body takes.
-	bodyTimeout = 10 * time.Second
-	// defaultMaxBodyBytes is the maximum size of a request's body if none is configured.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Observer receives the result of each request, also of refused ones.
@@ -69,8 +66,7 @@
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
-	// memory is the budget for request bodies.
-	memory *memory.Budget
+	bodies    *requestbody.Reader
 	// arrivals has the connections that wait for their first read, room all that are open.
 	arrivals *arrivals.Queue
 	room     *room.Room
@@ -109,7 +105,7 @@
 func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, t *lifecycle.Tracker, l logr.Logger) *Server {
 	s := &Server{
 		headerNames: names, classifier: classify.New(names),
-		forwarder: f, observer: o, memory: b, requests: t, log: l,
+		forwarder: f, observer: o, bodies: requestbody.New(b, l), requests: t, log: l,
 		arrivals: arrivals.New(), overloaded: f.ShortOfCPU, maxOpen: int64(limits.Requests),
 	}
 	s.room = room.New(limits.Connections, s.arrivals, s.overloaded)
@@ -135,7 +131,7 @@
 func (s *Server) newConns() *callerconn.Connections {
 	return callerconn.New(callerconn.Options{
 		RequestID: s.headerNames.RequestID, Room: s.room, Classifier: s.classifier, Early: s.early, Requests: s.requests, Observer: s.observer,
-		Leaving: s.closing.Load, IdleTimeout: idleTimeout, BodyTimeout: bodyTimeout, Log: s.log,
+		Leaving: s.closing.Load, IdleTimeout: idleTimeout, BodyTimeout: requestbody.Timeout, Log: s.log,
 	})
 }
 
@@ -207,6 +203,17 @@
 	return end != nil && r.Expires().After(*end)
 }
 
+// endOf returns a function that tells when a request ends at the latest.
+func (s *Server) endOf(r forward.Request) func() time.Time {
+	expires := r.Expires()
+	return func() time.Time {
+		if last := s.latestEnd.Load(); last != nil && last.Before(expires) {
+			return *last
+		}
+		return expires
+	}
+}
+
 // Shutdown closes idle connections and waits until the others become idle. If ctx ends first,
 // it closes them too, but for those whose last request is awaited or refused, and returns the error of ctx if there were
 // such, or requests were still served. Requests that begin from then on are refused.
@@ -324,7 +331,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if result.Reason == refusal.BodyEvicted {
-		defer s.discardBody(w, r, request)()
+		defer requestbody.Discard(w, r, s.endOf(request))()
 	}
 	s.finish(w, r, request, result, arrived)
 }
@@ -390,7 +397,7 @@
 	if s.mayOutlast(out) {
 		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
-	body, result := s.receiveBody(w, r, t, &out)
+	body, result := s.bodies.Read(w, r, t.Limits().BodyBytes, &out)
 	return out, body, result
 }
 
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -350,7 +350,7 @@
 // A request whose handler panicked used to get no answer, and to leave no line with its id.
 func TestRequestIsAnsweredIfItsHandlerPanics(t *testing.T) {
 	s := newTestServer(panicOnly{t}, false)
-	s.memory = nil
+	s.bodies = nil
 	table, err := routing.New(routing.Spec{
 		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "s", Weight: 1}}}},
 		Services: []routing.Service{{Name: "s"}},
--- a/internal/ingress/body.go
+++ b/internal/requestbody/requestbody.go
@@ -1,4 +1,6 @@
-package ingress
+// Package requestbody reads the bodies of callers' requests, within the memory that they may take, and lets callers of
+// refused requests send the rest.
+package requestbody
 
 import (
 	"cmp"
@@ -8,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/callerconn"
@@ -15,15 +18,30 @@
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
-	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
-// receiveBody reads the request's body, up to the configured limit. If it returns a result with
-// a status, the request is refused.
-func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, t *routing.Table, out *forward.Request) (*memory.Reservation, forward.Result) {
-	limit := int64(t.Limits().BodyBytes)
+const (
+	// Timeout bounds the time that reading a request's body takes.
+	Timeout = 10 * time.Second
+	// defaultMaxBytes is the maximum size of a request's body if none is configured.
+	defaultMaxBytes = 4 << 20
+)
+
+// Reader reads bodies. Use New to create one. It may be used by several goroutines.
+type Reader struct {
+	memory *memory.Budget
+	log    logr.Logger
+}
+
+// New returns a reader that holds bodies within the budget b.
+func New(b *memory.Budget, l logr.Logger) *Reader { return &Reader{memory: b, log: l} }
+
+// Read reads the body of a request into out, up to maxBytes, or the default if that is 0. If it returns a result with
+// a status, the request is refused. The caller must close the reservation unless it is nil.
+func (b *Reader) Read(w http.ResponseWriter, r *http.Request, maxBytes int, out *forward.Request) (*memory.Reservation, forward.Result) {
+	limit := int64(maxBytes)
 	if limit <= 0 {
-		limit = defaultMaxBodyBytes
+		limit = defaultMaxBytes
 	}
 	if r.ContentLength > limit {
 		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.TooLarge, 0)
@@ -32,11 +50,11 @@
 		return nil, forward.Result{}
 	}
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(clock.Deadline(bodyTimeout)); err != nil {
-		s.log.V(1).Info("read deadline not set", "id", out.ID, "cause", err.Error())
+	if err := control.SetReadDeadline(clock.Deadline(Timeout)); err != nil {
+		b.log.V(1).Info("read deadline not set", "id", out.ID, "cause", err.Error())
 	}
 	size := max(r.ContentLength, memory.UnknownSize)
-	reservation := s.memory.Open(out.Organisation, cmp.Or(max(size, 0), limit), func() {
+	reservation := b.memory.Open(out.Organisation, cmp.Or(max(size, 0), limit), func() {
 		// An error means that the connection is closed already.
 		_ = control.SetReadDeadline(time.Unix(1, 0))
 	})
@@ -47,34 +65,31 @@
 	if err != nil {
 		// What was read of the body is garbage from here on.
 		reservation.Close()
-		return nil, s.bodyFailed(w, r, out, err)
+		return nil, b.failed(w, r, out, err)
 	}
 	if int64(body.Len()) > limit {
 		return reservation, refusal.New(http.StatusRequestEntityTooLarge, refusal.TooLarge, 0)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		s.log.V(1).Info("read deadline not cleared", "id", out.ID, "cause", err.Error())
+		b.log.V(1).Info("read deadline not cleared", "id", out.ID, "cause", err.Error())
 	}
 	out.Body = body
 	return reservation, forward.Result{}
 }
 
-// discardBody lets the caller of a refused request send the rest of its body, so that the connection is not
+// Discard lets the caller of a refused request send the rest of its body, until a time, so that the connection is not
 // reset before it has read the refusal. It must be called before the refusal is written, and the function
 // that it returns afterwards.
-func (s *Server) discardBody(w http.ResponseWriter, r *http.Request, out forward.Request) func() {
+func Discard(w http.ResponseWriter, r *http.Request, until func() time.Time) func() {
 	control := http.NewResponseController(w)
 	if r.Header.Get("Expect") != "" || control.EnableFullDuplex() != nil {
 		return func() {}
 	}
 	w.Header().Set("Connection", "close")
 	return func() {
-		end := clock.Now().Add(bodyTimeout)
-		if out.Expires().Before(end) {
-			end = out.Expires()
-		}
-		if last := s.latestEnd.Load(); last != nil && last.Before(end) {
-			end = *last
+		end := clock.Now().Add(Timeout)
+		if last := until(); last.Before(end) {
+			end = last
 		}
 		if control.Flush() != nil || control.SetReadDeadline(clock.Deadline(clock.Until(end))) != nil {
 			return
@@ -90,9 +105,9 @@
 	}
 }
 
-// bodyFailed returns the result of a request whose body could not be read.
-func (s *Server) bodyFailed(w http.ResponseWriter, r *http.Request, out *forward.Request, err error) forward.Result {
-	s.log.Info("request body not read", "id", out.ID, "cause", err.Error())
+// failed returns the result of a request whose body could not be read.
+func (b *Reader) failed(w http.ResponseWriter, r *http.Request, out *forward.Request, err error) forward.Result {
+	b.log.Info("request body not read", "id", out.ID, "cause", err.Error())
 	if errors.Is(err, memory.ErrEvicted) {
 		return refusal.New(http.StatusServiceUnavailable, refusal.BodyEvicted, refusal.BodyRetryAfter())
 	}
