--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -12,8 +12,8 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/news"
 	"github.com/stepcroft/stepcroft/internal/revision"
-	"github.com/stepcroft/stepcroft/internal/view"
 )
 
 // All functions in this file run in the control goroutine, except for those that post to it
@@ -29,9 +29,8 @@
 		}
 		switch m := m.(type) {
 		case message.Ping:
-			g.sendPings(now, g.roster.Receive(now, m))
-			g.hearAges(now, from, m.Revisions, m.Ages)
-			g.requestNewer(now, from, m.Revisions)
+			g.news.SendPings(now, g.roster.Receive(now, m))
+			g.news.Hear(now, from, m.Revisions, m.Ages)
 			g.suspects.Compare(now, from, m.QuarantineDigest)
 			g.confirmByReply(now, m)
 			return
@@ -40,14 +39,14 @@
 		case message.ZoneStatus:
 			g.handleZoneStatus(s, now, from, m)
 		case message.Loads:
-			g.handleLoads(s, now, from.ID, m)
+			g.reports.ReceiveLoads(s, now, from.ID, m)
 		case message.NeedCopy:
 			if m.Config == 0 {
 				// The sender has no configuration, so it has just started: it must know
 				// the suspected requests before it serves its first one.
 				g.suspects.SendAll(now, from)
 			}
-			g.sendCopy(now, from, m)
+			g.news.SendCopy(now, from, m)
 		case message.Copy:
 			g.mergeCopy(s, now, from, m)
 		case message.Quarantine:
@@ -55,71 +54,25 @@
 		case message.Trial:
 			g.suspects.HandleTrial(now, from, m)
 		case message.StreamVersions:
-			g.handleStreamVersions(s, now, from, m)
+			g.records.Receive(s, now, from, m)
 		case message.TargetExits:
-			g.handleTargetExits(s, now, m)
+			g.exits.Receive(s, now, m)
 		}
 		g.roster.NoteContact(now, from.ID)
 	})
 }
 
-// handleStatus applies another router's report, unless the router is in another zone whose sum
-// already covers it.
 func (g *Gateway) handleStatus(s *balance.State, now time.Time, from member.Member, m message.Status) {
-	g.hearAges(now, from, m.Revisions, m.Ages)
-	g.requestNewer(now, from, m.Revisions)
-	if from.Zone == g.self.Zone {
-		g.zone.UpdateReport(now, from.ID, m)
-	} else {
-		if now.Sub(g.lastSums[from.Zone]) < sumTTL {
-			return
-		}
-		s.ForgetPeer(now, sumPeerName(from.Zone))
-		g.rollouts.RemovePeer(sumPeerName(from.Zone))
-		g.directZones[from.ID] = from.Zone
-	}
-	s.ApplyReport(now, string(from.ID), reportOf(m))
-	g.rollouts.SetPeer(string(from.ID), m.RolloutResults)
+	g.news.Hear(now, from, m.Revisions, m.Ages)
+	g.reports.Receive(s, now, from, m)
 }
 
-// handleLoads applies the changes of load that another router sends between reports.
-func (g *Gateway) handleLoads(s *balance.State, now time.Time, from message.RouterID, m message.Loads) {
-	zone := g.roster.Zone(from)
-	if _, direct := g.directZones[from]; !direct && zone != g.self.Zone && !g.lastSums[zone].IsZero() {
-		for _, l := range m.Deltas {
-			s.AddPeerLoad(now, sumPeerName(zone), l.Target, loadOf(l))
-		}
+func (g *Gateway) handleZoneStatus(s *balance.State, now time.Time, from member.Member, m message.ZoneStatus) {
+	if !g.reports.ReceiveSum(s, now, m) {
 		return
 	}
-	for _, l := range m.Loads {
-		s.SetPeerLoad(now, string(from), l.Target, loadOf(l))
-	}
-	if zone == g.self.Zone {
-		g.zone.UpdateLoads(from, m.Loads)
-	}
-}
-
-func reportOf(m message.Status) view.Report {
-	r := view.Report{
-		Loads:       make(map[string]view.Load, len(m.Loads)),
-		Usage:       make(map[string]view.Usage, len(m.Usage)),
-		SharedParts: make(map[string][]string, len(m.SharedParts)),
-		Speeds:      m.Speeds, Returns: m.Returns,
-	}
-	for _, l := range m.Loads {
-		r.Loads[l.Target] = loadOf(l)
-	}
-	for _, k := range m.SharedParts {
-		r.SharedParts[k.Target] = k.Parts
-	}
-	for _, u := range m.Usage {
-		r.Usage[u.Organisation] = view.Usage{Demand: u.Demand, Started: u.Started, Waiting: u.Waiting}
-	}
-	return r
-}
-
-func loadOf(l message.TargetLoad) view.Load {
-	return view.Load{PendingTokens: l.PendingTokens, Running: l.Running, MemoryTokens: l.MemoryTokens}
+	g.news.Hear(now, from, m.Status.Revisions, m.Status.Ages)
+	g.reports.PassOn(now, from, m)
 }
 
 func (g *Gateway) mergeCopy(s *balance.State, now time.Time, from member.Member, m message.Copy) {
@@ -131,13 +84,13 @@
 	g.rolloutsChanged(now, m.Rollouts.Revision > 0, string(from.ID))
 	g.targetsChanged(s, now, changed, string(from.ID))
 	g.noteMissedTargets(s, now, before)
-	g.copiesConfirmed(now, g.copies.Received(g.catalog.Complete()), string(from.ID))
+	g.news.Confirmed(now, g.copies.Received(g.catalog.Complete()), string(from.ID))
 	g.confirm(now, string(from.ID))
 }
 
 // sourceStore is the source, in log lines, of what the store itself delivered. The source of what
 // another router sent is that router's id.
-const sourceStore = "store"
+const sourceStore = news.FromStore
 
 // sourceTimer is the source, in log lines, of changes that take effect because a delay has passed.
 const sourceTimer = "time"
@@ -156,7 +109,7 @@
 	}
 	t := g.catalog.Table()
 	s.Configure(t)
-	g.noteMissedConfigs(clock.Now(), configBefore)
+	g.streamStore.NoteMissedConfigs(clock.Now(), configBefore)
 	g.setRoutes(s, clock.Now(), t)
 	g.server.Configure(t)
 	g.answers.enabled.Store(g.Features.AnswerBuffers.Enabled(t.AllTolerate()))
@@ -169,8 +122,7 @@
 		"bytes", len(value), "took_ms", now.Sub(began).Milliseconds(), "version_before", versionBefore, "before_ms", before.duration(now).Milliseconds(),
 		"age_ms", age.Milliseconds(), "confirmed_by", source)
 	// Unlike changes of targets, a configuration is not held up by others before it.
-	g.newsFromStore = g.newsFromStore || from == sourceStore
-	g.forwardNews(clock.Now(), false)
+	g.news.NoteUrgent(clock.Now(), from)
 }
 
 // logConfigNotTaken logs a configuration that was not applied because it differs from the one in
@@ -235,7 +187,7 @@
 	g.Log.Info("targets known", "era", revision.Era(at), "revision", revision.Store(at), "targets", targets,
 		"leaving", leaving, "lapsed", g.catalog.Lapsed(), "from", from)
 	g.logZones(now, from)
-	g.newsFrom(now, from)
+	g.news.Note(now, from)
 }
 
 // applyTargets applies the catalog's changes to the list of targets. The cost follows the number
@@ -243,7 +195,7 @@
 func (g *Gateway) applyTargets(s *balance.State, now time.Time) {
 	c := g.catalog.TakeChanges()
 	s.ChangeTargets(now, c.Changed, c.Removed)
-	g.shareStreams(s, now)
+	g.records.Share(s, now)
 	g.suspects.RecordRestarts(now, c.Changed)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/stepcroft/stepcroft/internal/coldstart"
 	"github.com/stepcroft/stepcroft/internal/counters"
 	"github.com/stepcroft/stepcroft/internal/countlog"
+	"github.com/stepcroft/stepcroft/internal/exits"
 	"github.com/stepcroft/stepcroft/internal/feature"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/freshness"
@@ -34,21 +35,25 @@
 	"github.com/stepcroft/stepcroft/internal/httptarget"
 	"github.com/stepcroft/stepcroft/internal/ingress"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
+	"github.com/stepcroft/stepcroft/internal/loadreport"
 	"github.com/stepcroft/stepcroft/internal/member"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/message"
 	"github.com/stepcroft/stepcroft/internal/metrics"
+	"github.com/stepcroft/stepcroft/internal/news"
 	"github.com/stepcroft/stepcroft/internal/relays"
 	"github.com/stepcroft/stepcroft/internal/requestlog"
 	"github.com/stepcroft/stepcroft/internal/rollout"
 	"github.com/stepcroft/stepcroft/internal/roster"
 	"github.com/stepcroft/stepcroft/internal/routehistory"
 	"github.com/stepcroft/stepcroft/internal/sockopt"
+	"github.com/stepcroft/stepcroft/internal/storeduty"
 	"github.com/stepcroft/stepcroft/internal/storewatch"
+	"github.com/stepcroft/stepcroft/internal/streamrecords"
+	"github.com/stepcroft/stepcroft/internal/streamstore"
 	"github.com/stepcroft/stepcroft/internal/streamversion"
 	"github.com/stepcroft/stepcroft/internal/suspects"
 	"github.com/stepcroft/stepcroft/internal/tally"
-	"github.com/stepcroft/stepcroft/internal/zonesum"
 )
 
 const (
@@ -140,34 +145,21 @@
 // Gateway is a running router. Use New to make one.
 type Gateway struct {
 	Options
-	group    *group.Group
-	self     member.Member
-	loop     *balance.Loop
-	catalog  *catalog.Catalog
-	roster   *roster.Roster
-	reporter reporter
-	// zone adds up the reports of this zone. lastSums has the time of the last sum of each other
-	// zone. directZones has the zones of those routers in other zones whose direct reports are in
-	// use.
-	zone        zonesum.Sum
-	lastSums    map[string]time.Time
-	directZones map[message.RouterID]string
-	started     time.Time
-	// copies tracks how old the copies of the store's objects are. loggedCopies are their states and
-	// watching whether this router watches the store as logged last.
-	copies       *freshness.Tracker
-	loggedCopies [message.StoreKindCount]copyState
-	watching     bool
-	inForce      configInForce
+	group   *group.Group
+	self    member.Member
+	loop    *balance.Loop
+	catalog *catalog.Catalog
+	roster  *roster.Roster
+	// reports tells the other routers the load of this one's requests, and has theirs.
+	reports *loadreport.Exchange
+	// copies tracks how old the copies of the store's objects are, storeDuty what is to be read of them.
+	copies    *freshness.Tracker
+	storeDuty *storeduty.Monitor
+	inForce   configInForce
 	// storeWatch decides whether this router watches the store.
-	storeWatch      *storewatch.Watch
-	lastCopyRequest time.Time
-	farSource       farSource
-	// lastGossip is when this router last sent its revisions to some other routers at once,
-	// gossipPending is set if it is to do so again soon, newsFromStore if the store told them.
-	lastGossip    time.Time
-	gossipPending bool
-	newsFromStore bool
+	storeWatch *storewatch.Watch
+	// news tells other routers what is new in the copy of the store, and asks for what is newer.
+	news *news.Exchange
 	// nextTick is when the next tick is due. tickSoon brings it forward.
 	nextTick  time.Time
 	ticks     atomic.Int64
@@ -186,12 +178,14 @@
 	persistedEra int64
 	// streams knows which versions began streams.
 	streams     *streamversion.Directory
-	streamStore streamStore
+	records     *streamrecords.Exchange
+	streamStore *streamstore.Keeper
 	// routes knows at which services streams may have begun.
 	routes *routehistory.History
 	// suspects has the requests that are suspected of crashing targets.
 	suspects *suspects.Account
-	exits    exits
+	// exits tells other routers which processes of targets have ended.
+	exits *exits.Exchange
 	// unconfirmedSince is the time since when the router has waited, after the box was suspended,
 	// for a confirmation that its copy of the store is current; zero if it does not wait.
 	unconfirmedSince time.Time
@@ -250,11 +244,10 @@
 	}
 	g := &Gateway{
 		Options: o, group: group.New(ctx), catalog: catalog.New(o.Codec, cmp.Or(o.TargetDrain, defaultTargetDrain), cmp.Or(o.EntryTTL, defaultEntryTTL)),
-		tickSoon: make(chan struct{}, 1), lastSums: map[string]time.Time{}, directZones: map[message.RouterID]string{},
+		tickSoon: make(chan struct{}, 1),
 	}
 	now := clock.Now()
 	g.copies = freshness.New(now, o.CopyLimits)
-	g.started = now
 	self := member.Member{
 		ID: message.RouterID(o.ID), Zone: o.Zone, Address: callers.Addr().String(),
 		Peer: cmp.Or(o.PeerAdvertise, peerListener.Addr().String()), Incarnation: o.Incarnation,
@@ -266,11 +259,13 @@
 		ID: self.ID, Zone: self.Zone, Address: self.Address, Peer: self.Peer, Incarnation: self.Incarnation,
 		Capacity: o.Capacity,
 	}, o.Seeds, random)
+	g.storeDuty = storeduty.New(storeduty.Options{Catalog: g.catalog, Copies: g.copies, Watch: g.storeWatch, Fleet: dutyFleet{g.roster, g}, Log: o.Log})
 	g.streams = streamversion.New(now, g.roster)
 	g.routes = routehistory.New(now, streamversion.TTL)
+	g.streamStore = streamstore.New(now, streamstore.Options{
+		Store: o.StreamStore, Streams: g.streams, Routes: g.routes, Catalog: g.catalog, Copies: g.copies, Metrics: o.Metrics, Wake: g.tickEarlier, Log: o.Log,
+	})
 	state := balance.New(now, o.Zone, o.Limits, random)
-	state.OnLongPrompt(g.sendLoad)
-	state.OnStreamBegun(g.streamBegun)
 	state.SetRouteHistory(g.routes)
 	if o.StreamStore == nil {
 		g.streams.Restore(now, nil, true)
@@ -286,20 +281,30 @@
 	state.SetColdAllowance(g.coldSenders.SendLimit)
 	g.rollouts = rollout.New(o.RolloutExposure, random.Float64)
 	state.SetRollouts(g.rollouts)
+	g.reports = loadreport.New(loadreport.Options{Roster: g.roster, Sender: sender{g}, Rollouts: g.rollouts, Copies: sender{g}, Log: o.Log})
+	state.OnLongPrompt(g.reports.SendLoad)
 	state.SetRegions(o.Regions)
 	state.SetFeatures(o.Features)
 	g.loop = balance.NewLoop(state)
+	g.records = streamrecords.New(streamrecords.Options{
+		Loop: g.loop, Streams: g.streams, Routes: g.routes, Store: g.streamStore, Metrics: o.Metrics, Send: g.sendTo,
+		Wake: g.tickEarlier, StoodStill: g.stoodStill, LogFull: o.LogFull, Log: o.Log,
+	})
+	state.OnStreamBegun(g.records.Begun)
 	g.loop.SetMeter(metrics.ProcessorTime, o.Capacity)
 	g.loop.OnResume(g.resume)
+	g.transport = httptarget.New(g.group)
+	g.exits = exits.New(exits.Options{
+		Group: g.group, Loop: g.loop, Roster: g.roster, Prober: g.transport, Metrics: o.Metrics, Send: g.sendTo, Wake: g.tickEarlier, Log: o.Log,
+	})
 	g.suspects = suspects.New(suspects.Options{
 		Self: self.ID, Loop: g.loop, Fleet: suspectFleet{g.roster, g}, Targets: g.catalog, Store: o.QuarantineStore, Moves: g.routes.Moves(),
-		RecordExit: g.recordExit, Counters: o.Metrics, Log: o.Log,
+		RecordExit: g.exits.Record, Counters: o.Metrics, Log: o.Log,
 	})
-	g.transport = httptarget.New(g.group)
 	g.memory = memory.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / messageMemoryPart)
 	g.answers.budget = answerbuffer.New(cmp.Or(o.MemoryBytes, defaultMemoryBytes) / answerMemoryPart)
 	forwarder := forward.New(o.Headers, g.transport, g.loop, g.suspects, o.Log, o.Metrics).
-		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(streamVersions{g}).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
+		WithMemory(g.memory).WithBuffers(g.answers.budget, g.answers.enabled.Load).WithStreamVersions(g.records).WithStatusQuery(o.StatusQuery).WithMaxStall(cmp.Or(o.MaxStall, forward.DefaultMaxStall))
 	sums := tally.New()
 	g.requests = lifecycle.New(changeWindow, o.Log)
 	g.server = ingress.New(o.Headers, forwarder, requestlog.New(o.Log, o.LogFull, o.Metrics, sums, g.requests.LastChange), ingress.Limits{
@@ -307,6 +312,10 @@
 		Connections: cmp.Or(o.CallerLimits.Connections, defaultMaxConnections),
 	}, g.memory, g.requests, o.Log)
 	g.counts = countlog.New(o.Log, o.Metrics, countlog.Sources{Loop: g.loop, Arrivals: g.server.TakeArrivalStats, Answers: g.answers.budget, Requests: sums})
+	g.news = news.New(news.Options{
+		Zone: self.Zone, Roster: g.roster, Catalog: g.catalog, Copies: g.copies, Rank: g.storeWatch.LastRank, Server: g.server,
+		Metrics: o.Metrics, Sender: sender{g}, UpdateSelf: g.updateSelf, MinInterval: tickInterval,
+	})
 	g.relays = relays.New(relays.Options{
 		Group: g.group, Server: g.server, Roster: g.roster, Switch: o.Features.Handover, Listen: o.HandoverListen, PeerListen: o.PeerListen, Peer: self.Peer,
 		MaxRelays: o.MaxRelays, Cores: o.Capacity, Utilisation: g.loop.CPUUtilisation, Log: o.Log,
@@ -371,7 +380,7 @@
 	g.server.Leave()
 	g.loop.Post(func(_ *balance.State, now time.Time) {
 		g.leaving = true
-		g.gossip(now)
+		g.news.Gossip(now)
 	})
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/gateway/order_internal_test.go
+++ b/internal/gateway/order_internal_test.go
@@ -308,7 +308,7 @@
 				g.receive(from, m)
 			}
 			var sum message.Status
-			g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) { sum = g.zone.Take(now.Add(c.after)) })
+			g.loop.PostAndWait(t.Context(), func(_ *balance.State, now time.Time) { sum = g.reports.Sum(now.Add(c.after)) })
 			running, answered := 0, 0
 			for _, l := range sum.Loads {
 				running += l.Running
@@ -365,7 +365,7 @@
 			answers := make(chan streamversion.Answer, 1)
 			g.loop.PostAndWait(t.Context(), func(s *balance.State, now time.Time) {
 				c.stands(g, s, now)
-				g.lookUpStream(s, now, forward.TakeUp{Service: "s", Stream: "k"}, answers)
+				g.records.LookUp(s, now, forward.TakeUp{Service: "s", Stream: "k"}, answers)
 			})
 			for _, m := range c.told {
 				g.receive(from, m)
--- a/internal/gateway/ticks.go
+++ b/internal/gateway/ticks.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/message"
+	"github.com/stepcroft/stepcroft/internal/revision"
 )
 
 const (
@@ -56,11 +58,7 @@
 		if latest := now.Add(maxTickInterval); due.After(latest) {
 			due = latest
 		}
-		for kind := range message.StoreKindCount {
-			if read, ok := g.copyReadDue(now, kind, g.watching); ok && read.After(now) && read.Before(due) {
-				due = read
-			}
-		}
+		due = g.storeDuty.NextRead(now, due)
 		if due.After(g.nextTick) {
 			g.nextTick = due
 		}
@@ -70,8 +68,8 @@
 
 // tickIdle reports whether nothing but the roster needs ticks.
 func (g *Gateway) tickIdle() bool {
-	return !g.reporter.active && !g.relays.Active() && !g.gossipPending && g.farSource.due.IsZero() && g.unconfirmedSince.IsZero() &&
-		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStoreIdle() && g.exits.idle()
+	return !g.reports.Active() && !g.relays.Active() && g.news.Idle() && g.unconfirmedSince.IsZero() &&
+		g.catalog.Lapsed() == 0 && !g.rollouts.Active() && g.streams.Idle() && g.streamStore.Idle() && g.exits.Idle()
 }
 
 // tickEarlier brings the next tick forward if a message has made one due.
@@ -86,3 +84,67 @@
 		// One is on its way.
 	}
 }
+
+// maxTickDelay is how much later than due a tick may be without this router counting as one that has stood still.
+const maxTickDelay = time.Second
+
+// stoodStill reports whether this router's process has stood still, although its box went on.
+func (g *Gateway) stoodStill(now time.Time) bool {
+	return !g.nextTick.IsZero() && now.Sub(g.nextTick) > maxTickDelay
+}
+
+// tick does the periodic work of the control goroutine: reports, gossip, logging and expiry.
+func (g *Gateway) tick(s *balance.State, now time.Time) {
+	g.reports.Tick(s, now)
+	g.news.Tick(now)
+	g.relays.Update(now, g.catalog.Table(), g.leaving, func() map[string]bool { return s.Yielding(now) })
+	g.updateSelf()
+	g.news.SendPings(now, g.roster.Tick(now))
+	changes := g.roster.Changes()
+	g.logStateChanges(changes)
+	if slices.ContainsFunc(changes, func(r message.RouterRecord) bool { return r.State == message.Suspected || r.State == message.Gone }) {
+		s.RouterLost()
+	}
+	g.counts.Update(s, now)
+	g.suspects.Update(now)
+	g.records.Tick(s, now)
+	g.exits.Tick(now)
+	g.suspects.Expire(now)
+	g.expireConfirmation(now)
+	g.decideRollouts(now)
+	duty := g.storeDuty.Tick(now)
+	if g.OnDuty != nil {
+		g.OnDuty(duty)
+	}
+	if expired := g.catalog.ExpireLapsed(now); len(expired) > 0 {
+		g.Log.Info("lapsed targets given up", "era", revision.Era(g.catalog.TargetsRevision()), "revision", revision.Store(g.catalog.TargetsRevision()), "count", len(expired),
+			"targets", expired[:min(len(expired), maxLoggedTargets)])
+		g.applyTargets(s, now)
+	}
+	if g.catalog.Settle(now) {
+		g.targetsChanged(s, now, true, sourceTimer)
+	}
+}
+
+// maxLoggedTargets is the most targets named in a log line, which stays short that way even if
+// hundreds expire at once.
+const maxLoggedTargets = 8
+
+// maxStateChangeLines is the number of routers up to which each change of state gets a log line
+// of its own. If a whole fleet starts at once, hundreds of them would displace other lines.
+const maxStateChangeLines = 8
+
+// logStateChanges logs the routers that have become alive, suspected or gone.
+func (g *Gateway) logStateChanges(list []message.RouterRecord) {
+	if len(list) > maxStateChangeLines {
+		count := map[string]int{}
+		for _, r := range list {
+			count[r.State.String()]++
+		}
+		g.Log.Info("many routers changed", "count", count)
+		return
+	}
+	for _, r := range list {
+		g.Log.Info("router believed "+r.State.String(), "router", r.ID, "peer", r.Peer, "incarnation", r.Incarnation, "version", r.Version)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,6 +21,8 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/arrivals"
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/classify"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/earlyrefusal"
@@ -29,6 +31,8 @@
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/requestbody"
+	"github.com/stepcroft/stepcroft/internal/room"
 	"github.com/stepcroft/stepcroft/internal/routing"
 	"github.com/stepcroft/stepcroft/internal/throttle"
 )
@@ -43,10 +47,6 @@
 	// maxHeaderBytes bounds the size of a request's headers. It is above the configured limits
 	// in use, as headerTimeout is.
 	maxHeaderBytes = 64 << 10
-	// bodyTimeout bounds the time that reading a request's body takes.
-	bodyTimeout = 10 * time.Second
-	// defaultMaxBodyBytes is the maximum size of a request's body if none is configured.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Observer receives the result of each request, also of refused ones.
@@ -66,13 +66,16 @@
 	// confirmed is the latest time at which the store is known to have held no newer configuration.
 	confirmed atomic.Pointer[time.Time]
 	server    *http.Server
-	// memory is the budget for request bodies.
-	memory   *memory.Budget
-	conns    *conns
-	requests *lifecycle.Tracker
+	bodies    *requestbody.Reader
+	// arrivals has the connections that wait for their first read, room all that are open.
+	arrivals *arrivals.Queue
+	room     *room.Room
+	conns    *callerconn.Connections
+	// overloaded reports whether the router is short of CPU time.
+	overloaded func() bool
+	requests   *lifecycle.Tracker
 	// cutRequests ends all requests that are served.
 	cutRequests func()
-	unanswered  unansweredCounter
 	// handover takes new connections to other routers; nil if there is none.
 	handover Handover
 	// maxOpen is the maximum number of requests being served.
@@ -102,10 +105,12 @@
 func New(names forward.HeaderNames, f *forward.Forwarder, o Observer, limits Limits, b *memory.Budget, t *lifecycle.Tracker, l logr.Logger) *Server {
 	s := &Server{
 		headerNames: names, classifier: classify.New(names),
-		forwarder: f, observer: o, memory: b, requests: t, log: l,
-		conns: newConns(limits.Connections, f.ShortOfCPU), maxOpen: int64(limits.Requests),
+		forwarder: f, observer: o, bodies: requestbody.New(b, l), requests: t, log: l,
+		arrivals: arrivals.New(), overloaded: f.ShortOfCPU, maxOpen: int64(limits.Requests),
 	}
-	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.conns.arrivals, t, o, l)
+	s.room = room.New(limits.Connections, s.arrivals, s.overloaded)
+	s.early = earlyrefusal.New(names.RequestID, s.classifier, f, s.arrivals, t, o, l)
+	s.conns = s.newConns()
 	served, cut := context.WithCancelCause(context.Background())
 	s.cutRequests = func() { cut(errStopped) }
 	s.server = &http.Server{
@@ -114,14 +119,22 @@
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
-		ConnState:                    connState,
-		ConnContext:                  withConn,
+		ConnState:                    callerconn.State,
+		ConnContext:                  callerconn.WithConn,
 		ErrorLog:                     log.New(serverLog{l}, "", 0),
 		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
 
+// newConns returns what callers' connections are made of.
+func (s *Server) newConns() *callerconn.Connections {
+	return callerconn.New(callerconn.Options{
+		RequestID: s.headerNames.RequestID, Room: s.room, Classifier: s.classifier, Early: s.early, Requests: s.requests, Observer: s.observer,
+		Leaving: s.closing.Load, IdleTimeout: idleTimeout, BodyTimeout: requestbody.Timeout, Log: s.log,
+	})
+}
+
 // serverLog is an io.Writer that forwards the log lines of http.Server, such as panics of
 // handlers, to log.
 type serverLog struct{ log logr.Logger }
@@ -147,6 +160,13 @@
 	return s.classifier.Table() != nil && !s.closing.Load() && !s.paused.Load()
 }
 
+// TakeArrivalStats returns the statistics of new connections of the time since the last call.
+func (s *Server) TakeArrivalStats() arrivals.Stats {
+	out := s.arrivals.TakeStats()
+	out.Open, out.Received = s.room.Counts()
+	return out
+}
+
 // OpenRequests returns the number of requests being served.
 func (s *Server) OpenRequests() int64 { return s.open.Load() }
 
@@ -154,6 +174,11 @@
 // waited too long for CPU time.
 func (s *Server) RejectedConnections() int64 { return s.early.Rejected() }
 
+// ClosedUnanswered returns the number of requests since the start that got neither an answer nor a
+// refusal because this process closed their connections, by reason. Those of callers that had closed the
+// connection before are not counted.
+func (s *Server) ClosedUnanswered() map[string]int64 { return s.conns.Unanswered() }
+
 // TotalRequests returns the number of requests that reached the HTTP server since the start.
 func (s *Server) TotalRequests() int64 { return s.started.Load() }
 
@@ -178,16 +203,27 @@
 	return end != nil && r.Expires().After(*end)
 }
 
+// endOf returns a function that tells when a request ends at the latest.
+func (s *Server) endOf(r forward.Request) func() time.Time {
+	expires := r.Expires()
+	return func() time.Time {
+		if last := s.latestEnd.Load(); last != nil && last.Before(expires) {
+			return *last
+		}
+		return expires
+	}
+}
+
 // Shutdown closes idle connections and waits until the others become idle. If ctx ends first,
 // it closes them too, but for those whose last request is awaited or refused, and returns the error of ctx if there were
 // such, or requests were still served. Requests that begin from then on are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.conns.end()
+	s.room.End()
 	s.awaitBeginning(ctx)
-	s.conns.shut.Store(true)
+	s.room.Stop()
 	err := s.server.Shutdown(ctx)
-	awaitZero(ctx, &s.conns.lasting)
-	lasting := s.conns.lasting.Load()
+	awaitZero(ctx, s.room.Lasting)
+	lasting := s.room.Lasting()
 	if err == nil && lasting > 0 {
 		err = ctx.Err()
 	}
@@ -197,7 +233,7 @@
 	}
 	open := s.open.Load()
 	s.answerOpen()
-	s.conns.forceClose()
+	s.room.ForceClose()
 	if closeErr := s.server.Close(); closeErr != nil {
 		s.log.Info("HTTP server for callers not closed", "cause", closeErr.Error())
 	}
@@ -243,12 +279,12 @@
 func (s *Server) awaitBeginning(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxBeginning)
 	defer cancel()
-	awaitZero(ctx, &s.conns.beginning)
+	awaitZero(ctx, s.room.Beginning)
 }
 
-// awaitZero waits until n is 0 or ctx ends.
-func awaitZero(ctx context.Context, n *atomic.Int64) {
-	for n.Load() > 0 {
+// awaitZero waits until n returns 0 or ctx ends.
+func awaitZero(ctx context.Context, n func() int64) {
+	for n() > 0 {
 		if !group.SleepUntil(ctx, clock.Now().Add(endingInterval)) {
 			return
 		}
@@ -257,7 +293,7 @@
 
 // Close closes the server and all its connections at once.
 func (s *Server) Close() error {
-	s.conns.forceClose()
+	s.room.ForceClose()
 	return errors.Wrap(s.server.Close(), "close HTTP server for callers")
 }
 
@@ -267,9 +303,10 @@
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	arrived := clock.Now()
-	noteServing(r.Context())
+	c := callerconn.Of(r.Context())
+	c.NoteServing()
 	request := forward.Request{ID: r.Header.Get(s.headerNames.RequestID), Arrived: arrived}
-	tracked(r.Context()).Identify(request.ID)
+	c.Account().Identify(request.ID)
 	a := &answer{server: s, w: w, flush: http.NewResponseController(w), request: r}
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -281,20 +318,20 @@
 		defer body.Close()
 	}
 	if result.Status == 0 {
-		request.CallerGone = func() bool { return callerDisconnected(r.Context()) }
+		request.CallerGone = c.Disconnected
 		result = s.forwarder.Forward(r.Context(), request, a)
 		if !result.Truncated {
 			a.complete()
 		}
-		if result.Reason == forward.ReasonCallerGone && (closedServing(r.Context()) || errors.Is(context.Cause(r.Context()), errStopped)) {
+		if result.Reason == forward.ReasonCallerGone && (c.ClosedServing() || errors.Is(context.Cause(r.Context()), errStopped)) {
 			result.Reason = refusal.Stopped
 		}
 	}
-	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && wasReceived(r.Context()) || s.endsConnection(r.Context(), false)) {
+	if !result.HeadSent && (result.Status == http.StatusServiceUnavailable && c.Received() || s.endsConnection(c, false)) {
 		w.Header().Set("Connection", "close")
 	}
 	if result.Reason == refusal.BodyEvicted {
-		defer s.discardBody(w, r, request)()
+		defer requestbody.Discard(w, r, s.endOf(request))()
 	}
 	s.finish(w, r, request, result, arrived)
 }
@@ -317,7 +354,7 @@
 // finish reports a result to the observer and, unless an answer has been forwarded, writes it
 // to the caller. An answer that broke off part-way is aborted, so that the caller notices.
 func (s *Server) finish(w http.ResponseWriter, served *http.Request, r forward.Request, result forward.Result, arrived time.Time) {
-	tracked(served.Context()).Decide(clock.Now(), r.ID, refusal.EndOf(result))
+	callerconn.Of(served.Context()).Account().Decide(clock.Now(), r.ID, refusal.EndOf(result))
 	s.observer.RequestEnded(r, result, clock.Since(arrived))
 	if result.Truncated {
 		panic(http.ErrAbortHandler)
@@ -360,7 +397,7 @@
 	if s.mayOutlast(out) {
 		return out, nil, refusal.New(http.StatusServiceUnavailable, refusal.Leaving, refusal.LeavingRetryAfter)
 	}
-	body, result := s.receiveBody(w, r, t, &out)
+	body, result := s.bodies.Read(w, r, t.Limits().BodyBytes, &out)
 	return out, body, result
 }
 
@@ -372,6 +409,12 @@
 	return s.forwarder.Admit(r.Organisation, requestSize(r))
 }
 
+// endsConnection reports whether the answer to a request, which begins now, is to be the last one on its
+// connection. long is set if it does not tell its length.
+func (s *Server) endsConnection(c *callerconn.Conn, long bool) bool {
+	return s.closing.Load() || c.EndsAfter(long)
+}
+
 // requestSize returns a request's size in tokens.
 func requestSize(r forward.Request) throttle.RequestSize {
 	return throttle.RequestSize{Input: r.Input, Output: r.Output}
@@ -401,13 +444,13 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if a.server.endsConnection(a.request.Context(), length < 0) {
+	if a.server.endsConnection(callerconn.Of(a.request.Context()), length < 0) {
 		h.Set("Connection", "close")
 	}
 	if length < 0 && !a.request.ProtoAtLeast(1, 1) {
 		// Whatever ends the answer early, even if it is the end of this process, must not look like its end.
 		a.endsWithConnection = true
-		setResetOnClose(a.request.Context(), true)
+		callerconn.Of(a.request.Context()).SetResetOnClose(true)
 	}
 	a.w.WriteHeader(status)
 	a.headSent = true
@@ -416,7 +459,7 @@
 // complete marks the answer as written to its end.
 func (a *answer) complete() {
 	if a.endsWithConnection {
-		setResetOnClose(a.request.Context(), false)
+		callerconn.Of(a.request.Context()).SetResetOnClose(false)
 	}
 }
 
@@ -432,7 +475,7 @@
 }
 
 // Unacknowledged implements forward.Caller.
-func (a *answer) Unacknowledged() int { return unacknowledged(a.request.Context()) }
+func (a *answer) Unacknowledged() int { return callerconn.Of(a.request.Context()).Unacknowledged() }
 
 // StopWriting implements forward.Caller.
 func (a *answer) StopWriting() {
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/told_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,12 +17,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/stepcroft/stepcroft/internal/balance"
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/clock"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/memory"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 )
 
 // overdueListener is a listener whose connections have waited for a second before their first
@@ -29,12 +32,17 @@
 type overdueListener struct{ listener }
 
 func (a overdueListener) Accept() (net.Conn, error) {
-	c, err := a.listener.Accept()
+	socket, err := a.acceptor.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c.(*conn).unreadElement.Value = clock.Now().Add(-time.Second)
-	return c, nil
+	ahead := slices.Clone(a.buffer[:socket.ReadNow(a.buffer[:])])
+	account := a.server.early.Begin(len(ahead))
+	raw, err := socket.Conn()
+	if err != nil {
+		return nil, err
+	}
+	return a.admit(raw, a.server.arrivals.Enqueue(clock.Now().Add(-time.Second), true), account, ahead)
 }
 
 // rejectedOnly is an observer that expects only rejections of overdue connections.
@@ -51,10 +59,17 @@
 	loop := balance.NewLoop(balance.New(clock.Now(), "z", balance.Limits{}, rand.New(rand.NewPCG(1, 1))))
 	d := forward.HeaderNames{RequestID: "X-Id"}
 	s := New(d, forward.New(d, nil, loop, nil, logr.Discard(), nil), o, Limits{Requests: 100, Connections: 100}, memory.New(1<<30), lifecycle.New(time.Second, logr.Discard()), logr.Discard())
-	s.conns.overloaded = func() bool { return short }
+	s.overloaded = func() bool { return short }
+	s.limitConnections(100)
 	return s
 }
 
+// limitConnections makes room for n connections, before the server serves.
+func (s *Server) limitConnections(n int) {
+	s.room = room.New(n, s.arrivals, s.overloaded)
+	s.conns = s.newConns()
+}
+
 // A caller whose connection waited too long for CPU time must get 503 with a Retry-After. It
 // used to get no answer, or 400 Bad Request, after which callers do not retry.
 func TestOverdueCallerGetsRetryAfter(t *testing.T) {
@@ -69,10 +84,13 @@
 			g := group.New(context.Background())
 			defer g.Stop()
 			defer checkAccount(t, s)
-			if !overdue {
-				s.conns.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
+			var in net.Listener = newListener(l, s)
+			if overdue {
+				in = overdueListener{newListener(l, s)}
+			} else {
+				s.arrivals.Enqueue(clock.Now().Add(-time.Second), true)
 			}
-			g.Go(func() { _ = s.server.Serve(overdueListener{newListener(l, s)}) })
+			g.Go(func() { _ = s.server.Serve(in) })
 			c, err := net.Dial("tcp", l.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -121,8 +139,8 @@
 		t.Fatal(err)
 	}
 	s := newTestServer(leavingOnly{t}, readsAhead)
-	s.conns.max = 1
-	s.conns.reserve()
+	s.limitConnections(1)
+	s.room.Reserve()
 	in := newListener(l, s)
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -203,7 +221,7 @@
 				if state == http.StateIdle {
 					time.Sleep(100 * time.Millisecond)
 				}
-				connState(raw, state)
+				callerconn.State(raw, state)
 			}
 			checkRefusalBehindLastAnswer(t, s, wholeRequest+c.with, c.later, c.id)
 		})
--- a/internal/ingress/unanswered_test.go
+++ b/internal/ingress/unanswered_test.go
@@ -10,16 +10,19 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 
+	"github.com/stepcroft/stepcroft/internal/callerconn"
 	"github.com/stepcroft/stepcroft/internal/forward"
 	"github.com/stepcroft/stepcroft/internal/group"
 	"github.com/stepcroft/stepcroft/internal/lifecycle"
 	"github.com/stepcroft/stepcroft/internal/refusal"
+	"github.com/stepcroft/stepcroft/internal/room"
 	"github.com/stepcroft/stepcroft/internal/routing"
 )
 
@@ -79,49 +82,49 @@
 		"the caller closed it within a request": {wholeRequest[:20], func(_ *Server, caller net.Conn) { _ = caller.Close() }, nil, ends{lifecycle.CallerGone: 1}},
 		"the server is closed within a request": {
 			wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
-			map[string]int64{closedStopping: 1},
+			map[string]int64{callerconn.Stopping: 1},
 			ends{lifecycle.Unanswered: 1},
 		},
 		"the rest does not come": {
 			"GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) },
-			map[string]int64{closedTimeout: 1},
+			map[string]int64{callerconn.Timeout: 1},
 			ends{lifecycle.Incomplete: 1},
 		},
 		"its answer is aborted": {
 			strings.Replace(wholeRequest, "GET", "DELETE", 1), func(*Server, net.Conn) {},
-			map[string]int64{closedAborted: 1},
+			map[string]int64{callerconn.Aborted: 1},
 			ends{lifecycle.Unanswered: 1},
 		},
 		"the server stops after the first byte of a request": {
-			wholeRequest + "G", func(s *Server, _ net.Conn) { s.conns.end() },
+			wholeRequest + "G", func(s *Server, _ net.Conn) { s.room.End() },
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
 		},
 		"the server stops after the first bytes of a request": {
-			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { s.conns.end() },
+			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { s.room.End() },
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
 		},
 		"the server is closed after the first byte of a request": {
 			wholeRequest + "G", func(s *Server, _ net.Conn) { _ = s.Close() },
-			map[string]int64{closedStopping: 1},
+			map[string]int64{callerconn.Stopping: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
 		},
 		"the server is closed after the first bytes of a request": {
 			wholeRequest + wholeRequest[:20], func(s *Server, _ net.Conn) { _ = s.Close() },
-			map[string]int64{closedStopping: 1},
+			map[string]int64{callerconn.Stopping: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
 		},
 		"the rest of a second request does not come": {
 			wholeRequest + "GET / HTTP/1.1\r\n", func(*Server, net.Conn) { time.Sleep(300 * time.Millisecond) },
-			map[string]int64{closedTimeout: 1},
+			map[string]int64{callerconn.Timeout: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Incomplete: 1},
 		},
 		"the server stops after the first byte behind chunks": {
 			strings.Replace(text(chunked, chunkedBody), "POST", "PATCH", 1), func(s *Server, caller net.Conn) {
 				fmt.Fprint(caller, "G")
 				time.Sleep(60 * time.Millisecond)
-				s.conns.end()
+				s.room.End()
 			},
 			nil,
 			ends{lifecycle.Answered: 1, lifecycle.Refused: 1},
@@ -133,12 +136,12 @@
 		},
 		"another one is behind the last": {
 			strings.Replace(wholeRequest, "GET", "PUT", 1) + wholeRequest, waitEnd,
-			map[string]int64{closedBehind: 1},
+			map[string]int64{callerconn.Behind: 1},
 			ends{lifecycle.Answered: 1, lifecycle.Unanswered: 1},
 		},
 		"another one is behind an aborted one": {
 			strings.Replace(wholeRequest, "GET", "DELETE", 1) + wholeRequest, waitEnd,
-			map[string]int64{closedAborted: 1, closedBehind: 1},
+			map[string]int64{callerconn.Aborted: 1, callerconn.Behind: 1},
 			ends{lifecycle.Unanswered: 2},
 		},
 		"no HTTP":                     {"hello\r\n\r\n", waitEnd, nil, ends{lifecycle.Incomplete: 1}},
@@ -191,6 +194,7 @@
 	s := newTestServer(anyResult{}, false)
 	lines := make(chan string, 10)
 	s.requests = lifecycle.New(time.Second, funcr.New(func(_, args string) { lines <- args }, funcr.Options{}))
+	s.conns = s.newConns()
 	dialServer(t, startTestServer(t, s), "GET / HTTP/1.1\r\nX-Id: 1\r\nHost")
 	for s.requests.Sums(time.Now()).Open == 0 {
 		time.Sleep(time.Millisecond)
@@ -238,29 +242,51 @@
 // it had been read.
 func TestRequestIsRefusedIfItsConnectionIsEvicted(t *testing.T) {
 	s := newTestServer(anyResult{}, false)
+	evictOldest, idle := fillRoom(s), noteIdle(s)
 	caller := dialServer(t, startTestServer(t, s), wholeRequest)
 	if got := status(caller); got != http.StatusServiceUnavailable {
 		t.Fatal("status", got)
 	}
-	for s.idleConns() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-idle
 	// The reader gets the request, and the connection is evicted before it can be marked as in use.
-	s.conns.mu.Lock()
-	fmt.Fprint(caller, wholeRequest)
-	time.Sleep(50 * time.Millisecond)
-	evicted := s.conns.evictOldest()
-	s.conns.mu.Unlock()
+	evicted := evictOldest(func() {
+		fmt.Fprint(caller, wholeRequest)
+		time.Sleep(50 * time.Millisecond)
+	})
 	if got := status(caller); !evicted || got != http.StatusServiceUnavailable {
 		t.Errorf("evicted %t, status %d, counted %v", evicted, got, s.ClosedUnanswered())
 	}
 }
 
-// idleConns returns the number of connections between two requests.
-func (s *Server) idleConns() int {
-	s.conns.mu.Lock()
-	defer s.conns.mu.Unlock()
-	return s.conns.idle.Len()
+// fillRoom leaves room for one connection. evictOldest makes room for one of another router, in place of one that is
+// idle, and returns false if there is none; no connection can be marked as in use before it returns, nor during f.
+func fillRoom(s *Server) (evictOldest func(f func()) bool) {
+	var during atomic.Pointer[func()]
+	s.room = room.New(2, s.arrivals, func() bool {
+		if f := during.Swap(nil); f != nil {
+			(*f)()
+		}
+		return s.overloaded()
+	})
+	s.conns = s.newConns()
+	s.room.Reserve()
+	return func(f func()) bool {
+		during.Store(&f)
+		return s.room.ReserveReceived()
+	}
+}
+
+// noteIdle returns a channel that is closed once a connection is between two requests.
+func noteIdle(s *Server) <-chan struct{} {
+	idle := make(chan struct{})
+	var once sync.Once
+	s.server.ConnState = func(raw net.Conn, state http.ConnState) {
+		callerconn.State(raw, state)
+		if state == http.StateIdle {
+			once.Do(func() { close(idle) })
+		}
+	}
+	return idle
 }
 
 // A request that arrived whole while the server shut down used to be read, and its connection closed.
@@ -324,7 +350,7 @@
 // A request whose handler panicked used to get no answer, and to leave no line with its id.
 func TestRequestIsAnsweredIfItsHandlerPanics(t *testing.T) {
 	s := newTestServer(panicOnly{t}, false)
-	s.memory = nil
+	s.bodies = nil
 	table, err := routing.New(routing.Spec{
 		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []routing.Share{{Service: "s", Weight: 1}}}},
 		Services: []routing.Service{{Name: "s"}},
