An engine that ends while it is asked is asked again

A stream could begin at the next process at an engine's address, as one of the version of the entry, at a router that had just started: the engine's process ended while the router asked it when it had started, and the stream was sent nevertheless, with nothing that would have it confirmed.

Cause: whether connections to the engine have ended was looked at before the question only, though the question's own is one of them.

Now the router looks again if nobody answers, and asks again if a connection has ended meanwhile: another process says so, or refuses, and a sound engine answers on a new connection. If nobody answers then either, the stream is sent elsewhere, as it is after any other end. An answer that is no status stays what it was.

Left: an engine that takes longer than 0.6 s to answer, and of which no connection has ended, is sent streams unasked, as before.

Tried and not taken: to have the answer of the stream confirmed instead. An engine that breaks off questions would have had its streams refused after they ran (TestRestSentWhereAnotherAnswers failed).

--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -118,6 +118,12 @@
 		return nil
 	}
 	refusedAt, other, err := x.isOtherProcess(ctx, to, processTimeout)
+	if err != nil && !ended && !errors.Is(err, errNoStatus) {
+		// It may have ended while it was asked.
+		if _, ended = x.sender.CheckUnused(to.Address, to.Incarnation()); ended {
+			refusedAt, other, err = x.isOtherProcess(ctx, to, processTimeout)
+		}
+	}
 	if err != nil && (ended || x.lastEventID != "") {
 		return &failure{reason: ReasonUnreachable, result: balance.Unreachable, cause: errors.Wrap(errNoStatus, err.Error())}
 	}
--- a/internal/forward/replaced_unasked_test.go
+++ b/internal/forward/replaced_unasked_test.go
@@ -176,3 +176,19 @@
 		})
 	}
 }
+
+// TestEngineReplacedWhileItIsAsked guards against streams that begin at the process after the one of the entry, as that
+// one ends while it is asked when it started, and so does not say.
+func TestEngineReplacedWhileItIsAsked(t *testing.T) {
+	t.Parallel()
+	p := newProcesses(t, true)
+	p.group.Go(func() {
+		for p.asked.Load() == 0 && p.group.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		p.replace(t)
+	})
+	if got := p.ask(t, "first"); got != "" {
+		t.Errorf("the caller got %q", got)
+	}
+}
