A stream is not broken off as one of the earlier version while nothing tells

A stream could end at its router, and go on with events of another version, as the entry of the process that sends it was read: it had begun there while the entry was that of the earlier process, and that one's end became known just before. A sound stream was broken off for it, too.

Cause: once an end is known, a stream is taken for one of the earlier process unless it goes on for 0.1 s after that, and those are ended as the later entry is read. If that comes within the 0.1 s, or between two events, nothing has been decided yet. Where no end is known, such a stream has 0.3 s to go on, and is of unknown version if it does.

Now it has that here as well. Only the streams of which nothing tells get an unknown version then: one known to be the later process's keeps its own.

Evidence: the case "end known just before" of TestStreamAtLaterProcessGoesOn and TestStreamOfLaterProcessBesideAnother fail on (aborted, recorded as of v1); the latter failed on a first form of the mend as well, which lost the version of the other stream. The rest of internal/balance passes but for its two tests that are known red.

--- a/internal/balance/exits.go
+++ b/internal/balance/exits.go
@@ -67,8 +67,8 @@
 //     goes on for exitMargin: either process may send it, and its version stays unknown. As refused connections
 //     are told without a time, this router tries to connect itself at once where streams run; if it is refused,
 //     too, 1 applies to the connections made before it was told.
-//  4. No end is known, and the entry of another process is read: either may send it if it goes on, see
-//     checkReplaced.
+//  4. The entry of another process is read, and no end is known, or since less than that: either may send it if it goes
+//     on, see checkReplaced.
 //  5. No end is known: it is that of the process of the entry.
 //
 // Until a newer entry is read, for exitTTL at most, the target is not sent the rest of any stream, as that may reach
@@ -211,6 +211,8 @@
 	version string
 	at      time.Time
 	exit    exit
+	// undecided are the requests of which either process may send the answer.
+	undecided []*Ticket
 }
 
 // passRunning handles the requests that were sent to a target whose entry is now that of another process. They are
@@ -218,19 +220,20 @@
 // process may go on are left to checkReplaced.
 func (s *State) passRunning(now time.Time, old *target, next Target) {
 	e, ended := s.exits[old.incarnation]
-	mayGoOn := false
+	var undecided []*Ticket
 	for t := range old.running {
 		switch {
 		case ended && e.isBefore(t):
 			s.correctVersion(now, t, old, e.versionOf(t, next.Version))
-		case (!ended || e.spares(t)) && t.receivedSince(now.Add(-replacedTTL)):
-			mayGoOn = true
+		case t.receivedSince(now.Add(-replacedTTL)):
+			// Where an end is known, it may be too early to tell whether the stream goes on after it.
+			undecided = append(undecided, t)
 		default:
 			t.abort()
 		}
 	}
-	if mayGoOn {
-		s.replaced = append(s.replaced, replaced{old, next.Version, now, e})
+	if len(undecided) > 0 {
+		s.replaced = append(s.replaced, replaced{old, next.Version, now, e, undecided})
 	}
 }
 
@@ -247,8 +250,10 @@
 		if now.Sub(r.at) < replacedTTL {
 			return false
 		}
-		for t := range r.running {
+		for _, t := range r.undecided {
+			_, runs := r.running[t]
 			switch {
+			case !runs:
 			case !t.receivedSince(r.at):
 				t.abort()
 			case r.target.Version != r.version && !r.exit.spares(t):
--- a/internal/balance/exits_test.go
+++ b/internal/balance/exits_test.go
@@ -108,6 +108,7 @@
 		"began after the end":             {sentAt: 2 * time.Second, receivedAt: 2 * time.Second, exitAt: time.Second, version: "v2"},
 		"began before the end was seen":   {sentAt: time.Second, receivedAt: 2 * time.Second, exitAt: 1500 * time.Millisecond, version: "v2"},
 		"read a moment after the process": {sentAt: time.Second, receivedAt: 1510 * time.Millisecond, exitAt: 1500 * time.Millisecond, aborted: true, version: "v1"},
+		"end known just before":           {sentAt: 2500 * time.Millisecond, receivedAt: 2960 * time.Millisecond, exitAt: 2950 * time.Millisecond, goesOn: true, version: streamversion.Unknown},
 		// It closed its listener, and the process of the later entry listens there.
 		"made before a refusal":      {connectedAt: before, sentAt: time.Second, receivedAt: late, exitAt: end, refused: true, goesOn: true, version: "v1"},
 		"made before, then killed":   {connectedAt: before, sentAt: time.Second, receivedAt: 2 * time.Second, exitAt: end, refused: true, aborted: true, version: "v1"},
@@ -177,6 +178,46 @@
 	}
 }
 
+// TestStreamOfLaterProcessBesideAnother guards against a stream that is known to be of the process of a later entry and
+// whose version is lost, as nothing tells yet which process sends another one.
+func TestStreamOfLaterProcessBesideAnother(t *testing.T) {
+	start := time.Unix(1000, 0)
+	target := func(version string, born int64) balance.Target {
+		return balance.Target{ID: "a", Service: "llm", Address: "a:1", Zone: "z", Slots: 8, Version: version, Born: born}
+	}
+	s := balance.New(start, "z", balance.Limits{RetryWindow: time.Second, QuotaWindow: time.Second}, rand.New(rand.NewPCG(1, 1)))
+	table, err := routing.New(routing.Spec{Services: []routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 64, CacheTokens: 1_000_000}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(table)
+	recorded := map[string]string{}
+	s.OnStreamBegun(func(_ time.Time, b balance.Stream, _ bool) { recorded[b.ID] = b.Version })
+	s.SetTargets(start, []balance.Target{target("v1", 5)})
+	begin := func(id string, at time.Duration) *balance.Ticket {
+		k := &balance.Ticket{
+			ID: id, Service: "llm", Organisation: "o", Engine: true, Stream: true, StreamID: id, Input: 10, Output: 10,
+			Goal: time.Second, Arrived: start, Deadline: start.Add(time.Minute), Decision: make(chan balance.Decision, 1),
+		}
+		k.OnLost(func() { t.Errorf("%s is aborted", id) })
+		s.Arrive(start.Add(at), k)
+		s.Started(start.Add(at), k)
+		k.LastReceived.Store(int64(at))
+		return k
+	}
+	before := begin("before", time.Second)
+	s.RecordExit(start.Add(1010*time.Millisecond), target("v1", 5), time.Time{})
+	after := begin("after", 1020*time.Millisecond)
+	s.SetTargets(start.Add(1030*time.Millisecond), []balance.Target{target("v2", 6)})
+	for _, k := range []*balance.Ticket{before, after} {
+		k.LastReceived.Store(int64(1300 * time.Millisecond))
+	}
+	s.Tick(start.Add(1400 * time.Millisecond))
+	if recorded["before"] != streamversion.Unknown || recorded["after"] != "v2" {
+		t.Errorf("recorded %q", recorded)
+	}
+}
+
 // TestStreamGoesOnWithReplacedProcess guards against streams that are broken off as another process's entry takes the
 // place of that of theirs, although it goes on, and against waiting for one that does not.
 func TestStreamGoesOnWithReplacedProcess(t *testing.T) {
