A stream sent after a question in vain is confirmed where connections end

A stream could begin at the next process at an engine's address, as one of the version of the entry: the engine had not answered within 0.6 s when it was asked when its process had started, none of its connections had ended, so that the stream was sent to it, and it ended just then.

Cause: only a stream that was sent unasked was confirmed once its answer came on a connection made after others had ended, not one sent after a question in vain.

Now both are. A router asks no more than before where no connection ends.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -173,7 +173,8 @@
 	processBy ProcessEvidence
 	// askedOn is when the connection was made on which target said when its process started, zero if it did not.
 	askedOn time.Time
-	// unaskedAt is when this router looked at the unused connections to target and did not ask it, zero if it did.
+	// unaskedAt is when this router looked at the unused connections to target and did not ask it, or asked in vain; zero if
+	// it has answered.
 	unaskedAt time.Time
 	// forwardedEvents is the number of events forwarded to the caller or its buffer.
 	forwardedEvents int
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -104,8 +104,8 @@
 // checkProcess returns an error if another process than the entry describes listens at a target's address, of
 // which the version is not known. It looks only before the rest of a stream is sent there, and before a
 // stream that may be continued if all unused connections to the target have ended, or if there are none
-// and this router has just started, so that it may know of no process's end. An engine that does not say is not sent
-// the rest of a stream, nor a stream if connections to it have ended.
+// and this router has just started, so that it may know of no process's end. It asks again if connections have ended
+// meanwhile. An engine that does not say is not sent the rest of a stream, nor a stream if connections to it have ended.
 func (x *inflight) checkProcess(ctx context.Context, to balance.Target) *failure {
 	if x.status.Path == "" || to.Born == 0 || x.ticket.StreamID == "" || x.inDoubt {
 		return nil
@@ -119,7 +119,8 @@
 	}
 	refusedAt, other, err := x.isOtherProcess(ctx, to, processTimeout)
 	if err != nil && !ended && !errors.Is(err, errNoStatus) {
-		// It may have ended while it was asked.
+		// It may have ended while it was asked, or may yet.
+		x.unaskedAt = clock.Now()
 		if _, ended = x.sender.CheckUnused(to.Address, to.Incarnation()); ended {
 			refusedAt, other, err = x.isOtherProcess(ctx, to, processTimeout)
 		}
--- a/internal/forward/replaced_unasked_test.go
+++ b/internal/forward/replaced_unasked_test.go
@@ -53,6 +53,9 @@
 	p := &processes{address: "127.0.0.1:0", slow: make(chan struct{}), silent: silent}
 	p.replace(t)
 	p.silent = false
+	if p.server == nil {
+		t.FailNow()
+	}
 	t.Cleanup(func() {
 		_ = p.server.Close()
 		p.wait.Wait()
@@ -84,13 +87,30 @@
 	to     balance.Target
 }
 
+// askSlowly sends a request that is answered when the test ends.
+func (f *processForwarder) askSlowly(t *testing.T) {
+	t.Helper()
+	sent := make(chan struct{})
+	f.group.Go(func() {
+		a, err := f.sender.Send(t.Context(), f.to.Address, httptarget.Request{
+			Method: http.MethodGet, Head: []byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"), Instance: f.to.Incarnation(),
+			OnSent: func(func() bool) { close(sent) },
+		})
+		if err == nil {
+			a.Close()
+		}
+	})
+	<-sent
+	t.Cleanup(func() { close(f.slow) })
+}
+
 // ask asks for a stream that may be taken up, and returns what the caller gets.
 func (f *processForwarder) ask(t *testing.T, id string) string {
 	t.Helper()
 	caller, now := &textCaller{}, time.Now()
 	f.Forward(t.Context(), forward.Request{
 		ID: id, Method: http.MethodPost, URI: "/", Host: "h", Service: "s", Organisation: "o", ToEngine: true,
-		Arrived: now, Deadline: now.Add(500 * time.Millisecond),
+		Arrived: now, Deadline: now.Add(2 * time.Second),
 		Route: &routing.Route{Kind: routing.Streaming, Goal: time.Second, MaxPause: 400 * time.Millisecond, MaxAttempts: 1, Resumable: true},
 	}, caller)
 	return caller.text.String()
@@ -154,20 +174,7 @@
 			}
 			afterLook := func() { p.replace(t) }
 			if !c.replaced {
-				afterLook = func() {
-					taken := make(chan struct{})
-					p.group.Go(func() {
-						a, err := p.sender.Send(t.Context(), p.to.Address, httptarget.Request{
-							Method: http.MethodGet, Head: []byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"), Instance: p.to.Incarnation(),
-							OnSent: func(func() bool) { close(taken) },
-						})
-						if err == nil {
-							a.Close()
-						}
-					})
-					<-taken
-					t.Cleanup(func() { close(p.slow) })
-				}
+				afterLook = func() { p.askSlowly(t) }
 			}
 			p.sender.afterLook.Store(&afterLook)
 			if got, asked := p.ask(t, "second"), p.asked.Load(); got != c.text || asked != c.asked {
@@ -192,3 +199,16 @@
 		t.Errorf("the caller got %q", got)
 	}
 }
+
+// TestEngineReplacedAfterItsSilence guards against the same as it ends after it has been asked in vain.
+func TestEngineReplacedAfterItsSilence(t *testing.T) {
+	t.Parallel()
+	p := newProcesses(t, true)
+	p.askSlowly(t)
+	replace := func() { p.replace(t) }
+	afterQuestion := func() { p.sender.afterLook.Store(&replace) }
+	p.sender.afterLook.Store(&afterQuestion)
+	if got := p.ask(t, "first"); got != "" {
+		t.Errorf("the caller got %q", got)
+	}
+}
