Nobody is asked about the end of a rejection without a length, before it either

TestRejectionWithoutLength failed in a run of the whole package with -race (load 20): a target that had turned a request away was asked for its health, which takes a slot there.

Cause: a spare connection is made, and asked on, as an answer without a length begins, before anyone looks whether it is a rejection.

--- a/internal/forward/try.go
+++ b/internal/forward/try.go
@@ -102,7 +102,7 @@
 	a, err := x.sender.Send(ctx, to.Address, httptarget.Request{
 		Method: x.Method, Head: x.requestHead(to, x.deadline), Body: x.Body, Instance: to.Incarnation(),
 		ID: x.ID, IDHeader: x.headers.RequestID, OnSent: x.noteSent,
-		Witness: x.witness(to),
+		Witness: x.witness(to), NotRunHeader: x.headers.NotRun,
 	})
 	if err == nil {
 		x.ticket.ConnectedAt.Store(a.ConnectedAt().Sub(x.ticket.Arrived).Nanoseconds())
--- a/internal/httptarget/httptarget.go
+++ b/internal/httptarget/httptarget.go
@@ -92,6 +92,9 @@
 	// Witness asks whether the process goes on, which must be known where the answer has neither a length nor
 	// chunks; nil if nobody can be asked.
 	Witness Witness
+	// NotRunHeader is the header by which a target says in an answer that it did not run the request: nothing depends on
+	// the end of such an answer, and nobody is asked about it.
+	NotRunHeader string
 	// Asks is set if the request asks the target about itself. If its answer has neither a length nor chunks, it counts
 	// as whole if its connection ends without a reset: its content tells more, or does not matter.
 	Asks bool
@@ -206,7 +209,7 @@
 		}
 		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", address, err)
 	}
-	if r.Witness != nil && !a.framed() {
+	if r.Witness != nil && !a.framed() && !a.isRejection(r) {
 		t.prepareSpare(a)
 	}
 	return a, nil
@@ -580,6 +583,11 @@
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
+// isRejection reports whether the target says in the head of its answer that it did not run a request.
+func (a *Answer) isRejection(r Request) bool {
+	return r.NotRunHeader != "" && a.Header.Get(r.NotRunHeader) != "" && a.Status >= http.StatusBadRequest || a.Status == http.StatusMisdirectedRequest
+}
+
 // Read reads the body. It returns io.EOF at the end of a complete body and another error if
 // the body was cut off.
 func (a *Answer) Read(b []byte) (int, error) {
